--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,21 @@
+//! Identifiers, each its own type so that one cannot stand in for another.
+
+mod attempt_id;
+mod name_id;
+mod number_id;
+mod request_id;
+
+#[doc(inline)]
+pub use attempt_id::AttemptId;
+#[doc(inline)]
+pub use name_id::{
+    HostId, IdempotencyKey, InvalidName, ModelId, OrganisationId, PipelineId, RegionId, ServiceId,
+    StageName, WriteId, ZoneId,
+};
+#[doc(inline)]
+pub use number_id::{
+    AttemptNumber, FencingNumber, Incarnation, InvalidNumber, PlacementVersion, RowVersion,
+    StageIndex, TreeVersion,
+};
+#[doc(inline)]
+pub use request_id::{InvalidRequestId, RequestId};
--- /dev/null
+++ b/crates/core/src/id/attempt_id.rs
@@ -0,0 +1,26 @@
+//! The identifier of one attempt.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::{AttemptNumber, RequestId, StageIndex};
+
+/// One try of one stage of one request.
+///
+/// An entry never sends the same attempt twice; a repeat takes the next number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AttemptId {
+    /// Request that the attempt works for.
+    pub request: RequestId,
+    /// Stage within the request's pipeline.
+    pub stage: StageIndex,
+    /// Number of the try at this stage.
+    pub number: AttemptNumber,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.request, self.stage, self.number)
+    }
+}
--- /dev/null
+++ b/crates/core/src/id/number_id.rs
@@ -0,0 +1,87 @@
+//! Identifiers written as numbers.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+quick_error! {
+    /// A text that is no number of the wanted kind.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum InvalidNumber {
+        /// Not a whole number in range.
+        NotANumber(kind: &'static str, text: String) {
+            display("{kind} {text:?} is not a whole number in range")
+        }
+    }
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $repr:ty, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name($repr);
+
+        impl $name {
+            /// Wraps a number.
+            #[must_use]
+            pub const fn new(number: $repr) -> Self {
+                Self(number)
+            }
+
+            /// The bare number.
+            #[must_use]
+            pub const fn get(self) -> $repr {
+                self.0
+            }
+
+            /// The number after this one.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidNumber;
+
+            fn from_str(text: &str) -> Result<Self, InvalidNumber> {
+                let parsed = text.parse().ok();
+                parsed.map(Self).ok_or_else(|| InvalidNumber::NotANumber($kind, text.to_owned()))
+            }
+        }
+    };
+}
+
+number_id!(
+    /// One life of a process: drawn at random when it starts.
+    Incarnation, u64, "incarnation");
+number_id!(
+    /// Counts the attempts at one stage of one request, from 0.
+    AttemptNumber, u32, "attempt number");
+number_id!(
+    /// Position of a stage within its pipeline, from 0.
+    StageIndex, u8, "stage index");
+number_id!(
+    /// Version of a row of the platform's table; 0 means absent.
+    RowVersion, u64, "row version");
+number_id!(
+    /// Version of the settings tree; 0 means none yet.
+    TreeVersion, u64, "tree version");
+number_id!(
+    /// Version of the wanted placement; 0 means none yet.
+    PlacementVersion, u64, "placement version");
+number_id!(
+    /// Grows with each new holder of a lease.
+    FencingNumber, u64, "fencing number");
--- /dev/null
+++ b/crates/core/src/process.rs
@@ -0,0 +1,1 @@
+//! What lives as long as its process.
--- /dev/null
+++ b/crates/core/src/unit/class.rs
@@ -0,0 +1,49 @@
+//! Whether an organisation pays.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+quick_error! {
+    /// A text that names no class.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum InvalidClass {
+        /// Neither of the two classes.
+        Unknown(text: String) {
+            display("class {text:?} is unknown: use paid or trial")
+        }
+    }
+}
+
+/// Class of an organisation; paid work goes before trial work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Class {
+    /// Pays for a promised attainment.
+    Paid,
+    /// Uses what paid work leaves idle.
+    Trial,
+}
+
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Paid => "paid",
+            Self::Trial => "trial",
+        })
+    }
+}
+
+impl FromStr for Class {
+    type Err = InvalidClass;
+
+    fn from_str(text: &str) -> Result<Self, InvalidClass> {
+        match text {
+            "paid" => Ok(Self::Paid),
+            "trial" => Ok(Self::Trial),
+            _ => Err(InvalidClass::Unknown(text.to_owned())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/version.rs
@@ -0,0 +1,1 @@
+//! What lives for a version of shared configuration.
--- /dev/null
+++ b/crates/core/src/wire.rs
@@ -0,0 +1,35 @@
+//! Messages between processes, and between a process and the platform.
+//!
+//! Entry and sidecar talk over HTTP with bodies in `MessagePack`; the platform takes JSON. An attempt's
+//! answer is a run of length-delimited [`Frame`]s: numbered chunks, then exactly one end.
+
+mod claim_ticket;
+mod codec;
+mod dispatch;
+mod frame;
+mod hello;
+mod platform;
+mod revoke;
+mod stamp;
+mod tree_exchange;
+
+#[doc(inline)]
+pub use claim_ticket::{ClaimKey, ClaimTicket, Fingerprint};
+#[doc(inline)]
+pub use codec::{DecodeError, decode, encode};
+#[doc(inline)]
+pub use dispatch::Dispatch;
+#[doc(inline)]
+pub use frame::{Chunk, Digest, End, Frame, Outcome, StageCost};
+#[doc(inline)]
+pub use hello::Hello;
+#[doc(inline)]
+pub use platform::{
+    HostList, HostRecord, HostState, Row, RowCheck, RowWrite, Transaction, TransactionReply,
+};
+#[doc(inline)]
+pub use revoke::{Fetch, Revoke, RevokeAnswer, RevokeReply};
+#[doc(inline)]
+pub use stamp::{LoadReport, Stamp};
+#[doc(inline)]
+pub use tree_exchange::{TreeReply, TreeSince};
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
