--- /dev/null
+++ b/crates/amaranthscale/src/connection.rs
@@ -0,0 +1,15 @@
+//! What lives as long as a connection: servers, clients, and the frames between them.
+
+mod body;
+mod frame_reader;
+mod http_server;
+mod peer_client;
+
+#[doc(inline)]
+pub use body::{ReadBodyError, ResponseBody, empty_body, full_body, read_body};
+#[doc(inline)]
+pub use frame_reader::{FrameError, FrameReader, encode_frame};
+#[doc(inline)]
+pub use http_server::{HttpServer, HttpServerLimits};
+#[doc(inline)]
+pub use peer_client::{ConnectionNumber, PeerClient, PeerClientLimits, PeerConnection, PeerError};
--- /dev/null
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -0,0 +1,159 @@
+//! A server for HTTP/1.1 and HTTP/2 on one address.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use log::debug;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::ResponseBody;
+
+/// Pause after a failed accept, so that a process out of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Streams that one peer may have open on one HTTP/2 connection.
+/// An entry sends all its attempts for a sidecar over one connection.
+const MAX_STREAMS: u32 = 4096;
+
+/// Bounds that protect a server from its clients.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpServerLimits {
+    /// Most bytes of headers.
+    pub max_header_bytes: usize,
+    /// Longest wait for a request's headers.
+    pub header_timeout: Duration,
+}
+
+impl Default for HttpServerLimits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 * 1024,
+            header_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct HttpServer {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    accepting: JoinHandle<GracefulShutdown>,
+}
+
+impl HttpServer {
+    /// Listens at an address and answers each request by a function.
+    pub async fn start<H, F>(
+        listen: SocketAddr,
+        limits: HttpServerLimits,
+        handle: H,
+    ) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<ResponseBody>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        let accepting = tokio::spawn(accept(listener, limits, handle, stopped));
+        Ok(Self {
+            address,
+            stop,
+            accepting,
+        })
+    }
+
+    /// The address that the server listens at.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts nothing more, lets open requests end, and says whether all did within the bound.
+    pub async fn stop(self, bound: Duration) -> bool {
+        self.stop.send_replace(true);
+        let Ok(connections) = self.accepting.await else {
+            return false;
+        };
+        tokio::time::timeout(bound, connections.shutdown())
+            .await
+            .is_ok()
+    }
+}
+
+async fn accept<H, F>(
+    listener: TcpListener,
+    limits: HttpServerLimits,
+    handle: H,
+    mut stopped: watch::Receiver<bool>,
+) -> GracefulShutdown
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    let connections = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => return connections,
+        };
+        match accepted {
+            Ok((stream, _peer)) => serve(stream, limits, handle.clone(), &connections),
+            Err(error) => {
+                debug!("server: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn serve<H, F>(
+    stream: TcpStream,
+    limits: HttpServerLimits,
+    handle: H,
+    connections: &GracefulShutdown,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    // Small frames would otherwise wait for an acknowledgement, some 40 ms a stage.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = builder(limits)
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let connection = connections.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            debug!("server: connection ended: {error}");
+        }
+    });
+}
+
+fn builder(limits: HttpServerLimits) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.max_header_bytes.max(8192));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(u32::try_from(limits.max_header_bytes).unwrap_or(u32::MAX));
+    builder
+}
--- /dev/null
+++ b/crates/amaranthscale/src/connection/peer_client.rs
@@ -0,0 +1,217 @@
+//! Connections from this process to other processes of the system.
+//!
+//! One HTTP/2 connection a peer carries all requests to it. The client never repeats a request of
+//! its own accord: whether a request may be sent again is the caller's decision.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http2::{Builder, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use log::debug;
+use quick_error::quick_error;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex as AsyncMutex;
+
+quick_error! {
+    /// A request to a peer that got no response.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum PeerError {
+        /// No connection came about, so the peer never saw the request.
+        NotSent(address: SocketAddr, reason: String) {
+            display("{address} was not reached: {reason}")
+        }
+        /// The connection ended after the request may have been seen.
+        Lost(address: SocketAddr, reason: String) {
+            display("the connection to {address} was lost: {reason}")
+        }
+    }
+}
+
+impl PeerError {
+    /// Whether the peer may have seen the request.
+    #[must_use]
+    pub const fn may_have_arrived(&self) -> bool {
+        matches!(self, Self::Lost(..))
+    }
+}
+
+/// Numbers the connections of one client in the order they were opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionNumber(u64);
+
+/// Bounds of the client.
+#[derive(Debug, Clone, Copy)]
+pub struct PeerClientLimits {
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// Longest silence of a connection with open streams; one ping is sent and missed in it.
+    pub silence: Duration,
+}
+
+impl Default for PeerClientLimits {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            silence: Duration::from_secs(1),
+        }
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+type Slot = Arc<AsyncMutex<Option<PeerConnection>>>;
+
+/// An open connection to a peer.
+#[derive(Debug, Clone)]
+pub struct PeerConnection {
+    address: SocketAddr,
+    number: ConnectionNumber,
+    sender: Sender,
+}
+
+impl PeerConnection {
+    /// Number of the connection.
+    #[must_use]
+    pub const fn number(&self) -> ConnectionNumber {
+        self.number
+    }
+
+    /// Posts a body to a path of the peer; the response's body may go on for long.
+    pub async fn post(
+        mut self,
+        path: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<Response<Incoming>, PeerError> {
+        let request = Request::post(format!("http://{}{path}", self.address))
+            .body(Full::new(body.into()))
+            .map_err(|error| PeerError::NotSent(self.address, error.to_string()))?;
+        self.sender.send_request(request).await.map_err(|error| {
+            debug!("peer: request to {} was lost: {error}", self.address);
+            PeerError::Lost(self.address, error.to_string())
+        })
+    }
+}
+
+/// Connects to other processes of the system.
+#[derive(Debug)]
+pub struct PeerClient {
+    limits: PeerClientLimits,
+    opened: AtomicU64,
+    slots: Mutex<BTreeMap<SocketAddr, Slot>>,
+}
+
+impl PeerClient {
+    /// A client without connections.
+    #[must_use]
+    pub fn new(limits: PeerClientLimits) -> Self {
+        Self {
+            limits,
+            opened: AtomicU64::new(0),
+            slots: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// The connection to a peer, opened if there is none.
+    pub async fn connection(&self, address: SocketAddr) -> Result<PeerConnection, PeerError> {
+        self.connection_after(address, None).await
+    }
+
+    /// A connection to a peer that is newer than one that went silent.
+    ///
+    /// Many requests may find the same connection silent at once; they share the new one.
+    pub async fn connection_after(
+        &self,
+        address: SocketAddr,
+        silent: Option<ConnectionNumber>,
+    ) -> Result<PeerConnection, PeerError> {
+        let slot = self.slot(address);
+        let mut open = slot.lock().await;
+        let is_usable = |connection: &&PeerConnection| {
+            Some(connection.number) > silent && !connection.sender.is_closed()
+        };
+        if let Some(connection) = open.as_ref().filter(is_usable) {
+            return Ok(connection.clone());
+        }
+        *open = None;
+        let connection = self.connect(address).await?;
+        *open = Some(connection.clone());
+        Ok(connection)
+    }
+
+    /// Posts a body on the open connection and returns the response.
+    pub async fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<Response<Incoming>, PeerError> {
+        self.connection(address).await?.post(path, body).await
+    }
+
+    /// Forgets the connection to a peer that is gone.
+    pub fn forget(&self, address: SocketAddr) {
+        self.slots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&address);
+    }
+
+    fn slot(&self, address: SocketAddr) -> Slot {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(slots.entry(address).or_default())
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<PeerConnection, PeerError> {
+        let not_sent = |reason: String| PeerError::NotSent(address, reason);
+        let connecting = TcpStream::connect(address);
+        let stream = match tokio::time::timeout(self.limits.connect_timeout, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_sent(error.to_string())),
+            Err(_elapsed) => return Err(not_sent("no connection in time".to_owned())),
+        };
+        let _ = stream.set_nodelay(true);
+        let handshake = self.builder().handshake(TokioIo::new(stream));
+        let (mut sender, connection) = handshake
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!("peer: connection to {address} ended: {error}");
+            }
+        });
+        sender
+            .ready()
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        let number = ConnectionNumber(self.opened.fetch_add(1, Ordering::Relaxed));
+        Ok(PeerConnection {
+            address,
+            number,
+            sender,
+        })
+    }
+
+    /// Pings go out only while streams are open, so idle pairs of processes cost nothing.
+    ///
+    /// Guards against a connection that goes silent for good: requests on it would wait until
+    /// their deadlines. A missed ping ends the connection and with it every open stream, so that
+    /// each request asks about its attempt on a new connection.
+    fn builder(&self) -> Builder<TokioExecutor> {
+        let half = self.limits.silence / 2;
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .timer(TokioTimer::new())
+            .adaptive_window(false)
+            .keep_alive_while_idle(false)
+            .keep_alive_interval(half)
+            .keep_alive_timeout(half);
+        builder
+    }
+}
--- a/crates/amaranthscale/src/lib.rs
+++ b/crates/amaranthscale/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Serves multi-stage model pipelines under one shared deadline.
+//!
+//! The decisions live in `amaranthscale-core`; this crate puts connections, actors, settings, logs
+//! and metrics around them, and starts the thin daemons `amaranth-entry`, `amaranth-sidecar` and
+//! `amaranthctl`. Modules follow life spans: [`request`], [`connection`], [`process`].
+
+pub mod connection;
+pub mod process;
+pub mod request;
--- /dev/null
+++ b/crates/amaranthscale/src/request.rs
@@ -0,0 +1,1 @@
+//! What lives for one request.
