--- /dev/null
+++ b/crates/core/src/request/claim/row.rs
@@ -0,0 +1,99 @@
+//! What a claim row holds.
+
+use serde::{Deserialize, Serialize};
+use serde_with::{hex::Hex, serde_as};
+
+use crate::id::{AttemptId, HostId, Incarnation};
+use crate::version::Envelope;
+use crate::wire::{Fingerprint, Outcome, Row};
+
+/// Body of a claim row.
+///
+/// # Examples
+///
+/// ```
+/// use amaranthscale_core::id::{HostId, RowVersion, WriteId};
+/// use amaranthscale_core::request::{ClaimReading, ClaimRow, ClaimState, read_claim};
+/// use amaranthscale_core::version::Envelope;
+/// use amaranthscale_core::wire::{Fingerprint, Row};
+///
+/// let fingerprint = Fingerprint::of("/settle", "grower 17");
+/// let by = HostId::new("entry-1")?;
+/// let claim = ClaimRow { fingerprint, state: ClaimState::Cancelled { by } };
+/// let row = Row {
+///     key: "claim/delta/k-1/0".to_owned(),
+///     version: RowVersion::new(1),
+///     value: Envelope::new(WriteId::new("w-1")?, claim.to_body()).to_value(),
+/// };
+///
+/// let reading = read_claim(&row, &fingerprint);
+/// assert_eq!(reading, ClaimReading::Free { version: RowVersion::new(1) });
+/// # Ok::<(), amaranthscale_core::id::InvalidName>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRow {
+    /// Digest of the call that the key stands for.
+    pub fingerprint: Fingerprint,
+    /// How far the call has come.
+    pub state: ClaimState,
+}
+
+/// How far a call that may not be repeated has come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimState {
+    /// One attempt may make the call.
+    Started {
+        /// Host of the sidecar that holds the claim.
+        host: HostId,
+        /// Life of that sidecar.
+        incarnation: Incarnation,
+        /// Attempt that holds the claim.
+        attempt: AttemptId,
+    },
+    /// The call was made and has ended.
+    Finished {
+        /// How it ended.
+        outcome: Outcome,
+        /// What it answered.
+        result: StoredResult,
+    },
+    /// Nobody made the call; the next version is free.
+    Cancelled {
+        /// Host that cancelled.
+        by: HostId,
+    },
+    /// The call may have been made; it is never made again.
+    Unknown,
+}
+
+/// Where the result of a finished call lies.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoredResult {
+    /// In the row itself, as hexadecimal text.
+    Inline(#[serde_as(as = "Hex")] Vec<u8>),
+    /// In the object store, under this key.
+    Object(String),
+}
+
+impl ClaimRow {
+    /// Reads a row of the table; none if no writer of ours wrote it.
+    #[must_use]
+    pub fn parse(row: &Row) -> Option<Self> {
+        let envelope = Envelope::parse(&row.value).ok()?;
+        serde_json::from_str(&envelope.body).ok()
+    }
+
+    /// The text that goes into the row's envelope.
+    ///
+    /// # Panics
+    ///
+    /// Never for a claim, whose types all have a form in JSON.
+    #[must_use]
+    pub fn to_body(&self) -> String {
+        // Reached only if a claim came to hold something that JSON cannot carry: a bug.
+        serde_json::to_string(self).expect("a claim has a form in JSON")
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/ledger/record.rs
@@ -0,0 +1,27 @@
+//! One attempt in a ledger.
+
+use super::LedgerState;
+use crate::unit::SidecarClock;
+
+/// What a ledger keeps of one attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Record {
+    pub(super) state: LedgerState,
+    pub(super) expiry: SidecarClock,
+}
+
+impl Record {
+    pub(super) const fn queued(expiry: SidecarClock) -> Self {
+        Self {
+            state: LedgerState::Queued,
+            expiry,
+        }
+    }
+
+    pub(super) const fn revoked(expiry: SidecarClock) -> Self {
+        Self {
+            state: LedgerState::Revoked,
+            expiry,
+        }
+    }
+}
