--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -1,1 +1,64 @@
 //! What lives as long as its process.
+//!
+//! The parts an entry decides by are [`Router`], [`Admission`], [`OrganisationLimits`],
+//! [`RetryBudget`] and [`HedgePolicy`]; a sidecar decides by its [`FairQueue`]. [`CostBook`] and
+//! [`AttainmentBook`] count what came of it.
+
+mod admission;
+mod admission_settings;
+mod attainment_book;
+mod attainment_counts;
+mod attempt_end;
+mod cost_book;
+mod cost_key;
+mod cost_totals;
+mod fair_queue;
+mod fair_queue_limits;
+mod fair_share;
+mod hedge_policy;
+mod host_track;
+mod organisation_limits;
+mod queued_attempt;
+mod refusal;
+mod rendezvous;
+mod retry_budget;
+mod router;
+mod router_settings;
+mod stage_estimate;
+
+#[doc(inline)]
+pub use admission::Admission;
+#[doc(inline)]
+pub use admission_settings::AdmissionSettings;
+#[doc(inline)]
+pub use attainment_book::AttainmentBook;
+#[doc(inline)]
+pub use attainment_counts::AttainmentCounts;
+#[doc(inline)]
+pub use attempt_end::AttemptEnd;
+#[doc(inline)]
+pub use cost_book::{CostBook, sum_by_organisation};
+#[doc(inline)]
+pub use cost_key::CostKey;
+#[doc(inline)]
+pub use cost_totals::CostTotals;
+#[doc(inline)]
+pub use fair_queue::FairQueue;
+#[doc(inline)]
+pub use fair_queue_limits::FairQueueLimits;
+#[doc(inline)]
+pub use hedge_policy::HedgePolicy;
+#[doc(inline)]
+pub use organisation_limits::OrganisationLimits;
+#[doc(inline)]
+pub use queued_attempt::QueuedAttempt;
+#[doc(inline)]
+pub use refusal::Refusal;
+#[doc(inline)]
+pub use retry_budget::RetryBudget;
+#[doc(inline)]
+pub use router::Router;
+#[doc(inline)]
+pub use router_settings::RouterSettings;
+#[doc(inline)]
+pub use stage_estimate::StageEstimate;
--- /dev/null
+++ b/crates/core/src/process/admission.rs
@@ -0,0 +1,107 @@
+//! Refuses at once what cannot be answered in time.
+//!
+//! Work that starts and then misses its deadline takes slots from work that would not have. So an
+//! entry refuses on arrival when the budget is below what the remaining stages now take, and says
+//! when to come back. The time to come back grows with the share that was refused of late and
+//! carries jitter, so that a refused wave does not return as a wave.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::{AdmissionSettings, Refusal, StageEstimate};
+use crate::ResultCode;
+use crate::unit::{Budget, Class};
+
+/// Decisions over which the refused share is smoothed: long enough to tell a wave from a few.
+const SMOOTHING_DECISIONS: f64 = 64.0;
+/// Factor on the time to come back when everything was refused of late.
+const MAX_PRESSURE: f64 = 8.0;
+/// The whole, in percent.
+const PERCENT: u64 = 100;
+
+/// Admits or refuses requests at an entry.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use amaranthscale_core::ResultCode;
+/// use amaranthscale_core::process::{Admission, StageEstimate};
+/// use amaranthscale_core::unit::{Budget, Class};
+///
+/// let mut admission = Admission::new(7);
+/// let busy = [StageEstimate { queue_ms: 900, service_ms: 300 }];
+/// let refusal = admission
+///     .decide(Budget::from_millis(1_000), &busy, Class::Paid, Duration::ZERO)
+///     .unwrap_err();
+/// assert_eq!(refusal.code, ResultCode::DeadlineUnreachable);
+/// ```
+#[derive(Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    random: SmallRng,
+    refused_share: f64,
+}
+
+impl Admission {
+    /// Admits with the usual settings.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            settings: AdmissionSettings::default(),
+            random: SmallRng::seed_from_u64(seed),
+            refused_share: 0.0,
+        }
+    }
+
+    /// Admits with other settings.
+    #[must_use]
+    pub const fn with_settings(mut self, settings: AdmissionSettings) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Admits a request, or refuses it at once.
+    pub fn decide(
+        &mut self,
+        budget: Budget,
+        remaining: &[StageEstimate],
+        class: Class,
+        _now: Duration,
+    ) -> Result<(), Refusal> {
+        let total_ms: u64 = remaining.iter().map(|stage| stage.total_ms()).sum();
+        let needed_ms = total_ms * self.margin_percent(class) / PERCENT;
+        let is_refused = Budget::from_millis(needed_ms) > budget || budget.is_spent();
+        self.note(is_refused);
+        if is_refused {
+            Err(self.refusal(remaining))
+        } else {
+            Ok(())
+        }
+    }
+
+    const fn margin_percent(&self, class: Class) -> u64 {
+        match class {
+            Class::Paid => self.settings.paid_margin_percent,
+            Class::Trial => self.settings.trial_margin_percent,
+        }
+    }
+
+    fn note(&mut self, is_refused: bool) {
+        let sample = if is_refused { 1.0 } else { 0.0 };
+        self.refused_share += (sample - self.refused_share) / SMOOTHING_DECISIONS;
+    }
+
+    fn refusal(&mut self, remaining: &[StageEstimate]) -> Refusal {
+        let queue_ms: u64 = remaining.iter().map(|stage| stage.queue_ms).sum();
+        let base = Duration::from_millis(queue_ms.max(self.settings.min_retry_after_ms));
+        let grown = base.mul_f64(1.0 + MAX_PRESSURE * self.refused_share);
+        let capped = grown.min(Duration::from_millis(self.settings.max_retry_after_ms));
+        let jittered = capped.mul_f64(self.random.random_range(0.5..1.5));
+        let retry_after_ms = u64::try_from(jittered.as_millis()).unwrap_or(u64::MAX);
+        Refusal::new(ResultCode::DeadlineUnreachable, retry_after_ms)
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/queued_attempt.rs
@@ -0,0 +1,30 @@
+//! An attempt in a sidecar's queue.
+
+use crate::id::{AttemptId, OrganisationId};
+use crate::unit::{Class, SidecarClock, Weight};
+
+/// What the queue needs to know of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QueuedAttempt {
+    /// Attempt that waits.
+    pub attempt: AttemptId,
+    /// Organisation that it works for.
+    pub organisation: OrganisationId,
+    /// Class of that organisation.
+    pub class: Class,
+    /// Share of that organisation within its class.
+    pub weight: Weight,
+    /// Point on the sidecar's clock after which its answer is useless.
+    pub expiry: SidecarClock,
+    /// Time that it is expected to spend at the backend server.
+    pub expected_ms: u64,
+}
+
+impl QueuedAttempt {
+    /// Whether it would still end before its expiry if it started now.
+    #[must_use]
+    pub const fn can_make_it(&self, now: SidecarClock) -> bool {
+        let end_ms = now.as_millis().saturating_add(self.expected_ms);
+        end_ms <= self.expiry.as_millis()
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/router.rs
@@ -0,0 +1,369 @@
+//! Chooses a host for each attempt.
+//!
+//! An entry uses a stable subset of each service's hosts. Of two drawn from it, its own
+//! availability zone first, it takes the less loaded by its own count in flight and by the last
+//! report. Two random draws bound what a wrong report can do: a host that looks idle still gets
+//! no more than its chance of being drawn. Hosts that fail or straggle are ejected for a while,
+//! never more than a third of a service, and one request brings each back.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+
+use super::host_track::{Health, HostTrack};
+use super::{AttemptEnd, Refusal, RouterSettings, StageEstimate, rendezvous};
+use crate::ResultCode;
+use crate::id::{HostId, Incarnation, ServiceId};
+use crate::unit::{Class, SidecarClock};
+use crate::wire::{HostList, HostRecord, Stamp};
+
+/// At most one host in so many of a service is ejected; more would overload the rest.
+const HOSTS_PER_EJECTED: usize = 3;
+/// Time to come back when no host is left: about one change of the host list.
+const NO_HOST_RETRY_AFTER_MS: u64 = 1_000;
+/// Load above the average at which a request leaves the host that holds its prefix.
+const AFFINITY_SLACK: f64 = 0.5;
+
+/// Hosts of all services, as one entry sees them.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use amaranthscale_core::process::{Router, RouterSettings};
+/// use amaranthscale_core::wire::{HostList, HostRecord, HostState};
+///
+/// let mut router = Router::new(RouterSettings::new("hall-a".parse().unwrap()), 7);
+/// let record = HostRecord {
+///     host: "host-1".parse().unwrap(),
+///     address: "10.0.0.1:7000".parse().unwrap(),
+///     region: "bc-coast".parse().unwrap(),
+///     zone: "hall-a".parse().unwrap(),
+///     service: Some("notify-svc".parse().unwrap()),
+///     state: HostState::Live,
+/// };
+/// let list = HostList { version: 1, hosts: vec![record.clone()] };
+/// router.set_hosts(&list, Duration::ZERO);
+/// let service = "notify-svc".parse().unwrap();
+/// let chosen = router.choose(&service, &[], None, Duration::ZERO);
+/// assert_eq!(chosen, Ok(record.host));
+/// ```
+#[derive(Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    seed: u64,
+    random: SmallRng,
+    list_version: u64,
+    hosts: BTreeMap<HostId, HostTrack>,
+    subsets: BTreeMap<ServiceId, Vec<HostId>>,
+}
+
+impl Router {
+    /// A router without hosts; entries need different seeds.
+    #[must_use]
+    pub fn new(settings: RouterSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            seed,
+            random: SmallRng::seed_from_u64(seed),
+            list_version: 0,
+            hosts: BTreeMap::new(),
+            subsets: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a host list; one older than the last is passed over.
+    pub fn set_hosts(&mut self, hosts: &HostList, now: Duration) {
+        if hosts.version < self.list_version {
+            return;
+        }
+        self.list_version = hosts.version;
+        let mut former = std::mem::take(&mut self.hosts);
+        for record in hosts.hosts.iter().filter(|record| record.service.is_some()) {
+            let track = former.remove(&record.host);
+            let mut track = track.unwrap_or_else(|| HostTrack::new(record.clone(), now));
+            track.record = record.clone();
+            self.hosts.insert(record.host.clone(), track);
+        }
+        self.choose_subsets();
+    }
+
+    /// Takes in the stamp of a host.
+    pub fn observe(&mut self, host: &HostId, stamp: &Stamp, now: Duration) {
+        let Some(track) = self.hosts.get_mut(host) else {
+            return;
+        };
+        let was_leaving = track.is_leaving();
+        track.observe(stamp, now);
+        if track.is_leaving() != was_leaving {
+            self.choose_subsets();
+        }
+    }
+
+    /// Chooses a host of a service, outside those excluded.
+    pub fn choose(
+        &mut self,
+        service: &ServiceId,
+        exclude: &[HostId],
+        affinity: Option<u64>,
+        now: Duration,
+    ) -> Result<HostId, Refusal> {
+        let usable = self.usable(service, exclude, now);
+        if let Some(host) = self.due_for_probe(service, exclude, now) {
+            return Ok(host);
+        }
+        if usable.is_empty() {
+            return Err(Refusal::new(
+                ResultCode::NoBackendServer,
+                NO_HOST_RETRY_AFTER_MS,
+            ));
+        }
+        let holder = affinity.and_then(|prefix| self.prefix_holder(&usable, prefix, now));
+        let chosen = holder.or_else(|| self.less_loaded(&usable, now));
+        chosen.ok_or_else(|| Refusal::new(ResultCode::NoBackendServer, NO_HOST_RETRY_AFTER_MS))
+    }
+
+    /// Notes that an attempt was sent to a host.
+    pub fn started(&mut self, host: &HostId, now: Duration) {
+        if let Some(track) = self.hosts.get_mut(host) {
+            track.started(now);
+        }
+    }
+
+    /// Notes how an attempt at a host ended.
+    pub fn ended(&mut self, host: &HostId, end: AttemptEnd, elapsed: Duration, now: Duration) {
+        let Some(track) = self.hosts.get_mut(host) else {
+            return;
+        };
+        track.ended(end, elapsed, now);
+        if self.settings.has_ejection {
+            self.judge(host, end, elapsed, now);
+        }
+    }
+
+    /// Expected time of a stage that starts now.
+    #[must_use]
+    pub fn estimate(&self, service: &ServiceId, class: Class, now: Duration) -> StageEstimate {
+        let hosts = self.usable(service, &[], now);
+        let tracks = hosts.iter().filter_map(|host| self.hosts.get(host));
+        let estimates = tracks.filter_map(|track| track.estimate(class, now, &self.settings));
+        let (mut queues, mut services): (Vec<_>, Vec<_>) = estimates
+            .map(|estimate| (estimate.queue_ms, estimate.service_ms))
+            .unzip();
+        StageEstimate {
+            queue_ms: median(&mut queues),
+            service_ms: median(&mut services),
+        }
+    }
+
+    /// The host list's record of a host.
+    #[must_use]
+    pub fn host(&self, host: &HostId) -> Option<&HostRecord> {
+        self.hosts.get(host).map(|track| &track.record)
+    }
+
+    /// Life of a host's sidecar, its clock at the last stamp, and when that stamp came.
+    #[must_use]
+    pub fn incarnation(&self, host: &HostId) -> Option<(Incarnation, SidecarClock, Duration)> {
+        let seen = self.hosts.get(host)?.seen?;
+        Some((seen.incarnation, seen.clock, seen.at))
+    }
+
+    /// Hosts of a service that this entry now leaves out.
+    pub fn ejected(&self, service: &ServiceId) -> impl Iterator<Item = &HostId> {
+        let subset = self.subsets.get(service).into_iter().flatten();
+        subset.filter(|host| self.hosts.get(*host).is_some_and(HostTrack::is_out))
+    }
+
+    /// Hosts of a service that this entry uses, those ejected among them.
+    pub fn subset(&self, service: &ServiceId) -> impl Iterator<Item = &HostId> {
+        self.subsets.get(service).into_iter().flatten()
+    }
+
+    fn choose_subsets(&mut self) {
+        let mut by_service: BTreeMap<ServiceId, Vec<HostId>> = BTreeMap::new();
+        for track in self.hosts.values().filter(|track| !track.is_leaving()) {
+            if let Some(service) = &track.record.service {
+                by_service
+                    .entry(service.clone())
+                    .or_default()
+                    .push(track.record.host.clone());
+            }
+        }
+        for hosts in by_service.values_mut() {
+            hosts.sort_by_key(|host| std::cmp::Reverse(rendezvous::score(self.seed, host)));
+            hosts.truncate(self.settings.subset_size.max(1));
+        }
+        self.subsets = by_service;
+        self.readmit_above_cap();
+    }
+
+    /// Readmits what a shrunken service can no longer leave out, the earliest due first.
+    fn readmit_above_cap(&mut self) {
+        for hosts in self.subsets.values() {
+            let mut out: Vec<_> = hosts
+                .iter()
+                .filter(|host| self.hosts[*host].is_out())
+                .cloned()
+                .collect();
+            out.sort_by_key(|host| due_at(self.hosts[host].health));
+            let above = out.len().saturating_sub(hosts.len() / HOSTS_PER_EJECTED);
+            for host in &out[..above] {
+                if let Some(track) = self.hosts.get_mut(host) {
+                    track.readmit();
+                }
+            }
+        }
+    }
+
+    fn usable(&self, service: &ServiceId, exclude: &[HostId], now: Duration) -> Vec<HostId> {
+        let healthy: Vec<_> = self
+            .subset(service)
+            .filter(|host| !exclude.contains(host) && !self.hosts[*host].is_out())
+            .cloned()
+            .collect();
+        let answering: Vec<_> = healthy
+            .iter()
+            .filter(|host| !self.hosts[*host].is_silent(now, &self.settings))
+            .cloned()
+            .collect();
+        // All silent at once says more about this entry than about the hosts.
+        if answering.is_empty() {
+            healthy
+        } else {
+            answering
+        }
+    }
+
+    fn due_for_probe(
+        &mut self,
+        service: &ServiceId,
+        exclude: &[HostId],
+        now: Duration,
+    ) -> Option<HostId> {
+        let due = self
+            .subset(service)
+            .find(|host| {
+                !exclude.contains(host) && self.hosts[*host].is_due_for_probe(now, &self.settings)
+            })?
+            .clone();
+        self.hosts.get_mut(&due)?.probe(now);
+        Some(due)
+    }
+
+    /// The host that likely holds a prefix, unless it is busier than the others.
+    fn prefix_holder(&self, hosts: &[HostId], prefix: u64, now: Duration) -> Option<HostId> {
+        let holder = hosts
+            .iter()
+            .max_by_key(|host| rendezvous::score(prefix, host))?;
+        let count = u32::try_from(hosts.len()).unwrap_or(u32::MAX);
+        let total: f64 = hosts.iter().map(|host| self.load(host, now)).sum();
+        let bound = total / f64::from(count) + AFFINITY_SLACK;
+        (self.load(holder, now) <= bound).then(|| holder.clone())
+    }
+
+    fn less_loaded(&mut self, hosts: &[HostId], now: Duration) -> Option<HostId> {
+        let near: Vec<_> = hosts
+            .iter()
+            .filter(|host| self.is_near(host))
+            .cloned()
+            .collect();
+        let nearest = self.less_loaded_of_two(&near, now);
+        match nearest {
+            Some(host) if self.load(&host, now) < self.settings.spill_load => Some(host),
+            _ => self.less_loaded_of_two(hosts, now),
+        }
+    }
+
+    fn less_loaded_of_two(&mut self, hosts: &[HostId], now: Duration) -> Option<HostId> {
+        let candidates = if self.settings.has_two_choices { 2 } else { 1 };
+        let drawn: Vec<_> = hosts
+            .sample(&mut self.random, candidates)
+            .cloned()
+            .collect();
+        let by_cost = |a: &HostId, b: &HostId| self.cost(a, now).total_cmp(&self.cost(b, now));
+        drawn.into_iter().min_by(by_cost)
+    }
+
+    fn is_near(&self, host: &HostId) -> bool {
+        self.hosts[host].record.zone == self.settings.own_zone
+    }
+
+    fn load(&self, host: &HostId, now: Duration) -> f64 {
+        self.hosts[host].load_per_slot(now, &self.settings)
+    }
+
+    /// Load with a host's own speed: a slow host is worse at the same load.
+    fn cost(&self, host: &HostId, now: Duration) -> f64 {
+        let speed_ms = self.hosts[host].smoothed_ms().unwrap_or(1.0).max(1.0);
+        (self.load(host, now) + 1.0) * speed_ms
+    }
+
+    fn judge(&mut self, host: &HostId, end: AttemptEnd, elapsed: Duration, now: Duration) {
+        let Some(service) = self.hosts[host].record.service.clone() else {
+            return;
+        };
+        let usual_ms = self.usual_ms(&service, host);
+        let slow_ms = usual_ms.map(|usual_ms| usual_ms * self.settings.straggler_factor);
+        let Some(track) = self.hosts.get_mut(host) else {
+            return;
+        };
+        if let Health::Probing { .. } = track.health {
+            let is_slow = slow_ms.is_some_and(|slow_ms| elapsed.as_secs_f64() * 1e3 > slow_ms);
+            match end {
+                AttemptEnd::Complete if !is_slow => track.readmit(),
+                AttemptEnd::Cancelled | AttemptEnd::Refused(_) => {}
+                _ => track.eject(&self.settings, now),
+            }
+            return;
+        }
+        let is_slow = slow_ms
+            .zip(track.smoothed_ms())
+            .is_some_and(|(slow, own)| own > slow);
+        if track.is_out() || !(is_slow || track.has_failed(&self.settings)) {
+            return;
+        }
+        self.eject_within_cap(&service, host, now);
+    }
+
+    fn eject_within_cap(&mut self, service: &ServiceId, host: &HostId, now: Duration) {
+        // Ejecting hosts moves their load to the rest. When a whole service slows down, each host
+        // in turn would look like a straggler; the cap keeps two thirds at work.
+        let most = self.subset(service).count() / HOSTS_PER_EJECTED;
+        let is_used = self.subset(service).any(|used| used == host);
+        if !is_used || self.ejected(service).count() >= most {
+            return;
+        }
+        if let Some(track) = self.hosts.get_mut(host) {
+            track.eject(&self.settings, now);
+        }
+    }
+
+    /// Median of the other hosts' smoothed times.
+    fn usual_ms(&self, service: &ServiceId, except: &HostId) -> Option<f64> {
+        let others = self.subset(service).filter(|host| *host != except);
+        let tracks = others
+            .map(|host| &self.hosts[host])
+            .filter(|track| !track.is_out());
+        let mut times: Vec<_> = tracks.filter_map(HostTrack::smoothed_ms).collect();
+        times.sort_by(f64::total_cmp);
+        times.get(times.len() / 2).copied()
+    }
+}
+
+const fn due_at(health: Health) -> Duration {
+    match health {
+        Health::Healthy => Duration::ZERO,
+        Health::Ejected { until, .. } => until,
+        Health::Probing { since, .. } => since,
+    }
+}
+
+fn median(values: &mut [u64]) -> u64 {
+    values.sort_unstable();
+    values.get(values.len() / 2).copied().unwrap_or(0)
+}
