--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -1,1 +1,62 @@
 //! What lives for a version of shared configuration.
+//!
+//! The settings tree holds the organisations, pipelines and services. A [`TreeEdit`] applied to a
+//! [`SettingsTree`] gives the next version, checked as a whole. [`CompiledTree`] answers the
+//! questions of a request from values computed once per version. [`TreeLog`] takes newer versions
+//! from the table and from other processes, and never goes back.
+
+mod compiled_tree;
+mod edit_record;
+mod effective;
+mod key_hash;
+mod organisation;
+mod override_field;
+mod overrides;
+mod pipeline;
+mod service;
+mod settings_tree;
+mod sourced;
+mod stage;
+mod tree_check;
+mod tree_edit;
+mod tree_error;
+mod tree_head;
+mod tree_log;
+mod tree_log_error;
+
+#[doc(inline)]
+pub use compiled_tree::CompiledTree;
+#[doc(inline)]
+pub use edit_record::EditRecord;
+#[doc(inline)]
+pub use effective::Effective;
+#[doc(inline)]
+pub use key_hash::{InvalidKeyHash, KeyHash};
+#[doc(inline)]
+pub use organisation::Organisation;
+#[doc(inline)]
+pub use override_field::{InvalidOverrideField, OverrideField};
+#[doc(inline)]
+pub use overrides::Overrides;
+#[doc(inline)]
+pub use pipeline::{MAX_STAGES, Pipeline};
+#[doc(inline)]
+pub use service::Service;
+#[doc(inline)]
+pub use settings_tree::{ROOT_NAME, SettingsTree};
+#[doc(inline)]
+pub use sourced::Sourced;
+#[doc(inline)]
+pub use stage::Stage;
+#[doc(inline)]
+pub use tree_check::{MAX_DEADLINE_MS, MAX_DEPTH, MAX_IN_FLIGHT, MAX_LIMIT_PER_SECOND, MAX_WEIGHT};
+#[doc(inline)]
+pub use tree_edit::TreeEdit;
+#[doc(inline)]
+pub use tree_error::TreeError;
+#[doc(inline)]
+pub use tree_head::{SNAPSHOT_EVERY_EDITS, TREE_HEAD_KEY, TREE_SNAPSHOT_KEY, TreeHead};
+#[doc(inline)]
+pub use tree_log::{Taken, TreeLog};
+#[doc(inline)]
+pub use tree_log_error::TreeLogError;
--- /dev/null
+++ b/crates/core/src/version/key_hash.rs
@@ -0,0 +1,105 @@
+//! The hash by which a bearer key is known.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Bytes of a SHA-256 hash.
+const HASH_BYTES: usize = 32;
+/// Bytes by which an index finds a hash before the full comparison.
+const PREFIX_BYTES: usize = 8;
+
+quick_error! {
+    /// A text that is no hash of a key.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum InvalidKeyHash {
+        /// Not 64 hexadecimal digits. The text may be a key itself, so it is not repeated.
+        Malformed(length_bytes: usize) {
+            display("a key hash of {length_bytes} bytes cannot be read: give the SHA-256 of the key as 64 hexadecimal digits")
+        }
+    }
+}
+
+/// SHA-256 of a bearer key; the key itself is kept nowhere.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct KeyHash([u8; HASH_BYTES]);
+
+impl KeyHash {
+    /// Hashes a bearer key.
+    #[must_use]
+    pub fn of(bearer: impl AsRef<str>) -> Self {
+        Self(Sha256::digest(bearer.as_ref().as_bytes()).into())
+    }
+
+    /// Compares in a time that does not depend on where two hashes differ.
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+
+    /// First bytes, by which an index finds candidates.
+    ///
+    /// Whoever tries keys cannot steer their hashes, so the time of this look-up tells nothing.
+    pub(super) fn prefix(&self) -> u64 {
+        self.0[..PREFIX_BYTES]
+            .iter()
+            .fold(0, |prefix, byte| prefix << 8 | u64::from(*byte))
+    }
+}
+
+impl PartialEq for KeyHash {
+    fn eq(&self, other: &Self) -> bool {
+        self.matches(other)
+    }
+}
+
+impl Eq for KeyHash {}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyHash({:02x}{:02x}..)", self.0[0], self.0[1])
+    }
+}
+
+impl FromStr for KeyHash {
+    type Err = InvalidKeyHash;
+
+    fn from_str(text: &str) -> Result<Self, InvalidKeyHash> {
+        let malformed = || InvalidKeyHash::Malformed(text.len());
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != HASH_BYTES * 2 || !is_hex {
+            return Err(malformed());
+        }
+        let mut hash = [0; HASH_BYTES];
+        for (index, byte) in hash.iter_mut().enumerate() {
+            let digits = &text[index * 2..index * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).ok().ok_or_else(malformed)?;
+        }
+        Ok(Self(hash))
+    }
+}
+
+impl TryFrom<String> for KeyHash {
+    type Error = InvalidKeyHash;
+
+    fn try_from(text: String) -> Result<Self, InvalidKeyHash> {
+        text.parse()
+    }
+}
+
+impl From<KeyHash> for String {
+    fn from(hash: KeyHash) -> Self {
+        hash.to_string()
+    }
+}
--- /dev/null
+++ b/crates/core/src/version/service.rs
@@ -0,0 +1,120 @@
+//! One service of the settings tree.
+
+use serde::{Deserialize, Serialize};
+
+/// A group of interchangeable backend servers, and which of its calls may be repeated.
+///
+/// A listed path stands for itself and all below it; the longest listed path decides.
+///
+/// # Examples
+///
+/// ```
+/// use amaranthscale_core::version::Service;
+///
+/// let ledger = Service::repeatable().except("/settlements");
+/// assert!(ledger.allows_repeat("/balances/17"));
+/// assert!(!ledger.allows_repeat("/settlements/17?dry=1"));
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Whether calls may be repeated where no listed path says otherwise.
+    pub is_repeatable: bool,
+    /// Paths that may be repeated.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub repeatable_paths: Vec<String>,
+    /// Paths that may not be repeated.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub not_repeatable_paths: Vec<String>,
+    /// Deadline of a direct call that names none.
+    pub default_deadline_ms: u64,
+}
+
+/// Deadline of a direct call while nothing else is set.
+const DEFAULT_DEADLINE_MS: u64 = 5_000;
+
+impl Service {
+    /// A service whose calls may be repeated.
+    #[must_use]
+    pub fn repeatable() -> Self {
+        Self {
+            is_repeatable: true,
+            repeatable_paths: Vec::new(),
+            not_repeatable_paths: Vec::new(),
+            default_deadline_ms: DEFAULT_DEADLINE_MS,
+        }
+    }
+
+    /// A service whose calls may not be repeated.
+    #[must_use]
+    pub fn not_repeatable() -> Self {
+        Self {
+            is_repeatable: false,
+            ..Self::repeatable()
+        }
+    }
+
+    /// Treats a path and all below it unlike the rest of the service.
+    #[must_use]
+    pub fn except(mut self, path: impl Into<String>) -> Self {
+        let exceptions = if self.is_repeatable {
+            &mut self.not_repeatable_paths
+        } else {
+            &mut self.repeatable_paths
+        };
+        exceptions.push(path.into());
+        self
+    }
+
+    /// Sets the deadline of a direct call that names none.
+    #[must_use]
+    pub fn with_deadline_ms(mut self, deadline_ms: u64) -> Self {
+        self.default_deadline_ms = deadline_ms;
+        self
+    }
+
+    /// Whether a call of a path may be repeated.
+    #[must_use]
+    pub fn allows_repeat(&self, path: impl AsRef<str>) -> bool {
+        let path = path.as_ref().split(['?', '#']).next().unwrap_or_default();
+        if self.is_repeatable && self.not_repeatable_paths.is_empty() {
+            return true;
+        }
+        // Failure: a settlement asked for as "/x/../settlements" or "/%73ettlements" passes for
+        // a repeatable call, and a retry pays a grower twice. Guard: a path that a backend server
+        // may read in another way than we do never counts as repeatable here.
+        if !is_plain(path) {
+            return false;
+        }
+        let allowed = longest_match(&self.repeatable_paths, path);
+        let denied = longest_match(&self.not_repeatable_paths, path);
+        match (allowed, denied) {
+            (None, None) => self.is_repeatable,
+            (allowed, denied) => allowed > denied,
+        }
+    }
+}
+
+/// Whether a path starts with a slash and can be read in one way only.
+pub(super) fn is_plain(path: &str) -> bool {
+    let is_plain_byte = |byte: u8| byte.is_ascii_graphic() && !b"%\\?#;".contains(&byte);
+    let is_plain_segment = |segment: &str| !segment.is_empty() && segment != "." && segment != "..";
+    let Some(rest) = path.strip_prefix('/') else {
+        return false;
+    };
+    let rest = rest.strip_suffix('/').unwrap_or(rest);
+    path.bytes().all(is_plain_byte) && (rest.is_empty() || rest.split('/').all(is_plain_segment))
+}
+
+/// Length of the longest listed path that covers a path.
+///
+/// Letters match in either case, as some backend servers read them so.
+fn longest_match(listed: &[String], path: &str) -> Option<usize> {
+    let path = path.to_ascii_lowercase();
+    let covers = |prefix: &String| {
+        let prefix = prefix.trim_end_matches('/').to_ascii_lowercase();
+        let rest = path.strip_prefix(&prefix)?;
+        (rest.is_empty() || rest.starts_with('/')).then_some(prefix.len())
+    };
+    listed.iter().filter_map(covers).max()
+}
--- /dev/null
+++ b/crates/core/src/version/tree_edit.rs
@@ -0,0 +1,165 @@
+//! One edit of the settings tree.
+
+use serde::{Deserialize, Serialize};
+
+use super::{KeyHash, OverrideField, Pipeline, Service, SettingsTree, TreeError};
+use crate::id::{OrganisationId, PipelineId, ServiceId};
+use crate::unit::Class;
+
+/// One change to the tree, as operators send it and the table keeps it.
+///
+/// # Examples
+///
+/// ```
+/// use amaranthscale_core::version::TreeEdit;
+///
+/// let text = r#"{"kind":"set","id":"root","field":"weight","value":"4"}"#;
+/// let edit = TreeEdit::from_json(text)?;
+/// assert_eq!(edit.to_json(), text);
+/// # Ok::<(), amaranthscale_core::version::TreeError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum TreeEdit {
+    /// Adds an organisation.
+    CreateOrganisation {
+        /// Name, not taken yet.
+        id: OrganisationId,
+        /// Organisation to inherit from.
+        parent: OrganisationId,
+        /// Whether it pays; inherited if absent.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        class: Option<Class>,
+        /// Hash of its bearer key.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        key_hash: Option<KeyHash>,
+    },
+    /// Gives an organisation another parent.
+    MoveOrganisation {
+        /// Organisation to move.
+        id: OrganisationId,
+        /// New parent.
+        parent: OrganisationId,
+    },
+    /// Refuses the work of an organisation and its descendants.
+    Suspend {
+        /// Organisation to suspend.
+        id: OrganisationId,
+    },
+    /// Ends the suspension of an organisation.
+    Resume {
+        /// Organisation to resume.
+        id: OrganisationId,
+    },
+    /// Sets a field of an organisation.
+    Set {
+        /// Organisation to change.
+        id: OrganisationId,
+        /// Field to set.
+        field: OverrideField,
+        /// Value as an operator writes it.
+        value: String,
+    },
+    /// Clears a field of an organisation, which then inherits it.
+    Unset {
+        /// Organisation to change.
+        id: OrganisationId,
+        /// Field to clear.
+        field: OverrideField,
+    },
+    /// Replaces the bearer key of an organisation.
+    SetKey {
+        /// Organisation to change.
+        id: OrganisationId,
+        /// Hash of the new key.
+        key_hash: KeyHash,
+    },
+    /// Adds or replaces a pipeline.
+    PutPipeline {
+        /// Name of the pipeline.
+        id: PipelineId,
+        /// Its stages.
+        pipeline: Pipeline,
+    },
+    /// Removes a pipeline that no organisation names.
+    RemovePipeline {
+        /// Name of the pipeline.
+        id: PipelineId,
+    },
+    /// Adds or replaces a service.
+    PutService {
+        /// Name of the service.
+        id: ServiceId,
+        /// Its calls.
+        service: Service,
+    },
+    /// Removes a service that no pipeline uses.
+    RemoveService {
+        /// Name of the service.
+        id: ServiceId,
+    },
+    /// Replaces the whole tree; the version goes on from the present one.
+    Import {
+        /// New organisations, pipelines and services.
+        tree: Box<SettingsTree>,
+    },
+}
+
+impl TreeEdit {
+    /// Reads an edit from JSON.
+    pub fn from_json(text: impl AsRef<str>) -> Result<Self, TreeError> {
+        serde_json::from_str(text.as_ref()).map_err(|e| TreeError::Malformed("edit", e.to_string()))
+    }
+
+    /// Writes the edit as JSON.
+    ///
+    /// # Panics
+    ///
+    /// Only if the types of the tree hold something that JSON cannot carry, which is a bug.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("an edit holds only what JSON can carry")
+    }
+
+    /// Changes a tree without checking the result as a whole.
+    pub(super) fn change(&self, tree: &mut SettingsTree) -> Result<(), TreeError> {
+        match self {
+            Self::CreateOrganisation {
+                id,
+                parent,
+                class,
+                key_hash,
+            } => tree.create_organisation(id, parent, *class, *key_hash),
+            Self::MoveOrganisation { id, parent } => tree.move_organisation(id, parent),
+            Self::Suspend { id } => tree.suspend(id, true),
+            Self::Resume { id } => tree.suspend(id, false),
+            Self::Set { id, field, value } => tree.organisation_mut(id)?.set(id, *field, value),
+            Self::Unset { id, field } => {
+                tree.organisation_mut(id)?.unset(*field);
+                Ok(())
+            }
+            Self::SetKey { id, key_hash } => {
+                tree.organisation_mut(id)?.key_hash = Some(*key_hash);
+                Ok(())
+            }
+            Self::PutPipeline { id, pipeline } => {
+                tree.pipelines.insert(id.clone(), pipeline.clone());
+                Ok(())
+            }
+            Self::RemovePipeline { id } => tree.remove_pipeline(id),
+            Self::PutService { id, service } => {
+                tree.services.insert(id.clone(), service.clone());
+                Ok(())
+            }
+            Self::RemoveService { id } => tree.remove_service(id),
+            Self::Import { tree: imported } => {
+                let version = tree.version;
+                *tree = SettingsTree {
+                    version,
+                    ..(**imported).clone()
+                };
+                Ok(())
+            }
+        }
+    }
+}
