--- /dev/null
+++ b/crates/core/tests/tree_edits.rs
@@ -0,0 +1,232 @@
+//! Inheritance, provenance and the checks of edits.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that fails should end its test"
+)]
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::{RowVersion, TreeVersion};
+use amaranthscale_core::version::{
+    CompiledTree, EditRecord, KeyHash, Service, SettingsTree, TREE_SNAPSHOT_KEY, TreeEdit,
+    TreeError,
+};
+
+fn edit(text: &str) -> TreeEdit {
+    TreeEdit::from_json(text).unwrap()
+}
+
+fn tree_after(edits: &[&str]) -> SettingsTree {
+    let apply = |tree: SettingsTree, text: &&str| tree.apply(&edit(text)).unwrap();
+    edits.iter().fold(SettingsTree::empty(), apply)
+}
+
+/// root, with mill below it and the yards north and south below mill.
+fn yards() -> SettingsTree {
+    tree_after(&[
+        r#"{"kind":"create_organisation","id":"mill","parent":"root","class":"paid"}"#,
+        r#"{"kind":"create_organisation","id":"north","parent":"mill"}"#,
+        r#"{"kind":"create_organisation","id":"south","parent":"mill"}"#,
+        r#"{"kind":"set","id":"mill","field":"limit_per_second","value":"40"}"#,
+        r#"{"kind":"set","id":"north","field":"weight","value":"3"}"#,
+    ])
+}
+
+fn with_pipeline() -> SettingsTree {
+    let service = r#"{"kind":"put_service","id":"ledger","service":{"is_repeatable":true,
+        "not_repeatable_paths":["/settlements"],"default_deadline_ms":5000}}"#;
+    let pipeline = r#"{"kind":"put_pipeline","id":"intake","pipeline":{"stages":[
+        {"name":"settle","service":"ledger","path":"/settlements","is_repeatable":false}]}}"#;
+    let allow = r#"{"kind":"set","id":"root","field":"pipelines","value":"intake"}"#;
+    tree_after(&[service, pipeline, allow])
+}
+
+fn refusal(tree: &SettingsTree, text: &str) -> TreeError {
+    tree.apply(&edit(text)).unwrap_err()
+}
+
+#[test]
+fn each_value_names_the_organisation_that_sets_it() {
+    let tree = yards();
+
+    let north = tree.effective(&"north".parse().unwrap()).unwrap();
+
+    assert_eq!(north.weight.value.get(), 3);
+    assert_eq!(north.weight.from.as_str(), "north");
+    assert!((north.limit_per_second.value.get() - 40.0).abs() < f64::EPSILON);
+    assert_eq!(north.limit_per_second.from.as_str(), "mill");
+    assert_eq!(north.deadline_ms.from.as_str(), "root");
+}
+
+#[test]
+fn an_unset_value_is_inherited_again() {
+    let unset = r#"{"kind":"unset","id":"north","field":"weight"}"#;
+
+    let tree = yards().apply(&edit(unset)).unwrap();
+
+    let north = tree.effective(&"north".parse().unwrap()).unwrap();
+    assert_eq!(north.weight.from.as_str(), "root");
+}
+
+#[test]
+fn a_suspension_counts_for_all_below_until_it_ends() {
+    let suspend = edit(r#"{"kind":"suspend","id":"mill"}"#);
+    let resume = edit(r#"{"kind":"resume","id":"mill"}"#);
+    let south = "south".parse().unwrap();
+
+    let suspended = yards().apply(&suspend).unwrap();
+    let resumed = suspended.apply(&resume).unwrap();
+
+    let shown = suspended.effective(&south).unwrap().is_suspended;
+    assert!(shown.value);
+    assert_eq!(shown.from.as_str(), "mill");
+    assert!(!resumed.effective(&south).unwrap().is_suspended.value);
+}
+
+#[test]
+fn a_key_finds_its_organisation_by_scan_and_by_index() {
+    let set_key = |id: &str| TreeEdit::SetKey {
+        id: id.parse().unwrap(),
+        key_hash: KeyHash::of(format!("key of {id}")),
+    };
+    let with_north = yards().apply(&set_key("north")).unwrap();
+    let tree = with_north.apply(&set_key("south")).unwrap();
+    let compiled = CompiledTree::new(tree.clone()).unwrap();
+
+    let scanned = tree.organisation_by_key("key of south").unwrap();
+    let (indexed, effective) = compiled.caller("key of south").unwrap();
+
+    assert_eq!(scanned.as_str(), "south");
+    assert_eq!(*indexed, scanned);
+    assert_eq!(effective.weight.from.as_str(), "root");
+    assert!(compiled.caller("key of mill").is_none());
+}
+
+#[test]
+fn a_cycle_is_refused() {
+    let cycle = r#"{"kind":"move_organisation","id":"mill","parent":"north"}"#;
+
+    let error = refusal(&yards(), cycle);
+
+    assert!(matches!(error, TreeError::Cycle(..)), "{error}");
+    assert_eq!(error.code(), ResultCode::EditInvalid);
+}
+
+#[test]
+fn edits_that_make_no_sense_are_refused_by_name() {
+    let create = |id: &str, parent: &str| {
+        format!(r#"{{"kind":"create_organisation","id":"{id}","parent":"{parent}"}}"#)
+    };
+    let set = |field: &str, value: &str| {
+        format!(r#"{{"kind":"set","id":"mill","field":"{field}","value":"{value}"}}"#)
+    };
+    let unset_root = r#"{"kind":"unset","id":"root","field":"weight"}"#;
+    let move_root = r#"{"kind":"move_organisation","id":"root","parent":"mill"}"#;
+    let refused = [
+        (r#"{"kind":"suspend","id":"root"}"#.into(), "suspended"),
+        (r#"{"kind":"suspend","id":"west"}"#.into(), "west"),
+        (unset_root.into(), "root has no weight"),
+        (move_root.into(), "moved"),
+        (create("mill", "root"), "exists"),
+        (create("west", "east"), "parent east"),
+        (set("limit_per_second", "0"), "\"0\""),
+        (set("limit_per_second", "inf"), "\"inf\""),
+        (set("max_in_flight", "0"), "max_in_flight"),
+        (set("weight", "0"), "weight"),
+        (set("deadline_ms", "86400001"), "86400001"),
+        (set("pipelines", "absent"), "absent"),
+        (set("class", "gold"), "paid or trial"),
+    ];
+    let tree = yards();
+    for (text, part) in refused {
+        let error = refusal(&tree, &text).to_string();
+        assert!(error.contains(part), "{text}: {error}");
+    }
+}
+
+#[test]
+fn pipelines_and_services_are_checked_together() {
+    let stage = |name: &str, path: &str, rest: &str| {
+        format!(r#"{{"name":"{name}","service":"ledger","path":"{path}","is_repeatable":{rest}}}"#)
+    };
+    let put = |stages: &[String]| {
+        let stages = stages.join(",");
+        format!(r#"{{"kind":"put_pipeline","id":"p","pipeline":{{"stages":[{stages}]}}}}"#)
+    };
+    let sum = stage("sum", "/sums", "true");
+    let streaming = stage("first", "/sums", r#"true,"is_streaming":true"#);
+    let remove_service = r#"{"kind":"remove_service","id":"ledger"}"#;
+    let remove_pipeline = r#"{"kind":"remove_pipeline","id":"intake"}"#;
+    let pay = stage("pay", "/settlements/new", "true");
+    let refused = [
+        (put(&[]), "0 stages"),
+        (put(&vec![sum.clone(); 9]), "9 stages"),
+        (put(&[sum.clone(), sum.clone()]), "two stages named sum"),
+        (put(&[streaming, sum]), "streams"),
+        (put(&[pay]), "is_repeatable to false"),
+        (put(&[stage("dots", "/a/../b", "true")]), "/a/../b"),
+        (remove_service.into(), "pipeline intake"),
+        (remove_pipeline.into(), "organisation root"),
+    ];
+    let tree = with_pipeline();
+    for (text, part) in refused {
+        let error = refusal(&tree, &text).to_string();
+        assert!(error.contains(part), "{text}: {error}");
+    }
+}
+
+/// A driver's app asks for "/x/../settlements". The service's list has "/settlements" only, so
+/// the call passes for one that may be repeated. Its answer is lost, the entry tries again, and
+/// the grower is paid twice. The cause: two readings of one path.
+#[test]
+fn a_disguised_path_never_counts_as_repeatable() {
+    let ledger = Service::repeatable().except("/settlements");
+    let disguised = [
+        "/x/../settlements",
+        "/%73ettlements",
+        "//settlements",
+        "/./settlements",
+        "/Settlements/1",
+        "/settlements/",
+        "/settlements?x=1",
+        "/settlements;v=1",
+        "\\settlements",
+        "settlements",
+    ];
+    for path in disguised {
+        assert!(!ledger.allows_repeat(path), "{path}");
+    }
+    assert!(ledger.allows_repeat("/settlements-report"));
+}
+
+#[test]
+fn an_import_goes_on_from_the_version_in_force() {
+    let tree = yards();
+    let import = TreeEdit::Import {
+        tree: Box::new(with_pipeline()),
+    };
+
+    let imported = tree.apply(&import).unwrap();
+
+    assert_eq!(imported.version, tree.version.next());
+    assert!(imported.effective(&"mill".parse().unwrap()).is_none());
+}
+
+#[test]
+fn every_sixty_fourth_edit_keeps_the_whole_tree() {
+    let record = |version: u64| EditRecord {
+        version: TreeVersion::new(version),
+        edit: edit(r#"{"kind":"resume","id":"root"}"#),
+        by: "a test".into(),
+        write_id: "w1".parse().unwrap(),
+    };
+    let head = RowVersion::new(9);
+
+    let plain = record(63).transaction(head, &yards());
+    let snapshot = record(64).transaction(head, &yards());
+
+    assert_eq!(plain.writes.len(), 2);
+    assert_eq!(plain.writes[0].key, "tree/edit/00000000000000000063");
+    assert_eq!(snapshot.writes[2].key, TREE_SNAPSHOT_KEY);
+    assert_eq!(snapshot.checks[0].version, head);
+}
--- /dev/null
+++ b/crates/core/tests/tree_log.rs
@@ -0,0 +1,146 @@
+//! A process takes only newer trees, without gaps.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that fails should end its test"
+)]
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::TreeVersion;
+use amaranthscale_core::version::{
+    EditRecord, SettingsTree, Taken, TreeEdit, TreeLog, TreeLogError,
+};
+use amaranthscale_core::wire::TreeReply;
+
+fn weight_edit(version: u64) -> EditRecord {
+    EditRecord {
+        version: TreeVersion::new(version),
+        edit: TreeEdit::Set {
+            id: "root".parse().unwrap(),
+            field: "weight".parse().unwrap(),
+            value: version.to_string(),
+        },
+        by: "a test".into(),
+        write_id: format!("write-{version}").parse().unwrap(),
+    }
+}
+
+fn log_at(version: u64) -> TreeLog {
+    let mut log = TreeLog::new(SettingsTree::empty()).unwrap();
+    for next in 1..=version {
+        log.take_record(weight_edit(next)).unwrap();
+    }
+    log
+}
+
+fn edits(records: impl IntoIterator<Item = EditRecord>) -> TreeReply {
+    let edits = records.into_iter().map(|r| r.to_json()).collect();
+    let after = TreeVersion::default();
+    TreeReply::Edits { after, edits }
+}
+
+fn root_weight(log: &TreeLog) -> u32 {
+    let root = "root".parse().unwrap();
+    log.current()
+        .organisation(&root)
+        .unwrap()
+        .weight
+        .value
+        .get()
+}
+
+#[test]
+fn whoever_is_behind_catches_up_by_edits() {
+    let ahead = log_at(5);
+    let mut behind = log_at(2);
+
+    let taken = behind.take(ahead.since(behind.version())).unwrap();
+
+    let (from, to) = (TreeVersion::new(2), TreeVersion::new(5));
+    assert_eq!(taken, Taken::Newer { from, to });
+    assert_eq!(behind.current().tree(), ahead.current().tree());
+    assert_eq!(ahead.since(to), TreeReply::UpToDate(to));
+}
+
+#[test]
+fn whoever_is_far_behind_gets_the_whole_tree() {
+    let ahead = log_at(9).keeping_edits(3);
+    let mut behind = log_at(2);
+
+    let reply = ahead.since(behind.version());
+    behind.take(reply.clone()).unwrap();
+
+    assert!(matches!(reply, TreeReply::Whole { .. }));
+    assert_eq!(behind.version(), TreeVersion::new(9));
+    let from_behind = behind.since(TreeVersion::new(8));
+    assert!(matches!(from_behind, TreeReply::Whole { .. }));
+    let from_ahead = ahead.since(TreeVersion::new(6));
+    assert!(matches!(from_ahead, TreeReply::Edits { .. }));
+}
+
+/// An operator lowers a limit, and it holds everywhere. An entry that was paused since before
+/// the edit wakes and offers its old tree and its old edits. If they were taken, the limit would
+/// be back at its old value. The cause: an answer's order says nothing about its version.
+#[test]
+fn an_older_tree_or_edit_is_never_taken() {
+    let mut log = log_at(6);
+    let paused = log_at(3).keeping_edits(0);
+    let old_tree = paused.since(TreeVersion::default());
+    let old_edits = edits([weight_edit(2), weight_edit(3)]);
+
+    let replies = [
+        old_tree,
+        old_edits,
+        TreeReply::UpToDate(TreeVersion::new(3)),
+    ];
+    let taken = replies.map(|reply| log.take(reply).unwrap());
+
+    assert_eq!(taken, [Taken::Nothing; 3]);
+    assert_eq!(log.version(), TreeVersion::new(6));
+    assert_eq!(root_weight(&log), 6);
+}
+
+/// A reply that carries edit 4 is lost and edit 5 arrives alone. Taken as it is, the process
+/// would say version 5 and never learn that edit 4 suspended a customer.
+#[test]
+fn nothing_is_taken_across_a_gap() {
+    let mut log = log_at(3);
+
+    let alone = log.take(edits([weight_edit(5)])).unwrap_err();
+    let later = log
+        .take(edits([weight_edit(4), weight_edit(6)]))
+        .unwrap_err();
+
+    let gap = |have, got| TreeLogError::Gap(TreeVersion::new(have), TreeVersion::new(got));
+    assert_eq!(alone, gap(3, 5));
+    assert_eq!(later, gap(4, 6));
+    assert_eq!(log.version(), TreeVersion::new(3));
+    assert_eq!(root_weight(&log), 3);
+}
+
+#[test]
+fn two_edits_under_one_version_are_reported() {
+    let mut log = log_at(3);
+    let mut other = weight_edit(3);
+    other.write_id = "another".parse().unwrap();
+
+    let error = log.take(edits([other])).unwrap_err();
+
+    assert!(matches!(error, TreeLogError::Diverged(..)), "{error}");
+}
+
+#[test]
+fn a_tree_must_have_the_version_that_is_said() {
+    let mut log = log_at(1);
+    let tree = SettingsTree::empty().to_json();
+    let version = TreeVersion::new(7);
+
+    let error = log.take(TreeReply::Whole { version, tree }).unwrap_err();
+
+    assert!(
+        matches!(error, TreeLogError::VersionMismatch(..)),
+        "{error}"
+    );
+    assert_eq!(error.code(), ResultCode::EditInvalid);
+    assert_eq!(log.version(), TreeVersion::new(1));
+}
