--- /dev/null
+++ b/crates/amaranthscale/src/entry/connection/operator_http.rs
@@ -0,0 +1,228 @@
+//! What operators ask an entry: the tree, its edits, status and cost.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::{HostId, TreeVersion};
+use amaranthscale_core::version::{EditRecord, KeyHash, TreeEdit};
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use log::info;
+use serde::{Deserialize, Serialize};
+
+use super::CallerHttp;
+use super::reply::{json_response, shown, status};
+use crate::connection::{ResponseBody, read_body};
+use crate::entry::process::{DecisionsStatus, EntryParts};
+use crate::version::{EditProposal, EditResult, TreeKeeperHandle, TreeStatus};
+
+/// Longest edit: an import of a whole tree.
+const MAX_EDIT_BYTES: usize = 16 * 1024 * 1024;
+/// Longest wait for an operator's body.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Answers operators.
+#[derive(Debug, Clone)]
+pub struct OperatorHttp {
+    parts: EntryParts,
+    tree: TreeKeeperHandle,
+    callers: CallerHttp,
+    host: HostId,
+    key: Option<KeyHash>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EditRequest {
+    expected_version: TreeVersion,
+    by: String,
+    edit: TreeEdit,
+}
+
+#[derive(Debug, Serialize)]
+struct Accepted {
+    version: TreeVersion,
+}
+
+#[derive(Debug, Serialize)]
+struct Refused {
+    code: ResultCode,
+    text: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    your_version: Option<TreeVersion>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    version_in_force: Option<TreeVersion>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    other_edits: Vec<EditRecord>,
+}
+
+#[derive(Debug, Serialize)]
+struct Status {
+    host: HostId,
+    tree: Option<TreeStatus>,
+    open_requests: usize,
+    decisions: DecisionsStatus,
+    counters: BTreeMap<String, u64>,
+}
+
+impl OperatorHttp {
+    /// Answers operators who hold a key.
+    #[must_use]
+    pub const fn new(
+        parts: EntryParts,
+        tree: TreeKeeperHandle,
+        callers: CallerHttp,
+        host: HostId,
+        key: Option<KeyHash>,
+    ) -> Self {
+        Self {
+            parts,
+            tree,
+            callers,
+            host,
+            key,
+        }
+    }
+
+    /// Whether a path is an operator's.
+    #[must_use]
+    pub fn takes(path: &str) -> bool {
+        path.starts_with("/v1/operator/") || matches!(path, "/healthz" | "/readyz" | "/status")
+    }
+
+    /// Answers one call.
+    pub async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        match request.uri().path() {
+            "/healthz" => return json_response(StatusCode::OK, "{}"),
+            "/readyz" => return self.readiness(),
+            "/status" => return self.status().await,
+            _ => {}
+        }
+        if !self.is_allowed(request.headers()) {
+            return refused(ResultCode::WrongOperatorKey, "the operator's key is wrong");
+        }
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/v1/operator/tree") => self.show_tree(),
+            (&Method::GET, "/v1/operator/edits") => self.show_edits(request.uri().query()).await,
+            (&Method::POST, "/v1/operator/edits") => self.edit(request).await,
+            (&Method::GET, "/v1/operator/status") => self.status().await,
+            (&Method::GET, "/v1/operator/cost") => self.cost().await,
+            _ => refused(
+                ResultCode::UnknownPath,
+                "operators' paths stand in docs/INTERFACES.md",
+            ),
+        }
+    }
+
+    fn readiness(&self) -> Response<ResponseBody> {
+        let is_ready = self.tree.is_ready();
+        let status = if is_ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        shown(status, &BTreeMap::from([("ready", is_ready)]))
+    }
+
+    async fn status(&self) -> Response<ResponseBody> {
+        let status = Status {
+            host: self.host.clone(),
+            tree: self.tree.status().await,
+            open_requests: self.callers.open_requests(),
+            decisions: self.parts.decisions.status().await,
+            counters: self.parts.counters.totals(),
+        };
+        shown(StatusCode::OK, &status)
+    }
+
+    async fn cost(&self) -> Response<ResponseBody> {
+        shown(StatusCode::OK, &self.parts.decisions.status().await.costs)
+    }
+
+    fn show_tree(&self) -> Response<ResponseBody> {
+        let tree = self.parts.tree.borrow().tree().to_json();
+        json_response(StatusCode::OK, tree)
+    }
+
+    async fn show_edits(&self, query: Option<&str>) -> Response<ResponseBody> {
+        let since = query.and_then(|query| query.strip_prefix("since="));
+        let Ok(since) = since.unwrap_or("0").parse() else {
+            return refused(ResultCode::MalformedRequest, "since must be a tree version");
+        };
+        shown(StatusCode::OK, &self.tree.edits_after(since).await)
+    }
+
+    async fn edit(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let body = match read_body(request.into_body(), MAX_EDIT_BYTES, PATIENCE).await {
+            Ok(body) => body,
+            Err(error) => return refused(ResultCode::MalformedRequest, error.to_string()),
+        };
+        let edit: EditRequest = match serde_json::from_slice(&body) {
+            Ok(edit) => edit,
+            Err(error) => return refused(ResultCode::MalformedRequest, error.to_string()),
+        };
+        info!("entry: {} edits version {}", edit.by, edit.expected_version);
+        let expected = edit.expected_version;
+        let proposal = EditProposal {
+            expected,
+            edit: edit.edit,
+            by: edit.by,
+        };
+        self.parts.counters.count("edit.proposed");
+        edit_response(expected, self.tree.edit(proposal).await)
+    }
+
+    fn is_allowed(&self, headers: &HeaderMap) -> bool {
+        let value = headers
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
+        let bearer = value.and_then(|value| value.strip_prefix("Bearer "));
+        match (&self.key, bearer) {
+            (Some(key), Some(bearer)) => key.matches(&KeyHash::of(bearer.trim())),
+            _ => false,
+        }
+    }
+}
+
+fn edit_response(expected: TreeVersion, result: EditResult) -> Response<ResponseBody> {
+    match result {
+        EditResult::Accepted(version) => shown(StatusCode::OK, &Accepted { version }),
+        EditResult::Conflict(version, other_edits) => {
+            let code = ResultCode::EditConflict;
+            let body = Refused {
+                code,
+                text: format!("version {expected} was edited, but {version} is in force"),
+                your_version: Some(expected),
+                version_in_force: Some(version),
+                other_edits,
+            };
+            shown(status(code), &body)
+        }
+        EditResult::Invalid(error) => refused(error.code(), error.to_string()),
+        EditResult::Refused(code) => refused(code, code.text()),
+        EditResult::Unknown => {
+            let code = ResultCode::EditUnknown;
+            refused(
+                code,
+                "the table did not settle the edit: look at the history later",
+            )
+        }
+    }
+}
+
+fn refused(code: ResultCode, text: impl Into<String>) -> Response<ResponseBody> {
+    let text = text.into();
+    let (your_version, version_in_force, other_edits) = (None, None, Vec::new());
+    shown(
+        status(code),
+        &Refused {
+            code,
+            text,
+            your_version,
+            version_in_force,
+            other_edits,
+        },
+    )
+}
--- /dev/null
+++ b/crates/amaranthscale/src/entry/connection/peer_http.rs
@@ -0,0 +1,69 @@
+//! What other processes of the system ask an entry.
+
+use std::time::Duration;
+
+use amaranthscale_core::wire::{self, TreeReply, TreeSince};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::connection::{ResponseBody, empty_body, full_body, read_body};
+use crate::version::TreeKeeperHandle;
+
+/// Longest message of a peer: a whole tree with some room to grow.
+const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+/// Longest wait for a peer's message.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Answers peers.
+#[derive(Debug, Clone)]
+pub struct PeerHttp {
+    tree: TreeKeeperHandle,
+}
+
+impl PeerHttp {
+    /// Answers peers of a process that keeps a tree.
+    #[must_use]
+    pub const fn new(tree: TreeKeeperHandle) -> Self {
+        Self { tree }
+    }
+
+    /// Answers one message.
+    pub async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        match request.uri().path() {
+            "/tree/since" => self.since(request).await,
+            "/tree/offer" => self.offer(request).await,
+            "/healthz" => of_status(StatusCode::OK),
+            _ => of_status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn since(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let Some(since) = message::<TreeSince>(request).await else {
+            return of_status(StatusCode::BAD_REQUEST);
+        };
+        let reply = self.tree.since(since.version).await;
+        Response::new(full_body(wire::encode(&reply)))
+    }
+
+    async fn offer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let Some(offer) = message::<TreeReply>(request).await else {
+            return of_status(StatusCode::BAD_REQUEST);
+        };
+        self.tree.offered(offer);
+        of_status(StatusCode::OK)
+    }
+}
+
+async fn message<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let body = read_body(request.into_body(), MAX_MESSAGE_BYTES, PATIENCE)
+        .await
+        .ok()?;
+    wire::decode(body).ok()
+}
+
+fn of_status(status: StatusCode) -> Response<ResponseBody> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/amaranthscale/src/entry/connection/reply.rs
@@ -0,0 +1,106 @@
+//! Answers as HTTP responses.
+
+use std::time::Duration;
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::RequestId;
+use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::connection::{ResponseBody, full_body};
+use crate::entry::request::{Answer, AnswerEnvelope, Target};
+
+/// Header with the number of the result code.
+pub const CODE_HEADER: &str = "x-amaranth-code";
+/// Header that says whether the request ran.
+pub const RAN_HEADER: &str = "x-amaranth-ran";
+/// Header with the request's id.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header with the time to wait before asking again.
+pub const RETRY_AFTER_MS_HEADER: &str = "x-retry-after-ms";
+
+/// Shortest wait that a retryable answer asks for when nothing better is known.
+const DEFAULT_RETRY_AFTER_MS: u64 = 1000;
+
+/// Fills in when to come back, so that no refusal leaves its caller to guess.
+#[must_use]
+pub fn with_retry_after(answer: Answer) -> Answer {
+    if answer.retry_after_ms.is_none() && answer.code.is_retryable() {
+        return Answer {
+            retry_after_ms: Some(DEFAULT_RETRY_AFTER_MS),
+            ..answer
+        };
+    }
+    answer
+}
+
+/// The response for a final answer.
+///
+/// A plain service's complete answer goes out as its backend server gave it; everything else is
+/// an [`AnswerEnvelope`].
+#[must_use]
+pub fn answer_response(
+    id: RequestId,
+    target: Option<&Target>,
+    answer: &Answer,
+) -> Response<ResponseBody> {
+    let is_plain =
+        matches!(target, Some(Target::Service(_))) && answer.code == ResultCode::Complete;
+    let body = if is_plain {
+        answer.result.clone()
+    } else {
+        to_json(&AnswerEnvelope::new(id, answer))
+    };
+    let mut response = json_response(status(answer.code), body);
+    let headers = response.headers_mut();
+    headers.insert(CODE_HEADER, HeaderValue::from(answer.code.number()));
+    headers.insert(RAN_HEADER, ran_value(answer.code));
+    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    if let Some(retry_after_ms) = answer.retry_after_ms {
+        let whole_seconds = Duration::from_millis(retry_after_ms + 999).as_secs();
+        headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds));
+        headers.insert(RETRY_AFTER_MS_HEADER, HeaderValue::from(retry_after_ms));
+    }
+    response
+}
+
+/// A response with a JSON body.
+#[must_use]
+pub fn json_response(status: StatusCode, body: impl Into<Bytes>) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// A response that shows a value as JSON.
+#[must_use]
+pub fn shown(status: StatusCode, value: &impl Serialize) -> Response<ResponseBody> {
+    json_response(status, to_json(value))
+}
+
+/// A value as JSON.
+#[must_use]
+pub fn to_json(value: &impl Serialize) -> Bytes {
+    // Our own types always have a JSON form; an empty body would only follow from a bug.
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
+
+/// The HTTP status of a code.
+#[must_use]
+pub fn status(code: ResultCode) -> StatusCode {
+    StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+const fn ran_value(code: ResultCode) -> HeaderValue {
+    match code.ran() {
+        amaranthscale_core::Ran::No => HeaderValue::from_static("no"),
+        amaranthscale_core::Ran::Yes => HeaderValue::from_static("yes"),
+        amaranthscale_core::Ran::Unknown => HeaderValue::from_static("unknown"),
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/entry/process/decisions.rs
@@ -0,0 +1,432 @@
+//! The actor that owns an entry's decisions: admission, limits, routing and retry budgets.
+//!
+//! Requests run as tasks of their own and ask it in short messages. All of its state changes in
+//! one place and in one order, so the parts from the core need no locks.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::{HostId, Incarnation, OrganisationId, ServiceId, ZoneId};
+use amaranthscale_core::process::{
+    Admission, AttainmentBook, AttainmentCounts, AttemptEnd, CostBook, CostKey, CostTotals,
+    OrganisationLimits, Refusal, RetryBudget, Router, RouterSettings, StageEstimate,
+};
+use amaranthscale_core::unit::{Budget, Class, RatePerSecond, SidecarClock};
+use amaranthscale_core::wire::{HostList, StageCost, Stamp};
+use log::{debug, info};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// When to come back after the retry budget was found empty; long enough for it to fill.
+const OUT_OF_RETRIES_MS: u64 = 500;
+/// Refused first when the actor is gone; only a stopping process sees it.
+const STOPPING_RETRY_MS: u64 = 1000;
+
+/// What the admission of a request depends on.
+#[derive(Debug, Clone)]
+pub struct AdmissionQuestion {
+    /// Organisation that asks.
+    pub organisation: OrganisationId,
+    /// Class of that organisation.
+    pub class: Class,
+    /// Limit of that organisation over all entries.
+    pub limit_per_second: RatePerSecond,
+    /// Most requests of that organisation at once.
+    pub max_in_flight: u32,
+    /// Services of the stages to come.
+    pub services: Vec<ServiceId>,
+    /// Time until the answer is due.
+    pub budget: Budget,
+}
+
+/// What the choice of a sidecar depends on.
+#[derive(Debug, Clone)]
+pub struct RouteQuestion {
+    /// Service of the stage.
+    pub service: ServiceId,
+    /// Hosts that this stage has tried.
+    pub exclude: Vec<HostId>,
+    /// Hash of the prompt's prefix.
+    pub affinity: Option<u64>,
+    /// Whether the retry budget must pay for this attempt.
+    pub is_retry: bool,
+}
+
+/// What an entry knows of a sidecar's present life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownSidecar {
+    /// Life of the sidecar.
+    pub incarnation: Incarnation,
+    /// Reading of its clock now, as reckoned here.
+    pub clock: SidecarClock,
+}
+
+/// The sidecar chosen for an attempt.
+#[derive(Debug, Clone)]
+pub struct Route {
+    /// Host of the sidecar.
+    pub host: HostId,
+    /// Address of the sidecar.
+    pub address: SocketAddr,
+    /// Its present life, if it has answered before.
+    pub known: Option<KnownSidecar>,
+}
+
+/// How an attempt ended, for routing and the books.
+#[derive(Debug, Clone)]
+pub struct AttemptReport {
+    /// Host of the sidecar.
+    pub host: HostId,
+    /// How the attempt ended.
+    pub end: AttemptEnd,
+    /// Time from dispatch to end.
+    pub elapsed: Duration,
+    /// State of the sidecar at the end, if it answered.
+    pub stamp: Option<Stamp>,
+    /// Organisation that the work was for.
+    pub organisation: OrganisationId,
+    /// Stage that the attempt worked on.
+    pub stage: String,
+    /// What the attempt cost.
+    pub cost: StageCost,
+}
+
+/// A message to the actor.
+#[derive(Debug)]
+pub enum Decision {
+    /// May a request start?
+    Admit(AdmissionQuestion, RpcReplyPort<Result<(), Refusal>>),
+    /// Which sidecar takes the next attempt?
+    Route(RouteQuestion, RpcReplyPort<Result<Route, Refusal>>),
+    /// A sidecar told its state.
+    Observe(Box<Stamp>),
+    /// An attempt ended.
+    AttemptEnded(Box<AttemptReport>),
+    /// A request ended with its final code.
+    RequestEnded(OrganisationId, Class, ResultCode),
+    /// The host list changed.
+    Hosts(HostList),
+    /// Where is a host?
+    Address(HostId, RpcReplyPort<Option<SocketAddr>>),
+    /// What do the books say?
+    Status(RpcReplyPort<DecisionsStatus>),
+}
+
+/// The actor's part of `/status`.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct DecisionsStatus {
+    /// Requests that have started and not ended.
+    pub in_flight: u64,
+    /// Version of the host list in use.
+    pub host_list_version: u64,
+    /// Hosts in the host list.
+    pub hosts: usize,
+    /// Final answers by class and organisation.
+    pub attainment: Vec<AttainmentLine>,
+    /// Cost by organisation and stage.
+    pub costs: Vec<CostLine>,
+}
+
+/// Final answers of one organisation.
+#[derive(Debug, Clone, Serialize)]
+pub struct AttainmentLine {
+    /// Class of the organisation.
+    pub class: Class,
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// Its answers.
+    #[serde(flatten)]
+    pub counts: AttainmentCounts,
+}
+
+/// Cost of one organisation at one stage.
+#[derive(Debug, Clone, Serialize)]
+pub struct CostLine {
+    /// Organisation that the work was for.
+    pub organisation: OrganisationId,
+    /// Stage that did it.
+    pub stage: String,
+    /// Cost since the entry started.
+    #[serde(flatten)]
+    pub totals: CostTotals,
+}
+
+/// What the actor starts with.
+#[derive(Debug, Clone)]
+pub struct DecisionsArguments {
+    /// Host of the entry.
+    pub host: HostId,
+    /// Availability zone of the entry.
+    pub zone: ZoneId,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Retries allowed for each hundred first tries.
+    pub retry_percent: u32,
+}
+
+/// The actor.
+#[derive(Debug)]
+pub struct Decisions;
+
+/// State of the actor.
+#[derive(Debug)]
+pub struct DecisionsState {
+    started: Instant,
+    router: Router,
+    admission: Admission,
+    retries: RetryBudget,
+    limits: OrganisationLimits,
+    costs: CostBook,
+    attainment: AttainmentBook,
+    in_flight: u64,
+    live_entries: u32,
+    hosts: HostList,
+}
+
+impl Actor for Decisions {
+    type Msg = Decision;
+    type State = DecisionsState;
+    type Arguments = DecisionsArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Decision>,
+        arguments: DecisionsArguments,
+    ) -> Result<DecisionsState, ActorProcessingErr> {
+        Ok(DecisionsState::new(arguments))
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Decision>,
+        message: Decision,
+        state: &mut DecisionsState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Decision::Admit(question, reply) => answer(reply, state.admit(&question)),
+            Decision::Route(question, reply) => answer(reply, state.route(&question)),
+            Decision::Observe(stamp) => state.observe(&stamp),
+            Decision::AttemptEnded(report) => state.attempt_ended(&report),
+            Decision::RequestEnded(organisation, class, code) => {
+                state.request_ended(&organisation, class, code);
+            }
+            Decision::Hosts(hosts) => state.take_hosts(hosts),
+            Decision::Address(host, reply) => {
+                answer(reply, state.router.host(&host).map(|record| record.address));
+            }
+            Decision::Status(reply) => answer(reply, state.status()),
+        }
+        Ok(())
+    }
+}
+
+/// Asks the actor.
+#[derive(Debug, Clone)]
+pub struct DecisionsHandle {
+    actor: ActorRef<Decision>,
+}
+
+impl DecisionsHandle {
+    /// Asks an actor that has been started.
+    #[must_use]
+    pub const fn new(actor: ActorRef<Decision>) -> Self {
+        Self { actor }
+    }
+
+    /// Whether a request may start.
+    pub async fn admit(&self, question: AdmissionQuestion) -> Result<(), Refusal> {
+        self.ask(|reply| Decision::Admit(question, reply))
+            .await
+            .unwrap_or_else(|| Err(stopping()))
+    }
+
+    /// The sidecar for the next attempt.
+    pub async fn route(&self, question: RouteQuestion) -> Result<Route, Refusal> {
+        self.ask(|reply| Decision::Route(question, reply))
+            .await
+            .unwrap_or_else(|| Err(stopping()))
+    }
+
+    /// The address of a host that the host list shows.
+    pub async fn address(&self, host: &HostId) -> Option<SocketAddr> {
+        let host = host.clone();
+        self.ask(|reply| Decision::Address(host, reply))
+            .await
+            .flatten()
+    }
+
+    /// What the books say.
+    pub async fn status(&self) -> DecisionsStatus {
+        self.ask(Decision::Status).await.unwrap_or_default()
+    }
+
+    /// Tells the actor something that needs no answer.
+    pub fn tell(&self, message: Decision) {
+        if self.actor.cast(message).is_err() {
+            debug!("entry: decisions have stopped, a report is dropped");
+        }
+    }
+
+    async fn ask<T: Send + 'static>(
+        &self,
+        message: impl FnOnce(RpcReplyPort<T>) -> Decision,
+    ) -> Option<T> {
+        match self.actor.call(message, None).await {
+            Ok(ractor::rpc::CallResult::Success(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+}
+
+impl DecisionsState {
+    fn new(arguments: DecisionsArguments) -> Self {
+        Self {
+            started: Instant::now(),
+            router: Router::new(RouterSettings::new(arguments.zone), arguments.seed),
+            admission: Admission::new(arguments.seed),
+            retries: RetryBudget::new(arguments.retry_percent),
+            limits: OrganisationLimits::new(),
+            costs: CostBook::new(arguments.host, Incarnation::new(arguments.seed)),
+            attainment: AttainmentBook::default(),
+            in_flight: 0,
+            live_entries: 1,
+            hosts: HostList::default(),
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn admit(&mut self, question: &AdmissionQuestion) -> Result<(), Refusal> {
+        let now = self.now();
+        let estimates: Vec<StageEstimate> = question
+            .services
+            .iter()
+            .map(|service| self.router.estimate(service, question.class, now))
+            .collect();
+        self.admission
+            .decide(question.budget, &estimates, question.class, now)?;
+        self.limits.admit(
+            &question.organisation,
+            Some(question.limit_per_second),
+            Some(question.max_in_flight),
+            self.live_entries,
+            now,
+        )?;
+        self.in_flight += 1;
+        Ok(())
+    }
+
+    fn route(&mut self, question: &RouteQuestion) -> Result<Route, Refusal> {
+        let now = self.now();
+        if question.is_retry && !self.retries.try_retry() {
+            return Err(Refusal::new(ResultCode::NoBackendServer, OUT_OF_RETRIES_MS));
+        }
+        if !question.is_retry {
+            self.retries.first_try();
+        }
+        let host =
+            self.router
+                .choose(&question.service, &question.exclude, question.affinity, now)?;
+        self.router.started(&host, now);
+        let address = self.router.host(&host).map(|record| record.address);
+        let address = address.ok_or_else(stopping)?;
+        let known = self
+            .router
+            .incarnation(&host)
+            .map(|(incarnation, clock, seen_at)| {
+                let clock = clock.plus(now.saturating_sub(seen_at));
+                KnownSidecar { incarnation, clock }
+            });
+        Ok(Route {
+            host,
+            address,
+            known,
+        })
+    }
+
+    fn observe(&mut self, stamp: &Stamp) {
+        let now = self.now();
+        self.router.observe(&stamp.host, stamp, now);
+    }
+
+    fn attempt_ended(&mut self, report: &AttemptReport) {
+        let now = self.now();
+        if let Some(stamp) = &report.stamp {
+            self.router.observe(&report.host, stamp, now);
+        }
+        self.router
+            .ended(&report.host, report.end, report.elapsed, now);
+        let is_useful = report.end == AttemptEnd::Complete;
+        self.costs
+            .record(&report.organisation, &report.stage, &report.cost, is_useful);
+    }
+
+    fn request_ended(&mut self, organisation: &OrganisationId, class: Class, code: ResultCode) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.limits.ended(organisation);
+        self.attainment.record(class, organisation, code, true);
+    }
+
+    fn take_hosts(&mut self, hosts: HostList) {
+        let now = self.now();
+        let entries = hosts
+            .hosts
+            .iter()
+            .filter(|host| host.service.is_none())
+            .count();
+        self.live_entries = u32::try_from(entries).unwrap_or(u32::MAX).max(1);
+        self.router.set_hosts(&hosts, now);
+        info!(
+            "entry: host list {} with {} hosts is in use",
+            hosts.version,
+            hosts.hosts.len()
+        );
+        self.hosts = hosts;
+    }
+
+    fn attainment_lines(&self) -> Vec<AttainmentLine> {
+        let line = |(class, organisation, counts): (Class, &OrganisationId, &AttainmentCounts)| {
+            AttainmentLine {
+                class,
+                organisation: organisation.clone(),
+                counts: counts.clone(),
+            }
+        };
+        self.attainment.by_organisation().map(line).collect()
+    }
+
+    fn cost_lines(&self) -> Vec<CostLine> {
+        let line = |(key, totals): (&CostKey, &CostTotals)| CostLine {
+            organisation: key.organisation.clone(),
+            stage: key.stage.clone(),
+            totals: *totals,
+        };
+        self.costs.totals().map(line).collect()
+    }
+
+    fn status(&self) -> DecisionsStatus {
+        DecisionsStatus {
+            in_flight: self.in_flight,
+            host_list_version: self.hosts.version,
+            hosts: self.hosts.hosts.len(),
+            attainment: self.attainment_lines(),
+            costs: self.cost_lines(),
+        }
+    }
+}
+
+fn answer<T: Send + 'static>(reply: RpcReplyPort<T>, answer: T) {
+    // The asker may have gone away with its caller.
+    let _ = reply.send(answer);
+}
+
+const fn stopping() -> Refusal {
+    Refusal {
+        code: ResultCode::NotReady,
+        retry_after_ms: STOPPING_RETRY_MS,
+    }
+}
--- a/crates/amaranthscale/src/lib.rs
+++ b/crates/amaranthscale/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! The decisions live in `amaranthscale-core`; this crate puts connections, actors, settings, logs
 //! and metrics around them, and starts the thin daemons `amaranth-entry`, `amaranth-sidecar` and
-//! `amaranthctl`. Modules follow life spans: [`request`], [`connection`], [`process`].
+//! `amaranthctl`. [`connection`], [`version`] and [`process`] are shared by the daemons; [`entry`]
+//! is one of them.
 
 pub mod connection;
+pub mod entry;
 pub mod process;
-pub mod request;
+pub mod version;
--- a/crates/amaranthscale/src/request.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! What lives for one request.
--- /dev/null
+++ b/crates/amaranthscale/src/version/tree_client.rs
@@ -0,0 +1,140 @@
+//! Reads the settings tree from the platform's table or from a peer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranthscale_core::id::{HostId, TreeVersion};
+use amaranthscale_core::version::{
+    EditRecord, Envelope, SettingsTree, TREE_HEAD_KEY, TREE_SNAPSHOT_KEY, TreeHead,
+};
+use amaranthscale_core::wire::{self, Row, TreeReply, TreeSince};
+use quick_error::quick_error;
+
+use crate::connection::{PeerClient, read_body};
+use crate::process::{PlatformClient, PlatformError};
+
+/// Most edits read in one go; whoever is further behind takes the snapshot first.
+const MAX_EDITS_READ: usize = 256;
+/// Prefix of all rows that hold an edit.
+const EDIT_PREFIX: &str = "tree/edit/";
+/// Longest reply of a peer: a whole tree with some room to grow.
+const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
+/// Longest wait for a peer.
+const PEER_PATIENCE: Duration = Duration::from_secs(1);
+
+quick_error! {
+    /// A tree that could not be read.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum ReadTreeError {
+        /// The table gave no answer.
+        Platform(cause: PlatformError) {
+            display("the table cannot be read: {cause}")
+            source(cause)
+            from()
+        }
+        /// A row holds something else.
+        Malformed(key: String) {
+            display("row {key} cannot be read")
+        }
+        /// The peer gave no answer.
+        Peer(address: SocketAddr) {
+            display("{address} did not answer")
+        }
+    }
+}
+
+/// Reads from the table what came after a version.
+pub async fn read_from_table(
+    platform: &PlatformClient,
+    version: TreeVersion,
+) -> Result<TreeReply, ReadTreeError> {
+    let head = read_head(platform).await?;
+    if head <= version {
+        return Ok(TreeReply::UpToDate(head));
+    }
+    if head.get() - version.get() > MAX_EDITS_READ as u64 {
+        let snapshot = platform.row(TREE_SNAPSHOT_KEY).await?;
+        if let Some(reply) = whole(&snapshot)? {
+            return Ok(reply);
+        }
+    }
+    let after = EditRecord::row_key(version);
+    let rows = platform.rows(EDIT_PREFIX, &after, MAX_EDITS_READ).await?;
+    let edits = rows.into_iter().map(|row| row.value).collect();
+    Ok(TreeReply::Edits {
+        after: version,
+        edits,
+    })
+}
+
+/// Asks a peer what came after a version.
+pub async fn read_from_peer(
+    peers: &PeerClient,
+    address: SocketAddr,
+    from: &HostId,
+    version: TreeVersion,
+) -> Result<TreeReply, ReadTreeError> {
+    let since = TreeSince {
+        from: from.clone(),
+        version,
+    };
+    let body = post(peers, address, "/tree/since", wire::encode(&since)).await?;
+    wire::decode(body).map_err(|_malformed| ReadTreeError::Peer(address))
+}
+
+/// Hands new edits to a peer; whether it took them does not matter to the edit.
+pub async fn offer_to_peer(
+    peers: &PeerClient,
+    address: SocketAddr,
+    offer: &TreeReply,
+) -> Result<(), ReadTreeError> {
+    post(peers, address, "/tree/offer", wire::encode(offer))
+        .await
+        .map(|_body| ())
+}
+
+async fn post(
+    peers: &PeerClient,
+    address: SocketAddr,
+    path: &str,
+    message: Vec<u8>,
+) -> Result<bytes::Bytes, ReadTreeError> {
+    let answer = async {
+        let response = peers.post(address, path, message).await.ok()?;
+        let is_success = response.status().is_success();
+        let body = read_body(response.into_body(), MAX_REPLY_BYTES, PEER_PATIENCE)
+            .await
+            .ok()?;
+        is_success.then_some(body)
+    };
+    let answer = tokio::time::timeout(PEER_PATIENCE, answer)
+        .await
+        .ok()
+        .flatten();
+    answer.ok_or(ReadTreeError::Peer(address))
+}
+
+async fn read_head(platform: &PlatformClient) -> Result<TreeVersion, ReadTreeError> {
+    let row = platform.row(TREE_HEAD_KEY).await?;
+    if row.value.is_empty() {
+        return Ok(TreeVersion::default());
+    }
+    let malformed = || ReadTreeError::Malformed(row.key.clone());
+    let envelope = Envelope::parse(&row.value).ok().ok_or_else(malformed)?;
+    let head = TreeHead::from_json(&envelope.body)
+        .ok()
+        .ok_or_else(malformed)?;
+    Ok(head.version)
+}
+
+fn whole(row: &Row) -> Result<Option<TreeReply>, ReadTreeError> {
+    if row.value.is_empty() {
+        return Ok(None);
+    }
+    let tree = SettingsTree::from_json(&row.value);
+    let tree = tree.map_err(|_invalid| ReadTreeError::Malformed(row.key.clone()))?;
+    Ok(Some(TreeReply::Whole {
+        version: tree.version,
+        tree: row.value.clone(),
+    }))
+}
