--- /dev/null
+++ b/crates/amaranthscale/src/operator.rs
@@ -0,0 +1,1 @@
+//! What operators and entries say to each other.
--- /dev/null
+++ b/crates/amaranthscale/src/process.rs
@@ -0,0 +1,3 @@
+//! What lives as long as its process.
+
+pub mod settings;
--- /dev/null
+++ b/crates/amaranthscale/src/process/settings/engine_settings.rs
@@ -0,0 +1,21 @@
+//! What the backend server understands beside calls.
+
+use super::SettingsText;
+
+/// What the backend server understands beside calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineSettings {
+    /// Whether it is an engine that takes orders.
+    pub has_orders: bool,
+    /// Whether it refuses orders with an old fencing number.
+    pub honours_fence: bool,
+}
+
+impl EngineSettings {
+    pub(super) fn read(text: &SettingsText<'_>) -> Self {
+        Self {
+            has_orders: text.get("engine", "has_orders"),
+            honours_fence: text.get("engine", "honours_fence"),
+        }
+    }
+}
