--- a/crates/amaranthscale/src/lib.rs
+++ b/crates/amaranthscale/src/lib.rs
@@ -3,9 +3,10 @@
 //! The decisions live in `amaranthscale-core`; this crate puts connections, actors, settings, logs
 //! and metrics around them, and starts the thin daemons `amaranth-entry`, `amaranth-sidecar` and
 //! `amaranthctl`. [`connection`], [`version`] and [`process`] are shared by the daemons; [`entry`]
-//! is one of them.
+//! and [`operator`] are what each of them adds.
 
 pub mod connection;
 pub mod entry;
+pub mod operator;
 pub mod process;
 pub mod version;
--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -1,5 +1,7 @@
 //! What lives as long as its process.
 
+pub mod settings;
+
 mod counters;
 mod platform_client;
 mod table_writer;
