--- a/crates/core/src/process/host_track.rs
+++ b/crates/core/src/process/host_track.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Lets the next request be the probe.
+    pub(super) const fn await_probe(&mut self, now: Duration) {
+        if let Health::Probing { last, .. } = self.health {
+            self.health = Health::Ejected { until: now, last };
+        }
+    }
+
     /// Takes the host back, with a clean record.
     pub(super) const fn readmit(&mut self) {
         self.health = Health::Healthy;
--- a/crates/core/src/process/router.rs
+++ b/crates/core/src/process/router.rs
@@ -24,6 +24,8 @@
 const HOSTS_PER_EJECTED: usize = 3;
 /// Time to come back when no host is left: about one change of the host list.
 const NO_HOST_RETRY_AFTER_MS: u64 = 1_000;
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
 /// Load above the average at which a request leaves the host that holds its prefix.
 const AFFINITY_SLACK: f64 = 0.5;
 
@@ -285,8 +287,9 @@
             .sample(&mut self.random, candidates)
             .cloned()
             .collect();
-        let by_cost = |a: &HostId, b: &HostId| self.cost(a, now).total_cmp(&self.cost(b, now));
-        drawn.into_iter().min_by(by_cost)
+        let usual_ms = self.median_ms(hosts.iter()).unwrap_or(1.0);
+        let cost = |host: &HostId| self.cost(host, usual_ms, now);
+        drawn.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
     fn is_near(&self, host: &HostId) -> bool {
@@ -298,36 +301,63 @@
     }
 
     /// Load with a host's own speed: a slow host is worse at the same load.
-    fn cost(&self, host: &HostId, now: Duration) -> f64 {
-        let speed_ms = self.hosts[host].smoothed_ms().unwrap_or(1.0).max(1.0);
+    ///
+    /// A host that was not yet timed counts as a usual one; taken for a fast one, it would draw
+    /// everyone as soon as it appears.
+    fn cost(&self, host: &HostId, usual_ms: f64, now: Duration) -> f64 {
+        let speed_ms = self.hosts[host].smoothed_ms().unwrap_or(usual_ms).max(1.0);
         (self.load(host, now) + 1.0) * speed_ms
     }
 
     fn judge(&mut self, host: &HostId, end: AttemptEnd, elapsed: Duration, now: Duration) {
-        let Some(service) = self.hosts[host].record.service.clone() else {
-            return;
-        };
-        let usual_ms = self.usual_ms(&service, host);
-        let slow_ms = usual_ms.map(|usual_ms| usual_ms * self.settings.straggler_factor);
-        let Some(track) = self.hosts.get_mut(host) else {
+        let track = &self.hosts[host];
+        let Some(service) = track.record.service.clone() else {
             return;
         };
         if let Health::Probing { .. } = track.health {
-            let is_slow = slow_ms.is_some_and(|slow_ms| elapsed.as_secs_f64() * 1e3 > slow_ms);
-            match end {
-                AttemptEnd::Complete if !is_slow => track.readmit(),
-                AttemptEnd::Cancelled | AttemptEnd::Refused(_) => {}
-                _ => track.eject(&self.settings, now),
-            }
-            return;
+            self.judge_probe(&service, host, end, elapsed, now);
+        } else if !track.is_out() && track.has_failed(&self.settings) {
+            self.eject_within_cap(&service, host, now);
         }
-        let is_slow = slow_ms
-            .zip(track.smoothed_ms())
-            .is_some_and(|(slow, own)| own > slow);
-        if track.is_out() || !(is_slow || track.has_failed(&self.settings)) {
+        if let Some(straggler) = self.straggler(&service) {
+            self.eject_within_cap(&service, &straggler, now);
+        }
+    }
+
+    fn judge_probe(
+        &mut self,
+        service: &ServiceId,
+        host: &HostId,
+        end: AttemptEnd,
+        elapsed: Duration,
+        now: Duration,
+    ) {
+        let is_slow = self.usual_ms(service, host).is_some_and(|usual_ms| {
+            elapsed.as_secs_f64() * MS_PER_S > usual_ms * self.settings.straggler_factor
+        });
+        let Some(track) = self.hosts.get_mut(host) else {
             return;
+        };
+        match end {
+            AttemptEnd::Complete if !is_slow => track.readmit(),
+            // A probe that never ran says nothing: the next request is a probe again.
+            AttemptEnd::Cancelled | AttemptEnd::Refused(_) => track.await_probe(now),
+            _ => track.eject(&self.settings, now),
         }
-        self.eject_within_cap(&service, host, now);
+    }
+
+    /// The slowest host, if it is slow beyond the others.
+    ///
+    /// Looked for at every end in the service and not only at its own: two choices soon send a
+    /// slow host nothing, so that its own ends stop, and it would be shunned without a way back.
+    fn straggler(&self, service: &ServiceId) -> Option<HostId> {
+        let healthy = self
+            .subset(service)
+            .filter(|host| !self.hosts[*host].is_out());
+        let timed = healthy.filter_map(|host| Some((host, self.hosts[host].smoothed_ms()?)));
+        let (slowest, own_ms) = timed.max_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        let usual_ms = self.usual_ms(service, slowest)?;
+        (own_ms > usual_ms * self.settings.straggler_factor).then(|| slowest.clone())
     }
 
     fn eject_within_cap(&mut self, service: &ServiceId, host: &HostId, now: Duration) {
@@ -346,10 +376,13 @@
     /// Median of the other hosts' smoothed times.
     fn usual_ms(&self, service: &ServiceId, except: &HostId) -> Option<f64> {
         let others = self.subset(service).filter(|host| *host != except);
-        let tracks = others
-            .map(|host| &self.hosts[host])
-            .filter(|track| !track.is_out());
-        let mut times: Vec<_> = tracks.filter_map(HostTrack::smoothed_ms).collect();
+        self.median_ms(others.filter(|host| !self.hosts[*host].is_out()))
+    }
+
+    fn median_ms<'a>(&self, hosts: impl Iterator<Item = &'a HostId>) -> Option<f64> {
+        let mut times: Vec<_> = hosts
+            .filter_map(|host| self.hosts[host].smoothed_ms())
+            .collect();
         times.sort_by(f64::total_cmp);
         times.get(times.len() / 2).copied()
     }
--- /dev/null
+++ b/crates/core/tests/policy_router.rs
@@ -0,0 +1,313 @@
+//! Scenarios of an entry's router.
+
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::{HostId, Incarnation, ServiceId, TreeVersion};
+use amaranthscale_core::process::{AttemptEnd, Router, RouterSettings};
+use amaranthscale_core::unit::{Class, SidecarClock};
+use amaranthscale_core::wire::{HostList, HostRecord, HostState, LoadReport, Stamp};
+
+const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+
+fn service() -> ServiceId {
+    "amaranth-pool".parse().unwrap()
+}
+
+fn host(number: usize) -> HostId {
+    format!("host-{number}").parse().unwrap()
+}
+
+fn list(version: u64, count: usize) -> HostList {
+    let record = |number: usize| HostRecord {
+        host: host(number),
+        address: "10.0.0.1:7000".parse().unwrap(),
+        region: "bc-coast".parse().unwrap(),
+        zone: ZONES[number % ZONES.len()].parse().unwrap(),
+        service: Some(service()),
+        state: HostState::Live,
+    };
+    HostList {
+        version,
+        hosts: (0..count).map(record).collect(),
+    }
+}
+
+fn stamp(number: usize, clock_ms: u64, load: LoadReport) -> Stamp {
+    Stamp {
+        host: host(number),
+        incarnation: Incarnation::new(1),
+        clock: SidecarClock::from_millis(clock_ms),
+        tree_version: TreeVersion::new(1),
+        is_leaving: false,
+        load,
+    }
+}
+
+fn idle() -> LoadReport {
+    LoadReport {
+        slots: 4,
+        service_ms: 100,
+        ..LoadReport::default()
+    }
+}
+
+fn router(count: usize) -> Router {
+    let settings = RouterSettings::new("hall-a".parse().unwrap()).with_spill_load(0.0);
+    let mut router = Router::new(settings, 7);
+    router.set_hosts(&list(1, count), Duration::ZERO);
+    for number in 0..count {
+        router.observe(&host(number), &stamp(number, 1, idle()), Duration::ZERO);
+    }
+    router
+}
+
+fn serve(router: &mut Router, requests: u64, times_ms: impl Fn(&HostId) -> u64) -> Duration {
+    let mut now = Duration::from_secs(1);
+    for _ in 0..requests {
+        let chosen = router.choose(&service(), &[], None, now).unwrap();
+        router.started(&chosen, now);
+        let elapsed = Duration::from_millis(times_ms(&chosen));
+        router.ended(&chosen, AttemptEnd::Complete, elapsed, now);
+        now += Duration::from_millis(1);
+    }
+    now
+}
+
+fn fail(router: &mut Router, hosts: usize, rounds: usize) {
+    for number in (0..hosts).cycle().take(hosts * rounds) {
+        router.started(&host(number), Duration::ZERO);
+        router.ended(
+            &host(number),
+            AttemptEnd::Failed,
+            Duration::ZERO,
+            Duration::ZERO,
+        );
+    }
+}
+
+/// One server takes five times as long as the others. It is ejected, gets no work while it is
+/// out, and one request after that decides whether it comes back.
+#[test]
+fn a_straggler_is_ejected_and_probed() {
+    let mut router = router(6);
+    let slow = host(2);
+    let now = serve(
+        &mut router,
+        400,
+        |host| if *host == slow { 500 } else { 100 },
+    );
+    assert_eq!(router.ejected(&service()).collect::<Vec<_>>(), [&slow]);
+
+    let probed_at = now + Duration::from_secs(6);
+    let probe = router.choose(&service(), &[], None, probed_at).unwrap();
+    router.started(&probe, probed_at);
+    let next = router.choose(&service(), &[], None, probed_at).unwrap();
+    router.ended(
+        &probe,
+        AttemptEnd::Complete,
+        Duration::from_millis(100),
+        probed_at,
+    );
+
+    assert_eq!(probe, slow);
+    assert_ne!(next, slow, "one probe at a time");
+    assert_eq!(router.ejected(&service()).count(), 0);
+}
+
+/// Every server of a service fails. No more than a third is left out, or the rest of the
+/// service would be overloaded as soon as it recovers.
+#[test]
+fn never_more_than_a_third_is_ejected() {
+    for count in 1..10 {
+        let mut router = router(count);
+
+        fail(&mut router, count, 20);
+
+        assert_eq!(
+            router.ejected(&service()).count(),
+            count / 3,
+            "{count} hosts"
+        );
+        assert!(router.choose(&service(), &[], None, Duration::ZERO).is_ok());
+    }
+}
+
+/// Hosts vanish from the list while others are ejected. What is left out shrinks with the list.
+#[test]
+fn a_shrinking_list_readmits() {
+    let mut router = router(9);
+    fail(&mut router, 3, 20);
+    assert_eq!(router.ejected(&service()).count(), 3);
+
+    router.set_hosts(&list(2, 5), Duration::ZERO);
+
+    assert_eq!(router.ejected(&service()).count(), 1);
+}
+
+/// A sidecar says that its backend server is leaving before the host list does. It gets nothing
+/// more, whatever an older list or a late answer says.
+#[test]
+fn a_leaving_host_gets_no_work() {
+    let mut router = router(3);
+    let leaving = Stamp {
+        is_leaving: true,
+        ..stamp(0, 10, idle())
+    };
+
+    router.observe(&host(0), &leaving, Duration::ZERO);
+    router.observe(&host(0), &stamp(0, 5, idle()), Duration::ZERO);
+    router.set_hosts(&list(1, 3), Duration::ZERO);
+
+    for _ in 0..100 {
+        assert_ne!(
+            router.choose(&service(), &[], None, Duration::ZERO),
+            Ok(host(0))
+        );
+    }
+    let all = [host(1), host(2)];
+    let refusal = router
+        .choose(&service(), &all, None, Duration::ZERO)
+        .unwrap_err();
+    assert_eq!(refusal.code, ResultCode::NoBackendServer);
+}
+
+/// One server wrongly reports that it is idle while all others report a full queue. Requests
+/// must not herd to it: it gets no more than its chance of being one of two drawn.
+#[test]
+fn a_wrong_report_does_not_herd() {
+    let mut router = router(10);
+    let full = LoadReport {
+        queued_paid: 60,
+        running: 4,
+        ..idle()
+    };
+    for number in 1..10 {
+        router.observe(&host(number), &stamp(number, 2, full), Duration::ZERO);
+    }
+    let mut counts: BTreeMap<HostId, u32> = BTreeMap::new();
+    for _ in 0..1_000 {
+        let chosen = router
+            .choose(&service(), &[], None, Duration::ZERO)
+            .unwrap();
+        *counts.entry(chosen).or_default() += 1;
+    }
+
+    let misreporting = counts[&host(0)];
+    assert!(misreporting < 250, "{misreporting} of 1000");
+}
+
+/// A new server comes into a busy service. It was not timed yet, and must not draw everyone.
+#[test]
+fn a_new_server_does_not_draw_everyone() {
+    let mut router = router(6);
+    let now = serve(&mut router, 200, |_| 100);
+    router.set_hosts(&list(2, 7), now);
+    router.observe(&host(6), &stamp(6, 1, idle()), now);
+    let mut new = 0;
+    for _ in 0..70 {
+        let chosen = router.choose(&service(), &[], None, now).unwrap();
+        router.started(&chosen, now);
+        new += u32::from(chosen == host(6));
+    }
+
+    assert!(new <= 20, "{new} of 70");
+}
+
+/// A server freezes with its connections open. Nothing says so, but answers stop; it gets no
+/// more work while others answer.
+#[test]
+fn a_frozen_server_is_avoided() {
+    let mut router = router(4);
+    router.started(&host(3), Duration::from_secs(1));
+    let now = Duration::from_secs(4);
+
+    for _ in 0..100 {
+        assert_ne!(router.choose(&service(), &[], None, now), Ok(host(3)));
+    }
+}
+
+/// Work stays in the entry's own availability zone while it is not loaded, and spills after.
+#[test]
+fn own_zone_goes_first_and_spills() {
+    let settings = RouterSettings::new("hall-b".parse().unwrap());
+    let mut router = Router::new(settings, 7);
+    router.set_hosts(&list(1, 9), Duration::ZERO);
+    for number in 0..9 {
+        router.observe(&host(number), &stamp(number, 1, idle()), Duration::ZERO);
+    }
+    let mut zones = Vec::new();
+    for _ in 0..30 {
+        let chosen = router
+            .choose(&service(), &[], None, Duration::ZERO)
+            .unwrap();
+        router.started(&chosen, Duration::ZERO);
+        zones.push(router.host(&chosen).unwrap().zone.to_string());
+    }
+
+    assert!(zones[..6].iter().all(|zone| zone == "hall-b"), "{zones:?}");
+    assert!(zones[6..].iter().any(|zone| zone != "hall-b"), "{zones:?}");
+}
+
+/// Requests that share a prefix go to one host, until it is busier than the others.
+#[test]
+fn affinity_has_a_load_bound() {
+    let mut router = router(6);
+    let first = router
+        .choose(&service(), &[], Some(42), Duration::ZERO)
+        .unwrap();
+    let second = router
+        .choose(&service(), &[], Some(42), Duration::ZERO)
+        .unwrap();
+    for _ in 0..8 {
+        router.started(&first, Duration::ZERO);
+    }
+    let spilled = router
+        .choose(&service(), &[], Some(42), Duration::ZERO)
+        .unwrap();
+
+    assert_eq!(first, second);
+    assert_ne!(spilled, first);
+}
+
+/// The subset of an entry barely changes when a host goes, and differs between entries.
+#[test]
+fn subsets_are_stable() {
+    let subset_of = |seed: u64, count: usize| {
+        let zone = "hall-a".parse().unwrap();
+        let mut router = Router::new(RouterSettings::new(zone).with_subset_size(8), seed);
+        router.set_hosts(&list(1, count), Duration::ZERO);
+        router.subset(&service()).cloned().collect::<Vec<_>>()
+    };
+    let before = subset_of(1, 40);
+    let after = subset_of(1, 39);
+    let other = subset_of(2, 40);
+
+    let kept = after.iter().filter(|host| before.contains(host)).count();
+    assert!(kept >= 7, "{kept} kept");
+    assert_ne!(before, other);
+}
+
+/// A full service reports queues by class: paid work waits for less.
+#[test]
+fn estimates_tell_classes_apart() {
+    let mut router = router(3);
+    let surge = LoadReport {
+        queued_trial: 40,
+        running: 4,
+        ..idle()
+    };
+    for number in 0..3 {
+        router.observe(&host(number), &stamp(number, 2, surge), Duration::ZERO);
+    }
+
+    let paid = router.estimate(&service(), Class::Paid, Duration::ZERO);
+    let trial = router.estimate(&service(), Class::Trial, Duration::ZERO);
+
+    assert_eq!(paid.service_ms, 100);
+    assert!(paid.queue_ms < 100, "{paid:?}");
+    assert!(trial.queue_ms >= 1_000, "{trial:?}");
+}
