--- a/crates/amaranthscale/src/lib.rs
+++ b/crates/amaranthscale/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod connection;
 pub mod process;
 pub mod request;
+pub mod sidecar;
--- /dev/null
+++ b/crates/amaranthscale/src/sidecar/backend_client.rs
@@ -0,0 +1,193 @@
+//! HTTP/1.1 to the one backend server.
+//!
+//! Connections are taken by hand rather than from a pool of the HTTP library, so that the caller
+//! knows whether a request was sent at all.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use amaranthscale_core::id::AttemptId;
+use amaranthscale_core::unit::Class;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use log::debug;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::call_error::CallError;
+use super::job::Job;
+
+/// Longest wait for a connection to a server on the same host.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for an answer to a cancellation, which nobody relies on.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest idle time of a connection that is used again; servers close theirs after longer.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+
+/// Priority of paid work at an engine; higher goes first.
+const PAID_PRIORITY: u16 = 1;
+/// Priority of trial work at an engine.
+const TRIAL_PRIORITY: u16 = 0;
+
+pub(super) type Sender = SendRequest<Full<Bytes>>;
+
+/// HTTP/1.1 to the one backend server.
+#[derive(Debug)]
+pub(super) struct BackendClient {
+    address: SocketAddr,
+    max_idle: usize,
+    idle: Mutex<Vec<(Sender, Instant)>>,
+}
+
+/// A response whose body is still to be read, and its connection.
+#[derive(Debug)]
+pub(super) struct BackendReply {
+    pub(super) response: Response<Incoming>,
+    pub(super) sender: Sender,
+}
+
+impl BackendClient {
+    pub(super) const fn new(address: SocketAddr, max_idle: usize) -> Self {
+        Self {
+            address,
+            max_idle,
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Makes the call of an attempt.
+    pub(super) async fn call(&self, job: &Job) -> Result<BackendReply, CallError> {
+        let request = self.request(job)?;
+        if job.is_repeatable()
+            && let Some(sender) = self.take_idle()
+        {
+            return self.send_reused(sender, request).await;
+        }
+        // A call that may not be repeated takes a fresh connection: a kept one that the server is
+        // just closing would leave open whether the call was seen.
+        let sender = self.connect().await?;
+        send(sender, request).await.map_err(|(error, _)| error)
+    }
+
+    /// Keeps a connection whose response was read to its end.
+    pub(super) async fn give_back(&self, mut sender: Sender) {
+        if sender.ready().await.is_err() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < self.max_idle {
+            idle.push((sender, Instant::now()));
+        }
+    }
+
+    /// Asks the backend server to stop working on an attempt whose connection was dropped.
+    pub(super) async fn cancel(&self, attempt: AttemptId) {
+        let cancelling = async {
+            let request = Request::post(format!("/cancel/{attempt}"))
+                .header(HOST, self.address.to_string())
+                .body(Full::default())
+                .map_err(|error| CallError::NotSent(error.to_string()))?;
+            let sender = self.connect().await?;
+            send(sender, request).await.map_err(|(error, _)| error)
+        };
+        match tokio::time::timeout(CANCEL_TIMEOUT, cancelling).await {
+            Ok(Ok(_reply)) => debug!("sidecar: {attempt} cancelled"),
+            Ok(Err(error)) => debug!("sidecar: {attempt} not cancelled: {error}"),
+            Err(_elapsed) => debug!("sidecar: {attempt} not cancelled in time"),
+        }
+    }
+
+    fn request(&self, job: &Job) -> Result<Request<Full<Bytes>>, CallError> {
+        let dispatch = &job.dispatch;
+        let mut request = Request::post(&dispatch.path)
+            .header(HOST, self.address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .header("x-call-id", dispatch.attempt.to_string())
+            .header("x-organisation", dispatch.organisation.as_str())
+            .header("x-class", dispatch.class.to_string())
+            .header("x-priority", priority(dispatch.class));
+        if dispatch.resume_token > 0 {
+            request = request.header("x-resume-token", dispatch.resume_token);
+        }
+        request
+            .body(Full::new(job.input.clone()))
+            .map_err(|error| CallError::NotSent(error.to_string()))
+    }
+
+    async fn send_reused(
+        &self,
+        sender: Sender,
+        request: Request<Full<Bytes>>,
+    ) -> Result<BackendReply, CallError> {
+        match send(sender, request).await {
+            // The server closed the kept connection before the request left; nothing was seen.
+            Err((CallError::NotSent(_), Some(request))) => {
+                let sender = self.connect().await?;
+                send(sender, *request).await.map_err(|(error, _)| error)
+            }
+            Err((error, _)) => Err(error),
+            Ok(reply) => Ok(reply),
+        }
+    }
+
+    fn take_idle(&self) -> Option<Sender> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some((sender, since)) = idle.pop() {
+            if sender.is_ready() && since.elapsed() < MAX_IDLE {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Result<Sender, CallError> {
+        let not_sent = |reason: String| CallError::NotSent(reason);
+        let connecting = TcpStream::connect(self.address);
+        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_sent(error.to_string())),
+            Err(_elapsed) => return Err(not_sent("no connection in time".to_owned())),
+        };
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!("sidecar: backend connection ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+const fn priority(class: Class) -> u16 {
+    match class {
+        Class::Paid => PAID_PRIORITY,
+        Class::Trial => TRIAL_PRIORITY,
+    }
+}
+
+type SendFailure = (CallError, Option<Box<Request<Full<Bytes>>>>);
+
+async fn send(
+    mut sender: Sender,
+    request: Request<Full<Bytes>>,
+) -> Result<BackendReply, SendFailure> {
+    match sender.try_send_request(request).await {
+        Ok(response) => Ok(BackendReply { response, sender }),
+        Err(mut error) => match error.take_message() {
+            // The library hands the request back only if it has not begun to write it.
+            Some(request) => {
+                let reason = error.error().to_string();
+                Err((CallError::NotSent(reason), Some(Box::new(request))))
+            }
+            None => Err((CallError::Broke(error.into_error().to_string()), None)),
+        },
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/sidecar/job.rs
@@ -0,0 +1,46 @@
+//! One attempt on its way through a sidecar.
+
+use std::sync::Arc;
+
+use amaranthscale_core::unit::SidecarClock;
+use amaranthscale_core::wire::Dispatch;
+use bytes::Bytes;
+use tokio::sync::Notify;
+
+use super::answer::Answer;
+
+/// One attempt on its way through a sidecar.
+#[derive(Debug)]
+pub(super) struct Job {
+    /// The attempt, without its input.
+    pub(super) dispatch: Dispatch,
+    /// Body for the backend server.
+    pub(super) input: Bytes,
+    /// Reading at which the attempt arrived.
+    pub(super) arrival: SidecarClock,
+    /// Reading at which its budget is spent.
+    pub(super) deadline: SidecarClock,
+    /// Where its answer grows.
+    pub(super) answer: Arc<Answer>,
+    /// Told when a revocation cancels it.
+    pub(super) cancel: Notify,
+}
+
+impl Job {
+    pub(super) fn new(mut dispatch: Dispatch, arrival: SidecarClock, max_bytes: usize) -> Self {
+        let input = Bytes::from(std::mem::take(&mut dispatch.input));
+        Self {
+            input,
+            arrival,
+            deadline: arrival.plus(dispatch.budget.duration()),
+            answer: Arc::new(Answer::new(dispatch.attempt, max_bytes)),
+            cancel: Notify::new(),
+            dispatch,
+        }
+    }
+
+    /// Whether the call may be cancelled or made again.
+    pub(super) const fn is_repeatable(&self) -> bool {
+        self.dispatch.claim.is_none()
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -0,0 +1,160 @@
+//! Passes a backend server's result into an attempt's answer.
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::wire::{Digest, Outcome};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use sha2::{Digest as _, Sha256};
+
+use crate::sidecar::backend_client::{BackendReply, Sender};
+use crate::sidecar::call_error::CallError;
+use crate::sidecar::job::Job;
+
+/// Set by a backend server on a refusal of what it did not run.
+const NOT_RUN: &str = "x-not-run";
+/// Number of generated tokens, where the server knows it before it answers.
+const TOKENS: &str = "x-tokens";
+/// Content type of a stream with one token a line.
+const STREAM_CONTENT_TYPE: &str = "application/x-ndjson";
+
+/// Passes a backend server's result into an attempt's answer.
+#[derive(Debug)]
+pub(super) struct Relay<'a> {
+    job: &'a Job,
+    hasher: Sha256,
+    length_bytes: u64,
+    lines: u64,
+    is_too_large: bool,
+    /// The whole result, where it goes into the table as well.
+    result: BytesMut,
+}
+
+/// A result that has been passed on whole.
+#[derive(Debug)]
+pub(super) struct Relayed {
+    pub(super) outcome: Outcome,
+    /// The whole result of a claimed call; empty for others.
+    pub(super) result: Bytes,
+    /// The connection, ready for another call.
+    pub(super) sender: Option<Sender>,
+}
+
+impl<'a> Relay<'a> {
+    pub(super) fn new(job: &'a Job) -> Self {
+        Self {
+            job,
+            hasher: Sha256::new(),
+            length_bytes: 0,
+            lines: 0,
+            is_too_large: false,
+            result: BytesMut::new(),
+        }
+    }
+
+    pub(super) async fn run(mut self, reply: BackendReply) -> Result<Relayed, CallError> {
+        let BackendReply { response, sender } = reply;
+        if is_not_run(&response) {
+            return Ok(Relayed {
+                outcome: refused(&response),
+                result: Bytes::new(),
+                sender: None,
+            });
+        }
+        let (head, mut body) = response.into_parts();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| CallError::Broke(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.take(&data)?;
+            }
+        }
+        if self.is_too_large {
+            return Err(CallError::TooLarge);
+        }
+        Ok(self.end(head.status, &head.headers, sender))
+    }
+
+    fn take(&mut self, data: &Bytes) -> Result<(), CallError> {
+        if data.is_empty() || self.is_too_large {
+            return Ok(());
+        }
+        if self.job.answer.push(data).is_err() {
+            return self.overflow();
+        }
+        self.hasher.update(data);
+        self.length_bytes += u64::try_from(data.len()).unwrap_or(u64::MAX);
+        self.lines += count_lines(data);
+        if !self.job.is_repeatable() {
+            self.result.extend_from_slice(data);
+        }
+        Ok(())
+    }
+
+    /// Breaks off repeatable work; a call that may not be repeated is read to its end unseen,
+    /// since dropping its connection might cut it off half-way.
+    fn overflow(&mut self) -> Result<(), CallError> {
+        if self.job.is_repeatable() {
+            return Err(CallError::TooLarge);
+        }
+        self.is_too_large = true;
+        Ok(())
+    }
+
+    fn end(self, status: StatusCode, headers: &HeaderMap, sender: Sender) -> Relayed {
+        let is_failed = status.is_client_error() || status.is_server_error();
+        let code = if is_failed {
+            ResultCode::BackendFailed
+        } else {
+            ResultCode::Complete
+        };
+        let mut outcome = Outcome::without_result(code);
+        outcome.backend_status = status.as_u16();
+        outcome.length_bytes = self.length_bytes;
+        outcome.digest = Digest::from_bytes(self.hasher.finalize().into());
+        outcome.cost.tokens = number(headers, TOKENS).unwrap_or_else(|| {
+            let is_stream = is_stream(headers);
+            if is_stream { self.lines } else { 0 }
+        });
+        Relayed {
+            outcome,
+            result: self.result.freeze(),
+            sender: Some(sender),
+        }
+    }
+}
+
+/// Whether the backend server says that it did not run the call.
+fn is_not_run(response: &Response<Incoming>) -> bool {
+    let is_refusal = matches!(
+        response.status(),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    );
+    let says_so = response.headers().get(NOT_RUN);
+    is_refusal && says_so.is_some_and(|value| value == "1")
+}
+
+fn refused(response: &Response<Incoming>) -> Outcome {
+    let mut outcome = Outcome::without_result(ResultCode::QueueFull);
+    outcome.backend_status = response.status().as_u16();
+    let after_s = number(response.headers(), RETRY_AFTER.as_str());
+    outcome.retry_after_ms = after_s.map(|after_s| after_s.saturating_mul(1000));
+    outcome
+}
+
+fn is_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    content_type.is_some_and(|value| value.starts_with(STREAM_CONTENT_TYPE))
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn count_lines(data: &[u8]) -> u64 {
+    let parts = data.split(|byte| *byte == b'\n').count();
+    u64::try_from(parts).unwrap_or(u64::MAX).saturating_sub(1)
+}
--- /dev/null
+++ b/crates/amaranthscale/src/sidecar/table_write.rs
@@ -0,0 +1,95 @@
+//! Drives one conditional write against the platform's table until it is settled.
+
+use std::time::Duration;
+
+use amaranthscale_core::id::WriteId;
+use amaranthscale_core::version::{ConditionalWrite, WriteEvent, WriteStep};
+use log::debug;
+
+use crate::process::{PlatformClient, PlatformError};
+
+/// First pause after a failed call; a table under load must not be hit in a tight loop.
+const FIRST_PAUSE: Duration = Duration::from_millis(25);
+/// Longest pause, so that rows are settled soon after an outage.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Drives one conditional write until it is settled.
+///
+/// Dropping [`TableWrite::settle`] half-way is safe: [`TableWrite::may_take_effect`] then says
+/// whether the write can still come about.
+#[derive(Debug)]
+pub(super) struct TableWrite {
+    write: ConditionalWrite,
+    may_take_effect: bool,
+    pause: Duration,
+}
+
+impl TableWrite {
+    pub(super) const fn new(write: ConditionalWrite) -> Self {
+        Self {
+            write,
+            may_take_effect: false,
+            pause: FIRST_PAUSE,
+        }
+    }
+
+    /// Whether the write has taken effect or still may.
+    pub(super) const fn may_take_effect(&self) -> bool {
+        self.may_take_effect
+    }
+
+    /// Sends, reads back and repeats until the row has moved.
+    pub(super) async fn settle(&mut self, platform: &PlatformClient) -> WriteStep {
+        let mut step = WriteStep::Send;
+        while !step.is_settled() {
+            step = match step {
+                WriteStep::Send => self.send(platform).await,
+                _ => self.read(platform).await,
+            };
+        }
+        step
+    }
+
+    async fn send(&mut self, platform: &PlatformClient) -> WriteStep {
+        let before = std::mem::replace(&mut self.may_take_effect, true);
+        match platform.transact(&self.write.transaction()).await {
+            Ok(reply) => self.write.next(WriteEvent::Replied(reply)),
+            Err(PlatformError::Refused(status)) => {
+                debug!("sidecar: write refused with status {status}");
+                self.may_take_effect = before;
+                self.pause().await;
+                WriteStep::Send
+            }
+            // An answer that cannot be read is as good as lost: the write may have taken effect.
+            Err(error) => {
+                debug!("sidecar: write not settled: {error}");
+                self.pause().await;
+                self.write.next(WriteEvent::Lost)
+            }
+        }
+    }
+
+    async fn read(&mut self, platform: &PlatformClient) -> WriteStep {
+        match platform.row(self.write.key()).await {
+            Ok(row) => self.write.next(WriteEvent::ReadBack(row)),
+            Err(error) => {
+                debug!("sidecar: row not read: {error}");
+                self.pause().await;
+                self.write.next(WriteEvent::ReadLost)
+            }
+        }
+    }
+
+    async fn pause(&mut self) {
+        // Jitter keeps a fleet from coming back in step when the table does.
+        let pause = self.pause.mul_f64(rand::random_range(0.5..1.0));
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Draws a new mark for a write.
+pub(super) fn new_write_id() -> WriteId {
+    // A UUID is within the accepted length and characters, so this cannot fail.
+    WriteId::new(uuid::Uuid::new_v4().to_string()).expect("a UUID is a name")
+}
