--- /dev/null
+++ b/crates/amaranthscale/src/bin/amaranth-entry.rs
@@ -0,0 +1,62 @@
+//! The daemon on each entry host.
+
+use std::error::Error;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use amaranthscale::entry::{Entry, EntryConfig};
+use amaranthscale::process::settings::EntrySettings;
+use amaranthscale::process::{
+    StopSignal, announce, daemon_command, listen_override, read_settings, start_logging,
+};
+use log::{error, warn};
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// Time beyond the longest deadline that open requests get when the entry stops.
+const DRAIN_MARGIN: Duration = Duration::from_secs(1);
+
+fn main() -> ExitCode {
+    let matches =
+        daemon_command("amaranth-entry", "Takes requests from arrival to answer").get_matches();
+    let parse = |name: &str, text: &str| EntrySettings::parse(name, text);
+    let settings = match read_settings(&matches, parse, EntrySettings::print_settings) {
+        Ok(settings) => settings,
+        Err(exit_code) => return exit_code,
+    };
+    start_logging(settings.log_level);
+    let mut config = EntryConfig::from(&settings);
+    if let Some(listen) = listen_override(&matches) {
+        config.listen = listen;
+    }
+    match run(config) {
+        Ok(exit_code) => exit_code,
+        Err(error) => {
+            error!("entry: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(config: EntryConfig) -> Result<ExitCode, Box<dyn Error>> {
+    let mut stop = StopSignal::listen()?;
+    let bound = config.max_deadline + DRAIN_MARGIN;
+    let entry = Entry::start(config).await?;
+    announce(entry.address())?;
+    stop.next().await;
+    let is_drained = tokio::select! {
+        is_drained = entry.stop(bound) => is_drained,
+        () = stop.next() => {
+            warn!("entry: stopped by a second signal");
+            false
+        }
+    };
+    Ok(if is_drained {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -22,6 +22,7 @@
 };
 use super::request::DeadlineLimits;
 use crate::connection::{HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, ResponseBody};
+use crate::process::settings::EntrySettings;
 use crate::process::{Counters, PlatformClient, PlatformClientLimits};
 use crate::version::{TreeKeeperArguments, TreeKeeperHandle, TreeKeeperSettings};
 
@@ -109,6 +110,25 @@
     }
 }
 
+impl From<&EntrySettings> for EntryConfig {
+    fn from(settings: &EntrySettings) -> Self {
+        let host = settings.host.clone();
+        Self {
+            listen: settings.listen,
+            peer_listen: settings.peer_listen,
+            operator_key: settings.operator_key_hash,
+            max_body_bytes: settings.limits.max_body_bytes,
+            max_requests: settings.limits.max_requests,
+            read_timeout: Duration::from_millis(settings.limits.read_timeout_ms),
+            max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
+            retry_percent: settings.retry.retry_percent,
+            tree: TreeKeeperSettings::from(&settings.tree),
+            silence: Duration::from_millis(settings.silence_ms),
+            ..Self::new(host, settings.zone.clone(), settings.platform)
+        }
+    }
+}
+
 /// A running entry.
 #[derive(Debug)]
 pub struct Entry {
--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -3,12 +3,18 @@
 pub mod settings;
 
 mod counters;
+mod daemon_command;
 mod platform_client;
+mod stop_signal;
 mod table_writer;
 
 #[doc(inline)]
 pub use counters::{Counters, CountersError};
 #[doc(inline)]
+pub use daemon_command::{announce, daemon_command, listen_override, read_settings, start_logging};
+#[doc(inline)]
 pub use platform_client::{PlatformClient, PlatformClientLimits, PlatformError};
 #[doc(inline)]
+pub use stop_signal::StopSignal;
+#[doc(inline)]
 pub use table_writer::{new_write_id, settle};
--- a/crates/amaranthscale/src/version/tree_keeper.rs
+++ b/crates/amaranthscale/src/version/tree_keeper.rs
@@ -26,6 +26,7 @@
 
 use super::tree_client::{offer_to_peer, read_from_peer, read_from_table};
 use crate::connection::PeerClient;
+use crate::process::settings::TreeSettings;
 use crate::process::{Counters, PlatformClient, new_write_id, settle};
 
 /// Peers that are handed an edit before it is called accepted, so that it outlives the death of
@@ -54,6 +55,17 @@
     }
 }
 
+impl From<&TreeSettings> for TreeKeeperSettings {
+    /// An exchange time of 0 ms switches the exchange off.
+    fn from(settings: &TreeSettings) -> Self {
+        let exchange = Duration::from_millis(settings.exchange_ms);
+        Self {
+            poll: Duration::from_millis(settings.poll_ms),
+            exchange: (!exchange.is_zero()).then_some(exchange),
+        }
+    }
+}
+
 /// What the keeper starts with.
 #[derive(Debug, Clone)]
 pub struct TreeKeeperArguments {
