--- a/crates/amaranthscale/src/entry/connection/operator_http.rs
+++ b/crates/amaranthscale/src/entry/connection/operator_http.rs
@@ -105,7 +105,7 @@
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/v1/operator/tree") => self.show_tree(),
-            (&Method::GET, "/v1/operator/edits") => self.show_edits(request.uri().query()).await,
+            (&Method::GET, "/v1/operator/edits") => self.show_edits(request.uri().query()),
             (&Method::POST, "/v1/operator/edits") => self.edit(request).await,
             (&Method::GET, "/v1/operator/status") => self.status().await,
             (&Method::GET, "/v1/operator/cost") => self.cost().await,
@@ -146,12 +146,12 @@
         json_response(StatusCode::OK, tree)
     }
 
-    async fn show_edits(&self, query: Option<&str>) -> Response<ResponseBody> {
+    fn show_edits(&self, query: Option<&str>) -> Response<ResponseBody> {
         let since = query.and_then(|query| query.strip_prefix("since="));
         let Ok(since) = since.unwrap_or("0").parse() else {
             return refused(ResultCode::MalformedRequest, "since must be a tree version");
         };
-        shown(StatusCode::OK, &self.tree.edits_after(since).await)
+        shown(StatusCode::OK, &self.tree.edits_after(since))
     }
 
     async fn edit(&self, request: Request<Incoming>) -> Response<ResponseBody> {
--- a/crates/amaranthscale/src/entry/connection/peer_http.rs
+++ b/crates/amaranthscale/src/entry/connection/peer_http.rs
@@ -42,7 +42,7 @@
         let Some(since) = message::<TreeSince>(request).await else {
             return of_status(StatusCode::BAD_REQUEST);
         };
-        let reply = self.tree.since(since.version).await;
+        let reply = self.tree.since(since.version);
         Response::new(full_body(wire::encode(&reply)))
     }
 
--- a/crates/amaranthscale/src/version.rs
+++ b/crates/amaranthscale/src/version.rs
@@ -1,12 +1,21 @@
 //! What lives for a version of shared configuration.
 
+mod edit_proposal;
+mod published_tree;
 mod tree_client;
 mod tree_keeper;
+mod tree_keeper_handle;
 
+#[doc(inline)]
+pub use edit_proposal::{EditProposal, EditResult};
+#[doc(inline)]
+pub use published_tree::PublishedTree;
 #[doc(inline)]
 pub use tree_client::{ReadTreeError, offer_to_peer, read_from_peer, read_from_table};
 #[doc(inline)]
 pub use tree_keeper::{
-    EditProposal, EditResult, TreeKeeper, TreeKeeperArguments, TreeKeeperHandle,
-    TreeKeeperSettings, TreeMessage, TreeStatus,
+    Origin, TreeKeeper, TreeKeeperArguments, TreeKeeperSettings, TreeKeeperState, TreeMessage,
+    TreeStatus,
 };
+#[doc(inline)]
+pub use tree_keeper_handle::TreeKeeperHandle;
--- a/crates/amaranthscale/src/version/tree_keeper.rs
+++ b/crates/amaranthscale/src/version/tree_keeper.rs
@@ -9,13 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{HostId, TreeVersion};
-use amaranthscale_core::version::{
-    CompiledTree, ConditionalWrite, EditRecord, SNAPSHOT_EVERY_EDITS, SettingsTree, TREE_HEAD_KEY,
-    TREE_SNAPSHOT_KEY, Taken, TreeEdit, TreeError, TreeHead, TreeLog, WriteStep,
-};
-use amaranthscale_core::wire::{RowWrite, TreeReply};
+use amaranthscale_core::version::{EditRecord, Taken, TreeLog};
+use amaranthscale_core::wire::TreeReply;
 use log::{debug, info, warn};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use rand::rngs::SmallRng;
@@ -24,16 +20,12 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::tree_client::{offer_to_peer, read_from_peer, read_from_table};
+use super::PublishedTree;
+use super::tree_client::{read_from_peer, read_from_table};
 use crate::connection::PeerClient;
 use crate::process::settings::TreeSettings;
-use crate::process::{Counters, PlatformClient, new_write_id, settle};
+use crate::process::{Counters, PlatformClient};
 
-/// Peers that are handed an edit before it is called accepted, so that it outlives the death of
-/// this process together with an outage of the table.
-const PEERS_OFFERED: usize = 2;
-/// Longest wait for the table to settle an edit.
-const EDIT_PATIENCE: Duration = Duration::from_secs(8);
 /// Pause while a process without a tree looks for one.
 const START_PAUSE: Duration = Duration::from_millis(200);
 
@@ -85,32 +77,6 @@
     pub seed: u64,
 }
 
-/// An operator's edit, made against a version.
-#[derive(Debug, Clone)]
-pub struct EditProposal {
-    /// Version that the operator had read.
-    pub expected: TreeVersion,
-    /// The edit.
-    pub edit: TreeEdit,
-    /// Who makes it.
-    pub by: String,
-}
-
-/// What became of an edit.
-#[derive(Debug)]
-pub enum EditResult {
-    /// It is accepted, as this version.
-    Accepted(TreeVersion),
-    /// Others came first: the version in force and their edits.
-    Conflict(TreeVersion, Vec<EditRecord>),
-    /// It does not hold.
-    Invalid(TreeError),
-    /// Nothing was tried or changed, for this reason.
-    Refused(ResultCode),
-    /// Whether it took effect is not known; looking at the history later tells.
-    Unknown,
-}
-
 /// State of the tree in a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct TreeStatus {
@@ -131,10 +97,8 @@
     Heard(TreeVersion, SocketAddr),
     /// Something newer may have come.
     Take(Result<TreeReply, String>, Origin),
-    /// A peer asks what it lacks.
-    Since(TreeVersion, RpcReplyPort<TreeReply>),
-    /// What is the log, for an edit?
-    Log(RpcReplyPort<TreeLog>),
+    /// Some process has this version; which one to ask is not known.
+    HeardOf(TreeVersion),
     /// An edit of this process was accepted.
     Accepted(Box<EditRecord>, RpcReplyPort<()>),
     /// What is the state?
@@ -159,28 +123,24 @@
 pub struct TreeKeeperState {
     arguments: TreeKeeperArguments,
     log: TreeLog,
-    in_force: watch::Sender<Arc<CompiledTree>>,
-    ready: watch::Sender<bool>,
+    published: PublishedTree,
     random: SmallRng,
     last_poll: Instant,
     is_table_away: bool,
+    last_heard: TreeVersion,
 }
 
 impl Actor for TreeKeeper {
     type Msg = TreeMessage;
     type State = TreeKeeperState;
-    type Arguments = (
-        TreeKeeperArguments,
-        watch::Sender<Arc<CompiledTree>>,
-        watch::Sender<bool>,
-    );
+    type Arguments = (TreeKeeperArguments, PublishedTree);
 
     async fn pre_start(
         &self,
         myself: ActorRef<TreeMessage>,
-        (arguments, in_force, ready): Self::Arguments,
+        (arguments, published): Self::Arguments,
     ) -> Result<TreeKeeperState, ActorProcessingErr> {
-        let log = TreeLog::new(SettingsTree::empty())?;
+        let log = TreeLog::clone(&published.log.borrow());
         let random = SmallRng::seed_from_u64(arguments.seed);
         myself.cast(TreeMessage::Poll)?;
         if arguments.settings.exchange.is_some() {
@@ -190,11 +150,11 @@
         Ok(TreeKeeperState {
             arguments,
             log,
-            in_force,
-            ready,
+            published,
             random,
             last_poll,
             is_table_away,
+            last_heard: TreeVersion::default(),
         })
     }
 
@@ -209,12 +169,7 @@
             TreeMessage::Exchange => state.exchange(&myself),
             TreeMessage::Heard(version, address) => state.heard(&myself, version, address),
             TreeMessage::Take(reply, origin) => state.take(reply, origin),
-            TreeMessage::Since(version, reply) => {
-                let _ = reply.send(state.log.since(version));
-            }
-            TreeMessage::Log(reply) => {
-                let _ = reply.send(state.log.clone());
-            }
+            TreeMessage::HeardOf(version) => state.heard_of(&myself, version),
             TreeMessage::Accepted(record, reply) => {
                 state.accepted(*record);
                 let _ = reply.send(());
@@ -231,13 +186,17 @@
     /// Looks at the table, and sets the time for the next look.
     fn poll(&mut self, myself: &ActorRef<TreeMessage>) {
         self.doubt_after_pause();
-        let every = if *self.ready.borrow() {
+        let every = if *self.published.ready.borrow() {
             self.arguments.settings.poll
         } else {
             START_PAUSE
         };
         self.last_poll = Instant::now();
         drop(myself.send_after(self.jittered(every), || TreeMessage::Poll));
+        self.read_table(myself);
+    }
+
+    fn read_table(&self, myself: &ActorRef<TreeMessage>) {
         self.arguments.counters.count("tree.poll");
         let (platform, version) = (self.arguments.platform.clone(), self.log.version());
         let myself = myself.clone();
@@ -253,7 +212,7 @@
     /// again until it has heard from the table or a peer.
     fn doubt_after_pause(&self) {
         let late = self.last_poll.elapsed();
-        if late > self.arguments.settings.poll * 3 && self.ready.send_replace(false) {
+        if late > self.arguments.settings.poll * 3 && self.published.ready.send_replace(false) {
             warn!("tree: paused for {} ms, asking again", late.as_millis());
             self.arguments.counters.count("tree.paused");
         }
@@ -263,7 +222,7 @@
         let Some(every) = self.arguments.settings.exchange else {
             return;
         };
-        let every = if *self.ready.borrow() {
+        let every = if *self.published.ready.borrow() {
             every
         } else {
             START_PAUSE
@@ -282,6 +241,20 @@
         }
     }
 
+    /// Looks at the table at once, or at a random peer while the table is away.
+    fn heard_of(&mut self, myself: &ActorRef<TreeMessage>, version: TreeVersion) {
+        if version <= self.last_heard.max(self.log.version()) {
+            return;
+        }
+        // Every message of a busy entry carries the same news; one look is enough for it.
+        self.last_heard = version;
+        self.arguments.counters.count("tree.heard_newer");
+        match self.random_peer() {
+            Some(address) if self.is_table_away => self.ask(myself, address),
+            _ => self.read_table(myself),
+        }
+    }
+
     fn ask(&self, myself: &ActorRef<TreeMessage>, address: SocketAddr) {
         let peers = Arc::clone(&self.arguments.peers);
         let (host, version) = (self.arguments.host.clone(), self.log.version());
@@ -318,7 +291,7 @@
         }
         // A peer that has no tree itself says nothing on whether there is one.
         if !is_word_of_a_peer_without_tree {
-            self.ready.send_replace(true);
+            self.published.ready.send_replace(true);
         }
     }
 
@@ -342,13 +315,16 @@
     }
 
     fn publish(&self) {
-        self.in_force.send_replace(Arc::clone(self.log.current()));
+        self.published
+            .in_force
+            .send_replace(Arc::clone(self.log.current()));
+        self.published.log.send_replace(Arc::new(self.log.clone()));
     }
 
     fn status(&self) -> TreeStatus {
         TreeStatus {
             version: self.log.version(),
-            is_ready: *self.ready.borrow(),
+            is_ready: *self.published.ready.borrow(),
         }
     }
 
@@ -366,210 +342,3 @@
         every.mul_f64(self.random.random_range(0.75..1.0))
     }
 }
-
-/// Asks the keeper, and makes edits.
-#[derive(Debug, Clone)]
-pub struct TreeKeeperHandle {
-    actor: ActorRef<TreeMessage>,
-    arguments: TreeKeeperArguments,
-    in_force: watch::Receiver<Arc<CompiledTree>>,
-    ready: watch::Receiver<bool>,
-}
-
-impl TreeKeeperHandle {
-    /// Starts a keeper.
-    pub async fn start(arguments: TreeKeeperArguments) -> Result<Self, ractor::SpawnErr> {
-        let empty = CompiledTree::new(SettingsTree::empty())
-            .map_err(|error| ractor::SpawnErr::StartupFailed(Box::new(error)))?;
-        let (in_force_sender, in_force) = watch::channel(Arc::new(empty));
-        let (ready_sender, ready) = watch::channel(false);
-        let start = (arguments.clone(), in_force_sender, ready_sender);
-        let (actor, _joined) = Actor::spawn(None, TreeKeeper, start).await?;
-        Ok(Self {
-            actor,
-            arguments,
-            in_force,
-            ready,
-        })
-    }
-
-    /// The tree in force, which changes as newer versions come.
-    #[must_use]
-    pub fn in_force(&self) -> watch::Receiver<Arc<CompiledTree>> {
-        self.in_force.clone()
-    }
-
-    /// Whether the process has learned a version that it may decide by.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        *self.ready.borrow()
-    }
-
-    /// Waits until the process has learned a version.
-    pub async fn ready(&mut self) {
-        // The keeper is gone only when the process stops.
-        let _ = self.ready.wait_for(|is_ready| *is_ready).await;
-    }
-
-    /// Tells of a version that a message carried.
-    pub fn heard(&self, version: TreeVersion, address: SocketAddr) {
-        if version > self.in_force.borrow().version() {
-            let _ = self.actor.cast(TreeMessage::Heard(version, address));
-        }
-    }
-
-    /// Takes edits that a peer offers.
-    pub fn offered(&self, offer: TreeReply) {
-        let _ = self.actor.cast(TreeMessage::Take(Ok(offer), Origin::Peer));
-    }
-
-    /// Answers a peer that has a version.
-    pub async fn since(&self, version: TreeVersion) -> TreeReply {
-        let asked = self.ask(|reply| TreeMessage::Since(version, reply)).await;
-        asked.unwrap_or(TreeReply::UpToDate(TreeVersion::default()))
-    }
-
-    /// State of the tree in this process.
-    pub async fn status(&self) -> Option<TreeStatus> {
-        self.ask(TreeMessage::Status).await
-    }
-
-    /// Stops the keeper.
-    pub fn stop(&self) {
-        self.actor.stop(None);
-    }
-
-    /// The edits after a version that this process still has.
-    pub async fn edits_after(&self, version: TreeVersion) -> Vec<EditRecord> {
-        let log = self.ask(TreeMessage::Log).await;
-        log.map(|log| log.edits_after(version).cloned().collect())
-            .unwrap_or_default()
-    }
-
-    /// Makes an edit: checked whole, written once, handed to peers, then in force here.
-    pub async fn edit(&self, proposal: EditProposal) -> EditResult {
-        let Some(log) = self.refreshed_log().await else {
-            return EditResult::Refused(ResultCode::TableAway);
-        };
-        let version = log.version();
-        if proposal.expected != version {
-            let others = log.edits_after(proposal.expected).cloned().collect();
-            return EditResult::Conflict(version, others);
-        }
-        let tree = match log.current().tree().apply(&proposal.edit) {
-            Ok(tree) => tree,
-            Err(error) => return EditResult::Invalid(error),
-        };
-        let write_id = new_write_id();
-        let EditProposal { edit, by, .. } = proposal;
-        let record = EditRecord {
-            version: version.next(),
-            edit,
-            by,
-            write_id,
-        };
-        self.write(record, &tree).await
-    }
-
-    async fn write(&self, record: EditRecord, tree: &SettingsTree) -> EditResult {
-        let mut write = edit_write(&record, tree);
-        let until = Instant::now() + EDIT_PATIENCE;
-        match settle(&self.arguments.platform, &mut write, until).await {
-            WriteStep::Won { .. } | WriteStep::Superseded { .. } => {
-                let version = record.version;
-                self.hand_to_peers(&record).await;
-                let _ = self
-                    .ask(|reply| TreeMessage::Accepted(Box::new(record), reply))
-                    .await;
-                EditResult::Accepted(version)
-            }
-            WriteStep::LostTo { .. } => self.conflict(&record).await,
-            WriteStep::Undecided { .. } | WriteStep::Send | WriteStep::ReadBack => {
-                EditResult::Unknown
-            }
-        }
-    }
-
-    async fn conflict(&self, record: &EditRecord) -> EditResult {
-        let Some(log) = self.refreshed_log().await else {
-            return EditResult::Conflict(record.version, Vec::new());
-        };
-        let expected = TreeVersion::new(record.version.get() - 1);
-        EditResult::Conflict(log.version(), log.edits_after(expected).cloned().collect())
-    }
-
-    /// The log after a look at the table; none if the table does not answer.
-    async fn refreshed_log(&self) -> Option<TreeLog> {
-        loop {
-            let log = self.ask(TreeMessage::Log).await?;
-            let reply = read_from_table(&self.arguments.platform, log.version())
-                .await
-                .ok()?;
-            if matches!(reply, TreeReply::UpToDate(_)) {
-                return Some(log);
-            }
-            self.actor
-                .cast(TreeMessage::Take(Ok(reply), Origin::Table))
-                .ok()?;
-            let newer = self.ask(TreeMessage::Log).await?;
-            if newer.version() == log.version() {
-                return None;
-            }
-        }
-    }
-
-    async fn hand_to_peers(&self, record: &EditRecord) {
-        let after = TreeVersion::new(record.version.get() - 1);
-        let offer = TreeReply::Edits {
-            after,
-            edits: vec![record.to_json()],
-        };
-        let mut random = SmallRng::seed_from_u64(self.arguments.seed ^ record.version.get());
-        let mut addresses = self.arguments.peer_addresses.borrow().clone();
-        for _ in 0..PEERS_OFFERED.min(addresses.len()) {
-            let address = addresses.swap_remove(random.random_range(0..addresses.len()));
-            if let Err(error) = offer_to_peer(&self.arguments.peers, address, &offer).await {
-                debug!("tree: an edit was not handed on: {error}");
-            }
-        }
-    }
-
-    async fn ask<T: Send + 'static>(
-        &self,
-        message: impl FnOnce(RpcReplyPort<T>) -> TreeMessage,
-    ) -> Option<T> {
-        match self.actor.call(message, None).await {
-            Ok(ractor::rpc::CallResult::Success(answer)) => Some(answer),
-            _ => None,
-        }
-    }
-}
-
-/// Writes head and edit together, so that a version never stands without its edit.
-///
-/// The head row is written by edits only, so its row version is the tree's version.
-fn edit_write(record: &EditRecord, tree: &SettingsTree) -> ConditionalWrite {
-    let head = TreeHead {
-        version: record.version,
-        write_id: record.write_id.clone(),
-    };
-    let before = amaranthscale_core::id::RowVersion::new(record.version.get() - 1);
-    let row = RowWrite {
-        key: EditRecord::row_key(record.version),
-        value: record.to_json(),
-    };
-    let write = ConditionalWrite::new(
-        TREE_HEAD_KEY,
-        before,
-        head.to_json(),
-        record.write_id.clone(),
-    )
-    .also_writing(row);
-    if !record.version.get().is_multiple_of(SNAPSHOT_EVERY_EDITS) {
-        return write;
-    }
-    write.also_writing(RowWrite {
-        key: TREE_SNAPSHOT_KEY.to_owned(),
-        value: tree.to_json(),
-    })
-}
