--- a/crates/amaranthscale/src/sidecar/sidecar_config.rs
+++ b/crates/amaranthscale/src/sidecar/sidecar_config.rs
@@ -1,10 +1,14 @@
 //! Where a sidecar stands and whom it serves.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use amaranthscale_core::id::{HostId, ServiceId};
+use amaranthscale_core::process::FairQueueLimits;
+use amaranthscale_core::request::LedgerLimits;
 
 use super::SidecarLimits;
+use crate::process::settings::SidecarSettings;
 
 /// Where a sidecar stands and whom it serves.
 #[derive(Debug, Clone)]
@@ -24,3 +28,34 @@
     /// Bounds.
     pub limits: SidecarLimits,
 }
+
+impl From<&SidecarSettings> for SidecarConfig {
+    fn from(settings: &SidecarSettings) -> Self {
+        Self {
+            host: settings.host.clone(),
+            service: settings.service.clone(),
+            listen: settings.listen,
+            backend: settings.backend,
+            platform: settings.platform,
+            statsd: None,
+            limits: limits(settings),
+        }
+    }
+}
+
+fn limits(settings: &SidecarSettings) -> SidecarLimits {
+    SidecarLimits {
+        queue: FairQueueLimits {
+            slots: settings.queue.slots,
+            capacity: settings.queue.capacity,
+            paid_reserve_slots: settings.queue.paid_reserve_slots,
+        },
+        ledger: LedgerLimits {
+            max_entries: settings.ledger.max_entries,
+            keep_finished: Duration::from_millis(settings.ledger.keep_finished_ms),
+            ..LedgerLimits::default()
+        },
+        drain_bound: Duration::from_millis(settings.drain_ms),
+        ..SidecarLimits::default()
+    }
+}
