--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -1,7 +1,8 @@
 //! What lives as long as its process.
 //!
 //! The parts an entry decides by are [`Router`], [`Admission`], [`OrganisationLimits`],
-//! [`RetryBudget`] and [`HedgePolicy`]; a sidecar decides by its [`FairQueue`]. [`CostBook`] and
+//! [`RetryBudget`] and [`HedgePolicy`]; a sidecar decides by its [`FairQueue`] and
+//! reports by its [`LoadMeter`]. [`CostBook`] and
 //! [`AttainmentBook`] count what came of it.
 
 mod admission;
@@ -17,6 +18,7 @@
 mod fair_share;
 mod hedge_policy;
 mod host_track;
+mod load_meter;
 mod organisation_limits;
 mod queued_attempt;
 mod refusal;
@@ -49,6 +51,8 @@
 #[doc(inline)]
 pub use hedge_policy::HedgePolicy;
 #[doc(inline)]
+pub use load_meter::LoadMeter;
+#[doc(inline)]
 pub use organisation_limits::OrganisationLimits;
 #[doc(inline)]
 pub use queued_attempt::QueuedAttempt;
--- a/crates/core/src/process/admission.rs
+++ b/crates/core/src/process/admission.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// What one stage may use, so that the later stages still fit.
+    ///
+    /// A sidecar that sees the whole budget would start work whose answer comes too late for the
+    /// stages after it; its expiry therefore leaves them their time at the backend servers.
+    #[must_use]
+    pub fn stage_budget(budget: Budget, later: &[StageEstimate]) -> Budget {
+        let later_ms = later.iter().map(|stage| stage.service_ms).sum();
+        budget.after(Duration::from_millis(later_ms))
+    }
+
     const fn margin_percent(&self, class: Class) -> u64 {
         match class {
             Class::Paid => self.settings.paid_margin_percent,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for the platform and the backend servers, and the load tool.
+
+pub mod policy;
--- /dev/null
+++ b/crates/standins/src/policy/organisation_spec.rs
@@ -0,0 +1,20 @@
+//! An organisation of a deployment.
+
+use amaranthscale_core::unit::{Class, RatePerSecond, Weight};
+
+/// Class, share and demand of one organisation.
+#[derive(Debug, Clone)]
+pub struct OrganisationSpec {
+    /// Name of the organisation.
+    pub name: &'static str,
+    /// Whether it pays.
+    pub class: Class,
+    /// Share within its class.
+    pub weight: Weight,
+    /// Requests of the first pipeline.
+    pub rate: RatePerSecond,
+    /// Calls that may not be repeated.
+    pub settle_rate: RatePerSecond,
+    /// Limit over all entries.
+    pub limit: RatePerSecond,
+}
--- /dev/null
+++ b/crates/standins/src/policy/summary.rs
@@ -0,0 +1,53 @@
+//! Figures over many seeds.
+
+use serde::Serialize;
+
+use super::Figures;
+use super::figures::{COLUMNS, Column};
+
+/// Median and range of one figure.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Spread {
+    /// Median over the seeds.
+    pub median: f64,
+    /// Least.
+    pub min: f64,
+    /// Most.
+    pub max: f64,
+}
+
+/// Figures of one variant over its seeds.
+#[derive(Debug, Clone)]
+pub struct Summary {
+    /// Name of the variant.
+    pub variant: String,
+    /// One run for each seed.
+    pub runs: Vec<Figures>,
+}
+
+impl Summary {
+    /// Median and range of a figure.
+    pub(super) fn spread(&self, column: Column) -> Spread {
+        let mut values: Vec<_> = self.runs.iter().map(column.read).collect();
+        values.sort_by(f64::total_cmp);
+        Spread {
+            median: values[values.len() / 2],
+            min: values[0],
+            max: values[values.len() - 1],
+        }
+    }
+
+    /// Figures for JSON: bare numbers for one seed, spreads for more.
+    pub(super) fn to_json(&self) -> serde_json::Value {
+        let value = |column: Column| {
+            let spread = self.spread(column);
+            if self.runs.len() == 1 {
+                serde_json::json!(spread.median)
+            } else {
+                serde_json::json!(spread)
+            }
+        };
+        let fields = COLUMNS.map(|column| (column.name.to_owned(), value(column)));
+        serde_json::Value::Object(fields.into_iter().collect())
+    }
+}
