--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -4,6 +4,7 @@
 
 mod counters;
 mod daemon_command;
+mod host_poll;
 mod platform_client;
 mod stop_signal;
 mod table_writer;
@@ -13,6 +14,8 @@
 #[doc(inline)]
 pub use daemon_command::{announce, daemon_command, listen_override, read_settings, start_logging};
 #[doc(inline)]
+pub use host_poll::poll_hosts;
+#[doc(inline)]
 pub use platform_client::{PlatformClient, PlatformClientLimits, PlatformError};
 #[doc(inline)]
 pub use stop_signal::StopSignal;
--- a/crates/amaranthscale/src/process/platform_client.rs
+++ b/crates/amaranthscale/src/process/platform_client.rs
@@ -114,9 +114,23 @@
         }
     }
 
-    /// Reads the host list.
-    pub async fn hosts(&self) -> Result<HostList, PlatformError> {
-        self.get("/hosts").await
+    /// Reads the host list, if it has changed since a version.
+    ///
+    /// A list of a thousand hosts is long; most polls find it as it was and carry nothing.
+    pub async fn hosts_after(
+        &self,
+        version: Option<u64>,
+    ) -> Result<Option<HostList>, PlatformError> {
+        let path = match version {
+            Some(version) => format!("/hosts?after={version}"),
+            None => "/hosts".to_owned(),
+        };
+        let (status, answer) = self.call(Method::GET, &path, Bytes::new()).await?;
+        match status {
+            StatusCode::NO_CONTENT => Ok(None),
+            status if status.is_success() => parse(&answer).map(Some),
+            refused => Err(PlatformError::Refused(refused.as_u16())),
+        }
     }
 
     /// Keeps an object.
--- a/crates/amaranthscale/src/sidecar.rs
+++ b/crates/amaranthscale/src/sidecar.rs
@@ -21,6 +21,7 @@
 mod cost_writer;
 mod gate;
 mod job;
+mod kept;
 mod routes;
 mod runner;
 mod sidecar_config;
@@ -46,6 +47,8 @@
 use claims::Claims;
 use cost_writer::CostWriter;
 use gate::{Gate, GateMessage};
+#[doc(inline)]
+pub use kept::KeptSidecar;
 use routes::{Routes, begin_leaving};
 use runner::Runner;
 #[doc(inline)]
--- /dev/null
+++ b/crates/amaranthscale/src/sidecar/kept.rs
@@ -0,0 +1,95 @@
+//! A sidecar together with the keeper of its settings tree.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::wire::HostList;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::{Sidecar, SidecarConfig, SidecarError, TreeSource};
+use crate::connection::{PeerClient, PeerClientLimits};
+use crate::process::{Counters, PlatformClient, PlatformClientLimits, poll_hosts};
+use crate::version::{TreeKeeperArguments, TreeKeeperHandle, TreeKeeperSettings};
+
+/// Time between two looks at the host list. A sidecar needs it only to find peers while the
+/// table is away, and 660 of them must not load the platform.
+const HOST_POLL: Duration = Duration::from_secs(30);
+
+/// A sidecar that keeps a settings tree.
+#[derive(Debug)]
+pub struct KeptSidecar {
+    sidecar: Sidecar,
+    tree: TreeKeeperHandle,
+    host_watch: JoinHandle<()>,
+}
+
+impl KeptSidecar {
+    /// Starts a keeper, then the sidecar.
+    pub async fn start(
+        config: SidecarConfig,
+        settings: TreeKeeperSettings,
+    ) -> Result<Self, SidecarError> {
+        let platform = PlatformClient::new(config.platform, PlatformClientLimits::default());
+        let (found, peer_addresses) = watch::channel(Vec::new());
+        let tree = TreeKeeperHandle::start(TreeKeeperArguments {
+            host: config.host.clone(),
+            settings,
+            platform: platform.clone(),
+            peers: Arc::new(PeerClient::new(PeerClientLimits::default())),
+            peer_addresses,
+            counters: Arc::new(Counters::local("amaranth.sidecar.tree")),
+            seed: rand::random(),
+        })
+        .await?;
+        let sidecar = Sidecar::start(config, source(&tree)).await?;
+        let host_watch = tokio::spawn(poll_hosts(platform, HOST_POLL, move |hosts| {
+            found.send_replace(entries(&hosts));
+        }));
+        Ok(Self {
+            sidecar,
+            tree,
+            host_watch,
+        })
+    }
+
+    /// The sidecar.
+    #[must_use]
+    pub const fn sidecar(&self) -> &Sidecar {
+        &self.sidecar
+    }
+
+    /// The keeper of its settings tree.
+    #[must_use]
+    pub const fn tree(&self) -> &TreeKeeperHandle {
+        &self.tree
+    }
+
+    /// Completes when the sidecar can serve no more because of a fault of its own.
+    pub async fn failed(&mut self) {
+        self.sidecar.failed().await;
+    }
+
+    /// Leaves, lets what runs end, and says whether all did within the bound.
+    pub async fn stop(self) -> bool {
+        let is_drained = self.sidecar.stop().await;
+        self.host_watch.abort();
+        self.tree.stop();
+        is_drained
+    }
+}
+
+fn source(tree: &TreeKeeperHandle) -> TreeSource {
+    let (since, version, heard) = (tree.clone(), tree.in_force(), tree.clone());
+    TreeSource::new(
+        move |ask| since.since(ask.version),
+        move || version.borrow().version(),
+        move |version| heard.heard_of(version),
+    )
+}
+
+fn entries(hosts: &HostList) -> Vec<SocketAddr> {
+    let entries = hosts.hosts.iter().filter(|record| record.service.is_none());
+    entries.map(|record| record.address).collect()
+}
