--- /dev/null
+++ b/crates/amaranthscale/src/operator/ctl.rs
@@ -0,0 +1,29 @@
+//! The operators' tool, `amaranthctl`.
+//!
+//! An edit is checked here on the tree just fetched, and then sent with that tree's version, so
+//! that an entry refuses it if another edit came in between.
+
+mod arguments;
+mod command;
+mod config_check;
+mod ctl_error;
+mod edit_commands;
+mod entry_address;
+mod entry_client;
+mod exit_status;
+mod program;
+mod render;
+mod submit;
+
+#[doc(inline)]
+pub use command::command;
+#[doc(inline)]
+pub use ctl_error::CtlError;
+#[doc(inline)]
+pub use entry_address::{EntryAddress, InvalidEntryAddress};
+#[doc(inline)]
+pub use entry_client::EntryClient;
+#[doc(inline)]
+pub use exit_status::ExitStatus;
+#[doc(inline)]
+pub use program::{run, run_program};
--- /dev/null
+++ b/crates/amaranthscale/src/operator/ctl/entry_address.rs
@@ -0,0 +1,41 @@
+//! Where an entry listens.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// A text that is no address of an entry.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum InvalidEntryAddress {
+        /// No IP address with a port.
+        Malformed(text: String) {
+            display("entry {text:?} cannot be read: give an IP address with a port, such as 10.0.0.1:8080 or http://10.0.0.1:8080")
+        }
+    }
+}
+
+/// Address of an entry, reached by plain HTTP.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntryAddress(SocketAddr);
+
+impl fmt::Display for EntryAddress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "http://{}", self.0)
+    }
+}
+
+impl FromStr for EntryAddress {
+    type Err = InvalidEntryAddress;
+
+    fn from_str(text: &str) -> Result<Self, InvalidEntryAddress> {
+        let address = text.strip_prefix("http://").unwrap_or(text);
+        let address = address.strip_suffix('/').unwrap_or(address);
+        let parsed = address.parse().ok();
+        parsed
+            .map(Self)
+            .ok_or_else(|| InvalidEntryAddress::Malformed(text.to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/operator/ctl/program.rs
@@ -0,0 +1,147 @@
+//! The program from its arguments to its exit code.
+
+use std::ffi::OsString;
+use std::io::{Write, stderr, stdout};
+
+use amaranthscale_core::id::{OrganisationId, TreeVersion};
+use amaranthscale_core::version::{Effective, OverrideField, SettingsTree, TreeError};
+use clap::ArgMatches;
+use clap_complete::Shell;
+use serde::Serialize;
+use serde_json::json;
+
+use super::arguments::{client, editor, required};
+use super::command::{PROGRAM, command};
+use super::edit_commands::PlannedEdit;
+use super::submit::submit;
+use super::{CtlError, EntryClient, ExitStatus, config_check, render};
+
+/// Runs the program: prints to the terminal and returns how it ends.
+///
+/// Help and wrong usage end the process as clap does, with 0 and 2.
+pub async fn run_program(
+    arguments: impl IntoIterator<Item = impl Into<OsString> + Clone>,
+) -> ExitStatus {
+    let matches = command().get_matches_from(arguments);
+    // A reader that has gone away, such as a pager, is no error of the command.
+    match run(&matches).await {
+        Ok(text) => {
+            let _ = stdout().write_all(text.as_bytes());
+            ExitStatus::Done
+        }
+        Err(error) => {
+            let _ = writeln!(stderr(), "{}", shown(&matches, &error));
+            error.exit_status()
+        }
+    }
+}
+
+/// Runs one command and returns what it prints.
+pub async fn run(matches: &ArgMatches) -> Result<String, CtlError> {
+    let Some((group, group_matches)) = matches.subcommand() else {
+        return Ok(command().render_help().to_string());
+    };
+    let (name, leaf) = group_matches.subcommand().unwrap_or((group, group_matches));
+    match (group, name) {
+        ("config", _) => return config_check::check(leaf),
+        ("completions", _) => return Ok(completion_script(required(leaf, "shell"))),
+        _ => {}
+    }
+    let planned = PlannedEdit::of(group, name, leaf)?;
+    let client = client(leaf)?;
+    match planned {
+        Some(planned) => edit(leaf, &client, &planned).await,
+        None => read(name, leaf, &client).await,
+    }
+}
+
+async fn edit(
+    matches: &ArgMatches,
+    client: &EntryClient,
+    planned: &PlannedEdit,
+) -> Result<String, CtlError> {
+    let accepted = submit(client, planned, editor(matches)).await?;
+    if is_json(matches) {
+        let key = planned.new_key.as_ref();
+        return Ok(as_json(&json!({ "version": accepted.version, "key": key })));
+    }
+    let (edit, version) = (&planned.edit, accepted.version);
+    let key = planned.new_key.as_ref();
+    let key = key.map(|key| format!("key of the callers, shown only now: {key}\n"));
+    let key = key.unwrap_or_default();
+    Ok(format!("{edit}: version {version} is in force\n{key}"))
+}
+
+async fn read(name: &str, matches: &ArgMatches, client: &EntryClient) -> Result<String, CtlError> {
+    match name {
+        "get" => get(matches, &client.tree().await?),
+        "export" => Ok(as_json(&client.tree().await?)),
+        "history" => {
+            let since: TreeVersion = required(matches, "since");
+            let edits = client.edits(since).await?;
+            Ok(printed(matches, &edits, |edits| render::history(edits)))
+        }
+        "status" => Ok(printed(matches, &client.status().await?, render::status)),
+        "cost" => Ok(printed(matches, &client.cost().await?, render::cost)),
+        _ => show(matches, &client.tree().await?),
+    }
+}
+
+fn show(matches: &ArgMatches, tree: &SettingsTree) -> Result<String, CtlError> {
+    let Some(id) = matches.get_one::<OrganisationId>("effective") else {
+        return Ok(printed(matches, tree, render::tree));
+    };
+    let effective = effective(tree, id)?;
+    Ok(printed(matches, &effective, render::effective))
+}
+
+fn get(matches: &ArgMatches, tree: &SettingsTree) -> Result<String, CtlError> {
+    let field: OverrideField = required(matches, "field");
+    let effective = effective(tree, &required(matches, "organisation"))?;
+    let (value, from) = render::field(&effective, field);
+    if is_json(matches) {
+        return Ok(as_json(&json!({ "value": value, "from": from })));
+    }
+    Ok(format!("{value}\n"))
+}
+
+fn effective(tree: &SettingsTree, id: &OrganisationId) -> Result<Effective, CtlError> {
+    let unknown = || TreeError::NoSuchOrganisation(id.clone());
+    Ok(tree.effective(id).ok_or_else(unknown)?)
+}
+
+fn completion_script(shell: Shell) -> String {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut command(), PROGRAM, &mut script);
+    String::from_utf8_lossy(&script).into_owned()
+}
+
+fn printed<T: Serialize>(matches: &ArgMatches, value: &T, text: impl Fn(&T) -> String) -> String {
+    if is_json(matches) {
+        as_json(value)
+    } else {
+        text(value)
+    }
+}
+
+/// The value as JSON with a line end.
+///
+/// # Panics
+///
+/// Only if a message holds something that JSON cannot carry, which is a bug.
+fn as_json(value: &impl Serialize) -> String {
+    let text = serde_json::to_string_pretty(value);
+    text.expect("messages hold only what JSON can carry") + "\n"
+}
+
+fn is_json(matches: &ArgMatches) -> bool {
+    matches.get_flag("json")
+}
+
+fn shown(matches: &ArgMatches, error: &CtlError) -> String {
+    if is_json(matches) {
+        error.to_json().to_string()
+    } else {
+        format!("{PROGRAM}: {error}")
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/operator/ctl/render.rs
@@ -0,0 +1,281 @@
+//! Reports and trees as a person reads them.
+
+use std::fmt::Display;
+
+use amaranthscale_core::id::OrganisationId;
+use amaranthscale_core::unit::RatePerSecond;
+use amaranthscale_core::version::{
+    EditRecord, Effective, Organisation, OverrideField, Pipeline, Service, SettingsTree, Stage,
+};
+
+use crate::operator::{CostReport, CostRow, OrganisationStatus, ServerStatus, StatusReport};
+
+/// The organisations below one another, then pipelines and services.
+pub(super) fn tree(tree: &SettingsTree) -> String {
+    let mut page = format!("version {}\n\norganisations\n", tree.version);
+    let is_root = |organisation: &Organisation| organisation.parent.is_none();
+    for (id, organisation) in tree.organisations.iter().filter(|(_, o)| is_root(o)) {
+        branch(&mut page, tree, id, organisation, 1);
+    }
+    page += "\npipelines\n";
+    let pipelines = tree.pipelines.iter();
+    page.extend(pipelines.map(|(id, pipeline)| format!("  {id}: {}\n", stages(pipeline))));
+    page += "\nservices\n";
+    let services = tree.services.iter();
+    page.extend(services.map(|(id, service)| format!("  {id}: {}\n", calls(service))));
+    page
+}
+
+/// The values in force for an organisation, and where each comes from.
+pub(super) fn effective(effective: &Effective) -> String {
+    let suspended = &effective.is_suspended;
+    let mut rows = vec![["field", "value", "from"].map(str::to_owned)];
+    for field in OverrideField::ALL {
+        let (value, from) = self::field(effective, *field);
+        rows.push([field.to_string(), value, from.to_string()]);
+    }
+    let (value, from) = (suspended.value.to_string(), suspended.from.to_string());
+    rows.push(["is_suspended".to_owned(), value, from]);
+    table(&rows)
+}
+
+/// One value in force, and where it comes from.
+pub(super) fn field(effective: &Effective, field: OverrideField) -> (String, &OrganisationId) {
+    match field {
+        OverrideField::Class => (effective.class.value.to_string(), &effective.class.from),
+        OverrideField::LimitPerSecond => {
+            let limit = &effective.limit_per_second;
+            (limit.value.get().to_string(), &limit.from)
+        }
+        OverrideField::Weight => (effective.weight.value.to_string(), &effective.weight.from),
+        OverrideField::MaxInFlight => {
+            let in_flight = &effective.max_in_flight;
+            (in_flight.value.to_string(), &in_flight.from)
+        }
+        OverrideField::Pipelines => {
+            let pipelines = &effective.pipelines;
+            (list(&pipelines.value), &pipelines.from)
+        }
+        OverrideField::DeadlineMs => {
+            let deadline_ms = &effective.deadline_ms;
+            (deadline_ms.value.to_string(), &deadline_ms.from)
+        }
+    }
+}
+
+/// One line for each edit.
+pub(super) fn history(edits: &[EditRecord]) -> String {
+    let line = |edit: &EditRecord| format!("{} by {}: {}\n", edit.version, edit.by, edit.edit);
+    edits.iter().map(line).collect()
+}
+
+/// The state of an entry, its organisations and its servers.
+pub(super) fn status(report: &StatusReport) -> String {
+    let ready = if report.is_ready {
+        "ready"
+    } else {
+        "not ready"
+    };
+    let mut page = format!(
+        "entry {} in {}: {ready}, tree version {}, {} requests held\n\n",
+        report.host, report.zone, report.tree_version, report.in_flight
+    );
+    let head = ["organisation", "class", "held", "requests", "attainment"];
+    let organisations = report.organisations.iter().map(organisation_row);
+    page += &table(&with_head(head, organisations));
+    let head = [
+        "server",
+        "service",
+        "zone",
+        "state",
+        "running",
+        "queued",
+        "report age",
+    ];
+    page.push('\n');
+    page += &table(&with_head(head, report.servers.iter().map(server_row)));
+    page += "\nresults\n";
+    let results = report.results.iter();
+    page.extend(results.map(|result| format!("  {} times {}\n", result.count, result.code)));
+    page
+}
+
+/// Cost by organisation and stage.
+pub(super) fn cost(report: &CostReport) -> String {
+    let head = [
+        "organisation",
+        "stage",
+        "service",
+        "server ms",
+        "tokens",
+        "wasted ms",
+        "wasted tokens",
+    ];
+    table(&with_head(head, report.rows.iter().map(cost_row)))
+}
+
+fn branch(
+    page: &mut String,
+    tree: &SettingsTree,
+    id: &OrganisationId,
+    organisation: &Organisation,
+    depth: usize,
+) {
+    let own = own_values(organisation);
+    page.extend([format!("{:indent$}{id}{own}\n", "", indent = depth * 2)]);
+    let is_child = |child: &Organisation| child.parent.as_ref() == Some(id);
+    for (child_id, child) in tree.organisations.iter().filter(|(_, o)| is_child(o)) {
+        branch(page, tree, child_id, child, depth + 1);
+    }
+}
+
+fn own_values(organisation: &Organisation) -> String {
+    let overrides = &organisation.overrides;
+    let limit = overrides.limit_per_second.map(RatePerSecond::get);
+    let own = [
+        (
+            "class",
+            organisation.class.as_ref().map(ToString::to_string),
+        ),
+        ("limit_per_second", limit.map(|limit| limit.to_string())),
+        ("weight", overrides.weight.as_ref().map(ToString::to_string)),
+        (
+            "max_in_flight",
+            overrides.max_in_flight.as_ref().map(ToString::to_string),
+        ),
+        (
+            "pipelines",
+            overrides.pipelines.as_ref().map(|names| list(names)),
+        ),
+        (
+            "deadline_ms",
+            overrides.deadline_ms.as_ref().map(ToString::to_string),
+        ),
+    ];
+    let own = own.into_iter();
+    let mut text: String = own
+        .filter_map(|(name, value)| Some(format!(" {name}={}", value?)))
+        .collect();
+    if organisation.key_hash.is_none() {
+        text.push_str(" no-key");
+    }
+    if organisation.is_suspended {
+        text.push_str(" SUSPENDED");
+    }
+    text
+}
+
+fn stages(pipeline: &Pipeline) -> String {
+    let stage = |stage: &Stage| {
+        let once = if stage.is_repeatable {
+            ""
+        } else {
+            ", at most once"
+        };
+        let streaming = if stage.is_streaming {
+            ", streaming"
+        } else {
+            ""
+        };
+        format!(
+            "{} ({}{}{once}{streaming})",
+            stage.name, stage.service, stage.path
+        )
+    };
+    let stages: Vec<_> = pipeline.stages.iter().map(stage).collect();
+    stages.join(" > ")
+}
+
+fn calls(service: &Service) -> String {
+    let rule = if service.is_repeatable {
+        "repeatable"
+    } else {
+        "at most once"
+    };
+    let deadline = format!("deadline_ms={}", service.default_deadline_ms);
+    let mut parts = vec![rule.to_owned(), deadline];
+    if !service.not_repeatable_paths.is_empty() {
+        parts.push(format!(
+            "at most once: {}",
+            list(&service.not_repeatable_paths)
+        ));
+    }
+    if !service.repeatable_paths.is_empty() {
+        parts.push(format!("repeatable: {}", list(&service.repeatable_paths)));
+    }
+    parts.join(", ")
+}
+
+fn organisation_row(status: &OrganisationStatus) -> [String; 5] {
+    let attainment = status.attainment_percent();
+    let attainment = attainment.map_or("-".to_owned(), |percent| format!("{percent}%"));
+    [
+        status.organisation.to_string(),
+        status.class.to_string(),
+        status.in_flight.to_string(),
+        status.requests.to_string(),
+        attainment,
+    ]
+}
+
+fn server_row(server: &ServerStatus) -> [String; 7] {
+    let ejected = if server.is_ejected { ", ejected" } else { "" };
+    let state = format!("{:?}{ejected}", server.state).to_lowercase();
+    let load = server.load;
+    let age = server.report_age_ms;
+    [
+        server.host.to_string(),
+        server.service.to_string(),
+        server.zone.to_string(),
+        state,
+        format!("{}/{}", load.running, load.slots),
+        format!("{} paid, {} trial", load.queued_paid, load.queued_trial),
+        age.map_or("never".to_owned(), |age_ms| format!("{age_ms} ms")),
+    ]
+}
+
+fn cost_row(row: &CostRow) -> [String; 7] {
+    let stage = row.stage.as_ref();
+    let stage = stage.map(|(pipeline, stage)| format!("{pipeline}/{stage}"));
+    [
+        row.organisation.to_string(),
+        stage.unwrap_or_else(|| "direct".to_owned()),
+        row.service.to_string(),
+        row.useful.server_ms.to_string(),
+        row.useful.tokens.to_string(),
+        row.wasted.server_ms.to_string(),
+        row.wasted.tokens.to_string(),
+    ]
+}
+
+fn list(names: &[impl Display]) -> String {
+    if names.is_empty() {
+        return "none".to_owned();
+    }
+    let names: Vec<_> = names.iter().map(ToString::to_string).collect();
+    names.join(",")
+}
+
+fn with_head<const N: usize>(
+    head: [&str; N],
+    rows: impl Iterator<Item = [String; N]>,
+) -> Vec<[String; N]> {
+    let head = head.map(str::to_owned);
+    std::iter::once(head).chain(rows).collect()
+}
+
+/// Rows with their columns aligned.
+fn table<const N: usize>(rows: &[[String; N]]) -> String {
+    let width = |column: usize| {
+        let widths = rows.iter().map(|row| row[column].chars().count());
+        widths.max().unwrap_or_default()
+    };
+    let widths: Vec<_> = (0..N).map(width).collect();
+    let line = |row: &[String; N]| {
+        let cells = row.iter().zip(&widths);
+        let cells = cells.map(|(cell, width)| format!("{cell:width$}"));
+        let cells: Vec<_> = cells.collect();
+        format!("{}\n", cells.join("  ").trim_end())
+    };
+    rows.iter().map(line).collect()
+}
--- a/crates/core/src/version/tree_edit.rs
+++ b/crates/core/src/version/tree_edit.rs
@@ -1,5 +1,7 @@
 //! One edit of the settings tree.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use super::{KeyHash, OverrideField, Pipeline, Service, SettingsTree, TreeError};
@@ -163,3 +165,24 @@
         }
     }
 }
+
+impl fmt::Display for TreeEdit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::CreateOrganisation { id, parent, .. } => {
+                write!(f, "create organisation {id} under {parent}")
+            }
+            Self::MoveOrganisation { id, parent } => write!(f, "move {id} under {parent}"),
+            Self::Suspend { id } => write!(f, "suspend {id}"),
+            Self::Resume { id } => write!(f, "resume {id}"),
+            Self::Set { id, field, value } => write!(f, "set {field} of {id} to {value}"),
+            Self::Unset { id, field } => write!(f, "unset {field} of {id}"),
+            Self::SetKey { id, .. } => write!(f, "set the key of {id}"),
+            Self::PutPipeline { id, .. } => write!(f, "put pipeline {id}"),
+            Self::RemovePipeline { id } => write!(f, "remove pipeline {id}"),
+            Self::PutService { id, .. } => write!(f, "put service {id}"),
+            Self::RemoveService { id } => write!(f, "remove service {id}"),
+            Self::Import { .. } => f.write_str("import a whole tree"),
+        }
+    }
+}
