--- a/crates/amaranthscale/src/operator/ctl/ctl_error.rs
+++ b/crates/amaranthscale/src/operator/ctl/ctl_error.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Whether an edit that met this error may have taken effect.
+    #[must_use]
+    pub fn leaves_edit_open(&self) -> bool {
+        match self {
+            Self::Unreachable(..) | Self::Unreadable(..) | Self::EditUnknown(..) => true,
+            Self::Refused(refusal) => refusal.code == ResultCode::EditUnknown,
+            _ => false,
+        }
+    }
+
     /// The numbered code, where the error has one.
     #[must_use]
     pub fn code(&self) -> Option<ResultCode> {
--- a/crates/amaranthscale/src/operator/ctl/submit.rs
+++ b/crates/amaranthscale/src/operator/ctl/submit.rs
@@ -25,22 +25,22 @@
         edit: planned.edit.clone(),
     };
     match client.post_edit(&request).await {
-        Err(CtlError::Unreachable(_, cause)) => settle(client, &request, cause).await,
+        Err(error) if error.leaves_edit_open() => settle(client, &request, error).await,
         answer => answer,
     }
 }
 
-// Failure: the entry accepts an edit and dies before it answers; an operator who is told "not
-// reached" makes the edit again, or believes that it is not in force. Guard: the edit after the
+// Failure: the entry accepts an edit and dies before it answers, or a balancer in between gives
+// up and answers in its place; an operator who is told "not reached" makes the edit again, or believes that it is not in force. Guard: the edit after the
 // expected version tells. Ours: accepted. Another: ours can never be accepted any more. None
 // yet, or no answer: it may still take effect, and the operator is told so.
 async fn settle(
     client: &EntryClient,
     request: &EditRequest,
-    cause: String,
+    cause: CtlError,
 ) -> Result<EditAccepted, CtlError> {
     let expected = request.expected_version;
-    let unknown = || CtlError::EditUnknown(client.entry(), cause);
+    let unknown = || CtlError::EditUnknown(client.entry(), cause.to_string());
     let Ok(edits) = client.edits(expected).await else {
         return Err(unknown());
     };
--- a/crates/amaranthscale/tests/ctl_commands.rs
+++ b/crates/amaranthscale/tests/ctl_commands.rs
@@ -39,6 +39,10 @@
     AnswerLost,
     /// The edit does not arrive.
     EditLost,
+    /// The edit takes effect, and a balancer in between answers in the entry's place.
+    BalancerAnswers,
+    /// The entry cannot learn whether the edit takes effect, and it does not.
+    EntryUnsure,
     /// Another operator's edit comes first, and the answer is lost.
     OtherFirstAnswerLost,
 }
@@ -79,7 +83,14 @@
         if fault == Fault::EditLost {
             return None;
         }
+        if fault == Fault::EntryUnsure {
+            let code = ResultCode::EditUnknown;
+            return Some((code, json!(Refusal::new(code, code.text()))));
+        }
         let accepted = self.accept(request.edit, &request.by);
+        if fault == Fault::BalancerAnswers {
+            return Some((ResultCode::DeadlinePassed, json!("gateway timeout")));
+        }
         (fault != Fault::AnswerLost).then(|| (ResultCode::Complete, json!(accepted)))
     }
 }
@@ -249,6 +260,8 @@
 async fn a_lost_answer_is_settled_by_reading_the_edits() {
     for (fault, status) in [
         (Fault::AnswerLost, None),
+        (Fault::BalancerAnswers, None),
+        (Fault::EntryUnsure, Some(ExitStatus::Unreachable)),
         (Fault::EditLost, Some(ExitStatus::Unreachable)),
         (Fault::OtherFirstAnswerLost, Some(ExitStatus::Conflict)),
     ] {
