--- a/crates/amaranthscale/tests/support/fake_table.rs
+++ b/crates/amaranthscale/tests/support/fake_table.rs
@@ -82,10 +82,19 @@
             .unwrap();
     }
 
+    /// Whether a transaction that is kept on its way names this text.
+    pub fn is_held_with(&self, text: &str) -> bool {
+        let held = self.shared.held.borrow();
+        let mut writes = held.iter().flat_map(|transaction| &transaction.writes);
+        writes.any(|write| write.value.contains(text))
+    }
+
     /// Lets what was kept on its way take effect now.
     pub fn let_held_take_effect(&self) {
         let mut held = Vec::new();
-        self.shared.held.send_modify(|all| held = std::mem::take(all));
+        self.shared
+            .held
+            .send_modify(|all| held = std::mem::take(all));
         for transaction in held {
             self.shared.transact(&transaction);
         }
@@ -192,8 +201,7 @@
 
     async fn answer_transaction(&self, transaction: &Transaction) -> Response<ResponseBody> {
         if self.take_fault(|faults| &mut faults.hold) {
-            self.held
-                .send_modify(|held| held.push(transaction.clone()));
+            self.held.send_modify(|held| held.push(transaction.clone()));
             return std::future::pending().await;
         }
         let reply = self.transact(transaction);
--- a/crates/amaranthscale/tests/support/fixture.rs
+++ b/crates/amaranthscale/tests/support/fixture.rs
@@ -252,7 +252,9 @@
 }
 
 pub async fn open(entry: &PeerClient, address: SocketAddr, dispatch: &Dispatch) -> FrameReader {
-    let response = entry.post(address, "/attempt", wire::encode(dispatch)).await;
+    let response = entry
+        .post(address, "/attempt", wire::encode(dispatch))
+        .await;
     FrameReader::new(response.unwrap().into_body())
 }
 
--- a/crates/amaranthscale/tests/support/sidecar_support.rs
+++ b/crates/amaranthscale/tests/support/sidecar_support.rs
@@ -1,6 +1,7 @@
 //! Fakes and fixtures for the tests of the sidecar.
 #![allow(
     dead_code,
+    unused_imports,
     reason = "each test binary includes this file and uses a part of it"
 )]
 
@@ -12,4 +13,4 @@
 pub use breaking_backend::BreakingBackend;
 pub use fake_backend::FakeBackend;
 pub use fake_table::FakeTable;
-pub use fixture::{Bench, Whole, bench, bench_with, open, start_sidecar, ticket, whole};
+pub use fixture::{Bench, bench, bench_with, hello, open, start_sidecar, ticket, whole};
