--- a/crates/core/src/version/settings_tree.rs
+++ b/crates/core/src/version/settings_tree.rs
@@ -89,11 +89,7 @@
     /// Applies an edit; the next version is checked as a whole.
     pub fn apply(&self, edit: &TreeEdit) -> Result<Self, TreeError> {
         let mut next = self.clone();
-        edit.change(&mut next)?;
-        next.version = self.version.next();
-        if next.version == self.version {
-            return Err(TreeError::NoNextVersion(self.version));
-        }
+        next.advance(edit)?;
         next.check()?;
         Ok(next)
     }
@@ -127,6 +123,17 @@
         found.next().map(|(id, _)| id.clone())
     }
 
+    /// Makes the next version in place, without checking it as a whole.
+    pub(super) fn advance(&mut self, edit: &TreeEdit) -> Result<(), TreeError> {
+        let next = self.version.next();
+        if next == self.version {
+            return Err(TreeError::NoNextVersion(next));
+        }
+        edit.change(self)?;
+        self.version = next;
+        Ok(())
+    }
+
     /// An organisation and its ancestors, nearest first; none on a cycle or a missing parent.
     pub(super) fn line<'a>(
         &'a self,
--- a/crates/core/src/version/tree_log.rs
+++ b/crates/core/src/version/tree_log.rs
@@ -122,37 +122,47 @@
         self.take_records(records?)
     }
 
+    /// Takes records in order. The last version is checked as a whole; those before it were
+    /// checked when they were accepted, and a check of each would hold up a process for long.
     fn take_records(&mut self, records: Vec<EditRecord>) -> Result<Taken, TreeLogError> {
-        let mut next: Option<SettingsTree> = None;
+        let newer = self.newer(records)?;
+        if newer.is_empty() {
+            return Ok(Taken::Nothing);
+        }
+        let mut tree = self.current.tree().clone();
+        for record in &newer {
+            let advanced = tree.advance(&record.edit);
+            advanced.map_err(|cause| TreeLogError::Invalid(record.version, cause))?;
+        }
+        let taken = self.put_in_force(tree)?;
+        self.edits.extend(newer);
+        self.forget_oldest();
+        Ok(taken)
+    }
+
+    /// The records after the version in force, without gaps.
+    fn newer(&self, records: Vec<EditRecord>) -> Result<Vec<EditRecord>, TreeLogError> {
+        let mut last = self.version();
         let mut newer = Vec::new();
         for record in records {
-            let tree = next.as_ref().unwrap_or_else(|| self.current.tree());
             // Failure: a peer that was paused for an hour, or a doubled reply, brings edits that
             // are in force here long since, and taking them again would undo later ones. Guard:
             // only the edit right after the present version is applied; an older one is compared
             // and dropped.
-            if record.version <= tree.version {
+            if record.version <= last {
                 self.check_same(&record)?;
                 continue;
             }
             // Failure: a lost edit before this one would leave a suspended organisation running
             // here for good, as no later edit repeats it. Guard: nothing is taken across a gap,
             // and the version stays low, so that the process asks again for all that it lacks.
-            if record.version != tree.version.next() {
-                return Err(TreeLogError::Gap(tree.version, record.version));
+            if record.version != last.next() {
+                return Err(TreeLogError::Gap(last, record.version));
             }
-            let applied = tree.apply(&record.edit);
-            let invalid = |cause| TreeLogError::Invalid(record.version, cause);
-            next = Some(applied.map_err(invalid)?);
+            last = record.version;
             newer.push(record);
         }
-        let Some(tree) = next else {
-            return Ok(Taken::Nothing);
-        };
-        let taken = self.put_in_force(tree)?;
-        self.edits.extend(newer);
-        self.forget_oldest();
-        Ok(taken)
+        Ok(newer)
     }
 
     fn take_whole(&mut self, version: TreeVersion, tree: &str) -> Result<Taken, TreeLogError> {
