--- a/crates/standins/src/bin/amaranth-load.rs
+++ b/crates/standins/src/bin/amaranth-load.rs
@@ -1,7 +1,8 @@
-//! The load tool: measures the policy on a virtual clock.
+//! The load tool: measures the policy on a virtual clock, and the daemons on a real one.
 
 use std::process::ExitCode;
 
+use amaranthscale_standins::load::measure;
 use amaranthscale_standins::policy;
 use clap::Command;
 
@@ -13,6 +14,7 @@
     let matches = command().get_matches();
     let result = match matches.subcommand() {
         Some(("policy", policy_matches)) => policy::run(policy_matches),
+        Some(("measure", measure_matches)) => measure::run(measure_matches),
         _ => Err("no subcommand was given".to_owned()),
     };
     match result {
@@ -30,4 +32,5 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(policy::command())
+        .subcommand(measure::command())
 }
--- /dev/null
+++ b/crates/standins/src/deployment/running_backend.rs
@@ -0,0 +1,118 @@
+//! A backend server stand-in with its sidecar.
+
+use std::net::SocketAddr;
+
+use amaranthscale::sidecar::{KeptSidecar, SidecarConfig, SidecarLimits};
+use amaranthscale::version::TreeKeeperSettings;
+use amaranthscale_core::id::{HostId, ServiceId};
+use amaranthscale_core::process::FairQueueLimits;
+
+use super::{BackendKind, BackendPlan, DeploymentError};
+use crate::engine::{Engine, EngineSettings};
+use crate::http::Running;
+use crate::service::{Service, ServiceSettings};
+
+/// Queue places for each slot of a backend server.
+const QUEUE_PER_SLOT: usize = 64;
+
+/// A backend server stand-in with its sidecar.
+#[derive(Debug)]
+pub struct RunningBackend {
+    host: HostId,
+    service: ServiceId,
+    backend: Running,
+    sidecar: KeptSidecar,
+}
+
+impl RunningBackend {
+    /// Starts one backend server of a plan, and a sidecar before it.
+    pub async fn start(
+        plan: &BackendPlan,
+        number: u32,
+        platform: SocketAddr,
+    ) -> Result<Self, DeploymentError> {
+        let host: HostId = format!("{}-{number}", plan.service).parse()?;
+        let backend = start_backend(&plan.kind).await?;
+        let config = SidecarConfig {
+            host: host.clone(),
+            service: plan.service.clone(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            backend: backend.address(),
+            platform,
+            statsd: None,
+            limits: SidecarLimits {
+                queue: FairQueueLimits {
+                    slots: plan.slots,
+                    capacity: QUEUE_PER_SLOT * usize::try_from(plan.slots).unwrap_or(1),
+                    paid_reserve_slots: plan.slots / 4,
+                },
+                ..SidecarLimits::default()
+            },
+        };
+        let sidecar = KeptSidecar::start(config, TreeKeeperSettings::default()).await?;
+        Ok(Self {
+            host,
+            service: plan.service.clone(),
+            backend,
+            sidecar,
+        })
+    }
+
+    /// Host of the backend server.
+    #[must_use]
+    pub const fn host(&self) -> &HostId {
+        &self.host
+    }
+
+    /// Service of the backend server.
+    #[must_use]
+    pub const fn service(&self) -> &ServiceId {
+        &self.service
+    }
+
+    /// Address of the backend server, for its records and faults.
+    #[must_use]
+    pub fn backend_address(&self) -> SocketAddr {
+        self.backend.address()
+    }
+
+    /// Address of the sidecar.
+    #[must_use]
+    pub const fn sidecar_address(&self) -> SocketAddr {
+        self.sidecar.sidecar().address()
+    }
+
+    /// The sidecar.
+    #[must_use]
+    pub const fn sidecar(&self) -> &KeptSidecar {
+        &self.sidecar
+    }
+
+    /// Stops the sidecar gracefully, then the backend server.
+    pub async fn stop(self) -> bool {
+        let is_drained = self.sidecar.stop().await;
+        self.backend.stop().await;
+        is_drained
+    }
+}
+
+async fn start_backend(kind: &BackendKind) -> Result<Running, DeploymentError> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let running = match kind {
+        BackendKind::Engine(settings) => {
+            Engine::start(EngineSettings {
+                listen: any,
+                ..*settings
+            })
+            .await?
+        }
+        BackendKind::Service(settings) => {
+            Service::start(ServiceSettings {
+                listen: any,
+                ..settings.clone()
+            })
+            .await?
+        }
+    };
+    Ok(running)
+}
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,15 @@
+//! Sends load and checks every answer.
+
+pub mod demo_tree;
+pub mod measure;
+
+mod caller;
+mod caller_answer;
+mod load_report;
+
+#[doc(inline)]
+pub use caller::Caller;
+#[doc(inline)]
+pub use caller_answer::CallerAnswer;
+#[doc(inline)]
+pub use load_report::LoadReport;
