Each refused caller of an organisation is given a turn of its own

Cause: a refusal by the organisation's limit promised the time of the next token to everybody; all came back for the same one. Seen in the quickstart, where a trial request was refused 20 times and the run failed. Ruled out: the admission estimate (no refusal but 2102 in the counters) and the sidecar queue (no wait in its stamps). The turn ahead is bounded to 10 s, so callers who never come back do not push the others away.

--- a/crates/core/src/process/organisation_limits.rs
+++ b/crates/core/src/process/organisation_limits.rs
@@ -18,8 +18,9 @@
 const NO_SHARE_RETRY_AFTER_MS: u64 = 60_000;
 /// Seconds of its share that an organisation may use at once.
 const BURST_S: f64 = 1.0;
-/// Milliseconds in a second.
-const MS_PER_S: f64 = 1_000.0;
+/// Longest time ahead for which a refused caller is given a turn; callers who never come back
+/// must not push everybody else's turn out of sight.
+const MAX_TURN_AHEAD: Duration = Duration::from_secs(10);
 
 /// Tokens of one organisation.
 #[derive(Debug, Default)]
@@ -27,6 +28,8 @@
     tokens: f64,
     filled_at: Option<Duration>,
     in_flight: u32,
+    /// Last time at which a refused caller was told to come back.
+    last_turn: Duration,
 }
 
 /// Token buckets and counts in flight, by organisation.
@@ -116,9 +119,25 @@
             self.tokens -= 1.0;
             return Ok(());
         }
-        let wait = Duration::from_secs_f64(((1.0 - self.tokens) / share_per_s).min(MS_PER_S));
-        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        Err(Refusal::new(ResultCode::OverLimit, wait_ms.max(1)))
+        Err(Refusal::new(
+            ResultCode::OverLimit,
+            self.next_turn_ms(share_per_s, now),
+        ))
+    }
+
+    /// Time until the turn of one more refused caller.
+    ///
+    /// Guards against refused callers who all come back for the same token: one gets it and the
+    /// others are refused again and again, which shows as a request that is tried twenty times.
+    /// Each refusal is given a turn of its own, one token after the turn before.
+    fn next_turn_ms(&mut self, share_per_s: f64, now: Duration) -> u64 {
+        let token = Duration::from_secs_f64((1.0 / share_per_s).min(MAX_TURN_AHEAD.as_secs_f64()));
+        let first = now + token.mul_f64(1.0 - self.tokens.clamp(0.0, 1.0));
+        let turn = first.max(self.last_turn + token).min(now + MAX_TURN_AHEAD);
+        self.last_turn = turn;
+        u64::try_from((turn - now).as_millis())
+            .unwrap_or(u64::MAX)
+            .max(1)
     }
 
     fn fill(&mut self, share_per_s: f64, now: Duration) {
