--- a/crates/core/src/process/fair_queue.rs
+++ b/crates/core/src/process/fair_queue.rs
@@ -105,7 +105,10 @@
 
     /// Takes a revoked attempt out; false if it does not wait here.
     pub fn remove(&mut self, attempt: &AttemptId) -> bool {
-        self.paid.remove(attempt) || self.trial.remove(attempt)
+        self.paid
+            .take(attempt)
+            .or_else(|| self.trial.take(attempt))
+            .is_some()
     }
 
     /// Takes out all attempts that could no longer end in time.
@@ -121,7 +124,7 @@
 
     /// Attempts of a class that wait.
     #[must_use]
-    pub const fn len(&self, class: Class) -> usize {
+    pub fn len(&self, class: Class) -> usize {
         match class {
             Class::Paid => self.paid.len(),
             Class::Trial => self.trial.len(),
@@ -130,7 +133,7 @@
 
     /// Whether nothing waits.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.paid.len() + self.trial.len() == 0
     }
 
--- a/crates/core/src/process/queued_attempt.rs
+++ b/crates/core/src/process/queued_attempt.rs
@@ -21,6 +21,12 @@
 }
 
 impl QueuedAttempt {
+    /// Last point at which it can start and still end before its expiry.
+    #[must_use]
+    pub const fn latest_start(&self) -> SidecarClock {
+        SidecarClock::from_millis(self.expiry.as_millis().saturating_sub(self.expected_ms))
+    }
+
     /// Whether it would still end before its expiry if it started now.
     #[must_use]
     pub const fn can_make_it(&self, now: SidecarClock) -> bool {
