--- a/crates/core/tests/policy_limits.rs
+++ b/crates/core/tests/policy_limits.rs
@@ -35,10 +35,16 @@
         .map(|_| ask(&mut limits, Duration::ZERO).unwrap_err().retry_after_ms)
         .map(Duration::from_millis)
         .collect();
-    let refused_again = turns.iter().filter(|turn| ask(&mut limits, **turn).is_err()).count();
+    let refused_again = turns
+        .iter()
+        .filter(|turn| ask(&mut limits, **turn).is_err())
+        .count();
 
     // Assert: rounding to milliseconds may cost a few their turn.
-    assert!(refused_again <= 2, "{refused_again} of 40 were refused again");
+    assert!(
+        refused_again <= 2,
+        "{refused_again} of 40 were refused again"
+    );
 }
 
 /// Callers are refused by the thousand and never come back. A later caller would be told to wait
@@ -55,5 +61,9 @@
     let refusal = ask(&mut limits, Duration::from_millis(1)).unwrap_err();
 
     // Assert
-    assert!(refusal.retry_after_ms <= 10_000, "{} ms", refusal.retry_after_ms);
+    assert!(
+        refusal.retry_after_ms <= 10_000,
+        "{} ms",
+        refusal.retry_after_ms
+    );
 }
