--- a/crates/core/src/process/organisation_limits.rs
+++ b/crates/core/src/process/organisation_limits.rs
@@ -135,7 +135,7 @@
         let first = now + token.mul_f64(1.0 - self.tokens.clamp(0.0, 1.0));
         let turn = first.max(self.last_turn + token).min(now + MAX_TURN_AHEAD);
         self.last_turn = turn;
-        u64::try_from((turn - now).as_millis())
+        u64::try_from(turn.saturating_sub(now).as_millis())
             .unwrap_or(u64::MAX)
             .max(1)
     }
--- a/crates/core/tests/policy_limits.rs
+++ b/crates/core/tests/policy_limits.rs
@@ -10,7 +10,7 @@
 const LIMIT_PER_SECOND: f64 = 20.0;
 
 fn organisation() -> OrganisationId {
-    "driver-trial".parse().unwrap()
+    "driver-trial".parse().expect("a valid name")
 }
 
 fn ask(limits: &mut OrganisationLimits, now: Duration) -> Result<(), Refusal> {
