--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -40,7 +40,7 @@
         let state = Arc::new(relay_state::RelayState::new(settings.to));
         let stop = StopSignal::new();
         let admin_state = Arc::clone(&state);
-        let handler = move |request| ready(relay_routes::handle(&admin_state, &request));
+        let handler = move |request| ready(Ok(relay_routes::handle(&admin_state, &request)));
         let admin = start_server(settings.admin, stop.clone(), handler).await?;
         let serve = move |stream| relayed_connection::serve(Arc::clone(&state), stream);
         let relay = start_acceptor(settings.listen, stop, serve).await?;
--- a/crates/standins/src/relay/relay_routes.rs
+++ b/crates/standins/src/relay/relay_routes.rs
@@ -3,16 +3,16 @@
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode};
 
-use crate::http::{Answer, Handled, json, json_body, no_content, status};
+use crate::http::{Answer, json, json_body, no_content, status};
 use crate::relay::RelayFaults;
 use crate::relay::relay_state::RelayState;
 
 /// Answers one request.
-pub(crate) fn handle(state: &RelayState, request: &Request<Bytes>) -> Handled {
+pub(crate) fn handle(state: &RelayState, request: &Request<Bytes>) -> Answer {
     match (request.method(), request.uri().path()) {
-        (&Method::GET, "/admin/counts") => Ok(json(StatusCode::OK, &state.counts())),
-        (&Method::POST, "/admin/faults") => Ok(switch_faults(state, request.body())),
-        _ => Ok(status(StatusCode::NOT_FOUND)),
+        (&Method::GET, "/admin/counts") => json(StatusCode::OK, &state.counts()),
+        (&Method::POST, "/admin/faults") => switch_faults(state, request.body()),
+        _ => status(StatusCode::NOT_FOUND),
     }
 }
 
