--- /dev/null
+++ b/crates/standins/src/acceptor.rs
@@ -0,0 +1,54 @@
+//! Accepts connections until told to stop.
+
+use std::io;
+use std::net::SocketAddr;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use crate::http::{Running, StopSignal};
+
+/// Listens, and serves each connection in a task of its own.
+pub(crate) async fn start_acceptor<S, F>(
+    listen: SocketAddr,
+    stop: StopSignal,
+    serve: S,
+) -> io::Result<Running>
+where
+    S: Fn(TcpStream) -> F + Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let task = tokio::spawn(accept(listener, stop.clone(), serve));
+    Ok(Running::new(address, stop, task))
+}
+
+/// Accepts until told to stop; leaving drops the set, which aborts all connections.
+async fn accept<S, F>(listener: TcpListener, stop: StopSignal, serve: S)
+where
+    S: Fn(TcpStream) -> F,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = stop.stopped() => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    set_no_delay(&stream);
+                    connections.spawn(serve(stream));
+                }
+                Err(error) => log::warn!("server: accept failed: {error}"),
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+/// Sends small messages at once.
+pub(crate) fn set_no_delay(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("server: no-delay not set: {error}");
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/prompt.rs
@@ -0,0 +1,40 @@
+//! What an engine reads from a call's body.
+
+use serde::Deserialize;
+use serde_json::Value;
+
+/// Tokens to generate unless the body says otherwise.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// What an engine reads from a call's body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Prompt {
+    /// Tokens of the whole answer.
+    pub(crate) max_tokens: u32,
+    /// Key of the prompt's prefix, under which the engine caches it.
+    pub(crate) prefix: Option<String>,
+    /// Length of the body.
+    pub(crate) length_bytes: usize,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Fields {
+    max_tokens: Option<u32>,
+    prefix: Option<String>,
+    request: Value,
+}
+
+impl Prompt {
+    /// Reads a body; what is no JSON counts as a prompt without fields.
+    pub(crate) fn read(body: &[u8]) -> Self {
+        let outer: Fields = serde_json::from_slice(body).unwrap_or_default();
+        let inner: Fields = serde_json::from_value(outer.request).unwrap_or_default();
+        let max_tokens = outer.max_tokens.or(inner.max_tokens);
+        Self {
+            max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+            prefix: outer.prefix.or(inner.prefix),
+            length_bytes: body.len(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http/answer.rs
@@ -0,0 +1,64 @@
+//! Builds answers.
+
+use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::mpsc;
+
+use crate::http::{ConnectionClosed, ReplyBody, break_off};
+
+/// What a handler answers.
+pub(crate) type Answer = Response<ReplyBody>;
+
+/// An answer, or the wish to close the connection without one.
+pub(crate) type Handled = Result<Answer, ConnectionClosed>;
+
+/// An answer in JSON.
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Answer {
+    match serde_json::to_vec(value) {
+        Ok(text) => with_type(status, "application/json", text.into()),
+        Err(error) => plain(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+/// An answer with no more than a status and its usual text.
+pub(crate) fn status(status: StatusCode) -> Answer {
+    plain(status, status.to_string())
+}
+
+/// Success without a body.
+pub(crate) fn no_content() -> Answer {
+    with_type(StatusCode::NO_CONTENT, "text/plain", Bytes::new())
+}
+
+/// Reads a request's body as JSON; the error is the answer to give.
+pub(crate) fn json_body<T: DeserializeOwned>(body: &Bytes) -> Result<T, Box<Answer>> {
+    let parsed = serde_json::from_slice(body);
+    parsed.map_err(|error| Box::new(plain(StatusCode::BAD_REQUEST, error.to_string())))
+}
+
+/// An answer in plain text.
+pub(crate) fn plain(status: StatusCode, text: String) -> Answer {
+    with_type(status, "text/plain", text.into())
+}
+
+/// An answer that breaks off after its first bytes.
+pub(crate) fn broken_off(first: Bytes) -> Answer {
+    let (chunks, body) = mpsc::channel(1);
+    tokio::spawn(async move {
+        if chunks.send(Ok(first)).await.is_ok() {
+            break_off(&chunks).await;
+        }
+    });
+    Response::new(ReplyBody::Chunks(body))
+}
+
+fn with_type(status: StatusCode, content_type: &'static str, body: Bytes) -> Answer {
+    let mut answer = Response::new(ReplyBody::whole(body));
+    *answer.status_mut() = status;
+    let content_type = HeaderValue::from_static(content_type);
+    answer.headers_mut().insert(CONTENT_TYPE, content_type);
+    answer
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Stand-ins for what the platform gives: table, objects, host list, engines and services.
+//!
+//! Each stand-in is a small server that starts within the calling process, or as a program of
+//! its own. Faults are switched over HTTP while it runs. None of them keeps anything on disk.
+
+pub mod backend;
+pub mod command;
+pub mod engine;
+pub mod http;
+pub mod platform;
+pub mod relay;
+pub mod service;
+
+mod acceptor;
+mod lagging;
+
+pub(crate) use lagging::Lagging;
--- /dev/null
+++ b/crates/standins/src/platform/counts.rs
@@ -0,0 +1,20 @@
+//! What the platform has counted.
+
+use serde::{Deserialize, Serialize};
+
+/// Calls counted since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCounts {
+    /// Reads of rows and objects let through.
+    pub reads: u64,
+    /// Transactions and object writes let through.
+    pub writes: u64,
+    /// Transactions that took effect.
+    pub transactions_committed: u64,
+    /// Transactions whose checks did not hold.
+    pub conflicts: u64,
+    /// Calls refused by a rate limit.
+    pub refused_rate: u64,
+    /// Transactions whose answer was withheld by a fault.
+    pub lost: u64,
+}
--- /dev/null
+++ b/crates/standins/src/service/service_execution.rs
@@ -0,0 +1,21 @@
+//! Record of one execution.
+
+use amaranthscale_core::id::OrganisationId;
+use serde::{Deserialize, Serialize};
+
+use crate::backend::CallId;
+
+/// Record of one execution, made as it started.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceExecution {
+    /// Identity of the call.
+    pub call_id: CallId,
+    /// Path of the call, without its leading slash.
+    pub path: String,
+    /// Organisation that the call works for, if told.
+    pub organisation: Option<OrganisationId>,
+    /// SHA-256 of the call's body, in hexadecimal.
+    pub body_digest: String,
+    /// Position among all executions of this service, from 1.
+    pub order: u64,
+}
