--- a/crates/core/src/version/conditional_write.rs
+++ b/crates/core/src/version/conditional_write.rs
@@ -159,10 +159,14 @@
         step
     }
 
+    /// Settles a commit by the row that it brings, not by the word.
+    ///
+    /// A late reply to an earlier write of the same caller says "committed" too. Believing it would
+    /// show as a claim that we never held, so the row must carry our write id.
     fn committed(&self, rows: Vec<Row>) -> WriteStep {
-        let own = rows.into_iter().find(|row| row.key == self.key);
-        WriteStep::Won {
-            row: own.unwrap_or_else(|| self.own_row()),
+        match rows.into_iter().find(|row| row.key == self.key) {
+            Some(row) => self.judge(row),
+            None => WriteStep::ReadBack,
         }
     }
 
@@ -228,12 +232,4 @@
             _ => WriteStep::Undecided { row },
         }
     }
-
-    fn own_row(&self) -> Row {
-        Row {
-            key: self.key.clone(),
-            version: self.expected.next(),
-            value: self.envelope.to_value(),
-        }
-    }
 }
--- /dev/null
+++ b/crates/core/tests/claim_rows.rs
@@ -0,0 +1,239 @@
+//! Reading claim rows, and conditional writes whose answers mislead.
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::{
+    AttemptId, AttemptNumber, HostId, IdempotencyKey, Incarnation, OrganisationId, RequestId,
+    RowVersion, StageIndex, WriteId,
+};
+use amaranthscale_core::request::{
+    AttemptFate, ClaimReading, StoredResult, attempt_fate, cancel_write, claim_write, finish_write,
+    mark_unknown_write, read_claim,
+};
+use amaranthscale_core::version::{ConditionalWrite, WriteEvent, WriteStep};
+use amaranthscale_core::wire::{
+    ClaimKey, ClaimTicket, Fingerprint, Outcome, Row, RowCheck, TransactionReply,
+};
+
+fn key() -> ClaimKey {
+    ClaimKey {
+        organisation: OrganisationId::new("delta").expect("the name is well formed"),
+        key: IdempotencyKey::new("settle-17").expect("the name is well formed"),
+        stage: StageIndex::new(0),
+    }
+}
+
+fn fingerprint() -> Fingerprint {
+    Fingerprint::of("/settle", "17")
+}
+
+fn attempt(number: u32) -> AttemptId {
+    AttemptId {
+        request: RequestId::from_random_bits(1),
+        stage: StageIndex::new(0),
+        number: AttemptNumber::new(number),
+    }
+}
+
+fn write_id(text: &str) -> WriteId {
+    WriteId::new(text).expect("the name is well formed")
+}
+
+fn claim(version: u64, number: u32, id: &str) -> ConditionalWrite {
+    let version = RowVersion::new(version);
+    let ticket = ClaimTicket {
+        key: key(),
+        version,
+        fingerprint: fingerprint(),
+    };
+    let host = HostId::new("s-1").expect("the name is well formed");
+    claim_write(
+        &ticket,
+        host,
+        Incarnation::new(1),
+        attempt(number),
+        write_id(id),
+    )
+}
+
+fn cancel(version: u64, id: &str) -> ConditionalWrite {
+    let by = HostId::new("e-1").expect("the name is well formed");
+    cancel_write(
+        &key(),
+        RowVersion::new(version),
+        fingerprint(),
+        by,
+        write_id(id),
+    )
+}
+
+/// The row that a write leaves at a version.
+fn row(write: &ConditionalWrite, version: u64) -> Row {
+    let sent = write.transaction().writes.remove(0);
+    Row {
+        key: sent.key,
+        version: RowVersion::new(version),
+        value: sent.value,
+    }
+}
+
+fn absent() -> Row {
+    Row {
+        key: key().to_string(),
+        version: RowVersion::default(),
+        value: String::new(),
+    }
+}
+
+#[test]
+fn each_state_of_a_claim_reads_back() {
+    let started = row(&claim(0, 1, "w1"), 1);
+    let outcome = Outcome::without_result(ResultCode::Complete);
+    let result = StoredResult::Inline(vec![0, 255]);
+    let finish = finish_write(
+        &started,
+        fingerprint(),
+        outcome.clone(),
+        result.clone(),
+        write_id("w2"),
+    );
+    let unknown = mark_unknown_write(&started, fingerprint(), write_id("w3"));
+    let read = |row: &Row| read_claim(row, &fingerprint());
+
+    assert_eq!(
+        read(&absent()),
+        ClaimReading::Free {
+            version: RowVersion::default()
+        }
+    );
+    assert_eq!(
+        read(&row(&cancel(0, "w4"), 1)),
+        ClaimReading::Free {
+            version: RowVersion::new(1)
+        }
+    );
+    assert!(matches!(read(&started), ClaimReading::Started { attempt: a, .. } if a == attempt(1)));
+    assert_eq!(
+        read(&row(&finish, 2)),
+        ClaimReading::Finished { outcome, result }
+    );
+    assert_eq!(read(&row(&unknown, 2)), ClaimReading::Unknown);
+    assert_eq!(
+        read_claim(&started, &Fingerprint::of("/settle", "18")),
+        ClaimReading::KeyReused
+    );
+}
+
+#[test]
+fn a_row_that_cannot_be_read_is_never_free() {
+    // A grower is paid twice. A row written by another version of the program does not parse, and
+    // the entry takes it for an absent one.
+    let corrupt = Row {
+        version: RowVersion::new(3),
+        value: "{}".to_owned(),
+        ..absent()
+    };
+
+    assert_eq!(read_claim(&corrupt, &fingerprint()), ClaimReading::Corrupt);
+    assert_eq!(
+        attempt_fate(&corrupt, attempt(1), RowVersion::new(2)),
+        AttemptFate::Closed
+    );
+}
+
+#[test]
+fn a_row_tells_the_fate_of_an_attempt() {
+    let carried = RowVersion::default();
+    let fate = |row: &Row| attempt_fate(row, attempt(1), carried);
+
+    assert_eq!(fate(&absent()), AttemptFate::MayStart);
+    assert_eq!(fate(&row(&claim(0, 1, "w1"), 1)), AttemptFate::Claimed);
+    assert_eq!(fate(&row(&claim(0, 2, "w1"), 1)), AttemptFate::NeverRan);
+    assert_eq!(fate(&row(&cancel(0, "w1"), 1)), AttemptFate::NeverRan);
+}
+
+#[test]
+fn a_late_reply_to_an_earlier_write_wins_nothing() {
+    // A sidecar makes a call that it never claimed. The reply "committed" to an earlier write of
+    // the same caller arrives late, while it waits for the reply to its claim.
+    let mut second = claim(1, 2, "w2");
+    let earlier = row(&cancel(0, "w1"), 1);
+
+    let step = second.next(WriteEvent::Replied(TransactionReply::Committed(vec![
+        earlier,
+    ])));
+
+    assert_eq!(step, WriteStep::Send);
+}
+
+#[test]
+fn a_conflict_with_our_own_first_sending_is_a_win() {
+    // A claim is held by nobody for ever. The first answer is lost, the second sending conflicts
+    // with the first, and the sidecar takes that for a loss.
+    let mut write = claim(0, 1, "w1");
+    let own = row(&write, 1);
+    assert_eq!(write.next(WriteEvent::Lost), WriteStep::ReadBack);
+    assert_eq!(write.next(WriteEvent::ReadBack(absent())), WriteStep::Send);
+
+    let step = write.next(WriteEvent::Replied(TransactionReply::Conflict(vec![
+        own.clone(),
+    ])));
+
+    assert_eq!(step, WriteStep::Won { row: own });
+}
+
+#[test]
+fn later_rows_show_one_step_of_history() {
+    let first = row(&claim(0, 1, "w1"), 1);
+    let over_first = row(
+        &mark_unknown_write(&first, fingerprint(), write_id("w2")),
+        2,
+    );
+    let bare = row(&claim(1, 2, "w3"), 2);
+    let read_back = |id: &str, row: &Row| claim(0, 1, id).next(WriteEvent::ReadBack(row.clone()));
+
+    assert!(matches!(
+        read_back("w1", &over_first),
+        WriteStep::Superseded { .. }
+    ));
+    assert!(matches!(
+        read_back("w9", &over_first),
+        WriteStep::LostTo { .. }
+    ));
+    assert!(matches!(
+        read_back("w1", &bare),
+        WriteStep::Undecided { .. }
+    ));
+    assert!(matches!(read_back("w9", &first), WriteStep::LostTo { .. }));
+}
+
+#[test]
+fn a_settled_write_stays_settled() {
+    let mut write = claim(0, 1, "w1");
+    let own = row(&write, 1);
+    let won = write.next(WriteEvent::ReadBack(own));
+
+    assert_eq!(write.next(WriteEvent::Lost), won);
+    assert_eq!(
+        write.next(WriteEvent::ReadBack(row(&cancel(1, "w2"), 2))),
+        won
+    );
+}
+
+#[test]
+fn a_moved_check_settles_what_its_own_row_leaves_open() {
+    let lease = Row {
+        key: "lease".to_owned(),
+        version: RowVersion::new(8),
+        value: String::new(),
+    };
+    let check = RowCheck {
+        key: "lease".to_owned(),
+        version: RowVersion::new(7),
+    };
+    let mut write = claim(0, 1, "w1").also_checking(check);
+
+    let conflict = TransactionReply::Conflict(vec![absent(), lease.clone()]);
+    let step = write.next(WriteEvent::Replied(conflict));
+
+    assert_eq!(step, WriteStep::LostTo { row: lease });
+}
--- a/crates/core/tests/spec_at_most_once/main.rs
+++ b/crates/core/tests/spec_at_most_once/main.rs
@@ -1,6 +1,7 @@
 //! Every interleaving of the at-most-once protocol, and each guard shown to be needed.
 
 mod model;
+mod refinement;
 mod search;
 
 use model::{DISOWNED, Guard, MIXED_UP, RAN_AFTER_ALL, RAN_TWICE, Spec};
--- a/crates/core/tests/spec_at_most_once/model.rs
+++ b/crates/core/tests/spec_at_most_once/model.rs
@@ -163,7 +163,7 @@
     }
 }
 
-type Moves = Vec<(Action, State)>;
+pub type Moves = Vec<(Action, State)>;
 
 impl Specification for Spec {
     type State = State;
@@ -453,7 +453,7 @@
         }
     }
 
-    fn admit(&self, next: &mut State, id: usize, is_answered: bool) {
+    pub fn admit(&self, next: &mut State, id: usize, is_answered: bool) {
         let attempt = next.attempts[id];
         let is_known = attempt.progress != Progress::Absent;
         let is_ended = matches!(attempt.progress, Progress::Refused | Progress::Revoked);
@@ -468,7 +468,7 @@
         }
     }
 
-    fn revoke(&self, next: &mut State, id: usize) {
+    pub fn revoke(&self, next: &mut State, id: usize) {
         let attempt = next.attempts[id];
         if self.has(Guard::Incarnation) && !next.is_same_life(attempt) {
             next.network.send(Message::Gone, id);
@@ -497,7 +497,7 @@
     fn sidecar_moves(&self, state: &State, id: usize, moves: &mut Moves) {
         let attempt = state.attempts[id];
         match attempt.progress {
-            Progress::Queued => self.start(state, id, moves),
+            Progress::Queued => self.begin(state, id, moves),
             Progress::Claiming => self.read_back_claim(state, id, moves),
             Progress::Calling => Self::call(state, id, moves),
             Progress::Finished if state.row == Claim::Started(small(id)) => {
@@ -521,7 +521,7 @@
         }
     }
 
-    fn start(&self, state: &State, id: usize, moves: &mut Moves) {
+    pub fn begin(&self, state: &State, id: usize, moves: &mut Moves) {
         let mut next = *state;
         if self.has(Guard::Expiry) && state.is_expired(state.attempts[id]) {
             next.refuse(id);
@@ -658,7 +658,7 @@
 }
 
 impl Network {
-    fn has(self, message: Message, id: usize) -> bool {
+    pub fn has(self, message: Message, id: usize) -> bool {
         self.0 & bit(message, id) != 0
     }
 
