--- a/crates/core/tests/random_protocol/world.rs
+++ b/crates/core/tests/random_protocol/world.rs
@@ -58,6 +58,7 @@
 
 /// Runs one schedule to its end, or says which promise it broke.
 pub fn run(seed: u64, steps: usize, omission: Omission) -> Result<Tally, String> {
+    let _named = NamedSeed(seed);
     let mut world = World::new(seed, omission);
     for _ in 0..steps {
         world.random_step();
@@ -67,6 +68,17 @@
     Ok(world.tally)
 }
 
+/// Names the seed when an assertion inside the program fails.
+struct NamedSeed(u64);
+
+impl Drop for NamedSeed {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("seed {}: an assertion failed", self.0);
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Packet {
     Dispatch {
