--- a/crates/amaranthscale/src/sidecar.rs
+++ b/crates/amaranthscale/src/sidecar.rs
@@ -63,6 +63,9 @@
 /// Time between two ticks. Attempts that expire in the queue are told so within it.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Longest wait for entries to read what was ended; a live one takes milliseconds.
+const SEND_BOUND: Duration = Duration::from_secs(10);
+
 /// A running sidecar.
 #[derive(Debug)]
 pub struct Sidecar {
@@ -142,9 +145,10 @@
             self.runner.counters.count("drain.bound_passed");
             warn!("sidecar: stops with work left");
         }
-        // Answers that were just ended are still on their way to their entries.
+        // Answers that were just ended are still on their way to their entries. One connection that
+        // has gone silent would otherwise hold the stop up to its bound.
         let left = deadline.saturating_duration_since(Instant::now());
-        let is_sent = self.server.stop(left).await;
+        let is_sent = self.server.stop(left.min(SEND_BOUND)).await;
         for chore in &self.chores {
             chore.abort();
         }
--- a/crates/amaranthscale/src/sidecar/answer.rs
+++ b/crates/amaranthscale/src/sidecar/answer.rs
@@ -29,6 +29,7 @@
     chunks: Vec<Bytes>,
     kept_bytes: usize,
     outcome: Option<Outcome>,
+    is_forgotten: bool,
     readers: ReaderNumber,
     waiting: Vec<(ReaderNumber, Waker)>,
 }
@@ -40,6 +41,8 @@
     Chunk(Bytes),
     /// The end, after this many chunks.
     End(u64, Box<Outcome>),
+    /// Nothing: the answer was dropped before this reader had read it.
+    Gone,
 }
 
 /// An answer that has grown beyond its bound.
@@ -86,6 +89,18 @@
         wake(content);
     }
 
+    /// Drops the result under its readers.
+    ///
+    /// Guards against an entry's connection that goes silent: its reader is never dropped, and
+    /// would keep the whole result in memory for as long as the connection seems open.
+    pub(super) fn forget(&self) {
+        let mut content = self.lock();
+        content.chunks = Vec::new();
+        content.kept_bytes = 0;
+        content.is_forgotten = true;
+        wake(content);
+    }
+
     /// Bytes of the result so far.
     pub(super) fn kept_bytes(&self) -> usize {
         self.lock().kept_bytes
@@ -104,6 +119,9 @@
     /// The piece at a position, or a call of the waker when there is one.
     pub(super) fn piece(&self, at: usize, reader: ReaderNumber, waker: &Waker) -> Option<Piece> {
         let mut content = self.lock();
+        if content.is_forgotten {
+            return Some(Piece::Gone);
+        }
         if let Some(chunk) = content.chunks.get(at) {
             return Some(Piece::Chunk(chunk.clone()));
         }
--- a/crates/amaranthscale/src/sidecar/answer_body.rs
+++ b/crates/amaranthscale/src/sidecar/answer_body.rs
@@ -72,6 +72,10 @@
             Some(Piece::End(chunks, outcome)) => {
                 return Poll::Ready(Some(self.end(chunks, *outcome)));
             }
+            Some(Piece::Gone) => {
+                self.is_done = true;
+                return Poll::Ready(None);
+            }
             None => {}
         }
         let Some(patience) = &mut self.patience else {
--- a/crates/amaranthscale/src/sidecar/gate/gate_state.rs
+++ b/crates/amaranthscale/src/sidecar/gate/gate_state.rs
@@ -47,7 +47,8 @@
         let limits = runner.limits;
         let board = &runner.board;
         let max_kept = usize::try_from(limits.max_kept_results.as_bytes()).unwrap_or(usize::MAX);
-        let mut state = Self {
+        let now = board.now();
+        let state = Self {
             myself,
             ledger: Ledger::new(board.incarnation, limits.ledger),
             queue: FairQueue::new(limits.queue),
@@ -58,11 +59,11 @@
             queue_paid: Smoothed::default(),
             queue_trial: Smoothed::default(),
             leaving_since: None,
-            latest_tick: board.now(),
+            latest_tick: now,
             drained: Vec::new(),
             runner,
         };
-        state.publish_load();
+        state.publish_load(now);
         state
     }
 
@@ -81,7 +82,7 @@
             GateMessage::Figures(reply) => answer(reply, self.figures()),
         }
         self.start_next(now);
-        self.publish_load();
+        self.publish_load(now);
         self.tell_drained();
     }
 
@@ -348,15 +349,17 @@
         }
     }
 
-    fn publish_load(&mut self) {
+    fn publish_load(&self, now: SidecarClock) {
+        // Queue times fade: entries keep away from a long queue, and without arrivals its figure
+        // would otherwise stay as it was and keep them away for good.
         self.runner.board.set_load(LoadReport {
             queued_paid: count(self.queue.len(Class::Paid)),
             queued_trial: count(self.queue.len(Class::Trial)),
             running: self.queue.running(),
             slots: self.queue.slots(),
             service_ms: self.service_times.latest_ms(),
-            queue_paid_ms: self.queue_paid.latest_ms(),
-            queue_trial_ms: self.queue_trial.latest_ms(),
+            queue_paid_ms: self.queue_paid.faded_ms(now),
+            queue_trial_ms: self.queue_trial.faded_ms(now),
         });
     }
 }
--- a/crates/amaranthscale/src/sidecar/gate/kept_answers.rs
+++ b/crates/amaranthscale/src/sidecar/gate/kept_answers.rs
@@ -119,9 +119,10 @@
     }
 
     fn drop_ended(&mut self, attempt: AttemptId) {
-        let ended = self.kept.remove(&attempt).and_then(|kept| kept.ended);
-        if let Some(ended) = ended {
-            self.ended_bytes -= ended.bytes;
-        }
+        let Some(kept) = self.kept.remove(&attempt) else {
+            return;
+        };
+        kept.job.answer.forget();
+        self.ended_bytes -= kept.ended.map_or(0, |ended| ended.bytes);
     }
 }
--- a/crates/amaranthscale/src/sidecar/gate/smoothed.rs
+++ b/crates/amaranthscale/src/sidecar/gate/smoothed.rs
@@ -35,6 +35,11 @@
         Duration::from_secs_f64(faded_ms / 1000.0)
     }
 
+    /// The figure as it counts now, in whole milliseconds.
+    pub(super) fn faded_ms(&self, now: SidecarClock) -> u32 {
+        u32::try_from(self.at(now).as_millis()).unwrap_or(u32::MAX)
+    }
+
     /// The figure at its latest sample, in whole milliseconds.
     pub(super) fn latest_ms(&self) -> u32 {
         let latest = Duration::from_secs_f64(self.value_ms / 1000.0);
--- a/crates/amaranthscale/tests/sidecar_daemon.rs
+++ b/crates/amaranthscale/tests/sidecar_daemon.rs
@@ -11,13 +11,17 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
-use amaranthscale::connection::{PeerClient, PeerClientLimits};
+use amaranthscale::connection::PeerClient;
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::wire::Dispatch;
-use sidecar_support::{Bench, FakeBackend, FakeTable, bench, hello, open, whole};
+use sidecar_support::{Bench, FakeBackend, FakeTable, bench, hello, new_entry, open, whole};
 use tempfile::NamedTempFile;
 
+/// How long a sidecar is frozen: shorter than the silence at which its entry drops the connection.
+const FROZEN: Duration = Duration::from_millis(400);
+
 const PROGRAM: &str = env!("CARGO_BIN_EXE_amaranth-sidecar");
 
 /// A sidecar's process; it is killed with the test.
@@ -48,9 +52,12 @@
     }
 
     fn terminate(&self) {
-        let kill = Command::new("kill")
-            .arg(self.child.id().to_string())
-            .status();
+        self.signal("TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let process = self.child.id().to_string();
+        let kill = Command::new("kill").args(["-s", name, &process]).status();
         assert!(kill.unwrap().success());
     }
 
@@ -150,7 +157,7 @@
     let file = settings(&bench.backend, &bench.table);
     let mut daemon = Daemon::start(file.path());
     let dispatch = attempt_for(&bench, &daemon, "/held").await;
-    let entry = PeerClient::new(PeerClientLimits::default());
+    let entry = new_entry();
     let _frames = open(&entry, daemon.address, &dispatch).await;
     bench.backend.called(1).await;
 
@@ -161,3 +168,28 @@
 
     assert!(!exit.success());
 }
+
+/// A host freezes with an attempt in its sidecar's socket, and wakes when all is over.
+/// The entry has long sent the work elsewhere. The sidecar wakes believing that the attempt has
+/// just come in, but its expiry has passed on the sidecar's own clock, and it does not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frozen_sidecar_does_not_start_what_has_expired() {
+    let bench = bench().await;
+    let file = settings(&bench.backend, &bench.table);
+    let daemon = Daemon::start(file.path());
+    let mut dispatch = attempt_for(&bench, &daemon, "/echo").await;
+    dispatch.expiry = hello(&bench.entry, daemon.address)
+        .await
+        .clock
+        .plus(FROZEN / 2);
+
+    daemon.signal("STOP");
+    let (frames, ()) = tokio::join!(open(&bench.entry, daemon.address, &dispatch), async {
+        tokio::time::sleep(FROZEN).await;
+        daemon.signal("CONT");
+    });
+    let refused = whole(frames, dispatch.attempt, 0).await;
+
+    assert_eq!(refused.code(), ResultCode::AttemptExpired);
+    assert!(bench.backend.calls().is_empty());
+}
--- a/crates/amaranthscale/tests/sidecar_faults.rs
+++ b/crates/amaranthscale/tests/sidecar_faults.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranthscale::connection::{FrameReader, PeerClient};
+use amaranthscale::connection::{FrameError, FrameReader, PeerClient};
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::process::FairQueueLimits;
 use amaranthscale_core::request::{ClaimReading, read_claim};
@@ -18,9 +18,17 @@
 use amaranthscale_core::wire::{Dispatch, Frame, RevokeAnswer, Row};
 use hyper::StatusCode;
 use sidecar_support::{
-    Bench, BreakingBackend, bench, bench_with, hello, open, start_sidecar, ticket, whole,
+    Bench, BreakingBackend, bench, bench_with, fetch, fetch_within, hello, new_entry, open, soon,
+    start_sidecar, ticket, whole,
 };
 
+/// Refused calls after which a stop that does not wait for outcomes would have ended: more than
+/// it takes to write the costs.
+const TABLE_TRIES: usize = 9;
+
+/// New connections that a stop which does not wait would no longer take.
+const CONNECTIONS_DURING_STOP: usize = 30;
+
 fn reading(row: &Row) -> ClaimReading {
     read_claim(row, &ticket().fingerprint)
 }
@@ -34,6 +42,18 @@
     assert_eq!(response.unwrap().status(), StatusCode::OK);
 }
 
+/// Waits until the answer of an attempt is no longer kept.
+async fn until_forgotten(bench: &Bench, dispatch: &Dispatch) {
+    loop {
+        // Wants only the end, which any kept answer has.
+        let kept = fetch(&bench.entry, bench.address(), dispatch, u64::MAX).await;
+        let kept = whole(kept, dispatch.attempt, u64::MAX).await;
+        if kept.code() == ResultCode::OutcomeUnknown {
+            return;
+        }
+    }
+}
+
 async fn until_leaving(entry: &PeerClient, address: SocketAddr) {
     while !hello(entry, address).await.is_leaving {
         tokio::task::yield_now().await;
@@ -373,9 +393,8 @@
     let dispatch = bench.claimed(1, "/held");
     let frames = start_held(&bench, &dispatch).await;
 
-    let fetched = bench
-        .fetch_within(&dispatch, 0, Budget::from_millis(20))
-        .await;
+    let budget = Budget::from_millis(20);
+    let fetched = fetch_within(&bench.entry, bench.address(), &dispatch, 0, budget).await;
     let fetched = whole(fetched, dispatch.attempt, 0).await;
     bench.backend.let_go();
     let answer = whole(frames, dispatch.attempt, 0).await;
@@ -440,6 +459,30 @@
     assert_eq!(cancelled, dispatch.attempt.to_string());
 }
 
+/// An entry's connection goes silent while it reads an answer.
+/// Its reader is never dropped, so that the answer would stay in memory for good. After its time
+/// the answer is dropped under its reader, which sees the stream end early and not a whole answer.
+#[tokio::test]
+async fn unread_answer_is_dropped_in_its_time() {
+    let bench = bench().await;
+    let mut dispatch = bench.attempt(1, "/huge");
+    dispatch.budget = Budget::from_millis(500);
+    let mut frames = bench.open(&dispatch).await;
+
+    until_forgotten(&bench, &dispatch).await;
+    let broken = loop {
+        match soon(frames.next()).await {
+            Ok(Frame::Chunk(_)) => {}
+            Ok(Frame::End(end)) => panic!("the answer passes for whole: {end:?}"),
+            Err(error) => break error,
+        }
+    };
+    let fetched = whole(bench.fetch(&dispatch, 0).await, dispatch.attempt, 0).await;
+
+    assert!(matches!(broken, FrameError::Truncated), "{broken}");
+    assert_eq!(fetched.code(), ResultCode::OutcomeUnknown);
+}
+
 /// A faulty engine streams without end.
 /// Kept whole, its answer would take the sidecar's memory. Beyond the bound the work is cancelled,
 /// and no part of it passes for a whole answer.
@@ -489,11 +532,14 @@
     bench.stamp_when(|stamp| stamp.load.queued_paid == 1).await;
 
     leave(&bench).await;
+    let refused = bench.run(&bench.attempt(3, "/echo")).await;
     bench.backend.let_go();
     whole(running_frames, running.attempt, 0).await;
     let waited = whole(waiting_frames, waiting.attempt, 0).await;
 
+    assert_eq!(refused.code(), ResultCode::Leaving);
     assert_eq!(waited.code(), ResultCode::Complete);
+    assert_eq!(bench.backend.calls().len(), 2);
 }
 
 /// An operator stops a sidecar while a summary streams to a caseworker.
@@ -522,6 +568,34 @@
     assert!(stopping.await.unwrap());
 }
 
+/// An operator stops a sidecar while a summary streams, and the entry's connection breaks.
+/// No stream is open then, but the summary is still being written. The sidecar goes on and still
+/// takes the new connection on which the entry fetches the rest.
+#[tokio::test]
+async fn graceful_stop_waits_for_a_fetch() {
+    let bench = bench().await;
+    let dispatch = bench.attempt(1, "/stream");
+    let mut frames = open(&new_entry(), bench.address(), &dispatch).await;
+    frames.next().await.unwrap();
+    drop(frames);
+    let address = bench.address();
+    let Bench {
+        sidecar, backend, ..
+    } = bench;
+
+    let stopping = tokio::spawn(sidecar.stop());
+    for _connection in 0..CONNECTIONS_DURING_STOP {
+        until_leaving(&new_entry(), address).await;
+    }
+    let rest = fetch(&new_entry(), address, &dispatch, 1).await;
+    backend.let_go();
+    let rest = whole(rest, dispatch.attempt, 1).await;
+
+    assert_eq!(rest.code(), ResultCode::Complete);
+    assert_eq!(rest.result, b"two\n");
+    assert!(stopping.await.unwrap());
+}
+
 /// An operator stops a sidecar while the table is away and a settlement's outcome is unwritten.
 /// Stopped at once, the outcome would be lost with the memory. The stop waits for the table.
 #[tokio::test]
@@ -543,9 +617,12 @@
 
     let stopping = tokio::spawn(sidecar.stop());
     until_leaving(&entry, address).await;
+    table.refused(TABLE_TRIES).await;
+    let has_waited = !stopping.is_finished();
     table.set_down(false);
     let is_clean = stopping.await.unwrap();
 
+    assert!(has_waited);
     assert!(is_clean);
     let row = table.row(&key);
     assert!(
--- a/crates/amaranthscale/tests/support/fake_backend.rs
+++ b/crates/amaranthscale/tests/support/fake_backend.rs
@@ -12,12 +12,15 @@
 use http_body_util::channel::Channel;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Semaphore, watch};
+
+use super::soon;
 
 /// A backend server whose answers the test lets go.
 ///
 /// `/echo` answers with its input, `/held` does so once let go, `/stream` sends one line at once
-/// and one more when let go, `/big` answers with 100 000 bytes, `/fail` with an error and `/busy`
+/// and one more when let go, `/big` answers with 100 000 bytes and `/huge` with
+/// 8 000 000, `/fail` with an error and `/busy`
 /// with a refusal that says "not run".
 #[derive(Debug)]
 pub struct FakeBackend {
@@ -31,7 +34,6 @@
     cancelled: watch::Sender<Vec<String>>,
     let_go: Semaphore,
     headers: Mutex<Vec<hyper::HeaderMap>>,
-    stopped: Notify,
 }
 
 impl FakeBackend {
@@ -41,7 +43,6 @@
             cancelled: watch::Sender::new(Vec::new()),
             let_go: Semaphore::new(0),
             headers: Mutex::new(Vec::new()),
-            stopped: Notify::new(),
         });
         let answering = Arc::clone(&shared);
         let answer = move |request| Arc::clone(&answering).answer(request);
@@ -70,13 +71,15 @@
     /// Waits until so many calls have come.
     pub async fn called(&self, times: usize) {
         let mut calls = self.shared.calls.subscribe();
-        calls.wait_for(|calls| calls.len() >= times).await.unwrap();
+        let enough = calls.wait_for(|calls| calls.len() >= times);
+        soon(enough).await.unwrap();
     }
 
     /// Waits until a call is cancelled, and returns its id.
     pub async fn cancelled(&self) -> String {
         let mut cancelled = self.shared.cancelled.subscribe();
-        let first = cancelled.wait_for(|ids| !ids.is_empty()).await.unwrap();
+        let any = cancelled.wait_for(|ids| !ids.is_empty());
+        let first = soon(any).await.unwrap();
         first[0].clone()
     }
 
@@ -109,6 +112,7 @@
             }
             "/stream" => self.stream(),
             "/big" => Response::new(full_body(vec![7_u8; 100_000])),
+            "/huge" => Response::new(full_body(vec![7_u8; 8_000_000])),
             "/fail" => with_status(StatusCode::INTERNAL_SERVER_ERROR, "no such truck"),
             "/busy" => busy(),
             _ => Response::new(full_body(input)),
--- a/crates/amaranthscale/tests/support/fake_table.rs
+++ b/crates/amaranthscale/tests/support/fake_table.rs
@@ -15,6 +15,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
 
+use super::soon;
+
 /// The platform's table and object store, with outages on demand.
 #[derive(Debug)]
 pub struct FakeTable {
@@ -27,6 +29,7 @@
     content: watch::Sender<Content>,
     faults: Mutex<Faults>,
     held: watch::Sender<Vec<Transaction>>,
+    refused: watch::Sender<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -74,12 +77,18 @@
         self.shared.faults.lock().unwrap().hold = transactions;
     }
 
+    /// Waits until so many calls were refused in all.
+    pub async fn refused(&self, calls: usize) {
+        let mut refused = self.shared.refused.subscribe();
+        let enough = refused.wait_for(|refused| *refused >= calls);
+        soon(enough).await.unwrap();
+    }
+
     /// Waits until so many transactions are kept on their way.
     pub async fn held(&self, transactions: usize) {
         let mut held = self.shared.held.subscribe();
-        held.wait_for(|held| held.len() >= transactions)
-            .await
-            .unwrap();
+        let enough = held.wait_for(|held| held.len() >= transactions);
+        soon(enough).await.unwrap();
     }
 
     /// Whether a transaction that is kept on its way names this text.
@@ -117,17 +126,15 @@
     /// Waits until a row is as wanted.
     pub async fn row_when(&self, key: &str, is_wanted: impl Fn(&Row) -> bool) -> Row {
         let mut content = self.shared.content.subscribe();
-        let content = content
-            .wait_for(|content| is_wanted(&content.row(key)))
-            .await;
-        content.unwrap().row(key)
+        let wanted = content.wait_for(|content| is_wanted(&content.row(key)));
+        soon(wanted).await.unwrap().row(key)
     }
 
     /// Waits until rows with a prefix are there.
     pub async fn rows_when_any(&self, prefix: &str) -> Vec<Row> {
         let mut content = self.shared.content.subscribe();
         let has_any = |content: &Content| content.rows.keys().any(|key| key.starts_with(prefix));
-        drop(content.wait_for(has_any).await.unwrap());
+        drop(soon(content.wait_for(has_any)).await.unwrap());
         self.rows(prefix)
     }
 
@@ -173,6 +180,7 @@
 impl Shared {
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         if self.faults.lock().unwrap().is_down {
+            self.refused.send_modify(|refused| *refused += 1);
             return with_status(StatusCode::SERVICE_UNAVAILABLE);
         }
         let method = request.method().clone();
--- a/crates/amaranthscale/tests/support/fixture.rs
+++ b/crates/amaranthscale/tests/support/fixture.rs
@@ -3,9 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranthscale::connection::{
-    FrameReader, PeerClient, PeerClientLimits, PeerConnection, read_body,
-};
+use amaranthscale::connection::{FrameReader, PeerClient, PeerClientLimits, read_body};
 use amaranthscale::process::PlatformClientLimits;
 use amaranthscale::sidecar::{Sidecar, SidecarConfig, SidecarLimits, TreeSource};
 use amaranthscale_core::ResultCode;
@@ -21,7 +19,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::{FakeBackend, FakeTable};
+use super::{FakeBackend, FakeTable, soon};
 
 /// Long enough that no test comes near it.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -58,7 +56,7 @@
     let table = FakeTable::start().await;
     let backend = FakeBackend::start().await;
     let sidecar = start_sidecar(&table, backend.address(), change).await;
-    let entry = PeerClient::new(PeerClientLimits::default());
+    let entry = new_entry();
     let stamp = hello(&entry, sidecar.address()).await;
     Bench {
         table,
@@ -193,30 +191,7 @@
 
     /// Fetches an answer from a chunk on, over a new connection.
     pub async fn fetch(&self, dispatch: &Dispatch, from_chunk: u64) -> FrameReader {
-        self.fetch_within(dispatch, from_chunk, Budget::new(PATIENCE))
-            .await
-    }
-
-    pub async fn fetch_within(
-        &self,
-        dispatch: &Dispatch,
-        from_chunk: u64,
-        budget: Budget,
-    ) -> FrameReader {
-        let fetch = Fetch {
-            attempt: dispatch.attempt,
-            incarnation: dispatch.incarnation,
-            from_chunk,
-            budget,
-        };
-        let connection = self.new_connection().await;
-        let response = connection.post("/fetch", wire::encode(&fetch)).await;
-        FrameReader::new(response.unwrap().into_body())
-    }
-
-    pub async fn new_connection(&self) -> PeerConnection {
-        let entry = PeerClient::new(PeerClientLimits::default());
-        entry.connection(self.address()).await.unwrap()
+        fetch(&new_entry(), self.address(), dispatch, from_chunk).await
     }
 
     pub async fn hello(&self) -> Stamp {
@@ -251,6 +226,39 @@
     }
 }
 
+/// An entry without connections.
+pub fn new_entry() -> PeerClient {
+    PeerClient::new(PeerClientLimits::default())
+}
+
+/// Fetches an answer from a chunk on.
+pub async fn fetch(
+    entry: &PeerClient,
+    address: SocketAddr,
+    dispatch: &Dispatch,
+    from_chunk: u64,
+) -> FrameReader {
+    fetch_within(entry, address, dispatch, from_chunk, Budget::new(PATIENCE)).await
+}
+
+/// Fetches an answer for as long as a budget lasts.
+pub async fn fetch_within(
+    entry: &PeerClient,
+    address: SocketAddr,
+    dispatch: &Dispatch,
+    from_chunk: u64,
+    budget: Budget,
+) -> FrameReader {
+    let fetch = Fetch {
+        attempt: dispatch.attempt,
+        incarnation: dispatch.incarnation,
+        from_chunk,
+        budget,
+    };
+    let response = entry.post(address, "/fetch", wire::encode(&fetch)).await;
+    FrameReader::new(response.unwrap().into_body())
+}
+
 pub async fn open(entry: &PeerClient, address: SocketAddr, dispatch: &Dispatch) -> FrameReader {
     let response = entry
         .post(address, "/attempt", wire::encode(dispatch))
@@ -263,7 +271,7 @@
     let mut result = Vec::new();
     let mut next = from_chunk;
     loop {
-        match frames.next().await.unwrap() {
+        match soon(frames.next()).await.unwrap() {
             Frame::Chunk(chunk) => {
                 assert_eq!(chunk.attempt, attempt);
                 assert_eq!(chunk.sequence, next);
