--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -114,8 +114,13 @@
         outcome.length_bytes = self.length_bytes;
         outcome.digest = Digest::from_bytes(self.hasher.finalize().into());
         outcome.cost.tokens = number(headers, TOKENS).unwrap_or_else(|| {
+            // The last line of a stream is its end, not a token.
             let is_stream = is_stream(headers);
-            if is_stream { self.lines } else { 0 }
+            if is_stream {
+                self.lines.saturating_sub(1)
+            } else {
+                0
+            }
         });
         Relayed {
             outcome,
--- a/crates/standins/src/engine/generation.rs
+++ b/crates/standins/src/engine/generation.rs
@@ -100,9 +100,11 @@
 
     fn token_line(&self, token: u32) -> TokenLine {
         let word = usize::from(self.digest.byte(token)) % WORDS.len();
+        let marker = self.prompt.marker.as_ref().filter(|_| token == 0);
+        let marker = marker.map(|marker| format!("[{marker}] "));
         TokenLine {
             token,
-            text: format!("{}{token} ", WORDS[word]),
+            text: format!("{}{}{token} ", marker.unwrap_or_default(), WORDS[word]),
         }
     }
 
--- a/crates/standins/src/engine/prompt.rs
+++ b/crates/standins/src/engine/prompt.rs
@@ -13,6 +13,8 @@
     pub(crate) max_tokens: u32,
     /// Key of the prompt's prefix, under which the engine caches it.
     pub(crate) prefix: Option<String>,
+    /// Marker that the first token repeats, so that a caller knows the answer for its own.
+    pub(crate) marker: Option<String>,
     /// Length of the body.
     pub(crate) length_bytes: usize,
 }
@@ -22,6 +24,7 @@
 struct Fields {
     max_tokens: Option<u32>,
     prefix: Option<String>,
+    marker: Option<String>,
     request: Value,
 }
 
@@ -34,6 +37,7 @@
         Self {
             max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
             prefix: outer.prefix.or(inner.prefix),
+            marker: outer.marker.or(inner.marker),
             length_bytes: body.len(),
         }
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,9 +5,12 @@
 
 pub mod backend;
 pub mod command;
+pub mod deployment;
 pub mod engine;
 pub mod http;
+pub mod load;
 pub mod platform;
+pub mod policy;
 pub mod relay;
 pub mod service;
 
