--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -15,6 +15,8 @@
 
 /// Set by a backend server on a refusal of what it did not run.
 const NOT_RUN: &str = "x-not-run";
+/// Start of a stream's last line, by which an engine says that all tokens have come.
+const END_LINE: &[u8] = br#"{"end":"#;
 /// Number of generated tokens, where the server knows it before it answers.
 const TOKENS: &str = "x-tokens";
 /// Content type of a stream with one token a line.
@@ -130,6 +132,16 @@
     }
 }
 
+/// Whether a stream's last line is its end, which is no token.
+fn ends_with_end_line(result: &[u8]) -> bool {
+    let lines = result.strip_suffix(b"\n").unwrap_or(result);
+    let last = lines
+        .rsplit(|byte| *byte == b'\n')
+        .next()
+        .unwrap_or_default();
+    last.starts_with(END_LINE)
+}
+
 /// Whether the backend server says that it did not run the call.
 fn is_not_run(response: &Response<Incoming>) -> bool {
     let is_refusal = matches!(
