--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -116,10 +116,9 @@
         outcome.length_bytes = self.length_bytes;
         outcome.digest = Digest::from_bytes(self.hasher.finalize().into());
         outcome.cost.tokens = number(headers, TOKENS).unwrap_or_else(|| {
-            // The last line of a stream is its end, not a token.
-            let is_stream = is_stream(headers);
-            if is_stream {
-                self.lines.saturating_sub(1)
+            let end_lines = u64::from(ends_with_end_line(&self.result));
+            if is_stream(headers) {
+                self.lines.saturating_sub(end_lines)
             } else {
                 0
             }
