--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -108,15 +108,16 @@
             Err(ConnectionClosed::ByFault)
         }
         TransactionFate::Late(delay) => {
-            tokio::spawn(apply_later(state.clone(), transaction, delay));
+            let due = Instant::now() + delay;
+            tokio::spawn(apply_later(state.clone(), transaction, due));
             log::info!("platform: answer lost, effect late");
             Err(ConnectionClosed::ByFault)
         }
     }
 }
 
-async fn apply_later(state: State, transaction: Transaction, delay: std::time::Duration) {
-    tokio::time::sleep(delay).await;
+async fn apply_later(state: State, transaction: Transaction, due: Instant) {
+    tokio::time::sleep_until(due).await;
     state.lock().apply(&transaction);
 }
 
--- /dev/null
+++ b/crates/standins/tests/standin_engine.rs
@@ -0,0 +1,549 @@
+//! The engine stand-in: batch, priorities, cache, orders, and each of its faults.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails ends its test")]
+
+mod support;
+
+use amaranthscale_standins::backend::BackendFaults;
+use amaranthscale_standins::engine::{
+    CacheEvent, CacheEventKind, Engine, EngineExecution, EngineLoad, EngineOrder, EngineRole,
+    EngineSettings, OrderReply, OrderState,
+};
+use amaranthscale_standins::http::{HttpClient, HttpError, HttpReply, Running};
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use support::{HeldClock, eventually, settle, switch};
+use tokio::task::JoinHandle;
+
+/// Time of a token where a test needs sequences that do not end by themselves.
+const LONG_TOKEN_MS: u64 = 3_600_000;
+
+struct Fixture {
+    engine: Running,
+    client: HttpClient,
+}
+
+impl Fixture {
+    async fn start(settings: EngineSettings) -> Self {
+        Self {
+            engine: Engine::start(settings).await.unwrap(),
+            client: HttpClient::new(),
+        }
+    }
+
+    async fn switch(&self, faults: BackendFaults) {
+        switch(&self.client, self.engine.url("/admin/faults"), &faults).await;
+    }
+
+    async fn run(&self, call: EngineCall) -> Result<HttpReply, HttpError> {
+        call.send(&self.client, &self.engine.url("/run/")).await
+    }
+
+    /// Runs in the background, over a connection of its own.
+    fn spawn_run(&self, call: EngineCall) -> JoinHandle<Result<HttpReply, HttpError>> {
+        let url = self.engine.url("/run/");
+        tokio::spawn(async move { call.send(&HttpClient::new(), &url).await })
+    }
+
+    async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> T {
+        self.client.get_json(self.engine.url(path)).await.unwrap()
+    }
+
+    async fn executions(&self) -> Vec<EngineExecution> {
+        self.get("/executions").await
+    }
+
+    async fn load(&self) -> EngineLoad {
+        self.get("/load").await
+    }
+
+    async fn cancel(&self, call_id: &str) -> Value {
+        let url = self.engine.url(format!("/cancel/{call_id}"));
+        self.client.post_json(url, &json!({})).await.unwrap()
+    }
+
+    async fn order(&self, fence: u64, order: EngineOrder) -> (StatusCode, OrderReply) {
+        let body = serde_json::to_vec(&json!({"fence": fence, "order": order})).unwrap();
+        let url = self.engine.url("/orders");
+        let reply = self.client.post(url, &[], body).await.unwrap();
+        (reply.status, reply.json().unwrap())
+    }
+
+    async fn until_running(&self, running: u32) {
+        eventually("the sequences run", async || {
+            self.load().await.running == running
+        })
+        .await;
+    }
+
+    async fn until_waiting(&self, waiting: u32) {
+        eventually("the calls wait", async || {
+            self.load().await.waiting == waiting
+        })
+        .await;
+    }
+}
+
+#[derive(Debug, Clone)]
+struct EngineCall {
+    operation: &'static str,
+    call_id: &'static str,
+    priority: i64,
+    resume_token: u32,
+    body: Value,
+}
+
+impl EngineCall {
+    async fn send(&self, client: &HttpClient, url: &str) -> Result<HttpReply, HttpError> {
+        let priority = self.priority.to_string();
+        let resume_token = self.resume_token.to_string();
+        let headers = [
+            ("x-call-id", self.call_id),
+            ("x-organisation", "north-growers"),
+            ("x-class", "trial"),
+            ("x-priority", priority.as_str()),
+            ("x-resume-token", resume_token.as_str()),
+        ];
+        let url = format!("{url}{}", self.operation);
+        client.post(url, &headers, self.body.to_string()).await
+    }
+}
+
+fn generation(call_id: &'static str, max_tokens: u32) -> EngineCall {
+    EngineCall {
+        operation: "generation",
+        call_id,
+        priority: 0,
+        resume_token: 0,
+        body: json!({"request": {"max_tokens": max_tokens}}),
+    }
+}
+
+fn with_prefix(call_id: &'static str, prefix: &str, length_bytes: usize) -> EngineCall {
+    let text = "x".repeat(length_bytes);
+    EngineCall {
+        body: json!({"max_tokens": 1, "prefix": prefix, "text": text}),
+        ..generation(call_id, 1)
+    }
+}
+
+/// Settings that report the load without lag and take no time but for tokens.
+fn prompt_settings() -> EngineSettings {
+    EngineSettings {
+        load_lag_ms: 0,
+        cache_event_lag_ms: 0,
+        cache_event_gap_every: 0,
+        prefill_ms_per_kib: 0,
+        base_ms: 0,
+        token_ms: 0,
+        ..EngineSettings::default()
+    }
+}
+
+/// Settings of an engine whose sequences end only when cancelled.
+fn endless_settings() -> EngineSettings {
+    EngineSettings {
+        slots: 1,
+        token_ms: LONG_TOKEN_MS,
+        ..prompt_settings()
+    }
+}
+
+fn lines(reply: &HttpReply) -> Vec<Value> {
+    parse_lines(&reply.body)
+}
+
+fn parse_lines(body: &[u8]) -> Vec<Value> {
+    let lines = body.split(|byte| *byte == b'\n');
+    let full = lines.filter(|line| !line.is_empty());
+    full.map(|line| serde_json::from_slice(line).unwrap())
+        .collect()
+}
+
+#[tokio::test]
+async fn a_generation_ends_with_its_end_line() {
+    let fixture = Fixture::start(prompt_settings()).await;
+
+    let reply = fixture.run(generation("c1", 3)).await.unwrap();
+
+    let lines = lines(&reply);
+    let numbers: Vec<_> = lines.iter().map(|line| line["token"].as_u64()).collect();
+    assert_eq!(numbers, [Some(0), Some(1), Some(2), None]);
+    assert_eq!(lines[3]["end"]["tokens"], 3);
+    assert_eq!(reply.headers["content-type"], "application/x-ndjson");
+    let executions = fixture.executions().await;
+    assert_eq!(executions[0].tokens, 3);
+    assert!(executions[0].finished);
+}
+
+#[tokio::test]
+async fn a_resumed_generation_is_the_tail_of_the_whole() {
+    let fixture = Fixture::start(prompt_settings()).await;
+    let resumed = EngineCall {
+        resume_token: 3,
+        ..generation("c1", 5)
+    };
+
+    let whole = fixture.run(generation("c1", 5)).await.unwrap();
+    let tail = fixture.run(resumed).await.unwrap();
+
+    assert_eq!(lines(&tail), lines(&whole)[3..]);
+}
+
+#[tokio::test]
+async fn an_operation_answers_for_its_own_input() {
+    let fixture = Fixture::start(prompt_settings()).await;
+    let call = EngineCall {
+        operation: "reranking",
+        ..generation("c1", 1)
+    };
+
+    let reply: Value = fixture.run(call).await.unwrap().json().unwrap();
+
+    let digest = reply["input_digest"].as_str().unwrap();
+    assert_eq!(digest.len(), 64);
+    assert_eq!(reply["operation"], "reranking");
+    assert_eq!(reply["call_id"], "c1");
+}
+
+#[tokio::test]
+async fn it_speaks_http2_too() {
+    let fixture = Fixture::start(prompt_settings()).await;
+
+    let url = fixture.engine.url("/run/");
+    let reply = generation("c1", 2).send(&HttpClient::http2(), &url).await;
+
+    assert_eq!(lines(&reply.unwrap()).len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_waits_goes_by_priority_and_then_by_arrival() {
+    let _clock = HeldClock::hold();
+    let fixture = Fixture::start(endless_settings()).await;
+    let running = fixture.spawn_run(generation("first", 1));
+    fixture.until_running(1).await;
+    let mut waiting = Vec::new();
+    for (call_id, priority) in [("low", 1), ("high", 2), ("high-later", 2)] {
+        let call = EngineCall {
+            priority,
+            ..generation(call_id, 1)
+        };
+        waiting.push(fixture.spawn_run(call));
+        let expected = u32::try_from(waiting.len()).unwrap();
+        fixture.until_waiting(expected).await;
+    }
+
+    for (started, cancelled) in [(2, "first"), (3, "high"), (4, "high-later")] {
+        fixture.cancel(cancelled).await;
+        eventually("the next starts", async || {
+            fixture.executions().await.len() == started
+        })
+        .await;
+    }
+
+    let executions = fixture.executions().await;
+    let order: Vec<_> = executions.iter().map(|e| e.call_id.as_str()).collect();
+    assert_eq!(order, ["first", "high", "high-later", "low"]);
+    running.abort();
+    waiting.iter().for_each(JoinHandle::abort);
+}
+
+#[tokio::test(start_paused = true)]
+async fn sequences_that_run_together_slow_each_other() {
+    let clock = HeldClock::hold();
+    let settings = EngineSettings {
+        slots: 2,
+        token_ms: 100,
+        batch_penalty: 0.5,
+        ..prompt_settings()
+    };
+    let fixture = Fixture::start(settings).await;
+    let together = [
+        fixture.spawn_run(generation("c1", 4)),
+        fixture.spawn_run(generation("c2", 4)),
+    ];
+    fixture.until_running(2).await;
+
+    drop(clock);
+    for call in together {
+        call.await.unwrap().unwrap();
+    }
+    fixture.run(generation("alone", 4)).await.unwrap();
+
+    let executions = fixture.executions().await;
+    let alone_ms = executions[2].server_ms;
+    assert!(executions[0].server_ms > alone_ms, "{executions:?}");
+    assert!(executions[1].server_ms > alone_ms, "{executions:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cached_prefix_shortens_the_prefill() {
+    let settings = EngineSettings {
+        prefill_ms_per_kib: 1_000,
+        ..prompt_settings()
+    };
+    let fixture = Fixture::start(settings).await;
+
+    for call_id in ["first", "again"] {
+        let call = with_prefix(call_id, "case-17", 4096);
+        fixture.run(call).await.unwrap();
+    }
+
+    let executions = fixture.executions().await;
+    assert!(executions[0].server_ms >= 4_000, "{executions:?}");
+    assert!(executions[1].server_ms < 1_000, "{executions:?}");
+}
+
+#[tokio::test]
+async fn the_least_recently_used_prefix_gives_way() {
+    let settings = EngineSettings {
+        prefix_cache_bytes: 2_500,
+        ..prompt_settings()
+    };
+    let fixture = Fixture::start(settings).await;
+
+    for prefix in ["a", "b", "a", "c"] {
+        let call = with_prefix("c1", prefix, 1_000);
+        fixture.run(call).await.unwrap();
+    }
+
+    let events: Vec<CacheEvent> = fixture.get("/cache/events?after=2").await;
+    let told: Vec<_> = events.iter().map(|e| (e.kind, e.prefix.as_str())).collect();
+    let expected = [
+        (CacheEventKind::Evicted, "b"),
+        (CacheEventKind::Stored, "c"),
+    ];
+    assert_eq!(told, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn cache_events_come_late_and_with_gaps() {
+    let clock = HeldClock::hold();
+    let settings = EngineSettings {
+        cache_event_lag_ms: 60_000,
+        cache_event_gap_every: 2,
+        ..prompt_settings()
+    };
+    let fixture = Fixture::start(settings).await;
+    for prefix in ["a", "b", "c"] {
+        let call = with_prefix("c1", prefix, 10);
+        fixture.run(call).await.unwrap();
+    }
+
+    let early: Vec<CacheEvent> = fixture.get("/cache/events?after=0").await;
+    clock.advance_ms(60_000).await;
+    let late: Vec<CacheEvent> = fixture.get("/cache/events?after=0").await;
+
+    assert_eq!(early, []);
+    let numbers: Vec<_> = late.iter().map(|event| event.number).collect();
+    assert_eq!(numbers, [1, 3]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_load_report_lags() {
+    let clock = HeldClock::hold();
+    let settings = EngineSettings {
+        load_lag_ms: 60_000,
+        ..endless_settings()
+    };
+    let fixture = Fixture::start(settings).await;
+    let call = fixture.spawn_run(generation("c1", 1));
+    eventually("the sequence runs", async || {
+        fixture.executions().await.len() == 1
+    })
+    .await;
+
+    let early = fixture.load().await;
+    clock.advance_ms(60_000).await;
+    let late = fixture.load().await;
+
+    assert_eq!(early.running, 0);
+    assert_eq!((late.running, late.age_ms), (1, 60_000));
+    call.abort();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dropped_connection_cancels_its_sequence() {
+    // A caller goes away while its answer is generated.
+    // The engine must not keep the slot for an answer that nobody reads.
+    let _clock = HeldClock::hold();
+    let fixture = Fixture::start(endless_settings()).await;
+    let url = fixture.engine.url("/run/generation");
+    let headers = [("x-call-id", "c1")];
+    let client = HttpClient::new();
+    let answer = client.open(Method::POST, url, &headers, "{}").await;
+
+    drop(answer.unwrap());
+
+    fixture.until_running(0).await;
+    assert!(!fixture.executions().await[0].finished);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancelled_call_that_waits_never_starts() {
+    let _clock = HeldClock::hold();
+    let fixture = Fixture::start(endless_settings()).await;
+    let running = fixture.spawn_run(generation("first", 1));
+    fixture.until_running(1).await;
+    let waiting = fixture.spawn_run(generation("second", 1));
+    fixture.until_waiting(1).await;
+
+    let cancelled = fixture.cancel("second").await;
+
+    let reply = waiting.await.unwrap().unwrap();
+    assert_eq!(cancelled["cancelled"], 1);
+    assert_eq!(reply.status, StatusCode::CONFLICT);
+    assert_eq!(reply.json::<Value>().unwrap()["started"], false);
+    assert_eq!(fixture.executions().await.len(), 1);
+    running.abort();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancelled_stream_breaks_off() {
+    let clock = HeldClock::hold();
+    let fixture = Fixture::start(endless_settings()).await;
+    let url = fixture.engine.url("/run/");
+    let call =
+        tokio::spawn(async move { generation("c1", 1).send(&HttpClient::new(), &url).await });
+    fixture.until_running(1).await;
+
+    fixture.cancel("c1").await;
+    fixture.until_running(0).await;
+    drop(clock);
+
+    let broken = call.await.unwrap();
+    assert!(broken.is_err(), "{broken:?}");
+}
+
+#[tokio::test]
+async fn a_broken_stream_ends_after_half_of_its_tokens() {
+    // A driver at the gate waits for an answer, and it breaks off in the middle.
+    // What arrived is a true beginning of the answer, without an end line.
+    let fixture = Fixture::start(prompt_settings()).await;
+    let faults = BackendFaults {
+        break_mid_stream: Some(1),
+        ..BackendFaults::default()
+    };
+    fixture.switch(faults).await;
+
+    let broken = fixture.run(generation("c1", 6)).await;
+    let whole = fixture.run(generation("c1", 6)).await.unwrap();
+
+    let Err(HttpError::BrokenOff(StatusCode::OK, arrived, _)) = broken else {
+        panic!("not broken off: {broken:?}");
+    };
+    assert_eq!(parse_lines(&arrived), lines(&whole)[..3]);
+}
+
+#[tokio::test]
+async fn a_failed_call_was_started() {
+    let fixture = Fixture::start(prompt_settings()).await;
+    let faults = BackendFaults {
+        fail_next: Some(1),
+        ..BackendFaults::default()
+    };
+    fixture.switch(faults).await;
+
+    let failed = fixture.run(generation("c1", 1)).await.unwrap();
+    let next = fixture.run(generation("c2", 1)).await.unwrap();
+
+    assert_eq!(failed.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(next.status, StatusCode::OK);
+    let executions = fixture.executions().await;
+    assert_eq!(executions.len(), 2);
+    assert!(!executions[0].finished);
+}
+
+#[tokio::test]
+async fn a_frozen_engine_makes_no_progress_until_it_thaws() {
+    let fixture = Fixture::start(prompt_settings()).await;
+    let frozen = |frozen| BackendFaults {
+        frozen: Some(frozen),
+        ..BackendFaults::default()
+    };
+    fixture.switch(frozen(true)).await;
+
+    let call = fixture.spawn_run(generation("c1", 1));
+    settle(async || fixture.executions().await).await;
+    let while_frozen = fixture.executions().await;
+    fixture.switch(frozen(false)).await;
+
+    assert_eq!(while_frozen, []);
+    assert_eq!(lines(&call.await.unwrap().unwrap()).len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_engine_takes_so_many_times_as_long() {
+    let settings = EngineSettings {
+        token_ms: 100,
+        ..prompt_settings()
+    };
+    let fixture = Fixture::start(settings).await;
+    let faults = BackendFaults {
+        slow_factor: Some(20.0),
+        ..BackendFaults::default()
+    };
+    fixture.switch(faults).await;
+
+    fixture.run(generation("c1", 4)).await.unwrap();
+
+    assert!(fixture.executions().await[0].server_ms >= 8_000);
+}
+
+#[tokio::test]
+async fn a_dead_engine_takes_no_connection() {
+    let mut fixture = Fixture::start(prompt_settings()).await;
+    let faults = BackendFaults {
+        die: Some(true),
+        ..BackendFaults::default()
+    };
+
+    let url = fixture.engine.url("/admin/faults");
+    let body = serde_json::to_vec(&faults).unwrap();
+    // Its last answer may or may not make it out.
+    let _ = fixture.client.post(url, &[], body).await;
+    fixture.engine.ended().await;
+
+    let call = fixture.run(generation("c1", 1)).await;
+    assert!(matches!(call, Err(HttpError::NoAnswer(_))), "{call:?}");
+}
+
+#[tokio::test]
+async fn an_order_with_an_old_fencing_number_is_refused() {
+    // A planner is paused while it holds the lease, and another takes over.
+    // The first wakes up and gives an order under its old fencing number.
+    let fixture = Fixture::start(prompt_settings()).await;
+    let model = serde_json::from_value(json!("assay")).unwrap();
+    fixture.order(2, EngineOrder::LoadModel(model)).await;
+
+    let prefill = EngineOrder::SetRole(EngineRole::Prefill);
+    let (status, reply) = fixture.order(1, prefill).await;
+
+    assert_eq!(status, StatusCode::CONFLICT);
+    assert!(!reply.applied);
+    let state: OrderState = fixture.get("/orders").await;
+    assert_eq!(state.role, EngineRole::Both);
+    assert_eq!(state.models.len(), 1);
+    let applied: Vec<_> = state.history.iter().map(|order| order.applied).collect();
+    assert_eq!(applied, [true, false]);
+}
+
+#[tokio::test]
+async fn an_engine_that_ignores_fencing_numbers_applies_old_orders() {
+    let settings = EngineSettings {
+        honours_fence: false,
+        ..prompt_settings()
+    };
+    let fixture = Fixture::start(settings).await;
+    let decode = EngineOrder::SetRole(EngineRole::Decode);
+    let prefill = EngineOrder::SetRole(EngineRole::Prefill);
+    fixture.order(2, decode).await;
+
+    let (status, reply) = fixture.order(1, prefill).await;
+
+    assert_eq!(status, StatusCode::OK);
+    assert!(reply.applied);
+    let state: OrderState = fixture.get("/orders").await;
+    assert_eq!(state.role, EngineRole::Prefill);
+    assert_eq!(state.highest_fence.get(), 2);
+}
--- /dev/null
+++ b/crates/standins/tests/standin_processes.rs
@@ -0,0 +1,110 @@
+//! The stand-ins as programs of their own, and the signals that tests send them.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails ends its test")]
+
+mod support;
+
+use amaranthscale_standins::http::HttpClient;
+use hyper::StatusCode;
+use serde_json::{Value, json};
+use support::{ChildProcess, call_headers, settle, sibling_program, switch};
+
+const PLATFORM: &str = env!("CARGO_BIN_EXE_standin-platform");
+const ENGINE: &str = env!("CARGO_BIN_EXE_standin-engine");
+const SERVICE: &str = env!("CARGO_BIN_EXE_standin-service");
+const RELAY: &str = env!("CARGO_BIN_EXE_standin-relay");
+
+fn start(program: &str) -> ChildProcess {
+    ChildProcess::start(program, ["--listen", "127.0.0.1:0"]).unwrap()
+}
+
+#[tokio::test]
+async fn the_platform_serves_and_ends_on_sigterm() {
+    let mut platform = start(PLATFORM);
+
+    let url = platform.url("/table/row?key=a%2Fb");
+    let row: Value = HttpClient::new().get_json(url).await.unwrap();
+    platform.terminate().unwrap();
+
+    assert_eq!(row["key"], "a/b");
+    assert_eq!(row["version"], 0);
+    assert!(platform.wait().unwrap().success());
+}
+
+#[tokio::test]
+async fn an_engine_told_to_die_exits_with_code_9() {
+    let mut engine = start(ENGINE);
+
+    let body = json!({"die": true}).to_string();
+    let url = engine.url("/admin/faults");
+    let answer = HttpClient::new().post(url, &[], body).await;
+
+    assert!(answer.is_err());
+    assert_eq!(engine.wait().unwrap().code(), Some(9));
+}
+
+#[tokio::test]
+async fn a_paused_service_answers_once_it_goes_on() {
+    let mut service = start(SERVICE);
+    let url = service.url("/settle");
+    // Answers as long as the service itself does, so settling means something.
+    let platform = start(PLATFORM);
+    let client = HttpClient::new();
+    service.pause().unwrap();
+
+    let call =
+        tokio::spawn(async move { HttpClient::new().post(url, &call_headers("c1"), "{}").await });
+    let other = platform.url("/hosts");
+    settle(async || client.get(&other).await.unwrap()).await;
+    let answered_while_paused = call.is_finished();
+    service.resume().unwrap();
+
+    assert!(!answered_while_paused);
+    assert_eq!(call.await.unwrap().unwrap().status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_killed_service_is_gone() {
+    let mut service = start(SERVICE);
+    let url = service.url("/executions");
+
+    let status = service.kill().unwrap();
+
+    assert!(!status.success());
+    assert!(HttpClient::new().get(url).await.is_err());
+}
+
+#[tokio::test]
+async fn a_relay_tells_both_its_addresses() {
+    let service = start(SERVICE);
+    let to = service.address().to_string();
+    let relay = ChildProcess::start(RELAY, ["--to", to.as_str()]).unwrap();
+    let admin = relay.wait_for_address("admin ").unwrap();
+    let client = HttpClient::new();
+
+    let faults = json!({"delay_ms": 1});
+    switch(&client, format!("http://{admin}/admin/faults"), &faults).await;
+    let reply = client
+        .post(relay.url("/settle"), &call_headers("c1"), "{}")
+        .await;
+
+    assert_eq!(reply.unwrap().status, StatusCode::OK);
+}
+
+#[test]
+fn a_program_that_never_listens_is_an_error() {
+    let started = ChildProcess::start(PLATFORM, ["--help"]);
+
+    let error = started.unwrap_err().to_string();
+    assert!(error.contains("before the program's end"), "{error}");
+}
+
+#[test]
+fn a_missing_program_tells_how_to_build_it() {
+    let found = sibling_program("standin-platform");
+    let missing = sibling_program("no-such-program");
+
+    assert!(found.is_ok(), "{found:?}");
+    let error = missing.unwrap_err().to_string();
+    assert!(error.contains("cargo build --workspace --bins"), "{error}");
+}
--- /dev/null
+++ b/crates/standins/tests/standin_relay.rs
@@ -0,0 +1,163 @@
+//! The relay, and each of its faults.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails ends its test")]
+
+mod support;
+
+use std::time::Duration;
+
+use amaranthscale_standins::http::{HttpClient, HttpError, HttpReply, Running};
+use amaranthscale_standins::relay::{Relay, RelayCounts, RelayFaults, RelaySettings, RunningRelay};
+use amaranthscale_standins::service::{Service, ServiceExecution, ServiceSettings};
+use hyper::StatusCode;
+use support::{call_headers, settle, switch};
+use tokio::time::Instant;
+
+struct Fixture {
+    service: Running,
+    relay: RunningRelay,
+    /// Its connection goes through the relay and is kept open between calls.
+    through_relay: HttpClient,
+    /// Its connections do not go through the relay.
+    beside_relay: HttpClient,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let settings = ServiceSettings {
+            service_ms: 0,
+            ..ServiceSettings::default()
+        };
+        let service = Service::start(settings).await.unwrap();
+        let settings = RelaySettings::to(service.address());
+        Self {
+            relay: Relay::start(settings).await.unwrap(),
+            service,
+            through_relay: HttpClient::new(),
+            beside_relay: HttpClient::new(),
+        }
+    }
+
+    async fn switch(&self, faults: RelayFaults) {
+        let url = self.relay.admin_url("/admin/faults");
+        switch(&self.beside_relay, url, &faults).await;
+    }
+
+    async fn counts(&self) -> RelayCounts {
+        let url = self.relay.admin_url("/admin/counts");
+        self.beside_relay.get_json(url).await.unwrap()
+    }
+
+    async fn executions(&self) -> Vec<ServiceExecution> {
+        let url = self.service.url("/executions");
+        self.beside_relay.get_json(url).await.unwrap()
+    }
+
+    async fn call(&self, client: &HttpClient, call_id: &str) -> Result<HttpReply, HttpError> {
+        let url = self.relay.url("/settle");
+        client.post(url, &call_headers(call_id), "{}").await
+    }
+}
+
+#[tokio::test]
+async fn bytes_pass_both_ways() {
+    let fixture = Fixture::start().await;
+
+    let reply = fixture.call(&fixture.through_relay, "c1").await.unwrap();
+
+    assert_eq!(reply.status, StatusCode::OK);
+    let counts = fixture.counts().await;
+    assert_eq!(counts.accepted, 1);
+    assert!(counts.to_server_bytes > 0 && counts.to_client_bytes > 0);
+}
+
+#[tokio::test]
+async fn a_silenced_connection_stays_open_while_new_ones_work() {
+    // A process sends a call over a connection that has worked before; no answer comes, no error.
+    // Calls over new connections to the same server are answered.
+    // Something between the two ends has lost track of the old connection.
+    let fixture = Fixture::start().await;
+    fixture.call(&fixture.through_relay, "c1").await.unwrap();
+    let faults = RelayFaults {
+        silence_open: Some(true),
+        ..RelayFaults::default()
+    };
+    fixture.switch(faults).await;
+
+    let url = fixture.relay.url("/settle");
+    let client = fixture.through_relay.clone();
+    let silent = tokio::spawn(async move { client.post(url, &call_headers("c2"), "{}").await });
+    settle(async || fixture.counts().await).await;
+    let renewed = fixture.call(&HttpClient::new(), "c3").await.unwrap();
+
+    assert_eq!(renewed.status, StatusCode::OK);
+    assert!(!silent.is_finished());
+    assert_eq!(fixture.counts().await.silenced, 1);
+    let executions = fixture.executions().await;
+    let call_ids: Vec<_> = executions.iter().map(|e| e.call_id.as_str()).collect();
+    assert_eq!(call_ids, ["c1", "c3"]);
+    silent.abort();
+}
+
+#[tokio::test]
+async fn a_cut_ends_open_connections_also_silent_ones() {
+    let fixture = Fixture::start().await;
+    fixture.call(&fixture.through_relay, "c1").await.unwrap();
+    let silence = RelayFaults {
+        silence_open: Some(true),
+        ..RelayFaults::default()
+    };
+    let cut = RelayFaults {
+        cut_open: Some(true),
+        ..RelayFaults::default()
+    };
+    fixture.switch(silence).await;
+    let url = fixture.relay.url("/settle");
+    let client = fixture.through_relay.clone();
+    let silent = tokio::spawn(async move { client.post(url, &call_headers("c2"), "{}").await });
+    settle(async || fixture.counts().await).await;
+
+    fixture.switch(cut).await;
+
+    let ended = silent.await.unwrap();
+    assert!(matches!(ended, Err(HttpError::NoAnswer(_))), "{ended:?}");
+    assert_eq!(fixture.counts().await.cut, 1);
+    assert_eq!(fixture.executions().await.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_delay_applies_each_way() {
+    let fixture = Fixture::start().await;
+    let faults = RelayFaults {
+        delay_ms: Some(30_000),
+        ..RelayFaults::default()
+    };
+    fixture.switch(faults).await;
+    let started = Instant::now();
+
+    fixture.call(&fixture.through_relay, "c1").await.unwrap();
+
+    assert!(started.elapsed() >= Duration::from_mins(1));
+}
+
+#[tokio::test]
+async fn refused_connections_reach_nobody() {
+    let fixture = Fixture::start().await;
+    let refuse = |refuse| RelayFaults {
+        refuse_new: Some(refuse),
+        ..RelayFaults::default()
+    };
+    fixture.switch(refuse(true)).await;
+
+    let refused = fixture.call(&fixture.through_relay, "c1").await;
+    fixture.switch(refuse(false)).await;
+    let taken = fixture.call(&fixture.through_relay, "c2").await.unwrap();
+
+    assert!(
+        matches!(refused, Err(HttpError::NoAnswer(_))),
+        "{refused:?}"
+    );
+    assert_eq!(taken.status, StatusCode::OK);
+    assert_eq!(fixture.counts().await.refused, 1);
+    assert_eq!(fixture.executions().await.len(), 1);
+}
--- /dev/null
+++ b/crates/standins/tests/standin_service.rs
@@ -0,0 +1,179 @@
+//! The stand-in of a plain service, and each of its faults.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails ends its test")]
+
+mod support;
+
+use amaranthscale_standins::backend::BackendFaults;
+use amaranthscale_standins::http::{HttpClient, HttpError, HttpReply, Running};
+use amaranthscale_standins::service::{Service, ServiceExecution, ServiceSettings};
+use hyper::StatusCode;
+use serde_json::Value;
+use support::{call_headers, eventually, settle, switch};
+use tokio::task::JoinHandle;
+
+struct Fixture {
+    service: Running,
+    client: HttpClient,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let settings = ServiceSettings {
+            name: "grower-ledger".to_owned(),
+            service_ms: 0,
+            ..ServiceSettings::default()
+        };
+        Self {
+            service: Service::start(settings).await.unwrap(),
+            client: HttpClient::new(),
+        }
+    }
+
+    async fn switch(&self, faults: BackendFaults) {
+        switch(&self.client, self.service.url("/admin/faults"), &faults).await;
+    }
+
+    async fn call(&self, call_id: &str) -> Result<HttpReply, HttpError> {
+        let url = self.service.url("/settle/grower");
+        self.client.post(url, &call_headers(call_id), "{}").await
+    }
+
+    /// Calls in the background, over a connection of its own.
+    fn spawn_call(&self, call_id: &'static str) -> JoinHandle<Result<HttpReply, HttpError>> {
+        let url = self.service.url("/settle/grower");
+        tokio::spawn(async move {
+            let client = HttpClient::new();
+            client.post(url, &call_headers(call_id), "{}").await
+        })
+    }
+
+    async fn executions(&self) -> Vec<ServiceExecution> {
+        let url = self.service.url("/executions");
+        self.client.get_json(url).await.unwrap()
+    }
+}
+
+#[tokio::test]
+async fn each_execution_is_recorded_and_counted() {
+    let fixture = Fixture::start().await;
+
+    fixture.call("c1").await.unwrap();
+    let again: Value = fixture.call("c1").await.unwrap().json().unwrap();
+
+    assert_eq!(again["service"], "grower-ledger");
+    assert_eq!(again["path"], "settle/grower");
+    assert_eq!(again["execution"], 2);
+    let executions = fixture.executions().await;
+    assert_eq!(executions.len(), 2);
+    assert_eq!(executions[1].order, 2);
+    assert_eq!(again["body_digest"], executions[1].body_digest);
+}
+
+#[tokio::test]
+async fn a_call_without_id_is_refused_and_not_run() {
+    let fixture = Fixture::start().await;
+
+    let url = fixture.service.url("/settle");
+    let reply = fixture.client.post(url, &[], "{}").await.unwrap();
+
+    assert_eq!(reply.status, StatusCode::BAD_REQUEST);
+    assert_eq!(fixture.executions().await, []);
+}
+
+#[tokio::test]
+async fn a_held_call_runs_at_once_but_is_answered_on_release() {
+    // A settlement runs, but its answer does not come until much later.
+    // Whoever takes the long wait for a call that did not run pays twice.
+    let fixture = Fixture::start().await;
+    let hold = |hold| BackendFaults {
+        hold: Some(hold),
+        ..BackendFaults::default()
+    };
+    fixture.switch(hold(true)).await;
+
+    let call = fixture.spawn_call("c1");
+    eventually("the execution", async || {
+        fixture.executions().await.len() == 1
+    })
+    .await;
+    settle(async || fixture.executions().await).await;
+    let answered_while_held = call.is_finished();
+    fixture.switch(hold(false)).await;
+
+    assert!(!answered_while_held);
+    assert_eq!(call.await.unwrap().unwrap().status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_frozen_service_starts_nothing_until_it_thaws() {
+    let fixture = Fixture::start().await;
+    let frozen = |frozen| BackendFaults {
+        frozen: Some(frozen),
+        ..BackendFaults::default()
+    };
+    fixture.switch(frozen(true)).await;
+
+    let call = fixture.spawn_call("c1");
+    settle(async || fixture.executions().await).await;
+    let while_frozen = fixture.executions().await;
+    fixture.switch(frozen(false)).await;
+
+    assert_eq!(while_frozen, []);
+    assert_eq!(call.await.unwrap().unwrap().status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_failed_call_has_run() {
+    let fixture = Fixture::start().await;
+    let faults = BackendFaults {
+        fail_next: Some(1),
+        ..BackendFaults::default()
+    };
+    fixture.switch(faults).await;
+
+    let failed = fixture.call("c1").await.unwrap();
+    let next = fixture.call("c2").await.unwrap();
+
+    assert_eq!(failed.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(next.status, StatusCode::OK);
+    assert_eq!(fixture.executions().await.len(), 2);
+}
+
+#[tokio::test]
+async fn a_broken_answer_shows_as_broken() {
+    // A clerk's call is answered, but the connection closes after half of the answer.
+    // The call has run; the half must not pass for the whole.
+    let fixture = Fixture::start().await;
+    let faults = BackendFaults {
+        break_mid_stream: Some(1),
+        ..BackendFaults::default()
+    };
+    fixture.switch(faults).await;
+
+    let broken = fixture.call("c1").await;
+
+    let Err(HttpError::BrokenOff(StatusCode::OK, arrived, _)) = broken else {
+        panic!("not broken off: {broken:?}");
+    };
+    assert!(!arrived.is_empty());
+    assert_eq!(fixture.executions().await.len(), 1);
+}
+
+#[tokio::test]
+async fn a_dead_service_takes_no_connection() {
+    let mut fixture = Fixture::start().await;
+    let faults = BackendFaults {
+        die: Some(true),
+        ..BackendFaults::default()
+    };
+
+    let url = fixture.service.url("/admin/faults");
+    let body = serde_json::to_vec(&faults).unwrap();
+    // Its last answer may or may not make it out.
+    let _ = fixture.client.post(url, &[], body).await;
+    fixture.service.ended().await;
+
+    let call = fixture.call("c1").await;
+    assert!(matches!(call, Err(HttpError::NoAnswer(_))), "{call:?}");
+}
