--- a/crates/core/src/process/load_meter.rs
+++ b/crates/core/src/process/load_meter.rs
@@ -1,11 +1,23 @@
 //! What a sidecar measures of its backend server's load.
+//!
+//! The expected time decides what a queue takes in, and only what it takes in is measured. So an
+//! expected time without fresh samples fades: a server that was frozen or slow would otherwise
+//! refuse everything for good, on the word of its last samples.
+
+use std::time::Duration;
 
 use super::FairQueue;
-use crate::unit::Class;
+use crate::unit::{Class, SidecarClock};
 use crate::wire::LoadReport;
 
 /// Each new sample counts for one part in so many; about the last ten samples tell.
 const SAMPLES: u64 = 10;
+/// Age of the last sample from which the expected time halves, again and again.
+const FADE: Duration = Duration::from_secs(1);
+/// Longest time without a sample that is put down to work still running.
+const MAX_PATIENCE_MS: u64 = 2_000;
+/// Halvings after which nothing is left of any expected time.
+const MAX_HALVINGS: u128 = 20;
 
 /// Smoothed times behind a sidecar's load reports.
 ///
@@ -13,23 +25,21 @@
 ///
 /// ```
 /// use amaranthscale_core::process::{FairQueue, FairQueueLimits, LoadMeter};
-/// use amaranthscale_core::unit::Class;
+/// use amaranthscale_core::unit::{Class, SidecarClock};
 ///
 /// let queue = FairQueue::new(FairQueueLimits { slots: 4, capacity: 8, paid_reserve_slots: 1 });
 /// let mut meter = LoadMeter::default();
+/// let now = SidecarClock::from_millis(500);
 /// meter.waited(Class::Paid, 30);
-/// meter.served(200);
-/// assert_eq!(meter.report(&queue).service_ms, 200);
+/// meter.served(200, now);
+/// assert_eq!(meter.report(&queue, now).service_ms, 200);
 /// ```
-#[expect(
-    clippy::struct_field_names,
-    reason = "fields carry their unit as a suffix"
-)]
 #[derive(Debug, Clone, Default)]
 pub struct LoadMeter {
     service_ms: Option<u64>,
     queue_paid_ms: Option<u64>,
     queue_trial_ms: Option<u64>,
+    sampled_at: SidecarClock,
 }
 
 impl LoadMeter {
@@ -42,25 +52,31 @@
     }
 
     /// Takes in how long an attempt spent at the backend server.
-    pub fn served(&mut self, service_ms: u64) {
+    pub fn served(&mut self, service_ms: u64, now: SidecarClock) {
         smooth(&mut self.service_ms, service_ms);
+        self.sampled_at = now;
     }
 
     /// Time that the next attempt is expected to spend at the backend server.
     #[must_use]
-    pub fn expected_ms(&self) -> u64 {
-        self.service_ms.unwrap_or(0)
+    pub fn expected_ms(&self, now: SidecarClock) -> u64 {
+        let smoothed_ms = self.service_ms.unwrap_or(0);
+        // While work as long as expected may still be running, silence says nothing.
+        let patience = FADE + Duration::from_millis(smoothed_ms.min(MAX_PATIENCE_MS));
+        let age = self.sampled_at.until(now).saturating_sub(patience);
+        let halvings = age.as_millis().div_ceil(FADE.as_millis()).min(MAX_HALVINGS);
+        (0..halvings).fold(smoothed_ms, |left_ms, _| left_ms / 2)
     }
 
     /// The present report.
     #[must_use]
-    pub fn report(&self, queue: &FairQueue) -> LoadReport {
+    pub fn report(&self, queue: &FairQueue, now: SidecarClock) -> LoadReport {
         LoadReport {
             queued_paid: bounded(queue.len(Class::Paid)),
             queued_trial: bounded(queue.len(Class::Trial)),
             running: queue.running(),
             slots: queue.slots(),
-            service_ms: bounded(self.expected_ms()),
+            service_ms: bounded(self.expected_ms(now)),
             queue_paid_ms: bounded(self.queue_paid_ms.unwrap_or(0)),
             queue_trial_ms: bounded(self.queue_trial_ms.unwrap_or(0)),
         }
--- a/crates/core/tests/policy_queue.rs
+++ b/crates/core/tests/policy_queue.rs
@@ -4,7 +4,7 @@
 
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{AttemptId, AttemptNumber, RequestId, StageIndex};
-use amaranthscale_core::process::{FairQueue, FairQueueLimits, QueuedAttempt};
+use amaranthscale_core::process::{FairQueue, FairQueueLimits, LoadMeter, QueuedAttempt};
 use amaranthscale_core::unit::{Class, SidecarClock, Weight};
 
 const START: SidecarClock = SidecarClock::from_millis(0);
@@ -220,3 +220,20 @@
     assert!(!queue.remove(&attempt(1)));
     assert_eq!(queue.pop(START), None);
 }
+
+/// A server was frozen for eight seconds, so its last samples are far above any deadline. Its
+/// queue would refuse all work, and without work there is no new sample. The expected time must
+/// fade, so that a server that is well again takes work again.
+#[test]
+fn an_old_measurement_does_not_shut_a_server() {
+    let mut meter = LoadMeter::default();
+    for _ in 0..10 {
+        meter.served(8_000, START);
+    }
+
+    let at_once = meter.expected_ms(SidecarClock::from_millis(10));
+    let later = meter.expected_ms(SidecarClock::from_millis(7_000));
+
+    assert_eq!(at_once, 8_000);
+    assert!(later <= 500, "{later} ms");
+}
--- a/crates/standins/src/policy/bench/sidecar_side.rs
+++ b/crates/standins/src/policy/bench/sidecar_side.rs
@@ -63,7 +63,8 @@
             return;
         }
         let started_at = self.attempts[attempt].started_at.unwrap_or(now);
-        fake.meter.served(millis(now.saturating_sub(started_at)));
+        fake.meter
+            .served(millis(now.saturating_sub(started_at)), clock(now));
         fake.queue.release(self.attempts[attempt].id);
         self.attempts[attempt].stopped_at = Some(now);
         self.send(attempt, AttemptEnd::Complete);
@@ -145,7 +146,9 @@
                 Weight::DEFAULT
             },
             expiry: clock(if has_expiry { queued.expiry } else { NO_EXPIRY }),
-            expected_ms: self.servers[server].meter.expected_ms(),
+            expected_ms: self.servers[server]
+                .meter
+                .expected_ms(clock(self.agenda.now())),
         }
     }
 
--- a/crates/standins/src/policy/command.rs
+++ b/crates/standins/src/policy/command.rs
@@ -42,6 +42,11 @@
             option("plot", "FILE", "Draw paid attainment over time")
                 .value_parser(value_parser!(PathBuf)),
         )
+        .arg(option(
+            "variant",
+            "NAME",
+            "Run only this variant, as tables name it",
+        ))
         .arg(flag(
             "each",
             "Also run the design without each single mechanism",
@@ -55,7 +60,7 @@
     let deployments = deployments(text(matches, "deployment"))?;
     for deployment in &deployments {
         for &scenario in &scenarios {
-            let report = measure(deployment, scenario, matches);
+            let report = measure(deployment, scenario, matches)?;
             show(&report, matches)?;
         }
     }
@@ -97,13 +102,22 @@
     name.parse().map(|deployment| vec![deployment])
 }
 
-fn measure(deployment: &Deployment, scenario: Scenario, matches: &ArgMatches) -> Report {
+fn measure(
+    deployment: &Deployment,
+    scenario: Scenario,
+    matches: &ArgMatches,
+) -> Result<Report, String> {
     let first_seed = number(matches, "seed");
     let seeds: Vec<_> = (first_seed..)
         .take(usize_of(number(matches, "seeds")))
         .collect();
     let jobs = usize_of(number(matches, "jobs"));
-    let variants = variants(matches.get_flag("each"));
+    let wanted = matches.get_one::<String>("variant");
+    let mut variants = variants(matches.get_flag("each") || wanted.is_some());
+    variants.retain(|(name, _)| wanted.is_none_or(|wanted| wanted == name));
+    if variants.is_empty() {
+        return Err("no variant has this name".to_owned());
+    }
     let tasks: Vec<_> = variants
         .iter()
         .flat_map(|(_, mechanisms)| seeds.iter().map(move |seed| (mechanisms, *seed)))
@@ -113,12 +127,12 @@
         variant: variant.clone(),
         runs: figures.by_ref().take(seeds.len()).collect(),
     });
-    Report {
+    Ok(Report {
         deployment: deployment.clone(),
         scenario,
         first_seed,
         summaries: summaries.collect(),
-    }
+    })
 }
 
 fn variants(has_each: bool) -> Vec<(String, Mechanisms)> {
--- a/crates/standins/src/policy/fake_server.rs
+++ b/crates/standins/src/policy/fake_server.rs
@@ -80,7 +80,7 @@
             clock: clock(now),
             tree_version: TreeVersion::new(1),
             is_leaving: self.record.state == HostState::Leaving,
-            load: self.meter.report(&self.queue),
+            load: self.meter.report(&self.queue, clock(now)),
         }
     }
 
--- a/crates/standins/src/policy/figures.rs
+++ b/crates/standins/src/policy/figures.rs
@@ -1,5 +1,7 @@
 //! What a run came to.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 /// Figures of one run.
@@ -25,8 +27,9 @@
     pub worst_second: f64,
     /// Seconds from the end of the cause until paid attainment stays at its goal.
     pub recovery_s: f64,
-    /// Paid attainment by second of arrival, for plots.
-    #[serde(skip)]
+    /// Final answers to paid requests, by number of their result code.
+    pub paid_answers: BTreeMap<u16, u64>,
+    /// Paid attainment by second of arrival.
     pub paid_by_second: Vec<f64>,
 }
 
--- a/crates/standins/src/policy/summary.rs
+++ b/crates/standins/src/policy/summary.rs
@@ -1,6 +1,7 @@
 //! Figures over many seeds.
 
 use serde::Serialize;
+use serde_json::{Map, Value, json};
 
 use super::Figures;
 use super::figures::{COLUMNS, Column};
@@ -38,16 +39,21 @@
     }
 
     /// Figures for JSON: bare numbers for one seed, spreads for more.
-    pub(super) fn to_json(&self) -> serde_json::Value {
+    pub(super) fn to_json(&self) -> Value {
         let value = |column: Column| {
             let spread = self.spread(column);
             if self.runs.len() == 1 {
-                serde_json::json!(spread.median)
+                json!(spread.median)
             } else {
-                serde_json::json!(spread)
+                json!(spread)
             }
         };
         let fields = COLUMNS.map(|column| (column.name.to_owned(), value(column)));
-        serde_json::Value::Object(fields.into_iter().collect())
+        let mut object: Map<_, _> = fields.into_iter().collect();
+        if let [run] = self.runs.as_slice() {
+            object.insert("paid_answers".to_owned(), json!(run.paid_answers));
+            object.insert("paid_by_second".to_owned(), json!(run.paid_by_second));
+        }
+        Value::Object(object)
     }
 }
--- a/crates/standins/src/policy/tally.rs
+++ b/crates/standins/src/policy/tally.rs
@@ -1,5 +1,6 @@
 //! Counts what a run came to.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use amaranthscale_core::unit::Class;
@@ -86,6 +87,7 @@
             retries_per_request: retries / asked.max(1.0),
             worst_second: paid_by_second.iter().copied().fold(1.0, f64::min),
             recovery_s: self.recovery_s(&paid_by_second),
+            paid_answers: self.paid_answers(&counted),
             paid_by_second,
         }
     }
@@ -123,6 +125,15 @@
         self.deployment.organisations[request.organisation].class
     }
 
+    fn paid_answers(&self, counted: &[&Request]) -> BTreeMap<u16, u64> {
+        let mut answers = BTreeMap::new();
+        for request in counted.iter().filter(|request| self.is_paid(request)) {
+            let code = request.answer.map_or(0, |(code, _)| code.number());
+            *answers.entry(code).or_default() += 1;
+        }
+        answers
+    }
+
     fn paid_by_second(&self, counted: &[&Request]) -> Vec<f64> {
         let in_second = |second: u64| {
             attainment(counted, |request| {
