--- a/crates/core/src/process/organisation_limits.rs
+++ b/crates/core/src/process/organisation_limits.rs
@@ -18,14 +18,15 @@
 const NO_SHARE_RETRY_AFTER_MS: u64 = 60_000;
 /// Seconds of its share that an organisation may use at once.
 const BURST_S: f64 = 1.0;
-/// Milliseconds in a second.
-const MS_PER_S: f64 = 1_000.0;
+/// Longest time to come back; promises further ahead would outlive most callers.
+const MAX_WAIT_S: f64 = 60.0;
 
 /// Tokens of one organisation.
 #[derive(Debug, Default)]
 struct Bucket {
     tokens: f64,
     filled_at: Option<Duration>,
+    promised_at: Duration,
     in_flight: u32,
 }
 
@@ -116,9 +117,24 @@
             self.tokens -= 1.0;
             return Ok(());
         }
-        let wait = Duration::from_secs_f64(((1.0 - self.tokens) / share_per_s).min(MS_PER_S));
-        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        Err(Refusal::new(ResultCode::OverLimit, wait_ms.max(1)))
+        Err(Refusal::new(
+            ResultCode::OverLimit,
+            self.promise(share_per_s, now),
+        ))
+    }
+
+    /// Time until a token that no other refused caller was told to come for.
+    ///
+    /// Told the time of the next token, all refused callers would come back for the same one, and
+    /// most would be refused again and again until their deadlines were spent.
+    fn promise(&mut self, share_per_s: f64, now: Duration) -> u64 {
+        let next =
+            now + Duration::from_secs_f64(((1.0 - self.tokens) / share_per_s).min(MAX_WAIT_S));
+        let interval = Duration::from_secs_f64((1.0 / share_per_s).min(MAX_WAIT_S));
+        let latest = now + Duration::from_secs_f64(MAX_WAIT_S);
+        self.promised_at = next.max(self.promised_at + interval).min(latest);
+        let wait = self.promised_at.saturating_sub(now);
+        u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1)
     }
 
     fn fill(&mut self, share_per_s: f64, now: Duration) {
--- a/crates/core/tests/policy_admission.rs
+++ b/crates/core/tests/policy_admission.rs
@@ -120,6 +120,30 @@
     assert!((100..=110).contains(&admitted), "{admitted} in 10 s");
 }
 
+/// A wave of callers is above its organisation's limit. If all were told the time of the next
+/// token, they would come back together and be refused again; each is told its own.
+#[test]
+fn refused_callers_come_back_one_by_one() {
+    let name = organisation("delta-basin");
+    let limit = Some(RatePerSecond::new(10.0));
+    let mut limits = OrganisationLimits::new();
+    let mut waits: Vec<_> = (0..30)
+        .filter_map(|_| limits.admit(&name, limit, None, 1, Duration::ZERO).err())
+        .map(|refusal| Duration::from_millis(refusal.retry_after_ms))
+        .collect();
+    waits.dedup();
+
+    assert_eq!(waits.len(), 20);
+    for wait in waits {
+        let comes_back = wait + Duration::from_millis(1);
+        assert_eq!(
+            limits.admit(&name, limit, None, 1, comes_back),
+            Ok(()),
+            "after {wait:?}"
+        );
+    }
+}
+
 /// Requests in flight count until they end.
 #[test]
 fn requests_in_flight_are_bounded() {
