--- a/crates/core/src/process/load_meter.rs
+++ b/crates/core/src/process/load_meter.rs
@@ -57,6 +57,19 @@
         self.sampled_at = now;
     }
 
+    /// Takes in how long an attempt had run when it was cancelled.
+    ///
+    /// Cancelled work took at least that long. Without it only the quick survivors of a slow spell
+    /// would be measured, and entries would go on admitting what cannot end in time.
+    pub fn cut_off(&mut self, service_ms: u64, now: SidecarClock) {
+        if self
+            .service_ms
+            .is_some_and(|smoothed_ms| service_ms > smoothed_ms)
+        {
+            self.served(service_ms, now);
+        }
+    }
+
     /// Time that the next attempt is expected to spend at the backend server.
     #[must_use]
     pub fn expected_ms(&self, now: SidecarClock) -> u64 {
--- a/crates/core/tests/policy_queue.rs
+++ b/crates/core/tests/policy_queue.rs
@@ -237,3 +237,22 @@
     assert_eq!(at_once, 8_000);
     assert!(later <= 500, "{later} ms");
 }
+
+/// A server has become so slow that entries cancel nearly all it runs. Only the few quick ones
+/// end and are measured; the cancelled ones must count too, or the slowness stays unseen.
+#[test]
+fn cancelled_work_shows_slowness() {
+    let mut meter = LoadMeter::default();
+    meter.served(800, START);
+
+    for _ in 0..30 {
+        meter.cut_off(4_000, START);
+        meter.cut_off(100, START);
+    }
+
+    assert!(
+        meter.expected_ms(START) >= 3_500,
+        "{}",
+        meter.expected_ms(START)
+    );
+}
--- a/crates/standins/src/policy/bench/sidecar_side.rs
+++ b/crates/standins/src/policy/bench/sidecar_side.rs
@@ -35,6 +35,7 @@
         let now = self.agenda.now();
         let revoked = &self.attempts[attempt];
         let (id, server, is_running) = (revoked.id, revoked.server, revoked.is_running());
+        let started_at = revoked.started_at.unwrap_or(now);
         let service = self.servers[server].service;
         let fake = &mut self.servers[server];
         if fake.condition == Condition::Frozen {
@@ -45,6 +46,8 @@
         }
         if self.deployment.services[service].is_engine {
             fake.queue.release(id);
+            fake.meter
+                .cut_off(millis(now.saturating_sub(started_at)), clock(now));
             self.attempts[attempt].stopped_at = Some(now);
             self.pump(server);
         }
