--- a/crates/amaranthscale/tests/sidecar_faults.rs
+++ b/crates/amaranthscale/tests/sidecar_faults.rs
@@ -29,6 +29,9 @@
 /// New connections that a stop which does not wait would no longer take.
 const CONNECTIONS_DURING_STOP: usize = 30;
 
+/// Long enough for the sidecar to drop what it need not keep.
+const SEVERAL_TICKS: Duration = Duration::from_millis(400);
+
 fn reading(row: &Row) -> ClaimReading {
     read_claim(row, &ticket().fingerprint)
 }
@@ -265,7 +268,7 @@
 /// once, keeps the outcome in memory, and writes it when the table is back.
 #[tokio::test]
 async fn outcome_waits_for_the_table() {
-    let bench = bench().await;
+    let bench = bench_with(|config| config.limits.ledger.keep_finished = Duration::ZERO).await;
     let key = ticket().key.to_string();
     let dispatch = bench.claimed(1, "/held");
     let frames = start_held(&bench, &dispatch).await;
@@ -273,6 +276,8 @@
     bench.backend.let_go();
 
     let answer = whole(frames, dispatch.attempt, 0).await;
+    let swept = answer.end.stamp.clock.plus(SEVERAL_TICKS);
+    bench.clock_past(swept).await;
     let fetched = whole(bench.fetch(&dispatch, 0).await, dispatch.attempt, 0).await;
     bench.table.set_down(false);
     let is_finished = |row: &Row| matches!(reading(row), ClaimReading::Finished { .. });
