--- /dev/null
+++ b/crates/amaranthscale/src/entry/process/host_watch.rs
@@ -0,0 +1,31 @@
+//! Keeps the entry's view of the hosts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranthscale_core::id::HostId;
+use amaranthscale_core::wire::HostList;
+use tokio::sync::watch;
+
+use super::{Decision, DecisionsHandle};
+use crate::process::{PlatformClient, poll_hosts};
+
+/// Polls the host list and tells the decisions of each change; ends with its task.
+pub async fn watch_hosts(
+    platform: PlatformClient,
+    decisions: DecisionsHandle,
+    own_host: HostId,
+    every: Duration,
+    peer_addresses: watch::Sender<Vec<SocketAddr>>,
+) {
+    poll_hosts(platform, every, move |hosts| {
+        peer_addresses.send_replace(addresses(&hosts, &own_host));
+        decisions.tell(Decision::Hosts(hosts));
+    })
+    .await;
+}
+
+fn addresses(hosts: &HostList, own_host: &HostId) -> Vec<SocketAddr> {
+    let others = hosts.hosts.iter().filter(|record| record.host != *own_host);
+    others.map(|record| record.address).collect()
+}
