Planner's lease, fenced placement, and one order at a time to an engine

A paused planner's plan must fail and an engine must not be ordered back. The real code runs the paused planner's story and 2,000 random schedules.

--- /dev/null
+++ b/crates/core/src/version/placement.rs
@@ -0,0 +1,21 @@
+//! Which engine is to run what, and the orders that bring it there.
+//!
+//! The planner writes the wanted placement into one row, in a transaction that checks its lease.
+//! Each sidecar reads that row, only ever moves up, and alone orders its engine, with the row's
+//! version as the fencing number. Engines that refuse old numbers are safe against any delay.
+//! Engines that ignore the number are safe because their one caller never goes back and sends one
+//! order at a time.
+
+mod assignment;
+mod engine_orders;
+mod plan;
+mod view;
+
+#[doc(inline)]
+pub use assignment::{Assignment, EngineRole};
+#[doc(inline)]
+pub use engine_orders::{EngineOrder, EngineOrders};
+#[doc(inline)]
+pub use plan::{PLACEMENT_KEY, Placement, placement_write};
+#[doc(inline)]
+pub use view::{PlacementOffer, PlacementView};
--- /dev/null
+++ b/crates/core/tests/placement_planners.rs
@@ -0,0 +1,326 @@
+//! The planner's lease, the placement it guards, and the orders that follow, in real code.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use amaranthscale_core::id::{
+    FencingNumber, HostId, Incarnation, ModelId, PlacementVersion, RowVersion, WriteId,
+};
+use amaranthscale_core::unit::SidecarClock;
+use amaranthscale_core::version::{
+    Assignment, ConditionalWrite, EngineOrders, LEASE_KEY, PLACEMENT_KEY, Placement,
+    PlacementOffer, PlannerLease, WriteEvent, WriteStep, placement_write,
+};
+use amaranthscale_core::wire::{Row, Transaction, TransactionReply};
+use quickcheck::{Arbitrary as _, Gen};
+
+const LEASE: Duration = Duration::from_millis(90);
+const RETRY: Duration = Duration::from_millis(20);
+const SCHEDULES: u64 = 2_000;
+const STEPS: usize = 200;
+
+#[derive(Default)]
+struct Table(BTreeMap<String, Row>);
+
+impl Table {
+    fn row(&self, key: &str) -> Row {
+        self.0.get(key).cloned().unwrap_or_else(|| Row {
+            key: key.to_owned(),
+            version: RowVersion::default(),
+            value: String::new(),
+        })
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> TransactionReply {
+        let checks = &transaction.checks;
+        if checks
+            .iter()
+            .any(|check| self.row(&check.key).version != check.version)
+        {
+            return TransactionReply::Conflict(checks.iter().map(|c| self.row(&c.key)).collect());
+        }
+        let mut rows = Vec::new();
+        for write in &transaction.writes {
+            let version = self.row(&write.key).version.next();
+            let row = Row {
+                key: write.key.clone(),
+                version,
+                value: write.value.clone(),
+            };
+            self.0.insert(write.key.clone(), row.clone());
+            rows.push(row);
+        }
+        TransactionReply::Committed(rows)
+    }
+}
+
+fn millis(reading_ms: u64) -> SidecarClock {
+    SidecarClock::from_millis(reading_ms)
+}
+
+fn host(number: usize) -> HostId {
+    HostId::new(format!("host-{number}")).expect("the name is well formed")
+}
+
+fn write_id(number: u64) -> WriteId {
+    WriteId::new(format!("w-{number}")).expect("the name is well formed")
+}
+
+fn planner(number: usize) -> PlannerLease {
+    PlannerLease::new(host(number), Incarnation::new(1), LEASE)
+}
+
+fn plan(model: &str) -> BTreeMap<HostId, Assignment> {
+    let model = ModelId::new(model).expect("the name is well formed");
+    let models = BTreeSet::from([model]);
+    BTreeMap::from([(
+        host(0),
+        Assignment {
+            models,
+            ..Assignment::default()
+        },
+    )])
+}
+
+/// Reads the lease row and writes it if that is due.
+fn campaign(planner: &mut PlannerLease, table: &mut Table, now: SidecarClock, id: u64) -> bool {
+    planner.observe(&table.row(LEASE_KEY), now);
+    let Some(write) = planner.next_write(now, write_id(id)) else {
+        return false;
+    };
+    let is_committed = matches!(
+        table.commit(&write.transaction()),
+        TransactionReply::Committed(_)
+    );
+    planner.observe(&table.row(LEASE_KEY), now);
+    is_committed
+}
+
+fn settle(mut write: ConditionalWrite, table: &mut Table) -> WriteStep {
+    let reply = table.commit(&write.transaction());
+    write.next(WriteEvent::Replied(reply))
+}
+
+/// A placement row with its version.
+fn placement(version: u64, model: &str) -> Row {
+    let body = serde_json::to_string(&Placement {
+        fencing: FencingNumber::new(1),
+        assignments: plan(model),
+    });
+    let before = RowVersion::new(version - 1);
+    let body = body.expect("a placement has a form in JSON");
+    let write = ConditionalWrite::new(PLACEMENT_KEY, before, body, write_id(version));
+    let value = write.transaction().writes.remove(0).value;
+    Row {
+        key: PLACEMENT_KEY.to_owned(),
+        version: RowVersion::new(version),
+        value,
+    }
+}
+
+#[test]
+fn a_lease_is_renewed_by_its_holder_and_taken_over_after_silence() {
+    let mut table = Table::default();
+    let (mut first, mut second) = (planner(1), planner(2));
+    assert!(campaign(&mut first, &mut table, millis(0), 1));
+
+    assert!(!campaign(&mut second, &mut table, millis(10), 2));
+    assert!(campaign(&mut first, &mut table, millis(40), 3));
+    assert!(
+        !campaign(&mut second, &mut table, millis(105), 4),
+        "the row has moved since"
+    );
+    assert!(campaign(&mut second, &mut table, millis(195), 5));
+
+    let fencing = |planner: &PlannerLease, now| planner.held(millis(now)).map(|l| l.fencing.get());
+    assert_eq!(fencing(&second, 200), Some(3));
+    assert_eq!(fencing(&first, 100), Some(1));
+    assert_eq!(fencing(&first, 200), None);
+}
+
+#[test]
+fn a_paused_planner_writes_nothing() {
+    // An operator sees a plan that its author had given up. A planner reads both rows and is paused
+    // past its lease, another takes over, and the first wakes and writes what it had planned.
+    let mut table = Table::default();
+    let (mut paused, mut successor) = (planner(1), planner(2));
+    campaign(&mut paused, &mut table, millis(0), 1);
+    let lease = paused.held(millis(1)).expect("the lease is new");
+    let read = table.row(PLACEMENT_KEY);
+
+    campaign(&mut successor, &mut table, millis(10), 2);
+    campaign(&mut successor, &mut table, millis(110), 3);
+    let step = settle(
+        placement_write(&lease, &read, plan("old"), write_id(4)),
+        &mut table,
+    );
+
+    assert!(matches!(step, WriteStep::LostTo { row } if row.key == LEASE_KEY));
+    assert_eq!(table.row(PLACEMENT_KEY).version, RowVersion::default());
+}
+
+#[test]
+fn without_the_check_the_paused_planner_would_write() {
+    // The same story with the lease left out of the transaction, to show that the check decides.
+    let mut table = Table::default();
+    let (mut paused, mut successor) = (planner(1), planner(2));
+    campaign(&mut paused, &mut table, millis(0), 1);
+    let lease = paused.held(millis(1)).expect("the lease is new");
+    let read = table.row(PLACEMENT_KEY);
+
+    campaign(&mut successor, &mut table, millis(10), 2);
+    campaign(&mut successor, &mut table, millis(110), 3);
+    let mut bare = placement_write(&lease, &read, plan("old"), write_id(4)).transaction();
+    bare.checks.retain(|check| check.key != LEASE_KEY);
+
+    assert!(matches!(
+        table.commit(&bare),
+        TransactionReply::Committed(_)
+    ));
+}
+
+#[test]
+fn an_older_placement_is_not_followed() {
+    // An engine unloads the model it has just loaded. Two answers of the table overtake each other
+    // and the sidecar follows the older one last.
+    let mut orders = EngineOrders::new(host(0), RETRY);
+    assert_eq!(orders.offer(&placement(5, "new")), PlacementOffer::Taken);
+    let order = orders.next(millis(0)).expect("an order is due");
+    orders.confirmed(order.number);
+
+    let offer = orders.offer(&placement(4, "old"));
+
+    assert_eq!(offer, PlacementOffer::NotNewer);
+    assert_eq!(orders.next(millis(1)), None);
+}
+
+#[test]
+fn nothing_is_ordered_before_the_placement_is_read() {
+    let mut orders = EngineOrders::new(host(0), RETRY);
+    assert_eq!(orders.next(millis(1)), None);
+
+    orders.offer(&placement(2, "m"));
+
+    let order = orders.next(millis(2)).expect("an order is due");
+    assert_eq!(order.number, PlacementVersion::new(2));
+    assert!(!order.replaces_silent);
+}
+
+#[test]
+fn one_order_is_under_way_and_a_silent_one_is_replaced() {
+    // An engine ends with the older of two placements. It is slow with one order, gets the next
+    // meanwhile, and carries them out in the wrong order.
+    let mut orders = EngineOrders::new(host(0), RETRY);
+    orders.offer(&placement(1, "old"));
+    let first = orders.next(millis(0)).expect("an order is due");
+    orders.offer(&placement(2, "new"));
+
+    assert_eq!(orders.next(millis(19)), None);
+    let second = orders.next(millis(20)).expect("the engine was silent");
+
+    assert!(second.replaces_silent);
+    assert_eq!(second.number, PlacementVersion::new(2));
+    orders.confirmed(first.number);
+    assert_eq!(
+        orders.next(millis(30)),
+        None,
+        "the late answer is to the replaced order"
+    );
+    orders.confirmed(second.number);
+    assert_eq!(orders.next(millis(90)), None);
+}
+
+#[test]
+fn a_refused_order_waits_before_it_is_repeated() {
+    let mut orders = EngineOrders::new(host(0), RETRY);
+    orders.offer(&placement(1, "m"));
+    let order = orders.next(millis(0)).expect("an order is due");
+
+    orders.refused(order.number, millis(1));
+
+    assert_eq!(orders.next(millis(20)), None);
+    assert!(orders.next(millis(21)).is_some());
+}
+
+#[test]
+fn an_engine_that_forgot_is_ordered_again() {
+    // Requests for a loaded model fail. The engine restarted by itself and runs nothing, while the
+    // sidecar remembers that its order was carried out.
+    let mut orders = EngineOrders::new(host(0), RETRY);
+    orders.offer(&placement(1, "m"));
+    let order = orders.next(millis(0)).expect("an order is due");
+    orders.confirmed(order.number);
+
+    orders.reported(Assignment::default());
+
+    assert!(orders.next(millis(1)).is_some());
+}
+
+/// One random run: planners campaign and plan, a sidecar follows through answers out of order.
+fn run(seed: u64) -> (u64, u64) {
+    let mut random = Gen::from_size_and_seed(10, seed);
+    let mut table = Table::default();
+    let mut planners = [planner(1), planner(2)];
+    let mut late: Vec<Transaction> = Vec::new();
+    let mut reads = vec![table.row(PLACEMENT_KEY)];
+    let mut orders = EngineOrders::new(host(0), RETRY);
+    let (mut now, mut last_ordered, mut last_fencing) = (millis(0), 0, 0);
+    for step in 0..STEPS {
+        now = now.plus(Duration::from_millis(u64::arbitrary(&mut random) % 12));
+        let id = u64::try_from(step).expect("steps are few") * 2;
+        let pick = usize::arbitrary(&mut random);
+        let planner = &mut planners[pick % 2];
+        match u8::arbitrary(&mut random) % 6 {
+            0 | 1 => {
+                campaign(planner, &mut table, now, id);
+            }
+            2 => {
+                // A paused planner plans by the lease it last saw, so none is asked of the clock.
+                let believed = planner.held(SidecarClock::default());
+                let read = table.row(PLACEMENT_KEY);
+                let assignments = plan(&format!("m-{step}"));
+                let write = |lease| placement_write(&lease, &read, assignments, write_id(id + 1));
+                late.extend(believed.map(|lease| write(lease).transaction()));
+            }
+            3 if !late.is_empty() => {
+                table.commit(&late[pick % late.len()].clone());
+                reads.push(table.row(PLACEMENT_KEY));
+            }
+            4 => {
+                orders.offer(&reads[pick % reads.len()].clone());
+            }
+            _ => {
+                if let Some(order) = orders.next(now) {
+                    let number = order.number.get();
+                    assert!(
+                        number >= last_ordered,
+                        "seed {seed}: {number} after {last_ordered}"
+                    );
+                    last_ordered = number;
+                    if pick % 3 > 0 {
+                        orders.confirmed(order.number);
+                    }
+                }
+            }
+        }
+        let fencing = Placement::parse(&table.row(PLACEMENT_KEY)).map_or(0, |p| p.fencing.get());
+        assert!(
+            fencing >= last_fencing,
+            "seed {seed}: fencing {fencing} after {last_fencing}"
+        );
+        last_fencing = fencing;
+    }
+    (last_fencing, last_ordered)
+}
+
+#[test]
+fn fencing_numbers_and_orders_never_go_back() {
+    let (mut takeovers, mut orders) = (0, 0);
+    for seed in 0..SCHEDULES {
+        let (fencing, ordered) = run(seed);
+        takeovers += u64::from(fencing > 1);
+        orders += ordered;
+    }
+    println!("{SCHEDULES} schedules of {STEPS} steps: {takeovers} with plans after a takeover");
+    assert!(takeovers > 0 && orders > 0);
+}
