--- a/crates/core/src/request/ledger.rs
+++ b/crates/core/src/request/ledger.rs
@@ -144,6 +144,12 @@
 
     /// Ends a running attempt with its outcome.
     pub fn finish(&mut self, attempt: AttemptId, outcome: Outcome, now: SidecarClock) {
+        // A call that was made without a start would have been answered "revoked".
+        let is_started = self.state(&attempt) != Some(&LedgerState::Queued);
+        debug_assert!(
+            is_started || outcome.ran() == Ran::No,
+            "{attempt} ran without a start"
+        );
         let now = self.advance(now);
         self.end(attempt, LedgerState::Finished(outcome), now);
     }
--- a/crates/core/tests/spec_at_most_once/main.rs
+++ b/crates/core/tests/spec_at_most_once/main.rs
@@ -1,8 +1,11 @@
 //! Every interleaving of the at-most-once protocol, and each guard shown to be needed.
 
+mod entry_moves;
 mod model;
 mod refinement;
 mod search;
+mod sidecar_moves;
+mod table_moves;
 
 use model::{DISOWNED, Guard, MIXED_UP, RAN_AFTER_ALL, RAN_TWICE, Spec};
 use search::{Specification as _, search};
--- /dev/null
+++ b/crates/core/tests/spec_at_most_once/sidecar_moves.rs
@@ -0,0 +1,144 @@
+//! What the network brings to a sidecar, and what the sidecar does.
+
+use crate::model::{Claim, Guard, Message, Moves, Progress, Spec, State, attempt_action, small};
+
+impl Spec {
+    pub fn network_moves(&self, state: &State, id: usize, moves: &mut Moves) {
+        if state.network.has(Message::Dispatch, id) {
+            let mut next = *state;
+            next.network.take(Message::Dispatch, id);
+            next.network.send(Message::Replay, id);
+            self.admit(&mut next, id, true);
+            moves.push((attempt_action(id, "reaches its sidecar"), next));
+        }
+        if state.network.has(Message::Replay, id) {
+            let mut next = *state;
+            self.admit(&mut next, id, !self.has(Guard::SendOnce));
+            moves.push((attempt_action(id, "reaches its sidecar once more"), next));
+        }
+        if state.network.has(Message::Revoke, id) {
+            let mut next = *state;
+            self.revoke(&mut next, id);
+            moves.push((attempt_action(id, "revocation reaches the sidecar"), next));
+        }
+    }
+
+    pub fn admit(&self, next: &mut State, id: usize, is_answered: bool) {
+        let attempt = next.attempts[id];
+        let is_known = attempt.progress != Progress::Absent;
+        let is_ended = matches!(attempt.progress, Progress::Refused | Progress::Revoked);
+        let is_other_life = self.has(Guard::Incarnation) && !next.is_same_life(attempt);
+        let is_late = !is_known && self.has(Guard::Expiry) && next.is_expired(attempt);
+        if is_other_life || is_late || is_ended {
+            if is_answered {
+                next.network.send(Message::NotRun, id);
+            }
+        } else if !is_known {
+            next.attempts[id].progress = Progress::Queued;
+        }
+    }
+
+    pub fn revoke(&self, next: &mut State, id: usize) {
+        let attempt = next.attempts[id];
+        if self.has(Guard::Incarnation) && !next.is_same_life(attempt) {
+            next.network.send(Message::Gone, id);
+            return;
+        }
+        let is_forgotten = self.has(Guard::Forgotten) && next.is_expired(attempt);
+        let answer = match attempt.progress {
+            Progress::Absent if is_forgotten => Message::Gone,
+            Progress::Absent => {
+                if self.has(Guard::Tombstone) {
+                    next.attempts[id].progress = Progress::Revoked;
+                }
+                Message::NotRun
+            }
+            Progress::Queued => {
+                next.attempts[id].progress = Progress::Revoked;
+                Message::NotRun
+            }
+            Progress::Claiming | Progress::Calling => return,
+            Progress::Finished => Message::Complete,
+            Progress::Refused | Progress::Revoked => Message::NotRun,
+        };
+        next.network.send(answer, id);
+    }
+
+    pub fn sidecar_moves(&self, state: &State, id: usize, moves: &mut Moves) {
+        let attempt = state.attempts[id];
+        match attempt.progress {
+            Progress::Queued => self.begin(state, id, moves),
+            Progress::Claiming => self.read_back_claim(state, id, moves),
+            Progress::Calling => Self::call(state, id, moves),
+            Progress::Finished if state.row == Claim::Started(small(id)) => {
+                let mut next = *state;
+                next.write(Claim::Finished(small(id)));
+                moves.push((
+                    attempt_action(id, "outcome is written to the claim row"),
+                    next,
+                ));
+            }
+            _ => {}
+        }
+        let is_ended = matches!(
+            attempt.progress,
+            Progress::Finished | Progress::Refused | Progress::Revoked
+        );
+        if is_ended && state.is_expired(attempt) {
+            let mut next = *state;
+            next.attempts[id].progress = Progress::Absent;
+            moves.push((attempt_action(id, "is dropped from the ledger"), next));
+        }
+    }
+
+    pub fn begin(&self, state: &State, id: usize, moves: &mut Moves) {
+        let mut next = *state;
+        if self.has(Guard::Expiry) && state.is_expired(state.attempts[id]) {
+            next.refuse(id);
+            moves.push((attempt_action(id, "has expired in the queue"), next));
+            return;
+        }
+        if self.uses_claim {
+            next.attempts[id].progress = Progress::Claiming;
+            next.network.send(Message::ClaimWrite, id);
+        } else {
+            next.attempts[id].progress = Progress::Calling;
+        }
+        moves.push((attempt_action(id, "starts"), next));
+    }
+
+    pub fn read_back_claim(&self, state: &State, id: usize, moves: &mut Moves) {
+        let mut next = *state;
+        let version = state.attempts[id].version;
+        let is_old = state.row_version == version;
+        let is_ours = state.row_version == version + 1 && state.row == Claim::Started(small(id));
+        if !self.has(Guard::ReadBack) || is_ours {
+            next.attempts[id].progress = Progress::Calling;
+        } else if is_old && self.has(Guard::RepeatWrite) {
+            return;
+        } else {
+            next.refuse(id);
+        }
+        moves.push((
+            attempt_action(id, "claim's answer is lost; the sidecar settles it"),
+            next,
+        ));
+    }
+
+    pub fn call(state: &State, id: usize, moves: &mut Moves) {
+        let mut next = *state;
+        next.attempts[id].runs += 1;
+        next.attempts[id].progress = Progress::Finished;
+        next.network.send(Message::Complete, id);
+        moves.push((attempt_action(id, "RUNS"), next));
+        if state.row == Claim::Started(small(id)) {
+            let mut next = *state;
+            next.write(Claim::Cancelled);
+            next.refuse(id);
+            moves.push((
+                attempt_action(id, "cannot make its call and gives its claim back"),
+                next,
+            ));
+        }
+    }
+}
