--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -10,10 +10,12 @@
 mod edit_record;
 mod effective;
 mod key_hash;
+mod lease;
 mod organisation;
 mod override_field;
 mod overrides;
 mod pipeline;
+mod placement;
 mod service;
 mod settings_tree;
 mod sourced;
@@ -36,6 +38,8 @@
 #[doc(inline)]
 pub use key_hash::{InvalidKeyHash, KeyHash};
 #[doc(inline)]
+pub use lease::{HeldLease, LEASE_KEY, LeaseRow, PlannerLease};
+#[doc(inline)]
 pub use organisation::Organisation;
 #[doc(inline)]
 pub use override_field::{InvalidOverrideField, OverrideField};
@@ -44,6 +48,11 @@
 #[doc(inline)]
 pub use pipeline::{MAX_STAGES, Pipeline};
 #[doc(inline)]
+pub use placement::{
+    Assignment, EngineOrder, EngineOrders, EngineRole, PLACEMENT_KEY, Placement, PlacementOffer,
+    PlacementView, placement_write,
+};
+#[doc(inline)]
 pub use service::Service;
 #[doc(inline)]
 pub use settings_tree::{ROOT_NAME, SettingsTree};
