A doubled delivery is asked about, not taken for a refusal

Cause: result code 2207 tells about one delivery of an attempt, not about the attempt. Found by reading the protocol's specification against the entry.

--- a/crates/amaranthscale/src/entry/request/attempt_run.rs
+++ b/crates/amaranthscale/src/entry/request/attempt_run.rs
@@ -124,6 +124,13 @@
         number: ConnectionNumber,
     ) -> AttemptOutcome {
         match read {
+            // Guards against a dispatch that the network delivered twice: the second delivery is
+            // refused, but the first may run. Taken for a refusal it would show as "not run" of
+            // a call that ran; so the sidecar is asked what became of the attempt itself.
+            Ok(end) if end.outcome.code == ResultCode::DuplicateAttempt => {
+                self.parts.counters.count("attempt.doubled_delivery");
+                self.ask_again(number).await
+            }
             Ok(end) => self.into_outcome(end),
             Err(Broken::Deadline) => {
                 give_up(self.parts, self.to);
--- a/crates/amaranthscale/src/entry/request/stage_run.rs
+++ b/crates/amaranthscale/src/entry/request/stage_run.rs
@@ -336,7 +336,12 @@
                 ..Answer::of_code(end.outcome.code)
             },
             AttemptOutcome::TimedOut => Answer::of_code(ResultCode::StillRunning),
-            AttemptOutcome::NotRun(..) | AttemptOutcome::Unknown => unknown,
+            // The holder is proven not to have made the call, and its row is being freed.
+            AttemptOutcome::NotRun(code, retry_after_ms, _) => Answer {
+                retry_after_ms,
+                ..Answer::of_code(code)
+            },
+            AttemptOutcome::Unknown => unknown,
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The modules are laid out by life span: [`request`] holds what lives for one request,
 //! [`version`] what lives for a version of shared configuration, and [`process`] what lives as
-//! long as its process. [`id`] and [`unit`] hold the newtypes, [`wire`] the messages.
+//! long as its process. [`id`] and [`mod@unit`] hold the newtypes, [`wire`] the messages.
 
 pub mod id;
 pub mod process;
