--- a/crates/standins/tests/standin_engine.rs
+++ b/crates/standins/tests/standin_engine.rs
@@ -12,7 +12,7 @@
 use amaranthscale_standins::http::{HttpClient, HttpError, HttpReply, Running};
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
-use support::{HeldClock, eventually, settle, switch};
+use support::{HeldClock, eventually, joined, settle, switch};
 use tokio::task::JoinHandle;
 
 /// Time of a token where a test needs sequences that do not end by themselves.
@@ -469,7 +469,7 @@
     fixture.switch(frozen(false)).await;
 
     assert_eq!(while_frozen, []);
-    assert_eq!(lines(&call.await.unwrap().unwrap()).len(), 2);
+    assert_eq!(lines(&joined(call).await.unwrap()).len(), 2);
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/standins/tests/standin_processes.rs
+++ b/crates/standins/tests/standin_processes.rs
@@ -7,7 +7,7 @@
 use amaranthscale_standins::http::HttpClient;
 use hyper::StatusCode;
 use serde_json::{Value, json};
-use support::{ChildProcess, call_headers, settle, sibling_program, switch};
+use support::{ChildProcess, call_headers, joined, settle, sibling_program, switch};
 
 const PLATFORM: &str = env!("CARGO_BIN_EXE_standin-platform");
 const ENGINE: &str = env!("CARGO_BIN_EXE_standin-engine");
@@ -60,7 +60,7 @@
     service.resume().unwrap();
 
     assert!(!answered_while_paused);
-    assert_eq!(call.await.unwrap().unwrap().status, StatusCode::OK);
+    assert_eq!(joined(call).await.unwrap().status, StatusCode::OK);
 }
 
 #[tokio::test]
--- a/crates/standins/tests/standin_relay.rs
+++ b/crates/standins/tests/standin_relay.rs
@@ -10,7 +10,7 @@
 use amaranthscale_standins::relay::{Relay, RelayCounts, RelayFaults, RelaySettings, RunningRelay};
 use amaranthscale_standins::service::{Service, ServiceExecution, ServiceSettings};
 use hyper::StatusCode;
-use support::{call_headers, settle, switch};
+use support::{call_headers, joined, settle, switch};
 use tokio::time::Instant;
 
 struct Fixture {
@@ -119,7 +119,7 @@
 
     fixture.switch(cut).await;
 
-    let ended = silent.await.unwrap();
+    let ended = joined(silent).await;
     assert!(matches!(ended, Err(HttpError::NoAnswer(_))), "{ended:?}");
     assert_eq!(fixture.counts().await.cut, 1);
     assert_eq!(fixture.executions().await.len(), 1);
--- a/crates/standins/tests/standin_service.rs
+++ b/crates/standins/tests/standin_service.rs
@@ -9,7 +9,7 @@
 use amaranthscale_standins::service::{Service, ServiceExecution, ServiceSettings};
 use hyper::StatusCode;
 use serde_json::Value;
-use support::{call_headers, eventually, settle, switch};
+use support::{call_headers, eventually, joined, settle, switch};
 use tokio::task::JoinHandle;
 
 struct Fixture {
@@ -102,7 +102,7 @@
     fixture.switch(hold(false)).await;
 
     assert!(!answered_while_held);
-    assert_eq!(call.await.unwrap().unwrap().status, StatusCode::OK);
+    assert_eq!(joined(call).await.unwrap().status, StatusCode::OK);
 }
 
 #[tokio::test]
@@ -120,7 +120,7 @@
     fixture.switch(frozen(false)).await;
 
     assert_eq!(while_frozen, []);
-    assert_eq!(call.await.unwrap().unwrap().status, StatusCode::OK);
+    assert_eq!(joined(call).await.unwrap().status, StatusCode::OK);
 }
 
 #[tokio::test]
--- a/crates/standins/tests/support.rs
+++ b/crates/standins/tests/support.rs
@@ -14,5 +14,5 @@
 
 pub use call::{call_headers, switch};
 pub use child_process::{ChildProcess, sibling_program};
-pub use eventually::{eventually, settle};
+pub use eventually::{eventually, joined, settle};
 pub use held_clock::HeldClock;
