--- a/crates/standins/tests/standin_engine.rs
+++ b/crates/standins/tests/standin_engine.rs
@@ -363,20 +363,46 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_dropped_connection_cancels_its_sequence() {
+async fn a_dropped_answer_cancels_its_sequence() {
     // A caller goes away while its answer is generated.
     // The engine must not keep the slot for an answer that nobody reads.
     let _clock = HeldClock::hold();
     let fixture = Fixture::start(endless_settings()).await;
     let url = fixture.engine.url("/run/generation");
     let headers = [("x-call-id", "c1")];
-    let client = HttpClient::new();
-    let answer = client.open(Method::POST, url, &headers, "{}").await;
 
-    drop(answer.unwrap());
+    for client in [HttpClient::new(), HttpClient::http2()] {
+        let answer = client.open(Method::POST, &url, &headers, "{}").await;
+        drop(answer.unwrap());
+        fixture.until_running(0).await;
+    }
+
+    let executions = fixture.executions().await;
+    let finished: Vec<_> = executions.iter().map(|e| e.finished).collect();
+    assert_eq!(finished, [false, false]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_who_gives_up_loses_its_place() {
+    // A caller goes away while its call waits for a slot.
+    // The call must not start later, when nobody wants its answer any more.
+    let _clock = HeldClock::hold();
+    let fixture = Fixture::start(endless_settings()).await;
+    let running = fixture.spawn_run(generation("first", 1));
+    fixture.until_running(1).await;
 
+    for client in [HttpClient::new(), HttpClient::http2()] {
+        let url = fixture.engine.url("/run/");
+        let call = tokio::spawn(async move { generation("second", 1).send(&client, &url).await });
+        fixture.until_waiting(1).await;
+        call.abort();
+        fixture.until_waiting(0).await;
+    }
+    fixture.cancel("first").await;
     fixture.until_running(0).await;
-    assert!(!fixture.executions().await[0].finished);
+
+    assert_eq!(fixture.executions().await.len(), 1);
+    running.abort();
 }
 
 #[tokio::test(start_paused = true)]
