Fake stream ends with an engine's end line

The test passes_a_stream_on_as_it_grows counted two tokens in a stream of two lines without an end line.

--- a/crates/amaranthscale/tests/sidecar_faults.rs
+++ b/crates/amaranthscale/tests/sidecar_faults.rs
@@ -18,8 +18,8 @@
 use amaranthscale_core::wire::{Dispatch, Frame, RevokeAnswer, Row};
 use hyper::StatusCode;
 use sidecar_support::{
-    Bench, BreakingBackend, bench, bench_with, fetch, fetch_within, hello, new_entry, open, soon,
-    start_sidecar, ticket, whole,
+    Bench, BreakingBackend, FIRST_LINE, LAST_LINES, bench, bench_with, fetch, fetch_within, hello,
+    new_entry, open, soon, start_sidecar, ticket, whole,
 };
 
 /// Refused calls after which a stop that does not wait for outcomes would have ended: more than
@@ -372,8 +372,8 @@
     bench.backend.let_go();
     let rest = whole(rest, dispatch.attempt, 1).await;
 
-    assert!(matches!(first, Frame::Chunk(chunk) if chunk.data == b"one\n"));
-    assert_eq!(rest.result, b"two\n");
+    assert!(matches!(first, Frame::Chunk(chunk) if chunk.data == FIRST_LINE));
+    assert_eq!(rest.result, LAST_LINES);
     assert_eq!(rest.code(), ResultCode::Complete);
     assert_eq!(bench.backend.calls().len(), 1);
 }
@@ -569,7 +569,7 @@
     let rest = whole(frames, dispatch.attempt, 1).await;
 
     assert_eq!(rest.code(), ResultCode::Complete);
-    assert_eq!(rest.result, b"two\n");
+    assert_eq!(rest.result, LAST_LINES);
     assert!(stopping.await.unwrap());
 }
 
@@ -597,7 +597,7 @@
     let rest = whole(rest, dispatch.attempt, 1).await;
 
     assert_eq!(rest.code(), ResultCode::Complete);
-    assert_eq!(rest.result, b"two\n");
+    assert_eq!(rest.result, LAST_LINES);
     assert!(stopping.await.unwrap());
 }
 
--- a/crates/amaranthscale/tests/sidecar_flow.rs
+++ b/crates/amaranthscale/tests/sidecar_flow.rs
@@ -23,7 +23,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
-use sidecar_support::{Bench, bench, bench_with, ticket, whole};
+use sidecar_support::{Bench, FIRST_LINE, LAST_LINES, bench, bench_with, ticket, whole};
 
 async fn get(bench: &Bench, path: &str) -> (StatusCode, Bytes) {
     let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
@@ -80,8 +80,8 @@
     bench.backend.let_go();
     let rest = whole(frames, dispatch.attempt, 1).await;
 
-    assert_eq!(first.data, b"one\n");
-    assert_eq!(rest.result, b"two\n");
+    assert_eq!(first.data, FIRST_LINE);
+    assert_eq!(rest.result, LAST_LINES);
     assert_eq!(rest.end.chunks, 2);
     assert_eq!(rest.end.outcome.cost.tokens, 2);
 }
@@ -305,5 +305,5 @@
     let fetched = whole(bench.fetch(&dispatch, 0).await, dispatch.attempt, 0).await;
 
     assert_eq!(fetched.code(), ResultCode::Complete);
-    assert_eq!(fetched.result, b"one\ntwo\n");
+    assert_eq!(fetched.result, [FIRST_LINE, LAST_LINES].concat());
 }
--- a/crates/amaranthscale/tests/support/fake_backend.rs
+++ b/crates/amaranthscale/tests/support/fake_backend.rs
@@ -16,10 +16,15 @@
 
 use super::soon;
 
+/// What `/stream` sends at once.
+pub const FIRST_LINE: &[u8] = b"one\n";
+/// What `/stream` sends when let go: one more token, and the end line of an engine.
+pub const LAST_LINES: &[u8] = b"two\n{\"end\":{}}\n";
+
 /// A backend server whose answers the test lets go.
 ///
 /// `/echo` answers with its input, `/held` does so once let go, `/stream` sends one line at once
-/// and one more when let go, `/big` answers with 100 000 bytes and `/huge` with
+/// and the rest when let go, `/big` answers with 100 000 bytes and `/huge` with
 /// 8 000 000, `/fail` with an error and `/busy`
 /// with a refusal that says "not run".
 #[derive(Debug)]
@@ -122,9 +127,9 @@
     fn stream(self: Arc<Self>) -> Response<ResponseBody> {
         let (mut sender, body) = Channel::<Bytes>::new(4);
         tokio::spawn(async move {
-            let _ = sender.send_data(Bytes::from_static(b"one\n")).await;
+            let _ = sender.send_data(Bytes::from_static(FIRST_LINE)).await;
             self.let_go.acquire().await.unwrap().forget();
-            let _ = sender.send_data(Bytes::from_static(b"two\n")).await;
+            let _ = sender.send_data(Bytes::from_static(LAST_LINES)).await;
         });
         let mut response = Response::new(body.boxed_unsync());
         let content_type = "application/x-ndjson".parse().unwrap();
--- a/crates/amaranthscale/tests/support/sidecar_support.rs
+++ b/crates/amaranthscale/tests/support/sidecar_support.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 pub use breaking_backend::BreakingBackend;
-pub use fake_backend::FakeBackend;
+pub use fake_backend::{FIRST_LINE, FakeBackend, LAST_LINES};
 pub use fake_table::FakeTable;
 pub use fixture::{
     Bench, bench, bench_with, fetch, fetch_within, hello, new_entry, open, start_sidecar, ticket,
