--- a/crates/core/src/process/host_track.rs
+++ b/crates/core/src/process/host_track.rs
@@ -46,6 +46,7 @@
     failures: u32,
     answered_at: Duration,
     busy_since: Duration,
+    lost_at: Option<Duration>,
     smoothed_ms: f64,
     samples: u32,
 }
@@ -61,6 +62,7 @@
             failures: 0,
             answered_at: now,
             busy_since: now,
+            lost_at: None,
             smoothed_ms: 0.0,
             samples: 0,
         }
@@ -74,7 +76,7 @@
             Some(seen) if seen.clock > stamp.clock => return,
             _ => {}
         }
-        self.answered_at = now;
+        self.note_answer(now);
         self.is_leaving |= stamp.is_leaving;
         self.seen = Some(Seen {
             incarnation: stamp.incarnation,
@@ -89,6 +91,10 @@
         if self.in_flight == 0 {
             self.busy_since = now;
         }
+        // One attempt at a time looks whether a lost host is back.
+        if self.lost_at.is_some() {
+            self.lost_at = Some(now);
+        }
         self.in_flight += 1;
     }
 
@@ -96,16 +102,19 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Complete => {
-                self.answered_at = now;
+                self.note_answer(now);
                 self.failures = 0;
                 self.sample(elapsed);
             }
-            AttemptEnd::Refused(_) => self.answered_at = now,
+            AttemptEnd::Refused(_) => self.note_answer(now),
             AttemptEnd::Failed => {
-                self.answered_at = now;
+                self.note_answer(now);
+                self.failures += 1;
+            }
+            AttemptEnd::Silent => {
+                self.lost_at = Some(now);
                 self.failures += 1;
             }
-            AttemptEnd::Silent => self.failures += 1,
             AttemptEnd::Cancelled => {}
         }
     }
@@ -129,13 +138,18 @@
         }
     }
 
-    /// Whether work is in flight and nothing has come back for long.
+    /// Whether the host does not answer: a connection was lost, or nothing has come for long.
     ///
-    /// A frozen host keeps its connections open. Without this check it would collect work until
-    /// the first timeout; its own in-flight count alone does not stop that on an idle service.
+    /// A frozen host, or one whose availability zone is gone, keeps its connections open, and work
+    /// sent there is lost. This is no ejection and has no cap, as such a host adds no capacity;
+    /// where all hosts are silent, the router uses them all.
     pub(super) fn is_silent(&self, now: Duration, settings: &RouterSettings) -> bool {
+        let is_lost = self
+            .lost_at
+            .is_some_and(|at| now.saturating_sub(at) < settings.silence);
         let since = self.answered_at.max(self.busy_since);
-        self.in_flight > 0 && now.saturating_sub(since) > settings.silence
+        let is_stuck = self.in_flight > 0 && now.saturating_sub(since) > settings.silence;
+        is_lost || is_stuck
     }
 
     pub(super) const fn has_failed(&self, settings: &RouterSettings) -> bool {
@@ -232,6 +246,11 @@
         (-age / settings.report_half_life.as_secs_f64()).exp2()
     }
 
+    const fn note_answer(&mut self, now: Duration) {
+        self.answered_at = now;
+        self.lost_at = None;
+    }
+
     fn sample(&mut self, elapsed: Duration) {
         let elapsed_ms = elapsed.as_secs_f64() * 1_000.0;
         if self.samples == 0 {
--- a/crates/core/tests/policy_router.rs
+++ b/crates/core/tests/policy_router.rs
@@ -230,6 +230,47 @@
     }
 }
 
+/// An availability zone is gone, and with it more than a third of a service, so that not all of
+/// its hosts can be ejected. The lost ones still get no work but for a look now and then.
+#[test]
+fn lost_hosts_are_avoided_beyond_the_cap() {
+    let mut router = router(5);
+    for number in 0..2 {
+        router.started(&host(number), Duration::ZERO);
+        router.ended(
+            &host(number),
+            AttemptEnd::Silent,
+            Duration::ZERO,
+            Duration::ZERO,
+        );
+    }
+    let lost = [host(0), host(1)];
+    let mut choices = |now: Duration| -> Vec<HostId> {
+        let mut chosen_lost = Vec::new();
+        for _ in 0..100 {
+            let chosen = router.choose(&service(), &[], None, now).unwrap();
+            router.started(&chosen, now);
+            if lost.contains(&chosen) {
+                chosen_lost.push(chosen);
+            } else {
+                router.ended(
+                    &chosen,
+                    AttemptEnd::Complete,
+                    Duration::from_millis(100),
+                    now,
+                );
+            }
+        }
+        chosen_lost
+    };
+
+    let soon = choices(Duration::from_millis(100));
+    let later = choices(Duration::from_secs(3));
+
+    assert!(soon.is_empty(), "{soon:?}");
+    assert!(later.len() <= 2, "{later:?}");
+}
+
 /// Work stays in the entry's own availability zone while it is not loaded, and spills after.
 #[test]
 fn own_zone_goes_first_and_spills() {
