--- a/crates/core/src/process/host_track.rs
+++ b/crates/core/src/process/host_track.rs
@@ -11,6 +11,8 @@
 const SAMPLE_SHARE: f64 = 0.2;
 /// Samples below which a smoothed time says nothing.
 const MIN_SAMPLES: u32 = 5;
+/// Added cost of a host that refuses all, in units of an idle one: above any queue worth joining.
+const REFUSAL_COST: f64 = 10.0;
 /// Reported load per slot above which a report is taken for wrong.
 const MAX_REPORTED_LOAD: u32 = 16;
 
@@ -49,6 +51,8 @@
     lost_at: Option<Duration>,
     smoothed_ms: f64,
     samples: u32,
+    refused_share: f64,
+    refused_at: Duration,
 }
 
 impl HostTrack {
@@ -65,6 +69,8 @@
             lost_at: None,
             smoothed_ms: 0.0,
             samples: 0,
+            refused_share: 0.0,
+            refused_at: now,
         }
     }
 
@@ -103,10 +109,15 @@
         match end {
             AttemptEnd::Complete => {
                 self.note_answer(now);
+                self.refused_share -= self.refused_share * SAMPLE_SHARE;
                 self.failures = 0;
                 self.sample(elapsed);
             }
-            AttemptEnd::Refused(_) => self.note_answer(now),
+            AttemptEnd::Refused(_) => {
+                self.note_answer(now);
+                self.refused_share += (1.0 - self.refused_share) * SAMPLE_SHARE;
+                self.refused_at = now;
+            }
             AttemptEnd::Failed => {
                 self.note_answer(now);
                 self.failures += 1;
@@ -197,6 +208,16 @@
         (self.samples >= MIN_SAMPLES).then_some(self.smoothed_ms)
     }
 
+    /// Factor on the cost of a host that has refused of late.
+    ///
+    /// A host that refuses everything at once looks idle, and would draw more and more work. The
+    /// factor fades, so that the host is tried again when it may have recovered.
+    pub(super) fn refusal_factor(&self, now: Duration, settings: &RouterSettings) -> f64 {
+        let age = now.saturating_sub(self.refused_at).as_secs_f64();
+        let faded = (-age / settings.report_half_life.as_secs_f64()).exp2();
+        1.0 + REFUSAL_COST * self.refused_share * faded
+    }
+
     /// Work at the host per slot, as far as it is known.
     pub(super) fn load_per_slot(&self, now: Duration, settings: &RouterSettings) -> f64 {
         let others = self.others_load(now, settings);
--- a/crates/core/src/process/router.rs
+++ b/crates/core/src/process/router.rs
@@ -305,8 +305,10 @@
     /// A host that was not yet timed counts as a usual one; taken for a fast one, it would draw
     /// everyone as soon as it appears.
     fn cost(&self, host: &HostId, usual_ms: f64, now: Duration) -> f64 {
-        let speed_ms = self.hosts[host].smoothed_ms().unwrap_or(usual_ms).max(1.0);
-        (self.load(host, now) + 1.0) * speed_ms
+        let track = &self.hosts[host];
+        let speed_ms = track.smoothed_ms().unwrap_or(usual_ms).max(1.0);
+        let refusal_factor = track.refusal_factor(now, &self.settings);
+        (self.load(host, now) + 1.0) * speed_ms * refusal_factor
     }
 
     fn judge(&mut self, host: &HostId, end: AttemptEnd, elapsed: Duration, now: Duration) {
--- a/crates/core/tests/policy_router.rs
+++ b/crates/core/tests/policy_router.rs
@@ -271,6 +271,37 @@
     assert!(later.len() <= 2, "{later:?}");
 }
 
+/// A server refuses everything at once, on a wrong belief about itself. It answers and looks
+/// idle, so requests herd to it and are refused; a refusing host must draw little.
+#[test]
+fn a_refusing_host_draws_little() {
+    let mut router = router(6);
+    let mut now = serve(&mut router, 200, |_| 100);
+    let busy = LoadReport {
+        running: 4,
+        queued_paid: 2,
+        ..idle()
+    };
+    for number in 1..6 {
+        router.observe(&host(number), &stamp(number, 2, busy), now);
+    }
+    let mut refused = 0;
+    for _ in 0..100 {
+        let chosen = router.choose(&service(), &[], None, now).unwrap();
+        router.started(&chosen, now);
+        let end = if chosen == host(0) {
+            refused += 1;
+            AttemptEnd::Refused(ResultCode::DeadlineUnreachable)
+        } else {
+            AttemptEnd::Complete
+        };
+        router.ended(&chosen, end, Duration::from_millis(100), now);
+        now += Duration::from_millis(2);
+    }
+
+    assert!(refused <= 12, "{refused} of 100");
+}
+
 /// Work stays in the entry's own availability zone while it is not loaded, and spills after.
 #[test]
 fn own_zone_goes_first_and_spills() {
