--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -12,7 +12,9 @@
 #[doc(inline)]
 pub use counters::{Counters, CountersError};
 #[doc(inline)]
-pub use daemon_command::{announce, daemon_command, listen_override, read_settings, start_logging};
+pub use daemon_command::{
+    announce, announce_peers, daemon_command, listen_override, read_settings, start_logging,
+};
 #[doc(inline)]
 pub use host_poll::poll_hosts;
 #[doc(inline)]
