--- a/crates/amaranthscale/src/entry/request/attempt_run.rs
+++ b/crates/amaranthscale/src/entry/request/attempt_run.rs
@@ -102,6 +102,7 @@
             }
         };
         let number = connection.number();
+        self.parts.counters.count("attempt.dispatched");
         let read = self
             .post_and_read(connection, "/attempt", wire::encode(dispatch))
             .await;
--- a/crates/amaranthscale/src/entry/request/claim_check.rs
+++ b/crates/amaranthscale/src/entry/request/claim_check.rs
@@ -45,7 +45,10 @@
     fingerprint: Fingerprint,
 ) -> ClaimNext {
     match parts.platform.row(&key.to_string()).await {
-        Ok(row) => next_for(parts, key, fingerprint, &row).await,
+        Ok(row) => {
+            parts.counters.count("claim.read");
+            next_for(parts, key, fingerprint, &row).await
+        }
         Err(error) => {
             warn!("entry: claim {key} cannot be read: {error}");
             ClaimNext::Final(Answer::of_code(ResultCode::TableAway))
--- /dev/null
+++ b/crates/standins/tests/failure_pause.rs
@@ -0,0 +1,200 @@
+//! Processes that are frozen (SIGSTOP) and wake up again (SIGCONT), believing what they knew.
+
+mod support;
+
+use std::time::Duration;
+
+use amaranthscale_standins::platform::PlatformFaults;
+use support::{BackendPlan, DeltaBasin, Judge, Plan, Request, wait_until};
+
+/// Deadline of a request that a frozen process lets pass.
+const SHORT_DEADLINE_MS: &str = "1500";
+/// Time after which that deadline and the expiry of its attempts have passed.
+const PAST_DEADLINE: Duration = Duration::from_millis(1600);
+
+/// Two entries and one host of the grower ledger.
+async fn basin() -> DeltaBasin {
+    DeltaBasin::start(Plan::new([BackendPlan::ledger(1)])).await
+}
+
+/// Lets the first entry make the acquaintance of the sidecar, so that it dispatches at once.
+async fn warm_up(basin: &DeltaBasin) -> Request {
+    let first = Request::settlement("warm-up");
+    let answer = first.ask_until_final(&basin.entries[0]).await;
+    assert!(answer.is_complete(), "{answer:?}");
+    first
+}
+
+/// A settlement is made at two entries, by a clerk who lost patience: it is paid once, and both
+/// windows show the same receipt. The first entry freezes after it has read the claim as free and
+/// before it sends its attempt; the second entry settles; the first wakes and sends what it meant to.
+#[tokio::test]
+async fn an_entry_frozen_after_it_read_the_claim() {
+    let mut basin = basin().await;
+    let settlement = Request::settlement("twice-asked");
+    basin.backends[0].sidecar.pause().unwrap();
+    let first = settlement.asking(&basin.entries[0]);
+    basin.entries[0].wait_for_counter("claim.read", 1).await;
+
+    basin.entries[0].process.pause().unwrap();
+    basin.backends[0].sidecar.resume().unwrap();
+    let second = settlement.ask_until_final(&basin.entries[1]).await;
+    basin.entries[0].process.resume().unwrap();
+    let first = first.await.unwrap().unwrap();
+
+    assert!(second.is_complete(), "{second:?}");
+    assert!(first.is_complete(), "{first:?}");
+    assert_eq!(first.body, second.body);
+    let mut judge = Judge::default();
+    judge.take(&settlement, Some(first));
+    judge.take(&settlement, Some(second));
+    judge.check(&basin.executions().await);
+}
+
+/// The same with the attempt already on its way: it waits at a frozen sidecar while its entry
+/// freezes too, and the second entry's attempt meets it there.
+#[tokio::test]
+async fn an_entry_frozen_after_it_sent_its_attempt() {
+    let mut basin = basin().await;
+    let first_settlement = warm_up(&basin).await;
+    let settlement = Request::settlement("twice-sent");
+    basin.backends[0].sidecar.pause().unwrap();
+    let first = settlement.asking(&basin.entries[0]);
+    basin.entries[0]
+        .wait_for_counter("attempt.dispatched", 2)
+        .await;
+
+    basin.entries[0].process.pause().unwrap();
+    basin.backends[0].sidecar.resume().unwrap();
+    let second = settlement.ask_until_final(&basin.entries[1]).await;
+    basin.entries[0].process.resume().unwrap();
+    let first = first.await.unwrap().unwrap();
+
+    assert!(second.is_complete(), "{second:?}");
+    let executions = basin.executions().await;
+    assert_eq!(executions.len(), 2);
+    let mut judge = Judge::default();
+    judge.take(&first_settlement, None);
+    judge.take(&settlement, Some(first));
+    judge.take(&settlement, Some(second));
+    judge.check(&executions);
+}
+
+/// The clerk gives up, and a settlement that nobody waits for any more must not be paid later.
+/// The attempt lies at a frozen sidecar until its expiry has passed; its entry is frozen as well, so
+/// that nothing takes the attempt back. The sidecar wakes first and finds the attempt.
+async fn an_attempt_past_its_expiry_does_not_run(request: Request) {
+    let mut basin = basin().await;
+    warm_up(&basin).await;
+    let request = request.with_deadline(SHORT_DEADLINE_MS);
+    basin.backends[0].sidecar.pause().unwrap();
+    let first = request.asking(&basin.entries[0]);
+    basin.entries[0]
+        .wait_for_counter("attempt.dispatched", 2)
+        .await;
+    basin.entries[0].process.pause().unwrap();
+
+    tokio::time::sleep(PAST_DEADLINE).await;
+    basin.backends[0].sidecar.resume().unwrap();
+    basin.backends[0]
+        .wait_for_counter("refused.AttemptExpired", 1)
+        .await;
+    let executed_late = basin.executions().await.len() - 1;
+    basin.entries[0].process.resume().unwrap();
+    let first = first.await.unwrap().unwrap();
+    let again = request.clone().with_deadline("20000");
+    let again = again.ask_until_final(&basin.entries[1]).await;
+
+    assert_eq!(executed_late, 0);
+    assert!(!first.is_complete(), "{first:?}");
+    assert!(again.is_complete(), "{again:?}");
+    assert_eq!(basin.executions().await.len(), 2);
+}
+
+/// A settlement, guarded by its claim as well as by the expiry.
+#[tokio::test]
+async fn a_sidecar_frozen_past_the_expiry_of_a_settlement() {
+    let settlement = Request::settlement("late");
+    an_attempt_past_its_expiry_does_not_run(settlement).await;
+}
+
+/// A repeatable call, guarded by the expiry alone.
+#[tokio::test]
+async fn a_sidecar_frozen_past_the_expiry_of_a_repeatable_call() {
+    let balance = Request::balance("late");
+    an_attempt_past_its_expiry_does_not_run(balance).await;
+}
+
+/// The clerk is told that the settlement did not run, and it does not run later either.
+/// It waits in the queue of a sidecar that freezes until the deadline has passed; as the sidecar
+/// wakes, a slot is free, and the queue still holds the attempt.
+#[tokio::test]
+async fn a_sidecar_frozen_with_an_attempt_in_its_queue() {
+    let backend = BackendPlan::ledger(1).with_one_slot();
+    let mut basin = DeltaBasin::start(Plan::new([backend])).await;
+    basin.backends[0].hold(true).await;
+    let held = Request::settlement("held");
+    let held_answer = held.asking(&basin.entries[0]);
+    basin.backends[0].wait_for_executions(1).await;
+    let queued = Request::settlement("queued").with_deadline(SHORT_DEADLINE_MS);
+    let queued_answer = queued.asking(&basin.entries[0]);
+    basin.backends[0].wait_for_queued(1).await;
+
+    basin.backends[0].sidecar.pause().unwrap();
+    basin.backends[0].hold(false).await;
+    tokio::time::sleep(PAST_DEADLINE).await;
+    basin.backends[0].sidecar.resume().unwrap();
+    let queued_answer = queued_answer.await.unwrap();
+    let held_answer = held_answer.await.unwrap();
+    basin.backends[0].wait_for_queued(0).await;
+    basin.backends[0].wait_for_unsettled(0).await;
+
+    assert_eq!(queued_answer.as_ref().unwrap().ran, "no");
+    let mut judge = Judge::default();
+    judge.take(&held, held_answer);
+    judge.take(&queued, queued_answer);
+    judge.check(&basin.executions().await);
+}
+
+/// The clerk is told that the settlement did not run, settles again, and it is paid once.
+/// The sidecar freezes after its claim took effect and before it made the call, and wakes when the
+/// deadline has passed: the claim is its own, but the call comes too late.
+#[tokio::test]
+async fn a_sidecar_frozen_between_claim_and_call() {
+    let mut basin = basin().await;
+    warm_up(&basin).await;
+    let settlement = Request::settlement("frozen").with_deadline("3000");
+    let key = settlement.claim_key();
+    // The platform answers a second after the claim took effect: time to freeze the sidecar.
+    let slow = PlatformFaults {
+        latency_ms: Some(800),
+        ..PlatformFaults::default()
+    };
+    basin.platform.switch(slow).await;
+    let answer = settlement.asking(&basin.entries[0]);
+    wait_until("the claim takes effect", async || {
+        basin.platform.counts().await.transactions_committed > 0
+            && basin.platform.row(&key).await.version.get() == 1
+    })
+    .await;
+    basin.backends[0].sidecar.pause().unwrap();
+    let slow_no_more = PlatformFaults {
+        latency_ms: Some(0),
+        ..PlatformFaults::default()
+    };
+    basin.platform.switch(slow_no_more).await;
+
+    let answer = answer.await.unwrap().unwrap();
+    let executed_before = basin.executions().await.len();
+    basin.backends[0].sidecar.resume().unwrap();
+    let again = settlement.with_deadline("20000");
+    let again_answer = again.ask_until_final(&basin.entries[1]).await;
+
+    assert_eq!(executed_before, 1);
+    assert!(!answer.is_complete(), "{answer:?}");
+    assert!(basin.executions().await.len() <= 2);
+    let mut judge = Judge::default();
+    judge.take(&again, Some(answer));
+    judge.take(&again, Some(again_answer));
+    judge.check(&basin.executions().await);
+}
