--- a/crates/standins/tests/failure_pause.rs
+++ b/crates/standins/tests/failure_pause.rs
@@ -5,13 +5,18 @@
 use std::time::Duration;
 
 use amaranthscale_standins::platform::PlatformFaults;
-use support::{BackendPlan, DeltaBasin, Judge, Plan, Request, wait_until};
+use support::{
+    Answer, BackendPlan, DeltaBasin, Judge, Plan, Request, answer_of, freeze, wait_until, wake,
+};
 
 /// Deadline of a request that a frozen process lets pass.
 const SHORT_DEADLINE_MS: &str = "1500";
 /// Time after which that deadline and the expiry of its attempts have passed.
 const PAST_DEADLINE: Duration = Duration::from_millis(1600);
 
+/// Tries to freeze a sidecar in the half second between its claim and its call.
+const MAX_TRIES_TO_FREEZE: u32 = 5;
+
 /// Two entries and one host of the grower ledger.
 async fn basin() -> DeltaBasin {
     DeltaBasin::start(Plan::new([BackendPlan::ledger(1)])).await
@@ -32,15 +37,15 @@
 async fn an_entry_frozen_after_it_read_the_claim() {
     let mut basin = basin().await;
     let settlement = Request::settlement("twice-asked");
-    basin.backends[0].sidecar.pause().unwrap();
+    freeze(&mut basin.backends[0].sidecar);
     let first = settlement.asking(&basin.entries[0]);
     basin.entries[0].wait_for_counter("claim.read", 1).await;
 
-    basin.entries[0].process.pause().unwrap();
-    basin.backends[0].sidecar.resume().unwrap();
+    freeze(&mut basin.entries[0].process);
+    wake(&mut basin.backends[0].sidecar);
     let second = settlement.ask_until_final(&basin.entries[1]).await;
-    basin.entries[0].process.resume().unwrap();
-    let first = first.await.unwrap().unwrap();
+    wake(&mut basin.entries[0].process);
+    let first = answer_of(first).await;
 
     assert!(second.is_complete(), "{second:?}");
     assert!(first.is_complete(), "{first:?}");
@@ -58,17 +63,17 @@
     let mut basin = basin().await;
     let first_settlement = warm_up(&basin).await;
     let settlement = Request::settlement("twice-sent");
-    basin.backends[0].sidecar.pause().unwrap();
+    freeze(&mut basin.backends[0].sidecar);
     let first = settlement.asking(&basin.entries[0]);
     basin.entries[0]
         .wait_for_counter("attempt.dispatched", 2)
         .await;
 
-    basin.entries[0].process.pause().unwrap();
-    basin.backends[0].sidecar.resume().unwrap();
+    freeze(&mut basin.entries[0].process);
+    wake(&mut basin.backends[0].sidecar);
     let second = settlement.ask_until_final(&basin.entries[1]).await;
-    basin.entries[0].process.resume().unwrap();
-    let first = first.await.unwrap().unwrap();
+    wake(&mut basin.entries[0].process);
+    let first = answer_of(first).await;
 
     assert!(second.is_complete(), "{second:?}");
     let executions = basin.executions().await;
@@ -87,21 +92,21 @@
     let mut basin = basin().await;
     warm_up(&basin).await;
     let request = request.with_deadline(SHORT_DEADLINE_MS);
-    basin.backends[0].sidecar.pause().unwrap();
+    freeze(&mut basin.backends[0].sidecar);
     let first = request.asking(&basin.entries[0]);
     basin.entries[0]
         .wait_for_counter("attempt.dispatched", 2)
         .await;
-    basin.entries[0].process.pause().unwrap();
+    freeze(&mut basin.entries[0].process);
 
     tokio::time::sleep(PAST_DEADLINE).await;
-    basin.backends[0].sidecar.resume().unwrap();
+    wake(&mut basin.backends[0].sidecar);
     basin.backends[0]
         .wait_for_counter("refused.AttemptExpired", 1)
         .await;
     let executed_late = basin.executions().await.len() - 1;
-    basin.entries[0].process.resume().unwrap();
-    let first = first.await.unwrap().unwrap();
+    wake(&mut basin.entries[0].process);
+    let first = answer_of(first).await;
     let again = request.clone().with_deadline("20000");
     let again = again.ask_until_final(&basin.entries[1]).await;
 
@@ -140,10 +145,10 @@
     let queued_answer = queued.asking(&basin.entries[0]);
     basin.backends[0].wait_for_queued(1).await;
 
-    basin.backends[0].sidecar.pause().unwrap();
+    freeze(&mut basin.backends[0].sidecar);
     basin.backends[0].hold(false).await;
     tokio::time::sleep(PAST_DEADLINE).await;
-    basin.backends[0].sidecar.resume().unwrap();
+    wake(&mut basin.backends[0].sidecar);
     let queued_answer = queued_answer.await.unwrap();
     let held_answer = held_answer.await.unwrap();
     basin.backends[0].wait_for_queued(0).await;
@@ -156,45 +161,64 @@
     judge.check(&basin.executions().await);
 }
 
-/// The clerk is told that the settlement did not run, settles again, and it is paid once.
-/// The sidecar freezes after its claim took effect and before it made the call, and wakes when the
-/// deadline has passed: the claim is its own, but the call comes too late.
-#[tokio::test]
-async fn a_sidecar_frozen_between_claim_and_call() {
-    let mut basin = basin().await;
-    warm_up(&basin).await;
-    let settlement = Request::settlement("frozen").with_deadline("3000");
-    let key = settlement.claim_key();
-    // The platform answers a second after the claim took effect: time to freeze the sidecar.
-    let slow = PlatformFaults {
-        latency_ms: Some(800),
+/// Freezes the sidecar after it claimed a settlement and before it made the call, and lets the
+/// deadline pass; none if the call went out too soon for that.
+async fn freeze_between_claim_and_call(
+    basin: &mut DeltaBasin,
+    settlement: &Request,
+) -> Option<Answer> {
+    let slow = |latency_ms| PlatformFaults {
+        latency_ms: Some(latency_ms),
         ..PlatformFaults::default()
     };
-    basin.platform.switch(slow).await;
+    let executed = basin.executions().await.len();
+    let committed = basin.platform.counts().await.transactions_committed;
+    // The platform answers half of this after the claim took effect: time to freeze the sidecar.
+    basin.platform.switch(slow(900)).await;
     let answer = settlement.asking(&basin.entries[0]);
     wait_until("the claim takes effect", async || {
-        basin.platform.counts().await.transactions_committed > 0
-            && basin.platform.row(&key).await.version.get() == 1
+        basin.platform.counts().await.transactions_committed > committed
     })
     .await;
-    basin.backends[0].sidecar.pause().unwrap();
-    let slow_no_more = PlatformFaults {
-        latency_ms: Some(0),
-        ..PlatformFaults::default()
-    };
-    basin.platform.switch(slow_no_more).await;
-
-    let answer = answer.await.unwrap().unwrap();
-    let executed_before = basin.executions().await.len();
-    basin.backends[0].sidecar.resume().unwrap();
-    let again = settlement.with_deadline("20000");
-    let again_answer = again.ask_until_final(&basin.entries[1]).await;
+    freeze(&mut basin.backends[0].sidecar);
+    basin.platform.switch(slow(0)).await;
+    let answer = answer_of(answer).await;
+    let is_frozen_in_time = basin.executions().await.len() == executed;
+    if !is_frozen_in_time {
+        wake(&mut basin.backends[0].sidecar);
+    }
+    is_frozen_in_time.then_some(answer)
+}
 
-    assert_eq!(executed_before, 1);
-    assert!(!answer.is_complete(), "{answer:?}");
-    assert!(basin.executions().await.len() <= 2);
-    let mut judge = Judge::default();
-    judge.take(&again, Some(answer));
-    judge.take(&again, Some(again_answer));
-    judge.check(&basin.executions().await);
+/// The clerk hears that the outcome is unknown, settles again, and it is paid once, not twice.
+/// The sidecar freezes after its claim took effect and before it made the call, and wakes when the
+/// deadline has passed: the claim is its own, but the call would come too late.
+#[tokio::test]
+async fn a_sidecar_frozen_between_claim_and_call() {
+    let mut basin = basin().await;
+    warm_up(&basin).await;
+    basin.backends[0].wait_for_unsettled(0).await;
+    for number in 0..MAX_TRIES_TO_FREEZE {
+        let settlement = Request::settlement(&format!("frozen-{number}"));
+        let short = settlement.clone().with_deadline("3000");
+        let Some(answer) = freeze_between_claim_and_call(&mut basin, &short).await else {
+            continue;
+        };
+        let before = basin.executions().await.len();
+
+        wake(&mut basin.backends[0].sidecar);
+        basin.backends[0].wait_for_unsettled(0).await;
+        let after = basin.executions().await.len();
+        let again = settlement.ask_until_final(&basin.entries[1]).await;
+
+        assert!(!answer.is_complete(), "{answer:?}");
+        assert_eq!(before, after, "the call was made late");
+        assert!(again.is_complete(), "{again:?}");
+        let mut judge = Judge::default();
+        judge.take(&settlement, Some(answer));
+        judge.take(&settlement, Some(again));
+        judge.check(&basin.executions().await);
+        return;
+    }
+    panic!("the sidecar was never frozen in time");
 }
--- a/crates/standins/tests/failure_settlement_kill.rs
+++ b/crates/standins/tests/failure_settlement_kill.rs
@@ -7,7 +7,7 @@
 mod support;
 
 use amaranthscale_standins::service::ServiceExecution;
-use support::{Answer, BackendPlan, DeltaBasin, Judge, Plan, Request, wait_until};
+use support::{Answer, BackendPlan, DeltaBasin, Judge, Plan, Request, answer_of, kill, wait_until};
 use tokio::task::JoinHandle;
 
 /// Two entries and one host of the grower ledger.
@@ -49,9 +49,9 @@
     let (settlement, answer) = held(basin).await;
     basin.platform.outage(true).await;
     basin.backends[0].hold(false).await;
-    let answer = answer.await.expect("the caller's task ends");
+    let answer = answer_of(answer).await;
     basin.backends[0].wait_for_unsettled(1).await;
-    (settlement, answer.expect("the entry answers"))
+    (settlement, answer)
 }
 
 /// Executions of one request.
@@ -69,7 +69,7 @@
     let mut basin = basin_with_one_slot().await;
     let [(held, held_answer), (queued, queued_answer)] = held_and_queued(&basin).await;
 
-    basin.entries[0].process.kill().unwrap();
+    kill(&mut basin.entries[0].process);
     let again = queued.asking(&basin.entries[1]);
     let held_again = held.asking(&basin.entries[1]);
     basin.backends[0].hold(false).await;
@@ -95,7 +95,7 @@
     let mut basin = basin_with_one_slot().await;
     let [(held, held_answer), (queued, queued_answer)] = held_and_queued(&basin).await;
 
-    basin.backends[0].sidecar.kill().unwrap();
+    kill(&mut basin.backends[0].sidecar);
     let held_answer = held_answer.await.unwrap();
     let queued_answer = queued_answer.await.unwrap();
     basin.backends[0].hold(false).await;
@@ -125,9 +125,9 @@
     let [(held, held_answer), (queued, queued_answer)] = held_and_queued(&basin).await;
     let before = basin.executions().await;
 
-    basin.backends[0].backend.kill().unwrap();
-    let held_answer = held_answer.await.unwrap().unwrap();
-    let queued_answer = queued_answer.await.unwrap().unwrap();
+    kill(&mut basin.backends[0].backend);
+    let held_answer = answer_of(held_answer).await;
+    let queued_answer = answer_of(queued_answer).await;
     basin.backends[0].restart_backend();
     let again = queued.ask_until_final(&basin.entries[1]).await;
     let held_again = held.ask_until_final(&basin.entries[1]).await;
@@ -149,7 +149,7 @@
     let mut basin = basin().await;
     let (settlement, answer) = held(&basin).await;
 
-    basin.entries[0].process.kill().unwrap();
+    kill(&mut basin.entries[0].process);
     let again = settlement.asking(&basin.entries[1]);
     basin.backends[0].hold(false).await;
 
@@ -171,8 +171,8 @@
     let mut basin = basin().await;
     let (settlement, answer) = held(&basin).await;
 
-    basin.backends[0].sidecar.kill().unwrap();
-    let answer = answer.await.unwrap().unwrap();
+    kill(&mut basin.backends[0].sidecar);
+    let answer = answer_of(answer).await;
     basin.backends[0].hold(false).await;
     basin.replace_sidecar(0).await;
     let again = settlement.ask_until_final(&basin.entries[1]).await;
@@ -188,8 +188,8 @@
     let mut basin = basin().await;
     let (settlement, answer) = held(&basin).await;
 
-    basin.backends[0].backend.kill().unwrap();
-    let answer = answer.await.unwrap().unwrap();
+    kill(&mut basin.backends[0].backend);
+    let answer = answer_of(answer).await;
     basin.backends[0].restart_backend();
     let again = settlement.ask_until_final(&basin.entries[1]).await;
 
@@ -205,7 +205,7 @@
     let mut basin = basin().await;
     let (settlement, answer) = done_and_unwritten(&basin).await;
 
-    basin.entries[0].process.kill().unwrap();
+    kill(&mut basin.entries[0].process);
     let meanwhile = settlement.ask(&basin.entries[1]).await.unwrap();
     basin.platform.outage(false).await;
     let again = settlement.ask_until_final(&basin.entries[1]).await;
@@ -226,7 +226,7 @@
     let mut basin = basin().await;
     let (settlement, answer) = done_and_unwritten(&basin).await;
 
-    basin.backends[0].sidecar.kill().unwrap();
+    kill(&mut basin.backends[0].sidecar);
     basin.platform.outage(false).await;
     basin.replace_sidecar(0).await;
     let again = settlement.ask_until_final(&basin.entries[1]).await;
@@ -243,7 +243,7 @@
     let mut basin = basin().await;
     let (settlement, answer) = done_and_unwritten(&basin).await;
 
-    basin.backends[0].backend.kill().unwrap();
+    kill(&mut basin.backends[0].backend);
     basin.backends[0].restart_backend();
     basin.platform.outage(false).await;
     basin.backends[0].wait_for_unsettled(0).await;
@@ -260,7 +260,7 @@
     let mut basin = basin().await;
     let (_held, _answer) = held(&basin).await;
 
-    basin.entries[0].process.kill().unwrap();
+    kill(&mut basin.entries[0].process);
     basin.backends[0].hold(false).await;
     let other = Request::settlement("other");
     let answer = other.ask_until_final(&basin.entries[1]).await;
--- a/crates/standins/tests/support.rs
+++ b/crates/standins/tests/support.rs
@@ -20,6 +20,7 @@
 mod relay_process;
 mod request;
 mod settings_file;
+mod signals;
 mod token_stream;
 mod wait;
 
@@ -35,5 +36,6 @@
 pub use platform_process::PlatformProcess;
 pub use relay_process::RelayProcess;
 pub use request::{DRIVER_TRIAL_KEY, MILL_ACCOUNTS_KEY, OPERATOR_KEY, Request};
+pub use signals::{answer_of, freeze, kill, terminate, wake};
 pub use token_stream::TokenStream;
 pub use wait::wait_until;
--- a/crates/standins/tests/support/backend_host.rs
+++ b/crates/standins/tests/support/backend_host.rs
@@ -175,6 +175,12 @@
         self.status().await["counters"][name].as_u64().unwrap_or(0)
     }
 
+    /// Waits until a counter of the sidecar has reached a number.
+    pub async fn wait_for_counter(&self, name: &str, least: u64) {
+        let awaited = format!("{} counts {least} of {name}", self.host());
+        wait_until(&awaited, async || self.counter(name).await >= least).await;
+    }
+
     /// Waits until so many attempts wait at the sidecar.
     pub async fn wait_for_queued(&self, count: u64) {
         let awaited = format!("{count} attempts wait at {}", self.host());
--- a/crates/standins/tests/support/entry_process.rs
+++ b/crates/standins/tests/support/entry_process.rs
@@ -67,6 +67,12 @@
         self.status().await["counters"][name].as_u64().unwrap_or(0)
     }
 
+    /// Waits until a counter of its own has reached a number.
+    pub async fn wait_for_counter(&self, name: &str, least: u64) {
+        let awaited = format!("{} counts {least} of {name}", self.host);
+        wait_until(&awaited, async || self.counter(name).await >= least).await;
+    }
+
     /// Version of the settings tree that it has in force.
     pub async fn tree_version(&self) -> u64 {
         let status = self.status().await;
--- a/crates/standins/tests/support/request.rs
+++ b/crates/standins/tests/support/request.rs
@@ -99,6 +99,12 @@
         Self { path, ..self }
     }
 
+    /// Key of the row that holds the claim of a settlement.
+    pub fn claim_key(&self) -> String {
+        let key = self.key.as_deref().expect("a settlement has a key");
+        format!("claim/mill-accounts/{key}/0")
+    }
+
     /// Digest of the body, by which executions are told apart.
     pub fn digest(&self) -> String {
         let digest = Sha256::digest(self.body.as_bytes());
