A request outlives the idle connection that went silent under it

Cause: an attempt sent on an idle connection that had gone silent was taken back on a new one (revoked, so proven not run), and then sent elsewhere only: its host stood among those tried, and the retry budget had to pay. With one host of the service the caller was refused with 18 of its 20 seconds left. The first question to a sidecar (/hello) was not asked on a new connection at all. Ruled out: the relay (new connections passed), the sidecar (it answered the revocation), the deadline (20 s, the answer came after 3 s).

Now the same host stays eligible after a revocation, outside the retry budget since the attempt cost the sidecar nothing, and /hello is asked once more on a new connection.

--- a/crates/amaranthscale/src/entry/request/stage_run.rs
+++ b/crates/amaranthscale/src/entry/request/stage_run.rs
@@ -1,5 +1,6 @@
 //! One stage of a request: attempts until one gives the result, or nothing more may be tried.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use amaranthscale_core::id::{AttemptId, AttemptNumber, HostId, RequestId, StageIndex};
@@ -9,6 +10,8 @@
 use amaranthscale_core::wire::{self, ClaimKey, ClaimTicket, Dispatch, Hello, StageCost, Stamp};
 use amaranthscale_core::{Ran, ResultCode};
 use bytes::Bytes;
+use hyper::Response;
+use hyper::body::Incoming;
 use log::debug;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Instant, timeout_at};
@@ -65,6 +68,7 @@
     ticket: Option<ClaimTicket>,
     last_refusal: Option<Answer>,
     has_run: bool,
+    is_resend: bool,
 }
 
 /// What one attempt means for the stage.
@@ -86,6 +90,7 @@
             ticket: None,
             last_refusal: None,
             has_run: false,
+            is_resend: false,
         }
     }
 
@@ -112,7 +117,7 @@
             service: self.task.stage.service.clone(),
             exclude: self.tried.clone(),
             affinity: self.task.request.affinity,
-            is_retry: self.number.get() > 0,
+            is_retry: self.number.get() > 0 && !std::mem::take(&mut self.is_resend),
         };
         let route = match self.parts.decisions.route(question).await {
             Ok(route) => route,
@@ -223,6 +228,15 @@
                 self.tried.pop();
                 self.again_after(answer)
             }
+            ResultCode::AttemptRevoked => {
+                // Guards against an idle connection that went silent: each attempt sent on it never
+                // arrives, and with the host left out, or the retry budget empty, the caller would
+                // see a refusal with most of its deadline left. The sidecar is fine, since it took
+                // the attempt back on a new connection, and the attempt has cost it nothing.
+                self.tried.pop();
+                self.is_resend = true;
+                self.again_after(answer)
+            }
             _ => self.again_after(answer),
         }
     }
@@ -412,11 +426,8 @@
             from: self.task.entry.clone(),
             tree_version: self.parts.tree.borrow().version(),
         };
-        let asking = self
-            .parts
-            .peers
-            .post(route.address, "/hello", wire::encode(&hello));
-        let response = timeout_at(self.task.due, asking).await.ok()?.ok()?;
+        let asking = self.ask_hello(route.address, wire::encode(&hello));
+        let response = timeout_at(self.task.due, asking).await.ok()??;
         let left = self.task.due.saturating_duration_since(Instant::now());
         let body = read_body(response.into_body(), MAX_STAMP_BYTES, left)
             .await
@@ -431,6 +442,22 @@
             .tell(Decision::Observe(Box::new(stamp)));
         Some(known)
     }
+
+    /// Asks on the open connection, and once more on a new one if it was lost: the question may
+    /// be repeated, and an idle connection that went silent says nothing about the sidecar.
+    async fn ask_hello(&self, address: SocketAddr, hello: Vec<u8>) -> Option<Response<Incoming>> {
+        let peers = &self.parts.peers;
+        let connection = peers.connection(address).await.ok()?;
+        let number = connection.number();
+        match connection.post("/hello", hello.clone()).await {
+            Ok(response) => Some(response),
+            Err(_lost) => {
+                self.parts.counters.count("hello.connection_lost");
+                let connection = peers.connection_after(address, Some(number)).await.ok()?;
+                connection.post("/hello", hello).await.ok()
+            }
+        }
+    }
 }
 
 fn take_tokens(
--- a/crates/standins/tests/failure_connections.rs
+++ b/crates/standins/tests/failure_connections.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::{Answer, BackendHost, BackendPlan, DeltaBasin, Judge, Plan, Request};
+use support::{Answer, BackendHost, BackendPlan, DeltaBasin, Judge, Plan, Request, wait_until};
 use tokio::task::JoinHandle;
 
 /// Requests on the connection as it fails.
@@ -101,6 +101,32 @@
     all_complete(&basin, requests, answers).await;
 }
 
+/// The very first request of an entry gets its answer, though its connection to the sidecar is dead.
+/// The connection was opened to compare settings trees, and went silent; the entry's first question
+/// to the sidecar, who it is, is lost on it and asked again on a new one.
+#[tokio::test]
+async fn an_idle_connection_went_silent_before_the_first_request() {
+    let backend = BackendPlan::ledger(1).with_relay();
+    let basin = DeltaBasin::start(Plan::new([backend]).with_entries(1)).await;
+    let relay = basin.backends[0].relay();
+    wait_until("the entry compares trees with the sidecar", async || {
+        relay.counts().await.to_client_bytes > 0
+    })
+    .await;
+    relay.silence_open().await;
+
+    let settlement = Request::settlement("first");
+    let answer = settlement.ask(&basin.entries[0]).await;
+
+    assert!(
+        answer.as_ref().is_some_and(Answer::is_complete),
+        "{answer:?}"
+    );
+    let mut judge = Judge::default();
+    judge.take(&settlement, answer);
+    judge.check(&basin.executions().await);
+}
+
 /// A driver reads an assessment as it is written; it stops for a moment and goes on where it was,
 /// no word missing and none twice. The connection to the model engine's sidecar fails mid-stream.
 async fn a_stream_resumes_whole(fail: impl AsyncFnOnce(&BackendHost) -> u64) {
