Control traffic is counted by kind, in messages and bytes each way

Platform and peer calls carry a ControlKind; entries and sidecars count requests they send and answer, and show them in /status. A sidecar's tree keeper now counts together with the sidecar. Answers of a fetch are streamed and their bytes are not counted.

--- a/crates/amaranthscale/src/connection/peer_client.rs
+++ b/crates/amaranthscale/src/connection/peer_client.rs
@@ -20,6 +20,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex as AsyncMutex;
 
+use crate::process::{ControlKind, ControlTraffic};
+
 quick_error! {
     /// A request to a peer that got no response.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -103,6 +105,7 @@
 #[derive(Debug)]
 pub struct PeerClient {
     limits: PeerClientLimits,
+    traffic: ControlTraffic,
     opened: AtomicU64,
     slots: Mutex<BTreeMap<SocketAddr, Slot>>,
 }
@@ -113,11 +116,26 @@
     pub fn new(limits: PeerClientLimits) -> Self {
         Self {
             limits,
+            traffic: ControlTraffic::default(),
             opened: AtomicU64::new(0),
             slots: Mutex::new(BTreeMap::new()),
         }
     }
 
+    /// Counts requests by their kind.
+    #[must_use]
+    pub fn counted_by(mut self, traffic: ControlTraffic) -> Self {
+        self.traffic = traffic;
+        self
+    }
+
+    /// Counts one request and its answer's body; callers know both, connections do not.
+    pub fn count(&self, kind: ControlKind, sent_bytes: usize, received_bytes: usize) {
+        self.traffic.message(kind);
+        self.traffic.sent(kind, sent_bytes);
+        self.traffic.received(kind, received_bytes);
+    }
+
     /// The connection to a peer, opened if there is none.
     pub async fn connection(&self, address: SocketAddr) -> Result<PeerConnection, PeerError> {
         self.connection_after(address, None).await
--- a/crates/amaranthscale/src/entry/connection/peer_http.rs
+++ b/crates/amaranthscale/src/entry/connection/peer_http.rs
@@ -8,6 +8,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::connection::{ResponseBody, empty_body, full_body, read_body};
+use crate::process::{ControlKind, ControlTraffic};
 use crate::version::TreeKeeperHandle;
 
 /// Longest message of a peer: a whole tree with some room to grow.
@@ -19,13 +20,14 @@
 #[derive(Debug, Clone)]
 pub struct PeerHttp {
     tree: TreeKeeperHandle,
+    traffic: ControlTraffic,
 }
 
 impl PeerHttp {
     /// Answers peers of a process that keeps a tree.
     #[must_use]
-    pub const fn new(tree: TreeKeeperHandle) -> Self {
-        Self { tree }
+    pub const fn new(tree: TreeKeeperHandle, traffic: ControlTraffic) -> Self {
+        Self { tree, traffic }
     }
 
     /// Answers one message.
@@ -39,27 +41,37 @@
     }
 
     async fn since(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let Some(since) = message::<TreeSince>(request).await else {
+        let kind = ControlKind::TreeExchange;
+        let Some(since) = self.message::<TreeSince>(kind, request).await else {
             return of_status(StatusCode::BAD_REQUEST);
         };
-        let reply = self.tree.since(since.version);
-        Response::new(full_body(wire::encode(&reply)))
+        let reply = wire::encode(&self.tree.since(since.version));
+        self.traffic.sent(kind, reply.len());
+        Response::new(full_body(reply))
     }
 
     async fn offer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let Some(offer) = message::<TreeReply>(request).await else {
+        let kind = ControlKind::Edit;
+        let Some(offer) = self.message::<TreeReply>(kind, request).await else {
             return of_status(StatusCode::BAD_REQUEST);
         };
         self.tree.offered(offer);
         of_status(StatusCode::OK)
     }
-}
 
-async fn message<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
-    let body = read_body(request.into_body(), MAX_MESSAGE_BYTES, PATIENCE)
-        .await
-        .ok()?;
-    wire::decode(body).ok()
+    /// Reads a message and counts it by kind.
+    async fn message<T: DeserializeOwned>(
+        &self,
+        kind: ControlKind,
+        request: Request<Incoming>,
+    ) -> Option<T> {
+        let body = read_body(request.into_body(), MAX_MESSAGE_BYTES, PATIENCE)
+            .await
+            .ok()?;
+        self.traffic.message(kind);
+        self.traffic.received(kind, body.len());
+        wire::decode(body).ok()
+    }
 }
 
 fn of_status(status: StatusCode) -> Response<ResponseBody> {
--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -23,7 +23,7 @@
 use super::request::DeadlineLimits;
 use crate::connection::{HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, ResponseBody};
 use crate::process::settings::EntrySettings;
-use crate::process::{Counters, PlatformClient, PlatformClientLimits};
+use crate::process::{ControlKind, ControlTraffic, Counters, PlatformClient, PlatformClientLimits};
 use crate::version::{TreeKeeperArguments, TreeKeeperHandle, TreeKeeperSettings};
 
 /// Longest wait for peers' open questions when the entry stops; they ask others.
@@ -144,16 +144,18 @@
     pub async fn start(config: EntryConfig) -> Result<Self, StartError> {
         let (peer_addresses, addresses) = watch::channel(Vec::new());
         let counters = Arc::new(Counters::local("amaranth.entry"));
-        let platform = PlatformClient::new(config.platform, PlatformClientLimits::default());
+        let traffic = ControlTraffic::new(Arc::clone(&counters));
+        let platform = PlatformClient::new(config.platform, PlatformClientLimits::default())
+            .counted_by(traffic.clone());
         let silence = PeerClientLimits {
             silence: config.silence,
             ..PeerClientLimits::default()
         };
-        let peers = Arc::new(PeerClient::new(silence));
+        let peers = Arc::new(PeerClient::new(silence).counted_by(traffic.clone()));
         let tree = TreeKeeperHandle::start(TreeKeeperArguments {
             host: config.host.clone(),
             settings: config.tree,
-            platform: platform.clone(),
+            platform: platform.of(ControlKind::TreePoll),
             peers: Arc::clone(&peers),
             peer_addresses: addresses,
             counters: Arc::clone(&counters),
@@ -171,13 +173,13 @@
         let parts = EntryParts {
             decisions: handle.clone(),
             peers,
-            platform: platform.clone(),
+            platform: platform.of(ControlKind::Claim),
             counters,
             tree: tree.in_force(),
         };
         let (callers, peers) = serve(&config, &parts, &tree).await?;
         let watching = watch_hosts(
-            platform,
+            platform.of(ControlKind::HostList),
             handle,
             config.host,
             config.host_poll,
@@ -243,7 +245,10 @@
     let front = front(config, parts, tree);
     let callers = HttpServer::start(config.listen, limits, front).await;
     let callers = callers.map_err(|cause| StartError::Listen(config.listen, cause))?;
-    let peer_http = PeerHttp::new(tree.clone());
+    let peer_http = PeerHttp::new(
+        tree.clone(),
+        ControlTraffic::new(Arc::clone(&parts.counters)),
+    );
     let peers = HttpServer::start(config.peer_listen, limits, move |request| {
         let peer_http = peer_http.clone();
         async move { peer_http.handle(request).await }
--- a/crates/amaranthscale/src/entry/request/attempt_run.rs
+++ b/crates/amaranthscale/src/entry/request/attempt_run.rs
@@ -19,6 +19,7 @@
 
 use crate::connection::{ConnectionNumber, FrameReader, PeerConnection, read_body};
 use crate::entry::process::EntryParts;
+use crate::process::ControlKind;
 
 /// Longest answer to a revocation.
 const MAX_REVOKE_REPLY_BYTES: usize = 64 * 1024;
@@ -199,6 +200,11 @@
         body: Vec<u8>,
     ) -> Result<Box<End>, Broken> {
         let due = self.to.due;
+        let kind = match path {
+            "/fetch" => ControlKind::Fetch,
+            _ => ControlKind::Attempt,
+        };
+        self.parts.peers.count(kind, body.len(), 0);
         let posted = timeout_at(due, connection.post(path, body)).await;
         let response = match posted {
             Err(_elapsed) => return Err(Broken::Deadline),
@@ -322,14 +328,17 @@
         .connection_after(to.address, silent)
         .await
         .ok()?;
-    let response = connection
-        .post("/revoke", wire::encode(&revoke))
-        .await
-        .ok()?;
+    let message = wire::encode(&revoke);
+    let sent_bytes = message.len();
+    let response = connection.post("/revoke", message).await.ok()?;
     let body = read_body(
         response.into_body(),
         MAX_REVOKE_REPLY_BYTES,
         REVOKE_PATIENCE,
     );
-    wire::decode(body.await.ok()?).ok()
+    let body = body.await.ok()?;
+    parts
+        .peers
+        .count(ControlKind::Revoke, sent_bytes, body.len());
+    wire::decode(body).ok()
 }
--- a/crates/amaranthscale/src/entry/request/stage_run.rs
+++ b/crates/amaranthscale/src/entry/request/stage_run.rs
@@ -20,6 +20,7 @@
 use crate::entry::process::{
     AttemptReport, Decision, EntryParts, KnownSidecar, Route, RouteQuestion,
 };
+use crate::process::ControlKind;
 
 /// Most attempts at one stage, so that a request cannot wander over a whole service.
 const MAX_ATTEMPTS: u32 = 5;
@@ -412,15 +413,16 @@
             from: self.task.entry.clone(),
             tree_version: self.parts.tree.borrow().version(),
         };
-        let asking = self
-            .parts
-            .peers
-            .post(route.address, "/hello", wire::encode(&hello));
+        let message = wire::encode(&hello);
+        let sent_bytes = message.len();
+        let asking = self.parts.peers.post(route.address, "/hello", message);
         let response = timeout_at(self.task.due, asking).await.ok()?.ok()?;
         let left = self.task.due.saturating_duration_since(Instant::now());
         let body = read_body(response.into_body(), MAX_STAMP_BYTES, left)
             .await
             .ok()?;
+        let peers = &self.parts.peers;
+        peers.count(ControlKind::Hello, sent_bytes, body.len());
         let stamp: Stamp = wire::decode(body).ok()?;
         let known = KnownSidecar {
             incarnation: stamp.incarnation,
--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -2,6 +2,8 @@
 
 pub mod settings;
 
+mod control_kind;
+mod control_traffic;
 mod counters;
 mod daemon_command;
 mod host_poll;
@@ -9,6 +11,10 @@
 mod stop_signal;
 mod table_writer;
 
+#[doc(inline)]
+pub use control_kind::{ControlCounterNames, ControlKind};
+#[doc(inline)]
+pub use control_traffic::ControlTraffic;
 #[doc(inline)]
 pub use counters::{Counters, CountersError};
 #[doc(inline)]
--- /dev/null
+++ b/crates/amaranthscale/src/process/control_traffic.rs
@@ -0,0 +1,44 @@
+//! Counts messages of control and their bytes, by kind.
+
+use std::sync::Arc;
+
+use super::{ControlKind, Counters};
+
+/// Counts messages of control and their bytes, by kind; without counters it counts nothing.
+///
+/// Bytes are those of paths and bodies. Headers and framing come on top.
+#[derive(Debug, Clone, Default)]
+pub struct ControlTraffic {
+    counters: Option<Arc<Counters>>,
+}
+
+impl ControlTraffic {
+    /// Counts into the counters of a process.
+    #[must_use]
+    pub const fn new(counters: Arc<Counters>) -> Self {
+        Self {
+            counters: Some(counters),
+        }
+    }
+
+    /// Counts one request that this process sent or answered.
+    pub fn message(&self, kind: ControlKind) {
+        self.add(kind.counter_names().messages, 1);
+    }
+
+    /// Counts bytes that this process sent.
+    pub fn sent(&self, kind: ControlKind, length_bytes: usize) {
+        self.add(kind.counter_names().bytes_out, length_bytes);
+    }
+
+    /// Counts bytes that this process received.
+    pub fn received(&self, kind: ControlKind, length_bytes: usize) {
+        self.add(kind.counter_names().bytes_in, length_bytes);
+    }
+
+    fn add(&self, name: &'static str, amount: usize) {
+        if let Some(counters) = &self.counters {
+            counters.add(name, u64::try_from(amount).unwrap_or(u64::MAX));
+        }
+    }
+}
--- a/crates/amaranthscale/src/process/platform_client.rs
+++ b/crates/amaranthscale/src/process/platform_client.rs
@@ -13,6 +13,7 @@
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 
+use super::{ControlKind, ControlTraffic};
 use crate::connection::read_body;
 
 /// Largest answer that the platform gives: a page of rows or one object.
@@ -57,6 +58,8 @@
 pub struct PlatformClient {
     address: SocketAddr,
     limits: PlatformClientLimits,
+    kind: ControlKind,
+    traffic: ControlTraffic,
     http: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -76,10 +79,28 @@
         Self {
             address,
             limits,
+            kind: ControlKind::TreePoll,
+            traffic: ControlTraffic::default(),
             http,
         }
     }
 
+    /// Counts calls by their kind.
+    #[must_use]
+    pub fn counted_by(mut self, traffic: ControlTraffic) -> Self {
+        self.traffic = traffic;
+        self
+    }
+
+    /// The same client, whose calls are counted as of a kind; connections are shared.
+    #[must_use]
+    pub fn of(&self, kind: ControlKind) -> Self {
+        Self {
+            kind,
+            ..self.clone()
+        }
+    }
+
     /// Reads one row; an absent one has version 0.
     pub async fn row(&self, key: &str) -> Result<Row, PlatformError> {
         self.get(&format!("/table/row?key={}", percent_encode(key)))
@@ -173,16 +194,21 @@
         path: &str,
         body: impl Into<Bytes>,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let body = body.into();
+        self.traffic.message(self.kind);
+        self.traffic.sent(self.kind, path.len() + body.len());
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
-            .body(Full::new(body.into()))
+            .body(Full::new(body))
             .map_err(|error| PlatformError::Malformed(error.to_string()))?;
         let answer = async {
             let response = self.http.request(request).await.map_err(lost)?;
             let status = response.status();
             let body = read_body(response.into_body(), MAX_ANSWER_BYTES, self.limits.timeout);
-            Ok((status, body.await.map_err(lost)?))
+            let body = body.await.map_err(lost)?;
+            self.traffic.received(self.kind, body.len());
+            Ok((status, body))
         };
         let timeout = tokio::time::timeout(self.limits.timeout, answer);
         timeout
--- a/crates/amaranthscale/src/sidecar.rs
+++ b/crates/amaranthscale/src/sidecar.rs
@@ -61,7 +61,7 @@
 pub use tree_source::TreeSource;
 
 use crate::connection::{HttpServer, HttpServerLimits};
-use crate::process::{Counters, PlatformClient};
+use crate::process::{ControlKind, ControlTraffic, Counters, PlatformClient};
 
 /// Time between two ticks. Attempts that expire in the queue are told so within it.
 const TICK: Duration = Duration::from_millis(100);
@@ -80,8 +80,19 @@
 impl Sidecar {
     /// Starts a new life of a sidecar and listens.
     pub async fn start(config: SidecarConfig, tree: TreeSource) -> Result<Self, SidecarError> {
+        let counters = counters(&config)?;
+        Self::start_counting(config, tree, counters).await
+    }
+
+    /// Starts a new life that counts together with other parts of its process.
+    pub(crate) async fn start_counting(
+        config: SidecarConfig,
+        tree: TreeSource,
+        counters: Arc<Counters>,
+    ) -> Result<Self, SidecarError> {
         let listen = config.listen;
-        let runner = Arc::new(runner(&config, tree)?);
+        let cost_platform = platform(&config, &counters).of(ControlKind::CostWrite);
+        let runner = Arc::new(runner(&config, tree, counters));
         let (gate, gate_task) = Actor::spawn(None, Gate, Arc::clone(&runner)).await?;
         let routes = Arc::new(Routes {
             gate: gate.clone(),
@@ -90,7 +101,7 @@
         let answer = move |request| Arc::clone(&routes).answer(request);
         let server = HttpServer::start(listen, HttpServerLimits::default(), answer).await;
         let server = server.map_err(|cause| SidecarError::Listen(listen, cause))?;
-        let costs = Arc::new(CostWriter::new(gate.clone(), platform(&config)));
+        let costs = Arc::new(CostWriter::new(gate.clone(), cost_platform));
         let chores = vec![
             tokio::spawn(tick(gate.clone())),
             tokio::spawn(Arc::clone(&costs).run(config.limits.cost_interval)),
@@ -166,21 +177,24 @@
     }
 }
 
-fn runner(config: &SidecarConfig, tree: TreeSource) -> Result<Runner, SidecarError> {
-    let incarnation = Incarnation::new(rand::random());
-    let counters = Arc::new(match config.statsd {
+fn counters(config: &SidecarConfig) -> Result<Arc<Counters>, SidecarError> {
+    Ok(Arc::new(match config.statsd {
         Some(address) => Counters::sent_to("sidecar", address)?,
         None => Counters::local("sidecar"),
-    });
+    }))
+}
+
+fn runner(config: &SidecarConfig, tree: TreeSource, counters: Arc<Counters>) -> Runner {
+    let incarnation = Incarnation::new(rand::random());
     let claims = Claims::new(
         config.host.clone(),
         incarnation,
-        platform(config),
+        platform(config, &counters).of(ControlKind::Claim),
         Arc::clone(&counters),
     );
     let slots = usize::try_from(config.limits.queue.slots).unwrap_or(usize::MAX);
     let table_jobs = usize::try_from(config.limits.max_table_jobs).unwrap_or(usize::MAX);
-    Ok(Runner {
+    Runner {
         service: config.service.clone(),
         limits: config.limits,
         board: Arc::new(Board::new(config.host.clone(), incarnation, tree)),
@@ -188,11 +202,12 @@
         claims: Arc::new(claims),
         counters,
         table_jobs: Arc::new(Semaphore::new(table_jobs.min(Semaphore::MAX_PERMITS))),
-    })
+    }
 }
 
-fn platform(config: &SidecarConfig) -> PlatformClient {
+fn platform(config: &SidecarConfig, counters: &Arc<Counters>) -> PlatformClient {
     PlatformClient::new(config.platform, config.limits.platform)
+        .counted_by(ControlTraffic::new(Arc::clone(counters)))
 }
 
 async fn tick(gate: ActorRef<GateMessage>) {
--- a/crates/amaranthscale/src/sidecar/kept.rs
+++ b/crates/amaranthscale/src/sidecar/kept.rs
@@ -8,9 +8,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::{Sidecar, SidecarConfig, SidecarError, TreeSource};
+use super::{Sidecar, SidecarConfig, SidecarError, TreeSource, counters, platform};
 use crate::connection::{PeerClient, PeerClientLimits};
-use crate::process::{Counters, PlatformClient, PlatformClientLimits, poll_hosts};
+use crate::process::{ControlKind, ControlTraffic, poll_hosts};
 use crate::version::{TreeKeeperArguments, TreeKeeperHandle, TreeKeeperSettings};
 
 /// Time between two looks at the host list. A sidecar needs it only to find peers while the
@@ -31,22 +31,29 @@
         config: SidecarConfig,
         settings: TreeKeeperSettings,
     ) -> Result<Self, SidecarError> {
-        let platform = PlatformClient::new(config.platform, PlatformClientLimits::default());
+        let counters = counters(&config)?;
+        let platform = platform(&config, &counters);
+        let traffic = ControlTraffic::new(Arc::clone(&counters));
+        let peers = PeerClient::new(PeerClientLimits::default()).counted_by(traffic);
         let (found, peer_addresses) = watch::channel(Vec::new());
         let tree = TreeKeeperHandle::start(TreeKeeperArguments {
             host: config.host.clone(),
             settings,
-            platform: platform.clone(),
-            peers: Arc::new(PeerClient::new(PeerClientLimits::default())),
+            platform: platform.of(ControlKind::TreePoll),
+            peers: Arc::new(peers),
             peer_addresses,
-            counters: Arc::new(Counters::local("amaranth.sidecar.tree")),
+            counters: Arc::clone(&counters),
             seed: rand::random(),
         })
         .await?;
-        let sidecar = Sidecar::start(config, source(&tree)).await?;
-        let host_watch = tokio::spawn(poll_hosts(platform, HOST_POLL, move |hosts| {
-            found.send_replace(entries(&hosts));
-        }));
+        let sidecar = Sidecar::start_counting(config, source(&tree), counters).await?;
+        let host_watch = tokio::spawn(poll_hosts(
+            platform.of(ControlKind::HostList),
+            HOST_POLL,
+            move |hosts| {
+                found.send_replace(entries(&hosts));
+            },
+        ));
         Ok(Self {
             sidecar,
             tree,
--- a/crates/amaranthscale/src/sidecar/routes.rs
+++ b/crates/amaranthscale/src/sidecar/routes.rs
@@ -24,6 +24,7 @@
 use super::runner::Runner;
 use super::status::Status;
 use crate::connection::{ResponseBody, empty_body, full_body, read_body};
+use crate::process::{ControlKind, ControlTraffic};
 
 /// Longest wait for the body of a message from another process.
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
@@ -62,7 +63,7 @@
 
     async fn attempt(&self, request: Request<Incoming>) -> Answered {
         let arrival = self.runner.board.now();
-        let dispatch: Dispatch = self.read("attempt", request).await?;
+        let dispatch: Dispatch = self.read(ControlKind::Attempt, request).await?;
         self.runner.board.tree.heard(dispatch.tree_version);
         let max_result = self.runner.limits.max_result.as_bytes();
         let max_bytes = usize::try_from(max_result).unwrap_or(usize::MAX);
@@ -73,20 +74,20 @@
     }
 
     async fn hello(&self, request: Request<Incoming>) -> Answered {
-        let hello: Hello = self.read("hello", request).await?;
+        let hello: Hello = self.read(ControlKind::Hello, request).await?;
         self.runner.board.tree.heard(hello.tree_version);
-        Ok(packed(&self.runner.board.stamp()))
+        Ok(self.packed(ControlKind::Hello, &self.runner.board.stamp()))
     }
 
     async fn revoke(&self, request: Request<Incoming>) -> Answered {
-        let revoke: Revoke = self.read("revoke", request).await?;
+        let revoke: Revoke = self.read(ControlKind::Revoke, request).await?;
         let answer = self.ask(|reply| GateMessage::Revoke(revoke, reply)).await?;
         let stamp = self.runner.board.stamp();
-        Ok(packed(&RevokeReply { answer, stamp }))
+        Ok(self.packed(ControlKind::Revoke, &RevokeReply { answer, stamp }))
     }
 
     async fn fetch(&self, request: Request<Incoming>) -> Answered {
-        let fetch: Fetch = self.read("fetch", request).await?;
+        let fetch: Fetch = self.read(ControlKind::Fetch, request).await?;
         let fetched = self.ask(|reply| GateMessage::Fetch(fetch, reply)).await?;
         let body = match fetched {
             Fetched::Answer(answer) => self.follow(answer, fetch.from_chunk),
@@ -96,10 +97,10 @@
     }
 
     async fn tree_since(&self, request: Request<Incoming>) -> Answered {
-        let ask: TreeSince = self.read("tree_since", request).await?;
+        let ask: TreeSince = self.read(ControlKind::TreeExchange, request).await?;
         let board = &self.runner.board;
         board.tree.heard(ask.version);
-        Ok(packed(&board.tree.since(&ask)))
+        Ok(self.packed(ControlKind::TreeExchange, &board.tree.since(&ask)))
     }
 
     fn leave(&self) -> Response<ResponseBody> {
@@ -143,7 +144,7 @@
     /// Reads a message and counts it by kind.
     async fn read<T: DeserializeOwned>(
         &self,
-        kind: &'static str,
+        kind: ControlKind,
         request: Request<Incoming>,
     ) -> Result<T, StatusCode> {
         let max_input = usize::try_from(self.runner.limits.max_input.as_bytes());
@@ -156,20 +157,24 @@
         wire::decode(&body).map_err(|error| self.undecodable(kind, error))
     }
 
-    fn count_message(&self, kind: &'static str, body: &Bytes) {
-        let (messages, bytes) = match kind {
-            "attempt" => ("control.attempt.messages", "control.attempt.bytes"),
-            "hello" => ("control.hello.messages", "control.hello.bytes"),
-            "revoke" => ("control.revoke.messages", "control.revoke.bytes"),
-            "fetch" => ("control.fetch.messages", "control.fetch.bytes"),
-            _ => ("control.tree.messages", "control.tree.bytes"),
-        };
-        let counters = &self.runner.counters;
-        counters.count(messages);
-        counters.add(bytes, u64::try_from(body.len()).unwrap_or(u64::MAX));
+    fn count_message(&self, kind: ControlKind, body: &Bytes) {
+        let traffic = self.traffic();
+        traffic.message(kind);
+        traffic.received(kind, body.len());
+    }
+
+    /// An answer that is known whole, counted by kind.
+    fn packed(&self, kind: ControlKind, message: &impl Serialize) -> Response<ResponseBody> {
+        let content = wire::encode(message);
+        self.traffic().sent(kind, content.len());
+        with_content_type(content, "application/msgpack")
     }
 
-    fn undecodable(&self, kind: &'static str, error: impl std::fmt::Display) -> StatusCode {
+    fn traffic(&self) -> ControlTraffic {
+        ControlTraffic::new(Arc::clone(&self.runner.counters))
+    }
+
+    fn undecodable(&self, kind: ControlKind, error: impl std::fmt::Display) -> StatusCode {
         self.runner.counters.count_reason("undecodable", kind);
         debug!("sidecar: {kind} not read: {error}");
         StatusCode::BAD_REQUEST
@@ -213,10 +218,6 @@
     Response::new(body.boxed_unsync())
 }
 
-fn packed(message: &impl Serialize) -> Response<ResponseBody> {
-    with_content_type(wire::encode(message), "application/msgpack")
-}
-
 fn with_content_type(content: Vec<u8>, content_type: &'static str) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(content));
     let headers = response.headers_mut();
--- a/crates/amaranthscale/src/version/tree_client.rs
+++ b/crates/amaranthscale/src/version/tree_client.rs
@@ -11,7 +11,7 @@
 use quick_error::quick_error;
 
 use crate::connection::{PeerClient, read_body};
-use crate::process::{PlatformClient, PlatformError};
+use crate::process::{ControlKind, PlatformClient, PlatformError};
 
 /// Most edits read in one go; whoever is further behind takes the snapshot first.
 const MAX_EDITS_READ: usize = 256;
@@ -78,7 +78,9 @@
         from: from.clone(),
         version,
     };
-    let body = post(peers, address, "/tree/since", wire::encode(&since)).await?;
+    let kind = ControlKind::TreeExchange;
+    let message = wire::encode(&since);
+    let body = post(peers, address, kind, "/tree/since", message).await?;
     wire::decode(body).map_err(|_malformed| ReadTreeError::Peer(address))
 }
 
@@ -88,7 +90,8 @@
     address: SocketAddr,
     offer: &TreeReply,
 ) -> Result<(), ReadTreeError> {
-    post(peers, address, "/tree/offer", wire::encode(offer))
+    let message = wire::encode(offer);
+    post(peers, address, ControlKind::Edit, "/tree/offer", message)
         .await
         .map(|_body| ())
 }
@@ -96,9 +99,11 @@
 async fn post(
     peers: &PeerClient,
     address: SocketAddr,
+    kind: ControlKind,
     path: &str,
     message: Vec<u8>,
 ) -> Result<bytes::Bytes, ReadTreeError> {
+    let sent_bytes = path.len() + message.len();
     let answer = async {
         let response = peers.post(address, path, message).await.ok()?;
         let is_success = response.status().is_success();
@@ -111,6 +116,11 @@
         .await
         .ok()
         .flatten();
+    peers.count(
+        kind,
+        sent_bytes,
+        answer.as_ref().map_or(0, bytes::Bytes::len),
+    );
     answer.ok_or(ReadTreeError::Peer(address))
 }
 
--- a/crates/amaranthscale/src/version/tree_keeper_handle.rs
+++ b/crates/amaranthscale/src/version/tree_keeper_handle.rs
@@ -23,7 +23,7 @@
     EditProposal, EditResult, Origin, PublishedTree, TreeKeeper, TreeKeeperArguments, TreeMessage,
     TreeStatus,
 };
-use crate::process::{new_write_id, settle};
+use crate::process::{ControlKind, new_write_id, settle};
 
 /// Peers that are handed an edit before it is called accepted, so that it outlives the death of
 /// this process together with an outage of the table.
@@ -148,7 +148,8 @@
     async fn write(&self, record: EditRecord, tree: &SettingsTree) -> EditResult {
         let mut write = edit_write(&record, tree);
         let until = Instant::now() + EDIT_PATIENCE;
-        match settle(&self.arguments.platform, &mut write, until).await {
+        let platform = self.arguments.platform.of(ControlKind::Edit);
+        match settle(&platform, &mut write, until).await {
             WriteStep::Won { .. } | WriteStep::Superseded { .. } => {
                 let version = record.version;
                 self.hand_to_peers(&record).await;
@@ -176,9 +177,8 @@
     async fn refreshed_log(&self) -> Option<Arc<TreeLog>> {
         loop {
             let log = Arc::clone(&self.log.borrow());
-            let reply = read_from_table(&self.arguments.platform, log.version())
-                .await
-                .ok()?;
+            let platform = self.arguments.platform.of(ControlKind::Edit);
+            let reply = read_from_table(&platform, log.version()).await.ok()?;
             if matches!(reply, TreeReply::UpToDate(_)) {
                 return Some(log);
             }
