--- a/crates/standins/src/bin/amaranth-load.rs
+++ b/crates/standins/src/bin/amaranth-load.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use amaranthscale_standins::load::measure;
+use amaranthscale_standins::load::{capacity, measure};
 use amaranthscale_standins::policy;
 use clap::Command;
 
@@ -14,6 +14,7 @@
     let matches = command().get_matches();
     let result = match matches.subcommand() {
         Some(("policy", policy_matches)) => policy::run(policy_matches),
+        Some(("capacity", capacity_matches)) => capacity::run(capacity_matches),
         Some(("measure", measure_matches)) => measure::run(measure_matches),
         _ => Err("no subcommand was given".to_owned()),
     };
@@ -33,4 +34,5 @@
         .arg_required_else_help(true)
         .subcommand(policy::command())
         .subcommand(measure::command())
+        .subcommand(capacity::command())
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -1,5 +1,6 @@
 //! Sends load and checks every answer.
 
+pub mod capacity;
 pub mod demo_tree;
 pub mod measure;
 
--- /dev/null
+++ b/crates/standins/src/load/capacity/fleet.rs
@@ -0,0 +1,344 @@
+//! Entries and sidecars as processes, around stand-ins in this process.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Child;
+use std::time::Duration;
+
+use amaranthscale_core::version::{KeyHash, TreeEdit};
+use amaranthscale_core::wire::{HostRecord, HostState};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::{sleep, timeout};
+
+use super::capacity_error::CapacityError;
+use super::capacity_tree::capacity_tree;
+use super::daemon_process::DaemonProcess;
+use super::fleet_size::FleetSize;
+use crate::engine::{Engine, EngineSettings};
+use crate::http::{HttpClient, Running};
+use crate::platform::{Platform, PlatformCounts, PlatformSettings};
+use crate::relay::{Relay, RelayCounts, RelaySettings, RunningRelay};
+use crate::service::{Service, ServiceSettings};
+
+/// Bearer key of the operators.
+const OPERATOR_KEY: &str = "capacity-operator";
+/// Most processes; the machine is shared, and the letter asks for a few hundred at most.
+const MAX_PROCESSES: u32 = 290;
+/// Longest wait for all processes to have a version of the tree.
+const IN_FORCE_BOUND: Duration = Duration::from_mins(1);
+/// Time between two looks at a process; the resolution of the times to force.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Attempts that a stand-in takes at once; enough that none waits.
+const SLOTS: u32 = 256;
+
+/// What a process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Stands before a backend server.
+    Sidecar,
+}
+
+/// Entries and sidecars as processes, around stand-ins in this process.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    pub(super) size: FleetSize,
+    pub(super) http: HttpClient,
+    platform: Running,
+    /// Relays between the entries, or the sidecars, and the platform: they see what the wire does.
+    relays: [RunningRelay; 2],
+    backends: [Running; 2],
+    entries: Vec<DaemonProcess>,
+    sidecars: Vec<DaemonProcess>,
+    hosts: Vec<HostRecord>,
+    directory: TempDir,
+    binaries: PathBuf,
+    tree_version: u64,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until they have the tree.
+    pub(super) async fn start(
+        size: FleetSize,
+        binaries: Option<PathBuf>,
+    ) -> Result<Self, CapacityError> {
+        let processes = size.entries.saturating_add(size.sidecars);
+        if processes > MAX_PROCESSES {
+            return Err(CapacityError::TooMany(processes, MAX_PROCESSES));
+        }
+        let mut fleet = Self::of_standins(size, binaries).await?;
+        fleet.launch_entries()?;
+        fleet.launch_sidecars()?;
+        fleet.show_hosts(0).await?;
+        fleet.import().await?;
+        Ok(fleet)
+    }
+
+    /// Processes of a role.
+    pub(super) fn processes(&self, role: Role) -> &[DaemonProcess] {
+        match role {
+            Role::Entry => &self.entries,
+            Role::Sidecar => &self.sidecars,
+        }
+    }
+
+    /// URL of a path of the first entry.
+    pub(super) fn entry_url(&self, path: &str) -> String {
+        let address = self.entries.first().map(DaemonProcess::address);
+        address.map_or_else(String::new, |address| format!("http://{address}{path}"))
+    }
+
+    /// What a process shows.
+    pub(super) async fn status(&self, process: &DaemonProcess) -> Result<Value, CapacityError> {
+        let url = format!("http://{}/status", process.address());
+        Ok(self.http.get_json(url).await?)
+    }
+
+    /// What the platform has counted.
+    pub(super) async fn platform_counts(&self) -> Result<PlatformCounts, CapacityError> {
+        let url = self.platform.url("/admin/counts");
+        Ok(self.http.get_json(url).await?)
+    }
+
+    /// Bytes that have passed between the processes of a role and the platform, both ways.
+    pub(super) async fn wire_bytes(&self, role: Role) -> Result<u64, CapacityError> {
+        let relay = &self.relays[role as usize];
+        let counts: RelayCounts = self.http.get_json(relay.admin_url("/admin/counts")).await?;
+        Ok(counts.to_server_bytes + counts.to_client_bytes)
+    }
+
+    /// Replaces the host list by the running hosts and so many that are only listed.
+    ///
+    /// Listed hosts stand for entries and sidecars in the letter's ratio; none answers.
+    pub(super) async fn show_hosts(&self, listed: u32) -> Result<(), CapacityError> {
+        let mut hosts = self.hosts.clone();
+        for number in 0..listed {
+            hosts.push(listed_host(number)?);
+        }
+        let body = serde_json::to_vec(&hosts)?;
+        let url = self.platform.url("/admin/hosts");
+        self.http.post(url, &[], body).await?.success()?;
+        Ok(())
+    }
+
+    /// Changes a host's state, which gives the host list a new version.
+    pub(super) async fn change_host(&self, state: HostState) -> Result<(), CapacityError> {
+        let host = self.hosts.last().map(|record| &record.host);
+        let body = serde_json::to_vec(&json!({"host": host, "state": state}))?;
+        let url = self.platform.url("/admin/hosts/state");
+        self.http.post(url, &[], body).await?.success()?;
+        Ok(())
+    }
+
+    /// Makes an edit at the first entry; returns once it is accepted.
+    pub(super) async fn edit(&mut self, edit: &TreeEdit) -> Result<(), CapacityError> {
+        let body = json!({
+            "expected_version": self.tree_version, "by": "capacity", "edit": edit,
+        });
+        let bearer = format!("Bearer {OPERATOR_KEY}");
+        let headers = [("authorization", bearer.as_str())];
+        let url = self.entry_url("/v1/operator/edits");
+        let reply = self
+            .http
+            .post(url, &headers, serde_json::to_vec(&body)?)
+            .await?;
+        if !reply.status.is_success() {
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            return Err(CapacityError::EditRefused(text));
+        }
+        self.tree_version += 1;
+        Ok(())
+    }
+
+    /// Waits until every process has the last accepted edit; tells the time for each in ms.
+    pub(super) async fn wait_in_force(&self) -> Result<Vec<f64>, CapacityError> {
+        let started = tokio::time::Instant::now();
+        let mut looks = tokio::task::JoinSet::new();
+        for process in self.entries.iter().chain(&self.sidecars) {
+            let url = format!("http://{}/status", process.address());
+            let (http, version) = (self.http.clone(), self.tree_version);
+            looks.spawn(async move {
+                timeout(IN_FORCE_BOUND, look_until(&http, &url, version))
+                    .await
+                    .map(|()| started.elapsed().as_secs_f64() * 1000.0)
+            });
+        }
+        let mut times_ms = Vec::new();
+        while let Some(look) = looks.join_next().await {
+            let time_ms = look.ok().and_then(Result::ok);
+            times_ms.push(time_ms.ok_or(CapacityError::Late("an edit in force everywhere"))?);
+        }
+        Ok(times_ms)
+    }
+
+    async fn of_standins(
+        size: FleetSize,
+        binaries: Option<PathBuf>,
+    ) -> Result<Self, CapacityError> {
+        let platform = Platform::start(PlatformSettings::default()).await?;
+        let to_platform = || Relay::start(RelaySettings::to(platform.address()));
+        let relays = [to_platform().await?, to_platform().await?];
+        let engine = EngineSettings {
+            slots: SLOTS,
+            token_ms: 2,
+            batch_penalty: 0.0,
+            ..EngineSettings::default()
+        };
+        let service = ServiceSettings::default();
+        let backends = [Service::start(service).await?, Engine::start(engine).await?];
+        Ok(Self {
+            size,
+            http: HttpClient::new(),
+            platform,
+            relays,
+            backends,
+            entries: Vec::new(),
+            sidecars: Vec::new(),
+            hosts: Vec::new(),
+            directory: TempDir::new()?,
+            binaries: match binaries {
+                Some(binaries) => binaries,
+                None => own_directory()?,
+            },
+            tree_version: 0,
+        })
+    }
+
+    fn launch_entries(&mut self) -> Result<(), CapacityError> {
+        let program = self.binaries.join("amaranth-entry");
+        let mut launched = Vec::new();
+        for number in 0..self.size.entries {
+            let peer_listen = free_address()?;
+            let settings = self.entry_settings(number, peer_listen);
+            let file = self.write_settings(&format!("entry-{number}"), &settings)?;
+            launched.push((DaemonProcess::launch(&program, &file)?, peer_listen));
+        }
+        for (number, (child, peer_listen)) in launched.into_iter().enumerate() {
+            let entry = DaemonProcess::listening(child, &program)?;
+            self.hosts
+                .push(host(&format!("entry-{number}"), peer_listen, None)?);
+            self.entries.push(entry);
+        }
+        Ok(())
+    }
+
+    fn launch_sidecars(&mut self) -> Result<(), CapacityError> {
+        let program = self.binaries.join("amaranth-sidecar");
+        let mut launched: Vec<Child> = Vec::new();
+        for number in 0..self.size.sidecars {
+            let settings = self.sidecar_settings(number);
+            let file = self.write_settings(&format!("sidecar-{number}"), &settings)?;
+            launched.push(DaemonProcess::launch(&program, &file)?);
+        }
+        for (number, child) in launched.into_iter().enumerate() {
+            let sidecar = DaemonProcess::listening(child, &program)?;
+            let service = service_of(u32::try_from(number).unwrap_or(u32::MAX));
+            let name = format!("sidecar-{number}");
+            self.hosts
+                .push(host(&name, sidecar.address(), Some(service))?);
+            self.sidecars.push(sidecar);
+        }
+        Ok(())
+    }
+
+    fn entry_settings(&self, number: u32, peer_listen: SocketAddr) -> String {
+        let platform = self.relays[Role::Entry as usize].address();
+        let key_hash = KeyHash::of(OPERATOR_KEY);
+        let exchange_ms = self.size.exchange_ms;
+        format!(
+            "[entry]\nhost = entry-{number}\nregion = region-1\nzone = zone-1\n\
+             peer_listen = {peer_listen}\nplatform = {platform}\n\
+             [operator]\nkey_hash = {key_hash}\n\
+             [tree]\nexchange_ms = {exchange_ms}\n[log]\nlevel = warn\n"
+        )
+    }
+
+    fn sidecar_settings(&self, number: u32) -> String {
+        let platform = self.relays[Role::Sidecar as usize].address();
+        let service = service_of(number);
+        let backend = self.backends[usize::from(number == 0)].address();
+        let exchange_ms = self.size.exchange_ms;
+        format!(
+            "[sidecar]\nhost = sidecar-{number}\nregion = region-1\nzone = zone-1\n\
+             service = {service}\nbackend = {backend}\nplatform = {platform}\n\
+             [queue]\nslots = {SLOTS}\ncapacity = 10000\n\
+             [tree]\nexchange_ms = {exchange_ms}\n[log]\nlevel = warn\n"
+        )
+    }
+
+    fn write_settings(&self, name: &str, settings: &str) -> Result<PathBuf, CapacityError> {
+        let file = self.directory.path().join(format!("{name}.ini"));
+        fs::write(&file, settings)?;
+        Ok(file)
+    }
+
+    /// Imports the tree once the first entry has found that there is none.
+    async fn import(&mut self) -> Result<(), CapacityError> {
+        self.wait_in_force().await?;
+        let tree = capacity_tree(self.size.organisations)?;
+        let ready_url = self.entry_url("/readyz");
+        while !self.http.get(&ready_url).await?.status.is_success() {
+            sleep(LOOK_PAUSE).await;
+        }
+        let edit = TreeEdit::Import {
+            tree: Box::new(tree),
+        };
+        self.edit(&edit).await?;
+        self.wait_in_force().await?;
+        Ok(())
+    }
+}
+
+/// The first sidecar stands before the engine, all others before the plain service.
+const fn service_of(number: u32) -> &'static str {
+    if number == 0 { "generator" } else { "work" }
+}
+
+async fn look_until(http: &HttpClient, url: &str, version: u64) {
+    loop {
+        if let Ok(status) = http.get_json::<Value>(url).await {
+            let shown = status["tree_version"].as_u64();
+            let shown = shown.or_else(|| status["tree"]["version"].as_u64());
+            if shown.is_some_and(|shown| shown >= version) {
+                return;
+            }
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+fn host(
+    name: &str,
+    address: SocketAddr,
+    service: Option<&str>,
+) -> Result<HostRecord, CapacityError> {
+    Ok(HostRecord {
+        host: name.parse()?,
+        address,
+        region: "region-1".parse()?,
+        zone: "zone-1".parse()?,
+        service: service.map(str::parse).transpose()?,
+        state: HostState::Live,
+    })
+}
+
+/// A host that is listed and does not run: 11 of 30 are entries, as 380 are of 1,040.
+fn listed_host(number: u32) -> Result<HostRecord, CapacityError> {
+    let is_entry = number % 30 < 11;
+    // Nothing listens at port 1, so a connection is refused at once.
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let name = format!("listed-host-{number:04}");
+    host(&name, address, (!is_entry).then_some("listed"))
+}
+
+fn free_address() -> Result<SocketAddr, CapacityError> {
+    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+}
+
+fn own_directory() -> Result<PathBuf, CapacityError> {
+    let own = std::env::current_exe()?;
+    Ok(own.parent().map_or_else(PathBuf::new, Path::to_path_buf))
+}
--- /dev/null
+++ b/crates/standins/src/load/capacity/sweep.rs
@@ -0,0 +1,200 @@
+//! Which size changes from point to point.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::capacity_error::CapacityError;
+use super::fleet::Fleet;
+use super::fleet_size::FleetSize;
+use super::role_window::RoleWindow;
+use super::{limits, probes};
+
+/// Time for processes to settle after their start, before anything is measured.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Time in which each process has met each other one, at the exchange time of that sweep.
+const MEET: Duration = Duration::from_secs(25);
+/// Exchange time at which all processes meet soon.
+const MEET_EXCHANGE_MS: u32 = 20;
+/// Organisations of the letter.
+const LETTER_ORGANISATIONS: u32 = 1300;
+
+/// Which size changes from point to point.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Sweep {
+    /// Sidecar processes, idle, then timed edits.
+    Sidecars,
+    /// Entry processes, idle, then timed edits.
+    Entries,
+    /// Organisations in the tree, idle, then timed edits.
+    Organisations,
+    /// Edits in a window of time.
+    Edits,
+    /// Hosts in the host list.
+    Hosts,
+    /// Open connections: sidecars, all of which have met all entries.
+    Connections,
+    /// Calls that may not be repeated.
+    Claims,
+    /// Organisations with costs between two writes of costs.
+    Costs,
+    /// Streams of tokens at once.
+    Tokens,
+    /// Entries over which an organisation's limit is shared, in the core alone.
+    Limits,
+}
+
+impl Sweep {
+    /// Names on the command line.
+    pub(super) const NAMES: [&'static str; 10] = [
+        "sidecars",
+        "entries",
+        "organisations",
+        "edits",
+        "hosts",
+        "connections",
+        "claims",
+        "costs",
+        "tokens",
+        "limits",
+    ];
+
+    /// The sweep of a name; the first one for an unknown name, which the command line refuses.
+    pub(super) fn of(name: &str) -> Self {
+        match name {
+            "entries" => Self::Entries,
+            "organisations" => Self::Organisations,
+            "edits" => Self::Edits,
+            "hosts" => Self::Hosts,
+            "connections" => Self::Connections,
+            "claims" => Self::Claims,
+            "costs" => Self::Costs,
+            "tokens" => Self::Tokens,
+            "limits" => Self::Limits,
+            _ => Self::Sidecars,
+        }
+    }
+
+    /// Measures one point after another and prints a line for each.
+    pub(super) async fn run(
+        self,
+        size: FleetSize,
+        points: Option<Vec<u32>>,
+        binaries: Option<PathBuf>,
+    ) -> Result<(), CapacityError> {
+        let points = points.unwrap_or_else(|| self.own_points().to_vec());
+        for point in points {
+            let figures = self.point(size, point, binaries.clone()).await?;
+            println!("{figures}");
+        }
+        Ok(())
+    }
+
+    const fn own_points(self) -> &'static [u32] {
+        match self {
+            Self::Sidecars | Self::Connections => &[5, 20, 80, 200],
+            Self::Entries => &[2, 5, 20, 40],
+            Self::Organisations => &[5, 80, 400, LETTER_ORGANISATIONS],
+            Self::Edits => &[1, 91, 910],
+            Self::Hosts => &[0, 40, 200, 1030],
+            Self::Claims => &[320, 3200],
+            Self::Costs => &[5, 80, 400],
+            Self::Tokens => &[4, 16, 64],
+            Self::Limits => &[1, 2, 5, 20, 40, 120, 380],
+        }
+    }
+
+    /// The size of the deployment at a point.
+    const fn size_at(self, size: FleetSize, point: u32) -> FleetSize {
+        match self {
+            Self::Sidecars => FleetSize {
+                sidecars: point,
+                ..size
+            },
+            Self::Connections => FleetSize {
+                sidecars: point,
+                exchange_ms: MEET_EXCHANGE_MS,
+                ..size
+            },
+            Self::Entries => FleetSize {
+                entries: point,
+                ..size
+            },
+            Self::Organisations => FleetSize {
+                organisations: point,
+                ..size
+            },
+            Self::Costs => FleetSize {
+                organisations: point,
+                sidecars: 2,
+                entries: 1,
+                ..size
+            },
+            Self::Claims | Self::Tokens => FleetSize {
+                sidecars: 2,
+                entries: 1,
+                ..size
+            },
+            Self::Edits | Self::Hosts | Self::Limits => size,
+        }
+    }
+
+    async fn point(
+        self,
+        size: FleetSize,
+        point: u32,
+        binaries: Option<PathBuf>,
+    ) -> Result<Value, CapacityError> {
+        if self == Self::Limits {
+            return Ok(limits::share_refused(point));
+        }
+        let size = self.size_at(size, point);
+        let mut fleet = Fleet::start(size, binaries).await?;
+        sleep(SETTLE).await;
+        let figures = self.measure(&mut fleet, point).await?;
+        Ok(json!({"size": size, "point": point, "figures": figures}))
+    }
+
+    async fn measure(self, fleet: &mut Fleet, point: u32) -> Result<Value, CapacityError> {
+        match self {
+            Self::Sidecars | Self::Entries | Self::Organisations => idle_and_edits(fleet).await,
+            Self::Connections => {
+                sleep(MEET).await;
+                idle(fleet).await
+            }
+            Self::Edits => probes::edits(fleet, point).await,
+            Self::Hosts => {
+                let hosts = probes::host_changes(fleet, point).await?;
+                Ok(json!({"hosts": hosts, "idle": idle(fleet).await?}))
+            }
+            Self::Claims => probes::claims(fleet, point).await,
+            Self::Costs => probes::costs(fleet, point).await,
+            Self::Tokens => probes::tokens(fleet, point).await,
+            Self::Limits => Ok(Value::Null),
+        }
+    }
+}
+
+async fn idle_and_edits(fleet: &mut Fleet) -> Result<Value, CapacityError> {
+    let mut figures = idle(fleet).await?;
+    figures["edits"] = probes::edit_times(fleet).await?;
+    Ok(figures)
+}
+
+/// What both roles use, and what reaches the table, while only control goes on.
+async fn idle(fleet: &Fleet) -> Result<Value, CapacityError> {
+    let before = fleet.platform_counts().await?;
+    let started = tokio::time::Instant::now();
+    let [entries, sidecars] = RoleWindow::watch(fleet).await?;
+    let seconds = started.elapsed().as_secs_f64();
+    let after = fleet.platform_counts().await?;
+    Ok(json!({
+        "entries": entries,
+        "sidecars": sidecars,
+        "table_reads_per_s": (after.reads - before.reads) as f64 / seconds,
+        "table_writes_per_s": (after.writes - before.writes) as f64 / seconds,
+        "refused_by_rate": after.refused_rate - before.refused_rate,
+    }))
+}
