--- a/crates/standins/src/load/capacity/fleet.rs
+++ b/crates/standins/src/load/capacity/fleet.rs
@@ -168,8 +168,8 @@
         }
         let mut times_ms = Vec::new();
         while let Some(look) = looks.join_next().await {
-            let time_ms = look.ok().and_then(Result::ok);
-            times_ms.push(time_ms.ok_or(CapacityError::Late("an edit in force everywhere"))?);
+            let seen = look.ok().and_then(Result::ok);
+            times_ms.push(seen.ok_or(CapacityError::Late("an edit in force everywhere"))?);
         }
         Ok(times_ms)
     }
--- a/crates/standins/src/load/capacity/probes.rs
+++ b/crates/standins/src/load/capacity/probes.rs
@@ -16,7 +16,7 @@
 use super::capacity_tree::{key_of, name_of};
 use super::fleet::{Fleet, Role};
 use super::role_window::{counters, cpu_ns};
-use super::spread::Spread;
+use super::spread::{Spread, float};
 use crate::http::HttpClient;
 
 /// Edits whose way to all processes is timed at each point.
@@ -119,7 +119,7 @@
         "calls": calls, "complete": complete, "took_s": took_s,
         "complete_per_s": f64::from(complete) / took_s,
         "platform_writes": writes,
-        "writes_per_call": writes as f64 / f64::from(complete.max(1)),
+        "writes_per_call": float(writes) / f64::from(complete.max(1)),
         "refused_by_rate": platform.refused_rate - platform_before.refused_rate,
         "use": used.shown(fleet),
     }))
@@ -164,7 +164,7 @@
         }
         let took_s = started.elapsed().as_secs_f64();
         let used = Usage::now(fleet).await?.since(&before);
-        let per_token_us = |ns: u64| ns as f64 / 1000.0 / f64::from(tokens.max(1));
+        let per_token_us = |ns: u64| float(ns) / 1000.0 / f64::from(tokens.max(1));
         rounds.push((
             f64::from(tokens) / took_s,
             per_token_us(used.cpu_ns[0]),
@@ -227,7 +227,7 @@
         let role = |index: usize| {
             json!({
                 "processes": fleet.processes(ROLES[index]).len(),
-                "cpu_ms": self.cpu_ns[index] as f64 / 1e6,
+                "cpu_ms": float(self.cpu_ns[index]) / 1e6,
                 "control": self.control[index].iter().cloned().collect::<BTreeMap<_, _>>(),
             })
         };
--- a/crates/standins/src/load/capacity/role_window.rs
+++ b/crates/standins/src/load/capacity/role_window.rs
@@ -9,7 +9,7 @@
 use super::capacity_error::CapacityError;
 use super::fleet::{Fleet, Role};
 use super::process_usage::ProcessUsage;
-use super::spread::Spread;
+use super::spread::{Spread, divisor, float};
 
 /// What the processes of one role used in some windows of time.
 #[derive(Debug, Serialize)]
@@ -72,14 +72,14 @@
             (Some(first), Some(last)) => (last.at - first.at).as_secs_f64(),
             _ => 1.0,
         };
-        let mib = |kib: u64| kib as f64 / 1024.0;
+        let mib = |kib: u64| float(kib) / 1024.0;
         Self {
             processes,
             cpu_percent: Spread::of(samples.windows(2).flat_map(cpu_percents)),
             resident_mib: Spread::of(last.iter().map(|usage| mib(usage.resident_kib))),
             anonymous_mib: Spread::of(last.iter().map(|usage| mib(usage.anonymous_kib))),
             platform_wire_bytes_per_s: Spread::of(samples.windows(2).map(wire_rate)),
-            control_per_s: rates(before, after, seconds * processes.max(1) as f64),
+            control_per_s: rates(before, after, seconds * divisor(processes)),
         }
     }
 }
@@ -125,16 +125,16 @@
 }
 
 fn cpu_percents(pair: &[Sample]) -> Vec<f64> {
-    let passed_ns = (pair[1].at - pair[0].at).as_nanos() as f64;
+    let passed_ns = (pair[1].at - pair[0].at).as_secs_f64() * 1e9;
     let used = pair[0].usages.iter().zip(&pair[1].usages);
-    used.map(|(before, after)| (after.cpu_ns - before.cpu_ns) as f64 / passed_ns * 100.0)
+    used.map(|(before, after)| float(after.cpu_ns - before.cpu_ns) / passed_ns * 100.0)
         .collect()
 }
 
 fn wire_rate(pair: &[Sample]) -> f64 {
     let passed_s = (pair[1].at - pair[0].at).as_secs_f64();
-    let bytes = pair[1].wire_bytes.saturating_sub(pair[0].wire_bytes) as f64;
-    bytes / passed_s / pair[0].usages.len().max(1) as f64
+    let bytes = float(pair[1].wire_bytes.saturating_sub(pair[0].wire_bytes));
+    bytes / passed_s / divisor(pair[0].usages.len())
 }
 
 fn rates(
@@ -144,7 +144,7 @@
 ) -> BTreeMap<String, f64> {
     let rate = |(name, count): (&String, &u64)| {
         let grown = count.saturating_sub(before.get(name).copied().unwrap_or(0));
-        let per_s = (grown as f64 / process_seconds * 1000.0).round() / 1000.0;
+        let per_s = (float(grown) / process_seconds * 1000.0).round() / 1000.0;
         (name.trim_start_matches("control.").to_owned(), per_s)
     };
     after
--- a/crates/standins/src/load/capacity/spread.rs
+++ b/crates/standins/src/load/capacity/spread.rs
@@ -30,6 +30,20 @@
     }
 }
 
+/// A count as a number to reckon with.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a sweep stay far below the 2^52 that a float holds exactly"
+)]
+pub(super) const fn float(count: u64) -> f64 {
+    count as f64
+}
+
+/// A number of things as a number to reckon with; never 0, as it divides.
+pub(super) fn divisor(count: usize) -> f64 {
+    float(u64::try_from(count).unwrap_or(u64::MAX).max(1))
+}
+
 /// Three decimals are more than any of the measurements can tell.
 fn rounded(value: f64) -> f64 {
     (value * 1000.0).round() / 1000.0
--- a/crates/standins/src/load/capacity/sweep.rs
+++ b/crates/standins/src/load/capacity/sweep.rs
@@ -10,6 +10,7 @@
 use super::fleet::Fleet;
 use super::fleet_size::FleetSize;
 use super::role_window::RoleWindow;
+use super::spread::float;
 use super::{limits, probes};
 
 /// Time for processes to settle after their start, before anything is measured.
@@ -193,8 +194,8 @@
     Ok(json!({
         "entries": entries,
         "sidecars": sidecars,
-        "table_reads_per_s": (after.reads - before.reads) as f64 / seconds,
-        "table_writes_per_s": (after.writes - before.writes) as f64 / seconds,
+        "table_reads_per_s": float(after.reads - before.reads) / seconds,
+        "table_writes_per_s": float(after.writes - before.writes) / seconds,
         "refused_by_rate": after.refused_rate - before.refused_rate,
     }))
 }
