--- a/crates/amaranthscale/src/sidecar/runner.rs
+++ b/crates/amaranthscale/src/sidecar/runner.rs
@@ -2,6 +2,7 @@
 
 mod relay;
 mod run_guard;
+mod token_count;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -1,5 +1,6 @@
 //! Passes a backend server's result into an attempt's answer.
 
+use super::token_count::TokenCount;
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::wire::{Digest, Outcome};
 use bytes::{Bytes, BytesMut};
@@ -15,8 +16,6 @@
 
 /// Set by a backend server on a refusal of what it did not run.
 const NOT_RUN: &str = "x-not-run";
-/// Start of a stream's last line, by which an engine says that all tokens have come.
-const END_LINE: &[u8] = br#"{"end":"#;
 /// Number of generated tokens, where the server knows it before it answers.
 const TOKENS: &str = "x-tokens";
 /// Content type of a stream with one token a line.
@@ -28,7 +27,7 @@
     job: &'a Job,
     hasher: Sha256,
     length_bytes: u64,
-    lines: u64,
+    token_count: TokenCount,
     is_too_large: bool,
     /// The whole result, where it goes into the table as well.
     result: BytesMut,
@@ -50,7 +49,7 @@
             job,
             hasher: Sha256::new(),
             length_bytes: 0,
-            lines: 0,
+            token_count: TokenCount::default(),
             is_too_large: false,
             result: BytesMut::new(),
         }
@@ -87,7 +86,7 @@
         }
         self.hasher.update(data);
         self.length_bytes += u64::try_from(data.len()).unwrap_or(u64::MAX);
-        self.lines += count_lines(data);
+        self.token_count.take(data);
         if !self.job.is_repeatable() {
             self.result.extend_from_slice(data);
         }
@@ -116,9 +115,8 @@
         outcome.length_bytes = self.length_bytes;
         outcome.digest = Digest::from_bytes(self.hasher.finalize().into());
         outcome.cost.tokens = number(headers, TOKENS).unwrap_or_else(|| {
-            let end_lines = u64::from(ends_with_end_line(&self.result));
             if is_stream(headers) {
-                self.lines.saturating_sub(end_lines)
+                self.token_count.tokens()
             } else {
                 0
             }
@@ -131,16 +129,6 @@
     }
 }
 
-/// Whether a stream's last line is its end, which is no token.
-fn ends_with_end_line(result: &[u8]) -> bool {
-    let lines = result.strip_suffix(b"\n").unwrap_or(result);
-    let last = lines
-        .rsplit(|byte| *byte == b'\n')
-        .next()
-        .unwrap_or_default();
-    last.starts_with(END_LINE)
-}
-
 /// Whether the backend server says that it did not run the call.
 fn is_not_run(response: &Response<Incoming>) -> bool {
     let is_refusal = matches!(
@@ -169,8 +157,3 @@
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
-
-fn count_lines(data: &[u8]) -> u64 {
-    let parts = data.split(|byte| *byte == b'\n').count();
-    u64::try_from(parts).unwrap_or(u64::MAX).saturating_sub(1)
-}
