One driver of conditional writes for entry, keeper and sidecar

The two that stood side by side did the same; the sidecar's tells a refusal from a lost answer and is kept. An edit whose write was overtaken is now looked up in the history: it may have gone before the one that overtook it.

--- a/crates/amaranthscale/src/entry/request/claim_check.rs
+++ b/crates/amaranthscale/src/entry/request/claim_check.rs
@@ -12,7 +12,7 @@
 
 use super::Answer;
 use crate::entry::process::EntryParts;
-use crate::process::{new_write_id, settle};
+use crate::process::{TableWrite, new_write_id};
 
 /// What comes next for a call that may not be repeated.
 #[derive(Debug)]
@@ -72,19 +72,24 @@
         version,
         fingerprint,
     } = ticket;
-    let mut write = cancel_write(key, *version, *fingerprint, by.clone(), new_write_id());
-    match settle(&parts.platform, &mut write, until).await {
-        WriteStep::Won { row } => {
+    let write = cancel_write(key, *version, *fingerprint, by.clone(), new_write_id());
+    match TableWrite::new(write)
+        .settle_until(&parts.platform, until)
+        .await
+    {
+        Some(WriteStep::Won { row }) => {
             parts.counters.count("claim.cancelled");
             ClaimNext::Dispatch(ticket_at(key, row.version, *fingerprint))
         }
-        WriteStep::Superseded { row }
-        | WriteStep::LostTo { row }
-        | WriteStep::Undecided { row } => {
+        Some(
+            WriteStep::Superseded { row }
+            | WriteStep::LostTo { row }
+            | WriteStep::Undecided { row },
+        ) => {
             parts.counters.count("claim.cancel_lost");
             after_lost_cancel(parts, ticket, attempt, &row).await
         }
-        WriteStep::Send | WriteStep::ReadBack => {
+        None | Some(WriteStep::Send | WriteStep::ReadBack) => {
             parts.counters.count("claim.cancel_unsettled");
             ClaimNext::Final(Answer::of_code(ResultCode::OutcomeUnknown))
         }
--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -9,7 +9,7 @@
 mod host_poll;
 mod platform_client;
 mod stop_signal;
-mod table_writer;
+mod table_write;
 
 #[doc(inline)]
 pub use control_kind::{ControlCounterNames, ControlKind};
@@ -28,4 +28,4 @@
 #[doc(inline)]
 pub use stop_signal::StopSignal;
 #[doc(inline)]
-pub use table_writer::{new_write_id, settle};
+pub use table_write::{TableWrite, new_write_id};
--- a/crates/amaranthscale/src/sidecar/table_write.rs
+++ b/crates/amaranthscale/src/process/table_write.rs
@@ -5,8 +5,9 @@
 use amaranthscale_core::id::WriteId;
 use amaranthscale_core::version::{ConditionalWrite, WriteEvent, WriteStep};
 use log::debug;
+use tokio::time::{Instant, timeout_at};
 
-use crate::process::{PlatformClient, PlatformError};
+use super::{PlatformClient, PlatformError};
 
 /// First pause after a failed call; a table under load must not be hit in a tight loop.
 const FIRST_PAUSE: Duration = Duration::from_millis(25);
@@ -18,14 +19,16 @@
 /// Dropping [`TableWrite::settle`] half-way is safe: [`TableWrite::may_take_effect`] then says
 /// whether the write can still come about.
 #[derive(Debug)]
-pub(super) struct TableWrite {
+pub struct TableWrite {
     write: ConditionalWrite,
     may_take_effect: bool,
     pause: Duration,
 }
 
 impl TableWrite {
-    pub(super) const fn new(write: ConditionalWrite) -> Self {
+    /// Prepares a write that has not been sent.
+    #[must_use]
+    pub const fn new(write: ConditionalWrite) -> Self {
         Self {
             write,
             may_take_effect: false,
@@ -34,12 +37,22 @@
     }
 
     /// Whether the write has taken effect or still may.
-    pub(super) const fn may_take_effect(&self) -> bool {
+    #[must_use]
+    pub const fn may_take_effect(&self) -> bool {
         self.may_take_effect
     }
 
+    /// Settles the write, or gives none when time is up first.
+    pub async fn settle_until(
+        &mut self,
+        platform: &PlatformClient,
+        until: Instant,
+    ) -> Option<WriteStep> {
+        timeout_at(until, self.settle(platform)).await.ok()
+    }
+
     /// Sends, reads back and repeats until the row has moved.
-    pub(super) async fn settle(&mut self, platform: &PlatformClient) -> WriteStep {
+    pub async fn settle(&mut self, platform: &PlatformClient) -> WriteStep {
         let mut step = WriteStep::Send;
         while !step.is_settled() {
             step = match step {
@@ -55,14 +68,14 @@
         match platform.transact(&self.write.transaction()).await {
             Ok(reply) => self.write.next(WriteEvent::Replied(reply)),
             Err(PlatformError::Refused(status)) => {
-                debug!("sidecar: write refused with status {status}");
+                debug!("table: write refused with status {status}");
                 self.may_take_effect = before;
                 self.pause().await;
                 WriteStep::Send
             }
             // An answer that cannot be read is as good as lost: the write may have taken effect.
             Err(error) => {
-                debug!("sidecar: write not settled: {error}");
+                debug!("table: write not settled: {error}");
                 self.pause().await;
                 self.write.next(WriteEvent::Lost)
             }
@@ -73,7 +86,7 @@
         match platform.row(self.write.key()).await {
             Ok(row) => self.write.next(WriteEvent::ReadBack(row)),
             Err(error) => {
-                debug!("sidecar: row not read: {error}");
+                debug!("table: row not read: {error}");
                 self.pause().await;
                 self.write.next(WriteEvent::ReadLost)
             }
@@ -88,8 +101,13 @@
     }
 }
 
-/// Draws a new mark for a write.
-pub(super) fn new_write_id() -> WriteId {
+/// A new id for one conditional write.
+///
+/// # Panics
+///
+/// Never: a UUID is a valid name.
+#[must_use]
+pub fn new_write_id() -> WriteId {
     // A UUID is within the accepted length and characters, so this cannot fail.
     WriteId::new(uuid::Uuid::new_v4().to_string()).expect("a UUID is a name")
 }
--- a/crates/amaranthscale/src/sidecar.rs
+++ b/crates/amaranthscale/src/sidecar.rs
@@ -28,7 +28,6 @@
 mod sidecar_error;
 mod sidecar_limits;
 mod status;
-mod table_write;
 mod tree_source;
 
 use std::net::SocketAddr;
--- a/crates/amaranthscale/src/sidecar/claims.rs
+++ b/crates/amaranthscale/src/sidecar/claims.rs
@@ -18,8 +18,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 
-use super::table_write::{TableWrite, new_write_id};
-use crate::process::{Counters, PlatformClient};
+use crate::process::{Counters, PlatformClient, TableWrite, new_write_id};
 
 /// Largest result that goes into the row itself; hexadecimal doubles it, and rows are read often.
 const MAX_INLINE_BYTES: usize = 32 * 1024;
--- a/crates/amaranthscale/src/version/tree_keeper_handle.rs
+++ b/crates/amaranthscale/src/version/tree_keeper_handle.rs
@@ -23,7 +23,7 @@
     EditProposal, EditResult, Origin, PublishedTree, TreeKeeper, TreeKeeperArguments, TreeMessage,
     TreeStatus,
 };
-use crate::process::{ControlKind, new_write_id, settle};
+use crate::process::{ControlKind, TableWrite, new_write_id};
 
 /// Peers that are handed an edit before it is called accepted, so that it outlives the death of
 /// this process together with an outage of the table.
@@ -146,31 +146,45 @@
     }
 
     async fn write(&self, record: EditRecord, tree: &SettingsTree) -> EditResult {
-        let mut write = edit_write(&record, tree);
+        let mut write = TableWrite::new(edit_write(&record, tree));
         let until = Instant::now() + EDIT_PATIENCE;
         let platform = self.arguments.platform.of(ControlKind::Edit);
-        match settle(&platform, &mut write, until).await {
-            WriteStep::Won { .. } | WriteStep::Superseded { .. } => {
-                let version = record.version;
-                self.hand_to_peers(&record).await;
-                let _ = self
-                    .ask(|reply| TreeMessage::Accepted(Box::new(record), reply))
-                    .await;
-                EditResult::Accepted(version)
+        match write.settle_until(&platform, until).await {
+            Some(WriteStep::Won { .. } | WriteStep::Superseded { .. }) => {
+                self.accepted(record).await
             }
-            WriteStep::LostTo { .. } => self.conflict(&record).await,
-            WriteStep::Undecided { .. } | WriteStep::Send | WriteStep::ReadBack => {
-                EditResult::Unknown
+            Some(WriteStep::LostTo { .. } | WriteStep::Undecided { .. }) => {
+                self.overtaken(record).await
             }
+            _unsettled if write.may_take_effect() => EditResult::Unknown,
+            _never_taken => EditResult::Refused(ResultCode::TableAway),
         }
     }
 
-    async fn conflict(&self, record: &EditRecord) -> EditResult {
+    async fn accepted(&self, record: EditRecord) -> EditResult {
+        let version = record.version;
+        self.hand_to_peers(&record).await;
+        let _ = self
+            .ask(|reply| TreeMessage::Accepted(Box::new(record), reply))
+            .await;
+        EditResult::Accepted(version)
+    }
+
+    /// Another edit stands in the head row; the row of the edit itself tells whether ours went
+    /// before it.
+    async fn overtaken(&self, record: EditRecord) -> EditResult {
         let Some(log) = self.refreshed_log().await else {
-            return EditResult::Conflict(record.version, Vec::new());
+            return EditResult::Unknown;
         };
         let expected = TreeVersion::new(record.version.get() - 1);
-        EditResult::Conflict(log.version(), log.edits_after(expected).cloned().collect())
+        let others: Vec<EditRecord> = log.edits_after(expected).cloned().collect();
+        let is_ours = others
+            .first()
+            .is_some_and(|first| first.write_id == record.write_id);
+        if is_ours {
+            return self.accepted(record).await;
+        }
+        EditResult::Conflict(log.version(), others)
     }
 
     /// The log after a look at the table; none if the table does not answer.
