--- a/crates/core/src/process/fair_queue.rs
+++ b/crates/core/src/process/fair_queue.rs
@@ -73,11 +73,16 @@
     ///
     /// A paid arrival at a full queue displaces the newest trial attempt; see
     /// [`take_displaced`](Self::take_displaced).
-    pub fn push(&mut self, item: QueuedAttempt, now: SidecarClock) -> Result<(), Refusal> {
+    pub fn push(&mut self, mut item: QueuedAttempt, now: SidecarClock) -> Result<(), Refusal> {
         if self.knows(&item.attempt) {
             return Err(self.refusal(ResultCode::DuplicateAttempt, &item));
         }
-        if !item.can_make_it(now) {
+        // The expected time may be one of before a freeze or a slow spell. A server that refused on
+        // it while it has a free slot would never measure that it is well again.
+        if self.can_start_at_once(item.class) {
+            item.expected_ms = item.expected_ms.min(left_ms(&item, now));
+        }
+        if item.expiry <= now || !item.can_make_it(now) {
             return Err(self.refusal(ResultCode::DeadlineUnreachable, &item));
         }
         self.make_room(&item)?;
@@ -167,6 +172,12 @@
             || self.trial.contains(attempt)
     }
 
+    fn can_start_at_once(&self, class: Class) -> bool {
+        let has_slot = self.running() < self.limits.slots;
+        let is_within_reserve = class == Class::Paid || self.may_start_trial();
+        self.is_empty() && has_slot && is_within_reserve
+    }
+
     fn make_room(&mut self, arrival: &QueuedAttempt) -> Result<(), Refusal> {
         if self.paid.len() + self.trial.len() < self.limits.capacity {
             return Ok(());
@@ -183,17 +194,19 @@
     }
 
     fn pop_trial(&mut self) -> Option<QueuedAttempt> {
-        let running = self
-            .running
-            .values()
-            .filter(|class| **class == Class::Trial);
-        if running.count() < self.trial_slots() {
+        if self.may_start_trial() {
             self.trial.pop()
         } else {
             None
         }
     }
 
+    fn may_start_trial(&self) -> bool {
+        let classes = self.running.values();
+        let trials = classes.filter(|class| **class == Class::Trial).count();
+        trials < self.trial_slots()
+    }
+
     /// A server with few slots must still run trials when it is idle, so one is always theirs.
     fn trial_slots(&self) -> usize {
         let slots = self
@@ -214,3 +227,8 @@
         Refusal::new(code, drain_ms.max(MIN_RETRY_AFTER_MS))
     }
 }
+
+/// Time until an attempt's expiry; 0 if that has passed, so that it is still refused.
+fn left_ms(item: &QueuedAttempt, now: SidecarClock) -> u64 {
+    item.expiry.as_millis().saturating_sub(now.as_millis())
+}
--- a/crates/core/tests/policy_queue.rs
+++ b/crates/core/tests/policy_queue.rs
@@ -256,3 +256,28 @@
         meter.expected_ms(START)
     );
 }
+
+/// A server has thawed and is idle, but still believes that all work takes eight seconds. With a
+/// free slot it takes work all the same, and so finds out; what would have to wait is refused.
+#[test]
+fn an_idle_server_does_not_refuse_on_a_belief() {
+    let mut queue = queue(1, 10, 0);
+    let believed = |number| QueuedAttempt {
+        expected_ms: 8_000,
+        expiry: SidecarClock::from_millis(4_000),
+        ..item(number, "delta-basin", Class::Paid)
+    };
+
+    let with_slot = queue.push(believed(1), START);
+    let started = queue.pop(START);
+    let without_slot = queue.push(believed(2), START);
+    let expired = queue.push(believed(3), SidecarClock::from_millis(4_000));
+
+    assert_eq!(with_slot, Ok(()));
+    assert!(started.is_some());
+    assert_eq!(
+        without_slot.unwrap_err().code,
+        ResultCode::DeadlineUnreachable
+    );
+    assert_eq!(expired.unwrap_err().code, ResultCode::DeadlineUnreachable);
+}
