--- a/crates/standins/src/bin/amaranth-load.rs
+++ b/crates/standins/src/bin/amaranth-load.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use amaranthscale_standins::load::{capacity, measure};
+use amaranthscale_standins::load::{capacity, measure, run};
 use amaranthscale_standins::policy;
 use clap::Command;
 
@@ -15,6 +15,7 @@
     let result = match matches.subcommand() {
         Some(("policy", policy_matches)) => policy::run(policy_matches),
         Some(("capacity", capacity_matches)) => capacity::run(capacity_matches),
+        Some(("run", run_matches)) => run::run(run_matches),
         Some(("measure", measure_matches)) => measure::run(measure_matches),
         _ => Err("no subcommand was given".to_owned()),
     };
@@ -33,6 +34,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(policy::command())
+        .subcommand(run::command())
         .subcommand(measure::command())
         .subcommand(capacity::command())
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -3,6 +3,7 @@
 pub mod capacity;
 pub mod demo_tree;
 pub mod measure;
+pub mod run;
 
 mod caller;
 mod caller_answer;
@@ -13,4 +14,4 @@
 #[doc(inline)]
 pub use caller_answer::CallerAnswer;
 #[doc(inline)]
-pub use load_report::LoadReport;
+pub use load_report::{LoadDetails, LoadReport};
--- a/crates/standins/src/load/caller.rs
+++ b/crates/standins/src/load/caller.rs
@@ -25,6 +25,8 @@
     deadline: Duration,
     max_tokens: u32,
     max_tries: u32,
+    prefix: Option<String>,
+    gives_up_at_deadline: bool,
     http: HttpClient,
 }
 
@@ -42,6 +44,8 @@
             deadline: Duration::from_secs(9),
             max_tokens: DEFAULT_MAX_TOKENS,
             max_tries: MAX_TRIES,
+            prefix: None,
+            gives_up_at_deadline: false,
             http: HttpClient::new(),
         }
     }
@@ -67,6 +71,20 @@
         self
     }
 
+    /// Sets the prefix of prompts, by which engines cache them; else the organisation's name.
+    #[must_use]
+    pub fn with_prefix(mut self, prefix: impl Into<String>) -> Self {
+        self.prefix = Some(prefix.into());
+        self
+    }
+
+    /// Makes the deadline hold for all tries together, as for a caller who waits at a gate.
+    #[must_use]
+    pub const fn giving_up_at_deadline(mut self) -> Self {
+        self.gives_up_at_deadline = true;
+        self
+    }
+
     /// Organisation of the caller.
     #[must_use]
     pub fn organisation(&self) -> &str {
@@ -78,7 +96,7 @@
         let body = json!({
             "marker": marker,
             "max_tokens": self.max_tokens,
-            "prefix": self.organisation,
+            "prefix": self.prefix.as_ref().unwrap_or(&self.organisation),
         });
         let tokens = u64::from(self.max_tokens);
         let check = move |reply: &Value, marker: &str| {
@@ -111,26 +129,45 @@
         let mut answer = self.no_answer(marker);
         while answer.tries < self.max_tries {
             answer.tries += 1;
-            let reply = self.post(entry, path, body, key).await;
+            let left = self.left(started);
+            let reply = self.post(entry, path, body, key, left).await;
             let wait = read(&mut answer, reply.as_ref(), &check);
             answer.elapsed = started.elapsed();
             match wait {
-                Some(wait) if answer.tries < self.max_tries => sleep(wait).await,
+                Some(wait) if self.comes_back(&answer, wait) => {
+                    answer.refused_codes.push(answer.code);
+                    sleep(wait).await;
+                }
                 _ => break,
             }
         }
         answer
     }
 
+    /// The deadline to ask for.
+    fn left(&self, started: Instant) -> Duration {
+        if self.gives_up_at_deadline {
+            self.deadline.saturating_sub(started.elapsed())
+        } else {
+            self.deadline
+        }
+    }
+
+    fn comes_back(&self, answer: &CallerAnswer, wait: Duration) -> bool {
+        let is_late = self.gives_up_at_deadline && answer.elapsed + wait >= self.deadline;
+        answer.tries < self.max_tries && !is_late
+    }
+
     async fn post(
         &self,
         entry: &str,
         path: &str,
         body: &Value,
         key: Option<&str>,
+        deadline: Duration,
     ) -> Option<HttpReply> {
         let bearer = format!("Bearer {}", self.key);
-        let deadline_ms = self.deadline.as_millis().to_string();
+        let deadline_ms = deadline.as_millis().max(1).to_string();
         let mut headers = vec![
             ("authorization", bearer.as_str()),
             ("x-deadline-ms", deadline_ms.as_str()),
@@ -151,6 +188,8 @@
             ran: String::new(),
             is_correct: false,
             tries: 0,
+            refused_codes: Vec::new(),
+            deadline: self.deadline,
             elapsed: Duration::ZERO,
             text: String::new(),
         }
--- a/crates/standins/src/load/caller_answer.rs
+++ b/crates/standins/src/load/caller_answer.rs
@@ -20,6 +20,10 @@
     pub is_correct: bool,
     /// Tries that the caller made.
     pub tries: u32,
+    /// Result codes of the tries after which the caller came back.
+    pub refused_codes: Vec<u16>,
+    /// Time within which the caller wanted its answer.
+    pub deadline: Duration,
     /// Time from the first try to the last answer.
     pub elapsed: Duration,
     /// Start of the answer's text.
@@ -32,6 +36,12 @@
     pub const fn is_complete(&self) -> bool {
         self.code == 1000
     }
+
+    /// Whether the request was answered in full and within its deadline.
+    #[must_use]
+    pub fn is_attained(&self) -> bool {
+        self.is_complete() && self.is_correct && self.elapsed <= self.deadline
+    }
 }
 
 impl fmt::Display for CallerAnswer {
--- a/crates/standins/src/load/capacity.rs
+++ b/crates/standins/src/load/capacity.rs
@@ -61,9 +61,13 @@
         .map(|points| points.copied().collect());
     let binaries = matches.get_one::<PathBuf>("binaries").cloned();
     let measuring = sweep.run(size(matches), points, binaries);
-    runtime
-        .block_on(measuring)
-        .map_err(|error| error.to_string())
+    // The processes of a deployment end when it is dropped, so an interrupt has to come back here.
+    runtime.block_on(async {
+        tokio::select! {
+            measured = measuring => measured.map_err(|error| error.to_string()),
+            _ = tokio::signal::ctrl_c() => Err("interrupted".to_owned()),
+        }
+    })
 }
 
 fn size_arguments() -> [Arg; 6] {
--- a/crates/standins/src/load/capacity/fleet.rs
+++ b/crates/standins/src/load/capacity/fleet.rs
@@ -71,6 +71,8 @@
         }
         let mut fleet = Self::of_standins(size, binaries).await?;
         fleet.launch_entries()?;
+        // Sidecars look at the host list every 30 s only, and would know no entry until then.
+        fleet.show_hosts(0).await?;
         fleet.launch_sidecars()?;
         fleet.show_hosts(0).await?;
         fleet.import().await?;
--- a/crates/standins/src/load/load_report.rs
+++ b/crates/standins/src/load/load_report.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 
@@ -16,15 +17,32 @@
 #[derive(Debug, Default)]
 pub struct LoadReport {
     classes: BTreeMap<String, ClassReport>,
+    organisations: BTreeMap<String, Attained>,
     codes: BTreeMap<u16, u64>,
+    came_back: BTreeMap<u16, u64>,
     incorrect: u64,
     samples: Vec<CallerAnswer>,
 }
 
+/// Requests, and those of them that were answered in full within their deadline.
+#[derive(Debug, Default)]
+struct Attained {
+    requests: u64,
+    attained: u64,
+}
+
+/// Attainment by class and organisation, and what callers came back after.
+#[derive(Debug)]
+pub struct LoadDetails<'a> {
+    report: &'a LoadReport,
+    duration: Duration,
+}
+
 #[derive(Debug)]
 struct ClassReport {
     requests: u64,
     complete: u64,
+    attained: u64,
     tries: u64,
     latency_ms: Histogram<u64>,
 }
@@ -36,8 +54,17 @@
         if answer.is_complete() && !answer.is_correct {
             self.incorrect += 1;
         }
+        for code in &answer.refused_codes {
+            *self.came_back.entry(*code).or_default() += 1;
+        }
+        let organisation = answer.organisation.clone();
+        let attained = u64::from(answer.is_attained());
+        let organisation = self.organisations.entry(organisation).or_default();
+        organisation.requests += 1;
+        organisation.attained += attained;
         let class = self.classes.entry(answer.class.clone()).or_default();
         class.requests += 1;
+        class.attained += attained;
         class.tries += u64::from(answer.tries);
         if answer.is_complete() {
             class.complete += 1;
@@ -55,6 +82,15 @@
         &self.samples
     }
 
+    /// Attainment, goodput and retries of a load whose arrivals took so long.
+    #[must_use]
+    pub const fn details(&self, duration: Duration) -> LoadDetails<'_> {
+        LoadDetails {
+            report: self,
+            duration,
+        }
+    }
+
     /// Whether every request got its own whole answer.
     #[must_use]
     pub fn is_all_correct(&self) -> bool {
@@ -70,6 +106,7 @@
         Self {
             requests: 0,
             complete: 0,
+            attained: 0,
             tries: 0,
             latency_ms,
         }
@@ -101,3 +138,42 @@
         )
     }
 }
+
+impl fmt::Display for LoadDetails<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (class, report) in &self.report.classes {
+            let goodput = per_second(report.attained, self.duration);
+            write!(f, "attainment of {class}: ")?;
+            write_share(f, report.attained, report.requests)?;
+            writeln!(f, ", goodput {goodput:.1} requests/s")?;
+        }
+        for (organisation, report) in &self.report.organisations {
+            write!(f, "  {organisation:20} ")?;
+            write_share(f, report.attained, report.requests)?;
+            writeln!(f)?;
+        }
+        let came_back = self.report.came_back.iter();
+        let came_back = came_back.map(|(code, count)| format!("{code} x {count}"));
+        let came_back = came_back.collect::<Vec<_>>().join(", ");
+        write!(f, "came back after: {came_back}")
+    }
+}
+
+fn write_share(f: &mut fmt::Formatter<'_>, part: u64, whole: u64) -> fmt::Result {
+    // Tenths of a percent in whole numbers.
+    let tenths = part * 1000 / whole.max(1);
+    write!(
+        f,
+        "{part} of {whole} in time ({}.{}%)",
+        tenths / 10,
+        tenths % 10
+    )
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a load stay far below the 2^52 that a float holds exactly"
+)]
+fn per_second(count: u64, duration: Duration) -> f64 {
+    count as f64 / duration.as_secs_f64().max(f64::EPSILON)
+}
