--- a/crates/standins/src/platform/platform_faults.rs
+++ b/crates/standins/src/platform/platform_faults.rs
@@ -8,6 +8,8 @@
 pub struct PlatformFaults {
     /// All calls are answered 503.
     pub outage: Option<bool>,
+    /// Calls to table and objects are answered 503, while the host list is served.
+    pub table_outage: Option<bool>,
     /// Calls are accepted, have no effect, and are never answered.
     pub silent: Option<bool>,
     /// Time that each call takes, in milliseconds.
--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -12,7 +12,7 @@
     percent_decode, status,
 };
 use crate::platform::PlatformFaults;
-use crate::platform::state::{State, TransactionFate};
+use crate::platform::state::{HOSTS_PATH, State, TransactionFate};
 
 /// Paths under which tests switch faults and read counts; no fault touches them.
 const ADMIN_PREFIX: &str = "/admin/";
@@ -42,7 +42,7 @@
     if state.lock().silent {
         std::future::pending::<()>().await;
     }
-    if state.lock().outage {
+    if state.lock().is_away(request.uri().path()) {
         return Ok(status(StatusCode::SERVICE_UNAVAILABLE));
     }
     // Half of the latency lies on either side of the effect, so that a caller who gives up may do
@@ -61,7 +61,7 @@
         (&Method::GET, "/table/row", _) => Ok(row(state, request)),
         (&Method::GET, "/table/rows", _) => Ok(rows(state, request)),
         (&Method::POST, "/table/transaction", _) => transaction(state, request.body()),
-        (&Method::GET, "/hosts", _) => Ok(hosts(state)),
+        (&Method::GET, HOSTS_PATH, _) => Ok(hosts(state)),
         (&Method::GET, _, Some(key)) => Ok(object_read(state, &key)),
         (&Method::PUT, _, Some(key)) => Ok(object_write(state, key, request.body())),
         _ => Ok(status(StatusCode::NOT_FOUND)),
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -13,6 +13,9 @@
 use crate::platform::table::Table;
 use crate::platform::{PlatformCounts, PlatformFaults, PlatformSettings};
 
+/// Path of the host list.
+pub(crate) const HOSTS_PATH: &str = "/hosts";
+
 /// Shared handle on the platform's contents.
 #[derive(Debug, Clone)]
 pub(crate) struct State {
@@ -30,6 +33,7 @@
     pub(crate) reads: RateWindow,
     pub(crate) writes: RateWindow,
     pub(crate) outage: bool,
+    pub(crate) table_outage: bool,
     pub(crate) silent: bool,
     pub(crate) latency: Duration,
     late_effect: Duration,
@@ -67,6 +71,7 @@
     /// Switches faults.
     pub(crate) fn switch(&mut self, faults: PlatformFaults) {
         set(&mut self.outage, faults.outage);
+        set(&mut self.table_outage, faults.table_outage);
         set(&mut self.silent, faults.silent);
         set(
             &mut self.latency,
@@ -86,6 +91,11 @@
         }
     }
 
+    /// Whether a call to this path meets an outage.
+    pub(crate) fn is_away(&self, path: &str) -> bool {
+        self.outage || (self.table_outage && path != HOSTS_PATH)
+    }
+
     /// Decides what becomes of the next transaction.
     pub(crate) fn next_fate(&mut self) -> TransactionFate {
         if self.late_effects > 0 {
@@ -138,6 +148,7 @@
             reads: RateWindow::new(now, settings.reads_per_second),
             writes: RateWindow::new(now, settings.writes_per_second),
             outage: false,
+            table_outage: false,
             silent: false,
             latency: Duration::from_millis(settings.latency_ms),
             late_effect: Duration::ZERO,
--- a/crates/standins/tests/support/backend_host.rs
+++ b/crates/standins/tests/support/backend_host.rs
@@ -181,6 +181,15 @@
         wait_until(&awaited, async || self.counter(name).await >= least).await;
     }
 
+    /// Waits until the sidecar has at least a version of the tree.
+    pub async fn wait_for_tree(&self, version: u64) {
+        let awaited = format!("{} has version {version}", self.host());
+        wait_until(&awaited, async || {
+            self.status().await["tree_version"].as_u64() >= Some(version)
+        })
+        .await;
+    }
+
     /// Waits until so many attempts wait at the sidecar.
     pub async fn wait_for_queued(&self, count: u64) {
         let awaited = format!("{count} attempts wait at {}", self.host());
--- a/crates/standins/tests/support/entry_process.rs
+++ b/crates/standins/tests/support/entry_process.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use amaranthscale_standins::http::{HttpClient, HttpReply};
+use hyper::Method;
 use serde_json::Value;
 
 use super::request::{bearer, edit};
@@ -106,6 +107,16 @@
         .await;
     }
 
+    /// The settings tree that it has in force.
+    pub async fn tree(&self) -> Value {
+        let key = bearer(OPERATOR_KEY);
+        let headers = [("authorization", key.as_str())];
+        let url = self.url("/v1/operator/tree");
+        let reply = self.http.send(Method::GET, url, &headers, "").await;
+        let reply = reply.expect("an entry answers its operator");
+        reply.json().expect("a tree in JSON")
+    }
+
     /// Makes an operator's edit against a version.
     pub async fn edit(&self, expected_version: u64, by: &str, change: &Value) -> HttpReply {
         let body = edit(expected_version, by, change).to_string();
--- a/crates/standins/tests/support/platform_process.rs
+++ b/crates/standins/tests/support/platform_process.rs
@@ -47,6 +47,16 @@
         .await;
     }
 
+    /// Fails table and objects alone, or serves them again.
+    pub async fn table_outage(&self, is_away: bool) {
+        let table_outage = Some(is_away);
+        self.switch(PlatformFaults {
+            table_outage,
+            ..PlatformFaults::default()
+        })
+        .await;
+    }
+
     /// Adds a host to the host list, or replaces it.
     pub async fn put_host(&self, host: &str, address: SocketAddr, service: Option<&str>) {
         let name = |name: &str| name.parse().expect("a name");
