A paused entry decides by the newest tree only

Cause: an entry that woke from SIGSTOP decided by the tree of before its pause. Its keeper doubts the tree only when its own poll timer is handled, and requests that waited in the sockets were read first; and afterwards any peer's word, also one asked before the pause, or from a peer that was behind itself, made the entry ready again. Ruled out: the edit (accepted and in force at the other entry), the host list, the sidecar (it does not check organisations).

Now whoever asks whether the entry is ready sees a keeper that has not polled for three polls; an answer makes it ready only if it was asked after the doubt; a peer's word counts only while the table is away; an offered edit is taken but makes nothing ready.

--- a/crates/amaranthscale/src/version/published_tree.rs
+++ b/crates/amaranthscale/src/version/published_tree.rs
@@ -4,6 +4,7 @@
 
 use amaranthscale_core::version::{CompiledTree, TreeLog};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// The writing ends, which the keeper holds.
 #[derive(Debug)]
@@ -14,6 +15,8 @@
     pub log: watch::Sender<Arc<TreeLog>>,
     /// Whether the process has learned a version that it may decide by.
     pub ready: watch::Sender<bool>,
+    /// When the keeper last looked at the table.
+    pub polled: watch::Sender<Instant>,
 }
 
 impl PublishedTree {
@@ -24,6 +27,7 @@
             in_force: watch::Sender::new(Arc::clone(log.current())),
             log: watch::Sender::new(Arc::new(log)),
             ready: watch::Sender::new(false),
+            polled: watch::Sender::new(Instant::now()),
         }
     }
 }
--- a/crates/amaranthscale/src/version/tree_keeper.rs
+++ b/crates/amaranthscale/src/version/tree_keeper.rs
@@ -29,6 +29,9 @@
 /// Pause while a process without a tree looks for one.
 const START_PAUSE: Duration = Duration::from_millis(200);
 
+/// Polls that a process must have missed to count as paused; fewer would doubt a busy machine.
+const PAUSE_POLLS: u32 = 3;
+
 /// How often the keeper looks for a newer tree.
 #[derive(Debug, Clone, Copy)]
 pub struct TreeKeeperSettings {
@@ -47,6 +50,13 @@
     }
 }
 
+impl TreeKeeperSettings {
+    /// Whether a keeper that has not polled for so long was paused.
+    pub(super) fn is_pause(&self, unseen: Duration) -> bool {
+        unseen > self.poll * PAUSE_POLLS
+    }
+}
+
 impl From<&TreeSettings> for TreeKeeperSettings {
     /// An exchange time of 0 ms switches the exchange off.
     fn from(settings: &TreeSettings) -> Self {
@@ -95,8 +105,10 @@
     Exchange,
     /// A process at this address has this version.
     Heard(TreeVersion, SocketAddr),
-    /// Something newer may have come.
-    Take(Result<TreeReply, String>, Origin),
+    /// A question asked at this time was answered, or was not.
+    Take(Result<TreeReply, String>, Origin, Instant),
+    /// A peer hands on what it has.
+    Offered(TreeReply),
     /// Some process has this version; which one to ask is not known.
     HeardOf(TreeVersion),
     /// An edit of this process was accepted.
@@ -125,7 +137,7 @@
     log: TreeLog,
     published: PublishedTree,
     random: SmallRng,
-    last_poll: Instant,
+    doubted_at: Instant,
     is_table_away: bool,
     last_heard: TreeVersion,
 }
@@ -146,13 +158,13 @@
         if arguments.settings.exchange.is_some() {
             myself.cast(TreeMessage::Exchange)?;
         }
-        let (last_poll, is_table_away) = (Instant::now(), false);
+        let (doubted_at, is_table_away) = (Instant::now(), false);
         Ok(TreeKeeperState {
             arguments,
             log,
             published,
             random,
-            last_poll,
+            doubted_at,
             is_table_away,
             last_heard: TreeVersion::default(),
         })
@@ -168,7 +180,10 @@
             TreeMessage::Poll => state.poll(&myself),
             TreeMessage::Exchange => state.exchange(&myself),
             TreeMessage::Heard(version, address) => state.heard(&myself, version, address),
-            TreeMessage::Take(reply, origin) => state.take(reply, origin),
+            TreeMessage::Take(reply, origin, asked_at) => state.answered(reply, origin, asked_at),
+            TreeMessage::Offered(offer) => {
+                state.take(offer);
+            }
             TreeMessage::HeardOf(version) => state.heard_of(&myself, version),
             TreeMessage::Accepted(record, reply) => {
                 state.accepted(*record);
@@ -191,7 +206,7 @@
         } else {
             START_PAUSE
         };
-        self.last_poll = Instant::now();
+        self.published.polled.send_replace(Instant::now());
         drop(myself.send_after(self.jittered(every), || TreeMessage::Poll));
         self.read_table(myself);
     }
@@ -199,20 +214,24 @@
     fn read_table(&self, myself: &ActorRef<TreeMessage>) {
         self.arguments.counters.count("tree.poll");
         let (platform, version) = (self.arguments.platform.clone(), self.log.version());
-        let myself = myself.clone();
+        let (myself, asked_at) = (myself.clone(), Instant::now());
         tokio::spawn(async move {
             let reply = read_from_table(&platform, version).await;
             let reply = reply.map_err(|error| error.to_string());
-            let _ = myself.cast(TreeMessage::Take(reply, Origin::Table));
+            let _ = myself.cast(TreeMessage::Take(reply, Origin::Table, asked_at));
         });
     }
 
     /// Guards against a process that was paused: it would decide by a tree that may be minutes
     /// old. A timer that is late by several periods shows the pause, and the process is not ready
-    /// again until it has heard from the table or a peer.
-    fn doubt_after_pause(&self) {
-        let late = self.last_poll.elapsed();
-        if late > self.arguments.settings.poll * 3 && self.published.ready.send_replace(false) {
+    /// again until it has an answer to a question asked since then.
+    fn doubt_after_pause(&mut self) {
+        let late = self.published.polled.borrow().elapsed();
+        if !self.arguments.settings.is_pause(late) {
+            return;
+        }
+        self.doubted_at = Instant::now();
+        if self.published.ready.send_replace(false) {
             warn!("tree: paused for {} ms, asking again", late.as_millis());
             self.arguments.counters.count("tree.paused");
         }
@@ -258,15 +277,15 @@
     fn ask(&self, myself: &ActorRef<TreeMessage>, address: SocketAddr) {
         let peers = Arc::clone(&self.arguments.peers);
         let (host, version) = (self.arguments.host.clone(), self.log.version());
-        let myself = myself.clone();
+        let (myself, asked_at) = (myself.clone(), Instant::now());
         tokio::spawn(async move {
             let reply = read_from_peer(&peers, address, &host, version).await;
             let reply = reply.map_err(|error| error.to_string());
-            let _ = myself.cast(TreeMessage::Take(reply, Origin::Peer));
+            let _ = myself.cast(TreeMessage::Take(reply, Origin::Peer, asked_at));
         });
     }
 
-    fn take(&mut self, reply: Result<TreeReply, String>, origin: Origin) {
+    fn answered(&mut self, reply: Result<TreeReply, String>, origin: Origin, asked_at: Instant) {
         let reply = match reply {
             Ok(reply) => reply,
             Err(error) => return self.unanswered(&error, origin),
@@ -274,8 +293,30 @@
         if origin == Origin::Table {
             self.is_table_away = false;
         }
-        let is_word_of_a_peer_without_tree =
-            origin == Origin::Peer && reply == TreeReply::UpToDate(TreeVersion::default());
+        let is_authority = self.is_authority(&reply, origin);
+        let is_taken = self.take(reply);
+        // An answer from before a pause says nothing on what came during it.
+        if is_taken && is_authority && asked_at >= self.doubted_at {
+            self.published.ready.send_replace(true);
+        }
+    }
+
+    /// Whether a reply may make the process ready.
+    ///
+    /// A peer may be some seconds behind the table, so its word counts only while the table is
+    /// away; and a peer that has no tree itself says nothing on whether there is one.
+    fn is_authority(&self, reply: &TreeReply, origin: Origin) -> bool {
+        match origin {
+            Origin::Table => true,
+            Origin::Peer => {
+                let is_without_tree = *reply == TreeReply::UpToDate(TreeVersion::default());
+                self.is_table_away && !is_without_tree
+            }
+        }
+    }
+
+    /// Takes a reply in; false if it cannot be used.
+    fn take(&mut self, reply: TreeReply) -> bool {
         match self.log.take(reply) {
             Ok(Taken::Newer { from, to }) => {
                 info!("tree: version {to} is in force, after {from}");
@@ -286,13 +327,10 @@
             Err(error) => {
                 warn!("tree: a reply was not taken: {error}");
                 self.arguments.counters.count("tree.not_taken");
-                return;
+                return false;
             }
         }
-        // A peer that has no tree itself says nothing on whether there is one.
-        if !is_word_of_a_peer_without_tree {
-            self.published.ready.send_replace(true);
-        }
+        true
     }
 
     fn unanswered(&mut self, error: &str, origin: Origin) {
--- a/crates/amaranthscale/src/version/tree_keeper_handle.rs
+++ b/crates/amaranthscale/src/version/tree_keeper_handle.rs
@@ -39,6 +39,7 @@
     in_force: watch::Receiver<Arc<CompiledTree>>,
     log: watch::Receiver<Arc<TreeLog>>,
     ready: watch::Receiver<bool>,
+    polled: watch::Receiver<Instant>,
 }
 
 impl TreeKeeperHandle {
@@ -50,6 +51,7 @@
         let in_force = published.in_force.subscribe();
         let log = published.log.subscribe();
         let ready = published.ready.subscribe();
+        let polled = published.polled.subscribe();
         let (actor, _joined) =
             Actor::spawn(None, TreeKeeper, (arguments.clone(), published)).await?;
         Ok(Self {
@@ -58,6 +60,7 @@
             in_force,
             log,
             ready,
+            polled,
         })
     }
 
@@ -68,9 +71,13 @@
     }
 
     /// Whether the process has learned a version that it may decide by.
+    ///
+    /// Guards against a process that was paused and reads a request before its keeper has noticed:
+    /// a keeper that has not looked for long shows the pause to whoever asks first.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        *self.ready.borrow()
+        let unseen = self.polled.borrow().elapsed();
+        *self.ready.borrow() && !self.arguments.settings.is_pause(unseen)
     }
 
     /// Waits until the process has learned a version.
@@ -88,7 +95,7 @@
 
     /// Takes edits that a peer offers.
     pub fn offered(&self, offer: TreeReply) {
-        let _ = self.actor.cast(TreeMessage::Take(Ok(offer), Origin::Peer));
+        let _ = self.actor.cast(TreeMessage::Offered(offer));
     }
 
     /// Tells of a version that some process showed.
@@ -176,15 +183,15 @@
     async fn refreshed_log(&self) -> Option<Arc<TreeLog>> {
         loop {
             let log = Arc::clone(&self.log.borrow());
+            let asked_at = Instant::now();
             let reply = read_from_table(&self.arguments.platform, log.version())
                 .await
                 .ok()?;
             if matches!(reply, TreeReply::UpToDate(_)) {
                 return Some(log);
             }
-            self.actor
-                .cast(TreeMessage::Take(Ok(reply), Origin::Table))
-                .ok()?;
+            let take = TreeMessage::Take(Ok(reply), Origin::Table, asked_at);
+            self.actor.cast(take).ok()?;
             // Answered after the reply was taken.
             let status = self.status().await?;
             if status.version == log.version() {
