--- a/crates/standins/tests/support/entry_process.rs
+++ b/crates/standins/tests/support/entry_process.rs
@@ -117,6 +117,16 @@
         reply.json().expect("a tree in JSON")
     }
 
+    /// Waits until it uses at least a version of the host list.
+    pub async fn wait_for_host_list(&self, version: u64) {
+        let awaited = format!("{} uses host list {version}", self.host);
+        wait_until(&awaited, async || {
+            let status = self.status().await;
+            status["decisions"]["host_list_version"].as_u64() >= Some(version)
+        })
+        .await;
+    }
+
     /// Makes an operator's edit against a version.
     pub async fn edit(&self, expected_version: u64, by: &str, change: &Value) -> HttpReply {
         let body = edit(expected_version, by, change).to_string();
--- a/crates/standins/tests/support/platform_process.rs
+++ b/crates/standins/tests/support/platform_process.rs
@@ -77,6 +77,12 @@
         switch(&self.http, self.process.url("/admin/hosts/state"), &change).await;
     }
 
+    /// Version of the host list that it shows.
+    pub async fn host_list_version(&self) -> u64 {
+        let hosts: HostList = self.get("/hosts").await;
+        hosts.version
+    }
+
     /// Number of hosts in the host list.
     pub async fn host_count(&self) -> usize {
         let hosts: HostList = self.get("/hosts").await;
