--- a/crates/standins/src/policy/deployment.rs
+++ b/crates/standins/src/policy/deployment.rs
@@ -2,7 +2,7 @@
 //!
 //! Names and numbers of servers are the brief's. Which service does which stage, slots, times
 //! and rates are assumptions of this bench: generation is at 60% of its capacity, paid and trial
-//! work at 40% and 20%, and each other stage at 33% to 45%.
+//! work at 40% and 20%, and each other stage at 35% to 49%.
 
 use std::fmt;
 use std::str::FromStr;
