--- a/crates/core/src/process/organisation_limits.rs
+++ b/crates/core/src/process/organisation_limits.rs
@@ -16,20 +16,21 @@
 const IN_FLIGHT_RETRY_AFTER_MS: u64 = 500;
 /// Time to come back for an organisation whose limit is zero.
 const NO_SHARE_RETRY_AFTER_MS: u64 = 60_000;
-/// Seconds of its share that an organisation may use at once.
-const BURST_S: f64 = 1.0;
-/// Longest time ahead for which a refused caller is given a turn; callers who never come back
-/// must not push everybody else's turn out of sight.
-const MAX_TURN_AHEAD: Duration = Duration::from_secs(10);
+/// Seconds of its share that an organisation may save up; with one, callers who come back after a
+/// failure are refused although there is room, and with ten a flood costs trials three points.
+const BURST_S: f64 = 5.0;
+/// Seconds of its share that a new bucket holds, so that entries that start grant no burst.
+const FIRST_S: f64 = 1.0;
+/// Longest time to come back; promises further ahead would outlive most callers.
+const MAX_WAIT_S: f64 = 10.0;
 
 /// Tokens of one organisation.
 #[derive(Debug, Default)]
 struct Bucket {
     tokens: f64,
     filled_at: Option<Duration>,
+    promised_at: Duration,
     in_flight: u32,
-    /// Last time at which a refused caller was told to come back.
-    last_turn: Duration,
 }
 
 /// Token buckets and counts in flight, by organisation.
@@ -121,29 +122,28 @@
         }
         Err(Refusal::new(
             ResultCode::OverLimit,
-            self.next_turn_ms(share_per_s, now),
+            self.promise(share_per_s, now),
         ))
     }
 
-    /// Time until the turn of one more refused caller.
+    /// Time until a token that no other refused caller was told to come for.
     ///
-    /// Guards against refused callers who all come back for the same token: one gets it and the
-    /// others are refused again and again, which shows as a request that is tried twenty times.
-    /// Each refusal is given a turn of its own, one token after the turn before.
-    fn next_turn_ms(&mut self, share_per_s: f64, now: Duration) -> u64 {
-        let token = Duration::from_secs_f64((1.0 / share_per_s).min(MAX_TURN_AHEAD.as_secs_f64()));
-        let first = now + token.mul_f64(1.0 - self.tokens.clamp(0.0, 1.0));
-        let turn = first.max(self.last_turn + token).min(now + MAX_TURN_AHEAD);
-        self.last_turn = turn;
-        u64::try_from(turn.saturating_sub(now).as_millis())
-            .unwrap_or(u64::MAX)
-            .max(1)
+    /// Told the time of the next token, all refused callers would come back for the same one, and
+    /// most would be refused again and again until their deadlines were spent.
+    fn promise(&mut self, share_per_s: f64, now: Duration) -> u64 {
+        let next =
+            now + Duration::from_secs_f64(((1.0 - self.tokens) / share_per_s).min(MAX_WAIT_S));
+        let interval = Duration::from_secs_f64((1.0 / share_per_s).min(MAX_WAIT_S));
+        let latest = now + Duration::from_secs_f64(MAX_WAIT_S);
+        self.promised_at = next.max(self.promised_at + interval).min(latest);
+        let wait = self.promised_at.saturating_sub(now);
+        u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1)
     }
 
     fn fill(&mut self, share_per_s: f64, now: Duration) {
         let most = (share_per_s * BURST_S).max(1.0);
         self.tokens = match self.filled_at {
-            None => most,
+            None => (share_per_s * FIRST_S).max(1.0),
             Some(at) => {
                 let passed = now.saturating_sub(at);
                 (self.tokens + passed.as_secs_f64() * share_per_s).min(most)
