--- a/crates/core/src/process/host_track.rs
+++ b/crates/core/src/process/host_track.rs
@@ -11,6 +11,8 @@
 const SAMPLE_SHARE: f64 = 0.2;
 /// Samples below which a smoothed time says nothing.
 const MIN_SAMPLES: u32 = 5;
+/// Added cost of a host that refuses all, in units of an idle one: above any queue worth joining.
+const REFUSAL_COST: f64 = 10.0;
 /// Reported load per slot above which a report is taken for wrong.
 const MAX_REPORTED_LOAD: u32 = 16;
 
@@ -46,8 +48,11 @@
     failures: u32,
     answered_at: Duration,
     busy_since: Duration,
+    lost_at: Option<Duration>,
     smoothed_ms: f64,
     samples: u32,
+    refused_share: f64,
+    refused_at: Duration,
 }
 
 impl HostTrack {
@@ -61,8 +66,11 @@
             failures: 0,
             answered_at: now,
             busy_since: now,
+            lost_at: None,
             smoothed_ms: 0.0,
             samples: 0,
+            refused_share: 0.0,
+            refused_at: now,
         }
     }
 
@@ -74,7 +82,7 @@
             Some(seen) if seen.clock > stamp.clock => return,
             _ => {}
         }
-        self.answered_at = now;
+        self.note_answer(now);
         self.is_leaving |= stamp.is_leaving;
         self.seen = Some(Seen {
             incarnation: stamp.incarnation,
@@ -89,6 +97,10 @@
         if self.in_flight == 0 {
             self.busy_since = now;
         }
+        // One attempt at a time looks whether a lost host is back.
+        if self.lost_at.is_some() {
+            self.lost_at = Some(now);
+        }
         self.in_flight += 1;
     }
 
@@ -96,16 +108,24 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Complete => {
-                self.answered_at = now;
+                self.note_answer(now);
+                self.refused_share -= self.refused_share * SAMPLE_SHARE;
                 self.failures = 0;
                 self.sample(elapsed);
             }
-            AttemptEnd::Refused(_) => self.answered_at = now,
+            AttemptEnd::Refused(_) => {
+                self.note_answer(now);
+                self.refused_share += (1.0 - self.refused_share) * SAMPLE_SHARE;
+                self.refused_at = now;
+            }
             AttemptEnd::Failed => {
-                self.answered_at = now;
+                self.note_answer(now);
+                self.failures += 1;
+            }
+            AttemptEnd::Silent => {
+                self.lost_at = Some(now);
                 self.failures += 1;
             }
-            AttemptEnd::Silent => self.failures += 1,
             AttemptEnd::Cancelled => {}
         }
     }
@@ -129,13 +149,18 @@
         }
     }
 
-    /// Whether work is in flight and nothing has come back for long.
+    /// Whether the host does not answer: a connection was lost, or nothing has come for long.
     ///
-    /// A frozen host keeps its connections open. Without this check it would collect work until
-    /// the first timeout; its own in-flight count alone does not stop that on an idle service.
+    /// A frozen host, or one whose availability zone is gone, keeps its connections open, and work
+    /// sent there is lost. This is no ejection and has no cap, as such a host adds no capacity;
+    /// where all hosts are silent, the router uses them all.
     pub(super) fn is_silent(&self, now: Duration, settings: &RouterSettings) -> bool {
+        let is_lost = self
+            .lost_at
+            .is_some_and(|at| now.saturating_sub(at) < settings.silence);
         let since = self.answered_at.max(self.busy_since);
-        self.in_flight > 0 && now.saturating_sub(since) > settings.silence
+        let is_stuck = self.in_flight > 0 && now.saturating_sub(since) > settings.silence;
+        is_lost || is_stuck
     }
 
     pub(super) const fn has_failed(&self, settings: &RouterSettings) -> bool {
@@ -183,6 +208,16 @@
         (self.samples >= MIN_SAMPLES).then_some(self.smoothed_ms)
     }
 
+    /// Factor on the cost of a host that has refused of late.
+    ///
+    /// A host that refuses everything at once looks idle, and would draw more and more work. The
+    /// factor fades, so that the host is tried again when it may have recovered.
+    pub(super) fn refusal_factor(&self, now: Duration, settings: &RouterSettings) -> f64 {
+        let age = now.saturating_sub(self.refused_at).as_secs_f64();
+        let faded = (-age / settings.report_half_life.as_secs_f64()).exp2();
+        1.0 + REFUSAL_COST * self.refused_share * faded
+    }
+
     /// Work at the host per slot, as far as it is known.
     pub(super) fn load_per_slot(&self, now: Duration, settings: &RouterSettings) -> f64 {
         let others = self.others_load(now, settings);
@@ -232,6 +267,11 @@
         (-age / settings.report_half_life.as_secs_f64()).exp2()
     }
 
+    const fn note_answer(&mut self, now: Duration) {
+        self.answered_at = now;
+        self.lost_at = None;
+    }
+
     fn sample(&mut self, elapsed: Duration) {
         let elapsed_ms = elapsed.as_secs_f64() * 1_000.0;
         if self.samples == 0 {
