A host list that the reader has is not sent again

Cause: entries read the host list each second and got it whole, 122 B a host. Change: the platform stand-in answers GET /hosts?after=V with 204 while the list is at V.

--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -61,7 +61,7 @@
         (&Method::GET, "/table/row", _) => Ok(row(state, request)),
         (&Method::GET, "/table/rows", _) => Ok(rows(state, request)),
         (&Method::POST, "/table/transaction", _) => transaction(state, request.body()),
-        (&Method::GET, "/hosts", _) => Ok(hosts(state)),
+        (&Method::GET, "/hosts", _) => Ok(hosts(state, request)),
         (&Method::GET, _, Some(key)) => Ok(object_read(state, &key)),
         (&Method::PUT, _, Some(key)) => Ok(object_write(state, key, request.body())),
         _ => Ok(status(StatusCode::NOT_FOUND)),
@@ -129,10 +129,15 @@
     json(status, reply)
 }
 
-fn hosts(state: &State) -> Answer {
+/// The host list; without a body if the reader has it already.
+fn hosts(state: &State, request: &Request<Bytes>) -> Answer {
     let mut contents = state.lock();
     let lag = contents.host_list_lag;
-    json(StatusCode::OK, &contents.hosts.list(Instant::now(), lag))
+    let hosts = contents.hosts.list(Instant::now(), lag);
+    if Query::of(request.uri()).parse("after") == Some(hosts.version) {
+        return no_content();
+    }
+    json(StatusCode::OK, &hosts)
 }
 
 fn object_read(state: &State, key: &str) -> Answer {
--- a/crates/standins/tests/standin_platform.rs
+++ b/crates/standins/tests/standin_platform.rs
@@ -376,3 +376,24 @@
         percent_decode(percent_encode(&key)) == Some(key)
     }
 }
+
+/// A thousand processes look at the host list every second or so. If each look carried a list that
+/// the process has already, the list alone would take more than a node may spend on control.
+#[tokio::test]
+async fn a_host_list_that_the_reader_has_is_not_sent_again() {
+    // Arrange
+    let fixture = Fixture::start(PlatformSettings::default()).await;
+    fixture.admin("/admin/hosts/put", &host("h1")).await;
+    let known = fixture.hosts().await.version;
+    let url = fixture.platform.url(format!("/hosts?after={known}"));
+
+    // Act
+    let unchanged = fixture.client.get(&url).await.unwrap();
+    fixture.admin("/admin/hosts/put", &host("h2")).await;
+    let changed = fixture.client.get(&url).await.unwrap();
+
+    // Assert
+    assert_eq!(unchanged.status, StatusCode::NO_CONTENT);
+    assert_eq!(changed.status, StatusCode::OK);
+    assert_eq!(changed.json::<HostList>().unwrap().hosts.len(), 2);
+}
