--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -16,6 +16,7 @@
 mod overrides;
 mod pipeline;
 mod placement;
+mod placement_plan;
 mod service;
 mod settings_tree;
 mod sourced;
@@ -53,6 +54,10 @@
     PlacementView, placement_write,
 };
 #[doc(inline)]
+pub use placement_plan::{
+    LoadTrack, PlanLimits, PlanQuestion, PlannedPlacement, Shortfall, plan_placement,
+};
+#[doc(inline)]
 pub use service::Service;
 #[doc(inline)]
 pub use settings_tree::{ROOT_NAME, SettingsTree};
@@ -61,7 +66,9 @@
 #[doc(inline)]
 pub use stage::Stage;
 #[doc(inline)]
-pub use tree_check::{MAX_DEADLINE_MS, MAX_DEPTH, MAX_IN_FLIGHT, MAX_LIMIT_PER_SECOND, MAX_WEIGHT};
+pub use tree_check::{
+    MAX_DEADLINE_MS, MAX_DEPTH, MAX_IN_FLIGHT, MAX_LIMIT_PER_SECOND, MAX_REPLICAS, MAX_WEIGHT,
+};
 #[doc(inline)]
 pub use tree_edit::TreeEdit;
 #[doc(inline)]
--- a/crates/core/src/version/service.rs
+++ b/crates/core/src/version/service.rs
@@ -1,7 +1,11 @@
 //! One service of the settings tree.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
+use crate::id::ModelId;
+
 /// A group of interchangeable backend servers, and which of its calls may be repeated.
 ///
 /// A listed path stands for itself and all below it; the longest listed path decides.
@@ -28,6 +32,9 @@
     pub not_repeatable_paths: Vec<String>,
     /// Deadline of a direct call that names none.
     pub default_deadline_ms: u64,
+    /// Wanted replicas by model; while empty, the engines are given no orders.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub models: BTreeMap<ModelId, u32>,
 }
 
 /// Deadline of a direct call while nothing else is set.
@@ -42,6 +49,7 @@
             repeatable_paths: Vec::new(),
             not_repeatable_paths: Vec::new(),
             default_deadline_ms: DEFAULT_DEADLINE_MS,
+            models: BTreeMap::new(),
         }
     }
 
@@ -73,6 +81,13 @@
         self
     }
 
+    /// Wants a number of the service's engines to have a model loaded.
+    #[must_use]
+    pub fn with_model(mut self, model: ModelId, replicas: u32) -> Self {
+        self.models.insert(model, replicas);
+        self
+    }
+
     /// Whether a call of a path may be repeated.
     #[must_use]
     pub fn allows_repeat(&self, path: impl AsRef<str>) -> bool {
--- a/crates/core/src/version/tree_check.rs
+++ b/crates/core/src/version/tree_check.rs
@@ -22,6 +22,8 @@
 pub const MAX_IN_FLIGHT: u32 = 1_000_000;
 /// Highest weight; above it the fair queue's shares round to nothing.
 pub const MAX_WEIGHT: u32 = 10_000;
+/// Most replicas of a model; more than any service has engines, so a larger number is a slip.
+pub const MAX_REPLICAS: u32 = 1_000;
 
 impl SettingsTree {
     /// Checks the tree as a whole.
@@ -191,6 +193,10 @@
     let deadline_ms = service.default_deadline_ms;
     check_range(id, "default_deadline_ms", deadline_ms, 1..=MAX_DEADLINE_MS)?;
     let owner = format_args!("service {id}");
+    for (model, replicas) in &service.models {
+        let field = format!("replicas of model {model}");
+        check_range(owner, &field, (*replicas).into(), 1..=MAX_REPLICAS.into())?;
+    }
     let mut listed = service
         .repeatable_paths
         .iter()
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -6,6 +6,7 @@
 mod claim_ticket;
 mod codec;
 mod dispatch;
+mod engine_report;
 mod frame;
 mod hello;
 mod platform;
@@ -20,6 +21,8 @@
 #[doc(inline)]
 pub use dispatch::Dispatch;
 #[doc(inline)]
+pub use engine_report::EngineReport;
+#[doc(inline)]
 pub use frame::{Chunk, Digest, End, Frame, Outcome, StageCost};
 #[doc(inline)]
 pub use hello::Hello;
