Entries plan the placement, and sidecars order their engines by it

One entry holds the planner's lease and writes plans in a transaction that checks it. A sidecar whose engine takes orders polls the placement and brings its engine there, one order at a time.

--- a/crates/amaranthscale/src/entry/connection/operator_http.rs
+++ b/crates/amaranthscale/src/entry/connection/operator_http.rs
@@ -16,7 +16,7 @@
 use super::reply::{json_response, shown, status};
 use crate::connection::{ResponseBody, read_body};
 use crate::entry::process::{DecisionsStatus, EntryParts};
-use crate::version::{EditProposal, EditResult, TreeKeeperHandle, TreeStatus};
+use crate::version::{EditProposal, EditResult, PlannerStatus, TreeKeeperHandle, TreeStatus};
 
 /// Longest edit: an import of a whole tree.
 const MAX_EDIT_BYTES: usize = 16 * 1024 * 1024;
@@ -63,6 +63,7 @@
     tree: Option<TreeStatus>,
     open_requests: usize,
     decisions: DecisionsStatus,
+    planner: PlannerStatus,
     counters: BTreeMap<String, u64>,
 }
 
@@ -132,6 +133,7 @@
             tree: self.tree.status().await,
             open_requests: self.callers.open_requests(),
             decisions: self.parts.decisions.status().await,
+            planner: self.parts.planner.status(),
             counters: self.parts.counters.totals(),
         };
         shown(StatusCode::OK, &status)
--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -24,7 +24,10 @@
 use crate::connection::{HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, ResponseBody};
 use crate::process::settings::EntrySettings;
 use crate::process::{Counters, PlatformClient, PlatformClientLimits};
-use crate::version::{TreeKeeperArguments, TreeKeeperHandle, TreeKeeperSettings};
+use crate::version::{
+    PlannerArguments, PlannerHandle, PlannerSettings, TreeKeeperArguments, TreeKeeperHandle,
+    TreeKeeperSettings, WriteGate,
+};
 
 /// Longest wait for peers' open questions when the entry stops; they ask others.
 const PEER_STOP_BOUND: Duration = Duration::from_millis(100);
@@ -77,6 +80,8 @@
     pub retry_percent: u32,
     /// How often to look for a newer tree.
     pub tree: TreeKeeperSettings,
+    /// How this entry competes for planning the placement.
+    pub planner: PlannerSettings,
     /// How often to read the host list.
     pub host_poll: Duration,
     /// Longest silence of a connection with open streams.
@@ -103,6 +108,7 @@
             max_deadline: Duration::from_mins(1),
             retry_percent: 10,
             tree: TreeKeeperSettings::default(),
+            planner: PlannerSettings::default(),
             host_poll: Duration::from_secs(1),
             silence: Duration::from_secs(1),
             seed: rand::random(),
@@ -135,6 +141,7 @@
     callers: HttpServer,
     peers: HttpServer,
     tree: TreeKeeperHandle,
+    planner: PlannerHandle,
     decisions: ActorRef<Decision>,
     host_watch: JoinHandle<()>,
 }
@@ -168,12 +175,27 @@
         };
         let (decisions, _joined) = Actor::spawn(None, Decisions, arguments).await?;
         let handle = DecisionsHandle::new(decisions.clone());
+        let (known_hosts, hosts) = watch::channel(None);
+        let planner = PlannerHandle::start(PlannerArguments {
+            host: config.host.clone(),
+            settings: config.planner,
+            platform: platform.clone(),
+            peers: Arc::clone(&peers),
+            tree: tree.in_force(),
+            is_tree_ready: tree.readiness(),
+            hosts,
+            counters: Arc::clone(&counters),
+            before_write: WriteGate::default(),
+            seed: config.seed,
+        })
+        .await?;
         let parts = EntryParts {
             decisions: handle.clone(),
             peers,
             platform: platform.clone(),
             counters,
             tree: tree.in_force(),
+            planner: planner.clone(),
         };
         let (callers, peers) = serve(&config, &parts, &tree).await?;
         let watching = watch_hosts(
@@ -182,6 +204,7 @@
             config.host,
             config.host_poll,
             peer_addresses,
+            known_hosts,
         );
         let host_watch = tokio::spawn(watching);
         info!(
@@ -193,6 +216,7 @@
             callers,
             peers,
             tree,
+            planner,
             decisions,
             host_watch,
         })
@@ -216,6 +240,12 @@
         &self.tree
     }
 
+    /// The planner of this entry.
+    #[must_use]
+    pub const fn planner(&self) -> &PlannerHandle {
+        &self.planner
+    }
+
     /// Takes nothing new, lets open requests end, and says whether all did within the bound.
     pub async fn stop(self, bound: Duration) -> bool {
         info!("entry: stops, open requests end first");
@@ -224,6 +254,7 @@
             warn!("entry: stopped with requests still open");
         }
         self.host_watch.abort();
+        self.planner.stop();
         self.tree.stop();
         self.decisions.stop(None);
         self.peers.stop(PEER_STOP_BOUND).await;
--- a/crates/amaranthscale/src/entry/process/host_watch.rs
+++ b/crates/amaranthscale/src/entry/process/host_watch.rs
@@ -1,6 +1,7 @@
 //! Keeps the entry's view of the hosts.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthscale_core::id::HostId;
@@ -17,9 +18,11 @@
     own_host: HostId,
     every: Duration,
     peer_addresses: watch::Sender<Vec<SocketAddr>>,
+    known_hosts: watch::Sender<Option<Arc<HostList>>>,
 ) {
     poll_hosts(platform, every, move |hosts| {
         peer_addresses.send_replace(addresses(&hosts, &own_host));
+        known_hosts.send_replace(Some(Arc::new(hosts.clone())));
         decisions.tell(Decision::Hosts(hosts));
     })
     .await;
--- a/crates/amaranthscale/src/entry/process/parts.rs
+++ b/crates/amaranthscale/src/entry/process/parts.rs
@@ -8,6 +8,7 @@
 use super::DecisionsHandle;
 use crate::connection::PeerClient;
 use crate::process::{Counters, PlatformClient};
+use crate::version::PlannerHandle;
 
 /// Shared by all requests of an entry; cheap to clone.
 #[derive(Debug, Clone)]
@@ -22,4 +23,6 @@
     pub counters: Arc<Counters>,
     /// Settings tree in force.
     pub tree: watch::Receiver<Arc<CompiledTree>>,
+    /// Planner of the placement.
+    pub planner: PlannerHandle,
 }
--- a/crates/amaranthscale/src/operator/ctl/command.rs
+++ b/crates/amaranthscale/src/operator/ctl/command.rs
@@ -47,7 +47,9 @@
 Examples:
   amaranthctl ... service put grower-ledger ledger.json
   where the file holds {\"is_repeatable\":true,
-  \"not_repeatable_paths\":[\"/settlements\"],\"default_deadline_ms\":5000}";
+  \"not_repeatable_paths\":[\"/settlements\"],\"default_deadline_ms\":5000}
+  and of a service whose engines take orders, with the wanted replicas of each model:
+  {\"is_repeatable\":true,\"default_deadline_ms\":5000,\"models\":{\"assay-7b\":4}}";
 
 /// The command line of `amaranthctl`.
 #[must_use]
--- a/crates/amaranthscale/src/operator/ctl/render.rs
+++ b/crates/amaranthscale/src/operator/ctl/render.rs
@@ -203,6 +203,11 @@
     if !service.repeatable_paths.is_empty() {
         parts.push(format!("repeatable: {}", list(&service.repeatable_paths)));
     }
+    if !service.models.is_empty() {
+        let models = service.models.iter();
+        let models: Vec<_> = models.map(|(model, n)| format!("{n} x {model}")).collect();
+        parts.push(format!("models: {}", list(&models)));
+    }
     parts.join(", ")
 }
 
--- a/crates/amaranthscale/src/sidecar.rs
+++ b/crates/amaranthscale/src/sidecar.rs
@@ -22,6 +22,7 @@
 mod gate;
 mod job;
 mod kept;
+mod orders;
 mod routes;
 mod runner;
 mod sidecar_config;
@@ -49,6 +50,9 @@
 use gate::{Gate, GateMessage};
 #[doc(inline)]
 pub use kept::KeptSidecar;
+#[doc(inline)]
+pub use orders::OrderSettings;
+use orders::{EngineBoard, OrderLoop};
 use routes::{Routes, begin_leaving};
 use runner::Runner;
 #[doc(inline)]
@@ -94,10 +98,11 @@
         let server = HttpServer::start(listen, HttpServerLimits::default(), answer).await;
         let server = server.map_err(|cause| SidecarError::Listen(listen, cause))?;
         let costs = Arc::new(CostWriter::new(gate.clone(), platform(&config)));
-        let chores = vec![
+        let mut chores = vec![
             tokio::spawn(tick(gate.clone())),
             tokio::spawn(Arc::clone(&costs).run(config.limits.cost_interval)),
         ];
+        chores.extend(order_loop(&config, &runner).map(|orders| tokio::spawn(orders.run())));
         info!("sidecar: {} listens at {}", config.host, server.address());
         Ok(Self {
             server,
@@ -192,9 +197,25 @@
         claims: Arc::new(claims),
         counters,
         table_jobs: Arc::new(Semaphore::new(table_jobs.min(Semaphore::MAX_PERMITS))),
+        engine: config.orders.map(EngineBoard::new).map(Arc::new),
     })
 }
 
+fn order_loop(config: &SidecarConfig, runner: &Runner) -> Option<OrderLoop> {
+    let settings = config.orders?;
+    let engine = Arc::clone(runner.engine.as_ref()?);
+    let (board, counters) = (Arc::clone(&runner.board), Arc::clone(&runner.counters));
+    let platform = platform(config);
+    Some(OrderLoop::new(
+        settings,
+        config.backend,
+        platform,
+        board,
+        engine,
+        counters,
+    ))
+}
+
 fn platform(config: &SidecarConfig) -> PlatformClient {
     PlatformClient::new(config.platform, config.limits.platform)
 }
--- a/crates/amaranthscale/src/sidecar/routes.rs
+++ b/crates/amaranthscale/src/sidecar/routes.rs
@@ -51,6 +51,7 @@
             (Method::POST, "/revoke") => self.revoke(request).await,
             (Method::POST, "/fetch") => self.fetch(request).await,
             (Method::POST, "/tree/since") => self.tree_since(request).await,
+            (Method::POST, "/engine") => self.engine(),
             (Method::POST, "/leave") => Ok(self.leave()),
             (Method::GET, "/healthz") => Ok(plain(StatusCode::OK)),
             (Method::GET, "/readyz") => Ok(plain(self.readiness())),
@@ -102,6 +103,12 @@
         Ok(packed(&board.tree.since(&ask)))
     }
 
+    /// Tells the planner what the engine runs.
+    fn engine(&self) -> Answered {
+        let engine = self.runner.engine.as_ref().ok_or(StatusCode::NOT_FOUND)?;
+        Ok(packed(&engine.report()))
+    }
+
     fn leave(&self) -> Response<ResponseBody> {
         begin_leaving(&self.runner, &self.gate);
         plain(StatusCode::OK)
@@ -128,6 +135,7 @@
             clock_ms: board.now().as_millis(),
             load: board.load(),
             gate,
+            engine: runner.engine.as_ref().map(|engine| engine.status()),
             unsettled_claims: max_jobs.saturating_sub(runner.table_jobs.available_permits()),
             counters: runner.counters.totals(),
         };
--- a/crates/amaranthscale/src/sidecar/runner.rs
+++ b/crates/amaranthscale/src/sidecar/runner.rs
@@ -23,6 +23,7 @@
 use super::claims::{ClaimAnswer, Claims};
 use super::gate::GateMessage;
 use super::job::Job;
+use super::orders::EngineBoard;
 use crate::process::Counters;
 
 /// Runs attempts that hold a slot.
@@ -36,6 +37,8 @@
     pub(super) counters: Arc<Counters>,
     /// One permit for each claimed attempt, from its claim until its row is settled.
     pub(super) table_jobs: Arc<Semaphore>,
+    /// What is known of an engine that takes orders.
+    pub(super) engine: Option<Arc<EngineBoard>>,
 }
 
 impl Runner {
--- a/crates/amaranthscale/src/sidecar/sidecar_config.rs
+++ b/crates/amaranthscale/src/sidecar/sidecar_config.rs
@@ -7,7 +7,7 @@
 use amaranthscale_core::process::FairQueueLimits;
 use amaranthscale_core::request::LedgerLimits;
 
-use super::SidecarLimits;
+use super::{OrderSettings, SidecarLimits};
 use crate::process::settings::SidecarSettings;
 
 /// Where a sidecar stands and whom it serves.
@@ -25,6 +25,8 @@
     pub platform: SocketAddr,
     /// Address for metrics, if they are sent.
     pub statsd: Option<SocketAddr>,
+    /// Orders to the engine; none if the backend server takes none.
+    pub orders: Option<OrderSettings>,
     /// Bounds.
     pub limits: SidecarLimits,
 }
@@ -38,11 +40,20 @@
             backend: settings.backend,
             platform: settings.platform,
             statsd: None,
+            orders: orders(settings),
             limits: limits(settings),
         }
     }
 }
 
+fn orders(settings: &SidecarSettings) -> Option<OrderSettings> {
+    let engine = settings.engine;
+    engine.has_orders.then(|| OrderSettings {
+        honours_fence: engine.honours_fence,
+        ..OrderSettings::default()
+    })
+}
+
 fn limits(settings: &SidecarSettings) -> SidecarLimits {
     SidecarLimits {
         queue: FairQueueLimits {
--- a/crates/amaranthscale/src/sidecar/status.rs
+++ b/crates/amaranthscale/src/sidecar/status.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::gate::GateFigures;
+use super::orders::EngineStatus;
 
 /// What `/status` shows.
 #[derive(Debug, Serialize)]
@@ -19,6 +20,8 @@
     pub(super) clock_ms: u64,
     pub(super) load: LoadReport,
     pub(super) gate: GateFigures,
+    /// None if the backend server takes no orders.
+    pub(super) engine: Option<EngineStatus>,
     pub(super) unsettled_claims: usize,
     pub(super) counters: BTreeMap<String, u64>,
 }
--- a/crates/amaranthscale/src/version.rs
+++ b/crates/amaranthscale/src/version.rs
@@ -1,6 +1,7 @@
 //! What lives for a version of shared configuration.
 
 mod edit_proposal;
+mod planner;
 mod published_tree;
 mod tree_client;
 mod tree_keeper;
@@ -9,6 +10,11 @@
 #[doc(inline)]
 pub use edit_proposal::{EditProposal, EditResult};
 #[doc(inline)]
+pub use planner::{
+    OverdueLoad, Planner, PlannerArguments, PlannerHandle, PlannerMessage, PlannerSettings,
+    PlannerState, PlannerStatus, WriteGate,
+};
+#[doc(inline)]
 pub use published_tree::PublishedTree;
 #[doc(inline)]
 pub use tree_client::{ReadTreeError, offer_to_peer, read_from_peer, read_from_table};
--- /dev/null
+++ b/crates/amaranthscale/src/version/planner/arguments.rs
@@ -0,0 +1,37 @@
+//! What a planner starts with.
+
+use std::sync::Arc;
+
+use amaranthscale_core::id::HostId;
+use amaranthscale_core::version::CompiledTree;
+use amaranthscale_core::wire::HostList;
+use tokio::sync::watch;
+
+use super::{PlannerSettings, WriteGate};
+use crate::connection::PeerClient;
+use crate::process::{Counters, PlatformClient};
+
+/// What a planner starts with.
+#[derive(Debug, Clone)]
+pub struct PlannerArguments {
+    /// Host of this process.
+    pub host: HostId,
+    /// How to compete.
+    pub settings: PlannerSettings,
+    /// The platform.
+    pub platform: PlatformClient,
+    /// Connections to sidecars.
+    pub peers: Arc<PeerClient>,
+    /// Settings tree in force.
+    pub tree: watch::Receiver<Arc<CompiledTree>>,
+    /// Whether the process may decide by that tree.
+    pub is_tree_ready: watch::Receiver<bool>,
+    /// The host list; none before it was read.
+    pub hosts: watch::Receiver<Option<Arc<HostList>>>,
+    /// Counters of this process.
+    pub counters: Arc<Counters>,
+    /// Passed before each write of a placement.
+    pub before_write: WriteGate,
+    /// Seed of random choices.
+    pub seed: u64,
+}
--- /dev/null
+++ b/crates/amaranthscale/src/version/planner/write_gate.rs
@@ -0,0 +1,35 @@
+//! A point at which tests hold a planner, as a pause of its process would.
+
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+
+type Passing = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// What a planner passes between its decision and the write; nothing, unless a test holds it.
+#[derive(Clone, Default)]
+pub struct WriteGate(Option<Arc<dyn Fn() -> Passing + Send + Sync>>);
+
+impl WriteGate {
+    /// A gate that is open once the future is done.
+    pub fn new<F>(pass: impl Fn() -> F + Send + Sync + 'static) -> Self
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        Self(Some(Arc::new(move || Box::pin(pass()))))
+    }
+
+    pub(super) async fn pass(&self) {
+        if let Some(pass) = &self.0 {
+            pass().await;
+        }
+    }
+}
+
+impl fmt::Debug for WriteGate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WriteGate")
+            .field("is_held", &self.0.is_some())
+            .finish()
+    }
+}
--- a/crates/amaranthscale/src/version/tree_keeper_handle.rs
+++ b/crates/amaranthscale/src/version/tree_keeper_handle.rs
@@ -73,6 +73,12 @@
         *self.ready.borrow()
     }
 
+    /// Whether the process may decide by its tree, as it changes.
+    #[must_use]
+    pub fn readiness(&self) -> watch::Receiver<bool> {
+        self.ready.clone()
+    }
+
     /// Waits until the process has learned a version.
     pub async fn ready(&mut self) {
         // The keeper is gone only when the process stops.
--- a/crates/amaranthscale/tests/support/fixture.rs
+++ b/crates/amaranthscale/tests/support/fixture.rs
@@ -79,6 +79,7 @@
         backend,
         platform: table.address(),
         statsd: None,
+        orders: None,
         limits: limits(),
     };
     change(&mut config);
--- a/crates/core/src/version/placement/engine_orders.rs
+++ b/crates/core/src/version/placement/engine_orders.rs
@@ -23,6 +23,7 @@
 pub struct EngineOrders {
     host: HostId,
     retry_after: Duration,
+    refusal_pause: Duration,
     view: PlacementView,
     in_flight: Option<InFlight>,
     /// What the engine has confirmed, or was last heard to run.
@@ -46,6 +47,7 @@
         Self {
             host,
             retry_after,
+            refusal_pause: retry_after,
             view: PlacementView::new(),
             in_flight: None,
             confirmed: None,
@@ -53,6 +55,13 @@
         }
     }
 
+    /// Sets how long a refused order waits; as long as a silent one, if this is not called.
+    #[must_use]
+    pub fn with_refusal_pause(mut self, pause: Duration) -> Self {
+        self.refusal_pause = pause;
+        self
+    }
+
     /// Takes the placement row as read.
     pub fn offer(&mut self, row: &Row) -> PlacementOffer {
         self.view.offer(row)
@@ -114,7 +123,7 @@
             .is_some()
         {
             self.confirmed = None;
-            self.not_before = now.plus(self.retry_after);
+            self.not_before = now.plus(self.refusal_pause);
         }
     }
 
@@ -128,7 +137,9 @@
         }
     }
 
-    fn wanted(&self) -> Option<Assignment> {
+    /// What the engine is to run; none while the placement does not name it.
+    #[must_use]
+    pub fn wanted(&self) -> Option<Assignment> {
         self.view.placement().assignments.get(&self.host).cloned()
     }
 }
--- a/crates/core/src/version/placement/plan.rs
+++ b/crates/core/src/version/placement/plan.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Assignment;
-use crate::id::{FencingNumber, HostId, WriteId};
+use crate::id::{FencingNumber, HostId, TreeVersion, WriteId};
 use crate::version::{ConditionalWrite, Envelope, HeldLease};
 use crate::wire::Row;
 
@@ -17,6 +17,9 @@
 pub struct Placement {
     /// Number of the planner that wrote it.
     pub fencing: FencingNumber,
+    /// Settings tree that it was planned from.
+    #[serde(default)]
+    pub tree_version: TreeVersion,
     /// Assignment by host of the engine; a host not named keeps what it has.
     pub assignments: BTreeMap<HostId, Assignment>,
 }
@@ -43,11 +46,13 @@
 pub fn placement_write(
     lease: &HeldLease,
     current: &Row,
+    tree_version: TreeVersion,
     assignments: BTreeMap<HostId, Assignment>,
     write_id: WriteId,
 ) -> ConditionalWrite {
     let placement = Placement {
         fencing: lease.fencing,
+        tree_version,
         assignments,
     };
     // Reached only if a placement came to hold something that JSON cannot carry: a bug.
--- a/crates/core/tests/placement_planners.rs
+++ b/crates/core/tests/placement_planners.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{
-    FencingNumber, HostId, Incarnation, ModelId, PlacementVersion, RowVersion, WriteId,
+    FencingNumber, HostId, Incarnation, ModelId, PlacementVersion, RowVersion, TreeVersion, WriteId,
 };
 use amaranthscale_core::unit::SidecarClock;
 use amaranthscale_core::version::{
@@ -16,6 +16,7 @@
 
 const LEASE: Duration = Duration::from_millis(90);
 const RETRY: Duration = Duration::from_millis(20);
+const TREE: TreeVersion = TreeVersion::new(1);
 const SCHEDULES: u64 = 2_000;
 const STEPS: usize = 200;
 
@@ -105,6 +106,7 @@
 fn placement(version: u64, model: &str) -> Row {
     let body = serde_json::to_string(&Placement {
         fencing: FencingNumber::new(1),
+        tree_version: TREE,
         assignments: plan(model),
     });
     let before = RowVersion::new(version - 1);
@@ -151,7 +153,7 @@
     campaign(&mut successor, &mut table, millis(10), 2);
     campaign(&mut successor, &mut table, millis(110), 3);
     let step = settle(
-        placement_write(&lease, &read, plan("old"), write_id(4)),
+        placement_write(&lease, &read, TREE, plan("old"), write_id(4)),
         &mut table,
     );
 
@@ -170,7 +172,7 @@
 
     campaign(&mut successor, &mut table, millis(10), 2);
     campaign(&mut successor, &mut table, millis(110), 3);
-    let mut bare = placement_write(&lease, &read, plan("old"), write_id(4)).transaction();
+    let mut bare = placement_write(&lease, &read, TREE, plan("old"), write_id(4)).transaction();
     bare.checks.retain(|check| check.key != LEASE_KEY);
 
     assert!(matches!(
@@ -279,7 +281,8 @@
                 let believed = planner.held(SidecarClock::default());
                 let read = table.row(PLACEMENT_KEY);
                 let assignments = plan(&format!("m-{step}"));
-                let write = |lease| placement_write(&lease, &read, assignments, write_id(id + 1));
+                let write =
+                    |lease| placement_write(&lease, &read, TREE, assignments, write_id(id + 1));
                 late.extend(believed.map(|lease| write(lease).transaction()));
             }
             3 if !late.is_empty() => {
--- a/crates/standins/src/deployment/running_backend.rs
+++ b/crates/standins/src/deployment/running_backend.rs
@@ -40,6 +40,7 @@
             backend: backend.address(),
             platform,
             statsd: None,
+            orders: None,
             limits: SidecarLimits {
                 queue: FairQueueLimits {
                     slots: plan.slots,
