--- a/crates/standins/tests/support.rs
+++ b/crates/standins/tests/support.rs
@@ -11,8 +11,13 @@
 mod child_process;
 mod eventually;
 mod held_clock;
+mod orders_bench;
 
 pub use call::{call_headers, switch};
 pub use child_process::{ChildProcess, sibling_program};
 pub use eventually::{eventually, settle};
 pub use held_clock::HeldClock;
+pub use orders_bench::{
+    BenchPlanner, OrdersBench, counted, engine, host, model, pool, put_service, quick_planner,
+    tree, until,
+};
