--- a/crates/amaranthscale/src/sidecar/orders.rs
+++ b/crates/amaranthscale/src/sidecar/orders.rs
@@ -144,16 +144,27 @@
         }
     }
 
+    /// Sends the steps one by one; the first refusal is what comes of them.
+    ///
+    /// Failure: a model that cannot be loaded keeps all the models after it from its engine. Guard:
+    /// a refused step is known not to be under way, so the next may go out.
     async fn send_steps(
         &self,
         order: &EngineOrder,
         running: &Assignment,
     ) -> Result<(), OrderError> {
+        let mut outcome = Ok(());
         for step in steps(running, &order.assignment) {
             self.counters.count("orders.sent");
-            self.engine.order(order.number, step).await?;
+            match self.engine.order(order.number, step).await {
+                Err(OrderError::Refused(status)) if outcome.is_ok() => {
+                    outcome = Err(OrderError::Refused(status));
+                }
+                Ok(()) | Err(OrderError::Refused(_)) => {}
+                Err(error @ OrderError::NoAnswer(_)) => return Err(error),
+            }
         }
-        Ok(())
+        outcome
     }
 
     fn done(&mut self, order: EngineOrder) {
--- a/crates/amaranthscale/src/version/planner.rs
+++ b/crates/amaranthscale/src/version/planner.rs
@@ -69,6 +69,7 @@
     loads: LoadTrack,
     random: SmallRng,
     started: Instant,
+    has_wanted_models: bool,
 }
 
 impl Actor for Planner {
@@ -89,6 +90,7 @@
             loads: LoadTrack::new(settings.load_patience),
             random: SmallRng::seed_from_u64(arguments.seed),
             started: Instant::now(),
+            has_wanted_models: false,
             arguments,
             published,
         })
@@ -115,12 +117,17 @@
         let tree = Arc::clone(&self.arguments.tree.borrow());
         let hosts = self.arguments.hosts.borrow().clone();
         // Failure: a starting entry takes the lease and plans from nothing, and the placement is
-        // emptied. Guard: without a tree or a host list, or with a tree that wants no models, it
-        // does not compete.
+        // emptied. Guard: without a host list, or with a tree that is not ready or has never wanted
+        // models, it does not compete.
         let Some(hosts) = hosts else {
             return Ok(());
         };
-        if !*self.arguments.is_tree_ready.borrow() || !wants_models(&tree) {
+        if !*self.arguments.is_tree_ready.borrow() {
+            return Ok(());
+        }
+        // Once models were wanted it goes on, so that the last of them are taken from the plan.
+        self.has_wanted_models |= wants_models(&tree);
+        if !self.has_wanted_models {
             return Ok(());
         }
         self.campaign().await?;
--- a/crates/core/tests/placement_plan.rs
+++ b/crates/core/tests/placement_plan.rs
@@ -246,6 +246,20 @@
     assert!(tree.apply(&put(MAX_REPLICAS)).is_ok());
 }
 
+#[test]
+fn models_are_part_of_a_service_put_and_may_be_left_out() {
+    let text = r#"{"kind":"put_service","id":"pool","service":{"is_repeatable":true,"default_deadline_ms":5000,"models":{"a":2}}}"#;
+    let edit = TreeEdit::from_json(text).expect("the edit is well formed");
+    assert_eq!(edit.to_json(), text);
+    let tree = SettingsTree::empty().apply(&edit).expect("the edit holds");
+    assert_eq!(tree.services[&pool()].models[&model("a")], 2);
+
+    let without = text.replace(r#","models":{"a":2}"#, "");
+    let edit = TreeEdit::from_json(without).expect("the edit is well formed");
+    let tree = tree.apply(&edit).expect("the edit holds");
+    assert!(tree.services[&pool()].models.is_empty());
+}
+
 /// Hosts come and go, loads end in any order, and wishes change; the plans keep their promises.
 fn run(seed: u64) {
     let mut random = Gen::from_size_and_seed(10, seed);
--- a/crates/standins/src/backend/backend_faults.rs
+++ b/crates/standins/src/backend/backend_faults.rs
@@ -12,6 +12,8 @@
     pub frozen: Option<bool>,
     /// So many next calls start and are then answered 500.
     pub fail_next: Option<u32>,
+    /// So many next orders are answered 500 and have no effect; engines only.
+    pub fail_orders: Option<u32>,
     /// So many next answers break off half-way.
     pub break_mid_stream: Option<u32>,
     /// Calls start, but are answered only when this is switched off; plain services only.
--- a/crates/standins/src/backend/switches.rs
+++ b/crates/standins/src/backend/switches.rs
@@ -22,6 +22,7 @@
 struct Counters {
     slow_factor: f64,
     fail_next: u32,
+    fail_orders: u32,
     break_next: u32,
 }
 
@@ -32,6 +33,7 @@
             counters: Mutex::new(Counters {
                 slow_factor: 1.0,
                 fail_next: 0,
+                fail_orders: 0,
                 break_next: 0,
             }),
             frozen: watch::channel(false).0,
@@ -77,6 +79,11 @@
         take(&mut self.lock().fail_next)
     }
 
+    /// Whether this order shall fail.
+    pub(crate) fn take_order_failure(&self) -> bool {
+        take(&mut self.lock().fail_orders)
+    }
+
     /// Whether this answer shall break off.
     pub(crate) fn take_break(&self) -> bool {
         take(&mut self.lock().break_next)
@@ -90,6 +97,9 @@
         if let Some(fail_next) = faults.fail_next {
             counters.fail_next = fail_next;
         }
+        if let Some(fail_orders) = faults.fail_orders {
+            counters.fail_orders = fail_orders;
+        }
         if let Some(break_next) = faults.break_mid_stream {
             counters.break_next = break_next;
         }
--- a/crates/standins/src/engine/engine_routes.rs
+++ b/crates/standins/src/engine/engine_routes.rs
@@ -161,6 +161,9 @@
         Ok(order) => order,
         Err(answer) => return *answer,
     };
+    if state.switches.take_order_failure() {
+        return status(StatusCode::INTERNAL_SERVER_ERROR);
+    }
     let reply = state.orders().take(order);
     let status = if reply.applied {
         StatusCode::OK
--- a/crates/standins/tests/orders_sidecar.rs
+++ b/crates/standins/tests/orders_sidecar.rs
@@ -6,9 +6,9 @@
 
 use amaranthscale_core::id::FencingNumber;
 use amaranthscale_standins::backend::BackendFaults;
-use amaranthscale_standins::engine::OrderState;
+use amaranthscale_standins::engine::{EngineOrder, OrderState};
 use amaranthscale_standins::http::HttpClient;
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{OrdersBench, counted, engine, model, switch, until};
 
 /// Silence after which a test's sidecar gives an order up.
@@ -30,10 +30,10 @@
     let bench = OrdersBench::start().await;
     let engine = engine(false).await;
     let first = bench.sidecar(0, &engine, LONG_SILENCE).await;
-    bench.place(0, "old").await;
+    bench.place(0, &["old"]).await;
     bench.until_loaded(&engine, &["old"]).await;
     first.stop().await;
-    let newer = bench.place(0, "new").await;
+    let newer = bench.place(0, &["new"]).await;
     let before = bench.orders(&engine).await;
 
     bench.outage(true).await;
@@ -63,13 +63,13 @@
     let faults = engine.url("/admin/faults");
     let sidecar = bench.sidecar(0, &engine, SHORT_SILENCE).await;
     switch(&bench.client, &faults, &frozen(true)).await;
-    bench.place(0, "first").await;
+    bench.place(0, &["first"]).await;
     until("an order is under way", async || {
         counted(&sidecar, "orders.sent") >= 1
     })
     .await;
-    bench.place(0, "second").await;
-    let newest = bench.place(0, "third").await;
+    bench.place(0, &["second"]).await;
+    let newest = bench.place(0, &["third"]).await;
 
     until("silent orders were replaced", async || {
         counted(&sidecar, "orders.after_silence") >= 2
@@ -85,7 +85,7 @@
         FencingNumber::new(newest.version.get())
     );
     let turns = counted(&sidecar, "orders.sent");
-    bench.place(0, "fourth").await;
+    bench.place(0, &["fourth"]).await;
     bench.until_loaded(&engine, &["fourth"]).await;
     assert!(counted(&sidecar, "orders.sent") > turns);
     assert!(fences(&bench.orders(&engine).await).is_sorted());
@@ -114,10 +114,10 @@
     let bench = OrdersBench::start().await;
     let engine = engine(false).await;
     let sidecar = bench.sidecar(0, &engine, LONG_SILENCE).await;
-    bench.place(0, "kept").await;
+    bench.place(0, &["kept"]).await;
     bench.until_loaded(&engine, &["kept"]).await;
 
-    let order = serde_json::json!({"fence": 1, "order": {"unload_model": "kept"}});
+    let order = json!({"fence": 1, "order": {"unload_model": "kept"}});
     let unloaded: Value = bench
         .client
         .post_json(engine.url("/orders"), &order)
@@ -134,7 +134,7 @@
     let bench = OrdersBench::start().await;
     let engine = engine(true).await;
     let sidecar = bench.sidecar(0, &engine, LONG_SILENCE).await;
-    let row = bench.place(0, "assay-7b").await;
+    let row = bench.place(0, &["assay-7b"]).await;
     let http = HttpClient::http2();
     let url = format!("http://{}/status", sidecar.address());
 
@@ -149,3 +149,55 @@
     assert_eq!(bench.orders(&engine).await.models, [model("assay-7b")]);
     sidecar.stop().await;
 }
+
+#[tokio::test]
+async fn a_load_that_fails_holds_up_no_other_and_is_tried_again() {
+    // Requests for two models fail on one server, though the engine could load one of them. The
+    // load of the first fails, and the order ends there.
+    let bench = OrdersBench::start().await;
+    let engine = engine(true).await;
+    let one_failure = BackendFaults {
+        fail_orders: Some(1),
+        ..BackendFaults::default()
+    };
+    switch(&bench.client, engine.url("/admin/faults"), &one_failure).await;
+    let sidecar = bench.sidecar(0, &engine, LONG_SILENCE).await;
+
+    bench.place(0, &["a-fails", "b-loads"]).await;
+    bench.until_loaded(&engine, &["a-fails", "b-loads"]).await;
+
+    let orders = bench.orders(&engine).await;
+    let loads: Vec<_> = orders.history.iter().map(|record| &record.order).collect();
+    let load = |name| EngineOrder::LoadModel(model(name));
+    assert_eq!(loads, [&load("b-loads"), &load("a-fails")]);
+    assert_eq!(counted(&sidecar, "orders.refused"), 1);
+    sidecar.stop().await;
+}
+
+#[tokio::test]
+async fn a_refused_order_shows_in_the_status() {
+    // An engine runs none of its models and nobody sees why. Somebody has ordered it by hand with a
+    // number far above the placement's, and it refuses every order since.
+    let bench = OrdersBench::start().await;
+    let engine = engine(true).await;
+    let by_hand = json!({"fence": 1000, "order": {"set_role": "both"}});
+    let taken: Value = bench
+        .client
+        .post_json(engine.url("/orders"), &by_hand)
+        .await
+        .expect("the engine answers");
+    assert_eq!(taken["applied"], true);
+
+    let sidecar = bench.sidecar(0, &engine, LONG_SILENCE).await;
+    bench.place(0, &["assay-7b"]).await;
+    let http = HttpClient::http2();
+    let url = format!("http://{}/status", sidecar.address());
+    until("the status shows the refusal", async || {
+        let status: Value = http.get_json(&url).await.expect("the sidecar answers");
+        status["engine"]["last_failure"] == "the engine refused with status 409"
+    })
+    .await;
+
+    assert!(bench.orders(&engine).await.models.is_empty());
+    sidecar.stop().await;
+}
--- a/crates/standins/tests/support/orders_bench.rs
+++ b/crates/standins/tests/support/orders_bench.rs
@@ -1,6 +1,6 @@
 //! Engines with their sidecars and planners, around one platform stand-in.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -151,11 +151,11 @@
         reply.unwrap().success().unwrap();
     }
 
-    /// Writes a placement of one model on one host, as a planner would.
-    pub async fn place(&self, number: u32, model_name: &str) -> Row {
+    /// Writes a placement of some models on one host, as a planner would.
+    pub async fn place(&self, number: u32, names: &[&str]) -> Row {
         let current = self.table.row(PLACEMENT_KEY).await.unwrap();
         let assignment = Assignment {
-            models: BTreeSet::from([model(model_name)]),
+            models: names.iter().map(|name| model(name)).collect(),
             ..Assignment::default()
         };
         let placement = Placement {
