--- a/crates/standins/tests/orders_planner.rs
+++ b/crates/standins/tests/orders_planner.rs
@@ -9,12 +9,14 @@
 use amaranthscale::sidecar::Sidecar;
 use amaranthscale::version::{EditProposal, EditResult, PlannerSettings, WriteGate};
 use amaranthscale_core::id::{RowVersion, TreeVersion};
-use amaranthscale_core::version::{Placement, PlanLimits};
+use amaranthscale_core::version::{CompiledTree, Placement, PlanLimits, Service, TreeEdit};
 use amaranthscale_standins::backend::BackendFaults;
 use amaranthscale_standins::engine::EngineOrder;
 use amaranthscale_standins::http::{HttpClient, Running};
 use serde_json::Value;
-use support::{OrdersBench, engine, host, model, put_service, quick_planner, switch, tree, until};
+use support::{
+    OrdersBench, engine, host, model, pool, put_service, quick_planner, switch, tree, until,
+};
 use tokio::sync::Semaphore;
 
 /// Silence that no test reaches.
@@ -219,6 +221,42 @@
     assert!(!left.history.iter().any(|record| is_unload(&record.order)));
 }
 
+#[tokio::test]
+async fn engines_are_left_alone_once_no_model_is_wanted() {
+    // An operator takes a service's models out of the tree to load them by hand, and its engines
+    // unload each of them again. The last placement still names them.
+    let bench = OrdersBench::start().await;
+    let engines = engines(&bench, 1).await;
+    let (settings, open) = (quick_planner(), WriteGate::default());
+    let wanted = tree(1, "assay", 1);
+    let none = wanted.tree().apply(&TreeEdit::PutService {
+        id: pool(),
+        service: Service::repeatable(),
+    });
+    let none = CompiledTree::new(none.expect("the edit holds")).expect("the tree holds");
+    let planner = bench.planner("entry-1", wanted, settings, open).await;
+    bench.until_loaded(&engines[0].0, &["assay"]).await;
+
+    planner.tree.send_replace(Arc::new(none));
+    until("the placement names no engine", async || {
+        let (row, placement) = bench.placement().await;
+        row.version > RowVersion::new(1) && placement.assignments.is_empty()
+    })
+    .await;
+    let (row, _) = bench.placement().await;
+    let http = HttpClient::http2();
+    let url = format!("http://{}/status", engines[0].1.address());
+    until("the sidecar goes by it", async || {
+        let status: Value = http.get_json(&url).await.expect("the sidecar answers");
+        status["engine"]["placement_version"] == row.version.get()
+    })
+    .await;
+
+    let orders = bench.orders(&engines[0].0).await;
+    assert_eq!(orders.models, [model("assay")]);
+    assert_eq!(orders.history.len(), 1);
+}
+
 #[tokio::test]
 async fn the_pace_of_the_weight_store_is_kept() {
     // After an edit no engine serves the new model for minutes. All load it at once, and the weight
