--- a/crates/standins/src/backend/switches.rs
+++ b/crates/standins/src/backend/switches.rs
@@ -60,7 +60,11 @@
     /// Works for a time, longer while slow, and not to the end while frozen.
     pub(crate) async fn work(&self, time: Duration) {
         let slow_factor = self.lock().slow_factor;
-        tokio::time::sleep(time.mul_f64(slow_factor)).await;
+        let wait = time.mul_f64(slow_factor);
+        // A sleep of no time still waits for the timer's next millisecond.
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
         self.thawed().await;
     }
 
