--- a/crates/standins/src/load/capacity/capacity_tree.rs
+++ b/crates/standins/src/load/capacity/capacity_tree.rs
@@ -23,18 +23,21 @@
         by_name.insert(name_of(number), organisation(number));
     }
     let stage = json!({
-        "name": "generation", "service": "work", "path": "/run/generation",
+        "name": "generation", "service": "generator", "path": "/run/generation",
         "is_repeatable": true, "is_streaming": true,
     });
     let tree = json!({
         "version": 0,
         "organisations": by_name,
         "pipelines": {"generate": {"stages": [stage]}},
-        "services": {"work": {
-            "is_repeatable": true,
-            "not_repeatable_paths": ["/settlements"],
-            "default_deadline_ms": 9000,
-        }},
+        "services": {
+            "generator": {"is_repeatable": true, "default_deadline_ms": 9000},
+            "work": {
+                "is_repeatable": true,
+                "not_repeatable_paths": ["/settlements"],
+                "default_deadline_ms": 9000,
+            },
+        },
     });
     Ok(SettingsTree::from_json(tree.to_string())?)
 }
--- a/crates/standins/src/load/capacity/probes.rs
+++ b/crates/standins/src/load/capacity/probes.rs
@@ -29,8 +29,10 @@
 const HOST_LOOK: Duration = Duration::from_millis(1300);
 /// Open calls while claims are measured.
 const OPEN_CLAIMS: u32 = 32;
-/// Time within which a sidecar writes changed costs: 10 s and a quarter, and a little.
-const COST_LOOK: Duration = Duration::from_secs(14);
+/// Time in which costs are watched: several of the intervals at which sidecars write them.
+const COST_WINDOW: Duration = Duration::from_mins(1);
+/// Time between two calls while costs are watched: 35 a second, the letter's load of a sidecar.
+const COST_CALL_PAUSE: Duration = Duration::from_micros(28_500);
 /// Tokens of each stream.
 const STREAM_TOKENS: u32 = 400;
 /// Both roles, in the order of all pairs below.
@@ -125,27 +127,26 @@
     }))
 }
 
-/// Lets organisations make one call each, twice, and tells what their cost rows take.
+/// Lets organisations call in turn at an even pace, and tells what their cost rows take.
 pub(super) async fn costs(fleet: &Fleet, organisations: u32) -> Result<Value, CapacityError> {
-    let mut rounds = Vec::new();
-    for _round in 0..2 {
-        let before = Usage::now(fleet).await?;
-        let platform_before = fleet.platform_counts().await?;
-        let mut complete = 0;
-        for number in 0..organisations {
-            let url = fleet.entry_url("/v1/services/work/echo");
-            complete += u32::from(call(&fleet.http, &url, number, None).await);
-        }
-        sleep(COST_LOOK).await;
-        let used = Usage::now(fleet).await?.since(&before);
-        let platform = fleet.platform_counts().await?;
-        rounds.push(json!({
-            "complete": complete,
-            "platform_writes": platform.writes - platform_before.writes,
-            "use": used.shown(fleet),
-        }));
+    let platform_before = fleet.platform_counts().await?;
+    let before = Usage::now(fleet).await?;
+    let started = Instant::now();
+    let url = fleet.entry_url("/v1/services/work/echo");
+    let (mut calls, mut complete) = (0, 0);
+    while started.elapsed() < COST_WINDOW {
+        sleep_until(started + COST_CALL_PAUSE * calls).await;
+        let organisation = calls % organisations.max(1);
+        complete += u32::from(call(&fleet.http, &url, organisation, None).await);
+        calls += 1;
     }
-    Ok(json!({"organisations_active": organisations, "rounds": rounds}))
+    let used = Usage::now(fleet).await?.since(&before);
+    let platform = fleet.platform_counts().await?;
+    Ok(json!({
+        "organisations_active": organisations, "calls": calls, "complete": complete,
+        "platform_writes": platform.writes - platform_before.writes,
+        "use": used.shown(fleet),
+    }))
 }
 
 /// Streams tokens, and tells the processor time that each takes.
--- a/crates/standins/src/load/capacity/sweep.rs
+++ b/crates/standins/src/load/capacity/sweep.rs
@@ -101,7 +101,7 @@
             Self::Edits => &[1, 91, 910],
             Self::Hosts => &[0, 40, 200, 1030],
             Self::Claims => &[320, 3200],
-            Self::Costs => &[5, 80, 400],
+            Self::Costs => &[5, 80, LETTER_ORGANISATIONS],
             Self::Tokens => &[4, 16, 64],
             Self::Limits => &[1, 2, 5, 20, 40, 120, 380],
         }
