--- a/crates/amaranthscale/src/sidecar/cost_writer.rs
+++ b/crates/amaranthscale/src/sidecar/cost_writer.rs
@@ -17,7 +17,7 @@
 /// of a host that dies are known up to a later time.
 const ROW_BYTES_PER_SECOND: u32 = 1000;
 /// Longest time between two writes, so that what a dying host had not written stays small.
-const LONGEST_INTERVAL: Duration = Duration::from_mins(5);
+const LONGEST_INTERVAL: Duration = Duration::from_mins(10);
 /// Tries of the write at a graceful stop.
 const LAST_TRIES: u32 = 3;
 
