--- a/crates/amaranthscale/src/entry/process/host_watch.rs
+++ b/crates/amaranthscale/src/entry/process/host_watch.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::HostId;
-use amaranthscale_core::wire::HostList;
 use tokio::sync::watch;
 
 use super::{Decision, DecisionsHandle};
 use crate::process::{PlatformClient, poll_hosts};
+use crate::version::exchange_peers;
 
 /// Polls the host list and tells the decisions of each change; ends with its task.
 pub async fn watch_hosts(
@@ -19,13 +19,8 @@
     peer_addresses: watch::Sender<Vec<SocketAddr>>,
 ) {
     poll_hosts(platform, every, move |hosts| {
-        peer_addresses.send_replace(addresses(&hosts, &own_host));
+        peer_addresses.send_replace(exchange_peers(&own_host, &hosts.hosts));
         decisions.tell(Decision::Hosts(hosts));
     })
     .await;
 }
-
-fn addresses(hosts: &HostList, own_host: &HostId) -> Vec<SocketAddr> {
-    let others = hosts.hosts.iter().filter(|record| record.host != *own_host);
-    others.map(|record| record.address).collect()
-}
--- a/crates/amaranthscale/src/sidecar/kept.rs
+++ b/crates/amaranthscale/src/sidecar/kept.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranthscale_core::id::HostId;
 use amaranthscale_core::wire::HostList;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -11,7 +12,7 @@
 use super::{Sidecar, SidecarConfig, SidecarError, TreeSource, counters, platform};
 use crate::connection::{PeerClient, PeerClientLimits};
 use crate::process::{ControlKind, ControlTraffic, poll_hosts};
-use crate::version::{TreeKeeperArguments, TreeKeeperHandle, TreeKeeperSettings};
+use crate::version::{TreeKeeperArguments, TreeKeeperHandle, TreeKeeperSettings, exchange_peers};
 
 /// Time between two looks at the host list. A sidecar needs it only to find peers while the
 /// table is away, and 660 of them must not load the platform.
@@ -46,12 +47,13 @@
             seed: rand::random(),
         })
         .await?;
+        let own_host = config.host.clone();
         let sidecar = Sidecar::start_counting(config, source(&tree), counters).await?;
         let host_watch = tokio::spawn(poll_hosts(
             platform.of(ControlKind::HostList),
             HOST_POLL,
             move |hosts| {
-                found.send_replace(entries(&hosts));
+                found.send_replace(entries(&own_host, &hosts));
             },
         ));
         Ok(Self {
@@ -96,7 +98,7 @@
     )
 }
 
-fn entries(hosts: &HostList) -> Vec<SocketAddr> {
+fn entries(own_host: &HostId, hosts: &HostList) -> Vec<SocketAddr> {
     let entries = hosts.hosts.iter().filter(|record| record.service.is_none());
-    entries.map(|record| record.address).collect()
+    exchange_peers(own_host, entries)
 }
--- a/crates/amaranthscale/src/version.rs
+++ b/crates/amaranthscale/src/version.rs
@@ -1,6 +1,7 @@
 //! What lives for a version of shared configuration.
 
 mod edit_proposal;
+mod exchange_peers;
 mod published_tree;
 mod tree_client;
 mod tree_keeper;
@@ -9,6 +10,8 @@
 #[doc(inline)]
 pub use edit_proposal::{EditProposal, EditResult};
 #[doc(inline)]
+pub use exchange_peers::exchange_peers;
+#[doc(inline)]
 pub use published_tree::PublishedTree;
 #[doc(inline)]
 pub use tree_client::{ReadTreeError, offer_to_peer, read_from_peer, read_from_table};
