--- a/crates/amaranthscale/src/entry/process/host_watch.rs
+++ b/crates/amaranthscale/src/entry/process/host_watch.rs
@@ -1,9 +1,11 @@
 //! Keeps the entry's view of the hosts.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthscale_core::id::HostId;
+use amaranthscale_core::wire::HostList;
 use tokio::sync::watch;
 
 use super::{Decision, DecisionsHandle};
@@ -17,9 +19,11 @@
     own_host: HostId,
     every: Duration,
     peer_addresses: watch::Sender<Vec<SocketAddr>>,
+    known_hosts: watch::Sender<Option<Arc<HostList>>>,
 ) {
     poll_hosts(platform, every, move |hosts| {
         peer_addresses.send_replace(exchange_peers(&own_host, &hosts.hosts));
+        known_hosts.send_replace(Some(Arc::new(hosts.clone())));
         decisions.tell(Decision::Hosts(hosts));
     })
     .await;
--- a/crates/amaranthscale/src/process/control_kind.rs
+++ b/crates/amaranthscale/src/process/control_kind.rs
@@ -19,6 +19,8 @@
     Claim,
     /// A write of cost totals.
     CostWrite,
+    /// A read or write of lease or placement, or a report of what an engine runs.
+    Placement,
     /// A question about an attempt, or its revocation.
     Revoke,
     /// A fetch of an attempt's answer on a new connection.
@@ -61,6 +63,7 @@
             Self::Hello => counter_names!("hello"),
             Self::Claim => counter_names!("claim"),
             Self::CostWrite => counter_names!("cost_write"),
+            Self::Placement => counter_names!("placement"),
             Self::Revoke => counter_names!("revoke"),
             Self::Fetch => counter_names!("fetch"),
             Self::Attempt => counter_names!("attempt"),
@@ -78,6 +81,7 @@
             Self::Hello => "hello",
             Self::Claim => "claim",
             Self::CostWrite => "cost_write",
+            Self::Placement => "placement",
             Self::Revoke => "revoke",
             Self::Fetch => "fetch",
             Self::Attempt => "attempt",
--- a/crates/amaranthscale/src/version.rs
+++ b/crates/amaranthscale/src/version.rs
@@ -2,6 +2,7 @@
 
 mod edit_proposal;
 mod exchange_peers;
+mod planner;
 mod published_tree;
 mod tree_client;
 mod tree_keeper;
@@ -12,6 +13,11 @@
 #[doc(inline)]
 pub use exchange_peers::exchange_peers;
 #[doc(inline)]
+pub use planner::{
+    OverdueLoad, Planner, PlannerArguments, PlannerHandle, PlannerMessage, PlannerSettings,
+    PlannerState, PlannerStatus, WriteGate,
+};
+#[doc(inline)]
 pub use published_tree::PublishedTree;
 #[doc(inline)]
 pub use tree_client::{ReadTreeError, offer_to_peer, read_from_peer, read_from_table};
--- a/crates/amaranthscale/src/version/tree_keeper_handle.rs
+++ b/crates/amaranthscale/src/version/tree_keeper_handle.rs
@@ -23,7 +23,7 @@
     EditProposal, EditResult, Origin, PublishedTree, TreeKeeper, TreeKeeperArguments, TreeMessage,
     TreeStatus,
 };
-use crate::process::{ControlKind, new_write_id, settle};
+use crate::process::{ControlKind, TableWrite, new_write_id};
 
 /// Peers that are handed an edit before it is called accepted, so that it outlives the death of
 /// this process together with an outage of the table.
@@ -39,6 +39,7 @@
     in_force: watch::Receiver<Arc<CompiledTree>>,
     log: watch::Receiver<Arc<TreeLog>>,
     ready: watch::Receiver<bool>,
+    polled: watch::Receiver<Instant>,
 }
 
 impl TreeKeeperHandle {
@@ -50,6 +51,7 @@
         let in_force = published.in_force.subscribe();
         let log = published.log.subscribe();
         let ready = published.ready.subscribe();
+        let polled = published.polled.subscribe();
         let (actor, _joined) =
             Actor::spawn(None, TreeKeeper, (arguments.clone(), published)).await?;
         Ok(Self {
@@ -58,6 +60,7 @@
             in_force,
             log,
             ready,
+            polled,
         })
     }
 
@@ -68,9 +71,19 @@
     }
 
     /// Whether the process has learned a version that it may decide by.
+    ///
+    /// Guards against a process that was paused and reads a request before its keeper has noticed:
+    /// a keeper that has not looked for long shows the pause to whoever asks first.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        *self.ready.borrow()
+        let unseen = self.polled.borrow().elapsed();
+        *self.ready.borrow() && !self.arguments.settings.is_pause(unseen)
+    }
+
+    /// Whether the process may decide by its tree, as it changes.
+    #[must_use]
+    pub fn readiness(&self) -> watch::Receiver<bool> {
+        self.ready.clone()
     }
 
     /// Waits until the process has learned a version.
@@ -88,7 +101,7 @@
 
     /// Takes edits that a peer offers.
     pub fn offered(&self, offer: TreeReply) {
-        let _ = self.actor.cast(TreeMessage::Take(Ok(offer), Origin::Peer));
+        let _ = self.actor.cast(TreeMessage::Offered(offer));
     }
 
     /// Tells of a version that some process showed.
@@ -146,45 +159,59 @@
     }
 
     async fn write(&self, record: EditRecord, tree: &SettingsTree) -> EditResult {
-        let mut write = edit_write(&record, tree);
+        let mut write = TableWrite::new(edit_write(&record, tree));
         let until = Instant::now() + EDIT_PATIENCE;
         let platform = self.arguments.platform.of(ControlKind::Edit);
-        match settle(&platform, &mut write, until).await {
-            WriteStep::Won { .. } | WriteStep::Superseded { .. } => {
-                let version = record.version;
-                self.hand_to_peers(&record).await;
-                let _ = self
-                    .ask(|reply| TreeMessage::Accepted(Box::new(record), reply))
-                    .await;
-                EditResult::Accepted(version)
+        match write.settle_until(&platform, until).await {
+            Some(WriteStep::Won { .. } | WriteStep::Superseded { .. }) => {
+                self.accepted(record).await
             }
-            WriteStep::LostTo { .. } => self.conflict(&record).await,
-            WriteStep::Undecided { .. } | WriteStep::Send | WriteStep::ReadBack => {
-                EditResult::Unknown
+            Some(WriteStep::LostTo { .. } | WriteStep::Undecided { .. }) => {
+                self.overtaken(record).await
             }
+            _unsettled if write.may_take_effect() => EditResult::Unknown,
+            _never_taken => EditResult::Refused(ResultCode::TableAway),
         }
     }
 
-    async fn conflict(&self, record: &EditRecord) -> EditResult {
+    async fn accepted(&self, record: EditRecord) -> EditResult {
+        let version = record.version;
+        self.hand_to_peers(&record).await;
+        let _ = self
+            .ask(|reply| TreeMessage::Accepted(Box::new(record), reply))
+            .await;
+        EditResult::Accepted(version)
+    }
+
+    /// Another edit stands in the head row; the row of the edit itself tells whether ours went
+    /// before it.
+    async fn overtaken(&self, record: EditRecord) -> EditResult {
         let Some(log) = self.refreshed_log().await else {
-            return EditResult::Conflict(record.version, Vec::new());
+            return EditResult::Unknown;
         };
         let expected = TreeVersion::new(record.version.get() - 1);
-        EditResult::Conflict(log.version(), log.edits_after(expected).cloned().collect())
+        let others: Vec<EditRecord> = log.edits_after(expected).cloned().collect();
+        let is_ours = others
+            .first()
+            .is_some_and(|first| first.write_id == record.write_id);
+        if is_ours {
+            return self.accepted(record).await;
+        }
+        EditResult::Conflict(log.version(), others)
     }
 
     /// The log after a look at the table; none if the table does not answer.
     async fn refreshed_log(&self) -> Option<Arc<TreeLog>> {
         loop {
             let log = Arc::clone(&self.log.borrow());
+            let asked_at = Instant::now();
             let platform = self.arguments.platform.of(ControlKind::Edit);
             let reply = read_from_table(&platform, log.version()).await.ok()?;
             if matches!(reply, TreeReply::UpToDate(_)) {
                 return Some(log);
             }
-            self.actor
-                .cast(TreeMessage::Take(Ok(reply), Origin::Table))
-                .ok()?;
+            let take = TreeMessage::Take(Ok(reply), Origin::Table, asked_at);
+            self.actor.cast(take).ok()?;
             // Answered after the reply was taken.
             let status = self.status().await?;
             if status.version == log.version() {
--- a/crates/standins/tests/support.rs
+++ b/crates/standins/tests/support.rs
@@ -16,6 +16,7 @@
 mod eventually;
 mod held_clock;
 mod judge;
+mod orders_bench;
 mod platform_process;
 mod relay_process;
 mod request;
@@ -33,6 +34,10 @@
 pub use eventually::{eventually, joined, settle};
 pub use held_clock::HeldClock;
 pub use judge::Judge;
+pub use orders_bench::{
+    BenchPlanner, OrdersBench, counted, engine, host, model, pool, put_service, quick_planner,
+    tree, until,
+};
 pub use platform_process::PlatformProcess;
 pub use relay_process::RelayProcess;
 pub use request::{DRIVER_TRIAL_KEY, MILL_ACCOUNTS_KEY, OPERATOR_KEY, Request};
