--- a/crates/amaranthscale/src/entry/process/host_watch.rs
+++ b/crates/amaranthscale/src/entry/process/host_watch.rs
@@ -10,6 +10,7 @@
 
 use super::{Decision, DecisionsHandle};
 use crate::process::{PlatformClient, poll_hosts};
+use crate::version::exchange_peers;
 
 /// Polls the host list and tells the decisions of each change; ends with its task.
 pub async fn watch_hosts(
@@ -21,14 +22,9 @@
     known_hosts: watch::Sender<Option<Arc<HostList>>>,
 ) {
     poll_hosts(platform, every, move |hosts| {
-        peer_addresses.send_replace(addresses(&hosts, &own_host));
+        peer_addresses.send_replace(exchange_peers(&own_host, &hosts.hosts));
         known_hosts.send_replace(Some(Arc::new(hosts.clone())));
         decisions.tell(Decision::Hosts(hosts));
     })
     .await;
 }
-
-fn addresses(hosts: &HostList, own_host: &HostId) -> Vec<SocketAddr> {
-    let others = hosts.hosts.iter().filter(|record| record.host != *own_host);
-    others.map(|record| record.address).collect()
-}
--- a/crates/amaranthscale/src/version.rs
+++ b/crates/amaranthscale/src/version.rs
@@ -1,6 +1,7 @@
 //! What lives for a version of shared configuration.
 
 mod edit_proposal;
+mod exchange_peers;
 mod planner;
 mod published_tree;
 mod tree_client;
@@ -10,6 +11,8 @@
 #[doc(inline)]
 pub use edit_proposal::{EditProposal, EditResult};
 #[doc(inline)]
+pub use exchange_peers::exchange_peers;
+#[doc(inline)]
 pub use planner::{
     OverdueLoad, Planner, PlannerArguments, PlannerHandle, PlannerMessage, PlannerSettings,
     PlannerState, PlannerStatus, WriteGate,
--- a/crates/amaranthscale/tests/control_traffic.rs
+++ b/crates/amaranthscale/tests/control_traffic.rs
@@ -11,7 +11,7 @@
 use hyper::Response;
 
 const ROW: &str = r#"{"key":"tree/head","version":3,"value":""}"#;
-const KINDS: [ControlKind; 10] = [
+const KINDS: [ControlKind; 11] = [
     ControlKind::TreePoll,
     ControlKind::TreeExchange,
     ControlKind::Edit,
@@ -22,6 +22,7 @@
     ControlKind::Revoke,
     ControlKind::Fetch,
     ControlKind::Attempt,
+    ControlKind::Placement,
 ];
 
 async fn platform_with_one_row() -> HttpServer {
