--- a/crates/amaranthscale/src/entry/request/attempt_run.rs
+++ b/crates/amaranthscale/src/entry/request/attempt_run.rs
@@ -15,16 +15,23 @@
 use hyper::body::Incoming;
 use log::debug;
 use sha2::{Digest as _, Sha256};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::connection::{ConnectionNumber, FrameReader, PeerConnection, read_body};
 use crate::entry::process::EntryParts;
+use crate::process::ControlKind;
 
 /// Longest answer to a revocation.
 const MAX_REVOKE_REPLY_BYTES: usize = 64 * 1024;
 /// Longest wait for an answer to a revocation, when the deadline leaves more.
 const REVOKE_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Times in a row that a sidecar may be out of reach before its attempt counts as unknown.
+/// Work that may be repeated is rather tried elsewhere at once.
+const MAX_UNREACHED: u32 = 3;
+/// Pause after a sidecar was out of reach.
+const UNREACHED_PAUSE: Duration = Duration::from_millis(100);
+
 /// What became of an attempt.
 #[derive(Debug)]
 pub enum AttemptOutcome {
@@ -81,6 +88,16 @@
     Deadline,
 }
 
+/// What asking about an attempt on one connection brought.
+enum Asked {
+    Ended(Box<End>),
+    Revoked(Box<Stamp>),
+    CannotTell,
+    TimedOut,
+    LostWhileFetching,
+    LostAtOnce,
+}
+
 impl<'a, F: FnMut(&[u8]) + Send> AttemptRun<'a, F> {
     /// Prepares an attempt.
     pub fn new(parts: &'a EntryParts, to: Destination, on_data: F) -> Self {
@@ -125,6 +142,13 @@
         number: ConnectionNumber,
     ) -> AttemptOutcome {
         match read {
+            // Guards against a dispatch that the network delivered twice: the second delivery is
+            // refused, but the first may run. Taken for a refusal it would show as "not run" of
+            // a call that ran; so the sidecar is asked what became of the attempt itself.
+            Ok(end) if end.outcome.code == ResultCode::DuplicateAttempt => {
+                self.parts.counters.count("attempt.doubled_delivery");
+                self.ask_again(number).await
+            }
             Ok(end) => self.into_outcome(end),
             Err(Broken::Deadline) => {
                 give_up(self.parts, self.to);
@@ -140,39 +164,59 @@
     /// Asks on a new connection what became of an attempt whose connection was lost.
     ///
     /// Guards against an answer lost between the two ends: a caller would see a failure though
-    /// the work is done, or, if the attempt were sent anew, pay for it twice.
-    async fn ask_again(self, silent: ConnectionNumber) -> AttemptOutcome {
-        let revoked = self.revoke(silent).await;
-        match revoked.map(|reply| (reply.answer, reply.stamp)) {
-            None | Some((RevokeAnswer::Forgotten | RevokeAnswer::OtherIncarnation, _)) => {
-                AttemptOutcome::Unknown
-            }
-            Some((RevokeAnswer::Revoked, stamp)) => {
-                AttemptOutcome::NotRun(ResultCode::AttemptRevoked, None, Some(Box::new(stamp)))
-            }
-            Some((RevokeAnswer::Running | RevokeAnswer::Finished(_), _)) => {
-                self.fetch_after(silent).await
+    /// the work is done, or, if the attempt were sent anew, pay for it twice. A connection may be
+    /// lost again while the sidecar is asked, so the question is repeated until the request is
+    /// due, or the sidecar cannot be reached several times in a row.
+    async fn ask_again(mut self, lost: ConnectionNumber) -> AttemptOutcome {
+        let (mut lost, mut unreached) = (lost, 0);
+        let max_unreached = if self.to.is_repeatable {
+            1
+        } else {
+            MAX_UNREACHED
+        };
+        while unreached < max_unreached && Instant::now() < self.to.due {
+            let address = self.to.address;
+            let connection = self.parts.peers.connection_after(address, Some(lost)).await;
+            let Ok(connection) = connection else {
+                unreached += 1;
+                sleep(UNREACHED_PAUSE).await;
+                continue;
+            };
+            lost = connection.number();
+            match self.ask_on(connection).await {
+                Asked::Ended(end) => return self.into_outcome(end),
+                Asked::Revoked(stamp) => {
+                    return AttemptOutcome::NotRun(ResultCode::AttemptRevoked, None, Some(stamp));
+                }
+                Asked::CannotTell => return AttemptOutcome::Unknown,
+                Asked::TimedOut => {
+                    give_up(self.parts, self.to);
+                    return AttemptOutcome::TimedOut;
+                }
+                Asked::LostWhileFetching => unreached = 0,
+                Asked::LostAtOnce => unreached += 1,
             }
         }
+        AttemptOutcome::Unknown
     }
 
-    async fn fetch_after(mut self, silent: ConnectionNumber) -> AttemptOutcome {
-        let address = self.to.address;
-        let connection = self
-            .parts
-            .peers
-            .connection_after(address, Some(silent))
-            .await;
-        let Ok(connection) = connection else {
-            return AttemptOutcome::Unknown;
-        };
-        match self.fetch(connection).await {
-            Ok(end) => self.into_outcome(end),
-            Err(Broken::Deadline) => {
-                give_up(self.parts, self.to);
-                AttemptOutcome::TimedOut
+    async fn ask_on(&mut self, connection: PeerConnection) -> Asked {
+        let patience = self.to.due.min(Instant::now() + REVOKE_PATIENCE);
+        let asking = ask_revoke(self.parts, self.to, connection.clone(), false);
+        let reply = timeout_at(patience, asking).await.ok().flatten();
+        match reply.map(|reply| (reply.answer, reply.stamp)) {
+            None => Asked::LostAtOnce,
+            Some((RevokeAnswer::Forgotten | RevokeAnswer::OtherIncarnation, _)) => {
+                Asked::CannotTell
+            }
+            Some((RevokeAnswer::Revoked, stamp)) => Asked::Revoked(Box::new(stamp)),
+            Some((RevokeAnswer::Running | RevokeAnswer::Finished(_), _)) => {
+                match self.fetch(connection).await {
+                    Ok(end) => Asked::Ended(end),
+                    Err(Broken::Deadline) => Asked::TimedOut,
+                    Err(Broken::Connection) => Asked::LostWhileFetching,
+                }
             }
-            Err(Broken::Connection) => AttemptOutcome::Unknown,
         }
     }
 
@@ -187,12 +231,6 @@
             .await
     }
 
-    async fn revoke(&self, silent: ConnectionNumber) -> Option<RevokeReply> {
-        let patience = self.to.due.min(Instant::now() + REVOKE_PATIENCE);
-        let asking = ask_revoke(self.parts, self.to, Some(silent), false);
-        timeout_at(patience, asking).await.ok().flatten()
-    }
-
     async fn post_and_read(
         &mut self,
         connection: PeerConnection,
@@ -200,6 +238,11 @@
         body: Vec<u8>,
     ) -> Result<Box<End>, Broken> {
         let due = self.to.due;
+        let kind = match path {
+            "/fetch" => ControlKind::Fetch,
+            _ => ControlKind::Attempt,
+        };
+        self.parts.peers.count(kind, body.len(), 0);
         let posted = timeout_at(due, connection.post(path, body)).await;
         let response = match posted {
             Err(_elapsed) => return Err(Broken::Deadline),
@@ -301,7 +344,10 @@
     }
     let parts = parts.clone();
     tokio::spawn(async move {
-        let asking = ask_revoke(&parts, to, None, true);
+        let asking = async {
+            let connection = parts.peers.connection(to.address).await.ok()?;
+            ask_revoke(&parts, to, connection, true).await
+        };
         let _ = tokio::time::timeout(REVOKE_PATIENCE, asking).await;
     });
 }
@@ -309,7 +355,7 @@
 async fn ask_revoke(
     parts: &EntryParts,
     to: Destination,
-    silent: Option<ConnectionNumber>,
+    connection: PeerConnection,
     cancel_running: bool,
 ) -> Option<RevokeReply> {
     let revoke = Revoke {
@@ -318,19 +364,17 @@
         expiry: to.expiry,
         cancel_running,
     };
-    let connection = parts
-        .peers
-        .connection_after(to.address, silent)
-        .await
-        .ok()?;
-    let response = connection
-        .post("/revoke", wire::encode(&revoke))
-        .await
-        .ok()?;
+    let message = wire::encode(&revoke);
+    let sent_bytes = message.len();
+    let response = connection.post("/revoke", message).await.ok()?;
     let body = read_body(
         response.into_body(),
         MAX_REVOKE_REPLY_BYTES,
         REVOKE_PATIENCE,
     );
-    wire::decode(body.await.ok()?).ok()
+    let body = body.await.ok()?;
+    parts
+        .peers
+        .count(ControlKind::Revoke, sent_bytes, body.len());
+    wire::decode(body).ok()
 }
--- a/crates/amaranthscale/src/entry/request/stage_run.rs
+++ b/crates/amaranthscale/src/entry/request/stage_run.rs
@@ -23,6 +23,7 @@
 use crate::entry::process::{
     AttemptReport, Decision, EntryParts, KnownSidecar, Route, RouteQuestion,
 };
+use crate::process::ControlKind;
 
 /// Most attempts at one stage, so that a request cannot wander over a whole service.
 const MAX_ATTEMPTS: u32 = 5;
@@ -272,7 +273,13 @@
         if self.task.stage.is_repeatable {
             return Verdict::Done(Answer::of_code(ResultCode::DeadlinePassed));
         }
-        self.settle_claim(destination).await
+        match self.settle_claim(destination).await {
+            // The call goes on, and its outcome is kept: the same key brings it later.
+            Verdict::Done(answer) if answer.code == ResultCode::OutcomeUnknown => {
+                Verdict::Done(Answer::of_code(ResultCode::StillRunning))
+            }
+            verdict => verdict,
+        }
     }
 
     async fn settle_claim(&mut self, destination: Destination) -> Verdict {
@@ -350,7 +357,12 @@
                 ..Answer::of_code(end.outcome.code)
             },
             AttemptOutcome::TimedOut => Answer::of_code(ResultCode::StillRunning),
-            AttemptOutcome::NotRun(..) | AttemptOutcome::Unknown => unknown,
+            // The holder is proven not to have made the call, and its row is being freed.
+            AttemptOutcome::NotRun(code, retry_after_ms, _) => Answer {
+                retry_after_ms,
+                ..Answer::of_code(code)
+            },
+            AttemptOutcome::Unknown => unknown,
         }
     }
 
@@ -426,12 +438,16 @@
             from: self.task.entry.clone(),
             tree_version: self.parts.tree.borrow().version(),
         };
-        let asking = self.ask_hello(route.address, wire::encode(&hello));
+        let message = wire::encode(&hello);
+        let sent_bytes = message.len();
+        let asking = self.ask_hello(route.address, message);
         let response = timeout_at(self.task.due, asking).await.ok()??;
         let left = self.task.due.saturating_duration_since(Instant::now());
         let body = read_body(response.into_body(), MAX_STAMP_BYTES, left)
             .await
             .ok()?;
+        let peers = &self.parts.peers;
+        peers.count(ControlKind::Hello, sent_bytes, body.len());
         let stamp: Stamp = wire::decode(body).ok()?;
         let known = KnownSidecar {
             incarnation: stamp.incarnation,
--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -1,5 +1,6 @@
 //! Passes a backend server's result into an attempt's answer.
 
+use super::token_count::TokenCount;
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::wire::{Digest, Outcome};
 use bytes::{Bytes, BytesMut};
@@ -26,7 +27,7 @@
     job: &'a Job,
     hasher: Sha256,
     length_bytes: u64,
-    lines: u64,
+    token_count: TokenCount,
     is_too_large: bool,
     /// The whole result, where it goes into the table as well.
     result: BytesMut,
@@ -48,7 +49,7 @@
             job,
             hasher: Sha256::new(),
             length_bytes: 0,
-            lines: 0,
+            token_count: TokenCount::default(),
             is_too_large: false,
             result: BytesMut::new(),
         }
@@ -85,7 +86,7 @@
         }
         self.hasher.update(data);
         self.length_bytes += u64::try_from(data.len()).unwrap_or(u64::MAX);
-        self.lines += count_lines(data);
+        self.token_count.take(data);
         if !self.job.is_repeatable() {
             self.result.extend_from_slice(data);
         }
@@ -114,10 +115,8 @@
         outcome.length_bytes = self.length_bytes;
         outcome.digest = Digest::from_bytes(self.hasher.finalize().into());
         outcome.cost.tokens = number(headers, TOKENS).unwrap_or_else(|| {
-            // The last line of a stream is its end, not a token.
-            let is_stream = is_stream(headers);
-            if is_stream {
-                self.lines.saturating_sub(1)
+            if is_stream(headers) {
+                self.token_count.tokens()
             } else {
                 0
             }
@@ -158,8 +157,3 @@
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
-
-fn count_lines(data: &[u8]) -> u64 {
-    let parts = data.split(|byte| *byte == b'\n').count();
-    u64::try_from(parts).unwrap_or(u64::MAX).saturating_sub(1)
-}
--- a/crates/core/tests/policy_queue.rs
+++ b/crates/core/tests/policy_queue.rs
@@ -4,7 +4,7 @@
 
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{AttemptId, AttemptNumber, RequestId, StageIndex};
-use amaranthscale_core::process::{FairQueue, FairQueueLimits, QueuedAttempt};
+use amaranthscale_core::process::{FairQueue, FairQueueLimits, LoadMeter, QueuedAttempt};
 use amaranthscale_core::unit::{Class, SidecarClock, Weight};
 
 const START: SidecarClock = SidecarClock::from_millis(0);
@@ -220,3 +220,64 @@
     assert!(!queue.remove(&attempt(1)));
     assert_eq!(queue.pop(START), None);
 }
+
+/// A server was frozen for eight seconds, so its last samples are far above any deadline. Its
+/// queue would refuse all work, and without work there is no new sample. The expected time must
+/// fade, so that a server that is well again takes work again.
+#[test]
+fn an_old_measurement_does_not_shut_a_server() {
+    let mut meter = LoadMeter::default();
+    for _ in 0..10 {
+        meter.served(8_000, START);
+    }
+
+    let at_once = meter.expected_ms(SidecarClock::from_millis(10));
+    let later = meter.expected_ms(SidecarClock::from_millis(7_000));
+
+    assert_eq!(at_once, 8_000);
+    assert!(later <= 500, "{later} ms");
+}
+
+/// A server has become so slow that entries cancel nearly all it runs. Only the few quick ones
+/// end and are measured; the cancelled ones must count too, or the slowness stays unseen.
+#[test]
+fn cancelled_work_shows_slowness() {
+    let mut meter = LoadMeter::default();
+    meter.served(800, START);
+
+    for _ in 0..30 {
+        meter.cut_off(4_000, START);
+        meter.cut_off(100, START);
+    }
+
+    assert!(
+        meter.expected_ms(START) >= 3_500,
+        "{}",
+        meter.expected_ms(START)
+    );
+}
+
+/// A server has thawed and is idle, but still believes that all work takes eight seconds. With a
+/// free slot it takes work all the same, and so finds out; what would have to wait is refused.
+#[test]
+fn an_idle_server_does_not_refuse_on_a_belief() {
+    let mut queue = queue(1, 10, 0);
+    let believed = |number| QueuedAttempt {
+        expected_ms: 8_000,
+        expiry: SidecarClock::from_millis(4_000),
+        ..item(number, "delta-basin", Class::Paid)
+    };
+
+    let with_slot = queue.push(believed(1), START);
+    let started = queue.pop(START);
+    let without_slot = queue.push(believed(2), START);
+    let expired = queue.push(believed(3), SidecarClock::from_millis(4_000));
+
+    assert_eq!(with_slot, Ok(()));
+    assert!(started.is_some());
+    assert_eq!(
+        without_slot.unwrap_err().code,
+        ResultCode::DeadlineUnreachable
+    );
+    assert_eq!(expired.unwrap_err().code, ResultCode::DeadlineUnreachable);
+}
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -1,7 +1,9 @@
 //! Sends load and checks every answer.
 
+pub mod capacity;
 pub mod demo_tree;
 pub mod measure;
+pub mod run;
 
 mod caller;
 mod caller_answer;
@@ -12,4 +14,4 @@
 #[doc(inline)]
 pub use caller_answer::CallerAnswer;
 #[doc(inline)]
-pub use load_report::LoadReport;
+pub use load_report::{LoadDetails, LoadReport};
--- a/crates/standins/tests/support.rs
+++ b/crates/standins/tests/support.rs
@@ -30,7 +30,7 @@
 pub use child_process::{ChildProcess, sibling_program};
 pub use delta_basin::{DeltaBasin, Plan};
 pub use entry_process::EntryProcess;
-pub use eventually::{eventually, settle};
+pub use eventually::{eventually, joined, settle};
 pub use held_clock::HeldClock;
 pub use judge::Judge;
 pub use platform_process::PlatformProcess;
