A sidecar reads the placement once its head row has moved; gone hosts' connections are forgotten

Cause: docs/CAPACITY.md reckoned 10.6 kB/s a sidecar for the placement row read whole each 5 s at 660 engines, over the bound of 3 kB/s from about 190 engines; and an entry kept a place for every host that ever was. Ruled out: a conditional read of the table, which the platform's interface does not have. After: a head row written in the placement's own transaction is polled. Its bytes are not measured.

--- a/crates/amaranthscale/src/connection/peer_client.rs
+++ b/crates/amaranthscale/src/connection/peer_client.rs
@@ -173,12 +173,22 @@
         self.connection(address).await?.post(path, body).await
     }
 
-    /// Forgets the connection to a peer that is gone.
-    pub fn forget(&self, address: SocketAddr) {
+    /// Forgets the connections to peers that are gone.
+    ///
+    /// Guards against a process that keeps a place for every host that ever was: with 170 hosts
+    /// replaced a day it would grow by each of them.
+    pub fn retain(&self, is_known: impl Fn(&SocketAddr) -> bool) {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots.retain(|address, _slot| is_known(address));
+    }
+
+    /// Peers for which a connection is kept.
+    #[must_use]
+    pub fn kept(&self) -> usize {
         self.slots
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .remove(&address);
+            .len()
     }
 
     fn slot(&self, address: SocketAddr) -> Slot {
--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -205,6 +205,7 @@
             handle,
             config.host,
             config.host_poll,
+            Arc::clone(&parts.peers),
             peer_addresses,
             known_hosts,
         );
--- a/crates/amaranthscale/src/entry/process/host_watch.rs
+++ b/crates/amaranthscale/src/entry/process/host_watch.rs
@@ -1,5 +1,6 @@
 //! Keeps the entry's view of the hosts.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use tokio::sync::watch;
 
 use super::{Decision, DecisionsHandle};
+use crate::connection::PeerClient;
 use crate::process::{PlatformClient, poll_hosts};
 use crate::version::exchange_peers;
 
@@ -18,10 +20,13 @@
     decisions: DecisionsHandle,
     own_host: HostId,
     every: Duration,
+    peers: Arc<PeerClient>,
     peer_addresses: watch::Sender<Vec<SocketAddr>>,
     known_hosts: watch::Sender<Option<Arc<HostList>>>,
 ) {
     poll_hosts(platform, every, move |hosts| {
+        let known: BTreeSet<SocketAddr> = hosts.hosts.iter().map(|host| host.address).collect();
+        peers.retain(|address| known.contains(address));
         peer_addresses.send_replace(exchange_peers(&own_host, &hosts.hosts));
         known_hosts.send_replace(Some(Arc::new(hosts.clone())));
         decisions.tell(Decision::Hosts(hosts));
--- a/crates/amaranthscale/src/sidecar/orders.rs
+++ b/crates/amaranthscale/src/sidecar/orders.rs
@@ -17,8 +17,10 @@
 use std::sync::Arc;
 
 use amaranthscale_core::version::{
-    Assignment, EngineOrder, EngineOrders, PLACEMENT_KEY, PlacementOffer,
+    Assignment, EngineOrder, EngineOrders, PLACEMENT_HEAD_KEY, PLACEMENT_KEY, PlacementOffer,
+    read_placement_head,
 };
+use amaranthscale_core::wire::Row;
 use log::{info, warn};
 
 #[doc(inline)]
@@ -94,6 +96,11 @@
     }
 
     async fn read_placement(&mut self) {
+        match self.platform.row(PLACEMENT_HEAD_KEY).await {
+            Ok(head) if self.is_at(&head) => return,
+            Ok(_moved) => {}
+            Err(_away) => return self.counters.count("orders.placement_unread"),
+        }
         let row = match self.platform.row(PLACEMENT_KEY).await {
             Ok(row) => row,
             Err(_away) => return self.counters.count("orders.placement_unread"),
@@ -110,6 +117,13 @@
         self.shown.set_wanted(version, self.orders.wanted());
     }
 
+    /// Whether the placement has been read at the version that its head row tells.
+    fn is_at(&self, head: &Row) -> bool {
+        let view = self.orders.view();
+        let version = read_placement_head(head).unwrap_or_default();
+        view.is_read() && version <= view.version()
+    }
+
     async fn read_engine(&mut self) -> Option<Assignment> {
         match self.engine.running().await {
             Ok(running) => {
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -50,8 +50,8 @@
 pub use pipeline::{MAX_STAGES, Pipeline};
 #[doc(inline)]
 pub use placement::{
-    Assignment, EngineOrder, EngineOrders, EngineRole, PLACEMENT_KEY, Placement, PlacementOffer,
-    PlacementView, placement_write,
+    Assignment, EngineOrder, EngineOrders, EngineRole, PLACEMENT_HEAD_KEY, PLACEMENT_KEY,
+    Placement, PlacementOffer, PlacementView, placement_head, placement_write, read_placement_head,
 };
 #[doc(inline)]
 pub use placement_plan::{
--- a/crates/core/src/version/placement.rs
+++ b/crates/core/src/version/placement.rs
@@ -16,6 +16,9 @@
 #[doc(inline)]
 pub use engine_orders::{EngineOrder, EngineOrders};
 #[doc(inline)]
-pub use plan::{PLACEMENT_KEY, Placement, placement_write};
+pub use plan::{
+    PLACEMENT_HEAD_KEY, PLACEMENT_KEY, Placement, placement_head, placement_write,
+    read_placement_head,
+};
 #[doc(inline)]
 pub use view::{PlacementOffer, PlacementView};
--- a/crates/core/src/version/placement/plan.rs
+++ b/crates/core/src/version/placement/plan.rs
@@ -5,12 +5,32 @@
 use serde::{Deserialize, Serialize};
 
 use super::Assignment;
-use crate::id::{FencingNumber, HostId, TreeVersion, WriteId};
+use crate::id::{FencingNumber, HostId, PlacementVersion, TreeVersion, WriteId};
 use crate::version::{ConditionalWrite, Envelope, HeldLease};
-use crate::wire::Row;
+use crate::wire::{Row, RowWrite};
 
 /// Row that holds the wanted placement.
 pub const PLACEMENT_KEY: &str = "placement";
+/// Row that holds the placement's version alone.
+///
+/// The placement of 660 engines is some fifty kilobytes long; whoever polls reads this row, and the
+/// placement only once it has moved.
+pub const PLACEMENT_HEAD_KEY: &str = "placement/head";
+
+/// The write of the head row that goes with a version of the placement.
+#[must_use]
+pub fn placement_head(version: PlacementVersion) -> RowWrite {
+    RowWrite {
+        key: PLACEMENT_HEAD_KEY.to_owned(),
+        value: version.to_string(),
+    }
+}
+
+/// The version that a head row tells; none if there is none yet or it cannot be read.
+#[must_use]
+pub fn read_placement_head(row: &Row) -> Option<PlacementVersion> {
+    row.value.parse().ok()
+}
 
 /// What every engine is to run.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,9 +75,11 @@
         tree_version,
         assignments,
     };
+    let version = PlacementVersion::new(current.version.next().get());
     // Reached only if a placement came to hold something that JSON cannot carry: a bug.
     let body = serde_json::to_string(&placement).expect("a placement has a form in JSON");
     ConditionalWrite::new(PLACEMENT_KEY, current.version, body, write_id)
         .replacing(current)
         .also_checking(lease.check())
+        .also_writing(placement_head(version))
 }
--- a/crates/core/tests/placement_planners.rs
+++ b/crates/core/tests/placement_planners.rs
@@ -8,8 +8,9 @@
 };
 use amaranthscale_core::unit::SidecarClock;
 use amaranthscale_core::version::{
-    Assignment, ConditionalWrite, EngineOrders, LEASE_KEY, PLACEMENT_KEY, Placement,
-    PlacementOffer, PlannerLease, WriteEvent, WriteStep, placement_write,
+    Assignment, ConditionalWrite, EngineOrders, LEASE_KEY, PLACEMENT_HEAD_KEY, PLACEMENT_KEY,
+    Placement, PlacementOffer, PlannerLease, WriteEvent, WriteStep, placement_write,
+    read_placement_head,
 };
 use amaranthscale_core::wire::{Row, Transaction, TransactionReply};
 use quickcheck::{Arbitrary as _, Gen};
@@ -161,6 +162,28 @@
     assert_eq!(table.row(PLACEMENT_KEY).version, RowVersion::default());
 }
 
+#[test]
+fn the_head_row_moves_with_every_placement_and_with_nothing_else() {
+    // An engine keeps an old model for good. Its sidecar polls the head row, and reads the placement
+    // only once that has moved; a placement written without its head would never be read.
+    let mut table = Table::default();
+    let mut holder = planner(1);
+    campaign(&mut holder, &mut table, millis(0), 1);
+    let lease = holder.held(millis(1)).expect("the lease is new");
+
+    for number in 1..=3 {
+        let read = table.row(PLACEMENT_KEY);
+        let write = placement_write(&lease, &read, TREE, plan("new"), write_id(10 + number));
+        settle(write, &mut table);
+        let late = placement_write(&lease, &read, TREE, plan("late"), write_id(20 + number));
+        settle(late, &mut table);
+
+        let head = read_placement_head(&table.row(PLACEMENT_HEAD_KEY));
+        assert_eq!(head, Some(PlacementVersion::new(number)));
+        assert_eq!(table.row(PLACEMENT_KEY).version, RowVersion::new(number));
+    }
+}
+
 #[test]
 fn without_the_check_the_paused_planner_would_write() {
     // The same story with the lease left out of the transaction, to show that the check decides.
--- a/crates/standins/tests/support/orders_bench.rs
+++ b/crates/standins/tests/support/orders_bench.rs
@@ -11,10 +11,12 @@
 };
 use amaranthscale::sidecar::{OrderSettings, Sidecar, SidecarConfig, SidecarLimits, TreeSource};
 use amaranthscale::version::{PlannerArguments, PlannerHandle, PlannerSettings, WriteGate};
-use amaranthscale_core::id::{FencingNumber, HostId, ModelId, ServiceId, TreeVersion};
+use amaranthscale_core::id::{
+    FencingNumber, HostId, ModelId, PlacementVersion, ServiceId, TreeVersion,
+};
 use amaranthscale_core::version::{
     Assignment, CompiledTree, ConditionalWrite, PLACEMENT_KEY, Placement, Service, SettingsTree,
-    TreeEdit, WriteStep,
+    TreeEdit, WriteStep, placement_head,
 };
 use amaranthscale_core::wire::{HostList, HostRecord, HostState, Row};
 use amaranthscale_standins::engine::{Engine, EngineSettings, OrderState};
@@ -164,7 +166,9 @@
             assignments: BTreeMap::from([(host(number), assignment)]),
         };
         let body = serde_json::to_string(&placement).unwrap();
-        let write = ConditionalWrite::new(PLACEMENT_KEY, current.version, body, new_write_id());
+        let version = PlacementVersion::new(current.version.next().get());
+        let write = ConditionalWrite::new(PLACEMENT_KEY, current.version, body, new_write_id())
+            .also_writing(placement_head(version));
         let mut write = TableWrite::new(write);
         let until = Instant::now() + WAIT_LIMIT;
         match write.settle_until(&self.table, until).await {
