--- a/crates/core/src/process/organisation_limits.rs
+++ b/crates/core/src/process/organisation_limits.rs
@@ -19,6 +19,11 @@
 /// Seconds of its share that an organisation may save up; with one, callers who come back after a
 /// failure are refused although there is room, and with ten a flood costs trials three points.
 const BURST_S: f64 = 5.0;
+/// Tokens that every bucket may save up, however small its share. A balancer spreads requests at
+/// random, so a small share meets two requests at once as often as none; with one token most of
+/// them are refused though the organisation is within its limit. The rate over time is not
+/// raised by it.
+const LEAST_BURST: f64 = 8.0;
 /// Seconds of its share that a new bucket holds, so that entries that start grant no burst.
 const FIRST_S: f64 = 1.0;
 /// Longest time to come back; promises further ahead would outlive most callers.
@@ -141,7 +146,7 @@
     }
 
     fn fill(&mut self, share_per_s: f64, now: Duration) {
-        let most = (share_per_s * BURST_S).max(1.0);
+        let most = (share_per_s * BURST_S).max(LEAST_BURST);
         self.tokens = match self.filled_at {
             None => (share_per_s * FIRST_S).max(1.0),
             Some(at) => {
