--- a/crates/standins/tests/failure_random.rs
+++ b/crates/standins/tests/failure_random.rs
@@ -48,7 +48,7 @@
     is_sidecar_frozen: bool,
     is_platform_away: bool,
     entries_started: u32,
-    asked: Vec<(Request, JoinHandle<Option<Answer>>)>,
+    asked: Vec<(Request, Vec<JoinHandle<Option<Answer>>>)>,
 }
 
 impl Run {
@@ -77,10 +77,16 @@
     async fn step(&mut self, step: usize) {
         for number in 0..SETTLEMENTS_A_STEP {
             let settlement = Request::settlement(&format!("step-{step}-{number}"));
-            let entry = self.random.random_range(0..self.basin.entries.len());
             let short = settlement.clone().with_deadline(DEADLINE_MS);
-            let answer = short.asking(&self.basin.entries[entry]);
-            self.asked.push((settlement, answer));
+            let ask = |entry| short.asking(entry);
+            // Every second clerk loses patience and asks at both entries at once.
+            let answers = if number % 2 == 0 {
+                self.basin.entries.iter().map(ask).collect()
+            } else {
+                let entry = self.random.random_range(0..self.basin.entries.len());
+                vec![ask(&self.basin.entries[entry])]
+            };
+            self.asked.push((settlement, answers));
         }
         // The callers' tasks get to send before the next failure.
         tokio::time::sleep(STEP).await;
@@ -200,14 +206,13 @@
     /// What was refused as not run is left at that: it must never show up as executed.
     async fn judge(mut self) {
         let (mut judge, mut complete, mut not_run) = (Judge::default(), 0, 0);
-        for (settlement, answer) in std::mem::take(&mut self.asked) {
-            let answer = answer.await.expect("the caller's task ends");
-            let is_not_run = answer.as_ref().is_some_and(|answer| answer.ran == "no");
-            println!(
-                "{settlement:?} {:?}",
-                answer.as_ref().map(|answer| answer.code)
-            );
-            judge.take(&settlement, answer);
+        for (settlement, answers) in std::mem::take(&mut self.asked) {
+            let mut is_not_run = true;
+            for answer in answers {
+                let answer = answer.await.expect("the caller's task ends");
+                is_not_run &= answer.as_ref().is_some_and(|answer| answer.ran == "no");
+                judge.take(&settlement, answer);
+            }
             if is_not_run {
                 not_run += 1;
                 continue;
