Sidecar: load report and queue expectation from the core's LoadMeter

Ruled out: keeping the figure by path beside the meter. Not measured: a service whose paths differ much in length, as the whole mean of all paths is now held against each.

--- a/crates/amaranthscale/src/sidecar/gate.rs
+++ b/crates/amaranthscale/src/sidecar/gate.rs
@@ -7,8 +7,6 @@
 mod gate_message;
 mod gate_state;
 mod kept_answers;
-mod service_times;
-mod smoothed;
 
 use std::sync::Arc;
 
--- a/crates/amaranthscale/src/sidecar/gate/gate_state.rs
+++ b/crates/amaranthscale/src/sidecar/gate/gate_state.rs
@@ -4,17 +4,15 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::AttemptId;
-use amaranthscale_core::process::{CostBook, FairQueue, QueuedAttempt, Refusal};
+use amaranthscale_core::process::{CostBook, FairQueue, LoadMeter, QueuedAttempt, Refusal};
 use amaranthscale_core::request::{Ledger, LedgerState};
-use amaranthscale_core::unit::{Class, SidecarClock};
-use amaranthscale_core::wire::{Fetch, LoadReport, Outcome, Revoke, RevokeAnswer, RowWrite};
+use amaranthscale_core::unit::SidecarClock;
+use amaranthscale_core::wire::{Fetch, Outcome, Revoke, RevokeAnswer, RowWrite};
 use amaranthscale_core::{Ran, ResultCode};
 use log::{debug, info, warn};
 use ractor::{ActorRef, RpcReplyPort};
 
 use super::kept_answers::KeptAnswers;
-use super::service_times::ServiceTimes;
-use super::smoothed::Smoothed;
 use super::{Fetched, GateFigures, GateMessage};
 use crate::sidecar::job::Job;
 use crate::sidecar::runner::Runner;
@@ -34,9 +32,7 @@
     answers: KeptAnswers,
     costs: CostBook,
     are_costs_changed: bool,
-    service_times: ServiceTimes,
-    queue_paid: Smoothed,
-    queue_trial: Smoothed,
+    meter: LoadMeter,
     leaving_since: Option<SidecarClock>,
     latest_tick: SidecarClock,
     drained: Vec<RpcReplyPort<()>>,
@@ -55,9 +51,7 @@
             answers: KeptAnswers::new(max_kept),
             costs: CostBook::new(board.host.clone(), board.incarnation),
             are_costs_changed: false,
-            service_times: ServiceTimes::default(),
-            queue_paid: Smoothed::default(),
-            queue_trial: Smoothed::default(),
+            meter: LoadMeter::default(),
             leaving_since: None,
             latest_tick: now,
             drained: Vec::new(),
@@ -114,28 +108,27 @@
 
     fn queue_item(&self, job: &Job, now: SidecarClock) -> QueuedAttempt {
         let dispatch = &job.dispatch;
-        let expected = self.service_times.expected(&dispatch.path, now);
         QueuedAttempt {
             attempt: dispatch.attempt,
             organisation: dispatch.organisation.clone(),
             class: dispatch.class,
             weight: dispatch.weight,
             expiry: job.deadline,
-            expected_ms: u64::try_from(expected.as_millis()).unwrap_or(u64::MAX),
+            expected_ms: self.meter.expected_ms(now),
         }
     }
 
     /// Starts what has a free slot, and refuses what no longer can start.
     fn start_next(&mut self, now: SidecarClock) {
-        while let Some(item) = self.queue.pop(now) {
-            self.start(item.attempt, now);
-        }
         for item in self.queue.take_displaced() {
             self.refuse_queued(item.attempt, ResultCode::TrialShed, now);
         }
         for item in self.queue.expired(now) {
             self.refuse_queued(item.attempt, ResultCode::ExpiredInQueue, now);
         }
+        while let Some(item) = self.queue.pop(now) {
+            self.start(item.attempt, now);
+        }
     }
 
     fn start(&mut self, attempt: AttemptId, now: SidecarClock) {
@@ -151,7 +144,7 @@
             return;
         };
         let waited = job.arrival.until(now);
-        self.queue_time(job.dispatch.class).sample(waited, now);
+        self.meter.waited(job.dispatch.class, millis(waited));
         tokio::spawn(Arc::clone(&self.runner).run(job, self.myself.clone()));
     }
 
@@ -181,7 +174,8 @@
             job.answer.end(outcome);
             return;
         }
-        self.book(job, &outcome, now);
+        self.measure(&outcome, now);
+        self.book(job, &outcome);
         self.ledger.finish(attempt, outcome.clone(), now);
         job.answer.end(outcome);
         let keep_until = self.keep_until(job, now);
@@ -198,10 +192,22 @@
         }
     }
 
-    fn book(&mut self, job: &Job, outcome: &Outcome, now: SidecarClock) {
+    /// Takes in how long a call held the backend server.
+    ///
+    /// Guards against a server that fails at once: counted as served, its quick failures would make
+    /// it look fast, and the queue would take in what the next whole call cannot do in time. Only a
+    /// whole answer says how long the work takes; a call that ended early took at least so long.
+    fn measure(&mut self, outcome: &Outcome, now: SidecarClock) {
+        let server_ms = outcome.cost.server_ms;
+        if outcome.code == ResultCode::Complete {
+            self.meter.served(server_ms, now);
+        } else {
+            self.meter.cut_off(server_ms, now);
+        }
+    }
+
+    fn book(&mut self, job: &Job, outcome: &Outcome) {
         let dispatch = &job.dispatch;
-        let took = Duration::from_millis(outcome.cost.server_ms);
-        self.service_times.sample(&dispatch.path, took, now);
         let is_useful = outcome.code == ResultCode::Complete;
         let (organisation, service) = (&dispatch.organisation, dispatch.service.as_str());
         self.costs
@@ -342,25 +348,9 @@
         }
     }
 
-    fn queue_time(&mut self, class: Class) -> &mut Smoothed {
-        match class {
-            Class::Paid => &mut self.queue_paid,
-            Class::Trial => &mut self.queue_trial,
-        }
-    }
-
     fn publish_load(&self, now: SidecarClock) {
-        // Queue times fade: entries keep away from a long queue, and without arrivals its figure
-        // would otherwise stay as it was and keep them away for good.
-        self.runner.board.set_load(LoadReport {
-            queued_paid: count(self.queue.len(Class::Paid)),
-            queued_trial: count(self.queue.len(Class::Trial)),
-            running: self.queue.running(),
-            slots: self.queue.slots(),
-            service_ms: self.service_times.latest_ms(),
-            queue_paid_ms: self.queue_paid.faded_ms(now),
-            queue_trial_ms: self.queue_trial.faded_ms(now),
-        });
+        let load = self.meter.report(&self.queue, now);
+        self.runner.board.set_load(load);
     }
 }
 
@@ -369,6 +359,6 @@
     let _ = reply.send(value);
 }
 
-fn count(number: usize) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/amaranthscale/tests/sidecar_faults.rs
+++ b/crates/amaranthscale/tests/sidecar_faults.rs
@@ -15,7 +15,7 @@
 use amaranthscale_core::process::FairQueueLimits;
 use amaranthscale_core::request::{ClaimReading, read_claim};
 use amaranthscale_core::unit::{Budget, ByteSize, SidecarClock};
-use amaranthscale_core::wire::{Dispatch, Frame, RevokeAnswer, Row};
+use amaranthscale_core::wire::{Dispatch, Frame, RevokeAnswer, Row, Stamp};
 use hyper::StatusCode;
 use sidecar_support::{
     Bench, BreakingBackend, FIRST_LINE, LAST_LINES, bench, bench_with, fetch, fetch_within, hello,
@@ -464,6 +464,28 @@
     assert_eq!(cancelled, dispatch.attempt.to_string());
 }
 
+/// A backend server slows down, and entries cancel what takes too long there.
+/// Measured by the quick survivors alone it would still be reported as fast, and a caller's request
+/// would be admitted although it cannot end in time. Cancelled work counts with the time it took.
+#[tokio::test]
+async fn cancelled_work_counts_in_the_load_report() {
+    let bench = bench().await;
+    bench.run(&bench.attempt(1, "/echo")).await;
+    let before = bench.hello().await;
+    let slow = bench.attempt(2, "/held");
+    let frames = bench.open(&slow).await;
+    bench.backend.called(2).await;
+    bench.clock_past(before.clock.plus(SEVERAL_TICKS)).await;
+
+    bench.revoke(&slow, true).await;
+    let ended = whole(frames, slow.attempt, 0).await;
+    let is_counted = |stamp: &Stamp| stamp.load.service_ms > before.load.service_ms;
+    let after = soon(bench.stamp_when(is_counted)).await;
+
+    assert_eq!(ended.code(), ResultCode::Cancelled);
+    assert_eq!(after.load.running, 0);
+}
+
 /// An entry's connection goes silent while it reads an answer.
 /// Its reader is never dropped, so that the answer would stay in memory for good. After its time
 /// the answer is dropped under its reader, which sees the stream end early and not a whole answer.
