Entry: each stage's expiry leaves the later stages their time

A queue then starts work whose answer comes too late for the stages after it. Ruled out: (a) a second message per stage: the route's answer carries the time, from services and class in the question. So the expiry is the stage's, the budget the whole rest less the margin, and the sidecar's queue goes by the earlier of the two. (c) Dispatching a stage without any time: each sidecar refuses it as expired in turn, at the cost of the retry budget; the route refuses it with 2101 instead. Before: expiry = deadline less margin for every stage; ExpiredInQueue ended the request.

--- a/crates/amaranthscale/src/entry/process.rs
+++ b/crates/amaranthscale/src/entry/process.rs
@@ -3,13 +3,16 @@
 mod decisions;
 mod host_watch;
 mod parts;
+mod route;
 
 #[doc(inline)]
 pub use decisions::{
     AdmissionQuestion, AttemptReport, Decision, Decisions, DecisionsArguments, DecisionsHandle,
-    DecisionsStatus, KnownSidecar, Route, RouteQuestion,
+    DecisionsStatus,
 };
 #[doc(inline)]
 pub use host_watch::watch_hosts;
 #[doc(inline)]
 pub use parts::EntryParts;
+#[doc(inline)]
+pub use route::{KnownSidecar, Route, RouteQuestion};
--- a/crates/amaranthscale/src/entry/process/decisions.rs
+++ b/crates/amaranthscale/src/entry/process/decisions.rs
@@ -12,15 +12,20 @@
     Admission, AttainmentBook, AttainmentCounts, AttemptEnd, CostBook, CostKey, CostTotals,
     OrganisationLimits, Refusal, RetryBudget, Router, RouterSettings, StageEstimate,
 };
-use amaranthscale_core::unit::{Budget, Class, RatePerSecond, SidecarClock};
+use amaranthscale_core::unit::{Budget, Class, RatePerSecond};
 use amaranthscale_core::wire::{HostList, StageCost, Stamp};
 use log::{debug, info};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde::Serialize;
 use tokio::time::Instant;
 
+use super::{KnownSidecar, Route, RouteQuestion};
+
 /// When to come back after the retry budget was found empty; long enough for it to fill.
 const OUT_OF_RETRIES_MS: u64 = 500;
+/// When to come back after the later stages were found to need all that is left; their queues move
+/// within it.
+const TOO_LATE_MS: u64 = 500;
 /// Refused first when the actor is gone; only a stopping process sees it.
 const STOPPING_RETRY_MS: u64 = 1000;
 
@@ -41,39 +46,6 @@
     pub budget: Budget,
 }
 
-/// What the choice of a sidecar depends on.
-#[derive(Debug, Clone)]
-pub struct RouteQuestion {
-    /// Service of the stage.
-    pub service: ServiceId,
-    /// Hosts that this stage has tried.
-    pub exclude: Vec<HostId>,
-    /// Hash of the prompt's prefix.
-    pub affinity: Option<u64>,
-    /// Whether the retry budget must pay for this attempt.
-    pub is_retry: bool,
-}
-
-/// What an entry knows of a sidecar's present life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct KnownSidecar {
-    /// Life of the sidecar.
-    pub incarnation: Incarnation,
-    /// Reading of its clock now, as reckoned here.
-    pub clock: SidecarClock,
-}
-
-/// The sidecar chosen for an attempt.
-#[derive(Debug, Clone)]
-pub struct Route {
-    /// Host of the sidecar.
-    pub host: HostId,
-    /// Address of the sidecar.
-    pub address: SocketAddr,
-    /// Its present life, if it has answered before.
-    pub known: Option<KnownSidecar>,
-}
-
 /// How an attempt ended, for routing and the books.
 #[derive(Debug, Clone)]
 pub struct AttemptReport {
@@ -302,11 +274,7 @@
 
     fn admit(&mut self, question: &AdmissionQuestion) -> Result<(), Refusal> {
         let now = self.now();
-        let estimates: Vec<StageEstimate> = question
-            .services
-            .iter()
-            .map(|service| self.router.estimate(service, question.class, now))
-            .collect();
+        let estimates = self.estimates(&question.services, question.class);
         self.admission
             .decide(question.budget, &estimates, question.class, now)?;
         self.limits.admit(
@@ -322,6 +290,12 @@
 
     fn route(&mut self, question: &RouteQuestion) -> Result<Route, Refusal> {
         let now = self.now();
+        let stage_due = self.stage_due(question);
+        // An attempt without any time would be refused by each sidecar in turn as expired, and cost
+        // the retries of others.
+        if question.is_repeatable && stage_due <= Instant::now() {
+            return Err(Refusal::new(ResultCode::DeadlineUnreachable, TOO_LATE_MS));
+        }
         if question.is_retry && !self.retries.try_retry() {
             return Err(Refusal::new(ResultCode::NoBackendServer, OUT_OF_RETRIES_MS));
         }
@@ -345,9 +319,30 @@
             host,
             address,
             known,
+            stage_due,
         })
     }
 
+    /// When the stage must be done, so that the later stages still fit.
+    ///
+    /// Guards against a call that may not be repeated being refused for the sake of later stages
+    /// by an estimate: its caller could not tell whether to ask again. It keeps the whole rest.
+    fn stage_due(&self, question: &RouteQuestion) -> Instant {
+        if !question.is_repeatable {
+            return question.due;
+        }
+        let now = Instant::now();
+        let left = Budget::new(question.due.saturating_duration_since(now));
+        let later = self.estimates(&question.later, question.class);
+        now + Admission::stage_budget(left, &later).duration()
+    }
+
+    fn estimates(&self, services: &[ServiceId], class: Class) -> Vec<StageEstimate> {
+        let now = self.now();
+        let estimate = |service| self.router.estimate(service, class, now);
+        services.iter().map(estimate).collect()
+    }
+
     fn observe(&mut self, stamp: &Stamp) {
         let now = self.now();
         self.router.observe(&stamp.host, stamp, now);
--- a/crates/amaranthscale/src/entry/request/run.rs
+++ b/crates/amaranthscale/src/entry/request/run.rs
@@ -77,6 +77,7 @@
                 request_id: self.id,
                 index: StageIndex::new(index),
                 stage,
+                later: &self.request.stages[position + 1..],
                 input: self.input(previous.as_ref()),
                 due: self.due,
                 entry: self.entry,
--- a/crates/amaranthscale/src/entry/request/stage_run.rs
+++ b/crates/amaranthscale/src/entry/request/stage_run.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranthscale_core::id::{AttemptId, AttemptNumber, HostId, RequestId, StageIndex};
+use amaranthscale_core::id::{AttemptId, AttemptNumber, HostId, RequestId, ServiceId, StageIndex};
 use amaranthscale_core::process::{AttemptEnd, Refusal};
 use amaranthscale_core::unit::Budget;
 use amaranthscale_core::version::Stage;
@@ -48,6 +48,8 @@
     pub index: StageIndex,
     /// The stage.
     pub stage: &'a Stage,
+    /// The stages after it.
+    pub later: &'a [Stage],
     /// Body for the backend server.
     pub input: Bytes,
     /// When the request's answer is due.
@@ -116,9 +118,13 @@
     async fn attempt(&mut self) -> Verdict {
         let question = RouteQuestion {
             service: self.task.stage.service.clone(),
+            later: self.later_services(),
+            class: self.task.request.class,
             exclude: self.tried.clone(),
             affinity: self.task.request.affinity,
             is_retry: self.number.get() > 0 && !std::mem::take(&mut self.is_resend),
+            is_repeatable: self.task.stage.is_repeatable,
+            due: self.task.due,
         };
         let route = match self.parts.decisions.route(question).await {
             Ok(route) => route,
@@ -141,7 +147,7 @@
         known: KnownSidecar,
         mut watch: AttemptWatch,
     ) -> Verdict {
-        let dispatch = self.dispatch_message(known);
+        let dispatch = self.dispatch_message(known, route.stage_due);
         let destination = Destination {
             address: route.address,
             attempt: dispatch.attempt,
@@ -223,7 +229,6 @@
         };
         match code {
             ResultCode::ClaimLost => self.claim_lost().await,
-            ResultCode::ExpiredInQueue => Verdict::Done(answer),
             ResultCode::WrongIncarnation | ResultCode::AttemptExpired => {
                 // The sidecar is fine; only our knowledge of it was old.
                 self.tried.pop();
@@ -403,10 +408,22 @@
         answer
     }
 
-    fn dispatch_message(&self, known: KnownSidecar) -> Dispatch {
-        let left = self.task.due.saturating_duration_since(Instant::now());
+    fn later_services(&self) -> Vec<ServiceId> {
+        let services = self.task.later.iter().map(|stage| &stage.service);
+        services.cloned().collect()
+    }
+
+    /// The message of the next attempt.
+    ///
+    /// Its expiry leaves the later stages their time, so that the sidecar's queue starts nothing
+    /// whose answer would come too late for them. What has started may use the whole rest: the
+    /// later stages may turn out quicker than estimated.
+    fn dispatch_message(&self, known: KnownSidecar, stage_due: Instant) -> Dispatch {
+        let now = Instant::now();
+        let left = self.task.due.saturating_duration_since(now);
         let margin = LONGEST_MARGIN.min(left / MARGIN_DIVISOR);
         let budget = Budget::new(left.saturating_sub(margin));
+        let stage_left = stage_due.saturating_duration_since(now);
         let request = self.task.request;
         Dispatch {
             attempt: AttemptId {
@@ -415,7 +432,7 @@
                 number: self.number,
             },
             incarnation: known.incarnation,
-            expiry: known.clock.plus(budget.duration()),
+            expiry: known.clock.plus(budget.duration().min(stage_left)),
             budget,
             organisation: request.organisation.clone(),
             class: request.class,
--- a/crates/amaranthscale/src/sidecar/gate/gate_state.rs
+++ b/crates/amaranthscale/src/sidecar/gate/gate_state.rs
@@ -113,7 +113,7 @@
             organisation: dispatch.organisation.clone(),
             class: dispatch.class,
             weight: dispatch.weight,
-            expiry: job.deadline,
+            expiry: job.deadline.min(dispatch.expiry),
             expected_ms: self.meter.expected_ms(now),
         }
     }
--- a/crates/amaranthscale/tests/sidecar_faults.rs
+++ b/crates/amaranthscale/tests/sidecar_faults.rs
@@ -184,6 +184,42 @@
     assert_eq!(bench.backend.calls().len(), 1);
 }
 
+/// An assessment waits until the time that the later stages need is all that is left.
+/// Started then, it would hold a slot for an answer that comes too late for them. Its expiry ends
+/// its wait, although the request's own deadline is far.
+#[tokio::test]
+async fn expiry_passes_in_queue() {
+    let bench = bench().await;
+    let running = bench.attempt(1, "/held");
+    let running_frames = start_held(&bench, &running).await;
+    let mut waiting = bench.attempt(2, "/echo");
+    waiting.expiry = bench.hello().await.clock.plus(Duration::from_millis(50));
+
+    let refused = bench.run(&waiting).await;
+    bench.backend.let_go();
+    whole(running_frames, running.attempt, 0).await;
+
+    assert_eq!(refused.code(), ResultCode::ExpiredInQueue);
+    assert_eq!(bench.backend.calls().len(), 1);
+}
+
+/// An assessment takes longer than the later stages' estimates leave it.
+/// Cut off at its expiry, a truck's answer would be lost although the later stages may be quick.
+/// The expiry only ends the wait in the queue; what runs may use all of its budget.
+#[tokio::test]
+async fn running_work_outlives_its_expiry() {
+    let bench = bench().await;
+    let mut dispatch = bench.attempt(1, "/held");
+    dispatch.expiry = bench.hello().await.clock.plus(SEVERAL_TICKS);
+    let frames = start_held(&bench, &dispatch).await;
+    bench.clock_past(dispatch.expiry.plus(SEVERAL_TICKS)).await;
+
+    bench.backend.let_go();
+    let answer = whole(frames, dispatch.attempt, 0).await;
+
+    assert_eq!(answer.code(), ResultCode::Complete);
+}
+
 /// A balancer doubles a grower's settlement, and two entries send it to two sidecars.
 /// Both read the same version of the claim row. Paying twice would have to be reclaimed from the
 /// grower; only one of the two claims can win the version.
