Router: a call that may not be repeated is never a probe

Cause: the first request after an ejection served as the probe, whatever it was. A settlement that probes a broken ledger server ends as "outcome unknown" with healthy servers at hand. Ruled out: changing choose itself, which would touch each of its tests for nothing; probing with a hello, which asks the sidecar and not the server. Before: choose_for did not exist; with its condition taken out, a_settlement_is_never_the_probe fails (1 of 14 in policy_router). After: choose_for(.., is_repeatable, ..) passes due probes by; the entry and the policy bench both use it. policy_router 14, all of amaranthscale-core, entry_decisions 3 and policy_bench 8 pass.

--- a/crates/amaranthscale/src/entry/process/decisions.rs
+++ b/crates/amaranthscale/src/entry/process/decisions.rs
@@ -302,9 +302,13 @@
         if !question.is_retry {
             self.retries.first_try();
         }
-        let host =
-            self.router
-                .choose(&question.service, &question.exclude, question.affinity, now)?;
+        let host = self.router.choose_for(
+            &question.service,
+            &question.exclude,
+            question.affinity,
+            question.is_repeatable,
+            now,
+        )?;
         self.router.started(&host, now);
         let address = self.router.host(&host).map(|record| record.address);
         let address = address.ok_or_else(stopping)?;
--- a/crates/core/src/process/router.rs
+++ b/crates/core/src/process/router.rs
@@ -4,7 +4,7 @@
 //! availability zone first, it takes the less loaded by its own count in flight and by the last
 //! report. Two random draws bound what a wrong report can do: a host that looks idle still gets
 //! no more than its chance of being drawn. Hosts that fail or straggle are ejected for a while,
-//! never more than a third of a service, and one request brings each back.
+//! never more than a third of a service, and one request that may be repeated brings each back.
 
 mod ejection;
 
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Chooses a host of a service, outside those excluded.
+    /// Chooses a host of a service, outside those excluded, for a call that may be repeated.
     pub fn choose(
         &mut self,
         service: &ServiceId,
@@ -112,10 +112,26 @@
         affinity: Option<u64>,
         now: Duration,
     ) -> Result<HostId, Refusal> {
-        let usable = self.usable(service, exclude, now);
-        if let Some(host) = self.due_for_probe(service, exclude, now) {
+        self.choose_for(service, exclude, affinity, true, now)
+    }
+
+    /// Chooses a host as [`choose`](Self::choose) does; a call that may not be repeated never
+    /// serves as the probe of an ejected host.
+    pub fn choose_for(
+        &mut self,
+        service: &ServiceId,
+        exclude: &[HostId],
+        affinity: Option<u64>,
+        is_repeatable: bool,
+        now: Duration,
+    ) -> Result<HostId, Refusal> {
+        // Guards against a settlement lost at a host that is known to fail: its caller would get
+        // "outcome unknown" with healthy hosts at hand. A probe that may be repeated is tried again
+        // elsewhere instead, so only such calls find out whether the host is well.
+        if is_repeatable && let Some(host) = self.due_for_probe(service, exclude, now) {
             return Ok(host);
         }
+        let usable = self.usable(service, exclude, now);
         if usable.is_empty() {
             return Err(Refusal::new(
                 ResultCode::NoBackendServer,
--- a/crates/core/tests/policy_router.rs
+++ b/crates/core/tests/policy_router.rs
@@ -118,6 +118,32 @@
     assert_eq!(router.ejected(&service()).count(), 0);
 }
 
+/// A ledger server fails, is ejected, and its time out has passed while it is still broken.
+/// A grower's settlement that served as its probe would be lost there, and the grower would hear
+/// "outcome unknown" with five healthy servers at hand. The settlement goes to one of these, and
+/// the next request that may be repeated is the probe.
+#[test]
+fn a_settlement_is_never_the_probe() {
+    let mut router = router(6);
+    let broken = host(2);
+    for _ in 0..3 {
+        router.started(&broken, Duration::ZERO);
+        let none = Duration::ZERO;
+        router.ended(&broken, AttemptEnd::Failed, none, none);
+    }
+    assert_eq!(router.ejected(&service()).collect::<Vec<_>>(), [&broken]);
+
+    let due_at = Duration::from_mins(1);
+    let settlements: Vec<_> = (0..50)
+        .map(|_| router.choose_for(&service(), &[], None, false, due_at))
+        .collect();
+    let repeatable = router.choose_for(&service(), &[], None, true, due_at);
+
+    let is_safe = |chosen: &Result<HostId, _>| chosen.as_ref().is_ok_and(|host| *host != broken);
+    assert!(settlements.iter().all(is_safe));
+    assert_eq!(repeatable, Ok(broken));
+}
+
 /// Every server of a service fails. No more than a third is left out, or the rest of the
 /// service would be overloaded as soon as it recovers.
 #[test]
--- a/crates/standins/src/policy/bench/entry_side.rs
+++ b/crates/standins/src/policy/bench/entry_side.rs
@@ -156,10 +156,11 @@
         let now = self.agenda.now();
         let expiry = self.expiry(request);
         let asked = &mut self.requests[request];
-        let service = self.deployment.pipelines[asked.pipeline].stages[asked.stage];
-        let service = name(self.deployment.services[service].name);
+        let pipeline = &self.deployment.pipelines[asked.pipeline];
+        let service = name(self.deployment.services[pipeline.stages[asked.stage]].name);
+        let is_repeatable = pipeline.is_repeatable;
         let router = &mut self.entries[asked.entry].router;
-        let host = router.choose(&service, &asked.tried, None, now)?;
+        let host = router.choose_for(&service, &asked.tried, None, is_repeatable, now)?;
         router.started(&host, now);
         let server = self
             .servers
