--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -78,6 +78,8 @@
     pub max_deadline: Duration,
     /// Retries allowed for each hundred first tries.
     pub retry_percent: u32,
+    /// Hedges allowed for each hundred first tries.
+    pub hedge_percent: u32,
     /// How often to look for a newer tree.
     pub tree: TreeKeeperSettings,
     /// How this entry competes for planning the placement.
@@ -107,6 +109,7 @@
             read_timeout: Duration::from_secs(10),
             max_deadline: Duration::from_mins(1),
             retry_percent: 10,
+            hedge_percent: 1,
             tree: TreeKeeperSettings::default(),
             planner: PlannerSettings::default(),
             host_poll: Duration::from_secs(1),
@@ -128,6 +131,7 @@
             read_timeout: Duration::from_millis(settings.limits.read_timeout_ms),
             max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
             retry_percent: settings.retry.retry_percent,
+            hedge_percent: settings.retry.hedge_percent,
             tree: TreeKeeperSettings::from(&settings.tree),
             silence: Duration::from_millis(settings.silence_ms),
             ..Self::new(host, settings.zone.clone(), settings.platform)
@@ -174,6 +178,7 @@
             zone: config.zone.clone(),
             seed: config.seed,
             retry_percent: config.retry_percent,
+            hedge_percent: config.hedge_percent,
         };
         let (decisions, _joined) = Actor::spawn(None, Decisions, arguments).await?;
         let handle = DecisionsHandle::new(decisions.clone());
--- a/crates/amaranthscale/src/entry/process.rs
+++ b/crates/amaranthscale/src/entry/process.rs
@@ -1,10 +1,14 @@
 //! What lives as long as the entry.
 
+mod attempt_kind;
 mod decisions;
+mod hedges;
 mod host_watch;
 mod parts;
 mod route;
 
+#[doc(inline)]
+pub use attempt_kind::AttemptKind;
 #[doc(inline)]
 pub use decisions::{
     AdmissionQuestion, AttemptReport, Decision, Decisions, DecisionsArguments, DecisionsHandle,
--- a/crates/amaranthscale/src/entry/process/decisions.rs
+++ b/crates/amaranthscale/src/entry/process/decisions.rs
@@ -19,7 +19,8 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
-use super::{KnownSidecar, Route, RouteQuestion};
+use super::hedges::Hedges;
+use super::{AttemptKind, KnownSidecar, Route, RouteQuestion};
 
 /// When to come back after the retry budget was found empty; long enough for it to fill.
 const OUT_OF_RETRIES_MS: u64 = 500;
@@ -136,6 +137,8 @@
     pub seed: u64,
     /// Retries allowed for each hundred first tries.
     pub retry_percent: u32,
+    /// Hedges allowed for each hundred first tries.
+    pub hedge_percent: u32,
 }
 
 /// The actor.
@@ -149,6 +152,7 @@
     router: Router,
     admission: Admission,
     retries: RetryBudget,
+    hedges: Hedges,
     limits: OrganisationLimits,
     costs: CostBook,
     attainment: AttainmentBook,
@@ -259,6 +263,7 @@
             router: Router::new(RouterSettings::new(arguments.zone), arguments.seed),
             admission: Admission::new(arguments.seed),
             retries: RetryBudget::new(arguments.retry_percent),
+            hedges: Hedges::new(arguments.hedge_percent),
             limits: OrganisationLimits::new(),
             costs: CostBook::new(arguments.host, Incarnation::new(arguments.seed)),
             attainment: AttainmentBook::default(),
@@ -296,12 +301,7 @@
         if question.is_repeatable && stage_due <= Instant::now() {
             return Err(Refusal::new(ResultCode::DeadlineUnreachable, TOO_LATE_MS));
         }
-        if question.is_retry && !self.retries.try_retry() {
-            return Err(Refusal::new(ResultCode::NoBackendServer, OUT_OF_RETRIES_MS));
-        }
-        if !question.is_retry {
-            self.retries.first_try();
-        }
+        self.pay(question.kind)?;
         let host = self.router.choose_for(
             &question.service,
             &question.exclude,
@@ -324,9 +324,40 @@
             address,
             known,
             stage_due,
+            hedge_after: self.hedge_after(question),
         })
     }
 
+    /// Takes an attempt from the budget that pays for it.
+    fn pay(&mut self, kind: AttemptKind) -> Result<(), Refusal> {
+        let is_paid = match kind {
+            AttemptKind::First => {
+                self.retries.first_try();
+                self.hedges.first_try();
+                true
+            }
+            AttemptKind::Resend => true,
+            AttemptKind::Retry => self.retries.try_retry(),
+            AttemptKind::Hedge => self.hedges.try_hedge(),
+        };
+        if is_paid {
+            Ok(())
+        } else {
+            Err(Refusal::new(ResultCode::NoBackendServer, OUT_OF_RETRIES_MS))
+        }
+    }
+
+    /// When a second attempt may run beside the one in question.
+    ///
+    /// Guards against a settlement that is made twice: two attempts at once are two calls, so only
+    /// what may be repeated is ever hedged.
+    fn hedge_after(&self, question: &RouteQuestion) -> Option<Duration> {
+        if question.kind != AttemptKind::First || !question.is_repeatable {
+            return None;
+        }
+        self.hedges.delay(&question.service)
+    }
+
     /// When the stage must be done, so that the later stages still fit.
     ///
     /// Guards against a call that may not be repeated being refused for the sake of later stages
@@ -360,6 +391,10 @@
         self.router
             .ended(&report.host, report.end, report.elapsed, now);
         let is_useful = report.end == AttemptEnd::Complete;
+        let record = self.router.host(&report.host);
+        if is_useful && let Some(service) = record.and_then(|record| record.service.as_ref()) {
+            self.hedges.record(service, report.elapsed);
+        }
         self.costs
             .record(&report.organisation, &report.stage, &report.cost, is_useful);
     }
--- a/crates/amaranthscale/src/entry/process/route.rs
+++ b/crates/amaranthscale/src/entry/process/route.rs
@@ -1,11 +1,14 @@
 //! The choice of a sidecar for an attempt: what is asked, and what is answered.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use amaranthscale_core::id::{HostId, Incarnation, ServiceId};
 use amaranthscale_core::unit::{Class, SidecarClock};
 use tokio::time::Instant;
 
+use super::AttemptKind;
+
 /// What the choice of a sidecar depends on.
 #[derive(Debug, Clone)]
 pub struct RouteQuestion {
@@ -19,8 +22,8 @@
     pub exclude: Vec<HostId>,
     /// Hash of the prompt's prefix.
     pub affinity: Option<u64>,
-    /// Whether the retry budget must pay for this attempt.
-    pub is_retry: bool,
+    /// Why the attempt is sent.
+    pub kind: AttemptKind,
     /// Whether the call may be repeated.
     pub is_repeatable: bool,
     /// When the request's answer is due.
@@ -47,4 +50,6 @@
     pub known: Option<KnownSidecar>,
     /// When the stage must be done, so that the later stages still fit before the deadline.
     pub stage_due: Instant,
+    /// Time after which a second attempt may be sent beside this one.
+    pub hedge_after: Option<Duration>,
 }
--- a/crates/amaranthscale/src/entry/request.rs
+++ b/crates/amaranthscale/src/entry/request.rs
@@ -6,11 +6,16 @@
 
 mod answer;
 mod attempt_run;
+mod attempt_watch;
 mod caller_request;
 mod claim_check;
+mod hedged_attempt;
 mod run;
+mod sent_attempt;
+mod sidecar_hello;
 mod stage_input;
 mod stage_run;
+mod stage_task;
 mod token_lines;
 
 #[doc(inline)]
--- a/crates/amaranthscale/src/entry/request/run.rs
+++ b/crates/amaranthscale/src/entry/request/run.rs
@@ -7,7 +7,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 
-use super::stage_run::{StageRun, StageTask};
+use super::stage_run::StageRun;
+use super::stage_task::StageTask;
 use super::{Answer, CallerRequest, Target, TokenText, stage_input};
 use crate::entry::process::{AdmissionQuestion, Decision, EntryParts};
 
--- a/crates/amaranthscale/src/process/settings/entry_keys.rs
+++ b/crates/amaranthscale/src/process/settings/entry_keys.rs
@@ -105,7 +105,7 @@
     KeySpec::optional(
         "retry",
         "hedge_percent",
-        "5",
+        "1",
         PERCENT,
         "hedges allowed for every hundred first attempts",
     ),
--- a/crates/amaranthscale/tests/entry_decisions.rs
+++ b/crates/amaranthscale/tests/entry_decisions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthscale::entry::process::{
-    Decision, Decisions, DecisionsArguments, DecisionsHandle, RouteQuestion,
+    AttemptKind, Decision, Decisions, DecisionsArguments, DecisionsHandle, RouteQuestion,
 };
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{Incarnation, TreeVersion};
@@ -49,6 +49,7 @@
         zone: "north-yard".parse().unwrap(),
         seed: 7,
         retry_percent: 10,
+        hedge_percent: 1,
     };
     let (actor, _joined) = Actor::spawn(None, Decisions, arguments).await.unwrap();
     let handle = DecisionsHandle::new(actor);
@@ -71,7 +72,7 @@
         class: Class::Paid,
         exclude: Vec::new(),
         affinity: None,
-        is_retry: false,
+        kind: AttemptKind::First,
         is_repeatable: true,
         due,
     }
