--- a/crates/amaranthscale/src/entry/process/decisions.rs
+++ b/crates/amaranthscale/src/entry/process/decisions.rs
@@ -12,15 +12,21 @@
     Admission, AttainmentBook, AttainmentCounts, AttemptEnd, CostBook, CostKey, CostTotals,
     OrganisationLimits, Refusal, RetryBudget, Router, RouterSettings, StageEstimate,
 };
-use amaranthscale_core::unit::{Budget, Class, RatePerSecond, SidecarClock};
+use amaranthscale_core::unit::{Budget, Class, RatePerSecond};
 use amaranthscale_core::wire::{HostList, StageCost, Stamp};
 use log::{debug, info};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde::Serialize;
 use tokio::time::Instant;
 
+use super::hedges::Hedges;
+use super::{AttemptKind, KnownSidecar, Route, RouteQuestion};
+
 /// When to come back after the retry budget was found empty; long enough for it to fill.
 const OUT_OF_RETRIES_MS: u64 = 500;
+/// When to come back after the later stages were found to need all that is left; their queues move
+/// within it.
+const TOO_LATE_MS: u64 = 500;
 /// Refused first when the actor is gone; only a stopping process sees it.
 const STOPPING_RETRY_MS: u64 = 1000;
 
@@ -41,39 +47,6 @@
     pub budget: Budget,
 }
 
-/// What the choice of a sidecar depends on.
-#[derive(Debug, Clone)]
-pub struct RouteQuestion {
-    /// Service of the stage.
-    pub service: ServiceId,
-    /// Hosts that this stage has tried.
-    pub exclude: Vec<HostId>,
-    /// Hash of the prompt's prefix.
-    pub affinity: Option<u64>,
-    /// Whether the retry budget must pay for this attempt.
-    pub is_retry: bool,
-}
-
-/// What an entry knows of a sidecar's present life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct KnownSidecar {
-    /// Life of the sidecar.
-    pub incarnation: Incarnation,
-    /// Reading of its clock now, as reckoned here.
-    pub clock: SidecarClock,
-}
-
-/// The sidecar chosen for an attempt.
-#[derive(Debug, Clone)]
-pub struct Route {
-    /// Host of the sidecar.
-    pub host: HostId,
-    /// Address of the sidecar.
-    pub address: SocketAddr,
-    /// Its present life, if it has answered before.
-    pub known: Option<KnownSidecar>,
-}
-
 /// How an attempt ended, for routing and the books.
 #[derive(Debug, Clone)]
 pub struct AttemptReport {
@@ -164,6 +137,8 @@
     pub seed: u64,
     /// Retries allowed for each hundred first tries.
     pub retry_percent: u32,
+    /// Hedges allowed for each hundred first tries.
+    pub hedge_percent: u32,
 }
 
 /// The actor.
@@ -177,6 +152,7 @@
     router: Router,
     admission: Admission,
     retries: RetryBudget,
+    hedges: Hedges,
     limits: OrganisationLimits,
     costs: CostBook,
     attainment: AttainmentBook,
@@ -287,6 +263,7 @@
             router: Router::new(RouterSettings::new(arguments.zone), arguments.seed),
             admission: Admission::new(arguments.seed),
             retries: RetryBudget::new(arguments.retry_percent),
+            hedges: Hedges::new(arguments.hedge_percent),
             limits: OrganisationLimits::new(),
             costs: CostBook::new(arguments.host, Incarnation::new(arguments.seed)),
             attainment: AttainmentBook::default(),
@@ -302,11 +279,7 @@
 
     fn admit(&mut self, question: &AdmissionQuestion) -> Result<(), Refusal> {
         let now = self.now();
-        let estimates: Vec<StageEstimate> = question
-            .services
-            .iter()
-            .map(|service| self.router.estimate(service, question.class, now))
-            .collect();
+        let estimates = self.estimates(&question.services, question.class);
         self.admission
             .decide(question.budget, &estimates, question.class, now)?;
         self.limits.admit(
@@ -322,15 +295,20 @@
 
     fn route(&mut self, question: &RouteQuestion) -> Result<Route, Refusal> {
         let now = self.now();
-        if question.is_retry && !self.retries.try_retry() {
-            return Err(Refusal::new(ResultCode::NoBackendServer, OUT_OF_RETRIES_MS));
+        let stage_due = self.stage_due(question);
+        // An attempt without any time would be refused by each sidecar in turn as expired, and cost
+        // the retries of others.
+        if question.is_repeatable && stage_due <= Instant::now() {
+            return Err(Refusal::new(ResultCode::DeadlineUnreachable, TOO_LATE_MS));
         }
-        if !question.is_retry {
-            self.retries.first_try();
-        }
-        let host =
-            self.router
-                .choose(&question.service, &question.exclude, question.affinity, now)?;
+        self.pay(question.kind)?;
+        let host = self.router.choose_for(
+            &question.service,
+            &question.exclude,
+            question.affinity,
+            question.is_repeatable,
+            now,
+        )?;
         self.router.started(&host, now);
         let address = self.router.host(&host).map(|record| record.address);
         let address = address.ok_or_else(stopping)?;
@@ -345,9 +323,61 @@
             host,
             address,
             known,
+            stage_due,
+            hedge_after: self.hedge_after(question),
         })
     }
 
+    /// Takes an attempt from the budget that pays for it.
+    fn pay(&mut self, kind: AttemptKind) -> Result<(), Refusal> {
+        let is_paid = match kind {
+            AttemptKind::First => {
+                self.retries.first_try();
+                self.hedges.first_try();
+                true
+            }
+            AttemptKind::Resend => true,
+            AttemptKind::Retry => self.retries.try_retry(),
+            AttemptKind::Hedge => self.hedges.try_hedge(),
+        };
+        if is_paid {
+            Ok(())
+        } else {
+            Err(Refusal::new(ResultCode::NoBackendServer, OUT_OF_RETRIES_MS))
+        }
+    }
+
+    /// When a second attempt may run beside the one in question.
+    ///
+    /// Guards against a settlement that is made twice: two attempts at once are two calls, so only
+    /// what may be repeated is ever hedged.
+    fn hedge_after(&self, question: &RouteQuestion) -> Option<Duration> {
+        if question.kind != AttemptKind::First || !question.is_repeatable {
+            return None;
+        }
+        self.hedges.delay(&question.service)
+    }
+
+    /// When the stage must be done, so that the later stages still fit.
+    ///
+    /// Guards against a call that may not be repeated being refused for the sake of later stages
+    /// by an estimate: its caller could not tell whether to ask again. It keeps the whole rest.
+    fn stage_due(&self, question: &RouteQuestion) -> Instant {
+        if !question.is_repeatable {
+            return question.due;
+        }
+        let now = Instant::now();
+        let left = Budget::new(question.due.saturating_duration_since(now));
+        let later = self.estimates(&question.later, question.class);
+        now + Admission::stage_budget(left, &later).duration()
+    }
+
+    fn estimates(&self, services: &[ServiceId], class: Class) -> Vec<StageEstimate> {
+        let now = self.now();
+        let estimate = |service| self.router.estimate(service, class, now);
+        services.iter().map(estimate).collect()
+    }
+
     fn observe(&mut self, stamp: &Stamp) {
         let now = self.now();
         self.router.observe(&stamp.host, stamp, now);
@@ -361,6 +391,10 @@
         self.router
             .ended(&report.host, report.end, report.elapsed, now);
         let is_useful = report.end == AttemptEnd::Complete;
+        let record = self.router.host(&report.host);
+        if is_useful && let Some(service) = record.and_then(|record| record.service.as_ref()) {
+            self.hedges.record(service, report.elapsed);
+        }
         self.costs
             .record(&report.organisation, &report.stage, &report.cost, is_useful);
     }
--- a/crates/amaranthscale/tests/sidecar_faults.rs
+++ b/crates/amaranthscale/tests/sidecar_faults.rs
@@ -15,7 +15,7 @@
 use amaranthscale_core::process::FairQueueLimits;
 use amaranthscale_core::request::{ClaimReading, read_claim};
 use amaranthscale_core::unit::{Budget, ByteSize, SidecarClock};
-use amaranthscale_core::wire::{Dispatch, Frame, RevokeAnswer, Row};
+use amaranthscale_core::wire::{Dispatch, Frame, RevokeAnswer, Row, Stamp};
 use hyper::StatusCode;
 use sidecar_support::{
     Bench, BreakingBackend, FIRST_LINE, LAST_LINES, bench, bench_with, fetch, fetch_within, hello,
@@ -184,6 +184,42 @@
     assert_eq!(bench.backend.calls().len(), 1);
 }
 
+/// An assessment waits until the time that the later stages need is all that is left.
+/// Started then, it would hold a slot for an answer that comes too late for them. Its expiry ends
+/// its wait, although the request's own deadline is far.
+#[tokio::test]
+async fn expiry_passes_in_queue() {
+    let bench = bench().await;
+    let running = bench.attempt(1, "/held");
+    let running_frames = start_held(&bench, &running).await;
+    let mut waiting = bench.attempt(2, "/echo");
+    waiting.expiry = bench.hello().await.clock.plus(Duration::from_millis(50));
+
+    let refused = bench.run(&waiting).await;
+    bench.backend.let_go();
+    whole(running_frames, running.attempt, 0).await;
+
+    assert_eq!(refused.code(), ResultCode::ExpiredInQueue);
+    assert_eq!(bench.backend.calls().len(), 1);
+}
+
+/// An assessment takes longer than the later stages' estimates leave it.
+/// Cut off at its expiry, a truck's answer would be lost although the later stages may be quick.
+/// The expiry only ends the wait in the queue; what runs may use all of its budget.
+#[tokio::test]
+async fn running_work_outlives_its_expiry() {
+    let bench = bench().await;
+    let mut dispatch = bench.attempt(1, "/held");
+    dispatch.expiry = bench.hello().await.clock.plus(SEVERAL_TICKS);
+    let frames = start_held(&bench, &dispatch).await;
+    bench.clock_past(dispatch.expiry.plus(SEVERAL_TICKS)).await;
+
+    bench.backend.let_go();
+    let answer = whole(frames, dispatch.attempt, 0).await;
+
+    assert_eq!(answer.code(), ResultCode::Complete);
+}
+
 /// A balancer doubles a grower's settlement, and two entries send it to two sidecars.
 /// Both read the same version of the claim row. Paying twice would have to be reclaimed from the
 /// grower; only one of the two claims can win the version.
@@ -464,6 +500,28 @@
     assert_eq!(cancelled, dispatch.attempt.to_string());
 }
 
+/// A backend server slows down, and entries cancel what takes too long there.
+/// Measured by the quick survivors alone it would still be reported as fast, and a caller's request
+/// would be admitted although it cannot end in time. Cancelled work counts with the time it took.
+#[tokio::test]
+async fn cancelled_work_counts_in_the_load_report() {
+    let bench = bench().await;
+    bench.run(&bench.attempt(1, "/echo")).await;
+    let before = bench.hello().await;
+    let slow = bench.attempt(2, "/held");
+    let frames = bench.open(&slow).await;
+    bench.backend.called(2).await;
+    bench.clock_past(before.clock.plus(SEVERAL_TICKS)).await;
+
+    bench.revoke(&slow, true).await;
+    let ended = whole(frames, slow.attempt, 0).await;
+    let is_counted = |stamp: &Stamp| stamp.load.service_ms > before.load.service_ms;
+    let after = soon(bench.stamp_when(is_counted)).await;
+
+    assert_eq!(ended.code(), ResultCode::Cancelled);
+    assert_eq!(after.load.running, 0);
+}
+
 /// An entry's connection goes silent while it reads an answer.
 /// Its reader is never dropped, so that the answer would stay in memory for good. After its time
 /// the answer is dropped under its reader, which sees the stream end early and not a whole answer.
