An answer that nobody reads sets nothing aside

Cause: a caller who went away while its admission or route was under way left it counted as in flight for good; found by reading, reported with the hedges. Before (the undoing switched off): an_answer_that_nobody_reads... fails, the second admission of an organisation with one request at once is refused. After: it passes.

--- a/crates/amaranthscale/src/entry/process.rs
+++ b/crates/amaranthscale/src/entry/process.rs
@@ -5,6 +5,7 @@
 mod hedges;
 mod host_watch;
 mod parts;
+mod reservation;
 mod route;
 
 #[doc(inline)]
@@ -19,4 +20,6 @@
 #[doc(inline)]
 pub use parts::EntryParts;
 #[doc(inline)]
+pub use reservation::Reservation;
+#[doc(inline)]
 pub use route::{KnownSidecar, Route, RouteQuestion};
--- a/crates/amaranthscale/src/entry/process/decisions.rs
+++ b/crates/amaranthscale/src/entry/process/decisions.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::hedges::Hedges;
-use super::{AttemptKind, KnownSidecar, Route, RouteQuestion};
+use super::{AttemptKind, KnownSidecar, Reservation, Route, RouteQuestion};
 
 /// When to come back after the retry budget was found empty; long enough for it to fill.
 const OUT_OF_RETRIES_MS: u64 = 500;
@@ -70,7 +70,14 @@
 #[derive(Debug)]
 pub enum Decision {
     /// May a request start?
-    Admit(AdmissionQuestion, RpcReplyPort<Result<(), Refusal>>),
+    Admit(
+        AdmissionQuestion,
+        RpcReplyPort<Result<Reservation, Refusal>>,
+    ),
+    /// An admission was not acted on.
+    NotStarted(OrganisationId),
+    /// A route was not acted on.
+    NotSent(HostId),
     /// Which sidecar takes the next attempt?
     Route(RouteQuestion, RpcReplyPort<Result<Route, Refusal>>),
     /// A sidecar told its state.
@@ -176,13 +183,19 @@
 
     async fn handle(
         &self,
-        _myself: ActorRef<Decision>,
+        myself: ActorRef<Decision>,
         message: Decision,
         state: &mut DecisionsState,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            Decision::Admit(question, reply) => answer(reply, state.admit(&question)),
-            Decision::Route(question, reply) => answer(reply, state.route(&question)),
+            Decision::Admit(question, reply) => {
+                answer(reply, state.admit(&question, &myself));
+            }
+            Decision::NotStarted(organisation) => state.not_started(&organisation),
+            Decision::Route(question, reply) => {
+                answer(reply, state.route(&question, &myself));
+            }
+            Decision::NotSent(host) => state.not_sent(&host),
             Decision::Observe(stamp) => state.observe(&stamp),
             Decision::AttemptEnded(report) => state.attempt_ended(&report),
             Decision::RequestEnded(organisation, class, code) => {
@@ -212,7 +225,7 @@
     }
 
     /// Whether a request may start.
-    pub async fn admit(&self, question: AdmissionQuestion) -> Result<(), Refusal> {
+    pub async fn admit(&self, question: AdmissionQuestion) -> Result<Reservation, Refusal> {
         self.ask(|reply| Decision::Admit(question, reply))
             .await
             .unwrap_or_else(|| Err(stopping()))
@@ -277,7 +290,11 @@
         self.started.elapsed()
     }
 
-    fn admit(&mut self, question: &AdmissionQuestion) -> Result<(), Refusal> {
+    fn admit(
+        &mut self,
+        question: &AdmissionQuestion,
+        myself: &ActorRef<Decision>,
+    ) -> Result<Reservation, Refusal> {
         let now = self.now();
         let estimates = self.estimates(&question.services, question.class);
         self.admission
@@ -290,10 +307,26 @@
             now,
         )?;
         self.in_flight += 1;
-        Ok(())
+        let undo = Decision::NotStarted(question.organisation.clone());
+        Ok(Reservation::new(myself.clone(), undo))
+    }
+
+    fn not_started(&mut self, organisation: &OrganisationId) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.limits.ended(organisation);
+    }
+
+    fn not_sent(&mut self, host: &HostId) {
+        let now = self.now();
+        self.router
+            .ended(host, AttemptEnd::Cancelled, Duration::ZERO, now);
     }
 
-    fn route(&mut self, question: &RouteQuestion) -> Result<Route, Refusal> {
+    fn route(
+        &mut self,
+        question: &RouteQuestion,
+        myself: &ActorRef<Decision>,
+    ) -> Result<Route, Refusal> {
         let now = self.now();
         let stage_due = self.stage_due(question);
         // An attempt without any time would be refused by each sidecar in turn as expired, and cost
@@ -319,12 +352,14 @@
                 let clock = clock.plus(now.saturating_sub(seen_at));
                 KnownSidecar { incarnation, clock }
             });
+        let undo = Decision::NotSent(host.clone());
         Ok(Route {
             host,
             address,
             known,
             stage_due,
             hedge_after: self.hedge_after(question),
+            reservation: Reservation::new(myself.clone(), undo),
         })
     }
 
--- a/crates/amaranthscale/src/entry/process/route.rs
+++ b/crates/amaranthscale/src/entry/process/route.rs
@@ -7,7 +7,7 @@
 use amaranthscale_core::unit::{Class, SidecarClock};
 use tokio::time::Instant;
 
-use super::AttemptKind;
+use super::{AttemptKind, Reservation};
 
 /// What the choice of a sidecar depends on.
 #[derive(Debug, Clone)]
@@ -40,7 +40,7 @@
 }
 
 /// The sidecar chosen for an attempt.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Route {
     /// Host of the sidecar.
     pub host: HostId,
@@ -52,4 +52,6 @@
     pub stage_due: Instant,
     /// Time after which a second attempt may be sent beside this one.
     pub hedge_after: Option<Duration>,
+    /// Counts the attempt as in flight there.
+    pub reservation: Reservation,
 }
--- a/crates/amaranthscale/src/entry/request/attempt_watch.rs
+++ b/crates/amaranthscale/src/entry/request/attempt_watch.rs
@@ -22,7 +22,8 @@
 impl AttemptWatch {
     /// Watches an attempt from the choice of its sidecar on.
     #[must_use]
-    pub fn new(parts: &EntryParts, task: &StageTask<'_>, route: &Route) -> Self {
+    pub fn new(parts: &EntryParts, task: &StageTask<'_>, route: &mut Route) -> Self {
+        route.reservation.keep();
         let report = AttemptReport {
             host: route.host.clone(),
             end: AttemptEnd::Cancelled,
--- a/crates/amaranthscale/src/entry/request/hedged_attempt.rs
+++ b/crates/amaranthscale/src/entry/request/hedged_attempt.rs
@@ -97,8 +97,8 @@
         None
     }
 
-    async fn send(&self, route: Route) -> Option<EndedAttempt> {
-        let mut watch = AttemptWatch::new(self.parts, self.task, &route);
+    async fn send(&self, mut route: Route) -> Option<EndedAttempt> {
+        let mut watch = AttemptWatch::new(self.parts, self.task, &mut route);
         let Some(known) = known_sidecar(self.parts, self.task, &route).await else {
             watch.ended(AttemptEnd::Silent, None, StageCost::default());
             return None;
--- a/crates/amaranthscale/src/entry/request/run.rs
+++ b/crates/amaranthscale/src/entry/request/run.rs
@@ -54,13 +54,16 @@
     /// Admits the request, runs its stages in order and gives the final answer.
     pub async fn to_answer(self) -> Answer {
         let question = self.admission_question();
-        if let Err(refusal) = self.parts.decisions.admit(question).await {
-            self.parts
-                .counters
-                .count_reason("admission.refused", refusal.code.name());
-            return refusal.into();
-        }
+        let mut admitted = match self.parts.decisions.admit(question).await {
+            Ok(admitted) => admitted,
+            Err(refusal) => {
+                let counters = &self.parts.counters;
+                counters.count_reason("admission.refused", refusal.code.name());
+                return refusal.into();
+            }
+        };
         let mut watch = RequestWatch::new(self.parts, self.request);
+        admitted.keep();
         let answer = self.stages().await;
         debug!("entry: {} ends with {}", self.id, answer.code);
         watch.ended(answer.code);
--- a/crates/amaranthscale/src/entry/request/stage_run.rs
+++ b/crates/amaranthscale/src/entry/request/stage_run.rs
@@ -84,11 +84,11 @@
     async fn attempt(&mut self) -> Verdict {
         let kind = self.next_kind();
         let question = self.task.route_question(self.tried.clone(), kind);
-        let route = match self.parts.decisions.route(question).await {
+        let mut route = match self.parts.decisions.route(question).await {
             Ok(route) => route,
             Err(refusal) => return Verdict::Done(self.no_route(refusal)),
         };
-        let mut watch = AttemptWatch::new(self.parts, &self.task, &route);
+        let mut watch = AttemptWatch::new(self.parts, &self.task, &mut route);
         self.tried.push(route.host.clone());
         let Some(known) = known_sidecar(self.parts, &self.task, &route).await else {
             watch.ended(AttemptEnd::Silent, None, StageCost::default());
--- a/crates/amaranthscale/tests/entry_decisions.rs
+++ b/crates/amaranthscale/tests/entry_decisions.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use amaranthscale::entry::process::{
-    AttemptKind, Decision, Decisions, DecisionsArguments, DecisionsHandle, RouteQuestion,
+    AdmissionQuestion, AttemptKind, Decision, Decisions, DecisionsArguments, DecisionsHandle,
+    RouteQuestion,
 };
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{Incarnation, TreeVersion};
-use amaranthscale_core::unit::{Class, SidecarClock};
+use amaranthscale_core::unit::{Budget, Class, RatePerSecond, SidecarClock};
 use amaranthscale_core::wire::{HostList, HostRecord, HostState, LoadReport, Stamp};
 use ractor::Actor;
 use tokio::time::Instant;
@@ -121,3 +122,38 @@
 
     assert_eq!(refusal.code, ResultCode::DeadlineUnreachable);
 }
+
+/// A caller closes the connection just as its request is admitted and routed. Nothing runs, yet from
+/// then on one request more counts as in flight; after some thousands the organisation is refused
+/// (2102) though nothing of its runs. The cause: an answer that nobody reads has set something aside.
+#[tokio::test]
+async fn an_answer_that_nobody_reads_sets_nothing_aside() {
+    // Arrange
+    let decisions = decisions().await;
+    let question = AdmissionQuestion {
+        organisation: "north-intake".parse().unwrap(),
+        class: Class::Paid,
+        limit_per_second: RatePerSecond::new(1000.0),
+        max_in_flight: 1,
+        services: vec!["rerankers".parse().unwrap()],
+        budget: Budget::from_millis(9000),
+    };
+
+    // Act: each admission is dropped as with its caller.
+    for _ in 0..10 {
+        let admitted = decisions.admit(question.clone()).await;
+        assert!(
+            admitted.is_ok(),
+            "the one before was given back: {admitted:?}"
+        );
+    }
+
+    // Assert
+    let mut kept = decisions.admit(question.clone()).await.unwrap();
+    kept.keep();
+    assert_eq!(decisions.status().await.in_flight, 1);
+    assert!(
+        decisions.admit(question).await.is_err(),
+        "a kept one counts"
+    );
+}
