--- /dev/null
+++ b/crates/amaranthscale/src/entry/process/decisions_status.rs
@@ -0,0 +1,45 @@
+//! What the books of an entry say.
+
+use amaranthscale_core::id::OrganisationId;
+use amaranthscale_core::process::{AttainmentCounts, CostTotals};
+use amaranthscale_core::unit::Class;
+use serde::Serialize;
+
+/// The actor's part of `/status`.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct DecisionsStatus {
+    /// Requests that have started and not ended.
+    pub in_flight: u64,
+    /// Version of the host list in use.
+    pub host_list_version: u64,
+    /// Hosts in the host list.
+    pub hosts: usize,
+    /// Final answers by class and organisation.
+    pub attainment: Vec<AttainmentLine>,
+    /// Cost by organisation and stage.
+    pub costs: Vec<CostLine>,
+}
+
+/// Final answers of one organisation.
+#[derive(Debug, Clone, Serialize)]
+pub struct AttainmentLine {
+    /// Class of the organisation.
+    pub class: Class,
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// Its answers.
+    #[serde(flatten)]
+    pub counts: AttainmentCounts,
+}
+
+/// Cost of one organisation at one stage.
+#[derive(Debug, Clone, Serialize)]
+pub struct CostLine {
+    /// Organisation that the work was for.
+    pub organisation: OrganisationId,
+    /// Stage that did it.
+    pub stage: String,
+    /// Cost since the entry started.
+    #[serde(flatten)]
+    pub totals: CostTotals,
+}
