--- a/crates/amaranthscale/src/entry/process/decisions_handle.rs
+++ b/crates/amaranthscale/src/entry/process/decisions_handle.rs
@@ -11,7 +11,7 @@
 
 use super::{AdmissionQuestion, Decision, DecisionsStatus, Reservation, Route, RouteQuestion};
 
-/// Refused first when the actor is gone; only a stopping process sees it.
+/// When to come back after the actor has stopped; only callers of a stopping entry see it.
 const STOPPING_RETRY_MS: u64 = 1000;
 
 /// Asks the actor.
