Counters go to statsd, and the header limit holds, as the settings say

Cause: [limits] max_header_bytes was read and passed on to nothing, and no setting named the address that cadence sends to; found by reading the settings against their use. Two more settings that no decision uses yet say so in their meaning: default_deadline_ms and attainment_percent.

--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -45,7 +45,10 @@
 impl Entry {
     /// Starts an entry; it answers at once, and is ready when it has a settings tree.
     pub async fn start(config: EntryConfig) -> Result<Self, StartError> {
-        let counters = Arc::new(Counters::local("amaranth.entry"));
+        let counters = Arc::new(match config.statsd {
+            Some(address) => Counters::sent_to("amaranth.entry", address)?,
+            None => Counters::local("amaranth.entry"),
+        });
         let links = Links::new(&config, &counters);
         let (peer_addresses, addresses) = watch::channel(Vec::new());
         let (known_hosts, hosts) = watch::channel(None);
@@ -205,8 +208,8 @@
     tree: &TreeKeeperHandle,
 ) -> Result<(HttpServer, HttpServer), StartError> {
     let limits = HttpServerLimits {
+        max_header_bytes: config.max_header_bytes,
         header_timeout: config.read_timeout,
-        ..HttpServerLimits::default()
     };
     let front = front(config, parts, tree);
     let callers = HttpServer::start(config.listen, limits, front).await;
--- a/crates/amaranthscale/src/entry/entry_config.rs
+++ b/crates/amaranthscale/src/entry/entry_config.rs
@@ -24,6 +24,10 @@
     pub platform: SocketAddr,
     /// Hash of the operators' key; without one, operators are refused.
     pub operator_key: Option<KeyHash>,
+    /// Address that counters are sent to.
+    pub statsd: Option<SocketAddr>,
+    /// Most bytes of a caller's headers.
+    pub max_header_bytes: usize,
     /// Longest body of a caller.
     pub max_body_bytes: usize,
     /// Most requests at once.
@@ -60,6 +64,8 @@
             peer_listen: any,
             platform,
             operator_key: None,
+            statsd: None,
+            max_header_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
             max_requests: 20_000,
             read_timeout: Duration::from_secs(10),
@@ -82,6 +88,8 @@
             listen: settings.listen,
             peer_listen: settings.peer_listen,
             operator_key: settings.operator_key_hash,
+            statsd: settings.statsd,
+            max_header_bytes: settings.limits.max_header_bytes,
             max_body_bytes: settings.limits.max_body_bytes,
             max_requests: settings.limits.max_requests,
             read_timeout: Duration::from_millis(settings.limits.read_timeout_ms),
--- a/crates/amaranthscale/src/process/settings/entry_keys.rs
+++ b/crates/amaranthscale/src/process/settings/entry_keys.rs
@@ -72,7 +72,7 @@
         "default_deadline_ms",
         "10000",
         TIME,
-        "deadline where neither caller nor tree names one",
+        "deadline where neither caller nor tree names one; today the tree always does",
     ),
     KeySpec::optional(
         "limits",
@@ -123,6 +123,13 @@
         accepts: Accepts::KeyHash,
         meaning: "hash of the operators' key; without it operators are refused",
     },
+    KeySpec {
+        section: "metrics",
+        name: "statsd",
+        default: KeyDefault::Nothing,
+        accepts: Accepts::Address,
+        meaning: "address that counters are sent to as statsd; without it they stand in /status only",
+    },
     KeySpec::optional(
         "log",
         "level",
@@ -135,6 +142,6 @@
         "attainment_percent",
         "50",
         PERCENT,
-        "weight of attainment against cost in routing; 100 looks at attainment only",
+        "weight of attainment against cost in routing; no decision uses it yet",
     ),
 ];
--- a/crates/amaranthscale/src/process/settings/entry_settings.rs
+++ b/crates/amaranthscale/src/process/settings/entry_settings.rs
@@ -50,6 +50,8 @@
     pub operator_key_hash: Option<KeyHash>,
     /// Least level of logged lines.
     pub log_level: LevelFilter,
+    /// Address that counters are sent to.
+    pub statsd: Option<SocketAddr>,
     /// Weight of attainment against cost in routing.
     pub attainment_percent: u32,
 }
@@ -71,6 +73,7 @@
             silence_ms: text.get("connections", "silence_ms"),
             operator_key_hash: text.get_optional("operator", "key_hash"),
             log_level: text.get("log", "level"),
+            statsd: text.get_optional("metrics", "statsd"),
             attainment_percent: text.get("weights", "attainment_percent"),
         })
     }
--- a/crates/amaranthscale/src/process/settings/sidecar_keys.rs
+++ b/crates/amaranthscale/src/process/settings/sidecar_keys.rs
@@ -1,7 +1,7 @@
 //! The keys of a sidecar's settings.
 
 use super::entry_keys::{TIME, number};
-use super::{Accepts, KeySpec};
+use super::{Accepts, KeyDefault, KeySpec};
 
 use Accepts::{Address, Flag, LogLevel, Name};
 
@@ -105,6 +105,13 @@
         Flag,
         "whether the engine refuses orders with an old fencing number",
     ),
+    KeySpec {
+        section: "metrics",
+        name: "statsd",
+        default: KeyDefault::Nothing,
+        accepts: Accepts::Address,
+        meaning: "address that counters are sent to as statsd; without it they stand in /status only",
+    },
     KeySpec::optional(
         "log",
         "level",
--- a/crates/amaranthscale/src/process/settings/sidecar_settings.rs
+++ b/crates/amaranthscale/src/process/settings/sidecar_settings.rs
@@ -52,6 +52,8 @@
     pub engine: EngineSettings,
     /// Least level of logged lines.
     pub log_level: LevelFilter,
+    /// Address that counters are sent to.
+    pub statsd: Option<SocketAddr>,
 }
 
 impl SidecarSettings {
@@ -72,6 +74,7 @@
             tree: TreeSettings::read(&text),
             engine: EngineSettings::read(&text),
             log_level: text.get("log", "level"),
+            statsd: text.get_optional("metrics", "statsd"),
         })
     }
 
--- a/crates/amaranthscale/src/sidecar/sidecar_config.rs
+++ b/crates/amaranthscale/src/sidecar/sidecar_config.rs
@@ -39,7 +39,7 @@
             listen: settings.listen,
             backend: settings.backend,
             platform: settings.platform,
-            statsd: None,
+            statsd: settings.statsd,
             orders: orders(settings),
             limits: limits(settings),
         }
