Operators' tool reads the reports that entries give

Cause: the tool and the entry each had their own form of status and cost, and no test joined the two, so both commands failed against every real entry. The tool's own two forms are gone: cost is a table of the entry's lines, status the entry's JSON as it is.

--- a/crates/amaranthscale/src/entry/process/decisions_status.rs
+++ b/crates/amaranthscale/src/entry/process/decisions_status.rs
@@ -3,7 +3,7 @@
 use amaranthscale_core::id::OrganisationId;
 use amaranthscale_core::process::{AttainmentCounts, CostTotals};
 use amaranthscale_core::unit::Class;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// The actor's part of `/status`.
 #[derive(Debug, Clone, Default, Serialize)]
@@ -33,7 +33,7 @@
 }
 
 /// Cost of one organisation at one stage.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CostLine {
     /// Organisation that the work was for.
     pub organisation: OrganisationId,
--- a/crates/amaranthscale/src/operator.rs
+++ b/crates/amaranthscale/src/operator.rs
@@ -7,22 +7,18 @@
 //! | `GET /v1/operator/tree` | the tree in force |
 //! | `GET /v1/operator/edits?since=V` | a list of edit records after version V |
 //! | `POST /v1/operator/edits` with [`EditRequest`] | [`EditAccepted`], [`EditConflict`] or [`Refusal`] |
-//! | `GET /v1/operator/status` | [`StatusReport`] |
-//! | `GET /v1/operator/cost` | [`CostReport`] |
+//! | `GET /v1/operator/status` | the entry's `/status` |
+//! | `GET /v1/operator/cost` | a list of [`CostLine`](crate::entry::process::CostLine) |
 //!
 //! [`ctl`] is the operators' side of it, the program `amaranthctl`.
 
 pub mod ctl;
 
-mod cost_report;
 mod edit_accepted;
 mod edit_conflict;
 mod edit_request;
 mod refusal;
-mod status_report;
 
-#[doc(inline)]
-pub use cost_report::{CostReport, CostRow};
 #[doc(inline)]
 pub use edit_accepted::EditAccepted;
 #[doc(inline)]
@@ -31,8 +27,6 @@
 pub use edit_request::EditRequest;
 #[doc(inline)]
 pub use refusal::Refusal;
-#[doc(inline)]
-pub use status_report::{OrganisationStatus, ResultCount, ServerStatus, StatusReport};
 
 /// Path of the whole tree.
 pub const TREE_PATH: &str = "/v1/operator/tree";
--- a/crates/amaranthscale/src/operator/ctl/entry_client.rs
+++ b/crates/amaranthscale/src/operator/ctl/entry_client.rs
@@ -16,9 +16,11 @@
 use serde::de::DeserializeOwned;
 
 use super::{CtlError, EntryAddress};
+use serde_json::Value;
+
+use crate::entry::process::CostLine;
 use crate::operator::{
-    COST_PATH, CostReport, EDITS_PATH, EditAccepted, EditConflict, EditRequest, Refusal,
-    STATUS_PATH, StatusReport, TREE_PATH,
+    COST_PATH, EDITS_PATH, EditAccepted, EditConflict, EditRequest, Refusal, STATUS_PATH, TREE_PATH,
 };
 
 /// Longest wait for an answer; an edit takes one write of the table, which is slow in an outage.
@@ -68,13 +70,13 @@
         self.get(&format!("{EDITS_PATH}?since={since}")).await
     }
 
-    /// Fetches the status report.
-    pub async fn status(&self) -> Result<StatusReport, CtlError> {
+    /// Fetches the entry's state.
+    pub async fn status(&self) -> Result<Value, CtlError> {
         self.get(STATUS_PATH).await
     }
 
-    /// Fetches the cost report.
-    pub async fn cost(&self) -> Result<CostReport, CtlError> {
+    /// Fetches the cost by organisation and stage.
+    pub async fn cost(&self) -> Result<Vec<CostLine>, CtlError> {
         self.get(COST_PATH).await
     }
 
--- a/crates/amaranthscale/src/operator/ctl/program.rs
+++ b/crates/amaranthscale/src/operator/ctl/program.rs
@@ -82,7 +82,9 @@
             Ok(printed(matches, &edits, |edits| render::history(edits)))
         }
         "status" => Ok(printed(matches, &client.status().await?, render::status)),
-        "cost" => Ok(printed(matches, &client.cost().await?, render::cost)),
+        "cost" => Ok(printed(matches, &client.cost().await?, |lines| {
+            render::cost(lines)
+        })),
         _ => show(matches, &client.tree().await?),
     }
 }
--- a/crates/amaranthscale/src/operator/ctl/render.rs
+++ b/crates/amaranthscale/src/operator/ctl/render.rs
@@ -7,8 +7,9 @@
 use amaranthscale_core::version::{
     EditRecord, Effective, Organisation, OverrideField, Pipeline, Service, SettingsTree, Stage,
 };
+use serde_json::Value;
 
-use crate::operator::{CostReport, CostRow, OrganisationStatus, ServerStatus, StatusReport};
+use crate::entry::process::CostLine;
 
 /// The organisations below one another, then pipelines and services.
 pub(super) fn tree(tree: &SettingsTree) -> String {
@@ -69,49 +70,22 @@
     edits.iter().map(line).collect()
 }
 
-/// The state of an entry, its organisations and its servers.
-pub(super) fn status(report: &StatusReport) -> String {
-    let ready = if report.is_ready {
-        "ready"
-    } else {
-        "not ready"
-    };
-    let mut page = format!(
-        "entry {} in {}: {ready}, tree version {}, {} requests held\n\n",
-        report.host, report.zone, report.tree_version, report.in_flight
-    );
-    let head = ["organisation", "class", "held", "requests", "attainment"];
-    let organisations = report.organisations.iter().map(organisation_row);
-    page += &table(&with_head(head, organisations));
-    let head = [
-        "server",
-        "service",
-        "zone",
-        "state",
-        "running",
-        "queued",
-        "report age",
-    ];
-    page.push('\n');
-    page += &table(&with_head(head, report.servers.iter().map(server_row)));
-    page += "\nresults\n";
-    let results = report.results.iter();
-    page.extend(results.map(|result| format!("  {} times {}\n", result.count, result.code)));
-    page
+/// The state of an entry, as it tells it.
+pub(super) fn status(report: &Value) -> String {
+    format!("{report:#}\n")
 }
 
 /// Cost by organisation and stage.
-pub(super) fn cost(report: &CostReport) -> String {
+pub(super) fn cost(lines: &[CostLine]) -> String {
     let head = [
         "organisation",
         "stage",
-        "service",
         "server ms",
         "tokens",
         "wasted ms",
         "wasted tokens",
     ];
-    table(&with_head(head, report.rows.iter().map(cost_row)))
+    table(&with_head(head, lines.iter().map(cost_row)))
 }
 
 fn branch(
@@ -211,45 +185,15 @@
     parts.join(", ")
 }
 
-fn organisation_row(status: &OrganisationStatus) -> [String; 5] {
-    let attainment = status.attainment_percent();
-    let attainment = attainment.map_or("-".to_owned(), |percent| format!("{percent}%"));
-    [
-        status.organisation.to_string(),
-        status.class.to_string(),
-        status.in_flight.to_string(),
-        status.requests.to_string(),
-        attainment,
-    ]
-}
-
-fn server_row(server: &ServerStatus) -> [String; 7] {
-    let ejected = if server.is_ejected { ", ejected" } else { "" };
-    let state = format!("{:?}{ejected}", server.state).to_lowercase();
-    let load = server.load;
-    let age = server.report_age_ms;
-    [
-        server.host.to_string(),
-        server.service.to_string(),
-        server.zone.to_string(),
-        state,
-        format!("{}/{}", load.running, load.slots),
-        format!("{} paid, {} trial", load.queued_paid, load.queued_trial),
-        age.map_or("never".to_owned(), |age_ms| format!("{age_ms} ms")),
-    ]
-}
-
-fn cost_row(row: &CostRow) -> [String; 7] {
-    let stage = row.stage.as_ref();
-    let stage = stage.map(|(pipeline, stage)| format!("{pipeline}/{stage}"));
+fn cost_row(line: &CostLine) -> [String; 6] {
+    let totals = &line.totals;
     [
-        row.organisation.to_string(),
-        stage.unwrap_or_else(|| "direct".to_owned()),
-        row.service.to_string(),
-        row.useful.server_ms.to_string(),
-        row.useful.tokens.to_string(),
-        row.wasted.server_ms.to_string(),
-        row.wasted.tokens.to_string(),
+        line.organisation.to_string(),
+        line.stage.clone(),
+        totals.useful_server_ms.to_string(),
+        totals.useful_tokens.to_string(),
+        totals.wasted_server_ms.to_string(),
+        totals.wasted_tokens.to_string(),
     ]
 }
 
