--- /dev/null
+++ b/crates/amaranthscale/src/connection/http1_client.rs
@@ -0,0 +1,87 @@
+//! One HTTP/1.1 connection to a server of others.
+//!
+//! The HTTP library repeats nothing here: whether a request may be sent again is its sender's
+//! decision, so each failure says whether the request may have arrived.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use log::debug;
+use quick_error::quick_error;
+use tokio::net::TcpStream;
+
+quick_error! {
+    /// A request that got no response.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum SendError {
+        /// It never left.
+        NotSent(address: SocketAddr, reason: String) {
+            display("{address} was not reached: {reason}")
+        }
+        /// The connection ended after it may have arrived.
+        Lost(address: SocketAddr, reason: String) {
+            display("the answer of {address} was lost: {reason}")
+        }
+    }
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub struct Http1Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Http1Connection {
+    /// Opens a connection within a time.
+    pub async fn open(address: SocketAddr, patience: Duration) -> Result<Self, SendError> {
+        let not_sent = |reason: String| SendError::NotSent(address, reason);
+        let connecting = TcpStream::connect(address);
+        let stream = match tokio::time::timeout(patience, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_sent(error.to_string())),
+            Err(_elapsed) => return Err(not_sent("no connection in time".to_owned())),
+        };
+        // Small requests would otherwise wait for an acknowledgement, some 40 ms each.
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!("connection: to {address} ended: {error}");
+            }
+        });
+        Ok(Self { address, sender })
+    }
+
+    /// Whether the next request can be sent at once.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends one request and waits for the head of its response.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        if let Err(error) = self.sender.ready().await {
+            return Err(SendError::NotSent(self.address, error.to_string()));
+        }
+        self.sender.try_send_request(request).await.map_err(|mut error| {
+            let is_unsent = error.take_message().is_some();
+            let reason = error.into_error().to_string();
+            if is_unsent {
+                SendError::NotSent(self.address, reason)
+            } else {
+                SendError::Lost(self.address, reason)
+            }
+        })
+    }
+}
--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -1,11 +1,13 @@
 //! A server for HTTP/1.1 and HTTP/2 on one address.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -16,8 +18,6 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::ResponseBody;
-
 /// Pause after a failed accept, so that a process out of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -53,14 +53,32 @@
 
 impl HttpServer {
     /// Listens at an address and answers each request by a function.
-    pub async fn start<H, F>(
+    pub async fn start<H, F, B>(
         listen: SocketAddr,
         limits: HttpServerLimits,
         handle: H,
     ) -> io::Result<Self>
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Response<ResponseBody>> + Send + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        Self::start_with(listen, move || limits, handle).await
+    }
+
+    /// As [`Self::start`], with limits that each new connection asks for.
+    pub async fn start_with<L, H, F, B>(
+        listen: SocketAddr,
+        limits: L,
+        handle: H,
+    ) -> io::Result<Self>
+    where
+        L: Fn() -> HttpServerLimits + Send + 'static,
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
@@ -91,15 +109,18 @@
     }
 }
 
-async fn accept<H, F>(
+async fn accept<L, H, F, B>(
     listener: TcpListener,
-    limits: HttpServerLimits,
+    limits: L,
     handle: H,
     mut stopped: watch::Receiver<bool>,
 ) -> GracefulShutdown
 where
+    L: Fn() -> HttpServerLimits + Send + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let connections = GracefulShutdown::new();
     loop {
@@ -108,7 +129,7 @@
             _ = stopped.wait_for(|stop| *stop) => return connections,
         };
         match accepted {
-            Ok((stream, _peer)) => serve(stream, limits, handle.clone(), &connections),
+            Ok((stream, _peer)) => serve(stream, limits(), handle.clone(), &connections),
             Err(error) => {
                 debug!("server: accept failed: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -117,14 +138,16 @@
     }
 }
 
-fn serve<H, F>(
+fn serve<H, F, B>(
     stream: TcpStream,
     limits: HttpServerLimits,
     handle: H,
     connections: &GracefulShutdown,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     // Small frames would otherwise wait for an acknowledgement, some 40 ms a stage.
     let _ = stream.set_nodelay(true);
--- /dev/null
+++ b/crates/amaranthscale/src/gateway.rs
@@ -0,0 +1,31 @@
+//! The entry for platforms whose backend servers are called directly.
+//!
+//! A gateway reads routing, backend servers and the other gateways from the platform's store and
+//! takes callers' requests by them. What the platform calls things and how it spells them comes in
+//! as a [`Dialect`] and [`StoreCalls`]: names, formats and calls that decide nothing.
+//!
+//! A request's way: [`connection`] takes it off the wire, [`request`] looks up route and key,
+//! has its stages' pieces made by the gateway that owns the batches, sends it to one server and
+//! passes the answer on. [`version`] follows the store, [`process`] owns the batches.
+
+pub mod connection;
+pub mod process;
+pub mod request;
+pub mod version;
+
+mod clock;
+mod daemon;
+mod dialect;
+mod gateway_config;
+mod store_calls;
+
+#[doc(inline)]
+pub use clock::{Clock, boot_time};
+#[doc(inline)]
+pub use daemon::{Gateway, GatewayError};
+#[doc(inline)]
+pub use dialect::{CallerWork, Dialect, HeaderNames, InvalidHead};
+#[doc(inline)]
+pub use gateway_config::GatewayConfig;
+#[doc(inline)]
+pub use store_calls::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable};
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -0,0 +1,275 @@
+//! Starts and stops a gateway.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranthscale_core::process::BackendChoice;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use log::info;
+use quick_error::quick_error;
+use ractor::Actor;
+use tokio::task::JoinHandle;
+
+use super::connection::ServerPool;
+use super::process::{
+    BatchOwner, BatchOwnerArguments, BatchOwnerHandle, BatchOwnerMessage, Budgets, GatewayParts,
+    StopGate, serve_pieces,
+};
+use super::request::answer_caller;
+use super::version::{
+    Knowledge, announce_instance, follow_instances, follow_routing, follow_servers,
+    withdraw_instance,
+};
+use super::{GatewayConfig, StoreCalls};
+use crate::connection::{
+    HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, ResponseBody, empty_body, full_body,
+};
+use crate::process::Counters;
+
+/// Part of the bound on revoked keys up to which knowledge is believed.
+const KEY_AGE_PERCENT: u32 = 90;
+/// Age of knowledge from which another gateway is the better choice for new connections.
+const READY_AGE: Duration = Duration::from_millis(2_800);
+/// Time in which the platform's questions take a stopping gateway out: two misses and a margin.
+const LEAVE_ROTATION: Duration = Duration::from_millis(2_300);
+/// Time kept back from the bound on a stop, for the process to end by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time between two sweeps of kept connections.
+const SWEEP: Duration = Duration::from_secs(2);
+
+quick_error! {
+    /// A gateway that could not start.
+    #[derive(Debug)]
+    pub enum GatewayError {
+        /// An address cannot be listened at.
+        Listen(what: &'static str, address: std::net::SocketAddr, cause: io::Error) {
+            display("cannot listen for {what} at {address}: {cause}")
+            source(cause)
+        }
+        /// The owner of the batches did not start.
+        Owner(reason: String) {
+            display("the owner of the batches did not start: {reason}")
+        }
+    }
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    parts: Arc<GatewayParts>,
+    store: StoreCalls,
+    config: GatewayConfig,
+    callers: HttpServer,
+    _others: Vec<HttpServer>,
+    following: Vec<JoinHandle<()>>,
+}
+
+impl Gateway {
+    /// Starts a gateway; it is ready once it knows the routing.
+    pub async fn start(config: GatewayConfig) -> Result<Self, GatewayError> {
+        let knowledge = Arc::new(Knowledge::new(
+            config.clock,
+            config.instance.clone(),
+            config.peers,
+        ));
+        let following = follow(&config, &knowledge);
+        let parts = Arc::new(start_parts(&config, &knowledge).await?);
+        let callers = listen_callers(&config, &parts).await?;
+        let others = listen_others(&config, &parts).await?;
+        tokio::spawn(tell_changes(Arc::clone(&parts)));
+        tokio::spawn(sweep(Arc::clone(&parts)));
+        tokio::spawn(announce_instance(
+            config.store.clone(),
+            config.instance.clone(),
+            config.peers,
+        ));
+        info!(instance = config.instance.as_str(), zone = config.zone.as_str(); "gateway: started");
+        Ok(Self {
+            parts,
+            store: config.store.clone(),
+            callers,
+            _others: others,
+            following,
+            config,
+        })
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub const fn address(&self) -> std::net::SocketAddr {
+        self.callers.address()
+    }
+
+    /// Counts of answers, refusals and repeats.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.parts.counters
+    }
+
+    /// Leaves the rotation, ends what was taken and stops; says whether all of it ended.
+    ///
+    /// Guards against requests that are cut by a planned stop: new connections come until the
+    /// platform has seen twice that the gateway is not ready, so they are served till then.
+    pub async fn stop(self) -> bool {
+        info!(open = self.parts.stop.open(); "gateway: stopping");
+        let ends_at = tokio::time::Instant::now() + self.config.stop_bound - STOP_MARGIN;
+        self.parts.stop.stop();
+        self.parts.batches.tell(BatchOwnerMessage::Stop);
+        let withdrawing = withdraw_instance(&self.store, &self.config.instance);
+        let leaving = tokio::time::sleep(LEAVE_ROTATION);
+        tokio::join!(withdrawing, leaving);
+        let left = ends_at.saturating_duration_since(tokio::time::Instant::now());
+        let is_drained = self.callers.stop(left).await;
+        let left = ends_at.saturating_duration_since(tokio::time::Instant::now());
+        let is_empty = tokio::time::timeout(left, self.parts.stop.emptied()).await;
+        for following in &self.following {
+            following.abort();
+        }
+        info!(open = self.parts.stop.open(); "gateway: stopped");
+        is_drained && is_empty.is_ok()
+    }
+}
+
+fn follow(config: &GatewayConfig, knowledge: &Arc<Knowledge>) -> Vec<JoinHandle<()>> {
+    let own = (config.instance.clone(), config.peers);
+    vec![
+        tokio::spawn(follow_routing(config.store.clone(), Arc::clone(knowledge))),
+        tokio::spawn(follow_servers(config.store.clone(), Arc::clone(knowledge))),
+        tokio::spawn(follow_instances(config.store.clone(), Arc::clone(knowledge), own)),
+    ]
+}
+
+async fn start_parts(
+    config: &GatewayConfig,
+    knowledge: &Arc<Knowledge>,
+) -> Result<GatewayParts, GatewayError> {
+    let counters = Arc::new(Counters::local("amaranth.gateway"));
+    let pool = Arc::new(ServerPool::default());
+    let dialect = Arc::new(config.dialect.clone());
+    let arguments = BatchOwnerArguments {
+        knowledge: Arc::clone(knowledge),
+        pool: Arc::clone(&pool),
+        dialect: Arc::clone(&dialect),
+        counters: Arc::clone(&counters),
+    };
+    let (owner, _running) = Actor::spawn(None, BatchOwner, arguments)
+        .await
+        .map_err(|error| GatewayError::Owner(error.to_string()))?;
+    Ok(GatewayParts {
+        zone: config.zone.clone(),
+        knowledge: Arc::clone(knowledge),
+        pool,
+        dialect,
+        budgets: Budgets::new(config.budget),
+        batches: BatchOwnerHandle::new(owner),
+        peers: PeerClient::new(PeerClientLimits::default()),
+        counters,
+        stop: Arc::new(StopGate::default()),
+        key_age: config.revoke_bound * KEY_AGE_PERCENT / 100,
+        choice: Mutex::new(BackendChoice::default()),
+    })
+}
+
+async fn listen_callers(
+    config: &GatewayConfig,
+    parts: &Arc<GatewayParts>,
+) -> Result<HttpServer, GatewayError> {
+    let handled = Arc::clone(parts);
+    let handle = move |request: Request<Incoming>| answer_caller(Arc::clone(&handled), request);
+    let limited = Arc::clone(parts);
+    let limits = move || caller_limits(&limited);
+    HttpServer::start_with(config.callers, limits, handle)
+        .await
+        .map_err(|cause| GatewayError::Listen("callers", config.callers, cause))
+}
+
+/// Bounds of a new connection by the routing in force.
+fn caller_limits(parts: &GatewayParts) -> HttpServerLimits {
+    let Some(routing) = parts.knowledge.routing() else {
+        return HttpServerLimits::default();
+    };
+    let bounds = routing.bounds();
+    HttpServerLimits {
+        max_header_bytes: bounds.max_header_bytes,
+        // The library counts the pause between two requests as part of the next head.
+        header_timeout: bounds.idle_timeout.max(bounds.header_timeout),
+    }
+}
+
+async fn listen_others(
+    config: &GatewayConfig,
+    parts: &Arc<GatewayParts>,
+) -> Result<Vec<HttpServer>, GatewayError> {
+    let limits = HttpServerLimits::default();
+    let asked = Arc::clone(parts);
+    let ready = move |_request: Request<Incoming>| {
+        let response = ready_response(&asked);
+        async move { response }
+    };
+    let ready = HttpServer::start(config.ready, limits, ready)
+        .await
+        .map_err(|cause| GatewayError::Listen("readiness", config.ready, cause))?;
+    let batches = parts.batches.clone();
+    let pieces = move |request: Request<Incoming>| serve_pieces(batches.clone(), request);
+    let peers = HttpServer::start(config.peers, limits, pieces)
+        .await
+        .map_err(|cause| GatewayError::Listen("other gateways", config.peers, cause))?;
+    let mut servers = vec![ready, peers];
+    if let Some(address) = config.metrics {
+        let shown = Arc::clone(parts);
+        let metrics = move |_request: Request<Incoming>| {
+            let response = Response::new(full_body(metrics_text(&shown)));
+            async move { response }
+        };
+        let metrics = HttpServer::start(address, limits, metrics)
+            .await
+            .map_err(|cause| GatewayError::Listen("metrics", address, cause))?;
+        servers.push(metrics);
+    }
+    Ok(servers)
+}
+
+fn ready_response(parts: &GatewayParts) -> Response<ResponseBody> {
+    let is_known = parts.knowledge.routing().is_some();
+    let is_fresh = parts.knowledge.age().is_some_and(|age| age <= READY_AGE);
+    let is_ready = is_known && is_fresh && !parts.stop.is_stopping();
+    let mut response = Response::new(empty_body());
+    if !is_ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+/// All counters, one a line.
+fn metrics_text(parts: &GatewayParts) -> String {
+    use std::fmt::Write;
+    let mut text = String::new();
+    for (name, total) in parts.counters.totals() {
+        let name = name.replace(['.', '-'], "_");
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "amaranth_{name}_total {total}");
+    }
+    let _ = writeln!(text, "amaranth_open_requests {}", parts.stop.open());
+    text
+}
+
+/// Tells the owner of the batches of each change.
+async fn tell_changes(parts: Arc<GatewayParts>) {
+    let mut changes = parts.knowledge.changes();
+    while changes.changed().await.is_ok() {
+        parts.batches.tell(BatchOwnerMessage::Changed);
+    }
+}
+
+/// Forgets what belongs to servers that are gone.
+async fn sweep(parts: Arc<GatewayParts>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let servers = parts.knowledge.servers();
+        let is_known = |id: &amaranthscale_core::id::ServerId| servers.usable_server(id).is_some();
+        parts.pool.retain(is_known);
+        parts.choice().retain(is_known);
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/gateway_config.rs
@@ -0,0 +1,38 @@
+//! What a gateway is started with.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranthscale_core::id::{InstanceId, ZoneId};
+use amaranthscale_core::process::BudgetTerms;
+
+use super::{Clock, Dialect, StoreCalls};
+
+/// Settings and formats of one gateway.
+#[derive(Debug, Clone)]
+pub struct GatewayConfig {
+    /// This life of the gateway.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub ready: SocketAddr,
+    /// Where other gateways connect.
+    pub peers: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: Option<SocketAddr>,
+    /// Longest time for which a revoked key may still be served.
+    pub revoke_bound: Duration,
+    /// Longest time that a stop may take.
+    pub stop_bound: Duration,
+    /// Repeats that all gateways together may send to a service.
+    pub budget: BudgetTerms,
+    /// The clocks.
+    pub clock: Clock,
+    /// How callers and servers speak.
+    pub dialect: Dialect,
+    /// How the store is called.
+    pub store: StoreCalls,
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -0,0 +1,25 @@
+//! What lives as long as the process: the owner of the batches and the parts that requests share.
+
+mod batch_calls;
+mod batch_owner;
+mod batch_owner_handle;
+mod budgets;
+mod parts;
+mod peer_pieces;
+mod pieces;
+mod stop_gate;
+
+#[doc(inline)]
+pub use batch_owner::{BatchOwner, BatchOwnerArguments, BatchOwnerMessage, JobAnswer};
+#[doc(inline)]
+pub use batch_owner_handle::{BatchOwnerHandle, OwnedJob};
+#[doc(inline)]
+pub use budgets::Budgets;
+#[doc(inline)]
+pub use parts::GatewayParts;
+#[doc(inline)]
+pub use peer_pieces::{PIECES_PATH, serve_pieces};
+#[doc(inline)]
+pub use pieces::{MadePieces, PiecesError, make_pieces};
+#[doc(inline)]
+pub use stop_gate::{OpenRequest, StopGate};
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -0,0 +1,94 @@
+//! Calls to the servers of stage services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::process::{Batch, BatchEnd, Frees, ServerRecord};
+use log::debug;
+
+use super::super::Dialect;
+use super::super::connection::ServerPool;
+use crate::connection::{SendError, read_body};
+
+/// Largest answer to a batch: a handle for each piece.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// Longest wait for a call that frees results; unfreed ones lapse by themselves.
+const FREE_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Has a batch made; a call without an answer in time counts as lost.
+pub(super) async fn call_batch(pool: &ServerPool, dialect: &Dialect, batch: &Batch) -> BatchEnd {
+    let call = call_in_time(pool, dialect, batch);
+    tokio::time::timeout(batch.patience, call)
+        .await
+        .unwrap_or(BatchEnd::Lost)
+}
+
+async fn call_in_time(pool: &ServerPool, dialect: &Dialect, batch: &Batch) -> BatchEnd {
+    // Pieces may be made again, so a kept connection that proves dead is followed by a new one.
+    match call_once(pool, dialect, batch, true).await {
+        Ok(end) => end,
+        Err(SendError::NotSent(..)) => match call_once(pool, dialect, batch, false).await {
+            Ok(end) => end,
+            Err(error) => lost(&error),
+        },
+        Err(error) => lost(&error),
+    }
+}
+
+fn lost(error: &SendError) -> BatchEnd {
+    debug!("batches: {error}");
+    BatchEnd::Lost
+}
+
+async fn call_once(
+    pool: &ServerPool,
+    dialect: &Dialect,
+    batch: &Batch,
+    may_be_kept: bool,
+) -> Result<BatchEnd, SendError> {
+    let mut connection = if may_be_kept {
+        pool.connection(&server(batch)).await?
+    } else {
+        pool.fresh(&batch.server, batch.address).await?
+    };
+    let response = connection.send((dialect.batch)(batch)).await?;
+    let (head, body) = response.into_parts();
+    let body = read_body(body, MAX_ANSWER_BYTES, batch.patience)
+        .await
+        .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
+    pool.give_back(connection, &head.headers);
+    Ok((dialect.batch_end)(head.status, &head.headers, &body))
+}
+
+fn server(batch: &Batch) -> ServerRecord {
+    ServerRecord {
+        id: batch.server.clone(),
+        service: batch.service.clone(),
+        address: batch.address,
+        zone: batch.zone.clone(),
+        slots: 1,
+        is_leaving: false,
+    }
+}
+
+/// Lets a server drop results.
+pub(super) async fn call_free(dialect: Arc<Dialect>, pool: Arc<ServerPool>, frees: Frees) {
+    let call = async {
+        let mut connection = match pool.kept(&frees.server) {
+            Some(connection) => connection,
+            None => pool.fresh(&frees.server, frees.address).await?,
+        };
+        let response = connection.send((dialect.free)(&frees.handles)).await?;
+        let (head, body) = response.into_parts();
+        if read_body(body, MAX_ANSWER_BYTES, FREE_PATIENCE).await.is_ok() {
+            pool.give_back(connection, &head.headers);
+        }
+        Ok::<(), SendError>(())
+    };
+    match tokio::time::timeout(FREE_PATIENCE, call).await {
+        Ok(Ok(())) => {}
+        // The results lapse by themselves; their maker may be gone with them.
+        Ok(Err(error)) => debug!("batches: results not freed: {error}"),
+        Err(_elapsed) => debug!("batches: results not freed in time"),
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -0,0 +1,260 @@
+//! Owns the batches: an actor around the core's batcher.
+//!
+//! Every gateway runs one; it has work only while the gateways' order makes this one the owner, or
+//! while others believe so. Calls to stage servers run as tasks that send their ends back.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::id::ResultHandle;
+use amaranthscale_core::process::{
+    Batch, BatchEnd, BatchId, Batcher, JobEvent, JobFailure, JobId, JobRefused, PipelineOrder,
+};
+use log::info;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use super::super::Dialect;
+use super::super::connection::ServerPool;
+use super::super::version::Knowledge;
+use super::batch_calls::{call_batch, call_free};
+use crate::process::Counters;
+
+/// Time between two looks at what waits: for held-back pieces and servers that come back.
+const TICK: Duration = Duration::from_millis(20);
+/// Ticks between two rounds of frees: some results a call, and room is back soon.
+const FREE_EVERY_TICKS: u32 = 2;
+
+/// What a job came to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobAnswer {
+    /// All pieces are made.
+    Done(Vec<ResultHandle>),
+    /// The job was not taken; nothing of it was begun.
+    Refused {
+        /// Milliseconds after which there may be place.
+        retry_after_ms: u64,
+        /// Why.
+        reason: JobFailure,
+    },
+    /// The job was given up.
+    Failed(JobFailure),
+    /// This gateway is about to stop and takes no jobs.
+    Stopping,
+}
+
+/// Messages to the owner of the batches.
+#[derive(Debug)]
+pub enum BatchOwnerMessage {
+    /// Takes a job; the sender learns its id at once and its outcome later.
+    Submit(PipelineOrder, oneshot::Sender<JobId>, oneshot::Sender<JobAnswer>),
+    /// Ends a job and frees its results.
+    Release(JobId),
+    /// A call has ended.
+    Ended(BatchId, BatchEnd),
+    /// Routing or servers have changed.
+    Changed,
+    /// Looks at what waits.
+    Tick,
+    /// Takes no more jobs.
+    Stop,
+}
+
+/// The actor.
+#[derive(Debug)]
+pub struct BatchOwner;
+
+/// What the actor needs.
+#[derive(Debug)]
+pub struct BatchOwnerArguments {
+    /// Routing and servers.
+    pub knowledge: Arc<Knowledge>,
+    /// Connections to stage servers.
+    pub pool: Arc<ServerPool>,
+    /// How stage servers are called.
+    pub dialect: Arc<Dialect>,
+    /// Counts ends of calls and jobs.
+    pub counters: Arc<Counters>,
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub struct BatchOwnerState {
+    arguments: BatchOwnerArguments,
+    batcher: Batcher,
+    waiting: BTreeMap<JobId, oneshot::Sender<JobAnswer>>,
+    ticks: u32,
+    is_ticking: bool,
+    is_stopping: bool,
+}
+
+impl Actor for BatchOwner {
+    type Msg = BatchOwnerMessage;
+    type State = BatchOwnerState;
+    type Arguments = BatchOwnerArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        arguments: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(BatchOwnerState {
+            arguments,
+            batcher: Batcher::new(),
+            waiting: BTreeMap::new(),
+            ticks: 0,
+            is_ticking: false,
+            is_stopping: false,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        let now = state.arguments.knowledge.clock().now();
+        match message {
+            BatchOwnerMessage::Submit(order, id, answer) => state.submit(order, id, answer, now),
+            BatchOwnerMessage::Release(job) => {
+                state.waiting.remove(&job);
+                state.batcher.release(job);
+            }
+            BatchOwnerMessage::Ended(batch, end) => {
+                state.batcher.batch_ended(batch, end, now);
+            }
+            BatchOwnerMessage::Changed => state.take_servers(),
+            BatchOwnerMessage::Tick => state.tick(),
+            BatchOwnerMessage::Stop => state.is_stopping = true,
+        }
+        state.send_batches(&myself, now);
+        state.tell();
+        state.keep_ticking(&myself);
+        Ok(())
+    }
+}
+
+impl BatchOwnerState {
+    fn submit(
+        &mut self,
+        order: PipelineOrder,
+        id: oneshot::Sender<JobId>,
+        answer: oneshot::Sender<JobAnswer>,
+        now: Duration,
+    ) {
+        if self.is_stopping {
+            // A caller that has left needs no answer, here as below.
+            let _ = answer.send(JobAnswer::Stopping);
+            return;
+        }
+        let call = order.call.clone();
+        match self.batcher.submit(order, now) {
+            Ok(job) => {
+                self.waiting.insert(job, answer);
+                // The submitter has left: nobody would release the job.
+                if id.send(job).is_err() {
+                    self.waiting.remove(&job);
+                    self.batcher.release(job);
+                }
+            }
+            Err(refused) => {
+                info!(
+                    call = call.as_str(), reason:% = refused.reason,
+                    waiting = self.batcher.waiting();
+                    "batches: job refused"
+                );
+                let _ = answer.send(refusal(refused));
+            }
+        }
+    }
+
+    fn take_servers(&mut self) {
+        let Some(routing) = self.arguments.knowledge.routing() else {
+            return;
+        };
+        let servers = self.arguments.knowledge.servers();
+        self.batcher.set_servers(&routing, servers.all());
+    }
+
+    fn tick(&mut self) {
+        self.is_ticking = false;
+        self.ticks = self.ticks.wrapping_add(1);
+        if !self.ticks.is_multiple_of(FREE_EVERY_TICKS) {
+            return;
+        }
+        for frees in self.batcher.take_frees() {
+            let pool = Arc::clone(&self.arguments.pool);
+            tokio::spawn(call_free(Arc::clone(&self.arguments.dialect), pool, frees));
+        }
+    }
+
+    fn send_batches(&mut self, myself: &ActorRef<BatchOwnerMessage>, now: Duration) {
+        for batch in self.batcher.next_batches(now) {
+            let myself = myself.clone();
+            let pool = Arc::clone(&self.arguments.pool);
+            let dialect = Arc::clone(&self.arguments.dialect);
+            let counters = Arc::clone(&self.arguments.counters);
+            tokio::spawn(async move {
+                let end = run_batch(&pool, &dialect, &counters, &batch).await;
+                // The actor ends only with the process.
+                let _ = myself.send_message(BatchOwnerMessage::Ended(batch.id, end));
+            });
+        }
+    }
+
+    fn tell(&mut self) {
+        for event in self.batcher.take_events() {
+            let (job, answer) = match event {
+                JobEvent::Done(job, handles) => (job, JobAnswer::Done(handles)),
+                JobEvent::Failed(job, failure) => (job, JobAnswer::Failed(failure)),
+            };
+            if let Some(waiting) = self.waiting.remove(&job) {
+                let _ = waiting.send(answer);
+            }
+        }
+    }
+
+    fn keep_ticking(&mut self, myself: &ActorRef<BatchOwnerMessage>) {
+        if self.is_ticking || self.batcher.jobs() == 0 && !self.batcher.has_frees() {
+            return;
+        }
+        self.is_ticking = true;
+        // Runs once, so an idle owner does not wake up.
+        let _ = myself.send_after(TICK, || BatchOwnerMessage::Tick);
+    }
+}
+
+async fn run_batch(
+    pool: &ServerPool,
+    dialect: &Dialect,
+    counters: &Counters,
+    batch: &Batch,
+) -> BatchEnd {
+    let started = tokio::time::Instant::now();
+    let end = call_batch(pool, dialect, batch).await;
+    let name = match &end {
+        BatchEnd::Pieces(_) => "answered",
+        BatchEnd::Full => "full",
+        BatchEnd::OtherServer => "other-server",
+        BatchEnd::Lost => "lost",
+    };
+    counters.count_reason("batch", name);
+    if name != "answered" {
+        let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        info!(
+            server = batch.server.as_str(), pieces = batch.items.len(), end = name, ms;
+            "batches: call failed"
+        );
+    }
+    end
+}
+
+fn refusal(refused: JobRefused) -> JobAnswer {
+    JobAnswer::Refused {
+        retry_after_ms: u64::try_from(refused.retry_after.as_millis()).unwrap_or(u64::MAX),
+        reason: refused.reason,
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -0,0 +1,47 @@
+//! The parts that all requests of a gateway share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use amaranthscale_core::id::ZoneId;
+use amaranthscale_core::process::BackendChoice;
+
+use super::super::Dialect;
+use super::super::connection::ServerPool;
+use super::super::version::Knowledge;
+use super::{BatchOwnerHandle, Budgets, StopGate};
+use crate::connection::PeerClient;
+use crate::process::Counters;
+
+/// Shared by all requests.
+#[derive(Debug)]
+pub struct GatewayParts {
+    /// Availability zone of the gateway.
+    pub zone: ZoneId,
+    /// Routing, servers and gateways.
+    pub knowledge: Arc<Knowledge>,
+    /// Kept connections to servers.
+    pub pool: Arc<ServerPool>,
+    /// How callers and servers speak.
+    pub dialect: Arc<Dialect>,
+    /// Repeats that are left.
+    pub budgets: Budgets,
+    /// The owner of the batches in this process.
+    pub batches: BatchOwnerHandle,
+    /// Connections to other gateways.
+    pub peers: PeerClient,
+    /// Counts of answers, refusals and repeats.
+    pub counters: Arc<Counters>,
+    /// Open requests.
+    pub stop: Arc<StopGate>,
+    /// Longest age of the routing at which a key is believed.
+    pub key_age: std::time::Duration,
+    /// What sends told of the servers.
+    pub choice: Mutex<BackendChoice>,
+}
+
+impl GatewayParts {
+    /// What sends told of the servers; held for single decisions only.
+    pub fn choice(&self) -> MutexGuard<'_, BackendChoice> {
+        self.choice.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/peer_pieces.rs
@@ -0,0 +1,139 @@
+//! Jobs between gateways.
+//!
+//! One request carries the order, and its answer stays open as long as the results are needed: a
+//! gateway that drops the answer, dies or falls silent so ends the job at its owner.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use amaranthscale_core::process::PipelineOrder;
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use hyper::{Request, Response, StatusCode};
+use log::warn;
+
+use super::{BatchOwnerHandle, JobAnswer, OwnedJob};
+use crate::connection::{PeerClient, ResponseBody, empty_body, read_body};
+
+/// Path of the request that carries a job.
+pub const PIECES_PATH: &str = "/pieces";
+/// Largest order: some stages of some hundred bytes.
+const MAX_ORDER_BYTES: usize = 64 * 1024;
+/// Longest wait for an order's body; it comes with its head.
+const ORDER_PATIENCE: Duration = Duration::from_secs(1);
+/// Bytes of the length before an answer.
+const LENGTH_BYTES: usize = 4;
+
+/// Asks another gateway; the open body keeps the results.
+pub(super) async fn ask_peer(
+    peers: &PeerClient,
+    address: SocketAddr,
+    order: &PipelineOrder,
+) -> Result<(JobAnswer, Incoming), String> {
+    let encoded = rmp_serde::to_vec_named(order).map_err(|error| error.to_string())?;
+    let response = peers
+        .post(address, PIECES_PATH, encoded)
+        .await
+        .map_err(|error| error.to_string())?;
+    if response.status() != StatusCode::OK {
+        return Err(format!("the owner answered {}", response.status()));
+    }
+    let mut body = response.into_body();
+    let answer = read_answer(&mut body).await?;
+    Ok((answer, body))
+}
+
+async fn read_answer(body: &mut Incoming) -> Result<JobAnswer, String> {
+    let mut read = BytesMut::new();
+    loop {
+        if let Some(answer) = whole_answer(&read)? {
+            return Ok(answer);
+        }
+        let frame = body.frame().await.ok_or("the answer ended early")?;
+        let frame = frame.map_err(|error| error.to_string())?;
+        if let Ok(data) = frame.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+}
+
+fn whole_answer(read: &BytesMut) -> Result<Option<JobAnswer>, String> {
+    if read.len() < LENGTH_BYTES {
+        return Ok(None);
+    }
+    let mut head = &read[..LENGTH_BYTES];
+    let length = usize::try_from(head.get_u32()).map_err(|error| error.to_string())?;
+    let Some(content) = read.get(LENGTH_BYTES..LENGTH_BYTES + length) else {
+        return Ok(None);
+    };
+    let answer = rmp_serde::from_slice(content).map_err(|error| error.to_string())?;
+    Ok(Some(answer))
+}
+
+/// Answers another gateway's job.
+pub async fn serve_pieces(
+    batches: BatchOwnerHandle,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    if request.uri().path() != PIECES_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let read = read_body(request.into_body(), MAX_ORDER_BYTES, ORDER_PATIENCE).await;
+    let order = read
+        .map_err(|error| error.to_string())
+        .and_then(|body| rmp_serde::from_slice::<PipelineOrder>(&body).map_err(|e| e.to_string()));
+    let order = match order {
+        Ok(order) => order,
+        Err(reason) => {
+            warn!(reason = reason.as_str(); "batches: a peer's order cannot be read");
+            return status(StatusCode::BAD_REQUEST);
+        }
+    };
+    let (answer, job) = batches.run(order).await;
+    let Ok(encoded) = rmp_serde::to_vec_named(&answer) else {
+        return status(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let length = u32::try_from(encoded.len()).unwrap_or(u32::MAX);
+    let mut content = BytesMut::from(&length.to_be_bytes()[..]);
+    content.extend_from_slice(&encoded);
+    let body = HeldBody {
+        content: Some(content.freeze()),
+        job,
+    };
+    Response::new(body.boxed_unsync())
+}
+
+fn status(status: StatusCode) -> Response<ResponseBody> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer that stays open while its job's results are needed.
+struct HeldBody {
+    content: Option<Bytes>,
+    job: Option<OwnedJob>,
+}
+
+impl Body for HeldBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if let Some(content) = self.content.take() {
+            return Poll::Ready(Some(Ok(Frame::data(content))));
+        }
+        if self.job.is_none() {
+            return Poll::Ready(None);
+        }
+        // The server drops the body when the peer resets the stream or its connection ends.
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -0,0 +1,105 @@
+//! Has a request's pieces made by the gateway that owns the batches.
+
+use std::time::Duration;
+
+use amaranthscale_core::id::ResultHandle;
+use amaranthscale_core::process::{JobFailure, PipelineOrder};
+use hyper::body::Incoming;
+use log::info;
+use quick_error::quick_error;
+use tokio::time::Instant;
+
+use super::peer_pieces::ask_peer;
+use super::{GatewayParts, JobAnswer, OwnedJob};
+
+/// Owners that one request is given to, one after the other.
+const MOST_OWNERS: usize = 3;
+/// Time after which a caller may come back when no owner could be reached.
+const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
+
+quick_error! {
+    /// Pieces that were not made.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum PiecesError {
+        /// They cannot be made in time.
+        Refused(retry_after: Duration, reason: JobFailure) {
+            display("the pieces cannot be made: {reason}")
+        }
+        /// They were begun and given up.
+        Failed(reason: JobFailure) {
+            display("the pieces were given up: {reason}")
+        }
+    }
+}
+
+/// Results that are kept until this is dropped.
+#[derive(Debug)]
+pub struct MadePieces {
+    /// Handles that the engine needs.
+    pub handles: Vec<ResultHandle>,
+    /// The job here, or the open answer of a peer.
+    _kept: Kept,
+}
+
+#[derive(Debug)]
+enum Kept {
+    Here { _job: Option<OwnedJob> },
+    Peer { _answer: Incoming },
+}
+
+/// Has pieces made; an owner that falls silent is passed over and the next one takes its place.
+pub async fn make_pieces(
+    parts: &GatewayParts,
+    group: &str,
+    mut order: PipelineOrder,
+) -> Result<MadePieces, PiecesError> {
+    let started = Instant::now();
+    let (aim_left, deadline_left) = (order.aim_left, order.deadline_left);
+    for _ in 0..MOST_OWNERS {
+        order.aim_left = aim_left.saturating_sub(started.elapsed());
+        order.deadline_left = deadline_left.saturating_sub(started.elapsed());
+        let (owner, address, is_own) = parts.knowledge.owner_of(group);
+        let answered = if is_own {
+            let (answer, job) = parts.batches.run(order.clone()).await;
+            Ok((answer, Kept::Here { _job: job }))
+        } else {
+            ask_peer(&parts.peers, address, &order)
+                .await
+                .map(|(answer, body)| (answer, Kept::Peer { _answer: body }))
+        };
+        match answered {
+            Ok((JobAnswer::Stopping, _)) => parts.knowledge.silent(&owner),
+            Ok((answer, kept)) => {
+                parts.knowledge.heard(&owner);
+                return outcome(answer, kept);
+            }
+            Err(reason) => {
+                parts.counters.count("owner.lost");
+                info!(
+                    call = order.call.as_str(), owner = owner.as_str(), reason = reason.as_str();
+                    "batches: owner lost"
+                );
+                parts.knowledge.silent(&owner);
+            }
+        }
+    }
+    Err(PiecesError::Refused(NO_OWNER_RETRY, JobFailure::Failing))
+}
+
+fn outcome(answer: JobAnswer, kept: Kept) -> Result<MadePieces, PiecesError> {
+    match answer {
+        JobAnswer::Done(handles) => Ok(MadePieces {
+            handles,
+            _kept: kept,
+        }),
+        JobAnswer::Refused {
+            retry_after_ms,
+            reason,
+        } => Err(PiecesError::Refused(
+            Duration::from_millis(retry_after_ms),
+            reason,
+        )),
+        JobAnswer::Failed(reason) => Err(PiecesError::Failed(reason)),
+        JobAnswer::Stopping => Err(PiecesError::Refused(NO_OWNER_RETRY, JobFailure::Failing)),
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/request.rs
@@ -0,0 +1,20 @@
+//! What lives for one request: its head, its sends and its one answer.
+
+mod answer;
+mod caller;
+mod engine_run;
+mod event_splitter;
+mod outgoing;
+mod plain_run;
+mod refused;
+mod send;
+mod stream_relay;
+
+#[doc(inline)]
+pub use answer::{AnswerBody, BrokenOff};
+#[doc(inline)]
+pub use caller::answer_caller;
+#[doc(inline)]
+pub use event_splitter::{EventSplitter, StreamEvent};
+#[doc(inline)]
+pub use refused::Refused;
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -0,0 +1,180 @@
+//! Takes a caller's request and gives its one answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::version::{KeyHolder, Route, Routing};
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::request;
+use hyper::{Request, Response};
+use log::info;
+use tokio::time::Instant;
+
+use super::super::CallerWork;
+use super::super::process::{GatewayParts, OpenRequest};
+use super::answer::AnswerBody;
+use super::engine_run::run_engine;
+use super::outgoing::Outgoing;
+use super::plain_run::run_plain;
+use super::refused::Refused;
+use crate::connection::{ReadBodyError, read_body};
+
+/// A request that may run.
+#[derive(Debug)]
+pub(super) struct Admitted {
+    pub(super) route: Arc<Route>,
+    pub(super) routing: Arc<Routing>,
+    pub(super) work: CallerWork,
+    /// Rank, 0 first: the organisation's before the route's.
+    pub(super) priority: u8,
+    pub(super) arrived: Instant,
+    /// When the caller's or the route's time is over.
+    pub(super) until: Instant,
+}
+
+impl Admitted {
+    /// Time that is left.
+    pub(super) fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Answers one caller's request.
+pub async fn answer_caller(
+    parts: Arc<GatewayParts>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let open = parts.stop.enter();
+    let (head, body) = request.into_parts();
+    let answered = take(&parts, &head, body, arrived, open).await;
+    let mut response = match answered {
+        Ok(response) => response,
+        Err(refused) => {
+            log_refusal(&parts, &head, refused, arrived);
+            refused.response(&parts)
+        }
+    };
+    if parts.stop.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    parts.counters.count_reason("answer", response.status().as_u16());
+    response
+}
+
+fn log_refusal(parts: &GatewayParts, head: &request::Parts, refused: Refused, arrived: Instant) {
+    let call = head.headers.get(&parts.dialect.headers.call);
+    let call = call.and_then(|call| call.to_str().ok()).unwrap_or("-");
+    let version = parts.knowledge.routing().map_or(0, |routing| routing.version().get());
+    info!(
+        call, code = refused.code.number(), reason = refused.code.name(), version,
+        ran:% = refused.code.ran(), ms = ms(arrived.elapsed());
+        "request: refused"
+    );
+}
+
+/// Milliseconds for a log line.
+pub(super) fn ms(elapsed: Duration) -> u64 {
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn take(
+    parts: &Arc<GatewayParts>,
+    head: &request::Parts,
+    body: Incoming,
+    arrived: Instant,
+    open: OpenRequest,
+) -> Result<Response<AnswerBody>, Refused> {
+    let routing = parts.knowledge.routing();
+    let routing = routing.ok_or(Refused::new(ResultCode::NotReady))?;
+    let route = find_route(&routing, head)?;
+    let holder = check_key(parts, &routing, &route, head)?;
+    let work = (parts.dialect.caller_work)(&head.headers).map_err(|error| {
+        info!(reason:% = error; "request: head refused");
+        Refused::new(ResultCode::MalformedRequest)
+    })?;
+    let patience = work.patience.unwrap_or(route.timeout).min(route.timeout);
+    let until = arrived + patience;
+    let body = read_whole(&routing, body, until).await?;
+    let service = route.service_for(&work.call).cloned();
+    let service = service.ok_or(Refused::new(ResultCode::NoBackendServer))?;
+    let outgoing = Outgoing::new(head, body, &parts.dialect, holder.as_deref());
+    let priority = holder
+        .and_then(|holder| holder.priority)
+        .unwrap_or(route.priority);
+    let admitted = Admitted {
+        route,
+        work,
+        priority,
+        arrived,
+        until,
+        routing: Arc::clone(&routing),
+    };
+    let now = parts.knowledge.clock().now();
+    parts.budgets.request(&service, now);
+    if admitted.route.kind.is_streaming() {
+        run_engine(parts, admitted, service, outgoing, open).await
+    } else {
+        run_plain(parts, &admitted, &service, &outgoing).await
+    }
+}
+
+fn find_route(routing: &Routing, head: &request::Parts) -> Result<Arc<Route>, Refused> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let route = routing.route(host, head.uri.path());
+    route
+        .cloned()
+        .ok_or(Refused::new(ResultCode::UnknownPath))
+}
+
+/// The holder of the request's key, if the route needs one.
+///
+/// Guards against a revoked key at a machine that has not heard of its end: the longer nothing
+/// came from the store, the more may have changed. Beyond the bound nothing is believed, neither a
+/// known key nor an unknown one.
+fn check_key(
+    parts: &GatewayParts,
+    routing: &Routing,
+    route: &Route,
+    head: &request::Parts,
+) -> Result<Option<Arc<KeyHolder>>, Refused> {
+    if route.is_public || !routing.is_keyed() {
+        return Ok(None);
+    }
+    if parts.knowledge.age().is_none_or(|age| age > parts.key_age) {
+        return Err(Refused::new(ResultCode::KnowledgeStale));
+    }
+    let key = head.headers.get(&parts.dialect.headers.key);
+    let key = key.and_then(|key| key.to_str().ok());
+    let holder = key.and_then(|key| routing.holder(key));
+    holder
+        .cloned()
+        .map(Some)
+        .ok_or(Refused::new(ResultCode::WrongKey))
+}
+
+async fn read_whole(
+    routing: &Routing,
+    body: Incoming,
+    until: Instant,
+) -> Result<Bytes, Refused> {
+    let max_bytes = routing.bounds().max_body_bytes;
+    let told = body.size_hint().lower();
+    if told > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
+        return Err(Refused::new(ResultCode::BodyTooLarge).closing());
+    }
+    let patience = until.saturating_duration_since(Instant::now());
+    read_body(body, max_bytes, patience).await.map_err(|error| {
+        let code = match error {
+            ReadBodyError::TooLarge(_) => ResultCode::BodyTooLarge,
+            ReadBodyError::Slow(_) => ResultCode::SlowCaller,
+            ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
+        };
+        Refused::new(code).closing()
+    })
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -0,0 +1,268 @@
+//! Runs a request at an engine, after the pieces that it needs are made.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::{ServerId, ServiceId};
+use amaranthscale_core::process::{PipelineOrder, SendEnd, ServerRecord, StageOrder};
+use hyper::Response;
+use log::info;
+
+use super::super::process::{GatewayParts, MadePieces, OpenRequest, PiecesError, make_pieces};
+use super::answer::{AnswerBody, passed_on, whole};
+use super::caller::{Admitted, ms};
+use super::outgoing::Outgoing;
+use super::refused::Refused;
+use super::send::{BegunAnswer, SendOutcome, Sent, send};
+use super::stream_relay::relay;
+use crate::connection::read_body;
+
+/// Largest failure of an engine that is passed on.
+const MAX_FAILURE_BYTES: usize = 1024 * 1024;
+/// Engines that may reject one request, or that it may not reach.
+const MOST_REJECTED: u32 = 4;
+/// Times that gone results are made anew for one request.
+const MOST_REMAKES: u32 = 1;
+/// Time kept back from the pieces' deadline, for the engine.
+const ENGINE_RESERVE: Duration = Duration::from_millis(150);
+
+/// One request on its way through stages and engine.
+#[derive(Debug)]
+pub(super) struct EngineRun {
+    pub(super) parts: Arc<GatewayParts>,
+    pub(super) admitted: Admitted,
+    pub(super) service: ServiceId,
+    pub(super) outgoing: Outgoing,
+    tried: BTreeSet<ServerId>,
+    /// Engines at which the request may have run.
+    pub(super) ran: u32,
+    rejected: u32,
+    remakes: u32,
+}
+
+/// An engine's answer that has begun, and the results that it still reads.
+#[derive(Debug)]
+pub(super) struct Running {
+    pub(super) begun: BegunAnswer,
+    pub(super) pieces: Option<MadePieces>,
+    pub(super) server: ServerId,
+}
+
+/// Runs a request; a begun stream is passed on by a task of its own.
+pub(super) async fn run_engine(
+    parts: &Arc<GatewayParts>,
+    admitted: Admitted,
+    service: ServiceId,
+    outgoing: Outgoing,
+    open: OpenRequest,
+) -> Result<Response<AnswerBody>, Refused> {
+    let mut run = EngineRun {
+        parts: Arc::clone(parts),
+        admitted,
+        service,
+        outgoing,
+        tried: BTreeSet::new(),
+        ran: 0,
+        rejected: 0,
+        remakes: 0,
+    };
+    let running = run.begin().await?;
+    if running.begun.head.status.is_success() {
+        return Ok(relay(run, running, open));
+    }
+    run.pass_failure(running).await
+}
+
+impl EngineRun {
+    /// Has the pieces made and sends the request until an engine has begun to answer.
+    pub(super) async fn begin(&mut self) -> Result<Running, Refused> {
+        loop {
+            let server = self
+                .choose()
+                .ok_or(Refused::new(ResultCode::NoBackendServer))?;
+            // Counted from here on, so that requests which wait for pieces spread as well.
+            let sent = Sent::new(&self.parts, &server);
+            let pieces = self.pieces(&server).await?;
+            match self.try_at(&server, pieces, sent).await? {
+                Some(running) => return Ok(running),
+                None => self.tried.insert(server.id),
+            };
+        }
+    }
+
+    /// One try; none if the request did not run and may be tried elsewhere.
+    async fn try_at(
+        &mut self,
+        server: &ServerRecord,
+        pieces: Option<MadePieces>,
+        sent: Sent,
+    ) -> Result<Option<Running>, Refused> {
+        if self.parts.knowledge.servers().usable_server(&server.id).is_none() {
+            // It began to leave while the pieces were made.
+            return self.rejected("leaving", server).map(|()| None);
+        }
+        let left = self.admitted.left();
+        let call = &self.admitted.work.call;
+        let sending = send(&self.parts, &self.outgoing, call, server, left, sent);
+        let outcome = match tokio::time::timeout(left, sending).await {
+            Ok(outcome) => outcome,
+            Err(_elapsed) => return Err(Refused::new(ResultCode::DeadlinePassed)),
+        };
+        match outcome {
+            SendOutcome::Answer(begun) => {
+                self.ran += 1;
+                Ok(Some(Running {
+                    begun: *begun,
+                    pieces,
+                    server: server.id.clone(),
+                }))
+            }
+            SendOutcome::NotSent => self.rejected("not-sent", server).map(|()| None),
+            SendOutcome::NotRun => self.rejected("not-run", server).map(|()| None),
+            SendOutcome::InputGone => {
+                self.remakes += 1;
+                if self.remakes > MOST_REMAKES {
+                    return Err(Refused::new(ResultCode::DeadlineUnreachable));
+                }
+                self.rejected("input-gone", server).map(|()| None)
+            }
+            SendOutcome::Lost => self.lost(server).map(|()| None),
+        }
+    }
+
+    /// Takes a rejection; an error if nothing more may be tried.
+    fn rejected(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refused> {
+        self.log_end(end, server);
+        self.rejected += 1;
+        if self.rejected >= MOST_REJECTED || !self.take_repeat() {
+            return Err(Refused::new(ResultCode::QueueFull));
+        }
+        Ok(())
+    }
+
+    /// Takes a lost answer; an error if the request may not be repeated.
+    fn lost(&mut self, server: &ServerRecord) -> Result<(), Refused> {
+        self.log_end("lost", server);
+        self.ran += 1;
+        if !self.may_repeat() {
+            return Err(Refused::new(ResultCode::AnswerLost));
+        }
+        Ok(())
+    }
+
+    /// Whether a request that may have run may go to another engine.
+    pub(super) fn may_repeat(&self) -> bool {
+        let route = &self.admitted.route;
+        route.kind.may_repeat() && self.ran < route.max_attempts && self.take_repeat()
+    }
+
+    /// Leaves an engine out for the rest of the request.
+    pub(super) fn leave_out(&mut self, server: ServerId) {
+        self.tried.insert(server);
+    }
+
+    fn take_repeat(&self) -> bool {
+        let now = self.parts.knowledge.clock().now();
+        let live = self.parts.knowledge.live();
+        let is_left = self.parts.budgets.try_repeat(&self.service, live, now);
+        let name = if is_left { "repeat.sent" } else { "repeat.over-budget" };
+        self.parts.counters.count(name);
+        is_left
+    }
+
+    fn choose(&self) -> Option<ServerRecord> {
+        let servers = self.parts.knowledge.servers();
+        let now = self.parts.knowledge.clock().now();
+        let usable = servers.usable(&self.service);
+        let choice = self.parts.choice();
+        match &self.admitted.work.shared_part {
+            Some(part) => choice.engine(usable, &self.tried, part, now).cloned(),
+            None => choice.plain(usable, &self.tried, &self.parts.zone, now).cloned(),
+        }
+    }
+
+    async fn pieces(&mut self, reader: &ServerRecord) -> Result<Option<MadePieces>, Refused> {
+        let route = Arc::clone(&self.admitted.route);
+        let Some(first) = route.stages.first() else {
+            return Ok(None);
+        };
+        let stages = self.stage_orders();
+        let made = if stages.iter().all(|stage| stage.pieces == 0) {
+            None
+        } else {
+            let routing = Arc::clone(&self.admitted.routing);
+            let group = routing.batch_group(&first.service);
+            let order = PipelineOrder {
+                call: self.admitted.work.call.clone(),
+                piece_key: self.admitted.work.piece_key.clone(),
+                stages,
+                priority: self.admitted.priority,
+                aim_left: route.aim.saturating_sub(self.admitted.arrived.elapsed()),
+                deadline_left: self.admitted.left().saturating_sub(ENGINE_RESERVE),
+                reader_zone: reader.zone.clone(),
+            };
+            let making = make_pieces(&self.parts, group.as_str(), order);
+            let made = tokio::time::timeout(self.admitted.left(), making).await;
+            let made = made.map_err(|_elapsed| Refused::new(ResultCode::DeadlineUnreachable))?;
+            Some(made.map_err(|error| self.no_pieces(&error))?)
+        };
+        let handles = made.iter().flat_map(|made| &made.handles);
+        let handles: Vec<_> = handles.map(|handle| handle.as_str()).collect();
+        let inputs = self.parts.dialect.headers.inputs.clone();
+        self.outgoing.set(&inputs, &handles.join(","));
+        Ok(made)
+    }
+
+    fn stage_orders(&self) -> Vec<StageOrder> {
+        let pieces = &self.admitted.work.pieces;
+        let stages = self.admitted.route.stages.iter().enumerate();
+        stages
+            .map(|(index, stage)| StageOrder {
+                service: stage.service.clone(),
+                after: stage.after.clone(),
+                pieces: pieces.get(index).copied().unwrap_or(0),
+                result_bytes: stage.result_bytes,
+            })
+            .collect()
+    }
+
+    fn no_pieces(&self, error: &PiecesError) -> Refused {
+        info!(
+            call = self.admitted.work.call.as_str(), reason:% = error,
+            ms = ms(self.admitted.arrived.elapsed());
+            "request: pieces not made"
+        );
+        // The request itself never left for an engine, so it has not run.
+        let refused = Refused::new(ResultCode::DeadlineUnreachable);
+        match error {
+            PiecesError::Refused(retry_after, _) => refused.come_back_in(*retry_after),
+            PiecesError::Failed(_) => refused,
+        }
+    }
+
+    async fn pass_failure(&self, running: Running) -> Result<Response<AnswerBody>, Refused> {
+        let BegunAnswer {
+            head,
+            body,
+            connection,
+            sent,
+        } = running.begun;
+        let Ok(body) = read_body(body, MAX_FAILURE_BYTES, self.admitted.left()).await else {
+            sent.end(SendEnd::Failed);
+            return Err(Refused::new(ResultCode::AnswerLost));
+        };
+        sent.end(SendEnd::Answered);
+        self.parts.pool.give_back(connection, &head.headers);
+        Ok(passed_on(head.status, &head.headers, whole(body)))
+    }
+
+    fn log_end(&self, end: &'static str, server: &ServerRecord) {
+        info!(
+            call = self.admitted.work.call.as_str(), server = server.id.as_str(), end,
+            ms = ms(self.admitted.arrived.elapsed());
+            "request: send without answer"
+        );
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/request/event_splitter.rs
@@ -0,0 +1,79 @@
+//! Cuts a stream of bytes into whole events.
+//!
+//! A server may stop in the middle of an event. Only whole ones are passed on, so that a stream
+//! which goes on at another server has no torn event in its middle.
+
+use bytes::{Bytes, BytesMut};
+
+/// A whole event with its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// The event's bytes, its blank line included.
+    pub bytes: Bytes,
+    /// Its id, if it has one.
+    pub id: Option<u64>,
+}
+
+/// Cuts events out of what arrives.
+///
+/// # Examples
+///
+/// ```
+/// use amaranthscale::gateway::request::EventSplitter;
+///
+/// let mut splitter = EventSplitter::default();
+/// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+/// assert_eq!(splitter.next_event().unwrap().id, Some(1));
+/// assert!(splitter.next_event().is_none());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Takes bytes as they arrive.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        let end = self.event_end()?;
+        let bytes = self.buffer.split_to(end).freeze();
+        self.searched = 0;
+        let id = event_id(&bytes);
+        Some(StreamEvent { bytes, id })
+    }
+
+    /// What is left without a blank line.
+    #[must_use]
+    pub fn rest(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buffer.split().freeze()
+    }
+
+    fn event_end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        let bytes = &self.buffer[..];
+        for start in from..bytes.len() {
+            let rest = &bytes[start..];
+            if rest.starts_with(b"\n\n") {
+                return Some(start + 2);
+            }
+            if rest.starts_with(b"\r\n\r\n") {
+                return Some(start + 4);
+            }
+        }
+        self.searched = bytes.len();
+        None
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let value = std::str::from_utf8(values.next()?).ok()?;
+    value.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -0,0 +1,234 @@
+//! Runs a request at a plain service.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::ServiceId;
+use amaranthscale_core::process::{SendEnd, ServerRecord};
+use hyper::{HeaderMap, Response, StatusCode};
+use log::info;
+use tokio::time::Instant;
+
+use super::answer::{AnswerBody, passed_on, whole};
+use super::caller::Admitted;
+use super::outgoing::Outgoing;
+use super::refused::Refused;
+use super::send::{BegunAnswer, SendOutcome, Sent, send};
+use super::super::process::GatewayParts;
+use crate::connection::read_body;
+
+/// Largest body that is held before it is passed on; plain answers are some kilobytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Sends that servers may reject or that never leave, beyond those that may run.
+const MOST_REJECTED: u32 = 4;
+/// Times the aim after which a repeatable request is tried elsewhere.
+const PATIENCE_AIMS: u32 = 2;
+/// Shortest patience with a server, above any usual answer time.
+const SHORTEST_PATIENCE: Duration = Duration::from_millis(150);
+
+/// A server's whole answer.
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: bytes::Bytes,
+}
+
+/// What one try came to.
+enum Tried {
+    Answered(WholeAnswer),
+    NotSent,
+    NotRun,
+    Lost,
+    TimeOver,
+}
+
+/// Sends a request until one server has answered or nothing more may be tried.
+pub(super) async fn run_plain(
+    parts: &Arc<GatewayParts>,
+    admitted: &Admitted,
+    service: &ServiceId,
+    outgoing: &Outgoing,
+) -> Result<Response<AnswerBody>, Refused> {
+    let mut run = PlainRun {
+        parts,
+        admitted,
+        service,
+        tried: BTreeSet::new(),
+        may_have_run: 0,
+        rejected: 0,
+        kept_failure: None,
+    };
+    run.go(outgoing).await
+}
+
+struct PlainRun<'a> {
+    parts: &'a Arc<GatewayParts>,
+    admitted: &'a Admitted,
+    service: &'a ServiceId,
+    tried: BTreeSet<amaranthscale_core::id::ServerId>,
+    may_have_run: u32,
+    rejected: u32,
+    /// A server's failure that is passed on if no other server does better.
+    kept_failure: Option<WholeAnswer>,
+}
+
+impl PlainRun<'_> {
+    async fn go(&mut self, outgoing: &Outgoing) -> Result<Response<AnswerBody>, Refused> {
+        loop {
+            let Some(server) = self.choose() else {
+                return self.give_up(ResultCode::NoBackendServer);
+            };
+            let tried = self.try_at(&server, outgoing).await;
+            let has_more = match tried {
+                Tried::Answered(answer) => {
+                    if !self.is_worth_repeating(&answer) || !self.may_repeat() {
+                        return Ok(passed_on(answer.status, &answer.headers, whole(answer.body)));
+                    }
+                    self.kept_failure = Some(answer);
+                    true
+                }
+                Tried::NotSent | Tried::NotRun => self.may_send_rejected(),
+                Tried::Lost => {
+                    self.parts.counters.count("answer.lost");
+                    self.may_repeat()
+                }
+                Tried::TimeOver => {
+                    let has_time = !self.admitted.left().is_zero();
+                    has_time && self.may_repeat()
+                }
+            };
+            self.tried.insert(server.id);
+            if !has_more {
+                return self.give_up(ResultCode::QueueFull);
+            }
+        }
+    }
+
+    fn choose(&self) -> Option<ServerRecord> {
+        let servers = self.parts.knowledge.servers();
+        let now = self.parts.knowledge.clock().now();
+        let choice = self.parts.choice();
+        let usable = servers.usable(self.service);
+        choice.plain(usable, &self.tried, &self.parts.zone, now).cloned()
+    }
+
+    async fn try_at(&mut self, server: &ServerRecord, outgoing: &Outgoing) -> Tried {
+        let left = self.admitted.left();
+        let sent = Sent::new(self.parts, server);
+        let call = &self.admitted.work.call;
+        let whole_answer = async {
+            match send(self.parts, outgoing, call, server, left, sent).await {
+                SendOutcome::Answer(begun) => self.read(*begun).await,
+                SendOutcome::NotSent => Tried::NotSent,
+                SendOutcome::NotRun | SendOutcome::InputGone => Tried::NotRun,
+                SendOutcome::Lost => Tried::Lost,
+            }
+        };
+        let started = Instant::now();
+        let tried = tokio::time::timeout(self.patience(left), whole_answer).await;
+        let tried = tried.unwrap_or(Tried::TimeOver);
+        if matches!(tried, Tried::Answered(_) | Tried::Lost | Tried::TimeOver) {
+            self.may_have_run += 1;
+        } else {
+            self.rejected += 1;
+        }
+        if !matches!(tried, Tried::Answered(_)) {
+            let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+            info!(
+                call = call.as_str(), server = server.id.as_str(), end = tried.name(), ms;
+                "request: send without answer"
+            );
+        }
+        tried
+    }
+
+    async fn read(&self, begun: BegunAnswer) -> Tried {
+        let BegunAnswer {
+            head,
+            body,
+            connection,
+            sent,
+        } = begun;
+        match read_body(body, MAX_ANSWER_BYTES, self.admitted.left()).await {
+            Ok(body) => {
+                sent.end(SendEnd::Answered);
+                self.parts.pool.give_back(connection, &head.headers);
+                Tried::Answered(WholeAnswer {
+                    status: head.status,
+                    headers: head.headers,
+                    body,
+                })
+            }
+            Err(_broken) => {
+                sent.end(SendEnd::Failed);
+                Tried::Lost
+            }
+        }
+    }
+
+    /// How long one server may take: all the time, unless another one may be tried.
+    fn patience(&self, left: Duration) -> Duration {
+        let route = &self.admitted.route;
+        let is_last = self.may_have_run + 1 >= route.max_attempts;
+        if !route.kind.may_repeat() || is_last {
+            return left;
+        }
+        let patience = route.aim * PATIENCE_AIMS;
+        patience.max(SHORTEST_PATIENCE).min(left)
+    }
+
+    fn is_worth_repeating(&self, answer: &WholeAnswer) -> bool {
+        answer.status.is_server_error()
+    }
+
+    /// Whether a request that may have run may be sent again; takes a repeat from the budget.
+    fn may_repeat(&self) -> bool {
+        let route = &self.admitted.route;
+        if !route.kind.may_repeat() || self.may_have_run >= route.max_attempts {
+            return false;
+        }
+        self.take_repeat()
+    }
+
+    /// Whether a request that did not run may be sent again; takes a repeat from the budget.
+    fn may_send_rejected(&self) -> bool {
+        self.rejected < MOST_REJECTED && !self.admitted.left().is_zero() && self.take_repeat()
+    }
+
+    fn take_repeat(&self) -> bool {
+        let now = self.parts.knowledge.clock().now();
+        let live = self.parts.knowledge.live();
+        let is_left = self.parts.budgets.try_repeat(self.service, live, now);
+        let name = if is_left { "repeat.sent" } else { "repeat.over-budget" };
+        self.parts.counters.count(name);
+        is_left
+    }
+
+    fn give_up(&mut self, unsent: ResultCode) -> Result<Response<AnswerBody>, Refused> {
+        if let Some(failure) = self.kept_failure.take() {
+            return Ok(passed_on(failure.status, &failure.headers, whole(failure.body)));
+        }
+        let is_over = self.admitted.left().is_zero();
+        let code = match (self.may_have_run, is_over) {
+            (0, true) => ResultCode::DeadlineUnreachable,
+            (0, false) => unsent,
+            (_, true) => ResultCode::DeadlinePassed,
+            (_, false) => ResultCode::AnswerLost,
+        };
+        Err(Refused::new(code))
+    }
+}
+
+impl Tried {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotSent => "not-sent",
+            Self::NotRun => "not-run",
+            Self::Lost => "lost",
+            Self::TimeOver => "time-over",
+        }
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/request/refused.rs
@@ -0,0 +1,73 @@
+//! Answers of the gateway's own.
+
+use std::time::Duration;
+
+use amaranthscale_core::ResultCode;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use super::super::process::GatewayParts;
+use super::answer::{AnswerBody, whole};
+
+/// Time after which a caller may come back if nothing better is known.
+const USUAL_RETRY: Duration = Duration::from_millis(500);
+
+/// Why a request got no server's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// The numbered result.
+    pub code: ResultCode,
+    /// When the caller may come back.
+    pub retry_after: Option<Duration>,
+    /// Whether the connection ends: the rest of the request was not read.
+    pub closes: bool,
+}
+
+impl Refused {
+    /// A refusal that leaves open when to come back.
+    #[must_use]
+    pub const fn new(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after: None,
+            closes: false,
+        }
+    }
+
+    /// Says when to come back.
+    #[must_use]
+    pub const fn come_back_in(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
+
+    /// Ends the connection after the answer.
+    #[must_use]
+    pub const fn closing(mut self) -> Self {
+        self.closes = true;
+        self
+    }
+
+    /// The response, counted by its code.
+    pub(super) fn response(self, parts: &GatewayParts) -> Response<AnswerBody> {
+        parts.counters.count_reason("refused", self.code.name());
+        let body = format!(
+            "{{\"code\":{},\"message\":\"{}\"}}",
+            self.code.number(),
+            self.code.text()
+        );
+        let mut response = Response::new(whole(body));
+        *response.status_mut() = StatusCode::from_u16(self.code.http_status())
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self.code.is_retryable() {
+            let retry_after = self.retry_after.unwrap_or(USUAL_RETRY);
+            headers.insert(RETRY_AFTER, (parts.dialect.retry_after)(retry_after));
+        }
+        if self.closes {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -0,0 +1,152 @@
+//! One send of a request to one server.
+
+use std::time::Duration;
+
+use amaranthscale_core::id::CallId;
+use amaranthscale_core::process::{SendEnd, ServerRecord};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_ENCODING;
+use hyper::http::response;
+use tokio::time::Instant;
+
+use super::super::connection::ServerConnection;
+use super::super::process::GatewayParts;
+use super::outgoing::Outgoing;
+use crate::connection::SendError;
+
+/// How a send ended before the body of an answer.
+#[derive(Debug)]
+pub(super) enum SendOutcome {
+    /// A server's answer has begun.
+    Answer(Box<BegunAnswer>),
+    /// The request never left.
+    NotSent,
+    /// The server says that it did not run it.
+    NotRun,
+    /// A result that the request needs is gone; it did not run.
+    InputGone,
+    /// The request may have run, and no answer can be had.
+    Lost,
+}
+
+/// An answer whose head is in.
+#[derive(Debug)]
+pub(super) struct BegunAnswer {
+    pub(super) head: response::Parts,
+    pub(super) body: Incoming,
+    pub(super) connection: ServerConnection,
+    pub(super) sent: Sent,
+}
+
+/// A send that counts as in flight at its server until this is dropped.
+#[derive(Debug)]
+pub(super) struct Sent {
+    parts: std::sync::Arc<GatewayParts>,
+    server: amaranthscale_core::id::ServerId,
+    started: Instant,
+    end: SendEnd,
+}
+
+impl Sent {
+    pub(super) fn new(parts: &std::sync::Arc<GatewayParts>, server: &ServerRecord) -> Self {
+        parts.choice().sent(&server.id);
+        Self {
+            parts: std::sync::Arc::clone(parts),
+            server: server.id.clone(),
+            started: Instant::now(),
+            end: SendEnd::Abandoned,
+        }
+    }
+
+    /// Says how the send ended.
+    pub(super) fn end(mut self, end: SendEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let now = self.parts.knowledge.clock().now();
+        let elapsed = self.started.elapsed();
+        let mut choice = self.parts.choice();
+        choice.ended(&self.server, self.end, elapsed, now);
+    }
+}
+
+/// Sends a request and reads the head of the answer.
+pub(super) async fn send(
+    parts: &GatewayParts,
+    outgoing: &Outgoing,
+    call: &CallId,
+    server: &ServerRecord,
+    left: Duration,
+    sent: Sent,
+) -> SendOutcome {
+    let mut connection = match parts.pool.connection(server).await {
+        Ok(connection) => connection,
+        Err(_unreached) => {
+            sent.end(SendEnd::Failed);
+            return SendOutcome::NotSent;
+        }
+    };
+    let request = outgoing.request(&parts.dialect, &server.id, left);
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        Err(SendError::NotSent(..)) => {
+            // A kept connection that has ended says nothing of its server.
+            let end = if connection.is_kept() {
+                SendEnd::Abandoned
+            } else {
+                SendEnd::Failed
+            };
+            sent.end(end);
+            return SendOutcome::NotSent;
+        }
+        Err(SendError::Lost(..)) => {
+            sent.end(SendEnd::Failed);
+            return SendOutcome::Lost;
+        }
+    };
+    let (head, body) = response.into_parts();
+    let dialect = &parts.dialect;
+    if let Some(load) = (dialect.told_load)(&head.headers) {
+        let now = parts.knowledge.clock().now();
+        parts.choice().told(&server.id, load, now);
+    }
+    if !is_own(parts, call, &head) {
+        sent.end(SendEnd::Failed);
+        return SendOutcome::Lost;
+    }
+    if (dialect.did_not_run)(head.status, &head.headers) {
+        let is_other = (dialect.is_other_server)(head.status);
+        sent.end(if is_other { SendEnd::Failed } else { SendEnd::Full });
+        return if (dialect.is_input_gone)(head.status) {
+            SendOutcome::InputGone
+        } else {
+            SendOutcome::NotRun
+        };
+    }
+    SendOutcome::Answer(Box::new(BegunAnswer {
+        head,
+        body,
+        connection,
+        sent,
+    }))
+}
+
+/// Whether an answer belongs to the request and is the server's own.
+///
+/// Guards against a late or second answer of an earlier request, which arrives where the next
+/// answer is due: it names another call. A success without a stamp, or encoded though nobody asked
+/// for it, is not the server's body.
+fn is_own(parts: &GatewayParts, call: &CallId, head: &response::Parts) -> bool {
+    let names = &parts.dialect.headers;
+    let told = head.headers.get(&names.call).and_then(|value| value.to_str().ok());
+    if told.is_some_and(|told| told != call.as_str()) {
+        return false;
+    }
+    let is_success = head.status.is_success();
+    let is_stamped = head.headers.contains_key(&names.stamp);
+    let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
+    !is_success || (told.is_some() && is_stamped && !is_encoded)
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -0,0 +1,201 @@
+//! Passes an engine's stream on, event by event.
+//!
+//! A stream that breaks may go on at another engine from the last event that was passed on, within
+//! the same answer, where its route allows it. Otherwise the caller's connection ends early, so
+//! that the answer cannot look whole.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use amaranthscale_core::id::ServerId;
+use amaranthscale_core::process::SendEnd;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::{Body, Frame};
+use log::info;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::super::process::OpenRequest;
+use super::answer::{AnswerBody, BrokenOff, passed_on};
+use super::caller::ms;
+use super::engine_run::{EngineRun, Running};
+use super::event_splitter::{EventSplitter, StreamEvent};
+use super::send::BegunAnswer;
+
+/// Events that wait for the caller; a slow caller holds the engine's stream back.
+const EVENTS_AHEAD: usize = 16;
+
+type EventSender = mpsc::Sender<Result<Bytes, BrokenOff>>;
+
+/// How one engine's part of a stream ended.
+enum PartEnd {
+    /// All events are passed on.
+    Whole,
+    /// The engine broke off.
+    Broken,
+    /// The caller has left.
+    CallerLeft,
+    /// The route's or the caller's time is over.
+    TimeOver,
+}
+
+/// The answer for a begun stream; a task of its own passes the events on.
+pub(super) fn relay(run: EngineRun, running: Running, open: OpenRequest) -> Response<AnswerBody> {
+    let (events, received) = mpsc::channel(EVENTS_AHEAD);
+    let body = RelayBody { received };
+    let head = &running.begun.head;
+    let response = passed_on(head.status, &head.headers, body.boxed_unsync());
+    let relay = Relay {
+        run,
+        events,
+        last_id: None,
+        passed: 0,
+    };
+    tokio::spawn(relay.go(running, open));
+    response
+}
+
+struct Relay {
+    run: EngineRun,
+    events: EventSender,
+    last_id: Option<u64>,
+    passed: u64,
+}
+
+impl Relay {
+    async fn go(mut self, mut running: Running, _open: OpenRequest) {
+        let first_at = self.run.admitted.arrived.elapsed();
+        let reason = loop {
+            let server = running.server.clone();
+            match self.pass_part(running).await {
+                PartEnd::Whole => {
+                    self.log("whole", &server, first_at);
+                    return;
+                }
+                PartEnd::CallerLeft => {
+                    self.log("caller-left", &server, first_at);
+                    return;
+                }
+                PartEnd::TimeOver => break "the time is over",
+                PartEnd::Broken => {}
+            }
+            self.log("broken", &server, first_at);
+            match self.resume(server).await {
+                Some(resumed) => running = resumed,
+                None => break "the engine broke off",
+            }
+        };
+        // Without a receiver the caller has left, and nothing is owed.
+        let _ = self.events.send(Err(BrokenOff::Early(reason))).await;
+    }
+
+    /// Passes on what one engine sends.
+    async fn pass_part(&mut self, running: Running) -> PartEnd {
+        let BegunAnswer {
+            head,
+            mut body,
+            connection,
+            sent,
+        } = running.begun;
+        let mut pieces = running.pieces;
+        let mut splitter = EventSplitter::default();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.events.closed() => return PartEnd::CallerLeft,
+                () = tokio::time::sleep_until(self.run.admitted.until) => return PartEnd::TimeOver,
+            };
+            let data = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(_broken)) => {
+                    sent.end(SendEnd::Failed);
+                    return PartEnd::Broken;
+                }
+                None => break,
+            };
+            // The engine has read its inputs before it makes its first event.
+            pieces.take();
+            splitter.push(&data);
+            while let Some(event) = splitter.next_event() {
+                if let Err(end) = self.pass(event).await {
+                    return end;
+                }
+            }
+        }
+        sent.end(SendEnd::Answered);
+        self.run.parts.pool.give_back(connection, &head.headers);
+        let rest = splitter.rest();
+        if !rest.is_empty() && self.events.send(Ok(rest)).await.is_err() {
+            return PartEnd::CallerLeft;
+        }
+        PartEnd::Whole
+    }
+
+    /// Passes one event on, if it is the next one.
+    ///
+    /// Guards against an engine that goes on elsewhere than asked: the stream would have a gap or
+    /// say something twice.
+    async fn pass(&mut self, event: StreamEvent) -> Result<(), PartEnd> {
+        if let (Some(last), Some(id)) = (self.last_id, event.id)
+            && id != last + 1
+        {
+            return Err(PartEnd::Broken);
+        }
+        self.last_id = event.id.or(self.last_id);
+        self.passed += 1;
+        let passed = self.events.send(Ok(event.bytes)).await;
+        passed.map_err(|_left| PartEnd::CallerLeft)
+    }
+
+    /// Goes on at another engine, if the route allows it.
+    async fn resume(&mut self, server: ServerId) -> Option<Running> {
+        if !self.run.may_repeat() {
+            return None;
+        }
+        self.run.leave_out(server);
+        if let Some(last_id) = self.last_id {
+            let name = self.run.parts.dialect.headers.last_event.clone();
+            self.run.outgoing.set(&name, &last_id.to_string());
+        }
+        let begin = self.run.begin();
+        let running = tokio::select! {
+            running = begin => running.ok()?,
+            () = self.events.closed() => return None,
+        };
+        if !running.begun.head.status.is_success() {
+            return None;
+        }
+        self.run.parts.counters.count("stream.resumed");
+        Some(running)
+    }
+
+    fn log(&self, end: &'static str, server: &ServerId, first_at: std::time::Duration) {
+        let admitted = &self.run.admitted;
+        info!(
+            call = admitted.work.call.as_str(), route:% = admitted.route.id,
+            server = server.as_str(), end, events = self.passed,
+            begun_ms = ms(first_at), ms = ms(Instant::now() - admitted.arrived);
+            "stream: ended"
+        );
+    }
+}
+
+/// A body fed by the relay's task.
+struct RelayBody {
+    received: mpsc::Receiver<Result<Bytes, BrokenOff>>,
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let received = self.received.poll_recv(context);
+        received.map(|event| event.map(|event| event.map(Frame::data)))
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -0,0 +1,82 @@
+//! How a platform's store is called: names and formats, no decisions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranthscale_core::id::{InstanceId, RowVersion, ServerId};
+use amaranthscale_core::process::ServerRecord;
+use amaranthscale_core::version::Routing;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+
+/// Tables that a gateway follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreTable {
+    /// The routing that operators publish.
+    Routing,
+    /// Backend servers.
+    Servers,
+    /// Gateways.
+    Instances,
+}
+
+/// One row; a dropped one has no value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreRow {
+    /// Key within its table.
+    pub key: String,
+    /// Content.
+    pub value: Option<Vec<u8>>,
+    /// Version of the row.
+    pub version: RowVersion,
+}
+
+/// Rows as of one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreRows {
+    /// The rows.
+    pub rows: Vec<StoreRow>,
+    /// Version to go on from.
+    pub version: RowVersion,
+    /// The store's steady clock.
+    pub clock: Duration,
+    /// Whether more rows follow.
+    pub is_truncated: bool,
+}
+
+/// An answer of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreAnswer {
+    /// Rows, or the end of a write.
+    Rows(StoreRows),
+    /// The history that was asked for is no longer kept.
+    HistoryGone,
+    /// A condition of a write did not hold.
+    Conflict,
+    /// Nothing was done.
+    Refused(StatusCode),
+}
+
+/// How one platform's store is called.
+#[derive(Debug, Clone)]
+pub struct StoreCalls {
+    /// Where the store listens.
+    pub address: SocketAddr,
+    /// Reads a table, from after a key on.
+    pub read: fn(StoreTable, Option<&str>) -> Request<Full<Bytes>>,
+    /// Waits for changes of a table after a version.
+    pub watch: fn(StoreTable, RowVersion, Duration) -> Request<Full<Bytes>>,
+    /// Announces a gateway.
+    pub announce: fn(&InstanceId, SocketAddr) -> Request<Full<Bytes>>,
+    /// Withdraws an announcement.
+    pub withdraw: fn(&InstanceId) -> Request<Full<Bytes>>,
+    /// Reads an answer.
+    pub answer: fn(StatusCode, &[u8]) -> Result<StoreAnswer, String>,
+    /// Reads the routing from its row; none if the row is another one.
+    pub routing: fn(&StoreRow) -> Result<Option<Routing>, String>,
+    /// Reads a backend server from its row.
+    pub server: fn(&ServerId, &[u8]) -> Result<ServerRecord, String>,
+    /// Reads a gateway's peer address from its row.
+    pub instance: fn(&[u8]) -> Result<SocketAddr, String>,
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -0,0 +1,15 @@
+//! What lives as long as a version: the routing, servers and gateways as the store tells them.
+
+mod announce;
+mod feed;
+mod follow;
+mod knowledge;
+
+#[doc(inline)]
+pub use announce::{announce_instance, withdraw_instance};
+#[doc(inline)]
+pub use feed::{Feed, FeedEvent, FeedPace};
+#[doc(inline)]
+pub use follow::{follow_instances, follow_routing, follow_servers};
+#[doc(inline)]
+pub use knowledge::Knowledge;
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/version/announce.rs
@@ -0,0 +1,58 @@
+//! Announces this gateway to the others through the store.
+//!
+//! One write at the start and one at the end: whether an announced gateway lives is learnt by
+//! talking to it, so that no heartbeat is written.
+
+use std::time::Duration;
+
+use amaranthscale_core::id::InstanceId;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use log::{info, warn};
+
+use super::super::{StoreAnswer, StoreCalls};
+use super::feed::call_store;
+use crate::connection::Http1Connection;
+
+/// Longest wait for one write.
+const WRITE_PATIENCE: Duration = Duration::from_secs(1);
+/// Pause after a failed announcement.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Announces a gateway, again until the store has taken it.
+pub async fn announce_instance(
+    store: StoreCalls,
+    instance: InstanceId,
+    peers: std::net::SocketAddr,
+) {
+    loop {
+        match write(&store, (store.announce)(&instance, peers)).await {
+            Ok(()) => {
+                info!(instance = instance.as_str(); "membership: announced");
+                return;
+            }
+            Err(reason) => warn!(reason = reason.as_str(); "membership: not announced yet"),
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Withdraws an announcement; one that stays is passed over by the others.
+pub async fn withdraw_instance(store: &StoreCalls, instance: &InstanceId) {
+    match write(store, (store.withdraw)(instance)).await {
+        Ok(()) => info!(instance = instance.as_str(); "membership: withdrawn"),
+        Err(reason) => warn!(reason = reason.as_str(); "membership: not withdrawn"),
+    }
+}
+
+async fn write(store: &StoreCalls, request: Request<Full<Bytes>>) -> Result<(), String> {
+    let connection = Http1Connection::open(store.address, WRITE_PATIENCE)
+        .await
+        .map_err(|error| error.to_string())?;
+    let (answer, _connection) = call_store(store, connection, request, WRITE_PATIENCE).await?;
+    match answer {
+        StoreAnswer::Rows(_) | StoreAnswer::Conflict => Ok(()),
+        other => Err(format!("the store answered {other:?}")),
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -0,0 +1,165 @@
+//! Follows one table of the store by long polls.
+//!
+//! A long poll delivers a change at once and costs one call a wait. Its connection may go silent
+//! for good while new ones work, so each poll has its own time-out, after which a new connection
+//! is opened. A history that is gone is answered by reading the whole table again.
+
+use std::time::Duration;
+
+use amaranthscale_core::id::RowVersion;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use log::debug;
+
+use super::super::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable};
+use crate::connection::{Http1Connection, read_body};
+
+/// Longest wait for the answer to a call that does not wait for changes.
+const CALL_PATIENCE: Duration = Duration::from_millis(900);
+/// Largest answer of the store: a page of rows and its framing.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// How often the store is asked.
+#[derive(Debug, Clone, Copy)]
+pub struct FeedPace {
+    /// Longest wait of one poll for changes.
+    pub wait: Duration,
+    /// Shortest time between two polls: what changes often is read in groups.
+    pub between: Duration,
+    /// Pause after a failed call.
+    pub after_failure: Duration,
+}
+
+/// What a feed tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FeedEvent {
+    /// The whole table.
+    All(StoreRows),
+    /// Rows that changed since.
+    Changed(StoreRows),
+    /// The store did not answer, or refused.
+    Lost(String),
+}
+
+/// Follows one table.
+#[derive(Debug)]
+pub struct Feed {
+    table: StoreTable,
+    store: StoreCalls,
+    pace: FeedPace,
+    connection: Option<Http1Connection>,
+    position: Option<RowVersion>,
+}
+
+impl Feed {
+    /// A feed that starts with the whole table.
+    #[must_use]
+    pub const fn new(table: StoreTable, store: StoreCalls, pace: FeedPace) -> Self {
+        Self {
+            table,
+            store,
+            pace,
+            connection: None,
+            position: None,
+        }
+    }
+
+    /// The next event; a failure is followed by a pause.
+    pub async fn next(&mut self) -> FeedEvent {
+        loop {
+            let event = match self.position {
+                None => self.read_all().await.map(|rows| Some(FeedEvent::All(rows))),
+                Some(position) => self.read_changes(position).await,
+            };
+            match event {
+                Ok(Some(event)) => return event,
+                Ok(None) => {}
+                Err(reason) => {
+                    self.connection = None;
+                    tokio::time::sleep(self.pace.after_failure).await;
+                    return FeedEvent::Lost(reason);
+                }
+            }
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<StoreRows, String> {
+        let mut all: Option<StoreRows> = None;
+        let mut rows: Vec<StoreRow> = Vec::new();
+        loop {
+            let after = rows.last().map(|row| row.key.clone());
+            let request = (self.store.read)(self.table, after.as_deref());
+            let page = match self.call(request, CALL_PATIENCE).await? {
+                StoreAnswer::Rows(page) => page,
+                other => return Err(format!("the store answered {other:?} to a read")),
+            };
+            let is_last = !page.is_truncated || page.rows.is_empty();
+            rows.extend(page.rows.iter().cloned());
+            // Changes between two pages are told again by the feed: it goes on from the first page.
+            let all = all.get_or_insert(page);
+            if is_last {
+                self.position = Some(all.version);
+                return Ok(StoreRows {
+                    rows,
+                    ..all.clone()
+                });
+            }
+        }
+    }
+
+    async fn read_changes(&mut self, position: RowVersion) -> Result<Option<FeedEvent>, String> {
+        tokio::time::sleep(self.pace.between).await;
+        let request = (self.store.watch)(self.table, position, self.pace.wait);
+        let patience = self.pace.wait + CALL_PATIENCE;
+        match self.call(request, patience).await? {
+            StoreAnswer::Rows(rows) => {
+                self.position = Some(rows.version.max(position));
+                Ok(Some(FeedEvent::Changed(rows)))
+            }
+            StoreAnswer::HistoryGone => {
+                debug!("store: history of {:?} is gone; reading it whole", self.table);
+                self.position = None;
+                Ok(None)
+            }
+            other => Err(format!("the store answered {other:?} to a watch")),
+        }
+    }
+
+    async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        patience: Duration,
+    ) -> Result<StoreAnswer, String> {
+        let connection = match self.connection.take().filter(Http1Connection::is_ready) {
+            Some(connection) => connection,
+            None => Http1Connection::open(self.store.address, CALL_PATIENCE)
+                .await
+                .map_err(|error| error.to_string())?,
+        };
+        let (answer, connection) = call_store(&self.store, connection, request, patience).await?;
+        self.connection = Some(connection);
+        Ok(answer)
+    }
+}
+
+/// Sends one call; the connection comes back only after a whole answer.
+pub(super) async fn call_store(
+    store: &StoreCalls,
+    mut connection: Http1Connection,
+    request: Request<Full<Bytes>>,
+    patience: Duration,
+) -> Result<(StoreAnswer, Http1Connection), String> {
+    let answering = async {
+        let response = connection.send(request).await.map_err(|error| error.to_string())?;
+        let status = response.status();
+        let body = read_body(response.into_body(), MAX_ANSWER_BYTES, patience)
+            .await
+            .map_err(|error| error.to_string())?;
+        (store.answer)(status, &body)
+    };
+    let answer = tokio::time::timeout(patience, answering)
+        .await
+        .map_err(|_elapsed| format!("no answer within {} ms", patience.as_millis()))??;
+    Ok((answer, connection))
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -0,0 +1,216 @@
+//! Keeps what is known up to date from the store's feeds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::id::{InstanceId, ServerId};
+use amaranthscale_core::process::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord};
+use log::{info, warn};
+
+use super::super::{StoreCalls, StoreRow, StoreTable};
+use super::announce::{announce_instance, withdraw_instance};
+use super::{Feed, FeedEvent, FeedPace, Knowledge};
+
+/// Pace of the routing: its age bounds how long a revoked key lives.
+const ROUTING_PACE: FeedPace = FeedPace {
+    wait: Duration::from_millis(1_200),
+    between: Duration::ZERO,
+    after_failure: Duration::from_millis(350),
+};
+/// Pace of the servers: a leaving one must be seen within a part of the drain bound.
+const SERVERS_PACE: FeedPace = FeedPace {
+    wait: Duration::from_millis(1_500),
+    between: Duration::from_millis(150),
+    after_failure: Duration::from_millis(350),
+};
+/// Pace of the gateways: changes are told at once, silence shows on their own connections.
+const INSTANCES_PACE: FeedPace = FeedPace {
+    wait: Duration::from_secs(10),
+    between: Duration::from_millis(200),
+    after_failure: Duration::from_millis(1_000),
+};
+
+/// Follows the routing for good.
+pub async fn follow_routing(store: StoreCalls, knowledge: Arc<Knowledge>) {
+    let mut feed = Feed::new(StoreTable::Routing, store.clone(), ROUTING_PACE);
+    let mut link = Link::new("routing");
+    loop {
+        let event = feed.next().await;
+        link.note(&event);
+        let rows = match event {
+            FeedEvent::All(rows) | FeedEvent::Changed(rows) => rows,
+            FeedEvent::Lost(_) => continue,
+        };
+        for row in &rows.rows {
+            match (store.routing)(row) {
+                Ok(Some(routing)) => knowledge.take_routing(routing),
+                Ok(None) => {}
+                // The last good version stays in force.
+                Err(reason) => warn!(reason = reason.as_str(); "routing: version refused"),
+            }
+        }
+        knowledge.confirm(rows.clock);
+    }
+}
+
+/// Follows the servers for good.
+pub async fn follow_servers(store: StoreCalls, knowledge: Arc<Knowledge>) {
+    let mut feed = Feed::new(StoreTable::Servers, store.clone(), SERVERS_PACE);
+    let mut link = Link::new("servers");
+    loop {
+        let event = feed.next().await;
+        link.note(&event);
+        match event {
+            FeedEvent::Lost(_) => knowledge.change_servers(|servers, _now| {
+                servers.store_lost();
+                false
+            }),
+            FeedEvent::All(rows) => {
+                let records = rows.rows.iter().filter_map(|row| server(&store, row));
+                let records: Vec<_> = records.collect();
+                knowledge.change_servers(|servers, now| {
+                    servers.store_answered(now);
+                    servers.take_all(records, now);
+                    true
+                });
+            }
+            FeedEvent::Changed(rows) => {
+                let changes = rows.rows.iter().filter_map(|row| change(&store, row));
+                let changes: Vec<_> = changes.collect();
+                knowledge.change_servers(|servers, now| take_changes(servers, changes, now));
+            }
+        }
+        knowledge.change_servers(drop_lapsed);
+    }
+}
+
+/// Follows the gateways for good, and announces this one again if its announcement is gone.
+pub async fn follow_instances(store: StoreCalls, knowledge: Arc<Knowledge>, own: Own) {
+    let mut feed = Feed::new(StoreTable::Instances, store.clone(), INSTANCES_PACE);
+    loop {
+        let rows = match feed.next().await {
+            FeedEvent::Lost(_) => continue,
+            FeedEvent::All(rows) => {
+                let ids: Vec<_> = rows.rows.iter().filter_map(instance_id).collect();
+                knowledge.change_instances(|instances| instances.keep_only(&ids));
+                rows
+            }
+            FeedEvent::Changed(rows) => rows,
+        };
+        for row in &rows.rows {
+            take_instance(&store, &knowledge, &own, row);
+        }
+        for forgotten in knowledge.forgotten() {
+            withdraw_instance(&store, &forgotten).await;
+        }
+    }
+}
+
+/// Name and peer address of the gateway itself.
+type Own = (InstanceId, std::net::SocketAddr);
+
+fn take_instance(store: &StoreCalls, knowledge: &Knowledge, own: &Own, row: &StoreRow) {
+    let Some(id) = instance_id(row) else {
+        return;
+    };
+    let Some(value) = &row.value else {
+        if id == own.0 {
+            // Another gateway took this one for dead; it lives, and says so.
+            tokio::spawn(announce_instance(store.clone(), own.0.clone(), own.1));
+        }
+        info!(instance = id.as_str(); "membership: gone");
+        knowledge.change_instances(|instances| instances.withdrawn(&id));
+        return;
+    };
+    match (store.instance)(value) {
+        Ok(address) => knowledge.change_instances(|instances| instances.announced(id, address)),
+        Err(reason) => warn!(reason = reason.as_str(); "membership: announcement refused"),
+    }
+}
+
+fn instance_id(row: &StoreRow) -> Option<InstanceId> {
+    match row.key.parse() {
+        Ok(id) => Some(id),
+        Err(error) => {
+            warn!(reason:% = error; "membership: announcement refused");
+            None
+        }
+    }
+}
+
+fn take_changes(servers: &mut ServerList, changes: Vec<ServerChange>, now: Duration) -> bool {
+    servers.store_answered(now);
+    let mut is_changed = false;
+    for change in changes {
+        let description = format!("{change:?}");
+        if servers.take(change, now) {
+            info!(change = description.as_str(); "servers: changed");
+            is_changed = true;
+        }
+    }
+    is_changed
+}
+
+fn drop_lapsed(servers: &mut ServerList, now: Duration) -> bool {
+    let dropped = servers.drop_lapsed(now);
+    for id in &dropped {
+        let grace_ms = u64::try_from(LAPSE_GRACE.as_millis()).unwrap_or(u64::MAX);
+        info!(server = id.as_str(), grace_ms; "servers: gone after the store's return");
+    }
+    !dropped.is_empty()
+}
+
+fn change(store: &StoreCalls, row: &StoreRow) -> Option<ServerChange> {
+    if row.value.is_some() {
+        return server(store, row).map(ServerChange::Listed);
+    }
+    server_id(row).map(ServerChange::Gone)
+}
+
+fn server(store: &StoreCalls, row: &StoreRow) -> Option<ServerRecord> {
+    let id = server_id(row)?;
+    match (store.server)(&id, row.value.as_deref()?) {
+        Ok(record) => Some(record),
+        Err(reason) => {
+            warn!(server = id.as_str(), reason = reason.as_str(); "servers: entry refused");
+            None
+        }
+    }
+}
+
+fn server_id(row: &StoreRow) -> Option<ServerId> {
+    match row.key.parse() {
+        Ok(id) => Some(id),
+        Err(error) => {
+            warn!(reason:% = error; "servers: entry refused");
+            None
+        }
+    }
+}
+
+/// Says once that the store was lost, and once that it is back.
+#[derive(Debug)]
+struct Link {
+    name: &'static str,
+    is_up: bool,
+}
+
+impl Link {
+    const fn new(name: &'static str) -> Self {
+        Self { name, is_up: false }
+    }
+
+    fn note(&mut self, event: &FeedEvent) {
+        match event {
+            FeedEvent::Lost(reason) if self.is_up => {
+                warn!(feed = self.name, reason = reason.as_str(); "store: lost");
+                self.is_up = false;
+            }
+            FeedEvent::All(_) | FeedEvent::Changed(_) if !self.is_up => {
+                info!(feed = self.name; "store: answers");
+                self.is_up = true;
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -0,0 +1,159 @@
+//! What a gateway knows, shared by its requests.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use amaranthscale_core::id::InstanceId;
+use amaranthscale_core::process::{Freshness, InstanceView, ServerList};
+use amaranthscale_core::version::Routing;
+use log::info;
+use tokio::sync::watch;
+
+use super::super::Clock;
+
+/// The newest routing, servers and gateways.
+#[derive(Debug)]
+pub struct Knowledge {
+    clock: Clock,
+    known: Mutex<Known>,
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct Known {
+    routing: Option<Arc<Routing>>,
+    servers: Arc<ServerList>,
+    instances: InstanceView,
+    freshness: Freshness,
+}
+
+impl Knowledge {
+    /// Knows only the gateway itself.
+    #[must_use]
+    pub fn new(clock: Clock, instance: InstanceId, peers: SocketAddr) -> Self {
+        Self {
+            clock,
+            known: Mutex::new(Known {
+                routing: None,
+                servers: Arc::default(),
+                instances: InstanceView::new(instance, peers),
+                freshness: Freshness::default(),
+            }),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    /// The clocks that knowledge is dated by.
+    #[must_use]
+    pub const fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// The routing in force.
+    #[must_use]
+    pub fn routing(&self) -> Option<Arc<Routing>> {
+        self.known().routing.clone()
+    }
+
+    /// The servers as listed.
+    #[must_use]
+    pub fn servers(&self) -> Arc<ServerList> {
+        Arc::clone(&self.known().servers)
+    }
+
+    /// Age of the routing; none before the first answer of the store.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        let now = self.clock.with_suspension();
+        self.known().freshness.age(now)
+    }
+
+    /// Tells of changes of routing or servers.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Gateways that are not passed over.
+    #[must_use]
+    pub fn live(&self) -> usize {
+        let now = self.clock.now();
+        self.known().instances.live(now)
+    }
+
+    /// The gateway that owns the batches of a name, and whether it is this one.
+    #[must_use]
+    pub fn owner_of(&self, name: &str) -> (InstanceId, SocketAddr, bool) {
+        let now = self.clock.now();
+        let known = self.known();
+        let (id, address) = known.instances.owner_of(name, now);
+        let is_own = id == *known.instances.own();
+        (id, address, is_own)
+    }
+
+    /// Notes that a gateway answered.
+    pub fn heard(&self, id: &InstanceId) {
+        self.known().instances.heard(id);
+    }
+
+    /// Notes that a gateway did not answer.
+    pub fn silent(&self, id: &InstanceId) {
+        let now = self.clock.now();
+        self.known().instances.silent(id, now);
+    }
+
+    /// Gateways that nobody here has reached for long.
+    #[must_use]
+    pub fn forgotten(&self) -> Vec<InstanceId> {
+        let now = self.clock.now();
+        self.known().instances.forgotten(now)
+    }
+
+    /// Takes a routing; one that is not newer is dropped, so that nothing ever reverts.
+    pub fn take_routing(&self, routing: Routing) {
+        let mut known = self.known();
+        let in_force = known.routing.as_ref().map(|routing| routing.version());
+        if in_force >= Some(routing.version()) {
+            return;
+        }
+        info!(
+            version = routing.version().get(),
+            routes = routing.routes().count();
+            "routing: version in force"
+        );
+        known.routing = Some(Arc::new(routing));
+        drop(known);
+        self.changed();
+    }
+
+    /// Dates the routing by an answer of the store.
+    pub fn confirm(&self, store_clock: Duration) {
+        let now = self.clock.with_suspension();
+        self.known().freshness.answered(store_clock, now);
+    }
+
+    /// Changes the list of servers by a function that says whether anything in use changed.
+    pub fn change_servers(&self, change: impl FnOnce(&mut ServerList, Duration) -> bool) {
+        let now = self.clock.now();
+        let mut known = self.known();
+        let is_changed = change(Arc::make_mut(&mut known.servers), now);
+        drop(known);
+        if is_changed {
+            self.changed();
+        }
+    }
+
+    /// Changes the view of the gateways.
+    pub fn change_instances(&self, change: impl FnOnce(&mut InstanceView)) {
+        change(&mut self.known().instances);
+    }
+
+    fn changed(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -2,6 +2,7 @@
 
 pub mod settings;
 
+mod bounded_log;
 mod control_kind;
 mod control_traffic;
 mod counters;
@@ -11,6 +12,8 @@
 mod stop_signal;
 mod table_write;
 
+#[doc(inline)]
+pub use bounded_log::{BoundedLines, start_bounded_logging};
 #[doc(inline)]
 pub use control_kind::{ControlCounterNames, ControlKind};
 #[doc(inline)]
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -4,18 +4,21 @@
 mod name_id;
 mod number_id;
 mod request_id;
+mod result_handle;
 
 #[doc(inline)]
 pub use attempt_id::AttemptId;
 #[doc(inline)]
 pub use name_id::{
-    HostId, IdempotencyKey, InvalidName, ModelId, OrganisationId, PipelineId, RegionId, ServiceId,
-    StageName, WriteId, ZoneId,
+    CallId, HostId, IdempotencyKey, InstanceId, InvalidName, ModelId, OrganisationId, PipelineId,
+    RegionId, RouteId, ServerId, ServiceId, StageName, WriteId, ZoneId,
 };
 #[doc(inline)]
 pub use number_id::{
-    AttemptNumber, FencingNumber, Incarnation, InvalidNumber, PlacementVersion, RowVersion,
-    StageIndex, TreeVersion,
+    AttemptNumber, FencingNumber, Incarnation, InvalidNumber, PlacementVersion, RoutingVersion,
+    RowVersion, StageIndex, TreeVersion,
 };
 #[doc(inline)]
 pub use request_id::{InvalidRequestId, RequestId};
+#[doc(inline)]
+pub use result_handle::{InvalidResultHandle, ResultHandle};
--- a/crates/core/src/id/name_id.rs
+++ b/crates/core/src/id/name_id.rs
@@ -130,3 +130,15 @@
 name_id!(
     /// Marks one conditional write, so that reading a row tells whose write it shows.
     WriteId, "write id");
+name_id!(
+    /// One life of a backend server: a restart gives it a new one.
+    ServerId, "backend server");
+name_id!(
+    /// A route from a host name and path to a service.
+    RouteId, "route");
+name_id!(
+    /// One send of a request by its caller, named by the caller.
+    CallId, "call id");
+name_id!(
+    /// One life of an entry, as other entries know it.
+    InstanceId, "instance");
--- a/crates/core/src/id/number_id.rs
+++ b/crates/core/src/id/number_id.rs
@@ -85,3 +85,6 @@
 number_id!(
     /// Grows with each new holder of a lease.
     FencingNumber, u64, "fencing number");
+number_id!(
+    /// Version of the routing in force; 0 means none yet.
+    RoutingVersion, u64, "routing version");
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -10,22 +10,28 @@
 mod attainment_book;
 mod attainment_counts;
 mod attempt_end;
+mod backend_choice;
+mod batcher;
 mod cost_book;
 mod cost_key;
 mod cost_totals;
 mod fair_queue;
 mod fair_queue_limits;
 mod fair_share;
+mod freshness;
 mod hedge_policy;
 mod host_track;
+mod instance_view;
 mod load_meter;
 mod organisation_limits;
 mod queued_attempt;
 mod refusal;
-mod rendezvous;
+pub(crate) mod rendezvous;
 mod retry_budget;
 mod router;
 mod router_settings;
+mod server_list;
+mod shared_budget;
 mod stage_estimate;
 
 #[doc(inline)]
@@ -39,6 +45,13 @@
 #[doc(inline)]
 pub use attempt_end::AttemptEnd;
 #[doc(inline)]
+pub use backend_choice::{BackendChoice, SendEnd, ToldLoad};
+#[doc(inline)]
+pub use batcher::{
+    Batch, BatchEnd, BatchId, BatchItem, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused,
+    PieceEnd, PieceInput, PipelineOrder, StageOrder,
+};
+#[doc(inline)]
 pub use cost_book::{CostBook, sum_by_organisation};
 #[doc(inline)]
 pub use cost_key::CostKey;
@@ -49,8 +62,12 @@
 #[doc(inline)]
 pub use fair_queue_limits::FairQueueLimits;
 #[doc(inline)]
+pub use freshness::Freshness;
+#[doc(inline)]
 pub use hedge_policy::HedgePolicy;
 #[doc(inline)]
+pub use instance_view::InstanceView;
+#[doc(inline)]
 pub use load_meter::LoadMeter;
 #[doc(inline)]
 pub use organisation_limits::OrganisationLimits;
@@ -65,4 +82,8 @@
 #[doc(inline)]
 pub use router_settings::RouterSettings;
 #[doc(inline)]
+pub use server_list::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord};
+#[doc(inline)]
+pub use shared_budget::{BudgetTerms, SharedBudget};
+#[doc(inline)]
 pub use stage_estimate::StageEstimate;
--- /dev/null
+++ b/crates/core/src/process/backend_choice.rs
@@ -0,0 +1,225 @@
+//! Which backend server a request is sent to directly.
+//!
+//! Plain requests join the server with the least expected wait, by the entry's own count in flight
+//! and the load that servers tell. Requests of engines go where their prompt's shared part was read
+//! before, the same server from every entry, unless that one has much more in flight than the rest.
+//! A server that fails several times in a row is left out for a while, never more than half of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::rendezvous;
+use super::server_list::ServerRecord;
+use crate::id::{ServerId, ZoneId};
+
+/// Failures in a row after which a server is left out.
+const FAILURES_OUT: u32 = 2;
+/// First time that a server is left out; doubles up to the longest.
+const FIRST_OUT: Duration = Duration::from_millis(700);
+/// Longest time that a server is left out.
+const LONGEST_OUT: Duration = Duration::from_secs(6);
+/// Part of each new sample in the smoothed time; about the last ten samples count.
+const SAMPLE_SHARE: f64 = 0.15;
+/// Time after which an unused server's smoothed time no longer counts, so that it is tried again.
+const SAMPLE_LIFE: Duration = Duration::from_secs(3);
+/// Age up to which a told load counts.
+const LOAD_LIFE: Duration = Duration::from_millis(500);
+/// Own requests in flight up to which affinity needs no comparison.
+const AFFINITY_FLOOR: usize = 4;
+/// Times the mean in flight up to which a server keeps its affinity.
+const AFFINITY_FACTOR: f64 = 1.6;
+/// Expected wait that a server in another availability zone adds.
+const ZONE_COST_MS: f64 = 3.0;
+
+/// Load that a server told with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests in work.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// How a direct send ended, as far as the server's health goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendEnd {
+    /// A whole answer came.
+    Answered,
+    /// The server was full or would not run it.
+    Full,
+    /// It could not be reached, or its answer was broken.
+    Failed,
+    /// The caller left or the time was over; says nothing of the server.
+    Abandoned,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Track {
+    in_flight: usize,
+    smoothed_ms: Option<f64>,
+    sampled_at: Duration,
+    told: Option<(ToldLoad, Duration)>,
+    failures: u32,
+    out_until: Duration,
+}
+
+impl Track {
+    fn is_out(&self, now: Duration) -> bool {
+        self.out_until > now
+    }
+
+    fn waiting_ahead(&self, now: Duration) -> f64 {
+        let told = self.told.filter(|(_, at)| now.saturating_sub(*at) <= LOAD_LIFE);
+        let told = told.map_or(0, |(load, _)| load.running + load.waiting);
+        let own = u32::try_from(self.in_flight).unwrap_or(u32::MAX);
+        // The server's own count holds ours as well as other entries'.
+        f64::from(own.max(told))
+    }
+
+    fn time_ms(&self, now: Duration) -> Option<f64> {
+        let is_recent = now.saturating_sub(self.sampled_at) <= SAMPLE_LIFE;
+        self.smoothed_ms.filter(|_| is_recent)
+    }
+}
+
+/// What this entry knows of each backend server by its own sends.
+#[derive(Debug, Clone, Default)]
+pub struct BackendChoice {
+    tracks: BTreeMap<ServerId, Track>,
+}
+
+impl BackendChoice {
+    /// The server with the least expected wait for a plain request.
+    pub fn plain<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a ServerRecord>,
+        tried: &BTreeSet<ServerId>,
+        zone: &ZoneId,
+        now: Duration,
+    ) -> Option<&'a ServerRecord> {
+        let servers = self.in_use(servers, tried, now);
+        let times: Vec<_> = servers
+            .iter()
+            .filter_map(|server| self.track(&server.id)?.time_ms(now))
+            .collect();
+        let usual_ms = if times.is_empty() {
+            1.0
+        } else {
+            times.iter().sum::<f64>() / f64::from(u32::try_from(times.len()).unwrap_or(1))
+        };
+        let cost = |server: &ServerRecord| {
+            let track = self.track(&server.id);
+            let ahead = track.map_or(0.0, |track| track.waiting_ahead(now));
+            let time_ms = track.and_then(|track| track.time_ms(now)).unwrap_or(usual_ms);
+            let slots = f64::from(u32::try_from(server.slots.max(1)).unwrap_or(1));
+            let away_ms = if server.zone == *zone { 0.0 } else { ZONE_COST_MS };
+            // Half a slot's worth of weight before the slots are full spreads an idle service.
+            time_ms * (1.0 + ahead / slots) + away_ms
+        };
+        servers
+            .into_iter()
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+
+    /// The engine for a prompt whose last shared part has a name.
+    pub fn engine<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a ServerRecord>,
+        tried: &BTreeSet<ServerId>,
+        shared_part: &str,
+        now: Duration,
+    ) -> Option<&'a ServerRecord> {
+        let mut servers = self.in_use(servers, tried, now);
+        if servers.is_empty() {
+            return None;
+        }
+        let seed = rendezvous::score(1, shared_part);
+        servers.sort_by_key(|server| std::cmp::Reverse(rendezvous::score(seed, &server.id)));
+        let in_flight = |server: &&ServerRecord| {
+            self.track(&server.id).map_or(0, |track| track.in_flight)
+        };
+        let total: usize = servers.iter().map(in_flight).sum();
+        let count = f64::from(u32::try_from(servers.len()).unwrap_or(u32::MAX));
+        let mean = f64::from(u32::try_from(total).unwrap_or(u32::MAX)) / count;
+        let has_place = |server: &&&ServerRecord| {
+            let own = in_flight(server);
+            own < AFFINITY_FLOOR
+                || f64::from(u32::try_from(own).unwrap_or(u32::MAX)) < mean * AFFINITY_FACTOR
+        };
+        let near = servers.iter().find(has_place).or_else(|| servers.first());
+        near.copied()
+    }
+
+    /// Counts a send.
+    pub fn sent(&mut self, server: &ServerId) {
+        self.tracks.entry(server.clone()).or_default().in_flight += 1;
+    }
+
+    /// Takes the end of a send.
+    pub fn ended(&mut self, server: &ServerId, end: SendEnd, elapsed: Duration, now: Duration) {
+        let Some(track) = self.tracks.get_mut(server) else {
+            return;
+        };
+        track.in_flight = track.in_flight.saturating_sub(1);
+        match end {
+            SendEnd::Answered => {
+                track.failures = 0;
+                let sample_ms = elapsed.as_secs_f64() * 1_000.0;
+                let smoothed_ms = track.time_ms(now).unwrap_or(sample_ms);
+                track.smoothed_ms = Some(smoothed_ms + SAMPLE_SHARE * (sample_ms - smoothed_ms));
+                track.sampled_at = now;
+            }
+            SendEnd::Failed => {
+                track.failures += 1;
+                if track.failures >= FAILURES_OUT {
+                    let doubled = FIRST_OUT * (1 << (track.failures - FAILURES_OUT).min(4));
+                    track.out_until = now + doubled.min(LONGEST_OUT);
+                }
+            }
+            SendEnd::Full | SendEnd::Abandoned => {}
+        }
+    }
+
+    /// Takes the load that a server told.
+    pub fn told(&mut self, server: &ServerId, load: ToldLoad, now: Duration) {
+        self.tracks.entry(server.clone()).or_default().told = Some((load, now));
+    }
+
+    /// Requests of this entry at a server.
+    #[must_use]
+    pub fn in_flight(&self, server: &ServerId) -> usize {
+        self.track(server).map_or(0, |track| track.in_flight)
+    }
+
+    /// Forgets servers that are gone.
+    pub fn retain(&mut self, is_known: impl Fn(&ServerId) -> bool) {
+        self.tracks
+            .retain(|id, track| track.in_flight > 0 || is_known(id));
+    }
+
+    fn track(&self, server: &ServerId) -> Option<&Track> {
+        self.tracks.get(server)
+    }
+
+    /// Servers that are not tried and not left out; all untried ones when too many are out.
+    fn in_use<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a ServerRecord>,
+        tried: &BTreeSet<ServerId>,
+        now: Duration,
+    ) -> Vec<&'a ServerRecord> {
+        let untried: Vec<_> = servers.filter(|server| !tried.contains(&server.id)).collect();
+        let is_in = |server: &&ServerRecord| {
+            self.track(&server.id).is_none_or(|track| !track.is_out(now))
+        };
+        let healthy: Vec<_> = untried.iter().copied().filter(is_in).collect();
+        // When most look sick, the cause is not theirs: all are used rather than a few overloaded.
+        if healthy.len() * 2 < untried.len() {
+            untried
+        } else {
+            healthy
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/batcher.rs
@@ -0,0 +1,395 @@
+//! Forms batches out of the pieces of many requests, for the servers of stage services.
+//!
+//! A call to such a server costs much by itself and little for each piece, and a server works on
+//! one call at a time, so one owner takes the pieces of all entries' requests and gives each server
+//! the next batch the moment it is free. The owner keeps the account of the servers' turns and of
+//! the room for results: a result takes room at its maker from the start of the call until it is
+//! freed. Intermediate results are freed once the stages that need them are done, the last ones
+//! when the request lets go.
+//!
+//! Pieces go in the order of the latest start that still meets their request's aim. A request that
+//! cannot meet it runs in what is left over; one that cannot be done at all is refused at once.
+//! Large results are made in the availability zone of their reader where that is in time.
+//!
+//! Two owners at once break nothing: their calls meet at the servers, which refuse what is too
+//! much, and a piece may be made twice.
+
+mod ends;
+mod estimate;
+mod fill;
+mod job;
+mod pool_state;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::id::{CallId, ResultHandle, ServerId, ServiceId, ZoneId};
+use crate::process::server_list::ServerRecord;
+use crate::version::{BatchSpec, Routing};
+
+use job::{Job, PieceState};
+use pool_state::PoolState;
+
+/// Names a job of the batcher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(u64);
+
+/// Names a call to a stage server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BatchId(u64);
+
+/// The pieces that one stage of a request has.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StageOrder {
+    /// Service that makes them.
+    pub service: ServiceId,
+    /// Stages whose results they need.
+    pub after: Vec<usize>,
+    /// How many; none leaves the stage out.
+    pub pieces: usize,
+    /// Usual size of one result.
+    pub result_bytes: u64,
+}
+
+/// The work that is done before a request runs at its engine.
+#[serde_with::serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct PipelineOrder {
+    /// The caller's send.
+    pub call: CallId,
+    /// The caller's key of the pieces.
+    pub piece_key: String,
+    /// All stages of the route, in its order.
+    pub stages: Vec<StageOrder>,
+    /// Rank, 0 first.
+    pub priority: u8,
+    /// Time left until the results are of full worth no longer.
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    #[serde(rename = "aim_left_ms")]
+    pub aim_left: Duration,
+    /// Time left until they are of no worth.
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    #[serde(rename = "deadline_left_ms")]
+    pub deadline_left: Duration,
+    /// Availability zone of the engine that reads the last results.
+    pub reader_zone: ZoneId,
+}
+
+/// One piece within a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BatchItem {
+    /// The caller's send.
+    pub call: CallId,
+    /// Stage of its route.
+    pub stage: usize,
+    /// Number of the piece within the stage.
+    pub piece: usize,
+    /// Time left for it.
+    pub left: Duration,
+    /// Key for the first stages, results of earlier pieces for the others.
+    pub input: PieceInput,
+}
+
+/// What a piece is made from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PieceInput {
+    /// The request's own key.
+    Key(String),
+    /// Results of all pieces of the stages before.
+    Results(Vec<ResultHandle>),
+}
+
+/// A call to a stage server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Batch {
+    /// Names the call.
+    pub id: BatchId,
+    /// Service of the server.
+    pub service: ServiceId,
+    /// The server.
+    pub server: ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Pieces to make.
+    pub items: Vec<BatchItem>,
+    /// Time after which the call is given up.
+    pub patience: Duration,
+}
+
+/// How one piece of a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PieceEnd {
+    /// The result and its handle.
+    Made(ResultHandle),
+    /// Its time was over at its turn.
+    Late,
+    /// A result that it needs is gone.
+    InputGone,
+    /// The server has no room for its result.
+    NoRoom,
+    /// The server failed.
+    Failed,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BatchEnd {
+    /// The server answered for each piece, in order.
+    Pieces(Vec<PieceEnd>),
+    /// The server did not take the call.
+    Full,
+    /// The address has another server now.
+    OtherServer,
+    /// No answer came: the call may have run.
+    Lost,
+}
+
+/// What became of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobEvent {
+    /// All pieces are made: the handles that the engine needs.
+    Done(JobId, Vec<ResultHandle>),
+    /// The job cannot be done.
+    Failed(JobId, JobFailure),
+}
+
+/// Why a job cannot be done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum JobFailure {
+    /// Its time is over.
+    Late,
+    /// Its pieces failed too often.
+    Failing,
+    /// No server of a service is known.
+    NoServer,
+}
+
+impl std::fmt::Display for JobFailure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Late => "late",
+            Self::Failing => "failing",
+            Self::NoServer => "no-server",
+        })
+    }
+}
+
+/// A job that is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JobRefused {
+    /// Time after which there may be place.
+    pub retry_after: Duration,
+    /// Why.
+    pub reason: JobFailure,
+}
+
+/// Results that a server may drop.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Frees {
+    /// The server that keeps them.
+    pub server: ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Their names.
+    pub handles: Vec<ResultHandle>,
+}
+
+/// Forms batches and keeps the account of servers' turns and room.
+#[derive(Debug, Default)]
+pub struct Batcher {
+    pools: BTreeMap<ServiceId, PoolState>,
+    jobs: BTreeMap<JobId, Job>,
+    batches: BTreeMap<BatchId, RunningBatch>,
+    frees: BTreeMap<ServerId, Frees>,
+    events: Vec<JobEvent>,
+    next_job: u64,
+    next_batch: u64,
+}
+
+#[derive(Debug)]
+struct RunningBatch {
+    service: ServiceId,
+    server: ServerId,
+    address: SocketAddr,
+    pieces: Vec<RunningPiece>,
+    sent_at: Duration,
+}
+
+/// A piece in a call with the room that it takes, which outlives its job.
+#[derive(Debug, Clone, Copy)]
+struct RunningPiece {
+    piece: PieceRef,
+    result_bytes: u64,
+}
+
+/// Names a piece of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PieceRef {
+    job: JobId,
+    stage: usize,
+    piece: usize,
+}
+
+impl Batcher {
+    /// A batcher that knows no service.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the services and their servers as they are now.
+    pub fn set_servers<'a>(
+        &mut self,
+        routing: &Routing,
+        servers: impl Iterator<Item = &'a ServerRecord>,
+    ) {
+        let specs: BTreeMap<ServiceId, BatchSpec> = routing
+            .pools()
+            .filter_map(|pool| Some((pool.service.clone(), pool.batch?)))
+            .collect();
+        for (service, spec) in &specs {
+            let pool = self.pools.entry(service.clone()).or_default();
+            pool.set_spec(*spec);
+        }
+        let mut listed: BTreeMap<&ServiceId, Vec<&ServerRecord>> = BTreeMap::new();
+        for server in servers.filter(|server| !server.is_leaving) {
+            listed.entry(&server.service).or_default().push(server);
+        }
+        for (service, pool) in &mut self.pools {
+            let empty = Vec::new();
+            pool.set_servers(listed.get(service).unwrap_or(&empty));
+        }
+    }
+
+    /// Takes a request's work, or refuses what cannot be done in time.
+    pub fn submit(&mut self, order: PipelineOrder, now: Duration) -> Result<JobId, JobRefused> {
+        let outlook = self.outlook(&order, now)?;
+        let id = JobId(self.next_job);
+        self.next_job += 1;
+        let job = Job::new(order, outlook, now);
+        self.jobs.insert(id, job);
+        self.advance(id);
+        Ok(id)
+    }
+
+    /// Ends a job: what waits is dropped, what is made is freed.
+    pub fn release(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        for pool in self.pools.values_mut() {
+            pool.waiting.retain(|piece| piece.job != id);
+        }
+        for stage in job.stages.iter().filter(|stage| !stage.is_freed) {
+            for piece in &stage.pieces {
+                self.free_piece(&stage.order.service, stage.order.result_bytes, piece);
+            }
+        }
+    }
+
+    /// Results that may be dropped, by server.
+    pub fn take_frees(&mut self) -> Vec<Frees> {
+        std::mem::take(&mut self.frees).into_values().collect()
+    }
+
+    /// Whether results wait to be freed.
+    #[must_use]
+    pub fn has_frees(&self) -> bool {
+        !self.frees.is_empty()
+    }
+
+    /// What became of jobs since the last call.
+    pub fn take_events(&mut self) -> Vec<JobEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Pieces that wait for a server.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.pools.values().map(|pool| pool.waiting.len()).sum()
+    }
+
+    /// Jobs that are not released.
+    #[must_use]
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Puts the pieces of stages that can start in their services' queues.
+    fn advance(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        for index in job.startable() {
+            let stage = &mut job.stages[index];
+            stage.is_queued = true;
+            let pieces = stage.waiting_pieces().map(|piece| PieceRef {
+                job: id,
+                stage: index,
+                piece,
+            });
+            let service = stage.order.service.clone();
+            let pool = self.pools.entry(service).or_default();
+            pool.waiting.extend(pieces);
+        }
+        if job.is_done() && !job.is_reported {
+            job.is_reported = true;
+            let handles = job.last_results();
+            self.events.push(JobEvent::Done(id, handles));
+        }
+    }
+
+    /// Frees the results of stages that nothing needs any more.
+    fn free_used(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let mut freed = Vec::new();
+        for index in job.used_up() {
+            let stage = &mut job.stages[index];
+            stage.is_freed = true;
+            let order = &stage.order;
+            freed.push((order.service.clone(), order.result_bytes, stage.pieces.clone()));
+        }
+        for (service, result_bytes, pieces) in freed {
+            for piece in &pieces {
+                self.free_piece(&service, result_bytes, piece);
+            }
+        }
+    }
+
+    fn free_piece(&mut self, service: &ServiceId, result_bytes: u64, piece: &PieceState) {
+        let PieceState::Made {
+            handle,
+            server,
+            address,
+        } = piece
+        else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.give_back(server, result_bytes);
+        }
+        let frees = self.frees.entry(server.clone()).or_insert_with(|| Frees {
+            server: server.clone(),
+            address: *address,
+            handles: Vec::new(),
+        });
+        frees.handles.push(handle.clone());
+    }
+
+    fn fail(&mut self, id: JobId, failure: JobFailure) {
+        if let Some(job) = self.jobs.get_mut(&id)
+            && !job.is_reported
+        {
+            job.is_reported = true;
+            self.events.push(JobEvent::Failed(id, failure));
+        }
+        for pool in self.pools.values_mut() {
+            pool.waiting.retain(|piece| piece.job != id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/batcher/ends.rs
@@ -0,0 +1,186 @@
+//! Takes the ends of calls.
+
+use std::time::Duration;
+
+use super::job::PieceState;
+use super::{BatchEnd, BatchId, Batcher, JobFailure, JobId, PieceEnd, PieceRef, RunningBatch, RunningPiece};
+
+/// Times that a job's inputs are made anew before it is given up.
+const MOST_REMAKES: u32 = 2;
+/// Times that a job's pieces may fail before it is given up.
+const MOST_FAILURES: u32 = 12;
+/// Time after which a server that was full is tried again: a part of a call.
+const FULL_PAUSE: Duration = Duration::from_millis(80);
+/// Time after which a server without room is tried again.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(150);
+
+impl Batcher {
+    /// Takes the end of a call.
+    pub fn batch_ended(&mut self, id: BatchId, end: BatchEnd, now: Duration) {
+        let Some(batch) = self.batches.remove(&id) else {
+            return;
+        };
+        self.account_server(&batch, &end, now);
+        let ends = match end {
+            BatchEnd::Pieces(ends) if ends.len() == batch.pieces.len() => ends,
+            BatchEnd::Full | BatchEnd::OtherServer => {
+                for piece in &batch.pieces {
+                    self.put_back(&batch, *piece, false);
+                }
+                return;
+            }
+            BatchEnd::Pieces(_) | BatchEnd::Lost => {
+                vec![PieceEnd::Failed; batch.pieces.len()]
+            }
+        };
+        let mut touched: Vec<JobId> = Vec::new();
+        for (piece, end) in batch.pieces.iter().zip(ends) {
+            self.piece_ended(&batch, *piece, end);
+            if touched.last() != Some(&piece.piece.job) {
+                touched.push(piece.piece.job);
+            }
+        }
+        for job in touched {
+            self.free_used(job);
+            self.advance(job);
+        }
+    }
+
+    fn account_server(&mut self, batch: &RunningBatch, end: &BatchEnd, now: Duration) {
+        let Some(pool) = self.pools.get_mut(&batch.service) else {
+            return;
+        };
+        let Some((spec, server)) = pool.spec.zip(pool.servers.get_mut(&batch.server)) else {
+            return;
+        };
+        server.calls = server.calls.saturating_sub(1);
+        server.busy_until = now;
+        match end {
+            BatchEnd::Pieces(ends) => {
+                let expected = spec.time_of(batch.pieces.len()).as_secs_f64();
+                let elapsed = now.saturating_sub(batch.sent_at).as_secs_f64();
+                server.answered(elapsed / expected.max(0.001), now);
+                if ends.contains(&PieceEnd::NoRoom) {
+                    server.out_until = now + NO_ROOM_PAUSE;
+                }
+            }
+            BatchEnd::Full => server.busy_until = now + FULL_PAUSE,
+            BatchEnd::OtherServer | BatchEnd::Lost => server.lost(now),
+        }
+    }
+
+    fn piece_ended(
+        &mut self,
+        batch: &RunningBatch,
+        running: RunningPiece,
+        end: PieceEnd,
+    ) {
+        let piece = running.piece;
+        match end {
+            PieceEnd::Made(handle) => {
+                let made = PieceState::Made {
+                    handle,
+                    server: batch.server.clone(),
+                    address: batch.address,
+                };
+                self.made(batch, running, made);
+            }
+            PieceEnd::Late => {
+                self.drop_reservation(batch, running);
+                self.fail(piece.job, JobFailure::Late);
+            }
+            PieceEnd::NoRoom => self.put_back(batch, running, false),
+            PieceEnd::Failed => self.put_back(batch, running, true),
+            PieceEnd::InputGone => {
+                self.put_back(batch, running, true);
+                self.remake_inputs(piece);
+            }
+        }
+    }
+
+    fn made(&mut self, batch: &RunningBatch, running: RunningPiece, made: PieceState) {
+        let piece = running.piece;
+        if let Some(job) = self.jobs.get_mut(&piece.job) {
+            let stage = &mut job.stages[piece.stage];
+            if stage.pieces[piece.piece] == PieceState::Running {
+                stage.pieces[piece.piece] = made;
+                return;
+            }
+        }
+        // The request has left, or its piece was made elsewhere: nobody will free this result.
+        self.free_piece(&batch.service, running.result_bytes, &made);
+    }
+
+    /// Gives up a piece's place at a server and lets it wait again.
+    fn put_back(&mut self, batch: &RunningBatch, running: RunningPiece, has_failed: bool) {
+        self.drop_reservation(batch, running);
+        let piece = running.piece;
+        let Some(job) = self.jobs.get_mut(&piece.job) else {
+            return;
+        };
+        let stage = &mut job.stages[piece.stage];
+        if stage.pieces[piece.piece] != PieceState::Running {
+            return;
+        }
+        stage.pieces[piece.piece] = PieceState::Waiting;
+        // While the stage's inputs are made anew, it is queued whole once they are there.
+        let is_queued = stage.is_queued;
+        job.failures += u32::from(has_failed);
+        if job.is_reported || !is_queued {
+            return;
+        }
+        if job.failures > MOST_FAILURES {
+            self.fail(piece.job, JobFailure::Failing);
+        } else if let Some(pool) = self.pools.get_mut(&batch.service) {
+            pool.waiting.push(piece);
+        }
+    }
+
+    fn drop_reservation(&mut self, batch: &RunningBatch, running: RunningPiece) {
+        if let Some(pool) = self.pools.get_mut(&batch.service) {
+            pool.give_back(&batch.server, running.result_bytes);
+        }
+    }
+
+    /// Makes the results that a piece needs once more.
+    ///
+    /// Guards against a server that dies with results which later stages need: their pieces would
+    /// fail for ever. The answer does not say which result is gone, so all of them are made anew.
+    fn remake_inputs(&mut self, piece: PieceRef) {
+        let Some(job) = self.jobs.get_mut(&piece.job) else {
+            return;
+        };
+        let after = job.stages[piece.stage].order.after.clone();
+        let is_remade = after.iter().any(|index| !job.stages[*index].is_done());
+        if is_remade {
+            return;
+        }
+        job.remakes += 1;
+        if job.remakes > MOST_REMAKES {
+            self.fail(piece.job, JobFailure::Failing);
+            return;
+        }
+        job.stages[piece.stage].is_queued = false;
+        let mut freed = Vec::new();
+        for index in after {
+            let stage = &mut job.stages[index];
+            let waiting = vec![PieceState::Waiting; stage.pieces.len()];
+            let made = std::mem::replace(&mut stage.pieces, waiting);
+            stage.is_queued = false;
+            stage.is_freed = false;
+            freed.push((stage.order.service.clone(), stage.order.result_bytes, made));
+        }
+        for (service, result_bytes, pieces) in freed {
+            for made in &pieces {
+                self.free_piece(&service, result_bytes, made);
+            }
+        }
+        for pool in self.pools.values_mut() {
+            let is_other = |waiting: &PieceRef| {
+                waiting.job != piece.job || waiting.stage != piece.stage
+            };
+            pool.waiting.retain(is_other);
+        }
+        self.advance(piece.job);
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/batcher/fill.rs
@@ -0,0 +1,259 @@
+//! Gives free servers their next batches.
+
+use std::time::Duration;
+
+use super::job::{Job, LARGE_RESULT_BYTES, PieceState};
+use super::pool_state::{PoolState, StageServer};
+use super::{Batch, BatchId, Batcher, JobFailure, JobId, PieceRef, RunningBatch, RunningPiece};
+use crate::id::{ServerId, ServiceId, ZoneId};
+use crate::version::BatchSpec;
+
+/// Times the expected time of a call after which it is given up.
+const PATIENCE_FACTOR: f64 = 2.5;
+/// Time that is always waited beyond the expected one.
+const PATIENCE_MARGIN: Duration = Duration::from_millis(400);
+/// Margin before the latest start within which a piece no longer waits for a near server.
+const NEAR_MARGIN: Duration = Duration::from_millis(40);
+/// Slowness from which a server gets only what no other server could do in time.
+const SLOW: f64 = 1.6;
+
+/// Order of pieces in a queue: requests that can meet their aim first, by their latest start.
+type Rank = (bool, Duration, JobId);
+
+impl Batcher {
+    /// Batches to send now.
+    pub fn next_batches(&mut self, now: Duration) -> Vec<Batch> {
+        self.fail_expired(now);
+        let services: Vec<_> = self.pools.keys().cloned().collect();
+        services
+            .iter()
+            .flat_map(|service| self.batches_of(service, now))
+            .collect()
+    }
+
+    fn fail_expired(&mut self, now: Duration) {
+        let is_expired = |job: &Job| job.deadline_at <= now && !job.is_reported;
+        let jobs = self.jobs.iter().filter(|(_, job)| is_expired(job));
+        let expired: Vec<_> = jobs.map(|(id, _)| *id).collect();
+        for id in expired {
+            self.fail(id, JobFailure::Late);
+        }
+    }
+
+    fn batches_of(&mut self, service: &ServiceId, now: Duration) -> Vec<Batch> {
+        let mut batches = Vec::new();
+        let Some(pool) = self.pools.get(service) else {
+            return batches;
+        };
+        let Some(spec) = pool.spec else {
+            return batches;
+        };
+        if pool.waiting.is_empty() {
+            return batches;
+        }
+        let mut free: Vec<ServerId> = pool
+            .in_use(now)
+            .filter(|(_, server)| server.calls < spec.slots.max(1) && server.busy_until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        if free.is_empty() {
+            return batches;
+        }
+        self.sort_waiting(service, now);
+        let slowness = |pool: &PoolState, id: &ServerId| {
+            pool.servers.get(id).map_or(1.0, |server| server.slowness(now))
+        };
+        let pool = &self.pools[service];
+        free.sort_by(|a, b| slowness(pool, a).total_cmp(&slowness(pool, b)));
+        for (index, server) in free.iter().enumerate() {
+            let others = free.len() - index;
+            if let Some(batch) = self.batch_for(service, spec, server, others, now) {
+                batches.push(batch);
+            }
+        }
+        batches
+    }
+
+    fn sort_waiting(&mut self, service: &ServiceId, now: Duration) {
+        let jobs = &self.jobs;
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        pool.waiting.retain(|piece| jobs.contains_key(&piece.job));
+        pool.waiting.sort_by_cached_key(|piece| rank(&jobs[&piece.job], *piece, now));
+    }
+
+    /// Forms one server's batch from the front of the queue.
+    fn batch_for(
+        &mut self,
+        service: &ServiceId,
+        spec: BatchSpec,
+        server: &ServerId,
+        free_servers: usize,
+        now: Duration,
+    ) -> Option<Batch> {
+        let chosen = self.choose(service, spec, server, free_servers, now);
+        if chosen.is_empty() {
+            return None;
+        }
+        let pool = self.pools.get_mut(service)?;
+        pool.waiting.retain(|piece| !chosen.contains(piece));
+        let mut reserved_bytes = 0;
+        let mut items = Vec::with_capacity(chosen.len());
+        let mut pieces = Vec::with_capacity(chosen.len());
+        for piece in &chosen {
+            let job = self.jobs.get_mut(&piece.job)?;
+            items.push(job.item(piece.stage, piece.piece, now));
+            let stage = &mut job.stages[piece.stage];
+            stage.pieces[piece.piece] = PieceState::Running;
+            let result_bytes = stage.order.result_bytes;
+            reserved_bytes += result_bytes;
+            pieces.push(RunningPiece {
+                piece: *piece,
+                result_bytes,
+            });
+        }
+        pool.reserve(server, reserved_bytes);
+        let state = pool.servers.get_mut(server)?;
+        let expected = spec.time_of(items.len()).mul_f64(state.slowness(now).max(1.0));
+        state.calls += 1;
+        state.busy_until = now + expected;
+        let id = BatchId(self.next_batch);
+        self.next_batch += 1;
+        let batch = Batch {
+            id,
+            service: service.clone(),
+            server: server.clone(),
+            address: state.address,
+            zone: state.zone.clone(),
+            items,
+            patience: expected.mul_f64(PATIENCE_FACTOR) + PATIENCE_MARGIN,
+        };
+        let running = RunningBatch {
+            service: service.clone(),
+            server: server.clone(),
+            address: batch.address,
+            pieces,
+            sent_at: now,
+        };
+        self.batches.insert(id, running);
+        Some(batch)
+    }
+
+    fn choose(
+        &self,
+        service: &ServiceId,
+        spec: BatchSpec,
+        server: &ServerId,
+        free_servers: usize,
+        now: Duration,
+    ) -> Vec<PieceRef> {
+        let pool = &self.pools[service];
+        let Some(state) = pool.servers.get(server) else {
+            return Vec::new();
+        };
+        let started = pool.waiting.iter().filter(|piece| {
+            self.jobs[&piece.job].stages[piece.stage].not_before <= now
+        });
+        let startable = started.clone().count();
+        // Free servers share what waits: a call's length grows with its pieces.
+        let share = startable.div_ceil(free_servers).clamp(1, spec.max_pieces.max(1));
+        let mut chosen: Vec<PieceRef> = Vec::new();
+        let mut taken_bytes = 0;
+        let mut ahead = 0;
+        for piece in started {
+            let job = &self.jobs[&piece.job];
+            let result_bytes = job.stages[piece.stage].order.result_bytes;
+            // A stage's pieces stay together: the next stage waits for all of them.
+            let goes_on = chosen
+                .last()
+                .is_some_and(|last| (last.job, last.stage) == (piece.job, piece.stage));
+            if chosen.len() >= spec.max_pieces || (chosen.len() >= share && !goes_on) {
+                break;
+            }
+            let is_for_another = self.waits_for_near(pool, spec, job, *piece, state, ahead, now);
+            ahead += 1;
+            if is_for_another
+                || !pool.has_room(server, taken_bytes, result_bytes)
+                || Self::is_too_slow(pool, spec, state, job, *piece, now)
+            {
+                continue;
+            }
+            taken_bytes += result_bytes;
+            chosen.push(*piece);
+        }
+        chosen
+    }
+
+    /// Whether a piece had better wait for a server in the availability zone that it belongs in.
+    #[expect(clippy::too_many_arguments, reason = "one question about a piece, a server and a time")]
+    fn waits_for_near(
+        &self,
+        pool: &PoolState,
+        spec: BatchSpec,
+        job: &Job,
+        piece: PieceRef,
+        server: &StageServer,
+        ahead: usize,
+        now: Duration,
+    ) -> bool {
+        let Some(zone) = self.home_zone(job, piece.stage) else {
+            return false;
+        };
+        if server.zone == zone || job.is_late {
+            return false;
+        }
+        let near = pool.in_use(now).filter(|(_, server)| server.zone == zone);
+        let usable = near.filter(|(_, server)| server.slowness(now) < SLOW);
+        let Some(free_at) = usable.map(|(_, server)| server.busy_until.max(now)).min() else {
+            return false;
+        };
+        let calls_ahead = ahead / spec.max_pieces.max(1);
+        let queue = spec
+            .time_of(spec.max_pieces)
+            .saturating_mul(u32::try_from(calls_ahead).unwrap_or(u32::MAX));
+        let latest_start = job.stages[piece.stage].latest_start;
+        free_at + queue + NEAR_MARGIN <= latest_start
+    }
+
+    /// The availability zone in which a stage's pieces move the fewest bytes, if it matters.
+    fn home_zone(&self, job: &Job, stage: usize) -> Option<ZoneId> {
+        let order = &job.stages[stage].order;
+        let output_bytes = order.result_bytes * u64::try_from(order.pieces).unwrap_or(0);
+        let input_bytes = job.input_bytes(stage);
+        if output_bytes.max(input_bytes) < LARGE_RESULT_BYTES {
+            return None;
+        }
+        if output_bytes >= input_bytes {
+            return Some(job.order.reader_zone.clone());
+        }
+        let maker = job.input_server(stage)?;
+        let pools = self.pools.values();
+        let maker = pools.filter_map(|pool| pool.servers.get(maker)).next()?;
+        Some(maker.zone.clone())
+    }
+
+    /// Whether a slow server would make a piece late that a usual one would not.
+    fn is_too_slow(
+        pool: &PoolState,
+        spec: BatchSpec,
+        server: &StageServer,
+        job: &Job,
+        piece: PieceRef,
+        now: Duration,
+    ) -> bool {
+        let slowness = server.slowness(now);
+        if slowness < SLOW || job.is_late {
+            return false;
+        }
+        let is_usual = |other: &StageServer| other.slowness(now) < SLOW;
+        let has_usual = pool.in_use(now).any(|(_, other)| is_usual(other));
+        let extra = spec.time_of(spec.max_pieces / 2).mul_f64(slowness - 1.0);
+        has_usual && now + extra > job.stages[piece.stage].latest_start
+    }
+}
+
+fn rank(job: &Job, piece: PieceRef, now: Duration) -> Rank {
+    let latest_start = job.stages[piece.stage].latest_start;
+    (job.is_late || latest_start < now, latest_start, piece.job)
+}
--- /dev/null
+++ b/crates/core/src/process/batcher/job.rs
@@ -0,0 +1,178 @@
+//! One request's pieces and how far they are.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::estimate::Outlook;
+use super::{BatchItem, PieceInput, PipelineOrder, StageOrder};
+use crate::id::{ResultHandle, ServerId};
+
+/// Size of a result from which it is made just in time and near its reader.
+/// Below it, what a move between availability zones costs is less than a wait.
+pub(super) const LARGE_RESULT_BYTES: u64 = 100_000;
+
+/// How far one piece is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum PieceState {
+    /// Not sent, or sent in vain.
+    Waiting,
+    /// In a call.
+    Running,
+    /// Made and kept by a server.
+    Made {
+        handle: ResultHandle,
+        server: ServerId,
+        address: SocketAddr,
+    },
+}
+
+/// One stage of a job.
+#[derive(Debug)]
+pub(super) struct StageState {
+    pub(super) order: StageOrder,
+    pub(super) pieces: Vec<PieceState>,
+    /// Latest start of its calls that still meets the aim.
+    pub(super) latest_start: Duration,
+    /// Earliest start, so that large results do not wait for other stages.
+    pub(super) not_before: Duration,
+    pub(super) is_queued: bool,
+    pub(super) is_freed: bool,
+}
+
+impl StageState {
+    /// Pieces that are in no call and not made.
+    pub(super) fn waiting_pieces(&self) -> impl Iterator<Item = usize> {
+        let pieces = self.pieces.iter().enumerate();
+        let waiting = pieces.filter(|(_, piece)| **piece == PieceState::Waiting);
+        waiting.map(|(index, _)| index)
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        let is_made = |piece: &PieceState| matches!(piece, PieceState::Made { .. });
+        self.pieces.iter().all(is_made)
+    }
+}
+
+/// One request's work.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) order: PipelineOrder,
+    pub(super) stages: Vec<StageState>,
+    pub(super) deadline_at: Duration,
+    /// Whether the aim was out of reach when the job came.
+    pub(super) is_late: bool,
+    pub(super) is_reported: bool,
+    pub(super) remakes: u32,
+    pub(super) failures: u32,
+}
+
+impl Job {
+    pub(super) fn new(order: PipelineOrder, outlook: Outlook, now: Duration) -> Self {
+        let starts = outlook.latest_starts.into_iter().zip(outlook.not_before);
+        let stages = order.stages.iter().zip(starts);
+        let stages = stages
+            .map(|(order, (latest_start, not_before))| StageState {
+                order: order.clone(),
+                pieces: vec![PieceState::Waiting; order.pieces],
+                latest_start,
+                not_before,
+                is_queued: false,
+                is_freed: false,
+            })
+            .collect();
+        Self {
+            deadline_at: now + order.deadline_left,
+            is_late: outlook.is_late,
+            order,
+            stages,
+            is_reported: false,
+            remakes: 0,
+            failures: 0,
+        }
+    }
+
+    /// Stages whose inputs are made and that are not queued yet.
+    pub(super) fn startable(&self) -> Vec<usize> {
+        let is_ready = |index: &usize| {
+            let stage = &self.stages[*index];
+            let inputs = stage.order.after.iter();
+            !stage.is_queued && inputs.copied().all(|after| self.stages[after].is_done())
+        };
+        (0..self.stages.len()).filter(is_ready).collect()
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.stages.iter().all(StageState::is_done)
+    }
+
+    /// Handles of the stages that no other stage needs.
+    pub(super) fn last_results(&self) -> Vec<ResultHandle> {
+        let last = (0..self.stages.len()).filter(|index| !self.is_needed(*index));
+        last.flat_map(|index| self.results(index)).collect()
+    }
+
+    /// Stages whose results nothing needs any more.
+    pub(super) fn used_up(&self) -> Vec<usize> {
+        let is_used_up = |index: &usize| {
+            let needing: Vec<_> = self.needing(*index).collect();
+            let all_done = needing.iter().all(|stage| stage.is_done());
+            !self.stages[*index].is_freed && !needing.is_empty() && all_done
+        };
+        (0..self.stages.len()).filter(is_used_up).collect()
+    }
+
+    pub(super) fn item(&self, stage: usize, piece: usize, now: Duration) -> BatchItem {
+        let after = &self.stages[stage].order.after;
+        let results: Vec<_> = after.iter().flat_map(|index| self.results(*index)).collect();
+        let input = if results.is_empty() {
+            PieceInput::Key(self.order.piece_key.clone())
+        } else {
+            PieceInput::Results(results)
+        };
+        BatchItem {
+            call: self.order.call.clone(),
+            stage,
+            piece,
+            left: self.deadline_at.saturating_sub(now),
+            input,
+        }
+    }
+
+    /// The server that keeps most of a stage's inputs.
+    pub(super) fn input_server(&self, stage: usize) -> Option<&ServerId> {
+        let after = &self.stages[stage].order.after;
+        let pieces = after.iter().flat_map(|index| &self.stages[*index].pieces);
+        let mut servers = pieces.filter_map(|piece| match piece {
+            PieceState::Made { server, .. } => Some(server),
+            _ => None,
+        });
+        servers.next()
+    }
+
+    /// Bytes of a stage's inputs.
+    pub(super) fn input_bytes(&self, stage: usize) -> u64 {
+        let after = self.stages[stage].order.after.iter();
+        let bytes = after.map(|index| {
+            let order = &self.stages[*index].order;
+            order.result_bytes * u64::try_from(order.pieces).unwrap_or(0)
+        });
+        bytes.sum()
+    }
+
+    fn needing(&self, index: usize) -> impl Iterator<Item = &StageState> {
+        let needs = move |stage: &&StageState| stage.order.after.contains(&index);
+        self.stages.iter().filter(needs)
+    }
+
+    fn is_needed(&self, index: usize) -> bool {
+        self.needing(index).next().is_some()
+    }
+
+    fn results(&self, index: usize) -> impl Iterator<Item = ResultHandle> {
+        let pieces = self.stages[index].pieces.iter();
+        pieces.filter_map(|piece| match piece {
+            PieceState::Made { handle, .. } => Some(handle.clone()),
+            _ => None,
+        })
+    }
+}
--- a/crates/core/src/process/rendezvous.rs
+++ b/crates/core/src/process/rendezvous.rs
@@ -8,7 +8,7 @@
 /// Score of a name under a seed; the highest score wins.
 ///
 /// FNV-1a with a mixing step, as the standard library's hashers may change between releases.
-pub(super) fn score(seed: u64, name: impl AsRef<str>) -> u64 {
+pub(crate) fn score(seed: u64, name: impl AsRef<str>) -> u64 {
     let bytes = seed.to_le_bytes().into_iter().chain(name.as_ref().bytes());
     let hash = bytes.fold(FNV_OFFSET, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -159,6 +159,9 @@
     /// The attempt names a service that this sidecar does not serve.
     WrongService = 2211, 503, "the sidecar serves another service";
 
+    /// The entry has not heard from the store for too long to believe a key.
+    KnowledgeStale = 2212, 503, "the entry cannot check the key now";
+
     /// The backend server answered with an error.
     BackendFailed = 3001, 502, "the backend server answered with an error";
     /// The deadline passed after a stage had run.
@@ -175,6 +178,9 @@
     /// The call under this key is still running.
     StillRunning = 4002, 409, "the call under this key is still running";
 
+    /// The answer was lost on its way from the backend server.
+    AnswerLost = 4003, 502, "the answer was lost; the call may have run";
+
     /// The edit was made against an older version of the tree.
     EditConflict = 5001, 409, "another edit came first";
     /// The edit would make a tree that cannot hold.
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -17,6 +17,7 @@
 mod pipeline;
 mod placement;
 mod placement_plan;
+mod routing;
 mod service;
 mod settings_tree;
 mod sourced;
@@ -58,6 +59,10 @@
     LoadTrack, PlanLimits, PlanQuestion, PlannedPlacement, Shortfall, plan_placement,
 };
 #[doc(inline)]
+pub use routing::{
+    BatchSpec, CallerBounds, EngineSpec, KeyHolder, Pool, Route, RouteKind, RouteStage, Routing,
+};
+#[doc(inline)]
 pub use service::Service;
 #[doc(inline)]
 pub use settings_tree::{ROOT_NAME, SettingsTree};
--- /dev/null
+++ b/crates/core/src/version/routing.rs
@@ -0,0 +1,168 @@
+//! The routing that operators publish: routes, services, organisations' keys and bounds.
+//!
+//! One version is compiled once and then shared by all requests: a request looks its route up by
+//! host name and longest path prefix and its organisation by key, and decides nothing else here.
+
+mod bounds;
+mod key_holder;
+mod pool;
+mod route;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use crate::id::{RoutingVersion, ServiceId};
+
+#[doc(inline)]
+pub use bounds::CallerBounds;
+#[doc(inline)]
+pub use key_holder::KeyHolder;
+#[doc(inline)]
+pub use pool::{BatchSpec, EngineSpec, Pool};
+#[doc(inline)]
+pub use route::{Route, RouteKind, RouteStage};
+
+/// One version of the routing, compiled for look-ups.
+///
+/// # Examples
+///
+/// ```
+/// use amaranthscale_core::version::Routing;
+///
+/// let routing = Routing::default();
+/// assert!(routing.route("intake.example", "/loads/17").is_none());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Routing {
+    version: RoutingVersion,
+    bounds: CallerBounds,
+    routes: HashMap<String, Vec<Arc<Route>>>,
+    pools: BTreeMap<ServiceId, Pool>,
+    holders: HashMap<String, Arc<KeyHolder>>,
+    batch_groups: BTreeMap<ServiceId, ServiceId>,
+    is_keyed: bool,
+}
+
+impl Routing {
+    /// Starts a version without routes.
+    #[must_use]
+    pub fn new(version: RoutingVersion, bounds: CallerBounds) -> Self {
+        Self {
+            version,
+            bounds,
+            ..Self::default()
+        }
+    }
+
+    /// Adds routes; the longest prefix of a host name is tried first.
+    #[must_use]
+    pub fn with_routes(mut self, routes: impl IntoIterator<Item = Route>) -> Self {
+        for route in routes {
+            let of_host = self.routes.entry(route.host.clone()).or_default();
+            of_host.push(Arc::new(route));
+        }
+        for of_host in self.routes.values_mut() {
+            of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        self.batch_groups = batch_groups(self.routes());
+        self
+    }
+
+    /// Adds services.
+    #[must_use]
+    pub fn with_pools(mut self, pools: impl IntoIterator<Item = Pool>) -> Self {
+        let named = pools.into_iter().map(|pool| (pool.service.clone(), pool));
+        self.pools.extend(named);
+        self
+    }
+
+    /// Asks for keys on all routes that are not public, and adds who holds which.
+    #[must_use]
+    pub fn with_holders(mut self, holders: impl IntoIterator<Item = KeyHolder>) -> Self {
+        self.is_keyed = true;
+        for holder in holders {
+            let holder = Arc::new(holder);
+            for key in &holder.keys {
+                self.holders.insert(key.clone(), Arc::clone(&holder));
+            }
+        }
+        self
+    }
+
+    /// Version of the routing.
+    #[must_use]
+    pub const fn version(&self) -> RoutingVersion {
+        self.version
+    }
+
+    /// What callers may send.
+    #[must_use]
+    pub const fn bounds(&self) -> &CallerBounds {
+        &self.bounds
+    }
+
+    /// Whether routes that are not public need a key.
+    #[must_use]
+    pub const fn is_keyed(&self) -> bool {
+        self.is_keyed
+    }
+
+    /// The route of a host name with the longest prefix of a path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let of_host = self.routes.get(host)?;
+        of_host.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The organisation that holds a key.
+    #[must_use]
+    pub fn holder(&self, key: &str) -> Option<&Arc<KeyHolder>> {
+        self.holders.get(key)
+    }
+
+    /// A service.
+    #[must_use]
+    pub fn pool(&self, service: &ServiceId) -> Option<&Pool> {
+        self.pools.get(service)
+    }
+
+    /// All services.
+    pub fn pools(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.values()
+    }
+
+    /// All routes, in no order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// Names the stage services that share routes with one, so that one owner makes their batches.
+    #[must_use]
+    pub fn batch_group<'a>(&'a self, service: &'a ServiceId) -> &'a ServiceId {
+        self.batch_groups.get(service).unwrap_or(service)
+    }
+}
+
+/// The first name among the services that are linked by routes, for each service.
+fn batch_groups<'a>(
+    routes: impl Iterator<Item = &'a Arc<Route>>,
+) -> BTreeMap<ServiceId, ServiceId> {
+    let mut groups: BTreeMap<ServiceId, ServiceId> = BTreeMap::new();
+    for route in routes {
+        let linked: Vec<ServiceId> = route
+            .stages
+            .iter()
+            .map(|stage| {
+                let service = &stage.service;
+                groups.entry(service.clone()).or_insert_with(|| service.clone()).clone()
+            })
+            .collect();
+        let Some(first) = linked.iter().min() else {
+            continue;
+        };
+        for group in groups.values_mut().filter(|group| linked.contains(group)) {
+            group.clone_from(first);
+        }
+    }
+    groups
+}
--- /dev/null
+++ b/crates/core/src/version/routing/pool.rs
@@ -0,0 +1,53 @@
+//! Services: pools of interchangeable backend servers.
+
+use std::time::Duration;
+
+use crate::id::ServiceId;
+
+/// A service as operators describe it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pool {
+    /// Name of the service.
+    pub service: ServiceId,
+    /// Connections that one server accepts from all callers together.
+    pub max_connections: usize,
+    /// What an engine of the service can do, if it is a service of engines.
+    pub engine: Option<EngineSpec>,
+    /// What a server of the service can do, if it makes pieces of stages.
+    pub batch: Option<BatchSpec>,
+}
+
+/// What one engine can do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Requests at once.
+    pub slots: usize,
+    /// Memory for running requests and cached prompts.
+    pub memory_tokens: u64,
+}
+
+/// What one server of a stage service can do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BatchSpec {
+    /// Calls in work at once.
+    pub slots: usize,
+    /// Most pieces in one call.
+    pub max_pieces: usize,
+    /// Time of a call without pieces.
+    pub call_time: Duration,
+    /// Time that each piece adds.
+    pub piece_time: Duration,
+    /// Room for results that are kept.
+    pub room_bytes: u64,
+    /// How long a result is kept unless it is freed.
+    pub kept_for: Duration,
+}
+
+impl BatchSpec {
+    /// Time of a call with so many pieces.
+    #[must_use]
+    pub fn time_of(&self, pieces: usize) -> Duration {
+        let pieces = u32::try_from(pieces).unwrap_or(u32::MAX);
+        self.call_time + self.piece_time.saturating_mul(pieces)
+    }
+}
