--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -11,8 +11,8 @@
 #[doc(inline)]
 pub use frame_reader::{FrameError, FrameReader, encode_frame};
 #[doc(inline)]
-pub use http1_client::{Http1Connection, SendError};
-#[doc(inline)]
 pub use http_server::{HttpServer, HttpServerLimits};
 #[doc(inline)]
+pub use http1_client::{Http1Connection, SendError};
+#[doc(inline)]
 pub use peer_client::{ConnectionNumber, PeerClient, PeerClientLimits, PeerConnection, PeerError};
--- a/crates/amaranthscale/src/connection/http1_client.rs
+++ b/crates/amaranthscale/src/connection/http1_client.rs
@@ -74,14 +74,17 @@
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(self.address, error.to_string()));
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            let is_unsent = error.take_message().is_some();
-            let reason = error.into_error().to_string();
-            if is_unsent {
-                SendError::NotSent(self.address, reason)
-            } else {
-                SendError::Lost(self.address, reason)
-            }
-        })
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| {
+                let is_unsent = error.take_message().is_some();
+                let reason = error.into_error().to_string();
+                if is_unsent {
+                    SendError::NotSent(self.address, reason)
+                } else {
+                    SendError::Lost(self.address, reason)
+                }
+            })
     }
 }
--- a/crates/amaranthscale/src/gateway/connection/server_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/server_pool.rs
@@ -140,7 +140,9 @@
     let Some(told) = text(HeaderName::from_static("keep-alive")) else {
         return Some(USUAL_IDLE);
     };
-    let seconds = told.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    let seconds = told
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="));
     match seconds.and_then(|seconds| seconds.trim().parse().ok()) {
         Some(seconds) => {
             let left = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -137,7 +137,11 @@
     vec![
         tokio::spawn(follow_routing(config.store.clone(), Arc::clone(knowledge))),
         tokio::spawn(follow_servers(config.store.clone(), Arc::clone(knowledge))),
-        tokio::spawn(follow_instances(config.store.clone(), Arc::clone(knowledge), own)),
+        tokio::spawn(follow_instances(
+            config.store.clone(),
+            Arc::clone(knowledge),
+            own,
+        )),
     ]
 }
 
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -80,7 +80,10 @@
         };
         let response = connection.send((dialect.free)(&frees.handles)).await?;
         let (head, body) = response.into_parts();
-        if read_body(body, MAX_ANSWER_BYTES, FREE_PATIENCE).await.is_ok() {
+        if read_body(body, MAX_ANSWER_BYTES, FREE_PATIENCE)
+            .await
+            .is_ok()
+        {
             pool.give_back(connection, &head.headers);
         }
         Ok::<(), SendError>(())
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -49,7 +49,11 @@
 #[derive(Debug)]
 pub enum BatchOwnerMessage {
     /// Takes a job; the sender learns its id at once and its outcome later.
-    Submit(PipelineOrder, oneshot::Sender<JobId>, oneshot::Sender<JobAnswer>),
+    Submit(
+        PipelineOrder,
+        oneshot::Sender<JobId>,
+        oneshot::Sender<JobAnswer>,
+    ),
     /// Ends a job and frees its results.
     Release(JobId),
     /// A call has ended.
--- a/crates/amaranthscale/src/gateway/process/budgets.rs
+++ b/crates/amaranthscale/src/gateway/process/budgets.rs
@@ -35,7 +35,10 @@
     }
 
     fn with<T>(&self, service: &ServiceId, use_it: impl FnOnce(&mut SharedBudget) -> T) -> T {
-        let mut budgets = self.by_service.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut budgets = self
+            .by_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let budget = budgets
             .entry(service.clone())
             .or_insert_with(|| SharedBudget::new(self.terms));
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -62,14 +62,19 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    parts.counters.count_reason("answer", response.status().as_u16());
+    parts
+        .counters
+        .count_reason("answer", response.status().as_u16());
     response
 }
 
 fn log_refusal(parts: &GatewayParts, head: &request::Parts, refused: Refused, arrived: Instant) {
     let call = head.headers.get(&parts.dialect.headers.call);
     let call = call.and_then(|call| call.to_str().ok()).unwrap_or("-");
-    let version = parts.knowledge.routing().map_or(0, |routing| routing.version().get());
+    let version = parts
+        .knowledge
+        .routing()
+        .map_or(0, |routing| routing.version().get());
     info!(
         call, code = refused.code.number(), reason = refused.code.name(), version,
         ran:% = refused.code.ran(), ms = ms(arrived.elapsed());
@@ -127,9 +132,7 @@
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let route = routing.route(host, head.uri.path());
-    route
-        .cloned()
-        .ok_or(Refused::new(ResultCode::UnknownPath))
+    route.cloned().ok_or(Refused::new(ResultCode::UnknownPath))
 }
 
 /// The holder of the request's key, if the route needs one.
@@ -158,11 +161,7 @@
         .ok_or(Refused::new(ResultCode::WrongKey))
 }
 
-async fn read_whole(
-    routing: &Routing,
-    body: Incoming,
-    until: Instant,
-) -> Result<Bytes, Refused> {
+async fn read_whole(routing: &Routing, body: Incoming, until: Instant) -> Result<Bytes, Refused> {
     let max_bytes = routing.bounds().max_body_bytes;
     let told = body.size_hint().lower();
     if told > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -99,7 +99,13 @@
         pieces: Option<MadePieces>,
         sent: Sent,
     ) -> Result<Option<Running>, Refused> {
-        if self.parts.knowledge.servers().usable_server(&server.id).is_none() {
+        if self
+            .parts
+            .knowledge
+            .servers()
+            .usable_server(&server.id)
+            .is_none()
+        {
             // It began to leave while the pieces were made.
             return self.rejected("leaving", server).map(|()| None);
         }
@@ -167,7 +173,11 @@
         let now = self.parts.knowledge.clock().now();
         let live = self.parts.knowledge.live();
         let is_left = self.parts.budgets.try_repeat(&self.service, live, now);
-        let name = if is_left { "repeat.sent" } else { "repeat.over-budget" };
+        let name = if is_left {
+            "repeat.sent"
+        } else {
+            "repeat.over-budget"
+        };
         self.parts.counters.count(name);
         is_left
     }
@@ -179,7 +189,9 @@
         let choice = self.parts.choice();
         match &self.admitted.work.shared_part {
             Some(part) => choice.engine(usable, &self.tried, part, now).cloned(),
-            None => choice.plain(usable, &self.tried, &self.parts.zone, now).cloned(),
+            None => choice
+                .plain(usable, &self.tried, &self.parts.zone, now)
+                .cloned(),
         }
     }
 
--- a/crates/amaranthscale/src/gateway/request/outgoing.rs
+++ b/crates/amaranthscale/src/gateway/request/outgoing.rs
@@ -31,7 +31,12 @@
         holder: Option<&KeyHolder>,
     ) -> Self {
         let names = &dialect.headers;
-        let own = [&names.key, &names.organisation, &names.target, &names.deadline_ms];
+        let own = [
+            &names.key,
+            &names.organisation,
+            &names.target,
+            &names.deadline_ms,
+        ];
         let mut headers = HeaderMap::with_capacity(head.headers.len() + 4);
         copy_headers(&head.headers, &mut headers, |name| {
             !own.contains(&name) && !names.reserved.contains(name)
@@ -45,7 +50,11 @@
             }
         }
         if let Some(holder) = holder {
-            set(&mut headers, &names.organisation, holder.organisation.as_str());
+            set(
+                &mut headers,
+                &names.organisation,
+                holder.organisation.as_str(),
+            );
         }
         Self {
             method: head.method.clone(),
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -11,12 +11,12 @@
 use log::info;
 use tokio::time::Instant;
 
+use super::super::process::GatewayParts;
 use super::answer::{AnswerBody, passed_on, whole};
 use super::caller::Admitted;
 use super::outgoing::Outgoing;
 use super::refused::Refused;
 use super::send::{BegunAnswer, SendOutcome, Sent, send};
-use super::super::process::GatewayParts;
 use crate::connection::read_body;
 
 /// Largest body that is held before it is passed on; plain answers are some kilobytes.
@@ -84,7 +84,11 @@
             let has_more = match tried {
                 Tried::Answered(answer) => {
                     if !self.is_worth_repeating(&answer) || !self.may_repeat() {
-                        return Ok(passed_on(answer.status, &answer.headers, whole(answer.body)));
+                        return Ok(passed_on(
+                            answer.status,
+                            &answer.headers,
+                            whole(answer.body),
+                        ));
                     }
                     self.kept_failure = Some(answer);
                     true
@@ -111,7 +115,9 @@
         let now = self.parts.knowledge.clock().now();
         let choice = self.parts.choice();
         let usable = servers.usable(self.service);
-        choice.plain(usable, &self.tried, &self.parts.zone, now).cloned()
+        choice
+            .plain(usable, &self.tried, &self.parts.zone, now)
+            .cloned()
     }
 
     async fn try_at(&mut self, server: &ServerRecord, outgoing: &Outgoing) -> Tried {
@@ -201,14 +207,22 @@
         let now = self.parts.knowledge.clock().now();
         let live = self.parts.knowledge.live();
         let is_left = self.parts.budgets.try_repeat(self.service, live, now);
-        let name = if is_left { "repeat.sent" } else { "repeat.over-budget" };
+        let name = if is_left {
+            "repeat.sent"
+        } else {
+            "repeat.over-budget"
+        };
         self.parts.counters.count(name);
         is_left
     }
 
     fn give_up(&mut self, unsent: ResultCode) -> Result<Response<AnswerBody>, Refused> {
         if let Some(failure) = self.kept_failure.take() {
-            return Ok(passed_on(failure.status, &failure.headers, whole(failure.body)));
+            return Ok(passed_on(
+                failure.status,
+                &failure.headers,
+                whole(failure.body),
+            ));
         }
         let is_over = self.admitted.left().is_zero();
         let code = match (self.may_have_run, is_over) {
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -119,7 +119,11 @@
     }
     if (dialect.did_not_run)(head.status, &head.headers) {
         let is_other = (dialect.is_other_server)(head.status);
-        sent.end(if is_other { SendEnd::Failed } else { SendEnd::Full });
+        sent.end(if is_other {
+            SendEnd::Failed
+        } else {
+            SendEnd::Full
+        });
         return if (dialect.is_input_gone)(head.status) {
             SendOutcome::InputGone
         } else {
@@ -141,7 +145,10 @@
 /// for it, is not the server's body.
 fn is_own(parts: &GatewayParts, call: &CallId, head: &response::Parts) -> bool {
     let names = &parts.dialect.headers;
-    let told = head.headers.get(&names.call).and_then(|value| value.to_str().ok());
+    let told = head
+        .headers
+        .get(&names.call)
+        .and_then(|value| value.to_str().ok());
     if told.is_some_and(|told| told != call.as_str()) {
         return false;
     }
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -118,7 +118,10 @@
                 Ok(Some(FeedEvent::Changed(rows)))
             }
             StoreAnswer::HistoryGone => {
-                debug!("store: history of {:?} is gone; reading it whole", self.table);
+                debug!(
+                    "store: history of {:?} is gone; reading it whole",
+                    self.table
+                );
                 self.position = None;
                 Ok(None)
             }
@@ -151,7 +154,10 @@
     patience: Duration,
 ) -> Result<(StoreAnswer, Http1Connection), String> {
     let answering = async {
-        let response = connection.send(request).await.map_err(|error| error.to_string())?;
+        let response = connection
+            .send(request)
+            .await
+            .map_err(|error| error.to_string())?;
         let status = response.status();
         let body = read_body(response.into_body(), MAX_ANSWER_BYTES, patience)
             .await
--- a/crates/core/src/id/result_handle.rs
+++ b/crates/core/src/id/result_handle.rs
@@ -51,7 +51,9 @@
     type Error = InvalidResultHandle;
 
     fn try_from(text: String) -> Result<Self, InvalidResultHandle> {
-        let is_visible = text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b',');
+        let is_visible = text
+            .bytes()
+            .all(|byte| byte.is_ascii_graphic() && byte != b',');
         if text.is_empty() || text.len() > MAX_HANDLE_BYTES || !is_visible {
             return Err(InvalidResultHandle::Malformed(text));
         }
--- a/crates/core/src/process/backend_choice.rs
+++ b/crates/core/src/process/backend_choice.rs
@@ -71,7 +71,9 @@
     }
 
     fn waiting_ahead(&self, now: Duration) -> f64 {
-        let told = self.told.filter(|(_, at)| now.saturating_sub(*at) <= LOAD_LIFE);
+        let told = self
+            .told
+            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_LIFE);
         let told = told.map_or(0, |(load, _)| load.running + load.waiting);
         let own = u32::try_from(self.in_flight).unwrap_or(u32::MAX);
         // The server's own count holds ours as well as other entries'.
@@ -112,9 +114,15 @@
         let cost = |server: &ServerRecord| {
             let track = self.track(&server.id);
             let ahead = track.map_or(0.0, |track| track.waiting_ahead(now));
-            let time_ms = track.and_then(|track| track.time_ms(now)).unwrap_or(usual_ms);
+            let time_ms = track
+                .and_then(|track| track.time_ms(now))
+                .unwrap_or(usual_ms);
             let slots = f64::from(u32::try_from(server.slots.max(1)).unwrap_or(1));
-            let away_ms = if server.zone == *zone { 0.0 } else { ZONE_COST_MS };
+            let away_ms = if server.zone == *zone {
+                0.0
+            } else {
+                ZONE_COST_MS
+            };
             // Half a slot's worth of weight before the slots are full spreads an idle service.
             time_ms * (1.0 + ahead / slots) + away_ms
         };
@@ -137,9 +145,8 @@
         }
         let seed = rendezvous::score(1, shared_part);
         servers.sort_by_key(|server| std::cmp::Reverse(rendezvous::score(seed, &server.id)));
-        let in_flight = |server: &&ServerRecord| {
-            self.track(&server.id).map_or(0, |track| track.in_flight)
-        };
+        let in_flight =
+            |server: &&ServerRecord| self.track(&server.id).map_or(0, |track| track.in_flight);
         let total: usize = servers.iter().map(in_flight).sum();
         let count = f64::from(u32::try_from(servers.len()).unwrap_or(u32::MAX));
         let mean = f64::from(u32::try_from(total).unwrap_or(u32::MAX)) / count;
@@ -210,9 +217,12 @@
         tried: &BTreeSet<ServerId>,
         now: Duration,
     ) -> Vec<&'a ServerRecord> {
-        let untried: Vec<_> = servers.filter(|server| !tried.contains(&server.id)).collect();
+        let untried: Vec<_> = servers
+            .filter(|server| !tried.contains(&server.id))
+            .collect();
         let is_in = |server: &&ServerRecord| {
-            self.track(&server.id).is_none_or(|track| !track.is_out(now))
+            self.track(&server.id)
+                .is_none_or(|track| !track.is_out(now))
         };
         let healthy: Vec<_> = untried.iter().copied().filter(is_in).collect();
         // When most look sick, the cause is not theirs: all are used rather than a few overloaded.
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -352,7 +352,11 @@
             let stage = &mut job.stages[index];
             stage.is_freed = true;
             let order = &stage.order;
-            freed.push((order.service.clone(), order.result_bytes, stage.pieces.clone()));
+            freed.push((
+                order.service.clone(),
+                order.result_bytes,
+                stage.pieces.clone(),
+            ));
         }
         for (service, result_bytes, pieces) in freed {
             for piece in &pieces {
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use super::job::PieceState;
-use super::{BatchEnd, BatchId, Batcher, JobFailure, JobId, PieceEnd, PieceRef, RunningBatch, RunningPiece};
+use super::{
+    BatchEnd, BatchId, Batcher, JobFailure, JobId, PieceEnd, PieceRef, RunningBatch, RunningPiece,
+};
 
 /// Times that a job's inputs are made anew before it is given up.
 const MOST_REMAKES: u32 = 2;
@@ -69,12 +71,7 @@
         }
     }
 
-    fn piece_ended(
-        &mut self,
-        batch: &RunningBatch,
-        running: RunningPiece,
-        end: PieceEnd,
-    ) {
+    fn piece_ended(&mut self, batch: &RunningBatch, running: RunningPiece, end: PieceEnd) {
         let piece = running.piece;
         match end {
             PieceEnd::Made(handle) => {
@@ -176,9 +173,8 @@
             }
         }
         for pool in self.pools.values_mut() {
-            let is_other = |waiting: &PieceRef| {
-                waiting.job != piece.job || waiting.stage != piece.stage
-            };
+            let is_other =
+                |waiting: &PieceRef| waiting.job != piece.job || waiting.stage != piece.stage;
             pool.waiting.retain(is_other);
         }
         self.advance(piece.job);
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -124,8 +124,13 @@
         let stages = jobs.flat_map(|job| &job.stages);
         let own = stages.filter(|stage| stage.order.service == *service);
         let is_open = |piece: &&PieceState| **piece == PieceState::Waiting;
-        let pieces: usize = own.map(|stage| stage.pieces.iter().filter(is_open).count()).sum();
-        let capacity: f64 = pool.in_use(now).map(|(_, server)| 1.0 / server.slowness(now)).sum();
+        let pieces: usize = own
+            .map(|stage| stage.pieces.iter().filter(is_open).count())
+            .sum();
+        let capacity: f64 = pool
+            .in_use(now)
+            .map(|(_, server)| 1.0 / server.slowness(now))
+            .sum();
         let max_pieces = u32::try_from(spec.max_pieces.max(1)).unwrap_or(1);
         let piece_time = spec.piece_time + spec.call_time / max_pieces;
         let work = piece_time.saturating_mul(u32::try_from(pieces).unwrap_or(u32::MAX));
@@ -141,7 +146,10 @@
     for index in (0..order.stages.len()).rev() {
         let needing = order.stages.iter().enumerate();
         let needing = needing.filter(|(_, stage)| stage.after.contains(&index));
-        let end = needing.map(|(later, _)| starts[later]).min().unwrap_or(aim_at);
+        let end = needing
+            .map(|(later, _)| starts[later])
+            .min()
+            .unwrap_or(aim_at);
         starts[index] = end.saturating_sub(calls[index]);
     }
     starts
@@ -155,7 +163,12 @@
         ends[index] = inputs.max().copied().unwrap_or_default() + calls[index];
     }
     let longest = ends.iter().max().copied().unwrap_or_default();
-    let is_needed = |index: usize| order.stages.iter().any(|stage| stage.after.contains(&index));
+    let is_needed = |index: usize| {
+        order
+            .stages
+            .iter()
+            .any(|stage| stage.after.contains(&index))
+    };
     let start = |(index, stage): (usize, &super::StageOrder)| {
         let is_large = stage.result_bytes >= LARGE_RESULT_BYTES;
         if is_large && stage.after.is_empty() && !is_needed(index) {
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -61,7 +61,9 @@
         }
         self.sort_waiting(service, now);
         let slowness = |pool: &PoolState, id: &ServerId| {
-            pool.servers.get(id).map_or(1.0, |server| server.slowness(now))
+            pool.servers
+                .get(id)
+                .map_or(1.0, |server| server.slowness(now))
         };
         let pool = &self.pools[service];
         free.sort_by(|a, b| slowness(pool, a).total_cmp(&slowness(pool, b)));
@@ -80,7 +82,8 @@
             return;
         };
         pool.waiting.retain(|piece| jobs.contains_key(&piece.job));
-        pool.waiting.sort_by_cached_key(|piece| rank(&jobs[&piece.job], *piece, now));
+        pool.waiting
+            .sort_by_cached_key(|piece| rank(&jobs[&piece.job], *piece, now));
     }
 
     /// Forms one server's batch from the front of the queue.
@@ -115,7 +118,9 @@
         }
         pool.reserve(server, reserved_bytes);
         let state = pool.servers.get_mut(server)?;
-        let expected = spec.time_of(items.len()).mul_f64(state.slowness(now).max(1.0));
+        let expected = spec
+            .time_of(items.len())
+            .mul_f64(state.slowness(now).max(1.0));
         state.calls += 1;
         state.busy_until = now + expected;
         let id = BatchId(self.next_batch);
@@ -152,12 +157,15 @@
         let Some(state) = pool.servers.get(server) else {
             return Vec::new();
         };
-        let started = pool.waiting.iter().filter(|piece| {
-            self.jobs[&piece.job].stages[piece.stage].not_before <= now
-        });
+        let started = pool
+            .waiting
+            .iter()
+            .filter(|piece| self.jobs[&piece.job].stages[piece.stage].not_before <= now);
         let startable = started.clone().count();
         // Free servers share what waits: a call's length grows with its pieces.
-        let share = startable.div_ceil(free_servers).clamp(1, spec.max_pieces.max(1));
+        let share = startable
+            .div_ceil(free_servers)
+            .clamp(1, spec.max_pieces.max(1));
         let mut chosen: Vec<PieceRef> = Vec::new();
         let mut taken_bytes = 0;
         let mut ahead = 0;
@@ -186,7 +194,10 @@
     }
 
     /// Whether a piece had better wait for a server in the availability zone that it belongs in.
-    #[expect(clippy::too_many_arguments, reason = "one question about a piece, a server and a time")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one question about a piece, a server and a time"
+    )]
     fn waits_for_near(
         &self,
         pool: &PoolState,
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -123,7 +123,10 @@
 
     pub(super) fn item(&self, stage: usize, piece: usize, now: Duration) -> BatchItem {
         let after = &self.stages[stage].order.after;
-        let results: Vec<_> = after.iter().flat_map(|index| self.results(*index)).collect();
+        let results: Vec<_> = after
+            .iter()
+            .flat_map(|index| self.results(*index))
+            .collect();
         let input = if results.is_empty() {
             PieceInput::Key(self.order.piece_key.clone())
         } else {
--- a/crates/core/src/process/freshness.rs
+++ b/crates/core/src/process/freshness.rs
@@ -32,7 +32,9 @@
     /// Takes the store's clock from an answer that has just arrived.
     pub fn answered(&mut self, store_clock: Duration, now: Duration) {
         let difference = signed_ms(now) - signed_ms(store_clock);
-        let ahead_ms = self.ahead_ms.map_or(difference, |ahead| ahead.min(difference));
+        let ahead_ms = self
+            .ahead_ms
+            .map_or(difference, |ahead| ahead.min(difference));
         self.ahead_ms = Some(ahead_ms);
         let given_at_ms = u64::try_from(signed_ms(store_clock) + ahead_ms).unwrap_or(0);
         let given_at = Duration::from_millis(given_at_ms);
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -78,7 +78,8 @@
     /// Keeps only what a whole list of announcements names.
     pub fn keep_only(&mut self, ids: &[InstanceId]) {
         let own = self.own.clone();
-        self.instances.retain(|id, _| *id == own || ids.contains(id));
+        self.instances
+            .retain(|id, _| *id == own || ids.contains(id));
     }
 
     /// Notes that an entry answered.
@@ -121,9 +122,10 @@
     /// The entry that acts for a name: first by rendezvous among those not passed over.
     #[must_use]
     pub fn owner_of(&self, name: &str, now: Duration) -> (InstanceId, SocketAddr) {
-        let live = self.instances.iter().filter(|(id, seen)| {
-            **id == self.own || seen.passed_over_until <= now
-        });
+        let live = self
+            .instances
+            .iter()
+            .filter(|(id, seen)| **id == self.own || seen.passed_over_until <= now);
         let seed = rendezvous::score(0, name);
         let best = live.max_by_key(|(id, _)| rendezvous::score(seed, id));
         let (id, seen) = best.unwrap_or_else(|| {
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -108,7 +108,10 @@
 
     /// Servers of a service that take requests.
     pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a ServerRecord> {
-        let of_service = self.servers.values().filter(move |record| record.service == *service);
+        let of_service = self
+            .servers
+            .values()
+            .filter(move |record| record.service == *service);
         of_service.filter(|record| !record.is_leaving)
     }
 
--- a/crates/core/src/process/shared_budget.rs
+++ b/crates/core/src/process/shared_budget.rs
@@ -88,7 +88,11 @@
     fn bucket(&mut self, now: Duration) -> &mut Bucket {
         self.forget(now);
         let number = self.number(now);
-        if self.buckets.back().is_none_or(|bucket| bucket.number < number) {
+        if self
+            .buckets
+            .back()
+            .is_none_or(|bucket| bucket.number < number)
+        {
             self.buckets.push_back(Bucket {
                 number,
                 requests: 0,
@@ -101,7 +105,11 @@
 
     fn forget(&mut self, now: Duration) {
         let oldest = self.number(now).saturating_sub(u64::from(BUCKETS));
-        while self.buckets.front().is_some_and(|bucket| bucket.number < oldest) {
+        while self
+            .buckets
+            .front()
+            .is_some_and(|bucket| bucket.number < oldest)
+        {
             self.buckets.pop_front();
         }
     }
--- a/crates/core/src/version/routing.rs
+++ b/crates/core/src/version/routing.rs
@@ -154,7 +154,10 @@
             .iter()
             .map(|stage| {
                 let service = &stage.service;
-                groups.entry(service.clone()).or_insert_with(|| service.clone()).clone()
+                groups
+                    .entry(service.clone())
+                    .or_insert_with(|| service.clone())
+                    .clone()
             })
             .collect();
         let Some(first) = linked.iter().min() else {
--- a/crates/core/src/version/routing/route.rs
+++ b/crates/core/src/version/routing/route.rs
@@ -80,7 +80,11 @@
     #[must_use]
     pub fn service_for(&self, call: &CallId) -> Option<&ServiceId> {
         let draw = rendezvous::score(0, call);
-        let total: u64 = self.services.iter().map(|(_, share)| u64::from(*share)).sum();
+        let total: u64 = self
+            .services
+            .iter()
+            .map(|(_, share)| u64::from(*share))
+            .sum();
         if total == 0 {
             return self.services.first().map(|(service, _)| service);
         }
