--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -227,7 +227,7 @@
         }
         self.is_ticking = true;
         // Runs once, so an idle owner does not wake up.
-        let _ = myself.send_after(TICK, || BatchOwnerMessage::Tick);
+        drop(myself.send_after(TICK, || BatchOwnerMessage::Tick));
     }
 }
 
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::{ServerId, ServiceId};
+use amaranthscale_core::id::{ResultHandle, ServerId, ServiceId};
 use amaranthscale_core::process::{PipelineOrder, SendEnd, ServerRecord, StageOrder};
 use hyper::Response;
 use log::info;
@@ -221,7 +221,7 @@
             Some(made.map_err(|error| self.no_pieces(&error))?)
         };
         let handles = made.iter().flat_map(|made| &made.handles);
-        let handles: Vec<_> = handles.map(|handle| handle.as_str()).collect();
+        let handles: Vec<_> = handles.map(ResultHandle::as_str).collect();
         let inputs = self.parts.dialect.headers.inputs.clone();
         self.outgoing.set(&inputs, &handles.join(","));
         Ok(made)
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -83,7 +83,7 @@
             let tried = self.try_at(&server, outgoing).await;
             let has_more = match tried {
                 Tried::Answered(answer) => {
-                    if !self.is_worth_repeating(&answer) || !self.may_repeat() {
+                    if !answer.status.is_server_error() || !self.may_repeat() {
                         return Ok(passed_on(
                             answer.status,
                             &answer.headers,
@@ -185,10 +185,6 @@
         patience.max(SHORTEST_PATIENCE).min(left)
     }
 
-    fn is_worth_repeating(&self, answer: &WholeAnswer) -> bool {
-        answer.status.is_server_error()
-    }
-
     /// Whether a request that may have run may be sent again; takes a repeat from the budget.
     fn may_repeat(&self) -> bool {
         let route = &self.admitted.route;
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -27,7 +27,7 @@
 const INSTANCES_PACE: FeedPace = FeedPace {
     wait: Duration::from_secs(10),
     between: Duration::from_millis(200),
-    after_failure: Duration::from_millis(1_000),
+    after_failure: Duration::from_secs(1),
 };
 
 /// Follows the routing for good.
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -172,7 +172,7 @@
     let start = |(index, stage): (usize, &super::StageOrder)| {
         let is_large = stage.result_bytes >= LARGE_RESULT_BYTES;
         if is_large && stage.after.is_empty() && !is_needed(index) {
-            now + (longest - ends[index]).mul_f64(HELD_BACK_PART)
+            now + longest.saturating_sub(ends[index]).mul_f64(HELD_BACK_PART)
         } else {
             now
         }
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -168,8 +168,7 @@
             .clamp(1, spec.max_pieces.max(1));
         let mut chosen: Vec<PieceRef> = Vec::new();
         let mut taken_bytes = 0;
-        let mut ahead = 0;
-        for piece in started {
+        for (ahead, piece) in started.enumerate() {
             let job = &self.jobs[&piece.job];
             let result_bytes = job.stages[piece.stage].order.result_bytes;
             // A stage's pieces stay together: the next stage waits for all of them.
@@ -180,7 +179,6 @@
                 break;
             }
             let is_for_another = self.waits_for_near(pool, spec, job, *piece, state, ahead, now);
-            ahead += 1;
             if is_for_another
                 || !pool.has_room(server, taken_bytes, result_bytes)
                 || Self::is_too_slow(pool, spec, state, job, *piece, now)
@@ -239,8 +237,8 @@
             return Some(job.order.reader_zone.clone());
         }
         let maker = job.input_server(stage)?;
-        let pools = self.pools.values();
-        let maker = pools.filter_map(|pool| pool.servers.get(maker)).next()?;
+        let mut pools = self.pools.values();
+        let maker = pools.find_map(|pool| pool.servers.get(maker))?;
         Some(maker.zone.clone())
     }
 
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -128,10 +128,10 @@
             .filter(|(id, seen)| **id == self.own || seen.passed_over_until <= now);
         let seed = rendezvous::score(0, name);
         let best = live.max_by_key(|(id, _)| rendezvous::score(seed, id));
-        let (id, seen) = best.unwrap_or_else(|| {
+        let (id, found) = best.unwrap_or_else(|| {
             // The own entry is never removed, so the view is never empty.
             unreachable!("the view holds its own entry")
         });
-        (id.clone(), seen.address)
+        (id.clone(), found.address)
     }
 }
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -12,7 +12,7 @@
 
 /// How long a server that lapsed in an outage may take to come back.
 /// Source: the platform writes entries again about 2 s after the store's return.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// One backend server as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
