--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -12,8 +12,8 @@
 const PATIENCE_FACTOR: f64 = 2.5;
 /// Time that is always waited beyond the expected one.
 const PATIENCE_MARGIN: Duration = Duration::from_millis(400);
-/// Margin before the latest start within which a piece no longer waits for a near server.
-const NEAR_MARGIN: Duration = Duration::from_millis(40);
+/// Part of a piece's slack that it may wait for a near server: the later stages need the rest.
+const NEAR_SLACK_PART: f64 = 0.15;
 /// Slowness from which a server gets only what no other server could do in time.
 const SLOW: f64 = 1.6;
 
@@ -248,8 +248,8 @@
         let queue = spec
             .time_of(spec.max_pieces)
             .saturating_mul(u32::try_from(calls_ahead).unwrap_or(u32::MAX));
-        let latest_start = job.stages[piece.stage].latest_start;
-        free_at + queue + NEAR_MARGIN <= latest_start
+        let slack = job.stages[piece.stage].latest_start.saturating_sub(now);
+        free_at + queue <= now + slack.mul_f64(NEAR_SLACK_PART)
     }
 
     /// The availability zone in which a stage's pieces move the fewest bytes, if it matters.
