--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -7,10 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthscale_core::id::{ResultHandle, ServerId};
+use amaranthscale_core::id::{CallId, ResultHandle, ServerId};
 use amaranthscale_core::process::{
     Batch, BatchEnd, BatchId, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused,
-    PipelineOrder,
+    PipelineOrder, StageTimes,
 };
 use log::info;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -89,12 +89,19 @@
 pub struct BatchOwnerState {
     arguments: BatchOwnerArguments,
     batcher: Batcher,
-    waiting: BTreeMap<JobId, oneshot::Sender<JobAnswer>>,
+    waiting: BTreeMap<JobId, Waiting>,
     freeing: BTreeSet<ServerId>,
     is_ticking: bool,
     is_stopping: bool,
 }
 
+/// Who waits for a job.
+#[derive(Debug)]
+struct Waiting {
+    call: CallId,
+    answer: oneshot::Sender<JobAnswer>,
+}
+
 impl Actor for BatchOwner {
     type Msg = BatchOwnerMessage;
     type State = BatchOwnerState;
@@ -163,7 +170,7 @@
         let call = order.call.clone();
         match self.batcher.submit(order, now) {
             Ok(job) => {
-                self.waiting.insert(job, answer);
+                self.waiting.insert(job, Waiting { call, answer });
                 // The submitter has left: nobody would release the job.
                 if id.send(job).is_err() {
                     self.waiting.remove(&job);
@@ -222,15 +229,32 @@
     fn tell(&mut self) {
         for event in self.batcher.take_events() {
             let (job, answer) = match event {
-                JobEvent::Done(job, handles) => (job, JobAnswer::Done(handles)),
+                JobEvent::Done(job, handles, times) => {
+                    self.log_done(job, &times);
+                    (job, JobAnswer::Done(handles))
+                }
                 JobEvent::Failed(job, failure) => (job, JobAnswer::Failed(failure)),
             };
             if let Some(waiting) = self.waiting.remove(&job) {
-                let _ = waiting.send(answer);
+                let _ = waiting.answer.send(answer);
             }
         }
     }
 
+    fn log_done(&self, job: JobId, times: &[StageTimes]) {
+        let Some(waiting) = self.waiting.get(&job) else {
+            return;
+        };
+        let shown = times
+            .iter()
+            .map(|stage| format!("{}+{}", stage.waited.as_millis(), stage.worked.as_millis()));
+        let shown: Vec<_> = shown.collect();
+        info!(
+            call = waiting.call.as_str(), stages_waited_worked_ms = shown.join(",");
+            "batches: pieces made"
+        );
+    }
+
     fn keep_ticking(&mut self, myself: &ActorRef<BatchOwnerMessage>) {
         if self.is_ticking || self.batcher.jobs() == 0 {
             return;
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -49,7 +49,7 @@
 #[doc(inline)]
 pub use batcher::{
     Batch, BatchEnd, BatchId, BatchItem, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused,
-    PieceEnd, PieceInput, PipelineOrder, StageOrder,
+    PieceEnd, PieceInput, PipelineOrder, StageOrder, StageTimes,
 };
 #[doc(inline)]
 pub use cost_book::{CostBook, sum_by_organisation};
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -28,7 +28,7 @@
 use crate::process::server_list::ServerRecord;
 use crate::version::{BatchSpec, Routing};
 
-use job::{Job, PieceState};
+use job::{Job, PieceState, StageState};
 use pool_state::PoolState;
 
 /// Names a job of the batcher.
@@ -150,12 +150,21 @@
 /// What became of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum JobEvent {
-    /// All pieces are made: the handles that the engine needs.
-    Done(JobId, Vec<ResultHandle>),
+    /// All pieces are made: the handles that the engine needs, and where the time went.
+    Done(JobId, Vec<ResultHandle>, Vec<StageTimes>),
     /// The job cannot be done.
     Failed(JobId, JobFailure),
 }
 
+/// Where one stage's time went.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StageTimes {
+    /// From the last input to the first piece in a call.
+    pub waited: Duration,
+    /// From there to the last result.
+    pub worked: Duration,
+}
+
 /// Why a job cannot be done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum JobFailure {
@@ -275,7 +284,7 @@
         self.next_job += 1;
         let job = Job::new(order, outlook, now);
         self.jobs.insert(id, job);
-        self.advance(id);
+        self.advance(id, now);
         Ok(id)
     }
 
@@ -330,13 +339,14 @@
     }
 
     /// Puts the pieces of stages that can start in their services' queues.
-    fn advance(&mut self, id: JobId) {
+    fn advance(&mut self, id: JobId, now: Duration) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         for index in job.startable() {
             let stage = &mut job.stages[index];
             stage.is_queued = true;
+            stage.clock.queued_at = now;
             let pieces = stage.waiting_pieces().map(|piece| PieceRef {
                 job: id,
                 stage: index,
@@ -349,7 +359,8 @@
         if job.is_done() && !job.is_reported {
             job.is_reported = true;
             let handles = job.last_results();
-            self.events.push(JobEvent::Done(id, handles));
+            let times = job.stages.iter().map(StageState::times).collect();
+            self.events.push(JobEvent::Done(id, handles, times));
         }
     }
 
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -37,14 +37,14 @@
         };
         let mut touched: Vec<JobId> = Vec::new();
         for (piece, end) in batch.pieces.iter().zip(ends) {
-            self.piece_ended(&batch, *piece, end);
+            self.piece_ended(&batch, *piece, end, now);
             if touched.last() != Some(&piece.piece.job) {
                 touched.push(piece.piece.job);
             }
         }
         for job in touched {
             self.free_used(job);
-            self.advance(job);
+            self.advance(job, now);
         }
     }
 
@@ -71,7 +71,13 @@
         }
     }
 
-    fn piece_ended(&mut self, batch: &RunningBatch, running: RunningPiece, end: PieceEnd) {
+    fn piece_ended(
+        &mut self,
+        batch: &RunningBatch,
+        running: RunningPiece,
+        end: PieceEnd,
+        now: Duration,
+    ) {
         let piece = running.piece;
         match end {
             PieceEnd::Made(handle) => {
@@ -80,7 +86,7 @@
                     server: batch.server.clone(),
                     address: batch.address,
                 };
-                self.made(batch, running, made);
+                self.made(batch, running, made, now);
             }
             PieceEnd::Late => {
                 self.drop_reservation(batch, running);
@@ -90,17 +96,24 @@
             PieceEnd::Failed => self.put_back(batch, running, true),
             PieceEnd::InputGone => {
                 self.put_back(batch, running, true);
-                self.remake_inputs(piece);
+                self.remake_inputs(piece, now);
             }
         }
     }
 
-    fn made(&mut self, batch: &RunningBatch, running: RunningPiece, made: PieceState) {
+    fn made(
+        &mut self,
+        batch: &RunningBatch,
+        running: RunningPiece,
+        made: PieceState,
+        now: Duration,
+    ) {
         let piece = running.piece;
         if let Some(job) = self.jobs.get_mut(&piece.job) {
             let stage = &mut job.stages[piece.stage];
             if stage.pieces[piece.piece] == PieceState::Running {
                 stage.pieces[piece.piece] = made;
+                stage.clock.made_at = now;
                 return;
             }
         }
@@ -143,7 +156,7 @@
     ///
     /// Guards against a server that dies with results which later stages need: their pieces would
     /// fail for ever. The answer does not say which result is gone, so all of them are made anew.
-    fn remake_inputs(&mut self, piece: PieceRef) {
+    fn remake_inputs(&mut self, piece: PieceRef, now: Duration) {
         let Some(job) = self.jobs.get_mut(&piece.job) else {
             return;
         };
@@ -177,6 +190,6 @@
                 |waiting: &PieceRef| waiting.job != piece.job || waiting.stage != piece.stage;
             pool.waiting.retain(is_other);
         }
-        self.advance(piece.job);
+        self.advance(piece.job, now);
     }
 }
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -124,6 +124,7 @@
             items.push(job.item(piece.stage, piece.piece, now));
             let stage = &mut job.stages[piece.stage];
             stage.pieces[piece.piece] = PieceState::Running;
+            stage.clock.sent_at.get_or_insert(now);
             let result_bytes = stage.order.result_bytes;
             reserved_bytes += result_bytes;
             pieces.push(RunningPiece {
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::estimate::Outlook;
-use super::{BatchItem, PieceInput, PipelineOrder, StageOrder};
+use super::{BatchItem, PieceInput, PipelineOrder, StageOrder, StageTimes};
 use crate::id::{ResultHandle, ServerId};
 
 /// Size of a result from which it is made just in time and near its reader.
@@ -50,9 +50,28 @@
     pub(super) not_before: Duration,
     pub(super) is_queued: bool,
     pub(super) is_freed: bool,
+    pub(super) clock: StageClock,
+}
+
+/// When a stage got how far.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct StageClock {
+    pub(super) queued_at: Duration,
+    pub(super) sent_at: Option<Duration>,
+    pub(super) made_at: Duration,
 }
 
 impl StageState {
+    pub(super) fn times(&self) -> StageTimes {
+        let Some(sent_at) = self.clock.sent_at else {
+            return StageTimes::default();
+        };
+        StageTimes {
+            waited: sent_at.saturating_sub(self.clock.queued_at),
+            worked: self.clock.made_at.saturating_sub(sent_at),
+        }
+    }
+
     /// Pieces that are in no call and not made.
     pub(super) fn waiting_pieces(&self) -> impl Iterator<Item = usize> {
         let pieces = self.pieces.iter().enumerate();
@@ -95,6 +114,7 @@
                 not_before,
                 is_queued: false,
                 is_freed: false,
+                clock: StageClock::default(),
             })
             .collect();
         Self {
