--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -9,7 +9,7 @@
 
 use amaranthscale_core::id::{CallId, ResultHandle, ServerId};
 use amaranthscale_core::process::{
-    Batch, BatchEnd, BatchId, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused,
+    Batch, BatchEnd, BatchId, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused, PieceEnd,
     PipelineOrder, StageTimes,
 };
 use log::info;
@@ -273,23 +273,41 @@
 ) -> BatchEnd {
     let started = tokio::time::Instant::now();
     let end = call_batch(pool, dialect, batch).await;
-    let name = match &end {
-        BatchEnd::Pieces(_) => "answered",
-        BatchEnd::Full => "full",
-        BatchEnd::OtherServer => "other-server",
-        BatchEnd::Lost => "lost",
-    };
-    counters.count_reason("batch", name);
-    if name != "answered" {
-        let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    for (end, pieces) in failed_pieces(&end, batch.items.len()) {
+        counters.add(&format!("pieces.{end}"), pieces);
         info!(
-            server = batch.server.as_str(), pieces = batch.items.len(), end = name, ms;
-            "batches: call failed"
+            service = batch.service.as_str(), server = batch.server.as_str(), end, pieces,
+            of = batch.items.len(), ms;
+            "batches: pieces not made"
         );
     }
     end
 }
 
+/// Pieces of a call that were not made, by reason.
+fn failed_pieces(end: &BatchEnd, sent: usize) -> BTreeMap<&'static str, u64> {
+    let sent = u64::try_from(sent).unwrap_or(u64::MAX);
+    let ends = match end {
+        BatchEnd::Pieces(ends) => ends,
+        BatchEnd::Full => return BTreeMap::from([("server-full", sent)]),
+        BatchEnd::OtherServer => return BTreeMap::from([("other-server", sent)]),
+        BatchEnd::Lost => return BTreeMap::from([("lost", sent)]),
+    };
+    let mut failed = BTreeMap::new();
+    for end in ends {
+        let name = match end {
+            PieceEnd::Made(_) => continue,
+            PieceEnd::Late => "late",
+            PieceEnd::InputGone => "input-gone",
+            PieceEnd::NoRoom => "no-room",
+            PieceEnd::Failed => "failed",
+        };
+        *failed.entry(name).or_default() += 1;
+    }
+    failed
+}
+
 fn refusal(refused: JobRefused) -> JobAnswer {
     JobAnswer::Refused {
         retry_after_ms: u64::try_from(refused.retry_after.as_millis()).unwrap_or(u64::MAX),
