--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use amaranthscale_core::process::{Batch, BatchEnd, Frees, ServerRecord};
+use amaranthscale_core::process::{Batch, BatchEnd, Frees, ServerRecord, ToldLoad};
 use log::debug;
 
 use super::super::Dialect;
@@ -15,14 +15,26 @@
 const FREE_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Has a batch made; a call without an answer in time counts as lost.
-pub(super) async fn call_batch(pool: &ServerPool, dialect: &Dialect, batch: &Batch) -> BatchEnd {
+pub(super) async fn call_batch(pool: &ServerPool, dialect: &Dialect, batch: &Batch) -> CallEnd {
     let call = call_in_time(pool, dialect, batch);
     tokio::time::timeout(batch.patience, call)
         .await
-        .unwrap_or(BatchEnd::Lost)
+        .unwrap_or(LOST)
 }
 
-async fn call_in_time(pool: &ServerPool, dialect: &Dialect, batch: &Batch) -> BatchEnd {
+/// How a call ended, and the load that the server told with it.
+#[derive(Debug)]
+pub(super) struct CallEnd {
+    pub(super) end: BatchEnd,
+    pub(super) told: Option<ToldLoad>,
+}
+
+const LOST: CallEnd = CallEnd {
+    end: BatchEnd::Lost,
+    told: None,
+};
+
+async fn call_in_time(pool: &ServerPool, dialect: &Dialect, batch: &Batch) -> CallEnd {
     // Pieces may be made again, so a kept connection that proves dead is followed by a new one.
     match call_once(pool, dialect, batch, true).await {
         Ok(end) => end,
@@ -34,9 +46,9 @@
     }
 }
 
-fn lost(error: &SendError) -> BatchEnd {
+fn lost(error: &SendError) -> CallEnd {
     debug!("batches: {error}");
-    BatchEnd::Lost
+    LOST
 }
 
 async fn call_once(
@@ -44,7 +56,7 @@
     dialect: &Dialect,
     batch: &Batch,
     may_be_kept: bool,
-) -> Result<BatchEnd, SendError> {
+) -> Result<CallEnd, SendError> {
     let mut connection = if may_be_kept {
         pool.connection(&server(batch)).await?
     } else {
@@ -56,7 +68,10 @@
         .await
         .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
     pool.give_back(connection, &head.headers);
-    Ok((dialect.batch_end)(head.status, &head.headers, &body))
+    Ok(CallEnd {
+        end: (dialect.batch_end)(head.status, &head.headers, &body),
+        told: (dialect.told_load)(&head.headers),
+    })
 }
 
 fn server(batch: &Batch) -> ServerRecord {
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -10,7 +10,7 @@
 use amaranthscale_core::id::{CallId, ResultHandle, ServerId};
 use amaranthscale_core::process::{
     Batch, BatchEnd, BatchId, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused, PieceEnd,
-    PipelineOrder, StageTimes,
+    PipelineOrder, StageTimes, ToldLoad,
 };
 use log::info;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -20,7 +20,7 @@
 use super::super::Dialect;
 use super::super::connection::ServerPool;
 use super::super::version::Knowledge;
-use super::batch_calls::{call_batch, call_free};
+use super::batch_calls::{CallEnd, call_batch, call_free};
 use crate::process::Counters;
 
 /// Time between two looks at what waits: for held-back pieces and servers that come back.
@@ -56,7 +56,7 @@
     /// Ends a job and frees its results.
     Release(JobId),
     /// A call has ended.
-    Ended(BatchId, BatchEnd),
+    Ended(BatchId, BatchEnd, Option<ToldLoad>),
     /// A call that frees results has ended.
     Freed(Frees),
     /// Routing or servers have changed.
@@ -135,8 +135,8 @@
                 state.waiting.remove(&job);
                 state.batcher.release(job);
             }
-            BatchOwnerMessage::Ended(batch, end) => {
-                state.batcher.batch_ended(batch, end, now);
+            BatchOwnerMessage::Ended(batch, end, told) => {
+                state.batcher.batch_ended(batch, end, told, now);
             }
             BatchOwnerMessage::Changed => state.take_servers(),
             BatchOwnerMessage::Freed(frees) => {
@@ -219,9 +219,9 @@
             let dialect = Arc::clone(&self.arguments.dialect);
             let counters = Arc::clone(&self.arguments.counters);
             tokio::spawn(async move {
-                let end = run_batch(&pool, &dialect, &counters, &batch).await;
+                let CallEnd { end, told } = run_batch(&pool, &dialect, &counters, &batch).await;
                 // The actor ends only with the process.
-                let _ = myself.send_message(BatchOwnerMessage::Ended(batch.id, end));
+                let _ = myself.send_message(BatchOwnerMessage::Ended(batch.id, end, told));
             });
         }
     }
@@ -270,11 +270,11 @@
     dialect: &Dialect,
     counters: &Counters,
     batch: &Batch,
-) -> BatchEnd {
+) -> CallEnd {
     let started = tokio::time::Instant::now();
     let end = call_batch(pool, dialect, batch).await;
     let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
-    for (end, pieces) in failed_pieces(&end, batch.items.len()) {
+    for (end, pieces) in failed_pieces(&end.end, batch.items.len()) {
         counters.add(&format!("pieces.{end}"), pieces);
         info!(
             service = batch.service.as_str(), server = batch.server.as_str(), end, pieces,
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -31,6 +31,9 @@
 use job::{Job, PieceState, StageState};
 use pool_state::PoolState;
 
+/// How long a new owner takes the servers to be shared with the one before.
+const TAKE_OVER: Duration = Duration::from_secs(1);
+
 /// Names a job of the batcher.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobId(u64);
@@ -220,6 +223,8 @@
     events: Vec<JobEvent>,
     next_job: u64,
     next_batch: u64,
+    /// Until when other owners may use the same servers.
+    shared_until: Duration,
 }
 
 #[derive(Debug)]
@@ -279,6 +284,10 @@
 
     /// Takes a request's work, or refuses what cannot be done in time.
     pub fn submit(&mut self, order: PipelineOrder, now: Duration) -> Result<JobId, JobRefused> {
+        if self.jobs.is_empty() {
+            // Another owner may have been at work until now.
+            self.shared_until = self.shared_until.max(now + TAKE_OVER);
+        }
         let outlook = self.outlook(&order, now)?;
         let id = JobId(self.next_job);
         self.next_job += 1;
@@ -366,11 +375,12 @@
 
     /// Frees the results of stages that nothing needs any more.
     fn free_used(&mut self, id: JobId, now: Duration) {
+        let is_shared = self.shared_until > now;
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         let mut freed = Vec::new();
-        for index in job.used_up(now) {
+        for index in job.used_up(now, is_shared) {
             let stage = &mut job.stages[index];
             stage.is_freed = true;
             let order = &stage.order;
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::process::ToldLoad;
+
 use super::job::PieceState;
 use super::{
     BatchEnd, BatchId, Batcher, JobFailure, JobId, PieceEnd, PieceRef, RunningBatch, RunningPiece,
@@ -11,6 +13,10 @@
 const MOST_REMAKES: u32 = 2;
 /// Times that a job's pieces may fail before it is given up.
 const MOST_FAILURES: u32 = 12;
+/// How long servers count as shared after a sign of another owner.
+const SHARED_FOR: Duration = Duration::from_millis(1_500);
+/// Part of another owner's calls that is still to be done when they are told.
+const OTHERS_LEFT: f64 = 0.7;
 /// Time after which a server that was full is tried again: a part of a call.
 const FULL_PAUSE: Duration = Duration::from_millis(80);
 /// Time after which a server without room is tried again.
@@ -18,11 +24,18 @@
 
 impl Batcher {
     /// Takes the end of a call.
-    pub fn batch_ended(&mut self, id: BatchId, end: BatchEnd, now: Duration) {
+    pub fn batch_ended(
+        &mut self,
+        id: BatchId,
+        end: BatchEnd,
+        told: Option<ToldLoad>,
+        now: Duration,
+    ) {
         let Some(batch) = self.batches.remove(&id) else {
             return;
         };
         self.account_server(&batch, &end, now);
+        self.account_others(&batch, &end, told, now);
         let ends = match end {
             BatchEnd::Pieces(ends) if ends.len() == batch.pieces.len() => ends,
             BatchEnd::Full | BatchEnd::OtherServer => {
@@ -71,6 +84,35 @@
         }
     }
 
+    /// Notes the calls of another owner at a server.
+    ///
+    /// Guards against two owners at once, as after an owner's end or while the gateways' views
+    /// differ: their calls would queue behind each other, and inputs that are freed as if a call
+    /// began at once would be gone when its turn comes.
+    fn account_others(
+        &mut self,
+        batch: &RunningBatch,
+        end: &BatchEnd,
+        told: Option<ToldLoad>,
+        now: Duration,
+    ) {
+        let others = told.map_or(0, |told| told.running + told.waiting);
+        let is_gone = |end: &PieceEnd| *end == PieceEnd::InputGone;
+        let has_gone = matches!(end, BatchEnd::Pieces(ends) if ends.iter().any(is_gone));
+        if others == 0 && !has_gone && *end != BatchEnd::Full {
+            return;
+        }
+        self.shared_until = now + SHARED_FOR;
+        let Some(pool) = self.pools.get_mut(&batch.service) else {
+            return;
+        };
+        if let Some((spec, server)) = pool.spec.zip(pool.servers.get_mut(&batch.server)) {
+            let call = spec.time_of(spec.max_pieces / 2);
+            let ahead = call.saturating_mul(others).mul_f64(OTHERS_LEFT);
+            server.busy_until = server.busy_until.max(now + ahead);
+        }
+    }
+
     fn piece_ended(
         &mut self,
         batch: &RunningBatch,
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -189,12 +189,13 @@
     ///
     /// A server fetches a call's inputs when the call's turn comes, and a call is only sent to a
     /// server that is free, so the inputs are read long before the results are made. Freed then,
-    /// they take room for half as long.
-    pub(super) fn used_up(&self, now: Duration) -> Vec<usize> {
+    /// they take room for half as long. Where another owner uses the servers too, a call may wait
+    /// for its turn, and its inputs are kept until it ends.
+    pub(super) fn used_up(&self, now: Duration, is_shared: bool) -> Vec<usize> {
         let has_read = |stage: &StageState| {
             let is_sent = stage.waiting_pieces().next().is_none();
             let sent_at = stage.clock.last_sent_at;
-            stage.is_done() || is_sent && sent_at + INPUTS_READ_AFTER <= now
+            stage.is_done() || !is_shared && is_sent && sent_at + INPUTS_READ_AFTER <= now
         };
         let is_used_up = |index: &usize| {
             let stage = &self.stages[*index];
