--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -15,6 +15,8 @@
 const MOST_FAILURES: u32 = 12;
 /// How long servers count as shared after a sign of another owner.
 const SHARED_FOR: Duration = Duration::from_millis(1_500);
+/// Times the expected time from which a call seems to have waited for its turn.
+const WAITED_FACTOR: f64 = 1.4;
 /// Part of another owner's calls that is still to be done when they are told.
 const OTHERS_LEFT: f64 = 0.7;
 /// Time after which a server that was full is tried again: a part of a call.
@@ -99,7 +101,9 @@
         let others = told.map_or(0, |told| told.running + told.waiting);
         let is_gone = |end: &PieceEnd| *end == PieceEnd::InputGone;
         let has_gone = matches!(end, BatchEnd::Pieces(ends) if ends.iter().any(is_gone));
-        if others == 0 && !has_gone && *end != BatchEnd::Full {
+        // A single result may be gone for other reasons; a call that waited for its turn is slow.
+        let has_waited = has_gone && self.was_slow(batch, now);
+        if others == 0 && !has_waited && *end != BatchEnd::Full {
             return;
         }
         self.shared_until = now + SHARED_FOR;
@@ -113,6 +117,14 @@
         }
     }
 
+    fn was_slow(&self, batch: &RunningBatch, now: Duration) -> bool {
+        let spec = self.pools.get(&batch.service).and_then(|pool| pool.spec);
+        spec.is_some_and(|spec| {
+            let expected = spec.time_of(batch.pieces.len());
+            now.saturating_sub(batch.sent_at) > expected.mul_f64(WAITED_FACTOR)
+        })
+    }
+
     fn piece_ended(
         &mut self,
         batch: &RunningBatch,
