The first announced gateway owns the batches

Cause: by rendezvous a gateway that joined took the batches over, so a roll of restarts made two owners at once again and again; after a loss of power a dead life's announcement hid the living one. Change: the oldest announcement acts, a stopping owner hands over what has not begun, a newer life replaces the older at its address and removes its announcement.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -19,7 +19,7 @@
 };
 use super::request::answer_caller;
 use super::version::{
-    Knowledge, announce_instance, follow_instances, follow_routing, follow_servers,
+    Knowledge, Own, announce_instance, follow_instances, follow_routing, follow_servers,
     withdraw_instance,
 };
 use super::{GatewayConfig, StoreCalls};
@@ -74,8 +74,8 @@
             config.instance.clone(),
             config.peers,
         ));
-        let following = follow(&config, &knowledge);
         let parts = Arc::new(start_parts(&config, &knowledge).await?);
+        let following = follow(&config, &parts);
         let callers = listen_callers(&config, &parts).await?;
         let others = listen_others(&config, &parts).await?;
         tokio::spawn(tell_changes(Arc::clone(&parts)));
@@ -132,8 +132,13 @@
     }
 }
 
-fn follow(config: &GatewayConfig, knowledge: &Arc<Knowledge>) -> Vec<JoinHandle<()>> {
-    let own = (config.instance.clone(), config.peers);
+fn follow(config: &GatewayConfig, parts: &GatewayParts) -> Vec<JoinHandle<()>> {
+    let knowledge = &parts.knowledge;
+    let own = Own {
+        instance: config.instance.clone(),
+        peers: config.peers,
+        stop: Arc::clone(&parts.stop),
+    };
     vec![
         tokio::spawn(follow_routing(config.store.clone(), Arc::clone(knowledge))),
         tokio::spawn(follow_servers(config.store.clone(), Arc::clone(knowledge))),
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -144,7 +144,7 @@
                 state.batcher.freed(&frees);
             }
             BatchOwnerMessage::Tick => state.is_ticking = false,
-            BatchOwnerMessage::Stop => state.is_stopping = true,
+            BatchOwnerMessage::Stop => state.hand_over(),
         }
         state.send_frees(&myself);
         state.send_batches(&myself, now);
@@ -188,6 +188,17 @@
         }
     }
 
+    /// Gives up what has not begun, so that the next owner takes it; what has begun goes on.
+    fn hand_over(&mut self) {
+        self.is_stopping = true;
+        for job in self.batcher.unstarted() {
+            self.batcher.release(job);
+            if let Some(waiting) = self.waiting.remove(&job) {
+                let _ = waiting.answer.send(JobAnswer::Stopping);
+            }
+        }
+    }
+
     fn take_servers(&mut self) {
         let Some(routing) = self.arguments.knowledge.routing() else {
             return;
--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -50,7 +50,6 @@
 /// Has pieces made; an owner that falls silent is passed over and the next one takes its place.
 pub async fn make_pieces(
     parts: &GatewayParts,
-    group: &str,
     mut order: PipelineOrder,
 ) -> Result<MadePieces, PiecesError> {
     let started = Instant::now();
@@ -58,7 +57,7 @@
     for _ in 0..MOST_OWNERS {
         order.aim_left = aim_left.saturating_sub(started.elapsed());
         order.deadline_left = deadline_left.saturating_sub(started.elapsed());
-        let (owner, address, is_own) = parts.knowledge.owner_of(group);
+        let (owner, address, is_own) = parts.knowledge.owner();
         let answered = if is_own {
             let (answer, job) = parts.batches.run(order.clone()).await;
             Ok((answer, Kept::Here { _job: job }))
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -26,7 +26,6 @@
 #[derive(Debug)]
 pub(super) struct Admitted {
     pub(super) route: Arc<Route>,
-    pub(super) routing: Arc<Routing>,
     pub(super) work: CallerWork,
     /// Rank, 0 first: the organisation's before the route's.
     pub(super) priority: u8,
@@ -117,7 +116,6 @@
         priority,
         arrived,
         until,
-        routing: Arc::clone(&routing),
     };
     let now = parts.knowledge.clock().now();
     parts.budgets.request(&service, now);
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -197,15 +197,13 @@
 
     async fn pieces(&mut self, reader: &ServerRecord) -> Result<Option<MadePieces>, Refused> {
         let route = Arc::clone(&self.admitted.route);
-        let Some(first) = route.stages.first() else {
+        if route.stages.is_empty() {
             return Ok(None);
-        };
+        }
         let stages = self.stage_orders();
         let made = if stages.iter().all(|stage| stage.pieces == 0) {
             None
         } else {
-            let routing = Arc::clone(&self.admitted.routing);
-            let group = routing.batch_group(&first.service);
             let order = PipelineOrder {
                 call: self.admitted.work.call.clone(),
                 piece_key: self.admitted.work.piece_key.clone(),
@@ -215,7 +213,7 @@
                 deadline_left: self.admitted.left().saturating_sub(ENGINE_RESERVE),
                 reader_zone: reader.zone.clone(),
             };
-            let making = make_pieces(&self.parts, group.as_str(), order);
+            let making = make_pieces(&self.parts, order);
             let made = tokio::time::timeout(self.admitted.left(), making).await;
             let made = made.map_err(|_elapsed| Refused::new(ResultCode::DeadlineUnreachable))?;
             Some(made.map_err(|error| self.no_pieces(&error))?)
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -10,6 +10,6 @@
 #[doc(inline)]
 pub use feed::{Feed, FeedEvent, FeedPace};
 #[doc(inline)]
-pub use follow::{follow_instances, follow_routing, follow_servers};
+pub use follow::{Own, follow_instances, follow_routing, follow_servers};
 #[doc(inline)]
 pub use knowledge::Knowledge;
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -1,5 +1,6 @@
 //! Keeps what is known up to date from the store's feeds.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use amaranthscale_core::process::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord};
 use log::{info, warn};
 
+use super::super::process::StopGate;
 use super::super::{StoreCalls, StoreRow, StoreTable};
 use super::announce::{announce_instance, withdraw_instance};
 use super::{Feed, FeedEvent, FeedPace, Knowledge};
@@ -106,24 +108,44 @@
     }
 }
 
-/// Name and peer address of the gateway itself.
-type Own = (InstanceId, std::net::SocketAddr);
+/// The gateway itself, as it announces itself.
+#[derive(Debug, Clone)]
+pub struct Own {
+    /// This life of the gateway.
+    pub instance: InstanceId,
+    /// Where other gateways connect.
+    pub peers: SocketAddr,
+    /// Whether it stops, and so announces itself no more.
+    pub stop: Arc<StopGate>,
+}
 
 fn take_instance(store: &StoreCalls, knowledge: &Knowledge, own: &Own, row: &StoreRow) {
     let Some(id) = instance_id(row) else {
         return;
     };
     let Some(value) = &row.value else {
-        if id == own.0 {
+        if id == own.instance && !own.stop.is_stopping() {
             // Another gateway took this one for dead; it lives, and says so.
-            tokio::spawn(announce_instance(store.clone(), own.0.clone(), own.1));
+            tokio::spawn(announce_instance(
+                store.clone(),
+                own.instance.clone(),
+                own.peers,
+            ));
         }
         info!(instance = id.as_str(); "membership: gone");
         knowledge.change_instances(|instances| instances.withdrawn(&id));
         return;
     };
     match (store.instance)(value) {
-        Ok(address) => knowledge.change_instances(|instances| instances.announced(id, address)),
+        Ok(address) => {
+            let since = row.version;
+            if address == own.peers && id != own.instance {
+                // An earlier life here ended without a word; nobody else can tell it from this one.
+                let (store, ended) = (store.clone(), id.clone());
+                tokio::spawn(async move { withdraw_instance(&store, &ended).await });
+            }
+            knowledge.change_instances(|instances| instances.announced(id, address, since));
+        }
         Err(reason) => warn!(reason = reason.as_str(); "membership: announcement refused"),
     }
 }
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -82,14 +82,14 @@
         self.known().instances.live(now)
     }
 
-    /// The gateway that owns the batches of a name, and whether it is this one.
+    /// The gateway that owns the batches, and whether it is this one.
     #[must_use]
-    pub fn owner_of(&self, name: &str) -> (InstanceId, SocketAddr, bool) {
+    pub fn owner(&self) -> (InstanceId, SocketAddr, bool) {
         let now = self.clock.now();
         let known = self.known();
-        let (id, address) = known.instances.owner_of(name, now);
-        let is_own = id == *known.instances.own();
-        (id, address, is_own)
+        let (id, address) = known.instances.owner(now);
+        let is_own = id == known.instances.own();
+        (id.clone(), address, is_own)
     }
 
     /// Notes that a gateway answered.
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -335,6 +335,13 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Jobs of which no piece was sent.
+    #[must_use]
+    pub fn unstarted(&self) -> Vec<JobId> {
+        let jobs = self.jobs.iter().filter(|(_, job)| !job.is_started);
+        jobs.map(|(id, _)| *id).collect()
+    }
+
     /// Pieces that wait for a server.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -1,16 +1,15 @@
 //! The entries of a deployment, as one of them sees them.
 //!
 //! Entries announce themselves in the store once. Whether one still lives is learnt by those that
-//! talk to it: a silent one is passed over for a while. An order by rendezvous hash gives every
-//! entry the same first choice without a word; while views differ, two entries may both act, which
-//! the callers of this module must bear.
+//! talk to it: a silent one is passed over for a while. The one whose announcement is the oldest
+//! acts for all; every entry sees the same order without a word, and one that joins takes nothing
+//! over. While views differ, two entries may both act, which the callers of this module must bear.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::rendezvous;
-use crate::id::InstanceId;
+use crate::id::{InstanceId, RowVersion};
 
 /// How long an entry that fell silent is passed over before it is tried again.
 const PASSED_OVER: Duration = Duration::from_secs(3);
@@ -20,6 +19,8 @@
 #[derive(Debug, Clone)]
 struct Seen {
     address: SocketAddr,
+    /// Version of the announcement; none while it is not seen in the store.
+    since: Option<RowVersion>,
     silent_since: Option<Duration>,
     passed_over_until: Duration,
 }
@@ -35,12 +36,11 @@
     /// A view that knows only the entry itself.
     #[must_use]
     pub fn new(own: InstanceId, address: SocketAddr) -> Self {
-        let mut view = Self {
+        let seen = Seen::new(address, None);
+        Self {
             own: own.clone(),
-            instances: BTreeMap::new(),
-        };
-        view.announced(own, address);
-        view
+            instances: BTreeMap::from([(own, seen)]),
+        }
     }
 
     /// Name of the entry itself.
@@ -52,26 +52,33 @@
     /// Takes an announcement.
     ///
     /// A new life at the same address ends the old one: an address has one process.
-    pub fn announced(&mut self, id: InstanceId, address: SocketAddr) {
-        let is_own = id == self.own;
-        if !is_own && self.instances.contains_key(&id) {
+    pub fn announced(&mut self, id: InstanceId, address: SocketAddr, since: RowVersion) {
+        if let Some(known) = self.instances.get_mut(&id) {
+            known.since = Some(since);
             return;
         }
-        let own = self.own.clone();
-        self.instances
-            .retain(|known, seen| *known == own || seen.address != address);
-        let seen = Seen {
-            address,
-            silent_since: None,
-            passed_over_until: Duration::ZERO,
-        };
-        self.instances.insert(id, seen);
+        let at_address = self
+            .instances
+            .iter()
+            .find(|(_, seen)| seen.address == address);
+        if let Some((known, seen)) = at_address {
+            // After a loss of power the dead life's announcement is still there, and rows come in
+            // the order of their names: the older one must not hide the one that lives.
+            if *known == self.own || seen.since > Some(since) {
+                return;
+            }
+            let ended = known.clone();
+            self.instances.remove(&ended);
+        }
+        self.instances.insert(id, Seen::new(address, Some(since)));
     }
 
     /// Takes the end of an announcement.
     pub fn withdrawn(&mut self, id: &InstanceId) {
         if *id != self.own {
             self.instances.remove(id);
+        } else if let Some(own) = self.instances.get_mut(id) {
+            own.since = None;
         }
     }
 
@@ -119,19 +126,32 @@
         self.instances.values().filter(is_live).count().max(1)
     }
 
-    /// The entry that acts for a name: first by rendezvous among those not passed over.
+    /// The entry that acts for all: the first announced among those not passed over.
     #[must_use]
-    pub fn owner_of(&self, name: &str, now: Duration) -> (InstanceId, SocketAddr) {
+    pub fn owner(&self, now: Duration) -> (&InstanceId, SocketAddr) {
         let live = self
             .instances
             .iter()
             .filter(|(id, seen)| **id == self.own || seen.passed_over_until <= now);
-        let seed = rendezvous::score(0, name);
-        let best = live.max_by_key(|(id, _)| rendezvous::score(seed, id));
-        let (id, found) = best.unwrap_or_else(|| {
+        // One that is not seen in the store yet comes after all that are.
+        let order =
+            |(id, seen): &(&InstanceId, &Seen)| (seen.since.is_none(), seen.since, (*id).clone());
+        let first = live.min_by_key(order);
+        let (id, found) = first.unwrap_or_else(|| {
             // The own entry is never removed, so the view is never empty.
             unreachable!("the view holds its own entry")
         });
-        (id.clone(), found.address)
+        (id, found.address)
+    }
+}
+
+impl Seen {
+    const fn new(address: SocketAddr, since: Option<RowVersion>) -> Self {
+        Self {
+            address,
+            since,
+            silent_since: None,
+            passed_over_until: Duration::ZERO,
+        }
     }
 }
--- a/crates/core/src/version/routing.rs
+++ b/crates/core/src/version/routing.rs
@@ -39,7 +39,6 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
     pools: BTreeMap<ServiceId, Pool>,
     holders: HashMap<String, Arc<KeyHolder>>,
-    batch_groups: BTreeMap<ServiceId, ServiceId>,
     is_keyed: bool,
 }
 
@@ -64,7 +63,6 @@
         for of_host in self.routes.values_mut() {
             of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        self.batch_groups = batch_groups(self.routes());
         self
     }
 
@@ -135,37 +133,4 @@
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
     }
-
-    /// Names the stage services that share routes with one, so that one owner makes their batches.
-    #[must_use]
-    pub fn batch_group<'a>(&'a self, service: &'a ServiceId) -> &'a ServiceId {
-        self.batch_groups.get(service).unwrap_or(service)
-    }
-}
-
-/// The first name among the services that are linked by routes, for each service.
-fn batch_groups<'a>(
-    routes: impl Iterator<Item = &'a Arc<Route>>,
-) -> BTreeMap<ServiceId, ServiceId> {
-    let mut groups: BTreeMap<ServiceId, ServiceId> = BTreeMap::new();
-    for route in routes {
-        let linked: Vec<ServiceId> = route
-            .stages
-            .iter()
-            .map(|stage| {
-                let service = &stage.service;
-                groups
-                    .entry(service.clone())
-                    .or_insert_with(|| service.clone())
-                    .clone()
-            })
-            .collect();
-        let Some(first) = linked.iter().min() else {
-            continue;
-        };
-        for group in groups.values_mut().filter(|group| linked.contains(group)) {
-            group.clone_from(first);
-        }
-    }
-    groups
 }
