--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -82,10 +82,18 @@
                 knowledge.change_servers(|servers, now| take_changes(servers, changes, now));
             }
         }
-        knowledge.change_servers(drop_lapsed);
+        if let Some(until) = knowledge.servers().lapsed_until() {
+            tokio::spawn(drop_lapsed_at(Arc::clone(&knowledge), until));
+        }
     }
 }
 
+/// Drops what lapsed at its time, whatever the feed waits for.
+async fn drop_lapsed_at(knowledge: Arc<Knowledge>, until: Duration) {
+    tokio::time::sleep(until.saturating_sub(knowledge.clock().now())).await;
+    knowledge.change_servers(drop_lapsed);
+}
+
 /// Follows the gateways for good, and announces this one again if its announcement is gone.
 pub async fn follow_instances(store: StoreCalls, knowledge: Arc<Knowledge>, own: Own) {
     let mut feed = Feed::new(StoreTable::Instances, store.clone(), INSTANCES_PACE);
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -4,7 +4,7 @@
 //! away may only have been unable to say that it lives, so it is kept for a short grace after the
 //! store's return.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -44,7 +44,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerList {
     servers: BTreeMap<ServerId, ServerRecord>,
-    lapsed: BTreeMap<ServerId, Duration>,
+    lapsed: BTreeSet<ServerId>,
     returned_at: Option<Duration>,
     is_away: bool,
 }
@@ -90,17 +90,22 @@
         }
     }
 
+    /// When what lapsed and has not come back is gone.
+    #[must_use]
+    pub fn lapsed_until(&self) -> Option<Duration> {
+        let returned_at = self
+            .returned_at
+            .filter(|_| !self.lapsed.is_empty() && !self.is_away);
+        returned_at.map(|returned_at| returned_at + LAPSE_GRACE)
+    }
+
     /// Drops what lapsed and has not come back in time; says which.
     pub fn drop_lapsed(&mut self, now: Duration) -> Vec<ServerId> {
-        let is_due = |since: &Duration| now.saturating_sub(*since) >= LAPSE_GRACE;
-        let due: Vec<_> = self
-            .lapsed
-            .iter()
-            .filter(|(_, since)| is_due(since))
-            .map(|(id, _)| id.clone())
-            .collect();
+        if self.lapsed_until().is_none_or(|until| until > now) {
+            return Vec::new();
+        }
+        let due: Vec<_> = std::mem::take(&mut self.lapsed).into_iter().collect();
         for id in &due {
-            self.lapsed.remove(id);
             self.servers.remove(id);
         }
         due
@@ -133,9 +138,8 @@
             .returned_at
             .is_some_and(|returned_at| now.saturating_sub(returned_at) < LAPSE_GRACE);
         if self.is_away || in_grace {
-            let known = self.servers.contains_key(&id);
-            if known {
-                self.lapsed.entry(id).or_insert(now);
+            if self.servers.contains_key(&id) {
+                self.lapsed.insert(id);
             }
             return false;
         }
