--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use amaranthscale_core::id::ResultHandle;
+use amaranthscale_core::id::{InstanceId, ResultHandle};
 use amaranthscale_core::process::{JobFailure, PipelineOrder};
 use hyper::body::Incoming;
 use log::info;
@@ -37,6 +37,8 @@
 pub struct MadePieces {
     /// Handles that the engine needs.
     pub handles: Vec<ResultHandle>,
+    /// The gateway that had them made.
+    pub owner: InstanceId,
     /// The job here, or the open answer of a peer.
     _kept: Kept,
 }
@@ -70,7 +72,7 @@
             Ok((JobAnswer::Stopping, _)) => parts.knowledge.silent(&owner),
             Ok((answer, kept)) => {
                 parts.knowledge.heard(&owner);
-                return outcome(answer, kept);
+                return outcome(owner, answer, kept);
             }
             Err(reason) => {
                 parts.counters.count("owner.lost");
@@ -85,10 +87,11 @@
     Err(PiecesError::Refused(NO_OWNER_RETRY, JobFailure::Failing))
 }
 
-fn outcome(answer: JobAnswer, kept: Kept) -> Result<MadePieces, PiecesError> {
+fn outcome(owner: InstanceId, answer: JobAnswer, kept: Kept) -> Result<MadePieces, PiecesError> {
     match answer {
         JobAnswer::Done(handles) => Ok(MadePieces {
             handles,
+            owner,
             _kept: kept,
         }),
         JobAnswer::Refused {
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::{ResultHandle, ServerId, ServiceId};
+use amaranthscale_core::id::{InstanceId, ResultHandle, ServerId, ServiceId};
 use amaranthscale_core::process::{PipelineOrder, SendEnd, ServerRecord, StageOrder};
 use hyper::Response;
 use log::info;
+use tokio::time::Instant;
 
 use super::super::process::{GatewayParts, MadePieces, OpenRequest, PiecesError, make_pieces};
 use super::answer::{AnswerBody, passed_on, whole};
@@ -40,6 +41,10 @@
     pub(super) ran: u32,
     rejected: u32,
     remakes: u32,
+    /// The gateway that had the pieces made.
+    pub(super) owner: Option<InstanceId>,
+    /// When the pieces were made.
+    pub(super) pieces_at: Option<Instant>,
 }
 
 /// An engine's answer that has begun, and the results that it still reads.
@@ -67,6 +72,8 @@
         ran: 0,
         rejected: 0,
         remakes: 0,
+        owner: None,
+        pieces_at: None,
     };
     let running = run.begin().await?;
     if running.begun.head.status.is_success() {
@@ -218,6 +225,10 @@
             let made = made.map_err(|_elapsed| Refused::new(ResultCode::DeadlineUnreachable))?;
             Some(made.map_err(|error| self.no_pieces(&error))?)
         };
+        if let Some(made) = &made {
+            self.owner = Some(made.owner.clone());
+            self.pieces_at = Some(Instant::now());
+        }
         let handles = made.iter().flat_map(|made| &made.handles);
         let handles: Vec<_> = handles.map(ResultHandle::as_str).collect();
         let inputs = self.parts.dialect.headers.inputs.clone();
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -173,9 +173,12 @@
 
     fn log(&self, end: &'static str, server: &ServerId, first_at: std::time::Duration) {
         let admitted = &self.run.admitted;
+        let owner = self.run.owner.as_ref().map_or("-", |owner| owner.as_str());
+        let pieces_at = self.run.pieces_at.unwrap_or(admitted.arrived);
         info!(
             call = admitted.work.call.as_str(), route:% = admitted.route.id,
-            server = server.as_str(), end, events = self.passed,
+            server = server.as_str(), end, events = self.passed, owner,
+            pieces_ms = ms(pieces_at - admitted.arrived),
             begun_ms = ms(first_at), ms = ms(Instant::now() - admitted.arrived);
             "stream: ended"
         );
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -21,8 +21,6 @@
 const OTHERS_LEFT: f64 = 0.7;
 /// Time after which a server that was full is tried again: a part of a call.
 const FULL_PAUSE: Duration = Duration::from_millis(80);
-/// Time after which a server without room is tried again.
-const NO_ROOM_PAUSE: Duration = Duration::from_millis(150);
 
 impl Batcher {
     /// Takes the end of a call.
@@ -50,6 +48,7 @@
                 vec![PieceEnd::Failed; batch.pieces.len()]
             }
         };
+        let is_full = ends.contains(&PieceEnd::NoRoom);
         let mut touched: Vec<JobId> = Vec::new();
         for (piece, end) in batch.pieces.iter().zip(ends) {
             self.piece_ended(&batch, *piece, end, now);
@@ -57,6 +56,9 @@
                 touched.push(piece.piece.job);
             }
         }
+        if let Some(pool) = self.pools.get_mut(&batch.service).filter(|_| is_full) {
+            pool.note_full(&batch.server, now);
+        }
         for job in touched {
             self.free_used(job, now);
             self.advance(job, now);
@@ -73,13 +75,10 @@
         server.calls = server.calls.saturating_sub(1);
         server.busy_until = now;
         match end {
-            BatchEnd::Pieces(ends) => {
+            BatchEnd::Pieces(_) => {
                 let expected = spec.time_of(batch.pieces.len()).as_secs_f64();
                 let elapsed = now.saturating_sub(batch.sent_at).as_secs_f64();
                 server.answered(elapsed / expected.max(0.001), now);
-                if ends.contains(&PieceEnd::NoRoom) {
-                    server.out_until = now + NO_ROOM_PAUSE;
-                }
             }
             BatchEnd::Full => server.busy_until = now + FULL_PAUSE,
             BatchEnd::OtherServer | BatchEnd::Lost => server.lost(now),
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -188,6 +188,7 @@
             .div_ceil(free_servers)
             .clamp(1, spec.max_pieces.max(1));
         let mut chosen: Vec<PieceRef> = Vec::new();
+        let free_bytes = pool.free_bytes(server, now);
         let mut taken_bytes = 0;
         for (ahead, piece) in started.enumerate() {
             let job = &self.jobs[&piece.job];
@@ -202,7 +203,7 @@
             let is_for_another = self.waits_for_near(pool, spec, job, *piece, state, ahead, now);
             if is_for_another
                 || job.is_late && !self.has_spare(job, now)
-                || !pool.has_room(server, taken_bytes, result_bytes)
+                || taken_bytes + result_bytes > free_bytes
                 || Self::is_too_slow(pool, spec, state, job, *piece, now)
             {
                 continue;
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -36,6 +36,9 @@
     pub(super) out_until: Duration,
     losses: u32,
     used_bytes: u64,
+    /// Room that results of others took when the server last had none left.
+    others_bytes: u64,
+    others_at: Duration,
     slowness: f64,
     sampled_at: Duration,
 }
@@ -50,6 +53,8 @@
             out_until: Duration::ZERO,
             losses: 0,
             used_bytes: 0,
+            others_bytes: 0,
+            others_at: Duration::ZERO,
             slowness: 1.0,
             sampled_at: Duration::ZERO,
         }
@@ -64,6 +69,14 @@
         }
     }
 
+    fn others_bytes(&self, kept_for: Duration, now: Duration) -> u64 {
+        let elapsed = now.saturating_sub(self.others_at).min(kept_for);
+        let left_ms = kept_for.saturating_sub(elapsed).as_millis();
+        let whole_ms = kept_for.as_millis().max(1);
+        let left = u128::from(self.others_bytes) * left_ms / whole_ms;
+        u64::try_from(left).unwrap_or(u64::MAX)
+    }
+
     pub(super) fn answered(&mut self, slowness: f64, now: Duration) {
         self.losses = 0;
         self.slowness += SAMPLE_SHARE * (slowness.max(0.5) - self.slowness);
@@ -130,15 +143,24 @@
         }
     }
 
-    /// Whether a server has room for a result beside those that it keeps.
-    pub(super) fn has_room(&self, server: &ServerId, taken_bytes: u64, result_bytes: u64) -> bool {
+    /// Room of a server that nothing takes.
+    pub(super) fn free_bytes(&self, server: &ServerId, now: Duration) -> u64 {
         let Some((spec, server)) = self.spec.zip(self.servers.get(server)) else {
-            return false;
+            return 0;
         };
-        let usable_bytes = spec.room_bytes / 100 * USED_ROOM_PERCENT;
-        // A result larger than the room must be let through: the size is approximate.
-        let is_empty = server.used_bytes + taken_bytes == 0;
-        is_empty || server.used_bytes + taken_bytes + result_bytes <= usable_bytes
+        let taken_bytes = server.used_bytes + server.others_bytes(spec.kept_for, now);
+        usable_bytes(spec).saturating_sub(taken_bytes)
+    }
+
+    /// Notes that a server has no room beyond what is accounted for.
+    ///
+    /// Guards against results that nobody frees, as after an owner's death: calls would go on to
+    /// be sent that find no room. Such results lapse, so their room comes back by and by.
+    pub(super) fn note_full(&mut self, server: &ServerId, now: Duration) {
+        if let Some((spec, server)) = self.spec.zip(self.servers.get_mut(server)) {
+            server.others_bytes = usable_bytes(spec).saturating_sub(server.used_bytes);
+            server.others_at = now;
+        }
     }
 
     pub(super) fn reserve(&mut self, server: &ServerId, bytes: u64) {
@@ -159,3 +181,7 @@
         servers.filter(move |(_, server)| server.out_until <= now)
     }
 }
+
+const fn usable_bytes(spec: BatchSpec) -> u64 {
+    spec.room_bytes / 100 * USED_ROOM_PERCENT
+}
