--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -221,7 +221,9 @@
         .await
         .map_err(|cause| GatewayError::Listen("readiness", config.ready, cause))?;
     let batches = parts.batches.clone();
-    let pieces = move |request: Request<Incoming>| serve_pieces(batches.clone(), request);
+    let own = config.instance.clone();
+    let pieces =
+        move |request: Request<Incoming>| serve_pieces(own.clone(), batches.clone(), request);
     let peers = HttpServer::start(config.peers, limits, pieces)
         .await
         .map_err(|cause| GatewayError::Listen("other gateways", config.peers, cause))?;
--- a/crates/amaranthscale/src/gateway/process/peer_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_pieces.rs
@@ -9,6 +9,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use amaranthscale_core::id::InstanceId;
 use amaranthscale_core::process::PipelineOrder;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -19,8 +20,8 @@
 use super::{BatchOwnerHandle, JobAnswer, OwnedJob};
 use crate::connection::{PeerClient, ResponseBody, empty_body, read_body};
 
-/// Path of the request that carries a job.
-pub const PIECES_PATH: &str = "/pieces";
+/// Start of the path of a request that carries a job; the owner's name follows.
+pub const PIECES_PATH: &str = "/pieces/";
 /// Largest order: some stages of some hundred bytes.
 const MAX_ORDER_BYTES: usize = 64 * 1024;
 /// Longest wait for an order's body; it comes with its head.
@@ -31,12 +32,14 @@
 /// Asks another gateway; the open body keeps the results.
 pub(super) async fn ask_peer(
     peers: &PeerClient,
+    owner: &InstanceId,
     address: SocketAddr,
     order: &PipelineOrder,
 ) -> Result<(JobAnswer, Incoming), String> {
+    let path = format!("{PIECES_PATH}{owner}");
     let encoded = rmp_serde::to_vec_named(order).map_err(|error| error.to_string())?;
     let response = peers
-        .post(address, PIECES_PATH, encoded)
+        .post(address, &path, encoded)
         .await
         .map_err(|error| error.to_string())?;
     if response.status() != StatusCode::OK {
@@ -75,11 +78,15 @@
 }
 
 /// Answers another gateway's job.
+///
+/// Guards against a job for an earlier life at this address: its sender has not heard that it
+/// ended, and would make this gateway a second owner beside the one that the others ask.
 pub async fn serve_pieces(
+    own: InstanceId,
     batches: BatchOwnerHandle,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    if request.uri().path() != PIECES_PATH {
+    if request.uri().path().strip_prefix(PIECES_PATH) != Some(own.as_str()) {
         return status(StatusCode::NOT_FOUND);
     }
     let read = read_body(request.into_body(), MAX_ORDER_BYTES, ORDER_PATIENCE).await;
--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -64,7 +64,7 @@
             let (answer, job) = parts.batches.run(order.clone()).await;
             Ok((answer, Kept::Here { _job: job }))
         } else {
-            ask_peer(&parts.peers, address, &order)
+            ask_peer(&parts.peers, &owner, address, &order)
                 .await
                 .map(|(answer, body)| (answer, Kept::Peer { _answer: body }))
         };
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -28,7 +28,7 @@
 /// Pace of the gateways: changes are told at once, silence shows on their own connections.
 const INSTANCES_PACE: FeedPace = FeedPace {
     wait: Duration::from_secs(10),
-    between: Duration::from_millis(200),
+    between: Duration::from_millis(20),
     after_failure: Duration::from_secs(1),
 };
 
