Pieces go by their request's worth for its work as well

Cause: where organisations' ranks are equal, a request worth a third took the same place (letters before digests at caseworker-portal, saturated in bursts). Change: worth in tokens over the servers' time, against the usual, moves the place.

--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -216,6 +216,7 @@
                 piece_key: self.admitted.work.piece_key.clone(),
                 stages,
                 priority: self.admitted.priority,
+                worth_tokens: self.admitted.work.worth_tokens,
                 aim_left: route.aim.saturating_sub(self.admitted.arrived.elapsed()),
                 deadline_left: self.admitted.left().saturating_sub(ENGINE_RESERVE),
                 reader_zone: reader.zone.clone(),
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -67,6 +67,8 @@
     pub stages: Vec<StageOrder>,
     /// Rank, 0 first.
     pub priority: u8,
+    /// Worth of the answer against others', in tokens of the engine's work; 0 if not known.
+    pub worth_tokens: u64,
     /// Time left until the results are of full worth no longer.
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     #[serde(rename = "aim_left_ms")]
@@ -223,6 +225,8 @@
     events: Vec<JobEvent>,
     next_job: u64,
     next_batch: u64,
+    /// Tokens a second of servers' time that a job is usually worth.
+    usual_worth: f64,
     /// Until when other owners may use the same servers.
     shared_until: Duration,
 }
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::job::{Job, LARGE_RESULT_BYTES, place};
-use super::{Batcher, JobFailure, JobRefused, PipelineOrder};
+use super::job::{Job, LARGE_RESULT_BYTES, put_off};
+use super::{Batcher, JobFailure, JobRefused, PipelineOrder, StageOrder};
 use crate::id::ServiceId;
 
 /// Time that an engine takes to its first event beside the stages.
@@ -17,6 +17,8 @@
 /// Part of the spare time that a large result is held back for the longer stages beside it.
 const HELD_BACK_PART: f64 = 0.7;
 
+/// Part of each job in the usual worth; about the last hundred count.
+const USUAL_SHARE: f64 = 0.01;
 /// Part of a service's time that late requests are always taken to have.
 const LEAST_LEFT_OVER: f64 = 0.1;
 
@@ -26,6 +28,7 @@
     pub(super) latest_starts: Vec<Duration>,
     pub(super) not_before: Vec<Duration>,
     pub(super) path_time: Duration,
+    pub(super) put_off: Duration,
     pub(super) is_late: bool,
 }
 
@@ -38,14 +41,12 @@
     ) -> Result<Outlook, JobRefused> {
         let calls = self.call_times(order, now)?;
         let latest_starts = latest_starts(order, &calls, now);
+        let put_off = put_off(order.priority, self.relative_worth(order));
         let waits = order
             .stages
             .iter()
             .zip(&latest_starts)
-            .map(|(stage, start)| {
-                let before = place(*start, order.priority);
-                self.backlog(&stage.service, before, now)
-            });
+            .map(|(stage, start)| self.backlog(&stage.service, *start + put_off, now));
         let waits: Vec<_> = waits.collect();
         let done = done_at(order, &calls, &waits, now);
         let is_late = done + ENGINE_TIME > now + order.aim_left;
@@ -57,10 +58,38 @@
             not_before: not_before(order, &calls, now),
             path_time: done_at(order, &calls, &[], now) - now,
             latest_starts,
+            put_off,
             is_late,
         })
     }
 
+    /// Worth of a job for its work, against what is usual; 1 if it is not known.
+    fn relative_worth(&mut self, order: &PipelineOrder) -> f64 {
+        let work: Duration = order.stages.iter().map(|stage| self.work_of(stage)).sum();
+        if order.worth_tokens == 0 || work.is_zero() {
+            return 1.0;
+        }
+        let tokens = f64::from(u32::try_from(order.worth_tokens).unwrap_or(u32::MAX));
+        let worth = tokens / work.as_secs_f64();
+        if self.usual_worth == 0.0 {
+            self.usual_worth = worth;
+        }
+        let usual = self.usual_worth;
+        self.usual_worth += USUAL_SHARE * (worth - usual);
+        worth / usual
+    }
+
+    /// Server time that a stage's pieces take in full batches.
+    fn work_of(&self, stage: &StageOrder) -> Duration {
+        let spec = self.pools.get(&stage.service).and_then(|pool| pool.spec);
+        let Some(spec) = spec else {
+            return Duration::ZERO;
+        };
+        let max_pieces = u32::try_from(spec.max_pieces.max(1)).unwrap_or(1);
+        let pieces = u32::try_from(stage.pieces).unwrap_or(u32::MAX);
+        (spec.piece_time + spec.call_time / max_pieces).saturating_mul(pieces)
+    }
+
     /// Refuses a late job that would not be done in what the others leave over.
     fn check_late(
         &self,
@@ -116,7 +145,7 @@
             retry_after: SHORTEST_RETRY,
             reason: JobFailure::NoServer,
         };
-        let time_of = |stage: &super::StageOrder| {
+        let time_of = |stage: &StageOrder| {
             if stage.pieces == 0 {
                 return Ok(Duration::ZERO);
             }
@@ -222,7 +251,7 @@
             .iter()
             .any(|stage| stage.after.contains(&index))
     };
-    let start = |(index, stage): (usize, &super::StageOrder)| {
+    let start = |(index, stage): (usize, &StageOrder)| {
         let is_large = stage.result_bytes >= LARGE_RESULT_BYTES;
         if is_large && stage.after.is_empty() && !is_needed(index) {
             now + longest.saturating_sub(ends[index]).mul_f64(HELD_BACK_PART)
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -21,9 +21,18 @@
 /// Time after its latest start at which a waiting job counts as late.
 const LATE_MARGIN: Duration = Duration::from_millis(100);
 
-/// Place of a stage among others.
-pub(super) fn place(latest_start: Duration, priority: u8) -> Duration {
-    latest_start + PRIORITY_STEP * u32::from(priority.min(LOWEST_RANK))
+/// Time by which half the usual worth for its work lets others go before, and twice brings forward.
+/// Measured: see MEASUREMENTS.md, "Order of the pieces".
+const WORTH_STEP: Duration = Duration::from_millis(300);
+/// Most steps that worth counts for.
+const MOST_WORTH_STEPS: f64 = 2.0;
+
+/// Time by which a job lets others go before, beside its rank; what brings it forward is taken
+/// from the same allowance, so that it is never negative.
+pub(super) fn put_off(priority: u8, worth: f64) -> Duration {
+    let steps = (-worth.max(f64::MIN_POSITIVE).log2()).clamp(-MOST_WORTH_STEPS, MOST_WORTH_STEPS);
+    let by_rank = PRIORITY_STEP * u32::from(priority.min(LOWEST_RANK));
+    by_rank + WORTH_STEP.mul_f64(MOST_WORTH_STEPS + steps)
 }
 
 /// How far one piece is.
@@ -96,6 +105,8 @@
     pub(super) deadline_at: Duration,
     /// Time that the stages take one after the other without a wait.
     pub(super) path_time: Duration,
+    /// Time by which it lets others go before.
+    pub(super) put_off: Duration,
     /// Whether the aim is out of reach, so that the job runs in what is left over.
     pub(super) is_late: bool,
     /// Whether a piece was sent: from then on, giving up wastes work and holds room.
@@ -123,6 +134,7 @@
         Self {
             deadline_at: now + order.deadline_left,
             path_time: outlook.path_time,
+            put_off: outlook.put_off,
             is_late: outlook.is_late,
             is_started: false,
             order,
@@ -162,7 +174,7 @@
 
     /// Place of a stage among others: its latest start, put off for less urgent jobs.
     pub(super) fn place(&self, stage: usize) -> Duration {
-        place(self.stages[stage].latest_start, self.order.priority)
+        self.stages[stage].latest_start + self.put_off
     }
 
     /// Stages whose inputs are made and that are not queued yet.
