--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -18,7 +18,9 @@
 mod estimate;
 mod fill;
 mod job;
+mod open_work;
 mod pool_state;
+mod queue;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,7 +31,9 @@
 use crate::version::{BatchSpec, Routing};
 
 use job::{Job, PieceState, StageState};
+use open_work::OpenWork;
 use pool_state::PoolState;
+use queue::Entry;
 
 /// How long a new owner takes the servers to be shared with the one before.
 const TAKE_OVER: Duration = Duration::from_secs(1);
@@ -223,6 +227,8 @@
     batches: BTreeMap<BatchId, RunningBatch>,
     frees: BTreeMap<ServerId, Frees>,
     events: Vec<JobEvent>,
+    open_work: OpenWork,
+    swept_at: Duration,
     next_job: u64,
     next_batch: u64,
     /// Tokens a second of servers' time that a job is usually worth.
@@ -306,8 +312,10 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
-        for pool in self.pools.values_mut() {
-            pool.waiting.retain(|piece| piece.job != id);
+        for stage in &job.stages {
+            if let Some((entry, pool)) = stage.entry.zip(self.pools.get_mut(&stage.order.service)) {
+                pool.queue.remove(&entry);
+            }
         }
         for stage in job.stages.iter().filter(|stage| !stage.is_freed) {
             for piece in &stage.pieces {
@@ -346,10 +354,10 @@
         jobs.map(|(id, _)| *id).collect()
     }
 
-    /// Pieces that wait for a server.
+    /// Stages that wait for a server.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.pools.values().map(|pool| pool.waiting.len()).sum()
+        self.pools.values().map(|pool| pool.queue.len()).sum()
     }
 
     /// Jobs that are not released.
@@ -367,14 +375,7 @@
             let stage = &mut job.stages[index];
             stage.is_queued = true;
             stage.clock.queued_at = now;
-            let pieces = stage.waiting_pieces().map(|piece| PieceRef {
-                job: id,
-                stage: index,
-                piece,
-            });
-            let service = stage.order.service.clone();
-            let pool = self.pools.entry(service).or_default();
-            pool.waiting.extend(pieces);
+            job.is_changed = true;
         }
         if job.is_done() && !job.is_reported {
             job.is_reported = true;
@@ -382,6 +383,36 @@
             let times = job.stages.iter().map(StageState::times).collect();
             self.events.push(JobEvent::Done(id, handles, times));
         }
+        self.place_in_queues(id);
+    }
+
+    /// Puts a job's waiting stages where they now belong.
+    fn place_in_queues(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.is_changed = false;
+        for index in 0..job.stages.len() {
+            let stage = &job.stages[index];
+            let waits = stage.is_queued && !job.is_reported && stage.has_waiting();
+            let entry = waits.then(|| Entry {
+                is_late: job.is_late,
+                place: job.place(index),
+                job: id,
+                stage: index,
+            });
+            if entry == stage.entry {
+                continue;
+            }
+            let pool = self.pools.entry(stage.order.service.clone()).or_default();
+            if let Some(old) = &stage.entry {
+                pool.queue.remove(old);
+            }
+            if let Some(new) = entry {
+                pool.queue.insert(new);
+            }
+            job.stages[index].entry = entry;
+        }
     }
 
     /// Frees the results of stages that nothing needs any more.
@@ -435,8 +466,6 @@
             job.is_reported = true;
             self.events.push(JobEvent::Failed(id, failure));
         }
-        for pool in self.pools.values_mut() {
-            pool.waiting.retain(|piece| piece.job != id);
-        }
+        self.place_in_queues(id);
     }
 }
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -39,8 +39,9 @@
         let ends = match end {
             BatchEnd::Pieces(ends) if ends.len() == batch.pieces.len() => ends,
             BatchEnd::Full | BatchEnd::OtherServer => {
-                for piece in &batch.pieces {
-                    self.put_back(&batch, *piece, false);
+                for running in &batch.pieces {
+                    self.put_back(&batch, *running, false);
+                    self.place_in_queues(running.piece.job);
                 }
                 return;
             }
@@ -187,16 +188,12 @@
             return;
         }
         stage.pieces[piece.piece] = PieceState::Waiting;
-        // While the stage's inputs are made anew, it is queued whole once they are there.
-        let is_queued = stage.is_queued;
         job.failures += u32::from(has_failed);
-        if job.is_reported || !is_queued {
+        if job.is_reported {
             return;
         }
         if job.failures > MOST_FAILURES {
             self.fail(piece.job, JobFailure::Failing);
-        } else if let Some(pool) = self.pools.get_mut(&batch.service) {
-            pool.waiting.push(piece);
         }
     }
 
@@ -247,11 +244,6 @@
                 self.free_piece(&service, result_bytes, made);
             }
         }
-        for pool in self.pools.values_mut() {
-            let is_other =
-                |waiting: &PieceRef| waiting.job != piece.job || waiting.stage != piece.stage;
-            pool.waiting.retain(is_other);
-        }
         self.advance(piece.job, now);
     }
 }
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::job::{Job, LARGE_RESULT_BYTES, put_off};
+use super::job::{LARGE_RESULT_BYTES, put_off};
 use super::{Batcher, JobFailure, JobRefused, PipelineOrder, StageOrder};
 use crate::id::ServiceId;
 
@@ -39,6 +39,7 @@
         order: &PipelineOrder,
         now: Duration,
     ) -> Result<Outlook, JobRefused> {
+        self.open_work.refresh(self.jobs.values(), now);
         let calls = self.call_times(order, now)?;
         let latest_starts = latest_starts(order, &calls, now);
         let put_off = put_off(order.priority, self.relative_worth(order));
@@ -162,41 +163,16 @@
 
     /// Time in which a service works off what goes before a place and is not late.
     pub(super) fn backlog(&self, service: &ServiceId, before: Duration, now: Duration) -> Duration {
-        self.open_work(service, now, |job, stage| {
-            !job.is_late && job.place(stage) <= before
-        })
+        self.time_for(service, self.open_work.before(service, before), now)
     }
 
     fn late_backlog(&self, service: &ServiceId, now: Duration) -> Duration {
-        self.open_work(service, now, |job, _stage| job.is_late)
+        self.time_for(service, self.open_work.late(service), now)
     }
 
-    /// Time in which a service works off the pieces that are not started, of some stages.
-    fn open_work(
-        &self,
-        service: &ServiceId,
-        now: Duration,
-        is_counted: impl Fn(&Job, usize) -> bool,
-    ) -> Duration {
-        let Some(pool) = self.pools.get(service) else {
-            return Duration::ZERO;
-        };
-        let of_job = |job: &Job| -> usize {
-            let stages = job.stages.iter().enumerate();
-            let counted = stages.filter(|(index, stage)| {
-                stage.order.service == *service && is_counted(job, *index)
-            });
-            counted
-                .map(|(_, stage)| stage.waiting_pieces().count())
-                .sum()
-        };
-        let pieces = self
-            .jobs
-            .values()
-            .filter(|job| !job.is_reported)
-            .map(of_job)
-            .sum();
-        pool.time_for(pieces, now)
+    fn time_for(&self, service: &ServiceId, pieces: usize, now: Duration) -> Duration {
+        let pool = self.pools.get(service);
+        pool.map_or(Duration::ZERO, |pool| pool.time_for(pieces, now))
     }
 }
 
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -4,7 +4,7 @@
 
 use super::job::{Job, LARGE_RESULT_BYTES, PieceState};
 use super::pool_state::{PoolState, StageServer};
-use super::{Batch, BatchId, Batcher, JobFailure, JobId, PieceRef, RunningBatch, RunningPiece};
+use super::{Batch, BatchId, Batcher, JobFailure, PieceRef, RunningBatch, RunningPiece};
 use crate::id::{ServerId, ServiceId, ZoneId};
 use crate::version::BatchSpec;
 
@@ -20,27 +20,45 @@
 /// Backlog of a service, as a part of a call, up to which late requests may begin there.
 const SPARE_PART: f64 = 0.5;
 
-/// Order of pieces in a queue: requests that can meet their aim first, by their place.
-type Rank = (bool, Duration, JobId);
+/// Time between two looks at all jobs.
+const SWEEP: Duration = Duration::from_millis(20);
 
 impl Batcher {
     /// Batches to send now.
     pub fn next_batches(&mut self, now: Duration) -> Vec<Batch> {
-        self.fail_expired(now);
-        let jobs: Vec<_> = self.jobs.keys().copied().collect();
-        for job in jobs {
-            self.free_used(job, now);
-            if let Some(job) = self.jobs.get_mut(&job) {
-                job.grow_late(now);
-            }
+        if now.saturating_sub(self.swept_at) >= SWEEP {
+            self.swept_at = now;
+            self.sweep(now);
         }
-        let services: Vec<_> = self.pools.keys().cloned().collect();
+        let has_work = |pool: &PoolState| !pool.queue.is_empty() && pool.has_free(now);
+        let ready = self.pools.iter().filter(|(_, pool)| has_work(pool));
+        let services: Vec<_> = ready.map(|(service, _)| service.clone()).collect();
+        if services.is_empty() {
+            return Vec::new();
+        }
+        self.open_work.refresh(self.jobs.values(), now);
         services
             .iter()
             .flat_map(|service| self.batches_of(service, now))
             .collect()
     }
 
+    /// Looks at all jobs: what is expired, late, or has results that nothing needs.
+    fn sweep(&mut self, now: Duration) {
+        self.fail_expired(now);
+        let jobs: Vec<_> = self.jobs.keys().copied().collect();
+        for id in jobs {
+            self.free_used(id, now);
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.grow_late(now);
+            if job.is_changed {
+                self.place_in_queues(id);
+            }
+        }
+    }
+
     fn fail_expired(&mut self, now: Duration) {
         let is_expired = |job: &Job| {
             // What has not begun needs its whole path; what has begun may still be done.
@@ -66,18 +84,7 @@
         let Some(spec) = pool.spec else {
             return batches;
         };
-        if pool.waiting.is_empty() {
-            return batches;
-        }
-        let mut free: Vec<ServerId> = pool
-            .in_use(now)
-            .filter(|(_, server)| server.calls < spec.slots.max(1) && server.busy_until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        if free.is_empty() {
-            return batches;
-        }
-        self.sort_waiting(service);
+        let mut free: Vec<ServerId> = pool.free(now).map(|(id, _)| id.clone()).collect();
         let slowness = |pool: &PoolState, id: &ServerId| {
             pool.servers
                 .get(id)
@@ -94,16 +101,6 @@
         batches
     }
 
-    fn sort_waiting(&mut self, service: &ServiceId) {
-        let jobs = &self.jobs;
-        let Some(pool) = self.pools.get_mut(service) else {
-            return;
-        };
-        pool.waiting.retain(|piece| jobs.contains_key(&piece.job));
-        pool.waiting
-            .sort_by_cached_key(|piece| rank(&jobs[&piece.job], *piece));
-    }
-
     /// Forms one server's batch from the front of the queue.
     fn batch_for(
         &mut self,
@@ -118,7 +115,6 @@
             return None;
         }
         let pool = self.pools.get_mut(service)?;
-        pool.waiting.retain(|piece| !chosen.contains(piece));
         let mut reserved_bytes = 0;
         let mut items = Vec::with_capacity(chosen.len());
         let mut pieces = Vec::with_capacity(chosen.len());
@@ -163,6 +159,9 @@
             sent_at: now,
         };
         self.batches.insert(id, running);
+        for piece in chosen {
+            self.place_in_queues(piece.job);
+        }
         Some(batch)
     }
 
@@ -178,42 +177,70 @@
         let Some(state) = pool.servers.get(server) else {
             return Vec::new();
         };
-        let started = pool
-            .waiting
-            .iter()
-            .filter(|piece| self.jobs[&piece.job].stages[piece.stage].not_before <= now);
-        let startable = started.clone().count();
-        // Free servers share what waits: a call's length grows with its pieces.
-        let share = startable
-            .div_ceil(free_servers)
-            .clamp(1, spec.max_pieces.max(1));
-        let mut chosen: Vec<PieceRef> = Vec::new();
         let free_bytes = pool.free_bytes(server, now);
+        let share = self.share(pool, spec, free_servers, now);
+        let mut chosen: Vec<PieceRef> = Vec::new();
         let mut taken_bytes = 0;
-        for (ahead, piece) in started.enumerate() {
-            let job = &self.jobs[&piece.job];
-            let result_bytes = job.stages[piece.stage].order.result_bytes;
-            // A stage's pieces stay together: the next stage waits for all of them.
-            let goes_on = chosen
-                .last()
-                .is_some_and(|last| (last.job, last.stage) == (piece.job, piece.stage));
-            if chosen.len() >= spec.max_pieces || (chosen.len() >= share && !goes_on) {
+        let mut ahead = 0;
+        for entry in pool.queue.iter() {
+            if chosen.len() >= share {
                 break;
             }
-            let is_for_another = self.waits_for_near(pool, spec, job, *piece, state, ahead, now);
-            if is_for_another
-                || job.is_late && !self.has_spare(job, now)
-                || taken_bytes + result_bytes > free_bytes
-                || Self::is_too_slow(pool, spec, state, job, *piece, now)
-            {
+            let job = &self.jobs[&entry.job];
+            let stage = &job.stages[entry.stage];
+            if stage.not_before > now {
+                continue;
+            }
+            let result_bytes = stage.order.result_bytes;
+            let is_for_another =
+                self.waits_for_near(pool, spec, job, entry.stage, state, ahead, now);
+            let has_place = !is_for_another
+                && (!job.is_late || self.has_spare(job, now))
+                && !Self::is_too_slow(pool, spec, state, stage.latest_start, job.is_late, now);
+            ahead += stage.order.pieces;
+            if !has_place {
                 continue;
             }
-            taken_bytes += result_bytes;
-            chosen.push(*piece);
+            // A stage's pieces stay together: the next stage waits for all of them.
+            for piece in stage.waiting_pieces() {
+                if chosen.len() >= spec.max_pieces || taken_bytes + result_bytes > free_bytes {
+                    break;
+                }
+                taken_bytes += result_bytes;
+                chosen.push(PieceRef {
+                    job: entry.job,
+                    stage: entry.stage,
+                    piece,
+                });
+            }
         }
         chosen
     }
 
+    /// Pieces that one of the free servers takes: a call's length grows with its pieces.
+    fn share(
+        &self,
+        pool: &PoolState,
+        spec: BatchSpec,
+        free_servers: usize,
+        now: Duration,
+    ) -> usize {
+        let enough = spec.max_pieces.max(1) * free_servers;
+        let mut startable = 0;
+        for entry in pool.queue.iter() {
+            let stage = &self.jobs[&entry.job].stages[entry.stage];
+            if stage.not_before <= now {
+                startable += stage.waiting_pieces().count();
+            }
+            if startable >= enough {
+                break;
+            }
+        }
+        startable
+            .div_ceil(free_servers.max(1))
+            .clamp(1, spec.max_pieces.max(1))
+    }
+
     /// Whether all services of a late job have time to spare.
     fn has_spare(&self, job: &Job, now: Duration) -> bool {
         job.stages.iter().all(|stage| {
@@ -235,12 +262,12 @@
         pool: &PoolState,
         spec: BatchSpec,
         job: &Job,
-        piece: PieceRef,
+        stage: usize,
         server: &StageServer,
         ahead: usize,
         now: Duration,
     ) -> bool {
-        let Some(zone) = self.home_zone(job, piece.stage) else {
+        let Some(zone) = self.home_zone(job, stage) else {
             return false;
         };
         if server.zone == zone || job.is_late {
@@ -255,7 +282,7 @@
         let queue = spec
             .time_of(spec.max_pieces)
             .saturating_mul(u32::try_from(calls_ahead).unwrap_or(u32::MAX));
-        let slack = job.stages[piece.stage].latest_start.saturating_sub(now);
+        let slack = job.stages[stage].latest_start.saturating_sub(now);
         free_at + queue <= now + slack.mul_f64(NEAR_SLACK_PART)
     }
 
@@ -281,21 +308,17 @@
         pool: &PoolState,
         spec: BatchSpec,
         server: &StageServer,
-        job: &Job,
-        piece: PieceRef,
+        latest_start: Duration,
+        is_late: bool,
         now: Duration,
     ) -> bool {
         let slowness = server.slowness(now);
-        if slowness < SLOW || job.is_late {
+        if slowness < SLOW || is_late {
             return false;
         }
         let is_usual = |other: &StageServer| other.slowness(now) < SLOW;
         let has_usual = pool.in_use(now).any(|(_, other)| is_usual(other));
         let extra = spec.time_of(spec.max_pieces / 2).mul_f64(slowness - 1.0);
-        has_usual && now + extra > job.stages[piece.stage].latest_start
+        has_usual && now + extra > latest_start
     }
 }
-
-fn rank(job: &Job, piece: PieceRef) -> Rank {
-    (job.is_late, job.place(piece.stage), piece.job)
-}
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::estimate::Outlook;
+use super::queue::Entry;
 use super::{BatchItem, PieceInput, PipelineOrder, StageOrder, StageTimes};
 use crate::id::{ResultHandle, ServerId};
 
@@ -62,6 +63,8 @@
     pub(super) is_queued: bool,
     pub(super) is_freed: bool,
     pub(super) clock: StageClock,
+    /// Where it stands in its service's queue.
+    pub(super) entry: Option<Entry>,
 }
 
 /// When a stage got how far.
@@ -91,6 +94,10 @@
         waiting.map(|(index, _)| index)
     }
 
+    pub(super) fn has_waiting(&self) -> bool {
+        self.waiting_pieces().next().is_some()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         let is_made = |piece: &PieceState| matches!(piece, PieceState::Made { .. });
         self.pieces.iter().all(is_made)
@@ -112,6 +119,8 @@
     /// Whether a piece was sent: from then on, giving up wastes work and holds room.
     pub(super) is_started: bool,
     pub(super) is_reported: bool,
+    /// Whether its stages may belong elsewhere in the queues.
+    pub(super) is_changed: bool,
     pub(super) remakes: u32,
     pub(super) failures: u32,
 }
@@ -129,6 +138,7 @@
                 is_queued: false,
                 is_freed: false,
                 clock: StageClock::default(),
+                entry: None,
             })
             .collect();
         Self {
@@ -140,6 +150,7 @@
             order,
             stages,
             is_reported: false,
+            is_changed: true,
             remakes: 0,
             failures: 0,
         }
@@ -160,15 +171,20 @@
             for stage in &mut self.stages {
                 stage.latest_start += shift;
             }
+            self.is_changed = true;
         }
     }
 
     /// Turns late if it waited in vain for a start that meets its aim.
     pub(super) fn grow_late(&mut self, now: Duration) {
+        if self.is_started || self.is_late {
+            return;
+        }
         let queued = self.stages.iter().filter(|stage| stage.is_queued);
         let first = queued.map(|stage| stage.latest_start).min();
-        if !self.is_started && first.is_some_and(|start| start + LATE_MARGIN < now) {
+        if first.is_some_and(|start| start + LATE_MARGIN < now) {
             self.is_late = true;
+            self.is_changed = true;
         }
     }
 
@@ -205,7 +221,7 @@
     /// for its turn, and its inputs are kept until it ends.
     pub(super) fn used_up(&self, now: Duration, is_shared: bool) -> Vec<usize> {
         let has_read = |stage: &StageState| {
-            let is_sent = stage.waiting_pieces().next().is_none();
+            let is_sent = !stage.has_waiting();
             let sent_at = stage.clock.last_sent_at;
             stage.is_done() || !is_shared && is_sent && sent_at + INPUTS_READ_AFTER <= now
         };
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::PieceRef;
+use super::queue::Queue;
 use crate::id::{ServerId, ZoneId};
 use crate::process::server_list::ServerRecord;
 use crate::version::BatchSpec;
@@ -95,7 +95,7 @@
 pub(super) struct PoolState {
     pub(super) spec: Option<BatchSpec>,
     pub(super) servers: BTreeMap<ServerId, StageServer>,
-    pub(super) waiting: Vec<PieceRef>,
+    pub(super) queue: Queue,
     arriving: f64,
     arrived_at: Duration,
 }
@@ -175,6 +175,18 @@
         }
     }
 
+    /// Whether a server can take a call now.
+    pub(super) fn has_free(&self, now: Duration) -> bool {
+        self.free(now).next().is_some()
+    }
+
+    /// Servers that can take a call now.
+    pub(super) fn free(&self, now: Duration) -> impl Iterator<Item = (&ServerId, &StageServer)> {
+        let slots = self.spec.map_or(0, |spec| spec.slots.max(1));
+        let is_free = move |server: &StageServer| server.calls < slots && server.busy_until <= now;
+        self.in_use(now).filter(move |(_, server)| is_free(server))
+    }
+
     /// Servers that take calls.
     pub(super) fn in_use(&self, now: Duration) -> impl Iterator<Item = (&ServerId, &StageServer)> {
         let servers = self.servers.iter();
