--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -72,7 +72,7 @@
         let knowledge = Arc::new(Knowledge::new(
             config.clock,
             config.instance.clone(),
-            config.peers,
+            config.announcement,
         ));
         let parts = Arc::new(start_parts(&config, &knowledge).await?);
         let following = follow(&config, &parts);
@@ -83,7 +83,7 @@
         tokio::spawn(announce_instance(
             config.store.clone(),
             config.instance.clone(),
-            config.peers,
+            config.announcement,
         ));
         info!(instance = config.instance.as_str(), zone = config.zone.as_str(); "gateway: started");
         Ok(Self {
@@ -136,7 +136,7 @@
     let knowledge = &parts.knowledge;
     let own = Own {
         instance: config.instance.clone(),
-        peers: config.peers,
+        announcement: config.announcement,
         stop: Arc::clone(&parts.stop),
     };
     vec![
@@ -224,9 +224,11 @@
     let own = config.instance.clone();
     let pieces =
         move |request: Request<Incoming>| serve_pieces(own.clone(), batches.clone(), request);
-    let peers = HttpServer::start(config.peers, limits, pieces)
+    let peers = HttpServer::start(config.announcement.address, limits, pieces)
         .await
-        .map_err(|cause| GatewayError::Listen("other gateways", config.peers, cause))?;
+        .map_err(|cause| {
+            GatewayError::Listen("other gateways", config.announcement.address, cause)
+        })?;
     let mut servers = vec![ready, peers];
     if let Some(address) = config.metrics {
         let shown = Arc::clone(parts);
--- a/crates/amaranthscale/src/gateway/gateway_config.rs
+++ b/crates/amaranthscale/src/gateway/gateway_config.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, ZoneId};
-use amaranthscale_core::process::BudgetTerms;
+use amaranthscale_core::process::{Announcement, BudgetTerms};
 
 use super::{Clock, Dialect, StoreCalls};
 
@@ -19,8 +19,8 @@
     pub callers: SocketAddr,
     /// Where the platform asks whether it is ready.
     pub ready: SocketAddr,
-    /// Where other gateways connect.
-    pub peers: SocketAddr,
+    /// What it announces to the others: where they connect, and its strength.
+    pub announcement: Announcement,
     /// Where metrics are read.
     pub metrics: Option<SocketAddr>,
     /// Longest time for which a revoked key may still be served.
--- a/crates/amaranthscale/src/gateway/store_calls.rs
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, RowVersion, ServerId};
-use amaranthscale_core::process::ServerRecord;
+use amaranthscale_core::process::{Announcement, ServerRecord};
 use amaranthscale_core::version::Routing;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -68,7 +68,7 @@
     /// Waits for changes of a table after a version.
     pub watch: fn(StoreTable, RowVersion, Duration) -> Request<Full<Bytes>>,
     /// Announces a gateway.
-    pub announce: fn(&InstanceId, SocketAddr) -> Request<Full<Bytes>>,
+    pub announce: fn(&InstanceId, &Announcement) -> Request<Full<Bytes>>,
     /// Withdraws an announcement.
     pub withdraw: fn(&InstanceId) -> Request<Full<Bytes>>,
     /// Reads an answer.
@@ -77,6 +77,6 @@
     pub routing: fn(&StoreRow) -> Result<Option<Routing>, String>,
     /// Reads a backend server from its row.
     pub server: fn(&ServerId, &[u8]) -> Result<ServerRecord, String>,
-    /// Reads a gateway's peer address from its row.
-    pub instance: fn(&[u8]) -> Result<SocketAddr, String>,
+    /// Reads what a gateway announces from its row.
+    pub instance: fn(&[u8]) -> Result<Announcement, String>,
 }
--- a/crates/amaranthscale/src/gateway/version/announce.rs
+++ b/crates/amaranthscale/src/gateway/version/announce.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::InstanceId;
+use amaranthscale_core::process::Announcement;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -24,10 +25,10 @@
 pub async fn announce_instance(
     store: StoreCalls,
     instance: InstanceId,
-    peers: std::net::SocketAddr,
+    announcement: Announcement,
 ) {
     loop {
-        match write(&store, (store.announce)(&instance, peers)).await {
+        match write(&store, (store.announce)(&instance, &announcement)).await {
             Ok(()) => {
                 info!(instance = instance.as_str(); "membership: announced");
                 return;
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -1,11 +1,12 @@
 //! Keeps what is known up to date from the store's feeds.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, ServerId};
-use amaranthscale_core::process::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord};
+use amaranthscale_core::process::{
+    Announcement, LAPSE_GRACE, ServerChange, ServerList, ServerRecord,
+};
 use log::{info, warn};
 
 use super::super::process::StopGate;
@@ -121,8 +122,8 @@
 pub struct Own {
     /// This life of the gateway.
     pub instance: InstanceId,
-    /// Where other gateways connect.
-    pub peers: SocketAddr,
+    /// What it announces.
+    pub announcement: Announcement,
     /// Whether it stops, and so announces itself no more.
     pub stop: Arc<StopGate>,
 }
@@ -137,7 +138,7 @@
             tokio::spawn(announce_instance(
                 store.clone(),
                 own.instance.clone(),
-                own.peers,
+                own.announcement,
             ));
         }
         info!(instance = id.as_str(); "membership: gone");
@@ -145,14 +146,14 @@
         return;
     };
     match (store.instance)(value) {
-        Ok(address) => {
+        Ok(announcement) => {
             let since = row.version;
-            if address == own.peers && id != own.instance {
+            if announcement.address == own.announcement.address && id != own.instance {
                 // An earlier life here ended without a word; nobody else can tell it from this one.
                 let (store, ended) = (store.clone(), id.clone());
                 tokio::spawn(async move { withdraw_instance(&store, &ended).await });
             }
-            knowledge.change_instances(|instances| instances.announced(id, address, since));
+            knowledge.change_instances(|instances| instances.announced(id, announcement, since));
         }
         Err(reason) => warn!(reason = reason.as_str(); "membership: announcement refused"),
     }
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::InstanceId;
-use amaranthscale_core::process::{Freshness, InstanceView, ServerList};
+use amaranthscale_core::process::{Announcement, Freshness, InstanceView, ServerList};
 use amaranthscale_core::version::Routing;
 use log::info;
 use tokio::sync::watch;
@@ -31,13 +31,13 @@
 impl Knowledge {
     /// Knows only the gateway itself.
     #[must_use]
-    pub fn new(clock: Clock, instance: InstanceId, peers: SocketAddr) -> Self {
+    pub fn new(clock: Clock, instance: InstanceId, announcement: Announcement) -> Self {
         Self {
             clock,
             known: Mutex::new(Known {
                 routing: None,
                 servers: Arc::default(),
-                instances: InstanceView::new(instance, peers),
+                instances: InstanceView::new(instance, announcement),
                 freshness: Freshness::default(),
             }),
             changes: watch::Sender::new(0),
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -66,7 +66,7 @@
 #[doc(inline)]
 pub use hedge_policy::HedgePolicy;
 #[doc(inline)]
-pub use instance_view::InstanceView;
+pub use instance_view::{Announcement, InstanceView};
 #[doc(inline)]
 pub use load_meter::LoadMeter;
 #[doc(inline)]
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -1,14 +1,18 @@
 //! The entries of a deployment, as one of them sees them.
 //!
 //! Entries announce themselves in the store once. Whether one still lives is learnt by those that
-//! talk to it: a silent one is passed over for a while. The one whose announcement is the oldest
-//! acts for all; every entry sees the same order without a word, and one that joins takes nothing
-//! over. While views differ, two entries may both act, which the callers of this module must bear.
+//! talk to it: a silent one is passed over for a while. One acts for all: the strongest machine, and
+//! among equals the one whose announcement is the oldest, so that one that joins rarely takes over.
+//! Every entry sees the same order without a word. While views differ, two entries may both act,
+//! which the callers of this module must bear.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{InstanceId, RowVersion};
 
 /// How long an entry that fell silent is passed over before it is tried again.
@@ -16,9 +20,18 @@
 /// Silence after which an announcement may be removed for an entry that nobody reaches.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(12);
 
+/// What an entry announces of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Where other entries connect.
+    pub address: SocketAddr,
+    /// Thousandths of a core that it may use.
+    pub millicores: u32,
+}
+
 #[derive(Debug, Clone)]
 struct Seen {
-    address: SocketAddr,
+    announcement: Announcement,
     /// Version of the announcement; none while it is not seen in the store.
     since: Option<RowVersion>,
     silent_since: Option<Duration>,
@@ -35,8 +48,8 @@
 impl InstanceView {
     /// A view that knows only the entry itself.
     #[must_use]
-    pub fn new(own: InstanceId, address: SocketAddr) -> Self {
-        let seen = Seen::new(address, None);
+    pub fn new(own: InstanceId, announcement: Announcement) -> Self {
+        let seen = Seen::new(announcement, None);
         Self {
             own: own.clone(),
             instances: BTreeMap::from([(own, seen)]),
@@ -52,7 +65,7 @@
     /// Takes an announcement.
     ///
     /// A new life at the same address ends the old one: an address has one process.
-    pub fn announced(&mut self, id: InstanceId, address: SocketAddr, since: RowVersion) {
+    pub fn announced(&mut self, id: InstanceId, announcement: Announcement, since: RowVersion) {
         if let Some(known) = self.instances.get_mut(&id) {
             known.since = Some(since);
             return;
@@ -60,7 +73,7 @@
         let at_address = self
             .instances
             .iter()
-            .find(|(_, seen)| seen.address == address);
+            .find(|(_, seen)| seen.announcement.address == announcement.address);
         if let Some((known, seen)) = at_address {
             // After a loss of power the dead life's announcement is still there, and rows come in
             // the order of their names: the older one must not hide the one that lives.
@@ -70,7 +83,8 @@
             let ended = known.clone();
             self.instances.remove(&ended);
         }
-        self.instances.insert(id, Seen::new(address, Some(since)));
+        self.instances
+            .insert(id, Seen::new(announcement, Some(since)));
     }
 
     /// Takes the end of an announcement.
@@ -126,7 +140,7 @@
         self.instances.values().filter(is_live).count().max(1)
     }
 
-    /// The entry that acts for all: the first announced among those not passed over.
+    /// The entry that acts for all: the first in order among those not passed over.
     #[must_use]
     pub fn owner(&self, now: Duration) -> (&InstanceId, SocketAddr) {
         let live = self
@@ -134,21 +148,23 @@
             .iter()
             .filter(|(id, seen)| **id == self.own || seen.passed_over_until <= now);
         // One that is not seen in the store yet comes after all that are.
-        let order =
-            |(id, seen): &(&InstanceId, &Seen)| (seen.since.is_none(), seen.since, (*id).clone());
+        let order = |(id, seen): &(&InstanceId, &Seen)| {
+            let weakness = Reverse(seen.announcement.millicores);
+            (seen.since.is_none(), weakness, seen.since, (*id).clone())
+        };
         let first = live.min_by_key(order);
         let (id, found) = first.unwrap_or_else(|| {
             // The own entry is never removed, so the view is never empty.
             unreachable!("the view holds its own entry")
         });
-        (id, found.address)
+        (id, found.announcement.address)
     }
 }
 
 impl Seen {
-    const fn new(address: SocketAddr, since: Option<RowVersion>) -> Self {
+    const fn new(announcement: Announcement, since: Option<RowVersion>) -> Self {
         Self {
-            address,
+            announcement,
             since,
             silent_since: None,
             passed_over_until: Duration::ZERO,
