Results for later stages may lie in any availability zone

Cause: results of middle stages were held to the zone of the request's engine, though only the next stage reads them.

--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -295,7 +295,9 @@
             return None;
         }
         if output_bytes >= input_bytes {
-            return Some(job.order.reader_zone.clone());
+            // Results for later stages may lie anywhere: those stages follow them.
+            let is_last = !job.is_needed(stage);
+            return is_last.then(|| job.order.reader_zone.clone());
         }
         let maker = job.input_server(stage)?;
         let mut pools = self.pools.values();
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -280,7 +280,7 @@
         self.stages.iter().filter(needs)
     }
 
-    fn is_needed(&self, index: usize) -> bool {
+    pub(super) fn is_needed(&self, index: usize) -> bool {
         self.needing(index).next().is_some()
     }
 
