--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -1,5 +1,6 @@
 //! Gives free servers their next batches.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::job::{Job, LARGE_RESULT_BYTES, PieceState};
@@ -13,7 +14,7 @@
 /// Time that is always waited beyond the expected one.
 const PATIENCE_MARGIN: Duration = Duration::from_millis(400);
 /// Part of a piece's slack that it may wait for a near server: the later stages need the rest.
-const NEAR_SLACK_PART: f64 = 0.15;
+const NEAR_SLACK_PART: f64 = 0.3;
 /// Slowness from which a server gets only what no other server could do in time.
 const SLOW: f64 = 1.6;
 
@@ -181,7 +182,7 @@
         let share = self.share(pool, spec, free_servers, now);
         let mut chosen: Vec<PieceRef> = Vec::new();
         let mut taken_bytes = 0;
-        let mut ahead = 0;
+        let mut ahead: BTreeMap<&ZoneId, usize> = BTreeMap::new();
         for entry in pool.queue.iter() {
             if chosen.len() >= share {
                 break;
@@ -192,12 +193,20 @@
                 continue;
             }
             let result_bytes = stage.order.result_bytes;
-            let is_for_another =
-                self.waits_for_near(pool, spec, job, entry.stage, state, ahead, now);
+            let home = self.home_zone(job, entry.stage);
+            let ahead = home.map(|home| ahead.entry(home).or_default());
+            let is_for_another = home.is_some_and(|home| {
+                let before = ahead.as_deref().copied().unwrap_or(0);
+                !job.is_late
+                    && state.zone != *home
+                    && waits_for_near(pool, spec, home, before, stage.latest_start, now)
+            });
             let has_place = !is_for_another
                 && (!job.is_late || self.has_spare(job, now))
-                && !Self::is_too_slow(pool, spec, state, stage.latest_start, job.is_late, now);
-            ahead += stage.order.pieces;
+                && !is_too_slow(pool, spec, state, stage.latest_start, job.is_late, now);
+            if let Some(ahead) = ahead {
+                *ahead += stage.order.pieces;
+            }
             if !has_place {
                 continue;
             }
@@ -252,42 +261,8 @@
         })
     }
 
-    /// Whether a piece had better wait for a server in the availability zone that it belongs in.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "one question about a piece, a server and a time"
-    )]
-    fn waits_for_near(
-        &self,
-        pool: &PoolState,
-        spec: BatchSpec,
-        job: &Job,
-        stage: usize,
-        server: &StageServer,
-        ahead: usize,
-        now: Duration,
-    ) -> bool {
-        let Some(zone) = self.home_zone(job, stage) else {
-            return false;
-        };
-        if server.zone == zone || job.is_late {
-            return false;
-        }
-        let near = pool.in_use(now).filter(|(_, server)| server.zone == zone);
-        let usable = near.filter(|(_, server)| server.slowness(now) < SLOW);
-        let Some(free_at) = usable.map(|(_, server)| server.busy_until.max(now)).min() else {
-            return false;
-        };
-        let calls_ahead = ahead / spec.max_pieces.max(1);
-        let queue = spec
-            .time_of(spec.max_pieces)
-            .saturating_mul(u32::try_from(calls_ahead).unwrap_or(u32::MAX));
-        let slack = job.stages[stage].latest_start.saturating_sub(now);
-        free_at + queue <= now + slack.mul_f64(NEAR_SLACK_PART)
-    }
-
     /// The availability zone in which a stage's pieces move the fewest bytes, if it matters.
-    fn home_zone(&self, job: &Job, stage: usize) -> Option<ZoneId> {
+    fn home_zone<'a>(&'a self, job: &'a Job, stage: usize) -> Option<&'a ZoneId> {
         let order = &job.stages[stage].order;
         let output_bytes = order.result_bytes * u64::try_from(order.pieces).unwrap_or(0);
         let input_bytes = job.input_bytes(stage);
@@ -297,30 +272,54 @@
         if output_bytes >= input_bytes {
             // Results for later stages may lie anywhere: those stages follow them.
             let is_last = !job.is_needed(stage);
-            return is_last.then(|| job.order.reader_zone.clone());
+            return is_last.then_some(&job.order.reader_zone);
         }
         let maker = job.input_server(stage)?;
         let mut pools = self.pools.values();
         let maker = pools.find_map(|pool| pool.servers.get(maker))?;
-        Some(maker.zone.clone())
+        Some(&maker.zone)
     }
+}
 
-    /// Whether a slow server would make a piece late that a usual one would not.
-    fn is_too_slow(
-        pool: &PoolState,
-        spec: BatchSpec,
-        server: &StageServer,
-        latest_start: Duration,
-        is_late: bool,
-        now: Duration,
-    ) -> bool {
-        let slowness = server.slowness(now);
-        if slowness < SLOW || is_late {
-            return false;
-        }
-        let is_usual = |other: &StageServer| other.slowness(now) < SLOW;
-        let has_usual = pool.in_use(now).any(|(_, other)| is_usual(other));
-        let extra = spec.time_of(spec.max_pieces / 2).mul_f64(slowness - 1.0);
-        has_usual && now + extra > latest_start
+/// Whether a piece had better wait for a server in the availability zone that it belongs in.
+fn waits_for_near(
+    pool: &PoolState,
+    spec: BatchSpec,
+    home: &ZoneId,
+    ahead: usize,
+    latest_start: Duration,
+    now: Duration,
+) -> bool {
+    let near = pool.in_use(now).filter(|(_, server)| server.zone == *home);
+    let usable = near.filter(|(_, server)| server.slowness(now) < SLOW);
+    let free_at: Vec<_> = usable
+        .map(|(_, server)| server.busy_until.max(now))
+        .collect();
+    let Some(first_free_at) = free_at.iter().min() else {
+        return false;
+    };
+    let calls_ahead = ahead / (spec.max_pieces.max(1) * free_at.len());
+    let call = spec.time_of(spec.max_pieces);
+    let queue = call.saturating_mul(u32::try_from(calls_ahead).unwrap_or(u32::MAX));
+    let slack = latest_start.saturating_sub(now);
+    *first_free_at + queue <= now + slack.mul_f64(NEAR_SLACK_PART)
+}
+
+/// Whether a slow server would make a piece late that a usual one would not.
+fn is_too_slow(
+    pool: &PoolState,
+    spec: BatchSpec,
+    server: &StageServer,
+    latest_start: Duration,
+    is_late: bool,
+    now: Duration,
+) -> bool {
+    let slowness = server.slowness(now);
+    if slowness < SLOW || is_late {
+        return false;
     }
+    let is_usual = |other: &StageServer| other.slowness(now) < SLOW;
+    let has_usual = pool.in_use(now).any(|(_, other)| is_usual(other));
+    let extra = spec.time_of(spec.max_pieces / 2).mul_f64(slowness - 1.0);
+    has_usual && now + extra > latest_start
 }
