--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -14,7 +14,7 @@
 /// Time that is always waited beyond the expected one.
 const PATIENCE_MARGIN: Duration = Duration::from_millis(400);
 /// Part of a piece's slack that it may wait for a near server: the later stages need the rest.
-const NEAR_SLACK_PART: f64 = 0.3;
+const NEAR_SLACK_PART: f64 = 0.5;
 /// Slowness from which a server gets only what no other server could do in time.
 const SLOW: f64 = 1.6;
 
