--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -81,6 +81,18 @@
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let listener = TcpListener::bind(listen).await?;
+        Self::start_on(listener, limits, handle)
+    }
+
+    /// As [`Self::start_with`], on a listener that is bound already.
+    pub fn start_on<L, H, F, B>(listener: TcpListener, limits: L, handle: H) -> io::Result<Self>
+    where
+        L: Fn() -> HttpServerLimits + Send + 'static,
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let accepting = tokio::spawn(accept(listener, limits, handle, stopped));
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -10,6 +10,7 @@
 use log::info;
 use quick_error::quick_error;
 use ractor::Actor;
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 use super::connection::ServerPool;
@@ -62,13 +63,26 @@
     store: StoreCalls,
     config: GatewayConfig,
     callers: HttpServer,
-    _others: Vec<HttpServer>,
+    others: OtherServers,
     following: Vec<JoinHandle<()>>,
 }
 
+/// What listens beside the callers' server.
+#[derive(Debug)]
+struct OtherServers {
+    ready: HttpServer,
+    peers: HttpServer,
+    metrics: Option<HttpServer>,
+}
+
 impl Gateway {
     /// Starts a gateway; it is ready once it knows the routing.
-    pub async fn start(config: GatewayConfig) -> Result<Self, GatewayError> {
+    pub async fn start(mut config: GatewayConfig) -> Result<Self, GatewayError> {
+        // Bound first: the announcement names the port that the system gave.
+        let peers = bind("other gateways", config.announcement.address).await?;
+        config.announcement.address = peers
+            .local_addr()
+            .map_err(|cause| GatewayError::Listen("other gateways", config.callers, cause))?;
         let knowledge = Arc::new(Knowledge::new(
             config.clock,
             config.instance.clone(),
@@ -77,7 +91,7 @@
         let parts = Arc::new(start_parts(&config, &knowledge).await?);
         let following = follow(&config, &parts);
         let callers = listen_callers(&config, &parts).await?;
-        let others = listen_others(&config, &parts).await?;
+        let others = listen_others(&config, &parts, peers).await?;
         tokio::spawn(tell_changes(Arc::clone(&parts)));
         tokio::spawn(sweep(Arc::clone(&parts)));
         tokio::spawn(announce_instance(
@@ -90,7 +104,7 @@
             parts,
             store: config.store.clone(),
             callers,
-            _others: others,
+            others,
             following,
             config,
         })
@@ -102,6 +116,24 @@
         self.callers.address()
     }
 
+    /// Address at which the platform asks for readiness.
+    #[must_use]
+    pub const fn ready_address(&self) -> std::net::SocketAddr {
+        self.others.ready.address()
+    }
+
+    /// Address for other gateways.
+    #[must_use]
+    pub const fn peer_address(&self) -> std::net::SocketAddr {
+        self.others.peers.address()
+    }
+
+    /// Address at which metrics are read.
+    #[must_use]
+    pub fn metrics_address(&self) -> Option<std::net::SocketAddr> {
+        self.others.metrics.as_ref().map(HttpServer::address)
+    }
+
     /// Counts of answers, refusals and repeats.
     #[must_use]
     pub fn counters(&self) -> &Counters {
@@ -207,10 +239,20 @@
     }
 }
 
+async fn bind(
+    what: &'static str,
+    address: std::net::SocketAddr,
+) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| GatewayError::Listen(what, address, cause))
+}
+
 async fn listen_others(
     config: &GatewayConfig,
     parts: &Arc<GatewayParts>,
-) -> Result<Vec<HttpServer>, GatewayError> {
+    peers: TcpListener,
+) -> Result<OtherServers, GatewayError> {
     let limits = HttpServerLimits::default();
     let asked = Arc::clone(parts);
     let ready = move |_request: Request<Incoming>| {
@@ -224,24 +266,26 @@
     let own = config.instance.clone();
     let pieces =
         move |request: Request<Incoming>| serve_pieces(own.clone(), batches.clone(), request);
-    let peers = HttpServer::start(config.announcement.address, limits, pieces)
-        .await
-        .map_err(|cause| {
-            GatewayError::Listen("other gateways", config.announcement.address, cause)
-        })?;
-    let mut servers = vec![ready, peers];
+    let address = config.announcement.address;
+    let peers = HttpServer::start_on(peers, move || limits, pieces)
+        .map_err(|cause| GatewayError::Listen("other gateways", address, cause))?;
+    let mut metrics = None;
     if let Some(address) = config.metrics {
         let shown = Arc::clone(parts);
-        let metrics = move |_request: Request<Incoming>| {
+        let answer = move |_request: Request<Incoming>| {
             let response = Response::new(full_body(metrics_text(&shown)));
             async move { response }
         };
-        let metrics = HttpServer::start(address, limits, metrics)
+        let server = HttpServer::start(address, limits, answer)
             .await
             .map_err(|cause| GatewayError::Listen("metrics", address, cause))?;
-        servers.push(metrics);
+        metrics = Some(server);
     }
-    Ok(servers)
+    Ok(OtherServers {
+        ready,
+        peers,
+        metrics,
+    })
 }
 
 fn ready_response(parts: &GatewayParts) -> Response<ResponseBody> {
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -283,6 +283,7 @@
     batch: &Batch,
 ) -> CallEnd {
     let started = tokio::time::Instant::now();
+    counters.count("batch.calls");
     let end = call_batch(pool, dialect, batch).await;
     let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
     for (end, pieces) in failed_pieces(&end.end, batch.items.len()) {
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -43,7 +43,7 @@
 pub struct JobId(u64);
 
 /// Names a call to a stage server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BatchId(u64);
 
 /// The pieces that one stage of a request has.
