--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -13,7 +13,7 @@
 
 use super::super::process::GatewayParts;
 use super::answer::{AnswerBody, passed_on, whole};
-use super::caller::Admitted;
+use super::caller::{Admitted, ms};
 use super::outgoing::Outgoing;
 use super::refused::Refused;
 use super::send::{BegunAnswer, SendOutcome, Sent, send};
@@ -84,6 +84,7 @@
             let has_more = match tried {
                 Tried::Answered(answer) => {
                     if !answer.status.is_server_error() || !self.may_repeat() {
+                        self.log_answer(&answer, &server);
                         return Ok(passed_on(
                             answer.status,
                             &answer.headers,
@@ -212,6 +213,21 @@
         is_left
     }
 
+    /// One line for an answer that is late, repeated or a failure; the others are counted only.
+    fn log_answer(&self, answer: &WholeAnswer, server: &ServerRecord) {
+        let (admitted, elapsed) = (self.admitted, self.admitted.arrived.elapsed());
+        let sends = self.may_have_run + self.rejected;
+        if sends == 1 && elapsed <= admitted.route.aim && !answer.status.is_server_error() {
+            return;
+        }
+        info!(
+            call = admitted.work.call.as_str(), route:% = admitted.route.id,
+            server = server.id.as_str(), status = answer.status.as_u16(), sends,
+            aim_ms = ms(admitted.route.aim), ms = ms(elapsed);
+            "request: answered"
+        );
+    }
+
     fn give_up(&mut self, unsent: ResultCode) -> Result<Response<AnswerBody>, Refused> {
         if let Some(failure) = self.kept_failure.take() {
             return Ok(passed_on(
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -78,7 +78,10 @@
                     self.log("caller-left", &server, first_at);
                     return;
                 }
-                PartEnd::TimeOver => break "the time is over",
+                PartEnd::TimeOver => {
+                    self.log("time-over", &server, first_at);
+                    break "the time is over";
+                }
                 PartEnd::Broken => {}
             }
             self.log("broken", &server, first_at);
@@ -179,7 +182,7 @@
             call = admitted.work.call.as_str(), route:% = admitted.route.id,
             server = server.as_str(), end, events = self.passed, owner,
             pieces_ms = ms(pieces_at - admitted.arrived),
-            begun_ms = ms(first_at), ms = ms(Instant::now() - admitted.arrived);
+            aim_ms = ms(admitted.route.aim), begun_ms = ms(first_at), ms = ms(Instant::now() - admitted.arrived);
             "stream: ended"
         );
     }
--- a/crates/amaranthscale/src/operator.rs
+++ b/crates/amaranthscale/src/operator.rs
@@ -13,6 +13,7 @@
 //! [`ctl`] is the operators' side of it, the program `amaranthctl`.
 
 pub mod ctl;
+pub mod explain;
 
 mod edit_accepted;
 mod edit_conflict;
--- a/crates/amaranthscale/src/operator/ctl.rs
+++ b/crates/amaranthscale/src/operator/ctl.rs
@@ -11,6 +11,7 @@
 mod entry_address;
 mod entry_client;
 mod exit_status;
+mod explain_call;
 mod program;
 mod render;
 mod submit;
--- a/crates/amaranthscale/src/operator/ctl/command.rs
+++ b/crates/amaranthscale/src/operator/ctl/command.rs
@@ -68,6 +68,7 @@
         .subcommand(Command::new("status").about("Shows how an entry and its servers fare"))
         .subcommand(Command::new("cost").about("Shows cost by organisation and stage"))
         .subcommand(config())
+        .subcommand(explain())
         .subcommand(completions())
 }
 
@@ -199,6 +200,26 @@
     group("service", "Puts and removes services", SERVICE_EXAMPLES).subcommands([put, remove])
 }
 
+fn explain() -> Command {
+    let call = Arg::new("call")
+        .value_name("ID")
+        .help("The caller's id of the request")
+        .required(true);
+    let files = Arg::new("files")
+        .value_name("FILE")
+        .help("Log files of all machines; standard input if none is given")
+        .value_parser(value_parser!(PathBuf))
+        .num_args(0..);
+    let json = Arg::new("json")
+        .long("json")
+        .help("Print JSON")
+        .action(ArgAction::SetTrue);
+    Command::new("explain")
+        .about("Tells from log files what happened to a request, and what decided it")
+        .after_help("Examples:\n  amaranthctl explain 9c41d07be2a35f68 logs/*.log")
+        .args([call, files, json])
+}
+
 fn config() -> Command {
     let kind = Arg::new("kind")
         .long("kind")
--- a/crates/amaranthscale/src/operator/ctl/program.rs
+++ b/crates/amaranthscale/src/operator/ctl/program.rs
@@ -14,7 +14,7 @@
 use super::command::{PROGRAM, command};
 use super::edit_commands::PlannedEdit;
 use super::submit::submit;
-use super::{CtlError, EntryClient, ExitStatus, config_check, render};
+use super::{CtlError, EntryClient, ExitStatus, config_check, explain_call, render};
 
 /// Runs the program: prints to the terminal and returns how it ends.
 ///
@@ -44,6 +44,7 @@
     let (name, leaf) = group_matches.subcommand().unwrap_or((group, group_matches));
     match (group, name) {
         ("config", _) => return config_check::check(leaf),
+        ("explain", _) => return explain_call::explain(group_matches),
         ("completions", _) => return Ok(completion_script(required(leaf, "shell"))),
         _ => {}
     }
--- a/crates/amaranthscale/src/process/bounded_log.rs
+++ b/crates/amaranthscale/src/process/bounded_log.rs
@@ -7,6 +7,7 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::LevelFilter;
 
@@ -79,7 +80,9 @@
     let mut builder = env_logger::Builder::new();
     builder.filter_level(level).parse_default_env();
     builder.format(|out, record| {
-        write!(out, "{} {}", record.level(), record.args())?;
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at_ms = since_epoch.unwrap_or_default().as_millis();
+        write!(out, "{at_ms} {} {}", record.level(), record.args())?;
         let mut pairs = Pairs { out };
         record
             .key_values()
--- /dev/null
+++ b/crates/amaranthscale/tests/explain_request.rs
@@ -0,0 +1,128 @@
+//! The story of one request from the log lines of several machines.
+
+use amaranthscale::operator::explain::{LogLine, Story, Telling};
+
+fn told(call: &str, lines: &[&str]) -> Telling {
+    let mut story = Story::new(call);
+    for line in lines {
+        story.take(line);
+    }
+    story.tell()
+}
+
+#[test]
+fn a_line_is_found_behind_what_others_wrote_before_it() {
+    let line = "  29.9231 front-a-1 1700 INFO request: refused call=ab reason=\"no way\" ms=3";
+
+    let line = LogLine::parse(line).unwrap();
+
+    assert!((line.at - 29.9231).abs() < 1e-9);
+    assert_eq!(line.before, "29.9231 front-a-1 1700");
+    assert_eq!(line.event, "refused");
+    assert_eq!(line.field("reason"), "no way");
+    assert_eq!(line.number("ms"), Some(3));
+}
+
+#[test]
+fn foreign_damaged_and_cut_lines_are_passed_over_and_counted() {
+    let telling = told(
+        "ab",
+        &[
+            "GET / HTTP/1.1",
+            "INFO request: refused call=ab reason=\"cut of",
+            "INFO nothing of ours",
+            "\u{fffd}\u{fffd}",
+            "",
+            "12 INFO request: refused call=other code=2002",
+        ],
+    );
+
+    assert_eq!(telling.passed_over, 4);
+    assert!(telling.sentences.is_empty());
+    assert!(telling.cause.contains("No line tells"), "{}", telling.cause);
+}
+
+/// A caller is refused though servers are there: the owner of the batches expects that the pieces
+/// cannot be made in time. Its line stands in another machine's file.
+#[test]
+fn a_refusal_for_want_of_time_names_the_owners_reason() {
+    let telling = told(
+        "ab",
+        &[
+            "30 g1 INFO request: refused call=ab code=2101 reason=DeadlineUnreachable ran=no ms=4",
+            "29 g1 INFO request: pieces not made call=ab reason=\"the pieces cannot be made: late\" ms=4",
+            "28 g2 INFO batches: job refused call=ab reason=late waiting=88",
+        ],
+    );
+
+    assert!(telling.sentences[0].starts_with("28 g2"), "{telling:?}");
+    assert!(telling.cause.contains("2101"), "{}", telling.cause);
+    assert!(
+        telling.cause.contains("88 stages waiting"),
+        "{}",
+        telling.cause
+    );
+    assert!(telling.cause.contains("did not run"), "{}", telling.cause);
+}
+
+#[test]
+fn a_late_stream_names_the_stage_that_took_the_time() {
+    let telling = told(
+        "ab",
+        &[
+            "31 g2 INFO batches: pieces made call=ab stages_waited_worked_ms=20+300,1500+410",
+            "33 g1 INFO stream: ended call=ab server=i-1 end=whole events=9 pieces_ms=2230 \
+             aim_ms=1900 begun_ms=2300 ms=3000",
+        ],
+    );
+
+    let expected = "Late: begun after 2300 ms with an aim of 1900 ms; \
+        stage 1 waited 1500 ms for a server and worked 410 ms.";
+    assert_eq!(telling.cause, expected);
+}
+
+#[test]
+fn a_late_stream_with_quick_stages_names_the_engine() {
+    let telling = told(
+        "ab",
+        &[
+            "33 g1 INFO stream: ended call=ab server=i-1 end=whole events=9 pieces_ms=300 \
+             aim_ms=1000 begun_ms=2300 ms=3000",
+        ],
+    );
+
+    assert!(
+        telling.cause.contains("the engine 2000 ms"),
+        "{}",
+        telling.cause
+    );
+}
+
+/// A settlement was sent to a server that died: the caller was told that it may have run.
+#[test]
+fn a_lost_answer_names_the_server() {
+    let telling = told(
+        "ab",
+        &[
+            "10 g1 INFO request: send without answer call=ab server=i-9 end=lost ms=31",
+            "11 g1 INFO request: refused call=ab code=4003 reason=AnswerLost ran=unknown ms=32",
+        ],
+    );
+
+    assert_eq!(telling.sentences.len(), 2);
+    assert!(
+        telling.cause.contains("i-9 gave no answer (lost)"),
+        "{}",
+        telling.cause
+    );
+}
+
+#[test]
+fn a_stream_that_its_engine_broke_off_says_so() {
+    let telling = told(
+        "ab",
+        &["33 g1 INFO stream: ended call=ab server=i-1 end=broken events=4 begun_ms=200 ms=300"],
+    );
+
+    assert_eq!(telling.cause, "Broken off by engine i-1 after 4 events.");
+}
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -375,7 +375,6 @@
             let stage = &mut job.stages[index];
             stage.is_queued = true;
             stage.clock.queued_at = now;
-            job.is_changed = true;
         }
         if job.is_done() && !job.is_reported {
             job.is_reported = true;
@@ -391,7 +390,6 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.is_changed = false;
         for index in 0..job.stages.len() {
             let stage = &job.stages[index];
             let waits = stage.is_queued && !job.is_reported && stage.has_waiting();
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -133,10 +133,10 @@
         now: Duration,
     ) {
         let piece = running.piece;
-        match &end {
+        match end {
             PieceEnd::Made(handle) => {
                 let made = PieceState::Made {
-                    handle: handle.clone(),
+                    handle,
                     server: batch.server.clone(),
                     address: batch.address,
                 };
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -57,7 +57,7 @@
         self.note_arrival(order, now);
         Ok(Outlook {
             not_before: not_before(order, &calls, now),
-            path_time: done_at(order, &calls, &[], now) - now,
+            path_time: done_at(order, &calls, &[], now).saturating_sub(now),
             latest_starts,
             put_off,
             is_late,
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -53,8 +53,7 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            job.grow_late(now);
-            if job.is_changed {
+            if job.grow_late(now) {
                 self.place_in_queues(id);
             }
         }
@@ -175,7 +174,7 @@
         now: Duration,
     ) -> Vec<PieceRef> {
         let pool = &self.pools[service];
-        let Some(state) = pool.servers.get(server) else {
+        let Some(maker) = pool.servers.get(server) else {
             return Vec::new();
         };
         let free_bytes = pool.free_bytes(server, now);
@@ -198,12 +197,12 @@
             let is_for_another = home.is_some_and(|home| {
                 let before = ahead.as_deref().copied().unwrap_or(0);
                 !job.is_late
-                    && state.zone != *home
+                    && maker.zone != *home
                     && waits_for_near(pool, spec, home, before, stage.latest_start, now)
             });
             let has_place = !is_for_another
                 && (!job.is_late || self.has_spare(job, now))
-                && !is_too_slow(pool, spec, state, stage.latest_start, job.is_late, now);
+                && !is_too_slow(pool, spec, maker, stage.latest_start, job.is_late, now);
             if let Some(ahead) = ahead {
                 *ahead += stage.order.pieces;
             }
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -68,6 +68,10 @@
 }
 
 /// When a stage got how far.
+#[expect(
+    clippy::struct_field_names,
+    reason = "points in time end in _at everywhere"
+)]
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct StageClock {
     pub(super) queued_at: Duration,
@@ -119,8 +123,6 @@
     /// Whether a piece was sent: from then on, giving up wastes work and holds room.
     pub(super) is_started: bool,
     pub(super) is_reported: bool,
-    /// Whether its stages may belong elsewhere in the queues.
-    pub(super) is_changed: bool,
     pub(super) remakes: u32,
     pub(super) failures: u32,
 }
@@ -150,7 +152,6 @@
             order,
             stages,
             is_reported: false,
-            is_changed: true,
             remakes: 0,
             failures: 0,
         }
@@ -171,21 +172,18 @@
             for stage in &mut self.stages {
                 stage.latest_start += shift;
             }
-            self.is_changed = true;
         }
     }
 
-    /// Turns late if it waited in vain for a start that meets its aim.
-    pub(super) fn grow_late(&mut self, now: Duration) {
+    /// Turns late if it waited in vain for a start that meets its aim; says whether it did.
+    pub(super) fn grow_late(&mut self, now: Duration) -> bool {
         if self.is_started || self.is_late {
-            return;
+            return false;
         }
         let queued = self.stages.iter().filter(|stage| stage.is_queued);
         let first = queued.map(|stage| stage.latest_start).min();
-        if first.is_some_and(|start| start + LATE_MARGIN < now) {
-            self.is_late = true;
-            self.is_changed = true;
-        }
+        self.is_late = first.is_some_and(|start| start + LATE_MARGIN < now);
+        self.is_late
     }
 
     /// Place of a stage among others: its latest start, put off for less urgent jobs.
--- a/crates/core/tests/backend_choice.rs
+++ b/crates/core/tests/backend_choice.rs
@@ -1,5 +1,7 @@
 //! Which backend server a direct request is sent to.
 
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -1,5 +1,7 @@
 //! Batches of pieces: order, room, ends of calls, and random runs.
 
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
 mod bench;
 mod ends;
 mod order;
--- a/crates/core/tests/instance_view.rs
+++ b/crates/core/tests/instance_view.rs
@@ -1,5 +1,7 @@
 //! Which entry acts for all, as each of them sees it.
 
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/core/tests/routing_look_up.rs
+++ b/crates/core/tests/routing_look_up.rs
@@ -1,5 +1,7 @@
 //! Look-ups in one version of the routing.
 
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, RoutingVersion};
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -1,5 +1,7 @@
 //! The list of backend servers through outages of the store.
 
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
 use std::time::Duration;
 
 use amaranthscale_core::id::ServiceId;
@@ -91,7 +93,7 @@
     servers.store_lost();
     servers.store_answered(10 * SECOND);
 
-    let late = 10 * SECOND + LAPSE_GRACE - Duration::from_millis(100);
+    let late = 10 * SECOND + Duration::from_millis(1_900);
     servers.take(ServerChange::Gone("a".parse().unwrap()), late);
 
     assert_eq!(servers.lapsed_until(), Some(10 * SECOND + LAPSE_GRACE));
--- a/crates/core/tests/shared_budget.rs
+++ b/crates/core/tests/shared_budget.rs
@@ -87,7 +87,7 @@
             } else if budget.try_repeat(1, now) {
                 repeats.push(now);
             }
-            let within = |at: &&Duration| now - **at < TERMS.window;
+            let within = |at: &&Duration| now.saturating_sub(**at) < TERMS.window;
             let requests = u32::try_from(requests.iter().filter(within).count()).unwrap();
             let repeats = u32::try_from(repeats.iter().filter(within).count()).unwrap();
             f64::from(repeats) <= f64::from(requests) * TERMS.ratio + TERMS.slack
