--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -16,14 +16,14 @@
 
 /// Pace of the routing: its age bounds how long a revoked key lives.
 const ROUTING_PACE: FeedPace = FeedPace {
-    wait: Duration::from_millis(1_200),
+    wait: Duration::from_millis(1_800),
     between: Duration::ZERO,
     after_failure: Duration::from_millis(350),
 };
 /// Pace of the servers: a leaving one must be seen within a part of the drain bound.
 const SERVERS_PACE: FeedPace = FeedPace {
-    wait: Duration::from_millis(1_500),
-    between: Duration::from_millis(150),
+    wait: Duration::from_millis(2_500),
+    between: Duration::from_millis(300),
     after_failure: Duration::from_millis(350),
 };
 /// Pace of the gateways: changes are told at once, silence shows on their own connections.
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -36,6 +36,12 @@
         };
         self.account_server(&batch, &end, now);
         self.account_others(&batch, &end, told, now);
+        if end == BatchEnd::Lost
+            && let Some(pool) = self.pools.get_mut(&batch.service)
+        {
+            let bytes = batch.pieces.iter().map(|piece| piece.result_bytes).sum();
+            pool.note_unknown(&batch.server, bytes, now);
+        }
         let ends = match end {
             BatchEnd::Pieces(ends) if ends.len() == batch.pieces.len() => ends,
             BatchEnd::Full | BatchEnd::OtherServer => {
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -152,6 +152,17 @@
         usable_bytes(spec).saturating_sub(taken_bytes)
     }
 
+    /// Notes results that a server may keep under handles that nobody knows.
+    ///
+    /// Guards against a call that was given up: the server goes on with it and keeps its results
+    /// until they lapse. Sent as if that room were free, the next calls would find none.
+    pub(super) fn note_unknown(&mut self, server: &ServerId, bytes: u64, now: Duration) {
+        if let Some((spec, server)) = self.spec.zip(self.servers.get_mut(server)) {
+            server.others_bytes = server.others_bytes(spec.kept_for, now) + bytes;
+            server.others_at = now;
+        }
+    }
+
     /// Notes that a server has no room beyond what is accounted for.
     ///
     /// Guards against results that nobody frees, as after an owner's death: calls would go on to
--- a/crates/core/tests/batcher/room.rs
+++ b/crates/core/tests/batcher/room.rs
@@ -100,6 +100,24 @@
     assert!(bench.events().is_empty());
 }
 
+/// A server turns slow, and its call is given up. It goes on with the call and keeps the results
+/// under handles that nobody knows: their room is taken until they lapse.
+#[test]
+fn results_of_a_call_that_was_given_up_take_room_until_they_lapse() {
+    let mut bench = Bench::new(&["north"]);
+    let order = bench.chain(&[(ENCODE, 3, 300_000)]);
+    bench.submit(order);
+    let batch = bench.next_batch();
+    bench.advance(1_000);
+
+    bench.end(&batch, BatchEnd::Lost);
+
+    bench.advance(700);
+    assert!(bench.next_batches().is_empty());
+    bench.advance(1_000);
+    assert_eq!(bench.next_batch().items.len(), 1);
+}
+
 /// An owner dies, and nobody frees the results of its requests. Its successor finds servers without
 /// room; it must not go on sending calls that make nothing, and use the room as the results lapse.
 #[test]
