An owner whose connection was lost is asked once more

Ruled out: the owner's processor. Change: a lost connection is followed by one more question; only a failed connection, another life or a second loss passes the owner over.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -37,6 +37,11 @@
 const LEAVE_ROTATION: Duration = Duration::from_millis(2_300);
 /// Time kept back from the bound on a stop, for the process to end by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Bounds of connections to other gateways: a request waits for the next owner meanwhile.
+const PEER_LIMITS: PeerClientLimits = PeerClientLimits {
+    connect_timeout: Duration::from_millis(400),
+    silence: Duration::from_secs(1),
+};
 /// Time between two sweeps of kept connections.
 const SWEEP: Duration = Duration::from_secs(2);
 
@@ -205,7 +210,7 @@
         dialect,
         budgets: Budgets::new(config.budget),
         batches: BatchOwnerHandle::new(owner),
-        peers: PeerClient::new(PeerClientLimits::default()),
+        peers: PeerClient::new(PEER_LIMITS),
         counters,
         stop: Arc::new(StopGate::default()),
         key_age: config.revoke_bound * KEY_AGE_PERCENT / 100,
--- a/crates/amaranthscale/src/gateway/process/peer_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_pieces.rs
@@ -16,9 +16,10 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::{Request, Response, StatusCode};
 use log::warn;
+use quick_error::quick_error;
 
 use super::{BatchOwnerHandle, JobAnswer, OwnedJob};
-use crate::connection::{PeerClient, ResponseBody, empty_body, read_body};
+use crate::connection::{PeerClient, PeerError, ResponseBody, empty_body, read_body};
 
 /// Start of the path of a request that carries a job; the owner's name follows.
 pub const PIECES_PATH: &str = "/pieces/";
@@ -29,24 +30,47 @@
 /// Bytes of the length before an answer.
 const LENGTH_BYTES: usize = 4;
 
+quick_error! {
+    /// A job that another gateway did not answer.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum AskError {
+        /// No connection came about.
+        NotReached(reason: String) {
+            display("{reason}")
+        }
+        /// The connection ended before the answer; the gateway itself may live.
+        Lost(reason: String) {
+            display("{reason}")
+        }
+        /// Another life is at the address.
+        OtherLife {
+            display("another life is at its address")
+        }
+    }
+}
+
 /// Asks another gateway; the open body keeps the results.
 pub(super) async fn ask_peer(
     peers: &PeerClient,
     owner: &InstanceId,
     address: SocketAddr,
     order: &PipelineOrder,
-) -> Result<(JobAnswer, Incoming), String> {
+) -> Result<(JobAnswer, Incoming), AskError> {
     let path = format!("{PIECES_PATH}{owner}");
-    let encoded = rmp_serde::to_vec_named(order).map_err(|error| error.to_string())?;
+    let encoded =
+        rmp_serde::to_vec_named(order).map_err(|error| AskError::NotReached(error.to_string()))?;
     let response = peers
         .post(address, &path, encoded)
         .await
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| match error {
+            PeerError::NotSent(..) => AskError::NotReached(error.to_string()),
+            PeerError::Lost(..) => AskError::Lost(error.to_string()),
+        })?;
     if response.status() != StatusCode::OK {
-        return Err(format!("the owner answered {}", response.status()));
+        return Err(AskError::OtherLife);
     }
     let mut body = response.into_body();
-    let answer = read_answer(&mut body).await?;
+    let answer = read_answer(&mut body).await.map_err(AskError::Lost)?;
     Ok((answer, body))
 }
 
--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -9,11 +9,11 @@
 use quick_error::quick_error;
 use tokio::time::Instant;
 
-use super::peer_pieces::ask_peer;
+use super::peer_pieces::{AskError, ask_peer};
 use super::{GatewayParts, JobAnswer, OwnedJob};
 
-/// Owners that one request is given to, one after the other.
-const MOST_OWNERS: usize = 3;
+/// Times that one request is given to an owner, the same or the next one.
+const MOST_ASKED: usize = 4;
 /// Time after which a caller may come back when no owner could be reached.
 const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
 
@@ -56,7 +56,8 @@
 ) -> Result<MadePieces, PiecesError> {
     let started = Instant::now();
     let (aim_left, deadline_left) = (order.aim_left, order.deadline_left);
-    for _ in 0..MOST_OWNERS {
+    let mut lost_by: Option<InstanceId> = None;
+    for _ in 0..MOST_ASKED {
         order.aim_left = aim_left.saturating_sub(started.elapsed());
         order.deadline_left = deadline_left.saturating_sub(started.elapsed());
         let (owner, address, is_own) = parts.knowledge.owner();
@@ -74,13 +75,19 @@
                 parts.knowledge.heard(&owner);
                 return outcome(owner, answer, kept);
             }
-            Err(reason) => {
+            Err(error) => {
                 parts.counters.count("owner.lost");
                 info!(
-                    call = order.call.as_str(), owner = owner.as_str(), reason = reason.as_str();
+                    call = order.call.as_str(), owner = owner.as_str(), reason:% = error;
                     "batches: owner lost"
                 );
-                parts.knowledge.silent(&owner);
+                // A connection may end while its owner lives: passed over for that, the owner
+                // would get a second one beside it. It is asked once more on a new connection.
+                let is_first = lost_by.as_ref() != Some(&owner);
+                if !(is_first && matches!(error, AskError::Lost(_))) {
+                    parts.knowledge.silent(&owner);
+                }
+                lost_by = Some(owner);
             }
         }
     }
