--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -6,7 +6,7 @@
 
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerId, ServiceId};
-use amaranthscale_core::process::{PipelineOrder, SendEnd, ServerRecord, StageOrder};
+use amaranthscale_core::process::{JobFailure, PipelineOrder, SendEnd, ServerRecord, StageOrder};
 use hyper::Response;
 use log::info;
 use tokio::time::Instant;
@@ -257,10 +257,13 @@
             "request: pieces not made"
         );
         // The request itself never left for an engine, so it has not run.
-        let refused = Refused::new(ResultCode::DeadlineUnreachable);
+        let code = match error {
+            PiecesError::Refused(_, JobFailure::NoServer) => ResultCode::NoBackendServer,
+            _ => ResultCode::DeadlineUnreachable,
+        };
         match error {
-            PiecesError::Refused(retry_after, _) => refused.come_back_in(*retry_after),
-            PiecesError::Failed(_) => refused,
+            PiecesError::Refused(retry_after, _) => Refused::new(code).come_back_in(*retry_after),
+            PiecesError::Failed(_) => Refused::new(code),
         }
     }
 
