--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -27,7 +27,7 @@
 
 /// Time by which half the usual worth for its work lets others go before, and twice brings forward.
 /// Measured: see MEASUREMENTS.md, "Order of the pieces".
-const WORTH_STEP: Duration = Duration::from_millis(2_200);
+const WORTH_STEP: Duration = Duration::from_millis(3_500);
 /// Most steps that worth counts for.
 const MOST_WORTH_STEPS: f64 = 2.0;
 
