A stop answers requests that were sent nowhere; latency histograms; lines for servers left out and taken back

Cause: a request that waited for its pieces when its gateway ended was cut off without a word. Change: 0.7 s before the end it is refused as not run, with when to come back.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -37,6 +37,8 @@
 const LEAVE_ROTATION: Duration = Duration::from_millis(2_300);
 /// Time kept back from the bound on a stop, for the process to end by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of a stop at which requests that were sent nowhere are answered.
+const HURRY: Duration = Duration::from_millis(700);
 /// Bounds of connections to other gateways: a request waits for the next owner meanwhile.
 const PEER_LIMITS: PeerClientLimits = PeerClientLimits {
     connect_timeout: Duration::from_millis(400),
@@ -158,7 +160,13 @@
         let leaving = tokio::time::sleep(LEAVE_ROTATION);
         tokio::join!(withdrawing, leaving);
         let left = ends_at.saturating_duration_since(tokio::time::Instant::now());
+        let gate = Arc::clone(&self.parts.stop);
+        let hurrying = tokio::spawn(async move {
+            tokio::time::sleep(left.saturating_sub(HURRY)).await;
+            gate.hurry();
+        });
         let is_drained = self.callers.stop(left).await;
+        hurrying.abort();
         let left = ends_at.saturating_duration_since(tokio::time::Instant::now());
         let is_empty = tokio::time::timeout(left, self.parts.stop.emptied()).await;
         for following in &self.following {
@@ -199,7 +207,9 @@
         pool: Arc::clone(&pool),
         dialect: Arc::clone(&dialect),
         counters: Arc::clone(&counters),
+        latencies: Arc::default(),
     };
+    let latencies = Arc::clone(&arguments.latencies);
     let (owner, _running) = Actor::spawn(None, BatchOwner, arguments)
         .await
         .map_err(|error| GatewayError::Owner(error.to_string()))?;
@@ -212,6 +222,7 @@
         batches: BatchOwnerHandle::new(owner),
         peers: PeerClient::new(PEER_LIMITS),
         counters,
+        latencies,
         stop: Arc::new(StopGate::default()),
         key_age: config.revoke_bound * KEY_AGE_PERCENT / 100,
         choice: Mutex::new(BackendChoice::default()),
@@ -304,7 +315,7 @@
     response
 }
 
-/// All counters, one a line.
+/// All counters and times, one a line.
 fn metrics_text(parts: &GatewayParts) -> String {
     use std::fmt::Write;
     let mut text = String::new();
@@ -314,7 +325,7 @@
         let _ = writeln!(text, "amaranth_{name}_total {total}");
     }
     let _ = writeln!(text, "amaranth_open_requests {}", parts.stop.open());
-    text
+    text + &parts.latencies.text()
 }
 
 /// Tells the owner of the batches of each change.
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -21,7 +21,7 @@
 use super::super::connection::ServerPool;
 use super::super::version::Knowledge;
 use super::batch_calls::{CallEnd, call_batch, call_free};
-use crate::process::Counters;
+use crate::process::{Counters, Latencies};
 
 /// Time between two looks at what waits: for held-back pieces and servers that come back.
 const TICK: Duration = Duration::from_millis(20);
@@ -82,6 +82,8 @@
     pub dialect: Arc<Dialect>,
     /// Counts ends of calls and jobs.
     pub counters: Arc<Counters>,
+    /// Times of calls by service.
+    pub latencies: Arc<Latencies>,
 }
 
 /// State of the actor.
@@ -229,8 +231,11 @@
             let pool = Arc::clone(&self.arguments.pool);
             let dialect = Arc::clone(&self.arguments.dialect);
             let counters = Arc::clone(&self.arguments.counters);
+            let latencies = Arc::clone(&self.arguments.latencies);
             tokio::spawn(async move {
+                let started = tokio::time::Instant::now();
                 let CallEnd { end, told } = run_batch(&pool, &dialect, &counters, &batch).await;
+                latencies.record(&format!("call.{}", batch.service), started.elapsed());
                 // The actor ends only with the process.
                 let _ = myself.send_message(BatchOwnerMessage::Ended(batch.id, end, told));
             });
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -10,7 +10,7 @@
 use super::super::version::Knowledge;
 use super::{BatchOwnerHandle, Budgets, StopGate};
 use crate::connection::PeerClient;
-use crate::process::Counters;
+use crate::process::{Counters, Latencies};
 
 /// Shared by all requests.
 #[derive(Debug)]
@@ -31,6 +31,8 @@
     pub peers: PeerClient,
     /// Counts of answers, refusals and repeats.
     pub counters: Arc<Counters>,
+    /// Times by part of a request and by stage service.
+    pub latencies: Arc<Latencies>,
     /// Open requests.
     pub stop: Arc<StopGate>,
     /// Longest age of the routing at which a key is believed.
--- a/crates/amaranthscale/src/gateway/process/stop_gate.rs
+++ b/crates/amaranthscale/src/gateway/process/stop_gate.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Whether the gateway stops, and how many requests are open.
 #[derive(Debug, Default)]
@@ -11,6 +11,7 @@
     open: AtomicUsize,
     is_stopping: AtomicBool,
     emptied: Notify,
+    is_hurried: watch::Sender<bool>,
 }
 
 /// A request that is open until this is dropped.
@@ -44,6 +45,20 @@
         self.is_stopping.load(Ordering::Acquire)
     }
 
+    /// Tells requests that were sent nowhere yet to end now.
+    pub fn hurry(&self) {
+        self.is_hurried.send_replace(true);
+    }
+
+    /// Waits until the stop leaves no time to begin anything.
+    pub async fn hurried(&self) {
+        let mut hurried = self.is_hurried.subscribe();
+        if hurried.wait_for(|is_hurried| *is_hurried).await.is_err() {
+            // The gate outlives its waiters, so its sender is there.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Requests that are open.
     #[must_use]
     pub fn open(&self) -> usize {
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -64,6 +64,8 @@
     parts
         .counters
         .count_reason("answer", response.status().as_u16());
+    // Of a stream this is the time to its head, which comes with its first event.
+    parts.latencies.record("answer", arrived.elapsed());
     response
 }
 
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -222,13 +222,22 @@
                 reader_zone: reader.zone.clone(),
             };
             let making = make_pieces(&self.parts, order);
-            let made = tokio::time::timeout(self.admitted.left(), making).await;
+            // Guards against a caller that waits for pieces when the process ends: cut off, it
+            // could not tell that its request never ran.
+            let made = tokio::select! {
+                made = tokio::time::timeout(self.admitted.left(), making) => made,
+                () = self.parts.stop.hurried() => {
+                    return Err(Refused::new(ResultCode::NotReady).closing());
+                }
+            };
             let made = made.map_err(|_elapsed| Refused::new(ResultCode::DeadlineUnreachable))?;
             Some(made.map_err(|error| self.no_pieces(&error))?)
         };
         if let Some(made) = &made {
             self.owner = Some(made.owner.clone());
             self.pieces_at = Some(Instant::now());
+            let took = self.admitted.arrived.elapsed();
+            self.parts.latencies.record("pieces", took);
         }
         let handles = made.iter().flat_map(|made| &made.handles);
         let handles: Vec<_> = handles.map(ResultHandle::as_str).collect();
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::CallId;
-use amaranthscale_core::process::{SendEnd, ServerRecord};
+use amaranthscale_core::process::{HealthChange, SendEnd, ServerRecord};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
+use log::info;
 use tokio::time::Instant;
 
 use super::super::connection::ServerConnection;
@@ -68,8 +69,16 @@
     fn drop(&mut self) {
         let now = self.parts.knowledge.clock().now();
         let elapsed = self.started.elapsed();
-        let mut choice = self.parts.choice();
-        choice.ended(&self.server, self.end, elapsed, now);
+        let change = self
+            .parts
+            .choice()
+            .ended(&self.server, self.end, elapsed, now);
+        let server = self.server.as_str();
+        match change {
+            Some(HealthChange::LeftOut) => info!(server; "servers: left out"),
+            Some(HealthChange::TakenBack) => info!(server; "servers: taken back"),
+            None => {}
+        }
     }
 }
 
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -67,6 +67,7 @@
 impl Relay {
     async fn go(mut self, mut running: Running, _open: OpenRequest) {
         let first_at = self.run.admitted.arrived.elapsed();
+        self.run.parts.latencies.record("begin", first_at);
         let reason = loop {
             let server = running.server.clone();
             match self.pass_part(running).await {
--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -8,6 +8,7 @@
 mod counters;
 mod daemon_command;
 mod host_poll;
+mod latencies;
 mod platform_client;
 mod stop_signal;
 mod table_write;
@@ -27,6 +28,8 @@
 #[doc(inline)]
 pub use host_poll::poll_hosts;
 #[doc(inline)]
+pub use latencies::Latencies;
+#[doc(inline)]
 pub use platform_client::{PlatformClient, PlatformClientLimits, PlatformError};
 #[doc(inline)]
 pub use stop_signal::StopSignal;
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -45,7 +45,7 @@
 #[doc(inline)]
 pub use attempt_end::AttemptEnd;
 #[doc(inline)]
-pub use backend_choice::{BackendChoice, SendEnd, ToldLoad};
+pub use backend_choice::{BackendChoice, HealthChange, SendEnd, ToldLoad};
 #[doc(inline)]
 pub use batcher::{
     Batch, BatchEnd, BatchId, BatchItem, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused,
--- a/crates/core/src/process/backend_choice.rs
+++ b/crates/core/src/process/backend_choice.rs
@@ -55,6 +55,15 @@
     Abandoned,
 }
 
+/// A change of what a server's sends say of its health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HealthChange {
+    /// It failed several times in a row.
+    LeftOut,
+    /// It answered again.
+    TakenBack,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Track {
     in_flight: usize,
@@ -164,11 +173,16 @@
         self.tracks.entry(server.clone()).or_default().in_flight += 1;
     }
 
-    /// Takes the end of a send.
-    pub fn ended(&mut self, server: &ServerId, end: SendEnd, elapsed: Duration, now: Duration) {
-        let Some(track) = self.tracks.get_mut(server) else {
-            return;
-        };
+    /// Takes the end of a send; says whether the server is left out or taken back by it.
+    pub fn ended(
+        &mut self,
+        server: &ServerId,
+        end: SendEnd,
+        elapsed: Duration,
+        now: Duration,
+    ) -> Option<HealthChange> {
+        let track = self.tracks.get_mut(server)?;
+        let was_failing = track.failures >= FAILURES_OUT;
         track.in_flight = track.in_flight.saturating_sub(1);
         match end {
             SendEnd::Answered => {
@@ -187,6 +201,11 @@
             }
             SendEnd::Full | SendEnd::Abandoned => {}
         }
+        match (was_failing, track.failures >= FAILURES_OUT) {
+            (false, true) => Some(HealthChange::LeftOut),
+            (true, false) => Some(HealthChange::TakenBack),
+            _ => None,
+        }
     }
 
     /// Takes the load that a server told.
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -28,7 +28,7 @@
 /// Time by which half the usual worth for its work lets others go before, and twice brings forward:
 /// longer than most waits, so that worth decides wherever a service is short of time.
 /// Measured: see MEASUREMENTS.md, "Order of the pieces".
-const WORTH_STEP: Duration = Duration::from_millis(6_000);
+const WORTH_STEP: Duration = Duration::from_secs(6);
 /// Most steps that worth counts for.
 const MOST_WORTH_STEPS: f64 = 2.0;
 
--- a/crates/core/tests/backend_choice.rs
+++ b/crates/core/tests/backend_choice.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerId, ZoneId};
-use amaranthscale_core::process::{BackendChoice, SendEnd, ServerRecord, ToldLoad};
+use amaranthscale_core::process::{BackendChoice, HealthChange, SendEnd, ServerRecord, ToldLoad};
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -101,6 +101,27 @@
     assert_eq!(plain(&choice, &servers, later), servers[0].id);
 }
 
+#[test]
+fn being_left_out_and_taken_back_is_told_once() {
+    let mut choice = BackendChoice::default();
+    let server = &servers(1)[0].id;
+    let mut end = |end| {
+        choice.sent(server);
+        choice.ended(server, end, Duration::ZERO, NOW)
+    };
+
+    let changes = [
+        end(SendEnd::Failed),
+        end(SendEnd::Failed),
+        end(SendEnd::Failed),
+        end(SendEnd::Answered),
+        end(SendEnd::Answered),
+    ];
+
+    let (out, back) = (Some(HealthChange::LeftOut), Some(HealthChange::TakenBack));
+    assert_eq!(changes, [None, out, None, back, None]);
+}
+
 #[test]
 fn when_most_servers_fail_all_are_used() {
     let mut choice = BackendChoice::default();
