--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -4,6 +4,7 @@
 mod frame_reader;
 mod http1_client;
 mod http_server;
+mod open_stream;
 mod peer_client;
 
 #[doc(inline)]
@@ -14,5 +15,6 @@
 pub use http_server::{HttpServer, HttpServerLimits};
 #[doc(inline)]
 pub use http1_client::{Http1Connection, SendError};
+pub(crate) use open_stream::open_stream;
 #[doc(inline)]
 pub use peer_client::{ConnectionNumber, PeerClient, PeerClientLimits, PeerConnection, PeerError};
--- a/crates/amaranthscale/src/connection/http1_client.rs
+++ b/crates/amaranthscale/src/connection/http1_client.rs
@@ -14,7 +14,8 @@
 use hyper_util::rt::TokioIo;
 use log::debug;
 use quick_error::quick_error;
-use tokio::net::TcpStream;
+
+use super::open_stream::open_stream;
 
 quick_error! {
     /// A request that got no response.
@@ -42,14 +43,7 @@
     /// Opens a connection within a time.
     pub async fn open(address: SocketAddr, patience: Duration) -> Result<Self, SendError> {
         let not_sent = |reason: String| SendError::NotSent(address, reason);
-        let connecting = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(patience, connecting).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(not_sent(error.to_string())),
-            Err(_elapsed) => return Err(not_sent("no connection in time".to_owned())),
-        };
-        // Small requests would otherwise wait for an acknowledgement, some 40 ms each.
-        let _ = stream.set_nodelay(true);
+        let stream = open_stream(address, patience).await.map_err(not_sent)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
         tokio::spawn(async move {
--- a/crates/amaranthscale/src/connection/peer_client.rs
+++ b/crates/amaranthscale/src/connection/peer_client.rs
@@ -17,9 +17,9 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use log::debug;
 use quick_error::quick_error;
-use tokio::net::TcpStream;
 use tokio::sync::Mutex as AsyncMutex;
 
+use super::open_stream::open_stream;
 use crate::process::{ControlKind, ControlTraffic};
 
 quick_error! {
@@ -198,13 +198,9 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<PeerConnection, PeerError> {
         let not_sent = |reason: String| PeerError::NotSent(address, reason);
-        let connecting = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(self.limits.connect_timeout, connecting).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(not_sent(error.to_string())),
-            Err(_elapsed) => return Err(not_sent("no connection in time".to_owned())),
-        };
-        let _ = stream.set_nodelay(true);
+        let stream = open_stream(address, self.limits.connect_timeout)
+            .await
+            .map_err(not_sent)?;
         let handshake = self.builder().handshake(TokioIo::new(stream));
         let (mut sender, connection) = handshake
             .await
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use amaranthscale_core::id::ZoneId;
+use amaranthscale_core::id::{ServiceId, ZoneId};
 use amaranthscale_core::process::BackendChoice;
 
 use super::super::Dialect;
@@ -42,6 +42,19 @@
 }
 
 impl GatewayParts {
+    /// Takes one repeat at a service from the budget that all gateways share, and counts it.
+    pub fn try_repeat(&self, service: &ServiceId) -> bool {
+        let now = self.knowledge.clock().now();
+        let is_left = self.budgets.try_repeat(service, self.knowledge.live(), now);
+        let name = if is_left {
+            "repeat.sent"
+        } else {
+            "repeat.over-budget"
+        };
+        self.counters.count(name);
+        is_left
+    }
+
     /// What sends told of the servers; held for single decisions only.
     pub fn choice(&self) -> MutexGuard<'_, BackendChoice> {
         self.choice.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -149,7 +149,7 @@
     fn rejected(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refused> {
         self.log_end(end, server);
         self.rejected += 1;
-        if self.rejected >= MOST_REJECTED || !self.take_repeat() {
+        if self.rejected >= MOST_REJECTED || !self.parts.try_repeat(&self.service) {
             return Err(Refused::new(ResultCode::QueueFull));
         }
         Ok(())
@@ -168,7 +168,9 @@
     /// Whether a request that may have run may go to another engine.
     pub(super) fn may_repeat(&self) -> bool {
         let route = &self.admitted.route;
-        route.kind.may_repeat() && self.ran < route.max_attempts && self.take_repeat()
+        route.kind.may_repeat()
+            && self.ran < route.max_attempts
+            && self.parts.try_repeat(&self.service)
     }
 
     /// Leaves an engine out for the rest of the request.
@@ -176,19 +178,6 @@
         self.tried.insert(server);
     }
 
-    fn take_repeat(&self) -> bool {
-        let now = self.parts.knowledge.clock().now();
-        let live = self.parts.knowledge.live();
-        let is_left = self.parts.budgets.try_repeat(&self.service, live, now);
-        let name = if is_left {
-            "repeat.sent"
-        } else {
-            "repeat.over-budget"
-        };
-        self.parts.counters.count(name);
-        is_left
-    }
-
     fn choose(&self) -> Option<ServerRecord> {
         let servers = self.parts.knowledge.servers();
         let now = self.parts.knowledge.clock().now();
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -192,25 +192,14 @@
         if !route.kind.may_repeat() || self.may_have_run >= route.max_attempts {
             return false;
         }
-        self.take_repeat()
+        self.parts.try_repeat(self.service)
     }
 
     /// Whether a request that did not run may be sent again; takes a repeat from the budget.
     fn may_send_rejected(&self) -> bool {
-        self.rejected < MOST_REJECTED && !self.admitted.left().is_zero() && self.take_repeat()
-    }
-
-    fn take_repeat(&self) -> bool {
-        let now = self.parts.knowledge.clock().now();
-        let live = self.parts.knowledge.live();
-        let is_left = self.parts.budgets.try_repeat(self.service, live, now);
-        let name = if is_left {
-            "repeat.sent"
-        } else {
-            "repeat.over-budget"
-        };
-        self.parts.counters.count(name);
-        is_left
+        self.rejected < MOST_REJECTED
+            && !self.admitted.left().is_zero()
+            && self.parts.try_repeat(self.service)
     }
 
     /// One line for an answer that is late, repeated or a failure; the others are counted only.
--- a/crates/amaranthscale/src/sidecar/backend_client.rs
+++ b/crates/amaranthscale/src/sidecar/backend_client.rs
@@ -17,9 +17,10 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use log::debug;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::connection::open_stream;
+
 use super::call_error::CallError;
 use super::job::Job;
 
@@ -148,13 +149,9 @@
 
     async fn connect(&self) -> Result<Sender, CallError> {
         let not_sent = |reason: String| CallError::NotSent(reason);
-        let connecting = TcpStream::connect(self.address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(not_sent(error.to_string())),
-            Err(_elapsed) => return Err(not_sent("no connection in time".to_owned())),
-        };
-        let _ = stream.set_nodelay(true);
+        let stream = open_stream(self.address, CONNECT_TIMEOUT)
+            .await
+            .map_err(not_sent)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
         tokio::spawn(async move {
