--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -42,8 +42,6 @@
     pub stamp: HeaderName,
     /// Handles of the results that an engine reads.
     pub inputs: HeaderName,
-    /// Rank at an engine.
-    pub urgency: HeaderName,
     /// The last event that the caller has.
     pub last_event: HeaderName,
     /// Headers that reach the server whatever the caller says of them.
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -18,6 +18,7 @@
 mod estimate;
 mod fill;
 mod job;
+mod message;
 mod open_work;
 mod pool_state;
 mod queue;
@@ -26,10 +27,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::id::{CallId, ResultHandle, ServerId, ServiceId, ZoneId};
+use crate::id::{ServerId, ServiceId};
 use crate::process::server_list::ServerRecord;
 use crate::version::{BatchSpec, Routing};
 
+#[doc(inline)]
+pub use message::{
+    Batch, BatchEnd, BatchId, BatchItem, Frees, JobEvent, JobFailure, JobId, JobRefused, PieceEnd,
+    PieceInput, PipelineOrder, StageOrder, StageTimes,
+};
+
 use job::{Job, PieceState, StageState};
 use open_work::OpenWork;
 use pool_state::PoolState;
@@ -38,187 +45,6 @@
 /// How long a new owner takes the servers to be shared with the one before.
 const TAKE_OVER: Duration = Duration::from_secs(1);
 
-/// Names a job of the batcher.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct JobId(u64);
-
-/// Names a call to a stage server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct BatchId(u64);
-
-/// The pieces that one stage of a request has.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct StageOrder {
-    /// Service that makes them.
-    pub service: ServiceId,
-    /// Stages whose results they need.
-    pub after: Vec<usize>,
-    /// How many; none leaves the stage out.
-    pub pieces: usize,
-    /// Usual size of one result.
-    pub result_bytes: u64,
-}
-
-/// The work that is done before a request runs at its engine.
-#[serde_with::serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct PipelineOrder {
-    /// The caller's send.
-    pub call: CallId,
-    /// The caller's key of the pieces.
-    pub piece_key: String,
-    /// All stages of the route, in its order.
-    pub stages: Vec<StageOrder>,
-    /// Rank, 0 first.
-    pub priority: u8,
-    /// Worth of the answer against others', in tokens of the engine's work; 0 if not known.
-    pub worth_tokens: u64,
-    /// Time left until the results are of full worth no longer.
-    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
-    #[serde(rename = "aim_left_ms")]
-    pub aim_left: Duration,
-    /// Time left until they are of no worth.
-    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
-    #[serde(rename = "deadline_left_ms")]
-    pub deadline_left: Duration,
-    /// Availability zone of the engine that reads the last results.
-    pub reader_zone: ZoneId,
-}
-
-/// One piece within a call.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct BatchItem {
-    /// The caller's send.
-    pub call: CallId,
-    /// Stage of its route.
-    pub stage: usize,
-    /// Number of the piece within the stage.
-    pub piece: usize,
-    /// Time left for it.
-    pub left: Duration,
-    /// Key for the first stages, results of earlier pieces for the others.
-    pub input: PieceInput,
-}
-
-/// What a piece is made from.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PieceInput {
-    /// The request's own key.
-    Key(String),
-    /// Results of all pieces of the stages before.
-    Results(Vec<ResultHandle>),
-}
-
-/// A call to a stage server.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Batch {
-    /// Names the call.
-    pub id: BatchId,
-    /// Service of the server.
-    pub service: ServiceId,
-    /// The server.
-    pub server: ServerId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Pieces to make.
-    pub items: Vec<BatchItem>,
-    /// Time after which the call is given up.
-    pub patience: Duration,
-}
-
-/// How one piece of a call ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PieceEnd {
-    /// The result and its handle.
-    Made(ResultHandle),
-    /// Its time was over at its turn.
-    Late,
-    /// A result that it needs is gone.
-    InputGone,
-    /// The server has no room for its result.
-    NoRoom,
-    /// The server failed.
-    Failed,
-}
-
-/// How a call ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum BatchEnd {
-    /// The server answered for each piece, in order.
-    Pieces(Vec<PieceEnd>),
-    /// The server did not take the call.
-    Full,
-    /// The address has another server now.
-    OtherServer,
-    /// No answer came: the call may have run.
-    Lost,
-}
-
-/// What became of a job.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum JobEvent {
-    /// All pieces are made: the handles that the engine needs, and where the time went.
-    Done(JobId, Vec<ResultHandle>, Vec<StageTimes>),
-    /// The job cannot be done.
-    Failed(JobId, JobFailure),
-}
-
-/// Where one stage's time went.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct StageTimes {
-    /// From the last input to the first piece in a call.
-    pub waited: Duration,
-    /// From there to the last result.
-    pub worked: Duration,
-}
-
-/// Why a job cannot be done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum JobFailure {
-    /// Its time is over.
-    Late,
-    /// Its pieces failed too often.
-    Failing,
-    /// No server of a service is known.
-    NoServer,
-}
-
-impl std::fmt::Display for JobFailure {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Self::Late => "late",
-            Self::Failing => "failing",
-            Self::NoServer => "no-server",
-        })
-    }
-}
-
-/// A job that is not taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct JobRefused {
-    /// Time after which there may be place.
-    pub retry_after: Duration,
-    /// Why.
-    pub reason: JobFailure,
-}
-
-/// Results that a server may drop.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Frees {
-    /// The server that keeps them.
-    pub server: ServerId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Service of the server.
-    pub service: ServiceId,
-    /// Their names.
-    pub handles: Vec<ResultHandle>,
-    /// Room that they take.
-    pub room_bytes: u64,
-}
-
 /// Forms batches and keeps the account of servers' turns and room.
 #[derive(Debug, Default)]
 pub struct Batcher {
