An order with too many pieces or impossible stages is refused

Cause: the count of pieces was taken from the caller's header as it came, and inputs from the configuration; one request could have taken all memory of the owner. Found by reading.

--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -257,6 +257,7 @@
         // The request itself never left for an engine, so it has not run.
         let code = match error {
             PiecesError::Refused(_, JobFailure::NoServer) => ResultCode::NoBackendServer,
+            PiecesError::Refused(_, JobFailure::Malformed) => ResultCode::MalformedRequest,
             _ => ResultCode::DeadlineUnreachable,
         };
         match error {
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -120,6 +120,12 @@
 
     /// Takes a request's work, or refuses what cannot be done in time.
     pub fn submit(&mut self, order: PipelineOrder, now: Duration) -> Result<JobId, JobRefused> {
+        if !order.is_well_formed() {
+            return Err(JobRefused {
+                retry_after: Duration::ZERO,
+                reason: JobFailure::Malformed,
+            });
+        }
         if self.jobs.is_empty() {
             // Another owner may have been at work until now.
             self.shared_until = self.shared_until.max(now + TAKE_OVER);
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -52,6 +52,27 @@
     pub reader_zone: ZoneId,
 }
 
+/// Most pieces of one stage; requests have some ten.
+const MOST_PIECES: usize = 1_000;
+/// Most stages of one request.
+const MOST_STAGES: usize = 32;
+
+impl PipelineOrder {
+    /// Whether its stages can be.
+    ///
+    /// Guards against a caller that asks for a number of pieces which would take all memory, and
+    /// against stages that wait for themselves or for ones that are not there.
+    #[must_use]
+    pub fn is_well_formed(&self) -> bool {
+        let mut stages = self.stages.iter().enumerate();
+        self.stages.len() <= MOST_STAGES
+            && stages.all(|(index, stage)| {
+                let comes_before = |after: &usize| *after < index;
+                stage.pieces <= MOST_PIECES && stage.after.iter().all(comes_before)
+            })
+    }
+}
+
 /// One piece within a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BatchItem {
@@ -150,6 +171,8 @@
     Failing,
     /// No server of a service is known.
     NoServer,
+    /// Its stages cannot be: too many pieces, or inputs that do not come before.
+    Malformed,
 }
 
 impl std::fmt::Display for JobFailure {
@@ -158,6 +181,7 @@
             Self::Late => "late",
             Self::Failing => "failing",
             Self::NoServer => "no-server",
+            Self::Malformed => "malformed",
         })
     }
 }
--- a/crates/core/tests/batcher/order.rs
+++ b/crates/core/tests/batcher/order.rs
@@ -175,6 +175,24 @@
     assert!(refused.retry_after >= ms(300));
 }
 
+/// A caller names a number of pieces that would take all memory of the owner, and with it all
+/// gateways' batches; or a configuration names stages that wait for each other.
+#[test]
+fn an_order_that_cannot_be_is_refused() {
+    let mut bench = Bench::new(&["north"]);
+    let too_many = bench.chain(&[(ENCODE, 1_000_000_000_000, 100)]);
+    let mut waits_for_itself = bench.chain(&[(ENCODE, 1, 100)]);
+    waits_for_itself.stages[0].after = vec![0];
+    let mut waits_for_nothing = bench.chain(&[(ENCODE, 1, 100), (RETRIEVE, 1, 100)]);
+    waits_for_nothing.stages[1].after = vec![7];
+
+    for order in [too_many, waits_for_itself, waits_for_nothing] {
+        let refused = bench.batcher.submit(order, bench.now).unwrap_err();
+        assert_eq!(refused.reason, JobFailure::Malformed);
+    }
+    assert_eq!(bench.batcher.jobs(), 0);
+}
+
 #[test]
 fn without_a_server_a_request_is_refused_at_once() {
     let mut bench = Bench::new(&[]);
