--- a/crates/amaranthscale/src/gateway/connection/server_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/server_pool.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
 use tokio::time::Instant;
 
@@ -151,5 +152,3 @@
         None => Some(USUAL_IDLE),
     }
 }
-
-use hyper::header::HeaderName;
