--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use super::GatewayConfig;
 use super::connection::ServerPool;
 use super::process::{
     BatchOwner, BatchOwnerArguments, BatchOwnerHandle, BatchOwnerMessage, Budgets, GatewayParts,
@@ -23,7 +24,6 @@
     Knowledge, Own, announce_instance, follow_instances, follow_routing, follow_servers,
     withdraw_instance,
 };
-use super::{GatewayConfig, StoreCalls};
 use crate::connection::{
     HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, ResponseBody, empty_body, full_body,
 };
@@ -67,7 +67,6 @@
 #[derive(Debug)]
 pub struct Gateway {
     parts: Arc<GatewayParts>,
-    store: StoreCalls,
     config: GatewayConfig,
     callers: HttpServer,
     others: OtherServers,
@@ -109,11 +108,10 @@
         info!(instance = config.instance.as_str(), zone = config.zone.as_str(); "gateway: started");
         Ok(Self {
             parts,
-            store: config.store.clone(),
+            config,
             callers,
             others,
             following,
-            config,
         })
     }
 
@@ -156,7 +154,7 @@
         let ends_at = tokio::time::Instant::now() + self.config.stop_bound - STOP_MARGIN;
         self.parts.stop.stop();
         self.parts.batches.tell(BatchOwnerMessage::Stop);
-        let withdrawing = withdraw_instance(&self.store, &self.config.instance);
+        let withdrawing = withdraw_instance(&self.config.store, &self.config.instance);
         let leaving = tokio::time::sleep(LEAVE_ROTATION);
         tokio::join!(withdrawing, leaving);
         let left = ends_at.saturating_duration_since(tokio::time::Instant::now());
