Room that is not accounted for is worked out from what a call made

Cause: a server that had no room for one piece of a call was taken for full in all: what had been freed while the call ran counted as taken too, for four seconds. Change: what is unknown is what was free when the call began less what the call could make.

--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -70,6 +70,8 @@
     address: SocketAddr,
     pieces: Vec<RunningPiece>,
     sent_at: Duration,
+    /// Room that the server was taken to have when the call was sent.
+    free_bytes: u64,
 }
 
 /// A piece in a call with the room that it takes, which outlives its job.
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -56,6 +56,7 @@
             }
         };
         let is_full = ends.contains(&PieceEnd::NoRoom);
+        let made_bytes = made_bytes(&batch, &ends);
         let mut touched: Vec<JobId> = Vec::new();
         for (piece, end) in batch.pieces.iter().zip(ends) {
             self.piece_ended(&batch, *piece, end, now);
@@ -64,7 +65,10 @@
             }
         }
         if let Some(pool) = self.pools.get_mut(&batch.service).filter(|_| is_full) {
-            pool.note_full(&batch.server, now);
+            // What was free when the call began is what it could fill, and no more: what became free
+            // since is known to be free.
+            let unknown_bytes = batch.free_bytes.saturating_sub(made_bytes);
+            pool.note_unknown(&batch.server, unknown_bytes, now);
         }
         for job in touched {
             self.free_used(job, now);
@@ -265,3 +269,10 @@
         self.advance(piece.job, now);
     }
 }
+
+/// Room that a call's results took.
+fn made_bytes(batch: &RunningBatch, ends: &[PieceEnd]) -> u64 {
+    let pieces = batch.pieces.iter().zip(ends);
+    let made = pieces.filter(|(_, end)| matches!(end, PieceEnd::Made(_)));
+    made.map(|(piece, _)| piece.result_bytes).sum()
+}
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -115,6 +115,7 @@
             return None;
         }
         let pool = self.pools.get_mut(service)?;
+        let free_bytes = pool.free_bytes(server, now);
         let mut reserved_bytes = 0;
         let mut items = Vec::with_capacity(chosen.len());
         let mut pieces = Vec::with_capacity(chosen.len());
@@ -157,6 +158,7 @@
             address: batch.address,
             pieces,
             sent_at: now,
+            free_bytes,
         };
         self.batches.insert(id, running);
         for piece in chosen {
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -154,8 +154,9 @@
 
     /// Notes results that a server may keep under handles that nobody knows.
     ///
-    /// Guards against a call that was given up: the server goes on with it and keeps its results
-    /// until they lapse. Sent as if that room were free, the next calls would find none.
+    /// Guards against a call that was given up, whose server goes on with it, and against results
+    /// that nobody frees, as after an owner's death: sent as if that room were free, the next calls
+    /// would find none. Such results lapse, so their room comes back by and by.
     pub(super) fn note_unknown(&mut self, server: &ServerId, bytes: u64, now: Duration) {
         if let Some((spec, server)) = self.spec.zip(self.servers.get_mut(server)) {
             server.others_bytes = server.others_bytes(spec.kept_for, now) + bytes;
@@ -163,17 +164,6 @@
         }
     }
 
-    /// Notes that a server has no room beyond what is accounted for.
-    ///
-    /// Guards against results that nobody frees, as after an owner's death: calls would go on to
-    /// be sent that find no room. Such results lapse, so their room comes back by and by.
-    pub(super) fn note_full(&mut self, server: &ServerId, now: Duration) {
-        if let Some((spec, server)) = self.spec.zip(self.servers.get_mut(server)) {
-            server.others_bytes = usable_bytes(spec).saturating_sub(server.used_bytes);
-            server.others_at = now;
-        }
-    }
-
     pub(super) fn reserve(&mut self, server: &ServerId, bytes: u64) {
         if let Some(server) = self.servers.get_mut(server) {
             server.used_bytes += bytes;
--- a/crates/core/tests/batcher/room.rs
+++ b/crates/core/tests/batcher/room.rs
@@ -136,3 +136,32 @@
     assert_eq!(bench.next_batch().items.len(), 1);
     assert!(bench.now > ms(0));
 }
+
+/// Sizes of results are approximate, so a server now and then has no room for the last piece of a
+/// call. Taken for full in all, it would get hardly a piece for seconds, and requests would wait
+/// though it had room: what was freed while the call ran is free.
+#[test]
+fn a_server_without_room_for_one_piece_keeps_the_room_that_was_freed_meanwhile() {
+    let mut bench = Bench::new(&["north"]);
+    let order = bench.chain(&[(ENCODE, 1, 300_000)]);
+    let earlier = bench.submit(order);
+    let batch = bench.next_batch();
+    bench.advance(210);
+    bench.make(&batch);
+    let order = bench.chain(&[(ENCODE, 2, 300_000)]);
+    let job = bench.submit(order);
+    let batch = bench.next_batch();
+    assert_eq!(batch.items.len(), 2);
+    bench.batcher.release(earlier);
+    bench.freed();
+    bench.advance(220);
+
+    let made = PieceEnd::Made(bench.handle());
+    bench.end(&batch, BatchEnd::Pieces(vec![made, PieceEnd::NoRoom]));
+    bench.batcher.release(job);
+    bench.freed();
+
+    let order = bench.chain(&[(ENCODE, 3, 300_000)]);
+    bench.submit(order);
+    assert_eq!(bench.next_batch().items.len(), 2);
+}
