A request that has only little of its work behind it can still turn late

Cause: a request whose first piece was sent counted as begun and kept its place to its deadline. Change: a job is committed once half of its servers' time is sent; before, it turns late like one that has not begun, and is given up after two aims.

--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -30,6 +30,8 @@
     pub(super) latest_starts: Vec<Duration>,
     pub(super) not_before: Vec<Duration>,
     pub(super) path_time: Duration,
+    /// Servers' time that each stage takes.
+    pub(super) work: Vec<Duration>,
     pub(super) put_off: Duration,
     pub(super) is_late: bool,
 }
@@ -60,6 +62,11 @@
         Ok(Outlook {
             not_before: not_before(order, &calls, now),
             path_time: done_at(order, &calls, &[], now).saturating_sub(now),
+            work: order
+                .stages
+                .iter()
+                .map(|stage| self.work_of(stage))
+                .collect(),
             latest_starts,
             put_off,
             is_late,
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -61,10 +61,10 @@
 
     fn fail_expired(&mut self, now: Duration) {
         let is_expired = |job: &Job| {
-            let is_over = if job.is_started {
+            let is_over = if job.is_committed {
                 job.deadline_at <= now
             } else {
-                // What has not begun needs its whole path, and is not held for long in vain.
+                // What has little behind it needs most of its path, and is not held long in vain.
                 job.held_until <= now || job.deadline_at <= now + job.path_time
             };
             is_over && !job.is_reported
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -126,8 +126,12 @@
     pub(super) put_off: Duration,
     /// Whether the aim is out of reach, so that the job runs in what is left over.
     pub(super) is_late: bool,
-    /// Whether a piece was sent: from then on, giving up wastes work and holds room.
+    /// Whether a piece was sent.
     pub(super) is_started: bool,
+    /// Whether most of its work was sent: from then on, giving up wastes more than it saves.
+    pub(super) is_committed: bool,
+    /// Servers' time that each stage takes.
+    work: Vec<Duration>,
     pub(super) is_reported: bool,
     pub(super) remakes: u32,
     pub(super) failures: u32,
@@ -156,6 +160,8 @@
             put_off: outlook.put_off,
             is_late: outlook.is_late,
             is_started: false,
+            is_committed: false,
+            work: outlook.work,
             order,
             stages,
             is_reported: false,
@@ -164,15 +170,16 @@
         }
     }
 
-    /// Marks the first send of a piece.
+    /// Marks a send of a stage's pieces.
     ///
-    /// A late job goes on as if it had come just in time: stopped half-way, its results would take
-    /// room from others, lapse, and be made again.
+    /// A late job that has most of its work behind it goes on as if it had come just in time:
+    /// stopped there, its results would take room from others, lapse, and be made again.
     pub(super) fn start(&mut self, stage: usize, now: Duration) {
-        if self.is_started {
+        self.is_started = true;
+        if self.is_committed || !self.is_mostly_sent(stage) {
             return;
         }
-        self.is_started = true;
+        self.is_committed = true;
         if self.is_late {
             self.is_late = false;
             let shift = now.saturating_sub(self.stages[stage].latest_start);
@@ -182,12 +189,22 @@
         }
     }
 
+    /// Whether a stage and those sent before it are at least half of the work.
+    fn is_mostly_sent(&self, stage: usize) -> bool {
+        let is_sent =
+            |index: &usize| *index == stage || self.stages[*index].clock.sent_at.is_some();
+        let sent = (0..self.stages.len()).filter(is_sent);
+        let sent: Duration = sent.map(|index| self.work[index]).sum();
+        sent * 2 >= self.work.iter().sum()
+    }
+
     /// Turns late if it waited in vain for a start that meets its aim; says whether it did.
     pub(super) fn grow_late(&mut self, now: Duration) -> bool {
-        if self.is_started || self.is_late {
+        if self.is_committed || self.is_late {
             return false;
         }
-        let queued = self.stages.iter().filter(|stage| stage.is_queued);
+        let is_waiting = |stage: &&StageState| stage.is_queued && stage.has_waiting();
+        let queued = self.stages.iter().filter(is_waiting);
         let first = queued.map(|stage| stage.latest_start).min();
         self.is_late = first.is_some_and(|start| start + LATE_MARGIN < now);
         self.is_late
--- a/crates/core/tests/batcher/order.rs
+++ b/crates/core/tests/batcher/order.rs
@@ -1,6 +1,6 @@
 //! Which pieces go first, and where.
 
-use amaranthscale_core::process::{JobFailure, PieceInput};
+use amaranthscale_core::process::{JobEvent, JobFailure, PieceInput};
 
 use super::bench::{Bench, ENCODE, RERANK, RETRIEVE, ms};
 
@@ -202,3 +202,65 @@
 
     assert_eq!(refused.reason, JobFailure::NoServer);
 }
+
+/// The first stage of all requests is short and done at once; then they wait for the long one.
+/// Each held its turn there until it was done just too late, and made those behind it late as well.
+/// One that can no longer meet its aim must let those go before that can.
+#[test]
+fn a_request_that_is_late_after_a_short_stage_lets_others_go_before() {
+    let mut bench = Bench::new(&["north"]);
+    let order = bench.chain(&[(RETRIEVE, 10, 100)]);
+    bench.submit(order);
+    let ahead = bench.next_batch();
+    let order = bench.chain(&[(ENCODE, 1, 100), (RETRIEVE, 8, 100)]);
+    bench.submit(order);
+    let short = bench.next_batch();
+    bench.advance(210);
+    bench.make(&short);
+    bench.advance(1_800);
+    bench.next_batches();
+    let in_time = bench.chain(&[(RETRIEVE, 8, 100)]);
+    let in_time_call = in_time.call.clone();
+    bench.submit(in_time);
+
+    bench.make(&ahead);
+
+    assert_eq!(bench.next_batch().items[0].call, in_time_call);
+}
+
+/// As above, and nothing comes free: the caller must hear so soon, not at its deadline.
+#[test]
+fn a_request_with_little_behind_it_is_given_up_after_two_aims() {
+    let mut bench = Bench::new(&["north"]);
+    let order = bench.chain(&[(RETRIEVE, 10, 100)]);
+    bench.submit(order);
+    let _ahead = bench.next_batch();
+    let order = bench.chain(&[(ENCODE, 1, 100), (RETRIEVE, 8, 100)]);
+    let job = bench.submit(order);
+    let short = bench.next_batch();
+    bench.advance(210);
+    bench.make(&short);
+
+    bench.advance(4_000);
+    bench.next_batches();
+
+    assert_eq!(bench.events(), [JobEvent::Failed(job, JobFailure::Late)]);
+}
+
+#[test]
+fn a_request_with_most_of_its_work_behind_it_goes_on() {
+    let mut bench = Bench::new(&["north"]);
+    let order = bench.chain(&[(RETRIEVE, 10, 100)]);
+    bench.submit(order);
+    let _ahead = bench.next_batch();
+    let order = bench.chain(&[(ENCODE, 8, 100), (RETRIEVE, 1, 100)]);
+    bench.submit(order);
+    let long = bench.next_batch();
+    bench.advance(280);
+    bench.make(&long);
+
+    bench.advance(4_000);
+    bench.next_batches();
+
+    assert!(bench.events().is_empty());
+}
