--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -184,7 +184,7 @@
     /// Jobs of which no piece was sent.
     #[must_use]
     pub fn unstarted(&self) -> Vec<JobId> {
-        let jobs = self.jobs.iter().filter(|(_, job)| !job.is_started);
+        let jobs = self.jobs.iter().filter(|(_, job)| !job.has_begun());
         jobs.map(|(id, _)| *id).collect()
     }
 
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -126,8 +126,6 @@
     pub(super) put_off: Duration,
     /// Whether the aim is out of reach, so that the job runs in what is left over.
     pub(super) is_late: bool,
-    /// Whether a piece was sent.
-    pub(super) is_started: bool,
     /// Whether most of its work was sent: from then on, giving up wastes more than it saves.
     pub(super) is_committed: bool,
     /// Servers' time that each stage takes.
@@ -159,7 +157,6 @@
             path_time: outlook.path_time,
             put_off: outlook.put_off,
             is_late: outlook.is_late,
-            is_started: false,
             is_committed: false,
             work: outlook.work,
             order,
@@ -170,12 +167,17 @@
         }
     }
 
+    /// Whether a piece was sent.
+    pub(super) fn has_begun(&self) -> bool {
+        let mut stages = self.stages.iter();
+        stages.any(|stage| stage.clock.sent_at.is_some())
+    }
+
     /// Marks a send of a stage's pieces.
     ///
     /// A late job that has most of its work behind it goes on as if it had come just in time:
     /// stopped there, its results would take room from others, lapse, and be made again.
     pub(super) fn start(&mut self, stage: usize, now: Duration) {
-        self.is_started = true;
         if self.is_committed || !self.is_mostly_sent(stage) {
             return;
         }
