Late requests that will not be reached are given up at once

Change: each look at the jobs gives up, last ones first, those whose wait for what the others leave over ends after they would be given up anyway.

--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -18,6 +18,7 @@
 mod estimate;
 mod fill;
 mod job;
+mod late;
 mod message;
 mod open_work;
 mod pool_state;
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -21,8 +21,6 @@
 
 /// Part of each job in the usual worth; about the last hundred count.
 const USUAL_SHARE: f64 = 0.01;
-/// Part of a service's time that late requests are always taken to have.
-const LEAST_LEFT_OVER: f64 = 0.1;
 
 /// When the stages of a job must and may start.
 #[derive(Debug)]
@@ -110,7 +108,7 @@
         let waits = order
             .stages
             .iter()
-            .map(|stage| self.late_wait(&stage.service, now));
+            .map(|stage| self.late_wait(&stage.service, now).whole());
         let waits: Vec<_> = waits.collect();
         let done = done_at(order, calls, &waits, now);
         let allowed = order
@@ -127,16 +125,6 @@
         })
     }
 
-    /// Time until a service has worked off all that waits, beside what goes on arriving.
-    fn late_wait(&self, service: &ServiceId, now: Duration) -> Duration {
-        let Some(pool) = self.pools.get(service) else {
-            return Duration::ZERO;
-        };
-        let left_over = (1.0 - pool.arriving(now)).max(LEAST_LEFT_OVER);
-        let late = self.late_backlog(service, now);
-        self.backlog(service, Duration::MAX, now) + late.div_f64(left_over)
-    }
-
     /// Notes the work that a job brings, for what later jobs may expect.
     fn note_arrival(&mut self, order: &PipelineOrder, now: Duration) {
         for stage in &order.stages {
@@ -178,10 +166,6 @@
         self.time_for(service, self.open_work.before(service, before), now)
     }
 
-    fn late_backlog(&self, service: &ServiceId, now: Duration) -> Duration {
-        self.time_for(service, self.open_work.late(service), now)
-    }
-
     fn time_for(&self, service: &ServiceId, pieces: usize, now: Duration) -> Duration {
         let pool = self.pools.get(service);
         pool.map_or(Duration::ZERO, |pool| pool.time_for(pieces, now))
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -57,6 +57,7 @@
                 self.place_in_queues(id);
             }
         }
+        self.give_up_hopeless(now);
     }
 
     fn fail_expired(&mut self, now: Duration) {
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -217,6 +217,31 @@
         self.stages[stage].latest_start + self.put_off
     }
 
+    /// Place of the first stage that waits.
+    pub(super) fn first_place(&self) -> Duration {
+        let waiting = (0..self.stages.len()).filter(|index| self.stages[*index].has_waiting());
+        waiting
+            .map(|index| self.place(index))
+            .min()
+            .unwrap_or_default()
+    }
+
+    /// Part of the path's time that is before it, by the work that is not sent.
+    pub(super) fn path_left(&self) -> Duration {
+        let work: Duration = self.work.iter().sum();
+        let open = self
+            .stages
+            .iter()
+            .zip(&self.work)
+            .filter(|(stage, _)| stage.has_waiting());
+        let open: Duration = open.map(|(_, work)| *work).sum();
+        if work.is_zero() {
+            return Duration::ZERO;
+        }
+        self.path_time
+            .mul_f64(open.as_secs_f64() / work.as_secs_f64())
+    }
+
     /// Stages whose inputs are made and that are not queued yet.
     pub(super) fn startable(&self) -> Vec<usize> {
         let is_ready = |index: &usize| {
--- a/crates/core/tests/batcher/order.rs
+++ b/crates/core/tests/batcher/order.rs
@@ -264,3 +264,31 @@
 
     assert!(bench.events().is_empty());
 }
+
+/// More work comes than the servers can do. A request that waits there and can no longer meet its
+/// aim was held for two aims, though nothing would be left over for it, and refused then: its
+/// caller must hear so at once, and come back while it still makes sense.
+#[test]
+fn a_late_request_that_will_not_be_reached_is_given_up_at_once() {
+    let mut bench = Bench::new(&["north"]);
+    let order = bench.chain(&[(RETRIEVE, 10, 100)]);
+    bench.submit(order);
+    let _ahead = bench.next_batch();
+    let mut hopeless = bench.chain(&[(RETRIEVE, 8, 100)]);
+    hopeless.aim_left = ms(1_000);
+    let hopeless = bench.submit(hopeless);
+    for _ in 0..10 {
+        let mut patient = bench.chain(&[(RETRIEVE, 10, 100)]);
+        patient.aim_left = ms(20_000);
+        patient.deadline_left = ms(30_000);
+        bench.submit(patient);
+    }
+
+    bench.advance(900);
+    bench.next_batches();
+
+    assert_eq!(
+        bench.events(),
+        [JobEvent::Failed(hopeless, JobFailure::Late)]
+    );
+}
