The store is asked as often as the deployment's bounds need

Cause: the feeds' paces were constants that fit bounds of 5 s for keys and 2 s for leaving servers. Under a bound of 2 s on keys, the next word of the store would come as old as keys are believed; under 3 s on servers, calls were paid for that nothing needs. Change: waits and pauses come from the bounds: the routing twice while keys are believed, servers once in a fifth of the drain bound.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -21,16 +21,14 @@
 };
 use super::request::answer_caller;
 use super::version::{
-    Knowledge, Own, announce_instance, follow_instances, follow_routing, follow_servers,
-    withdraw_instance,
+    FeedPace, KEY_AGE_PERCENT, Knowledge, Own, announce_instance, follow_instances, follow_routing,
+    follow_servers, withdraw_instance,
 };
 use crate::connection::{
     HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, ResponseBody, empty_body, full_body,
 };
 use crate::process::Counters;
 
-/// Part of the bound on revoked keys up to which knowledge is believed.
-const KEY_AGE_PERCENT: u32 = 90;
 /// Age of knowledge from which another gateway is the better choice for new connections.
 const READY_AGE: Duration = Duration::from_millis(2_800);
 /// Time in which the platform's questions take a stopping gateway out: two misses and a margin.
@@ -183,12 +181,21 @@
         stop: Arc::clone(&parts.stop),
     };
     vec![
-        tokio::spawn(follow_routing(config.store.clone(), Arc::clone(knowledge))),
-        tokio::spawn(follow_servers(config.store.clone(), Arc::clone(knowledge))),
+        tokio::spawn(follow_routing(
+            config.store.clone(),
+            Arc::clone(knowledge),
+            FeedPace::routing(config.revoke_bound),
+        )),
+        tokio::spawn(follow_servers(
+            config.store.clone(),
+            Arc::clone(knowledge),
+            FeedPace::servers(config.drain_bound),
+        )),
         tokio::spawn(follow_instances(
             config.store.clone(),
             Arc::clone(knowledge),
             own,
+            FeedPace::instances(),
         )),
     ]
 }
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -2,13 +2,16 @@
 
 mod announce;
 mod feed;
+mod feed_pace;
 mod follow;
 mod knowledge;
 
 #[doc(inline)]
 pub use announce::{announce_instance, withdraw_instance};
 #[doc(inline)]
-pub use feed::{Feed, FeedEvent, FeedPace};
+pub use feed::{Feed, FeedEvent};
+#[doc(inline)]
+pub use feed_pace::{FeedPace, KEY_AGE_PERCENT};
 #[doc(inline)]
 pub use follow::{Own, follow_instances, follow_routing, follow_servers};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -13,6 +13,7 @@
 use log::debug;
 
 use super::super::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable};
+use super::FeedPace;
 use crate::connection::{Http1Connection, read_body};
 
 /// Longest wait for the answer to a call that does not wait for changes.
@@ -20,17 +21,6 @@
 /// Largest answer of the store: a page of rows and its framing.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// How often the store is asked.
-#[derive(Debug, Clone, Copy)]
-pub struct FeedPace {
-    /// Longest wait of one poll for changes.
-    pub wait: Duration,
-    /// Shortest time between two polls: what changes often is read in groups.
-    pub between: Duration,
-    /// Pause after a failed call.
-    pub after_failure: Duration,
-}
-
 /// What a feed tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FeedEvent {
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/version/feed_pace.rs
@@ -0,0 +1,65 @@
+//! How often the store is asked, worked out from the bounds that a deployment sets.
+//!
+//! Every call to the store is paid for, so each feed waits as long as its bound lets it.
+
+use std::time::Duration;
+
+/// Part of the bound on revoked keys for which keys are believed without word from the store, in
+/// hundredths: the rest is for the way there and for late timers.
+pub const KEY_AGE_PERCENT: u32 = 90;
+/// Pause after a failed call, at most.
+const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(350);
+/// Longest pause after a failed call for the gateways' announcements, which nothing waits for.
+const INSTANCES_FAILURE_PAUSE: Duration = Duration::from_secs(1);
+/// Longest wait for announcements: changes are told at once, silence shows on other connections.
+const INSTANCES_WAIT: Duration = Duration::from_secs(10);
+/// Time in which announcements that come together are read together.
+const INSTANCES_BETWEEN: Duration = Duration::from_millis(20);
+
+/// How often the store is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FeedPace {
+    /// Longest wait of one poll for changes.
+    pub wait: Duration,
+    /// Shortest time between two polls: what changes often is read in groups.
+    pub between: Duration,
+    /// Pause after a failed call.
+    pub after_failure: Duration,
+}
+
+impl FeedPace {
+    /// Pace of the routing: half of the age up to which keys are believed.
+    ///
+    /// Guards against a connection that falls silent: the poll on the next one answers before the
+    /// keys are too old, where a longer wait would refuse all keyed requests for a moment.
+    #[must_use]
+    pub fn routing(revoke_bound: Duration) -> Self {
+        let believed = revoke_bound * KEY_AGE_PERCENT / 100;
+        Self {
+            wait: believed / 2,
+            between: Duration::ZERO,
+            after_failure: LONGEST_FAILURE_PAUSE.min(believed / 10),
+        }
+    }
+
+    /// Pace of the servers: a leaving one is known within a fifth of the bound, and one whose news
+    /// a silent connection lost, within the bound and a half.
+    #[must_use]
+    pub fn servers(drain_bound: Duration) -> Self {
+        Self {
+            wait: drain_bound * 5 / 4,
+            between: drain_bound / 5,
+            after_failure: LONGEST_FAILURE_PAUSE.min(drain_bound / 5),
+        }
+    }
+
+    /// Pace of the gateways' announcements.
+    #[must_use]
+    pub const fn instances() -> Self {
+        Self {
+            wait: INSTANCES_WAIT,
+            between: INSTANCES_BETWEEN,
+            after_failure: INSTANCES_FAILURE_PAUSE,
+        }
+    }
+}
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -14,28 +14,9 @@
 use super::announce::{announce_instance, withdraw_instance};
 use super::{Feed, FeedEvent, FeedPace, Knowledge};
 
-/// Pace of the routing: its age bounds how long a revoked key lives.
-const ROUTING_PACE: FeedPace = FeedPace {
-    wait: Duration::from_millis(1_800),
-    between: Duration::ZERO,
-    after_failure: Duration::from_millis(350),
-};
-/// Pace of the servers: a leaving one must be seen within a part of the drain bound.
-const SERVERS_PACE: FeedPace = FeedPace {
-    wait: Duration::from_millis(2_500),
-    between: Duration::from_millis(300),
-    after_failure: Duration::from_millis(350),
-};
-/// Pace of the gateways: changes are told at once, silence shows on their own connections.
-const INSTANCES_PACE: FeedPace = FeedPace {
-    wait: Duration::from_secs(10),
-    between: Duration::from_millis(20),
-    after_failure: Duration::from_secs(1),
-};
-
 /// Follows the routing for good.
-pub async fn follow_routing(store: StoreCalls, knowledge: Arc<Knowledge>) {
-    let mut feed = Feed::new(StoreTable::Routing, store.clone(), ROUTING_PACE);
+pub async fn follow_routing(store: StoreCalls, knowledge: Arc<Knowledge>, pace: FeedPace) {
+    let mut feed = Feed::new(StoreTable::Routing, store.clone(), pace);
     let mut link = Link::new("routing");
     loop {
         let event = feed.next().await;
@@ -57,8 +38,8 @@
 }
 
 /// Follows the servers for good.
-pub async fn follow_servers(store: StoreCalls, knowledge: Arc<Knowledge>) {
-    let mut feed = Feed::new(StoreTable::Servers, store.clone(), SERVERS_PACE);
+pub async fn follow_servers(store: StoreCalls, knowledge: Arc<Knowledge>, pace: FeedPace) {
+    let mut feed = Feed::new(StoreTable::Servers, store.clone(), pace);
     let mut link = Link::new("servers");
     loop {
         let event = feed.next().await;
@@ -96,8 +77,13 @@
 }
 
 /// Follows the gateways for good, and announces this one again if its announcement is gone.
-pub async fn follow_instances(store: StoreCalls, knowledge: Arc<Knowledge>, own: Own) {
-    let mut feed = Feed::new(StoreTable::Instances, store.clone(), INSTANCES_PACE);
+pub async fn follow_instances(
+    store: StoreCalls,
+    knowledge: Arc<Knowledge>,
+    own: Own,
+    pace: FeedPace,
+) {
+    let mut feed = Feed::new(StoreTable::Instances, store.clone(), pace);
     loop {
         let rows = match feed.next().await {
             FeedEvent::Lost(_) => continue,
