Lines tell the load that a server was chosen by and its age; jobs that are given up have a line

Cause: a late or lost request's lines named its server, not why it went there, and the owner of the batches said nothing when it gave a job up: the cause could not be told from an id alone. Change: in_flight, told and told_age_ms on the lines of streams, answers and lost sends; a line 'batches: job given up'; amaranthctl explain tells both. Tests: what is seen is what the choice saw; explain tells it, also where nothing was told.

--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -102,6 +102,7 @@
 struct Waiting {
     call: CallId,
     answer: oneshot::Sender<JobAnswer>,
+    taken_at: tokio::time::Instant,
 }
 
 impl Actor for BatchOwner {
@@ -172,7 +173,13 @@
         let call = order.call.clone();
         match self.batcher.submit(order, now) {
             Ok(job) => {
-                self.waiting.insert(job, Waiting { call, answer });
+                let taken_at = tokio::time::Instant::now();
+                let waiting = Waiting {
+                    call,
+                    answer,
+                    taken_at,
+                };
+                self.waiting.insert(job, waiting);
                 // The submitter has left: nobody would release the job.
                 if id.send(job).is_err() {
                     self.waiting.remove(&job);
@@ -249,7 +256,10 @@
                     self.log_done(job, &times);
                     (job, JobAnswer::Done(handles))
                 }
-                JobEvent::Failed(job, failure) => (job, JobAnswer::Failed(failure)),
+                JobEvent::Failed(job, failure) => {
+                    self.log_given_up(job, failure);
+                    (job, JobAnswer::Failed(failure))
+                }
             };
             if let Some(waiting) = self.waiting.remove(&job) {
                 let _ = waiting.answer.send(answer);
@@ -271,6 +281,17 @@
         );
     }
 
+    fn log_given_up(&self, job: JobId, failure: JobFailure) {
+        let Some(waiting) = self.waiting.get(&job) else {
+            return;
+        };
+        let ms = u64::try_from(waiting.taken_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        info!(
+            call = waiting.call.as_str(), reason:% = failure, waiting = self.batcher.waiting(), ms;
+            "batches: job given up"
+        );
+    }
+
     fn keep_ticking(&mut self, myself: &ActorRef<BatchOwnerMessage>) {
         if self.is_ticking || self.batcher.jobs() == 0 {
             return;
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -6,7 +6,9 @@
 
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerId, ServiceId};
-use amaranthscale_core::process::{JobFailure, PipelineOrder, SendEnd, ServerRecord, StageOrder};
+use amaranthscale_core::process::{
+    JobFailure, PipelineOrder, SeenLoad, SendEnd, ServerRecord, StageOrder,
+};
 use hyper::Response;
 use log::info;
 use tokio::time::Instant;
@@ -45,6 +47,8 @@
     pub(super) owner: Option<InstanceId>,
     /// When the pieces were made.
     pub(super) pieces_at: Option<Instant>,
+    /// Load that the last engine was chosen by.
+    pub(super) seen: SeenLoad,
 }
 
 /// An engine's answer that has begun, and the results that it still reads.
@@ -74,6 +78,7 @@
         remakes: 0,
         owner: None,
         pieces_at: None,
+        seen: SeenLoad::default(),
     };
     let running = run.begin().await?;
     if running.begun.head.status.is_success() {
@@ -178,17 +183,18 @@
         self.tried.insert(server);
     }
 
-    fn choose(&self) -> Option<ServerRecord> {
+    fn choose(&mut self) -> Option<ServerRecord> {
         let servers = self.parts.knowledge.servers();
         let now = self.parts.knowledge.clock().now();
         let usable = servers.usable(&self.service);
         let choice = self.parts.choice();
-        match &self.admitted.work.shared_part {
-            Some(part) => choice.engine(usable, &self.tried, part, now).cloned(),
-            None => choice
-                .plain(usable, &self.tried, &self.parts.zone, now)
-                .cloned(),
-        }
+        let chosen = match &self.admitted.work.shared_part {
+            Some(part) => choice.engine(usable, &self.tried, part, now),
+            None => choice.plain(usable, &self.tried, &self.parts.zone, now),
+        };
+        let chosen = chosen.cloned()?;
+        self.seen = choice.seen(&chosen.id, now);
+        Some(chosen)
     }
 
     async fn pieces(&mut self, reader: &ServerRecord) -> Result<Option<MadePieces>, Refused> {
@@ -285,6 +291,8 @@
     fn log_end(&self, end: &'static str, server: &ServerRecord) {
         info!(
             call = self.admitted.work.call.as_str(), server = server.id.as_str(), end,
+            in_flight = self.seen.in_flight, told:% = self.seen.told,
+            told_age_ms:% = self.seen.told_age_ms,
             ms = ms(self.admitted.arrived.elapsed());
             "request: send without answer"
         );
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -6,7 +6,7 @@
 
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::ServiceId;
-use amaranthscale_core::process::{SendEnd, ServerRecord};
+use amaranthscale_core::process::{SeenLoad, SendEnd, ServerRecord};
 use hyper::{HeaderMap, Response, StatusCode};
 use log::info;
 use tokio::time::Instant;
@@ -59,6 +59,7 @@
         may_have_run: 0,
         rejected: 0,
         kept_failure: None,
+        seen: SeenLoad::default(),
     };
     run.go(outgoing).await
 }
@@ -72,6 +73,8 @@
     rejected: u32,
     /// A server's failure that is passed on if no other server does better.
     kept_failure: Option<WholeAnswer>,
+    /// Load that the last server was chosen by.
+    seen: SeenLoad,
 }
 
 impl PlainRun<'_> {
@@ -111,14 +114,15 @@
         }
     }
 
-    fn choose(&self) -> Option<ServerRecord> {
+    fn choose(&mut self) -> Option<ServerRecord> {
         let servers = self.parts.knowledge.servers();
         let now = self.parts.knowledge.clock().now();
         let choice = self.parts.choice();
         let usable = servers.usable(self.service);
-        choice
-            .plain(usable, &self.tried, &self.parts.zone, now)
-            .cloned()
+        let chosen = choice.plain(usable, &self.tried, &self.parts.zone, now);
+        let chosen = chosen.cloned()?;
+        self.seen = choice.seen(&chosen.id, now);
+        Some(chosen)
     }
 
     async fn try_at(&mut self, server: &ServerRecord, outgoing: &Outgoing) -> Tried {
@@ -144,7 +148,9 @@
         if !matches!(tried, Tried::Answered(_)) {
             let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
             info!(
-                call = call.as_str(), server = server.id.as_str(), end = tried.name(), ms;
+                call = call.as_str(), server = server.id.as_str(), end = tried.name(),
+                in_flight = self.seen.in_flight, told:% = self.seen.told,
+                told_age_ms:% = self.seen.told_age_ms, ms;
                 "request: send without answer"
             );
         }
@@ -212,6 +218,8 @@
         info!(
             call = admitted.work.call.as_str(), route:% = admitted.route.id,
             server = server.id.as_str(), status = answer.status.as_u16(), sends,
+            in_flight = self.seen.in_flight, told:% = self.seen.told,
+            told_age_ms:% = self.seen.told_age_ms,
             aim_ms = ms(admitted.route.aim), ms = ms(elapsed);
             "request: answered"
         );
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -178,10 +178,12 @@
     fn log(&self, end: &'static str, server: &ServerId, first_at: std::time::Duration) {
         let admitted = &self.run.admitted;
         let owner = self.run.owner.as_ref().map_or("-", |owner| owner.as_str());
+        let seen = self.run.seen;
         let pieces_at = self.run.pieces_at.unwrap_or(admitted.arrived);
         info!(
             call = admitted.work.call.as_str(), route:% = admitted.route.id,
             server = server.as_str(), end, events = self.passed, owner,
+            in_flight = seen.in_flight, told:% = seen.told, told_age_ms:% = seen.told_age_ms,
             pieces_ms = ms(pieces_at - admitted.arrived),
             aim_ms = ms(admitted.route.aim), begun_ms = ms(first_at), ms = ms(Instant::now() - admitted.arrived);
             "stream: ended"
--- a/crates/amaranthscale/src/operator/explain/story.rs
+++ b/crates/amaranthscale/src/operator/explain/story.rs
@@ -99,7 +99,8 @@
         }
         if let Some(send) = self.last("request", "send without answer") {
             let (server, end) = (send.field("server"), send.field("end"));
-            return format!("Ended with {code}: server {server} gave no answer ({end}).");
+            let seen = seen(send);
+            return format!("Ended with {code}: server {server} gave no answer ({end}){seen}.");
         }
         match refused.field("reason") {
             "KnowledgeStale" => {
@@ -177,8 +178,22 @@
 fn cause_of_answer(answered: &LogLine) -> String {
     let (status, sends) = (answered.field("status"), answered.field("sends"));
     let (ms, aim_ms) = (answered.field("ms"), answered.field("aim_ms"));
-    let server = answered.field("server");
-    format!("Answered with {status} by {server} after {ms} ms (aim {aim_ms} ms) and {sends} sends.")
+    let (server, seen) = (answered.field("server"), seen(answered));
+    format!(
+        "Answered with {status} by {server} after {ms} ms (aim {aim_ms} ms) and {sends} sends{seen}."
+    )
+}
+
+/// The load that a line's server was chosen by; nothing for lines without it.
+fn seen(line: &LogLine) -> String {
+    let Some(in_flight) = line.number("in_flight") else {
+        return String::new();
+    };
+    let told = match (line.number("told"), line.number("told_age_ms")) {
+        (Some(told), Some(age_ms)) => format!("it had told {told} {age_ms} ms before"),
+        _ => "it had told nothing".to_owned(),
+    };
+    format!("; chosen with {in_flight} of this gateway's requests there, {told}")
 }
 
 fn sentence(line: &LogLine) -> String {
@@ -192,16 +207,18 @@
             field("ms")
         ),
         ("request", "send without answer") => format!(
-            "sent to server {} without an answer: {} after {} ms",
+            "sent to server {} without an answer: {} after {} ms{}",
             field("server"),
             field("end"),
-            field("ms")
+            field("ms"),
+            seen(line)
         ),
         ("request", "answered") => format!(
-            "answered by server {} with {} after {} ms",
+            "answered by server {} with {} after {} ms{}",
             field("server"),
             field("status"),
-            field("ms")
+            field("ms"),
+            seen(line)
         ),
         ("batches", "pieces made") => format!(
             "pieces made; ms waited and worked of each stage: {}",
@@ -213,13 +230,20 @@
             field("reason")
         ),
         ("stream", "ended") => format!(
-            "stream of engine {} ended {}: {} events, pieces after {} ms, begun after {} ms, {} ms in all",
+            "stream of engine {} ended {}: {} events, pieces after {} ms, begun after {} ms, {} ms in all{}",
             field("server"),
             field("end"),
             field("events"),
             field("pieces_ms"),
             field("begun_ms"),
-            field("ms")
+            field("ms"),
+            seen(line)
+        ),
+        ("batches", "job given up") => format!(
+            "given up by the owner of the batches as {} after {} ms, with {} stages waiting",
+            field("reason"),
+            field("ms"),
+            field("waiting")
         ),
         (part, event) => {
             let fields = line.fields.iter().filter(|(name, _)| *name != "call");
--- a/crates/amaranthscale/tests/explain_request.rs
+++ b/crates/amaranthscale/tests/explain_request.rs
@@ -117,6 +117,44 @@
     );
 }
 
+/// A weight confirmation came late from a server that was full: the engineer asks why it went there.
+/// The gateway had one request at that server, and what the server had told was half a second old.
+#[test]
+fn the_load_that_a_server_was_chosen_by_is_told_with_its_age() {
+    let telling = told(
+        "ab",
+        &[
+            "9 g1 INFO request: answered call=ab route=r server=i-9 status=200 sends=1 in_flight=1 told=6 told_age_ms=480 aim_ms=100 ms=231",
+        ],
+    );
+
+    assert!(
+        telling.cause.ends_with(
+            "chosen with 1 of this gateway's requests there, it had told 6 480 ms before."
+        ),
+        "{}",
+        telling.cause
+    );
+}
+
+/// A server that has told nothing yet is chosen by the gateway's own count alone.
+#[test]
+fn a_load_that_was_never_told_is_said_so() {
+    let telling = told(
+        "ab",
+        &[
+            "9 g1 INFO request: send without answer call=ab server=i-9 end=lost in_flight=0 told=- told_age_ms=- ms=31",
+            "11 g1 INFO request: refused call=ab code=4003 reason=AnswerLost ran=unknown ms=32",
+        ],
+    );
+
+    assert!(
+        telling.cause.contains("it had told nothing"),
+        "{}",
+        telling.cause
+    );
+}
+
 #[test]
 fn a_stream_that_its_engine_broke_off_says_so() {
     let telling = told(
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -30,6 +30,7 @@
 mod retry_budget;
 mod router;
 mod router_settings;
+mod seen_load;
 mod server_list;
 mod shared_budget;
 mod stage_estimate;
@@ -82,6 +83,8 @@
 #[doc(inline)]
 pub use router_settings::RouterSettings;
 #[doc(inline)]
+pub use seen_load::{SeenLoad, SeenNumber};
+#[doc(inline)]
 pub use server_list::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord};
 #[doc(inline)]
 pub use shared_budget::{BudgetTerms, SharedBudget};
--- a/crates/core/src/process/backend_choice.rs
+++ b/crates/core/src/process/backend_choice.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::rendezvous;
+use super::seen_load::{SeenLoad, SeenNumber};
 use super::server_list::ServerRecord;
 use crate::id::{ServerId, ZoneId};
 
@@ -219,6 +220,23 @@
         self.track(server).map_or(0, |track| track.in_flight)
     }
 
+    /// What a choice sees of a server now.
+    #[must_use]
+    pub fn seen(&self, server: &ServerId, now: Duration) -> SeenLoad {
+        let Some(track) = self.track(server) else {
+            return SeenLoad::default();
+        };
+        let told = track
+            .told
+            .map(|(load, _)| u64::from(load.running + load.waiting));
+        let told_age = track.told.map(|(_, at)| now.saturating_sub(at));
+        SeenLoad {
+            in_flight: track.in_flight,
+            told: SeenNumber(told),
+            told_age_ms: told_age.map_or_else(SeenNumber::default, SeenNumber::of_ms),
+        }
+    }
+
     /// Forgets servers that are gone.
     pub fn retain(&mut self, is_known: impl Fn(&ServerId) -> bool) {
         self.tracks
--- a/crates/core/tests/backend_choice.rs
+++ b/crates/core/tests/backend_choice.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerId, ZoneId};
-use amaranthscale_core::process::{BackendChoice, HealthChange, SendEnd, ServerRecord, ToldLoad};
+use amaranthscale_core::process::{
+    BackendChoice, HealthChange, SeenLoad, SeenNumber, SendEnd, ServerRecord, ToldLoad,
+};
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -41,6 +43,28 @@
     chosen.unwrap().id.clone()
 }
 
+/// What a choice was made by is written to the log, and must be what the choice saw.
+#[test]
+fn the_load_that_is_seen_is_ours_and_what_was_told_with_its_age() {
+    let server: ServerId = "s0".parse().unwrap();
+    let mut choice = BackendChoice::default();
+    assert_eq!(choice.seen(&server, NOW), SeenLoad::default());
+    let load = ToldLoad {
+        running: 4,
+        waiting: 3,
+        slots: 4,
+    };
+    choice.sent(&server);
+    choice.told(&server, load, NOW);
+
+    let seen = choice.seen(&server, NOW + Duration::from_millis(120));
+
+    assert_eq!(seen.in_flight, 1);
+    assert_eq!(seen.told, SeenNumber(Some(7)));
+    assert_eq!(seen.told_age_ms, SeenNumber(Some(120)));
+    assert_eq!(SeenNumber(None).to_string(), "-");
+}
+
 fn fail(choice: &mut BackendChoice, server: &ServerId, times: usize) {
     for _ in 0..times {
         choice.sent(server);
