All jobs are looked at the less often the more there are

Change: both wait at least 20 us for each open job. Conclusion: stays; below 500 open jobs nothing changes.

--- /dev/null
+++ b/crates/core/examples/batcher_load.rs
@@ -0,0 +1,190 @@
+//! Measures what the owner of the batches computes: its own time for each second of its deployment.
+//!
+//! Time is simulated, so that the deployment runs as fast as the owner can decide. Requests have
+//! three stages of 1, 6 and 6 pieces; servers are as many as keep up with them at 70% of their time.
+//!
+//! `cargo run --release -p amaranthscale-core --example batcher_load -- 1000 3000 5000`
+#![expect(
+    clippy::unwrap_used,
+    clippy::print_stdout,
+    reason = "a tool for developers that prints its table"
+)]
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use amaranthscale_core::id::RoutingVersion;
+use amaranthscale_core::process::{
+    Batch, BatchEnd, Batcher, JobEvent, PieceEnd, PipelineOrder, ServerRecord, StageOrder,
+};
+use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
+
+const SERVICES: [&str; 3] = ["encode", "retrieve", "rerank"];
+const PIECES: [usize; 3] = [1, 6, 6];
+const MAX_PIECES: usize = 40;
+const STEP: Duration = Duration::from_millis(5);
+const SECONDS: u64 = 5;
+/// Part of the servers' time that the requests take.
+const LOAD: f64 = 0.7;
+
+fn spec() -> BatchSpec {
+    BatchSpec {
+        slots: 1,
+        max_pieces: MAX_PIECES,
+        call_time: Duration::from_millis(240),
+        piece_time: Duration::from_millis(5),
+        room_bytes: 50_000_000,
+        kept_for: Duration::from_secs(4),
+    }
+}
+
+fn server(service: &str, index: u32) -> ServerRecord {
+    ServerRecord {
+        id: format!("{service}-{index}").parse().unwrap(),
+        service: service.parse().unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: format!("zone-{}", index % 4).parse().unwrap(),
+        slots: 1,
+        is_leaving: false,
+    }
+}
+
+fn servers(per_second: u32) -> Vec<ServerRecord> {
+    let batch_s = spec().time_of(MAX_PIECES).as_secs_f64();
+    let of_service = |(service, pieces): (&&str, usize)| {
+        let piece_s = batch_s / f64::from(u32::try_from(MAX_PIECES).unwrap());
+        let busy = f64::from(per_second) * f64::from(u32::try_from(pieces).unwrap()) * piece_s;
+        let count = (1..100_000)
+            .find(|count| f64::from(*count) * LOAD >= busy)
+            .unwrap();
+        (0..count)
+            .map(|index| server(service, index))
+            .collect::<Vec<_>>()
+    };
+    SERVICES.iter().zip(PIECES).flat_map(of_service).collect()
+}
+
+fn batcher(servers: &[ServerRecord]) -> Batcher {
+    let pools = SERVICES.map(|service| Pool {
+        service: service.parse().unwrap(),
+        max_connections: 100,
+        engine: None,
+        batch: Some(spec()),
+    });
+    let routing = Routing::new(RoutingVersion::new(1), CallerBounds::default());
+    let mut batcher = Batcher::new();
+    batcher.set_servers(&routing.with_pools(pools), servers.iter());
+    batcher
+}
+
+fn order(number: u64) -> PipelineOrder {
+    let stages = SERVICES.iter().zip(PIECES).enumerate();
+    let stages = stages.map(|(index, (service, pieces))| StageOrder {
+        service: service.parse().unwrap(),
+        after: index.checked_sub(1).into_iter().collect(),
+        pieces,
+        result_bytes: 6_000,
+    });
+    PipelineOrder {
+        call: format!("call-{number}").parse().unwrap(),
+        piece_key: "key".to_owned(),
+        stages: stages.collect(),
+        priority: 0,
+        worth_tokens: 1_000 + number % 7 * 500,
+        aim_left: Duration::from_secs(2),
+        deadline_left: Duration::from_secs(15),
+        reader_zone: "zone-0".parse().unwrap(),
+    }
+}
+
+/// One run's figures.
+struct Figures {
+    spent: Duration,
+    most_jobs: usize,
+    done: usize,
+    failed: usize,
+}
+
+fn run(per_second: u32, servers: &[ServerRecord]) -> Figures {
+    let mut batcher = batcher(servers);
+    let mut ends: BTreeMap<(Duration, u64), Batch> = BTreeMap::new();
+    let mut figures = Figures {
+        spent: Duration::ZERO,
+        most_jobs: 0,
+        done: 0,
+        failed: 0,
+    };
+    let (mut now, mut number, mut calls) = (Duration::from_secs(10), 0, 0);
+    let end = now + Duration::from_secs(SECONDS);
+    while now < end {
+        now += STEP;
+        let due = u64::from(per_second)
+            * u64::try_from(
+                (now + Duration::from_secs(SECONDS))
+                    .saturating_sub(end)
+                    .as_millis(),
+            )
+            .unwrap()
+            / 1_000;
+        let started = Instant::now();
+        while number < due {
+            number += 1;
+            figures.failed += usize::from(batcher.submit(order(number), now).is_err());
+        }
+        let later = ends.split_off(&(now, u64::MAX));
+        for batch in std::mem::replace(&mut ends, later).into_values() {
+            let made = (0..batch.items.len()).map(|index| {
+                PieceEnd::Made(
+                    format!("10.0.0.1:80/{}-{index}", batch.items[0].call)
+                        .parse()
+                        .unwrap(),
+                )
+            });
+            batcher.batch_ended(batch.id, BatchEnd::Pieces(made.collect()), None, now);
+        }
+        for batch in batcher.next_batches(now) {
+            calls += 1;
+            ends.insert((now + spec().time_of(batch.items.len()), calls), batch);
+        }
+        for event in batcher.take_events() {
+            let job = match event {
+                JobEvent::Done(job, ..) => {
+                    figures.done += 1;
+                    job
+                }
+                JobEvent::Failed(job, _) => {
+                    figures.failed += 1;
+                    job
+                }
+            };
+            batcher.release(job);
+        }
+        for frees in batcher.take_frees(|_| true) {
+            batcher.freed(&frees);
+        }
+        figures.spent += started.elapsed();
+        figures.most_jobs = figures.most_jobs.max(batcher.jobs());
+    }
+    figures
+}
+
+fn main() {
+    let asked = std::env::args().skip(1).map(|rate| {
+        rate.parse::<u32>()
+            .expect("requests a second, such as 1000")
+    });
+    println!("requests/s  servers  open jobs  done  failed  of a core");
+    for per_second in asked {
+        let servers = servers(per_second);
+        let figures = run(per_second, &servers);
+        let part = figures.spent.as_secs_f64() / Duration::from_secs(SECONDS).as_secs_f64();
+        println!(
+            "{per_second:>10}  {:>7}  {:>9}  {:>4}  {:>6}  {:>8.1}%",
+            servers.len(),
+            figures.most_jobs,
+            figures.done,
+            figures.failed,
+            part * 100.0
+        );
+    }
+}
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -21,6 +21,7 @@
 mod late;
 mod message;
 mod open_work;
+mod pace;
 mod pool_state;
 mod queue;
 
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::job::{Job, LARGE_RESULT_BYTES, PieceState};
+use super::pace::paced;
 use super::pool_state::{PoolState, StageServer};
 use super::{Batch, BatchId, Batcher, JobFailure, PieceRef, RunningBatch, RunningPiece};
 use crate::id::{ServerId, ServiceId, ZoneId};
@@ -21,13 +22,13 @@
 /// Backlog of a service, as a part of a call, up to which late requests may begin there.
 const SPARE_PART: f64 = 0.5;
 
-/// Time between two looks at all jobs.
+/// Time between two looks at all jobs, at least.
 const SWEEP: Duration = Duration::from_millis(20);
 
 impl Batcher {
     /// Batches to send now.
     pub fn next_batches(&mut self, now: Duration) -> Vec<Batch> {
-        if now.saturating_sub(self.swept_at) >= SWEEP {
+        if now.saturating_sub(self.swept_at) >= paced(SWEEP, self.jobs.len()) {
             self.swept_at = now;
             self.sweep(now);
         }
--- a/crates/core/src/process/batcher/open_work.rs
+++ b/crates/core/src/process/batcher/open_work.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use super::job::Job;
+use super::pace::paced;
 use crate::id::ServiceId;
 
-/// How long one count is used; a few jobs come meanwhile.
+/// How long one count is used at least; a few jobs come meanwhile.
 const USED_FOR: Duration = Duration::from_millis(10);
 
 /// Pieces that are not started, of all jobs.
@@ -28,8 +29,13 @@
 
 impl OpenWork {
     /// Counts anew if the last count is too old.
-    pub(super) fn refresh<'a>(&mut self, jobs: impl Iterator<Item = &'a Job>, now: Duration) {
-        let is_recent = |counted_at: Duration| now.saturating_sub(counted_at) < USED_FOR;
+    pub(super) fn refresh<'a>(
+        &mut self,
+        jobs: impl ExactSizeIterator<Item = &'a Job>,
+        now: Duration,
+    ) {
+        let used_for = paced(USED_FOR, jobs.len());
+        let is_recent = |counted_at: Duration| now.saturating_sub(counted_at) < used_for;
         if self.counted_at.is_some_and(is_recent) {
             return;
         }
