Stage servers of large deployments are dealt out to cells, each with an owner of its batches

Change: from 300 stage servers on, servers (rendezvous hash, bounded) and requests (by call id) go to 2, 4, 8 ... cells. Each gateway works the same out; a cell's owner is the strongest gateway that the rendezvous hash names. A gateway starts an owner with its first job. Below 300 nothing changes.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -4,20 +4,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use amaranthscale_core::process::BackendChoice;
+use amaranthscale_core::process::{BackendChoice, Cell};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use log::info;
 use quick_error::quick_error;
-use ractor::Actor;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 use super::GatewayConfig;
 use super::connection::ServerPool;
 use super::process::{
-    BatchOwner, BatchOwnerArguments, BatchOwnerHandle, BatchOwnerMessage, Budgets, GatewayParts,
-    StopGate, serve_pieces,
+    BatchOwnerArguments, BatchOwners, Budgets, GatewayParts, StopGate, serve_pieces,
 };
 use super::request::answer_caller;
 use super::version::{
@@ -54,10 +52,6 @@
             display("cannot listen for {what} at {address}: {cause}")
             source(cause)
         }
-        /// The owner of the batches did not start.
-        Owner(reason: String) {
-            display("the owner of the batches did not start: {reason}")
-        }
     }
 }
 
@@ -92,7 +86,7 @@
             config.instance.clone(),
             config.announcement,
         ));
-        let parts = Arc::new(start_parts(&config, &knowledge).await?);
+        let parts = Arc::new(start_parts(&config, &knowledge));
         let following = follow(&config, &parts);
         let callers = listen_callers(&config, &parts).await?;
         let others = listen_others(&config, &parts, peers).await?;
@@ -151,7 +145,7 @@
         info!(open = self.parts.stop.open(); "gateway: stopping");
         let ends_at = tokio::time::Instant::now() + self.config.stop_bound - STOP_MARGIN;
         self.parts.stop.stop();
-        self.parts.batches.tell(BatchOwnerMessage::Stop);
+        self.parts.batches.stop();
         let withdrawing = withdraw_instance(&self.config.store, &self.config.instance);
         let leaving = tokio::time::sleep(LEAVE_ROTATION);
         tokio::join!(withdrawing, leaving);
@@ -200,14 +194,12 @@
     ]
 }
 
-async fn start_parts(
-    config: &GatewayConfig,
-    knowledge: &Arc<Knowledge>,
-) -> Result<GatewayParts, GatewayError> {
+fn start_parts(config: &GatewayConfig, knowledge: &Arc<Knowledge>) -> GatewayParts {
     let counters = Arc::new(Counters::local("amaranth.gateway"));
     let pool = Arc::new(ServerPool::default());
     let dialect = Arc::new(config.dialect.clone());
     let arguments = BatchOwnerArguments {
+        cell: Cell::WHOLE,
         knowledge: Arc::clone(knowledge),
         pool: Arc::clone(&pool),
         dialect: Arc::clone(&dialect),
@@ -215,23 +207,20 @@
         latencies: Arc::default(),
     };
     let latencies = Arc::clone(&arguments.latencies);
-    let (owner, _running) = Actor::spawn(None, BatchOwner, arguments)
-        .await
-        .map_err(|error| GatewayError::Owner(error.to_string()))?;
-    Ok(GatewayParts {
+    GatewayParts {
         zone: config.zone.clone(),
         knowledge: Arc::clone(knowledge),
         pool,
         dialect,
         budgets: Budgets::new(config.budget),
-        batches: BatchOwnerHandle::new(owner),
+        batches: Arc::new(BatchOwners::new(arguments)),
         peers: PeerClient::new(PEER_LIMITS),
         counters,
         latencies,
         stop: Arc::new(StopGate::default()),
         key_age: config.revoke_bound * KEY_AGE_PERCENT / 100,
         choice: Mutex::new(BackendChoice::default()),
-    })
+    }
 }
 
 async fn listen_callers(
@@ -283,10 +272,10 @@
     let ready = HttpServer::start(config.ready, limits, ready)
         .await
         .map_err(|cause| GatewayError::Listen("readiness", config.ready, cause))?;
-    let batches = parts.batches.clone();
+    let batches = Arc::clone(&parts.batches);
     let own = config.instance.clone();
     let pieces =
-        move |request: Request<Incoming>| serve_pieces(own.clone(), batches.clone(), request);
+        move |request: Request<Incoming>| serve_pieces(own.clone(), Arc::clone(&batches), request);
     let address = config.announcement.address;
     let peers = HttpServer::start_on(peers, move || limits, pieces)
         .map_err(|cause| GatewayError::Listen("other gateways", address, cause))?;
@@ -337,7 +326,7 @@
 async fn tell_changes(parts: Arc<GatewayParts>) {
     let mut changes = parts.knowledge.changes();
     while changes.changed().await.is_ok() {
-        parts.batches.tell(BatchOwnerMessage::Changed);
+        parts.batches.tell_changed();
     }
 }
 
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -3,6 +3,7 @@
 mod batch_calls;
 mod batch_owner;
 mod batch_owner_handle;
+mod batch_owners;
 mod budgets;
 mod parts;
 mod peer_pieces;
@@ -14,6 +15,8 @@
 #[doc(inline)]
 pub use batch_owner_handle::{BatchOwnerHandle, OwnedJob};
 #[doc(inline)]
+pub use batch_owners::BatchOwners;
+#[doc(inline)]
 pub use budgets::Budgets;
 #[doc(inline)]
 pub use parts::GatewayParts;
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -1,7 +1,7 @@
 //! Owns the batches: an actor around the core's batcher.
 //!
-//! Every gateway runs one; it has work only while the gateways' order makes this one the owner, or
-//! while others believe so. Calls to stage servers run as tasks that send their ends back.
+//! It has work only while the gateways' order makes this one the owner of its cell, or while others
+//! believe so. Calls to stage servers run as tasks that send their ends back.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -9,8 +9,8 @@
 
 use amaranthscale_core::id::{CallId, ResultHandle, ServerId};
 use amaranthscale_core::process::{
-    Batch, BatchEnd, BatchId, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused, PieceEnd,
-    PipelineOrder, StageTimes, ToldLoad,
+    Batch, BatchEnd, BatchId, Batcher, Cell, Frees, JobEvent, JobFailure, JobId, JobRefused,
+    PieceEnd, PipelineOrder, StageTimes, ToldLoad,
 };
 use log::info;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -72,8 +72,10 @@
 pub struct BatchOwner;
 
 /// What the actor needs.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct BatchOwnerArguments {
+    /// The cell whose batches are owned.
+    pub cell: Cell,
     /// Routing and servers.
     pub knowledge: Arc<Knowledge>,
     /// Connections to stage servers.
@@ -115,14 +117,16 @@
         _myself: ActorRef<Self::Msg>,
         arguments: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
-        Ok(BatchOwnerState {
+        let mut state = BatchOwnerState {
             arguments,
             batcher: Batcher::new(),
             waiting: BTreeMap::new(),
             freeing: BTreeSet::new(),
             is_ticking: false,
             is_stopping: false,
-        })
+        };
+        state.take_servers();
+        Ok(state)
     }
 
     async fn handle(
@@ -213,7 +217,8 @@
             return;
         };
         let servers = self.arguments.knowledge.servers();
-        self.batcher.set_servers(&routing, servers.all());
+        let own = self.arguments.cell.servers(servers.all());
+        self.batcher.set_servers(&routing, own.into_iter());
     }
 
     /// One call that frees results a server at a time: what comes meanwhile goes with the next.
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -8,7 +8,7 @@
 use super::super::Dialect;
 use super::super::connection::ServerPool;
 use super::super::version::Knowledge;
-use super::{BatchOwnerHandle, Budgets, StopGate};
+use super::{BatchOwners, Budgets, StopGate};
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
 
@@ -25,8 +25,8 @@
     pub dialect: Arc<Dialect>,
     /// Repeats that are left.
     pub budgets: Budgets,
-    /// The owner of the batches in this process.
-    pub batches: BatchOwnerHandle,
+    /// The owners of batches in this process.
+    pub batches: Arc<BatchOwners>,
     /// Connections to other gateways.
     pub peers: PeerClient,
     /// Counts of answers, refusals and repeats.
--- a/crates/amaranthscale/src/gateway/process/peer_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_pieces.rs
@@ -6,6 +6,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use log::warn;
 use quick_error::quick_error;
 
-use super::{BatchOwnerHandle, JobAnswer, OwnedJob};
+use super::{BatchOwners, JobAnswer, OwnedJob};
 use crate::connection::{PeerClient, PeerError, ResponseBody, empty_body, read_body};
 
 /// Start of the path of a request that carries a job; the owner's name follows.
@@ -107,7 +108,7 @@
 /// ended, and would make this gateway a second owner beside the one that the others ask.
 pub async fn serve_pieces(
     own: InstanceId,
-    batches: BatchOwnerHandle,
+    batches: Arc<BatchOwners>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     if request.uri().path().strip_prefix(PIECES_PATH) != Some(own.as_str()) {
--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -60,7 +60,7 @@
     for _ in 0..MOST_ASKED {
         order.aim_left = aim_left.saturating_sub(started.elapsed());
         order.deadline_left = deadline_left.saturating_sub(started.elapsed());
-        let (owner, address, is_own) = parts.knowledge.owner();
+        let (owner, address, is_own) = parts.knowledge.owner(order.cell);
         let answered = if is_own {
             let (answer, job) = parts.batches.run(order.clone()).await;
             Ok((answer, Kept::Here { _job: job }))
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -208,6 +208,7 @@
         } else {
             let order = PipelineOrder {
                 call: self.admitted.work.call.clone(),
+                cell: self.parts.knowledge.cell_of(&self.admitted.work.call),
                 piece_key: self.admitted.work.piece_key.clone(),
                 stages,
                 priority: self.admitted.priority,
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use amaranthscale_core::id::InstanceId;
-use amaranthscale_core::process::{Announcement, Freshness, InstanceView, ServerList};
+use amaranthscale_core::id::{CallId, InstanceId};
+use amaranthscale_core::process::{Announcement, Cell, Freshness, InstanceView, ServerList};
 use amaranthscale_core::version::Routing;
 use log::info;
 use tokio::sync::watch;
@@ -26,6 +26,8 @@
     servers: Arc<ServerList>,
     instances: InstanceView,
     freshness: Freshness,
+    /// Cells that stage servers are dealt out to.
+    cells: u32,
 }
 
 impl Knowledge {
@@ -39,6 +41,7 @@
                 servers: Arc::default(),
                 instances: InstanceView::new(instance, announcement),
                 freshness: Freshness::default(),
+                cells: 1,
             }),
             changes: watch::Sender::new(0),
         }
@@ -82,12 +85,18 @@
         self.known().instances.live(now)
     }
 
-    /// The gateway that owns the batches, and whether it is this one.
+    /// The cell that makes a request's pieces.
     #[must_use]
-    pub fn owner(&self) -> (InstanceId, SocketAddr, bool) {
+    pub fn cell_of(&self, call: &CallId) -> Cell {
+        Cell::of_call(call, self.known().cells)
+    }
+
+    /// The gateway that owns a cell's batches, and whether it is this one.
+    #[must_use]
+    pub fn owner(&self, cell: Cell) -> (InstanceId, SocketAddr, bool) {
         let now = self.clock.now();
         let known = self.known();
-        let (id, address) = known.instances.owner(now);
+        let (id, address) = known.instances.owner(cell, now);
         let is_own = id == known.instances.own();
         (id.clone(), address, is_own)
     }
@@ -150,6 +159,7 @@
     }
 
     fn changed(&self) {
+        self.known().count_cells();
         self.changes.send_modify(|count| *count += 1);
     }
 
@@ -157,3 +167,19 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Known {
+    /// Deals out anew where the number of servers asks for it.
+    fn count_cells(&mut self) {
+        let Some(routing) = &self.routing else {
+            return;
+        };
+        let batched = routing.pools().filter(|pool| pool.batch.is_some());
+        let servers = batched.map(|pool| self.servers.usable(&pool.service).count());
+        let cells = Cell::count(servers);
+        if cells != self.cells {
+            info!(cells, before = self.cells; "batches: dealt out to cells");
+            self.cells = cells;
+        }
+    }
+}
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -15,7 +15,7 @@
 
 use amaranthscale_core::id::RoutingVersion;
 use amaranthscale_core::process::{
-    Batch, BatchEnd, Batcher, JobEvent, PieceEnd, PipelineOrder, ServerRecord, StageOrder,
+    Batch, BatchEnd, Batcher, Cell, JobEvent, PieceEnd, PipelineOrder, ServerRecord, StageOrder,
 };
 use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
 
@@ -87,6 +87,7 @@
     });
     PipelineOrder {
         call: format!("call-{number}").parse().unwrap(),
+        cell: Cell::WHOLE,
         piece_key: "key".to_owned(),
         stages: stages.collect(),
         priority: 0,
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -12,6 +12,7 @@
 mod attempt_end;
 mod backend_choice;
 mod batcher;
+mod cell;
 mod cost_book;
 mod cost_key;
 mod cost_totals;
@@ -53,6 +54,8 @@
     PieceEnd, PieceInput, PipelineOrder, StageOrder, StageTimes,
 };
 #[doc(inline)]
+pub use cell::Cell;
+#[doc(inline)]
 pub use cost_book::{CostBook, sum_by_organisation};
 #[doc(inline)]
 pub use cost_key::CostKey;
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::id::{CallId, ResultHandle, ServerId, ServiceId, ZoneId};
+use crate::process::Cell;
 
 /// Names a job of the batcher.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -32,6 +33,8 @@
 pub struct PipelineOrder {
     /// The caller's send.
     pub call: CallId,
+    /// The cell that makes its pieces.
+    pub cell: Cell,
     /// The caller's key of the pieces.
     pub piece_key: String,
     /// All stages of the route, in its order.
@@ -65,7 +68,8 @@
     #[must_use]
     pub fn is_well_formed(&self) -> bool {
         let mut stages = self.stages.iter().enumerate();
-        self.stages.len() <= MOST_STAGES
+        self.cell.is_well_formed()
+            && self.stages.len() <= MOST_STAGES
             && stages.all(|(index, stage)| {
                 let comes_before = |after: &usize| *after < index;
                 stage.pieces <= MOST_PIECES && stage.after.iter().all(comes_before)
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -3,6 +3,7 @@
 //! Entries announce themselves in the store once. Whether one still lives is learnt by those that
 //! talk to it: a silent one is passed over for a while. One acts for all: the strongest machine, and
 //! among equals the one whose announcement is the oldest, so that one that joins rarely takes over.
+//! Where work is dealt out to cells, each has one of the strongest, by rendezvous hash.
 //! Every entry sees the same order without a word. While views differ, two entries may both act,
 //! which the callers of this module must bear.
 
@@ -13,6 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{Cell, rendezvous};
 use crate::id::{InstanceId, RowVersion};
 
 /// How long an entry that fell silent is passed over before it is tried again.
@@ -140,9 +142,9 @@
         self.instances.values().filter(is_live).count().max(1)
     }
 
-    /// The entry that acts for all: the first in order among those not passed over.
+    /// The entry that acts for a cell: the first in order among those not passed over.
     #[must_use]
-    pub fn owner(&self, now: Duration) -> (&InstanceId, SocketAddr) {
+    pub fn owner(&self, cell: Cell, now: Duration) -> (&InstanceId, SocketAddr) {
         let live = self
             .instances
             .iter()
@@ -150,7 +152,13 @@
         // One that is not seen in the store yet comes after all that are.
         let order = |(id, seen): &(&InstanceId, &Seen)| {
             let weakness = Reverse(seen.announcement.millicores);
-            (seen.since.is_none(), weakness, seen.since, (*id).clone())
+            let score = if cell.is_whole() {
+                None
+            } else {
+                Some(Reverse(rendezvous::score(cell.index().into(), id.as_str())))
+            };
+            let is_unseen = seen.since.is_none();
+            (is_unseen, weakness, score, seen.since, (*id).clone())
         };
         let first = live.min_by_key(order);
         let (id, found) = first.unwrap_or_else(|| {
--- a/crates/core/tests/batcher/bench.rs
+++ b/crates/core/tests/batcher/bench.rs
@@ -4,7 +4,8 @@
 
 use amaranthscale_core::id::{ResultHandle, RoutingVersion};
 use amaranthscale_core::process::{
-    Batch, BatchEnd, Batcher, JobEvent, JobId, PieceEnd, PipelineOrder, ServerRecord, StageOrder,
+    Batch, BatchEnd, Batcher, Cell, JobEvent, JobId, PieceEnd, PipelineOrder, ServerRecord,
+    StageOrder,
 };
 use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
 
@@ -112,6 +113,7 @@
         });
         PipelineOrder {
             call: format!("call-{}", self.calls).parse().unwrap(),
+            cell: Cell::WHOLE,
             piece_key: "key".to_owned(),
             stages: stages.collect(),
             priority: 0,
--- a/crates/core/tests/instance_view.rs
+++ b/crates/core/tests/instance_view.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, RowVersion};
-use amaranthscale_core::process::{Announcement, InstanceView};
+use amaranthscale_core::process::{Announcement, Cell, InstanceView};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -30,7 +30,7 @@
 }
 
 fn owner(view: &InstanceView, now: Duration) -> String {
-    view.owner(now).0.to_string()
+    view.owner(Cell::WHOLE, now).0.to_string()
 }
 
 #[test]
