A silent owner is passed over at once, asked apart from requests, and replaced for good

Cause, of the weakest kinds of trouble (owner frozen, cut off or without power): (1) a silent owner was asked a second time, as after a reset, for another second; (2) requests that waited for a connection to it each tried for themselves, one after the other; (3) it was tried again with requests every three seconds; (4) when it came back it took the batches over again, and what was begun was lost twice; (5) a job that came to the next owner after its aim was refused, though that one was idle. Change: silence is told from a reset; a failed attempt is shared by those who wait for it; a question of its own asks whether it answers again; the next owner removes its announcement, so that it comes back as the youngest, unless nobody else is reached; a job has the time beyond its aim that others have. A gateway is ready for 0.56 of the bound on keys (a constant of 2.8 s that fit one bound only). Tests fail first: the silent owner (asked twice without the change), the shared failure, what comes from a lost owner; one that reaches nobody displaces nobody.

--- a/crates/amaranthscale/src/connection/peer_client.rs
+++ b/crates/amaranthscale/src/connection/peer_client.rs
@@ -18,6 +18,7 @@
 use log::debug;
 use quick_error::quick_error;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::Instant;
 
 use super::open_stream::open_stream;
 use crate::process::{ControlKind, ControlTraffic};
@@ -34,6 +35,10 @@
         Lost(address: SocketAddr, reason: String) {
             display("the connection to {address} was lost: {reason}")
         }
+        /// The connection fell silent after the request may have been seen.
+        Silent(address: SocketAddr) {
+            display("the connection to {address} fell silent")
+        }
     }
 }
 
@@ -41,7 +46,7 @@
     /// Whether the peer may have seen the request.
     #[must_use]
     pub const fn may_have_arrived(&self) -> bool {
-        matches!(self, Self::Lost(..))
+        matches!(self, Self::Lost(..) | Self::Silent(..))
     }
 }
 
@@ -68,7 +73,7 @@
 }
 
 type Sender = SendRequest<Full<Bytes>>;
-type Slot = Arc<AsyncMutex<Option<PeerConnection>>>;
+type Slot = Arc<AsyncMutex<PeerSlot>>;
 
 /// An open connection to a peer.
 #[derive(Debug, Clone)]
@@ -96,11 +101,22 @@
             .map_err(|error| PeerError::NotSent(self.address, error.to_string()))?;
         self.sender.send_request(request).await.map_err(|error| {
             debug!("peer: request to {} was lost: {error}", self.address);
-            PeerError::Lost(self.address, error.to_string())
+            if error.is_timeout() {
+                PeerError::Silent(self.address)
+            } else {
+                PeerError::Lost(self.address, error.to_string())
+            }
         })
     }
 }
 
+/// A peer's connection, and when the last attempt to open one failed.
+#[derive(Debug, Default)]
+struct PeerSlot {
+    open: Option<PeerConnection>,
+    failed: Option<(Instant, PeerError)>,
+}
+
 /// Connects to other processes of the system.
 #[derive(Debug)]
 pub struct PeerClient {
@@ -143,24 +159,41 @@
 
     /// A connection to a peer that is newer than one that went silent.
     ///
-    /// Many requests may find the same connection silent at once; they share the new one.
+    /// Many requests may find the same connection silent at once; they share the new one, or the
+    /// failure to open it.
     pub async fn connection_after(
         &self,
         address: SocketAddr,
         silent: Option<ConnectionNumber>,
     ) -> Result<PeerConnection, PeerError> {
+        let asked_at = Instant::now();
         let slot = self.slot(address);
-        let mut open = slot.lock().await;
+        let mut slot = slot.lock().await;
         let is_usable = |connection: &&PeerConnection| {
             Some(connection.number) > silent && !connection.sender.is_closed()
         };
-        if let Some(connection) = open.as_ref().filter(is_usable) {
+        if let Some(connection) = slot.open.as_ref().filter(is_usable) {
             return Ok(connection.clone());
         }
-        *open = None;
-        let connection = self.connect(address).await?;
-        *open = Some(connection.clone());
-        Ok(connection)
+        slot.open = None;
+        // Guards against a peer without power: each request that waits here would try for itself
+        // after the one before it, and the last of some dozen would wait for many seconds.
+        if let Some((failed_at, error)) = &slot.failed
+            && *failed_at >= asked_at
+        {
+            return Err(error.clone());
+        }
+        match self.connect(address).await {
+            Ok(connection) => {
+                slot.failed = None;
+                slot.open = Some(connection.clone());
+                Ok(connection)
+            }
+            Err(error) => {
+                slot.failed = Some((Instant::now(), error.clone()));
+                Err(error)
+            }
+        }
     }
 
     /// Posts a body on the open connection and returns the response.
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a gateway.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -12,23 +13,21 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use super::GatewayConfig;
 use super::connection::ServerPool;
 use super::process::{
-    BatchOwnerArguments, BatchOwners, Budgets, GatewayParts, StopGate, serve_pieces,
+    BatchOwnerArguments, BatchOwners, Budgets, GatewayParts, StopGate, ask_alive, serve_peer,
 };
 use super::request::answer_caller;
 use super::version::{
-    FeedPace, KEY_AGE_PERCENT, Knowledge, Own, announce_instance, follow_instances, follow_routing,
-    follow_servers, withdraw_instance,
+    FeedPace, KEY_AGE_PERCENT, Knowledge, Own, READY_AGE_PERCENT, announce_instance,
+    follow_instances, follow_routing, follow_servers, withdraw_instance,
 };
+use super::{GatewayConfig, StoreCalls};
 use crate::connection::{
     HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, ResponseBody, empty_body, full_body,
 };
 use crate::process::Counters;
 
-/// Age of knowledge from which another gateway is the better choice for new connections.
-const READY_AGE: Duration = Duration::from_millis(2_800);
 /// Time in which the platform's questions take a stopping gateway out: two misses and a margin.
 const LEAVE_ROTATION: Duration = Duration::from_millis(2_300);
 /// Time kept back from the bound on a stop, for the process to end by itself.
@@ -40,6 +39,11 @@
     connect_timeout: Duration::from_millis(400),
     silence: Duration::from_secs(1),
 };
+/// Time between two questions to gateways that are passed over: below the time for which they are,
+/// so that one that does not answer stays passed over.
+const ASK_SILENT: Duration = Duration::from_millis(900);
+/// Gateways that are asked before another one is displaced; one that dies beside it is no sign.
+const MOST_WITNESSES: usize = 3;
 /// Time between two sweeps of kept connections.
 const SWEEP: Duration = Duration::from_secs(2);
 
@@ -92,6 +96,7 @@
         let others = listen_others(&config, &parts, peers).await?;
         tokio::spawn(tell_changes(Arc::clone(&parts)));
         tokio::spawn(sweep(Arc::clone(&parts)));
+        tokio::spawn(tend_silent(Arc::clone(&parts), config.store.clone()));
         tokio::spawn(announce_instance(
             config.store.clone(),
             config.instance.clone(),
@@ -219,6 +224,7 @@
         latencies,
         stop: Arc::new(StopGate::default()),
         key_age: config.revoke_bound * KEY_AGE_PERCENT / 100,
+        ready_age: config.revoke_bound * READY_AGE_PERCENT / 100,
         choice: Mutex::new(BackendChoice::default()),
     }
 }
@@ -275,7 +281,7 @@
     let batches = Arc::clone(&parts.batches);
     let own = config.instance.clone();
     let pieces =
-        move |request: Request<Incoming>| serve_pieces(own.clone(), Arc::clone(&batches), request);
+        move |request: Request<Incoming>| serve_peer(own.clone(), Arc::clone(&batches), request);
     let address = config.announcement.address;
     let peers = HttpServer::start_on(peers, move || limits, pieces)
         .map_err(|cause| GatewayError::Listen("other gateways", address, cause))?;
@@ -300,7 +306,10 @@
 
 fn ready_response(parts: &GatewayParts) -> Response<ResponseBody> {
     let is_known = parts.knowledge.routing().is_some();
-    let is_fresh = parts.knowledge.age().is_some_and(|age| age <= READY_AGE);
+    let is_fresh = parts
+        .knowledge
+        .age()
+        .is_some_and(|age| age <= parts.ready_age);
     let is_ready = is_known && is_fresh && !parts.stop.is_stopping();
     let mut response = Response::new(empty_body());
     if !is_ready {
@@ -340,3 +349,55 @@
         parts.choice().retain(is_known);
     }
 }
+
+/// Tends to gateways that did not answer: removes the announcements of those that this one owns the
+/// batches in place of, and asks whether they answer again.
+///
+/// Guards against a gateway that stays silent for long: without a question of its own, each time
+/// that it is tried again the requests of that moment would wait for it in vain, for a second or so.
+async fn tend_silent(parts: Arc<GatewayParts>, store: StoreCalls) {
+    let mut removed = BTreeSet::new();
+    loop {
+        parts.knowledge.silence().await;
+        let displaced = parts.knowledge.displaced().into_iter();
+        let displaced: Vec<_> = displaced.filter(|id| !removed.contains(id)).collect();
+        let is_cut_off = !displaced.is_empty() && !reaches_another(&parts).await;
+        if is_cut_off {
+            info!(silent = displaced.len(); "membership: nobody is reached");
+            parts.counters.count("owner.not-displaced");
+        } else {
+            for id in displaced {
+                info!(instance = id.as_str(); "membership: displaced");
+                withdraw_instance(&store, &id).await;
+                removed.insert(id);
+            }
+        }
+        tokio::time::sleep(ASK_SILENT).await;
+        for (id, address) in parts.knowledge.passed_over() {
+            let parts = Arc::clone(&parts);
+            tokio::spawn(async move {
+                if ask_alive(&parts.peers, &id, address).await {
+                    info!(instance = id.as_str(); "membership: answers again");
+                    parts.knowledge.heard(&id);
+                } else {
+                    // Also lets the loop go on for as long as it stays silent.
+                    parts.knowledge.silent(&id);
+                }
+            });
+        }
+    }
+}
+
+/// Whether another gateway answers, or there is none.
+///
+/// Guards against a gateway that is cut off itself, but not from the store: to it all others look
+/// silent, and it would have the one that owns the batches of all others displaced.
+async fn reaches_another(parts: &GatewayParts) -> bool {
+    let others = parts.knowledge.others();
+    for (id, address) in others.iter().take(MOST_WITNESSES) {
+        if ask_alive(&parts.peers, id, *address).await {
+            return true;
+        }
+    }
+    others.is_empty()
+}
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -21,7 +21,7 @@
 #[doc(inline)]
 pub use parts::GatewayParts;
 #[doc(inline)]
-pub use peer_pieces::{PIECES_PATH, serve_pieces};
+pub use peer_pieces::{ALIVE_PATH, PIECES_PATH, ask_alive, serve_peer};
 #[doc(inline)]
 pub use pieces::{MadePieces, PiecesError, make_pieces};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -37,6 +37,8 @@
     pub stop: Arc<StopGate>,
     /// Longest age of the routing at which a key is believed.
     pub key_age: std::time::Duration,
+    /// Longest age of the routing at which the gateway is ready.
+    pub ready_age: std::time::Duration,
     /// What sends told of the servers.
     pub choice: Mutex<BackendChoice>,
 }
--- a/crates/amaranthscale/src/gateway/process/peer_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_pieces.rs
@@ -24,6 +24,8 @@
 
 /// Start of the path of a request that carries a job; the owner's name follows.
 pub const PIECES_PATH: &str = "/pieces/";
+/// Start of the path of the question whether a gateway lives; its name follows.
+pub const ALIVE_PATH: &str = "/alive/";
 /// Largest order: some stages of some hundred bytes.
 const MAX_ORDER_BYTES: usize = 64 * 1024;
 /// Longest wait for an order's body; it comes with its head.
@@ -43,6 +45,10 @@
         Lost(reason: String) {
             display("{reason}")
         }
+        /// The gateway fell silent: frozen, cut off, or its connection was.
+        Silent {
+            display("it fell silent")
+        }
         /// Another life is at the address.
         OtherLife {
             display("another life is at its address")
@@ -66,23 +72,31 @@
         .map_err(|error| match error {
             PeerError::NotSent(..) => AskError::NotReached(error.to_string()),
             PeerError::Lost(..) => AskError::Lost(error.to_string()),
+            PeerError::Silent(..) => AskError::Silent,
         })?;
     if response.status() != StatusCode::OK {
         return Err(AskError::OtherLife);
     }
     let mut body = response.into_body();
-    let answer = read_answer(&mut body).await.map_err(AskError::Lost)?;
+    let answer = read_answer(&mut body).await?;
     Ok((answer, body))
 }
 
-async fn read_answer(body: &mut Incoming) -> Result<JobAnswer, String> {
+async fn read_answer(body: &mut Incoming) -> Result<JobAnswer, AskError> {
     let mut read = BytesMut::new();
     loop {
-        if let Some(answer) = whole_answer(&read)? {
+        if let Some(answer) = whole_answer(&read).map_err(AskError::Lost)? {
             return Ok(answer);
         }
-        let frame = body.frame().await.ok_or("the answer ended early")?;
-        let frame = frame.map_err(|error| error.to_string())?;
+        let ended = || AskError::Lost("the answer ended early".to_owned());
+        let frame = body.frame().await.ok_or_else(ended)?;
+        let frame = frame.map_err(|error| {
+            if error.is_timeout() {
+                AskError::Silent
+            } else {
+                AskError::Lost(error.to_string())
+            }
+        })?;
         if let Ok(data) = frame.into_data() {
             read.extend_from_slice(&data);
         }
@@ -102,11 +116,31 @@
     Ok(Some(answer))
 }
 
+/// Asks whether a gateway's life is at its address and answers.
+pub async fn ask_alive(peers: &PeerClient, id: &InstanceId, address: SocketAddr) -> bool {
+    let path = format!("{ALIVE_PATH}{id}");
+    let answer = peers.post(address, &path, Bytes::new()).await;
+    answer.is_ok_and(|response| response.status() == StatusCode::OK)
+}
+
+/// Answers other gateways: jobs, and whether this life is here.
+pub async fn serve_peer(
+    own: InstanceId,
+    batches: Arc<BatchOwners>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    match request.uri().path().strip_prefix(ALIVE_PATH) {
+        Some(asked) if asked == own.as_str() => status(StatusCode::OK),
+        Some(_other) => status(StatusCode::NOT_FOUND),
+        None => serve_pieces(own, batches, request).await,
+    }
+}
+
 /// Answers another gateway's job.
 ///
 /// Guards against a job for an earlier life at this address: its sender has not heard that it
 /// ended, and would make this gateway a second owner beside the one that the others ask.
-pub async fn serve_pieces(
+async fn serve_pieces(
     own: InstanceId,
     batches: Arc<BatchOwners>,
     request: Request<Incoming>,
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -213,6 +213,7 @@
                 stages,
                 priority: self.admitted.priority,
                 worth_tokens: self.admitted.work.worth_tokens,
+                aim: route.aim,
                 aim_left: route.aim.saturating_sub(self.admitted.arrived.elapsed()),
                 deadline_left: self.admitted.left().saturating_sub(ENGINE_RESERVE),
                 reader_zone: reader.zone.clone(),
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -11,7 +11,7 @@
 #[doc(inline)]
 pub use feed::{Feed, FeedEvent};
 #[doc(inline)]
-pub use feed_pace::{FeedPace, KEY_AGE_PERCENT};
+pub use feed_pace::{FeedPace, KEY_AGE_PERCENT, READY_AGE_PERCENT};
 #[doc(inline)]
 pub use follow::{Own, follow_instances, follow_routing, follow_servers};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/version/feed_pace.rs
+++ b/crates/amaranthscale/src/gateway/version/feed_pace.rs
@@ -7,6 +7,9 @@
 /// Part of the bound on revoked keys for which keys are believed without word from the store, in
 /// hundredths: the rest is for the way there and for late timers.
 pub const KEY_AGE_PERCENT: u32 = 90;
+/// Part of the bound on revoked keys for which a gateway is ready without word from the store, in
+/// hundredths: soon after it, keyed requests are refused, and callers had better go elsewhere.
+pub const READY_AGE_PERCENT: u32 = 56;
 /// Pause after a failed call, at most.
 const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(350);
 /// Longest pause after a failed call for the gateways' announcements, which nothing waits for.
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -8,7 +8,7 @@
 use amaranthscale_core::process::{Announcement, Cell, Freshness, InstanceView, ServerList};
 use amaranthscale_core::version::Routing;
 use log::info;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::super::Clock;
 
@@ -18,6 +18,7 @@
     clock: Clock,
     known: Mutex<Known>,
     changes: watch::Sender<u64>,
+    silence: Notify,
 }
 
 #[derive(Debug)]
@@ -44,6 +45,7 @@
                 cells: 1,
             }),
             changes: watch::Sender::new(0),
+            silence: Notify::new(),
         }
     }
 
@@ -110,6 +112,33 @@
     pub fn silent(&self, id: &InstanceId) {
         let now = self.clock.now();
         self.known().instances.silent(id, now);
+        self.silence.notify_one();
+    }
+
+    /// Waits until a gateway did not answer.
+    pub async fn silence(&self) {
+        self.silence.notified().await;
+    }
+
+    /// Gateways that own nothing any more, because this one does in their place.
+    #[must_use]
+    pub fn displaced(&self) -> Vec<InstanceId> {
+        let now = self.clock.now();
+        self.known().instances.displaced(now)
+    }
+
+    /// Gateways that are passed over, and where they were.
+    #[must_use]
+    pub fn passed_over(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let now = self.clock.now();
+        self.known().instances.passed_over(now)
+    }
+
+    /// Other gateways that are not passed over, and where they are.
+    #[must_use]
+    pub fn others(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let now = self.clock.now();
+        self.known().instances.others(now)
     }
 
     /// Gateways that nobody here has reached for long.
--- a/crates/amaranthscale/tests/feed_pace.rs
+++ b/crates/amaranthscale/tests/feed_pace.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use amaranthscale::gateway::version::{FeedPace, KEY_AGE_PERCENT};
+use amaranthscale::gateway::version::{FeedPace, KEY_AGE_PERCENT, READY_AGE_PERCENT};
 
 /// Longest wait for the start of an answer beside what a poll waits by itself.
 const CALL_PATIENCE: Duration = Duration::from_millis(900);
@@ -23,6 +23,20 @@
     }
 }
 
+/// A deployment lets a revoked key live for ten seconds. A gateway that counted as ready for 2.8 s
+/// without word, as where it may live for five, left the rotation between two polls of a calm store.
+#[test]
+fn a_gateway_is_ready_from_one_poll_to_the_next() {
+    for bound_ms in [1_000, 2_000, 5_000, 10_000, 20_000] {
+        let bound = Duration::from_millis(bound_ms);
+
+        let pace = FeedPace::routing(bound);
+
+        let ready = bound * READY_AGE_PERCENT / 100;
+        assert!(pace.wait + bound / 20 <= ready, "{bound_ms} ms");
+    }
+}
+
 /// At the bound of the users' deployments, one connection that falls silent must not make keys too
 /// old: the poll is given up and a new connection answers in time.
 #[test]
--- a/crates/amaranthscale/tests/peer_client.rs
+++ b/crates/amaranthscale/tests/peer_client.rs
@@ -1,6 +1,7 @@
 //! Connections to other processes.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use amaranthscale::connection::{
     HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, empty_body,
@@ -71,3 +72,46 @@
 
     assert!(!error.may_have_arrived(), "{error}");
 }
+
+/// A peer loses power, and many requests to it wait for one connection attempt. Each tried for itself
+/// after the one before it, so that the last of twenty waited eight seconds for a peer that was gone.
+#[tokio::test(start_paused = true)]
+async fn requests_that_wait_for_one_attempt_share_its_failure() {
+    // Arrange
+    let (address, _full) = address_that_never_answers();
+    let limits = PeerClientLimits::default();
+    let client = Arc::new(PeerClient::new(limits));
+    let started = tokio::time::Instant::now();
+
+    // Act
+    let mut attempts = tokio::task::JoinSet::new();
+    for _ in 0..20 {
+        let client = Arc::clone(&client);
+        attempts.spawn(async move { client.post(address, "/pieces", "").await });
+    }
+    let ends = attempts.join_all().await;
+
+    // Assert
+    assert!(ends.iter().all(Result::is_err));
+    assert!(started.elapsed() < limits.connect_timeout * 2);
+}
+
+/// A listener whose queue is full, so that the system answers no further connection.
+fn address_that_never_answers() -> (SocketAddr, Vec<std::net::TcpStream>) {
+    let listener = tokio::net::TcpSocket::new_v4().expect("a listener");
+    listener
+        .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .expect("a listener");
+    let listener = listener
+        .listen(1)
+        .expect("a listener")
+        .into_std()
+        .expect("a listener");
+    let address = listener.local_addr().expect("a listener");
+    let patience = std::time::Duration::from_millis(100);
+    let connect = || std::net::TcpStream::connect_timeout(&address, patience).ok();
+    let full = std::iter::from_fn(connect).collect();
+    // Lives as long as the process: closed, it would refuse instead.
+    std::mem::forget(listener);
+    (address, full)
+}
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -92,6 +92,7 @@
         stages: stages.collect(),
         priority: 0,
         worth_tokens: 1_000 + number % 7 * 500,
+        aim: Duration::from_secs(2),
         aim_left: Duration::from_secs(2),
         deadline_left: Duration::from_secs(15),
         reader_zone: "zone-0".parse().unwrap(),
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -114,7 +114,7 @@
         let allowed = order
             .deadline_left
             .mul_f64(LATE_PART)
-            .min(order.aim_left.mul_f64(LATE_AIMS));
+            .min(order.aim_left + order.aim.mul_f64(LATE_AIMS - 1.0));
         if done + ENGINE_TIME <= now + allowed {
             return Ok(());
         }
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -153,7 +153,7 @@
             .collect();
         Self {
             deadline_at: now + order.deadline_left,
-            held_until: now + order.aim_left.mul_f64(HELD_AIMS),
+            held_until: now + order.aim_left + order.aim.mul_f64(HELD_AIMS - 1.0),
             path_time: outlook.path_time,
             put_off: outlook.put_off,
             is_late: outlook.is_late,
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -43,6 +43,10 @@
     pub priority: u8,
     /// Worth of the answer against others', in tokens of the engine's work; 0 if not known.
     pub worth_tokens: u64,
+    /// Time from the caller's send within which the answer is of full worth.
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    #[serde(rename = "aim_ms")]
+    pub aim: Duration,
     /// Time left until the results are of full worth no longer.
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     #[serde(rename = "aim_left_ms")]
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -31,6 +31,9 @@
     pub millicores: u32,
 }
 
+/// Order of those that act: not seen, weakness, age, name.
+type Place = (bool, Reverse<u32>, Option<RowVersion>, InstanceId);
+
 #[derive(Debug, Clone)]
 struct Seen {
     announcement: Announcement,
@@ -124,6 +127,51 @@
         }
     }
 
+    /// Entries that are passed over, and where they were.
+    #[must_use]
+    pub fn passed_over(&self, now: Duration) -> Vec<(InstanceId, SocketAddr)> {
+        let is_passed_over = |seen: &Seen| seen.passed_over_until > now;
+        let silent = self
+            .instances
+            .iter()
+            .filter(|(_, seen)| is_passed_over(seen));
+        let addressed = silent.map(|(id, seen)| (id.clone(), seen.announcement.address));
+        addressed.collect()
+    }
+
+    /// Entries that act no longer, because this one does in their place.
+    ///
+    /// Their announcements are to be removed: one that lives announces itself anew, as the youngest.
+    /// Guards against an entry that freezes or is cut off for a while: taken back as the first when
+    /// it answers again, it would cost a second change of the one that acts, and each one loses
+    /// what was begun.
+    #[must_use]
+    pub fn displaced(&self, now: Duration) -> Vec<InstanceId> {
+        if *self.owner(Cell::WHOLE, now).0 != self.own {
+            return Vec::new();
+        }
+        let Some(own) = self.instances.get(&self.own) else {
+            return Vec::new();
+        };
+        let own_place = own.place(&self.own);
+        let silent = self
+            .instances
+            .iter()
+            .filter(|(_, seen)| seen.passed_over_until > now);
+        let before = silent.filter(|(id, seen)| seen.place(id) < own_place);
+        before.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Other entries that are not passed over, and where they are.
+    #[must_use]
+    pub fn others(&self, now: Duration) -> Vec<(InstanceId, SocketAddr)> {
+        let is_other =
+            |(id, seen): &(&InstanceId, &Seen)| **id != self.own && seen.passed_over_until <= now;
+        let others = self.instances.iter().filter(is_other);
+        let addressed = others.map(|(id, seen)| (id.clone(), seen.announcement.address));
+        addressed.collect()
+    }
+
     /// Entries that nobody here has reached for long.
     #[must_use]
     pub fn forgotten(&self, now: Duration) -> Vec<InstanceId> {
@@ -149,16 +197,11 @@
             .instances
             .iter()
             .filter(|(id, seen)| **id == self.own || seen.passed_over_until <= now);
-        // One that is not seen in the store yet comes after all that are.
         let order = |(id, seen): &(&InstanceId, &Seen)| {
-            let weakness = Reverse(seen.announcement.millicores);
-            let score = if cell.is_whole() {
-                None
-            } else {
-                Some(Reverse(rendezvous::score(cell.index().into(), id.as_str())))
-            };
-            let is_unseen = seen.since.is_none();
-            (is_unseen, weakness, score, seen.since, (*id).clone())
+            let by_hash = |id: &InstanceId| rendezvous::score(cell.index().into(), id.as_str());
+            let score = (!cell.is_whole()).then(|| Reverse(by_hash(id)));
+            let (is_unseen, weakness, since, id) = seen.place(id);
+            (is_unseen, weakness, score, since, id)
         };
         let first = live.min_by_key(order);
         let (id, found) = first.unwrap_or_else(|| {
@@ -170,6 +213,13 @@
 }
 
 impl Seen {
+    /// Place in the order of those that act for all.
+    fn place(&self, id: &InstanceId) -> Place {
+        let weakness = Reverse(self.announcement.millicores);
+        // One that is not seen in the store yet comes after all that are.
+        (self.since.is_none(), weakness, self.since, id.clone())
+    }
+
     const fn new(announcement: Announcement, since: Option<RowVersion>) -> Self {
         Self {
             announcement,
--- a/crates/core/tests/batcher/bench.rs
+++ b/crates/core/tests/batcher/bench.rs
@@ -118,6 +118,7 @@
             stages: stages.collect(),
             priority: 0,
             worth_tokens: 0,
+            aim: ms(2_000),
             aim_left: ms(2_000),
             deadline_left: ms(15_000),
             reader_zone: "north".parse().unwrap(),
--- a/crates/core/tests/batcher/ends.rs
+++ b/crates/core/tests/batcher/ends.rs
@@ -126,7 +126,8 @@
     bench.submit(busy);
     let _running = bench.next_batch();
     let mut order = bench.chain(&[(ENCODE, 1, 100)]);
-    order.aim_left = ms(500);
+    order.aim = ms(500);
+    order.aim_left = order.aim;
     let job = bench.submit(order);
 
     bench.advance(700);
--- a/crates/core/tests/batcher/order.rs
+++ b/crates/core/tests/batcher/order.rs
@@ -83,7 +83,8 @@
 fn the_request_with_less_time_goes_first() {
     let mut bench = Bench::new(&["north"]);
     let mut patient = bench.chain(&[(ENCODE, 10, 100)]);
-    patient.aim_left = ms(5_000);
+    patient.aim = ms(5_000);
+    patient.aim_left = patient.aim;
     let hurried = bench.chain(&[(ENCODE, 10, 100)]);
     let hurried_call = hurried.call.clone();
     bench.submit(patient);
@@ -275,11 +276,13 @@
     bench.submit(order);
     let _ahead = bench.next_batch();
     let mut hopeless = bench.chain(&[(RETRIEVE, 8, 100)]);
-    hopeless.aim_left = ms(1_000);
+    hopeless.aim = ms(1_000);
+    hopeless.aim_left = hopeless.aim;
     let hopeless = bench.submit(hopeless);
     for _ in 0..10 {
         let mut patient = bench.chain(&[(RETRIEVE, 10, 100)]);
-        patient.aim_left = ms(20_000);
+        patient.aim = ms(20_000);
+        patient.aim_left = patient.aim;
         patient.deadline_left = ms(30_000);
         bench.submit(patient);
     }
@@ -292,3 +295,19 @@
         [JobEvent::Failed(hopeless, JobFailure::Late)]
     );
 }
+
+/// The owner of the batches falls silent, and by the time that its requests come to the next owner
+/// their aims are over. Refused or given up at once for that, all of them would fail with the old
+/// owner, though the new one is idle: they must have the time that others have beyond their aims.
+#[test]
+fn a_request_that_comes_from_a_lost_owner_is_still_made() {
+    let mut bench = Bench::new(&["north"]);
+    let mut order = bench.chain(&[(ENCODE, 4, 100)]);
+    order.aim = ms(1_000);
+    order.aim_left = ms(0);
+    order.deadline_left = ms(13_000);
+
+    bench.submit(order);
+
+    assert_eq!(bench.next_batch().items.len(), 4);
+}
--- a/crates/core/tests/instance_view.rs
+++ b/crates/core/tests/instance_view.rs
@@ -93,6 +93,61 @@
     assert_eq!(owner(&view, 5 * SECOND), "a");
 }
 
+/// An owner stays frozen for longer than it is passed over. Tried again with requests, it would hold
+/// up all those of the moment: it is named until then, so that a question can be put to it first.
+#[test]
+fn entries_that_are_passed_over_are_named_until_they_are_tried_again() {
+    let mut view = view("b", 2);
+    announce(&mut view, "a", 1, 10);
+    assert!(view.passed_over(SECOND).is_empty());
+
+    view.silent(&id("a"), SECOND);
+    let named = view.passed_over(2 * SECOND);
+    view.silent(&id("a"), 2 * SECOND);
+
+    assert_eq!(named, [(id("a"), announcement(1).address)]);
+    assert_eq!(
+        owner(&view, 4 * SECOND),
+        "b",
+        "no answer puts it off further"
+    );
+    assert!(view.passed_over(5 * SECOND).is_empty());
+}
+
+/// The owner freezes for some seconds, and the next one takes its place. When the old one came back
+/// it took the batches over again, and what was begun was lost a second time. The next one asks for
+/// the old one's announcement to be removed; announced anew, it is the youngest.
+#[test]
+fn one_that_was_replaced_comes_back_as_the_youngest() {
+    let mut view = view("b", 2);
+    announce(&mut view, "a", 1, 10);
+    announce(&mut view, "b", 2, 11);
+    announce(&mut view, "c", 3, 12);
+    assert!(view.displaced(SECOND).is_empty());
+
+    view.silent(&id("a"), SECOND);
+    view.silent(&id("c"), SECOND);
+    let displaced = view.displaced(SECOND);
+    view.withdrawn(&id("a"));
+    announce(&mut view, "a", 1, 20);
+
+    assert_eq!(displaced, [id("a")], "one that comes later owns nothing");
+    assert_eq!(owner(&view, SECOND), "b");
+}
+
+/// Two gateways are after the silent owner. Only the next one may have it removed.
+#[test]
+fn one_that_does_not_act_displaces_nobody() {
+    let mut view = view("c", 3);
+    announce(&mut view, "a", 1, 10);
+    announce(&mut view, "b", 2, 11);
+    announce(&mut view, "c", 3, 12);
+
+    view.silent(&id("a"), SECOND);
+
+    assert!(view.displaced(SECOND).is_empty());
+}
+
 #[test]
 fn one_that_answers_is_taken_back_at_once() {
     let mut view = view("b", 2);
