--- a/crates/amaranthscale/src/gateway.rs
+++ b/crates/amaranthscale/src/gateway.rs
@@ -17,6 +17,7 @@
 mod daemon;
 mod dialect;
 mod gateway_config;
+mod listen;
 mod store_calls;
 
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -1,31 +1,25 @@
 //! Starts and stops a gateway.
 
-use std::collections::BTreeSet;
 use std::io;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranthscale_core::process::{BackendChoice, Cell};
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
 use log::info;
 use quick_error::quick_error;
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use super::GatewayConfig;
 use super::connection::ServerPool;
+use super::listen::{OtherServers, bind, listen_callers, listen_others};
 use super::process::{
-    BatchOwnerArguments, BatchOwners, Budgets, GatewayParts, StopGate, ask_alive, serve_peer,
+    BatchOwnerArguments, BatchOwners, Budgets, GatewayParts, StopGate, tend_silent,
 };
-use super::request::answer_caller;
 use super::version::{
     FeedPace, KEY_AGE_PERCENT, Knowledge, Own, READY_AGE_PERCENT, announce_instance,
     follow_instances, follow_routing, follow_servers, withdraw_instance,
 };
-use super::{GatewayConfig, StoreCalls};
-use crate::connection::{
-    HttpServer, HttpServerLimits, PeerClient, PeerClientLimits, ResponseBody, empty_body, full_body,
-};
+use crate::connection::{HttpServer, PeerClient, PeerClientLimits};
 use crate::process::Counters;
 
 /// Time in which the platform's questions take a stopping gateway out: two misses and a margin.
@@ -39,11 +33,6 @@
     connect_timeout: Duration::from_millis(400),
     silence: Duration::from_secs(1),
 };
-/// Time between two questions to gateways that are passed over: below the time for which they are,
-/// so that one that does not answer stays passed over.
-const ASK_SILENT: Duration = Duration::from_millis(900);
-/// Gateways that are asked before another one is displaced; one that dies beside it is no sign.
-const MOST_WITNESSES: usize = 3;
 /// Time between two sweeps of kept connections.
 const SWEEP: Duration = Duration::from_secs(2);
 
@@ -69,14 +58,6 @@
     following: Vec<JoinHandle<()>>,
 }
 
-/// What listens beside the callers' server.
-#[derive(Debug)]
-struct OtherServers {
-    ready: HttpServer,
-    peers: HttpServer,
-    metrics: Option<HttpServer>,
-}
-
 impl Gateway {
     /// Starts a gateway; it is ready once it knows the routing.
     pub async fn start(mut config: GatewayConfig) -> Result<Self, GatewayError> {
@@ -229,108 +210,6 @@
     }
 }
 
-async fn listen_callers(
-    config: &GatewayConfig,
-    parts: &Arc<GatewayParts>,
-) -> Result<HttpServer, GatewayError> {
-    let handled = Arc::clone(parts);
-    let handle = move |request: Request<Incoming>| answer_caller(Arc::clone(&handled), request);
-    let limited = Arc::clone(parts);
-    let limits = move || caller_limits(&limited);
-    HttpServer::start_with(config.callers, limits, handle)
-        .await
-        .map_err(|cause| GatewayError::Listen("callers", config.callers, cause))
-}
-
-/// Bounds of a new connection by the routing in force.
-fn caller_limits(parts: &GatewayParts) -> HttpServerLimits {
-    let Some(routing) = parts.knowledge.routing() else {
-        return HttpServerLimits::default();
-    };
-    let bounds = routing.bounds();
-    HttpServerLimits {
-        max_header_bytes: bounds.max_header_bytes,
-        // The library counts the pause between two requests as part of the next head.
-        header_timeout: bounds.idle_timeout.max(bounds.header_timeout),
-    }
-}
-
-async fn bind(
-    what: &'static str,
-    address: std::net::SocketAddr,
-) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| GatewayError::Listen(what, address, cause))
-}
-
-async fn listen_others(
-    config: &GatewayConfig,
-    parts: &Arc<GatewayParts>,
-    peers: TcpListener,
-) -> Result<OtherServers, GatewayError> {
-    let limits = HttpServerLimits::default();
-    let asked = Arc::clone(parts);
-    let ready = move |_request: Request<Incoming>| {
-        let response = ready_response(&asked);
-        async move { response }
-    };
-    let ready = HttpServer::start(config.ready, limits, ready)
-        .await
-        .map_err(|cause| GatewayError::Listen("readiness", config.ready, cause))?;
-    let batches = Arc::clone(&parts.batches);
-    let own = config.instance.clone();
-    let pieces =
-        move |request: Request<Incoming>| serve_peer(own.clone(), Arc::clone(&batches), request);
-    let address = config.announcement.address;
-    let peers = HttpServer::start_on(peers, move || limits, pieces)
-        .map_err(|cause| GatewayError::Listen("other gateways", address, cause))?;
-    let mut metrics = None;
-    if let Some(address) = config.metrics {
-        let shown = Arc::clone(parts);
-        let answer = move |_request: Request<Incoming>| {
-            let response = Response::new(full_body(metrics_text(&shown)));
-            async move { response }
-        };
-        let server = HttpServer::start(address, limits, answer)
-            .await
-            .map_err(|cause| GatewayError::Listen("metrics", address, cause))?;
-        metrics = Some(server);
-    }
-    Ok(OtherServers {
-        ready,
-        peers,
-        metrics,
-    })
-}
-
-fn ready_response(parts: &GatewayParts) -> Response<ResponseBody> {
-    let is_known = parts.knowledge.routing().is_some();
-    let is_fresh = parts
-        .knowledge
-        .age()
-        .is_some_and(|age| age <= parts.ready_age);
-    let is_ready = is_known && is_fresh && !parts.stop.is_stopping();
-    let mut response = Response::new(empty_body());
-    if !is_ready {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    response
-}
-
-/// All counters and times, one a line.
-fn metrics_text(parts: &GatewayParts) -> String {
-    use std::fmt::Write;
-    let mut text = String::new();
-    for (name, total) in parts.counters.totals() {
-        let name = name.replace(['.', '-'], "_");
-        // Writing to a string cannot fail.
-        let _ = writeln!(text, "amaranth_{name}_total {total}");
-    }
-    let _ = writeln!(text, "amaranth_open_requests {}", parts.stop.open());
-    text + &parts.latencies.text()
-}
-
 /// Tells the owner of the batches of each change.
 async fn tell_changes(parts: Arc<GatewayParts>) {
     let mut changes = parts.knowledge.changes();
@@ -349,55 +228,3 @@
         parts.choice().retain(is_known);
     }
 }
-
-/// Tends to gateways that did not answer: removes the announcements of those that this one owns the
-/// batches in place of, and asks whether they answer again.
-///
-/// Guards against a gateway that stays silent for long: without a question of its own, each time
-/// that it is tried again the requests of that moment would wait for it in vain, for a second or so.
-async fn tend_silent(parts: Arc<GatewayParts>, store: StoreCalls) {
-    let mut removed = BTreeSet::new();
-    loop {
-        parts.knowledge.silence().await;
-        let displaced = parts.knowledge.displaced().into_iter();
-        let displaced: Vec<_> = displaced.filter(|id| !removed.contains(id)).collect();
-        let is_cut_off = !displaced.is_empty() && !reaches_another(&parts).await;
-        if is_cut_off {
-            info!(silent = displaced.len(); "membership: nobody is reached");
-            parts.counters.count("owner.not-displaced");
-        } else {
-            for id in displaced {
-                info!(instance = id.as_str(); "membership: displaced");
-                withdraw_instance(&store, &id).await;
-                removed.insert(id);
-            }
-        }
-        tokio::time::sleep(ASK_SILENT).await;
-        for (id, address) in parts.knowledge.passed_over() {
-            let parts = Arc::clone(&parts);
-            tokio::spawn(async move {
-                if ask_alive(&parts.peers, &id, address).await {
-                    info!(instance = id.as_str(); "membership: answers again");
-                    parts.knowledge.heard(&id);
-                } else {
-                    // Also lets the loop go on for as long as it stays silent.
-                    parts.knowledge.silent(&id);
-                }
-            });
-        }
-    }
-}
-
-/// Whether another gateway answers, or there is none.
-///
-/// Guards against a gateway that is cut off itself, but not from the store: to it all others look
-/// silent, and it would have the one that owns the batches of all others displaced.
-async fn reaches_another(parts: &GatewayParts) -> bool {
-    let others = parts.knowledge.others();
-    for (id, address) in others.iter().take(MOST_WITNESSES) {
-        if ask_alive(&parts.peers, id, *address).await {
-            return true;
-        }
-    }
-    others.is_empty()
-}
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -9,6 +9,7 @@
 mod peer_pieces;
 mod pieces;
 mod stop_gate;
+mod tend_silent;
 
 #[doc(inline)]
 pub use batch_owner::{BatchOwner, BatchOwnerArguments, BatchOwnerMessage, JobAnswer};
@@ -26,3 +27,5 @@
 pub use pieces::{MadePieces, PiecesError, make_pieces};
 #[doc(inline)]
 pub use stop_gate::{OpenRequest, StopGate};
+#[doc(inline)]
+pub use tend_silent::tend_silent;
