--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -226,7 +226,7 @@
             .unwrap_or_default()
     }
 
-    /// Part of the path's time that is before it, by the work that is not sent.
+    /// Time that its waiting stages take without a wait: their part of the path, by their work.
     pub(super) fn path_left(&self) -> Duration {
         let work: Duration = self.work.iter().sum();
         let open = self
