A gateway that misses its announcement in a whole list announces itself again

Cause: an announcement that another gateway removed is told by a change. Where the store had lost its history meanwhile, the whole list was read, and nobody looked for the own row: the gateway went on to name itself the owner, while all others named another one. Change: the own announcement counts as gone if a whole list lacks it, and is made again once it was made.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -72,17 +72,19 @@
             config.announcement,
         ));
         let parts = Arc::new(start_parts(&config, &knowledge));
-        let following = follow(&config, &parts);
+        let own = Own {
+            instance: config.instance.clone(),
+            announcement: config.announcement,
+            stop: Arc::clone(&parts.stop),
+            is_announced: Arc::default(),
+        };
+        let following = follow(&config, &parts, own.clone());
         let callers = listen_callers(&config, &parts).await?;
         let others = listen_others(&config, &parts, peers).await?;
         tokio::spawn(tell_changes(Arc::clone(&parts)));
         tokio::spawn(sweep(Arc::clone(&parts)));
         tokio::spawn(tend_silent(Arc::clone(&parts), config.store.clone()));
-        tokio::spawn(announce_instance(
-            config.store.clone(),
-            config.instance.clone(),
-            config.announcement,
-        ));
+        tokio::spawn(announce_instance(config.store.clone(), own.clone()));
         info!(instance = config.instance.as_str(), zone = config.zone.as_str(); "gateway: started");
         Ok(Self {
             parts,
@@ -153,13 +155,8 @@
     }
 }
 
-fn follow(config: &GatewayConfig, parts: &GatewayParts) -> Vec<JoinHandle<()>> {
+fn follow(config: &GatewayConfig, parts: &GatewayParts, own: Own) -> Vec<JoinHandle<()>> {
     let knowledge = &parts.knowledge;
-    let own = Own {
-        instance: config.instance.clone(),
-        announcement: config.announcement,
-        stop: Arc::clone(&parts.stop),
-    };
     vec![
         tokio::spawn(follow_routing(
             config.store.clone(),
--- a/crates/amaranthscale/src/gateway/version/announce.rs
+++ b/crates/amaranthscale/src/gateway/version/announce.rs
@@ -3,16 +3,17 @@
 //! One write at the start and one at the end: whether an announced gateway lives is learnt by
 //! talking to it, so that no heartbeat is written.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use amaranthscale_core::id::InstanceId;
-use amaranthscale_core::process::Announcement;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use log::{info, warn};
 
 use super::super::{StoreAnswer, StoreCalls};
+use super::Own;
 use super::feed::call_store;
 use crate::connection::Http1Connection;
 
@@ -22,15 +23,13 @@
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Announces a gateway, again until the store has taken it.
-pub async fn announce_instance(
-    store: StoreCalls,
-    instance: InstanceId,
-    announcement: Announcement,
-) {
+pub async fn announce_instance(store: StoreCalls, own: Own) {
+    let instance = &own.instance;
     loop {
-        match write(&store, (store.announce)(&instance, &announcement)).await {
+        match write(&store, (store.announce)(instance, &own.announcement)).await {
             Ok(()) => {
                 info!(instance = instance.as_str(); "membership: announced");
+                own.is_announced.store(true, Ordering::Release);
                 return;
             }
             Err(reason) => warn!(reason = reason.as_str(); "membership: not announced yet"),
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -1,6 +1,7 @@
 //! Keeps what is known up to date from the store's feeds.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, ServerId};
@@ -90,6 +91,10 @@
             FeedEvent::All(rows) => {
                 let ids: Vec<_> = rows.rows.iter().filter_map(instance_id).collect();
                 knowledge.change_instances(|instances| instances.keep_only(&ids));
+                // Removed while nothing was told, as while the store had lost its history.
+                if own.is_announced.load(Ordering::Acquire) && !ids.contains(&own.instance) {
+                    announce_again(&store, &own);
+                }
                 rows
             }
             FeedEvent::Changed(rows) => rows,
@@ -112,6 +117,8 @@
     pub announcement: Announcement,
     /// Whether it stops, and so announces itself no more.
     pub stop: Arc<StopGate>,
+    /// Whether the store has taken its announcement.
+    pub is_announced: Arc<AtomicBool>,
 }
 
 fn take_instance(store: &StoreCalls, knowledge: &Knowledge, own: &Own, row: &StoreRow) {
@@ -119,13 +126,8 @@
         return;
     };
     let Some(value) = &row.value else {
-        if id == own.instance && !own.stop.is_stopping() {
-            // Another gateway took this one for dead; it lives, and says so.
-            tokio::spawn(announce_instance(
-                store.clone(),
-                own.instance.clone(),
-                own.announcement,
-            ));
+        if id == own.instance {
+            announce_again(store, own);
         }
         info!(instance = id.as_str(); "membership: gone");
         knowledge.change_instances(|instances| instances.withdrawn(&id));
@@ -145,6 +147,14 @@
     }
 }
 
+/// Announces this gateway anew: another one took it for dead, but it lives.
+fn announce_again(store: &StoreCalls, own: &Own) {
+    if own.stop.is_stopping() {
+        return;
+    }
+    tokio::spawn(announce_instance(store.clone(), own.clone()));
+}
+
 fn instance_id(row: &StoreRow) -> Option<InstanceId> {
     match row.key.parse() {
         Ok(id) => Some(id),
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -183,8 +183,8 @@
     }
 
     /// Changes the view of the gateways.
-    pub fn change_instances(&self, change: impl FnOnce(&mut InstanceView)) {
-        change(&mut self.known().instances);
+    pub fn change_instances<T>(&self, change: impl FnOnce(&mut InstanceView) -> T) -> T {
+        change(&mut self.known().instances)
     }
 
     fn changed(&self) {
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -101,11 +101,17 @@
         }
     }
 
-    /// Keeps only what a whole list of announcements names.
+    /// Keeps only what a whole list of announcements names; the entry itself stays.
+    ///
+    /// Guards against an announcement that was removed while nothing was told, as while the store
+    /// had lost its history: taken for there, the entry would name itself and all others another.
     pub fn keep_only(&mut self, ids: &[InstanceId]) {
         let own = self.own.clone();
         self.instances
             .retain(|id, _| *id == own || ids.contains(id));
+        if !ids.contains(&own) {
+            self.withdrawn(&own);
+        }
     }
 
     /// Notes that an entry answered.
--- a/crates/core/tests/instance_view.rs
+++ b/crates/core/tests/instance_view.rs
@@ -148,6 +148,19 @@
     assert!(view.displaced(SECOND).is_empty());
 }
 
+/// The own announcement was removed while no change could be told. Taken for there, the
+/// entry would go on to be the first for itself alone.
+#[test]
+fn a_whole_list_without_the_own_announcement_makes_it_the_last() {
+    let mut view = view("a", 1);
+    announce(&mut view, "a", 1, 10);
+    announce(&mut view, "b", 2, 11);
+
+    view.keep_only(&[id("b")]);
+
+    assert_eq!(owner(&view, SECOND), "b");
+}
+
 #[test]
 fn one_that_answers_is_taken_back_at_once() {
     let mut view = view("b", 2);
