A store that was lost is asked for an answer at once

Cause: the poll after a lost one waited for changes like any other. Change: after a failed call, polls ask for an answer at once until one is answered.

--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -18,6 +18,12 @@
 
 /// Longest wait for the answer to a call that does not wait for changes.
 const CALL_PATIENCE: Duration = Duration::from_millis(900);
+/// Wait of the polls after a failed call.
+///
+/// Guards against an outage that lasts longer than it did: a poll that waits for changes is answered
+/// at its end, and until then keys stay too old though the store is back. Sent into the outage, it
+/// would also be given up that much later.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 /// Largest answer of the store: a page of rows and its framing.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -40,6 +46,8 @@
     pace: FeedPace,
     connection: Option<Http1Connection>,
     position: Option<RowVersion>,
+    /// Whether the last call failed.
+    is_lost: bool,
 }
 
 impl Feed {
@@ -52,6 +60,7 @@
             pace,
             connection: None,
             position: None,
+            is_lost: false,
         }
     }
 
@@ -63,10 +72,14 @@
                 Some(position) => self.read_changes(position).await,
             };
             match event {
-                Ok(Some(event)) => return event,
+                Ok(Some(event)) => {
+                    self.is_lost = false;
+                    return event;
+                }
                 Ok(None) => {}
                 Err(reason) => {
                     self.connection = None;
+                    self.is_lost = true;
                     tokio::time::sleep(self.pace.after_failure).await;
                     return FeedEvent::Lost(reason);
                 }
@@ -99,9 +112,14 @@
     }
 
     async fn read_changes(&mut self, position: RowVersion) -> Result<Option<FeedEvent>, String> {
-        tokio::time::sleep(self.pace.between).await;
-        let request = (self.store.watch)(self.table, position, self.pace.wait);
-        let patience = self.pace.wait + CALL_PATIENCE;
+        let wait = if self.is_lost {
+            SHORTEST_WAIT
+        } else {
+            tokio::time::sleep(self.pace.between).await;
+            self.pace.wait
+        };
+        let request = (self.store.watch)(self.table, position, wait);
+        let patience = wait + CALL_PATIENCE;
         match self.call(request, patience).await? {
             StoreAnswer::Rows(rows) => {
                 self.position = Some(rows.version.max(position));
