Reading the change again: one question for passed-over gateways, less done twice

No behaviour changes; found while reading the whole change once more. - The order of gateways asked 'is it passed over' in five places and copied every name at each look for the owner, which is once a request: one question, and names are borrowed. - The feed's flag of a lost call was derived state: a whole answer gives its connection back, so none is there only after a failed call. Looked at and left: two tests of expiry behind a held call are alike, but one must take its expiry after the held one has started, and a shared piece would read worse.

--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -63,28 +63,13 @@
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body<Data = Bytes> + Send + 'static,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
-    {
-        Self::start_with(listen, move || limits, handle).await
-    }
-
-    /// As [`Self::start`], with limits that each new connection asks for.
-    pub async fn start_with<L, H, F, B>(
-        listen: SocketAddr,
-        limits: L,
-        handle: H,
-    ) -> io::Result<Self>
-    where
-        L: Fn() -> HttpServerLimits + Send + 'static,
-        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + 'static,
-        B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let listener = TcpListener::bind(listen).await?;
-        Self::start_on(listener, limits, handle)
+        Self::start_on(listener, move || limits, handle)
     }
 
-    /// As [`Self::start_with`], on a listener that is bound already.
+    /// As [`Self::start`], on a listener that is bound already, with limits that each new
+    /// connection asks for.
     pub fn start_on<L, H, F, B>(listener: TcpListener, limits: L, handle: H) -> io::Result<Self>
     where
         L: Fn() -> HttpServerLimits + Send + 'static,
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -28,8 +28,8 @@
     let handle = move |request: Request<Incoming>| answer_caller(Arc::clone(&handled), request);
     let limited = Arc::clone(parts);
     let limits = move || caller_limits(&limited);
-    HttpServer::start_with(config.callers, limits, handle)
-        .await
+    let listener = bind("callers", config.callers).await?;
+    HttpServer::start_on(listener, limits, handle)
         .map_err(|cause| GatewayError::Listen("callers", config.callers, cause))
 }
 
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -46,8 +46,6 @@
     pace: FeedPace,
     connection: Option<Http1Connection>,
     position: Option<RowVersion>,
-    /// Whether the last call failed.
-    is_lost: bool,
 }
 
 impl Feed {
@@ -60,7 +58,6 @@
             pace,
             connection: None,
             position: None,
-            is_lost: false,
         }
     }
 
@@ -72,14 +69,10 @@
                 Some(position) => self.read_changes(position).await,
             };
             match event {
-                Ok(Some(event)) => {
-                    self.is_lost = false;
-                    return event;
-                }
+                Ok(Some(event)) => return event,
                 Ok(None) => {}
                 Err(reason) => {
                     self.connection = None;
-                    self.is_lost = true;
                     tokio::time::sleep(self.pace.after_failure).await;
                     return FeedEvent::Lost(reason);
                 }
@@ -88,31 +81,32 @@
     }
 
     async fn read_all(&mut self) -> Result<StoreRows, String> {
-        let mut all: Option<StoreRows> = None;
+        let mut first: Option<StoreRows> = None;
         let mut rows: Vec<StoreRow> = Vec::new();
         loop {
             let after = rows.last().map(|row| row.key.clone());
             let request = (self.store.read)(self.table, after.as_deref());
-            let page = match self.call(request, CALL_PATIENCE).await? {
+            let mut page = match self.call(request, CALL_PATIENCE).await? {
                 StoreAnswer::Rows(page) => page,
                 other => return Err(format!("the store answered {other:?} to a read")),
             };
             let is_last = !page.is_truncated || page.rows.is_empty();
-            rows.extend(page.rows.iter().cloned());
+            rows.append(&mut page.rows);
             // Changes between two pages are told again by the feed: it goes on from the first page.
-            let all = all.get_or_insert(page);
+            let first = first.get_or_insert(page);
             if is_last {
-                self.position = Some(all.version);
+                self.position = Some(first.version);
                 return Ok(StoreRows {
                     rows,
-                    ..all.clone()
+                    ..first.clone()
                 });
             }
         }
     }
 
     async fn read_changes(&mut self, position: RowVersion) -> Result<Option<FeedEvent>, String> {
-        let wait = if self.is_lost {
+        // A whole answer gives its connection back, so none is there only after a failed call.
+        let wait = if self.connection.is_none() {
             SHORTEST_WAIT
         } else {
             tokio::time::sleep(self.pace.between).await;
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -55,8 +55,7 @@
                 vec![PieceEnd::Failed; batch.pieces.len()]
             }
         };
-        let is_full = ends.contains(&PieceEnd::NoRoom);
-        let made_bytes = made_bytes(&batch, &ends);
+        let unknown_bytes = unknown_bytes(&batch, &ends);
         let mut touched: Vec<JobId> = Vec::new();
         for (piece, end) in batch.pieces.iter().zip(ends) {
             self.piece_ended(&batch, *piece, end, now);
@@ -64,11 +63,8 @@
                 touched.push(piece.piece.job);
             }
         }
-        if let Some(pool) = self.pools.get_mut(&batch.service).filter(|_| is_full) {
-            // What was free when the call began is what it could fill, and no more: what became free
-            // since is known to be free.
-            let unknown_bytes = batch.free_bytes.saturating_sub(made_bytes);
-            pool.note_unknown(&batch.server, unknown_bytes, now);
+        if let Some((bytes, pool)) = unknown_bytes.zip(self.pools.get_mut(&batch.service)) {
+            pool.note_unknown(&batch.server, bytes, now);
         }
         for job in touched {
             self.free_used(job, now);
@@ -270,9 +266,14 @@
     }
 }
 
-/// Room that a call's results took.
-fn made_bytes(batch: &RunningBatch, ends: &[PieceEnd]) -> u64 {
+/// Room that a call found taken, if it found too little: what was free when it began is what it
+/// could fill, and no more, and what became free since is known to be free.
+fn unknown_bytes(batch: &RunningBatch, ends: &[PieceEnd]) -> Option<u64> {
+    if !ends.contains(&PieceEnd::NoRoom) {
+        return None;
+    }
     let pieces = batch.pieces.iter().zip(ends);
     let made = pieces.filter(|(_, end)| matches!(end, PieceEnd::Made(_)));
-    made.map(|(piece, _)| piece.result_bytes).sum()
+    let made_bytes = made.map(|(piece, _)| piece.result_bytes).sum();
+    Some(batch.free_bytes.saturating_sub(made_bytes))
 }
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -44,7 +44,12 @@
         self.open_work.refresh(self.jobs.values(), now);
         let calls = self.call_times(order, now)?;
         let latest_starts = latest_starts(order, &calls, now);
-        let put_off = put_off(order.priority, self.relative_worth(order));
+        let work: Vec<_> = order
+            .stages
+            .iter()
+            .map(|stage| self.work_of(stage))
+            .collect();
+        let put_off = put_off(order.priority, self.relative_worth(order, &work));
         let waits = order
             .stages
             .iter()
@@ -60,11 +65,7 @@
         Ok(Outlook {
             not_before: not_before(order, &calls, now),
             path_time: done_at(order, &calls, &[], now).saturating_sub(now),
-            work: order
-                .stages
-                .iter()
-                .map(|stage| self.work_of(stage))
-                .collect(),
+            work,
             latest_starts,
             put_off,
             is_late,
@@ -72,8 +73,8 @@
     }
 
     /// Worth of a job for its work, against what is usual; 1 if it is not known.
-    fn relative_worth(&mut self, order: &PipelineOrder) -> f64 {
-        let work: Duration = order.stages.iter().map(|stage| self.work_of(stage)).sum();
+    fn relative_worth(&mut self, order: &PipelineOrder, work: &[Duration]) -> f64 {
+        let work: Duration = work.iter().sum();
         if order.worth_tokens == 0 || work.is_zero() {
             return 1.0;
         }
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -32,7 +32,7 @@
 }
 
 /// Order of those that act: not seen, weakness, age, name.
-type Place = (bool, Reverse<u32>, Option<RowVersion>, InstanceId);
+type Place<'a> = (bool, Reverse<u32>, Option<RowVersion>, &'a InstanceId);
 
 #[derive(Debug, Clone)]
 struct Seen {
@@ -136,13 +136,7 @@
     /// Entries that are passed over, and where they were.
     #[must_use]
     pub fn passed_over(&self, now: Duration) -> Vec<(InstanceId, SocketAddr)> {
-        let is_passed_over = |seen: &Seen| seen.passed_over_until > now;
-        let silent = self
-            .instances
-            .iter()
-            .filter(|(_, seen)| is_passed_over(seen));
-        let addressed = silent.map(|(id, seen)| (id.clone(), seen.announcement.address));
-        addressed.collect()
+        self.addressed(|_, seen| seen.is_passed_over(now))
     }
 
     /// Entries that act no longer, because this one does in their place.
@@ -160,22 +154,19 @@
             return Vec::new();
         };
         let own_place = own.place(&self.own);
-        let silent = self
+        let is_before =
+            |id: &InstanceId, seen: &Seen| seen.is_passed_over(now) && seen.place(id) < own_place;
+        let before = self
             .instances
             .iter()
-            .filter(|(_, seen)| seen.passed_over_until > now);
-        let before = silent.filter(|(id, seen)| seen.place(id) < own_place);
+            .filter(|(id, seen)| is_before(id, seen));
         before.map(|(id, _)| id.clone()).collect()
     }
 
     /// Other entries that are not passed over, and where they are.
     #[must_use]
     pub fn others(&self, now: Duration) -> Vec<(InstanceId, SocketAddr)> {
-        let is_other =
-            |(id, seen): &(&InstanceId, &Seen)| **id != self.own && seen.passed_over_until <= now;
-        let others = self.instances.iter().filter(is_other);
-        let addressed = others.map(|(id, seen)| (id.clone(), seen.announcement.address));
-        addressed.collect()
+        self.addressed(|id, seen| *id != self.own && !seen.is_passed_over(now))
     }
 
     /// Entries that nobody here has reached for long.
@@ -192,7 +183,7 @@
     /// Entries that are not passed over, the entry itself among them.
     #[must_use]
     pub fn live(&self, now: Duration) -> usize {
-        let is_live = |seen: &&Seen| seen.passed_over_until <= now;
+        let is_live = |seen: &&Seen| !seen.is_passed_over(now);
         self.instances.values().filter(is_live).count().max(1)
     }
 
@@ -202,28 +193,44 @@
         let live = self
             .instances
             .iter()
-            .filter(|(id, seen)| **id == self.own || seen.passed_over_until <= now);
-        let order = |(id, seen): &(&InstanceId, &Seen)| {
-            let by_hash = |id: &InstanceId| rendezvous::score(cell.index().into(), id.as_str());
-            let score = (!cell.is_whole()).then(|| Reverse(by_hash(id)));
+            .filter(|(id, seen)| **id == self.own || !seen.is_passed_over(now));
+        let placed = live.map(|(id, seen)| {
+            let by_hash = || Reverse(rendezvous::score(cell.index().into(), id.as_str()));
+            let score = (!cell.is_whole()).then(by_hash);
             let (is_unseen, weakness, since, id) = seen.place(id);
-            (is_unseen, weakness, score, since, id)
-        };
-        let first = live.min_by_key(order);
-        let (id, found) = first.unwrap_or_else(|| {
+            ((is_unseen, weakness, score, since, id), seen)
+        });
+        let first = placed.min_by(|(a, _), (b, _)| a.cmp(b));
+        let ((.., id), found) = first.unwrap_or_else(|| {
             // The own entry is never removed, so the view is never empty.
             unreachable!("the view holds its own entry")
         });
         (id, found.announcement.address)
     }
+
+    fn addressed(
+        &self,
+        is_wanted: impl Fn(&InstanceId, &Seen) -> bool,
+    ) -> Vec<(InstanceId, SocketAddr)> {
+        let wanted = self
+            .instances
+            .iter()
+            .filter(|(id, seen)| is_wanted(id, seen));
+        let addressed = wanted.map(|(id, seen)| (id.clone(), seen.announcement.address));
+        addressed.collect()
+    }
 }
 
 impl Seen {
     /// Place in the order of those that act for all.
-    fn place(&self, id: &InstanceId) -> Place {
+    fn place<'a>(&self, id: &'a InstanceId) -> Place<'a> {
         let weakness = Reverse(self.announcement.millicores);
         // One that is not seen in the store yet comes after all that are.
-        (self.since.is_none(), weakness, self.since, id.clone())
+        (self.since.is_none(), weakness, self.since, id)
+    }
+
+    fn is_passed_over(&self, now: Duration) -> bool {
+        self.passed_over_until > now
     }
 
     const fn new(announcement: Announcement, since: Option<RowVersion>) -> Self {
