A frozen sidecar's test waits until it stands still

Cause: kill returns before the signal has stopped all threads of the other process. On a busy machine the sidecar still took the attempt, and ran it before its expiry, as it should: the test had not frozen it yet. Ruled out: an expiry that is read on a clock which stands still while frozen (a frozen one refuses). Change: the test waits for the stop by waitpid, as the stand-ins' fixture does. What it checks is unchanged.

--- a/crates/amaranthscale/tests/sidecar_daemon.rs
+++ b/crates/amaranthscale/tests/sidecar_daemon.rs
@@ -16,6 +16,8 @@
 use amaranthscale::connection::PeerClient;
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::wire::Dispatch;
+use nix::sys::wait::{WaitPidFlag, WaitStatus, waitpid};
+use nix::unistd::Pid;
 use sidecar_support::{Bench, FakeBackend, FakeTable, bench, hello, new_entry, open, whole};
 use tempfile::NamedTempFile;
 
@@ -55,6 +57,15 @@
         self.signal("TERM");
     }
 
+    /// Freezes the process, and waits until all of its threads stand still: one that had not yet
+    /// would take what is sent next, as if nothing had frozen.
+    fn freeze(&self) {
+        self.signal("STOP");
+        let process = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
+        let status = waitpid(process, Some(WaitPidFlag::WUNTRACED)).unwrap();
+        assert!(matches!(status, WaitStatus::Stopped(..)), "{status:?}");
+    }
+
     fn signal(&self, name: &str) {
         let process = self.child.id().to_string();
         let kill = Command::new("kill").args(["-s", name, &process]).status();
@@ -183,7 +194,7 @@
         .clock
         .plus(FROZEN / 2);
 
-    daemon.signal("STOP");
+    daemon.freeze();
     let (frames, ()) = tokio::join!(open(&bench.entry, daemon.address, &dispatch), async {
         tokio::time::sleep(FROZEN).await;
         daemon.signal("CONT");
