--- a/crates/amaranthscale/src/gateway.rs
+++ b/crates/amaranthscale/src/gateway.rs
@@ -29,4 +29,4 @@
 #[doc(inline)]
 pub use gateway_config::GatewayConfig;
 #[doc(inline)]
-pub use store_calls::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable};
+pub use store_calls::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable, StoredValue};
--- a/crates/amaranthscale/src/gateway/connection/server_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/server_pool.rs
@@ -9,7 +9,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use amaranthscale_core::id::ServerId;
+use amaranthscale_core::id::ServerLife;
 use amaranthscale_core::process::ServerRecord;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -32,7 +32,7 @@
 /// A connection to a backend server.
 #[derive(Debug)]
 pub struct ServerConnection {
-    server: ServerId,
+    server: ServerLife,
     connection: Http1Connection,
     is_kept: bool,
 }
@@ -62,22 +62,22 @@
 /// Kept connections by server.
 #[derive(Debug, Default)]
 pub struct ServerPool {
-    idle: Mutex<BTreeMap<ServerId, Vec<Idle>>>,
+    idle: Mutex<BTreeMap<ServerLife, Vec<Idle>>>,
 }
 
 impl ServerPool {
     /// A kept connection, or a new one.
     pub async fn connection(&self, server: &ServerRecord) -> Result<ServerConnection, SendError> {
-        if let Some(connection) = self.kept(&server.id) {
+        if let Some(connection) = self.kept(&server.life) {
             return Ok(connection);
         }
-        self.fresh(&server.id, server.address).await
+        self.fresh(&server.life, server.address).await
     }
 
     /// A new connection.
     pub async fn fresh(
         &self,
-        server: &ServerId,
+        server: &ServerLife,
         address: SocketAddr,
     ) -> Result<ServerConnection, SendError> {
         let connection = Http1Connection::open(address, CONNECT_PATIENCE).await?;
@@ -104,7 +104,7 @@
     }
 
     /// Closes connections to servers that are gone, and those that were idle for too long.
-    pub fn retain(&self, is_known: impl Fn(&ServerId) -> bool) {
+    pub fn retain(&self, is_known: impl Fn(&ServerLife) -> bool) {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|server, kept| {
@@ -114,7 +114,7 @@
     }
 
     /// A kept connection.
-    pub fn kept(&self, server: &ServerId) -> Option<ServerConnection> {
+    pub fn kept(&self, server: &ServerLife) -> Option<ServerConnection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(server)?;
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use amaranthscale_core::id::ServerLife;
 use amaranthscale_core::process::{BackendChoice, Cell};
 use log::info;
 use quick_error::quick_error;
@@ -220,7 +221,7 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         let servers = parts.knowledge.servers();
-        let is_known = |id: &amaranthscale_core::id::ServerId| servers.usable_server(id).is_some();
+        let is_known = |life: &ServerLife| servers.is_usable(life);
         parts.pool.retain(is_known);
         parts.choice().retain(is_known);
     }
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -76,7 +76,7 @@
 
 fn server(batch: &Batch) -> ServerRecord {
     ServerRecord {
-        id: batch.server.clone(),
+        life: batch.server.clone(),
         service: batch.service.clone(),
         address: batch.address,
         zone: batch.zone.clone(),
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthscale_core::id::{CallId, ResultHandle, ServerId};
+use amaranthscale_core::id::{CallId, ResultHandle, ServerLife};
 use amaranthscale_core::process::{
     Batch, BatchEnd, BatchId, Batcher, Cell, Frees, JobEvent, JobFailure, JobId, JobRefused,
     PieceEnd, PipelineOrder, StageTimes, ToldLoad,
@@ -94,7 +94,7 @@
     arguments: BatchOwnerArguments,
     batcher: Batcher,
     waiting: BTreeMap<JobId, Waiting>,
-    freeing: BTreeSet<ServerId>,
+    freeing: BTreeSet<ServerLife>,
     is_ticking: bool,
     is_stopping: bool,
 }
@@ -218,7 +218,8 @@
         };
         let servers = self.arguments.knowledge.servers();
         let own = self.arguments.cell.servers(servers.all());
-        self.batcher.set_servers(&routing, own.into_iter());
+        let now = self.arguments.knowledge.clock().now();
+        self.batcher.set_servers(&routing, own.into_iter(), now);
     }
 
     /// One call that frees results a server at a time: what comes meanwhile goes with the next.
@@ -320,7 +321,7 @@
     for (end, pieces) in failed_pieces(&end.end, batch.items.len()) {
         counters.add(&format!("pieces.{end}"), pieces);
         info!(
-            service = batch.service.as_str(), server = batch.server.as_str(), end, pieces,
+            service = batch.service.as_str(), server:% = batch.server, end, pieces,
             of = batch.items.len(), ms;
             "batches: pieces not made"
         );
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::{InstanceId, ResultHandle, ServerId, ServiceId};
+use amaranthscale_core::id::{InstanceId, ResultHandle, ServerLife, ServiceId};
 use amaranthscale_core::process::{
     JobFailure, PipelineOrder, SeenLoad, SendEnd, ServerRecord, StageOrder,
 };
@@ -38,7 +38,7 @@
     pub(super) admitted: Admitted,
     pub(super) service: ServiceId,
     pub(super) outgoing: Outgoing,
-    tried: BTreeSet<ServerId>,
+    tried: BTreeSet<ServerLife>,
     /// Engines at which the request may have run.
     pub(super) ran: u32,
     rejected: u32,
@@ -56,7 +56,7 @@
 pub(super) struct Running {
     pub(super) begun: BegunAnswer,
     pub(super) pieces: Option<MadePieces>,
-    pub(super) server: ServerId,
+    pub(super) server: ServerLife,
 }
 
 /// Runs a request; a begun stream is passed on by a task of its own.
@@ -99,7 +99,7 @@
             let pieces = self.pieces(&server).await?;
             match self.try_at(&server, pieces, sent).await? {
                 Some(running) => return Ok(running),
-                None => self.tried.insert(server.id),
+                None => self.tried.insert(server.life),
             };
         }
     }
@@ -111,14 +111,8 @@
         pieces: Option<MadePieces>,
         sent: Sent,
     ) -> Result<Option<Running>, Refused> {
-        if self
-            .parts
-            .knowledge
-            .servers()
-            .usable_server(&server.id)
-            .is_none()
-        {
-            // It began to leave while the pieces were made.
+        if !self.parts.knowledge.servers().is_usable(&server.life) {
+            // It began to leave, or ended, while the pieces were made.
             return self.rejected("leaving", server).map(|()| None);
         }
         let left = self.admitted.left();
@@ -134,7 +128,7 @@
                 Ok(Some(Running {
                     begun: *begun,
                     pieces,
-                    server: server.id.clone(),
+                    server: server.life.clone(),
                 }))
             }
             SendOutcome::NotSent => self.rejected("not-sent", server).map(|()| None),
@@ -179,7 +173,7 @@
     }
 
     /// Leaves an engine out for the rest of the request.
-    pub(super) fn leave_out(&mut self, server: ServerId) {
+    pub(super) fn leave_out(&mut self, server: ServerLife) {
         self.tried.insert(server);
     }
 
@@ -193,7 +187,7 @@
             None => choice.plain(usable, &self.tried, &self.parts.zone, now),
         };
         let chosen = chosen.cloned()?;
-        self.seen = choice.seen(&chosen.id, now);
+        self.seen = choice.seen(&chosen.life, now);
         Some(chosen)
     }
 
@@ -292,7 +286,7 @@
 
     fn log_end(&self, end: &'static str, server: &ServerRecord) {
         info!(
-            call = self.admitted.work.call.as_str(), server = server.id.as_str(), end,
+            call = self.admitted.work.call.as_str(), server:% = server.life, end,
             in_flight = self.seen.in_flight, told:% = self.seen.told,
             told_age_ms:% = self.seen.told_age_ms,
             ms = ms(self.admitted.arrived.elapsed());
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -68,7 +68,7 @@
     parts: &'a Arc<GatewayParts>,
     admitted: &'a Admitted,
     service: &'a ServiceId,
-    tried: BTreeSet<amaranthscale_core::id::ServerId>,
+    tried: BTreeSet<amaranthscale_core::id::ServerLife>,
     may_have_run: u32,
     rejected: u32,
     /// A server's failure that is passed on if no other server does better.
@@ -107,7 +107,7 @@
                     has_time && self.may_repeat()
                 }
             };
-            self.tried.insert(server.id);
+            self.tried.insert(server.life);
             if !has_more {
                 return self.give_up(ResultCode::QueueFull);
             }
@@ -121,7 +121,7 @@
         let usable = servers.usable(self.service);
         let chosen = choice.plain(usable, &self.tried, &self.parts.zone, now);
         let chosen = chosen.cloned()?;
-        self.seen = choice.seen(&chosen.id, now);
+        self.seen = choice.seen(&chosen.life, now);
         Some(chosen)
     }
 
@@ -148,7 +148,7 @@
         if !matches!(tried, Tried::Answered(_)) {
             let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
             info!(
-                call = call.as_str(), server = server.id.as_str(), end = tried.name(),
+                call = call.as_str(), server:% = server.life, end = tried.name(),
                 in_flight = self.seen.in_flight, told:% = self.seen.told,
                 told_age_ms:% = self.seen.told_age_ms, ms;
                 "request: send without answer"
@@ -217,7 +217,7 @@
         }
         info!(
             call = admitted.work.call.as_str(), route:% = admitted.route.id,
-            server = server.id.as_str(), status = answer.status.as_u16(), sends,
+            server:% = server.life, status = answer.status.as_u16(), sends,
             in_flight = self.seen.in_flight, told:% = self.seen.told,
             told_age_ms:% = self.seen.told_age_ms,
             aim_ms = ms(admitted.route.aim), ms = ms(elapsed);
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -43,17 +43,17 @@
 #[derive(Debug)]
 pub(super) struct Sent {
     parts: std::sync::Arc<GatewayParts>,
-    server: amaranthscale_core::id::ServerId,
+    server: amaranthscale_core::id::ServerLife,
     started: Instant,
     end: SendEnd,
 }
 
 impl Sent {
     pub(super) fn new(parts: &std::sync::Arc<GatewayParts>, server: &ServerRecord) -> Self {
-        parts.choice().sent(&server.id);
+        parts.choice().sent(&server.life);
         Self {
             parts: std::sync::Arc::clone(parts),
-            server: server.id.clone(),
+            server: server.life.clone(),
             started: Instant::now(),
             end: SendEnd::Abandoned,
         }
@@ -73,10 +73,9 @@
             .parts
             .choice()
             .ended(&self.server, self.end, elapsed, now);
-        let server = self.server.as_str();
         match change {
-            Some(HealthChange::LeftOut) => info!(server; "servers: left out"),
-            Some(HealthChange::TakenBack) => info!(server; "servers: taken back"),
+            Some(HealthChange::LeftOut) => info!(server:% = self.server; "servers: left out"),
+            Some(HealthChange::TakenBack) => info!(server:% = self.server; "servers: taken back"),
             None => {}
         }
     }
@@ -98,7 +97,7 @@
             return SendOutcome::NotSent;
         }
     };
-    let request = outgoing.request(&parts.dialect, &server.id, left);
+    let request = outgoing.request(&parts.dialect, server.life.id(), left);
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(SendError::NotSent(..)) => {
@@ -120,7 +119,7 @@
     let dialect = &parts.dialect;
     if let Some(load) = (dialect.told_load)(&head.headers) {
         let now = parts.knowledge.clock().now();
-        parts.choice().told(&server.id, load, now);
+        parts.choice().told(&server.life, load, now);
     }
     if !is_own(parts, call, &head) {
         sent.end(SendEnd::Failed);
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use amaranthscale_core::id::ServerId;
+use amaranthscale_core::id::ServerLife;
 use amaranthscale_core::process::SendEnd;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -154,7 +154,7 @@
     }
 
     /// Goes on at another engine, if the route allows it.
-    async fn resume(&mut self, server: ServerId) -> Option<Running> {
+    async fn resume(&mut self, server: ServerLife) -> Option<Running> {
         if !self.run.may_repeat() {
             return None;
         }
@@ -175,14 +175,14 @@
         Some(running)
     }
 
-    fn log(&self, end: &'static str, server: &ServerId, first_at: std::time::Duration) {
+    fn log(&self, end: &'static str, server: &ServerLife, first_at: std::time::Duration) {
         let admitted = &self.run.admitted;
         let owner = self.run.owner.as_ref().map_or("-", |owner| owner.as_str());
         let seen = self.run.seen;
         let pieces_at = self.run.pieces_at.unwrap_or(admitted.arrived);
         info!(
             call = admitted.work.call.as_str(), route:% = admitted.route.id,
-            server = server.as_str(), end, events = self.passed, owner,
+            server:% = server, end, events = self.passed, owner,
             in_flight = seen.in_flight, told:% = seen.told, told_age_ms:% = seen.told_age_ms,
             pieces_ms = ms(pieces_at - admitted.arrived),
             aim_ms = ms(admitted.route.aim), begun_ms = ms(first_at), ms = ms(Instant::now() - admitted.arrived);
--- a/crates/amaranthscale/src/gateway/store_calls.rs
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -21,13 +21,24 @@
     Instances,
 }
 
-/// One row; a dropped one has no value.
+/// What a row holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoredValue {
+    /// Its content.
+    Content(Vec<u8>),
+    /// Content that the store cannot have taken from one of its own writers, and why.
+    Unreadable(String),
+    /// Nothing: the row was dropped.
+    Dropped,
+}
+
+/// One row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreRow {
     /// Key within its table.
     pub key: String,
-    /// Content.
-    pub value: Option<Vec<u8>>,
+    /// What it holds.
+    pub value: StoredValue,
     /// Version of the row.
     pub version: RowVersion,
 }
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -5,6 +5,7 @@
 mod feed_pace;
 mod follow;
 mod knowledge;
+mod refused_entries;
 
 #[doc(inline)]
 pub use announce::{announce_instance, withdraw_instance};
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, ServerId};
-use amaranthscale_core::process::{
-    Announcement, LAPSE_GRACE, ServerChange, ServerList, ServerRecord,
-};
+use amaranthscale_core::process::{Announcement, LAPSE_GRACE, ServerChange, ServerList};
 use log::{info, warn};
 
 use super::super::process::StopGate;
-use super::super::{StoreCalls, StoreRow, StoreTable};
+use super::super::{StoreCalls, StoreRow, StoreTable, StoredValue};
 use super::announce::{announce_instance, withdraw_instance};
+use super::refused_entries::RefusedEntries;
 use super::{Feed, FeedEvent, FeedPace, Knowledge};
 
 /// Follows the routing for good.
@@ -42,6 +41,7 @@
 pub async fn follow_servers(store: StoreCalls, knowledge: Arc<Knowledge>, pace: FeedPace) {
     let mut feed = Feed::new(StoreTable::Servers, store.clone(), pace);
     let mut link = Link::new("servers");
+    let mut refusals = RefusedEntries::new("servers");
     loop {
         let event = feed.next().await;
         link.note(&event);
@@ -51,17 +51,15 @@
                 false
             }),
             FeedEvent::All(rows) => {
-                let records = rows.rows.iter().filter_map(|row| server(&store, row));
-                let records: Vec<_> = records.collect();
+                let entries = changes(&store, &rows.rows, &mut refusals);
                 knowledge.change_servers(|servers, now| {
                     servers.store_answered(now);
-                    servers.take_all(records, now);
+                    servers.take_all(entries, now);
                     true
                 });
             }
             FeedEvent::Changed(rows) => {
-                let changes = rows.rows.iter().filter_map(|row| change(&store, row));
-                let changes: Vec<_> = changes.collect();
+                let changes = changes(&store, &rows.rows, &mut refusals);
                 knowledge.change_servers(|servers, now| take_changes(servers, changes, now));
             }
         }
@@ -85,11 +83,13 @@
     pace: FeedPace,
 ) {
     let mut feed = Feed::new(StoreTable::Instances, store.clone(), pace);
+    let mut refusals = RefusedEntries::new("gateways");
     loop {
         let rows = match feed.next().await {
             FeedEvent::Lost(_) => continue,
             FeedEvent::All(rows) => {
-                let ids: Vec<_> = rows.rows.iter().filter_map(instance_id).collect();
+                let ids = rows.rows.iter().filter_map(|row| row.key.parse().ok());
+                let ids: Vec<_> = ids.collect();
                 knowledge.change_instances(|instances| instances.keep_only(&ids));
                 // Removed while nothing was told, as while the store had lost its history.
                 if own.is_announced.load(Ordering::Acquire) && !ids.contains(&own.instance) {
@@ -100,7 +100,7 @@
             FeedEvent::Changed(rows) => rows,
         };
         for row in &rows.rows {
-            take_instance(&store, &knowledge, &own, row);
+            take_instance(&store, &knowledge, &own, row, &mut refusals);
         }
         for forgotten in knowledge.forgotten() {
             withdraw_instance(&store, &forgotten).await;
@@ -121,19 +121,26 @@
     pub is_announced: Arc<AtomicBool>,
 }
 
-fn take_instance(store: &StoreCalls, knowledge: &Knowledge, own: &Own, row: &StoreRow) {
-    let Some(id) = instance_id(row) else {
-        return;
+fn take_instance(
+    store: &StoreCalls,
+    knowledge: &Knowledge,
+    own: &Own,
+    row: &StoreRow,
+    refusals: &mut RefusedEntries,
+) {
+    let id: InstanceId = match row.key.parse() {
+        Ok(id) => id,
+        Err(error) => return refusals.note(&row.key, &error.to_string()),
     };
-    let Some(value) = &row.value else {
-        if id == own.instance {
-            announce_again(store, own);
+    let read = match &row.value {
+        StoredValue::Content(content) => (store.instance)(content),
+        StoredValue::Unreadable(reason) => Err(reason.clone()),
+        StoredValue::Dropped => {
+            gone(store, knowledge, own, &id);
+            return;
         }
-        info!(instance = id.as_str(); "membership: gone");
-        knowledge.change_instances(|instances| instances.withdrawn(&id));
-        return;
     };
-    match (store.instance)(value) {
+    match read {
         Ok(announcement) => {
             let since = row.version;
             if announcement.address == own.announcement.address && id != own.instance {
@@ -143,10 +150,22 @@
             }
             knowledge.change_instances(|instances| instances.announced(id, announcement, since));
         }
-        Err(reason) => warn!(reason = reason.as_str(); "membership: announcement refused"),
+        Err(reason) => {
+            // Another writer's, also where a gateway had announced itself under that name.
+            refusals.note(&row.key, &reason);
+            gone(store, knowledge, own, &id);
+        }
     }
 }
 
+fn gone(store: &StoreCalls, knowledge: &Knowledge, own: &Own, id: &InstanceId) {
+    if *id == own.instance {
+        announce_again(store, own);
+    }
+    info!(instance = id.as_str(); "membership: gone");
+    knowledge.change_instances(|instances| instances.withdrawn(id));
+}
+
 /// Announces this gateway anew: another one took it for dead, but it lives.
 fn announce_again(store: &StoreCalls, own: &Own) {
     if own.stop.is_stopping() {
@@ -155,16 +174,6 @@
     tokio::spawn(announce_instance(store.clone(), own.clone()));
 }
 
-fn instance_id(row: &StoreRow) -> Option<InstanceId> {
-    match row.key.parse() {
-        Ok(id) => Some(id),
-        Err(error) => {
-            warn!(reason:% = error; "membership: announcement refused");
-            None
-        }
-    }
-}
-
 fn take_changes(servers: &mut ServerList, changes: Vec<ServerChange>, now: Duration) -> bool {
     servers.store_answered(now);
     let mut is_changed = false;
@@ -187,32 +196,46 @@
     !dropped.is_empty()
 }
 
-fn change(store: &StoreCalls, row: &StoreRow) -> Option<ServerChange> {
-    if row.value.is_some() {
-        return server(store, row).map(ServerChange::Listed);
-    }
-    server_id(row).map(ServerChange::Gone)
+fn changes(
+    store: &StoreCalls,
+    rows: &[StoreRow],
+    refusals: &mut RefusedEntries,
+) -> Vec<ServerChange> {
+    let changes = rows.iter().filter_map(|row| change(store, row, refusals));
+    changes.collect()
 }
 
-fn server(store: &StoreCalls, row: &StoreRow) -> Option<ServerRecord> {
-    let id = server_id(row)?;
-    match (store.server)(&id, row.value.as_deref()?) {
-        Ok(record) => Some(record),
-        Err(reason) => {
-            warn!(server = id.as_str(), reason = reason.as_str(); "servers: entry refused");
-            None
-        }
-    }
-}
-
-fn server_id(row: &StoreRow) -> Option<ServerId> {
-    match row.key.parse() {
-        Ok(id) => Some(id),
+/// What a row says of a server; none if its key can be no server's id.
+fn change(
+    store: &StoreCalls,
+    row: &StoreRow,
+    refusals: &mut RefusedEntries,
+) -> Option<ServerChange> {
+    let id: ServerId = match row.key.parse() {
+        Ok(id) => id,
         Err(error) => {
-            warn!(reason:% = error; "servers: entry refused");
-            None
+            refusals.note(&row.key, &error.to_string());
+            return None;
         }
-    }
+    };
+    let read = match &row.value {
+        StoredValue::Dropped => {
+            refusals.forget(&row.key);
+            return Some(ServerChange::Gone(id));
+        }
+        StoredValue::Content(content) => (store.server)(&id, content),
+        StoredValue::Unreadable(reason) => Err(reason.clone()),
+    };
+    Some(match read {
+        Ok(record) => {
+            refusals.forget(&row.key);
+            ServerChange::Listed(record)
+        }
+        Err(reason) => {
+            refusals.note(&row.key, &reason);
+            ServerChange::Unreadable(id)
+        }
+    })
 }
 
 /// Says once that the store was lost, and once that it is back.
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -40,7 +40,7 @@
 
 fn server(service: &str, index: u32) -> ServerRecord {
     ServerRecord {
-        id: format!("{service}-{index}").parse().unwrap(),
+        life: format!("{service}-{index}").parse().unwrap(),
         service: service.parse().unwrap(),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: format!("zone-{}", index % 4).parse().unwrap(),
@@ -73,7 +73,7 @@
     });
     let routing = Routing::new(RoutingVersion::new(1), CallerBounds::default());
     let mut batcher = Batcher::new();
-    batcher.set_servers(&routing.with_pools(pools), servers.iter());
+    batcher.set_servers(&routing.with_pools(pools), servers.iter(), Duration::ZERO);
     batcher
 }
 
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -5,6 +5,7 @@
 mod number_id;
 mod request_id;
 mod result_handle;
+mod server_life;
 
 #[doc(inline)]
 pub use attempt_id::AttemptId;
@@ -22,3 +23,5 @@
 pub use request_id::{InvalidRequestId, RequestId};
 #[doc(inline)]
 pub use result_handle::{InvalidResultHandle, ResultHandle};
+#[doc(inline)]
+pub use server_life::{ServerLife, StartMs};
--- a/crates/core/src/id/name_id.rs
+++ b/crates/core/src/id/name_id.rs
@@ -131,7 +131,7 @@
     /// Marks one conditional write, so that reading a row tells whose write it shows.
     WriteId, "write id");
 name_id!(
-    /// One life of a backend server: a restart gives it a new one.
+    /// A backend server; a restart may keep it, so [`super::ServerLife`] names one life.
     ServerId, "backend server");
 name_id!(
     /// A route from a host name and path to a service.
--- a/crates/core/src/process/backend_choice.rs
+++ b/crates/core/src/process/backend_choice.rs
@@ -11,7 +11,7 @@
 use super::rendezvous;
 use super::seen_load::{SeenLoad, SeenNumber};
 use super::server_list::ServerRecord;
-use crate::id::{ServerId, ZoneId};
+use crate::id::{ServerLife, ZoneId};
 
 /// Failures in a row after which a server is left out.
 const FAILURES_OUT: u32 = 2;
@@ -99,7 +99,7 @@
 /// What this entry knows of each backend server by its own sends.
 #[derive(Debug, Clone, Default)]
 pub struct BackendChoice {
-    tracks: BTreeMap<ServerId, Track>,
+    tracks: BTreeMap<ServerLife, Track>,
 }
 
 impl BackendChoice {
@@ -107,14 +107,14 @@
     pub fn plain<'a>(
         &self,
         servers: impl Iterator<Item = &'a ServerRecord>,
-        tried: &BTreeSet<ServerId>,
+        tried: &BTreeSet<ServerLife>,
         zone: &ZoneId,
         now: Duration,
     ) -> Option<&'a ServerRecord> {
         let servers = self.in_use(servers, tried, now);
         let times: Vec<_> = servers
             .iter()
-            .filter_map(|server| self.track(&server.id)?.time_ms(now))
+            .filter_map(|server| self.track(&server.life)?.time_ms(now))
             .collect();
         let usual_ms = if times.is_empty() {
             1.0
@@ -122,7 +122,7 @@
             times.iter().sum::<f64>() / f64::from(u32::try_from(times.len()).unwrap_or(1))
         };
         let cost = |server: &ServerRecord| {
-            let track = self.track(&server.id);
+            let track = self.track(&server.life);
             let ahead = track.map_or(0.0, |track| track.waiting_ahead(now));
             let time_ms = track
                 .and_then(|track| track.time_ms(now))
@@ -145,7 +145,7 @@
     pub fn engine<'a>(
         &self,
         servers: impl Iterator<Item = &'a ServerRecord>,
-        tried: &BTreeSet<ServerId>,
+        tried: &BTreeSet<ServerLife>,
         shared_part: &str,
         now: Duration,
     ) -> Option<&'a ServerRecord> {
@@ -154,9 +154,9 @@
             return None;
         }
         let seed = rendezvous::score(1, shared_part);
-        servers.sort_by_key(|server| std::cmp::Reverse(rendezvous::score(seed, &server.id)));
+        servers.sort_by_key(|server| std::cmp::Reverse(rendezvous::score(seed, server.life.id())));
         let in_flight =
-            |server: &&ServerRecord| self.track(&server.id).map_or(0, |track| track.in_flight);
+            |server: &&ServerRecord| self.track(&server.life).map_or(0, |track| track.in_flight);
         let total: usize = servers.iter().map(in_flight).sum();
         let count = f64::from(u32::try_from(servers.len()).unwrap_or(u32::MAX));
         let mean = f64::from(u32::try_from(total).unwrap_or(u32::MAX)) / count;
@@ -170,14 +170,14 @@
     }
 
     /// Counts a send.
-    pub fn sent(&mut self, server: &ServerId) {
+    pub fn sent(&mut self, server: &ServerLife) {
         self.tracks.entry(server.clone()).or_default().in_flight += 1;
     }
 
     /// Takes the end of a send; says whether the server is left out or taken back by it.
     pub fn ended(
         &mut self,
-        server: &ServerId,
+        server: &ServerLife,
         end: SendEnd,
         elapsed: Duration,
         now: Duration,
@@ -210,19 +210,19 @@
     }
 
     /// Takes the load that a server told.
-    pub fn told(&mut self, server: &ServerId, load: ToldLoad, now: Duration) {
+    pub fn told(&mut self, server: &ServerLife, load: ToldLoad, now: Duration) {
         self.tracks.entry(server.clone()).or_default().told = Some((load, now));
     }
 
     /// Requests of this entry at a server.
     #[must_use]
-    pub fn in_flight(&self, server: &ServerId) -> usize {
+    pub fn in_flight(&self, server: &ServerLife) -> usize {
         self.track(server).map_or(0, |track| track.in_flight)
     }
 
     /// What a choice sees of a server now.
     #[must_use]
-    pub fn seen(&self, server: &ServerId, now: Duration) -> SeenLoad {
+    pub fn seen(&self, server: &ServerLife, now: Duration) -> SeenLoad {
         let Some(track) = self.track(server) else {
             return SeenLoad::default();
         };
@@ -238,12 +238,12 @@
     }
 
     /// Forgets servers that are gone.
-    pub fn retain(&mut self, is_known: impl Fn(&ServerId) -> bool) {
+    pub fn retain(&mut self, is_known: impl Fn(&ServerLife) -> bool) {
         self.tracks
             .retain(|id, track| track.in_flight > 0 || is_known(id));
     }
 
-    fn track(&self, server: &ServerId) -> Option<&Track> {
+    fn track(&self, server: &ServerLife) -> Option<&Track> {
         self.tracks.get(server)
     }
 
@@ -251,14 +251,14 @@
     fn in_use<'a>(
         &self,
         servers: impl Iterator<Item = &'a ServerRecord>,
-        tried: &BTreeSet<ServerId>,
+        tried: &BTreeSet<ServerLife>,
         now: Duration,
     ) -> Vec<&'a ServerRecord> {
         let untried: Vec<_> = servers
-            .filter(|server| !tried.contains(&server.id))
+            .filter(|server| !tried.contains(&server.life))
             .collect();
         let is_in = |server: &&ServerRecord| {
-            self.track(&server.id)
+            self.track(&server.life)
                 .is_none_or(|track| !track.is_out(now))
         };
         let healthy: Vec<_> = untried.iter().copied().filter(is_in).collect();
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -19,6 +19,7 @@
 mod fill;
 mod job;
 mod late;
+mod lives;
 mod message;
 mod open_work;
 mod pace;
@@ -29,7 +30,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::id::{ServerId, ServiceId};
+use crate::id::{ServerLife, ServiceId};
 use crate::process::server_list::ServerRecord;
 use crate::version::{BatchSpec, Routing};
 
@@ -40,6 +41,7 @@
 };
 
 use job::{Job, PieceState, StageState};
+use lives::ListedLives;
 use open_work::OpenWork;
 use pool_state::PoolState;
 use queue::Entry;
@@ -53,7 +55,7 @@
     pools: BTreeMap<ServiceId, PoolState>,
     jobs: BTreeMap<JobId, Job>,
     batches: BTreeMap<BatchId, RunningBatch>,
-    frees: BTreeMap<ServerId, Frees>,
+    frees: BTreeMap<ServerLife, Frees>,
     events: Vec<JobEvent>,
     open_work: OpenWork,
     swept_at: Duration,
@@ -68,7 +70,7 @@
 #[derive(Debug)]
 struct RunningBatch {
     service: ServiceId,
-    server: ServerId,
+    server: ServerLife,
     address: SocketAddr,
     pieces: Vec<RunningPiece>,
     sent_at: Duration,
@@ -103,6 +105,7 @@
         &mut self,
         routing: &Routing,
         servers: impl Iterator<Item = &'a ServerRecord>,
+        now: Duration,
     ) {
         let specs: BTreeMap<ServiceId, BatchSpec> = routing
             .pools()
@@ -113,13 +116,18 @@
             pool.set_spec(*spec);
         }
         let mut listed: BTreeMap<&ServiceId, Vec<&ServerRecord>> = BTreeMap::new();
-        for server in servers.filter(|server| !server.is_leaving) {
-            listed.entry(&server.service).or_default().push(server);
+        let mut lives = ListedLives::new();
+        for server in servers {
+            lives.insert(server.life.id().clone(), server.life.clone());
+            if !server.is_leaving {
+                listed.entry(&server.service).or_default().push(server);
+            }
         }
         for (service, pool) in &mut self.pools {
             let empty = Vec::new();
             pool.set_servers(listed.get(service).unwrap_or(&empty));
         }
+        self.end_replaced(&lives, now);
     }
 
     /// Takes a request's work, or refuses what cannot be done in time.
@@ -163,7 +171,7 @@
     /// Results that may be dropped, by server, for servers that a function names.
     ///
     /// Their room counts as taken until [`Self::freed`] says that the server has dropped them.
-    pub fn take_frees(&mut self, is_wanted: impl Fn(&ServerId) -> bool) -> Vec<Frees> {
+    pub fn take_frees(&mut self, is_wanted: impl Fn(&ServerLife) -> bool) -> Vec<Frees> {
         let (taken, kept) = std::mem::take(&mut self.frees)
             .into_iter()
             .partition::<BTreeMap<_, _>, _>(|(server, _)| is_wanted(server));
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -222,10 +222,12 @@
         }
     }
 
-    fn has_freed_inputs(&self, piece: PieceRef) -> bool {
+    pub(super) fn has_freed_inputs(&self, piece: PieceRef) -> bool {
         self.jobs.get(&piece.job).is_some_and(|job| {
             let after = &job.stages[piece.stage].order.after;
-            after.iter().any(|index| job.stages[*index].is_freed)
+            after
+                .iter()
+                .any(|index| job.stages[*index].has_lost_results())
         })
     }
 
@@ -233,7 +235,7 @@
     ///
     /// Guards against a server that dies with results which later stages need: their pieces would
     /// fail for ever. The answer does not say which result is gone, so all of them are made anew.
-    fn remake_inputs(&mut self, piece: PieceRef, now: Duration) {
+    pub(super) fn remake_inputs(&mut self, piece: PieceRef, now: Duration) {
         let Some(job) = self.jobs.get_mut(&piece.job) else {
             return;
         };
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -7,7 +7,7 @@
 use super::pace::paced;
 use super::pool_state::{PoolState, StageServer};
 use super::{Batch, BatchId, Batcher, JobFailure, PieceRef, RunningBatch, RunningPiece};
-use crate::id::{ServerId, ServiceId, ZoneId};
+use crate::id::{ServerLife, ServiceId, ZoneId};
 use crate::version::BatchSpec;
 
 /// Times the expected time of a call after which it is given up.
@@ -86,8 +86,8 @@
         let Some(spec) = pool.spec else {
             return batches;
         };
-        let mut free: Vec<ServerId> = pool.free(now).map(|(id, _)| id.clone()).collect();
-        let slowness = |pool: &PoolState, id: &ServerId| {
+        let mut free: Vec<ServerLife> = pool.free(now).map(|(id, _)| id.clone()).collect();
+        let slowness = |pool: &PoolState, id: &ServerLife| {
             pool.servers
                 .get(id)
                 .map_or(1.0, |server| server.slowness(now))
@@ -108,7 +108,7 @@
         &mut self,
         service: &ServiceId,
         spec: BatchSpec,
-        server: &ServerId,
+        server: &ServerLife,
         free_servers: usize,
         now: Duration,
     ) -> Option<Batch> {
@@ -173,7 +173,7 @@
         &self,
         service: &ServiceId,
         spec: BatchSpec,
-        server: &ServerId,
+        server: &ServerLife,
         free_servers: usize,
         now: Duration,
     ) -> Vec<PieceRef> {
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -6,7 +6,7 @@
 use super::estimate::Outlook;
 use super::queue::Entry;
 use super::{BatchItem, PieceInput, PipelineOrder, StageOrder, StageTimes};
-use crate::id::{ResultHandle, ServerId};
+use crate::id::{ResultHandle, ServerLife};
 
 /// Size of a result from which it is made just in time and near its reader.
 /// Below it, what a move between availability zones costs is less than a wait.
@@ -50,9 +50,11 @@
     /// Made and kept by a server.
     Made {
         handle: ResultHandle,
-        server: ServerId,
+        server: ServerLife,
         address: SocketAddr,
     },
+    /// Made, and gone with the life of the server that kept it.
+    Gone,
 }
 
 /// One stage of a job.
@@ -102,12 +104,18 @@
         waiting.map(|(index, _)| index)
     }
 
+    /// Whether results of it are freed or gone.
+    pub(super) fn has_lost_results(&self) -> bool {
+        self.is_freed || self.pieces.contains(&PieceState::Gone)
+    }
+
     pub(super) fn has_waiting(&self) -> bool {
         self.waiting_pieces().next().is_some()
     }
 
     pub(super) fn is_done(&self) -> bool {
-        let is_made = |piece: &PieceState| matches!(piece, PieceState::Made { .. });
+        let is_made =
+            |piece: &PieceState| matches!(piece, PieceState::Made { .. } | PieceState::Gone);
         self.pieces.iter().all(is_made)
     }
 }
@@ -256,6 +264,17 @@
         self.stages.iter().all(StageState::is_done)
     }
 
+    /// Takes stages out of their queues whose inputs are not all made any more.
+    pub(super) fn wait_for_inputs(&mut self) {
+        for index in 0..self.stages.len() {
+            let inputs = self.stages[index].order.after.iter();
+            let is_ready = inputs.copied().all(|input| self.stages[input].is_done());
+            if self.stages[index].has_waiting() && !is_ready {
+                self.stages[index].is_queued = false;
+            }
+        }
+    }
+
     /// Handles of the stages that no other stage needs.
     pub(super) fn last_results(&self) -> Vec<ResultHandle> {
         let last = (0..self.stages.len()).filter(|index| !self.is_needed(*index));
@@ -289,7 +308,7 @@
         let mut looked_at = 0;
         while let Some(index) = remade.get(looked_at).copied() {
             let inputs = self.stages[index].order.after.iter();
-            let freed = inputs.filter(|input| self.stages[**input].is_freed);
+            let freed = inputs.filter(|input| self.stages[**input].has_lost_results());
             let freed: Vec<_> = freed
                 .copied()
                 .filter(|input| !remade.contains(input))
@@ -321,7 +340,7 @@
     }
 
     /// The server that keeps most of a stage's inputs.
-    pub(super) fn input_server(&self, stage: usize) -> Option<&ServerId> {
+    pub(super) fn input_server(&self, stage: usize) -> Option<&ServerLife> {
         let after = &self.stages[stage].order.after;
         let pieces = after.iter().flat_map(|index| &self.stages[*index].pieces);
         let mut servers = pieces.filter_map(|piece| match piece {
@@ -346,6 +365,12 @@
         self.stages.iter().filter(needs)
     }
 
+    /// Whether something will still read a stage's results: a stage that waits, or the engine.
+    pub(super) fn results_are_wanted(&self, index: usize) -> bool {
+        let mut needing = self.needing(index);
+        !self.is_needed(index) || needing.any(StageState::has_waiting)
+    }
+
     pub(super) fn is_needed(&self, index: usize) -> bool {
         self.needing(index).next().is_some()
     }
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::id::{CallId, ResultHandle, ServerId, ServiceId, ZoneId};
+use crate::id::{CallId, ResultHandle, ServerLife, ServiceId, ZoneId};
 use crate::process::Cell;
 
 /// Names a job of the batcher.
@@ -113,7 +113,7 @@
     /// Service of the server.
     pub service: ServiceId,
     /// The server.
-    pub server: ServerId,
+    pub server: ServerLife,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its availability zone.
@@ -207,7 +207,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Frees {
     /// The server that keeps them.
-    pub server: ServerId,
+    pub server: ServerLife,
     /// Where it listens.
     pub address: SocketAddr,
     /// Service of the server.
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::queue::Queue;
-use crate::id::{ServerId, ZoneId};
+use crate::id::{ServerLife, ZoneId};
 use crate::process::server_list::ServerRecord;
 use crate::version::BatchSpec;
 
@@ -94,7 +94,7 @@
 #[derive(Debug, Default)]
 pub(super) struct PoolState {
     pub(super) spec: Option<BatchSpec>,
-    pub(super) servers: BTreeMap<ServerId, StageServer>,
+    pub(super) servers: BTreeMap<ServerLife, StageServer>,
     pub(super) queue: Queue,
     arriving: f64,
     arrived_at: Duration,
@@ -135,16 +135,16 @@
     /// Servers that are gone or leave drop out of the account; their calls end by themselves.
     pub(super) fn set_servers(&mut self, listed: &[&ServerRecord]) {
         self.servers
-            .retain(|id, _| listed.iter().any(|record| record.id == *id));
+            .retain(|id, _| listed.iter().any(|record| record.life == *id));
         for record in listed {
             self.servers
-                .entry(record.id.clone())
+                .entry(record.life.clone())
                 .or_insert_with(|| StageServer::new(record));
         }
     }
 
     /// Room of a server that nothing takes.
-    pub(super) fn free_bytes(&self, server: &ServerId, now: Duration) -> u64 {
+    pub(super) fn free_bytes(&self, server: &ServerLife, now: Duration) -> u64 {
         let Some((spec, server)) = self.spec.zip(self.servers.get(server)) else {
             return 0;
         };
@@ -157,20 +157,20 @@
     /// Guards against a call that was given up, whose server goes on with it, and against results
     /// that nobody frees, as after an owner's death: sent as if that room were free, the next calls
     /// would find none. Such results lapse, so their room comes back by and by.
-    pub(super) fn note_unknown(&mut self, server: &ServerId, bytes: u64, now: Duration) {
+    pub(super) fn note_unknown(&mut self, server: &ServerLife, bytes: u64, now: Duration) {
         if let Some((spec, server)) = self.spec.zip(self.servers.get_mut(server)) {
             server.others_bytes = server.others_bytes(spec.kept_for, now) + bytes;
             server.others_at = now;
         }
     }
 
-    pub(super) fn reserve(&mut self, server: &ServerId, bytes: u64) {
+    pub(super) fn reserve(&mut self, server: &ServerLife, bytes: u64) {
         if let Some(server) = self.servers.get_mut(server) {
             server.used_bytes += bytes;
         }
     }
 
-    pub(super) fn give_back(&mut self, server: &ServerId, bytes: u64) {
+    pub(super) fn give_back(&mut self, server: &ServerLife, bytes: u64) {
         if let Some(server) = self.servers.get_mut(server) {
             server.used_bytes = server.used_bytes.saturating_sub(bytes);
         }
@@ -182,14 +182,17 @@
     }
 
     /// Servers that can take a call now.
-    pub(super) fn free(&self, now: Duration) -> impl Iterator<Item = (&ServerId, &StageServer)> {
+    pub(super) fn free(&self, now: Duration) -> impl Iterator<Item = (&ServerLife, &StageServer)> {
         let slots = self.spec.map_or(0, |spec| spec.slots.max(1));
         let is_free = move |server: &StageServer| server.calls < slots && server.busy_until <= now;
         self.in_use(now).filter(move |(_, server)| is_free(server))
     }
 
     /// Servers that take calls.
-    pub(super) fn in_use(&self, now: Duration) -> impl Iterator<Item = (&ServerId, &StageServer)> {
+    pub(super) fn in_use(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (&ServerLife, &StageServer)> {
         let servers = self.servers.iter();
         servers.filter(move |(_, server)| server.out_until <= now)
     }
--- a/crates/core/src/process/cell.rs
+++ b/crates/core/src/process/cell.rs
@@ -101,7 +101,7 @@
     }
 
     fn deal(self, mut servers: Vec<&ServerRecord>) -> Vec<&ServerRecord> {
-        servers.sort_by(|a, b| a.id.cmp(&b.id));
+        servers.sort_by(|a, b| a.life.cmp(&b.life));
         let cells = usize::try_from(self.of).unwrap_or(1);
         let most = servers.len().div_ceil(cells);
         let mut taken = vec![0; cells];
@@ -109,7 +109,7 @@
             let has_place = (0..cells).filter(|cell| taken[*cell] < most);
             let score = |cell: &usize| {
                 let seed = u64::try_from(*cell).unwrap_or(0);
-                rendezvous::score(seed, server.id.as_str())
+                rendezvous::score(seed, server.life.id().as_str())
             };
             let Some(cell) = has_place.max_by_key(score) else {
                 return false;
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -3,12 +3,16 @@
 //! A server that is leaving or gone takes nothing more at once. One that lapsed while the store was
 //! away may only have been unable to say that it lives, so it is kept for a short grace after the
 //! store's return.
+//!
+//! Others may write to the list. An entry that cannot be read names no server, also where a good
+//! one stood under its id; the others hold. Where the platform tells servers' starts, an entry
+//! without one is another writer's too.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::id::{ServerId, ServiceId, ZoneId};
+use crate::id::{ServerId, ServerLife, ServiceId, ZoneId};
 
 /// How long a server that lapsed in an outage may take to come back.
 /// Source: the platform writes entries again about 2 s after the store's return.
@@ -18,7 +22,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerRecord {
     /// This life of the server.
-    pub id: ServerId,
+    pub life: ServerLife,
     /// Service that it belongs to.
     pub service: ServiceId,
     /// Where it listens.
@@ -38,6 +42,19 @@
     Listed(ServerRecord),
     /// A server takes nothing more.
     Gone(ServerId),
+    /// An entry that names no server to use.
+    Unreadable(ServerId),
+}
+
+impl ServerChange {
+    /// The server that it is about.
+    #[must_use]
+    pub const fn id(&self) -> &ServerId {
+        match self {
+            Self::Listed(record) => record.life.id(),
+            Self::Gone(id) | Self::Unreadable(id) => id,
+        }
+    }
 }
 
 /// The servers in use, and those that lapsed in an outage.
@@ -45,6 +62,8 @@
 pub struct ServerList {
     servers: BTreeMap<ServerId, ServerRecord>,
     lapsed: BTreeSet<ServerId>,
+    /// Whether an entry without a start names no server to use.
+    tells_starts: bool,
     returned_at: Option<Duration>,
     is_away: bool,
 }
@@ -65,28 +84,38 @@
 
     /// Takes one change; false if nothing in use changed.
     pub fn take(&mut self, change: ServerChange, now: Duration) -> bool {
-        match change {
+        let is_changed = match change {
             ServerChange::Listed(record) => {
-                self.lapsed.remove(&record.id);
-                if self.servers.get(&record.id) == Some(&record) {
+                let id = record.life.id();
+                self.lapsed.remove(id);
+                if self.servers.get(id) == Some(&record) {
                     return false;
                 }
-                self.servers.insert(record.id.clone(), record);
+                self.servers.insert(id.clone(), record);
                 true
             }
             ServerChange::Gone(id) => self.lose(id, now),
+            // The store has spoken: no outage explains such an entry.
+            ServerChange::Unreadable(id) => {
+                self.lapsed.remove(&id);
+                self.servers.remove(&id).is_some()
+            }
+        };
+        if is_changed {
+            self.count_starts();
         }
+        is_changed
     }
 
     /// Takes the whole list: what is missing from it lapsed or is gone.
-    pub fn take_all(&mut self, records: Vec<ServerRecord>, now: Duration) {
-        let listed: Vec<_> = records.iter().map(|record| record.id.clone()).collect();
+    pub fn take_all(&mut self, entries: Vec<ServerChange>, now: Duration) {
+        let listed: BTreeSet<_> = entries.iter().map(|entry| entry.id().clone()).collect();
         let known: Vec<_> = self.servers.keys().cloned().collect();
-        for record in records {
-            self.take(ServerChange::Listed(record), now);
+        for entry in entries {
+            self.take(entry, now);
         }
         for id in known.into_iter().filter(|id| !listed.contains(id)) {
-            self.lose(id, now);
+            self.take(ServerChange::Gone(id), now);
         }
     }
 
@@ -108,27 +137,44 @@
         for id in &due {
             self.servers.remove(id);
         }
+        self.count_starts();
         due
     }
 
     /// Servers of a service that take requests.
     pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a ServerRecord> {
-        let of_service = self
-            .servers
-            .values()
-            .filter(move |record| record.service == *service);
+        let of_service = self.all().filter(move |record| record.service == *service);
         of_service.filter(|record| !record.is_leaving)
     }
 
-    /// A server that takes requests.
+    /// Whether a life of a server takes requests.
     #[must_use]
-    pub fn usable_server(&self, id: &ServerId) -> Option<&ServerRecord> {
-        self.servers.get(id).filter(|record| !record.is_leaving)
+    pub fn is_usable(&self, life: &ServerLife) -> bool {
+        let record = self.servers.get(life.id());
+        record.is_some_and(|record| {
+            record.life == *life && !record.is_leaving && self.is_servers_own(record)
+        })
     }
 
     /// All servers that are known.
     pub fn all(&self) -> impl Iterator<Item = &ServerRecord> {
-        self.servers.values()
+        let records = self.servers.values();
+        records.filter(|record| self.is_servers_own(record))
+    }
+
+    /// Whether an entry is one that servers write.
+    ///
+    /// Guards against an entry by another writer that has all but the start: sent there, a request
+    /// would wait for a server that is not. Most entries are servers' own, so most of them say
+    /// whether the platform tells starts at all.
+    fn is_servers_own(&self, record: &ServerRecord) -> bool {
+        !self.tells_starts || record.life.started().is_some()
+    }
+
+    fn count_starts(&mut self) {
+        let records = self.servers.values();
+        let with_start = records.filter(|record| record.life.started().is_some());
+        self.tells_starts = with_start.count() * 2 > self.servers.len();
     }
 
     fn lose(&mut self, id: ServerId, now: Duration) -> bool {
--- a/crates/core/tests/backend_choice.rs
+++ b/crates/core/tests/backend_choice.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use amaranthscale_core::id::{ServerId, ZoneId};
+use amaranthscale_core::id::{ServerLife, ZoneId};
 use amaranthscale_core::process::{
     BackendChoice, HealthChange, SeenLoad, SeenNumber, SendEnd, ServerRecord, ToldLoad,
 };
@@ -14,7 +14,7 @@
 
 fn server(name: &str, zone: &str) -> ServerRecord {
     ServerRecord {
-        id: name.parse().unwrap(),
+        life: name.parse().unwrap(),
         service: "scale".parse().unwrap(),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: zone.parse().unwrap(),
@@ -33,20 +33,20 @@
     "north".parse().unwrap()
 }
 
-fn plain(choice: &BackendChoice, servers: &[ServerRecord], now: Duration) -> ServerId {
+fn plain(choice: &BackendChoice, servers: &[ServerRecord], now: Duration) -> ServerLife {
     let chosen = choice.plain(servers.iter(), &BTreeSet::new(), &north(), now);
-    chosen.unwrap().id.clone()
+    chosen.unwrap().life.clone()
 }
 
-fn engine(choice: &BackendChoice, servers: &[ServerRecord], part: &str) -> ServerId {
+fn engine(choice: &BackendChoice, servers: &[ServerRecord], part: &str) -> ServerLife {
     let chosen = choice.engine(servers.iter(), &BTreeSet::new(), part, NOW);
-    chosen.unwrap().id.clone()
+    chosen.unwrap().life.clone()
 }
 
 /// What a choice was made by is written to the log, and must be what the choice saw.
 #[test]
 fn the_load_that_is_seen_is_ours_and_what_was_told_with_its_age() {
-    let server: ServerId = "s0".parse().unwrap();
+    let server: ServerLife = "s0".parse().unwrap();
     let mut choice = BackendChoice::default();
     assert_eq!(choice.seen(&server, NOW), SeenLoad::default());
     let load = ToldLoad {
@@ -65,7 +65,7 @@
     assert_eq!(SeenNumber(None).to_string(), "-");
 }
 
-fn fail(choice: &mut BackendChoice, server: &ServerId, times: usize) {
+fn fail(choice: &mut BackendChoice, server: &ServerLife, times: usize) {
     for _ in 0..times {
         choice.sent(server);
         choice.ended(server, SendEnd::Failed, Duration::ZERO, NOW);
@@ -77,7 +77,7 @@
     let choice = BackendChoice::default();
     let servers = [server("far", "south"), server("near", "north")];
 
-    assert_eq!(plain(&choice, &servers, NOW).as_str(), "near");
+    assert_eq!(plain(&choice, &servers, NOW).to_string(), "near");
 }
 
 #[test]
@@ -90,7 +90,7 @@
         choice.sent(&chosen);
     }
 
-    let in_flight = servers.iter().map(|server| choice.in_flight(&server.id));
+    let in_flight = servers.iter().map(|server| choice.in_flight(&server.life));
     assert_eq!(in_flight.collect::<Vec<_>>(), [5, 5, 5, 5]);
 }
 
@@ -104,11 +104,11 @@
         slots: 4,
     };
 
-    choice.told(&servers[0].id, load, NOW);
+    choice.told(&servers[0].life, load, NOW);
 
-    assert_eq!(plain(&choice, &servers, NOW), servers[1].id);
+    assert_eq!(plain(&choice, &servers, NOW), servers[1].life);
     let later = NOW + Duration::from_secs(2);
-    assert_eq!(plain(&choice, &servers, later), servers[0].id);
+    assert_eq!(plain(&choice, &servers, later), servers[0].life);
 }
 
 /// A server resets every connection while its health check is good. Without being left out it would
@@ -118,17 +118,17 @@
     let mut choice = BackendChoice::default();
     let servers = servers(3);
 
-    fail(&mut choice, &servers[0].id, 2);
+    fail(&mut choice, &servers[0].life, 2);
 
-    assert_ne!(plain(&choice, &servers, NOW), servers[0].id);
+    assert_ne!(plain(&choice, &servers, NOW), servers[0].life);
     let later = NOW + Duration::from_secs(7);
-    assert_eq!(plain(&choice, &servers, later), servers[0].id);
+    assert_eq!(plain(&choice, &servers, later), servers[0].life);
 }
 
 #[test]
 fn being_left_out_and_taken_back_is_told_once() {
     let mut choice = BackendChoice::default();
-    let server = &servers(1)[0].id;
+    let server = &servers(1)[0].life;
     let mut end = |end| {
         choice.sent(server);
         choice.ended(server, end, Duration::ZERO, NOW)
@@ -150,10 +150,10 @@
 fn when_most_servers_fail_all_are_used() {
     let mut choice = BackendChoice::default();
     let servers = servers(3);
-    fail(&mut choice, &servers[0].id, 2);
-    fail(&mut choice, &servers[1].id, 2);
+    fail(&mut choice, &servers[0].life, 2);
+    fail(&mut choice, &servers[1].life, 2);
 
-    let tried = BTreeSet::from([servers[2].id.clone()]);
+    let tried = BTreeSet::from([servers[2].life.clone()]);
     let chosen = choice.plain(servers.iter(), &tried, &north(), NOW);
 
     assert!(chosen.is_some());
@@ -188,7 +188,7 @@
 
     let most = servers
         .iter()
-        .map(|server| choice.in_flight(&server.id))
+        .map(|server| choice.in_flight(&server.life))
         .max();
     assert!(most.unwrap() <= 20, "{most:?}");
 }
@@ -205,7 +205,7 @@
 
     let left = &servers[1..];
     let moved = parts.iter().zip(&before).filter(|(part, before)| {
-        **before != servers[0].id && engine(&choice, left, part) != **before
+        **before != servers[0].life && engine(&choice, left, part) != **before
     });
 
     assert_eq!(moved.count(), 0);
--- a/crates/core/tests/batcher/bench.rs
+++ b/crates/core/tests/batcher/bench.rs
@@ -1,8 +1,9 @@
 //! A small deployment of three stage services around the real batcher.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use amaranthscale_core::id::{ResultHandle, RoutingVersion};
+use amaranthscale_core::id::{ResultHandle, RoutingVersion, ServerLife, StartMs};
 use amaranthscale_core::process::{
     Batch, BatchEnd, Batcher, Cell, JobEvent, JobId, PieceEnd, PipelineOrder, ServerRecord,
     StageOrder,
@@ -24,6 +25,9 @@
     pub now: Duration,
     calls: u64,
     handles: u64,
+    zones: Vec<String>,
+    /// Servers that have started again, and how often.
+    restarts: BTreeMap<String, u64>,
 }
 
 impl Bench {
@@ -34,21 +38,44 @@
             now: ms(10_000),
             calls: 0,
             handles: 0,
+            zones: Vec::new(),
+            restarts: BTreeMap::new(),
         };
         bench.set_servers(zones);
         bench
     }
 
+    /// Lets a server start again under its id.
+    pub fn restart(&mut self, id: &str) -> ServerLife {
+        *self.restarts.entry(id.to_owned()).or_default() += 1;
+        let zones = self.zones.clone();
+        let zones: Vec<_> = zones.iter().map(String::as_str).collect();
+        self.set_servers(&zones);
+        self.life(id)
+    }
+
+    /// The life of a server now.
+    pub fn life(&self, id: &str) -> ServerLife {
+        let restarts = self.restarts.get(id).copied().unwrap_or(0);
+        let started = StartMs::new(1_000 + restarts);
+        ServerLife::new(id.parse().unwrap()).started_at(started)
+    }
+
     pub fn set_servers(&mut self, zones: &[&str]) {
+        self.zones = zones.iter().map(ToString::to_string).collect();
         let services = [ENCODE, RETRIEVE, RERANK];
         let bounds = CallerBounds::default();
         let routing = Routing::new(RoutingVersion::new(1), bounds).with_pools(services.map(pool));
+        let life = &|service: &str, index| self.life(&format!("{service}-{index}"));
         let records = services.iter().flat_map(|service| {
             let servers = zones.iter().enumerate();
-            servers.map(|(index, zone)| record(service, index, zone))
+            servers.map(move |(index, zone)| ServerRecord {
+                life: life(service, index),
+                ..record(service, zone)
+            })
         });
         let records: Vec<_> = records.collect();
-        self.batcher.set_servers(&routing, records.iter());
+        self.batcher.set_servers(&routing, records.iter(), self.now);
     }
 
     pub fn advance(&mut self, step_ms: u64) {
@@ -142,9 +169,9 @@
     }
 }
 
-fn record(service: &str, index: usize, zone: &str) -> ServerRecord {
+fn record(service: &str, zone: &str) -> ServerRecord {
     ServerRecord {
-        id: format!("{service}-{index}").parse().unwrap(),
+        life: service.parse().unwrap(),
         service: service.parse().unwrap(),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: zone.parse().unwrap(),
--- a/crates/core/tests/batcher/ends.rs
+++ b/crates/core/tests/batcher/ends.rs
@@ -166,5 +166,5 @@
     let batches = bench.next_batches();
 
     assert_eq!(batches.len(), 1);
-    assert_eq!(batches[0].server.as_str(), "encode-0");
+    assert_eq!(batches[0].server.id().as_str(), "encode-0");
 }
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -4,6 +4,7 @@
 
 mod bench;
 mod ends;
+mod lives;
 mod order;
 mod random;
 mod room;
--- a/crates/core/tests/batcher/random.rs
+++ b/crates/core/tests/batcher/random.rs
@@ -1,11 +1,12 @@
 //! Random runs of the batcher with everything that can happen to a call or a request.
 //!
 //! What must hold in every run: a job is reported at most once; each result is freed exactly once;
-//! a server has one call at a time; a piece with inputs is given all of them.
+//! a server has one call at a time; a piece with inputs is given all of them; nothing names what an
+//! ended life of a server kept.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use amaranthscale_core::id::{ResultHandle, ServerId};
+use amaranthscale_core::id::{ResultHandle, ServerLife};
 use amaranthscale_core::process::{Batch, BatchEnd, JobEvent, JobId, PieceEnd, PieceInput};
 use quickcheck::{Arbitrary, Gen};
 
@@ -25,7 +26,8 @@
     open: BTreeSet<JobId>,
     reported: BTreeSet<JobId>,
     running: Vec<Batch>,
-    kept: BTreeSet<ResultHandle>,
+    /// Results by the life that keeps them.
+    kept: BTreeMap<ResultHandle, ServerLife>,
     freed: BTreeSet<ResultHandle>,
 }
 
@@ -66,21 +68,37 @@
             0 => BatchEnd::Lost,
             1 => BatchEnd::Full,
             _ => {
-                let ends = batch.items.iter().map(|_| self.piece_end(bench, random));
+                let ends = batch.items.iter();
+                let ends = ends.map(|_| self.piece_end(bench, random, &batch.server));
                 BatchEnd::Pieces(ends.collect())
             }
         };
         bench.end(&batch, end);
     }
 
-    fn piece_end(&mut self, bench: &mut Bench, random: &mut Gen) -> PieceEnd {
+    /// A server starts again: what it kept is gone, and a call there may still seem to end well.
+    fn restart(&mut self, bench: &mut Bench, random: &mut Gen) {
+        let services = [ENCODE, RETRIEVE, RERANK];
+        let service = services[usize::try_from(pick(random, 3)).unwrap()];
+        let id = format!("{service}-{}", pick(random, 2));
+        let ended = bench.life(&id);
+        bench.restart(&id);
+        self.kept.retain(|_, life| *life != ended);
+        if pick(random, 2) == 0 {
+            self.running.retain(|batch| batch.server != ended);
+        }
+    }
+
+    fn piece_end(&mut self, bench: &mut Bench, random: &mut Gen, server: &ServerLife) -> PieceEnd {
         match pick(random, 30) {
             0 => PieceEnd::Failed,
             1 => PieceEnd::NoRoom,
             2 => PieceEnd::InputGone,
             _ => {
                 let handle = bench.handle();
-                self.kept.insert(handle.clone());
+                if bench.life(server.id().as_str()) == *server {
+                    self.kept.insert(handle.clone(), server.clone());
+                }
                 PieceEnd::Made(handle)
             }
         }
@@ -93,12 +111,12 @@
             for item in &batch.items {
                 if let PieceInput::Results(inputs) = &item.input {
                     assert!(!inputs.is_empty());
-                    assert!(inputs.iter().all(|input| self.kept.contains(input)));
+                    assert!(inputs.iter().all(|input| self.kept.contains_key(input)));
                 }
             }
         }
         self.running.extend(batches);
-        let mut calls: BTreeMap<&ServerId, usize> = BTreeMap::new();
+        let mut calls: BTreeMap<&ServerLife, usize> = BTreeMap::new();
         for batch in &self.running {
             *calls.entry(&batch.server).or_default() += 1;
         }
@@ -113,7 +131,10 @@
             assert!(self.reported.insert(job), "{job:?} is reported twice");
         }
         for handle in bench.freed() {
-            assert!(self.kept.remove(&handle), "{handle} was never kept");
+            assert!(
+                self.kept.remove(&handle).is_some(),
+                "{handle} was never kept"
+            );
             assert!(self.freed.insert(handle), "freed twice");
         }
     }
@@ -123,9 +144,10 @@
     let mut bench = Bench::new(&["north", "south"]);
     let mut world = World::default();
     for _ in 0..STEPS {
-        match pick(random, 8) {
-            0 | 1 => world.submit(&mut bench, random),
-            2 => world.release(&mut bench, random),
+        match pick(random, 32) {
+            0..8 => world.submit(&mut bench, random),
+            8..12 => world.release(&mut bench, random),
+            12 => world.restart(&mut bench, random),
             _ => world.end_call(&mut bench, random),
         }
         bench.advance(pick(random, 60));
--- a/crates/core/tests/cell.rs
+++ b/crates/core/tests/cell.rs
@@ -12,7 +12,7 @@
 
 fn server(service: &str, index: usize) -> ServerRecord {
     ServerRecord {
-        id: format!("{service}-{index}").parse().unwrap(),
+        life: format!("{service}-{index}").parse().unwrap(),
         service: service.parse().unwrap(),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: "north".parse().unwrap(),
@@ -93,7 +93,11 @@
         let own = cell.servers(servers.iter());
         let mut of_service: BTreeMap<&str, usize> = BTreeMap::new();
         for server in own {
-            assert!(seen.insert(server.id.clone()), "{} is in two", server.id);
+            assert!(
+                seen.insert(server.life.clone()),
+                "{} is in two",
+                server.life
+            );
             *of_service.entry(server.service.as_str()).or_default() += 1;
         }
         assert!(of_service.values().all(|count| (9..=13).contains(count)));
@@ -113,7 +117,7 @@
     for cell in cells(8) {
         let ids = |servers: &[ServerRecord]| -> BTreeSet<_> {
             let own = cell.servers(servers.iter());
-            own.into_iter().map(|server| server.id.clone()).collect()
+            own.into_iter().map(|server| server.life.clone()).collect()
         };
         moved += ids(&after).difference(&ids(&before)).count();
     }
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -11,7 +11,7 @@
 
 fn record(id: &str) -> ServerRecord {
     ServerRecord {
-        id: id.parse().unwrap(),
+        life: id.parse().unwrap(),
         service: "scale".parse().unwrap(),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: "north".parse().unwrap(),
@@ -30,7 +30,9 @@
 
 fn usable(servers: &ServerList) -> Vec<String> {
     let service: ServiceId = "scale".parse().unwrap();
-    let ids = servers.usable(&service).map(|server| server.id.to_string());
+    let ids = servers
+        .usable(&service)
+        .map(|server| server.life.to_string());
     ids.collect()
 }
 
@@ -125,3 +127,85 @@
     assert!(dropped.is_empty());
     assert_eq!(usable(&servers), ["a"]);
 }
+
+/// A server crashes and starts again under its id between two polls. Taken for the same server, a
+/// request chosen for the earlier life would be sent on a connection, and with results, that are gone.
+#[test]
+fn a_server_that_starts_again_is_another_life() {
+    let mut servers = list_of(&["a@1000", "b@1000"]);
+    let before = "a@1000".parse().unwrap();
+
+    let is_changed = servers.take(ServerChange::Listed(record("a@2000")), SECOND);
+
+    assert!(is_changed);
+    assert!(!servers.is_usable(&before));
+    assert!(servers.is_usable(&"a@2000".parse().unwrap()));
+}
+
+/// The time of day of a host steps back, and its server starts again: the newer life has the older
+/// start. The order of the store's answers says which one is listed.
+#[test]
+fn a_life_with_an_older_start_may_be_the_newer_one() {
+    let mut servers = list_of(&["a@2000"]);
+
+    servers.take(ServerChange::Listed(record("a@1000")), SECOND);
+
+    assert_eq!(usable(&servers), ["a@1000"]);
+}
+
+/// A life ends and the next one begins while the store is away. The entry lapsed, and what comes
+/// back under the id is not what lapsed.
+#[test]
+fn a_life_that_began_in_an_outage_replaces_the_lapsed_one() {
+    let mut servers = list_of(&["a@1000"]);
+    servers.store_lost();
+    servers.store_answered(10 * SECOND);
+    servers.take_all(Vec::new(), 10 * SECOND);
+    assert_eq!(usable(&servers), ["a@1000"]);
+
+    servers.take(ServerChange::Listed(record("a@2000")), 11 * SECOND);
+
+    assert_eq!(usable(&servers), ["a@2000"]);
+    assert!(servers.drop_lapsed(20 * SECOND).is_empty());
+}
+
+/// Another program overwrites a server's entry with bytes of its own. Whatever stands there now, it
+/// names no server, also in an outage's grace: the store itself has told it.
+#[test]
+fn an_unreadable_entry_names_no_server_though_one_stood_there() {
+    let mut servers = list_of(&["a", "b"]);
+    servers.store_lost();
+    servers.store_answered(10 * SECOND);
+
+    let is_changed = servers.take(ServerChange::Unreadable("a".parse().unwrap()), 10 * SECOND);
+
+    assert!(is_changed);
+    assert_eq!(usable(&servers), ["b"]);
+}
+
+/// The whole list is read again, and one entry has become unreadable meanwhile: the others hold.
+#[test]
+fn an_unreadable_entry_in_the_whole_list_costs_only_itself() {
+    let mut servers = list_of(&["a", "b"]);
+    let entries = vec![
+        ServerChange::Unreadable("a".parse().unwrap()),
+        ServerChange::Listed(record("b")),
+        ServerChange::Listed(record("c")),
+    ];
+
+    servers.take_all(entries, SECOND);
+
+    assert_eq!(usable(&servers), ["b", "c"]);
+}
+
+/// Another program writes an entry that has all but the start. A request sent there would wait for
+/// a server that is not; yet one such writer must not cost a platform whose servers tell no start.
+#[test]
+fn an_entry_without_a_start_counts_only_where_most_have_none() {
+    let told = list_of(&["a@1000", "b@1000", "c"]);
+    let untold = list_of(&["a", "b", "c@1000"]);
+
+    assert_eq!(usable(&told), ["a@1000", "b@1000"]);
+    assert!(!told.is_usable(&"c".parse().unwrap()));
+    assert_eq!(usable(&untold), ["a", "b", "c@1000"]);
+}
