--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
+use amaranthscale_core::process::Rank;
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -27,8 +28,7 @@
 pub(super) struct Admitted {
     pub(super) route: Arc<Route>,
     pub(super) work: CallerWork,
-    /// Rank, 0 first: the organisation's before the route's.
-    pub(super) priority: u8,
+    pub(super) rank: Rank,
     pub(super) arrived: Instant,
     /// When the caller's or the route's time is over.
     pub(super) until: Instant,
@@ -109,13 +109,14 @@
     let service = route.service_for(&work.call).cloned();
     let service = service.ok_or(Refused::new(ResultCode::NoBackendServer))?;
     let outgoing = Outgoing::new(head, body, &parts.dialect, holder.as_deref());
-    let priority = holder
-        .and_then(|holder| holder.priority)
-        .unwrap_or(route.priority);
+    let rank = Rank {
+        organisation: holder.and_then(|holder| holder.priority).unwrap_or(0),
+        route: route.priority,
+    };
     let admitted = Admitted {
         route,
         work,
-        priority,
+        rank,
         arrived,
         until,
     };
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -202,10 +202,11 @@
         } else {
             let order = PipelineOrder {
                 call: self.admitted.work.call.clone(),
+                route: route.id.clone(),
                 cell: self.parts.knowledge.cell_of(&self.admitted.work.call),
                 piece_key: self.admitted.work.piece_key.clone(),
                 stages,
-                priority: self.admitted.priority,
+                rank: self.admitted.rank,
                 worth_tokens: self.admitted.work.worth_tokens,
                 aim: route.aim,
                 aim_left: route.aim.saturating_sub(self.admitted.arrived.elapsed()),
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -15,7 +15,8 @@
 
 use amaranthscale_core::id::RoutingVersion;
 use amaranthscale_core::process::{
-    Batch, BatchEnd, Batcher, Cell, JobEvent, PieceEnd, PipelineOrder, ServerRecord, StageOrder,
+    Batch, BatchEnd, Batcher, Cell, JobEvent, PieceEnd, PipelineOrder, Rank, ServerRecord,
+    StageOrder,
 };
 use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
 
@@ -87,10 +88,11 @@
     });
     PipelineOrder {
         call: format!("call-{number}").parse().unwrap(),
+        route: "route".parse().unwrap(),
         cell: Cell::WHOLE,
         piece_key: "key".to_owned(),
         stages: stages.collect(),
-        priority: 0,
+        rank: Rank::default(),
         worth_tokens: 1_000 + number % 7 * 500,
         aim: Duration::from_secs(2),
         aim_left: Duration::from_secs(2),
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -26,6 +26,7 @@
 mod load_meter;
 mod organisation_limits;
 mod queued_attempt;
+mod rank;
 mod refusal;
 pub(crate) mod rendezvous;
 mod retry_budget;
@@ -78,6 +79,8 @@
 #[doc(inline)]
 pub use queued_attempt::QueuedAttempt;
 #[doc(inline)]
+pub use rank::Rank;
+#[doc(inline)]
 pub use refusal::Refusal;
 #[doc(inline)]
 pub use retry_budget::RetryBudget;
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -25,6 +25,7 @@
 mod pace;
 mod pool_state;
 mod queue;
+mod route_worth;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -45,6 +46,7 @@
 use open_work::OpenWork;
 use pool_state::PoolState;
 use queue::Entry;
+use route_worth::RouteWorth;
 
 /// How long a new owner takes the servers to be shared with the one before.
 const TAKE_OVER: Duration = Duration::from_secs(1);
@@ -61,8 +63,7 @@
     swept_at: Duration,
     next_job: u64,
     next_batch: u64,
-    /// Tokens a second of servers' time that a job is usually worth.
-    usual_worth: f64,
+    worth: RouteWorth,
     /// Until when other owners may use the same servers.
     shared_until: Duration,
 }
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -19,9 +19,6 @@
 /// Part of the spare time that a large result is held back for the longer stages beside it.
 const HELD_BACK_PART: f64 = 0.7;
 
-/// Part of each job in the usual worth; about the last hundred count.
-const USUAL_SHARE: f64 = 0.01;
-
 /// When the stages of a job must and may start.
 #[derive(Debug)]
 pub(super) struct Outlook {
@@ -49,7 +46,11 @@
             .iter()
             .map(|stage| self.work_of(stage))
             .collect();
-        let put_off = put_off(order.priority, self.relative_worth(order, &work));
+        let whole_work = work.iter().sum();
+        let worth = self
+            .worth
+            .relative(&order.route, order.worth_tokens, whole_work);
+        let put_off = put_off(order.rank, worth);
         let waits = order
             .stages
             .iter()
@@ -72,22 +73,6 @@
         })
     }
 
-    /// Worth of a job for its work, against what is usual; 1 if it is not known.
-    fn relative_worth(&mut self, order: &PipelineOrder, work: &[Duration]) -> f64 {
-        let work: Duration = work.iter().sum();
-        if order.worth_tokens == 0 || work.is_zero() {
-            return 1.0;
-        }
-        let tokens = f64::from(u32::try_from(order.worth_tokens).unwrap_or(u32::MAX));
-        let worth = tokens / work.as_secs_f64();
-        if self.usual_worth == 0.0 {
-            self.usual_worth = worth;
-        }
-        let usual = self.usual_worth;
-        self.usual_worth += USUAL_SHARE * (worth - usual);
-        worth / usual
-    }
-
     /// Server time that a stage's pieces take in full batches.
     fn work_of(&self, stage: &StageOrder) -> Duration {
         let spec = self.pools.get(&stage.service).and_then(|pool| pool.spec);
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -7,15 +7,20 @@
 use super::queue::Entry;
 use super::{BatchItem, PieceInput, PipelineOrder, StageOrder, StageTimes};
 use crate::id::{ResultHandle, ServerLife};
+use crate::process::Rank;
 
 /// Size of a result from which it is made just in time and near its reader.
 /// Below it, what a move between availability zones costs is less than a wait.
 pub(super) const LARGE_RESULT_BYTES: u64 = 100_000;
 
-/// Time by which each rank of priority lets others go before: about one call.
+/// Time by which each rank of an organisation lets others go before: about one call.
 /// Measured: see MEASUREMENTS.md, "Order of the pieces".
-const PRIORITY_STEP: Duration = Duration::from_millis(400);
-/// Rank from which priority puts nothing off further.
+const ORGANISATION_STEP: Duration = Duration::from_millis(400);
+/// Time by which each rank of a route lets others go before: longer than most waits, so that ranks
+/// decide among an organisation's routes wherever a service is short of time.
+/// Measured: see DECISIONS.md, "Rank between kinds".
+const ROUTE_STEP: Duration = Duration::from_secs(6);
+/// Rank from which nothing is put off further.
 const LOWEST_RANK: u8 = 4;
 /// Time from a call's start after which its inputs are read: some megabytes over two links.
 const INPUTS_READ_AFTER: Duration = Duration::from_millis(90);
@@ -34,9 +39,11 @@
 
 /// Time by which a job lets others go before, beside its rank; what brings it forward is taken
 /// from the same allowance, so that it is never negative.
-pub(super) fn put_off(priority: u8, worth: f64) -> Duration {
+pub(super) fn put_off(rank: Rank, worth: f64) -> Duration {
     let steps = (-worth.max(f64::MIN_POSITIVE).log2()).clamp(-MOST_WORTH_STEPS, MOST_WORTH_STEPS);
-    let by_rank = PRIORITY_STEP * u32::from(priority.min(LOWEST_RANK));
+    let steps_of = |rank: u8| u32::from(rank.min(LOWEST_RANK));
+    let by_rank =
+        ORGANISATION_STEP * steps_of(rank.organisation) + ROUTE_STEP * steps_of(rank.route);
     by_rank + WORTH_STEP.mul_f64(MOST_WORTH_STEPS + steps)
 }
 
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::id::{CallId, ResultHandle, ServerLife, ServiceId, ZoneId};
-use crate::process::Cell;
+use crate::id::{CallId, ResultHandle, RouteId, ServerLife, ServiceId, ZoneId};
+use crate::process::{Cell, Rank};
 
 /// Names a job of the batcher.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -33,14 +33,16 @@
 pub struct PipelineOrder {
     /// The caller's send.
     pub call: CallId,
+    /// The route that the request came on.
+    pub route: RouteId,
     /// The cell that makes its pieces.
     pub cell: Cell,
     /// The caller's key of the pieces.
     pub piece_key: String,
     /// All stages of the route, in its order.
     pub stages: Vec<StageOrder>,
-    /// Rank, 0 first.
-    pub priority: u8,
+    /// How urgent it is against others.
+    pub rank: Rank,
     /// Worth of the answer against others', in tokens of the engine's work; 0 if not known.
     pub worth_tokens: u64,
     /// Time from the caller's send within which the answer is of full worth.
--- a/crates/core/tests/batcher/bench.rs
+++ b/crates/core/tests/batcher/bench.rs
@@ -5,7 +5,7 @@
 
 use amaranthscale_core::id::{ResultHandle, RoutingVersion, ServerLife, StartMs};
 use amaranthscale_core::process::{
-    Batch, BatchEnd, Batcher, Cell, JobEvent, JobId, PieceEnd, PipelineOrder, ServerRecord,
+    Batch, BatchEnd, Batcher, Cell, JobEvent, JobId, PieceEnd, PipelineOrder, Rank, ServerRecord,
     StageOrder,
 };
 use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
@@ -140,10 +140,11 @@
         });
         PipelineOrder {
             call: format!("call-{}", self.calls).parse().unwrap(),
+            route: "route".parse().unwrap(),
             cell: Cell::WHOLE,
             piece_key: "key".to_owned(),
             stages: stages.collect(),
-            priority: 0,
+            rank: Rank::default(),
             worth_tokens: 0,
             aim: ms(2_000),
             aim_left: ms(2_000),
--- a/crates/core/tests/batcher/order.rs
+++ b/crates/core/tests/batcher/order.rs
@@ -119,7 +119,7 @@
 fn a_less_urgent_request_lets_others_go_before() {
     let mut bench = Bench::new(&["north"]);
     let mut low = bench.chain(&[(ENCODE, 10, 100)]);
-    low.priority = 2;
+    low.rank.organisation = 2;
     let high = bench.chain(&[(ENCODE, 10, 100)]);
     let high_call = high.call.clone();
     bench.submit(low);
@@ -130,6 +130,50 @@
     assert_eq!(batch.items[0].call, high_call);
 }
 
+/// Operators put a route of small requests before one of large ones. By tokens against all others,
+/// the urgent small ones would wait behind the rest, and be served worst.
+#[test]
+fn the_more_urgent_route_goes_first_whatever_its_tokens() {
+    let mut bench = Bench::new(&["north"]);
+    for _ in 0..3 {
+        let mut large = bench.chain(&[(ENCODE, 10, 100)]);
+        large.route = "large".parse().unwrap();
+        large.rank.route = 1;
+        large.worth_tokens = 40_000;
+        bench.submit(large);
+    }
+    let mut urgent = bench.chain(&[(ENCODE, 10, 100)]);
+    urgent.route = "urgent".parse().unwrap();
+    urgent.worth_tokens = 1_000;
+    let urgent_call = urgent.call.clone();
+    bench.submit(urgent);
+
+    let batch = bench.next_batch();
+
+    assert_eq!(batch.items[0].call, urgent_call);
+}
+
+/// Two routes of one rank, one of long answers and one of short ones: neither waits for the other's
+/// tokens, and the one that must start earlier starts earlier.
+#[test]
+fn tokens_are_compared_within_a_route_only() {
+    let mut bench = Bench::new(&["north"]);
+    let mut short = bench.chain(&[(ENCODE, 10, 100)]);
+    short.route = "short".parse().unwrap();
+    short.worth_tokens = 1_000;
+    let short_call = short.call.clone();
+    let mut long = bench.chain(&[(ENCODE, 10, 100)]);
+    long.route = "long".parse().unwrap();
+    long.worth_tokens = 40_000;
+    long.aim_left += ms(50);
+    bench.submit(long);
+    bench.submit(short);
+
+    let batch = bench.next_batch();
+
+    assert_eq!(batch.items[0].call, short_call);
+}
+
 #[test]
 fn large_last_results_are_made_where_they_are_read() {
     let mut bench = Bench::new(&["south", "north"]);
