Results go on to the next engine when one turns a request away

Ruled out: choosing another engine beforehand (it left while the pieces were made). Change: made results are kept for the next engine; only gone ones are made anew.

--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -59,6 +59,27 @@
     pub(super) server: ServerLife,
 }
 
+/// The results that a request needs before an engine can run it.
+#[derive(Debug)]
+enum Pieces {
+    /// They are to be made, or to be made anew.
+    Unmade,
+    /// They are kept; none where the request needs none.
+    ///
+    /// An engine that turns a request away has not taken them: they go on to the next engine. Made
+    /// anew, they would come after the aim, and what was made would be thrown away.
+    Made(Option<MadePieces>),
+}
+
+/// What one try at an engine came to.
+#[derive(Debug)]
+enum Tried {
+    /// Its answer has begun.
+    Begun(Box<Running>),
+    /// The request may be tried elsewhere.
+    MayGoOn(Pieces),
+}
+
 /// Runs a request; a begun stream is passed on by a task of its own.
 pub(super) async fn run_engine(
     parts: &Arc<GatewayParts>,
@@ -90,30 +111,36 @@
 impl EngineRun {
     /// Has the pieces made and sends the request until an engine has begun to answer.
     pub(super) async fn begin(&mut self) -> Result<Running, Refused> {
+        let mut pieces = Pieces::Unmade;
         loop {
             let server = self
                 .choose()
                 .ok_or(Refused::new(ResultCode::NoBackendServer))?;
             // Counted from here on, so that requests which wait for pieces spread as well.
             let sent = Sent::new(&self.parts, &server);
-            let pieces = self.pieces(&server).await?;
-            match self.try_at(&server, pieces, sent).await? {
-                Some(running) => return Ok(running),
-                None => self.tried.insert(server.life),
+            let made = match pieces {
+                Pieces::Unmade => self.pieces(&server).await?,
+                Pieces::Made(made) => made,
             };
+            match self.try_at(&server, made, sent).await? {
+                Tried::Begun(running) => return Ok(*running),
+                Tried::MayGoOn(kept) => pieces = kept,
+            }
+            self.tried.insert(server.life);
         }
     }
 
-    /// One try; none if the request did not run and may be tried elsewhere.
+    /// One try at an engine.
     async fn try_at(
         &mut self,
         server: &ServerRecord,
         pieces: Option<MadePieces>,
         sent: Sent,
-    ) -> Result<Option<Running>, Refused> {
+    ) -> Result<Tried, Refused> {
         if !self.parts.knowledge.servers().is_usable(&server.life) {
             // It began to leave, or ended, while the pieces were made.
-            return self.rejected("leaving", server).map(|()| None);
+            self.rejected("leaving", server)?;
+            return Ok(Tried::MayGoOn(Pieces::Made(pieces)));
         }
         let left = self.admitted.left();
         let call = &self.admitted.work.call;
@@ -125,23 +152,25 @@
         match outcome {
             SendOutcome::Answer(begun) => {
                 self.ran += 1;
-                Ok(Some(Running {
+                return Ok(Tried::Begun(Box::new(Running {
                     begun: *begun,
                     pieces,
                     server: server.life.clone(),
-                }))
+                })));
             }
-            SendOutcome::NotSent => self.rejected("not-sent", server).map(|()| None),
-            SendOutcome::NotRun => self.rejected("not-run", server).map(|()| None),
+            SendOutcome::NotSent => self.rejected("not-sent", server)?,
+            SendOutcome::NotRun => self.rejected("not-run", server)?,
             SendOutcome::InputGone => {
                 self.remakes += 1;
                 if self.remakes > MOST_REMAKES {
                     return Err(Refused::new(ResultCode::DeadlineUnreachable));
                 }
-                self.rejected("input-gone", server).map(|()| None)
+                self.rejected("input-gone", server)?;
+                return Ok(Tried::MayGoOn(Pieces::Unmade));
             }
-            SendOutcome::Lost => self.lost(server).map(|()| None),
+            SendOutcome::Lost => self.lost(server)?,
         }
+        Ok(Tried::MayGoOn(Pieces::Made(pieces)))
     }
 
     /// Takes a rejection; an error if nothing more may be tried.
