An owner of the batches hands over what it had made

Cause: whoever owned the batches threw away all that it had begun when it stopped, was killed, froze or was cut off; its results filled the servers until they lapsed, and the next owner made them anew. Change: an owner tells each request's gateway what is made and what is dropped; the gateway hands what is left to the next owner, which takes it into its account and makes what is missing. One that stops sends no more calls and hands each job over when its calls have ended; with no other gateway left it goes on. A gateway that stops steps down from the order, so that its own requests go to the next owner as well.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -134,6 +134,7 @@
         info!(open = self.parts.stop.open(); "gateway: stopping");
         let ends_at = tokio::time::Instant::now() + self.config.stop_bound - STOP_MARGIN;
         self.parts.stop.stop();
+        self.parts.knowledge.step_down();
         self.parts.batches.stop();
         let withdrawing = withdraw_instance(&self.config.store, &self.config.instance);
         let leaving = tokio::time::sleep(LEAVE_ROTATION);
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -5,6 +5,7 @@
 mod batch_owner_handle;
 mod batch_owners;
 mod budgets;
+mod kept_pieces;
 mod parts;
 mod peer_pieces;
 mod pieces;
@@ -12,9 +13,11 @@
 mod tend_silent;
 
 #[doc(inline)]
-pub use batch_owner::{BatchOwner, BatchOwnerArguments, BatchOwnerMessage, JobAnswer};
+pub use batch_owner::{
+    BatchOwner, BatchOwnerArguments, BatchOwnerMessage, JobAnswer, JobNews, JobSource,
+};
 #[doc(inline)]
-pub use batch_owner_handle::{BatchOwnerHandle, OwnedJob};
+pub use batch_owner_handle::{BatchOwnerHandle, OwnedJob, RunningJob};
 #[doc(inline)]
 pub use batch_owners::BatchOwners;
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -10,12 +10,12 @@
 use amaranthscale_core::id::{CallId, ResultHandle, ServerLife};
 use amaranthscale_core::process::{
     Batch, BatchEnd, BatchId, Batcher, Cell, Frees, JobEvent, JobFailure, JobId, JobRefused,
-    PieceEnd, PipelineOrder, StageTimes, ToldLoad,
+    KeptPiece, PieceEnd, PipelineOrder, StageTimes, ToldLoad,
 };
 use log::info;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 use super::super::Dialect;
 use super::super::connection::ServerPool;
@@ -44,14 +44,35 @@
     Stopping,
 }
 
+/// What an owner tells of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobNews {
+    /// Some of its pieces are made.
+    Made(Vec<KeptPiece>),
+    /// What was made of a stage is there no more.
+    Dropped(usize),
+    /// What it came to; nothing follows.
+    Ended(JobAnswer),
+}
+
+/// Where a job comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobSource {
+    /// A request at this gateway, for which no other gateway is left to ask.
+    Here,
+    /// Another gateway, which can ask the next owner.
+    Peer,
+}
+
 /// Messages to the owner of the batches.
 #[derive(Debug)]
 pub enum BatchOwnerMessage {
-    /// Takes a job; the sender learns its id at once and its outcome later.
+    /// Takes a job; the sender learns its id at once, and what becomes of it by and by.
     Submit(
         PipelineOrder,
         oneshot::Sender<JobId>,
-        oneshot::Sender<JobAnswer>,
+        mpsc::UnboundedSender<JobNews>,
+        JobSource,
     ),
     /// Ends a job and frees its results.
     Release(JobId),
@@ -103,7 +124,7 @@
 #[derive(Debug)]
 struct Waiting {
     call: CallId,
-    answer: oneshot::Sender<JobAnswer>,
+    news: mpsc::UnboundedSender<JobNews>,
     taken_at: tokio::time::Instant,
 }
 
@@ -137,7 +158,9 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = state.arguments.knowledge.clock().now();
         match message {
-            BatchOwnerMessage::Submit(order, id, answer) => state.submit(order, id, answer, now),
+            BatchOwnerMessage::Submit(order, id, news, source) => {
+                state.submit(order, id, news, source, now);
+            }
             BatchOwnerMessage::Release(job) => {
                 state.waiting.remove(&job);
                 state.batcher.release(job);
@@ -151,11 +174,15 @@
                 state.batcher.freed(&frees);
             }
             BatchOwnerMessage::Tick => state.is_ticking = false,
-            BatchOwnerMessage::Stop => state.hand_over(),
+            BatchOwnerMessage::Stop => {
+                state.is_stopping = true;
+                state.batcher.stop();
+            }
         }
         state.send_frees(&myself);
         state.send_batches(&myself, now);
         state.tell();
+        state.hand_over();
         state.keep_ticking(&myself);
         Ok(())
     }
@@ -166,21 +193,31 @@
         &mut self,
         order: PipelineOrder,
         id: oneshot::Sender<JobId>,
-        answer: oneshot::Sender<JobAnswer>,
+        news: mpsc::UnboundedSender<JobNews>,
+        source: JobSource,
         now: Duration,
     ) {
-        if self.is_stopping {
+        if self.is_stopping && source == JobSource::Here {
+            // A request that was taken is not cut off by a planned stop of all gateways.
+            self.batcher.resume();
+        } else if self.is_stopping {
             // A caller that has left needs no answer, here as below.
-            let _ = answer.send(JobAnswer::Stopping);
+            let _ = news.send(JobNews::Ended(JobAnswer::Stopping));
             return;
         }
-        let call = order.call.clone();
+        let (call, kept) = (order.call.clone(), order.kept.len());
+        if kept > 0 {
+            self.arguments
+                .counters
+                .add("pieces.handed-over", u64::try_from(kept).unwrap_or(0));
+            info!(call = call.as_str(), kept; "batches: job of an earlier owner");
+        }
         match self.batcher.submit(order, now) {
             Ok(job) => {
                 let taken_at = tokio::time::Instant::now();
                 let waiting = Waiting {
                     call,
-                    answer,
+                    news,
                     taken_at,
                 };
                 self.waiting.insert(job, waiting);
@@ -196,18 +233,16 @@
                     waiting = self.batcher.waiting();
                     "batches: job refused"
                 );
-                let _ = answer.send(refusal(refused));
+                let _ = news.send(JobNews::Ended(refusal(refused)));
             }
         }
     }
 
-    /// Gives up what has not begun, so that the next owner takes it; what has begun goes on.
+    /// Leaves jobs to the next owner once no call works on them, with what is made of them.
     fn hand_over(&mut self) {
-        self.is_stopping = true;
-        for job in self.batcher.unstarted() {
-            self.batcher.release(job);
+        for job in self.batcher.hand_over() {
             if let Some(waiting) = self.waiting.remove(&job) {
-                let _ = waiting.answer.send(JobAnswer::Stopping);
+                let _ = waiting.news.send(JobNews::Ended(JobAnswer::Stopping));
             }
         }
     }
@@ -258,6 +293,14 @@
     fn tell(&mut self) {
         for event in self.batcher.take_events() {
             let (job, answer) = match event {
+                JobEvent::Made(job, pieces) => {
+                    self.tell_news(job, JobNews::Made(pieces));
+                    continue;
+                }
+                JobEvent::Dropped(job, stage) => {
+                    self.tell_news(job, JobNews::Dropped(stage));
+                    continue;
+                }
                 JobEvent::Done(job, handles, times) => {
                     self.log_done(job, &times);
                     (job, JobAnswer::Done(handles))
@@ -268,11 +311,17 @@
                 }
             };
             if let Some(waiting) = self.waiting.remove(&job) {
-                let _ = waiting.answer.send(answer);
+                let _ = waiting.news.send(JobNews::Ended(answer));
             }
         }
     }
 
+    fn tell_news(&self, job: JobId, news: JobNews) {
+        if let Some(waiting) = self.waiting.get(&job) {
+            let _ = waiting.news.send(news);
+        }
+    }
+
     fn log_done(&self, job: JobId, times: &[StageTimes]) {
         let Some(waiting) = self.waiting.get(&job) else {
             return;
--- a/crates/amaranthscale/src/gateway/process/batch_owner_handle.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner_handle.rs
@@ -2,9 +2,9 @@
 
 use amaranthscale_core::process::{JobId, PipelineOrder};
 use ractor::ActorRef;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
-use super::{BatchOwnerMessage, JobAnswer};
+use super::{BatchOwnerMessage, JobNews, JobSource};
 
 /// The owner of the batches, as requests and peers see it.
 #[derive(Debug, Clone)]
@@ -22,6 +22,24 @@
     actor: ActorRef<BatchOwnerMessage>,
 }
 
+/// A job and what its owner tells of it.
+#[derive(Debug)]
+pub struct RunningJob {
+    /// Keeps it; none if it was not taken.
+    pub owned: Option<OwnedJob>,
+    /// The end of this without [`JobNews::Ended`] means that the owner is about to stop.
+    pub news: mpsc::UnboundedReceiver<JobNews>,
+}
+
+impl RunningJob {
+    /// No job: the owner is about to stop.
+    #[must_use]
+    pub fn none() -> Self {
+        let (_sender, news) = mpsc::unbounded_channel();
+        Self { owned: None, news }
+    }
+}
+
 impl Drop for OwnedJob {
     fn drop(&mut self) {
         // Without its actor the process is ending, and the results lapse by themselves.
@@ -39,18 +57,18 @@
     }
 
     /// Has a request's pieces made; the results are kept until the job is dropped.
-    pub async fn run(&self, order: PipelineOrder) -> (JobAnswer, Option<OwnedJob>) {
+    pub async fn run(&self, order: PipelineOrder, source: JobSource) -> RunningJob {
         let (id, job) = oneshot::channel();
-        let (answer, answered) = oneshot::channel();
-        let submit = BatchOwnerMessage::Submit(order, id, answer);
+        let (sender, news) = mpsc::unbounded_channel();
+        let submit = BatchOwnerMessage::Submit(order, id, sender, source);
         if self.actor.send_message(submit).is_err() {
-            return (JobAnswer::Stopping, None);
+            return RunningJob::none();
         }
         let owned = job.await.ok().map(|job| OwnedJob {
             job,
             actor: self.actor.clone(),
         });
-        (answered.await.unwrap_or(JobAnswer::Stopping), owned)
+        RunningJob { owned, news }
     }
 
     /// Tells the owner of a change, or to stop.
--- a/crates/amaranthscale/src/gateway/process/batch_owners.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owners.rs
@@ -11,7 +11,7 @@
 use ractor::Actor;
 
 use super::{
-    BatchOwner, BatchOwnerArguments, BatchOwnerHandle, BatchOwnerMessage, JobAnswer, OwnedJob,
+    BatchOwner, BatchOwnerArguments, BatchOwnerHandle, BatchOwnerMessage, JobSource, RunningJob,
 };
 
 /// The owners of batches, by cell.
@@ -41,10 +41,10 @@
     }
 
     /// Has a request's pieces made by its cell; the results are kept until the job is dropped.
-    pub async fn run(&self, order: PipelineOrder) -> (JobAnswer, Option<OwnedJob>) {
-        match self.owner(order.cell).await {
-            Some(owner) => owner.run(order).await,
-            None => (JobAnswer::Stopping, None),
+    pub async fn run(&self, order: PipelineOrder, source: JobSource) -> RunningJob {
+        match self.owner(order.cell, source).await {
+            Some(owner) => owner.run(order, source).await,
+            None => RunningJob::none(),
         }
     }
 
@@ -64,15 +64,15 @@
         }
     }
 
-    /// The owner of a cell; none if this gateway is about to stop.
-    async fn owner(&self, cell: Cell) -> Option<BatchOwnerHandle> {
+    /// The owner of a cell; none for others if this gateway is about to stop.
+    async fn owner(&self, cell: Cell, source: JobSource) -> Option<BatchOwnerHandle> {
         // Whatever a peer names beyond what can be is refused by the whole's owner.
         let cell = if cell.is_well_formed() {
             cell
         } else {
             Cell::WHOLE
         };
-        if self.state().is_stopping {
+        if self.state().is_stopping && source == JobSource::Peer {
             return None;
         }
         if let Some(owner) = self.running(cell) {
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/kept_pieces.rs
@@ -0,0 +1,39 @@
+//! What owners of the batches have told to be made of one request.
+
+use std::collections::BTreeMap;
+
+use amaranthscale_core::process::KeptPiece;
+use tokio::time::Instant;
+
+use super::JobNews;
+
+/// Results that are kept for a request, for the next owner if this one ends.
+#[derive(Debug, Default)]
+pub(super) struct KeptPieces {
+    pieces: BTreeMap<(usize, usize), (KeptPiece, Instant)>,
+}
+
+impl KeptPieces {
+    /// Takes what an owner tells.
+    pub(super) fn note(&mut self, news: JobNews) {
+        match news {
+            JobNews::Made(pieces) => {
+                let now = Instant::now();
+                let pieces = pieces.into_iter();
+                self.pieces
+                    .extend(pieces.map(|piece| ((piece.stage, piece.piece), (piece, now))));
+            }
+            JobNews::Dropped(stage) => self.pieces.retain(|(of, _), _| *of != stage),
+            JobNews::Ended(_) => {}
+        }
+    }
+
+    /// The results with their ages as they are now.
+    pub(super) fn now(&self) -> Vec<KeptPiece> {
+        let aged = |(piece, told_at): &(KeptPiece, Instant)| KeptPiece {
+            age: piece.age + told_at.elapsed(),
+            ..piece.clone()
+        };
+        self.pieces.values().map(aged).collect()
+    }
+}
--- a/crates/amaranthscale/src/gateway/process/peer_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_pieces.rs
@@ -19,18 +19,20 @@
 use log::warn;
 use quick_error::quick_error;
 
-use super::{BatchOwners, JobAnswer, OwnedJob};
+use super::{BatchOwners, JobAnswer, JobNews, JobSource, RunningJob};
 use crate::connection::{PeerClient, PeerError, ResponseBody, empty_body, read_body};
 
 /// Start of the path of a request that carries a job; the owner's name follows.
 pub const PIECES_PATH: &str = "/pieces/";
 /// Start of the path of the question whether a gateway lives; its name follows.
 pub const ALIVE_PATH: &str = "/alive/";
-/// Largest order: some stages of some hundred bytes.
-const MAX_ORDER_BYTES: usize = 64 * 1024;
+/// Largest order: some stages of some hundred bytes, and as much for each result that is kept.
+const MAX_ORDER_BYTES: usize = 256 * 1024;
 /// Longest wait for an order's body; it comes with its head.
 const ORDER_PATIENCE: Duration = Duration::from_secs(1);
-/// Bytes of the length before an answer.
+/// Largest piece of news: the handles of a whole request.
+const MAX_NEWS_BYTES: usize = 1024 * 1024;
+/// Bytes of the length before each piece of news.
 const LENGTH_BYTES: usize = 4;
 
 quick_error! {
@@ -56,12 +58,13 @@
     }
 }
 
-/// Asks another gateway; the open body keeps the results.
+/// Asks another gateway; the open body keeps the results, and news go to a function.
 pub(super) async fn ask_peer(
     peers: &PeerClient,
     owner: &InstanceId,
     address: SocketAddr,
     order: &PipelineOrder,
+    note: impl FnMut(JobNews),
 ) -> Result<(JobAnswer, Incoming), AskError> {
     let path = format!("{PIECES_PATH}{owner}");
     let encoded =
@@ -78,15 +81,21 @@
         return Err(AskError::OtherLife);
     }
     let mut body = response.into_body();
-    let answer = read_answer(&mut body).await?;
+    let answer = read_answer(&mut body, note).await?;
     Ok((answer, body))
 }
 
-async fn read_answer(body: &mut Incoming) -> Result<JobAnswer, AskError> {
+async fn read_answer(
+    body: &mut Incoming,
+    mut note: impl FnMut(JobNews),
+) -> Result<JobAnswer, AskError> {
     let mut read = BytesMut::new();
     loop {
-        if let Some(answer) = whole_answer(&read).map_err(AskError::Lost)? {
-            return Ok(answer);
+        while let Some(news) = next_news(&mut read).map_err(AskError::Lost)? {
+            match news {
+                JobNews::Ended(answer) => return Ok(answer),
+                news => note(news),
+            }
         }
         let ended = || AskError::Lost("the answer ended early".to_owned());
         let frame = body.frame().await.ok_or_else(ended)?;
@@ -103,17 +112,31 @@
     }
 }
 
-fn whole_answer(read: &BytesMut) -> Result<Option<JobAnswer>, String> {
+/// Takes the next whole piece of news off what was read.
+fn next_news(read: &mut BytesMut) -> Result<Option<JobNews>, String> {
     if read.len() < LENGTH_BYTES {
         return Ok(None);
     }
     let mut head = &read[..LENGTH_BYTES];
     let length = usize::try_from(head.get_u32()).map_err(|error| error.to_string())?;
-    let Some(content) = read.get(LENGTH_BYTES..LENGTH_BYTES + length) else {
+    if length > MAX_NEWS_BYTES {
+        return Err(format!("{length} bytes of news: at most {MAX_NEWS_BYTES}"));
+    }
+    if read.len() < LENGTH_BYTES + length {
         return Ok(None);
-    };
-    let answer = rmp_serde::from_slice(content).map_err(|error| error.to_string())?;
-    Ok(Some(answer))
+    }
+    let news = read.split_to(LENGTH_BYTES + length);
+    let news = rmp_serde::from_slice(&news[LENGTH_BYTES..]).map_err(|error| error.to_string())?;
+    Ok(Some(news))
+}
+
+fn encoded(news: &JobNews) -> Bytes {
+    // Numbers, texts and lists of them always have an encoding.
+    let content = rmp_serde::to_vec_named(news).unwrap_or_default();
+    let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
+    let mut framed = BytesMut::from(&length.to_be_bytes()[..]);
+    framed.extend_from_slice(&content);
+    framed.freeze()
 }
 
 /// Asks whether a gateway's life is at its address and answers.
@@ -159,16 +182,10 @@
             return status(StatusCode::BAD_REQUEST);
         }
     };
-    let (answer, job) = batches.run(order).await;
-    let Ok(encoded) = rmp_serde::to_vec_named(&answer) else {
-        return status(StatusCode::INTERNAL_SERVER_ERROR);
-    };
-    let length = u32::try_from(encoded.len()).unwrap_or(u32::MAX);
-    let mut content = BytesMut::from(&length.to_be_bytes()[..]);
-    content.extend_from_slice(&encoded);
-    let body = HeldBody {
-        content: Some(content.freeze()),
+    let job = batches.run(order, JobSource::Peer).await;
+    let body = NewsBody {
         job,
+        has_ended: false,
     };
     Response::new(body.boxed_unsync())
 }
@@ -179,24 +196,30 @@
     response
 }
 
-/// An answer that stays open while its job's results are needed.
-struct HeldBody {
-    content: Option<Bytes>,
-    job: Option<OwnedJob>,
+/// An answer that tells of a job and stays open while its results are needed.
+struct NewsBody {
+    job: RunningJob,
+    has_ended: bool,
 }
 
-impl Body for HeldBody {
+impl Body for NewsBody {
     type Data = Bytes;
     type Error = Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        if let Some(content) = self.content.take() {
-            return Poll::Ready(Some(Ok(Frame::data(content))));
+        if !self.has_ended {
+            let Poll::Ready(news) = self.job.news.poll_recv(context) else {
+                return Poll::Pending;
+            };
+            // An owner that tells nothing more is about to stop.
+            let news = news.unwrap_or(JobNews::Ended(JobAnswer::Stopping));
+            self.has_ended = matches!(news, JobNews::Ended(_));
+            return Poll::Ready(Some(Ok(Frame::data(encoded(&news)))));
         }
-        if self.job.is_none() {
+        if self.job.owned.is_none() {
             return Poll::Ready(None);
         }
         // The server drops the body when the peer resets the stream or its connection ends.
--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -9,8 +9,9 @@
 use quick_error::quick_error;
 use tokio::time::Instant;
 
+use super::kept_pieces::KeptPieces;
 use super::peer_pieces::{AskError, ask_peer};
-use super::{GatewayParts, JobAnswer, OwnedJob};
+use super::{GatewayParts, JobAnswer, JobNews, JobSource, OwnedJob};
 
 /// Times that one request is given to an owner, the same or the next one.
 const MOST_ASKED: usize = 4;
@@ -57,15 +58,17 @@
     let started = Instant::now();
     let (aim_left, deadline_left) = (order.aim_left, order.deadline_left);
     let mut lost_by: Option<InstanceId> = None;
+    let mut kept = KeptPieces::default();
     for _ in 0..MOST_ASKED {
+        order.kept = kept.now();
         order.aim_left = aim_left.saturating_sub(started.elapsed());
         order.deadline_left = deadline_left.saturating_sub(started.elapsed());
         let (owner, address, is_own) = parts.knowledge.owner(order.cell);
         let answered = if is_own {
-            let (answer, job) = parts.batches.run(order.clone()).await;
-            Ok((answer, Kept::Here { _job: job }))
+            Ok(ask_here(parts, &order, &mut kept).await)
         } else {
-            ask_peer(&parts.peers, &owner, address, &order)
+            let note = |news| kept.note(news);
+            ask_peer(&parts.peers, &owner, address, &order, note)
                 .await
                 .map(|(answer, body)| (answer, Kept::Peer { _answer: body }))
         };
@@ -94,6 +97,21 @@
     Err(PiecesError::Refused(NO_OWNER_RETRY, JobFailure::Failing))
 }
 
+async fn ask_here(
+    parts: &GatewayParts,
+    order: &PipelineOrder,
+    kept: &mut KeptPieces,
+) -> (JobAnswer, Kept) {
+    let mut job = parts.batches.run(order.clone(), JobSource::Here).await;
+    while let Some(news) = job.news.recv().await {
+        match news {
+            JobNews::Ended(answer) => return (answer, Kept::Here { _job: job.owned }),
+            news => kept.note(news),
+        }
+    }
+    (JobAnswer::Stopping, Kept::Here { _job: None })
+}
+
 fn outcome(owner: InstanceId, answer: JobAnswer, kept: Kept) -> Result<MadePieces, PiecesError> {
     match answer {
         JobAnswer::Done(handles) => Ok(MadePieces {
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -241,6 +241,7 @@
                 aim_left: route.aim.saturating_sub(self.admitted.arrived.elapsed()),
                 deadline_left: self.admitted.left().saturating_sub(ENGINE_RESERVE),
                 reader_zone: reader.zone.clone(),
+                kept: Vec::new(),
             };
             let making = make_pieces(&self.parts, order);
             // Guards against a caller that waits for pieces when the process ends: cut off, it
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -103,6 +103,11 @@
         (id.clone(), address, is_own)
     }
 
+    /// Lets other gateways own the batches, as long as there is one.
+    pub fn step_down(&self) {
+        self.known().instances.step_down();
+    }
+
     /// Notes that a gateway answered.
     pub fn heard(&self, id: &InstanceId) {
         self.known().instances.heard(id);
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -98,6 +98,7 @@
         aim_left: Duration::from_secs(2),
         deadline_left: Duration::from_secs(15),
         reader_zone: "zone-0".parse().unwrap(),
+        kept: Vec::new(),
     }
 }
 
@@ -160,6 +161,7 @@
                     figures.failed += 1;
                     job
                 }
+                JobEvent::Made(..) | JobEvent::Dropped(..) => continue,
             };
             batcher.release(job);
         }
--- a/crates/core/src/id/server_life.rs
+++ b/crates/core/src/id/server_life.rs
@@ -8,6 +8,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::{Deserialize, Serialize};
+
 use super::{InvalidName, ServerId};
 
 /// What stands between id and start in text; ids never hold it.
@@ -49,7 +51,8 @@
 /// assert!(after.replaces(&before));
 /// # Ok::<(), amaranthscale_core::id::InvalidName>(())
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
 pub struct ServerLife {
     id: ServerId,
     started: Option<StartMs>,
@@ -98,6 +101,20 @@
     }
 }
 
+impl TryFrom<String> for ServerLife {
+    type Error = InvalidName;
+
+    fn try_from(text: String) -> Result<Self, InvalidName> {
+        text.parse()
+    }
+}
+
+impl From<ServerLife> for String {
+    fn from(life: ServerLife) -> Self {
+        life.to_string()
+    }
+}
+
 impl FromStr for ServerLife {
     type Err = InvalidName;
 
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -52,7 +52,7 @@
 #[doc(inline)]
 pub use batcher::{
     Batch, BatchEnd, BatchId, BatchItem, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused,
-    PieceEnd, PieceInput, PipelineOrder, StageOrder, StageTimes,
+    KeptPiece, PieceEnd, PieceInput, PipelineOrder, StageOrder, StageTimes,
 };
 #[doc(inline)]
 pub use cell::Cell;
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -18,6 +18,7 @@
 mod estimate;
 mod fill;
 mod job;
+mod kept;
 mod late;
 mod lives;
 mod message;
@@ -35,6 +36,8 @@
 use crate::process::server_list::ServerRecord;
 use crate::version::{BatchSpec, Routing};
 
+#[doc(inline)]
+pub use kept::KeptPiece;
 #[doc(inline)]
 pub use message::{
     Batch, BatchEnd, BatchId, BatchItem, Frees, JobEvent, JobFailure, JobId, JobRefused, PieceEnd,
@@ -66,6 +69,7 @@
     worth: RouteWorth,
     /// Until when other owners may use the same servers.
     shared_until: Duration,
+    is_stopping: bool,
 }
 
 #[derive(Debug)]
@@ -132,7 +136,7 @@
     }
 
     /// Takes a request's work, or refuses what cannot be done in time.
-    pub fn submit(&mut self, order: PipelineOrder, now: Duration) -> Result<JobId, JobRefused> {
+    pub fn submit(&mut self, mut order: PipelineOrder, now: Duration) -> Result<JobId, JobRefused> {
         if !order.is_well_formed() {
             return Err(JobRefused {
                 retry_after: Duration::ZERO,
@@ -143,25 +147,22 @@
             // Another owner may have been at work until now.
             self.shared_until = self.shared_until.max(now + TAKE_OVER);
         }
+        self.keep_usable(&mut order);
         let outlook = self.outlook(&order, now)?;
         let id = JobId(self.next_job);
         self.next_job += 1;
         let job = Job::new(order, outlook, now);
         self.jobs.insert(id, job);
+        self.take_kept(id, now);
         self.advance(id, now);
         Ok(id)
     }
 
     /// Ends a job: what waits is dropped, what is made is freed.
     pub fn release(&mut self, id: JobId) {
-        let Some(job) = self.jobs.remove(&id) else {
+        let Some(job) = self.forget(id) else {
             return;
         };
-        for stage in &job.stages {
-            if let Some((entry, pool)) = stage.entry.zip(self.pools.get_mut(&stage.order.service)) {
-                pool.queue.remove(&entry);
-            }
-        }
         for stage in job.stages.iter().filter(|stage| !stage.is_freed) {
             for piece in &stage.pieces {
                 self.free_piece(&stage.order.service, stage.order.result_bytes, piece);
@@ -192,11 +193,41 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Jobs of which no piece was sent.
-    #[must_use]
-    pub fn unstarted(&self) -> Vec<JobId> {
-        let jobs = self.jobs.iter().filter(|(_, job)| !job.has_begun());
-        jobs.map(|(id, _)| *id).collect()
+    /// Sends no more calls: what is open is for the next owner.
+    pub const fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Sends calls again: there is no next owner.
+    pub const fn resume(&mut self) {
+        self.is_stopping = false;
+    }
+
+    /// Jobs to hand to the next owner after [`Self::stop`]: those that no call works on any more.
+    ///
+    /// What they had made stays at its servers, and nothing more is known of them here.
+    pub fn hand_over(&mut self) -> Vec<JobId> {
+        if !self.is_stopping {
+            return Vec::new();
+        }
+        let is_idle = |job: &Job| !job.is_reported && !job.has_running();
+        let idle = self.jobs.iter().filter(|(_, job)| is_idle(job));
+        let idle: Vec<_> = idle.map(|(id, _)| *id).collect();
+        for id in &idle {
+            self.forget(*id);
+        }
+        idle
+    }
+
+    /// Takes a job out of the queues and of the account.
+    fn forget(&mut self, id: JobId) -> Option<Job> {
+        let job = self.jobs.remove(&id)?;
+        for stage in &job.stages {
+            if let Some((entry, pool)) = stage.entry.zip(self.pools.get_mut(&stage.order.service)) {
+                pool.queue.remove(&entry);
+            }
+        }
+        Some(job)
     }
 
     /// Stages that wait for a server.
@@ -268,6 +299,7 @@
         for index in job.used_up(now, is_shared) {
             let stage = &mut job.stages[index];
             stage.is_freed = true;
+            self.events.push(JobEvent::Dropped(id, index));
             let order = &stage.order;
             freed.push((
                 order.service.clone(),
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -1,12 +1,15 @@
 //! Takes the ends of calls.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::id::ResultHandle;
 use crate::process::ToldLoad;
 
 use super::job::PieceState;
 use super::{
-    BatchEnd, BatchId, Batcher, JobFailure, JobId, PieceEnd, PieceRef, RunningBatch, RunningPiece,
+    BatchEnd, BatchId, Batcher, JobEvent, JobFailure, JobId, KeptPiece, PieceEnd, PieceRef,
+    RunningBatch, RunningPiece,
 };
 
 /// Times that a job's inputs are made anew before it is given up.
@@ -57,7 +60,12 @@
         };
         let unknown_bytes = unknown_bytes(&batch, &ends);
         let mut touched: Vec<JobId> = Vec::new();
+        let mut kept: BTreeMap<JobId, Vec<KeptPiece>> = BTreeMap::new();
         for (piece, end) in batch.pieces.iter().zip(ends) {
+            if let PieceEnd::Made(handle) = &end {
+                let made = kept_piece(&batch, piece.piece, handle);
+                kept.entry(piece.piece.job).or_default().push(made);
+            }
             self.piece_ended(&batch, *piece, end, now);
             if touched.last() != Some(&piece.piece.job) {
                 touched.push(piece.piece.job);
@@ -66,6 +74,9 @@
         if let Some((bytes, pool)) = unknown_bytes.zip(self.pools.get_mut(&batch.service)) {
             pool.note_unknown(&batch.server, bytes, now);
         }
+        let made = kept.into_iter();
+        self.events
+            .extend(made.map(|(job, pieces)| JobEvent::Made(job, pieces)));
         for job in touched {
             self.free_used(job, now);
             self.advance(job, now);
@@ -252,6 +263,7 @@
         let mut freed = Vec::new();
         for index in remade {
             let stage = &mut job.stages[index];
+            self.events.push(JobEvent::Dropped(piece.job, index));
             let waiting = vec![PieceState::Waiting; stage.pieces.len()];
             let made = std::mem::replace(&mut stage.pieces, waiting);
             stage.is_queued = false;
@@ -268,6 +280,17 @@
     }
 }
 
+fn kept_piece(batch: &RunningBatch, piece: PieceRef, handle: &ResultHandle) -> KeptPiece {
+    KeptPiece {
+        stage: piece.stage,
+        piece: piece.piece,
+        handle: handle.clone(),
+        server: batch.server.clone(),
+        address: batch.address,
+        age: Duration::ZERO,
+    }
+}
+
 /// Room that a call found taken, if it found too little: what was free when it began is what it
 /// could fill, and no more, and what became free since is known to be free.
 fn unknown_bytes(batch: &RunningBatch, ends: &[PieceEnd]) -> Option<u64> {
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -1,8 +1,10 @@
 //! When a request's pieces can be done, from what waits before them.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use super::job::{LARGE_RESULT_BYTES, put_off};
+use super::kept::open_pieces;
 use super::{Batcher, JobFailure, JobRefused, PipelineOrder, StageOrder};
 use crate::id::ServiceId;
 
@@ -39,9 +41,11 @@
         now: Duration,
     ) -> Result<Outlook, JobRefused> {
         self.open_work.refresh(self.jobs.values(), now);
+        let whole = order;
+        let order = &still_to_make(whole);
         let calls = self.call_times(order, now)?;
         let latest_starts = latest_starts(order, &calls, now);
-        let work: Vec<_> = order
+        let work: Vec<_> = whole
             .stages
             .iter()
             .map(|stage| self.work_of(stage))
@@ -158,6 +162,18 @@
     }
 }
 
+/// An order without the pieces that are kept.
+fn still_to_make(order: &PipelineOrder) -> Cow<'_, PipelineOrder> {
+    if order.kept.is_empty() {
+        return Cow::Borrowed(order);
+    }
+    let mut left = order.clone();
+    for (stage, open) in left.stages.iter_mut().zip(open_pieces(order)) {
+        stage.pieces = open;
+    }
+    Cow::Owned(left)
+}
+
 /// When the last stage is done, if each service first works off what goes before.
 fn done_at(
     order: &PipelineOrder,
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -28,6 +28,9 @@
 impl Batcher {
     /// Batches to send now.
     pub fn next_batches(&mut self, now: Duration) -> Vec<Batch> {
+        if self.is_stopping {
+            return Vec::new();
+        }
         if now.saturating_sub(self.swept_at) >= paced(SWEEP, self.jobs.len()) {
             self.swept_at = now;
             self.sweep(now);
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -182,10 +182,35 @@
         }
     }
 
-    /// Whether a piece was sent.
-    pub(super) fn has_begun(&self) -> bool {
-        let mut stages = self.stages.iter();
-        stages.any(|stage| stage.clock.sent_at.is_some())
+    /// Whether a call works on a piece.
+    pub(super) fn has_running(&self) -> bool {
+        let mut pieces = self.stages.iter().flat_map(|stage| &stage.pieces);
+        pieces.any(|piece| *piece == PieceState::Running)
+    }
+
+    /// Takes stages for made whose results were all read: what comes after them is made.
+    pub(super) fn pass_over_read_stages(&mut self, now: Duration) {
+        for index in (0..self.stages.len()).rev() {
+            let is_read = self.is_needed(index) && self.needing(index).all(StageState::is_done);
+            if !is_read || !self.stages[index].has_waiting() {
+                continue;
+            }
+            let stage = &mut self.stages[index];
+            stage.clock.sent_at.get_or_insert(now);
+            let pieces = stage.pieces.iter_mut();
+            for piece in pieces.filter(|piece| **piece == PieceState::Waiting) {
+                *piece = PieceState::Gone;
+            }
+        }
+    }
+
+    /// Commits a job of which an earlier owner had made most.
+    pub(super) fn commit_if_mostly_made(&mut self, now: Duration) {
+        let mut begun = self.stages.iter();
+        let begun = begun.position(|stage| stage.is_done() && stage.order.pieces > 0);
+        if let Some(stage) = begun {
+            self.start(stage, now);
+        }
     }
 
     /// Marks a send of a stage's pieces.
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::KeptPiece;
 use crate::id::{CallId, ResultHandle, RouteId, ServerLife, ServiceId, ZoneId};
 use crate::process::{Cell, Rank};
 
@@ -59,6 +60,9 @@
     pub deadline_left: Duration,
     /// Availability zone of the engine that reads the last results.
     pub reader_zone: ZoneId,
+    /// Results that an earlier owner had made.
+    #[serde(default)]
+    pub kept: Vec<KeptPiece>,
 }
 
 /// Most pieces of one stage; requests have some ten.
@@ -76,6 +80,7 @@
         let mut stages = self.stages.iter().enumerate();
         self.cell.is_well_formed()
             && self.stages.len() <= MOST_STAGES
+            && self.kept.len() <= MOST_STAGES * MOST_PIECES
             && stages.all(|(index, stage)| {
                 let comes_before = |after: &usize| *after < index;
                 stage.pieces <= MOST_PIECES && stage.after.iter().all(comes_before)
@@ -161,6 +166,10 @@
     Done(JobId, Vec<ResultHandle>, Vec<StageTimes>),
     /// The job cannot be done.
     Failed(JobId, JobFailure),
+    /// Some pieces are made; their age counts from now.
+    Made(JobId, Vec<KeptPiece>),
+    /// A stage's results are freed, or are to be made anew.
+    Dropped(JobId, usize),
 }
 
 /// Where one stage's time went.
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -48,6 +48,8 @@
 pub struct InstanceView {
     own: InstanceId,
     instances: BTreeMap<InstanceId, Seen>,
+    /// Whether the entry itself is about to stop.
+    is_leaving: bool,
 }
 
 impl InstanceView {
@@ -58,9 +60,15 @@
         Self {
             own: own.clone(),
             instances: BTreeMap::from([(own, seen)]),
+            is_leaving: false,
         }
     }
 
+    /// Lets the others act in the entry's place, as long as there is one.
+    pub const fn step_down(&mut self) {
+        self.is_leaving = true;
+    }
+
     /// Name of the entry itself.
     #[must_use]
     pub const fn own(&self) -> &InstanceId {
@@ -193,12 +201,13 @@
         let live = self
             .instances
             .iter()
-            .filter(|(id, seen)| **id == self.own || !seen.is_passed_over(now));
+            .filter(|(_, seen)| !seen.is_passed_over(now));
         let placed = live.map(|(id, seen)| {
             let by_hash = || Reverse(rendezvous::score(cell.index().into(), id.as_str()));
             let score = (!cell.is_whole()).then(by_hash);
             let (is_unseen, weakness, since, id) = seen.place(id);
-            ((is_unseen, weakness, score, since, id), seen)
+            let is_leaving = self.is_leaving && *id == self.own;
+            ((is_leaving, is_unseen, weakness, score, since, id), seen)
         });
         let first = placed.min_by(|(a, _), (b, _)| a.cmp(b));
         let ((.., id), found) = first.unwrap_or_else(|| {
--- a/crates/core/tests/batcher/bench.rs
+++ b/crates/core/tests/batcher/bench.rs
@@ -45,6 +45,15 @@
         bench
     }
 
+    /// Lets another owner take over; the one before is given back.
+    pub fn change_owner(&mut self) -> Batcher {
+        let before = std::mem::replace(&mut self.batcher, Batcher::new());
+        let zones = self.zones.clone();
+        let zones: Vec<_> = zones.iter().map(String::as_str).collect();
+        self.set_servers(&zones);
+        before
+    }
+
     /// Lets a server start again under its id.
     pub fn restart(&mut self, id: &str) -> ServerLife {
         *self.restarts.entry(id.to_owned()).or_default() += 1;
@@ -124,8 +133,11 @@
         frees.into_iter().flat_map(|free| free.handles).collect()
     }
 
+    /// Ends of jobs.
     pub fn events(&mut self) -> Vec<JobEvent> {
-        self.batcher.take_events()
+        let events = self.batcher.take_events().into_iter();
+        let is_end = |event: &JobEvent| matches!(event, JobEvent::Done(..) | JobEvent::Failed(..));
+        events.filter(is_end).collect()
     }
 
     /// An order of stages, each after the one before.
@@ -150,6 +162,7 @@
             aim_left: ms(2_000),
             deadline_left: ms(15_000),
             reader_zone: "north".parse().unwrap(),
+            kept: Vec::new(),
         }
     }
 }
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -4,6 +4,7 @@
 
 mod bench;
 mod ends;
+mod kept;
 mod lives;
 mod order;
 mod random;
--- a/crates/core/tests/batcher/random.rs
+++ b/crates/core/tests/batcher/random.rs
@@ -7,7 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use amaranthscale_core::id::{ResultHandle, ServerLife};
-use amaranthscale_core::process::{Batch, BatchEnd, JobEvent, JobId, PieceEnd, PieceInput};
+use amaranthscale_core::process::{
+    Batch, BatchEnd, JobEvent, JobId, KeptPiece, PieceEnd, PieceInput, PipelineOrder,
+};
 use quickcheck::{Arbitrary, Gen};
 
 use super::bench::{Bench, ENCODE, RERANK, RETRIEVE};
@@ -29,6 +31,9 @@
     /// Results by the life that keeps them.
     kept: BTreeMap<ResultHandle, ServerLife>,
     freed: BTreeSet<ResultHandle>,
+    /// What each open job's gateway knows: its order, and what it was told to be made.
+    orders: BTreeMap<JobId, PipelineOrder>,
+    told: BTreeMap<JobId, BTreeMap<(usize, usize), KeptPiece>>,
 }
 
 impl World {
@@ -41,8 +46,14 @@
             (RERANK, pieces[2], 120_000),
         ]);
         order.worth_tokens = pick(random, 5) * 1_000;
-        if let Ok(job) = bench.batcher.submit(order, bench.now) {
+        self.resubmit(bench, order);
+    }
+
+    fn resubmit(&mut self, bench: &mut Bench, order: PipelineOrder) {
+        if let Ok(job) = bench.batcher.submit(order.clone(), bench.now) {
             self.open.insert(job);
+            self.told.insert(job, told(&order));
+            self.orders.insert(job, order);
         }
     }
 
@@ -76,6 +87,39 @@
         bench.end(&batch, end);
     }
 
+    /// The owner ends, in order or at once, and the gateways hand what it had made to the next one.
+    fn change_owner(&mut self, bench: &mut Bench, random: &mut Gen) {
+        if pick(random, 2) == 0 {
+            bench.batcher.stop();
+            while !self.running.is_empty() {
+                self.end_call(bench, random);
+                self.take(bench);
+                assert!(bench.next_batches().is_empty());
+            }
+            let handed: BTreeSet<_> = bench.batcher.hand_over().into_iter().collect();
+            let open = self.open.iter().filter(|job| !self.reported.contains(job));
+            assert_eq!(handed, open.copied().collect());
+        }
+        bench.change_owner();
+        self.running.clear();
+        let orders = std::mem::take(&mut self.orders);
+        let mut told_before = std::mem::take(&mut self.told);
+        let reported = std::mem::take(&mut self.reported);
+        for job in std::mem::take(&mut self.open) {
+            if reported.contains(&job) {
+                continue;
+            }
+            let told = told_before.remove(&job).unwrap_or_default();
+            let mut order = orders[&job].clone();
+            order.kept = told.into_values().collect();
+            self.resubmit(bench, order);
+        }
+        // What no order names lapses by itself.
+        let named = self.told.values().flat_map(BTreeMap::values);
+        let named: BTreeSet<_> = named.map(|piece| piece.handle.clone()).collect();
+        self.kept.retain(|handle, _| named.contains(handle));
+    }
+
     /// A server starts again: what it kept is gone, and a call there may still seem to end well.
     fn restart(&mut self, bench: &mut Bench, random: &mut Gen) {
         let services = [ENCODE, RETRIEVE, RERANK];
@@ -124,9 +168,23 @@
     }
 
     fn take(&mut self, bench: &mut Bench) {
-        for event in bench.events() {
+        for event in bench.batcher.take_events() {
             let job = match event {
                 JobEvent::Done(job, _, _) | JobEvent::Failed(job, _) => job,
+                JobEvent::Made(job, pieces) => {
+                    let told = self.told.entry(job).or_default();
+                    told.extend(
+                        pieces
+                            .into_iter()
+                            .map(|piece| ((piece.stage, piece.piece), piece)),
+                    );
+                    continue;
+                }
+                JobEvent::Dropped(job, stage) => {
+                    let told = self.told.entry(job).or_default();
+                    told.retain(|(of, _), _| *of != stage);
+                    continue;
+                }
             };
             assert!(self.reported.insert(job), "{job:?} is reported twice");
         }
@@ -140,6 +198,12 @@
     }
 }
 
+fn told(order: &PipelineOrder) -> BTreeMap<(usize, usize), KeptPiece> {
+    let kept = order.kept.iter();
+    kept.map(|piece| ((piece.stage, piece.piece), piece.clone()))
+        .collect()
+}
+
 fn run(random: &mut Gen) {
     let mut bench = Bench::new(&["north", "south"]);
     let mut world = World::default();
@@ -148,6 +212,7 @@
             0..8 => world.submit(&mut bench, random),
             8..12 => world.release(&mut bench, random),
             12 => world.restart(&mut bench, random),
+            13 if pick(random, 4) == 0 => world.change_owner(&mut bench, random),
             _ => world.end_call(&mut bench, random),
         }
         bench.advance(pick(random, 60));
