--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -16,10 +16,10 @@
 /// Time by which each rank of an organisation lets others go before: about one call.
 /// Measured: see MEASUREMENTS.md, "Order of the pieces".
 const ORGANISATION_STEP: Duration = Duration::from_millis(400);
-/// Time by which each rank of a route lets others go before: longer than most waits, so that ranks
-/// decide among an organisation's routes wherever a service is short of time.
+/// Time by which each rank of a route lets others go before: some calls, so that ranks decide where
+/// a service is short of time for seconds, and the least urgent route is not left for last for good.
 /// Measured: see DECISIONS.md, "Rank between kinds".
-const ROUTE_STEP: Duration = Duration::from_secs(6);
+const ROUTE_STEP: Duration = Duration::from_secs(2);
 /// Rank from which nothing is put off further.
 const LOWEST_RANK: u8 = 4;
 /// Time from a call's start after which its inputs are read: some megabytes over two links.
