An engine keeps its prompts while it has place

Change: the bound counts only from three quarters of an engine's slots on, by its own told load of the last two seconds and the own count, whichever is more. The first test fails without the change; the second holds either way and keeps the bound.

--- a/crates/core/src/process/backend_choice.rs
+++ b/crates/core/src/process/backend_choice.rs
@@ -2,7 +2,8 @@
 //!
 //! Plain requests join the server with the least expected wait, by the entry's own count in flight
 //! and the load that servers tell. Requests of engines go where their prompt's shared part was read
-//! before, the same server from every entry, unless that one has much more in flight than the rest.
+//! before, the same server from every entry, unless that one is nearly full and has much more in
+//! flight than the rest.
 //! A server that fails several times in a row is left out for a while, never more than half of them.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +26,11 @@
 const SAMPLE_LIFE: Duration = Duration::from_secs(3);
 /// Age up to which a told load counts.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
+/// Age up to which an engine's told load counts: its requests last for seconds.
+const ENGINE_LOAD_LIFE: Duration = Duration::from_secs(2);
+/// Part of an engine's slots up to which it keeps its affinity: what is left takes requests that
+/// other entries have sent meanwhile. Measured: see DECISIONS.md, "Affinity while there is place".
+const AFFINITY_PART: f64 = 0.75;
 /// Own requests in flight up to which affinity needs no comparison.
 const AFFINITY_FLOOR: usize = 4;
 /// Times the mean in flight up to which a server keeps its affinity.
@@ -80,10 +86,10 @@
         self.out_until > now
     }
 
-    fn waiting_ahead(&self, now: Duration) -> f64 {
+    fn waiting_ahead(&self, load_life: Duration, now: Duration) -> f64 {
         let told = self
             .told
-            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_LIFE);
+            .filter(|(_, at)| now.saturating_sub(*at) <= load_life);
         let told = told.map_or(0, |(load, _)| load.running + load.waiting);
         let own = u32::try_from(self.in_flight).unwrap_or(u32::MAX);
         // The server's own count holds ours as well as other entries'.
@@ -123,7 +129,7 @@
         };
         let cost = |server: &ServerRecord| {
             let track = self.track(&server.life);
-            let ahead = track.map_or(0.0, |track| track.waiting_ahead(now));
+            let ahead = track.map_or(0.0, |track| track.waiting_ahead(LOAD_LIFE, now));
             let time_ms = track
                 .and_then(|track| track.time_ms(now))
                 .unwrap_or(usual_ms);
@@ -160,9 +166,17 @@
         let total: usize = servers.iter().map(in_flight).sum();
         let count = f64::from(u32::try_from(servers.len()).unwrap_or(u32::MAX));
         let mean = f64::from(u32::try_from(total).unwrap_or(u32::MAX)) / count;
+        let is_nearly_full = |server: &ServerRecord| {
+            let ahead = self.track(&server.life);
+            let ahead = ahead.map_or(0.0, |track| track.waiting_ahead(ENGINE_LOAD_LIFE, now));
+            let slots = f64::from(u32::try_from(server.slots.max(1)).unwrap_or(1));
+            ahead >= slots * AFFINITY_PART
+        };
+        // A prompt that is read elsewhere is read anew: only a full engine is worth that.
         let has_place = |server: &&&ServerRecord| {
             let own = in_flight(server);
-            own < AFFINITY_FLOOR
+            !is_nearly_full(server)
+                || own < AFFINITY_FLOOR
                 || f64::from(u32::try_from(own).unwrap_or(u32::MAX)) < mean * AFFINITY_FACTOR
         };
         let near = servers.iter().find(has_place).or_else(|| servers.first());
--- a/crates/core/tests/backend_choice.rs
+++ b/crates/core/tests/backend_choice.rs
@@ -210,3 +210,48 @@
 
     assert_eq!(moved.count(), 0);
 }
+
+/// A prompt's requests come faster than others', and its engine has most of its slots free. Sent
+/// elsewhere, each would have the shared part read anew, seconds of an engine's time for nothing.
+#[test]
+fn an_engine_with_place_keeps_its_prompt() {
+    let servers: Vec<_> = servers(3)
+        .into_iter()
+        .map(|server| ServerRecord {
+            slots: 100,
+            ..server
+        })
+        .collect();
+    let mut choice = BackendChoice::default();
+    let first = engine(&choice, &servers, "part");
+
+    for _ in 0..60 {
+        choice.sent(&first);
+    }
+
+    assert_eq!(engine(&choice, &servers, "part"), first);
+}
+
+/// Other gateways have filled the engine. What it told a second ago says so, though this gateway
+/// has few requests there: sent on, they would wait behind the others.
+#[test]
+fn an_engine_that_tells_it_is_full_gives_its_prompt_away() {
+    let servers = servers(3);
+    let mut choice = BackendChoice::default();
+    let first = engine(&choice, &servers, "part");
+    let load = ToldLoad {
+        running: 4,
+        waiting: 2,
+        slots: 4,
+    };
+    choice.told(
+        &first,
+        load,
+        NOW.checked_sub(Duration::from_secs(1)).unwrap(),
+    );
+    for _ in 0..5 {
+        choice.sent(&first);
+    }
+
+    assert_ne!(engine(&choice, &servers, "part"), first);
+}
