Only what an earlier owner made is passed over

Cause: read while going over the change again. Every submitted job, also one that no earlier owner had, was looked through for stages whose results were read; a stage before one that the request leaves out counted as read and was never made. Handing over had changed that unasked. Change: a job without kept results is left as it is, and a left-out stage has read nothing. The rule stood twice (pieces of the order, states of the job); the job now takes it from the order's. Test: a stage before one that is left out is made; it fails without the change.

--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -188,14 +188,11 @@
         pieces.any(|piece| *piece == PieceState::Running)
     }
 
-    /// Takes stages for made whose results were all read: what comes after them is made.
-    pub(super) fn pass_over_read_stages(&mut self, now: Duration) {
-        for index in (0..self.stages.len()).rev() {
-            let is_read = self.is_needed(index) && self.needing(index).all(StageState::is_done);
-            if !is_read || !self.stages[index].has_waiting() {
-                continue;
-            }
-            let stage = &mut self.stages[index];
+    /// Takes stages for made that have no piece open: all that reads their results is made.
+    pub(super) fn pass_over_read_stages(&mut self, open: &[usize], now: Duration) {
+        let stages = self.stages.iter_mut().zip(open);
+        let read = stages.filter(|(stage, open)| **open == 0 && stage.has_waiting());
+        for (stage, _) in read {
             stage.clock.sent_at.get_or_insert(now);
             let pieces = stage.pieces.iter_mut();
             for piece in pieces.filter(|piece| **piece == PieceState::Waiting) {
--- a/crates/core/src/process/batcher/kept.rs
+++ b/crates/core/src/process/batcher/kept.rs
@@ -5,6 +5,7 @@
 //! only what is missing. Made anew, the pieces would come after their aim, and the first ones would
 //! fill the servers until they lapse.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -29,7 +30,7 @@
     /// The life of the server that keeps it.
     pub server: ServerLife,
     /// Where that server listens.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// Time since it was made.
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     #[serde(rename = "age_ms")]
@@ -62,6 +63,10 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        if job.order.kept.is_empty() {
+            return;
+        }
+        let open = open_pieces(&job.order);
         for kept in std::mem::take(&mut job.order.kept) {
             let stage = &mut job.stages[kept.stage];
             if let Some(pool) = self.pools.get_mut(&stage.order.service) {
@@ -76,7 +81,7 @@
             stage.clock.last_sent_at = now;
             stage.clock.made_at = now;
         }
-        job.pass_over_read_stages(now);
+        job.pass_over_read_stages(&open, now);
         job.commit_if_mostly_made(now);
     }
 }
@@ -94,7 +99,8 @@
         let mut needing = stages
             .filter(|(_, stage)| stage.after.contains(&index))
             .peekable();
-        if needing.peek().is_some() && needing.all(|(later, _)| open[later] == 0) {
+        let is_made = |(later, stage): (usize, &StageOrder)| stage.pieces > 0 && open[later] == 0;
+        if needing.peek().is_some() && needing.all(is_made) {
             open[index] = 0;
         }
     }
--- a/crates/core/tests/batcher/kept.rs
+++ b/crates/core/tests/batcher/kept.rs
@@ -156,3 +156,15 @@
 
     assert_eq!(bench.next_batch().items.len(), 1);
 }
+
+/// A request leaves a stage out that follows another one. Nothing was made for it yet, so the stage
+/// before is made as ever: only what an earlier owner made can have been read.
+#[test]
+fn a_stage_before_one_that_is_left_out_is_made() {
+    let mut bench = Bench::new(&["north"]);
+    let order = bench.chain(&[(ENCODE, 1, 1_000), (RETRIEVE, 0, 1_000)]);
+
+    bench.submit(order);
+
+    assert_eq!(bench.next_batch().service.as_str(), ENCODE);
+}
