Reading the change again: the project's own macro, adapters and one way to read a row

No behaviour changes. - The start of a life was a number written by hand beside the macro that makes such numbers; lives and key hashes wrote the conversions by hand that serde_with derives. - What a row holds was matched in three places; one function of the value reads it. - The caller's name was looked up twice alike for the lines of refusals and of callers who leave. - A whole list of servers counted starts once for each entry; now once. Looked at and left: reading a job's news here and from a peer is alike but one waits on a channel and one on frames; tests of the batcher share their shape, each with its own story; replaced lives are looked for in all jobs at each change of the list, since a life may have left the account before it is replaced.

--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -84,11 +84,9 @@
 
 impl Unanswered {
     fn new(parts: &Arc<GatewayParts>, head: &request::Parts, arrived: Instant) -> Self {
-        let call = head.headers.get(&parts.dialect.headers.call);
-        let call = call.and_then(|call| call.to_str().ok()).unwrap_or("-");
         Self {
             parts: Arc::clone(parts),
-            call: call.to_owned(),
+            call: call_name(parts, head).to_owned(),
             arrived,
             is_open: true,
         }
@@ -111,9 +109,14 @@
     }
 }
 
-fn log_refusal(parts: &GatewayParts, head: &request::Parts, refused: Refused, arrived: Instant) {
+/// The caller's name of its send, as lines show it.
+fn call_name<'a>(parts: &GatewayParts, head: &'a request::Parts) -> &'a str {
     let call = head.headers.get(&parts.dialect.headers.call);
-    let call = call.and_then(|call| call.to_str().ok()).unwrap_or("-");
+    call.and_then(|call| call.to_str().ok()).unwrap_or("-")
+}
+
+fn log_refusal(parts: &GatewayParts, head: &request::Parts, refused: Refused, arrived: Instant) {
+    let call = call_name(parts, head);
     let version = parts
         .knowledge
         .routing()
--- a/crates/amaranthscale/src/gateway/store_calls.rs
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -32,6 +32,20 @@
     Dropped,
 }
 
+impl StoredValue {
+    /// Reads the content by a function; none where the row was dropped.
+    pub fn read<T>(
+        &self,
+        decode: impl FnOnce(&[u8]) -> Result<T, String>,
+    ) -> Result<Option<T>, String> {
+        match self {
+            Self::Content(content) => decode(content).map(Some),
+            Self::Unreadable(reason) => Err(reason.clone()),
+            Self::Dropped => Ok(None),
+        }
+    }
+}
+
 /// One row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreRow {
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -9,7 +9,7 @@
 use log::{info, warn};
 
 use super::super::process::StopGate;
-use super::super::{StoreCalls, StoreRow, StoreTable, StoredValue};
+use super::super::{StoreCalls, StoreRow, StoreTable};
 use super::announce::{announce_instance, withdraw_instance};
 use super::refused_entries::RefusedEntries;
 use super::{Feed, FeedEvent, FeedPace, Knowledge};
@@ -132,16 +132,9 @@
         Ok(id) => id,
         Err(error) => return refusals.note(&row.key, &error.to_string()),
     };
-    let read = match &row.value {
-        StoredValue::Content(content) => (store.instance)(content),
-        StoredValue::Unreadable(reason) => Err(reason.clone()),
-        StoredValue::Dropped => {
-            gone(store, knowledge, own, &id);
-            return;
-        }
-    };
-    match read {
-        Ok(announcement) => {
+    match row.value.read(store.instance) {
+        Ok(None) => gone(store, knowledge, own, &id),
+        Ok(Some(announcement)) => {
             let since = row.version;
             if announcement.address == own.announcement.address && id != own.instance {
                 // An earlier life here ended without a word; nobody else can tell it from this one.
@@ -218,23 +211,15 @@
             return None;
         }
     };
-    let read = match &row.value {
-        StoredValue::Dropped => {
-            refusals.forget(&row.key);
-            return Some(ServerChange::Gone(id));
-        }
-        StoredValue::Content(content) => (store.server)(&id, content),
-        StoredValue::Unreadable(reason) => Err(reason.clone()),
-    };
+    let read = row.value.read(|content| (store.server)(&id, content));
+    match &read {
+        Ok(_) => refusals.forget(&row.key),
+        Err(reason) => refusals.note(&row.key, reason),
+    }
     Some(match read {
-        Ok(record) => {
-            refusals.forget(&row.key);
-            ServerChange::Listed(record)
-        }
-        Err(reason) => {
-            refusals.note(&row.key, &reason);
-            ServerChange::Unreadable(id)
-        }
+        Ok(Some(record)) => ServerChange::Listed(record),
+        Ok(None) => ServerChange::Gone(id),
+        Err(_told) => ServerChange::Unreadable(id),
     })
 }
 
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -17,11 +17,11 @@
 #[doc(inline)]
 pub use number_id::{
     AttemptNumber, FencingNumber, Incarnation, InvalidNumber, PlacementVersion, RoutingVersion,
-    RowVersion, StageIndex, TreeVersion,
+    RowVersion, StageIndex, StartMs, TreeVersion,
 };
 #[doc(inline)]
 pub use request_id::{InvalidRequestId, RequestId};
 #[doc(inline)]
 pub use result_handle::{InvalidResultHandle, ResultHandle};
 #[doc(inline)]
-pub use server_life::{ServerLife, StartMs};
+pub use server_life::ServerLife;
--- a/crates/core/src/id/number_id.rs
+++ b/crates/core/src/id/number_id.rs
@@ -67,6 +67,9 @@
 number_id!(
     /// One life of a process: drawn at random when it starts.
     Incarnation, u64, "incarnation");
+number_id!(
+    /// When a life of a backend server began, in milliseconds of Unix time by the server's clock.
+    StartMs, u64, "start");
 number_id!(
     /// Counts the attempts at one stage of one request, from 0.
     AttemptNumber, u32, "attempt number");
--- a/crates/core/src/id/server_life.rs
+++ b/crates/core/src/id/server_life.rs
@@ -8,39 +8,13 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
 
-use super::{InvalidName, ServerId};
+use super::{InvalidName, ServerId, StartMs};
 
 /// What stands between id and start in text; ids never hold it.
 const SEPARATOR: char = '@';
 
-/// When a life of a backend server began, in milliseconds of Unix time by the server's clock.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct StartMs(u64);
-
-impl StartMs {
-    /// Takes milliseconds of Unix time.
-    #[must_use]
-    pub const fn new(unix_ms: u64) -> Self {
-        Self(unix_ms)
-    }
-}
-
-impl fmt::Display for StartMs {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for StartMs {
-    type Err = std::num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
-
 /// A backend server from one start to its end.
 ///
 /// ```
@@ -51,8 +25,9 @@
 /// assert!(after.replaces(&before));
 /// # Ok::<(), amaranthscale_core::id::InvalidName>(())
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
 pub struct ServerLife {
     id: ServerId,
     started: Option<StartMs>,
@@ -101,20 +76,6 @@
     }
 }
 
-impl TryFrom<String> for ServerLife {
-    type Error = InvalidName;
-
-    fn try_from(text: String) -> Result<Self, InvalidName> {
-        text.parse()
-    }
-}
-
-impl From<ServerLife> for String {
-    fn from(life: ServerLife) -> Self {
-        life.to_string()
-    }
-}
-
 impl FromStr for ServerLife {
     type Err = InvalidName;
 
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -84,7 +84,15 @@
 
     /// Takes one change; false if nothing in use changed.
     pub fn take(&mut self, change: ServerChange, now: Duration) -> bool {
-        let is_changed = match change {
+        let is_changed = self.apply(change, now);
+        if is_changed {
+            self.count_starts();
+        }
+        is_changed
+    }
+
+    fn apply(&mut self, change: ServerChange, now: Duration) -> bool {
+        match change {
             ServerChange::Listed(record) => {
                 let id = record.life.id();
                 self.lapsed.remove(id);
@@ -100,11 +108,7 @@
                 self.lapsed.remove(&id);
                 self.servers.remove(&id).is_some()
             }
-        };
-        if is_changed {
-            self.count_starts();
         }
-        is_changed
     }
 
     /// Takes the whole list: what is missing from it lapsed or is gone.
@@ -112,11 +116,12 @@
         let listed: BTreeSet<_> = entries.iter().map(|entry| entry.id().clone()).collect();
         let known: Vec<_> = self.servers.keys().cloned().collect();
         for entry in entries {
-            self.take(entry, now);
+            self.apply(entry, now);
         }
         for id in known.into_iter().filter(|id| !listed.contains(id)) {
-            self.take(ServerChange::Gone(id), now);
+            self.apply(ServerChange::Gone(id), now);
         }
+        self.count_starts();
     }
 
     /// When what lapsed and has not come back is gone.
--- a/crates/core/src/version/key_hash.rs
+++ b/crates/core/src/version/key_hash.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use quick_error::quick_error;
-use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
@@ -25,8 +25,7 @@
 }
 
 /// SHA-256 of a bearer key; the key itself is kept nowhere.
-#[derive(Clone, Copy, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+#[derive(Clone, Copy, SerializeDisplay, DeserializeFromStr)]
 pub struct KeyHash([u8; HASH_BYTES]);
 
 impl KeyHash {
@@ -89,17 +88,3 @@
         Ok(Self(hash))
     }
 }
-
-impl TryFrom<String> for KeyHash {
-    type Error = InvalidKeyHash;
-
-    fn try_from(text: String) -> Result<Self, InvalidKeyHash> {
-        text.parse()
-    }
-}
-
-impl From<KeyHash> for String {
-    fn from(hash: KeyHash) -> Self {
-        hash.to_string()
-    }
-}
