--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -49,7 +49,9 @@
     let arrived = Instant::now();
     let open = parts.stop.enter();
     let (head, body) = request.into_parts();
+    let unanswered = Unanswered::new(&parts, &head, arrived);
     let answered = take(&parts, &head, body, arrived, open).await;
+    unanswered.answered();
     let mut response = match answered {
         Ok(response) => response,
         Err(refused) => {
@@ -69,6 +71,46 @@
     response
 }
 
+/// A request that was read and has no answer yet.
+///
+/// Guards against a request without a trace: a caller that leaves while its pieces are made ends the
+/// task that serves it, and no other line would name the request.
+struct Unanswered {
+    parts: Arc<GatewayParts>,
+    call: String,
+    arrived: Instant,
+    is_open: bool,
+}
+
+impl Unanswered {
+    fn new(parts: &Arc<GatewayParts>, head: &request::Parts, arrived: Instant) -> Self {
+        let call = head.headers.get(&parts.dialect.headers.call);
+        let call = call.and_then(|call| call.to_str().ok()).unwrap_or("-");
+        Self {
+            parts: Arc::clone(parts),
+            call: call.to_owned(),
+            arrived,
+            is_open: true,
+        }
+    }
+
+    fn answered(mut self) {
+        self.is_open = false;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.parts.counters.count("caller.left");
+            info!(
+                call = self.call.as_str(), ms = ms(self.arrived.elapsed());
+                "request: caller left"
+            );
+        }
+    }
+}
+
 fn log_refusal(parts: &GatewayParts, head: &request::Parts, refused: Refused, arrived: Instant) {
     let call = head.headers.get(&parts.dialect.headers.call);
     let call = call.and_then(|call| call.to_str().ok()).unwrap_or("-");
--- a/days/play.sh
+++ b/days/play.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 site=$1
 pattern=${2:-.}
-bench=${FLEETBENCH:-../given/kit/more/system/bin/fleetbench}
+bench=${FLEETBENCH:-../given/kit/more/system/more/bench-cc6490/bin/fleetbench}
 here=$(dirname "$0")
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
