--- a/crates/amaranthscale/src/connection/http1_client.rs
+++ b/crates/amaranthscale/src/connection/http1_client.rs
@@ -60,6 +60,15 @@
         self.sender.is_ready()
     }
 
+    /// Says why nothing more can be sent, if it has ended.
+    pub fn check_open(&self) -> Result<(), SendError> {
+        if self.sender.is_closed() {
+            let reason = "the connection has ended".to_owned();
+            return Err(SendError::NotSent(self.address, reason));
+        }
+        Ok(())
+    }
+
     /// Sends one request and waits for the head of its response.
     pub async fn send(
         &mut self,
--- a/crates/amaranthscale/src/gateway/connection/server_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/server_pool.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerLife;
-use amaranthscale_core::process::ServerRecord;
+use amaranthscale_core::process::{ConnectionShare, ServerRecord};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -26,8 +26,12 @@
 const USUAL_IDLE: Duration = Duration::from_secs(4);
 /// Margin before the server's own time-out, within which a request could meet its close.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Idle connections that are kept to one server: most of its slots, far below its limit.
+/// Idle connections that are kept to one server, if the entry's share of them is not less: most of
+/// its slots, far below its limit.
 const MOST_IDLE: usize = 24;
+/// Least time in which a server over its limit resets a new connection, beyond the way there and
+/// back: the time that servers take for a new connection, and as much again.
+const RESET_MARGIN: Duration = Duration::from_millis(2);
 
 /// A connection to a backend server.
 #[derive(Debug)]
@@ -35,9 +39,23 @@
     server: ServerLife,
     connection: Http1Connection,
     is_kept: bool,
+    /// How long it took to open.
+    opened_in: Duration,
 }
 
 impl ServerConnection {
+    /// Waits until a server that takes no more connections would have reset a new one.
+    ///
+    /// Guards against a request that no server saw and that yet may not be sent again: a server
+    /// over its limit accepts a connection and resets it with whatever is on its way there. Nothing
+    /// was sent before this returns, so a reset until then means that the request did not run.
+    pub async fn prove(&self) -> Result<(), SendError> {
+        if !self.is_kept {
+            tokio::time::sleep(self.opened_in * 2 + RESET_MARGIN).await;
+        }
+        self.connection.check_open()
+    }
+
     /// Whether it carried a request before.
     #[must_use]
     pub const fn is_kept(&self) -> bool {
@@ -80,22 +98,29 @@
         server: &ServerLife,
         address: SocketAddr,
     ) -> Result<ServerConnection, SendError> {
+        let started = Instant::now();
         let connection = Http1Connection::open(address, CONNECT_PATIENCE).await?;
         Ok(ServerConnection {
             server: server.clone(),
             connection,
             is_kept: false,
+            opened_in: started.elapsed(),
         })
     }
 
-    /// Keeps a connection whose answer was read whole.
-    pub fn give_back(&self, connection: ServerConnection, answer_head: &HeaderMap) {
+    /// Keeps a connection whose answer was read whole, within the entry's share of connections.
+    pub fn give_back(
+        &self,
+        connection: ServerConnection,
+        answer_head: &HeaderMap,
+        share: ConnectionShare,
+    ) {
         let Some(keep) = keep_time(answer_head) else {
             return;
         };
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let of_server = idle.entry(connection.server).or_default();
-        if of_server.len() < MOST_IDLE {
+        if of_server.len() < MOST_IDLE.min(share.connections()) {
             of_server.push(Idle {
                 connection: connection.connection,
                 until: Instant::now() + keep,
@@ -125,6 +150,7 @@
                     server: server.clone(),
                     connection: one.connection,
                     is_kept: true,
+                    opened_in: Duration::ZERO,
                 });
             }
         }
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -193,6 +193,7 @@
     };
     let latencies = Arc::clone(&arguments.latencies);
     GatewayParts {
+        instance: config.instance.clone(),
         zone: config.zone.clone(),
         knowledge: Arc::clone(knowledge),
         pool,
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -14,7 +14,7 @@
 
 #[doc(inline)]
 pub use batch_owner::{
-    BatchOwner, BatchOwnerArguments, BatchOwnerMessage, JobAnswer, JobNews, JobSource,
+    BatchOwner, BatchOwnerArguments, BatchOwnerMessage, JobAnswer, JobNews, JobSource, Submission,
 };
 #[doc(inline)]
 pub use batch_owner_handle::{BatchOwnerHandle, OwnedJob, RunningJob};
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use amaranthscale_core::process::{Batch, BatchEnd, Frees, ServerRecord, ToldLoad};
+use amaranthscale_core::process::{
+    Batch, BatchEnd, ConnectionShare, Frees, ServerRecord, ToldLoad,
+};
 use log::debug;
 
 use super::super::Dialect;
@@ -67,7 +69,7 @@
     let body = read_body(body, MAX_ANSWER_BYTES, batch.patience)
         .await
         .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
-    pool.give_back(connection, &head.headers);
+    pool.give_back(connection, &head.headers, ConnectionShare::WHOLE);
     Ok(CallEnd {
         end: (dialect.batch_end)(head.status, &head.headers, &body),
         told: (dialect.told_load)(&head.headers),
@@ -98,7 +100,7 @@
             .await
             .is_ok()
         {
-            pool.give_back(connection, &head.headers);
+            pool.give_back(connection, &head.headers, ConnectionShare::WHOLE);
         }
         Ok::<(), SendError>(())
     };
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -10,12 +10,14 @@
 use amaranthscale_core::id::{CallId, ResultHandle, ServerLife};
 use amaranthscale_core::process::{
     Batch, BatchEnd, BatchId, Batcher, Cell, Frees, JobEvent, JobFailure, JobId, JobRefused,
-    KeptPiece, PieceEnd, PipelineOrder, StageTimes, ToldLoad,
+    KeepingUp, KeptPiece, Pace, PieceEnd, PipelineOrder, StageTimes, ToldLoad,
 };
-use log::info;
+use log::{info, warn};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use super::super::Dialect;
 use super::super::connection::ServerPool;
@@ -23,8 +25,14 @@
 use super::batch_calls::{CallEnd, call_batch, call_free};
 use crate::process::{Counters, Latencies};
 
-/// Time between two looks at what waits: for held-back pieces and servers that come back.
+/// Longest time between two looks at what waits: for servers that come back, and what turns late.
 const TICK: Duration = Duration::from_millis(20);
+/// Time in which messages are answered by one look: a hundredth of a call, and at thousands of
+/// messages a second a look for each would take most of the owner's time.
+const GATHER: Duration = Duration::from_millis(2);
+/// Time after which a caller may come back to an owner that is behind: it is in time again within
+/// some hundred milliseconds once it takes nothing more.
+const BEHIND_RETRY: Duration = Duration::from_millis(500);
 
 /// What a job came to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,13 +75,8 @@
 /// Messages to the owner of the batches.
 #[derive(Debug)]
 pub enum BatchOwnerMessage {
-    /// Takes a job; the sender learns its id at once, and what becomes of it by and by.
-    Submit(
-        PipelineOrder,
-        oneshot::Sender<JobId>,
-        mpsc::UnboundedSender<JobNews>,
-        JobSource,
-    ),
+    /// Takes a job.
+    Submit(Submission),
     /// Ends a job and frees its results.
     Release(JobId),
     /// A call has ended.
@@ -82,12 +85,27 @@
     Freed(Frees),
     /// Routing or servers have changed.
     Changed,
-    /// Looks at what waits.
-    Tick,
+    /// Looks at what waits; names when that was due.
+    Look(Instant),
     /// Takes no more jobs.
     Stop,
 }
 
+/// A job on its way to its owner.
+#[derive(Debug)]
+pub struct Submission {
+    /// What is to be made.
+    pub order: PipelineOrder,
+    /// Tells the sender the job's id at once.
+    pub id: oneshot::Sender<JobId>,
+    /// Tells what becomes of it by and by.
+    pub news: mpsc::UnboundedSender<JobNews>,
+    /// Where it comes from.
+    pub source: JobSource,
+    /// When it arrived at this process.
+    pub arrived: Instant,
+}
+
 /// The actor.
 #[derive(Debug)]
 pub struct BatchOwner;
@@ -116,16 +134,24 @@
     batcher: Batcher,
     waiting: BTreeMap<JobId, Waiting>,
     freeing: BTreeSet<ServerLife>,
-    is_ticking: bool,
+    next_look: Option<NextLook>,
+    keeping_up: KeepingUp,
     is_stopping: bool,
 }
 
+/// The look that is due next.
+#[derive(Debug)]
+struct NextLook {
+    due: Instant,
+    timer: JoinHandle<Result<(), ractor::MessagingErr<BatchOwnerMessage>>>,
+}
+
 /// Who waits for a job.
 #[derive(Debug)]
 struct Waiting {
     call: CallId,
     news: mpsc::UnboundedSender<JobNews>,
-    taken_at: tokio::time::Instant,
+    taken_at: Instant,
 }
 
 impl Actor for BatchOwner {
@@ -143,7 +169,8 @@
             batcher: Batcher::new(),
             waiting: BTreeMap::new(),
             freeing: BTreeSet::new(),
-            is_ticking: false,
+            next_look: None,
+            keeping_up: KeepingUp::default(),
             is_stopping: false,
         };
         state.take_servers();
@@ -158,9 +185,7 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = state.arguments.knowledge.clock().now();
         match message {
-            BatchOwnerMessage::Submit(order, id, news, source) => {
-                state.submit(order, id, news, source, now);
-            }
+            BatchOwnerMessage::Submit(submission) => state.submit(submission, now),
             BatchOwnerMessage::Release(job) => {
                 state.waiting.remove(&job);
                 state.batcher.release(job);
@@ -173,30 +198,78 @@
                 state.freeing.remove(&frees.server);
                 state.batcher.freed(&frees);
             }
-            BatchOwnerMessage::Tick => state.is_ticking = false,
+            BatchOwnerMessage::Look(due) => {
+                state.look(&myself, due, now);
+                return Ok(());
+            }
             BatchOwnerMessage::Stop => {
                 state.is_stopping = true;
                 state.batcher.stop();
             }
         }
-        state.send_frees(&myself);
-        state.send_batches(&myself, now);
-        state.tell();
-        state.hand_over();
-        state.keep_ticking(&myself);
+        state.look_within(&myself, GATHER);
         Ok(())
     }
 }
 
 impl BatchOwnerState {
-    fn submit(
-        &mut self,
-        order: PipelineOrder,
-        id: oneshot::Sender<JobId>,
-        news: mpsc::UnboundedSender<JobNews>,
-        source: JobSource,
-        now: Duration,
-    ) {
+    /// Sends what can be sent and tells what has become of jobs.
+    fn look(&mut self, myself: &ActorRef<BatchOwnerMessage>, due: Instant, now: Duration) {
+        if self.next_look.as_ref().is_none_or(|next| next.due != due) {
+            // An earlier one took its place.
+            return;
+        }
+        self.next_look = None;
+        self.note_pace(due, now);
+        self.send_frees(myself);
+        self.send_batches(myself, now);
+        self.tell();
+        self.hand_over();
+        if self.batcher.jobs() > 0 {
+            // Ends with the last job, so an idle owner does not wake up.
+            self.look_within(myself, TICK);
+        }
+    }
+
+    /// Sees to it that what waits is looked at within a time.
+    fn look_within(&mut self, myself: &ActorRef<BatchOwnerMessage>, within: Duration) {
+        let due = Instant::now() + within;
+        match &self.next_look {
+            Some(next) if next.due <= due => return,
+            Some(later) => later.timer.abort(),
+            None => {}
+        }
+        let timer = myself.send_after(within, move || BatchOwnerMessage::Look(due));
+        self.next_look = Some(NextLook { due, timer });
+    }
+
+    fn note_pace(&mut self, due: Instant, now: Duration) {
+        let late = due.elapsed();
+        self.arguments.latencies.record("owner.late", late);
+        let late_ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
+        let (jobs, waiting) = (self.batcher.jobs(), self.batcher.waiting());
+        match self.keeping_up.came(now.saturating_sub(late), now) {
+            Some(Pace::FellBehind) => {
+                self.arguments.counters.count("owner.behind");
+                warn!(late_ms, jobs, waiting; "batches: behind, taking no more");
+            }
+            Some(Pace::CaughtUp) => info!(jobs, waiting; "batches: in time again"),
+            None => {}
+        }
+    }
+
+    /// Refuses a job while the owner is behind.
+    ///
+    /// Guards against an overload that stands for good: taken in, jobs come to their turn when
+    /// their callers have left, and what is done for those makes the next ones late as well.
+    fn submit(&mut self, submission: Submission, now: Duration) {
+        let Submission {
+            mut order,
+            id,
+            news,
+            source,
+            arrived,
+        } = submission;
         if self.is_stopping && source == JobSource::Here {
             // A request that was taken is not cut off by a planned stop of all gateways.
             self.batcher.resume();
@@ -205,6 +278,9 @@
             let _ = news.send(JobNews::Ended(JobAnswer::Stopping));
             return;
         }
+        let queued = arrived.elapsed();
+        order.aim_left = order.aim_left.saturating_sub(queued);
+        order.deadline_left = order.deadline_left.saturating_sub(queued);
         let (call, kept) = (order.call.clone(), order.kept.len());
         if kept > 0 {
             self.arguments
@@ -212,9 +288,17 @@
                 .add("pieces.handed-over", u64::try_from(kept).unwrap_or(0));
             info!(call = call.as_str(), kept; "batches: job of an earlier owner");
         }
-        match self.batcher.submit(order, now) {
+        let taken = if self.keeping_up.is_behind() {
+            Err(JobRefused {
+                retry_after: BEHIND_RETRY,
+                reason: JobFailure::Overloaded,
+            })
+        } else {
+            self.batcher.submit(order, now)
+        };
+        match taken {
             Ok(job) => {
-                let taken_at = tokio::time::Instant::now();
+                let taken_at = Instant::now();
                 let waiting = Waiting {
                     call,
                     news,
@@ -281,7 +365,7 @@
             let counters = Arc::clone(&self.arguments.counters);
             let latencies = Arc::clone(&self.arguments.latencies);
             tokio::spawn(async move {
-                let started = tokio::time::Instant::now();
+                let started = Instant::now();
                 let CallEnd { end, told } = run_batch(&pool, &dialect, &counters, &batch).await;
                 latencies.record(&format!("call.{}", batch.service), started.elapsed());
                 // The actor ends only with the process.
@@ -346,15 +430,6 @@
             "batches: job given up"
         );
     }
-
-    fn keep_ticking(&mut self, myself: &ActorRef<BatchOwnerMessage>) {
-        if self.is_ticking || self.batcher.jobs() == 0 {
-            return;
-        }
-        self.is_ticking = true;
-        // Runs once, so an idle owner does not wake up.
-        drop(myself.send_after(TICK, || BatchOwnerMessage::Tick));
-    }
 }
 
 async fn run_batch(
@@ -363,7 +438,7 @@
     counters: &Counters,
     batch: &Batch,
 ) -> CallEnd {
-    let started = tokio::time::Instant::now();
+    let started = Instant::now();
     counters.count("batch.calls");
     let end = call_batch(pool, dialect, batch).await;
     let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
--- a/crates/amaranthscale/src/gateway/process/batch_owner_handle.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner_handle.rs
@@ -3,8 +3,9 @@
 use amaranthscale_core::process::{JobId, PipelineOrder};
 use ractor::ActorRef;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
-use super::{BatchOwnerMessage, JobNews, JobSource};
+use super::{BatchOwnerMessage, JobNews, JobSource, Submission};
 
 /// The owner of the batches, as requests and peers see it.
 #[derive(Debug, Clone)]
@@ -60,7 +61,13 @@
     pub async fn run(&self, order: PipelineOrder, source: JobSource) -> RunningJob {
         let (id, job) = oneshot::channel();
         let (sender, news) = mpsc::unbounded_channel();
-        let submit = BatchOwnerMessage::Submit(order, id, sender, source);
+        let submit = BatchOwnerMessage::Submit(Submission {
+            order,
+            id,
+            news: sender,
+            source,
+            arrived: Instant::now(),
+        });
         if self.actor.send_message(submit).is_err() {
             return RunningJob::none();
         }
--- a/crates/amaranthscale/src/gateway/process/kept_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/kept_pieces.rs
@@ -1,6 +1,7 @@
 //! What owners of the batches have told to be made of one request.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use amaranthscale_core::process::KeptPiece;
 use tokio::time::Instant;
@@ -14,10 +15,11 @@
 }
 
 impl KeptPieces {
-    /// Takes what an owner tells.
-    pub(super) fn note(&mut self, news: JobNews) {
+    /// Takes what an owner tells, and marks that it has begun.
+    pub(super) fn note(&mut self, news: JobNews, has_begun: &AtomicBool) {
         match news {
             JobNews::Made(pieces) => {
+                has_begun.store(true, Ordering::Relaxed);
                 let now = Instant::now();
                 let pieces = pieces.into_iter();
                 self.pieces
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -2,8 +2,8 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use amaranthscale_core::id::{ServiceId, ZoneId};
-use amaranthscale_core::process::BackendChoice;
+use amaranthscale_core::id::{InstanceId, ServiceId, ZoneId};
+use amaranthscale_core::process::{BackendChoice, ConnectionShare};
 
 use super::super::Dialect;
 use super::super::connection::ServerPool;
@@ -15,6 +15,8 @@
 /// Shared by all requests.
 #[derive(Debug)]
 pub struct GatewayParts {
+    /// This life of the gateway.
+    pub instance: InstanceId,
     /// Availability zone of the gateway.
     pub zone: ZoneId,
     /// Routing, servers and gateways.
@@ -57,6 +59,17 @@
         is_left
     }
 
+    /// This gateway's share of the connections that a service's servers take.
+    pub fn connection_share(&self, service: &ServiceId) -> ConnectionShare {
+        let routing = self.knowledge.routing();
+        let pool = routing.as_ref().and_then(|routing| routing.pool(service));
+        pool.map_or(ConnectionShare::WHOLE, |pool| {
+            let servers = self.knowledge.servers();
+            let servers = servers.usable(service).count();
+            ConnectionShare::of(pool.max_connections, servers, self.knowledge.live())
+        })
+    }
+
     /// What sends told of the servers; held for single decisions only.
     pub fn choice(&self) -> MutexGuard<'_, BackendChoice> {
         self.choice.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -1,5 +1,7 @@
 //! Has a request's pieces made by the gateway that owns the batches.
 
+use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, ResultHandle};
@@ -15,6 +17,9 @@
 
 /// Times that one request is given to an owner, the same or the next one.
 const MOST_ASKED: usize = 4;
+/// Time beyond that for which an owner holds a request, after which one that told nothing of it is
+/// taken to be behind: one call and the ways there and back.
+const OWNER_MARGIN: Duration = Duration::from_secs(1);
 /// Time after which a caller may come back when no owner could be reached.
 const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
 
@@ -50,10 +55,35 @@
     Peer { _answer: Incoming },
 }
 
-/// Has pieces made; an owner that falls silent is passed over and the next one takes its place.
+/// Has pieces made, or says in time that none was begun.
+///
+/// Guards against an owner that is too busy to refuse: an owner gives up what it has not begun after
+/// two aims, and a request of which nothing is told until then would wait to its caller's deadline.
 pub async fn make_pieces(
+    parts: &GatewayParts,
+    order: PipelineOrder,
+) -> Result<MadePieces, PiecesError> {
+    let call = order.call.clone();
+    let held = order.aim_left + order.aim + OWNER_MARGIN;
+    let has_begun = AtomicBool::new(false);
+    let mut asking = pin!(ask_owners(parts, order, &has_begun));
+    tokio::select! {
+        made = &mut asking => return made,
+        () = tokio::time::sleep(held) => {}
+    }
+    if has_begun.load(Ordering::Relaxed) {
+        return asking.await;
+    }
+    parts.counters.count("owner.told-nothing");
+    info!(call = call.as_str(); "batches: owner told nothing");
+    Err(PiecesError::Refused(NO_OWNER_RETRY, JobFailure::Overloaded))
+}
+
+/// Asks owners; one that falls silent is passed over and the next one takes its place.
+async fn ask_owners(
     parts: &GatewayParts,
     mut order: PipelineOrder,
+    has_begun: &AtomicBool,
 ) -> Result<MadePieces, PiecesError> {
     let started = Instant::now();
     let (aim_left, deadline_left) = (order.aim_left, order.deadline_left);
@@ -65,9 +95,10 @@
         order.deadline_left = deadline_left.saturating_sub(started.elapsed());
         let (owner, address, is_own) = parts.knowledge.owner(order.cell);
         let answered = if is_own {
-            Ok(ask_here(parts, &order, &mut kept).await)
+            let note = |news| kept.note(news, has_begun);
+            Ok(ask_here(parts, &order, note).await)
         } else {
-            let note = |news| kept.note(news);
+            let note = |news| kept.note(news, has_begun);
             ask_peer(&parts.peers, &owner, address, &order, note)
                 .await
                 .map(|(answer, body)| (answer, Kept::Peer { _answer: body }))
@@ -100,13 +131,13 @@
 async fn ask_here(
     parts: &GatewayParts,
     order: &PipelineOrder,
-    kept: &mut KeptPieces,
+    mut note: impl FnMut(JobNews),
 ) -> (JobAnswer, Kept) {
     let mut job = parts.batches.run(order.clone(), JobSource::Here).await;
     while let Some(news) = job.news.recv().await {
         match news {
             JobNews::Ended(answer) => return (answer, Kept::Here { _job: job.owned }),
-            news => kept.note(news),
+            news => note(news),
         }
     }
     (JobAnswer::Stopping, Kept::Here { _job: None })
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -7,7 +7,8 @@
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerLife, ServiceId};
 use amaranthscale_core::process::{
-    JobFailure, PipelineOrder, SeenLoad, SendEnd, ServerRecord, StageOrder,
+    ConnectionShare, JobFailure, PipelineOrder, SeenLoad, SendEnd, SendingEntry, ServerRecord,
+    StageOrder,
 };
 use hyper::Response;
 use log::info;
@@ -143,8 +144,7 @@
             return Ok(Tried::MayGoOn(Pieces::Made(pieces)));
         }
         let left = self.admitted.left();
-        let call = &self.admitted.work.call;
-        let sending = send(&self.parts, &self.outgoing, call, server, left, sent);
+        let sending = send(&self.parts, &self.outgoing, &self.admitted, server, sent);
         let outcome = match tokio::time::timeout(left, sending).await {
             Ok(outcome) => outcome,
             Err(_elapsed) => return Err(Refused::new(ResultCode::DeadlinePassed)),
@@ -211,9 +211,12 @@
         let now = self.parts.knowledge.clock().now();
         let usable = servers.usable(&self.service);
         let choice = self.parts.choice();
-        let chosen = match &self.admitted.work.shared_part {
-            Some(part) => choice.engine(usable, &self.tried, part, now),
-            None => choice.plain(usable, &self.tried, &self.parts.zone, now),
+        let chosen = if let Some(part) = &self.admitted.work.shared_part {
+            choice.engine(usable, &self.tried, part, now)
+        } else {
+            let (id, zone) = (&self.parts.instance, &self.parts.zone);
+            let entry = SendingEntry::new(id, zone, ConnectionShare::WHOLE);
+            choice.plain(usable, &self.tried, entry, now)
         };
         let chosen = chosen.cloned()?;
         self.seen = choice.seen(&chosen.life, now);
@@ -290,6 +293,7 @@
         // The request itself never left for an engine, so it has not run.
         let code = match error {
             PiecesError::Refused(_, JobFailure::NoServer) => ResultCode::NoBackendServer,
+            PiecesError::Refused(_, JobFailure::Overloaded) => ResultCode::QueueFull,
             PiecesError::Refused(_, JobFailure::Malformed) => ResultCode::MalformedRequest,
             _ => ResultCode::DeadlineUnreachable,
         };
@@ -311,7 +315,8 @@
             return Err(Refused::new(ResultCode::AnswerLost));
         };
         sent.end(SendEnd::Answered);
-        self.parts.pool.give_back(connection, &head.headers);
+        let share = self.parts.connection_share(&self.service);
+        self.parts.pool.give_back(connection, &head.headers, share);
         Ok(passed_on(head.status, &head.headers, whole(body)))
     }
 
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -6,7 +6,7 @@
 
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::ServiceId;
-use amaranthscale_core::process::{SeenLoad, SendEnd, ServerRecord};
+use amaranthscale_core::process::{ConnectionShare, SeenLoad, SendEnd, SendingEntry, ServerRecord};
 use hyper::{HeaderMap, Response, StatusCode};
 use log::info;
 use tokio::time::Instant;
@@ -60,6 +60,7 @@
         rejected: 0,
         kept_failure: None,
         seen: SeenLoad::default(),
+        share: parts.connection_share(service),
     };
     run.go(outgoing).await
 }
@@ -75,6 +76,7 @@
     kept_failure: Option<WholeAnswer>,
     /// Load that the last server was chosen by.
     seen: SeenLoad,
+    share: ConnectionShare,
 }
 
 impl PlainRun<'_> {
@@ -119,7 +121,8 @@
         let now = self.parts.knowledge.clock().now();
         let choice = self.parts.choice();
         let usable = servers.usable(self.service);
-        let chosen = choice.plain(usable, &self.tried, &self.parts.zone, now);
+        let entry = SendingEntry::new(&self.parts.instance, &self.parts.zone, self.share);
+        let chosen = choice.plain(usable, &self.tried, entry, now);
         let chosen = chosen.cloned()?;
         self.seen = choice.seen(&chosen.life, now);
         Some(chosen)
@@ -130,7 +133,7 @@
         let sent = Sent::new(self.parts, server);
         let call = &self.admitted.work.call;
         let whole_answer = async {
-            match send(self.parts, outgoing, call, server, left, sent).await {
+            match send(self.parts, outgoing, self.admitted, server, sent).await {
                 SendOutcome::Answer(begun) => self.read(*begun).await,
                 SendOutcome::NotSent => Tried::NotSent,
                 SendOutcome::NotRun | SendOutcome::InputGone => Tried::NotRun,
@@ -167,7 +170,9 @@
         match read_body(body, MAX_ANSWER_BYTES, self.admitted.left()).await {
             Ok(body) => {
                 sent.end(SendEnd::Answered);
-                self.parts.pool.give_back(connection, &head.headers);
+                self.parts
+                    .pool
+                    .give_back(connection, &head.headers, self.share);
                 Tried::Answered(WholeAnswer {
                     status: head.status,
                     headers: head.headers,
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -1,7 +1,5 @@
 //! One send of a request to one server.
 
-use std::time::Duration;
-
 use amaranthscale_core::id::CallId;
 use amaranthscale_core::process::{HealthChange, SendEnd, ServerRecord};
 use hyper::body::Incoming;
@@ -12,6 +10,7 @@
 
 use super::super::connection::ServerConnection;
 use super::super::process::GatewayParts;
+use super::caller::Admitted;
 use super::outgoing::Outgoing;
 use crate::connection::SendError;
 
@@ -85,19 +84,22 @@
 pub(super) async fn send(
     parts: &GatewayParts,
     outgoing: &Outgoing,
-    call: &CallId,
+    admitted: &Admitted,
     server: &ServerRecord,
-    left: Duration,
     sent: Sent,
 ) -> SendOutcome {
-    let mut connection = match parts.pool.connection(server).await {
-        Ok(connection) => connection,
-        Err(_unreached) => {
-            sent.end(SendEnd::Failed);
-            return SendOutcome::NotSent;
-        }
+    let call = &admitted.work.call;
+    let Ok(mut connection) = parts.pool.connection(server).await else {
+        sent.end(SendEnd::Failed);
+        return SendOutcome::NotSent;
     };
-    let request = outgoing.request(&parts.dialect, server.life.id(), left);
+    if !admitted.route.kind.may_repeat() && connection.prove().await.is_err() {
+        // It takes no more connections now: full, but not sick.
+        parts.counters.count("connection.reset-unused");
+        sent.end(SendEnd::Full);
+        return SendOutcome::NotSent;
+    }
+    let request = outgoing.request(&parts.dialect, server.life.id(), admitted.left());
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(SendError::NotSent(..)) => {
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -129,7 +129,11 @@
             }
         }
         sent.end(SendEnd::Answered);
-        self.run.parts.pool.give_back(connection, &head.headers);
+        let share = self.run.parts.connection_share(&self.run.service);
+        self.run
+            .parts
+            .pool
+            .give_back(connection, &head.headers, share);
         let rest = splitter.rest();
         if !rest.is_empty() && self.events.send(Ok(rest)).await.is_err() {
             return PartEnd::CallerLeft;
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -13,6 +13,7 @@
 mod backend_choice;
 mod batcher;
 mod cell;
+mod connection_share;
 mod cost_book;
 mod cost_key;
 mod cost_totals;
@@ -23,6 +24,7 @@
 mod hedge_policy;
 mod host_track;
 mod instance_view;
+mod keeping_up;
 mod load_meter;
 mod organisation_limits;
 mod queued_attempt;
@@ -48,7 +50,7 @@
 #[doc(inline)]
 pub use attempt_end::AttemptEnd;
 #[doc(inline)]
-pub use backend_choice::{BackendChoice, HealthChange, SendEnd, ToldLoad};
+pub use backend_choice::{BackendChoice, HealthChange, SendEnd, SendingEntry, ToldLoad};
 #[doc(inline)]
 pub use batcher::{
     Batch, BatchEnd, BatchId, BatchItem, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused,
@@ -57,6 +59,8 @@
 #[doc(inline)]
 pub use cell::Cell;
 #[doc(inline)]
+pub use connection_share::ConnectionShare;
+#[doc(inline)]
 pub use cost_book::{CostBook, sum_by_organisation};
 #[doc(inline)]
 pub use cost_key::CostKey;
@@ -73,6 +77,8 @@
 #[doc(inline)]
 pub use instance_view::{Announcement, InstanceView};
 #[doc(inline)]
+pub use keeping_up::{KeepingUp, Pace};
+#[doc(inline)]
 pub use load_meter::LoadMeter;
 #[doc(inline)]
 pub use organisation_limits::OrganisationLimits;
--- a/crates/core/src/process/backend_choice.rs
+++ b/crates/core/src/process/backend_choice.rs
@@ -6,13 +6,15 @@
 //! flight than the rest.
 //! A server that fails several times in a row is left out for a while, never more than half of them.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::connection_share::ConnectionShare;
 use super::rendezvous;
 use super::seen_load::{SeenLoad, SeenNumber};
 use super::server_list::ServerRecord;
-use crate::id::{ServerLife, ZoneId};
+use crate::id::{InstanceId, ServerLife, ZoneId};
 
 /// Failures in a row after which a server is left out.
 const FAILURES_OUT: u32 = 2;
@@ -71,6 +73,27 @@
     TakenBack,
 }
 
+/// The entry that sends, as far as its choice of a server goes.
+#[derive(Debug, Clone, Copy)]
+pub struct SendingEntry<'a> {
+    zone: &'a ZoneId,
+    /// Tells it from other entries.
+    seed: u64,
+    share: ConnectionShare,
+}
+
+impl<'a> SendingEntry<'a> {
+    /// An entry in a zone, with its share of the service's connections.
+    #[must_use]
+    pub fn new(id: &InstanceId, zone: &'a ZoneId, share: ConnectionShare) -> Self {
+        Self {
+            zone,
+            seed: rendezvous::score(0, id),
+            share,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct Track {
     in_flight: usize,
@@ -109,42 +132,66 @@
 }
 
 impl BackendChoice {
-    /// The server with the least expected wait for a plain request.
+    /// The server with the least expected wait for a plain request, among those that the entry
+    /// keeps to; another one only when those have as much of it in work as its share allows.
     pub fn plain<'a>(
         &self,
         servers: impl Iterator<Item = &'a ServerRecord>,
         tried: &BTreeSet<ServerLife>,
-        zone: &ZoneId,
+        entry: SendingEntry<'_>,
         now: Duration,
     ) -> Option<&'a ServerRecord> {
-        let servers = self.in_use(servers, tried, now);
-        let times: Vec<_> = servers
+        let all = self.in_use(servers, tried, now);
+        let usual_ms = self.usual_ms(&all, now);
+        // Equal servers are told apart differently by each entry: entries that start together
+        // would otherwise all go to the first one.
+        let cost = |server: &&ServerRecord| {
+            let own = Reverse(rendezvous::score(entry.seed, server.life.id()));
+            (self.cost_ms(server, entry.zone, usual_ms, now), own)
+        };
+        let least = |servers: &mut dyn Iterator<Item = &'a ServerRecord>| {
+            let costs = servers.map(|server| (cost(&server), server));
+            let least = costs.min_by(|((a, own_a), _), ((b, own_b), _)| {
+                a.total_cmp(b).then_with(|| own_a.cmp(own_b))
+            });
+            least.map(|(_, server)| server)
+        };
+        let has_place =
+            |server: &&ServerRecord| self.in_flight(&server.life) < entry.share.connections();
+        let kept_to = entry.share.keep_to(all.clone(), entry.zone, entry.seed);
+        least(&mut kept_to.into_iter().filter(has_place))
+            .or_else(|| least(&mut all.iter().copied().filter(has_place)))
+            .or_else(|| least(&mut all.iter().copied()))
+    }
+
+    /// Mean of the servers' smoothed times, for those that have none.
+    fn usual_ms(&self, servers: &[&ServerRecord], now: Duration) -> f64 {
+        let times = servers
             .iter()
-            .filter_map(|server| self.track(&server.life)?.time_ms(now))
-            .collect();
-        let usual_ms = if times.is_empty() {
+            .filter_map(|server| self.track(&server.life)?.time_ms(now));
+        let (sum, count) = times.fold((0.0, 0_u32), |(sum, count), ms| (sum + ms, count + 1));
+        if count == 0 {
             1.0
         } else {
-            times.iter().sum::<f64>() / f64::from(u32::try_from(times.len()).unwrap_or(1))
-        };
-        let cost = |server: &ServerRecord| {
-            let track = self.track(&server.life);
-            let ahead = track.map_or(0.0, |track| track.waiting_ahead(LOAD_LIFE, now));
-            let time_ms = track
-                .and_then(|track| track.time_ms(now))
-                .unwrap_or(usual_ms);
-            let slots = f64::from(u32::try_from(server.slots.max(1)).unwrap_or(1));
-            let away_ms = if server.zone == *zone {
-                0.0
-            } else {
-                ZONE_COST_MS
-            };
-            // Half a slot's worth of weight before the slots are full spreads an idle service.
-            time_ms * (1.0 + ahead / slots) + away_ms
+            sum / f64::from(count)
+        }
+    }
+
+    /// Expected wait at a server.
+    fn cost_ms(&self, server: &ServerRecord, zone: &ZoneId, usual_ms: f64, now: Duration) -> f64 {
+        let track = self.track(&server.life);
+        let ahead = track.map_or(0.0, |track| track.waiting_ahead(LOAD_LIFE, now));
+        let time_ms = track
+            .and_then(|track| track.time_ms(now))
+            .unwrap_or(usual_ms);
+        let slots = f64::from(u32::try_from(server.slots.max(1)).unwrap_or(1));
+        let away_ms = if server.zone == *zone {
+            0.0
+        } else {
+            ZONE_COST_MS
         };
-        servers
-            .into_iter()
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        // Half a slot's worth of weight before the slots are full spreads an idle service.
+        time_ms * (1.0 + ahead / slots) + away_ms
     }
 
     /// The engine for a prompt whose last shared part has a name.
@@ -156,31 +203,34 @@
         now: Duration,
     ) -> Option<&'a ServerRecord> {
         let mut servers = self.in_use(servers, tried, now);
-        if servers.is_empty() {
-            return None;
-        }
         let seed = rendezvous::score(1, shared_part);
-        servers.sort_by_key(|server| std::cmp::Reverse(rendezvous::score(seed, server.life.id())));
-        let in_flight =
-            |server: &&ServerRecord| self.track(&server.life).map_or(0, |track| track.in_flight);
-        let total: usize = servers.iter().map(in_flight).sum();
-        let count = f64::from(u32::try_from(servers.len()).unwrap_or(u32::MAX));
-        let mean = f64::from(u32::try_from(total).unwrap_or(u32::MAX)) / count;
-        let is_nearly_full = |server: &ServerRecord| {
-            let ahead = self.track(&server.life);
-            let ahead = ahead.map_or(0.0, |track| track.waiting_ahead(ENGINE_LOAD_LIFE, now));
-            let slots = f64::from(u32::try_from(server.slots.max(1)).unwrap_or(1));
-            ahead >= slots * AFFINITY_PART
-        };
+        servers.sort_by_cached_key(|server| Reverse(rendezvous::score(seed, server.life.id())));
+        let mut mean = None;
         // A prompt that is read elsewhere is read anew: only a full engine is worth that.
-        let has_place = |server: &&&ServerRecord| {
-            let own = in_flight(server);
-            !is_nearly_full(server)
-                || own < AFFINITY_FLOOR
-                || f64::from(u32::try_from(own).unwrap_or(u32::MAX)) < mean * AFFINITY_FACTOR
+        let mut has_place = |server: &&&ServerRecord| {
+            if !self.is_nearly_full(server, now) {
+                return true;
+            }
+            let own = self.in_flight(&server.life);
+            let mean = *mean.get_or_insert_with(|| self.mean_in_flight(&servers));
+            let own_requests = f64::from(u32::try_from(own).unwrap_or(u32::MAX));
+            own < AFFINITY_FLOOR || own_requests < mean * AFFINITY_FACTOR
         };
-        let near = servers.iter().find(has_place).or_else(|| servers.first());
-        near.copied()
+        let near = servers.iter().find(|server| has_place(server));
+        near.or_else(|| servers.first()).copied()
+    }
+
+    fn is_nearly_full(&self, server: &ServerRecord, now: Duration) -> bool {
+        let track = self.track(&server.life);
+        let ahead = track.map_or(0.0, |track| track.waiting_ahead(ENGINE_LOAD_LIFE, now));
+        let slots = f64::from(u32::try_from(server.slots.max(1)).unwrap_or(1));
+        ahead >= slots * AFFINITY_PART
+    }
+
+    fn mean_in_flight(&self, servers: &[&ServerRecord]) -> f64 {
+        let in_flight = servers.iter().map(|server| self.in_flight(&server.life));
+        let total = u32::try_from(in_flight.sum::<usize>()).unwrap_or(u32::MAX);
+        f64::from(total) / f64::from(u32::try_from(servers.len().max(1)).unwrap_or(u32::MAX))
     }
 
     /// Counts a send.
@@ -271,6 +321,9 @@
         let untried: Vec<_> = servers
             .filter(|server| !tried.contains(&server.life))
             .collect();
+        if !self.tracks.values().any(|track| track.is_out(now)) {
+            return untried;
+        }
         let is_in = |server: &&ServerRecord| {
             self.track(&server.life)
                 .is_none_or(|track| !track.is_out(now))
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -22,6 +22,7 @@
 mod late;
 mod lives;
 mod message;
+mod near;
 mod open_work;
 mod pace;
 mod pool_state;
@@ -67,6 +68,7 @@
     next_job: u64,
     next_batch: u64,
     worth: RouteWorth,
+    looked_at: u64,
     /// Until when other owners may use the same servers.
     shared_until: Duration,
     is_stopping: bool,
@@ -236,6 +238,12 @@
         self.pools.values().map(|pool| pool.queue.len()).sum()
     }
 
+    /// Waiting stages that free servers have looked at since the start: what decisions cost.
+    #[must_use]
+    pub const fn looked_at(&self) -> u64 {
+        self.looked_at
+    }
+
     /// Jobs that are not released.
     #[must_use]
     pub fn jobs(&self) -> usize {
@@ -274,6 +282,7 @@
                 place: job.place(index),
                 job: id,
                 stage: index,
+                result_bytes: stage.order.result_bytes,
             });
             if entry == stage.entry {
                 continue;
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
-use super::job::{LARGE_RESULT_BYTES, put_off};
+use super::job::put_off;
 use super::kept::open_pieces;
 use super::{Batcher, JobFailure, JobRefused, PipelineOrder, StageOrder};
 use crate::id::ServiceId;
@@ -18,14 +18,11 @@
 const SHORTEST_RETRY: Duration = Duration::from_millis(300);
 /// Longest time to come back after a refusal; callers wait no longer than a part of their time.
 const LONGEST_RETRY: Duration = Duration::from_secs(2);
-/// Part of the spare time that a large result is held back for the longer stages beside it.
-const HELD_BACK_PART: f64 = 0.7;
 
-/// When the stages of a job must and may start.
+/// When the stages of a job must start.
 #[derive(Debug)]
 pub(super) struct Outlook {
     pub(super) latest_starts: Vec<Duration>,
-    pub(super) not_before: Vec<Duration>,
     pub(super) path_time: Duration,
     /// Servers' time that each stage takes.
     pub(super) work: Vec<Duration>,
@@ -68,7 +65,6 @@
         }
         self.note_arrival(order, now);
         Ok(Outlook {
-            not_before: not_before(order, &calls, now),
             path_time: done_at(order, &calls, &[], now).saturating_sub(now),
             work,
             latest_starts,
@@ -210,28 +206,3 @@
     }
     starts
 }
-
-/// Earliest start of stages whose large results would wait for longer stages beside them.
-fn not_before(order: &PipelineOrder, calls: &[Duration], now: Duration) -> Vec<Duration> {
-    let mut ends = vec![Duration::ZERO; order.stages.len()];
-    for (index, stage) in order.stages.iter().enumerate() {
-        let inputs = stage.after.iter().filter_map(|after| ends.get(*after));
-        ends[index] = inputs.max().copied().unwrap_or_default() + calls[index];
-    }
-    let longest = ends.iter().max().copied().unwrap_or_default();
-    let is_needed = |index: usize| {
-        order
-            .stages
-            .iter()
-            .any(|stage| stage.after.contains(&index))
-    };
-    let start = |(index, stage): (usize, &StageOrder)| {
-        let is_large = stage.result_bytes >= LARGE_RESULT_BYTES;
-        if is_large && stage.after.is_empty() && !is_needed(index) {
-            now + longest.saturating_sub(ends[index]).mul_f64(HELD_BACK_PART)
-        } else {
-            now
-        }
-    };
-    order.stages.iter().enumerate().map(start).collect()
-}
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use super::job::{Job, LARGE_RESULT_BYTES, PieceState};
+use super::near::NearServers;
 use super::pace::paced;
-use super::pool_state::{PoolState, StageServer};
+use super::pool_state::PoolState;
 use super::{Batch, BatchId, Batcher, JobFailure, PieceRef, RunningBatch, RunningPiece};
 use crate::id::{ServerLife, ServiceId, ZoneId};
 use crate::version::BatchSpec;
@@ -14,14 +15,13 @@
 const PATIENCE_FACTOR: f64 = 2.5;
 /// Time that is always waited beyond the expected one.
 const PATIENCE_MARGIN: Duration = Duration::from_millis(400);
-/// Part of a piece's slack that it may wait for a near server: the later stages need the rest.
-const NEAR_SLACK_PART: f64 = 0.5;
-/// Slowness from which a server gets only what no other server could do in time.
-const SLOW: f64 = 1.6;
-
 /// Backlog of a service, as a part of a call, up to which late requests may begin there.
 const SPARE_PART: f64 = 0.5;
 
+/// Waiting stages that one free server looks at. A call holds some tens of pieces, so what stands
+/// behind hundreds of more urgent stages that all wait for another server seldom goes before them.
+const MOST_LOOKED_AT: usize = 1024;
+
 /// Time between two looks at all jobs, at least.
 const SWEEP: Duration = Duration::from_millis(20);
 
@@ -82,40 +82,51 @@
     }
 
     fn batches_of(&mut self, service: &ServiceId, now: Duration) -> Vec<Batch> {
-        let mut batches = Vec::new();
-        let Some(pool) = self.pools.get(service) else {
-            return batches;
-        };
-        let Some(spec) = pool.spec else {
-            return batches;
-        };
-        let mut free: Vec<ServerLife> = pool.free(now).map(|(id, _)| id.clone()).collect();
-        let slowness = |pool: &PoolState, id: &ServerLife| {
-            pool.servers
-                .get(id)
-                .map_or(1.0, |server| server.slowness(now))
+        let Some((pool, spec)) = self.pools.get(service).and_then(|p| Some((p, p.spec?))) else {
+            return Vec::new();
         };
-        let pool = &self.pools[service];
-        free.sort_by(|a, b| slowness(pool, a).total_cmp(&slowness(pool, b)));
-        for (index, server) in free.iter().enumerate() {
+        let free = pool.free(now);
+        let mut free: Vec<_> = free
+            .map(|(life, server)| (server.slowness(now), life.clone()))
+            .collect();
+        free.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let mut startable = self.startable(pool, spec.max_pieces.max(1) * free.len());
+        let mut batches = Vec::new();
+        for (index, (_, server)) in free.iter().enumerate() {
             let others = free.len() - index;
-            if let Some(batch) = self.batch_for(service, spec, server, others, now) {
+            // A call's length grows with its pieces, so free servers share what waits.
+            let share = startable.div_ceil(others).clamp(1, spec.max_pieces.max(1));
+            if let Some(batch) = self.batch_for(service, spec, server, share, now) {
+                startable = startable.saturating_sub(batch.items.len());
                 batches.push(batch);
             }
         }
         batches
     }
 
+    /// Pieces that wait, as far as so many are of use.
+    fn startable(&self, pool: &PoolState, enough: usize) -> usize {
+        let mut waiting = pool.queue.in_order();
+        let mut startable = 0;
+        while startable < enough
+            && let Some(entry) = waiting.next_within(u64::MAX)
+        {
+            let stage = &self.jobs[&entry.job].stages[entry.stage];
+            startable += stage.waiting_pieces().count();
+        }
+        startable
+    }
+
     /// Forms one server's batch from the front of the queue.
     fn batch_for(
         &mut self,
         service: &ServiceId,
         spec: BatchSpec,
         server: &ServerLife,
-        free_servers: usize,
+        share: usize,
         now: Duration,
     ) -> Option<Batch> {
-        let chosen = self.choose(service, spec, server, free_servers, now);
+        let chosen = self.choose(service, spec, server, share, now);
         if chosen.is_empty() {
             return None;
         }
@@ -172,56 +183,63 @@
         Some(batch)
     }
 
+    /// Pieces for one server, from the front of the queue.
+    ///
+    /// Guards against an owner whose time goes into looking: when servers are free but out of
+    /// room, or what waits is late or had better wait for a near server, each of them would look at
+    /// the whole queue at each event, the queue would grow by that, and the owner would not come
+    /// back from a burst. A look passes over what cannot fit and ends after a fixed number.
     fn choose(
-        &self,
+        &mut self,
         service: &ServiceId,
         spec: BatchSpec,
         server: &ServerLife,
-        free_servers: usize,
+        share: usize,
         now: Duration,
     ) -> Vec<PieceRef> {
         let pool = &self.pools[service];
         let Some(maker) = pool.servers.get(server) else {
             return Vec::new();
         };
-        let free_bytes = pool.free_bytes(server, now);
-        let share = self.share(pool, spec, free_servers, now);
+        let near = NearServers::of(pool, spec, now);
+        let mut with_spare = SpareServices::new(self, now);
+        let mut free_bytes = pool.free_bytes(server, now);
         let mut chosen: Vec<PieceRef> = Vec::new();
-        let mut taken_bytes = 0;
         let mut ahead: BTreeMap<&ZoneId, usize> = BTreeMap::new();
-        for entry in pool.queue.iter() {
-            if chosen.len() >= share {
+        let mut waiting = pool.queue.in_order();
+        let mut looked_at = 0;
+        while chosen.len() < share
+            && looked_at < MOST_LOOKED_AT
+            && let Some(entry) = waiting.next_within(free_bytes)
+        {
+            looked_at += 1;
+            if entry.is_late && !with_spare.has(service) {
+                // All that follows is late as well.
                 break;
             }
             let job = &self.jobs[&entry.job];
             let stage = &job.stages[entry.stage];
-            if stage.not_before > now {
-                continue;
-            }
-            let result_bytes = stage.order.result_bytes;
             let home = self.home_zone(job, entry.stage);
             let ahead = home.map(|home| ahead.entry(home).or_default());
             let is_for_another = home.is_some_and(|home| {
                 let before = ahead.as_deref().copied().unwrap_or(0);
-                !job.is_late
-                    && maker.zone != *home
-                    && waits_for_near(pool, spec, home, before, stage.latest_start, now)
+                !job.is_late && maker.zone != *home && near.wait(home, before, stage.latest_start)
             });
-            let has_place = !is_for_another
-                && (!job.is_late || self.has_spare(job, now))
-                && !is_too_slow(pool, spec, maker, stage.latest_start, job.is_late, now);
             if let Some(ahead) = ahead {
                 *ahead += stage.order.pieces;
             }
+            let has_place = !is_for_another
+                && (!job.is_late || with_spare.has_all(job))
+                && !near.are_faster(maker, stage.latest_start, job.is_late);
             if !has_place {
                 continue;
             }
             // A stage's pieces stay together: the next stage waits for all of them.
             for piece in stage.waiting_pieces() {
-                if chosen.len() >= spec.max_pieces || taken_bytes + result_bytes > free_bytes {
+                if chosen.len() >= spec.max_pieces || entry.result_bytes > free_bytes {
                     break;
                 }
-                taken_bytes += result_bytes;
+                free_bytes -= entry.result_bytes;
                 chosen.push(PieceRef {
                     job: entry.job,
                     stage: entry.stage,
@@ -229,44 +247,10 @@
                 });
             }
         }
+        self.looked_at += u64::try_from(looked_at).unwrap_or(u64::MAX);
         chosen
     }
 
-    /// Pieces that one of the free servers takes: a call's length grows with its pieces.
-    fn share(
-        &self,
-        pool: &PoolState,
-        spec: BatchSpec,
-        free_servers: usize,
-        now: Duration,
-    ) -> usize {
-        let enough = spec.max_pieces.max(1) * free_servers;
-        let mut startable = 0;
-        for entry in pool.queue.iter() {
-            let stage = &self.jobs[&entry.job].stages[entry.stage];
-            if stage.not_before <= now {
-                startable += stage.waiting_pieces().count();
-            }
-            if startable >= enough {
-                break;
-            }
-        }
-        startable
-            .div_ceil(free_servers.max(1))
-            .clamp(1, spec.max_pieces.max(1))
-    }
-
-    /// Whether all services of a late job have time to spare.
-    fn has_spare(&self, job: &Job, now: Duration) -> bool {
-        job.stages.iter().all(|stage| {
-            let pool = self.pools.get(&stage.order.service);
-            let spec = pool.and_then(|pool| pool.spec);
-            let spare = spec.map_or(Duration::ZERO, |spec| spec.call_time.mul_f64(SPARE_PART));
-            stage.order.pieces == 0
-                || self.backlog(&stage.order.service, Duration::MAX, now) <= spare
-        })
-    }
-
     /// The availability zone in which a stage's pieces move the fewest bytes, if it matters.
     fn home_zone<'a>(&'a self, job: &'a Job, stage: usize) -> Option<&'a ZoneId> {
         let order = &job.stages[stage].order;
@@ -287,45 +271,34 @@
     }
 }
 
-/// Whether a piece had better wait for a server in the availability zone that it belongs in.
-fn waits_for_near(
-    pool: &PoolState,
-    spec: BatchSpec,
-    home: &ZoneId,
-    ahead: usize,
-    latest_start: Duration,
+/// Which services have time to spare for late requests, asked once a service.
+struct SpareServices<'a> {
+    batcher: &'a Batcher,
     now: Duration,
-) -> bool {
-    let near = pool.in_use(now).filter(|(_, server)| server.zone == *home);
-    let usable = near.filter(|(_, server)| server.slowness(now) < SLOW);
-    let free_at: Vec<_> = usable
-        .map(|(_, server)| server.busy_until.max(now))
-        .collect();
-    let Some(first_free_at) = free_at.iter().min() else {
-        return false;
-    };
-    let calls_ahead = ahead / (spec.max_pieces.max(1) * free_at.len());
-    let call = spec.time_of(spec.max_pieces);
-    let queue = call.saturating_mul(u32::try_from(calls_ahead).unwrap_or(u32::MAX));
-    let slack = latest_start.saturating_sub(now);
-    *first_free_at + queue <= now + slack.mul_f64(NEAR_SLACK_PART)
+    known: BTreeMap<&'a ServiceId, bool>,
 }
 
-/// Whether a slow server would make a piece late that a usual one would not.
-fn is_too_slow(
-    pool: &PoolState,
-    spec: BatchSpec,
-    server: &StageServer,
-    latest_start: Duration,
-    is_late: bool,
-    now: Duration,
-) -> bool {
-    let slowness = server.slowness(now);
-    if slowness < SLOW || is_late {
-        return false;
+impl<'a> SpareServices<'a> {
+    const fn new(batcher: &'a Batcher, now: Duration) -> Self {
+        Self {
+            batcher,
+            now,
+            known: BTreeMap::new(),
+        }
+    }
+
+    fn has(&mut self, service: &'a ServiceId) -> bool {
+        let (batcher, now) = (self.batcher, self.now);
+        *self.known.entry(service).or_insert_with(|| {
+            let spec = batcher.pools.get(service).and_then(|pool| pool.spec);
+            let spare = spec.map_or(Duration::ZERO, |spec| spec.call_time.mul_f64(SPARE_PART));
+            batcher.backlog(service, Duration::MAX, now) <= spare
+        })
+    }
+
+    /// Whether all services of a late job have time to spare.
+    fn has_all(&mut self, job: &'a Job) -> bool {
+        let mut stages = job.stages.iter();
+        stages.all(|stage| stage.order.pieces == 0 || self.has(&stage.order.service))
     }
-    let is_usual = |other: &StageServer| other.slowness(now) < SLOW;
-    let has_usual = pool.in_use(now).any(|(_, other)| is_usual(other));
-    let extra = spec.time_of(spec.max_pieces / 2).mul_f64(slowness - 1.0);
-    has_usual && now + extra > latest_start
 }
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -9,7 +9,7 @@
 use crate::id::{ResultHandle, ServerLife};
 use crate::process::Rank;
 
-/// Size of a result from which it is made just in time and near its reader.
+/// Size of a result from which it is made near its reader.
 /// Below it, what a move between availability zones costs is less than a wait.
 pub(super) const LARGE_RESULT_BYTES: u64 = 100_000;
 
@@ -71,8 +71,6 @@
     pub(super) pieces: Vec<PieceState>,
     /// Latest start of its calls that still meets the aim.
     pub(super) latest_start: Duration,
-    /// Earliest start, so that large results do not wait for other stages.
-    pub(super) not_before: Duration,
     pub(super) is_queued: bool,
     pub(super) is_freed: bool,
     pub(super) clock: StageClock,
@@ -152,14 +150,12 @@
 
 impl Job {
     pub(super) fn new(order: PipelineOrder, outlook: Outlook, now: Duration) -> Self {
-        let starts = outlook.latest_starts.into_iter().zip(outlook.not_before);
-        let stages = order.stages.iter().zip(starts);
+        let stages = order.stages.iter().zip(outlook.latest_starts);
         let stages = stages
-            .map(|(order, (latest_start, not_before))| StageState {
+            .map(|(order, latest_start)| StageState {
                 order: order.clone(),
                 pieces: vec![PieceState::Waiting; order.pieces],
                 latest_start,
-                not_before,
                 is_queued: false,
                 is_freed: false,
                 clock: StageClock::default(),
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -190,6 +190,8 @@
     Failing,
     /// No server of a service is known.
     NoServer,
+    /// The owner of the batches is behind and takes no more work for the moment.
+    Overloaded,
     /// Its stages cannot be: too many pieces, or inputs that do not come before.
     Malformed,
 }
@@ -200,6 +202,7 @@
             Self::Late => "late",
             Self::Failing => "failing",
             Self::NoServer => "no-server",
+            Self::Overloaded => "overloaded",
             Self::Malformed => "malformed",
         })
     }
--- a/crates/core/src/process/batcher/queue.rs
+++ b/crates/core/src/process/batcher/queue.rs
@@ -1,6 +1,12 @@
 //! The stages that wait for one service, in the order in which their pieces are sent.
+//!
+//! Stages with results of one size wait in one lane, so that a server with little room left finds
+//! what fits without a look at all that does not.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::btree_set;
+use std::iter::Peekable;
 use std::time::Duration;
 
 use super::JobId;
@@ -12,33 +18,65 @@
     pub(super) place: Duration,
     pub(super) job: JobId,
     pub(super) stage: usize,
+    /// Room that each of its results takes.
+    pub(super) result_bytes: u64,
 }
 
 /// Waiting stages, kept in order as they come and go.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    entries: BTreeSet<Entry>,
+    /// By the room that one result takes; lanes without entries are dropped.
+    lanes: BTreeMap<u64, BTreeSet<Entry>>,
 }
 
 impl Queue {
     pub(super) fn insert(&mut self, entry: Entry) {
-        self.entries.insert(entry);
+        let lane = self.lanes.entry(entry.result_bytes).or_default();
+        lane.insert(entry);
     }
 
     pub(super) fn remove(&mut self, entry: &Entry) {
-        self.entries.remove(entry);
+        let Some(lane) = self.lanes.get_mut(&entry.result_bytes) else {
+            return;
+        };
+        lane.remove(entry);
+        if lane.is_empty() {
+            self.lanes.remove(&entry.result_bytes);
+        }
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.lanes.is_empty()
     }
 
     pub(super) fn len(&self) -> usize {
-        self.entries.len()
+        self.lanes.values().map(BTreeSet::len).sum()
     }
 
     /// Stages in the order in which they are sent.
-    pub(super) fn iter(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.iter()
+    pub(super) fn in_order(&self) -> InOrder<'_> {
+        let lanes = self.lanes.iter();
+        let lanes = lanes.map(|(result_bytes, entries)| (*result_bytes, entries.iter().peekable()));
+        InOrder {
+            lanes: lanes.collect(),
+        }
+    }
+}
+
+type Lane<'a> = (u64, Peekable<btree_set::Iter<'a, Entry>>);
+
+/// Goes through waiting stages in their order.
+pub(super) struct InOrder<'a> {
+    lanes: Vec<Lane<'a>>,
+}
+
+impl<'a> InOrder<'a> {
+    /// The next stage of which a result fits into so much room.
+    pub(super) fn next_within(&mut self, room_bytes: u64) -> Option<&'a Entry> {
+        let lanes = self.lanes.iter_mut();
+        let fitting = lanes.filter(|(result_bytes, _)| *result_bytes <= room_bytes);
+        let heads = fitting.filter_map(|(_, lane)| Some((*lane.peek()?, lane)));
+        let (_, lane) = heads.min_by_key(|(head, _)| *head)?;
+        lane.next()
     }
 }
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
 
 mod bench;
+mod burst;
 mod ends;
 mod kept;
 mod lives;
