One gateway of an availability zone reads the store for the others

Ruled out: longer polls, which would make keys and leaving servers known too late. Change: gateways announce their zone; from four in a zone on, the strongest (among equals by rendezvous hash) reads the store and the others ask it. What is handed on is what the store said, row for row, with its versions and its clock, so that ages are true through any number of hands; the first answer of a life is always the store's own and dates the later ones. Who hears nothing newer within the pace (worked out from the bounds on configurations and leaving servers) asks the store at once and leaves that gateway out for three seconds; who does not reach the store either waits for a neighbour's word. Nothing is agreed on: gateways that name different readers cost calls only. Announcements are read in groups of 250 ms.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -17,7 +17,7 @@
     BatchOwnerArguments, BatchOwners, Budgets, GatewayParts, StopGate, tend_silent,
 };
 use super::version::{
-    FeedPace, KEY_AGE_PERCENT, Knowledge, Own, READY_AGE_PERCENT, announce_instance,
+    FeedPace, KEY_AGE_PERCENT, Knowledge, Neighbours, Own, READY_AGE_PERCENT, announce_instance,
     follow_instances, follow_routing, follow_servers, withdraw_instance,
 };
 use crate::connection::{HttpServer, PeerClient, PeerClientLimits};
@@ -70,12 +70,12 @@
         let knowledge = Arc::new(Knowledge::new(
             config.clock,
             config.instance.clone(),
-            config.announcement,
+            config.announcement.clone(),
         ));
         let parts = Arc::new(start_parts(&config, &knowledge));
         let own = Own {
             instance: config.instance.clone(),
-            announcement: config.announcement,
+            announcement: config.announcement.clone(),
             stop: Arc::clone(&parts.stop),
             is_announced: Arc::default(),
         };
@@ -158,21 +158,26 @@
 }
 
 fn follow(config: &GatewayConfig, parts: &GatewayParts, own: Own) -> Vec<JoinHandle<()>> {
-    let knowledge = &parts.knowledge;
+    let neighbours = Neighbours {
+        knowledge: Arc::clone(&parts.knowledge),
+        peers: Arc::clone(&parts.peers),
+        handed_on: Arc::clone(&parts.handed_on),
+        counters: Arc::clone(&parts.counters),
+    };
     vec![
         tokio::spawn(follow_routing(
             config.store.clone(),
-            Arc::clone(knowledge),
-            FeedPace::routing(config.revoke_bound),
+            neighbours.clone(),
+            FeedPace::routing(config.revoke_bound).heard_within(config.apply_bound),
         )),
         tokio::spawn(follow_servers(
             config.store.clone(),
-            Arc::clone(knowledge),
+            neighbours.clone(),
             FeedPace::servers(config.drain_bound),
         )),
         tokio::spawn(follow_instances(
             config.store.clone(),
-            Arc::clone(knowledge),
+            neighbours,
             own,
             FeedPace::instances(),
         )),
@@ -200,7 +205,8 @@
         dialect,
         budgets: Budgets::new(config.budget),
         batches: Arc::new(BatchOwners::new(arguments)),
-        peers: PeerClient::new(PEER_LIMITS),
+        peers: Arc::new(PeerClient::new(PEER_LIMITS)),
+        handed_on: Arc::default(),
         counters,
         latencies,
         stop: Arc::new(StopGate::default()),
--- a/crates/amaranthscale/src/gateway/gateway_config.rs
+++ b/crates/amaranthscale/src/gateway/gateway_config.rs
@@ -25,6 +25,8 @@
     pub metrics: Option<SocketAddr>,
     /// Longest time for which a revoked key may still be served.
     pub revoke_bound: Duration,
+    /// Longest time in which a change of the routing is in force.
+    pub apply_bound: Duration,
     /// Longest time for which a server that is known to leave may still be given work.
     pub drain_bound: Duration,
     /// Longest time that a stop may take.
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -69,12 +69,10 @@
     let ready = HttpServer::start(config.ready, limits, ready)
         .await
         .map_err(|cause| GatewayError::Listen("readiness", config.ready, cause))?;
-    let batches = Arc::clone(&parts.batches);
-    let own = config.instance.clone();
-    let pieces =
-        move |request: Request<Incoming>| serve_peer(own.clone(), Arc::clone(&batches), request);
+    let asked = Arc::clone(parts);
+    let answer_peer = move |request: Request<Incoming>| serve_peer(Arc::clone(&asked), request);
     let address = config.announcement.address;
-    let peers = HttpServer::start_on(peers, move || limits, pieces)
+    let peers = HttpServer::start_on(peers, move || limits, answer_peer)
         .map_err(|cause| GatewayError::Listen("other gateways", address, cause))?;
     let mut metrics = None;
     if let Some(address) = config.metrics {
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -7,7 +7,7 @@
 
 use super::super::Dialect;
 use super::super::connection::ServerPool;
-use super::super::version::Knowledge;
+use super::super::version::{HandedOn, Knowledge};
 use super::{BatchOwners, Budgets, StopGate};
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -30,7 +30,9 @@
     /// The owners of batches in this process.
     pub batches: Arc<BatchOwners>,
     /// Connections to other gateways.
-    pub peers: PeerClient,
+    pub peers: Arc<PeerClient>,
+    /// The store's tables, for neighbours.
+    pub handed_on: Arc<HandedOn>,
     /// Counts of answers, refusals and repeats.
     pub counters: Arc<Counters>,
     /// Times by part of a request and by stage service.
--- a/crates/amaranthscale/src/gateway/process/peer_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_pieces.rs
@@ -18,9 +18,11 @@
 use hyper::{Request, Response, StatusCode};
 use log::warn;
 use quick_error::quick_error;
+use serde::de::DeserializeOwned;
 
-use super::{BatchOwners, JobAnswer, JobNews, JobSource, RunningJob};
-use crate::connection::{PeerClient, PeerError, ResponseBody, empty_body, read_body};
+use super::super::version::ROWS_PATH;
+use super::{BatchOwners, GatewayParts, JobAnswer, JobNews, JobSource, RunningJob};
+use crate::connection::{PeerClient, PeerError, ResponseBody, empty_body, full_body, read_body};
 
 /// Start of the path of a request that carries a job; the owner's name follows.
 pub const PIECES_PATH: &str = "/pieces/";
@@ -146,19 +148,49 @@
     answer.is_ok_and(|response| response.status() == StatusCode::OK)
 }
 
-/// Answers other gateways: jobs, and whether this life is here.
+/// Answers other gateways: jobs, the store's rows, and whether this life is here.
 pub async fn serve_peer(
-    own: InstanceId,
-    batches: Arc<BatchOwners>,
+    parts: Arc<GatewayParts>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    match request.uri().path().strip_prefix(ALIVE_PATH) {
-        Some(asked) if asked == own.as_str() => status(StatusCode::OK),
-        Some(_other) => status(StatusCode::NOT_FOUND),
-        None => serve_pieces(own, batches, request).await,
+    let own = parts.instance.clone();
+    let path = request.uri().path();
+    let asked = path.strip_prefix(ALIVE_PATH);
+    let asked = asked.or_else(|| path.strip_prefix(ROWS_PATH));
+    if asked.is_some_and(|asked| asked != own.as_str()) {
+        return status(StatusCode::NOT_FOUND);
+    }
+    if path.starts_with(ALIVE_PATH) {
+        status(StatusCode::OK)
+    } else if path.starts_with(ROWS_PATH) {
+        serve_rows(&parts, request).await
+    } else {
+        serve_pieces(own, Arc::clone(&parts.batches), request).await
     }
 }
 
+/// Answers a neighbour's question for what the store has told.
+async fn serve_rows(parts: &GatewayParts, request: Request<Incoming>) -> Response<ResponseBody> {
+    let question = match read_message(request).await {
+        Ok(question) => question,
+        Err(reason) => {
+            warn!(reason = reason.as_str(); "store: a neighbour's question cannot be read");
+            return status(StatusCode::BAD_REQUEST);
+        }
+    };
+    let answer = parts.handed_on.answer(question).await;
+    parts.counters.count("store.handed-on");
+    // Texts, bytes and numbers always have an encoding.
+    let encoded = rmp_serde::to_vec_named(&answer).unwrap_or_default();
+    Response::new(full_body(encoded))
+}
+
+async fn read_message<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
+    let read = read_body(request.into_body(), MAX_ORDER_BYTES, ORDER_PATIENCE).await;
+    let body = read.map_err(|error| error.to_string())?;
+    rmp_serde::from_slice(&body).map_err(|error| error.to_string())
+}
+
 /// Answers another gateway's job.
 ///
 /// Guards against a job for an earlier life at this address: its sender has not heard that it
@@ -171,11 +203,7 @@
     if request.uri().path().strip_prefix(PIECES_PATH) != Some(own.as_str()) {
         return status(StatusCode::NOT_FOUND);
     }
-    let read = read_body(request.into_body(), MAX_ORDER_BYTES, ORDER_PATIENCE).await;
-    let order = read
-        .map_err(|error| error.to_string())
-        .and_then(|body| rmp_serde::from_slice::<PipelineOrder>(&body).map_err(|e| e.to_string()));
-    let order = match order {
+    let order: PipelineOrder = match read_message(request).await {
         Ok(order) => order,
         Err(reason) => {
             warn!(reason = reason.as_str(); "batches: a peer's order cannot be read");
--- a/crates/amaranthscale/src/gateway/store_calls.rs
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -9,9 +9,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
 
 /// Tables that a gateway follows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreTable {
     /// The routing that operators publish.
     Routing,
@@ -21,11 +22,24 @@
     Instances,
 }
 
+impl StoreTable {
+    /// Name in lines.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Routing => "routing",
+            Self::Servers => "servers",
+            Self::Instances => "gateways",
+        }
+    }
+}
+
 /// What a row holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[serde_with::serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoredValue {
     /// Its content.
-    Content(Vec<u8>),
+    Content(#[serde_as(as = "serde_with::Bytes")] Vec<u8>),
     /// Content that the store cannot have taken from one of its own writers, and why.
     Unreadable(String),
     /// Nothing: the row was dropped.
@@ -47,7 +61,7 @@
 }
 
 /// One row.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRow {
     /// Key within its table.
     pub key: String,
@@ -58,13 +72,16 @@
 }
 
 /// Rows as of one moment.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[serde_with::serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRows {
     /// The rows.
     pub rows: Vec<StoreRow>,
     /// Version to go on from.
     pub version: RowVersion,
     /// The store's steady clock.
+    #[serde_as(as = "serde_with::DurationMicroSeconds<u64>")]
+    #[serde(rename = "clock_us")]
     pub clock: Duration,
     /// Whether more rows follow.
     pub is_truncated: bool,
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -4,7 +4,9 @@
 mod feed;
 mod feed_pace;
 mod follow;
+mod handed_on;
 mod knowledge;
+mod neighbour;
 mod refused_entries;
 
 #[doc(inline)]
@@ -16,4 +18,8 @@
 #[doc(inline)]
 pub use follow::{Own, follow_instances, follow_routing, follow_servers};
 #[doc(inline)]
+pub use handed_on::{HandedOn, HandedRows, RowsQuestion};
+#[doc(inline)]
 pub use knowledge::Knowledge;
+#[doc(inline)]
+pub use neighbour::{Neighbours, ROWS_PATH};
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -4,6 +4,7 @@
 //! for good while new ones work, so each poll has its own time-out, after which a new connection
 //! is opened. A history that is gone is answered by reading the whole table again.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthscale_core::id::RowVersion;
@@ -13,7 +14,8 @@
 use log::debug;
 
 use super::super::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable};
-use super::FeedPace;
+use super::neighbour::Neighbour;
+use super::{FeedPace, HandedRows, Neighbours, RowsQuestion};
 use crate::connection::{Http1Connection, read_body};
 
 /// Longest wait for the answer to a call that does not wait for changes.
@@ -46,6 +48,13 @@
     pace: FeedPace,
     connection: Option<Http1Connection>,
     position: Option<RowVersion>,
+    /// The store's clock as of which the table is known.
+    clock: Duration,
+    neighbour: Option<Neighbour>,
+    /// Whether the last call to the store failed.
+    is_lost: bool,
+    /// Whether nothing came since the whole table.
+    is_first: bool,
 }
 
 impl Feed {
@@ -58,12 +67,42 @@
             pace,
             connection: None,
             position: None,
+            clock: Duration::ZERO,
+            neighbour: None,
+            is_lost: false,
+            is_first: true,
         }
     }
 
+    /// Asks a neighbour in place of the store where one reads it for others, and hands on what it
+    /// hears. The first answer is always the store's own: by it the later ones are dated.
+    #[must_use]
+    pub fn beside(mut self, neighbours: Neighbours) -> Self {
+        self.neighbour = Some(Neighbour::new(neighbours, self.table.name()));
+        self
+    }
+
     /// The next event; a failure is followed by a pause.
     pub async fn next(&mut self) -> FeedEvent {
+        let event = self.read().await;
+        self.is_lost = matches!(event, FeedEvent::Lost(_));
+        self.is_first = matches!(event, FeedEvent::All(_));
+        if let FeedEvent::All(rows) | FeedEvent::Changed(rows) = &event {
+            self.clock = self.clock.max(rows.clock);
+        }
+        if let Some(neighbour) = &self.neighbour {
+            neighbour.with().handed_on.note(self.table, &event);
+        }
+        event
+    }
+
+    async fn read(&mut self) -> FeedEvent {
         loop {
+            if let Some(position) = self.position
+                && let Some(event) = self.ask_neighbour(position).await
+            {
+                return event;
+            }
             let event = match self.position {
                 None => self.read_all().await.map(|rows| Some(FeedEvent::All(rows))),
                 Some(position) => self.read_changes(position).await,
@@ -80,6 +119,52 @@
         }
     }
 
+    /// Asks the neighbour that reads the store for this gateway; none if the store is to be asked.
+    ///
+    /// A neighbour that fails, or has nothing newer to tell within the pace, is left out and the
+    /// store asked at once. Where the store fails as well, the neighbour's word is waited for: when
+    /// the store is back, one call of a zone tells all.
+    async fn ask_neighbour(&mut self, position: RowVersion) -> Option<FeedEvent> {
+        let is_lost = self.is_lost;
+        let neighbour = self.neighbour.as_mut()?;
+        let (id, address) = neighbour.choose(is_lost)?;
+        self.connection = None;
+        let question = RowsQuestion {
+            table: self.table,
+            after: position,
+            clock: self.clock,
+            is_lost,
+        };
+        let asked = neighbour.ask(&id, address, question, self.pace.handed_silence());
+        let counters = Arc::clone(&neighbour.with().counters);
+        let reason = match asked.await {
+            Ok(HandedRows::All(rows)) if rows.clock > self.clock => {
+                counters.count("store.handed");
+                self.position = Some(rows.version);
+                return Some(FeedEvent::All(rows));
+            }
+            Ok(HandedRows::Changed(rows)) if rows.clock > self.clock => {
+                counters.count("store.handed");
+                self.position = Some(rows.version.max(position));
+                return Some(FeedEvent::Changed(rows));
+            }
+            Ok(HandedRows::TooLarge) => {
+                counters.count("store.too-large-to-hand-on");
+                return None;
+            }
+            Ok(HandedRows::Lost) => "it has lost the store".to_owned(),
+            Ok(_) => "it told nothing new".to_owned(),
+            Err(reason) => reason,
+        };
+        counters.count("store.neighbour-lost");
+        debug!(
+            "store: {} through {id}: {reason}; asking by itself",
+            self.table.name()
+        );
+        neighbour.leave_out(id);
+        None
+    }
+
     async fn read_all(&mut self) -> Result<StoreRows, String> {
         let mut first: Option<StoreRows> = None;
         let mut rows: Vec<StoreRow> = Vec::new();
@@ -110,7 +195,7 @@
             SHORTEST_WAIT
         } else {
             tokio::time::sleep(self.pace.between).await;
-            self.pace.wait
+            self.wait()
         };
         let request = (self.store.watch)(self.table, position, wait);
         let patience = wait + CALL_PATIENCE;
@@ -131,11 +216,27 @@
         }
     }
 
+    /// Longest wait of the next poll.
+    fn wait(&self) -> Duration {
+        let is_handed_on = self.neighbour.as_ref().is_some_and(|neighbour| {
+            neighbour.reads_for_others() || neighbour.with().handed_on.is_asked(self.table)
+        });
+        // After the whole table, the list of gateways may just tell that others follow.
+        if is_handed_on || self.is_first {
+            self.pace.handed_wait
+        } else {
+            self.pace.wait
+        }
+    }
+
     async fn call(
         &mut self,
         request: Request<Full<Bytes>>,
         patience: Duration,
     ) -> Result<StoreAnswer, String> {
+        if let Some(neighbour) = &self.neighbour {
+            neighbour.with().counters.count("store.calls");
+        }
         let connection = match self.connection.take().filter(Http1Connection::is_ready) {
             Some(connection) => connection,
             None => Http1Connection::open(self.store.address, CALL_PATIENCE)
--- a/crates/amaranthscale/src/gateway/version/feed_pace.rs
+++ b/crates/amaranthscale/src/gateway/version/feed_pace.rs
@@ -10,14 +10,18 @@
 /// Part of the bound on revoked keys for which a gateway is ready without word from the store, in
 /// hundredths: soon after it, keyed requests are refused, and callers had better go elsewhere.
 pub const READY_AGE_PERCENT: u32 = 56;
+/// Part of a bound for which a poll whose answers are handed on waits, in hundredths: with the
+/// time between two polls, a third of the bound is left to the one who hears nothing to ask by itself.
+const HANDED_PERCENT: u32 = 40;
 /// Pause after a failed call, at most.
 const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(350);
 /// Longest pause after a failed call for the gateways' announcements, which nothing waits for.
 const INSTANCES_FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Longest wait for announcements: changes are told at once, silence shows on other connections.
 const INSTANCES_WAIT: Duration = Duration::from_secs(10);
-/// Time in which announcements that come together are read together.
-const INSTANCES_BETWEEN: Duration = Duration::from_millis(20);
+/// Time in which announcements that come together are read together: gateways that are restarted in
+/// turn come and go every second or so, and nothing waits for the news.
+const INSTANCES_BETWEEN: Duration = Duration::from_millis(250);
 
 /// How often the store is asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +32,8 @@
     pub between: Duration,
     /// Pause after a failed call.
     pub after_failure: Duration,
+    /// Longest wait of one poll whose answers are handed on.
+    pub handed_wait: Duration,
 }
 
 impl FeedPace {
@@ -42,9 +48,26 @@
             wait: believed / 2,
             between: Duration::ZERO,
             after_failure: LONGEST_FAILURE_PAUSE.min(believed / 10),
+            handed_wait: believed / 2,
         }
     }
 
+    /// Longest silence of a gateway that hands answers on, beside the ways there.
+    #[must_use]
+    pub fn handed_silence(&self) -> Duration {
+        self.between + self.handed_wait
+    }
+
+    /// Lets those to whom answers are handed on know everything within a bound.
+    ///
+    /// Guards against a neighbour that is cut off from the store and does not know it yet: they go
+    /// on without it within the bound, with time left to ask by themselves.
+    #[must_use]
+    pub fn heard_within(mut self, bound: Duration) -> Self {
+        self.handed_wait = self.wait.min(bound * HANDED_PERCENT / 100);
+        self
+    }
+
     /// Pace of the servers: a leaving one is known within a fifth of the bound, and one whose news
     /// a silent connection lost, within the bound and a half.
     #[must_use]
@@ -53,7 +76,9 @@
             wait: drain_bound * 5 / 4,
             between: drain_bound / 5,
             after_failure: LONGEST_FAILURE_PAUSE.min(drain_bound / 5),
+            handed_wait: drain_bound * 5 / 4,
         }
+        .heard_within(drain_bound)
     }
 
     /// Pace of the gateways' announcements.
@@ -63,6 +88,7 @@
             wait: INSTANCES_WAIT,
             between: INSTANCES_BETWEEN,
             after_failure: INSTANCES_FAILURE_PAUSE,
+            handed_wait: INSTANCES_WAIT,
         }
     }
 }
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -12,11 +12,12 @@
 use super::super::{StoreCalls, StoreRow, StoreTable};
 use super::announce::{announce_instance, withdraw_instance};
 use super::refused_entries::RefusedEntries;
-use super::{Feed, FeedEvent, FeedPace, Knowledge};
+use super::{Feed, FeedEvent, FeedPace, Knowledge, Neighbours};
 
 /// Follows the routing for good.
-pub async fn follow_routing(store: StoreCalls, knowledge: Arc<Knowledge>, pace: FeedPace) {
-    let mut feed = Feed::new(StoreTable::Routing, store.clone(), pace);
+pub async fn follow_routing(store: StoreCalls, neighbours: Neighbours, pace: FeedPace) {
+    let knowledge = Arc::clone(&neighbours.knowledge);
+    let mut feed = Feed::new(StoreTable::Routing, store.clone(), pace).beside(neighbours);
     let mut link = Link::new("routing");
     loop {
         let event = feed.next().await;
@@ -38,8 +39,9 @@
 }
 
 /// Follows the servers for good.
-pub async fn follow_servers(store: StoreCalls, knowledge: Arc<Knowledge>, pace: FeedPace) {
-    let mut feed = Feed::new(StoreTable::Servers, store.clone(), pace);
+pub async fn follow_servers(store: StoreCalls, neighbours: Neighbours, pace: FeedPace) {
+    let knowledge = Arc::clone(&neighbours.knowledge);
+    let mut feed = Feed::new(StoreTable::Servers, store.clone(), pace).beside(neighbours);
     let mut link = Link::new("servers");
     let mut refusals = RefusedEntries::new("servers");
     loop {
@@ -76,13 +78,9 @@
 }
 
 /// Follows the gateways for good, and announces this one again if its announcement is gone.
-pub async fn follow_instances(
-    store: StoreCalls,
-    knowledge: Arc<Knowledge>,
-    own: Own,
-    pace: FeedPace,
-) {
-    let mut feed = Feed::new(StoreTable::Instances, store.clone(), pace);
+pub async fn follow_instances(store: StoreCalls, neighbours: Neighbours, own: Own, pace: FeedPace) {
+    let knowledge = Arc::clone(&neighbours.knowledge);
+    let mut feed = Feed::new(StoreTable::Instances, store.clone(), pace).beside(neighbours);
     let mut refusals = RefusedEntries::new("gateways");
     loop {
         let rows = match feed.next().await {
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, InstanceId};
-use amaranthscale_core::process::{Announcement, Cell, Freshness, InstanceView, ServerList};
+use amaranthscale_core::process::{
+    Announcement, Cell, Freshness, InstanceView, ServerList, StoreReader,
+};
 use amaranthscale_core::version::Routing;
 use log::info;
 use tokio::sync::{Notify, watch};
@@ -146,6 +148,13 @@
         self.known().instances.others(now)
     }
 
+    /// Who reads the store for this gateway, but for those that are left out.
+    #[must_use]
+    pub fn reader(&self, is_left_out: impl Fn(&InstanceId) -> bool) -> StoreReader {
+        let now = self.clock.now();
+        self.known().instances.reader(now, is_left_out)
+    }
+
     /// Gateways that nobody here has reached for long.
     #[must_use]
     pub fn forgotten(&self) -> Vec<InstanceId> {
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/version/neighbour.rs
@@ -0,0 +1,127 @@
+//! The gateway nearby that reads the store for this one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::id::InstanceId;
+use amaranthscale_core::process::StoreReader;
+use bytes::Bytes;
+use hyper::StatusCode;
+use log::info;
+
+use super::{HandedOn, HandedRows, Knowledge, RowsQuestion};
+use crate::connection::{PeerClient, read_body};
+use crate::process::Counters;
+
+/// Start of the path of a question for rows; the neighbour's name follows.
+pub const ROWS_PATH: &str = "/rows/";
+/// Time for the way to a neighbour and back, and for a turn of its processor.
+const WAY: Duration = Duration::from_millis(300);
+/// Time for which a neighbour that told nothing new is left out: until the list of gateways tells of
+/// its end, or its own next call to the store has shown whether it reaches it.
+const LEFT_OUT_FOR: Duration = Duration::from_secs(3);
+/// Largest answer: what is handed on at once, and its framing.
+const MOST_ANSWER_BYTES: usize = 256 * 1024;
+
+/// What a feed needs to ask a neighbour.
+#[derive(Debug, Clone)]
+pub struct Neighbours {
+    /// Names the gateways nearby.
+    pub knowledge: Arc<Knowledge>,
+    /// Connections to them.
+    pub peers: Arc<PeerClient>,
+    /// What this gateway hands on itself.
+    pub handed_on: Arc<HandedOn>,
+    /// Counts calls by how they were answered.
+    pub counters: Arc<Counters>,
+}
+
+/// The neighbour that one feed asks.
+#[derive(Debug)]
+pub(super) struct Neighbour {
+    with: Neighbours,
+    feed: &'static str,
+    left_out: BTreeMap<InstanceId, Duration>,
+    reader: StoreReader,
+}
+
+impl Neighbour {
+    pub(super) const fn new(with: Neighbours, feed: &'static str) -> Self {
+        Self {
+            with,
+            feed,
+            left_out: BTreeMap::new(),
+            reader: StoreReader::Each,
+        }
+    }
+
+    pub(super) fn with(&self) -> &Neighbours {
+        &self.with
+    }
+
+    /// Whether this gateway reads the store for others.
+    pub(super) fn reads_for_others(&self) -> bool {
+        self.reader == StoreReader::This
+    }
+
+    /// The gateway to ask; none if this one asks the store itself.
+    pub(super) fn choose(&mut self, is_lost: bool) -> Option<(InstanceId, SocketAddr)> {
+        let now = self.with.knowledge.clock().now();
+        self.left_out.retain(|_, until| *until > now);
+        // Without the store itself, any neighbour may be the first to hear from it again.
+        let is_left_out = |id: &InstanceId| !is_lost && self.left_out.contains_key(id);
+        let reader = self.with.knowledge.reader(is_left_out);
+        if reader != self.reader {
+            let through = match &reader {
+                StoreReader::Other(id, _) => id.as_str(),
+                StoreReader::This => "for-others",
+                StoreReader::Each => "-",
+            };
+            info!(feed = self.feed, through; "store: followed");
+            self.reader = reader.clone();
+        }
+        match reader {
+            StoreReader::Other(id, address) => Some((id, address)),
+            StoreReader::This | StoreReader::Each => None,
+        }
+    }
+
+    /// Leaves a gateway out for a while.
+    pub(super) fn leave_out(&mut self, id: InstanceId) {
+        let until = self.with.knowledge.clock().now() + LEFT_OUT_FOR;
+        self.left_out.insert(id, until);
+    }
+
+    /// Asks a gateway; what is not answered within its pace and the way there is given up.
+    pub(super) async fn ask(
+        &self,
+        id: &InstanceId,
+        address: SocketAddr,
+        question: RowsQuestion,
+        pace: Duration,
+    ) -> Result<HandedRows, String> {
+        let asking = self.ask_for_good(id, address, question);
+        let answered = tokio::time::timeout(pace + WAY, asking).await;
+        answered.map_err(|_elapsed| "it told nothing new".to_owned())?
+    }
+
+    async fn ask_for_good(
+        &self,
+        id: &InstanceId,
+        address: SocketAddr,
+        question: RowsQuestion,
+    ) -> Result<HandedRows, String> {
+        let question = rmp_serde::to_vec_named(&question).map_err(|error| error.to_string())?;
+        let path = format!("{ROWS_PATH}{id}");
+        let answer = self.with.peers.post(address, &path, Bytes::from(question));
+        let answer = answer.await.map_err(|error| error.to_string())?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("it answered {}", answer.status()));
+        }
+        let body = read_body(answer.into_body(), MOST_ANSWER_BYTES, WAY).await;
+        let body = body.map_err(|error| error.to_string())?;
+        rmp_serde::from_slice(&body).map_err(|error| error.to_string())
+    }
+}
--- a/crates/amaranthscale/tests/feed_pace.rs
+++ b/crates/amaranthscale/tests/feed_pace.rs
@@ -62,3 +62,19 @@
         assert!(pace.between >= bound / 10, "calls are paid for");
     }
 }
+
+/// The gateway that hands the store's answers on is cut off from it. The one that hears nothing from
+/// it must still know within the bound what the store says.
+#[test]
+fn who_hears_nothing_from_a_neighbour_asks_within_the_bound() {
+    let ways = Duration::from_millis(400);
+    for bound_ms in [1_500, 2_000, 3_000, 4_000, 8_000] {
+        let bound = Duration::from_millis(bound_ms);
+
+        let servers = FeedPace::servers(bound);
+        let routing = FeedPace::routing(Duration::from_secs(5)).heard_within(bound);
+
+        assert!(servers.handed_silence() + ways <= bound, "{bound_ms} ms");
+        assert!(routing.handed_silence() + ways <= bound, "{bound_ms} ms");
+    }
+}
--- /dev/null
+++ b/crates/amaranthscale/tests/handed_on.rs
@@ -0,0 +1,164 @@
+//! What a gateway hands on to its neighbours.
+
+use std::time::Duration;
+
+use amaranthscale::gateway::version::{FeedEvent, HandedOn, HandedRows, RowsQuestion};
+use amaranthscale::gateway::{StoreRow, StoreRows, StoreTable, StoredValue};
+use amaranthscale_core::id::RowVersion;
+
+const TABLE: StoreTable = StoreTable::Servers;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn row(key: &str, value: StoredValue, version: u64) -> StoreRow {
+    StoreRow {
+        key: key.to_owned(),
+        value,
+        version: RowVersion::new(version),
+    }
+}
+
+fn rows(rows: Vec<StoreRow>, version: u64, clock: Duration) -> StoreRows {
+    StoreRows {
+        rows,
+        version: RowVersion::new(version),
+        clock,
+        is_truncated: false,
+    }
+}
+
+fn content(text: &str) -> StoredValue {
+    StoredValue::Content(text.as_bytes().to_vec())
+}
+
+const fn question(after: u64, clock: Duration) -> RowsQuestion {
+    RowsQuestion {
+        table: TABLE,
+        after: RowVersion::new(after),
+        clock,
+        is_lost: false,
+    }
+}
+
+fn with_one_row() -> HandedOn {
+    let handed_on = HandedOn::default();
+    let all = rows(vec![row("s1", content("one"), 3)], 5, ms(1_000));
+    handed_on.note(TABLE, &FeedEvent::All(all));
+    handed_on
+}
+
+/// A neighbour that knows as much waits for the store's next word, and gets it with the store's own
+/// clock: what it knows is as old as if it had asked the store.
+#[tokio::test(start_paused = true)]
+async fn the_stores_next_word_is_handed_on_with_its_clock() {
+    let handed_on = with_one_row();
+    let waiting = handed_on.answer(question(5, ms(1_000)));
+    let gone = row("s1", StoredValue::Dropped, 6);
+    let told = async {
+        tokio::time::sleep(ms(700)).await;
+        let changed = rows(vec![gone.clone()], 6, ms(1_700));
+        handed_on.note(TABLE, &FeedEvent::Changed(changed));
+    };
+
+    let (answer, ()) = tokio::join!(waiting, told);
+
+    let changed = rows(vec![gone], 6, ms(1_700));
+    assert_eq!(answer, HandedRows::Changed(changed));
+    assert!(handed_on.is_asked(TABLE));
+    assert!(!handed_on.is_asked(StoreTable::Routing));
+}
+
+/// Nothing but the time has passed: that alone keeps keys believed, and must be told.
+#[tokio::test(start_paused = true)]
+async fn a_word_without_news_is_handed_on_too() {
+    let handed_on = with_one_row();
+    let nothing = rows(Vec::new(), 5, ms(2_000));
+    handed_on.note(TABLE, &FeedEvent::Changed(nothing.clone()));
+
+    let answer = handed_on.answer(question(5, ms(1_000))).await;
+
+    assert_eq!(answer, HandedRows::Changed(nothing));
+}
+
+/// The one who asks has heard more than this gateway: old rows must not reach it.
+#[tokio::test(start_paused = true)]
+async fn who_knows_more_is_told_nothing() {
+    let handed_on = with_one_row();
+
+    let waiting = handed_on.answer(question(9, ms(5_000)));
+
+    assert!(tokio::time::timeout(ms(3_000), waiting).await.is_err());
+}
+
+/// The store does not answer this gateway any more. Its neighbours must hear so at once and ask by
+/// themselves; one that did so in vain waits here for the store's return.
+#[tokio::test(start_paused = true)]
+async fn neighbours_hear_at_once_that_the_store_is_lost() {
+    let handed_on = with_one_row();
+    handed_on.note(TABLE, &FeedEvent::Lost("cut".to_owned()));
+
+    assert_eq!(
+        handed_on.answer(question(5, ms(1_000))).await,
+        HandedRows::Lost
+    );
+    let lost = RowsQuestion {
+        is_lost: true,
+        ..question(5, ms(1_000))
+    };
+    let waiting = handed_on.answer(lost);
+    let back = async {
+        tokio::time::sleep(ms(400)).await;
+        let nothing = rows(Vec::new(), 5, ms(4_000));
+        handed_on.note(TABLE, &FeedEvent::Changed(nothing));
+    };
+    let (answer, ()) = tokio::join!(waiting, back);
+
+    assert!(matches!(answer, HandedRows::Changed(_)));
+}
+
+/// A configuration of thousands of routes over a slow link would hold up twenty neighbours for
+/// seconds. They are told to read it from the store.
+#[tokio::test(start_paused = true)]
+async fn what_is_too_large_is_not_handed_on() {
+    let handed_on = with_one_row();
+    let large = row("s2", StoredValue::Content(vec![0; 500_000]), 6);
+    let changed = rows(vec![large], 6, ms(2_000));
+    handed_on.note(TABLE, &FeedEvent::Changed(changed));
+
+    assert_eq!(
+        handed_on.answer(question(5, ms(1_000))).await,
+        HandedRows::TooLarge
+    );
+    let later = handed_on.answer(question(6, ms(1_000))).await;
+    assert!(matches!(later, HandedRows::Changed(rows) if rows.rows.is_empty()));
+}
+
+/// A gateway that has heard nothing of the store yet has nothing to hand on.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_handed_on_before_the_first_word() {
+    let handed_on = HandedOn::default();
+
+    assert_eq!(
+        handed_on.answer(question(5, ms(1_000))).await,
+        HandedRows::Lost
+    );
+}
+
+/// What another writer left is handed on as it was read, so that both refuse it.
+#[test]
+fn rows_come_through_the_wire_as_they_are() {
+    let odd = StoredValue::Unreadable("no base64".to_owned());
+    let all = vec![
+        row("a", content("x"), 1),
+        row("b", odd, 2),
+        row("c", StoredValue::Dropped, 3),
+    ];
+    let answer = HandedRows::All(rows(all, 3, Duration::from_micros(1_234_567)));
+
+    let encoded = rmp_serde::to_vec_named(&answer).expect("rows always have an encoding");
+
+    let read: HandedRows = rmp_serde::from_slice(&encoded).expect("just encoded");
+    assert_eq!(read, answer);
+}
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -75,7 +75,7 @@
 #[doc(inline)]
 pub use hedge_policy::HedgePolicy;
 #[doc(inline)]
-pub use instance_view::{Announcement, InstanceView};
+pub use instance_view::{Announcement, InstanceView, StoreReader};
 #[doc(inline)]
 pub use keeping_up::{KeepingUp, Pace};
 #[doc(inline)]
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -15,20 +15,38 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Cell, rendezvous};
-use crate::id::{InstanceId, RowVersion};
+use crate::id::{InstanceId, RowVersion, ZoneId};
 
 /// How long an entry that fell silent is passed over before it is tried again.
 const PASSED_OVER: Duration = Duration::from_secs(3);
 /// Silence after which an announcement may be removed for an entry that nobody reaches.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(12);
 
+/// Fewest entries of an availability zone of which one reads the store for all: with fewer, hardly
+/// a call is saved, and each loss of the one makes the others ask once more.
+const LEAST_READ_FOR: usize = 4;
+
 /// What an entry announces of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Where other entries connect.
     pub address: SocketAddr,
     /// Thousandths of a core that it may use.
     pub millicores: u32,
+    /// Its availability zone; none where it does not say.
+    #[serde(default)]
+    pub zone: Option<ZoneId>,
+}
+
+/// Who reads the store for the entries of an availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreReader {
+    /// Each for itself: there are too few to gain by anything else.
+    Each,
+    /// This entry, for all.
+    This,
+    /// Another entry, and where it is.
+    Other(InstanceId, SocketAddr),
 }
 
 /// Order of those that act: not seen, weakness, age, name.
@@ -217,6 +235,47 @@
         (id, found.announcement.address)
     }
 
+    /// The entry of the same availability zone that reads the store for the others: the strongest,
+    /// and among equals one by rendezvous hash. Some may be left out, as those that had nothing new
+    /// to tell. Entries with different views may name each other, so what is heard through another
+    /// counts by the store's own clock only.
+    #[must_use]
+    pub fn reader(&self, now: Duration, is_left_out: impl Fn(&InstanceId) -> bool) -> StoreReader {
+        let own = self.instances.get(&self.own);
+        let Some(zone) = own.and_then(|own| own.announcement.zone.as_ref()) else {
+            return StoreReader::Each;
+        };
+        let zone_seed = rendezvous::score(0, zone);
+        let in_zone = self.instances.iter().filter(|(_, seen)| {
+            !seen.is_passed_over(now) && seen.announcement.zone.as_ref() == Some(zone)
+        });
+        let in_zone: Vec<_> = in_zone.collect();
+        if in_zone.len() < LEAST_READ_FOR {
+            return StoreReader::Each;
+        }
+        let usable = in_zone
+            .into_iter()
+            .filter(|(id, _)| **id == self.own || !is_left_out(id));
+        let first = usable.min_by_key(|(id, seen)| {
+            let (is_unseen, weakness, _, id) = seen.place(id);
+            let is_leaving = self.is_leaving && *id == self.own;
+            (
+                is_leaving,
+                is_unseen,
+                weakness,
+                rendezvous::score(zone_seed, id),
+                id,
+            )
+        });
+        match first {
+            Some((id, seen)) if *id != self.own => {
+                StoreReader::Other(id.clone(), seen.announcement.address)
+            }
+            // The entry itself is never left out.
+            _ => StoreReader::This,
+        }
+    }
+
     fn addressed(
         &self,
         is_wanted: impl Fn(&InstanceId, &Seen) -> bool,
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -22,6 +22,7 @@
 mod settings_tree;
 mod sourced;
 mod stage;
+mod table_copy;
 mod tree_check;
 mod tree_edit;
 mod tree_error;
@@ -71,6 +72,8 @@
 #[doc(inline)]
 pub use stage::Stage;
 #[doc(inline)]
+pub use table_copy::{TableCopy, TableNews};
+#[doc(inline)]
 pub use tree_check::{
     MAX_DEADLINE_MS, MAX_DEPTH, MAX_IN_FLIGHT, MAX_LIMIT_PER_SECOND, MAX_REPLICAS, MAX_WEIGHT,
 };
--- a/crates/core/tests/cell.rs
+++ b/crates/core/tests/cell.rs
@@ -51,6 +51,7 @@
             .parse()
             .unwrap(),
         millicores: 200,
+        zone: None,
     };
     let mut view = InstanceView::new(instance(0), announcement(0));
     for number in 0..entries {
--- a/crates/core/tests/instance_random.rs
+++ b/crates/core/tests/instance_random.rs
@@ -61,10 +61,11 @@
         let announcement = Announcement {
             address,
             millicores,
+            zone: None,
         };
         let id: InstanceId = format!("m{number}-0").parse().unwrap();
         Self {
-            view: InstanceView::new(id.clone(), announcement),
+            view: InstanceView::new(id.clone(), announcement.clone()),
             id,
             announcement,
             lives: 0,
@@ -80,7 +81,7 @@
     fn start_anew(&mut self, number: usize) {
         self.lives += 1;
         self.id = format!("m{number}-{}", self.lives).parse().unwrap();
-        self.view = InstanceView::new(self.id.clone(), self.announcement);
+        self.view = InstanceView::new(self.id.clone(), self.announcement.clone());
         self.read = None;
         self.is_announced = false;
         self.is_frozen = false;
@@ -100,7 +101,8 @@
 
     fn put(&mut self, id: &InstanceId, announcement: Announcement) {
         let version = RowVersion::new(u64::try_from(self.log.len()).unwrap() + 1);
-        self.rows.insert(id.clone(), (announcement, version));
+        self.rows
+            .insert(id.clone(), (announcement.clone(), version));
         self.log.push((id.clone(), Some((announcement, version))));
     }
 
@@ -135,7 +137,7 @@
             self.machines[number].is_announced = true;
             let (id, announcement) = (
                 self.machines[number].id.clone(),
-                self.machines[number].announcement,
+                self.machines[number].announcement.clone(),
             );
             self.put(&id, announcement);
         }
@@ -154,7 +156,7 @@
             } else {
                 machine.view.withdrawn(&id);
                 if id == own && !self.rows.contains_key(&own) {
-                    let announcement = machine.announcement;
+                    let announcement = machine.announcement.clone();
                     self.put(&own, announcement);
                 }
             }
@@ -172,7 +174,9 @@
             if announcement.address == machine.announcement.address && *id != machine.id {
                 earlier_lives.push(id.clone());
             }
-            machine.view.announced(id.clone(), *announcement, *since);
+            machine
+                .view
+                .announced(id.clone(), announcement.clone(), *since);
         }
         machine.read = Some(self.log.len());
         for id in earlier_lives {
@@ -181,7 +185,7 @@
         if is_own_gone {
             let (id, announcement) = (
                 self.machines[number].id.clone(),
-                self.machines[number].announcement,
+                self.machines[number].announcement.clone(),
             );
             self.put(&id, announcement);
         }
--- a/crates/core/tests/instance_view.rs
+++ b/crates/core/tests/instance_view.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, RowVersion};
-use amaranthscale_core::process::{Announcement, Cell, InstanceView};
+use amaranthscale_core::process::{Announcement, Cell, InstanceView, StoreReader};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -18,6 +18,7 @@
     Announcement {
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         millicores: 190,
+        zone: None,
     }
 }
 
@@ -72,6 +73,7 @@
     announce(&mut view, "a", 1, 10);
     let strong = Announcement {
         millicores: 500,
+        zone: None,
         ..announcement(2)
     };
 
@@ -210,3 +212,87 @@
     assert_eq!(owner(&view, SECOND), "a");
     assert!(view.forgotten(60 * SECOND).is_empty());
 }
+
+/// Views of entries of one zone, and one of another, that all know of each other.
+fn zone_views(names: &[&str]) -> Vec<InstanceView> {
+    let numbered = || (1_u16..).zip(names);
+    let announced = |port: u16, name: &str| Announcement {
+        zone: Some(
+            if name.starts_with("far") {
+                "south"
+            } else {
+                "north"
+            }
+            .parse()
+            .unwrap(),
+        ),
+        millicores: if name.ends_with("weak") { 90 } else { 500 },
+        ..announcement(port)
+    };
+    let view = |(port, name): (u16, &&str)| {
+        let mut view = InstanceView::new(id(name), announced(port, name));
+        for (port, name) in numbered() {
+            view.announced(
+                id(name),
+                announced(port, name),
+                RowVersion::new(port.into()),
+            );
+        }
+        view
+    };
+    numbered().map(view).collect()
+}
+
+fn reader(view: &InstanceView, left_out: &str) -> String {
+    match view.reader(SECOND, |id| id.as_str() == left_out) {
+        StoreReader::Each => "each".to_owned(),
+        StoreReader::This => view.own().to_string(),
+        StoreReader::Other(id, _) => id.to_string(),
+    }
+}
+
+#[test]
+fn all_entries_of_a_zone_name_one_strong_reader() {
+    let views = zone_views(&["a-weak", "b", "c", "d-weak", "e-weak", "far-1", "far-2"]);
+
+    let readers: Vec<_> = views.iter().map(|view| reader(view, "")).collect();
+
+    let first = &readers[0];
+    assert!(first == "b" || first == "c", "{first}");
+    assert!(
+        readers[..5].iter().all(|reader| reader == first),
+        "{readers:?}"
+    );
+    // Two in the other zone: nothing is gained there.
+    assert_eq!(readers[5..], ["each", "each"]);
+}
+
+/// The reader told nothing new, or fell silent. The next strong one takes its place, and a weak one
+/// only when no strong one is left.
+#[test]
+fn a_reader_that_is_left_out_is_replaced_by_the_next_strong_one() {
+    let mut views = zone_views(&["a-weak", "b", "c", "d-weak", "e-weak"]);
+    let first = reader(&views[0], "");
+    let second = reader(&views[0], &first);
+    views[0].silent(&id(&second), SECOND);
+
+    assert!(second == "b" || second == "c");
+    assert_ne!(second, first);
+    assert_eq!(reader(&views[0], ""), first);
+    assert!(reader(&views[0], &first).ends_with("weak"));
+}
+
+/// An entry that is about to stop hands its part over while it still serves what it has.
+#[test]
+fn an_entry_that_leaves_reads_for_nobody() {
+    let mut views = zone_views(&["a", "b", "c", "d"]);
+    let first = reader(&views[0], "");
+    let own = views
+        .iter_mut()
+        .find(|view| view.own().as_str() == first)
+        .unwrap();
+
+    own.step_down();
+
+    assert_ne!(reader(own, ""), first);
+}
--- /dev/null
+++ b/crates/core/tests/table_copy.rs
@@ -0,0 +1,171 @@
+//! Copies of the store's tables that are handed on.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use amaranthscale_core::id::RowVersion;
+use amaranthscale_core::version::{TableCopy, TableNews};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+/// Runs of random writes; each is a table, its copy, and a copy of that copy.
+const RUNS: u64 = 300;
+const KEYS: usize = 12;
+
+type Rows = BTreeMap<String, (u32, RowVersion)>;
+
+/// The store's table with the changes of each version.
+#[derive(Default)]
+struct Store {
+    rows: Rows,
+    changes: Vec<(String, Option<u32>)>,
+}
+
+impl Store {
+    fn version(&self) -> RowVersion {
+        RowVersion::new(u64::try_from(self.changes.len()).unwrap_or(0))
+    }
+
+    fn write(&mut self, key: String, value: Option<u32>) {
+        self.changes.push((key.clone(), value));
+        match value {
+            Some(value) => {
+                let version = self.version();
+                self.rows.insert(key, (value, version));
+            }
+            None => drop(self.rows.remove(&key)),
+        }
+    }
+
+    /// The newest change of each key after a version, as a feed tells it.
+    fn since(&self, version: RowVersion) -> Vec<(String, Option<u32>, RowVersion)> {
+        let mut newest = BTreeMap::new();
+        let numbered = (1..).zip(&self.changes);
+        for (number, (key, value)) in numbered.filter(|(number, _)| *number > version.get()) {
+            newest.insert(key.clone(), (*value, RowVersion::new(number)));
+        }
+        let rows = newest.into_iter();
+        rows.map(|(key, (value, version))| (key, value, version))
+            .collect()
+    }
+}
+
+/// A copy and what a reader of it has put together.
+#[derive(Default)]
+struct Hand {
+    copy: TableCopy<u32>,
+    is_begun: bool,
+}
+
+impl Hand {
+    fn rows(&self) -> Rows {
+        match self.copy.since(RowVersion::new(0)) {
+            TableNews::All(rows) => rows
+                .into_iter()
+                .map(|(key, value, version)| (key, (value, version)))
+                .collect(),
+            TableNews::Changed(rows) => rows
+                .into_iter()
+                .filter_map(|(key, value, version)| Some((key, (value?, version))))
+                .collect(),
+        }
+    }
+
+    fn take(&mut self, news: TableNews<u32>, version: RowVersion, clock: Duration) {
+        match news {
+            TableNews::All(rows) => self.copy.replace(rows, version, clock),
+            TableNews::Changed(rows) => self.copy.change(rows, version, clock),
+        }
+        self.is_begun = true;
+    }
+}
+
+fn pick(random: &mut Gen, choices: usize) -> usize {
+    usize::arbitrary(random) % choices
+}
+
+fn read_store(store: &Store, hand: &mut Hand, forgets: bool, clock: Duration) {
+    let news = if !hand.is_begun || forgets {
+        let rows = store.rows.iter();
+        let rows = rows.map(|(key, (value, version))| (key.clone(), *value, *version));
+        TableNews::All(rows.collect())
+    } else {
+        TableNews::Changed(store.since(hand.copy.version()))
+    };
+    hand.take(news, store.version(), clock);
+}
+
+fn run(seed: u64) {
+    let mut random = Gen::from_size_and_seed(64, seed);
+    let mut store = Store::default();
+    let (mut first, mut second) = (Hand::default(), Hand::default());
+    for step in 1..120 {
+        let clock = Duration::from_millis(step);
+        match pick(&mut random, 8) {
+            0 => read_store(&store, &mut first, pick(&mut random, 6) == 0, clock),
+            1 if first.is_begun => {
+                let news = first.copy.since(second.copy.version());
+                second.take(news, first.copy.version(), first.copy.clock());
+                assert_eq!(second.rows(), first.rows(), "seed {seed}, step {step}");
+                assert_eq!(second.copy.clock(), first.copy.clock());
+            }
+            2 | 3 => store.write(format!("k{}", pick(&mut random, KEYS)), None),
+            _ => {
+                let value = u32::try_from(step).unwrap_or(0);
+                store.write(format!("k{}", pick(&mut random, KEYS)), Some(value));
+            }
+        }
+    }
+    read_store(&store, &mut first, false, Duration::from_secs(1));
+    assert_eq!(first.rows(), store.rows, "seed {seed}");
+}
+
+/// A row that was dropped, written again, or missed while the store had forgotten its history must
+/// come out the same through two hands as from the store itself.
+#[test]
+fn a_table_is_the_same_through_two_hands() {
+    for seed in 0..RUNS {
+        run(seed);
+    }
+}
+
+/// Handed on or read again, an older clock must not make what is known look older than it is.
+#[test]
+fn the_clock_of_a_copy_never_goes_back() {
+    fn holds(clocks: Vec<u16>) -> bool {
+        let mut copy = TableCopy::<u32>::default();
+        let mut newest = Duration::ZERO;
+        clocks.into_iter().all(|clock| {
+            let clock = Duration::from_millis(clock.into());
+            copy.change([], RowVersion::new(1), clock);
+            newest = newest.max(clock);
+            copy.clock() == newest
+        })
+    }
+    QuickCheck::new().quickcheck(holds as fn(Vec<u16>) -> bool);
+}
+
+/// Thousands of servers come and go. What is remembered of those that are gone stays bounded, and
+/// who was away for longer gets the whole table.
+#[test]
+fn who_was_away_for_long_gets_the_whole_table() {
+    let mut copy = TableCopy::default();
+    copy.replace(
+        [("kept".to_owned(), 1, RowVersion::new(1))],
+        RowVersion::new(1),
+        Duration::ZERO,
+    );
+    for number in 2..6_000 {
+        let gone = (format!("server-{number}"), None, RowVersion::new(number));
+        copy.change(
+            [gone],
+            RowVersion::new(number),
+            Duration::from_millis(number),
+        );
+    }
+
+    let long_away = copy.since(RowVersion::new(2));
+    let just_here = copy.since(RowVersion::new(5_998));
+
+    assert!(matches!(long_away, TableNews::All(rows) if rows.len() == 1));
+    assert!(matches!(just_here, TableNews::Changed(rows) if rows.len() == 1));
+}
