A send that reaches nobody takes no repeat, and a server that takes no connection is left out at the first sign

And a gateway meets the same of 180 engines once in half a minute, so two failures in a row, after which a server is left out, came too late. Ruled out: the bound on rejections (four) and the engines' slots.

--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -140,7 +140,7 @@
     ) -> Result<Tried, Refused> {
         if !self.parts.knowledge.servers().is_usable(&server.life) {
             // It began to leave, or ended, while the pieces were made.
-            self.rejected("leaving", server)?;
+            self.not_sent("leaving", server)?;
             return Ok(Tried::MayGoOn(Pieces::Made(pieces)));
         }
         let left = self.admitted.left();
@@ -158,7 +158,7 @@
                     server: server.life.clone(),
                 })));
             }
-            SendOutcome::NotSent => self.rejected("not-sent", server)?,
+            SendOutcome::NotSent => self.not_sent("not-sent", server)?,
             SendOutcome::NotRun => self.rejected("not-run", server)?,
             SendOutcome::InputGone => {
                 self.remakes += 1;
@@ -175,9 +175,21 @@
 
     /// Takes a rejection; an error if nothing more may be tried.
     fn rejected(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refused> {
+        self.not_sent(end, server)?;
+        if !self.parts.try_repeat(&self.service) {
+            return Err(Refused::new(ResultCode::QueueFull));
+        }
+        Ok(())
+    }
+
+    /// Takes a send that never left; an error if too many servers were tried.
+    ///
+    /// It takes nothing from the repeat budget, as no server has seen it: a quarter of the engines
+    /// that crash at once would use the budget up, and requests whose pieces are made be refused.
+    fn not_sent(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refused> {
         self.log_end(end, server);
         self.rejected += 1;
-        if self.rejected >= MOST_REJECTED || !self.parts.try_repeat(&self.service) {
+        if self.rejected >= MOST_REJECTED {
             return Err(Refused::new(ResultCode::QueueFull));
         }
         Ok(())
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -99,7 +99,8 @@
                     self.kept_failure = Some(answer);
                     true
                 }
-                Tried::NotSent | Tried::NotRun => self.may_send_rejected(),
+                Tried::NotSent => self.may_send_on(),
+                Tried::NotRun => self.may_send_on() && self.parts.try_repeat(self.service),
                 Tried::Lost => {
                     self.parts.counters.count("answer.lost");
                     self.may_repeat()
@@ -206,11 +207,10 @@
         self.parts.try_repeat(self.service)
     }
 
-    /// Whether a request that did not run may be sent again; takes a repeat from the budget.
-    fn may_send_rejected(&self) -> bool {
-        self.rejected < MOST_REJECTED
-            && !self.admitted.left().is_zero()
-            && self.parts.try_repeat(self.service)
+    /// Whether a request that did not run may go to another server. One that never left takes
+    /// nothing from the repeat budget: no server has seen it.
+    fn may_send_on(&self) -> bool {
+        self.rejected < MOST_REJECTED && !self.admitted.left().is_zero()
     }
 
     /// One line for an answer that is late, repeated or a failure; the others are counted only.
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -90,7 +90,8 @@
 ) -> SendOutcome {
     let call = &admitted.work.call;
     let Ok(mut connection) = parts.pool.connection(server).await else {
-        sent.end(SendEnd::Failed);
+        parts.counters.count("servers.unreached");
+        sent.end(SendEnd::Unreached);
         return SendOutcome::NotSent;
     };
     if !admitted.route.kind.may_repeat() && connection.prove().await.is_err() {
--- a/crates/core/src/process/backend_choice.rs
+++ b/crates/core/src/process/backend_choice.rs
@@ -58,7 +58,9 @@
     Answered,
     /// The server was full or would not run it.
     Full,
-    /// It could not be reached, or its answer was broken.
+    /// No connection to it came about.
+    Unreached,
+    /// Its connection ended, or its answer was broken.
     Failed,
     /// The caller left or the time was over; says nothing of the server.
     Abandoned,
@@ -257,8 +259,15 @@
                 track.smoothed_ms = Some(smoothed_ms + SAMPLE_SHARE * (sample_ms - smoothed_ms));
                 track.sampled_at = now;
             }
-            SendEnd::Failed => {
-                track.failures += 1;
+            SendEnd::Failed | SendEnd::Unreached => {
+                // One that takes no connection is not there. Before hundreds of servers an entry
+                // seldom meets the same one twice, so a second sign would come much too late.
+                let signs = if end == SendEnd::Failed {
+                    1
+                } else {
+                    FAILURES_OUT
+                };
+                track.failures += signs;
                 if track.failures >= FAILURES_OUT {
                     let doubled = FIRST_OUT * (1 << (track.failures - FAILURES_OUT).min(4));
                     track.out_until = now + doubled.min(LONGEST_OUT);
--- a/crates/core/tests/backend_choice.rs
+++ b/crates/core/tests/backend_choice.rs
@@ -262,3 +262,22 @@
 
     assert_ne!(engine(&choice, &servers, "part"), first);
 }
+
+/// Before hundreds of servers a gateway seldom meets the same one twice. One that takes no connection
+/// is left out at the first sign, and tried again soon.
+#[test]
+fn a_server_that_is_not_reached_is_left_out_at_once() {
+    let servers = servers(4);
+    let mut choice = BackendChoice::default();
+    let first = engine(&choice, &servers, "part");
+
+    choice.sent(&first);
+    let change = choice.ended(&first, SendEnd::Unreached, Duration::ZERO, NOW);
+
+    assert_eq!(change, Some(HealthChange::LeftOut));
+    assert_ne!(engine(&choice, &servers, "part"), first);
+    let later = NOW + Duration::from_secs(1);
+    let none = BTreeSet::new();
+    let chosen = choice.engine(servers.iter(), &none, "part", later).unwrap();
+    assert_eq!(chosen.life, first);
+}
