Fewer lines and calls when hundreds of gateways come and go; a long configuration is read beside requests; explain names lost gateways

`explain` told a request that was open when its gateway lost power as served in time or its lines dropped. Change: gateways that came and went are told in sums (`membership: changed`), servers in plain fields, a whole list in one line, at most twenty lines of a kind in ten seconds with the number left out; stops name their instance, and `explain` names the gateways that started again without having stopped. The list of gateways is read once a second, in the first five seconds of a life once in 50 ms. A configuration beyond 64 KB is read on a thread beside the requests.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -131,7 +131,8 @@
     /// Guards against requests that are cut by a planned stop: new connections come until the
     /// platform has seen twice that the gateway is not ready, so they are served till then.
     pub async fn stop(self) -> bool {
-        info!(open = self.parts.stop.open(); "gateway: stopping");
+        let instance = self.config.instance.as_str();
+        info!(instance, open = self.parts.stop.open(); "gateway: stopping");
         let ends_at = tokio::time::Instant::now() + self.config.stop_bound - STOP_MARGIN;
         self.parts.stop.stop();
         self.parts.knowledge.step_down();
@@ -152,7 +153,7 @@
         for following in &self.following {
             following.abort();
         }
-        info!(open = self.parts.stop.open(); "gateway: stopped");
+        info!(instance, open = self.parts.stop.open(); "gateway: stopped");
         is_drained && is_empty.is_ok()
     }
 }
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod handed_on;
 mod knowledge;
+mod line_budget;
 mod neighbour;
 mod refused_entries;
 
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -12,8 +12,10 @@
 use http_body_util::Full;
 use hyper::Request;
 use log::debug;
+use tokio::time::Instant;
 
 use super::super::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable};
+use super::feed_pace::YOUNG;
 use super::neighbour::Neighbour;
 use super::{FeedPace, HandedRows, Neighbours, RowsQuestion};
 use crate::connection::{Http1Connection, read_body};
@@ -55,12 +57,13 @@
     is_lost: bool,
     /// Whether nothing came since the whole table.
     is_first: bool,
+    started: Instant,
 }
 
 impl Feed {
     /// A feed that starts with the whole table.
     #[must_use]
-    pub const fn new(table: StoreTable, store: StoreCalls, pace: FeedPace) -> Self {
+    pub fn new(table: StoreTable, store: StoreCalls, pace: FeedPace) -> Self {
         Self {
             table,
             store,
@@ -71,6 +74,7 @@
             neighbour: None,
             is_lost: false,
             is_first: true,
+            started: Instant::now(),
         }
     }
 
@@ -194,7 +198,13 @@
         let wait = if self.connection.is_none() {
             SHORTEST_WAIT
         } else {
-            tokio::time::sleep(self.pace.between).await;
+            let is_young = self.started.elapsed() < YOUNG;
+            let between = if is_young {
+                self.pace.between_young
+            } else {
+                self.pace.between
+            };
+            tokio::time::sleep(between).await;
             self.wait()
         };
         let request = (self.store.watch)(self.table, position, wait);
--- a/crates/amaranthscale/src/gateway/version/feed_pace.rs
+++ b/crates/amaranthscale/src/gateway/version/feed_pace.rs
@@ -21,7 +21,12 @@
 const INSTANCES_WAIT: Duration = Duration::from_secs(10);
 /// Time in which announcements that come together are read together: gateways that are restarted in
 /// turn come and go every second or so, and nothing waits for the news.
-const INSTANCES_BETWEEN: Duration = Duration::from_millis(250);
+const INSTANCES_BETWEEN: Duration = Duration::from_secs(1);
+/// The same for a gateway that has just started: others may start with it, as after a loss of power,
+/// and while they do not know each other several make batches for the same servers.
+const INSTANCES_BETWEEN_YOUNG: Duration = Duration::from_millis(50);
+/// Time for which a feed is young: in it, gateways that lost power together are all back.
+pub const YOUNG: Duration = Duration::from_secs(5);
 
 /// How often the store is asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +35,8 @@
     pub wait: Duration,
     /// Shortest time between two polls: what changes often is read in groups.
     pub between: Duration,
+    /// The same while the feed is young.
+    pub between_young: Duration,
     /// Pause after a failed call.
     pub after_failure: Duration,
     /// Longest wait of one poll whose answers are handed on.
@@ -47,6 +54,7 @@
         Self {
             wait: believed / 2,
             between: Duration::ZERO,
+            between_young: Duration::ZERO,
             after_failure: LONGEST_FAILURE_PAUSE.min(believed / 10),
             handed_wait: believed / 2,
         }
@@ -75,6 +83,7 @@
         Self {
             wait: drain_bound * 5 / 4,
             between: drain_bound / 5,
+            between_young: drain_bound / 5,
             after_failure: LONGEST_FAILURE_PAUSE.min(drain_bound / 5),
             handed_wait: drain_bound * 5 / 4,
         }
@@ -87,6 +96,7 @@
         Self {
             wait: INSTANCES_WAIT,
             between: INSTANCES_BETWEEN,
+            between_young: INSTANCES_BETWEEN_YOUNG,
             after_failure: INSTANCES_FAILURE_PAUSE,
             handed_wait: INSTANCES_WAIT,
         }
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -6,14 +6,19 @@
 
 use amaranthscale_core::id::{InstanceId, ServerId};
 use amaranthscale_core::process::{Announcement, LAPSE_GRACE, ServerChange, ServerList};
+use amaranthscale_core::version::Routing;
 use log::{info, warn};
 
 use super::super::process::StopGate;
-use super::super::{StoreCalls, StoreRow, StoreTable};
+use super::super::{StoreCalls, StoreRow, StoreTable, StoredValue};
 use super::announce::{announce_instance, withdraw_instance};
+use super::line_budget::LineBudget;
 use super::refused_entries::RefusedEntries;
 use super::{Feed, FeedEvent, FeedPace, Knowledge, Neighbours};
 
+/// Size of a configuration from which it is read beside the requests: a millisecond's work.
+const LONG_BYTES: usize = 64 * 1024;
+
 /// Follows the routing for good.
 pub async fn follow_routing(store: StoreCalls, neighbours: Neighbours, pace: FeedPace) {
     let knowledge = Arc::clone(&neighbours.knowledge);
@@ -26,8 +31,8 @@
             FeedEvent::All(rows) | FeedEvent::Changed(rows) => rows,
             FeedEvent::Lost(_) => continue,
         };
-        for row in &rows.rows {
-            match (store.routing)(row) {
+        for row in rows.rows {
+            match read_routing(&store, row).await {
                 Ok(Some(routing)) => knowledge.take_routing(routing),
                 Ok(None) => {}
                 // The last good version stays in force.
@@ -38,12 +43,27 @@
     }
 }
 
+/// Reads the routing from its row, a long one beside the requests.
+///
+/// Guards against requests that wait behind it: a configuration of thousands of routes takes tens
+/// of milliseconds to read, and ten times that on a machine with a tenth of a core.
+async fn read_routing(store: &StoreCalls, row: StoreRow) -> Result<Option<Routing>, String> {
+    let is_long = matches!(&row.value, StoredValue::Content(content) if content.len() > LONG_BYTES);
+    let read = store.routing;
+    if !is_long {
+        return read(&row);
+    }
+    let reading = tokio::task::spawn_blocking(move || read(&row)).await;
+    reading.map_err(|error| error.to_string())?
+}
+
 /// Follows the servers for good.
 pub async fn follow_servers(store: StoreCalls, neighbours: Neighbours, pace: FeedPace) {
     let knowledge = Arc::clone(&neighbours.knowledge);
     let mut feed = Feed::new(StoreTable::Servers, store.clone(), pace).beside(neighbours);
     let mut link = Link::new("servers");
     let mut refusals = RefusedEntries::new("servers");
+    let mut lines = LineBudget::new();
     loop {
         let event = feed.next().await;
         link.note(&event);
@@ -54,6 +74,7 @@
             }),
             FeedEvent::All(rows) => {
                 let entries = changes(&store, &rows.rows, &mut refusals);
+                info!(servers = entries.len(); "servers: listed");
                 knowledge.change_servers(|servers, now| {
                     servers.store_answered(now);
                     servers.take_all(entries, now);
@@ -62,7 +83,8 @@
             }
             FeedEvent::Changed(rows) => {
                 let changes = changes(&store, &rows.rows, &mut refusals);
-                knowledge.change_servers(|servers, now| take_changes(servers, changes, now));
+                knowledge
+                    .change_servers(|servers, now| take_changes(servers, changes, &mut lines, now));
             }
         }
         if let Some(until) = knowledge.servers().lapsed_until() {
@@ -82,6 +104,7 @@
     let knowledge = Arc::clone(&neighbours.knowledge);
     let mut feed = Feed::new(StoreTable::Instances, store.clone(), pace).beside(neighbours);
     let mut refusals = RefusedEntries::new("gateways");
+    let mut turnover = Turnover::new();
     loop {
         let rows = match feed.next().await {
             FeedEvent::Lost(_) => continue,
@@ -98,8 +121,9 @@
             FeedEvent::Changed(rows) => rows,
         };
         for row in &rows.rows {
-            take_instance(&store, &knowledge, &own, row, &mut refusals);
+            take_instance(&store, &knowledge, &own, row, &mut refusals, &mut turnover);
         }
+        turnover.log(knowledge.live());
         for forgotten in knowledge.forgotten() {
             withdraw_instance(&store, &forgotten).await;
         }
@@ -125,14 +149,19 @@
     own: &Own,
     row: &StoreRow,
     refusals: &mut RefusedEntries,
+    turnover: &mut Turnover,
 ) {
     let id: InstanceId = match row.key.parse() {
         Ok(id) => id,
         Err(error) => return refusals.note(&row.key, &error.to_string()),
     };
     match row.value.read(store.instance) {
-        Ok(None) => gone(store, knowledge, own, &id),
+        Ok(None) => {
+            turnover.gone += 1;
+            gone(store, knowledge, own, &id);
+        }
         Ok(Some(announcement)) => {
+            turnover.announced += 1;
             let since = row.version;
             if announcement.address == own.announcement.address && id != own.instance {
                 // An earlier life here ended without a word; nobody else can tell it from this one.
@@ -144,6 +173,7 @@
         Err(reason) => {
             // Another writer's, also where a gateway had announced itself under that name.
             refusals.note(&row.key, &reason);
+            turnover.gone += 1;
             gone(store, knowledge, own, &id);
         }
     }
@@ -153,10 +183,40 @@
     if *id == own.instance {
         announce_again(store, own);
     }
-    info!(instance = id.as_str(); "membership: gone");
     knowledge.change_instances(|instances| instances.withdrawn(id));
 }
 
+/// Gateways that came and went since it was last told.
+///
+/// Told in sums: when all gateways of a large deployment are restarted in turn, a line of each about
+/// each of the others is ten thousand lines. What became of one of them is in its own lines.
+#[derive(Debug)]
+struct Turnover {
+    announced: u64,
+    gone: u64,
+    lines: LineBudget,
+}
+
+impl Turnover {
+    fn new() -> Self {
+        Self {
+            announced: 0,
+            gone: 0,
+            lines: LineBudget::new(),
+        }
+    }
+
+    fn log(&mut self, live: usize) {
+        if self.announced + self.gone == 0 || self.lines.take().is_none() {
+            return;
+        }
+        let (announced, gone) = (self.announced, self.gone);
+        info!(announced, gone, live; "membership: changed");
+        self.announced = 0;
+        self.gone = 0;
+    }
+}
+
 /// Announces this gateway anew: another one took it for dead, but it lives.
 fn announce_again(store: &StoreCalls, own: &Own) {
     if own.stop.is_stopping() {
@@ -165,19 +225,49 @@
     tokio::spawn(announce_instance(store.clone(), own.clone()));
 }
 
-fn take_changes(servers: &mut ServerList, changes: Vec<ServerChange>, now: Duration) -> bool {
+fn take_changes(
+    servers: &mut ServerList,
+    changes: Vec<ServerChange>,
+    lines: &mut LineBudget,
+    now: Duration,
+) -> bool {
     servers.store_answered(now);
     let mut is_changed = false;
     for change in changes {
-        let description = format!("{change:?}");
-        if servers.take(change, now) {
-            info!(change = description.as_str(); "servers: changed");
+        if servers.take(change.clone(), now) {
+            log_change(&change, lines);
             is_changed = true;
         }
     }
     is_changed
 }
 
+fn log_change(change: &ServerChange, lines: &mut LineBudget) {
+    let Some(left_out) = lines.take() else {
+        return;
+    };
+    match change {
+        ServerChange::Listed(record) => {
+            let state = if record.is_leaving {
+                "leaving"
+            } else {
+                "ready"
+            };
+            info!(
+                server:% = record.life, state, service = record.service.as_str(),
+                address:% = record.address, left_out;
+                "servers: changed"
+            );
+        }
+        ServerChange::Gone(id) => {
+            info!(server = id.as_str(), state = "gone", left_out; "servers: changed");
+        }
+        ServerChange::Unreadable(id) => {
+            info!(server = id.as_str(), state = "unreadable", left_out; "servers: changed");
+        }
+    }
+}
+
 fn drop_lapsed(servers: &mut ServerList, now: Duration) -> bool {
     let dropped = servers.drop_lapsed(now);
     for id in &dropped {
--- a/crates/amaranthscale/src/gateway/version/refused_entries.rs
+++ b/crates/amaranthscale/src/gateway/version/refused_entries.rs
@@ -1,17 +1,13 @@
 //! Says which entries of a table cannot be read, once each.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use log::warn;
-use tokio::time::Instant;
+
+use super::line_budget::LineBudget;
 
 /// Entries that are remembered; more are told again with each write.
 const MOST_KNOWN: usize = 1_000;
-/// Lines of one table in a span: enough to see what is wrong, few beside a busy gateway's others.
-const MOST_LINES: u32 = 20;
-/// The span.
-const SPAN: Duration = Duration::from_secs(10);
 /// Longest key or reason in a line: entries may be of the store's largest size.
 const MOST_CHARACTERS: usize = 120;
 
@@ -24,9 +20,7 @@
 pub(super) struct RefusedEntries {
     table: &'static str,
     told: BTreeMap<String, String>,
-    span_began: Instant,
-    lines: u32,
-    left_out: u64,
+    lines: LineBudget,
 }
 
 impl RefusedEntries {
@@ -34,9 +28,7 @@
         Self {
             table,
             told: BTreeMap::new(),
-            span_began: Instant::now(),
-            lines: 0,
-            left_out: 0,
+            lines: LineBudget::new(),
         }
     }
 
@@ -46,15 +38,11 @@
         if self.told.get(&key) == Some(&reason) {
             return;
         }
-        if self.may_write() {
+        if let Some(left_out) = self.lines.take() {
             warn!(
-                table = self.table, key = key.as_str(), reason = reason.as_str(),
-                left_out = self.left_out;
+                table = self.table, key = key.as_str(), reason = reason.as_str(), left_out;
                 "store: entry names nothing"
             );
-            self.left_out = 0;
-        } else {
-            self.left_out += 1;
         }
         if self.told.len() < MOST_KNOWN || self.told.contains_key(&key) {
             self.told.insert(key, reason);
@@ -67,15 +55,6 @@
             self.told.remove(&shortened(key));
         }
     }
-
-    fn may_write(&mut self) -> bool {
-        if self.span_began.elapsed() >= SPAN {
-            self.span_began = Instant::now();
-            self.lines = 0;
-        }
-        self.lines += 1;
-        self.lines <= MOST_LINES
-    }
 }
 
 fn shortened(text: &str) -> String {
--- a/crates/amaranthscale/src/operator/explain/story.rs
+++ b/crates/amaranthscale/src/operator/explain/story.rs
@@ -1,5 +1,7 @@
 //! The lines of one request in order, and what decided it.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 use super::LogLine;
@@ -7,12 +9,17 @@
 /// Part of an aim from which one stage is named as the cause of a late answer.
 const MAIN_CAUSE_PERCENT: u64 = 30;
 
+/// Gateways that are named where many ended without a word.
+const MOST_LIVES: usize = 8;
+
 /// Collects the lines of one request.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Story {
     call: String,
     lines: Vec<LogLine>,
     passed_over: usize,
+    /// Starts and stops of gateways, as they stand in the files.
+    lives: Vec<LogLine>,
 }
 
 /// A story told.
@@ -36,6 +43,7 @@
             call: call.into(),
             lines: Vec::new(),
             passed_over: 0,
+            lives: Vec::new(),
         }
     }
 
@@ -46,6 +54,7 @@
         }
         match LogLine::parse(text) {
             Some(line) if line.field("call") == self.call => self.lines.push(line),
+            Some(line) if line.part == "gateway" => self.lives.push(line),
             Some(_) => {}
             None => self.passed_over += 1,
         }
@@ -79,9 +88,24 @@
         }
         match self.last("request", "answered") {
             Some(answered) => cause_of_answer(answered),
-            None => "No line tells how it ended: it was served in time, or its lines were dropped."
-                .to_owned(),
+            None => self.cause_without_lines(),
+        }
+    }
+
+    /// A request that no line names was a good plain one, or its gateway ended without a word.
+    fn cause_without_lines(&self) -> String {
+        let unstopped = lives_without_a_stop(&self.lives);
+        if unstopped.is_empty() {
+            return "No line tells how it ended: it was served in time, or its lines were dropped."
+                .to_owned();
         }
+        let (count, shown) = (unstopped.len(), unstopped.iter().take(MOST_LIVES));
+        let shown: Vec<_> = shown.map(String::as_str).collect();
+        format!(
+            "No line tells how it ended: it was served in time, or was open at a gateway that was \
+            killed or lost power. {count} gateways started again without having stopped: {}.",
+            shown.join(", ")
+        )
     }
 
     fn cause_of_refusal(&self, refused: &LogLine) -> String {
@@ -175,6 +199,29 @@
     }
 }
 
+/// Machines whose gateway started again though its life before had not stopped, and when.
+fn lives_without_a_stop(lives: &[LogLine]) -> Vec<String> {
+    let mut lives: Vec<_> = lives.iter().collect();
+    lives.sort_by(|a, b| a.at.total_cmp(&b.at));
+    let mut open: BTreeMap<&str, bool> = BTreeMap::new();
+    let mut unstopped = Vec::new();
+    for line in lives {
+        // A life's name is its machine's and a number of its own.
+        let machine = line.field("instance").rsplit_once('-');
+        let machine = machine.map_or("-", |(machine, _)| machine);
+        match line.event.as_str() {
+            "started" if open.insert(machine, true) == Some(true) => {
+                unstopped.push(format!("{machine} by {}", line.at));
+            }
+            "stopped" => {
+                open.insert(machine, false);
+            }
+            _ => {}
+        }
+    }
+    unstopped
+}
+
 fn cause_of_answer(answered: &LogLine) -> String {
     let (status, sends) = (answered.field("status"), answered.field("sends"));
     let (ms, aim_ms) = (answered.field("ms"), answered.field("aim_ms"));
--- a/crates/amaranthscale/tests/explain_request.rs
+++ b/crates/amaranthscale/tests/explain_request.rs
@@ -164,3 +164,28 @@
 
     assert_eq!(telling.cause, "Broken off by engine i-1 after 4 events.");
 }
+
+/// A request was open when its gateway lost power, and no line names it. It was told to have been
+/// served in time, though the gateway started again without having stopped.
+#[test]
+fn a_request_that_ended_with_its_gateway_is_not_told_as_served() {
+    let mut story = Story::new("c1");
+    for line in [
+        "1000 INFO gateway: started instance=front-1-aa zone=east",
+        "1001 INFO gateway: started instance=front-2-bb zone=east",
+        "5000 INFO gateway: stopped instance=front-2-bb open=0",
+        "6000 INFO gateway: started instance=front-2-cc zone=east",
+        "7000 INFO gateway: started instance=front-1-dd zone=east",
+    ] {
+        story.take(line);
+    }
+
+    let cause = story.tell().cause;
+
+    assert!(cause.contains("killed or lost power"), "{cause}");
+    assert!(
+        cause.contains("1 gateways") && cause.contains("front-1 by 7000"),
+        "{cause}"
+    );
+    assert!(!cause.contains("front-2"), "{cause}");
+}
