--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -7,7 +7,9 @@
 mod budgets;
 mod kept_pieces;
 mod parts;
+mod peer_message;
 mod peer_pieces;
+mod peer_server;
 mod pieces;
 mod stop_gate;
 mod tend_silent;
@@ -25,7 +27,9 @@
 #[doc(inline)]
 pub use parts::GatewayParts;
 #[doc(inline)]
-pub use peer_pieces::{ALIVE_PATH, PIECES_PATH, ask_alive, serve_peer};
+pub use peer_pieces::PIECES_PATH;
+#[doc(inline)]
+pub use peer_server::{ALIVE_PATH, ask_alive, serve_peer};
 #[doc(inline)]
 pub use pieces::{MadePieces, PiecesError, make_pieces};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/process/peer_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_pieces.rs
@@ -8,7 +8,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use amaranthscale_core::id::InstanceId;
 use amaranthscale_core::process::PipelineOrder;
@@ -18,20 +17,15 @@
 use hyper::{Request, Response, StatusCode};
 use log::warn;
 use quick_error::quick_error;
-use serde::de::DeserializeOwned;
 
-use super::super::version::ROWS_PATH;
-use super::{BatchOwners, GatewayParts, JobAnswer, JobNews, JobSource, RunningJob};
-use crate::connection::{PeerClient, PeerError, ResponseBody, empty_body, full_body, read_body};
+use super::peer_message::{read_message, status};
+use super::{BatchOwners, JobAnswer, JobNews, JobSource, RunningJob};
+use crate::connection::{PeerClient, PeerError, ResponseBody};
 
 /// Start of the path of a request that carries a job; the owner's name follows.
 pub const PIECES_PATH: &str = "/pieces/";
-/// Start of the path of the question whether a gateway lives; its name follows.
-pub const ALIVE_PATH: &str = "/alive/";
 /// Largest order: some stages of some hundred bytes, and as much for each result that is kept.
 const MAX_ORDER_BYTES: usize = 256 * 1024;
-/// Longest wait for an order's body; it comes with its head.
-const ORDER_PATIENCE: Duration = Duration::from_secs(1);
 /// Largest piece of news: the handles of a whole request.
 const MAX_NEWS_BYTES: usize = 1024 * 1024;
 /// Bytes of the length before each piece of news.
@@ -141,61 +135,11 @@
     framed.freeze()
 }
 
-/// Asks whether a gateway's life is at its address and answers.
-pub async fn ask_alive(peers: &PeerClient, id: &InstanceId, address: SocketAddr) -> bool {
-    let path = format!("{ALIVE_PATH}{id}");
-    let answer = peers.post(address, &path, Bytes::new()).await;
-    answer.is_ok_and(|response| response.status() == StatusCode::OK)
-}
-
-/// Answers other gateways: jobs, the store's rows, and whether this life is here.
-pub async fn serve_peer(
-    parts: Arc<GatewayParts>,
-    request: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let own = parts.instance.clone();
-    let path = request.uri().path();
-    let asked = path.strip_prefix(ALIVE_PATH);
-    let asked = asked.or_else(|| path.strip_prefix(ROWS_PATH));
-    if asked.is_some_and(|asked| asked != own.as_str()) {
-        return status(StatusCode::NOT_FOUND);
-    }
-    if path.starts_with(ALIVE_PATH) {
-        status(StatusCode::OK)
-    } else if path.starts_with(ROWS_PATH) {
-        serve_rows(&parts, request).await
-    } else {
-        serve_pieces(own, Arc::clone(&parts.batches), request).await
-    }
-}
-
-/// Answers a neighbour's question for what the store has told.
-async fn serve_rows(parts: &GatewayParts, request: Request<Incoming>) -> Response<ResponseBody> {
-    let question = match read_message(request).await {
-        Ok(question) => question,
-        Err(reason) => {
-            warn!(reason = reason.as_str(); "store: a neighbour's question cannot be read");
-            return status(StatusCode::BAD_REQUEST);
-        }
-    };
-    let answer = parts.handed_on.answer(question).await;
-    parts.counters.count("store.handed-on");
-    // Texts, bytes and numbers always have an encoding.
-    let encoded = rmp_serde::to_vec_named(&answer).unwrap_or_default();
-    Response::new(full_body(encoded))
-}
-
-async fn read_message<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
-    let read = read_body(request.into_body(), MAX_ORDER_BYTES, ORDER_PATIENCE).await;
-    let body = read.map_err(|error| error.to_string())?;
-    rmp_serde::from_slice(&body).map_err(|error| error.to_string())
-}
-
 /// Answers another gateway's job.
 ///
 /// Guards against a job for an earlier life at this address: its sender has not heard that it
 /// ended, and would make this gateway a second owner beside the one that the others ask.
-async fn serve_pieces(
+pub(super) async fn serve_pieces(
     own: InstanceId,
     batches: Arc<BatchOwners>,
     request: Request<Incoming>,
@@ -203,7 +147,7 @@
     if request.uri().path().strip_prefix(PIECES_PATH) != Some(own.as_str()) {
         return status(StatusCode::NOT_FOUND);
     }
-    let order: PipelineOrder = match read_message(request).await {
+    let order: PipelineOrder = match read_message(request, MAX_ORDER_BYTES).await {
         Ok(order) => order,
         Err(reason) => {
             warn!(reason = reason.as_str(); "batches: a peer's order cannot be read");
@@ -218,12 +162,6 @@
     Response::new(body.boxed_unsync())
 }
 
-fn status(status: StatusCode) -> Response<ResponseBody> {
-    let mut response = Response::new(empty_body());
-    *response.status_mut() = status;
-    response
-}
-
 /// An answer that tells of a job and stays open while its results are needed.
 struct NewsBody {
     job: RunningJob,
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::job::{Job, LARGE_RESULT_BYTES, PieceState};
+use super::job::{Job, LARGE_RESULT_BYTES, PieceState, StageState};
 use super::near::NearServers;
 use super::pace::paced;
 use super::pool_state::PoolState;
+use super::queue::Entry;
 use super::{Batch, BatchId, Batcher, JobFailure, PieceRef, RunningBatch, RunningPiece};
 use crate::id::{ServerLife, ServiceId, ZoneId};
 use crate::version::BatchSpec;
@@ -219,33 +220,20 @@
             }
             let job = &self.jobs[&entry.job];
             let stage = &job.stages[entry.stage];
-            let home = self.home_zone(job, entry.stage);
-            let ahead = home.map(|home| ahead.entry(home).or_default());
-            let is_for_another = home.is_some_and(|home| {
-                let before = ahead.as_deref().copied().unwrap_or(0);
+            let is_for_another = self.home_zone(job, entry.stage).is_some_and(|home| {
+                let ahead = ahead.entry(home).or_default();
+                let before = std::mem::replace(ahead, *ahead + stage.order.pieces);
                 !job.is_late && maker.zone != *home && near.wait(home, before, stage.latest_start)
             });
-            if let Some(ahead) = ahead {
-                *ahead += stage.order.pieces;
-            }
-            let has_place = !is_for_another
-                && (!job.is_late || with_spare.has_all(job))
-                && !near.are_faster(maker, stage.latest_start, job.is_late);
-            if !has_place {
+            if is_for_another
+                || (job.is_late && !with_spare.has_all(job))
+                || near.are_faster(maker, stage.latest_start, job.is_late)
+            {
                 continue;
             }
-            // A stage's pieces stay together: the next stage waits for all of them.
-            for piece in stage.waiting_pieces() {
-                if chosen.len() >= spec.max_pieces || entry.result_bytes > free_bytes {
-                    break;
-                }
-                free_bytes -= entry.result_bytes;
-                chosen.push(PieceRef {
-                    job: entry.job,
-                    stage: entry.stage,
-                    piece,
-                });
-            }
+            let left = spec.max_pieces - chosen.len();
+            let pieces = fitting_pieces(entry, stage, left, &mut free_bytes);
+            chosen.extend(pieces);
         }
         self.looked_at += u64::try_from(looked_at).unwrap_or(u64::MAX);
         chosen
@@ -271,6 +259,28 @@
     }
 }
 
+/// Pieces of a stage that go into a call, together as far as they fit: the next stage waits for all.
+fn fitting_pieces(
+    entry: &Entry,
+    stage: &StageState,
+    most: usize,
+    free_bytes: &mut u64,
+) -> Vec<PieceRef> {
+    let mut pieces = Vec::new();
+    for piece in stage.waiting_pieces().take(most) {
+        if entry.result_bytes > *free_bytes {
+            break;
+        }
+        *free_bytes -= entry.result_bytes;
+        pieces.push(PieceRef {
+            job: entry.job,
+            stage: entry.stage,
+            piece,
+        });
+    }
+    pieces
+}
+
 /// Which services have time to spare for late requests, asked once a service.
 struct SpareServices<'a> {
     batcher: &'a Batcher,
