Many rows are handed on in parts, an owner that takes no more is passed over, a reader that stays cut off is tried less often

Change: changed rows go in parts of 64 KB by their versions; what is known gets newer with the last part only. A single row beyond that and a whole table are read from the store as before. Cause, owner: read in review. An owner whose machine has become too slow refuses all jobs for as long as that lasts. Change: its refusal as overloaded passes it over like its stop; only a gateway that owns the batches itself passes the refusal on. Cause, reader: read in review. A reader that stays cut off from the store was tried again every three seconds by each neighbour, at a call each. Change: left out for twice as long each time, 24 s at most.

--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -105,6 +105,18 @@
         };
         match answered {
             Ok((JobAnswer::Stopping, _)) => parts.knowledge.silent(&owner),
+            // Its processor may be too slow for it, as on a machine that others use up: the next
+            // one has as good servers before it. Only a gateway's own owner is nobody's to pass over.
+            Ok((
+                JobAnswer::Refused {
+                    reason: JobFailure::Overloaded,
+                    ..
+                },
+                _,
+            )) if !is_own => {
+                parts.counters.count("owner.passed-over");
+                parts.knowledge.silent(&owner);
+            }
             Ok((answer, kept)) => {
                 parts.knowledge.heard(&owner);
                 return outcome(owner, answer, kept);
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -152,6 +152,11 @@
                 self.position = Some(rows.version.max(position));
                 return Some(FeedEvent::Changed(rows));
             }
+            Ok(HandedRows::Part(rows)) if rows.version > position => {
+                counters.count("store.handed");
+                self.position = Some(rows.version);
+                return Some(FeedEvent::Changed(rows));
+            }
             Ok(HandedRows::TooLarge) => {
                 counters.count("store.too-large-to-hand-on");
                 return None;
--- a/crates/amaranthscale/src/gateway/version/handed_on.rs
+++ b/crates/amaranthscale/src/gateway/version/handed_on.rs
@@ -18,8 +18,9 @@
 use super::super::{StoreRow, StoreRows, StoreTable, StoredValue};
 use super::FeedEvent;
 
-/// Bytes of rows that are handed on at once; more is read from the store by each gateway. A zone of
-/// twenty gateways gets so much over a link of 20 Mbit/s in half a second.
+/// Bytes of rows that are handed on at once. A zone of twenty gateways gets so much over a link of
+/// 20 Mbit/s in half a second; more goes in parts, so that other answers come between, and a single
+/// row beyond it is read from the store by each gateway.
 const MOST_BYTES: usize = 64 * 1024;
 /// Longest wait of a question, beyond every pace: the one who asked has given up by then.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
@@ -49,6 +50,8 @@
     All(StoreRows),
     /// Rows that changed since.
     Changed(StoreRows),
+    /// The oldest of the rows that changed since, where all are too much at once; more is there.
+    Part(StoreRows),
     /// Too much to hand on.
     TooLarge,
     /// It does not hear from the store itself.
@@ -171,35 +174,66 @@
         if self.copy.clock() <= question.clock {
             return None;
         }
-        let news = self.copy.since(question.after);
-        let is_whole = matches!(news, TableNews::All(_));
-        let rows: Vec<_> = match news {
-            TableNews::All(rows) => rows
-                .into_iter()
-                .map(|(key, value, version)| row(key, Some(value), version))
-                .collect(),
-            TableNews::Changed(rows) => rows
-                .into_iter()
-                .map(|(key, value, version)| row(key, value, version))
-                .collect(),
-        };
-        if rows.iter().map(bytes_of).sum::<usize>() > MOST_BYTES {
-            return Some(HandedRows::TooLarge);
-        }
-        let rows = StoreRows {
-            rows,
-            version: self.copy.version(),
-            clock: self.copy.clock(),
-            is_truncated: false,
-        };
-        Some(if is_whole {
-            HandedRows::All(rows)
-        } else {
-            HandedRows::Changed(rows)
+        let (version, clock) = (self.copy.version(), self.copy.clock());
+        Some(match self.copy.since(question.after) {
+            TableNews::All(rows) => {
+                let rows = rows.into_iter();
+                let rows = rows.map(|(key, value, version)| row(key, Some(value), version));
+                let rows: Vec<_> = rows.collect();
+                if bytes_of_all(&rows) > MOST_BYTES {
+                    HandedRows::TooLarge
+                } else {
+                    HandedRows::All(as_of(rows, version, clock))
+                }
+            }
+            TableNews::Changed(rows) => {
+                let rows = rows.into_iter();
+                let rows = rows.map(|(key, value, version)| row(key, value, version));
+                let rows: Vec<_> = rows.collect();
+                if bytes_of_all(&rows) > MOST_BYTES {
+                    // What is known does not get newer by a part of the news.
+                    first_part(rows, question.clock)
+                } else {
+                    HandedRows::Changed(as_of(rows, version, clock))
+                }
+            }
         })
     }
 }
 
+/// As many of the oldest rows as are handed on at once; rows of one version stay together.
+fn first_part(mut rows: Vec<StoreRow>, clock: Duration) -> HandedRows {
+    rows.sort_by_key(|row| row.version);
+    let mut bytes = 0;
+    let fitting = rows.iter().take_while(|row| {
+        bytes += bytes_of(row);
+        bytes <= MOST_BYTES
+    });
+    let mut fitting = fitting.count();
+    let next = rows.get(fitting).map(|row| row.version);
+    while fitting > 0 && next == Some(rows[fitting - 1].version) {
+        fitting -= 1;
+    }
+    rows.truncate(fitting);
+    match rows.last().map(|row| row.version) {
+        Some(version) => HandedRows::Part(as_of(rows, version, clock)),
+        None => HandedRows::TooLarge,
+    }
+}
+
+const fn as_of(rows: Vec<StoreRow>, version: RowVersion, clock: Duration) -> StoreRows {
+    StoreRows {
+        rows,
+        version,
+        clock,
+        is_truncated: false,
+    }
+}
+
+fn bytes_of_all(rows: &[StoreRow]) -> usize {
+    rows.iter().map(bytes_of).sum()
+}
+
 fn parts_of(row: &StoreRow) -> (String, Option<StoredValue>, RowVersion) {
     let value = (row.value != StoredValue::Dropped).then(|| row.value.clone());
     (row.key.clone(), value, row.version)
--- a/crates/amaranthscale/src/gateway/version/neighbour.rs
+++ b/crates/amaranthscale/src/gateway/version/neighbour.rs
@@ -19,9 +19,12 @@
 pub const ROWS_PATH: &str = "/rows/";
 /// Time for the way to a neighbour and back, and for a turn of its processor.
 const WAY: Duration = Duration::from_millis(300);
-/// Time for which a neighbour that told nothing new is left out: until the list of gateways tells of
-/// its end, or its own next call to the store has shown whether it reaches it.
+/// First time for which a neighbour that told nothing new is left out: until the list of gateways
+/// tells of its end, or its own next call to the store has shown whether it reaches it.
 const LEFT_OUT_FOR: Duration = Duration::from_secs(3);
+/// Most doublings of that time, for one that fails again soon after it was tried again: each trial
+/// of a reader that stays cut off costs a call to the store by each of its neighbours.
+const MOST_DOUBLINGS: u32 = 3;
 /// Largest answer: what is handed on at once, and its framing.
 const MOST_ANSWER_BYTES: usize = 256 * 1024;
 
@@ -43,10 +46,24 @@
 pub(super) struct Neighbour {
     with: Neighbours,
     feed: &'static str,
-    left_out: BTreeMap<InstanceId, Duration>,
+    left_out: BTreeMap<InstanceId, LeftOut>,
     reader: StoreReader,
 }
 
+/// A neighbour that told nothing new.
+#[derive(Debug, Clone, Copy)]
+struct LeftOut {
+    until: Duration,
+    doublings: u32,
+}
+
+impl LeftOut {
+    /// How long it is left out this time.
+    fn time(self) -> Duration {
+        LEFT_OUT_FOR * (1 << self.doublings)
+    }
+}
+
 impl Neighbour {
     pub(super) const fn new(with: Neighbours, feed: &'static str) -> Self {
         Self {
@@ -69,9 +86,11 @@
     /// The gateway to ask; none if this one asks the store itself.
     pub(super) fn choose(&mut self, is_lost: bool) -> Option<(InstanceId, SocketAddr)> {
         let now = self.with.knowledge.clock().now();
-        self.left_out.retain(|_, until| *until > now);
+        // Remembered for as long again, so that one that fails anew is left out for longer.
+        self.left_out.retain(|_, out| out.until + out.time() > now);
         // Without the store itself, any neighbour may be the first to hear from it again.
-        let is_left_out = |id: &InstanceId| !is_lost && self.left_out.contains_key(id);
+        let is_left_out =
+            |id: &InstanceId| !is_lost && self.left_out.get(id).is_some_and(|out| out.until > now);
         let reader = self.with.knowledge.reader(is_left_out);
         if reader != self.reader {
             let through = match &reader {
@@ -90,8 +109,15 @@
 
     /// Leaves a gateway out for a while.
     pub(super) fn leave_out(&mut self, id: InstanceId) {
-        let until = self.with.knowledge.clock().now() + LEFT_OUT_FOR;
-        self.left_out.insert(id, until);
+        let now = self.with.knowledge.clock().now();
+        let before = self.left_out.get(&id);
+        let doublings = before.map_or(0, |out| (out.doublings + 1).min(MOST_DOUBLINGS));
+        let mut out = LeftOut {
+            until: now,
+            doublings,
+        };
+        out.until += out.time();
+        self.left_out.insert(id, out);
     }
 
     /// Asks a gateway; what is not answered within its pace and the way there is given up.
--- a/crates/amaranthscale/tests/handed_on.rs
+++ b/crates/amaranthscale/tests/handed_on.rs
@@ -162,3 +162,43 @@
     let read: HandedRows = rmp_serde::from_slice(&encoded).expect("just encoded");
     assert_eq!(read, answer);
 }
+
+/// Thousands of servers announce themselves within a second. All at once they would hold up the
+/// neighbours' other answers; each reading them from the store, its bytes would be the dearest of
+/// all. They come in parts, none is missing, and nothing counts as newer before the last one.
+#[tokio::test(start_paused = true)]
+async fn many_rows_are_handed_on_in_parts() {
+    let handed_on = with_one_row();
+    let many =
+        (6..2_006).map(|version| row(&format!("s{version}"), content(&"x".repeat(250)), version));
+    // Two rows of one write stay together.
+    let twin = row("twin", content("x"), 1_000);
+    let many = many.chain([twin]);
+    handed_on.note(
+        TABLE,
+        &FeedEvent::Changed(rows(many.collect(), 2_005, ms(2_000))),
+    );
+
+    let (mut after, mut read, mut parts) = (5, Vec::new(), 0);
+    let last = loop {
+        match handed_on.answer(question(after, ms(1_000))).await {
+            HandedRows::Part(part) => {
+                assert_eq!(part.clock, ms(1_000));
+                assert!(part.version.get() > after);
+                after = part.version.get();
+                read.extend(part.rows);
+                parts += 1;
+            }
+            HandedRows::Changed(last) => break last,
+            other => panic!("{other:?}"),
+        }
+    };
+    read.extend(last.rows);
+
+    assert!(parts >= 7, "{parts} parts");
+    assert_eq!((last.version.get(), last.clock), (2_005, ms(2_000)));
+    let mut keys: Vec<_> = read.iter().map(|row| row.key.as_str()).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    assert_eq!((read.len(), keys.len()), (2_001, 2_001));
+}
