--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the process: the owner of the batches and the parts that requests share.
 
 mod batch_calls;
+mod batch_message;
 mod batch_owner;
 mod batch_owner_handle;
 mod batch_owners;
@@ -15,9 +16,9 @@
 mod tend_silent;
 
 #[doc(inline)]
-pub use batch_owner::{
-    BatchOwner, BatchOwnerArguments, BatchOwnerMessage, JobAnswer, JobNews, JobSource, Submission,
-};
+pub use batch_message::{BatchOwnerMessage, JobAnswer, JobNews, JobSource, Submission};
+#[doc(inline)]
+pub use batch_owner::{BatchOwner, BatchOwnerArguments};
 #[doc(inline)]
 pub use batch_owner_handle::{BatchOwnerHandle, OwnedJob, RunningJob};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -1,15 +1,18 @@
 //! Calls to the servers of stage services.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use amaranthscale_core::process::{
-    Batch, BatchEnd, ConnectionShare, Frees, ServerRecord, ToldLoad,
+    Batch, BatchEnd, ConnectionShare, Frees, PieceEnd, ServerRecord, ToldLoad,
 };
-use log::debug;
+use log::{debug, info};
+use tokio::time::Instant;
 
 use super::super::Dialect;
 use super::super::connection::ServerPool;
 use crate::connection::{SendError, read_body};
+use crate::process::Counters;
 
 /// Largest answer to a batch: a handle for each piece.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
@@ -17,7 +20,7 @@
 const FREE_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Has a batch made; a call without an answer in time counts as lost.
-pub(super) async fn call_batch(pool: &ServerPool, dialect: &Dialect, batch: &Batch) -> CallEnd {
+async fn call_batch(pool: &ServerPool, dialect: &Dialect, batch: &Batch) -> CallEnd {
     let call = call_in_time(pool, dialect, batch);
     tokio::time::timeout(batch.patience, call)
         .await
@@ -111,3 +114,48 @@
         Err(_elapsed) => debug!("batches: results not freed in time"),
     }
 }
+
+/// Has a batch made, and counts and logs what was not.
+pub(super) async fn run_batch(
+    pool: &ServerPool,
+    dialect: &Dialect,
+    counters: &Counters,
+    batch: &Batch,
+) -> CallEnd {
+    let started = Instant::now();
+    counters.count("batch.calls");
+    let end = call_batch(pool, dialect, batch).await;
+    let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    for (end, pieces) in failed_pieces(&end.end, batch.items.len()) {
+        counters.add(&format!("pieces.{end}"), pieces);
+        info!(
+            service = batch.service.as_str(), server:% = batch.server, end, pieces,
+            of = batch.items.len(), ms;
+            "batches: pieces not made"
+        );
+    }
+    end
+}
+
+/// Pieces of a call that were not made, by reason.
+fn failed_pieces(end: &BatchEnd, sent: usize) -> BTreeMap<&'static str, u64> {
+    let sent = u64::try_from(sent).unwrap_or(u64::MAX);
+    let ends = match end {
+        BatchEnd::Pieces(ends) => ends,
+        BatchEnd::Full => return BTreeMap::from([("server-full", sent)]),
+        BatchEnd::OtherServer => return BTreeMap::from([("other-server", sent)]),
+        BatchEnd::Lost => return BTreeMap::from([("lost", sent)]),
+    };
+    let mut failed = BTreeMap::new();
+    for end in ends {
+        let name = match end {
+            PieceEnd::Made(_) => continue,
+            PieceEnd::Late => "late",
+            PieceEnd::InputGone => "input-gone",
+            PieceEnd::NoRoom => "no-room",
+            PieceEnd::Failed => "failed",
+        };
+        *failed.entry(name).or_default() += 1;
+    }
+    failed
+}
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -7,22 +7,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthscale_core::id::{CallId, ResultHandle, ServerLife};
+use amaranthscale_core::id::{CallId, ServerLife};
 use amaranthscale_core::process::{
-    Batch, BatchEnd, BatchId, Batcher, Cell, Frees, JobEvent, JobFailure, JobId, JobRefused,
-    KeepingUp, KeptPiece, Pace, PieceEnd, PipelineOrder, StageTimes, ToldLoad,
+    Batcher, Cell, JobEvent, JobFailure, JobId, JobRefused, KeepingUp, Pace, StageTimes,
 };
 use log::{info, warn};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::super::Dialect;
 use super::super::connection::ServerPool;
 use super::super::version::Knowledge;
-use super::batch_calls::{CallEnd, call_batch, call_free};
+use super::batch_calls::{CallEnd, call_free, run_batch};
+use super::batch_message::{BatchOwnerMessage, JobAnswer, JobNews, JobSource, Submission};
 use crate::process::{Counters, Latencies};
 
 /// Longest time between two looks at what waits: for servers that come back, and what turns late.
@@ -34,78 +33,6 @@
 /// some hundred milliseconds once it takes nothing more.
 const BEHIND_RETRY: Duration = Duration::from_millis(500);
 
-/// What a job came to.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum JobAnswer {
-    /// All pieces are made.
-    Done(Vec<ResultHandle>),
-    /// The job was not taken; nothing of it was begun.
-    Refused {
-        /// Milliseconds after which there may be place.
-        retry_after_ms: u64,
-        /// Why.
-        reason: JobFailure,
-    },
-    /// The job was given up.
-    Failed(JobFailure),
-    /// This gateway is about to stop and takes no jobs.
-    Stopping,
-}
-
-/// What an owner tells of a job.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum JobNews {
-    /// Some of its pieces are made.
-    Made(Vec<KeptPiece>),
-    /// What was made of a stage is there no more.
-    Dropped(usize),
-    /// What it came to; nothing follows.
-    Ended(JobAnswer),
-}
-
-/// Where a job comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum JobSource {
-    /// A request at this gateway, for which no other gateway is left to ask.
-    Here,
-    /// Another gateway, which can ask the next owner.
-    Peer,
-}
-
-/// Messages to the owner of the batches.
-#[derive(Debug)]
-pub enum BatchOwnerMessage {
-    /// Takes a job.
-    Submit(Submission),
-    /// Ends a job and frees its results.
-    Release(JobId),
-    /// A call has ended.
-    Ended(BatchId, BatchEnd, Option<ToldLoad>),
-    /// A call that frees results has ended.
-    Freed(Frees),
-    /// Routing or servers have changed.
-    Changed,
-    /// Looks at what waits; names when that was due.
-    Look(Instant),
-    /// Takes no more jobs.
-    Stop,
-}
-
-/// A job on its way to its owner.
-#[derive(Debug)]
-pub struct Submission {
-    /// What is to be made.
-    pub order: PipelineOrder,
-    /// Tells the sender the job's id at once.
-    pub id: oneshot::Sender<JobId>,
-    /// Tells what becomes of it by and by.
-    pub news: mpsc::UnboundedSender<JobNews>,
-    /// Where it comes from.
-    pub source: JobSource,
-    /// When it arrived at this process.
-    pub arrived: Instant,
-}
-
 /// The actor.
 #[derive(Debug)]
 pub struct BatchOwner;
@@ -432,50 +359,6 @@
     }
 }
 
-async fn run_batch(
-    pool: &ServerPool,
-    dialect: &Dialect,
-    counters: &Counters,
-    batch: &Batch,
-) -> CallEnd {
-    let started = Instant::now();
-    counters.count("batch.calls");
-    let end = call_batch(pool, dialect, batch).await;
-    let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
-    for (end, pieces) in failed_pieces(&end.end, batch.items.len()) {
-        counters.add(&format!("pieces.{end}"), pieces);
-        info!(
-            service = batch.service.as_str(), server:% = batch.server, end, pieces,
-            of = batch.items.len(), ms;
-            "batches: pieces not made"
-        );
-    }
-    end
-}
-
-/// Pieces of a call that were not made, by reason.
-fn failed_pieces(end: &BatchEnd, sent: usize) -> BTreeMap<&'static str, u64> {
-    let sent = u64::try_from(sent).unwrap_or(u64::MAX);
-    let ends = match end {
-        BatchEnd::Pieces(ends) => ends,
-        BatchEnd::Full => return BTreeMap::from([("server-full", sent)]),
-        BatchEnd::OtherServer => return BTreeMap::from([("other-server", sent)]),
-        BatchEnd::Lost => return BTreeMap::from([("lost", sent)]),
-    };
-    let mut failed = BTreeMap::new();
-    for end in ends {
-        let name = match end {
-            PieceEnd::Made(_) => continue,
-            PieceEnd::Late => "late",
-            PieceEnd::InputGone => "input-gone",
-            PieceEnd::NoRoom => "no-room",
-            PieceEnd::Failed => "failed",
-        };
-        *failed.entry(name).or_default() += 1;
-    }
-    failed
-}
-
 fn refusal(refused: JobRefused) -> JobAnswer {
     JobAnswer::Refused {
         retry_after_ms: u64::try_from(refused.retry_after.as_millis()).unwrap_or(u64::MAX),
