Lists that are read again are not told as gateways that came; incident of the large deployment

Cause: found in the incident's log: after the store's return each gateway told 103 gateways as announced, since it reads the whole list again. Change: only those that were not known are counted.

--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -161,14 +161,15 @@
             gone(store, knowledge, own, &id);
         }
         Ok(Some(announcement)) => {
-            turnover.announced += 1;
             let since = row.version;
             if announcement.address == own.announcement.address && id != own.instance {
                 // An earlier life here ended without a word; nobody else can tell it from this one.
                 let (store, ended) = (store.clone(), id.clone());
                 tokio::spawn(async move { withdraw_instance(&store, &ended).await });
             }
-            knowledge.change_instances(|instances| instances.announced(id, announcement, since));
+            let is_new = knowledge
+                .change_instances(|instances| instances.announced(id, announcement, since));
+            turnover.announced += u64::from(is_new);
         }
         Err(reason) => {
             // Another writer's, also where a gateway had announced itself under that name.
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -93,13 +93,18 @@
         &self.own
     }
 
-    /// Takes an announcement.
+    /// Takes an announcement; says whether it is of an entry that was not known.
     ///
     /// A new life at the same address ends the old one: an address has one process.
-    pub fn announced(&mut self, id: InstanceId, announcement: Announcement, since: RowVersion) {
+    pub fn announced(
+        &mut self,
+        id: InstanceId,
+        announcement: Announcement,
+        since: RowVersion,
+    ) -> bool {
         if let Some(known) = self.instances.get_mut(&id) {
             known.since = Some(since);
-            return;
+            return false;
         }
         let at_address = self
             .instances
@@ -109,13 +114,14 @@
             // After a loss of power the dead life's announcement is still there, and rows come in
             // the order of their names: the older one must not hide the one that lives.
             if *known == self.own || seen.since > Some(since) {
-                return;
+                return false;
             }
             let ended = known.clone();
             self.instances.remove(&ended);
         }
         self.instances
             .insert(id, Seen::new(announcement, Some(since)));
+        true
     }
 
     /// Takes the end of an announcement.
