Reading the change again: one function for milliseconds, one order of servers, sums only for a line

Found in the whole diff: the owner's pace wrote the conversion to milliseconds again that request lines have a function for, as five places of the gateway did before; it is one function beside the clocks now. An entry's share of servers sorted them twice with two hashes each; they are sorted once, the near ones taken from that order: the same servers. The owner summed up what waits at each look, up to five hundred times a second, for a line that is rarely written; it does so for the line only.

--- a/crates/amaranthscale/src/gateway/clock.rs
+++ b/crates/amaranthscale/src/gateway/clock.rs
@@ -46,3 +46,8 @@
     // The clock exists on every kernel that these daemons run on.
     clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
 }
+
+/// Milliseconds, for a log line or a message.
+pub(super) fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::super::Dialect;
+use super::super::clock::ms;
 use super::super::connection::ServerPool;
 use crate::connection::{SendError, read_body};
 use crate::process::Counters;
@@ -125,7 +126,7 @@
     let started = Instant::now();
     counters.count("batch.calls");
     let end = call_batch(pool, dialect, batch).await;
-    let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let ms = ms(started.elapsed());
     for (end, pieces) in failed_pieces(&end.end, batch.items.len()) {
         counters.add(&format!("pieces.{end}"), pieces);
         info!(
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::super::Dialect;
+use super::super::clock::ms;
 use super::super::connection::ServerPool;
 use super::super::version::Knowledge;
 use super::batch_calls::{CallEnd, call_free, run_batch};
@@ -173,15 +174,16 @@
     fn note_pace(&mut self, due: Instant, now: Duration) {
         let late = due.elapsed();
         self.arguments.latencies.record("owner.late", late);
-        let late_ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
+        let Some(pace) = self.keeping_up.came(now.saturating_sub(late), now) else {
+            return;
+        };
         let (jobs, waiting) = (self.batcher.jobs(), self.batcher.waiting());
-        match self.keeping_up.came(now.saturating_sub(late), now) {
-            Some(Pace::FellBehind) => {
+        match pace {
+            Pace::FellBehind => {
                 self.arguments.counters.count("owner.behind");
-                warn!(late_ms, jobs, waiting; "batches: behind, taking no more");
+                warn!(late_ms = ms(late), jobs, waiting; "batches: behind, taking no more");
             }
-            Some(Pace::CaughtUp) => info!(jobs, waiting; "batches: in time again"),
-            None => {}
+            Pace::CaughtUp => info!(jobs, waiting; "batches: in time again"),
         }
     }
 
@@ -351,7 +353,7 @@
         let Some(waiting) = self.waiting.get(&job) else {
             return;
         };
-        let ms = u64::try_from(waiting.taken_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let ms = ms(waiting.taken_at.elapsed());
         info!(
             call = waiting.call.as_str(), reason:% = failure, waiting = self.batcher.waiting(), ms;
             "batches: job given up"
@@ -361,7 +363,7 @@
 
 fn refusal(refused: JobRefused) -> JobAnswer {
     JobAnswer::Refused {
-        retry_after_ms: u64::try_from(refused.retry_after.as_millis()).unwrap_or(u64::MAX),
+        retry_after_ms: ms(refused.retry_after),
         reason: refused.reason,
     }
 }
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::super::CallerWork;
+use super::super::clock::ms;
 use super::super::process::{GatewayParts, OpenRequest};
 use super::answer::AnswerBody;
 use super::engine_run::run_engine;
@@ -128,11 +129,6 @@
     );
 }
 
-/// Milliseconds for a log line.
-pub(super) fn ms(elapsed: Duration) -> u64 {
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
-
 async fn take(
     parts: &Arc<GatewayParts>,
     head: &request::Parts,
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -14,9 +14,10 @@
 use log::info;
 use tokio::time::Instant;
 
+use super::super::clock::ms;
 use super::super::process::{GatewayParts, MadePieces, OpenRequest, PiecesError, make_pieces};
 use super::answer::{AnswerBody, passed_on, whole};
-use super::caller::{Admitted, ms};
+use super::caller::Admitted;
 use super::outgoing::Outgoing;
 use super::refused::Refused;
 use super::send::{BegunAnswer, SendOutcome, Sent, send};
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -11,9 +11,10 @@
 use log::info;
 use tokio::time::Instant;
 
+use super::super::clock::ms;
 use super::super::process::GatewayParts;
 use super::answer::{AnswerBody, passed_on, whole};
-use super::caller::{Admitted, ms};
+use super::caller::Admitted;
 use super::outgoing::Outgoing;
 use super::refused::Refused;
 use super::send::{BegunAnswer, SendOutcome, Sent, send};
@@ -150,7 +151,7 @@
             self.rejected += 1;
         }
         if !matches!(tried, Tried::Answered(_)) {
-            let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let ms = ms(started.elapsed());
             info!(
                 call = call.as_str(), server:% = server.life, end = tried.name(),
                 in_flight = self.seen.in_flight, told:% = self.seen.told,
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -17,9 +17,9 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::super::clock::ms;
 use super::super::process::OpenRequest;
 use super::answer::{AnswerBody, BrokenOff, passed_on};
-use super::caller::ms;
 use super::engine_run::{EngineRun, Running};
 use super::event_splitter::{EventSplitter, StreamEvent};
 use super::send::BegunAnswer;
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -9,6 +9,7 @@
 use amaranthscale_core::version::Routing;
 use log::{info, warn};
 
+use super::super::clock::ms;
 use super::super::process::StopGate;
 use super::super::{StoreCalls, StoreRow, StoreTable, StoredValue};
 use super::announce::{announce_instance, withdraw_instance};
@@ -272,7 +273,7 @@
 fn drop_lapsed(servers: &mut ServerList, now: Duration) -> bool {
     let dropped = servers.drop_lapsed(now);
     for id in &dropped {
-        let grace_ms = u64::try_from(LAPSE_GRACE.as_millis()).unwrap_or(u64::MAX);
+        let grace_ms = ms(LAPSE_GRACE);
         info!(server = id.as_str(), grace_ms; "servers: gone after the store's return");
     }
     !dropped.is_empty()
--- a/crates/core/src/process/connection_share.rs
+++ b/crates/core/src/process/connection_share.rs
@@ -86,21 +86,15 @@
         if servers.len() <= self.servers {
             return servers;
         }
-        servers.sort_by_cached_key(|server| {
-            let score = rendezvous::score(seed, server.life.id());
-            (server.zone != *zone, Reverse(score))
+        servers.sort_by_cached_key(|server| Reverse(rendezvous::score(seed, server.life.id())));
+        let mut near_left = self.servers / 2;
+        let (mut kept, rest): (Vec<_>, Vec<_>) = servers.into_iter().partition(|server| {
+            let is_kept = server.zone == *zone && near_left > 0;
+            near_left -= usize::from(is_kept);
+            is_kept
         });
-        let is_near = |server: &&ServerRecord| server.zone == *zone;
-        let near = servers
-            .iter()
-            .take(self.servers / 2)
-            .copied()
-            .filter(is_near);
-        let mut kept: Vec<_> = near.collect();
-        let mut rest = servers.split_off(kept.len());
-        rest.sort_by_cached_key(|server| Reverse(rendezvous::score(seed, server.life.id())));
-        rest.truncate(self.servers - kept.len());
-        kept.append(&mut rest);
+        let others = self.servers - kept.len();
+        kept.extend(rest.into_iter().take(others));
         kept
     }
 }
