Operators of the embedded product evacuate availability zones too

Cause: only the adapter's platform had evacuations; the entry's router had no answer to it. Ruled out: a field of each host in the platform's list, which operators do not write. Before: no way. Stand-in engines that are cold after a start are not built.

--- a/crates/amaranthscale/src/entry/connection/operator_http.rs
+++ b/crates/amaranthscale/src/entry/connection/operator_http.rs
@@ -167,6 +167,9 @@
         };
         info!("entry: {} edits version {}", edit.by, edit.expected_version);
         let expected = edit.expected_version;
+        if let Err(refusal) = self.check_zone(&edit.edit).await {
+            return refusal;
+        }
         let proposal = EditProposal {
             expected,
             edit: edit.edit,
@@ -176,6 +179,31 @@
         edit_response(expected, self.tree.edit(proposal).await)
     }
 
+    /// Refuses to evacuate a zone that no backend server is in.
+    ///
+    /// Guards against a slip in its name: accepted, operators would take the zone for empty while
+    /// work still goes there.
+    async fn check_zone(&self, edit: &TreeEdit) -> Result<(), Response<ResponseBody>> {
+        let TreeEdit::EvacuateZone { zone } = edit else {
+            return Ok(());
+        };
+        let zones = self.parts.decisions.status().await.zones;
+        if zones
+            .iter()
+            .any(|line| line.zone == *zone && line.servers > 0)
+        {
+            return Ok(());
+        }
+        let known: Vec<_> = zones.iter().map(|line| line.zone.as_str()).collect();
+        Err(refused(
+            ResultCode::NotFound,
+            format!(
+                "no backend server is in availability zone {zone}: the host list has {}",
+                known.join(", ")
+            ),
+        ))
+    }
+
     fn is_allowed(&self, headers: &HeaderMap) -> bool {
         let value = headers
             .get(AUTHORIZATION)
--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -15,7 +15,7 @@
 
 use super::connection::{CallerHttp, CallerLimits, OperatorHttp, PeerHttp};
 use super::process::{
-    Decision, Decisions, DecisionsArguments, DecisionsHandle, EntryParts, watch_hosts,
+    Decision, Decisions, DecisionsArguments, DecisionsHandle, EntryParts, watch_hosts, watch_zones,
 };
 use super::request::DeadlineLimits;
 use super::{EntryConfig, StartError};
@@ -40,6 +40,7 @@
     planner: PlannerHandle,
     decisions: ActorRef<Decision>,
     host_watch: JoinHandle<()>,
+    zone_watch: JoinHandle<()>,
 }
 
 impl Entry {
@@ -64,6 +65,7 @@
             planner: planner.clone(),
         };
         let (callers, peers) = serve(&config, &parts, &tree).await?;
+        let zone_watch = tokio::spawn(watch_zones(tree.in_force(), parts.decisions.clone()));
         let watching = watch_hosts(
             links.platform.of(ControlKind::HostList),
             parts.decisions,
@@ -86,6 +88,7 @@
             planner,
             decisions,
             host_watch,
+            zone_watch,
         })
     }
 
@@ -121,6 +124,7 @@
             warn!("entry: stopped with requests still open");
         }
         self.host_watch.abort();
+        self.zone_watch.abort();
         self.planner.stop();
         self.tree.stop();
         self.decisions.stop(None);
--- a/crates/amaranthscale/src/entry/process.rs
+++ b/crates/amaranthscale/src/entry/process.rs
@@ -12,6 +12,7 @@
 mod parts;
 mod reservation;
 mod route;
+mod zone_watch;
 
 #[doc(inline)]
 pub use admission_question::AdmissionQuestion;
@@ -26,7 +27,7 @@
 #[doc(inline)]
 pub use decisions_state::DecisionsState;
 #[doc(inline)]
-pub use decisions_status::{AttainmentLine, CostLine, DecisionsStatus};
+pub use decisions_status::{AttainmentLine, CostLine, DecisionsStatus, ZoneLine};
 #[doc(inline)]
 pub use host_watch::watch_hosts;
 #[doc(inline)]
@@ -35,3 +36,5 @@
 pub use reservation::Reservation;
 #[doc(inline)]
 pub use route::{KnownSidecar, Route, RouteQuestion};
+#[doc(inline)]
+pub use zone_watch::watch_zones;
--- a/crates/amaranthscale/src/entry/process/decisions.rs
+++ b/crates/amaranthscale/src/entry/process/decisions.rs
@@ -3,6 +3,7 @@
 //! Requests run as tasks of their own and ask it in short messages. All of its state changes in
 //! one place and in one order, so the parts from the core need no locks.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use amaranthscale_core::ResultCode;
@@ -37,6 +38,8 @@
     RequestEnded(OrganisationId, Class, ResultCode),
     /// The host list changed.
     Hosts(HostList),
+    /// Operators have evacuated these availability zones, and no others.
+    Evacuated(BTreeSet<ZoneId>),
     /// Where is a host?
     Address(HostId, RpcReplyPort<Option<SocketAddr>>),
     /// What do the books say?
@@ -96,6 +99,7 @@
                 state.request_ended(&organisation, class, code);
             }
             Decision::Hosts(hosts) => state.take_hosts(hosts),
+            Decision::Evacuated(zones) => state.take_evacuated(zones),
             Decision::Address(host, reply) => {
                 answer(reply, state.address(&host));
             }
--- a/crates/amaranthscale/src/entry/process/decisions_state.rs
+++ b/crates/amaranthscale/src/entry/process/decisions_state.rs
@@ -1,10 +1,11 @@
 //! What an entry decides by, and the decisions themselves.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::{HostId, Incarnation, OrganisationId, ServiceId};
+use amaranthscale_core::id::{HostId, Incarnation, OrganisationId, ServiceId, ZoneId};
 use amaranthscale_core::process::{
     Admission, AttainmentBook, AttainmentCounts, AttemptEnd, CostBook, CostKey, CostTotals,
     OrganisationLimits, Refusal, RetryBudget, Router, RouterSettings, StageEstimate,
@@ -15,7 +16,7 @@
 use ractor::ActorRef;
 use tokio::time::Instant;
 
-use super::decisions_status::{AttainmentLine, CostLine};
+use super::decisions_status::{AttainmentLine, CostLine, ZoneLine};
 use super::hedges::Hedges;
 use super::{
     AdmissionQuestion, AttemptKind, AttemptReport, Decision, DecisionsArguments, DecisionsStatus,
@@ -41,6 +42,8 @@
     in_flight: u64,
     live_entries: u32,
     hosts: HostList,
+    /// Evacuated availability zones, each since when.
+    evacuated: BTreeMap<ZoneId, Instant>,
 }
 
 impl DecisionsState {
@@ -57,6 +60,7 @@
             in_flight: 0,
             live_entries: 1,
             hosts: HostList::default(),
+            evacuated: BTreeMap::new(),
         }
     }
 
@@ -237,6 +241,48 @@
         self.hosts = hosts;
     }
 
+    pub(super) fn take_evacuated(&mut self, zones: BTreeSet<ZoneId>) {
+        self.router.set_evacuated(&zones);
+        for zone in zones
+            .iter()
+            .filter(|zone| !self.evacuated.contains_key(*zone))
+        {
+            info!("entry: availability zone {zone} is evacuated");
+        }
+        let is_back = |zone: &&ZoneId| !zones.contains(*zone);
+        for zone in self.evacuated.keys().filter(is_back) {
+            info!("entry: availability zone {zone} is taken back");
+        }
+        let mut former = std::mem::take(&mut self.evacuated);
+        let since = |zone: ZoneId| {
+            let since = former.remove(&zone).unwrap_or_else(Instant::now);
+            (zone, since)
+        };
+        self.evacuated = zones.into_iter().map(since).collect();
+    }
+
+    /// Availability zones of the host list and those that are evacuated, with their servers.
+    fn zone_lines(&self) -> Vec<ZoneLine> {
+        let mut servers: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+        for host in self
+            .hosts
+            .hosts
+            .iter()
+            .filter(|host| host.service.is_some())
+        {
+            *servers.entry(&host.zone).or_default() += 1;
+        }
+        for zone in self.evacuated.keys() {
+            servers.entry(zone).or_default();
+        }
+        let line = |(zone, servers): (&ZoneId, usize)| ZoneLine {
+            zone: zone.clone(),
+            servers,
+            evacuated_ms: self.evacuated.get(zone).map(|since| ms(since.elapsed())),
+        };
+        servers.into_iter().map(line).collect()
+    }
+
     fn attainment_lines(&self) -> Vec<AttainmentLine> {
         let line = |(class, organisation, counts): (Class, &OrganisationId, &AttainmentCounts)| {
             AttainmentLine {
@@ -267,8 +313,13 @@
             in_flight: self.in_flight,
             host_list_version: self.hosts.version,
             hosts: self.hosts.hosts.len(),
+            zones: self.zone_lines(),
             attainment: self.attainment_lines(),
             costs: self.cost_lines(),
         }
     }
 }
+
+fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/amaranthscale/src/entry/process/decisions_status.rs
+++ b/crates/amaranthscale/src/entry/process/decisions_status.rs
@@ -1,6 +1,6 @@
 //! What the books of an entry say.
 
-use amaranthscale_core::id::OrganisationId;
+use amaranthscale_core::id::{OrganisationId, ZoneId};
 use amaranthscale_core::process::{AttainmentCounts, CostTotals};
 use amaranthscale_core::unit::Class;
 use serde::{Deserialize, Serialize};
@@ -14,12 +14,25 @@
     pub host_list_version: u64,
     /// Hosts in the host list.
     pub hosts: usize,
+    /// Availability zones with backend servers.
+    pub zones: Vec<ZoneLine>,
     /// Final answers by class and organisation.
     pub attainment: Vec<AttainmentLine>,
     /// Cost by organisation and stage.
     pub costs: Vec<CostLine>,
 }
 
+/// An availability zone as the entry uses it.
+#[derive(Debug, Clone, Serialize)]
+pub struct ZoneLine {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Backend servers in the host list.
+    pub servers: usize,
+    /// Time since its evacuation is in force here; none while it is in use.
+    pub evacuated_ms: Option<u64>,
+}
+
 /// Final answers of one organisation.
 #[derive(Debug, Clone, Serialize)]
 pub struct AttainmentLine {
--- a/crates/amaranthscale/src/operator/ctl/command.rs
+++ b/crates/amaranthscale/src/operator/ctl/command.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use amaranthscale_core::id::{OrganisationId, PipelineId, ServiceId, TreeVersion};
+use amaranthscale_core::id::{OrganisationId, PipelineId, ServiceId, TreeVersion, ZoneId};
 use amaranthscale_core::unit::Class;
 use amaranthscale_core::version::OverrideField;
 use clap::{Arg, ArgAction, Command, value_parser};
@@ -51,6 +51,12 @@
   and of a service whose engines take orders, with the wanted replicas of each model:
   {\"is_repeatable\":true,\"default_deadline_ms\":5000,\"models\":{\"assay-7b\":4}}";
 
+const ZONE_EXAMPLES: &str = "\
+Examples:
+  amaranthctl ... zone evacuate mill-office
+  amaranthctl ... status        (shows zones, and since when they are evacuated)
+  amaranthctl ... zone take-back mill-office";
+
 /// The command line of `amaranthctl`.
 #[must_use]
 pub fn command() -> Command {
@@ -65,6 +71,7 @@
         .subcommand(organisation())
         .subcommand(pipeline())
         .subcommand(service())
+        .subcommand(zone())
         .subcommand(Command::new("status").about("Shows how an entry and its servers fare"))
         .subcommand(Command::new("cost").about("Shows cost by organisation and stage"))
         .subcommand(config())
@@ -200,6 +207,17 @@
     group("service", "Puts and removes services", SERVICE_EXAMPLES).subcommands([put, remove])
 }
 
+fn zone() -> Command {
+    let name = || text("zone", "Name of the availability zone").value_parser(value_parser!(ZoneId));
+    let evacuate = leaf(
+        "evacuate",
+        "Lets the zone's backend servers get nothing more; running work ends",
+    )
+    .arg(name());
+    let take_back = leaf("take-back", "Takes an evacuated zone back").arg(name());
+    group("zone", "Evacuates availability zones", ZONE_EXAMPLES).subcommands([evacuate, take_back])
+}
+
 fn explain() -> Command {
     let call = Arg::new("call")
         .value_name("ID")
--- a/crates/amaranthscale/src/operator/ctl/edit_commands.rs
+++ b/crates/amaranthscale/src/operator/ctl/edit_commands.rs
@@ -61,6 +61,12 @@
             ("service", "remove") => TreeEdit::RemoveService {
                 id: required(matches, "id"),
             },
+            ("zone", "evacuate") => TreeEdit::EvacuateZone {
+                zone: required(matches, "zone"),
+            },
+            ("zone", "take-back") => TreeEdit::TakeBackZone {
+                zone: required(matches, "zone"),
+            },
             _ => return Ok(None),
         };
         Ok(Some(Self::on_tree_in_force(edit)))
--- a/crates/amaranthscale/src/operator/ctl/render.rs
+++ b/crates/amaranthscale/src/operator/ctl/render.rs
@@ -24,6 +24,11 @@
     page += "\nservices\n";
     let services = tree.services.iter();
     page.extend(services.map(|(id, service)| format!("  {id}: {}\n", calls(service))));
+    if !tree.evacuated_zones.is_empty() {
+        page += "\nevacuated availability zones\n";
+        let zones = tree.evacuated_zones.iter();
+        page.extend(zones.map(|zone| format!("  {zone}\n")));
+    }
     page
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,9 @@
 //! [`version`] what lives for a version of shared configuration, and [`process`] what lives as
 //! long as its process. [`id`] and [`mod@unit`] hold the newtypes, [`wire`] the messages.
 
+// The macro of the error types goes one level deeper for each variant of the largest one.
+#![recursion_limit = "256"]
+
 pub mod id;
 pub mod process;
 pub mod request;
--- a/crates/core/src/process/router.rs
+++ b/crates/core/src/process/router.rs
@@ -8,7 +8,7 @@
 
 mod ejection;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -16,9 +16,10 @@
 use rand::seq::IndexedRandom;
 
 use super::host_track::HostTrack;
+use super::server_use::ServerUse;
 use super::{AttemptEnd, Refusal, RouterSettings, StageEstimate, rendezvous};
 use crate::ResultCode;
-use crate::id::{HostId, Incarnation, ServiceId};
+use crate::id::{HostId, Incarnation, ServiceId, ZoneId};
 use crate::unit::{Class, SidecarClock};
 use crate::wire::{HostList, HostRecord, Stamp};
 
@@ -60,6 +61,7 @@
     list_version: u64,
     hosts: BTreeMap<HostId, HostTrack>,
     subsets: BTreeMap<ServiceId, Vec<HostId>>,
+    evacuated: BTreeSet<ZoneId>,
 }
 
 impl Router {
@@ -73,6 +75,7 @@
             list_version: 0,
             hosts: BTreeMap::new(),
             subsets: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -92,6 +95,25 @@
         self.choose_subsets();
     }
 
+    /// Sends nothing more to the hosts of these availability zones, until others are named.
+    pub fn set_evacuated(&mut self, zones: &BTreeSet<ZoneId>) {
+        if self.evacuated != *zones {
+            self.evacuated.clone_from(zones);
+            self.choose_subsets();
+        }
+    }
+
+    /// What may be sent to a host now, as far as the host list, its own word and the operators go.
+    #[must_use]
+    pub fn use_of(&self, host: &HostId) -> ServerUse {
+        match self.hosts.get(host) {
+            None => ServerUse::Unlisted,
+            Some(track) if self.evacuated.contains(&track.record.zone) => ServerUse::Evacuated,
+            Some(track) if track.is_leaving() => ServerUse::Leaving,
+            Some(_) => ServerUse::Free,
+        }
+    }
+
     /// Takes in the stamp of a host.
     pub fn observe(&mut self, host: &HostId, stamp: &Stamp, now: Duration) {
         let Some(track) = self.hosts.get_mut(host) else {
@@ -133,10 +155,7 @@
         }
         let usable = self.usable(service, exclude, now);
         if usable.is_empty() {
-            return Err(Refusal::new(
-                ResultCode::NoBackendServer,
-                NO_HOST_RETRY_AFTER_MS,
-            ));
+            return Err(Refusal::new(self.why_none(service), NO_HOST_RETRY_AFTER_MS));
         }
         let holder = affinity.and_then(|prefix| self.prefix_holder(&usable, prefix, now));
         let chosen = holder.or_else(|| self.less_loaded(&usable, now));
@@ -202,7 +221,8 @@
 
     fn choose_subsets(&mut self) {
         let mut by_service: BTreeMap<ServiceId, Vec<HostId>> = BTreeMap::new();
-        for track in self.hosts.values().filter(|track| !track.is_leaving()) {
+        let hosts = self.hosts.values();
+        for track in hosts.filter(|track| self.use_of(&track.record.host).is_usable()) {
             if let Some(service) = &track.record.service {
                 by_service
                     .entry(service.clone())
@@ -218,6 +238,20 @@
         self.readmit_above_cap();
     }
 
+    /// Why a service has no host: all are evacuated, or none is there.
+    fn why_none(&self, service: &ServiceId) -> ResultCode {
+        let of_service = self.hosts.values();
+        let mut of_service =
+            of_service.filter(|track| track.record.service.as_ref() == Some(service));
+        let is_evacuated =
+            |track: &HostTrack| self.use_of(&track.record.host) == ServerUse::Evacuated;
+        if self.subset(service).next().is_none() && of_service.any(is_evacuated) {
+            ResultCode::ZonesEvacuated
+        } else {
+            ResultCode::NoBackendServer
+        }
+    }
+
     fn usable(&self, service: &ServiceId, exclude: &[HostId], now: Duration) -> Vec<HostId> {
         let healthy: Vec<_> = self
             .subset(service)
--- a/crates/core/src/version/settings_tree.rs
+++ b/crates/core/src/version/settings_tree.rs
@@ -1,6 +1,6 @@
 //! The settings tree.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -8,7 +8,7 @@
     Effective, KeyHash, MAX_DEPTH, Organisation, Overrides, Pipeline, Service, Sourced, TreeEdit,
     TreeError,
 };
-use crate::id::{OrganisationId, PipelineId, ServiceId, TreeVersion};
+use crate::id::{OrganisationId, PipelineId, ServiceId, TreeVersion, ZoneId};
 use crate::unit::{Class, RatePerSecond, Weight};
 
 /// Name of the organisation from which all others inherit.
@@ -54,6 +54,9 @@
     /// Services by name.
     #[serde(default)]
     pub services: BTreeMap<ServiceId, Service>,
+    /// Availability zones whose backend servers get nothing until they are taken back.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuated_zones: BTreeSet<ZoneId>,
 }
 
 impl SettingsTree {
@@ -65,6 +68,7 @@
             organisations: BTreeMap::from([(root_id(), initial_root())]),
             pipelines: BTreeMap::new(),
             services: BTreeMap::new(),
+            evacuated_zones: BTreeSet::new(),
         }
     }
 
@@ -200,6 +204,20 @@
         Ok(())
     }
 
+    pub(super) fn evacuate(&mut self, zone: &ZoneId) -> Result<(), TreeError> {
+        if self.evacuated_zones.insert(zone.clone()) {
+            return Ok(());
+        }
+        Err(TreeError::ZoneUnchanged(zone.clone(), "evacuated"))
+    }
+
+    pub(super) fn take_back(&mut self, zone: &ZoneId) -> Result<(), TreeError> {
+        if self.evacuated_zones.remove(zone) {
+            return Ok(());
+        }
+        Err(TreeError::ZoneUnchanged(zone.clone(), "in use"))
+    }
+
     pub(super) fn remove_pipeline(&mut self, id: &PipelineId) -> Result<(), TreeError> {
         let names_it = |organisation: &Organisation| {
             let pipelines = organisation.overrides.pipelines.as_ref();
--- a/crates/core/src/version/tree_edit.rs
+++ b/crates/core/src/version/tree_edit.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{KeyHash, OverrideField, Pipeline, Service, SettingsTree, TreeError};
-use crate::id::{OrganisationId, PipelineId, ServiceId};
+use crate::id::{OrganisationId, PipelineId, ServiceId, ZoneId};
 use crate::unit::Class;
 
 /// One change to the tree, as operators send it and the table keeps it.
@@ -100,6 +100,16 @@
         /// Name of the service.
         id: ServiceId,
     },
+    /// Lets the backend servers of an availability zone get nothing more.
+    EvacuateZone {
+        /// The zone.
+        zone: ZoneId,
+    },
+    /// Takes an evacuated availability zone back.
+    TakeBackZone {
+        /// The zone.
+        zone: ZoneId,
+    },
     /// Replaces the whole tree; the version goes on from the present one.
     Import {
         /// New organisations, pipelines and services.
@@ -154,6 +164,8 @@
                 Ok(())
             }
             Self::RemoveService { id } => tree.remove_service(id),
+            Self::EvacuateZone { zone } => tree.evacuate(zone),
+            Self::TakeBackZone { zone } => tree.take_back(zone),
             Self::Import { tree: imported } => {
                 let version = tree.version;
                 *tree = SettingsTree {
@@ -182,6 +194,8 @@
             Self::RemovePipeline { id } => write!(f, "remove pipeline {id}"),
             Self::PutService { id, .. } => write!(f, "put service {id}"),
             Self::RemoveService { id } => write!(f, "remove service {id}"),
+            Self::EvacuateZone { zone } => write!(f, "evacuate zone {zone}"),
+            Self::TakeBackZone { zone } => write!(f, "take back zone {zone}"),
             Self::Import { .. } => f.write_str("import a whole tree"),
         }
     }
--- a/crates/core/src/version/tree_error.rs
+++ b/crates/core/src/version/tree_error.rs
@@ -5,7 +5,7 @@
 use quick_error::quick_error;
 
 use super::{MAX_DEPTH, MAX_STAGES, OverrideField};
-use crate::id::{OrganisationId, PipelineId, ServiceId, StageName, TreeVersion};
+use crate::id::{OrganisationId, PipelineId, ServiceId, StageName, TreeVersion, ZoneId};
 use crate::result_code::ResultCode;
 
 quick_error! {
@@ -108,6 +108,10 @@
         ServiceInUse(service: ServiceId, pipeline: PipelineId) {
             display("service {service} is used by pipeline {pipeline}: change or remove that pipeline first")
         }
+        /// A zone is in the wanted state already.
+        ZoneUnchanged(zone: ZoneId, state: &'static str) {
+            display("availability zone {zone} is {state} already: tree show lists the evacuated ones")
+        }
         /// No version follows the present one.
         NoNextVersion(version: TreeVersion) {
             display("no version follows {version}: import the tree into an empty table")
--- a/crates/core/tests/policy_router.rs
+++ b/crates/core/tests/policy_router.rs
@@ -2,12 +2,12 @@
 
 #![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::{HostId, Incarnation, ServiceId, TreeVersion};
-use amaranthscale_core::process::{AttemptEnd, Router, RouterSettings};
+use amaranthscale_core::id::{HostId, Incarnation, ServiceId, TreeVersion, ZoneId};
+use amaranthscale_core::process::{AttemptEnd, Router, RouterSettings, ServerUse};
 use amaranthscale_core::unit::{Class, SidecarClock};
 use amaranthscale_core::wire::{HostList, HostRecord, HostState, LoadReport, Stamp};
 
@@ -409,3 +409,30 @@
     assert!(paid.queue_ms < 100, "{paid:?}");
     assert!(trial.queue_ms >= 1_000, "{trial:?}");
 }
+
+/// Operators evacuate an availability zone. None of its hosts is chosen, as a probe neither, until the
+/// zone is taken back; without another zone the service refuses and says why.
+#[test]
+fn an_evacuated_zone_is_not_chosen() {
+    let mut router = router(6);
+    let zone_of = |router: &Router, host: &HostId| router.host(host).unwrap().zone.clone();
+    let all: BTreeSet<ZoneId> = ZONES.iter().map(|zone| zone.parse().unwrap()).collect();
+    let one = all.first().unwrap().clone();
+
+    router.set_evacuated(&BTreeSet::from([one.clone()]));
+    for affinity in 0..40 {
+        let chosen = router.choose(&service(), &[], Some(affinity), Duration::ZERO);
+        assert_ne!(zone_of(&router, &chosen.unwrap()), one);
+    }
+    assert_eq!(router.use_of(&host(0)), ServerUse::Evacuated);
+
+    router.set_evacuated(&all);
+    let refused = router
+        .choose(&service(), &[], None, Duration::ZERO)
+        .unwrap_err();
+    assert_eq!(refused.code, ResultCode::ZonesEvacuated);
+
+    router.set_evacuated(&BTreeSet::new());
+    assert!(router.choose(&service(), &[], None, Duration::ZERO).is_ok());
+    assert_eq!(router.use_of(&host(0)), ServerUse::Free);
+}
--- a/crates/core/tests/tree_edits.rs
+++ b/crates/core/tests/tree_edits.rs
@@ -230,3 +230,28 @@
     assert_eq!(snapshot.writes[2].key, TREE_SNAPSHOT_KEY);
     assert_eq!(snapshot.checks[0].version, head);
 }
+
+#[test]
+fn a_zone_is_evacuated_until_it_is_taken_back() {
+    let evacuate = r#"{"kind":"evacuate_zone","zone":"mill-office"}"#;
+    let take_back = r#"{"kind":"take_back_zone","zone":"mill-office"}"#;
+
+    let evacuated = tree_after(&[evacuate]);
+    let again = SettingsTree::from_json(evacuated.to_json()).unwrap();
+    let back = evacuated.apply(&edit(take_back)).unwrap();
+
+    assert_eq!(again.evacuated_zones, evacuated.evacuated_zones);
+    assert!(
+        evacuated
+            .evacuated_zones
+            .contains(&"mill-office".parse().unwrap())
+    );
+    assert!(back.evacuated_zones.is_empty());
+    for (tree, text) in [(&evacuated, evacuate), (&back, take_back)] {
+        let refused = refusal(tree, text);
+        assert_eq!(refused.code(), ResultCode::EditInvalid);
+        assert!(refused.to_string().contains("mill-office"), "{refused}");
+    }
+    // A tree without evacuated zones reads as before, for processes that do not know of them.
+    assert!(!back.to_json().contains("evacuated"));
+}
