Shares of cold servers come in whole sends, and each entry reaches three of a service

Conclusion: few senders, whole sends, reach 3. With 380 entries before 12 servers half of them can reach none, as 252 whole sends are all there are; their callers are told to come back.

--- a/crates/core/src/process/cold_share.rs
+++ b/crates/core/src/process/cold_share.rs
@@ -29,7 +29,7 @@
 const SENDS_EACH: f64 = 4.0;
 /// Cold servers that each entry should be able to reach, so that few have none at all when a whole
 /// service is cold.
-const SERVERS_EACH: f64 = 2.0;
+const SERVERS_EACH: f64 = 3.0;
 
 /// How far operators let cold servers be used beyond what the servers say.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -104,7 +104,8 @@
         entries: &[SocketAddr],
     ) -> Self {
         let used_per_s = most_per_s * USED_PERCENT / 100.0;
-        let senders = senders(used_per_s, servers, entries.len());
+        let sends = sends_each(used_per_s, servers, entries.len());
+        let senders = whole(used_per_s / sends).clamp(1, entries.len().max(1));
         let score = |address: &SocketAddr| {
             let seed = rendezvous::score(2, server.id());
             (rendezvous::score(seed, address.to_string()), *address)
@@ -114,7 +115,11 @@
         if before.count() >= senders {
             return Self::NONE;
         }
-        Self::of_rate(used_per_s / as_f64(senders))
+        if senders == entries.len() {
+            // Few entries: what a whole number of sends leaves over is theirs too.
+            return Self::of_rate(used_per_s / as_f64(senders));
+        }
+        Self::of_rate(sends.min(used_per_s))
     }
 
     /// The share of the owner of batches, which alone calls the servers of stages.
@@ -150,13 +155,14 @@
     }
 }
 
-/// Entries that send to one cold server.
-fn senders(used_per_s: f64, servers: usize, entries: usize) -> usize {
-    let by_share = used_per_s / SENDS_EACH;
+/// Whole sends a second of each sender of one cold server: fewer where more senders are needed, so
+/// that each entry reaches some, and never less than one, as all may send at once.
+fn sends_each(used_per_s: f64, servers: usize, entries: usize) -> f64 {
     let by_reach = as_f64(entries) * SERVERS_EACH / as_f64(servers.max(1));
-    // More senders than whole requests would be more than the bound when all send at once.
-    let most = whole(used_per_s).min(entries).max(1);
-    whole(by_share.max(by_reach)).clamp(1, most)
+    (used_per_s / by_reach.max(1.0))
+        .min(SENDS_EACH)
+        .floor()
+        .max(1.0)
 }
 
 fn as_f64(count: usize) -> f64 {
