Pieces of large prompts start earlier: the engine's time is learnt by the size of the prompt

Change: a line through the last streams' times to the first event, by least squares; the order carries the time. Lines of streams name the tokens of the prompt.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -14,7 +14,8 @@
 use super::connection::ServerPool;
 use super::listen::{OtherServers, bind, listen_callers, listen_others};
 use super::process::{
-    BatchOwnerArguments, BatchOwners, Budgets, ColdServers, GatewayParts, StopGate, tend_silent,
+    BatchOwnerArguments, BatchOwners, Budgets, ColdServers, GatewayParts, ServicePromptTimes,
+    StopGate, tend_silent,
 };
 use super::version::{
     FeedPace, KEY_AGE_PERCENT, Knowledge, Neighbours, Own, READY_AGE_PERCENT, announce_instance,
@@ -207,6 +208,7 @@
         pool,
         dialect,
         budgets: Budgets::new(config.budget),
+        prompt_times: ServicePromptTimes::default(),
         cold: ColdServers::new(config.cold, config.clock.now()),
         batches: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -63,6 +63,8 @@
     pub piece_key: String,
     /// Worth of the answer against others', in tokens of work; 0 if not known.
     pub worth_tokens: u64,
+    /// Tokens of the prompt; 0 if not known.
+    pub prompt_tokens: u64,
     /// Last part of the prompt that other requests share.
     pub shared_part: Option<String>,
 }
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -13,6 +13,7 @@
 mod peer_pieces;
 mod peer_server;
 mod pieces;
+mod service_prompt_times;
 mod stop_gate;
 mod tend_silent;
 
@@ -37,6 +38,8 @@
 #[doc(inline)]
 pub use pieces::{MadePieces, PiecesError, make_pieces};
 #[doc(inline)]
+pub use service_prompt_times::ServicePromptTimes;
+#[doc(inline)]
 pub use stop_gate::{OpenRequest, StopGate};
 #[doc(inline)]
 pub use tend_silent::tend_silent;
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -13,7 +13,7 @@
 use super::super::connection::ServerPool;
 use super::super::version::{HandedOn, Knowledge};
 use super::cold_servers::ShareBasis;
-use super::{BatchOwners, Budgets, ColdServers, StopGate};
+use super::{BatchOwners, Budgets, ColdServers, ServicePromptTimes, StopGate};
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
 
@@ -32,6 +32,8 @@
     pub dialect: Arc<Dialect>,
     /// Repeats that are left.
     pub budgets: Budgets,
+    /// How long engines take to the first event.
+    pub prompt_times: ServicePromptTimes,
     /// Sends to cold servers.
     pub cold: ColdServers,
     /// The owners of batches in this process.
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/service_prompt_times.rs
@@ -0,0 +1,34 @@
+//! How long engines take to the first event, by service.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use amaranthscale_core::id::ServiceId;
+use amaranthscale_core::process::PromptTimes;
+
+/// What this gateway's own streams have shown.
+#[derive(Debug, Default)]
+pub struct ServicePromptTimes {
+    by_service: Mutex<BTreeMap<ServiceId, PromptTimes>>,
+}
+
+impl ServicePromptTimes {
+    /// Takes the time from a send to the first event.
+    pub fn sample(&self, service: &ServiceId, prompt_tokens: u64, time: Duration) {
+        let mut by_service = self.by_service();
+        let times = by_service.entry(service.clone()).or_default();
+        times.sample(prompt_tokens, time);
+    }
+
+    /// Time that a prompt of so many tokens is likely to take; none before enough has come.
+    pub fn expected(&self, service: &ServiceId, prompt_tokens: u64) -> Option<Duration> {
+        self.by_service().get(service)?.expected(prompt_tokens)
+    }
+
+    fn by_service(&self) -> MutexGuard<'_, BTreeMap<ServiceId, PromptTimes>> {
+        self.by_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -8,7 +8,7 @@
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerLife, ServiceId};
 use amaranthscale_core::process::{
     ConnectionShare, JobFailure, PipelineOrder, SeenLoad, SendEnd, SendingEntry, ServerRecord,
-    StageOrder,
+    StageOrder, USUAL_ENGINE_TIME,
 };
 use hyper::Response;
 use log::info;
@@ -255,6 +255,7 @@
                 aim: route.aim,
                 aim_left: route.aim.saturating_sub(self.admitted.arrived.elapsed()),
                 deadline_left: self.admitted.left().saturating_sub(ENGINE_RESERVE),
+                engine_time: self.engine_time(),
                 reader_zone: reader.zone.clone(),
                 kept: Vec::new(),
             };
@@ -283,6 +284,15 @@
         Ok(made)
     }
 
+    /// Time that an engine is likely to take to the first event of this prompt.
+    fn engine_time(&self) -> Duration {
+        let tokens = self.admitted.work.prompt_tokens;
+        let expected = self.parts.prompt_times.expected(&self.service, tokens);
+        // A prompt that takes all of the aim cannot be in time whatever its pieces take.
+        let most = self.admitted.route.aim / 2;
+        expected.unwrap_or(USUAL_ENGINE_TIME).min(most)
+    }
+
     fn stage_orders(&self) -> Vec<StageOrder> {
         let pieces = &self.admitted.work.pieces;
         let stages = self.admitted.route.stages.iter().enumerate();
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -6,6 +6,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use amaranthscale_core::id::ServerLife;
 use amaranthscale_core::process::SendEnd;
@@ -68,6 +69,7 @@
     async fn go(mut self, mut running: Running, _open: OpenRequest) {
         let first_at = self.run.admitted.arrived.elapsed();
         self.run.parts.latencies.record("begin", first_at);
+        self.note_prompt_time(first_at);
         let reason = loop {
             let server = running.server.clone();
             match self.pass_part(running).await {
@@ -95,6 +97,15 @@
         let _ = self.events.send(Err(BrokenOff::Early(reason))).await;
     }
 
+    /// Learns how long the engine took to its first event.
+    fn note_prompt_time(&self, first_at: Duration) {
+        let run = &self.run;
+        let sent_at = run.pieces_at.unwrap_or(run.admitted.arrived);
+        let took = (run.admitted.arrived + first_at).saturating_duration_since(sent_at);
+        let tokens = run.admitted.work.prompt_tokens;
+        run.parts.prompt_times.sample(&run.service, tokens, took);
+    }
+
     /// Passes on what one engine sends.
     async fn pass_part(&mut self, running: Running) -> PartEnd {
         let BegunAnswer {
@@ -179,7 +190,7 @@
         Some(running)
     }
 
-    fn log(&self, end: &'static str, server: &ServerLife, first_at: std::time::Duration) {
+    fn log(&self, end: &'static str, server: &ServerLife, first_at: Duration) {
         let admitted = &self.run.admitted;
         let owner = self.run.owner.as_ref().map_or("-", |owner| owner.as_str());
         let seen = self.run.seen;
@@ -187,6 +198,7 @@
         info!(
             call = admitted.work.call.as_str(), route:% = admitted.route.id,
             server:% = server, end, events = self.passed, owner,
+            prompt_tokens = admitted.work.prompt_tokens,
             in_flight = seen.in_flight, told:% = seen.told, told_age_ms:% = seen.told_age_ms,
             pieces_ms = ms(pieces_at - admitted.arrived),
             aim_ms = ms(admitted.route.aim), begun_ms = ms(first_at), ms = ms(Instant::now() - admitted.arrived);
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -18,7 +18,7 @@
 use amaranthscale_core::id::RoutingVersion;
 use amaranthscale_core::process::{
     Batch, BatchEnd, Batcher, Cell, JobEvent, PieceEnd, PipelineOrder, Rank, ServerRecord,
-    ServerUse, StageOrder,
+    ServerUse, StageOrder, USUAL_ENGINE_TIME,
 };
 use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
 
@@ -130,6 +130,7 @@
         aim: Duration::from_secs(2),
         aim_left: Duration::from_secs(2),
         deadline_left: Duration::from_secs(15),
+        engine_time: USUAL_ENGINE_TIME,
         reader_zone: format!("zone-{}", number % 6).parse().unwrap(),
         kept: Vec::new(),
     }
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -28,6 +28,7 @@
 mod keeping_up;
 mod load_meter;
 mod organisation_limits;
+mod prompt_times;
 mod queued_attempt;
 mod rank;
 mod refusal;
@@ -56,7 +57,7 @@
 #[doc(inline)]
 pub use batcher::{
     Batch, BatchEnd, BatchId, BatchItem, Batcher, Frees, JobEvent, JobFailure, JobId, JobRefused,
-    KeptPiece, PieceEnd, PieceInput, PipelineOrder, StageOrder, StageTimes,
+    KeptPiece, PieceEnd, PieceInput, PipelineOrder, StageOrder, StageTimes, USUAL_ENGINE_TIME,
 };
 #[doc(inline)]
 pub use cell::Cell;
@@ -87,6 +88,8 @@
 #[doc(inline)]
 pub use organisation_limits::OrganisationLimits;
 #[doc(inline)]
+pub use prompt_times::PromptTimes;
+#[doc(inline)]
 pub use queued_attempt::QueuedAttempt;
 #[doc(inline)]
 pub use rank::Rank;
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -43,7 +43,7 @@
 #[doc(inline)]
 pub use message::{
     Batch, BatchEnd, BatchId, BatchItem, Frees, JobEvent, JobFailure, JobId, JobRefused, PieceEnd,
-    PieceInput, PipelineOrder, StageOrder, StageTimes,
+    PieceInput, PipelineOrder, StageOrder, StageTimes, USUAL_ENGINE_TIME,
 };
 
 use job::{Job, PieceState, StageState};
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -8,8 +8,6 @@
 use super::{Batcher, JobFailure, JobRefused, PipelineOrder, StageOrder};
 use crate::id::ServiceId;
 
-/// Time that an engine takes to its first event beside the stages.
-pub(super) const ENGINE_TIME: Duration = Duration::from_millis(110);
 /// Part of the time left that a late request may need: beyond it, it is likely to be in vain.
 const LATE_PART: f64 = 0.6;
 /// Times its aim within which a late request must be done to be taken.
@@ -59,7 +57,7 @@
             .map(|(stage, start)| self.backlog(&stage.service, *start + put_off, now));
         let waits: Vec<_> = waits.collect();
         let done = done_at(order, &calls, &waits, now);
-        let is_late = done + ENGINE_TIME > now + order.aim_left;
+        let is_late = done + order.engine_time > now + order.aim_left;
         if is_late {
             self.check_late(order, &calls, now)?;
         }
@@ -101,10 +99,10 @@
             .deadline_left
             .mul_f64(LATE_PART)
             .min(order.aim_left + order.aim.mul_f64(LATE_AIMS - 1.0));
-        if done + ENGINE_TIME <= now + allowed {
+        if done + order.engine_time <= now + allowed {
             return Ok(());
         }
-        let excess = (done + ENGINE_TIME).saturating_sub(now + order.aim_left);
+        let excess = (done + order.engine_time).saturating_sub(now + order.aim_left);
         Err(JobRefused {
             retry_after: excess.clamp(SHORTEST_RETRY, LONGEST_RETRY),
             reason: JobFailure::Late,
@@ -193,7 +191,7 @@
 
 /// Latest start of each stage that still meets the aim.
 fn latest_starts(order: &PipelineOrder, calls: &[Duration], now: Duration) -> Vec<Duration> {
-    let aim_at = (now + order.aim_left).saturating_sub(ENGINE_TIME);
+    let aim_at = (now + order.aim_left).saturating_sub(order.engine_time);
     let mut starts = vec![aim_at; order.stages.len()];
     for index in (0..order.stages.len()).rev() {
         let needing = order.stages.iter().enumerate();
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -58,6 +58,10 @@
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     #[serde(rename = "deadline_left_ms")]
     pub deadline_left: Duration,
+    /// Time that the engine is likely to take from the results to the first event.
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    #[serde(rename = "engine_ms", default = "usual_engine_time")]
+    pub engine_time: Duration,
     /// Availability zone of the engine that reads the last results.
     pub reader_zone: ZoneId,
     /// Results that an earlier owner had made.
@@ -65,6 +69,13 @@
     pub kept: Vec<KeptPiece>,
 }
 
+/// Time that an engine takes to its first event while nothing better is known.
+pub const USUAL_ENGINE_TIME: Duration = Duration::from_millis(110);
+
+const fn usual_engine_time() -> Duration {
+    USUAL_ENGINE_TIME
+}
+
 /// Most pieces of one stage; requests have some ten.
 const MOST_PIECES: usize = 1_000;
 /// Most stages of one request.
--- a/crates/core/tests/batcher/bench.rs
+++ b/crates/core/tests/batcher/bench.rs
@@ -6,7 +6,7 @@
 use amaranthscale_core::id::{ResultHandle, RoutingVersion, ServerLife, StartMs};
 use amaranthscale_core::process::{
     Batch, BatchEnd, Batcher, Cell, JobEvent, JobId, PieceEnd, PipelineOrder, Rank, ServerRecord,
-    ServerUse, StageOrder,
+    ServerUse, StageOrder, USUAL_ENGINE_TIME,
 };
 use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
 
@@ -177,6 +177,7 @@
             aim: ms(2_000),
             aim_left: ms(2_000),
             deadline_left: ms(15_000),
+            engine_time: USUAL_ENGINE_TIME,
             reader_zone: "north".parse().unwrap(),
             kept: Vec::new(),
         }
--- a/crates/core/tests/batcher/order.rs
+++ b/crates/core/tests/batcher/order.rs
@@ -355,3 +355,23 @@
 
     assert_eq!(bench.next_batch().items.len(), 4);
 }
+
+/// Two assessments come together, one with a prompt of fifty thousand tokens that its engine reads for
+/// half a second. Served in turn, its pieces come too late for that; they go first.
+#[test]
+fn pieces_of_a_large_prompt_go_first() {
+    let mut bench = Bench::new(&["north"]);
+    let usual = bench.chain(&[(ENCODE, 10, 1_000)]);
+    let mut large = bench.chain(&[(ENCODE, 10, 1_000)]);
+    large.engine_time = ms(600);
+    let call = large.call.clone();
+    bench.submit(usual);
+    bench.submit(large);
+
+    let first = bench.next_batch();
+
+    assert!(
+        first.items.iter().all(|item| item.call == call),
+        "{first:?}"
+    );
+}
