Free stage servers share what waits only as far as they still make what arrives

Ruled out: larger calls as such (the later stages' calls were nearly full already for those that came in bunches). Change: a call takes at least as many pieces as let the servers make what arrives in nine tenths of their time, by the arrivals of the last two seconds; with little work pieces are spread as before. Conclusion: kept at 0.9, as it is flat around it.

--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -113,12 +113,15 @@
             .map(|(life, server)| (server.slowness(now), life.clone()))
             .collect();
         free.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let least = pool.least_share(spec, now);
         let mut startable = self.startable(pool, spec.max_pieces.max(1) * free.len());
         let mut batches = Vec::new();
         for (index, (_, server)) in free.iter().enumerate() {
             let others = free.len() - index;
-            // A call's length grows with its pieces, so free servers share what waits.
-            let share = startable.div_ceil(others).clamp(1, spec.max_pieces.max(1));
+            // A call's length grows with its pieces, so free servers share what waits, as far as all
+            // servers together then still make what arrives.
+            let share = startable.div_ceil(others).max(least);
+            let share = share.clamp(1, spec.max_pieces.max(1));
             if let Some(batch) = self.batch_for(service, spec, server, share, now) {
                 startable = startable.saturating_sub(batch.items.len());
                 batches.push(batch);
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -13,6 +13,9 @@
 
 /// Part of the room that is used: sizes of results are approximate.
 const USED_ROOM_PERCENT: u64 = 95;
+/// Part of the servers' time up to which pieces are spread thin: with more of it in calls of few
+/// pieces, what arrives next finds no server free. Flat from 0.7 to 1.0 where it was varied.
+const BUSY_PART: f64 = 0.9;
 /// Part of each new sample in a server's slowness.
 const SAMPLE_SHARE: f64 = 0.5;
 /// Time without a call after which a server counts as no slower than the others again.
@@ -24,6 +27,8 @@
 
 /// Speed that a service is always taken to have, in servers; none in use would divide by zero.
 const LEAST_SPEED: f64 = 0.2;
+/// Part of the servers' time that is always taken to arrive; none would divide by zero.
+const LEAST_ARRIVING: f64 = 0.01;
 /// Span over which arriving work is averaged.
 const ARRIVAL_WINDOW: Duration = Duration::from_secs(2);
 
@@ -144,6 +149,26 @@
         self.arriving * (-elapsed / ARRIVAL_WINDOW.as_secs_f64()).exp()
     }
 
+    /// Fewest pieces in a call with which the servers make what arrives and have some time left.
+    ///
+    /// Each call costs much by itself. Spread over all free servers, a few pieces each, work that
+    /// takes half of the servers' time in full calls takes all of it, and later pieces wait; filled
+    /// to the brim, calls take long while servers stand idle.
+    pub(super) fn least_share(&self, spec: BatchSpec, now: Duration) -> usize {
+        let most = spec.max_pieces.max(1);
+        let (call, piece) = (spec.call_time.as_secs_f64(), spec.piece_time.as_secs_f64());
+        let call_part = call / f64::from(u32::try_from(most).unwrap_or(u32::MAX));
+        // Time of the servers for each piece that arrives, with what a full call costs as the unit.
+        let time_each = (piece + call_part) * BUSY_PART / self.arriving(now).max(LEAST_ARRIVING);
+        let left_for_calls = time_each - piece;
+        (1..most)
+            .find(|pieces| {
+                let pieces = f64::from(u32::try_from(*pieces).unwrap_or(u32::MAX));
+                call / pieces <= left_for_calls
+            })
+            .unwrap_or(most)
+    }
+
     pub(super) const fn set_spec(&mut self, spec: BatchSpec) {
         self.spec = Some(spec);
     }
--- a/crates/core/tests/batcher/burst.rs
+++ b/crates/core/tests/batcher/burst.rs
@@ -86,3 +86,28 @@
     let is_its = |event: &JobEvent| matches!(event, JobEvent::Done(done, ..) if *done == job);
     assert!(bench.events().iter().any(is_its));
 }
+
+/// Calls that eight requests' pieces go in to four free servers, after so many requests of ten pieces.
+fn calls_after(requests: usize) -> usize {
+    let mut bench = Bench::new(&["north"; 4]);
+    for _ in 0..requests {
+        let order = bench.chain(&[(ENCODE, 10, 10)]);
+        bench.submit(order);
+        for batch in bench.next_batches() {
+            bench.make(&batch);
+        }
+    }
+    for _ in 0..8 {
+        let order = bench.chain(&[(ENCODE, 1, 10)]);
+        bench.submit(order);
+    }
+    bench.next_batches().len()
+}
+
+/// A service is asked for nearly as much as its servers make in full calls. Spread two by two over all
+/// that happen to be free, pieces take all servers' time, and those that come next find none free.
+#[test]
+fn pieces_are_spread_thin_only_while_servers_have_time() {
+    assert_eq!(calls_after(0), 4);
+    assert_eq!(calls_after(24), 1);
+}
