Files of their own for zones, cold times, cold sends and uses of servers; one function for milliseconds

No change of behaviour, but that the basis of a cold server's share is worked out once a request and service: a pass over the list for each cold server would cost some 100,000 steps where a zone of hundreds is cold.

--- a/crates/amaranthscale/src/entry/process/decisions_state.rs
+++ b/crates/amaranthscale/src/entry/process/decisions_state.rs
@@ -22,6 +22,7 @@
     AdmissionQuestion, AttemptKind, AttemptReport, Decision, DecisionsArguments, DecisionsStatus,
     KnownSidecar, Reservation, Route, RouteQuestion,
 };
+use crate::process::ms;
 
 /// When to come back after the retry budget was found empty; long enough for it to fill.
 const OUT_OF_RETRIES_MS: u64 = 500;
@@ -319,7 +320,3 @@
         }
     }
 }
-
-fn ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/amaranthscale/src/gateway/clock.rs
+++ b/crates/amaranthscale/src/gateway/clock.rs
@@ -10,6 +10,8 @@
 use nix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
+pub(super) use crate::process::ms;
+
 /// The clocks that a gateway decides by.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -46,8 +48,3 @@
     // The clock exists on every kernel that these daemons run on.
     clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
 }
-
-/// Milliseconds, for a log line or a message.
-pub(super) fn ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -13,6 +13,7 @@
 mod peer_pieces;
 mod peer_server;
 mod pieces;
+mod server_uses;
 mod service_prompt_times;
 mod stop_gate;
 mod tend_silent;
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/server_uses.rs
@@ -0,0 +1,114 @@
+//! Which servers a request may be given, and whether it may still go there as its bytes leave.
+
+use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::ServiceId;
+use amaranthscale_core::process::{ColdTerms, ServerList, ServerRecord, ServerUse, UsableServers};
+
+use super::GatewayParts;
+use super::cold_servers::ShareBasis;
+
+impl GatewayParts {
+    /// Servers of a service that a request may be given now.
+    pub fn usable<'a>(&self, servers: &'a ServerList, service: &'a ServiceId) -> UsableServers<'a> {
+        let now = self.knowledge.clock().now();
+        let terms = self.cold_terms(service);
+        // One for all cold servers of the service, as it costs a pass over the list.
+        let mut basis = None;
+        let mut usable = UsableServers::default();
+        for server in servers.usable(service) {
+            match servers.use_of(&server.life, terms, now) {
+                ServerUse::Cold { most_per_s, .. } => {
+                    let basis =
+                        basis.get_or_insert_with(|| self.share_basis(servers, service, most_per_s));
+                    if self.cold.has_place(&server.life, basis, now) {
+                        usable.cold.push(server);
+                    }
+                }
+                _ => usable.free.push(server),
+            }
+        }
+        usable
+    }
+
+    /// Counts a choice of a server for a request, if the server is cold.
+    pub fn note_chosen(&self, servers: &ServerList, server: &ServerRecord) {
+        let now = self.knowledge.clock().now();
+        let terms = self.cold_terms(&server.service);
+        if let ServerUse::Cold { most_per_s, .. } = servers.use_of(&server.life, terms, now) {
+            let basis = self.share_basis(servers, &server.service, most_per_s);
+            self.cold.chosen(&server.life, &basis, now);
+        }
+    }
+
+    /// Asks once more whether a request may go to a server, as its bytes are about to leave; says
+    /// why not. A send to a cold one is taken from this gateway's share.
+    ///
+    /// Guards against what happens between a choice and its send: pieces take most of a second, a
+    /// connection some hundred milliseconds, and a frozen process wakes with all its choices made.
+    pub fn try_send_to(&self, server: &ServerRecord) -> Result<(), ServerUse> {
+        let servers = self.knowledge.servers();
+        let now = self.knowledge.clock().now();
+        let terms = self.cold_terms(&server.service);
+        let server_use = servers.use_of(&server.life, terms, now);
+        let may_send = match server_use {
+            ServerUse::Cold { most_per_s, .. } => {
+                let basis = self.share_basis(&servers, &server.service, most_per_s);
+                self.cold.try_send(&server.life, &basis, now)
+            }
+            other => other.is_usable(),
+        };
+        if may_send {
+            return Ok(());
+        }
+        self.counters
+            .count_reason("servers.withheld", server_use.name());
+        Err(server_use)
+    }
+
+    /// Why no server of a service can be chosen now.
+    pub fn none_usable(&self, service: &ServiceId) -> ResultCode {
+        let servers = self.knowledge.servers();
+        if servers.usable(service).next().is_some() {
+            // Untried ones would have been chosen, had they been more than cold.
+            let now = self.knowledge.clock().now();
+            let terms = self.cold_terms(service);
+            let mut usable = servers.usable(service);
+            let is_cold = |server: &ServerRecord| {
+                let server_use = servers.use_of(&server.life, terms, now);
+                matches!(server_use, ServerUse::Cold { .. })
+            };
+            return if usable.any(is_cold) {
+                ResultCode::ServersCold
+            } else {
+                ResultCode::NoBackendServer
+            };
+        }
+        if servers.staying(service).next().is_some() {
+            ResultCode::ZonesEvacuated
+        } else {
+            ResultCode::NoBackendServer
+        }
+    }
+
+    /// What holds of a service's cold servers.
+    fn cold_terms(&self, service: &ServiceId) -> Option<ColdTerms> {
+        let routing = self.knowledge.routing()?;
+        let spec = routing.pool(service)?.cold?;
+        Some(spec.under(self.cold.bounds()))
+    }
+
+    fn share_basis(
+        &self,
+        servers: &ServerList,
+        service: &ServiceId,
+        most_per_s: f64,
+    ) -> ShareBasis {
+        let (own, gateways) = self.knowledge.announced();
+        ShareBasis {
+            most_per_s,
+            servers: servers.staying(service).count(),
+            own,
+            gateways,
+        }
+    }
+}
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -9,6 +9,7 @@
 mod line_budget;
 mod neighbour;
 mod refused_entries;
+mod zones;
 
 #[doc(inline)]
 pub use announce::{announce_instance, withdraw_instance};
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, ServerId};
-use amaranthscale_core::process::{
-    Announcement, LAPSE_GRACE, ServerChange, ServerList, ZoneChange, ZoneState,
-};
+use amaranthscale_core::process::{Announcement, LAPSE_GRACE, ServerChange, ServerList};
 use amaranthscale_core::version::Routing;
 use log::{info, warn};
 
@@ -17,6 +15,7 @@
 use super::announce::{announce_instance, withdraw_instance};
 use super::line_budget::LineBudget;
 use super::refused_entries::RefusedEntries;
+use super::zones::{take_zones, zone_changes};
 use super::{Feed, FeedEvent, FeedPace, Knowledge, Neighbours};
 
 /// Size of a configuration from which it is read beside the requests: a millisecond's work.
@@ -53,57 +52,6 @@
     }
 }
 
-/// What rows of the routing's table say of availability zones.
-fn zone_changes(
-    store: &StoreCalls,
-    rows: &[StoreRow],
-    refusals: &mut RefusedEntries,
-) -> Vec<ZoneChange> {
-    let mut changes = Vec::new();
-    for row in rows {
-        match (store.zone)(row) {
-            Ok(None) => {}
-            Ok(Some(change)) => {
-                match &change.state {
-                    Ok(_) => refusals.forget(&row.key),
-                    // The zone stays as it is: nothing says that it was taken back.
-                    Err(reason) => refusals.note(&row.key, reason),
-                }
-                changes.push(change);
-            }
-            Err(reason) => refusals.note(&row.key, &reason),
-        }
-    }
-    changes
-}
-
-/// Evacuates zones and takes them back; says how many.
-fn take_zones(knowledge: &Knowledge, changes: Vec<ZoneChange>, is_whole: bool) -> u64 {
-    if changes.is_empty() && !is_whole {
-        return 0;
-    }
-    let mut count = 0;
-    let age_ms = ms(knowledge.age().unwrap_or_default());
-    knowledge.change_servers(|servers, now| {
-        let taken = servers.take_zones(changes, is_whole, now);
-        for (zone, state) in &taken {
-            let in_zone = servers.all().filter(|record| record.zone == *zone);
-            let servers = in_zone.count();
-            match state {
-                ZoneState::Evacuated(version) => info!(
-                    zone = zone.as_str(), version:%, servers, age_ms; "servers: zone evacuated"
-                ),
-                ZoneState::InUse => {
-                    info!(zone = zone.as_str(), servers, age_ms; "servers: zone taken back");
-                }
-            }
-        }
-        count = u64::try_from(taken.len()).unwrap_or(u64::MAX);
-        !taken.is_empty()
-    });
-    count
-}
-
 /// Reads the routing from its row, a long one beside the requests.
 ///
 /// Guards against requests that wait behind it: a configuration of thousands of routes takes tens
--- a/crates/amaranthscale/src/process.rs
+++ b/crates/amaranthscale/src/process.rs
@@ -9,10 +9,13 @@
 mod daemon_command;
 mod host_poll;
 mod latencies;
+mod millis;
 mod platform_client;
 mod stop_signal;
 mod table_write;
 
+pub(crate) use millis::ms;
+
 #[doc(inline)]
 pub use bounded_log::{BoundedLines, start_bounded_logging};
 #[doc(inline)]
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -13,7 +13,10 @@
 mod backend_choice;
 mod batcher;
 mod cell;
+mod cold_sends;
 mod cold_share;
+mod cold_terms;
+mod cold_times;
 mod connection_share;
 mod cost_book;
 mod cost_key;
@@ -41,6 +44,7 @@
 mod server_use;
 mod shared_budget;
 mod stage_estimate;
+mod zone_uses;
 
 #[doc(inline)]
 pub use admission::Admission;
@@ -62,7 +66,11 @@
 #[doc(inline)]
 pub use cell::Cell;
 #[doc(inline)]
-pub use cold_share::{ColdBounds, ColdSends, ColdShare, ColdSpec, ColdTerms};
+pub use cold_sends::ColdSends;
+#[doc(inline)]
+pub use cold_share::ColdShare;
+#[doc(inline)]
+pub use cold_terms::{ColdBounds, ColdSpec, ColdTerms};
 #[doc(inline)]
 pub use connection_share::ConnectionShare;
 #[doc(inline)]
@@ -104,10 +112,12 @@
 #[doc(inline)]
 pub use seen_load::{SeenLoad, SeenNumber};
 #[doc(inline)]
-pub use server_list::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord, ZoneChange, ZoneState};
+pub use server_list::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord};
 #[doc(inline)]
 pub use server_use::{ServerUse, UsableServers};
 #[doc(inline)]
 pub use shared_budget::{BudgetTerms, SharedBudget};
 #[doc(inline)]
 pub use stage_estimate::StageEstimate;
+#[doc(inline)]
+pub use zone_uses::{ZoneChange, ZoneState};
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -6,7 +6,8 @@
 
 use super::queue::Queue;
 use crate::id::{ServerLife, ZoneId};
-use crate::process::cold_share::{ColdSends, ColdShare};
+use crate::process::cold_sends::ColdSends;
+use crate::process::cold_share::ColdShare;
 use crate::process::server_list::ServerRecord;
 use crate::process::server_use::ServerUse;
 use crate::version::BatchSpec;
--- /dev/null
+++ b/crates/core/src/process/cold_sends.rs
@@ -0,0 +1,95 @@
+//! What one process has sent to cold servers.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::cold_share::ColdShare;
+use crate::id::ServerLife;
+
+/// Sends of one process to cold servers in the last spans.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use amaranthscale_core::process::{ColdShare, ColdSends};
+///
+/// let server = "a".parse()?;
+/// let share = ColdShare::of_owner(4.0);
+/// let mut sends = ColdSends::default();
+/// let now = Duration::from_secs(10);
+/// assert!(sends.try_send(&server, share, now));
+/// assert!(sends.try_send(&server, share, now));
+/// assert!(!sends.try_send(&server, share, now));
+/// assert!(sends.try_send(&server, share, now + Duration::from_secs(1)));
+/// # Ok::<(), amaranthscale_core::id::InvalidName>(())
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct ColdSends {
+    by_server: BTreeMap<ServerLife, Recent>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Recent {
+    /// When requests were given this server, which leave for it later.
+    chosen_at: VecDeque<Duration>,
+    sent_at: VecDeque<Duration>,
+}
+
+impl ColdSends {
+    /// Whether one more request may be given a server, as far as choices of the last span go.
+    #[must_use]
+    pub fn has_place(&self, server: &ServerLife, share: ColdShare, now: Duration) -> bool {
+        let recent = self.by_server.get(server);
+        recent.map_or(0, |recent| within(&recent.chosen_at, share, now)) < share.sends
+    }
+
+    /// Counts a choice of a server.
+    pub fn chosen(&mut self, server: &ServerLife, share: ColdShare, now: Duration) {
+        let recent = self.by_server.entry(server.clone()).or_default();
+        forget(&mut recent.chosen_at, share, now);
+        recent.chosen_at.push_back(now);
+    }
+
+    /// Takes one send, asked for as its bytes leave; false if the share is used up.
+    ///
+    /// Guards against requests that were chosen at different times and leave together, as when
+    /// pieces of many come at once or a frozen process wakes: choices alone would keep no bound.
+    pub fn try_send(&mut self, server: &ServerLife, share: ColdShare, now: Duration) -> bool {
+        let recent = self.by_server.entry(server.clone()).or_default();
+        forget(&mut recent.sent_at, share, now);
+        if recent.sent_at.len() >= share.sends {
+            return false;
+        }
+        recent.sent_at.push_back(now);
+        true
+    }
+
+    /// Whether one more send may leave now.
+    #[must_use]
+    pub fn may_send(&self, server: &ServerLife, share: ColdShare, now: Duration) -> bool {
+        let recent = self.by_server.get(server);
+        recent.map_or(0, |recent| within(&recent.sent_at, share, now)) < share.sends
+    }
+
+    /// Forgets servers that are cold no longer.
+    pub fn retain(&mut self, is_cold: impl Fn(&ServerLife) -> bool) {
+        self.by_server.retain(|server, _| is_cold(server));
+    }
+}
+
+fn forget(times: &mut VecDeque<Duration>, share: ColdShare, now: Duration) {
+    while times
+        .front()
+        .is_some_and(|at| now.saturating_sub(*at) >= share.span)
+    {
+        times.pop_front();
+    }
+}
+
+fn within(times: &VecDeque<Duration>, share: ColdShare, now: Duration) -> usize {
+    // The newest are last; a span holds the moment at its end but not the one at its start.
+    let recent = times.iter().rev();
+    let recent = recent.take_while(|at| now.saturating_sub(**at) < share.span);
+    recent.count()
+}
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -16,8 +16,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::cold_share::ColdTerms;
+use super::cold_terms::ColdTerms;
+use super::cold_times::ColdTimes;
 use super::server_use::ServerUse;
+use super::zone_uses::{ZoneChange, ZoneState, ZoneUses};
 use crate::id::{RowVersion, ServerId, ServerLife, ServiceId, ZoneId};
 
 /// How long a server that lapsed in an outage may take to come back.
@@ -43,24 +45,6 @@
     pub cold_left: Option<Duration>,
 }
 
-/// What the operators say of an availability zone.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ZoneChange {
-    /// The zone.
-    pub zone: ZoneId,
-    /// What is said; unreadable words leave the zone as it is.
-    pub state: Result<ZoneState, String>,
-}
-
-/// Whether an availability zone is in use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ZoneState {
-    /// Nothing may be sent to its servers, by a version of the operators' word.
-    Evacuated(RowVersion),
-    /// It is in use.
-    InUse,
-}
-
 /// What a change of the list means to its reader.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ServerChange {
@@ -92,61 +76,26 @@
     tells_starts: bool,
     returned_at: Option<Duration>,
     is_away: bool,
-    evacuated: BTreeMap<ZoneId, RowVersion>,
-    /// Zones that were evacuated and are in use again, since when.
-    taken_back: BTreeMap<ZoneId, Duration>,
-    /// Until when servers are cold by their own word.
-    cold_until: BTreeMap<ServerId, Duration>,
-    /// When servers came that do not say whether they are cold.
-    came_untold: BTreeMap<ServerId, Duration>,
+    zones: ZoneUses,
+    cold: ColdTimes,
     /// Whether a whole list was taken: what comes after it has just started.
     is_whole: bool,
 }
 
 impl ServerList {
     /// Takes what the operators say of zones; says which of them have changed.
-    ///
-    /// A whole table takes back what it does not name. Words that cannot be read leave a zone as it
-    /// is: nothing says that it was taken back.
     pub fn take_zones(
         &mut self,
         changes: Vec<ZoneChange>,
         is_whole: bool,
         now: Duration,
     ) -> Vec<(ZoneId, ZoneState)> {
-        let mut states = BTreeMap::new();
-        if is_whole {
-            let named: BTreeSet<_> = changes.iter().map(|change| &change.zone).collect();
-            let missing = self.evacuated.keys().filter(|zone| !named.contains(zone));
-            states.extend(missing.map(|zone| (zone.clone(), ZoneState::InUse)));
-        }
-        let readable = changes.into_iter();
-        let readable = readable.filter_map(|change| Some((change.zone, change.state.ok()?)));
-        states.extend(readable);
-        states.retain(|zone, state| self.take_zone(zone, *state, now));
-        states.into_iter().collect()
-    }
-
-    fn take_zone(&mut self, zone: &ZoneId, state: ZoneState, now: Duration) -> bool {
-        match state {
-            ZoneState::Evacuated(version) => {
-                self.taken_back.remove(zone);
-                self.evacuated.insert(zone.clone(), version).is_none()
-            }
-            ZoneState::InUse => {
-                self.evacuated.remove(zone);
-                // Said of a zone that was in use here, its evacuation passed unheard, as behind a cut.
-                self.taken_back.insert(zone.clone(), now);
-                true
-            }
-        }
+        self.zones.take(changes, is_whole, now)
     }
 
     /// Zones that are evacuated, each with the version of the operators' word.
     pub fn evacuated(&self) -> impl Iterator<Item = (&ZoneId, RowVersion)> {
-        self.evacuated
-            .iter()
-            .map(|(zone, version)| (zone, *version))
+        self.zones.evacuated()
     }
 
     /// What may be sent to a life of a server now, where its service may have cold servers.
@@ -165,7 +114,7 @@
         cold: Option<ColdTerms>,
         now: Duration,
     ) -> ServerUse {
-        if self.evacuated.contains_key(&record.zone) {
+        if self.zones.is_evacuated(&record.zone) {
             return ServerUse::Evacuated;
         }
         if record.is_leaving {
@@ -174,7 +123,8 @@
         let Some(terms) = cold else {
             return ServerUse::Free;
         };
-        match self.cold_until(record, terms) {
+        let taken_back_at = self.zones.taken_back_at(&record.zone);
+        match self.cold.until(record.life.id(), terms, taken_back_at) {
             Some(until) if until > now => ServerUse::Cold {
                 until,
                 most_per_s: terms.most_per_s,
@@ -183,17 +133,6 @@
         }
     }
 
-    /// When a server is cold no longer, by its own word and by its zone's return.
-    ///
-    /// Guards against servers that became cold while nothing was sent to them: their entries say so
-    /// a heartbeat later, and until then a full share of the service's requests would crash them.
-    fn cold_until(&self, record: &ServerRecord, terms: ColdTerms) -> Option<Duration> {
-        let told = self.cold_until.get(record.life.id()).copied();
-        let came_at = self.came_untold.get(record.life.id());
-        let taken_back_at = self.taken_back.get(&record.zone);
-        let assumed = came_at.max(taken_back_at).map(|at| *at + terms.start);
-        told.max(assumed)
-    }
     /// Notes that the store does not answer.
     pub const fn store_lost(&mut self) {
         self.is_away = true;
@@ -238,27 +177,15 @@
     }
 
     fn note_cold(&mut self, record: &ServerRecord, now: Duration) {
-        let id = record.life.id();
-        let known = self.servers.get(id);
+        let known = self.servers.get(record.life.id());
         let is_new = known.is_none_or(|known| record.life.replaces(&known.life));
-        match record.cold_left {
-            Some(left) if !left.is_zero() => {
-                self.cold_until.insert(id.clone(), now + left);
-            }
-            Some(_) => {
-                self.cold_until.remove(id);
-                self.came_untold.remove(id);
-            }
-            None if is_new && self.is_whole => {
-                self.came_untold.insert(id.clone(), now);
-            }
-            None => {}
-        }
+        let has_come = is_new && self.is_whole;
+        self.cold
+            .told(record.life.id(), record.cold_left, has_come, now);
     }
 
     fn forget(&mut self, id: &ServerId) -> bool {
-        self.cold_until.remove(id);
-        self.came_untold.remove(id);
+        self.cold.forget(id);
         self.servers.remove(id).is_some()
     }
 
@@ -307,7 +234,7 @@
     /// Servers of a service that take requests, cold ones too.
     pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a ServerRecord> {
         let staying = self.staying(service);
-        staying.filter(|record| !self.evacuated.contains_key(&record.zone))
+        staying.filter(|record| !self.zones.is_evacuated(&record.zone))
     }
 
     /// Whether a life of a server takes requests, be it as a cold one.
