--- a/crates/amaranthscale/src/operator/explain/story.rs
+++ b/crates/amaranthscale/src/operator/explain/story.rs
@@ -86,12 +86,31 @@
         if let Some(stream) = self.last("stream", "ended") {
             return self.cause_of_stream(stream);
         }
-        match self.last("request", "answered") {
-            Some(answered) => cause_of_answer(answered),
+        if let Some(answered) = self.last("request", "answered") {
+            return cause_of_answer(answered);
+        }
+        match self.last("request", "caller left") {
+            Some(left) => self.cause_of_leaving(left),
             None => self.cause_without_lines(),
         }
     }
 
+    /// A caller that left before an answer had begun, and what its request waited for until then.
+    fn cause_of_leaving(&self, left: &LogLine) -> String {
+        let waited_for = if self.last("batches", "pieces made").is_some() {
+            "an engine, after its pieces were made".to_owned()
+        } else if let Some(lost) = self.last("batches", "owner lost") {
+            let owner = lost.field("owner");
+            format!("its pieces; their owner {owner} had not answered")
+        } else {
+            "its pieces or a server".to_owned()
+        };
+        let ms = left.field("ms");
+        format!(
+            "The caller left after {ms} ms without an answer: the request waited for {waited_for}."
+        )
+    }
+
     /// A request that no line names was a good plain one, or its gateway ended without a word.
     fn cause_without_lines(&self) -> String {
         let unstopped = lives_without_a_stop(&self.lives);
@@ -123,6 +142,11 @@
         }
         if let Some(send) = self.last("request", "send without answer") {
             let (server, end) = (send.field("server"), send.field("end"));
+            if is_withheld(end) {
+                return format!(
+                    "Refused with {code}: it was withheld from server {server} ({end})."
+                );
+            }
             let seen = seen(send);
             return format!("Ended with {code}: server {server} gave no answer ({end}){seen}.");
         }
@@ -138,6 +162,15 @@
                 "Refused with {code}: version {} has no such route.",
                 refused.field("version")
             ),
+            "ZonesEvacuated" => {
+                format!(
+                    "Refused with {code}: operators have evacuated the zones of all its servers."
+                )
+            }
+            "ServersCold" => format!(
+                "Refused with {code}: the servers had just started, and this gateway's share of \
+                what they take was used up."
+            ),
             _ => format!("Refused with {code}."),
         }
     }
@@ -231,6 +264,11 @@
     )
 }
 
+/// Whether an end of a send says that nothing was sent, as the server might not be used.
+fn is_withheld(end: &str) -> bool {
+    matches!(end, "evacuated" | "leaving" | "cold" | "gone")
+}
+
 /// The load that a line's server was chosen by; nothing for lines without it.
 fn seen(line: &LogLine) -> String {
     let Some(in_flight) = line.number("in_flight") else {
@@ -253,6 +291,11 @@
             field("ran"),
             field("ms")
         ),
+        ("request", "send without answer") if is_withheld(field("end")) => format!(
+            "withheld from server {} as its bytes were about to leave: {}",
+            field("server"),
+            field("end")
+        ),
         ("request", "send without answer") => format!(
             "sent to server {} without an answer: {} after {} ms{}",
             field("server"),
--- a/crates/amaranthscale/tests/explain_request.rs
+++ b/crates/amaranthscale/tests/explain_request.rs
@@ -189,3 +189,47 @@
     );
     assert!(!cause.contains("front-2"), "{cause}");
 }
+
+/// A caller leaves without a word of an answer, beside a cut of other gateways. Its line stands there, and
+/// says how it ended; what it waited for is told by the others' lines.
+#[test]
+fn a_caller_that_left_is_told_with_what_it_waited_for() {
+    let for_pieces = told(
+        "ab",
+        &[
+            "31 g1 INFO batches: owner lost call=ab owner=g2-17 reason=\"it fell silent\"",
+            "34 g1 INFO request: caller left call=ab ms=4400",
+        ],
+    );
+    let for_an_engine = told(
+        "ab",
+        &[
+            "31 g2 INFO batches: pieces made call=ab stages_waited_worked_ms=4+268",
+            "34 g1 INFO request: caller left call=ab ms=4400",
+        ],
+    );
+
+    assert!(for_pieces.cause.contains("4400 ms"), "{}", for_pieces.cause);
+    assert!(for_pieces.cause.contains("g2-17"), "{}", for_pieces.cause);
+    assert!(
+        for_an_engine.cause.contains("engine"),
+        "{}",
+        for_an_engine.cause
+    );
+}
+
+/// Operators evacuate a zone between a choice and its send. Nothing was sent there, and the story says so.
+#[test]
+fn a_withheld_send_is_not_told_as_one_without_an_answer() {
+    let telling = told(
+        "ab",
+        &[
+            "30 g1 INFO request: send without answer call=ab server=i-7 end=evacuated ms=0",
+            "31 g1 INFO request: refused call=ab code=2108 reason=ZonesEvacuated ran=no ms=3",
+        ],
+    );
+
+    assert!(telling.sentences[0].contains("withheld"), "{telling:?}");
+    assert!(telling.cause.contains("2108"), "{}", telling.cause);
+    assert!(telling.cause.contains("evacuated"), "{}", telling.cause);
+}
