What a server was sent before it became cold counts for its share; what nothing used is removed

Read in review: a server that becomes cold without a start could get a gateway's usual sends and a whole share in one second. Test: what_was_sent_before_a_server_became_cold_counts (fails without the count, which did not exist).

--- a/crates/amaranthscale/src/gateway/process/cold_servers.rs
+++ b/crates/amaranthscale/src/gateway/process/cold_servers.rs
@@ -84,6 +84,11 @@
         state.sends.try_send(server, share, now)
     }
 
+    /// Counts a send to a server of a service that may have cold ones, while it is not known to be.
+    pub fn sent(&self, server: &ServerLife, now: Duration) {
+        self.state().sends.sent(server, now);
+    }
+
     /// Forgets servers that are gone.
     pub fn retain(&self, is_known: impl Fn(&ServerLife) -> bool) {
         let mut state = self.state();
--- a/crates/amaranthscale/src/gateway/process/server_uses.rs
+++ b/crates/amaranthscale/src/gateway/process/server_uses.rs
@@ -55,7 +55,13 @@
                 let basis = self.share_basis(&servers, &server.service, most_per_s);
                 self.cold.try_send(&server.life, &basis, now)
             }
-            other => other.is_usable(),
+            ServerUse::Free => {
+                if terms.is_some() {
+                    self.cold.sent(&server.life, now);
+                }
+                true
+            }
+            _ => false,
         };
         if may_send {
             return Ok(());
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -159,7 +159,7 @@
         let most = spec.max_pieces.max(1);
         let (call, piece) = (spec.call_time.as_secs_f64(), spec.piece_time.as_secs_f64());
         let call_part = call / f64::from(u32::try_from(most).unwrap_or(u32::MAX));
-        // Time of the servers for each piece that arrives, with what a full call costs as the unit.
+        // What the servers have for each piece that arrives, of the part that may be used.
         let time_each = (piece + call_part) * BUSY_PART / self.arriving(now).max(LEAST_ARRIVING);
         let left_for_calls = time_each - piece;
         (1..most)
--- a/crates/core/src/process/cold_sends.rs
+++ b/crates/core/src/process/cold_sends.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::cold_share::ColdShare;
+use super::cold_share::{ColdShare, WINDOW};
 use crate::id::ServerLife;
 
 /// Sends of one process to cold servers in the last spans.
@@ -47,7 +47,7 @@
     /// Counts a choice of a server.
     pub fn chosen(&mut self, server: &ServerLife, share: ColdShare, now: Duration) {
         let recent = self.by_server.entry(server.clone()).or_default();
-        forget(&mut recent.chosen_at, share, now);
+        forget(&mut recent.chosen_at, share.span, now);
         recent.chosen_at.push_back(now);
     }
 
@@ -57,7 +57,7 @@
     /// pieces of many come at once or a frozen process wakes: choices alone would keep no bound.
     pub fn try_send(&mut self, server: &ServerLife, share: ColdShare, now: Duration) -> bool {
         let recent = self.by_server.entry(server.clone()).or_default();
-        forget(&mut recent.sent_at, share, now);
+        forget(&mut recent.sent_at, share.span, now);
         if recent.sent_at.len() >= share.sends {
             return false;
         }
@@ -65,6 +65,16 @@
         true
     }
 
+    /// Counts a send to a server that is not known to be cold, if it may be one day.
+    ///
+    /// Guards against a server that becomes cold at once: what it was sent in the second before its
+    /// word came counts for it as well.
+    pub fn sent(&mut self, server: &ServerLife, now: Duration) {
+        let recent = self.by_server.entry(server.clone()).or_default();
+        forget(&mut recent.sent_at, WINDOW, now);
+        recent.sent_at.push_back(now);
+    }
+
     /// Whether one more send may leave now.
     #[must_use]
     pub fn may_send(&self, server: &ServerLife, share: ColdShare, now: Duration) -> bool {
@@ -78,10 +88,10 @@
     }
 }
 
-fn forget(times: &mut VecDeque<Duration>, share: ColdShare, now: Duration) {
+fn forget(times: &mut VecDeque<Duration>, span: Duration, now: Duration) {
     while times
         .front()
-        .is_some_and(|at| now.saturating_sub(*at) >= share.span)
+        .is_some_and(|at| now.saturating_sub(*at) >= span)
     {
         times.pop_front();
     }
--- a/crates/core/src/process/cold_share.rs
+++ b/crates/core/src/process/cold_share.rs
@@ -17,7 +17,7 @@
 
 /// Span over which a cold server's requests are counted.
 /// Source: the platform counts them in any second.
-const WINDOW: Duration = Duration::from_secs(1);
+pub(super) const WINDOW: Duration = Duration::from_secs(1);
 /// Part of the bound that all entries together use, in hundredths: until they have heard of entries
 /// that were added, those send as well, and two thirds more of them still keep within the bound.
 const USED_PERCENT: f64 = 60.0;
--- a/crates/core/src/process/server_use.rs
+++ b/crates/core/src/process/server_use.rs
@@ -4,7 +4,6 @@
 //! servers gives it from what the platform and the operators say; what an entry learns by its own
 //! sends is in [`BackendChoice`](super::BackendChoice).
 
-use std::fmt;
 use std::time::Duration;
 
 use super::server_list::ServerRecord;
@@ -49,12 +48,6 @@
     }
 }
 
-impl fmt::Display for ServerUse {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.name())
-    }
-}
-
 /// Servers of a service that a request may be sent to.
 ///
 /// # Examples
@@ -79,14 +72,6 @@
     pub const fn is_empty(&self) -> bool {
         self.free.is_empty() && self.cold.is_empty()
     }
-
-    /// Leaves out servers, as those that were tried.
-    #[must_use]
-    pub fn without(mut self, is_out: impl Fn(&ServerRecord) -> bool) -> Self {
-        self.free.retain(|server| !is_out(server));
-        self.cold.retain(|server| !is_out(server));
-        self
-    }
 }
 
 impl<'a> FromIterator<&'a ServerRecord> for UsableServers<'a> {
--- a/crates/core/tests/cold_share.rs
+++ b/crates/core/tests/cold_share.rs
@@ -268,3 +268,19 @@
     sends.retain(|_server| false);
     assert!(sends.may_send(&server, share, now));
 }
+
+/// A server becomes cold without a start. What it was sent in the second before it said so counts: it
+/// must not get a whole share on top.
+#[test]
+fn what_was_sent_before_a_server_became_cold_counts() {
+    let share = ColdShare::of_owner(6.0);
+    let (server, now) = (life(0), 10 * SECOND);
+    let mut sends = ColdSends::default();
+    for _ in 0..2 {
+        sends.sent(&server, now);
+    }
+
+    assert!(sends.try_send(&server, share, now));
+    assert!(!sends.try_send(&server, share, now));
+    assert!(sends.try_send(&server, share, now + SECOND));
+}
