--- a/crates/amaranthscale/src/gateway/version/feed_pace.rs
+++ b/crates/amaranthscale/src/gateway/version/feed_pace.rs
@@ -8,9 +8,8 @@
 /// hundredths: the rest is for the way there and for late timers.
 pub const KEY_AGE_PERCENT: u32 = 90;
 /// Part of the bound on revoked keys for which a gateway is ready without word from the store, in
-/// hundredths. The platform takes a gateway out two seconds after it is not ready, and by then keys
-/// must still be believed: callers that reach it in between are served, not refused.
-pub const READY_AGE_PERCENT: u32 = 45;
+/// hundredths: soon after it, keyed requests are refused, and callers had better go elsewhere.
+pub const READY_AGE_PERCENT: u32 = 56;
 /// Part of a bound for which a poll whose answers are handed on waits, in hundredths: with the
 /// time between two polls, a third of the bound is left to the one who hears nothing to ask by itself.
 const HANDED_PERCENT: u32 = 40;
