--- a/crates/amaranthscale/src/gateway/process/server_uses.rs
+++ b/crates/amaranthscale/src/gateway/process/server_uses.rs
@@ -74,22 +74,17 @@
     /// Why no server of a service can be chosen now.
     pub fn none_usable(&self, service: &ServiceId) -> ResultCode {
         let servers = self.knowledge.servers();
-        if servers.usable(service).next().is_some() {
-            // Untried ones would have been chosen, had they been more than cold.
-            let now = self.knowledge.clock().now();
-            let terms = self.cold_terms(service);
-            let mut usable = servers.usable(service);
-            let is_cold = |server: &ServerRecord| {
-                let server_use = servers.use_of(&server.life, terms, now);
-                matches!(server_use, ServerUse::Cold { .. })
-            };
-            return if usable.any(is_cold) {
-                ResultCode::ServersCold
-            } else {
-                ResultCode::NoBackendServer
-            };
-        }
-        if servers.staying(service).next().is_some() {
+        let now = self.knowledge.clock().now();
+        let terms = self.cold_terms(service);
+        let uses: Vec<_> = servers
+            .staying(service)
+            .map(|server| servers.use_of(&server.life, terms, now))
+            .collect();
+        let is_cold = |server_use: &ServerUse| matches!(server_use, ServerUse::Cold { .. });
+        if uses.iter().any(is_cold) {
+            // The others, if there are any, were tried; of these the share is used up.
+            ResultCode::ServersCold
+        } else if !uses.is_empty() && uses.iter().all(|one| *one == ServerUse::Evacuated) {
             ResultCode::ZonesEvacuated
         } else {
             ResultCode::NoBackendServer
