--- a/crates/amaranthscale/src/gateway/request/refused.rs
+++ b/crates/amaranthscale/src/gateway/request/refused.rs
@@ -16,8 +16,10 @@
 /// seconds or minutes, and a caller with more time left asks again in vain more often before that.
 const EVACUATED_RETRY: Duration = Duration::from_secs(1);
 
-/// The same where the cause is this gateway's alone: another one, which a caller's next try reaches, can
-/// serve it now. Not zero, so that callers that were refused together do not come back in one moment.
+/// The same where the cause is most likely this gateway's alone: another one, which a caller's next try
+/// reaches, can serve it now. Not zero, so that callers that were refused together do not come back in one
+/// moment. Not for a gateway that starts: after a loss of power all others start with it, and a caller sent
+/// on at once has spent its next try before any of them is ready.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(20);
 
 /// Why a request got no server's answer.
@@ -72,7 +74,7 @@
         if self.code.is_retryable() {
             let usual = match self.code {
                 ResultCode::ZonesEvacuated => EVACUATED_RETRY,
-                ResultCode::KnowledgeStale | ResultCode::NotReady => ELSEWHERE_RETRY,
+                ResultCode::KnowledgeStale => ELSEWHERE_RETRY,
                 _ => USUAL_RETRY,
             };
             let retry_after = self.retry_after.unwrap_or(usual);
