Reading the change again: one choice of server for both runs, one number of a count, uses asked of the record at hand

Found and mended, behaviour as before: - plain_run and engine_run each chose, noted the load seen and counted cold choices: GatewayParts::choose. - usable, none_usable and the owner of batches looked each record up again by its id for each request: ServerList::use_of_listed; the router likewise. - what holds of a service's cold servers was put together twice: Routing::cold_terms. - the addresses of all gateways were copied at each row of a list (hundreds times hundreds at a start of hundreds): taken when a cold server asks for them. - a count as a number stood in six places: core's count::as_f64; a setting was read twice; is_empty of usable servers was dead; two failure tests settled alike: DeltaBasin::settle. Ruled out: one type for the per-service maps of budgets and prompt times (two short files that differ in what they make).

--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -272,9 +272,8 @@
         let now = self.arguments.knowledge.clock().now();
         let bounds = self.arguments.cold;
         let with_use = own.into_iter().map(|server| {
-            let cold = routing.pool(&server.service).and_then(|pool| pool.cold);
-            let terms = cold.map(|spec| spec.under(bounds));
-            (server, servers.use_of(&server.life, terms, now))
+            let terms = routing.cold_terms(&server.service, bounds);
+            (server, servers.use_of_listed(server, terms, now))
         });
         self.batcher.set_servers(&routing, with_use, now);
     }
--- a/crates/amaranthscale/src/gateway/process/server_uses.rs
+++ b/crates/amaranthscale/src/gateway/process/server_uses.rs
@@ -1,22 +1,52 @@
 //! Which servers a request may be given, and whether it may still go there as its bytes leave.
 
+use std::time::Duration;
+
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::ServiceId;
-use amaranthscale_core::process::{ColdTerms, ServerList, ServerRecord, ServerUse, UsableServers};
+use amaranthscale_core::process::{
+    BackendChoice, ColdTerms, SeenLoad, ServerList, ServerRecord, ServerUse, UsableServers,
+};
 
 use super::GatewayParts;
 use super::cold_servers::ShareBasis;
 
 impl GatewayParts {
-    /// Servers of a service that a request may be given now.
-    pub fn usable<'a>(&self, servers: &'a ServerList, service: &'a ServiceId) -> UsableServers<'a> {
+    /// Chooses a server of a service by a function, and says by what load.
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        pick: impl for<'a> FnOnce(
+            &BackendChoice,
+            UsableServers<'a>,
+            Duration,
+        ) -> Option<&'a ServerRecord>,
+    ) -> Option<(ServerRecord, SeenLoad)> {
+        let servers = self.knowledge.servers();
         let now = self.knowledge.clock().now();
+        let usable = self.usable(&servers, service, now);
+        let choice = self.choice();
+        let chosen = pick(&choice, usable, now)?.clone();
+        let seen = choice.seen(&chosen.life, now);
+        drop(choice);
+        self.note_chosen(&servers, &chosen, now);
+        Some((chosen, seen))
+    }
+
+    /// Servers of a service that a request may be given now.
+    fn usable<'a>(
+        &self,
+        servers: &'a ServerList,
+        service: &'a ServiceId,
+        now: Duration,
+    ) -> UsableServers<'a> {
         let terms = self.cold_terms(service);
         // One for all cold servers of the service, as it costs a pass over the list.
         let mut basis = None;
         let mut usable = UsableServers::default();
-        for server in servers.usable(service) {
-            match servers.use_of(&server.life, terms, now) {
+        for server in servers.staying(service) {
+            match servers.use_of_listed(server, terms, now) {
+                ServerUse::Free => usable.free.push(server),
                 ServerUse::Cold { most_per_s, .. } => {
                     let basis =
                         basis.get_or_insert_with(|| self.share_basis(servers, service, most_per_s));
@@ -24,17 +54,16 @@
                         usable.cold.push(server);
                     }
                 }
-                _ => usable.free.push(server),
+                ServerUse::Leaving | ServerUse::Evacuated | ServerUse::Unlisted => {}
             }
         }
         usable
     }
 
     /// Counts a choice of a server for a request, if the server is cold.
-    pub fn note_chosen(&self, servers: &ServerList, server: &ServerRecord) {
-        let now = self.knowledge.clock().now();
+    fn note_chosen(&self, servers: &ServerList, server: &ServerRecord, now: Duration) {
         let terms = self.cold_terms(&server.service);
-        if let ServerUse::Cold { most_per_s, .. } = servers.use_of(&server.life, terms, now) {
+        if let ServerUse::Cold { most_per_s, .. } = servers.use_of_listed(server, terms, now) {
             let basis = self.share_basis(servers, &server.service, most_per_s);
             self.cold.chosen(&server.life, &basis, now);
         }
@@ -78,7 +107,7 @@
         let terms = self.cold_terms(service);
         let uses: Vec<_> = servers
             .staying(service)
-            .map(|server| servers.use_of(&server.life, terms, now))
+            .map(|server| servers.use_of_listed(server, terms, now))
             .collect();
         let is_cold = |server_use: &ServerUse| matches!(server_use, ServerUse::Cold { .. });
         if uses.iter().any(is_cold) {
@@ -94,8 +123,7 @@
     /// What holds of a service's cold servers.
     fn cold_terms(&self, service: &ServiceId) -> Option<ColdTerms> {
         let routing = self.knowledge.routing()?;
-        let spec = routing.pool(service)?.cold?;
-        Some(spec.under(self.cold.bounds()))
+        routing.cold_terms(service, self.cold.bounds())
     }
 
     fn share_basis(
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -217,22 +217,18 @@
     }
 
     fn choose(&mut self) -> Option<ServerRecord> {
-        let servers = self.parts.knowledge.servers();
-        let now = self.parts.knowledge.clock().now();
-        let usable = self.parts.usable(&servers, &self.service);
-        let choice = self.parts.choice();
-        let chosen = if let Some(part) = &self.admitted.work.shared_part {
-            choice.engine(usable, &self.tried, part, now)
-        } else {
-            let (id, zone) = (&self.parts.instance, &self.parts.zone);
-            let entry = SendingEntry::new(id, zone, ConnectionShare::WHOLE);
-            choice.plain(usable, &self.tried, entry, now)
-        };
-        let chosen = chosen.cloned()?;
-        self.seen = choice.seen(&chosen.life, now);
-        drop(choice);
-        self.parts.note_chosen(&servers, &chosen);
-        Some(chosen)
+        let (id, zone) = (&self.parts.instance, &self.parts.zone);
+        let entry = SendingEntry::new(id, zone, ConnectionShare::WHOLE);
+        let part = self.admitted.work.shared_part.as_deref();
+        let chosen = self
+            .parts
+            .choose(&self.service, |choice, usable, now| match part {
+                Some(part) => choice.engine(usable, &self.tried, part, now),
+                None => choice.plain(usable, &self.tried, entry, now),
+            });
+        let (server, seen) = chosen?;
+        self.seen = seen;
+        Some(server)
     }
 
     async fn pieces(&mut self, reader: &ServerRecord) -> Result<Option<MadePieces>, Refused> {
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -122,17 +122,13 @@
     }
 
     fn choose(&mut self) -> Option<ServerRecord> {
-        let servers = self.parts.knowledge.servers();
-        let now = self.parts.knowledge.clock().now();
-        let choice = self.parts.choice();
-        let usable = self.parts.usable(&servers, self.service);
         let entry = SendingEntry::new(&self.parts.instance, &self.parts.zone, self.share);
-        let chosen = choice.plain(usable, &self.tried, entry, now);
-        let chosen = chosen.cloned()?;
-        self.seen = choice.seen(&chosen.life, now);
-        drop(choice);
-        self.parts.note_chosen(&servers, &chosen);
-        Some(chosen)
+        let chosen = self.parts.choose(self.service, |choice, usable, now| {
+            choice.plain(usable, &self.tried, entry, now)
+        });
+        let (server, seen) = chosen?;
+        self.seen = seen;
+        Some(server)
     }
 
     async fn try_at(&mut self, server: &ServerRecord, outgoing: &Outgoing) -> Tried {
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -31,6 +31,8 @@
     freshness: Freshness,
     /// Addresses of all announced gateways; none while this one is not announced itself.
     announced: Arc<[SocketAddr]>,
+    /// Whether the view of the gateways has changed since those were taken.
+    announced_is_stale: bool,
     /// Cells that stage servers are dealt out to.
     cells: u32,
 }
@@ -47,6 +49,7 @@
                 instances: InstanceView::new(instance, announcement),
                 freshness: Freshness::default(),
                 announced: Arc::default(),
+                announced_is_stale: true,
                 cells: 1,
             }),
             changes: watch::Sender::new(0),
@@ -112,14 +115,15 @@
     pub fn step_down(&self) {
         let mut known = self.known();
         known.instances.step_down();
-        known.note_announced();
+        known.announced_is_stale = true;
     }
 
     /// This gateway's address and those of all announced ones; none while it must not take a share
     /// of what all may do together.
     #[must_use]
     pub fn announced(&self) -> (SocketAddr, Arc<[SocketAddr]>) {
-        let known = self.known();
+        let mut known = self.known();
+        known.refresh_announced();
         let own = known.instances.own_address();
         (own, Arc::clone(&known.announced))
     }
@@ -213,9 +217,8 @@
     /// Changes the view of the gateways.
     pub fn change_instances<T>(&self, change: impl FnOnce(&mut InstanceView) -> T) -> T {
         let mut known = self.known();
-        let changed = change(&mut known.instances);
-        known.note_announced();
-        changed
+        known.announced_is_stale = true;
+        change(&mut known.instances)
     }
 
     fn changed(&self) {
@@ -229,9 +232,12 @@
 }
 
 impl Known {
-    /// Keeps the addresses as they are while no gateway comes or goes, so that what was worked out
-    /// from them holds.
-    fn note_announced(&mut self) {
+    /// Takes the addresses anew if they may have changed: only then, as a list of hundreds is taken row by
+    /// row. While no gateway comes or goes they stay the same, so that what was worked out from them holds.
+    fn refresh_announced(&mut self) {
+        if !std::mem::take(&mut self.announced_is_stale) {
+            return;
+        }
         let addresses = self.instances.announced_addresses();
         if *self.announced != *addresses {
             self.announced = addresses.into();
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -21,6 +21,7 @@
 mod cost_book;
 mod cost_key;
 mod cost_totals;
+mod count;
 mod fair_queue;
 mod fair_queue_limits;
 mod fair_share;
--- a/crates/core/src/process/backend_choice.rs
+++ b/crates/core/src/process/backend_choice.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use super::connection_share::ConnectionShare;
+use super::count::as_f64;
 use super::rendezvous;
 use super::seen_load::{SeenLoad, SeenNumber};
 use super::server_list::ServerRecord;
@@ -229,8 +230,7 @@
             }
             let own = self.in_flight(&server.life);
             let mean = *mean.get_or_insert_with(|| self.mean_in_flight(&servers));
-            let own_requests = f64::from(u32::try_from(own).unwrap_or(u32::MAX));
-            own < AFFINITY_FLOOR || own_requests < mean * AFFINITY_FACTOR
+            own < AFFINITY_FLOOR || as_f64(own) < mean * AFFINITY_FACTOR
         };
         let near = servers.iter().find(|server| has_place(server));
         near.or_else(|| servers.first()).copied()
@@ -249,8 +249,7 @@
 
     fn mean_in_flight(&self, servers: &[&ServerRecord]) -> f64 {
         let in_flight = servers.iter().map(|server| self.in_flight(&server.life));
-        let total = u32::try_from(in_flight.sum::<usize>()).unwrap_or(u32::MAX);
-        f64::from(total) / f64::from(u32::try_from(servers.len().max(1)).unwrap_or(u32::MAX))
+        as_f64(in_flight.sum::<usize>()) / as_f64(servers.len().max(1))
     }
 
     /// Counts a send.
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -8,6 +8,7 @@
 use crate::id::{ServerLife, ZoneId};
 use crate::process::cold_sends::ColdSends;
 use crate::process::cold_share::ColdShare;
+use crate::process::count::as_f64;
 use crate::process::server_list::ServerRecord;
 use crate::process::server_use::ServerUse;
 use crate::version::BatchSpec;
@@ -158,15 +159,12 @@
     pub(super) fn least_share(&self, spec: BatchSpec, now: Duration) -> usize {
         let most = spec.max_pieces.max(1);
         let (call, piece) = (spec.call_time.as_secs_f64(), spec.piece_time.as_secs_f64());
-        let call_part = call / f64::from(u32::try_from(most).unwrap_or(u32::MAX));
+        let call_part = call / as_f64(most);
         // What the servers have for each piece that arrives, of the part that may be used.
         let time_each = (piece + call_part) * BUSY_PART / self.arriving(now).max(LEAST_ARRIVING);
         let left_for_calls = time_each - piece;
         (1..most)
-            .find(|pieces| {
-                let pieces = f64::from(u32::try_from(*pieces).unwrap_or(u32::MAX));
-                call / pieces <= left_for_calls
-            })
+            .find(|pieces| call / as_f64(*pieces) <= left_for_calls)
             .unwrap_or(most)
     }
 
--- a/crates/core/src/process/batcher/route_worth.rs
+++ b/crates/core/src/process/batcher/route_worth.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::id::RouteId;
+use crate::process::count::as_f64;
 
 /// Part of an answer's worth that does not depend on its size.
 /// Source: the users' pages, "worth 0.3 + 0.7 x its size against the mean".
@@ -35,7 +36,7 @@
         if tokens == 0 || work.is_zero() {
             return 1.0;
         }
-        let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
+        let tokens = as_f64(tokens);
         if self.routes.len() >= MOST_ROUTES && !self.routes.contains_key(route) {
             self.routes.clear();
         }
--- a/crates/core/src/process/cold_share.rs
+++ b/crates/core/src/process/cold_share.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::count::as_f64;
 use super::rendezvous;
 use crate::id::ServerLife;
 
@@ -116,10 +117,6 @@
         .max(1.0)
 }
 
-fn as_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/core/src/process/prompt_times.rs
+++ b/crates/core/src/process/prompt_times.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use super::count::as_f64;
+
 /// Part of its weight that a sample keeps with each later one: about the last two hundred count, some
 /// seconds of an entry's load.
 const FADING: f64 = 0.995;
@@ -73,7 +75,3 @@
         Duration::try_from_secs_f64(seconds.max(0.0)).ok()
     }
 }
-
-fn as_f64(tokens: u64) -> f64 {
-    f64::from(u32::try_from(tokens).unwrap_or(u32::MAX))
-}
--- a/crates/core/src/process/router.rs
+++ b/crates/core/src/process/router.rs
@@ -106,11 +106,17 @@
     /// What may be sent to a host now, as far as the host list, its own word and the operators go.
     #[must_use]
     pub fn use_of(&self, host: &HostId) -> ServerUse {
-        match self.hosts.get(host) {
-            None => ServerUse::Unlisted,
-            Some(track) if self.evacuated.contains(&track.record.zone) => ServerUse::Evacuated,
-            Some(track) if track.is_leaving() => ServerUse::Leaving,
-            Some(_) => ServerUse::Free,
+        let track = self.hosts.get(host);
+        track.map_or(ServerUse::Unlisted, |track| self.use_of_track(track))
+    }
+
+    fn use_of_track(&self, track: &HostTrack) -> ServerUse {
+        if self.evacuated.contains(&track.record.zone) {
+            ServerUse::Evacuated
+        } else if track.is_leaving() {
+            ServerUse::Leaving
+        } else {
+            ServerUse::Free
         }
     }
 
@@ -222,7 +228,7 @@
     fn choose_subsets(&mut self) {
         let mut by_service: BTreeMap<ServiceId, Vec<HostId>> = BTreeMap::new();
         let hosts = self.hosts.values();
-        for track in hosts.filter(|track| self.use_of(&track.record.host).is_usable()) {
+        for track in hosts.filter(|track| self.use_of_track(track).is_usable()) {
             if let Some(service) = &track.record.service {
                 by_service
                     .entry(service.clone())
@@ -243,8 +249,7 @@
         let of_service = self.hosts.values();
         let mut of_service =
             of_service.filter(|track| track.record.service.as_ref() == Some(service));
-        let is_evacuated =
-            |track: &HostTrack| self.use_of(&track.record.host) == ServerUse::Evacuated;
+        let is_evacuated = |track: &HostTrack| self.use_of_track(track) == ServerUse::Evacuated;
         if self.subset(service).next().is_none() && of_service.any(is_evacuated) {
             ResultCode::ZonesEvacuated
         } else {
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -108,7 +108,9 @@
         })
     }
 
-    fn use_of_listed(
+    /// The same of a record of this list.
+    #[must_use]
+    pub fn use_of_listed(
         &self,
         record: &ServerRecord,
         cold: Option<ColdTerms>,
--- a/crates/core/src/process/server_use.rs
+++ b/crates/core/src/process/server_use.rs
@@ -49,15 +49,6 @@
 }
 
 /// Servers of a service that a request may be sent to.
-///
-/// # Examples
-///
-/// ```
-/// use amaranthscale_core::process::UsableServers;
-///
-/// let none = UsableServers::default();
-/// assert!(none.is_empty());
-/// ```
 #[derive(Debug, Clone, Default)]
 pub struct UsableServers<'a> {
     /// Those that take any request.
@@ -66,14 +57,6 @@
     pub cold: Vec<&'a ServerRecord>,
 }
 
-impl UsableServers<'_> {
-    /// Whether there is none.
-    #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.free.is_empty() && self.cold.is_empty()
-    }
-}
-
 impl<'a> FromIterator<&'a ServerRecord> for UsableServers<'a> {
     fn from_iter<T: IntoIterator<Item = &'a ServerRecord>>(servers: T) -> Self {
         Self {
--- a/crates/core/src/process/shared_budget.rs
+++ b/crates/core/src/process/shared_budget.rs
@@ -7,6 +7,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::count::as_f64;
+
 /// Parts of a window that are forgotten one by one.
 const BUCKETS: u32 = 10;
 /// Part of the allowance that is used: entries disagree for a while on how many there are.
@@ -78,7 +80,7 @@
     /// Repeats left in the window.
     #[must_use]
     pub fn left(&self, live: usize) -> f64 {
-        let live = f64::from(u32::try_from(live.max(1)).unwrap_or(u32::MAX));
+        let live = as_f64(live.max(1));
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let allowed = f64::from(requests) * self.terms.ratio + self.terms.slack / live;
--- a/crates/core/src/version/routing.rs
+++ b/crates/core/src/version/routing.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 
 use crate::id::{RoutingVersion, ServiceId};
+use crate::process::{ColdBounds, ColdTerms};
 use host_routes::HostRoutes;
 
 #[doc(inline)]
@@ -136,6 +137,13 @@
         self.pools.get(service)
     }
 
+    /// What holds of a service's cold servers under the operators' bounds, if it can have any.
+    #[must_use]
+    pub fn cold_terms(&self, service: &ServiceId, bounds: ColdBounds) -> Option<ColdTerms> {
+        let spec = self.pool(service)?.cold?;
+        Some(spec.under(bounds))
+    }
+
     /// All services.
     pub fn pools(&self) -> impl Iterator<Item = &Pool> {
         self.pools.values()
--- a/crates/standins/tests/failure_evacuation.rs
+++ b/crates/standins/tests/failure_evacuation.rs
@@ -57,32 +57,22 @@
     }
 }
 
-async fn settle(basin: &DeltaBasin, judge: &mut Judge, part: &str) {
-    for number in 0..SETTLEMENTS {
-        let settlement = Request::settlement(&format!("{part}-{number}"));
-        let entry = &basin.entries[number % basin.entries.len()];
-        let answer = settlement.ask_until_final(entry).await;
-        assert!(answer.is_complete(), "{answer:?}");
-        judge.take(&settlement, Some(answer));
-    }
-}
-
 /// A clerk's zone is evacuated in the middle of a day. Settlements go on elsewhere, none of them
 /// reaches the zone, and each runs once; taken back, the zone is used again.
 #[tokio::test]
 async fn an_evacuated_zone_gets_no_settlement() {
     let basin = two_zones().await;
     let mut judge = Judge::default();
-    settle(&basin, &mut judge, "before").await;
+    basin.settle(&mut judge, "before", SETTLEMENTS).await;
 
     in_force(&basin, "evacuate_zone", SECOND_ZONE, true).await;
     let before = basin.backends[1].executions().await.len();
-    settle(&basin, &mut judge, "meanwhile").await;
+    basin.settle(&mut judge, "meanwhile", SETTLEMENTS).await;
     assert_eq!(basin.backends[1].executions().await.len(), before);
 
     in_force(&basin, "take_back_zone", SECOND_ZONE, false).await;
     in_force(&basin, "evacuate_zone", "north-yard", true).await;
-    settle(&basin, &mut judge, "after").await;
+    basin.settle(&mut judge, "after", SETTLEMENTS).await;
     assert!(basin.backends[1].executions().await.len() > before);
     judge.check(&basin.executions().await);
 }
--- a/crates/standins/tests/failure_leaving.rs
+++ b/crates/standins/tests/failure_leaving.rs
@@ -37,17 +37,6 @@
     (settlement, answer, usize::from(!is_first))
 }
 
-/// Makes settlements at both entries, one after the other; all must be complete.
-async fn settle_all(basin: &DeltaBasin, judge: &mut Judge) {
-    for number in 0..LATER_REQUESTS {
-        let settlement = Request::settlement(&format!("later-{number}"));
-        let entry = &basin.entries[number % basin.entries.len()];
-        let answer = settlement.ask_until_final(entry).await;
-        assert!(answer.is_complete(), "{answer:?}");
-        judge.take(&settlement, Some(answer));
-    }
-}
-
 /// A host is replaced while it settles an account. The clerk gets the receipt; settlements made
 /// meanwhile go elsewhere. The sidecar is told to end long before the host list says so.
 #[tokio::test]
@@ -69,7 +58,7 @@
     .await;
     basin.backends[1 - leaver].hold(false).await;
     let mut judge = Judge::default();
-    settle_all(&basin, &mut judge).await;
+    basin.settle(&mut judge, "later", LATER_REQUESTS).await;
     let begun_meanwhile = basin.backends[leaver].executions().await.len();
     basin.backends[leaver].hold(false).await;
     let answer = answer_of(answer).await;
@@ -88,7 +77,7 @@
 async fn a_host_leaves_by_the_host_list() {
     let basin = basin().await;
     let mut judge = Judge::default();
-    settle_all(&basin, &mut judge).await;
+    basin.settle(&mut judge, "later", LATER_REQUESTS).await;
     let before = basin.backends[0].executions().await.len();
     let host = basin.backends[0].host().to_owned();
 
--- a/crates/standins/tests/support/delta_basin.rs
+++ b/crates/standins/tests/support/delta_basin.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use super::{BackendHost, BackendPlan, EntryProcess, PlatformProcess};
+use super::{BackendHost, BackendPlan, EntryProcess, Judge, PlatformProcess, Request};
 
 /// The settings tree that Delta Basin starts with.
 const TREE: &str = include_str!("../../../../examples/delta-basin/tree.json");
@@ -119,6 +119,17 @@
         platform.put_host(host, backend.address(), service).await;
     }
 
+    /// Makes so many settlements at the entries in turn, one after the other; all must be complete.
+    pub async fn settle(&self, judge: &mut Judge, marker: &str, count: usize) {
+        for number in 0..count {
+            let settlement = Request::settlement(&format!("{marker}-{number}"));
+            let entry = &self.entries[number % self.entries.len()];
+            let answer = settlement.ask_until_final(entry).await;
+            assert!(answer.is_complete(), "{answer:?}");
+            judge.take(&settlement, Some(answer));
+        }
+    }
+
     /// What all plain services have executed.
     pub async fn executions(&self) -> Vec<ServiceExecution> {
         let mut executions = Vec::new();
