Lines name a request by its content: a fingerprint of organisation, path and body

What operators saw: a request that comes again under a new id cannot be told from others, so no line tells how often the same content was sent. No decision uses it yet.

--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::RequestFingerprint;
 use amaranthscale_core::process::Rank;
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
@@ -29,6 +30,7 @@
 pub(super) struct Admitted {
     pub(super) route: Arc<Route>,
     pub(super) work: CallerWork,
+    pub(super) fingerprint: RequestFingerprint,
     pub(super) rank: Rank,
     pub(super) arrived: Instant,
     /// When the caller's or the route's time is over.
@@ -149,6 +151,9 @@
     let body = read_whole(&routing, body, until).await?;
     let service = route.service_for(&work.call).cloned();
     let service = service.ok_or(Refused::new(ResultCode::NoBackendServer))?;
+    let organisation = holder.as_ref().map(|holder| &holder.organisation);
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let fingerprint = RequestFingerprint::of(organisation, host_of(head), path, &body);
     let outgoing = Outgoing::new(head, body, &parts.dialect, holder.as_deref());
     let rank = Rank {
         organisation: holder.and_then(|holder| holder.priority).unwrap_or(0),
@@ -157,6 +162,7 @@
     let admitted = Admitted {
         route,
         work,
+        fingerprint,
         rank,
         arrived,
         until,
@@ -170,10 +176,13 @@
     }
 }
 
-fn find_route(routing: &Routing, head: &request::Parts) -> Result<Arc<Route>, Refused> {
+fn host_of(head: &request::Parts) -> &str {
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let route = routing.route(host, head.uri.path());
+    host.or_else(|| head.uri.host()).unwrap_or_default()
+}
+
+fn find_route(routing: &Routing, head: &request::Parts) -> Result<Arc<Route>, Refused> {
+    let route = routing.route(host_of(head), head.uri.path());
     route.cloned().ok_or(Refused::new(ResultCode::UnknownPath))
 }
 
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -340,7 +340,8 @@
 
     fn log_end(&self, end: &'static str, server: &ServerRecord) {
         info!(
-            call = self.admitted.work.call.as_str(), server:% = server.life, end,
+            call = self.admitted.work.call.as_str(), fingerprint:% = self.admitted.fingerprint,
+            server:% = server.life, end,
             in_flight = self.seen.in_flight, told:% = self.seen.told,
             told_age_ms:% = self.seen.told_age_ms,
             ms = ms(self.admitted.arrived.elapsed());
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -155,7 +155,8 @@
         if !matches!(tried, Tried::Answered(_)) {
             let ms = ms(started.elapsed());
             info!(
-                call = call.as_str(), server:% = server.life, end = tried.name(),
+                call = call.as_str(), fingerprint:% = self.admitted.fingerprint,
+                server:% = server.life, end = tried.name(),
                 in_flight = self.seen.in_flight, told:% = self.seen.told,
                 told_age_ms:% = self.seen.told_age_ms, ms;
                 "request: send without answer"
@@ -224,7 +225,8 @@
             return;
         }
         info!(
-            call = admitted.work.call.as_str(), route:% = admitted.route.id,
+            call = admitted.work.call.as_str(), fingerprint:% = admitted.fingerprint,
+            route:% = admitted.route.id,
             server:% = server.life, status = answer.status.as_u16(), sends,
             in_flight = self.seen.in_flight, told:% = self.seen.told,
             told_age_ms:% = self.seen.told_age_ms,
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -196,7 +196,8 @@
         let seen = self.run.seen;
         let pieces_at = self.run.pieces_at.unwrap_or(admitted.arrived);
         info!(
-            call = admitted.work.call.as_str(), route:% = admitted.route.id,
+            call = admitted.work.call.as_str(), fingerprint:% = admitted.fingerprint,
+            route:% = admitted.route.id,
             server:% = server, end, events = self.passed, owner,
             prompt_tokens = admitted.work.prompt_tokens,
             in_flight = seen.in_flight, told:% = seen.told, told_age_ms:% = seen.told_age_ms,
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -3,6 +3,7 @@
 mod attempt_id;
 mod name_id;
 mod number_id;
+mod request_fingerprint;
 mod request_id;
 mod result_handle;
 mod server_life;
@@ -20,6 +21,8 @@
     RowVersion, StageIndex, StartMs, TreeVersion,
 };
 #[doc(inline)]
+pub use request_fingerprint::{InvalidRequestFingerprint, RequestFingerprint};
+#[doc(inline)]
 pub use request_id::{InvalidRequestId, RequestId};
 #[doc(inline)]
 pub use result_handle::{InvalidResultHandle, ResultHandle};
