--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -6,6 +6,7 @@
 mod http_server;
 mod open_stream;
 mod peer_client;
+mod port_probe;
 
 #[doc(inline)]
 pub use body::{ReadBodyError, ResponseBody, empty_body, full_body, read_body};
@@ -18,3 +19,4 @@
 pub(crate) use open_stream::open_stream;
 #[doc(inline)]
 pub use peer_client::{ConnectionNumber, PeerClient, PeerClientLimits, PeerConnection, PeerError};
+pub(crate) use port_probe::{PortState, probe_port};
--- /dev/null
+++ b/crates/amaranthscale/src/connection/port_probe.rs
@@ -0,0 +1,45 @@
+//! Whether anything listens at an address.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+
+/// What a connection to an address finds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PortState {
+    /// A process listens.
+    Listens,
+    /// The host is there, and no process listens.
+    Refuses,
+    /// Nothing answers: the host may be down or cut off.
+    Silent,
+}
+
+impl PortState {
+    /// Name in counters.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Listens => "listens",
+            Self::Refuses => "refuses",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// Opens a connection and closes it at once.
+pub(crate) async fn probe_port(address: SocketAddr, patience: Duration) -> PortState {
+    match tokio::time::timeout(patience, TcpStream::connect(address)).await {
+        Ok(Ok(_stream)) => PortState::Listens,
+        Ok(Err(error)) if is_refusal(error.kind()) => PortState::Refuses,
+        Ok(Err(_)) | Err(_) => PortState::Silent,
+    }
+}
+
+const fn is_refusal(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+    )
+}
--- a/crates/amaranthscale/src/gateway.rs
+++ b/crates/amaranthscale/src/gateway.rs
@@ -18,6 +18,7 @@
 mod dialect;
 mod gateway_config;
 mod listen;
+mod request_content;
 mod store_calls;
 
 #[doc(inline)]
@@ -28,5 +29,8 @@
 pub use dialect::{CallerWork, Dialect, HeaderNames, InvalidHead};
 #[doc(inline)]
 pub use gateway_config::GatewayConfig;
+pub(crate) use request_content::RequestContent;
 #[doc(inline)]
-pub use store_calls::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable, StoredValue};
+pub use store_calls::{
+    StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable, StoredValue, ToldEvidence,
+};
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -14,8 +14,8 @@
 use super::connection::ServerPool;
 use super::listen::{OtherServers, bind, listen_callers, listen_others};
 use super::process::{
-    BatchOwnerArguments, BatchOwners, Budgets, ColdServers, GatewayParts, ServicePromptTimes,
-    StopGate, tend_silent,
+    BatchOwnerArguments, BatchOwners, Budgets, ColdServers, CrashWatch, GatewayParts,
+    ServicePromptTimes, StopGate, remove_outdated, tell_crashes, tend_silent,
 };
 use super::version::{
     FeedPace, KEY_AGE_PERCENT, Knowledge, Neighbours, Own, READY_AGE_PERCENT, announce_instance,
@@ -78,6 +78,7 @@
             instance: config.instance.clone(),
             announcement: config.announcement.clone(),
             stop: Arc::clone(&parts.stop),
+            crashes: Arc::clone(&parts.crashes),
             is_announced: Arc::default(),
         };
         let following = follow(&config, &parts, own.clone());
@@ -86,6 +87,8 @@
         tokio::spawn(tell_changes(Arc::clone(&parts)));
         tokio::spawn(sweep(Arc::clone(&parts)));
         tokio::spawn(tend_silent(Arc::clone(&parts), config.store.clone()));
+        tokio::spawn(tell_crashes(Arc::clone(&parts), config.store.clone()));
+        tokio::spawn(remove_outdated(Arc::clone(&parts), config.store.clone()));
         tokio::spawn(announce_instance(config.store.clone(), own.clone()));
         info!(instance = config.instance.as_str(), zone = config.zone.as_str(); "gateway: started");
         Ok(Self {
@@ -201,7 +204,14 @@
         latencies: Arc::default(),
     };
     let latencies = Arc::clone(&arguments.latencies);
+    let crashes = CrashWatch::new(
+        config.instance.clone(),
+        config.clock,
+        Arc::clone(knowledge),
+        Arc::clone(&counters),
+    );
     GatewayParts {
+        crashes: Arc::new(crashes),
         instance: config.instance.clone(),
         zone: config.zone.clone(),
         knowledge: Arc::clone(knowledge),
@@ -222,10 +232,11 @@
     }
 }
 
-/// Tells the owner of the batches of each change.
+/// Tells of each change those who work by what is known.
 async fn tell_changes(parts: Arc<GatewayParts>) {
     let mut changes = parts.knowledge.changes();
     while changes.changed().await.is_ok() {
+        parts.crashes.servers_changed();
         parts.batches.tell_changed();
     }
 }
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -117,5 +117,12 @@
         let _ = writeln!(text, "amaranth_{name}_total {total}");
     }
     let _ = writeln!(text, "amaranth_open_requests {}", parts.stop.open());
+    for (request, servers) in parts.crashes.held_requests() {
+        let crashed = servers.len();
+        let _ = writeln!(
+            text,
+            "amaranth_quarantined{{fingerprint=\"{request}\"}} {crashed}"
+        );
+    }
     text + &parts.latencies.text()
 }
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -7,6 +7,7 @@
 mod batch_owners;
 mod budgets;
 mod cold_servers;
+mod crash_watch;
 mod kept_pieces;
 mod parts;
 mod peer_message;
@@ -16,6 +17,7 @@
 mod server_uses;
 mod service_prompt_times;
 mod stop_gate;
+mod tell_crashes;
 mod tend_silent;
 
 #[doc(inline)]
@@ -31,6 +33,8 @@
 #[doc(inline)]
 pub use cold_servers::{ColdServers, ShareBasis};
 #[doc(inline)]
+pub use crash_watch::CrashWatch;
+#[doc(inline)]
 pub use parts::GatewayParts;
 #[doc(inline)]
 pub use peer_pieces::PIECES_PATH;
@@ -43,4 +47,6 @@
 #[doc(inline)]
 pub use stop_gate::{OpenRequest, StopGate};
 #[doc(inline)]
+pub use tell_crashes::{remove_outdated, tell_crashes};
+#[doc(inline)]
 pub use tend_silent::tend_silent;
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/crash_watch.rs
@@ -0,0 +1,291 @@
+//! Watches for servers that crash, and holds back the requests that crash them.
+//!
+//! A connection that ends in the middle of an answer says little by itself. Whether the server
+//! crashed is learnt by a connection to its address that is refused, or by its entry that is gone
+//! from the list of servers. What was lost with it is told to all gateways through the store.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use amaranthscale_core::id::{EvidenceId, InstanceId, RequestFingerprint, ServerLife};
+use amaranthscale_core::process::{
+    CrashEvidence, LossStep, LostRuns, Quarantine, QuarantineChange, ServerUse, Verdict,
+};
+use log::{info, warn};
+use tokio::sync::{Notify, watch};
+
+use super::super::version::Knowledge;
+use super::super::{Clock, RequestContent};
+use crate::connection::{PortState, probe_port};
+use crate::process::Counters;
+
+/// Time from a first lost run until the server is looked at: its other connections end meanwhile.
+const LOOK_AFTER: Duration = Duration::from_millis(20);
+/// Longest wait for a connection to a server that is looked at.
+const LOOK_PATIENCE: Duration = Duration::from_millis(350);
+/// Time after which a request that waits is looked up again.
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
+/// Most requests that one row of evidence names; rows are bounded by the store.
+const MOST_TOLD_AT_ONCE: usize = 500;
+
+/// What is held back, and what of it is still to be told.
+#[derive(Debug)]
+pub struct CrashWatch {
+    instance: InstanceId,
+    clock: Clock,
+    knowledge: Arc<Knowledge>,
+    counters: Arc<Counters>,
+    state: Mutex<State>,
+    to_tell: Notify,
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    quarantine: Quarantine,
+    lost: LostRuns,
+    untold: CrashEvidence,
+    /// Number of the evidence that is gathered.
+    number: u64,
+    told: Vec<(EvidenceId, CrashEvidence)>,
+}
+
+impl CrashWatch {
+    /// A watch that has seen nothing.
+    #[must_use]
+    pub fn new(
+        instance: InstanceId,
+        clock: Clock,
+        knowledge: Arc<Knowledge>,
+        counters: Arc<Counters>,
+    ) -> Self {
+        Self {
+            instance,
+            clock,
+            knowledge,
+            counters,
+            state: Mutex::default(),
+            to_tell: Notify::new(),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    /// Whether a request may be sent to a server; an error says how many crashed under it.
+    pub(crate) fn check(&self, content: &RequestContent) -> Result<(), usize> {
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.quarantine.is_empty() {
+            return Ok(());
+        }
+        let request = content.fingerprint();
+        let Verdict::Held(crashed) = state.quarantine.verdict(request, now) else {
+            return Ok(());
+        };
+        if let Some(renewal) = state.quarantine.renewal_of(request, now) {
+            for (request, server) in renewal.blames() {
+                state.untold.add_crash(server, request);
+            }
+            self.note_untold(&mut state, now);
+        }
+        Err(crashed)
+    }
+
+    /// Waits until a request is held back.
+    pub(crate) async fn held(&self, content: &RequestContent) -> usize {
+        let mut changes = self.changes.subscribe();
+        loop {
+            if let Err(crashed) = self.check(content) {
+                return crashed;
+            }
+            // A request is held back some time after the change that says so.
+            let _ = tokio::time::timeout(LOOK_AGAIN, changes.changed()).await;
+        }
+    }
+
+    /// Notes a run whose connection ended before its answer did.
+    pub(crate) fn lost(
+        self: &Arc<Self>,
+        server: &ServerLife,
+        address: SocketAddr,
+        content: &RequestContent,
+    ) {
+        let now = self.clock.now();
+        let server_use = self.knowledge.servers().use_of(server, None, now);
+        if matches!(server_use, ServerUse::Leaving | ServerUse::Unlisted) {
+            // What it still runs at its planned end is cut off.
+            return;
+        }
+        let request = content.fingerprint();
+        let mut state = self.state();
+        match state.lost.lost(server, request, now) {
+            LossStep::Wait => {}
+            LossStep::Report => {
+                state.untold.add_crash(server, request);
+                self.note_untold(&mut state, now);
+            }
+            LossStep::Probe => {
+                let (watch, server) = (Arc::clone(self), server.clone());
+                tokio::spawn(async move { watch.look_at(server, address).await });
+            }
+        }
+    }
+
+    /// Notes a run that ended by itself: its request crashes no server.
+    pub(crate) fn completed(&self, content: &RequestContent) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.quarantine.is_empty() {
+            return;
+        }
+        let Some(survival) = state.quarantine.survival_of(content.fingerprint()) else {
+            return;
+        };
+        self.counters.count("quarantine.survived");
+        info!(
+            fingerprint:% = survival.fingerprint, crashed = survival.servers.len();
+            "quarantine: request ran to its end"
+        );
+        state.untold.survivals.push(survival);
+        self.note_untold(&mut state, now);
+    }
+
+    async fn look_at(&self, server: ServerLife, address: SocketAddr) {
+        tokio::time::sleep(LOOK_AFTER).await;
+        let port = probe_port(address, LOOK_PATIENCE).await;
+        self.counters.count_reason("servers.looked-at", port.name());
+        if port == PortState::Refuses {
+            self.crashed(&server, "refuses connections");
+        }
+    }
+
+    /// Takes servers for crashed that lost runs and are listed no more.
+    pub(crate) fn servers_changed(&self) {
+        let servers = self.knowledge.servers();
+        let is_listed = |life: &ServerLife| servers.is_listed(life);
+        let missing = self.state().lost.missing(is_listed);
+        for server in missing {
+            self.crashed(&server, "is listed no more");
+        }
+    }
+
+    fn crashed(&self, server: &ServerLife, sign: &'static str) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let requests = state.lost.crashed(server);
+        if requests.is_empty() {
+            return;
+        }
+        self.counters.count("servers.crashed");
+        info!(server:% = server, sign, lost = requests.len(); "servers: crashed");
+        for request in requests {
+            state.untold.add_crash(server, request);
+            if state.untold.blames().count() >= MOST_TOLD_AT_ONCE {
+                self.note_untold(&mut state, now);
+                state.close_untold(&self.instance);
+            }
+        }
+        self.note_untold(&mut state, now);
+    }
+
+    /// Counts what is not told yet, and has it told.
+    fn note_untold(&self, state: &mut State, now: Duration) {
+        if state.untold.is_empty() {
+            return;
+        }
+        let id = evidence_id(&self.instance, state.number);
+        let changes = state.quarantine.take(id, state.untold.clone(), now);
+        self.log(&changes);
+        self.to_tell.notify_one();
+    }
+
+    /// Waits for evidence to tell.
+    pub(super) async fn to_tell(&self) {
+        self.to_tell.notified().await;
+    }
+
+    /// Evidence that was not told yet, each piece with its name.
+    pub(super) fn take_untold(&self) -> Vec<(EvidenceId, CrashEvidence)> {
+        let mut state = self.state();
+        state.close_untold(&self.instance);
+        std::mem::take(&mut state.told)
+    }
+
+    /// Evidence that counts no more.
+    pub(super) fn outdated(&self) -> Vec<EvidenceId> {
+        self.state().quarantine.outdated(self.clock.now())
+    }
+
+    /// Takes evidence that a gateway told; none where it was removed.
+    pub(crate) fn take(&self, id: EvidenceId, evidence: Option<CrashEvidence>) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let changes = match evidence {
+            Some(evidence) => state.quarantine.take(id, evidence, now),
+            None => state.quarantine.take_back(&id, now),
+        };
+        self.log(&changes);
+    }
+
+    /// Keeps only the evidence that a whole table names, and this gateway's own.
+    pub(crate) fn keep_only(&self, ids: &[EvidenceId]) {
+        let now = self.clock.now();
+        let own = format!("{}.", self.instance);
+        let is_kept = |id: &EvidenceId| ids.contains(id) || id.as_str().starts_with(&own);
+        let changes = self.state().quarantine.keep_only(is_kept, now);
+        self.log(&changes);
+    }
+
+    /// Requests that are held back, each with the servers that crashed under it.
+    pub(crate) fn held_requests(&self) -> Vec<(RequestFingerprint, Vec<ServerLife>)> {
+        let state = self.state();
+        let held = state.quarantine.held();
+        held.map(|(request, servers)| (request, servers.iter().cloned().collect()))
+            .collect()
+    }
+
+    fn log(&self, changes: &[QuarantineChange]) {
+        for change in changes {
+            match change {
+                QuarantineChange::Held(request, servers) => {
+                    self.counters.count("quarantine.held");
+                    let servers: Vec<_> = servers.iter().map(ToString::to_string).collect();
+                    warn!(
+                        fingerprint:% = request, crashed = servers.len(), servers = servers.join(",");
+                        "quarantine: request held back"
+                    );
+                }
+                QuarantineChange::Released(request) => {
+                    self.counters.count("quarantine.released");
+                    info!(fingerprint:% = request; "quarantine: request released");
+                }
+            }
+        }
+        if !changes.is_empty() {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Ends the evidence that is gathered: what comes goes under the next name.
+    fn close_untold(&mut self, instance: &InstanceId) {
+        if self.untold.is_empty() {
+            return;
+        }
+        let evidence = std::mem::take(&mut self.untold);
+        self.told
+            .push((evidence_id(instance, self.number), evidence));
+        self.number += 1;
+    }
+}
+
+fn evidence_id(instance: &InstanceId, number: u64) -> EvidenceId {
+    let name = format!("{instance}.{number}");
+    name.parse()
+        .unwrap_or_else(|_error| unreachable!("a gateway's name and a number make a name"))
+}
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -8,7 +8,7 @@
 use super::super::Dialect;
 use super::super::connection::ServerPool;
 use super::super::version::{HandedOn, Knowledge};
-use super::{BatchOwners, Budgets, ColdServers, ServicePromptTimes, StopGate};
+use super::{BatchOwners, Budgets, ColdServers, CrashWatch, ServicePromptTimes, StopGate};
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
 
@@ -47,6 +47,8 @@
     pub key_age: std::time::Duration,
     /// Longest age of the routing at which the gateway is ready.
     pub ready_age: std::time::Duration,
+    /// Servers that crash, and the requests that crash them.
+    pub crashes: Arc<CrashWatch>,
     /// What sends told of the servers.
     pub choice: Mutex<BackendChoice>,
 }
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::RequestFingerprint;
 use amaranthscale_core::process::Rank;
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
@@ -15,9 +14,9 @@
 use log::info;
 use tokio::time::Instant;
 
-use super::super::CallerWork;
 use super::super::clock::ms;
 use super::super::process::{GatewayParts, OpenRequest};
+use super::super::{CallerWork, RequestContent};
 use super::answer::AnswerBody;
 use super::engine_run::run_engine;
 use super::outgoing::Outgoing;
@@ -30,7 +29,7 @@
 pub(super) struct Admitted {
     pub(super) route: Arc<Route>,
     pub(super) work: CallerWork,
-    pub(super) fingerprint: RequestFingerprint,
+    pub(super) content: RequestContent,
     pub(super) rank: Rank,
     pub(super) arrived: Instant,
     /// When the caller's or the route's time is over.
@@ -42,6 +41,23 @@
     pub(super) fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
     }
+
+    /// Refuses a request under which servers crash.
+    pub(super) fn check_held(&self, parts: &GatewayParts) -> Result<(), ResultCode> {
+        parts
+            .crashes
+            .check(&self.content)
+            .map_err(|crashed| self.held_back(crashed))
+    }
+
+    /// Notes that the request is held back.
+    pub(super) fn held_back(&self, crashed: usize) -> ResultCode {
+        info!(
+            call = self.work.call.as_str(), fingerprint:% = self.content.fingerprint(), crashed;
+            "request: held back"
+        );
+        ResultCode::RequestQuarantined
+    }
 }
 
 /// Answers one caller's request.
@@ -151,9 +167,8 @@
     let body = read_whole(&routing, body, until).await?;
     let service = route.service_for(&work.call).cloned();
     let service = service.ok_or(Refused::new(ResultCode::NoBackendServer))?;
-    let organisation = holder.as_ref().map(|holder| &holder.organisation);
-    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-    let fingerprint = RequestFingerprint::of(organisation, host_of(head), path, &body);
+    let host = host_of(head).to_owned();
+    let content = RequestContent::new(holder.clone(), host, head.uri.clone(), body.clone());
     let outgoing = Outgoing::new(head, body, &parts.dialect, holder.as_deref());
     let rank = Rank {
         organisation: holder.and_then(|holder| holder.priority).unwrap_or(0),
@@ -162,7 +177,7 @@
     let admitted = Admitted {
         route,
         work,
-        fingerprint,
+        content,
         rank,
         arrived,
         until,
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -22,7 +22,7 @@
 use super::refused::Refused;
 use super::send::{BegunAnswer, SendOutcome, Sent, send};
 use super::stream_relay::relay;
-use crate::connection::read_body;
+use crate::connection::{ReadBodyError, read_body};
 
 /// Largest failure of an engine that is passed on.
 const MAX_FAILURE_BYTES: usize = 1024 * 1024;
@@ -115,6 +115,9 @@
     pub(super) async fn begin(&mut self) -> Result<Running, Refused> {
         let mut pieces = Pieces::Unmade;
         loop {
+            if let Err(code) = self.admitted.check_held(&self.parts) {
+                return Err(self.refused_held(code));
+            }
             let server = self
                 .choose()
                 .ok_or_else(|| Refused::new(self.parts.none_usable(&self.service)))?;
@@ -157,6 +160,8 @@
             SendOutcome::NotSent => self.not_sent("not-sent", server)?,
             // It began to leave, its zone was evacuated or its share used up since it was chosen.
             SendOutcome::Withheld(server_use) => self.not_sent(server_use.name(), server)?,
+            // Asked again at the head of the loop, which says why.
+            SendOutcome::Held => {}
             SendOutcome::NotRun => self.rejected("not-run", server)?,
             SendOutcome::InputGone => {
                 self.remakes += 1;
@@ -171,6 +176,15 @@
         Ok(Tried::MayGoOn(Pieces::Made(pieces)))
     }
 
+    /// The answer to a request that is held back: one that an engine began has run.
+    const fn refused_held(&self, code: ResultCode) -> Refused {
+        if self.ran == 0 {
+            Refused::new(code)
+        } else {
+            Refused::new(ResultCode::AnswerLost)
+        }
+    }
+
     /// Takes a rejection; an error if nothing more may be tried.
     fn rejected(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refused> {
         self.not_sent(end, server)?;
@@ -260,6 +274,10 @@
             // could not tell that its request never ran.
             let made = tokio::select! {
                 made = tokio::time::timeout(self.admitted.left(), making) => made,
+                crashed = self.parts.crashes.held(&self.admitted.content) => {
+                    let code = self.admitted.held_back(crashed);
+                    return Err(self.refused_held(code));
+                }
                 () = self.parts.stop.hurried() => {
                     return Err(Refused::new(ResultCode::NotReady).closing());
                 }
@@ -328,11 +346,18 @@
             connection,
             sent,
         } = running.begun;
-        let Ok(body) = read_body(body, MAX_FAILURE_BYTES, self.admitted.left()).await else {
-            sent.end(SendEnd::Failed);
-            return Err(Refused::new(ResultCode::AnswerLost));
+        let body = match read_body(body, MAX_FAILURE_BYTES, self.admitted.left()).await {
+            Ok(body) => body,
+            Err(error) => {
+                if matches!(error, ReadBodyError::Broken(_)) {
+                    sent.cut_off(&self.admitted.content);
+                } else {
+                    sent.end(SendEnd::Failed);
+                }
+                return Err(Refused::new(ResultCode::AnswerLost));
+            }
         };
-        sent.end(SendEnd::Answered);
+        sent.answered(&self.admitted.content);
         let share = self.parts.connection_share(&self.service);
         self.parts.pool.give_back(connection, &head.headers, share);
         Ok(passed_on(head.status, &head.headers, whole(body)))
@@ -340,7 +365,7 @@
 
     fn log_end(&self, end: &'static str, server: &ServerRecord) {
         info!(
-            call = self.admitted.work.call.as_str(), fingerprint:% = self.admitted.fingerprint,
+            call = self.admitted.work.call.as_str(), fingerprint:% = self.admitted.content.fingerprint(),
             server:% = server.life, end,
             in_flight = self.seen.in_flight, told:% = self.seen.told,
             told_age_ms:% = self.seen.told_age_ms,
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -20,7 +20,7 @@
 use super::outgoing::Outgoing;
 use super::refused::Refused;
 use super::send::{BegunAnswer, SendOutcome, Sent, send};
-use crate::connection::read_body;
+use crate::connection::{ReadBodyError, read_body};
 
 /// Largest body that is held before it is passed on; plain answers are some kilobytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -43,6 +43,7 @@
     Answered(WholeAnswer),
     NotSent,
     Withheld(ServerUse),
+    Held,
     NotRun,
     Lost,
     TimeOver,
@@ -86,6 +87,9 @@
 impl PlainRun<'_> {
     async fn go(&mut self, outgoing: &Outgoing) -> Result<Response<AnswerBody>, Refused> {
         loop {
+            if let Err(refused) = self.admitted.check_held(self.parts) {
+                return self.give_up(refused);
+            }
             let Some(server) = self.choose() else {
                 return self.give_up(self.parts.none_usable(self.service));
             };
@@ -104,6 +108,8 @@
                     true
                 }
                 Tried::NotSent | Tried::Withheld(_) => self.may_send_on(),
+                // Asked again at the head of the loop, which says why.
+                Tried::Held => true,
                 Tried::NotRun => self.may_send_on() && self.parts.try_repeat(self.service),
                 Tried::Lost => {
                     self.parts.counters.count("answer.lost");
@@ -140,6 +146,7 @@
                 SendOutcome::Answer(begun) => self.read(*begun).await,
                 SendOutcome::NotSent => Tried::NotSent,
                 SendOutcome::Withheld(server_use) => Tried::Withheld(server_use),
+                SendOutcome::Held => Tried::Held,
                 SendOutcome::NotRun | SendOutcome::InputGone => Tried::NotRun,
                 SendOutcome::Lost => Tried::Lost,
             }
@@ -155,7 +162,7 @@
         if !matches!(tried, Tried::Answered(_)) {
             let ms = ms(started.elapsed());
             info!(
-                call = call.as_str(), fingerprint:% = self.admitted.fingerprint,
+                call = call.as_str(), fingerprint:% = self.admitted.content.fingerprint(),
                 server:% = server.life, end = tried.name(),
                 in_flight = self.seen.in_flight, told:% = self.seen.told,
                 told_age_ms:% = self.seen.told_age_ms, ms;
@@ -174,7 +181,7 @@
         } = begun;
         match read_body(body, MAX_ANSWER_BYTES, self.admitted.left()).await {
             Ok(body) => {
-                sent.end(SendEnd::Answered);
+                sent.answered(&self.admitted.content);
                 self.parts
                     .pool
                     .give_back(connection, &head.headers, self.share);
@@ -184,8 +191,12 @@
                     body,
                 })
             }
-            Err(_broken) => {
-                sent.end(SendEnd::Failed);
+            Err(error) => {
+                if matches!(error, ReadBodyError::Broken(_)) {
+                    sent.cut_off(&self.admitted.content);
+                } else {
+                    sent.end(SendEnd::Failed);
+                }
                 Tried::Lost
             }
         }
@@ -225,7 +236,7 @@
             return;
         }
         info!(
-            call = admitted.work.call.as_str(), fingerprint:% = admitted.fingerprint,
+            call = admitted.work.call.as_str(), fingerprint:% = admitted.content.fingerprint(),
             route:% = admitted.route.id,
             server:% = server.life, status = answer.status.as_u16(), sends,
             in_flight = self.seen.in_flight, told:% = self.seen.told,
@@ -260,6 +271,7 @@
             Self::Answered(_) => "answered",
             Self::NotSent => "not-sent",
             Self::Withheld(server_use) => server_use.name(),
+            Self::Held => "held",
             Self::NotRun => "not-run",
             Self::Lost => "lost",
             Self::TimeOver => "time-over",
--- a/crates/amaranthscale/src/gateway/request/refused.rs
+++ b/crates/amaranthscale/src/gateway/request/refused.rs
@@ -22,6 +22,9 @@
 /// on at once has spent its next try before any of them is ready.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(20);
 
+/// The same where servers crash under the request: sent unchanged, it is held back for as long as it comes.
+const QUARANTINED_RETRY: Duration = Duration::from_mins(10);
+
 /// Why a request got no server's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refused {
@@ -74,6 +77,7 @@
         if self.code.is_retryable() {
             let usual = match self.code {
                 ResultCode::ZonesEvacuated => EVACUATED_RETRY,
+                ResultCode::RequestQuarantined => QUARANTINED_RETRY,
                 ResultCode::KnowledgeStale => ELSEWHERE_RETRY,
                 _ => USUAL_RETRY,
             };
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -1,5 +1,7 @@
 //! One send of a request to one server.
 
+use std::net::SocketAddr;
+
 use amaranthscale_core::id::CallId;
 use amaranthscale_core::process::{HealthChange, SendEnd, ServerRecord, ServerUse};
 use hyper::body::Incoming;
@@ -8,6 +10,7 @@
 use log::info;
 use tokio::time::Instant;
 
+use super::super::RequestContent;
 use super::super::connection::ServerConnection;
 use super::super::process::GatewayParts;
 use super::caller::Admitted;
@@ -23,6 +26,8 @@
     NotSent,
     /// The request never left, as the server may not be used now.
     Withheld(ServerUse),
+    /// The request never left, as servers crash under it.
+    Held,
     /// The server says that it did not run it.
     NotRun,
     /// A result that the request needs is gone; it did not run.
@@ -45,6 +50,7 @@
 pub(super) struct Sent {
     parts: std::sync::Arc<GatewayParts>,
     server: amaranthscale_core::id::ServerLife,
+    address: SocketAddr,
     started: Instant,
     end: SendEnd,
 }
@@ -55,11 +61,24 @@
         Self {
             parts: std::sync::Arc::clone(parts),
             server: server.life.clone(),
+            address: server.address,
             started: Instant::now(),
             end: SendEnd::Abandoned,
         }
     }
 
+    /// Says that the whole answer came.
+    pub(super) fn answered(self, content: &RequestContent) {
+        self.parts.crashes.completed(content);
+        self.end(SendEnd::Answered);
+    }
+
+    /// Says that the connection ended before the answer did.
+    pub(super) fn cut_off(self, content: &RequestContent) {
+        self.parts.crashes.lost(&self.server, self.address, content);
+        self.end(SendEnd::Failed);
+    }
+
     /// Says how the send ended.
     pub(super) fn end(mut self, end: SendEnd) {
         self.end = end;
@@ -102,6 +121,10 @@
         sent.end(SendEnd::Full);
         return SendOutcome::NotSent;
     }
+    if parts.crashes.check(&admitted.content).is_err() {
+        sent.end(SendEnd::Abandoned);
+        return SendOutcome::Held;
+    }
     if let Err(server_use) = parts.try_send_to(server) {
         sent.end(SendEnd::Abandoned);
         return SendOutcome::Withheld(server_use);
@@ -120,7 +143,7 @@
             return SendOutcome::NotSent;
         }
         Err(SendError::Lost(..)) => {
-            sent.end(SendEnd::Failed);
+            sent.cut_off(&admitted.content);
             return SendOutcome::Lost;
         }
     };
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerLife;
-use amaranthscale_core::process::SendEnd;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -125,7 +124,7 @@
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_broken)) => {
-                    sent.end(SendEnd::Failed);
+                    sent.cut_off(&self.run.admitted.content);
                     return PartEnd::Broken;
                 }
                 None => break,
@@ -139,7 +138,7 @@
                 }
             }
         }
-        sent.end(SendEnd::Answered);
+        sent.answered(&self.run.admitted.content);
         let share = self.run.parts.connection_share(&self.run.service);
         self.run
             .parts
@@ -192,11 +191,17 @@
 
     fn log(&self, end: &'static str, server: &ServerLife, first_at: Duration) {
         let admitted = &self.run.admitted;
+        // Named only where something went wrong, as a name costs a hash of the body.
+        let fingerprint = if end == "whole" {
+            "-".to_owned()
+        } else {
+            admitted.content.fingerprint().to_string()
+        };
         let owner = self.run.owner.as_ref().map_or("-", |owner| owner.as_str());
         let seen = self.run.seen;
         let pieces_at = self.run.pieces_at.unwrap_or(admitted.arrived);
         info!(
-            call = admitted.work.call.as_str(), fingerprint:% = admitted.fingerprint,
+            call = admitted.work.call.as_str(), fingerprint = fingerprint.as_str(),
             route:% = admitted.route.id,
             server:% = server, end, events = self.passed, owner,
             prompt_tokens = admitted.work.prompt_tokens,
--- a/crates/amaranthscale/src/gateway/store_calls.rs
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranthscale_core::id::{InstanceId, RowVersion, ServerId};
-use amaranthscale_core::process::{Announcement, ServerRecord, ZoneChange};
+use amaranthscale_core::id::{EvidenceId, InstanceId, RowVersion, ServerId};
+use amaranthscale_core::process::{Announcement, CrashEvidence, ServerRecord, ZoneChange};
 use amaranthscale_core::version::Routing;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -100,6 +100,9 @@
     Refused(StatusCode),
 }
 
+/// Evidence of crashed servers by its name; none where it was removed.
+pub type ToldEvidence = (EvidenceId, Option<CrashEvidence>);
+
 /// How one platform's store is called.
 #[derive(Debug, Clone)]
 pub struct StoreCalls {
@@ -113,6 +116,10 @@
     pub announce: fn(&InstanceId, &Announcement) -> Request<Full<Bytes>>,
     /// Withdraws an announcement.
     pub withdraw: fn(&InstanceId) -> Request<Full<Bytes>>,
+    /// Tells of crashed servers.
+    pub tell: fn(&EvidenceId, &CrashEvidence) -> Request<Full<Bytes>>,
+    /// Removes what was told.
+    pub take_back: fn(&EvidenceId) -> Request<Full<Bytes>>,
     /// Reads an answer.
     pub answer: fn(StatusCode, &[u8]) -> Result<StoreAnswer, String>,
     /// Reads the routing from its row; none if the row is another one.
@@ -122,6 +129,9 @@
     pub zone: fn(&StoreRow) -> Result<Option<ZoneChange>, String>,
     /// Reads a backend server from its row.
     pub server: fn(&ServerId, &[u8]) -> Result<ServerRecord, String>,
+    /// Reads what a gateway tells of crashed servers from a row of the gateways' table, and nothing of
+    /// it where the row was dropped; none if the row is another one.
+    pub evidence: fn(&StoreRow) -> Result<Option<ToldEvidence>, String>,
     /// Reads what a gateway announces from its row.
     pub instance: fn(&[u8]) -> Result<Announcement, String>,
 }
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -9,6 +9,7 @@
 mod line_budget;
 mod neighbour;
 mod refused_entries;
+mod store_write;
 mod zones;
 
 #[doc(inline)]
@@ -25,3 +26,4 @@
 pub use knowledge::Knowledge;
 #[doc(inline)]
 pub use neighbour::{Neighbours, ROWS_PATH};
+pub(crate) use store_write::write_store;
--- a/crates/amaranthscale/src/gateway/version/announce.rs
+++ b/crates/amaranthscale/src/gateway/version/announce.rs
@@ -7,18 +7,12 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::InstanceId;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
 use log::{info, warn};
 
-use super::super::{StoreAnswer, StoreCalls};
+use super::super::StoreCalls;
 use super::Own;
-use super::feed::call_store;
-use crate::connection::Http1Connection;
+use super::write_store;
 
-/// Longest wait for one write.
-const WRITE_PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after a failed announcement.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -26,7 +20,7 @@
 pub async fn announce_instance(store: StoreCalls, own: Own) {
     let instance = &own.instance;
     loop {
-        match write(&store, (store.announce)(instance, &own.announcement)).await {
+        match write_store(&store, (store.announce)(instance, &own.announcement)).await {
             Ok(()) => {
                 info!(instance = instance.as_str(); "membership: announced");
                 own.is_announced.store(true, Ordering::Release);
@@ -40,19 +34,8 @@
 
 /// Withdraws an announcement; one that stays is passed over by the others.
 pub async fn withdraw_instance(store: &StoreCalls, instance: &InstanceId) {
-    match write(store, (store.withdraw)(instance)).await {
+    match write_store(store, (store.withdraw)(instance)).await {
         Ok(()) => info!(instance = instance.as_str(); "membership: withdrawn"),
         Err(reason) => warn!(reason = reason.as_str(); "membership: not withdrawn"),
     }
 }
-
-async fn write(store: &StoreCalls, request: Request<Full<Bytes>>) -> Result<(), String> {
-    let connection = Http1Connection::open(store.address, WRITE_PATIENCE)
-        .await
-        .map_err(|error| error.to_string())?;
-    let (answer, _connection) = call_store(store, connection, request, WRITE_PATIENCE).await?;
-    match answer {
-        StoreAnswer::Rows(_) | StoreAnswer::Conflict => Ok(()),
-        other => Err(format!("the store answered {other:?}")),
-    }
-}
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -10,7 +10,7 @@
 use log::{info, warn};
 
 use super::super::clock::ms;
-use super::super::process::StopGate;
+use super::super::process::{CrashWatch, StopGate};
 use super::super::{StoreCalls, StoreRow, StoreTable, StoredValue};
 use super::announce::{announce_instance, withdraw_instance};
 use super::line_budget::LineBudget;
@@ -120,6 +120,7 @@
             FeedEvent::All(rows) => {
                 let ids = rows.rows.iter().filter_map(|row| row.key.parse().ok());
                 let ids: Vec<_> = ids.collect();
+                keep_evidence(&store, &own.crashes, &rows.rows);
                 knowledge.change_instances(|instances| instances.keep_only(&ids));
                 // Removed while nothing was told, as while the store had lost its history.
                 if own.is_announced.load(Ordering::Acquire) && !ids.contains(&own.instance) {
@@ -130,7 +131,13 @@
             FeedEvent::Changed(rows) => rows,
         };
         for row in &rows.rows {
-            take_instance(&store, &knowledge, &own, row, &mut refusals, &mut turnover);
+            match (store.evidence)(row) {
+                Ok(Some((id, evidence))) => own.crashes.take(id, evidence),
+                Ok(None) => {
+                    take_instance(&store, &knowledge, &own, row, &mut refusals, &mut turnover);
+                }
+                Err(reason) => refusals.note(&row.key, &reason),
+            }
         }
         turnover.log(knowledge.live());
         for forgotten in knowledge.forgotten() {
@@ -139,6 +146,13 @@
     }
 }
 
+/// Keeps only the evidence of crashed servers that a whole table names.
+fn keep_evidence(store: &StoreCalls, crashes: &CrashWatch, rows: &[StoreRow]) {
+    let told = rows.iter().filter_map(|row| (store.evidence)(row).ok()?);
+    let ids: Vec<_> = told.map(|(id, _)| id).collect();
+    crashes.keep_only(&ids);
+}
+
 /// The gateway itself, as it announces itself.
 #[derive(Debug, Clone)]
 pub struct Own {
@@ -148,6 +162,8 @@
     pub announcement: Announcement,
     /// Whether it stops, and so announces itself no more.
     pub stop: Arc<StopGate>,
+    /// What it knows of crashed servers.
+    pub crashes: Arc<CrashWatch>,
     /// Whether the store has taken its announcement.
     pub is_announced: Arc<AtomicBool>,
 }
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/version/store_write.rs
@@ -0,0 +1,29 @@
+//! Single writes to the store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+
+use super::super::{StoreAnswer, StoreCalls};
+use super::feed::call_store;
+use crate::connection::Http1Connection;
+
+/// Longest wait for one write.
+const WRITE_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Makes one write; an error says that it may not have been made.
+pub(crate) async fn write_store(
+    store: &StoreCalls,
+    request: Request<Full<Bytes>>,
+) -> Result<(), String> {
+    let connection = Http1Connection::open(store.address, WRITE_PATIENCE)
+        .await
+        .map_err(|error| error.to_string())?;
+    let (answer, _connection) = call_store(store, connection, request, WRITE_PATIENCE).await?;
+    match answer {
+        StoreAnswer::Rows(_) | StoreAnswer::Conflict => Ok(()),
+        other => Err(format!("the store answered {other:?}")),
+    }
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -12,8 +12,8 @@
 pub use attempt_id::AttemptId;
 #[doc(inline)]
 pub use name_id::{
-    CallId, HostId, IdempotencyKey, InstanceId, InvalidName, ModelId, OrganisationId, PipelineId,
-    RegionId, RouteId, ServerId, ServiceId, StageName, WriteId, ZoneId,
+    CallId, EvidenceId, HostId, IdempotencyKey, InstanceId, InvalidName, ModelId, OrganisationId,
+    PipelineId, RegionId, RouteId, ServerId, ServiceId, StageName, WriteId, ZoneId,
 };
 #[doc(inline)]
 pub use number_id::{
--- a/crates/core/src/id/name_id.rs
+++ b/crates/core/src/id/name_id.rs
@@ -139,6 +139,9 @@
 name_id!(
     /// One send of a request by its caller, named by the caller.
     CallId, "call id");
+name_id!(
+    /// A piece of evidence of crashed servers, named by the entry that tells it.
+    EvidenceId, "evidence");
 name_id!(
     /// One life of an entry, as other entries know it.
     InstanceId, "instance");
--- a/crates/core/src/id/request_fingerprint.rs
+++ b/crates/core/src/id/request_fingerprint.rs
@@ -10,7 +10,7 @@
 use super::OrganisationId;
 
 /// Hexadecimal digits of a fingerprint.
-const DIGITS: usize = 16;
+const DIGITS: usize = 32;
 /// Bytes of the hash that a fingerprint keeps.
 const BYTES: usize = DIGITS / 2;
 
@@ -27,7 +27,8 @@
 
 /// Names requests of the same caller with the same path and body alike.
 ///
-/// A cryptographic hash, so that no caller can have another caller's request taken for its own.
+/// A cryptographic hash with the organisation in it, so that no caller can have another one's request
+/// taken for its own.
 ///
 /// ```
 /// use amaranthscale_core::id::RequestFingerprint;
@@ -41,7 +42,7 @@
 #[derive(
     Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
 )]
-pub struct RequestFingerprint(u64);
+pub struct RequestFingerprint(u128);
 
 impl RequestFingerprint {
     /// Fingerprint of a request by its caller's organisation, its host and path, and its body.
@@ -61,7 +62,7 @@
         }
         let bytes = hash.finalize();
         let kept = bytes.iter().take(BYTES);
-        Self(kept.fold(0, |kept, byte| kept << 8 | u64::from(*byte)))
+        Self(kept.fold(0, |kept, byte| kept << 8 | u128::from(*byte)))
     }
 }
 
@@ -86,7 +87,7 @@
         if text.len() != DIGITS || !text.bytes().all(is_digit) {
             return Err(malformed());
         }
-        let value = u64::from_str_radix(text, 16);
+        let value = u128::from_str_radix(text, 16);
         value.map(Self).map_err(|_error| malformed())
     }
 }
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -33,6 +33,7 @@
 mod load_meter;
 mod organisation_limits;
 mod prompt_times;
+mod quarantine;
 mod queued_attempt;
 mod rank;
 mod refusal;
@@ -99,6 +100,10 @@
 #[doc(inline)]
 pub use prompt_times::PromptTimes;
 #[doc(inline)]
+pub use quarantine::{
+    CrashEvidence, CrashReport, LossStep, LostRuns, Quarantine, QuarantineChange, Survival, Verdict,
+};
+#[doc(inline)]
 pub use queued_attempt::QueuedAttempt;
 #[doc(inline)]
 pub use rank::Rank;
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -245,6 +245,12 @@
         self.use_of(life, None, Duration::ZERO).is_usable()
     }
 
+    /// Whether a life of a server is listed, be it as one that leaves.
+    #[must_use]
+    pub fn is_listed(&self, life: &ServerLife) -> bool {
+        self.use_of(life, None, Duration::ZERO) != ServerUse::Unlisted
+    }
+
     /// All servers that are known.
     pub fn all(&self) -> impl Iterator<Item = &ServerRecord> {
         let records = self.servers.values();
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -139,6 +139,8 @@
     ZonesEvacuated = 2108, 503, "the zones of all its servers are evacuated";
     /// The servers of the service are cold and take no more at once.
     ServersCold = 2109, 503, "its servers are cold and take no more now";
+    /// Servers crashed while they ran the same request.
+    RequestQuarantined = 2110, 503, "servers crashed under this request; it is held back";
 
     /// The attempt was meant for another life of the sidecar.
     WrongIncarnation = 2201, 503, "the attempt names another incarnation";
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,263 @@
+//! Which requests are held back because servers crash under them.
+
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
+use std::time::Duration;
+
+use amaranthscale_core::id::{EvidenceId, RequestFingerprint, ServerLife};
+use amaranthscale_core::process::{
+    CrashEvidence, LossStep, LostRuns, Quarantine, QuarantineChange, Verdict,
+};
+
+const NOW: Duration = Duration::from_secs(100);
+const LATER: Duration = Duration::from_secs(102);
+
+fn request(name: &str) -> RequestFingerprint {
+    RequestFingerprint::of(None, "h.example", name, b"")
+}
+
+fn server(number: usize) -> ServerLife {
+    format!("s{number}").parse().unwrap()
+}
+
+fn id(number: usize) -> EvidenceId {
+    format!("g1.{number}").parse().unwrap()
+}
+
+/// Crashes of servers by number, each with the requests that were lost with it.
+fn quarantine(crashes: &[&[&str]]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for (number, lost) in crashes.iter().enumerate() {
+        crash(&mut quarantine, number, lost);
+    }
+    quarantine
+}
+
+fn crash(quarantine: &mut Quarantine, number: usize, lost: &[&str]) -> Vec<QuarantineChange> {
+    let mut evidence = CrashEvidence::default();
+    for name in lost {
+        evidence.add_crash(&server(number), request(name));
+    }
+    quarantine.take(id(number), evidence, NOW)
+}
+
+fn is_held(quarantine: &Quarantine, name: &str) -> bool {
+    matches!(quarantine.verdict(request(name), LATER), Verdict::Held(_))
+}
+
+#[test]
+fn a_request_is_held_back_after_three_servers_crashed_under_it() {
+    let mut quarantine = quarantine(&[&["culprit"], &["culprit"]]);
+    assert_eq!(
+        quarantine.verdict(request("culprit"), LATER),
+        Verdict::Suspected(2)
+    );
+
+    let changes = crash(&mut quarantine, 2, &["culprit"]);
+
+    let servers = vec![server(0), server(1), server(2)];
+    assert_eq!(
+        changes,
+        [QuarantineChange::Held(request("culprit"), servers)]
+    );
+    assert!(is_held(&quarantine, "culprit"));
+    assert_eq!(quarantine.verdict(request("other"), LATER), Verdict::Clear);
+}
+
+#[test]
+fn three_losses_at_one_life_of_a_server_are_one_crash() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..3 {
+        let mut evidence = CrashEvidence::default();
+        evidence.add_crash(&server(7), request("a"));
+        quarantine.take(id(number), evidence, NOW);
+    }
+
+    assert!(!is_held(&quarantine, "a"));
+}
+
+/// Requests beside the one to blame are lost at the same servers.
+#[test]
+fn bystanders_of_a_culprit_are_not_held_back() {
+    let crashes: [&[&str]; 4] = [
+        &["culprit", "a", "b"],
+        &["culprit", "a"],
+        &["culprit", "a"],
+        &["culprit"],
+    ];
+
+    let quarantine = quarantine(&crashes);
+
+    assert!(is_held(&quarantine, "culprit"));
+    assert!(!is_held(&quarantine, "a"));
+    assert!(!is_held(&quarantine, "b"));
+}
+
+#[test]
+fn two_culprits_at_servers_of_their_own_are_both_held_back() {
+    let crashes: [&[&str]; 7] = [
+        &["first"],
+        &["second", "a"],
+        &["first", "a"],
+        &["second"],
+        &["first"],
+        &["second"],
+        &["first"],
+    ];
+
+    let quarantine = quarantine(&crashes);
+
+    assert!(is_held(&quarantine, "first"));
+    assert!(is_held(&quarantine, "second"));
+    assert!(!is_held(&quarantine, "a"));
+}
+
+/// The more frequent culprit explains the crashes of the other one until that crashes a server alone.
+#[test]
+fn a_culprit_hidden_behind_another_is_held_back_at_its_next_crash() {
+    let mut quarantine = quarantine(&[
+        &["first", "second"],
+        &["first", "second"],
+        &["first", "second"],
+        &["first"],
+    ]);
+    assert!(!is_held(&quarantine, "second"));
+
+    crash(&mut quarantine, 4, &["second"]);
+
+    assert!(is_held(&quarantine, "first"));
+    assert!(is_held(&quarantine, "second"));
+}
+
+/// A popular request is at every server that crashes, and its other runs end well.
+#[test]
+fn a_request_that_ran_to_its_end_is_not_to_blame() {
+    let mut quarantine = quarantine(&[&["popular"], &["popular"], &["popular"]]);
+    let survival = quarantine.survival_of(request("popular")).unwrap();
+
+    let evidence = CrashEvidence {
+        crashes: Vec::new(),
+        survivals: vec![survival],
+    };
+    let changes = quarantine.take(id(9), evidence, NOW);
+
+    assert_eq!(changes, [QuarantineChange::Released(request("popular"))]);
+    assert_eq!(
+        quarantine.verdict(request("popular"), LATER),
+        Verdict::Clear
+    );
+}
+
+/// Guards against a popular request that is refused before its other runs could end.
+#[test]
+fn a_request_is_held_back_only_some_time_after_its_last_crash() {
+    let quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
+
+    let at_once = quarantine.verdict(request("a"), NOW);
+    let soon = quarantine.verdict(request("a"), NOW + Duration::from_millis(500));
+
+    assert_eq!(at_once, Verdict::Suspected(3));
+    assert_eq!(soon, Verdict::Held(3));
+}
+
+#[test]
+fn evidence_counts_alike_in_any_order() {
+    let survival = quarantine(&[&["b"], &["b"]]).survival_of(request("b"));
+    let mut pieces: Vec<CrashEvidence> = Vec::new();
+    for (number, lost) in [["a", "b"], ["a", "b"], ["a", "c"], ["d", "b"]]
+        .iter()
+        .enumerate()
+    {
+        let mut evidence = CrashEvidence::default();
+        for name in lost {
+            evidence.add_crash(&server(number), request(name));
+        }
+        pieces.push(evidence);
+    }
+    pieces[0].survivals.extend(survival);
+    let take = |order: &mut dyn Iterator<Item = usize>| {
+        let mut quarantine = Quarantine::default();
+        for index in order {
+            quarantine.take(id(index), pieces[index].clone(), NOW);
+        }
+        let held: Vec<_> = quarantine.held().map(|(request, _)| request).collect();
+        held
+    };
+
+    let forwards = take(&mut (0..4));
+    let backwards = take(&mut (0..4).rev());
+
+    assert_eq!(forwards, [request("a")]);
+    assert_eq!(forwards, backwards);
+}
+
+#[test]
+fn evidence_is_forgotten_unless_it_is_told_again() {
+    let mut quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
+    assert_eq!(quarantine.renewal_of(request("a"), LATER), None);
+    let half = NOW + Duration::from_mins(5);
+    let renewal = quarantine.renewal_of(request("a"), half).unwrap();
+    let last = NOW + Duration::from_secs(601);
+
+    let mut forgetful = quarantine.clone();
+    forgetful.take(id(8), CrashEvidence::default(), last);
+    quarantine.take(id(7), renewal, half);
+    quarantine.take(id(8), CrashEvidence::default(), last);
+
+    assert_eq!(forgetful.verdict(request("a"), last), Verdict::Clear);
+    assert_eq!(quarantine.verdict(request("a"), last), Verdict::Held(3));
+}
+
+#[test]
+fn evidence_that_is_removed_releases_a_request() {
+    let mut quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
+
+    let changes = quarantine.take_back(&id(1), NOW);
+
+    assert_eq!(changes, [QuarantineChange::Released(request("a"))]);
+    assert_eq!(quarantine.keep_only(|_| false, NOW), []);
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn a_flood_of_evidence_is_bounded_and_the_oldest_goes_first() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..30_000 {
+        let mut evidence = CrashEvidence::default();
+        evidence.add_crash(&server(number), request(&format!("r{number}")));
+        let now = NOW + Duration::from_millis(u64::try_from(number).unwrap());
+        quarantine.take(id(number), evidence, now);
+    }
+
+    assert_eq!(quarantine.verdict(request("r0"), LATER), Verdict::Clear);
+    assert_eq!(
+        quarantine.verdict(request("r29999"), LATER),
+        Verdict::Suspected(1)
+    );
+}
+
+#[test]
+fn a_server_is_looked_at_once_for_all_runs_that_it_lost() {
+    let mut lost = LostRuns::default();
+
+    assert_eq!(lost.lost(&server(1), request("a"), NOW), LossStep::Probe);
+    assert_eq!(lost.lost(&server(1), request("b"), NOW), LossStep::Wait);
+    assert_eq!(lost.lost(&server(2), request("a"), NOW), LossStep::Probe);
+
+    let requests: Vec<_> = lost.crashed(&server(1)).into_iter().collect();
+    assert_eq!(requests.len(), 2);
+    assert_eq!(lost.lost(&server(1), request("c"), NOW), LossStep::Report);
+}
+
+/// A broken connection to a server that lives on says nothing of its request.
+#[test]
+fn runs_lost_at_a_server_that_stays_are_forgotten() {
+    let mut lost = LostRuns::default();
+    lost.lost(&server(1), request("a"), NOW);
+    assert!(lost.missing(|_| true).is_empty());
+    assert_eq!(lost.missing(|_| false), [server(1)]);
+
+    lost.lost(&server(2), request("b"), NOW + Duration::from_secs(13));
+
+    assert!(lost.crashed(&server(1)).is_empty());
+}
--- a/crates/core/tests/request_fingerprint.rs
+++ b/crates/core/tests/request_fingerprint.rs
@@ -50,9 +50,9 @@
     for text in [
         "",
         "abc",
-        "ABCDEF0123456789",
-        "0123456789abcdefg",
-        "+123456789abcdef",
+        "ABCDEF0123456789ABCDEF0123456789",
+        "0123456789abcdef0123456789abcdefg",
+        "+123456789abcdef0123456789abcdef",
     ] {
         let error = text.parse::<RequestFingerprint>().unwrap_err();
 
