Calls to stage servers: a request whose pieces end servers goes alone, is told and given up

Callers would see: one request whose pieces crash stage servers takes up to some tens of others' pieces with it each time, up to twelve times a job, and again with each try of its caller. Evidence: a_request_whose_pieces_crashed_three_servers_is_sent_to_no_more failed with 8 arrivals where 3 are allowed. Change: a call whose connection ended (cut off) is told to each request in it, whose gateway takes it for a lost run as at an engine; a job cut off at two servers goes in calls of its own, at three it is given up. A call without an answer in time counts as before.

--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -40,8 +40,9 @@
 pub use peer_pieces::PIECES_PATH;
 #[doc(inline)]
 pub use peer_server::{ALIVE_PATH, ask_alive, serve_peer};
+pub(crate) use pieces::make_pieces;
 #[doc(inline)]
-pub use pieces::{MadePieces, PiecesError, make_pieces};
+pub use pieces::{MadePieces, PiecesError};
 #[doc(inline)]
 pub use service_prompt_times::ServicePromptTimes;
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -51,6 +51,11 @@
     told: None,
 };
 
+const CUT_OFF: CallEnd = CallEnd {
+    end: BatchEnd::CutOff,
+    told: None,
+};
+
 async fn call_in_time(caller: &BatchCaller, batch: &Batch) -> CallEnd {
     // Pieces may be made again, so a kept connection that proves dead is followed by a new one.
     match call_once(caller, batch, true).await {
@@ -65,7 +70,10 @@
 
 fn lost(error: &SendError) -> CallEnd {
     debug!("batches: {error}");
-    LOST
+    match error {
+        SendError::NotSent(..) => LOST,
+        SendError::Lost(..) => CUT_OFF,
+    }
 }
 
 async fn call_once(
@@ -162,6 +170,7 @@
         BatchEnd::Full => return BTreeMap::from([("server-full", sent)]),
         BatchEnd::OtherServer => return BTreeMap::from([("other-server", sent)]),
         BatchEnd::Lost => return BTreeMap::from([("lost", sent)]),
+        BatchEnd::CutOff => return BTreeMap::from([("cut-off", sent)]),
     };
     let mut failed = BTreeMap::new();
     for end in ends {
--- a/crates/amaranthscale/src/gateway/process/batch_message.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_message.rs
@@ -1,6 +1,8 @@
 //! What is said to an owner of batches, and what it tells.
 
-use amaranthscale_core::id::ResultHandle;
+use std::net::SocketAddr;
+
+use amaranthscale_core::id::{ResultHandle, ServerLife};
 use amaranthscale_core::process::{
     BatchEnd, BatchId, Frees, JobFailure, JobId, KeptPiece, PipelineOrder, ToldLoad,
 };
@@ -31,6 +33,13 @@
 pub enum JobNews {
     /// Some of its pieces are made.
     Made(Vec<KeptPiece>),
+    /// A call with some of its pieces was cut off at a server.
+    CutOff {
+        /// The server.
+        server: ServerLife,
+        /// Where it listened.
+        address: SocketAddr,
+    },
     /// What was made of a stage is there no more.
     Dropped(usize),
     /// What it came to; nothing follows.
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -327,6 +327,10 @@
                     self.tell_news(job, JobNews::Made(pieces));
                     continue;
                 }
+                JobEvent::CutOff(job, server, address) => {
+                    self.tell_news(job, JobNews::CutOff { server, address });
+                    continue;
+                }
                 JobEvent::Dropped(job, stage) => {
                     self.tell_news(job, JobNews::Dropped(stage));
                     continue;
--- a/crates/amaranthscale/src/gateway/process/kept_pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/kept_pieces.rs
@@ -26,7 +26,7 @@
                     .extend(pieces.map(|piece| ((piece.stage, piece.piece), (piece, now))));
             }
             JobNews::Dropped(stage) => self.pieces.retain(|(of, _), _| *of != stage),
-            JobNews::Ended(_) => {}
+            JobNews::CutOff { .. } | JobNews::Ended(_) => {}
         }
     }
 
--- a/crates/amaranthscale/src/gateway/process/pieces.rs
+++ b/crates/amaranthscale/src/gateway/process/pieces.rs
@@ -11,6 +11,7 @@
 use quick_error::quick_error;
 use tokio::time::Instant;
 
+use super::super::RequestContent;
 use super::kept_pieces::KeptPieces;
 use super::peer_pieces::{AskError, ask_peer};
 use super::{GatewayParts, JobAnswer, JobNews, JobSource, OwnedJob};
@@ -59,14 +60,15 @@
 ///
 /// Guards against an owner that is too busy to refuse: an owner gives up what it has not begun after
 /// two aims, and a request of which nothing is told until then would wait to its caller's deadline.
-pub async fn make_pieces(
+pub(crate) async fn make_pieces(
     parts: &GatewayParts,
+    content: &RequestContent,
     order: PipelineOrder,
 ) -> Result<MadePieces, PiecesError> {
     let call = order.call.clone();
     let held = order.aim_left + order.aim + OWNER_MARGIN;
     let has_begun = AtomicBool::new(false);
-    let mut asking = pin!(ask_owners(parts, order, &has_begun));
+    let mut asking = pin!(ask_owners(parts, content, order, &has_begun));
     tokio::select! {
         made = &mut asking => return made,
         () = tokio::time::sleep(held) => {}
@@ -82,6 +84,7 @@
 /// Asks owners; one that falls silent is passed over and the next one takes its place.
 async fn ask_owners(
     parts: &GatewayParts,
+    content: &RequestContent,
     mut order: PipelineOrder,
     has_begun: &AtomicBool,
 ) -> Result<MadePieces, PiecesError> {
@@ -94,11 +97,15 @@
         order.aim_left = aim_left.saturating_sub(started.elapsed());
         order.deadline_left = deadline_left.saturating_sub(started.elapsed());
         let (owner, address, is_own) = parts.knowledge.owner(order.cell);
+        let note = |news| {
+            if let JobNews::CutOff { server, address } = &news {
+                parts.crashes.lost(server, *address, content);
+            }
+            kept.note(news, has_begun);
+        };
         let answered = if is_own {
-            let note = |news| kept.note(news, has_begun);
             Ok(ask_here(parts, &order, note).await)
         } else {
-            let note = |news| kept.note(news, has_begun);
             ask_peer(&parts.peers, &owner, address, &order, note)
                 .await
                 .map(|(answer, body)| (answer, Kept::Peer { _answer: body }))
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -269,7 +269,7 @@
                 reader_zone: reader.zone.clone(),
                 kept: Vec::new(),
             };
-            let making = make_pieces(&self.parts, order);
+            let making = make_pieces(&self.parts, &self.admitted.content, order);
             // Guards against a caller that waits for pieces when the process ends: cut off, it
             // could not tell that its request never ran.
             let made = tokio::select! {
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -196,7 +196,7 @@
                     figures.failed += 1;
                     job
                 }
-                JobEvent::Made(..) | JobEvent::Dropped(..) => continue,
+                JobEvent::Made(..) | JobEvent::Dropped(..) | JobEvent::CutOff(..) => continue,
             };
             read.push_back((now + READ_FOR, job));
         }
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -1,6 +1,6 @@
 //! Takes the ends of calls.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::id::ResultHandle;
@@ -16,6 +16,8 @@
 const MOST_REMAKES: u32 = 2;
 /// Times that a job's pieces may fail before it is given up.
 const MOST_FAILURES: u32 = 12;
+/// Servers at which a job's calls may be cut off before it is given up.
+const MOST_CUT_OFF: usize = 3;
 /// How long servers count as shared after a sign of another owner.
 const SHARED_FOR: Duration = Duration::from_millis(1_500);
 /// Times the expected time from which a call seems to have waited for its turn.
@@ -39,7 +41,10 @@
         };
         self.account_server(&batch, &end, now);
         self.account_others(&batch, &end, told, now);
-        if end == BatchEnd::Lost
+        if end == BatchEnd::CutOff {
+            self.note_cut_off(&batch);
+        }
+        if matches!(end, BatchEnd::Lost | BatchEnd::CutOff)
             && let Some(pool) = self.pools.get_mut(&batch.service)
         {
             let bytes = batch.pieces.iter().map(|piece| piece.result_bytes).sum();
@@ -54,7 +59,7 @@
                 }
                 return;
             }
-            BatchEnd::Pieces(_) | BatchEnd::Lost => {
+            BatchEnd::Pieces(_) | BatchEnd::Lost | BatchEnd::CutOff => {
                 vec![PieceEnd::Failed; batch.pieces.len()]
             }
         };
@@ -83,6 +88,28 @@
         }
     }
 
+    /// Notes the server of a call that was cut off with each job in it, and gives up those that were cut
+    /// off at too many servers: one of their pieces may be what ends them.
+    fn note_cut_off(&mut self, batch: &RunningBatch) {
+        let jobs: BTreeSet<_> = batch
+            .pieces
+            .iter()
+            .map(|running| running.piece.job)
+            .collect();
+        for id in jobs {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.cut_off_at.insert(batch.server.clone());
+            let is_given_up = job.cut_off_at.len() >= MOST_CUT_OFF;
+            let told = JobEvent::CutOff(id, batch.server.clone(), batch.address);
+            self.events.push(told);
+            if is_given_up {
+                self.fail(id, JobFailure::Failing);
+            }
+        }
+    }
+
     fn account_server(&mut self, batch: &RunningBatch, end: &BatchEnd, now: Duration) {
         let Some(pool) = self.pools.get_mut(&batch.service) else {
             return;
@@ -100,7 +127,7 @@
             }
             // Its entry or its zone says why; the next list of servers leaves it out.
             BatchEnd::NotSent | BatchEnd::Full => server.busy_until = now + FULL_PAUSE,
-            BatchEnd::OtherServer | BatchEnd::Lost => server.lost(now),
+            BatchEnd::OtherServer | BatchEnd::Lost | BatchEnd::CutOff => server.lost(now),
         }
     }
 
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -257,9 +257,16 @@
             {
                 continue;
             }
+            let goes_alone = job.goes_alone();
+            if goes_alone && !chosen.is_empty() {
+                continue;
+            }
             let left = spec.max_pieces - chosen.len();
             let pieces = fitting_pieces(entry, stage, left, &mut free_bytes);
             chosen.extend(pieces);
+            if goes_alone && !chosen.is_empty() {
+                break;
+            }
         }
         self.looked_at += u64::try_from(looked_at).unwrap_or(u64::MAX);
         chosen
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -1,5 +1,6 @@
 //! One request's pieces and how far they are.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -47,6 +48,10 @@
     by_rank + WORTH_STEP.mul_f64(MOST_WORTH_STEPS + steps)
 }
 
+/// Servers at which a job's calls were cut off from which on it goes alone. Not from the first on: a call
+/// costs much by itself, and most servers end for other reasons.
+const ALONE_FROM: usize = 2;
+
 /// How far one piece is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum PieceState {
@@ -146,6 +151,8 @@
     pub(super) is_reported: bool,
     pub(super) remakes: u32,
     pub(super) failures: u32,
+    /// Servers at which calls with its pieces were cut off.
+    pub(super) cut_off_at: BTreeSet<ServerLife>,
 }
 
 impl Job {
@@ -175,9 +182,17 @@
             is_reported: false,
             remakes: 0,
             failures: 0,
+            cut_off_at: BTreeSet::new(),
         }
     }
 
+    /// Whether its pieces go in calls of their own.
+    ///
+    /// Guards against a piece that ends servers: the others of its call would be lost with it each time.
+    pub(super) fn goes_alone(&self) -> bool {
+        self.cut_off_at.len() >= ALONE_FROM
+    }
+
     /// Whether a call works on a piece.
     pub(super) fn has_running(&self) -> bool {
         let mut pieces = self.stages.iter().flat_map(|stage| &stage.pieces);
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -170,6 +170,8 @@
     OtherServer,
     /// No answer came: the call may have run.
     Lost,
+    /// The connection ended after the call was sent: the server may have ended with it.
+    CutOff,
 }
 
 /// What became of a job.
@@ -179,6 +181,8 @@
     Done(JobId, Vec<ResultHandle>, Vec<StageTimes>),
     /// The job cannot be done.
     Failed(JobId, JobFailure),
+    /// A call with some of its pieces was cut off at a server.
+    CutOff(JobId, ServerLife, SocketAddr),
     /// Some pieces are made; their age counts from now.
     Made(JobId, Vec<KeptPiece>),
     /// A stage's results are freed, or are to be made anew.
--- a/crates/core/tests/batcher/kept.rs
+++ b/crates/core/tests/batcher/kept.rs
@@ -19,7 +19,7 @@
                 );
             }
             JobEvent::Dropped(_, stage) => told.retain(|(of, _), _| *of != stage),
-            JobEvent::Done(..) | JobEvent::Failed(..) => {}
+            JobEvent::Done(..) | JobEvent::Failed(..) | JobEvent::CutOff(..) => {}
         }
     }
     told.into_values().collect()
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -4,6 +4,7 @@
 
 mod bench;
 mod burst;
+mod cut_off;
 mod ends;
 mod kept;
 mod lives;
--- a/crates/core/tests/batcher/random.rs
+++ b/crates/core/tests/batcher/random.rs
@@ -78,6 +78,7 @@
         let end = match pick(random, 12) {
             0 => BatchEnd::Lost,
             1 => BatchEnd::Full,
+            2 => BatchEnd::CutOff,
             _ => {
                 let ends = batch.items.iter();
                 let ends = ends.map(|_| self.piece_end(bench, random, &batch.server));
@@ -180,6 +181,7 @@
                     );
                     continue;
                 }
+                JobEvent::CutOff(..) => continue,
                 JobEvent::Dropped(job, stage) => {
                     let told = self.told.entry(job).or_default();
                     told.retain(|(of, _), _| *of != stage);
