Crashes are known within their bound though a connection to the store falls silent

A gateway whose poll of the gateways' table hangs on a silent connection heard nothing for up to 11.9 s, and would have gone on sending a request that the others hold back. The pace of that table now follows the bound (stable_ms): 1.2 s a poll, 0.375 s between two. Also a server that leaves counts as crashed when it refuses connections: a request may end it as well.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -185,7 +185,7 @@
             config.store.clone(),
             neighbours,
             own,
-            FeedPace::instances(),
+            FeedPace::instances(config.crash_bound),
         )),
     ]
 }
--- a/crates/amaranthscale/src/gateway/gateway_config.rs
+++ b/crates/amaranthscale/src/gateway/gateway_config.rs
@@ -31,6 +31,8 @@
     pub drain_bound: Duration,
     /// Longest time for which an evacuated zone may still be given work.
     pub evacuation_bound: Duration,
+    /// Longest time in which all gateways know of a server that crashed.
+    pub crash_bound: Duration,
     /// How far cold servers may be used.
     pub cold: ColdBounds,
     /// Longest time that a stop may take.
--- a/crates/amaranthscale/src/gateway/process/crash_watch.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_watch.rs
@@ -10,7 +10,7 @@
 
 use amaranthscale_core::id::{EvidenceId, InstanceId, RequestFingerprint, ServerLife};
 use amaranthscale_core::process::{
-    CrashEvidence, LossStep, LostRuns, Quarantine, QuarantineChange, ServerUse, Verdict,
+    CrashEvidence, LossStep, LostRuns, Quarantine, QuarantineChange, Verdict,
 };
 use log::{info, warn};
 use tokio::sync::{Notify, watch};
@@ -111,11 +111,6 @@
         content: &RequestContent,
     ) {
         let now = self.clock.now();
-        let server_use = self.knowledge.servers().use_of(server, None, now);
-        if matches!(server_use, ServerUse::Leaving | ServerUse::Unlisted) {
-            // What it still runs at its planned end is cut off.
-            return;
-        }
         let request = content.fingerprint();
         let mut state = self.state();
         match state.lost.lost(server, request, now) {
--- a/crates/amaranthscale/src/gateway/version/feed_pace.rs
+++ b/crates/amaranthscale/src/gateway/version/feed_pace.rs
@@ -15,14 +15,7 @@
 const HANDED_PERCENT: u32 = 40;
 /// Pause after a failed call, at most.
 const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(350);
-/// Longest pause after a failed call for the gateways' announcements, which nothing waits for.
-const INSTANCES_FAILURE_PAUSE: Duration = Duration::from_secs(1);
-/// Longest wait for announcements: changes are told at once, silence shows on other connections.
-const INSTANCES_WAIT: Duration = Duration::from_secs(10);
-/// Time in which announcements that come together are read together: gateways that are restarted in
-/// turn come and go every second or so, and nothing waits for the news.
-const INSTANCES_BETWEEN: Duration = Duration::from_secs(1);
-/// The same for a gateway that has just started: others may start with it, as after a loss of power,
+/// Shortest time between two polls for a gateway that has just started: others may start with it, as after a loss of power,
 /// and while they do not know each other several make batches for the same servers.
 const INSTANCES_BETWEEN_YOUNG: Duration = Duration::from_millis(50);
 /// Time for which a feed is young: in it, gateways that lost power together are all back.
@@ -90,15 +83,16 @@
         .heard_within(drain_bound)
     }
 
-    /// Pace of the gateways' announcements.
+    /// Pace of the gateways' announcements and of their word of crashed servers, which is known within
+    /// the bound though a connection falls silent in that moment.
     #[must_use]
-    pub const fn instances() -> Self {
+    pub fn instances(crash_bound: Duration) -> Self {
         Self {
-            wait: INSTANCES_WAIT,
-            between: INSTANCES_BETWEEN,
+            wait: crash_bound * 2 / 5,
+            between: crash_bound / 8,
             between_young: INSTANCES_BETWEEN_YOUNG,
-            after_failure: INSTANCES_FAILURE_PAUSE,
-            handed_wait: INSTANCES_WAIT,
+            after_failure: LONGEST_FAILURE_PAUSE.min(crash_bound / 8),
+            handed_wait: crash_bound * 2 / 5,
         }
     }
 }
--- a/crates/amaranthscale/tests/feed_pace.rs
+++ b/crates/amaranthscale/tests/feed_pace.rs
@@ -63,6 +63,21 @@
     }
 }
 
+/// The connection to the store falls silent in the moment in which another gateway tells of a crash. The
+/// request that is to blame must be held back within the bound all the same.
+#[test]
+fn a_crash_is_known_within_its_bound_though_a_connection_falls_silent() {
+    let held_back_after = Duration::from_millis(500);
+    let bound = Duration::from_secs(3);
+
+    let pace = FeedPace::instances(bound);
+
+    let answered_again = pace.wait + CALL_PATIENCE + pace.after_failure;
+    assert!(answered_again + held_back_after <= bound);
+    assert!(pace.handed_silence() + Duration::from_millis(400) <= bound);
+    assert!(pace.between >= bound / 10, "calls are paid for");
+}
+
 /// The gateway that hands the store's answers on is cut off from it. The one that hears nothing from
 /// it must still know within the bound what the store says.
 #[test]
