--- a/crates/amaranthscale/src/gateway/process/crash_watch.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_watch.rs
@@ -133,15 +133,13 @@
         if state.quarantine.is_empty() {
             return;
         }
-        let Some(survival) = state.quarantine.survival_of(content.fingerprint()) else {
+        let request = content.fingerprint();
+        if !state.quarantine.is_survival_told(request) {
             return;
-        };
+        }
         self.counters.count("quarantine.survived");
-        info!(
-            fingerprint:% = survival.fingerprint, crashed = survival.servers.len();
-            "quarantine: request ran to its end"
-        );
-        state.untold.survivals.push(survival);
+        info!(fingerprint:% = request; "quarantine: request ran to its end");
+        state.untold.survivals.push(request);
         self.note_untold(&mut state, now);
     }
 
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -101,7 +101,7 @@
 pub use prompt_times::PromptTimes;
 #[doc(inline)]
 pub use quarantine::{
-    CrashEvidence, CrashReport, LossStep, LostRuns, Quarantine, QuarantineChange, Survival, Verdict,
+    CrashEvidence, CrashReport, LossStep, LostRuns, Quarantine, QuarantineChange, Verdict,
 };
 #[doc(inline)]
 pub use queued_attempt::QueuedAttempt;
--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -4,8 +4,8 @@
 //! entry sees too little of it: each tells the others of each crash which requests were lost with
 //! the server, and all add up the same evidence. A request that was lost with three servers is held
 //! back. A crash is explained by the request that is to blame for most, so that requests which ran
-//! beside it are not held back with it. A request that ran to its end anywhere crashes no server: it
-//! is not to blame for the crashes before.
+//! beside it are not held back with it. A request that also runs to its end is not to blame: a popular
+//! one is at each server that crashes, and ends well elsewhere meanwhile.
 //!
 //! Evidence is forgotten some time after it was last told. While a request that is held back keeps
 //! coming, it is told again.
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 #[doc(inline)]
-pub use crash_evidence::{CrashEvidence, CrashReport, Survival};
+pub use crash_evidence::{CrashEvidence, CrashReport};
 #[doc(inline)]
 pub use lost_runs::{LossStep, LostRuns};
 
@@ -117,9 +117,14 @@
         if known.is_some_and(|known| known.evidence == evidence) {
             return Vec::new();
         }
-        // Evidence under one name only ever grows.
-        self.suspicions.add(&evidence);
+        let is_new = known.is_none();
+        if is_new {
+            self.suspicions.add(&evidence);
+        }
         self.evidence.insert(id, Taken { evidence, at: now });
+        if !is_new {
+            self.rebuild();
+        }
         self.judge(now)
     }
 
@@ -162,15 +167,12 @@
         }
     }
 
-    /// What is to be told of a request that ran to its end; none if nothing speaks against it.
+    /// Whether others are to be told that a request ran to its end, as it could be held back.
     #[must_use]
-    pub fn survival_of(&self, request: RequestFingerprint) -> Option<Survival> {
-        let servers = self.suspicions.servers.get(&request)?;
-        let is_told = servers.len() >= SURVIVAL_TOLD_FROM;
-        is_told.then(|| Survival {
-            fingerprint: request,
-            servers: servers.iter().cloned().collect(),
-        })
+    pub fn is_survival_told(&self, request: RequestFingerprint) -> bool {
+        let servers = self.suspicions.servers.get(&request);
+        let crashes = servers.map_or(0, BTreeSet::len);
+        crashes >= SURVIVAL_TOLD_FROM && !self.suspicions.is_cleared(request)
     }
 
     /// The evidence against a request that is held back and comes again, if it would soon be forgotten.
--- a/crates/core/src/process/quarantine/crash_evidence.rs
+++ b/crates/core/src/process/quarantine/crash_evidence.rs
@@ -13,15 +13,6 @@
     pub suspects: Vec<RequestFingerprint>,
 }
 
-/// A request that ran to its end at a server, and the crashes that it is therefore not to blame for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Survival {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// Lives of servers under which it had been lost.
-    pub servers: Vec<ServerLife>,
-}
-
 /// What an entry has seen of crashes since it last told the others.
 ///
 /// All of it only adds up: the order in which entries learn of it changes nothing.
@@ -30,9 +21,9 @@
     /// Servers that crashed.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
-    /// Requests that others need not suspect any more.
+    /// Suspected requests that ran to their end, each as often as it did.
     #[serde(default)]
-    pub survivals: Vec<Survival>,
+    pub survivals: Vec<RequestFingerprint>,
 }
 
 impl CrashEvidence {
--- a/crates/core/src/process/quarantine/suspicions.rs
+++ b/crates/core/src/process/quarantine/suspicions.rs
@@ -7,14 +7,16 @@
 
 /// Servers that a request may crash before it is to blame.
 const MOST_CRASHED: usize = 3;
+/// Crashes that one completed run speaks against.
+const CRASHES_PER_SURVIVAL: usize = 2;
 
 /// Servers that crashed under requests.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Suspicions {
-    /// By request, without those that it was cleared of.
+    /// By request.
     pub(super) servers: BTreeMap<RequestFingerprint, BTreeSet<ServerLife>>,
-    /// Blames that count no more, as the request ran to its end elsewhere.
-    cleared: BTreeSet<(RequestFingerprint, ServerLife)>,
+    /// How often suspected requests ran to their end.
+    survivals: BTreeMap<RequestFingerprint, usize>,
     /// Requests with as many crashes as one to blame has.
     close: BTreeSet<RequestFingerprint>,
     /// Blames that were added.
@@ -24,41 +26,25 @@
 impl Suspicions {
     /// Adds evidence; the order in which evidence is added changes nothing.
     pub(super) fn add(&mut self, evidence: &CrashEvidence) {
-        for survival in &evidence.survivals {
-            for server in &survival.servers {
-                self.clear(survival.fingerprint, server);
-            }
+        for request in &evidence.survivals {
+            *self.survivals.entry(*request).or_default() += 1;
         }
         for (request, server) in evidence.blames() {
-            self.blame(request, server);
-        }
-    }
-
-    fn blame(&mut self, request: RequestFingerprint, server: &ServerLife) {
-        if self.cleared.contains(&(request, server.clone())) {
-            return;
-        }
-        let servers = self.servers.entry(request).or_default();
-        if servers.insert(server.clone()) {
-            self.blames += 1;
-        }
-        if servers.len() >= MOST_CRASHED {
-            self.close.insert(request);
+            let servers = self.servers.entry(request).or_default();
+            if servers.insert(server.clone()) {
+                self.blames += 1;
+            }
+            if servers.len() >= MOST_CRASHED {
+                self.close.insert(request);
+            }
         }
     }
 
-    fn clear(&mut self, request: RequestFingerprint, server: &ServerLife) {
-        self.cleared.insert((request, server.clone()));
-        let Some(servers) = self.servers.get_mut(&request) else {
-            return;
-        };
-        servers.remove(server);
-        if servers.len() < MOST_CRASHED {
-            self.close.remove(&request);
-        }
-        if servers.is_empty() {
-            self.servers.remove(&request);
-        }
+    /// Whether a request ran to its end so often that crashes under it are no sign.
+    pub(super) fn is_cleared(&self, request: RequestFingerprint) -> bool {
+        let crashes = self.servers.get(&request).map_or(0, BTreeSet::len);
+        let survivals = self.survivals.get(&request).copied().unwrap_or(0);
+        survivals * CRASHES_PER_SURVIVAL >= crashes
     }
 
     /// Requests that are to blame: those with most crashes first, as they explain the crashes of others.
@@ -67,7 +53,11 @@
     /// they would be held back with it. One that goes on to be lost without it is to blame as well.
     pub(super) fn guilty(&self) -> BTreeSet<RequestFingerprint> {
         let mut by_crashes: BTreeMap<usize, Vec<RequestFingerprint>> = BTreeMap::new();
-        for request in &self.close {
+        for request in self
+            .close
+            .iter()
+            .filter(|request| !self.is_cleared(**request))
+        {
             let crashes = self.servers[request].len();
             by_crashes.entry(crashes).or_default().push(*request);
         }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -131,21 +131,33 @@
 
 /// A popular request is at every server that crashes, and its other runs end well.
 #[test]
-fn a_request_that_ran_to_its_end_is_not_to_blame() {
+fn a_request_that_also_runs_to_its_end_is_not_to_blame() {
     let mut quarantine = quarantine(&[&["popular"], &["popular"], &["popular"]]);
-    let survival = quarantine.survival_of(request("popular")).unwrap();
+    assert!(quarantine.is_survival_told(request("popular")));
 
     let evidence = CrashEvidence {
         crashes: Vec::new(),
-        survivals: vec![survival],
+        survivals: vec![request("popular"); 2],
     };
     let changes = quarantine.take(id(9), evidence, NOW);
 
     assert_eq!(changes, [QuarantineChange::Released(request("popular"))]);
-    assert_eq!(
-        quarantine.verdict(request("popular"), LATER),
-        Verdict::Clear
-    );
+    assert!(!is_held(&quarantine, "popular"));
+    assert!(!quarantine.is_survival_told(request("popular")));
+}
+
+/// One run that only looks complete must not clear a request that goes on to crash servers.
+#[test]
+fn a_request_that_ran_to_its_end_once_is_held_back_after_more_crashes() {
+    let mut quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
+    let evidence = CrashEvidence {
+        crashes: Vec::new(),
+        survivals: vec![request("a")],
+    };
+
+    quarantine.take(id(9), evidence, NOW);
+
+    assert!(is_held(&quarantine, "a"));
 }
 
 /// Guards against a popular request that is refused before its other runs could end.
@@ -162,7 +174,6 @@
 
 #[test]
 fn evidence_counts_alike_in_any_order() {
-    let survival = quarantine(&[&["b"], &["b"]]).survival_of(request("b"));
     let mut pieces: Vec<CrashEvidence> = Vec::new();
     for (number, lost) in [["a", "b"], ["a", "b"], ["a", "c"], ["d", "b"]]
         .iter()
@@ -174,7 +185,7 @@
         }
         pieces.push(evidence);
     }
-    pieces[0].survivals.extend(survival);
+    pieces[0].survivals.extend([request("b"); 2]);
     let take = |order: &mut dyn Iterator<Item = usize>| {
         let mut quarantine = Quarantine::default();
         for index in order {
