--- a/crates/amaranthscale/src/operator/explain/story.rs
+++ b/crates/amaranthscale/src/operator/explain/story.rs
@@ -20,6 +20,8 @@
     passed_over: usize,
     /// Starts and stops of gateways, as they stand in the files.
     lives: Vec<LogLine>,
+    /// What gateways said of requests that crash servers.
+    quarantine: Vec<LogLine>,
 }
 
 /// A story told.
@@ -44,6 +46,7 @@
             lines: Vec::new(),
             passed_over: 0,
             lives: Vec::new(),
+            quarantine: Vec::new(),
         }
     }
 
@@ -55,6 +58,7 @@
         match LogLine::parse(text) {
             Some(line) if line.field("call") == self.call => self.lines.push(line),
             Some(line) if line.part == "gateway" => self.lives.push(line),
+            Some(line) if line.part == "quarantine" => self.quarantine.push(line),
             Some(_) => {}
             None => self.passed_over += 1,
         }
@@ -129,6 +133,9 @@
 
     fn cause_of_refusal(&self, refused: &LogLine) -> String {
         let code = format!("{} {}", refused.field("code"), refused.field("reason"));
+        if let Some(held) = self.last("request", "held back") {
+            return self.cause_of_quarantine(&code, held.field("fingerprint"));
+        }
         if let Some(pieces) = self.last("request", "pieces not made") {
             let reason = pieces.field("reason");
             let waiting = self.last("batches", "job refused");
@@ -175,6 +182,16 @@
         }
     }
 
+    /// Which servers crashed under the same content, by the word of any gateway.
+    fn cause_of_quarantine(&self, code: &str, fingerprint: &str) -> String {
+        let mut words = self.quarantine.iter().rev();
+        let held = words.find(|line| {
+            line.event == "request held back" && line.field("fingerprint") == fingerprint
+        });
+        let servers = held.map_or_else(String::new, |line| format!(": {}", line.field("servers")));
+        format!("Ended with {code}: servers crashed while they ran the same content{servers}.")
+    }
+
     fn cause_of_stream(&self, stream: &LogLine) -> String {
         let (server, end) = (stream.field("server"), stream.field("end"));
         match end {
--- a/crates/amaranthscale/tests/explain_request.rs
+++ b/crates/amaranthscale/tests/explain_request.rs
@@ -233,3 +233,20 @@
     assert!(telling.cause.contains("2108"), "{}", telling.cause);
     assert!(telling.cause.contains("evacuated"), "{}", telling.cause);
 }
+
+/// A caller asks why its request is refused: what crashed the servers was sent under other ids.
+#[test]
+fn a_request_that_is_held_back_names_the_servers_that_crashed_under_it() {
+    let telling = told(
+        "ab",
+        &[
+            "10 g2 WARN quarantine: request held back fingerprint=f1 crashed=3 servers=s1,s2,s3",
+            "11 g2 WARN quarantine: request held back fingerprint=f2 crashed=3 servers=s4,s5,s6",
+            "12 g1 INFO request: held back call=ab fingerprint=f1 crashed=3",
+            "12 g1 INFO request: refused call=ab code=2110 reason=RequestQuarantined ran=no ms=1",
+        ],
+    );
+
+    assert!(telling.cause.contains("2110"), "{}", telling.cause);
+    assert!(telling.cause.contains("s1,s2,s3"), "{}", telling.cause);
+}
