A suspected request runs at one server at a time; operators list and lift what is held back

Cause: what a gateway has seen is known to nobody before its write is made. Now a request under which two servers crashed runs only after its gateway has written the run into the store, on the condition that nobody else has: as if the server had crashed. A run that ends well takes the row back; a gateway that ends in the middle leaves it. No second send within the same try. GET /quarantine at the metrics address lists, POST /quarantine/lift/FINGERPRINT lets go.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -209,6 +209,7 @@
         config.clock,
         Arc::clone(knowledge),
         Arc::clone(&counters),
+        config.store.clone(),
     );
     GatewayParts {
         crashes: Arc::new(crashes),
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use amaranthscale_core::id::RequestFingerprint;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use tokio::net::TcpListener;
 
 use super::process::{GatewayParts, serve_peer};
@@ -12,6 +13,11 @@
 use super::{GatewayConfig, GatewayError};
 use crate::connection::{HttpServer, HttpServerLimits, ResponseBody, empty_body, full_body};
 
+/// Path under which requests that are held back are listed.
+const LIST_PATH: &str = "/quarantine";
+/// Start of the path under which one of them is let go; its fingerprint follows.
+const LIFT_PATH: &str = "/quarantine/lift/";
+
 /// What listens beside the callers' server.
 #[derive(Debug)]
 pub(super) struct OtherServers {
@@ -77,8 +83,8 @@
     let mut metrics = None;
     if let Some(address) = config.metrics {
         let shown = Arc::clone(parts);
-        let answer = move |_request: Request<Incoming>| {
-            let response = Response::new(full_body(metrics_text(&shown)));
+        let answer = move |request: Request<Incoming>| {
+            let response = operator_response(&shown, &request);
             async move { response }
         };
         let server = HttpServer::start(address, limits, answer)
@@ -107,6 +113,43 @@
     response
 }
 
+/// Metrics, and what operators ask of requests that are held back.
+fn operator_response(parts: &GatewayParts, request: &Request<Incoming>) -> Response<ResponseBody> {
+    let path = request.uri().path();
+    let lifted = path.strip_prefix(LIFT_PATH);
+    match (request.method(), lifted) {
+        (&Method::POST, Some(name)) => {
+            let fingerprint: Result<RequestFingerprint, _> = name.parse();
+            let (status, text) = match fingerprint {
+                Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
+                Ok(request) if parts.crashes.lift(request) => (
+                    StatusCode::OK,
+                    format!("{request} is sent to servers again"),
+                ),
+                Ok(request) => (
+                    StatusCode::NOT_FOUND,
+                    format!("{request} is not held back: GET {LIST_PATH} lists those that are"),
+                ),
+            };
+            let mut response = Response::new(full_body(text + "\n"));
+            *response.status_mut() = status;
+            response
+        }
+        _ if path == LIST_PATH => Response::new(full_body(quarantine_text(parts))),
+        _ => Response::new(full_body(metrics_text(parts))),
+    }
+}
+
+/// Requests that are held back, one a line with the servers that crashed under it.
+fn quarantine_text(parts: &GatewayParts) -> String {
+    let held = parts.crashes.held_requests().into_iter();
+    let lines = held.map(|(request, servers)| {
+        let servers: Vec<_> = servers.iter().map(ToString::to_string).collect();
+        format!("{request} {}\n", servers.join(","))
+    });
+    lines.collect()
+}
+
 /// All counters and times, one a line.
 fn metrics_text(parts: &GatewayParts) -> String {
     use std::fmt::Write;
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -16,6 +16,7 @@
 mod pieces;
 mod server_uses;
 mod service_prompt_times;
+mod single_run;
 mod stop_gate;
 mod tell_crashes;
 mod tend_silent;
@@ -45,6 +46,7 @@
 pub use pieces::{MadePieces, PiecesError};
 #[doc(inline)]
 pub use service_prompt_times::ServicePromptTimes;
+pub(crate) use single_run::SingleRun;
 #[doc(inline)]
 pub use stop_gate::{OpenRequest, StopGate};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/process/crash_watch.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_watch.rs
@@ -4,6 +4,7 @@
 //! crashed is learnt by a connection to its address that is refused, or by its entry that is gone
 //! from the list of servers. What was lost with it is told to all gateways through the store.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,8 +16,10 @@
 use log::{info, warn};
 use tokio::sync::{Notify, watch};
 
+use super::super::StoreCalls;
 use super::super::version::Knowledge;
 use super::super::{Clock, RequestContent};
+use super::SingleRun;
 use crate::connection::{PortState, probe_port};
 use crate::process::Counters;
 
@@ -36,6 +39,7 @@
     clock: Clock,
     knowledge: Arc<Knowledge>,
     counters: Arc<Counters>,
+    store: StoreCalls,
     state: Mutex<State>,
     to_tell: Notify,
     changes: watch::Sender<u64>,
@@ -49,6 +53,8 @@
     /// Number of the evidence that is gathered.
     number: u64,
     told: Vec<(EvidenceId, CrashEvidence)>,
+    /// Claims of this gateway's own runs, which do not count here.
+    claims: BTreeSet<EvidenceId>,
 }
 
 impl CrashWatch {
@@ -59,12 +65,14 @@
         clock: Clock,
         knowledge: Arc<Knowledge>,
         counters: Arc<Counters>,
+        store: StoreCalls,
     ) -> Self {
         Self {
             instance,
             clock,
             knowledge,
             counters,
+            store,
             state: Mutex::default(),
             to_tell: Notify::new(),
             changes: watch::Sender::new(0),
@@ -91,6 +99,54 @@
         Err(crashed)
     }
 
+    /// Whether a request is close to being held back: it is sent to no second server by itself.
+    pub(crate) fn is_one_at_a_time(&self, content: &RequestContent) -> bool {
+        let state = self.state();
+        if state.quarantine.is_empty() {
+            return false;
+        }
+        let verdict = state
+            .quarantine
+            .verdict(content.fingerprint(), self.clock.now());
+        verdict == Verdict::OneAtATime
+    }
+
+    /// Claims the one run at a time that a suspected request is allowed, where it is suspected; an error
+    /// if it may not run now.
+    pub(crate) async fn claim(
+        self: &Arc<Self>,
+        content: &RequestContent,
+    ) -> Result<Option<SingleRun>, ()> {
+        if !self.is_one_at_a_time(content) {
+            return Ok(None);
+        }
+        let request = content.fingerprint();
+        match SingleRun::claim(self, &self.store, &self.instance, request).await {
+            Ok(Some(run)) => {
+                self.counters.count("quarantine.single-run");
+                Ok(Some(run))
+            }
+            Ok(None) => {
+                self.counters.count("quarantine.single-run-taken");
+                Err(())
+            }
+            Err(reason) => {
+                warn!(fingerprint:% = request, reason = reason.as_str(); "quarantine: single run not claimed");
+                Err(())
+            }
+        }
+    }
+
+    /// Leaves a claim of this gateway's own out of account.
+    pub(super) fn claiming(&self, id: &EvidenceId) {
+        self.state().claims.insert(id.clone());
+    }
+
+    /// Counts a claim again if another gateway makes it.
+    pub(super) fn released(&self, id: &EvidenceId) {
+        self.state().claims.remove(id);
+    }
+
     /// Waits until a request is held back.
     pub(crate) async fn held(&self, content: &RequestContent) -> usize {
         let mut changes = self.changes.subscribe();
@@ -213,6 +269,9 @@
     pub(crate) fn take(&self, id: EvidenceId, evidence: Option<CrashEvidence>) {
         let now = self.clock.now();
         let mut state = self.state();
+        if state.claims.contains(&id) {
+            return;
+        }
         let changes = match evidence {
             Some(evidence) => state.quarantine.take(id, evidence, now),
             None => state.quarantine.take_back(&id, now),
@@ -237,6 +296,23 @@
             .collect()
     }
 
+    /// Lets a request that is held back go on, at all gateways; false if it is not held back.
+    ///
+    /// It counts as having run to its end as often as it crashed a server.
+    pub(crate) fn lift(&self, request: RequestFingerprint) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let held = state.quarantine.held().find(|(held, _)| *held == request);
+        let Some(crashes) = held.map(|(_, servers)| servers.len()) else {
+            return false;
+        };
+        info!(fingerprint:% = request, crashed = crashes; "quarantine: lifted by an operator");
+        let survivals = std::iter::repeat_n(request, crashes);
+        state.untold.survivals.extend(survivals);
+        self.note_untold(&mut state, now);
+        true
+    }
+
     fn log(&self, changes: &[QuarantineChange]) {
         for change in changes {
             match change {
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/single_run.rs
@@ -0,0 +1,94 @@
+//! The one run at a time that a suspected request is allowed.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use amaranthscale_core::id::{EvidenceId, InstanceId, RequestFingerprint, ServerLife};
+use amaranthscale_core::process::CrashEvidence;
+use log::{info, warn};
+
+use super::super::StoreCalls;
+use super::super::version::{write_store, write_store_if};
+use super::CrashWatch;
+
+/// Time after a run that was cut off for which its claim stays: by then what it crashed is told.
+const KEPT_AFTER_LOSS: Duration = Duration::from_secs(2);
+/// Pause after a failed removal.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// A run that all gateways know of; the claim on it ends some time after this is dropped.
+///
+/// Until then it counts as a crash for the others. Guards against a gateway that ends in the middle of
+/// the run: nobody else would know of the crash, and the request would be sent to more servers.
+#[derive(Debug)]
+pub(crate) struct SingleRun {
+    id: EvidenceId,
+    store: StoreCalls,
+    watch: Arc<CrashWatch>,
+    has_completed: AtomicBool,
+}
+
+impl SingleRun {
+    /// Claims the run of a request; none while another gateway has it.
+    pub(super) async fn claim(
+        watch: &Arc<CrashWatch>,
+        store: &StoreCalls,
+        instance: &InstanceId,
+        request: RequestFingerprint,
+    ) -> Result<Option<Self>, String> {
+        let id = claim_id(request);
+        let mut evidence = CrashEvidence::default();
+        evidence.add_crash(&stand_in(instance)?, request);
+        watch.claiming(&id);
+        let is_made = write_store_if(store, (store.tell_first)(&id, &evidence)).await;
+        if matches!(is_made, Ok(true)) {
+            info!(fingerprint:% = request; "quarantine: single run");
+            return Ok(Some(Self {
+                id,
+                store: store.clone(),
+                watch: Arc::clone(watch),
+                has_completed: AtomicBool::new(false),
+            }));
+        }
+        watch.released(&id);
+        is_made.map(|_is_made| None)
+    }
+
+    /// Says that the run ended by itself.
+    pub(crate) fn completed(&self) {
+        self.has_completed.store(true, Ordering::Release);
+    }
+}
+
+impl Drop for SingleRun {
+    fn drop(&mut self) {
+        let (id, store, watch) = (self.id.clone(), self.store.clone(), Arc::clone(&self.watch));
+        let kept = if self.has_completed.load(Ordering::Acquire) {
+            Duration::ZERO
+        } else {
+            KEPT_AFTER_LOSS
+        };
+        tokio::spawn(async move {
+            tokio::time::sleep(kept).await;
+            while let Err(reason) = write_store(&store, (store.take_back)(&id)).await {
+                warn!(evidence:% = id, reason = reason.as_str(); "quarantine: evidence not removed");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            watch.released(&id);
+        });
+    }
+}
+
+/// The name under which a request's single run is claimed, the same at all gateways.
+fn claim_id(request: RequestFingerprint) -> EvidenceId {
+    let name = format!("single.{request}");
+    name.parse()
+        .unwrap_or_else(|_error| unreachable!("a fingerprint makes a name"))
+}
+
+/// Stands for the server that a claimed run may crash.
+fn stand_in(instance: &InstanceId) -> Result<ServerLife, String> {
+    let name = format!("single:{instance}");
+    name.parse().map_err(|error| format!("{error}"))
+}
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -1,6 +1,6 @@
 //! Takes a caller's request and gives its one answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::{GatewayParts, OpenRequest};
+use super::super::process::{GatewayParts, OpenRequest, SingleRun};
 use super::super::{CallerWork, RequestContent};
 use super::answer::AnswerBody;
 use super::engine_run::run_engine;
@@ -24,12 +24,17 @@
 use super::refused::Refused;
 use crate::connection::{ReadBodyError, read_body};
 
+/// Time after which a caller may come back whose request runs elsewhere and may run once at a time.
+const SINGLE_RUN_RETRY: Duration = Duration::from_secs(2);
+
 /// A request that may run.
 #[derive(Debug)]
 pub(super) struct Admitted {
     pub(super) route: Arc<Route>,
     pub(super) work: CallerWork,
     pub(super) content: RequestContent,
+    /// The claim on its run, where it may be sent to one server at a time only.
+    pub(super) single_run: OnceLock<SingleRun>,
     pub(super) rank: Rank,
     pub(super) arrived: Instant,
     /// When the caller's or the route's time is over.
@@ -42,12 +47,30 @@
         self.until.saturating_duration_since(Instant::now())
     }
 
-    /// Refuses a request under which servers crash.
-    pub(super) fn check_held(&self, parts: &GatewayParts) -> Result<(), ResultCode> {
-        parts
-            .crashes
-            .check(&self.content)
-            .map_err(|crashed| self.held_back(crashed))
+    /// Refuses a request under which servers crash, and claims the run of one under which some did.
+    pub(super) async fn check_held(&self, parts: &GatewayParts) -> Result<(), Refused> {
+        let held = parts.crashes.check(&self.content);
+        held.map_err(|crashed| Refused::new(self.held_back(crashed)))?;
+        if self.single_run.get().is_some() {
+            return Ok(());
+        }
+        let Ok(claimed) = parts.crashes.claim(&self.content).await else {
+            let code = self.held_back(0);
+            return Err(Refused::new(code).come_back_in(SINGLE_RUN_RETRY));
+        };
+        if let Some(claimed) = claimed {
+            // Nobody else claims for this request, so the place is free.
+            let _ = self.single_run.set(claimed);
+        }
+        Ok(())
+    }
+
+    /// Notes that a server ran the request to its end.
+    pub(super) fn completed(&self, parts: &GatewayParts) {
+        parts.crashes.completed(&self.content);
+        if let Some(run) = self.single_run.get() {
+            run.completed();
+        }
     }
 
     /// Notes that the request is held back.
@@ -178,6 +201,7 @@
         route,
         work,
         content,
+        single_run: OnceLock::new(),
         rank,
         arrived,
         until,
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -115,8 +115,8 @@
     pub(super) async fn begin(&mut self) -> Result<Running, Refused> {
         let mut pieces = Pieces::Unmade;
         loop {
-            if let Err(code) = self.admitted.check_held(&self.parts) {
-                return Err(self.refused_held(code));
+            if let Err(refused) = self.admitted.check_held(&self.parts).await {
+                return Err(self.refused_held(refused));
             }
             let server = self
                 .choose()
@@ -177,9 +177,9 @@
     }
 
     /// The answer to a request that is held back: one that an engine began has run.
-    const fn refused_held(&self, code: ResultCode) -> Refused {
+    const fn refused_held(&self, refused: Refused) -> Refused {
         if self.ran == 0 {
-            Refused::new(code)
+            refused
         } else {
             Refused::new(ResultCode::AnswerLost)
         }
@@ -222,6 +222,7 @@
         let route = &self.admitted.route;
         route.kind.may_repeat()
             && self.ran < route.max_attempts
+            && !self.parts.crashes.is_one_at_a_time(&self.admitted.content)
             && self.parts.try_repeat(&self.service)
     }
 
@@ -276,7 +277,7 @@
                 made = tokio::time::timeout(self.admitted.left(), making) => made,
                 crashed = self.parts.crashes.held(&self.admitted.content) => {
                     let code = self.admitted.held_back(crashed);
-                    return Err(self.refused_held(code));
+                    return Err(self.refused_held(Refused::new(code)));
                 }
                 () = self.parts.stop.hurried() => {
                     return Err(Refused::new(ResultCode::NotReady).closing());
@@ -357,7 +358,7 @@
                 return Err(Refused::new(ResultCode::AnswerLost));
             }
         };
-        sent.answered(&self.admitted.content);
+        sent.answered(&self.admitted);
         let share = self.parts.connection_share(&self.service);
         self.parts.pool.give_back(connection, &head.headers, share);
         Ok(passed_on(head.status, &head.headers, whole(body)))
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -87,11 +87,12 @@
 impl PlainRun<'_> {
     async fn go(&mut self, outgoing: &Outgoing) -> Result<Response<AnswerBody>, Refused> {
         loop {
-            if let Err(refused) = self.admitted.check_held(self.parts) {
+            if let Err(refused) = self.admitted.check_held(self.parts).await {
                 return self.give_up(refused);
             }
             let Some(server) = self.choose() else {
-                return self.give_up(self.parts.none_usable(self.service));
+                let code = self.parts.none_usable(self.service);
+                return self.give_up(Refused::new(code));
             };
             let tried = self.try_at(&server, outgoing).await;
             let has_more = match tried {
@@ -122,7 +123,7 @@
             };
             self.tried.insert(server.life);
             if !has_more {
-                return self.give_up(ResultCode::QueueFull);
+                return self.give_up(Refused::new(ResultCode::QueueFull));
             }
         }
     }
@@ -181,7 +182,7 @@
         } = begun;
         match read_body(body, MAX_ANSWER_BYTES, self.admitted.left()).await {
             Ok(body) => {
-                sent.answered(&self.admitted.content);
+                sent.answered(self.admitted);
                 self.parts
                     .pool
                     .give_back(connection, &head.headers, self.share);
@@ -219,6 +220,9 @@
         if !route.kind.may_repeat() || self.may_have_run >= route.max_attempts {
             return false;
         }
+        if self.parts.crashes.is_one_at_a_time(&self.admitted.content) {
+            return false;
+        }
         self.parts.try_repeat(self.service)
     }
 
@@ -246,7 +250,7 @@
         );
     }
 
-    fn give_up(&mut self, unsent: ResultCode) -> Result<Response<AnswerBody>, Refused> {
+    fn give_up(&mut self, unsent: Refused) -> Result<Response<AnswerBody>, Refused> {
         if let Some(failure) = self.kept_failure.take() {
             return Ok(passed_on(
                 failure.status,
@@ -255,13 +259,12 @@
             ));
         }
         let is_over = self.admitted.left().is_zero();
-        let code = match (self.may_have_run, is_over) {
-            (0, true) => ResultCode::DeadlineUnreachable,
+        Err(match (self.may_have_run, is_over) {
+            (0, true) => Refused::new(ResultCode::DeadlineUnreachable),
             (0, false) => unsent,
-            (_, true) => ResultCode::DeadlinePassed,
-            (_, false) => ResultCode::AnswerLost,
-        };
-        Err(Refused::new(code))
+            (_, true) => Refused::new(ResultCode::DeadlinePassed),
+            (_, false) => Refused::new(ResultCode::AnswerLost),
+        })
     }
 }
 
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -68,8 +68,8 @@
     }
 
     /// Says that the whole answer came.
-    pub(super) fn answered(self, content: &RequestContent) {
-        self.parts.crashes.completed(content);
+    pub(super) fn answered(self, admitted: &Admitted) {
+        admitted.completed(&self.parts);
         self.end(SendEnd::Answered);
     }
 
@@ -121,7 +121,7 @@
         sent.end(SendEnd::Full);
         return SendOutcome::NotSent;
     }
-    if parts.crashes.check(&admitted.content).is_err() {
+    if admitted.check_held(parts).await.is_err() {
         sent.end(SendEnd::Abandoned);
         return SendOutcome::Held;
     }
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -138,7 +138,7 @@
                 }
             }
         }
-        sent.answered(&self.run.admitted.content);
+        sent.answered(&self.run.admitted);
         let share = self.run.parts.connection_share(&self.run.service);
         self.run
             .parts
--- a/crates/amaranthscale/src/gateway/store_calls.rs
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -118,6 +118,8 @@
     pub withdraw: fn(&InstanceId) -> Request<Full<Bytes>>,
     /// Tells of crashed servers.
     pub tell: fn(&EvidenceId, &CrashEvidence) -> Request<Full<Bytes>>,
+    /// Tells the same, if nothing is told under that name.
+    pub tell_first: fn(&EvidenceId, &CrashEvidence) -> Request<Full<Bytes>>,
     /// Removes what was told.
     pub take_back: fn(&EvidenceId) -> Request<Full<Bytes>>,
     /// Reads an answer.
--- a/crates/amaranthscale/src/gateway/version/store_write.rs
+++ b/crates/amaranthscale/src/gateway/version/store_write.rs
@@ -18,12 +18,21 @@
     store: &StoreCalls,
     request: Request<Full<Bytes>>,
 ) -> Result<(), String> {
+    write_store_if(store, request).await.map(|_is_made| ())
+}
+
+/// Makes one write if its condition holds; says whether it did.
+pub(crate) async fn write_store_if(
+    store: &StoreCalls,
+    request: Request<Full<Bytes>>,
+) -> Result<bool, String> {
     let connection = Http1Connection::open(store.address, WRITE_PATIENCE)
         .await
         .map_err(|error| error.to_string())?;
     let (answer, _connection) = call_store(store, connection, request, WRITE_PATIENCE).await?;
     match answer {
-        StoreAnswer::Rows(_) | StoreAnswer::Conflict => Ok(()),
+        StoreAnswer::Rows(_) => Ok(true),
+        StoreAnswer::Conflict => Ok(false),
         other => Err(format!("the store answered {other:?}")),
     }
 }
--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -7,6 +7,10 @@
 //! beside it are not held back with it. A request that also runs to its end is not to blame: a popular
 //! one is at each server that crashes, and ends well elsewhere meanwhile.
 //!
+//! Before the last crash that a request is allowed, it is sent to one server at a time: an entry tells
+//! the others of the run before it begins, as if the server had crashed, and takes that back when the
+//! run has ended well. An entry that ends in the middle of the run so leaves its word behind.
+//!
 //! Evidence is forgotten some time after it was last told. While a request that is held back keeps
 //! coming, it is told again.
 
@@ -26,9 +30,9 @@
 use crate::id::{EvidenceId, RequestFingerprint, ServerLife};
 use suspicions::Suspicions;
 
-/// Crashes from which on a completed run is told to the others: a request with fewer is not close to
-/// being held back.
-const SURVIVAL_TOLD_FROM: usize = 2;
+/// Crashes from which on a request is sent to one server at a time, and its completed runs are told to
+/// the others.
+const ONE_AT_A_TIME_FROM: usize = 2;
 /// Time from the last crash until the request is held back: one that many callers send runs to its end
 /// elsewhere meanwhile, which speaks for it.
 const CONFIRMED_AFTER: Duration = Duration::from_millis(500);
@@ -48,8 +52,10 @@
 pub enum Verdict {
     /// Nothing.
     Clear,
-    /// So many servers crashed while they ran it, too few to hold it back.
-    Suspected(usize),
+    /// A server crashed while it ran it.
+    Suspected,
+    /// Servers crashed under it, almost as many as hold it back: it may be sent to one server at a time.
+    OneAtATime,
     /// So many servers crashed under it: it is sent to no more.
     Held(usize),
 }
@@ -162,8 +168,10 @@
         let is_held = since.is_some_and(|since| now.saturating_sub(*since) >= CONFIRMED_AFTER);
         if is_held {
             Verdict::Held(servers.len())
+        } else if servers.len() >= ONE_AT_A_TIME_FROM && !self.suspicions.is_cleared(request) {
+            Verdict::OneAtATime
         } else {
-            Verdict::Suspected(servers.len())
+            Verdict::Suspected
         }
     }
 
@@ -172,7 +180,7 @@
     pub fn is_survival_told(&self, request: RequestFingerprint) -> bool {
         let servers = self.suspicions.servers.get(&request);
         let crashes = servers.map_or(0, BTreeSet::len);
-        crashes >= SURVIVAL_TOLD_FROM && !self.suspicions.is_cleared(request)
+        crashes >= ONE_AT_A_TIME_FROM && !self.suspicions.is_cleared(request)
     }
 
     /// The evidence against a request that is held back and comes again, if it would soon be forgotten.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -50,7 +50,7 @@
     let mut quarantine = quarantine(&[&["culprit"], &["culprit"]]);
     assert_eq!(
         quarantine.verdict(request("culprit"), LATER),
-        Verdict::Suspected(2)
+        Verdict::OneAtATime
     );
 
     let changes = crash(&mut quarantine, 2, &["culprit"]);
@@ -168,7 +168,7 @@
     let at_once = quarantine.verdict(request("a"), NOW);
     let soon = quarantine.verdict(request("a"), NOW + Duration::from_millis(500));
 
-    assert_eq!(at_once, Verdict::Suspected(3));
+    assert_eq!(at_once, Verdict::OneAtATime);
     assert_eq!(soon, Verdict::Held(3));
 }
 
@@ -243,7 +243,7 @@
     assert_eq!(quarantine.verdict(request("r0"), LATER), Verdict::Clear);
     assert_eq!(
         quarantine.verdict(request("r29999"), LATER),
-        Verdict::Suspected(1)
+        Verdict::Suspected
     );
 }
 
