--- a/crates/amaranthscale/src/gateway/process/crash_watch.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_watch.rs
@@ -204,7 +204,10 @@
         let port = probe_port(address, LOOK_PATIENCE).await;
         self.counters.count_reason("servers.looked-at", port.name());
         if port == PortState::Refuses {
-            self.crashed(&server, "refuses connections");
+            let requests = self.state().lost.crashed(&server);
+            self.crashed(&server, "refuses connections", requests);
+        } else {
+            self.state().lost.not_crashed(&server);
         }
     }
 
@@ -214,17 +217,22 @@
         let is_listed = |life: &ServerLife| servers.is_listed(life);
         let missing = self.state().lost.missing(is_listed);
         for server in missing {
-            self.crashed(&server, "is listed no more");
+            let requests = self.state().lost.gone(&server);
+            self.crashed(&server, "is listed no more", requests);
         }
     }
 
-    fn crashed(&self, server: &ServerLife, sign: &'static str) {
-        let now = self.clock.now();
-        let mut state = self.state();
-        let requests = state.lost.crashed(server);
+    fn crashed(
+        &self,
+        server: &ServerLife,
+        sign: &'static str,
+        requests: BTreeSet<RequestFingerprint>,
+    ) {
         if requests.is_empty() {
             return;
         }
+        let now = self.clock.now();
+        let mut state = self.state();
         self.counters.count("servers.crashed");
         info!(server:% = server, sign, lost = requests.len(); "servers: crashed");
         for request in requests {
--- a/crates/core/src/process/quarantine/lost_runs.rs
+++ b/crates/core/src/process/quarantine/lost_runs.rs
@@ -14,7 +14,7 @@
 /// What a lost run asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LossStep {
-    /// The first one at its server: look whether the server still listens.
+    /// Look whether the server still listens.
     Probe,
     /// That is being looked at.
     Wait,
@@ -24,8 +24,12 @@
 
 #[derive(Debug, Clone, Default)]
 struct LostAt {
+    /// Lost since the server was last found listening.
     requests: BTreeSet<RequestFingerprint>,
+    /// Lost before; another life may have listened by then.
+    unsettled: BTreeSet<RequestFingerprint>,
     last_at: Duration,
+    is_probed: bool,
     has_crashed: bool,
 }
 
@@ -45,7 +49,6 @@
     ) -> LossStep {
         self.by_server
             .retain(|_, lost| now.saturating_sub(lost.last_at) < REMEMBERED);
-        let is_first = !self.by_server.contains_key(server);
         let lost = self.by_server.entry(server.clone()).or_default();
         lost.last_at = now;
         if lost.has_crashed {
@@ -54,10 +57,22 @@
         if lost.requests.len() < MOST_OF_SERVER {
             lost.requests.insert(request);
         }
-        if is_first {
-            LossStep::Probe
-        } else {
+        if std::mem::replace(&mut lost.is_probed, true) {
             LossStep::Wait
+        } else {
+            LossStep::Probe
+        }
+    }
+
+    /// Takes note that a server could not be found crashed: the next run that it loses is looked at anew.
+    ///
+    /// Guards against a crash that nobody looks for, as the server had lost another run and lived on.
+    pub fn not_crashed(&mut self, server: &ServerLife) {
+        if let Some(lost) = self.by_server.get_mut(server) {
+            lost.is_probed = false;
+            if lost.unsettled.len() < MOST_OF_SERVER {
+                lost.unsettled.append(&mut lost.requests);
+            }
         }
     }
 
@@ -67,9 +82,19 @@
             return BTreeSet::new();
         };
         lost.has_crashed = true;
+        lost.unsettled.clear();
         std::mem::take(&mut lost.requests)
     }
 
+    /// Takes a server for crashed that is listed no more; all requests whose runs it lost lately.
+    pub fn gone(&mut self, server: &ServerLife) -> BTreeSet<RequestFingerprint> {
+        let unsettled = self.by_server.get_mut(server);
+        let mut requests =
+            unsettled.map_or_else(BTreeSet::new, |lost| std::mem::take(&mut lost.unsettled));
+        requests.append(&mut self.crashed(server));
+        requests
+    }
+
     /// Servers that lost runs and that a function names no more, as the list of servers has changed.
     #[must_use]
     pub fn missing(&self, is_listed: impl Fn(&ServerLife) -> bool) -> Vec<ServerLife> {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -260,6 +260,31 @@
     assert_eq!(lost.lost(&server(1), request("c"), NOW), LossStep::Report);
 }
 
+/// Guards against a crash that nobody looks for, as the server had lost another run shortly before.
+#[test]
+fn a_server_that_was_found_listening_is_looked_at_again() {
+    let mut lost = LostRuns::default();
+    lost.lost(&server(1), request("a"), NOW);
+    lost.not_crashed(&server(1));
+
+    assert_eq!(lost.lost(&server(1), request("b"), NOW), LossStep::Probe);
+
+    let requests: Vec<_> = lost.crashed(&server(1)).into_iter().collect();
+    assert_eq!(requests, [request("b")], "the first one outlived its run");
+}
+
+/// A server may be back before anybody looks: then only the list tells that another life listens.
+#[test]
+fn a_server_that_is_listed_no_more_is_to_blame_for_all_runs_that_it_lost() {
+    let mut lost = LostRuns::default();
+    lost.lost(&server(1), request("a"), NOW);
+    lost.not_crashed(&server(1));
+    lost.lost(&server(1), request("b"), NOW);
+
+    assert_eq!(lost.gone(&server(1)).len(), 2);
+    assert_eq!(lost.lost(&server(1), request("c"), NOW), LossStep::Report);
+}
+
 /// A broken connection to a server that lives on says nothing of its request.
 #[test]
 fn runs_lost_at_a_server_that_stays_are_forgotten() {
