A claim on a single run is taken back though its caller leaves or the store's answer is lost

Read in review: a caller that left while its gateway claimed the run ended the claim's task between the write and its guard; the row stayed for ten minutes and counted as a crash of a server, the third one, so that an innocent request that had been lost twice would be held back. The same after a write whose answer was lost. Now the claim is made by a task of its own under a guard that exists before the write.

--- a/crates/amaranthscale/src/gateway/process/crash_watch.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_watch.rs
@@ -121,7 +121,15 @@
             return Ok(None);
         }
         let request = content.fingerprint();
-        match SingleRun::claim(self, &self.store, &self.instance, request).await {
+        let (watch, store) = (Arc::clone(self), self.store.clone());
+        // A task of its own: a caller that leaves meanwhile would leave the claim behind for good.
+        let claiming = tokio::spawn(async move {
+            SingleRun::claim(&watch, &store, &watch.instance, request).await
+        });
+        let claimed = claiming
+            .await
+            .unwrap_or_else(|error| Err(error.to_string()));
+        match claimed {
             Ok(Some(run)) => {
                 self.counters.count("quarantine.single-run");
                 Ok(Some(run))
--- a/crates/amaranthscale/src/gateway/process/single_run.rs
+++ b/crates/amaranthscale/src/gateway/process/single_run.rs
@@ -27,6 +27,8 @@
     store: StoreCalls,
     watch: Arc<CrashWatch>,
     has_completed: AtomicBool,
+    /// Whether another gateway has the claim.
+    is_taken: bool,
 }
 
 impl SingleRun {
@@ -41,18 +43,21 @@
         let mut evidence = CrashEvidence::default();
         evidence.add_crash(&stand_in(instance)?, request);
         watch.claiming(&id);
-        let is_made = write_store_if(store, (store.tell_first)(&id, &evidence)).await;
-        if matches!(is_made, Ok(true)) {
+        let request_of_store = (store.tell_first)(&id, &evidence);
+        let mut run = Self {
+            id,
+            store: store.clone(),
+            watch: Arc::clone(watch),
+            has_completed: AtomicBool::new(false),
+            is_taken: false,
+        };
+        // A write without an answer may have been made: dropped, the run takes it back.
+        if write_store_if(store, request_of_store).await? {
             info!(fingerprint:% = request; "quarantine: single run");
-            return Ok(Some(Self {
-                id,
-                store: store.clone(),
-                watch: Arc::clone(watch),
-                has_completed: AtomicBool::new(false),
-            }));
+            return Ok(Some(run));
         }
-        watch.released(&id);
-        is_made.map(|_is_made| None)
+        run.is_taken = true;
+        Ok(None)
     }
 
     /// Says that the run ended by itself.
@@ -63,6 +68,10 @@
 
 impl Drop for SingleRun {
     fn drop(&mut self) {
+        if self.is_taken {
+            self.watch.released(&self.id);
+            return;
+        }
         let (id, store, watch) = (self.id.clone(), self.store.clone(), Arc::clone(&self.watch));
         let kept = if self.has_completed.load(Ordering::Acquire) {
             Duration::ZERO
--- a/crates/amaranthscale/src/operator/explain/story.rs
+++ b/crates/amaranthscale/src/operator/explain/story.rs
@@ -283,7 +283,7 @@
 
 /// Whether an end of a send says that nothing was sent, as the server might not be used.
 fn is_withheld(end: &str) -> bool {
-    matches!(end, "evacuated" | "leaving" | "cold" | "gone")
+    matches!(end, "evacuated" | "leaving" | "cold" | "gone" | "held")
 }
 
 /// The load that a line's server was chosen by; nothing for lines without it.
