--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -7,8 +7,8 @@
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerLife, ServiceId};
 use amaranthscale_core::process::{
-    ConnectionShare, JobFailure, PipelineOrder, SeenLoad, SendEnd, SendingEntry, ServerRecord,
-    StageOrder, USUAL_ENGINE_TIME,
+    ConnectionShare, JobFailure, PipelineOrder, SeenLoad, SendingEntry, ServerRecord, StageOrder,
+    USUAL_ENGINE_TIME,
 };
 use hyper::Response;
 use log::info;
@@ -22,7 +22,7 @@
 use super::refused::Refused;
 use super::send::{BegunAnswer, SendOutcome, Sent, send};
 use super::stream_relay::relay;
-use crate::connection::{ReadBodyError, read_body};
+use crate::connection::read_body;
 
 /// Largest failure of an engine that is passed on.
 const MAX_FAILURE_BYTES: usize = 1024 * 1024;
@@ -350,11 +350,7 @@
         let body = match read_body(body, MAX_FAILURE_BYTES, self.admitted.left()).await {
             Ok(body) => body,
             Err(error) => {
-                if matches!(error, ReadBodyError::Broken(_)) {
-                    sent.cut_off(&self.admitted.content);
-                } else {
-                    sent.end(SendEnd::Failed);
-                }
+                sent.read_failed(&error, &self.admitted.content);
                 return Err(Refused::new(ResultCode::AnswerLost));
             }
         };
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -7,7 +7,7 @@
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::ServiceId;
 use amaranthscale_core::process::{
-    ConnectionShare, SeenLoad, SendEnd, SendingEntry, ServerRecord, ServerUse,
+    ConnectionShare, SeenLoad, SendingEntry, ServerRecord, ServerUse,
 };
 use hyper::{HeaderMap, Response, StatusCode};
 use log::info;
@@ -20,7 +20,7 @@
 use super::outgoing::Outgoing;
 use super::refused::Refused;
 use super::send::{BegunAnswer, SendOutcome, Sent, send};
-use crate::connection::{ReadBodyError, read_body};
+use crate::connection::read_body;
 
 /// Largest body that is held before it is passed on; plain answers are some kilobytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -193,11 +193,7 @@
                 })
             }
             Err(error) => {
-                if matches!(error, ReadBodyError::Broken(_)) {
-                    sent.cut_off(&self.admitted.content);
-                } else {
-                    sent.end(SendEnd::Failed);
-                }
+                sent.read_failed(&error, &self.admitted.content);
                 Tried::Lost
             }
         }
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -15,7 +15,7 @@
 use super::super::process::GatewayParts;
 use super::caller::Admitted;
 use super::outgoing::Outgoing;
-use crate::connection::SendError;
+use crate::connection::{ReadBodyError, SendError};
 
 /// How a send ended before the body of an answer.
 #[derive(Debug)]
@@ -79,6 +79,14 @@
         self.end(SendEnd::Failed);
     }
 
+    /// Says that the body of the answer could not be read.
+    pub(super) fn read_failed(self, error: &ReadBodyError, content: &RequestContent) {
+        match error {
+            ReadBodyError::Broken(_) => self.cut_off(content),
+            ReadBodyError::TooLarge(_) | ReadBodyError::Slow(_) => self.end(SendEnd::Failed),
+        }
+    }
+
     /// Says how the send ended.
     pub(super) fn end(mut self, end: SendEnd) {
         self.end = end;
