--- a/crates/amaranthscale/tests/feed_pace.rs
+++ b/crates/amaranthscale/tests/feed_pace.rs
@@ -63,8 +63,7 @@
     }
 }
 
-/// The connection to the store falls silent in the moment in which another gateway tells of a crash. The
-/// request that is to blame must be held back within the bound all the same.
+/// Guards against a gateway that hears of no crash while its connection to the store is silent.
 #[test]
 fn a_crash_is_known_within_its_bound_though_a_connection_falls_silent() {
     let held_back_after = Duration::from_millis(500);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -76,7 +76,7 @@
     assert!(!is_held(&quarantine, "a"));
 }
 
-/// Requests beside the one to blame are lost at the same servers.
+/// Guards against requests that are blamed as they are lost beside the one to blame.
 #[test]
 fn bystanders_of_a_culprit_are_not_held_back() {
     let crashes: [&[&str]; 4] = [
@@ -112,7 +112,7 @@
     assert!(!is_held(&quarantine, "a"));
 }
 
-/// The more frequent culprit explains the crashes of the other one until that crashes a server alone.
+/// Guards against a culprit that stays hidden behind a more frequent one.
 #[test]
 fn a_culprit_hidden_behind_another_is_held_back_at_its_next_crash() {
     let mut quarantine = quarantine(&[
@@ -129,7 +129,7 @@
     assert!(is_held(&quarantine, "second"));
 }
 
-/// A popular request is at every server that crashes, and its other runs end well.
+/// Guards against a popular request that is blamed as it is at every server that crashes.
 #[test]
 fn a_request_that_also_runs_to_its_end_is_not_to_blame() {
     let mut quarantine = quarantine(&[&["popular"], &["popular"], &["popular"]]);
@@ -146,7 +146,7 @@
     assert!(!quarantine.is_survival_told(request("popular")));
 }
 
-/// One run that only looks complete must not clear a request that goes on to crash servers.
+/// Guards against one run that only looks complete.
 #[test]
 fn a_request_that_ran_to_its_end_once_is_held_back_after_more_crashes() {
     let mut quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
