--- a/crates/amaranthscale/src/gateway/process/crash_watch.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_watch.rs
@@ -52,7 +52,8 @@
     untold: CrashEvidence,
     /// Number of the evidence that is gathered.
     number: u64,
-    told: Vec<(EvidenceId, CrashEvidence)>,
+    /// Evidence to which nothing more is added, to be told.
+    closed: Vec<(EvidenceId, CrashEvidence)>,
     /// Claims of this gateway's own runs, which do not count here.
     claims: BTreeSet<EvidenceId>,
 }
@@ -83,13 +84,10 @@
     pub(crate) fn check(&self, content: &RequestContent) -> Result<(), usize> {
         let now = self.clock.now();
         let mut state = self.state();
-        if state.quarantine.is_empty() {
-            return Ok(());
-        }
-        let request = content.fingerprint();
-        let Verdict::Held(crashed) = state.quarantine.verdict(request, now) else {
+        let Verdict::Held(crashed) = state.verdict(content, now) else {
             return Ok(());
         };
+        let request = content.fingerprint();
         if let Some(renewal) = state.quarantine.renewal_of(request, now) {
             for (request, server) in renewal.blames() {
                 state.untold.add_crash(server, request);
@@ -101,14 +99,8 @@
 
     /// Whether a request is close to being held back: it is sent to no second server by itself.
     pub(crate) fn is_one_at_a_time(&self, content: &RequestContent) -> bool {
-        let state = self.state();
-        if state.quarantine.is_empty() {
-            return false;
-        }
-        let verdict = state
-            .quarantine
-            .verdict(content.fingerprint(), self.clock.now());
-        verdict == Verdict::OneAtATime
+        let now = self.clock.now();
+        self.state().verdict(content, now) == Verdict::OneAtATime
     }
 
     /// Claims the one run at a time that a suspected request is allowed, where it is suspected; an error
@@ -121,11 +113,8 @@
             return Ok(None);
         }
         let request = content.fingerprint();
-        let (watch, store) = (Arc::clone(self), self.store.clone());
         // A task of its own: a caller that leaves meanwhile would leave the claim behind for good.
-        let claiming = tokio::spawn(async move {
-            SingleRun::claim(&watch, &store, &watch.instance, request).await
-        });
+        let claiming = tokio::spawn(SingleRun::claim(Arc::clone(self), request));
         let claimed = claiming
             .await
             .unwrap_or_else(|error| Err(error.to_string()));
@@ -145,6 +134,16 @@
         }
     }
 
+    /// This life of the gateway.
+    pub(super) const fn instance(&self) -> &InstanceId {
+        &self.instance
+    }
+
+    /// How the store is called.
+    pub(super) const fn store(&self) -> &StoreCalls {
+        &self.store
+    }
+
     /// Leaves a claim of this gateway's own out of account.
     pub(super) fn claiming(&self, id: &EvidenceId) {
         self.state().claims.insert(id.clone());
@@ -162,8 +161,14 @@
             if let Err(crashed) = self.check(content) {
                 return crashed;
             }
-            // A request is held back some time after the change that says so.
-            let _ = tokio::time::timeout(LOOK_AGAIN, changes.changed()).await;
+            let news = changes.changed();
+            // The watch outlives its waiters, so its sender is there.
+            if self.state().quarantine.is_empty() {
+                let _ = news.await;
+            } else {
+                // A request is held back some time after the change that says so.
+                let _ = tokio::time::timeout(LOOK_AGAIN, news).await;
+            }
         }
     }
 
@@ -273,7 +278,7 @@
     pub(super) fn take_untold(&self) -> Vec<(EvidenceId, CrashEvidence)> {
         let mut state = self.state();
         state.close_untold(&self.instance);
-        std::mem::take(&mut state.told)
+        std::mem::take(&mut state.closed)
     }
 
     /// Evidence that counts no more.
@@ -357,13 +362,21 @@
 }
 
 impl State {
+    /// What is known against a request; it is named only while anything is suspected.
+    fn verdict(&self, content: &RequestContent, now: Duration) -> Verdict {
+        if self.quarantine.is_empty() {
+            return Verdict::Clear;
+        }
+        self.quarantine.verdict(content.fingerprint(), now)
+    }
+
     /// Ends the evidence that is gathered: what comes goes under the next name.
     fn close_untold(&mut self, instance: &InstanceId) {
         if self.untold.is_empty() {
             return;
         }
         let evidence = std::mem::take(&mut self.untold);
-        self.told
+        self.closed
             .push((evidence_id(instance, self.number), evidence));
         self.number += 1;
     }
--- a/crates/amaranthscale/src/gateway/process/single_run.rs
+++ b/crates/amaranthscale/src/gateway/process/single_run.rs
@@ -8,8 +8,7 @@
 use amaranthscale_core::process::CrashEvidence;
 use log::{info, warn};
 
-use super::super::StoreCalls;
-use super::super::version::{write_store, write_store_if};
+use super::super::version::{write_store_if, write_store_until_taken};
 use super::CrashWatch;
 
 /// Time after a run that was cut off for which its claim stays: by then what it crashed is told.
@@ -24,7 +23,6 @@
 #[derive(Debug)]
 pub(crate) struct SingleRun {
     id: EvidenceId,
-    store: StoreCalls,
     watch: Arc<CrashWatch>,
     has_completed: AtomicBool,
     /// Whether another gateway has the claim.
@@ -34,25 +32,22 @@
 impl SingleRun {
     /// Claims the run of a request; none while another gateway has it.
     pub(super) async fn claim(
-        watch: &Arc<CrashWatch>,
-        store: &StoreCalls,
-        instance: &InstanceId,
+        watch: Arc<CrashWatch>,
         request: RequestFingerprint,
     ) -> Result<Option<Self>, String> {
         let id = claim_id(request);
         let mut evidence = CrashEvidence::default();
-        evidence.add_crash(&stand_in(instance)?, request);
+        evidence.add_crash(&stand_in(watch.instance())?, request);
         watch.claiming(&id);
-        let request_of_store = (store.tell_first)(&id, &evidence);
+        let claim = (watch.store().tell_first)(&id, &evidence);
         let mut run = Self {
             id,
-            store: store.clone(),
-            watch: Arc::clone(watch),
+            watch,
             has_completed: AtomicBool::new(false),
             is_taken: false,
         };
         // A write without an answer may have been made: dropped, the run takes it back.
-        if write_store_if(store, request_of_store).await? {
+        if write_store_if(run.watch.store(), claim).await? {
             info!(fingerprint:% = request; "quarantine: single run");
             return Ok(Some(run));
         }
@@ -72,7 +67,7 @@
             self.watch.released(&self.id);
             return;
         }
-        let (id, store, watch) = (self.id.clone(), self.store.clone(), Arc::clone(&self.watch));
+        let (id, watch) = (self.id.clone(), Arc::clone(&self.watch));
         let kept = if self.has_completed.load(Ordering::Acquire) {
             Duration::ZERO
         } else {
@@ -80,10 +75,11 @@
         };
         tokio::spawn(async move {
             tokio::time::sleep(kept).await;
-            while let Err(reason) = write_store(&store, (store.take_back)(&id)).await {
-                warn!(evidence:% = id, reason = reason.as_str(); "quarantine: evidence not removed");
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+            let store = watch.store();
+            let take_back = || (store.take_back)(&id);
+            let failed =
+                |reason: &str| warn!(evidence:% = id, reason; "quarantine: evidence not removed");
+            write_store_until_taken(store, take_back, RETRY_PAUSE, failed).await;
             watch.released(&id);
         });
     }
--- a/crates/amaranthscale/src/gateway/process/tell_crashes.rs
+++ b/crates/amaranthscale/src/gateway/process/tell_crashes.rs
@@ -7,7 +7,7 @@
 use log::{info, warn};
 
 use super::super::StoreCalls;
-use super::super::version::write_store;
+use super::super::version::{write_store, write_store_until_taken};
 use super::GatewayParts;
 
 /// Time in which evidence is gathered: the runs that one crash ends are lost together.
@@ -35,11 +35,12 @@
             tokio::time::sleep(spread.mul_f64(rand::random_range(0.0..1.0))).await;
         }
         for (id, evidence) in evidence {
-            while let Err(reason) = write_store(&store, (store.tell)(&id, &evidence)).await {
+            let tell = || (store.tell)(&id, &evidence);
+            let failed = |reason: &str| {
                 parts.counters.count("quarantine.not-told");
-                warn!(evidence:% = id, reason = reason.as_str(); "quarantine: evidence not told yet");
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+                warn!(evidence:% = id, reason; "quarantine: evidence not told yet");
+            };
+            write_store_until_taken(&store, tell, RETRY_PAUSE, failed).await;
             parts.counters.count("quarantine.told");
             info!(
                 evidence:% = id, crashes = evidence.crashes.len(), suspects = evidence.blames().count(),
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -350,7 +350,7 @@
         let body = match read_body(body, MAX_FAILURE_BYTES, self.admitted.left()).await {
             Ok(body) => body,
             Err(error) => {
-                sent.read_failed(&error, &self.admitted.content);
+                sent.read_failed(&error, &self.admitted);
                 return Err(Refused::new(ResultCode::AnswerLost));
             }
         };
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -193,7 +193,7 @@
                 })
             }
             Err(error) => {
-                sent.read_failed(&error, &self.admitted.content);
+                sent.read_failed(&error, self.admitted);
                 Tried::Lost
             }
         }
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -10,7 +10,6 @@
 use log::info;
 use tokio::time::Instant;
 
-use super::super::RequestContent;
 use super::super::connection::ServerConnection;
 use super::super::process::GatewayParts;
 use super::caller::Admitted;
@@ -74,15 +73,16 @@
     }
 
     /// Says that the connection ended before the answer did.
-    pub(super) fn cut_off(self, content: &RequestContent) {
-        self.parts.crashes.lost(&self.server, self.address, content);
+    pub(super) fn cut_off(self, admitted: &Admitted) {
+        let crashes = &self.parts.crashes;
+        crashes.lost(&self.server, self.address, &admitted.content);
         self.end(SendEnd::Failed);
     }
 
     /// Says that the body of the answer could not be read.
-    pub(super) fn read_failed(self, error: &ReadBodyError, content: &RequestContent) {
+    pub(super) fn read_failed(self, error: &ReadBodyError, admitted: &Admitted) {
         match error {
-            ReadBodyError::Broken(_) => self.cut_off(content),
+            ReadBodyError::Broken(_) => self.cut_off(admitted),
             ReadBodyError::TooLarge(_) | ReadBodyError::Slow(_) => self.end(SendEnd::Failed),
         }
     }
@@ -151,7 +151,7 @@
             return SendOutcome::NotSent;
         }
         Err(SendError::Lost(..)) => {
-            sent.cut_off(&admitted.content);
+            sent.cut_off(admitted);
             return SendOutcome::Lost;
         }
     };
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -124,7 +124,7 @@
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_broken)) => {
-                    sent.cut_off(&self.run.admitted.content);
+                    sent.cut_off(&self.run.admitted);
                     return PartEnd::Broken;
                 }
                 None => break,
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -26,4 +26,4 @@
 pub use knowledge::Knowledge;
 #[doc(inline)]
 pub use neighbour::{Neighbours, ROWS_PATH};
-pub(crate) use store_write::{write_store, write_store_if};
+pub(crate) use store_write::{write_store, write_store_if, write_store_until_taken};
--- a/crates/amaranthscale/src/gateway/version/announce.rs
+++ b/crates/amaranthscale/src/gateway/version/announce.rs
@@ -11,7 +11,7 @@
 
 use super::super::StoreCalls;
 use super::Own;
-use super::write_store;
+use super::{write_store, write_store_until_taken};
 
 /// Pause after a failed announcement.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
@@ -19,17 +19,11 @@
 /// Announces a gateway, again until the store has taken it.
 pub async fn announce_instance(store: StoreCalls, own: Own) {
     let instance = &own.instance;
-    loop {
-        match write_store(&store, (store.announce)(instance, &own.announcement)).await {
-            Ok(()) => {
-                info!(instance = instance.as_str(); "membership: announced");
-                own.is_announced.store(true, Ordering::Release);
-                return;
-            }
-            Err(reason) => warn!(reason = reason.as_str(); "membership: not announced yet"),
-        }
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
+    let announce = || (store.announce)(instance, &own.announcement);
+    let failed = |reason: &str| warn!(reason; "membership: not announced yet");
+    write_store_until_taken(&store, announce, RETRY_PAUSE, failed).await;
+    info!(instance = instance.as_str(); "membership: announced");
+    own.is_announced.store(true, Ordering::Release);
 }
 
 /// Withdraws an announcement; one that stays is passed over by the others.
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -115,23 +115,28 @@
     let mut refusals = RefusedEntries::new("gateways");
     let mut turnover = Turnover::new();
     loop {
-        let rows = match feed.next().await {
+        let (rows, is_whole) = match feed.next().await {
             FeedEvent::Lost(_) => continue,
-            FeedEvent::All(rows) => {
-                let ids = rows.rows.iter().filter_map(|row| row.key.parse().ok());
-                let ids: Vec<_> = ids.collect();
-                keep_evidence(&store, &own.crashes, &rows.rows);
-                knowledge.change_instances(|instances| instances.keep_only(&ids));
-                // Removed while nothing was told, as while the store had lost its history.
-                if own.is_announced.load(Ordering::Acquire) && !ids.contains(&own.instance) {
-                    announce_again(&store, &own);
-                }
-                rows
-            }
-            FeedEvent::Changed(rows) => rows,
+            FeedEvent::All(rows) => (rows.rows, true),
+            FeedEvent::Changed(rows) => (rows.rows, false),
         };
-        for row in &rows.rows {
-            match (store.evidence)(row) {
+        let evidence: Vec<_> = rows.iter().map(store.evidence).collect();
+        if is_whole {
+            let told = evidence
+                .iter()
+                .filter_map(|one| one.as_ref().ok()?.as_ref());
+            let told: Vec<_> = told.map(|(id, _)| id.clone()).collect();
+            own.crashes.keep_only(&told);
+            let ids = rows.iter().filter_map(|row| row.key.parse().ok());
+            let ids: Vec<_> = ids.collect();
+            knowledge.change_instances(|instances| instances.keep_only(&ids));
+            // Removed while nothing was told, as while the store had lost its history.
+            if own.is_announced.load(Ordering::Acquire) && !ids.contains(&own.instance) {
+                announce_again(&store, &own);
+            }
+        }
+        for (row, evidence) in rows.iter().zip(evidence) {
+            match evidence {
                 Ok(Some((id, evidence))) => own.crashes.take(id, evidence),
                 Ok(None) => {
                     take_instance(&store, &knowledge, &own, row, &mut refusals, &mut turnover);
@@ -146,13 +151,6 @@
     }
 }
 
-/// Keeps only the evidence of crashed servers that a whole table names.
-fn keep_evidence(store: &StoreCalls, crashes: &CrashWatch, rows: &[StoreRow]) {
-    let told = rows.iter().filter_map(|row| (store.evidence)(row).ok()?);
-    let ids: Vec<_> = told.map(|(id, _)| id).collect();
-    crashes.keep_only(&ids);
-}
-
 /// The gateway itself, as it announces itself.
 #[derive(Debug, Clone)]
 pub struct Own {
--- a/crates/amaranthscale/src/gateway/version/store_write.rs
+++ b/crates/amaranthscale/src/gateway/version/store_write.rs
@@ -21,6 +21,19 @@
     write_store_if(store, request).await.map(|_is_made| ())
 }
 
+/// Makes a write, again after a pause until the store has taken it; each failure goes to a function.
+pub(crate) async fn write_store_until_taken(
+    store: &StoreCalls,
+    request: impl Fn() -> Request<Full<Bytes>>,
+    pause: Duration,
+    failed: impl Fn(&str),
+) {
+    while let Err(reason) = write_store(store, request()).await {
+        failed(&reason);
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// Makes one write if its condition holds; says whether it did.
 pub(crate) async fn write_store_if(
     store: &StoreCalls,
--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -168,7 +168,7 @@
         let is_held = since.is_some_and(|since| now.saturating_sub(*since) >= CONFIRMED_AFTER);
         if is_held {
             Verdict::Held(servers.len())
-        } else if servers.len() >= ONE_AT_A_TIME_FROM && !self.suspicions.is_cleared(request) {
+        } else if self.is_close(request) {
             Verdict::OneAtATime
         } else {
             Verdict::Suspected
@@ -178,9 +178,7 @@
     /// Whether others are to be told that a request ran to its end, as it could be held back.
     #[must_use]
     pub fn is_survival_told(&self, request: RequestFingerprint) -> bool {
-        let servers = self.suspicions.servers.get(&request);
-        let crashes = servers.map_or(0, BTreeSet::len);
-        crashes >= ONE_AT_A_TIME_FROM && !self.suspicions.is_cleared(request)
+        self.is_close(request)
     }
 
     /// The evidence against a request that is held back and comes again, if it would soon be forgotten.
@@ -214,6 +212,12 @@
         held.filter_map(|request| Some((*request, self.suspicions.servers.get(request)?)))
     }
 
+    /// Whether almost as many servers crashed under a request as hold it back.
+    fn is_close(&self, request: RequestFingerprint) -> bool {
+        self.suspicions.crashes(request) >= ONE_AT_A_TIME_FROM
+            && !self.suspicions.is_cleared(request)
+    }
+
     fn forget_old(&mut self, now: Duration) {
         let has_too_many = self.suspicions.blames > MOST_BLAMES;
         if !has_too_many && now.saturating_sub(self.looked_at) < LOOK_EVERY {
--- a/crates/core/src/process/quarantine/suspicions.rs
+++ b/crates/core/src/process/quarantine/suspicions.rs
@@ -42,9 +42,13 @@
 
     /// Whether a request ran to its end so often that crashes under it are no sign.
     pub(super) fn is_cleared(&self, request: RequestFingerprint) -> bool {
-        let crashes = self.servers.get(&request).map_or(0, BTreeSet::len);
         let survivals = self.survivals.get(&request).copied().unwrap_or(0);
-        survivals * CRASHES_PER_SURVIVAL >= crashes
+        survivals * CRASHES_PER_SURVIVAL >= self.crashes(request)
+    }
+
+    /// How many servers crashed under a request.
+    pub(super) fn crashes(&self, request: RequestFingerprint) -> usize {
+        self.servers.get(&request).map_or(0, BTreeSet::len)
     }
 
     /// Requests that are to blame: those with most crashes first, as they explain the crashes of others.
@@ -58,7 +62,7 @@
             .iter()
             .filter(|request| !self.is_cleared(**request))
         {
-            let crashes = self.servers[request].len();
+            let crashes = self.crashes(*request);
             by_crashes.entry(crashes).or_default().push(*request);
         }
         let mut guilty = BTreeSet::new();
