--- a/crates/amaranthscale/src/connection/body.rs
+++ b/crates/amaranthscale/src/connection/body.rs
@@ -1,9 +1,11 @@
 //! Bodies of requests and responses.
 
 use std::convert::Infallible;
+use std::error::Error;
+use std::pin::pin;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
 use hyper::body::Body;
@@ -21,8 +23,11 @@
             display("the body has more than {max_bytes} bytes")
         }
         /// The sender stopped sending.
-        Slow(waited: Duration) {
-            display("the body did not arrive within {} ms", waited.as_millis())
+        Slow(waited: Duration, received_bytes: usize) {
+            display(
+                "the body did not arrive within {} ms: {received_bytes} bytes came",
+                waited.as_millis()
+            )
         }
         /// The connection broke.
         Broken(reason: String) {
@@ -50,13 +55,25 @@
 ) -> Result<Bytes, ReadBodyError>
 where
     B: Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let whole = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(patience, whole).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+    let mut body = pin!(Limited::new(body, max_bytes));
+    let mut received = BytesMut::new();
+    let whole = async {
+        while let Some(frame) = body.frame().await {
+            // Trailers hold no content.
+            if let Ok(data) = frame?.into_data() {
+                received.extend_from_slice(&data);
+            }
+        }
+        Ok(())
+    };
+    let read: Result<Result<(), Box<dyn Error + Send + Sync>>, _> =
+        tokio::time::timeout(patience, whole).await;
+    match read {
+        Ok(Ok(())) => Ok(received.freeze()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ReadBodyError::TooLarge(max_bytes)),
         Ok(Err(error)) => Err(ReadBodyError::Broken(error.to_string())),
-        Err(_elapsed) => Err(ReadBodyError::Slow(patience)),
+        Err(_elapsed) => Err(ReadBodyError::Slow(patience, received.len())),
     }
 }
--- a/crates/amaranthscale/src/entry/connection/caller_http.rs
+++ b/crates/amaranthscale/src/entry/connection/caller_http.rs
@@ -221,7 +221,7 @@
 const fn read_code(error: &ReadBodyError) -> ResultCode {
     match error {
         ReadBodyError::TooLarge(_) => ResultCode::BodyTooLarge,
-        ReadBodyError::Slow(_) => ResultCode::SlowCaller,
+        ReadBodyError::Slow(..) => ResultCode::SlowCaller,
         ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
     }
 }
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -11,9 +11,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use log::debug;
+use log::{debug, info};
 use tokio::time::Instant;
 
+use super::super::clock::ms;
 use super::super::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable};
 use super::feed_pace::YOUNG;
 use super::neighbour::Neighbour;
@@ -30,6 +31,8 @@
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 /// Largest answer of the store: a page of rows and its framing.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Size of an answer from which its transfer is worth a line.
+const LONG_BYTES: usize = 64 * 1024;
 
 /// What a feed tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -116,6 +119,9 @@
                 Ok(None) => {}
                 Err(reason) => {
                     self.connection = None;
+                    if let Some(neighbour) = &self.neighbour {
+                        neighbour.with().counters.count("store.calls-lost");
+                    }
                     tokio::time::sleep(self.pace.after_failure).await;
                     return FeedEvent::Lost(reason);
                 }
@@ -271,19 +277,22 @@
     request: Request<Full<Bytes>>,
     patience: Duration,
 ) -> Result<(StoreAnswer, Http1Connection), String> {
-    let answering = async {
-        let response = connection
-            .send(request)
-            .await
-            .map_err(|error| error.to_string())?;
-        let status = response.status();
-        let body = read_body(response.into_body(), MAX_ANSWER_BYTES, patience)
-            .await
-            .map_err(|error| error.to_string())?;
-        (store.answer)(status, &body)
-    };
-    let answer = tokio::time::timeout(patience, answering)
+    let started = Instant::now();
+    let response = tokio::time::timeout(patience, connection.send(request))
         .await
-        .map_err(|_elapsed| format!("no answer within {} ms", patience.as_millis()))??;
+        .map_err(|_elapsed| format!("no answer within {} ms", patience.as_millis()))?
+        .map_err(|error| error.to_string())?;
+    let status = response.status();
+    let answered = Instant::now();
+    let left = patience.saturating_sub(started.elapsed());
+    let body = read_body(response.into_body(), MAX_ANSWER_BYTES, left)
+        .await
+        .map_err(|error| error.to_string())?;
+    let transfer_ms = ms(answered.elapsed());
+    let answer = (store.answer)(status, &body)?;
+    if body.len() > LONG_BYTES {
+        let (bytes, decode_ms) = (body.len(), ms(answered.elapsed()) - transfer_ms);
+        info!(bytes, transfer_ms, decode_ms; "store: long answer read");
+    }
     Ok((answer, connection))
 }
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -8,6 +8,7 @@
 use amaranthscale_core::process::{Announcement, LAPSE_GRACE, ServerChange, ServerList};
 use amaranthscale_core::version::Routing;
 use log::{info, warn};
+use tokio::time::Instant;
 
 use super::super::clock::ms;
 use super::super::process::{CrashWatch, StopGate};
@@ -57,12 +58,18 @@
 /// Guards against requests that wait behind it: a configuration of thousands of routes takes tens
 /// of milliseconds to read, and ten times that on a machine with a tenth of a core.
 async fn read_routing(store: &StoreCalls, row: StoreRow) -> Result<Option<Routing>, String> {
-    let is_long = matches!(&row.value, StoredValue::Content(content) if content.len() > LONG_BYTES);
+    let bytes = match &row.value {
+        StoredValue::Content(content) => content.len(),
+        StoredValue::Unreadable(_) | StoredValue::Dropped => 0,
+    };
     let read = store.routing;
-    if !is_long {
+    if bytes <= LONG_BYTES {
         return read(&row);
     }
+    let started = Instant::now();
     let reading = tokio::task::spawn_blocking(move || read(&row)).await;
+    let read_ms = ms(started.elapsed());
+    info!(bytes, read_ms; "routing: long version read");
     reading.map_err(|error| error.to_string())?
 }
 
