An answer of the store is read for as long as it comes, whatever its size

Cause: a call had 900 ms beyond its wait for its whole answer. From 1.1 MB on (some 4,200 routes) a version took longer on such a link, was thrown away shortly before its end and begun anew for good; the link was full all the while. Ruled out: decoding (below a millisecond for 290 KB), the size of the answer as such (strong hosts took every version), neighbours' word (one round trip). Why it works: patience is with the beginning of an answer and with silence in the middle of it, neither of which grows with its size. An answer beyond the bound of 16 MiB is refused by its told length, before it is transferred. Long answers are decoded beside the requests.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -9,7 +9,7 @@
 mod port_probe;
 
 #[doc(inline)]
-pub use body::{ReadBodyError, ResponseBody, empty_body, full_body, read_body};
+pub use body::{ReadBodyError, ResponseBody, empty_body, full_body, read_arriving_body, read_body};
 #[doc(inline)]
 pub use frame_reader::{FrameError, FrameReader, encode_frame};
 #[doc(inline)]
--- a/crates/amaranthscale/src/connection/body.rs
+++ b/crates/amaranthscale/src/connection/body.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::error::Error;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -57,23 +57,79 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    check_told_length(&body, max_bytes)?;
     let mut body = pin!(Limited::new(body, max_bytes));
     let mut received = BytesMut::new();
     let whole = async {
-        while let Some(frame) = body.frame().await {
-            // Trailers hold no content.
-            if let Ok(data) = frame?.into_data() {
-                received.extend_from_slice(&data);
-            }
+        while let Some(part) = next_part(&mut body, max_bytes).await? {
+            received.extend_from_slice(&part);
         }
         Ok(())
     };
-    let read: Result<Result<(), Box<dyn Error + Send + Sync>>, _> =
-        tokio::time::timeout(patience, whole).await;
-    match read {
-        Ok(Ok(())) => Ok(received.freeze()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ReadBodyError::TooLarge(max_bytes)),
-        Ok(Err(error)) => Err(ReadBodyError::Broken(error.to_string())),
+    match tokio::time::timeout(patience, whole).await {
+        Ok(read) => read.map(|()| received.freeze()),
         Err(_elapsed) => Err(ReadBodyError::Slow(patience, received.len())),
     }
 }
+
+/// Reads a body whole, within a size, for as long as more of it arrives.
+///
+/// For bodies whose size has no small bound: a time for the whole of it would cut off what a slow link
+/// still carries, and what begins it anew would be cut off again.
+pub async fn read_arriving_body<B>(
+    body: B,
+    max_bytes: usize,
+    silence: Duration,
+) -> Result<Bytes, ReadBodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    check_told_length(&body, max_bytes)?;
+    let mut body = pin!(Limited::new(body, max_bytes));
+    let mut received = BytesMut::new();
+    loop {
+        let part = tokio::time::timeout(silence, next_part(&mut body, max_bytes)).await;
+        match part {
+            Ok(Ok(Some(part))) => received.extend_from_slice(&part),
+            Ok(Ok(None)) => return Ok(received.freeze()),
+            Ok(Err(error)) => return Err(error),
+            Err(_elapsed) => return Err(ReadBodyError::Slow(silence, received.len())),
+        }
+    }
+}
+
+/// Refuses a body whose head tells that it is too large, before it is transferred.
+fn check_told_length(body: &impl Body, max_bytes: usize) -> Result<(), ReadBodyError> {
+    let told = body.size_hint().lower();
+    if usize::try_from(told).is_ok_and(|told| told <= max_bytes) {
+        Ok(())
+    } else {
+        Err(ReadBodyError::TooLarge(max_bytes))
+    }
+}
+
+/// The next part of a body's content; none at its end.
+async fn next_part<B>(
+    body: &mut Pin<&mut Limited<B>>,
+    max_bytes: usize,
+) -> Result<Option<Bytes>, ReadBodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                ReadBodyError::TooLarge(max_bytes)
+            } else {
+                ReadBodyError::Broken(error.to_string())
+            }
+        })?;
+        // Trailers hold no content.
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -19,9 +19,10 @@
 use super::feed_pace::YOUNG;
 use super::neighbour::Neighbour;
 use super::{FeedPace, HandedRows, Neighbours, RowsQuestion};
-use crate::connection::{Http1Connection, read_body};
+use crate::connection::{Http1Connection, read_arriving_body};
 
-/// Longest wait for the answer to a call that does not wait for changes.
+/// Longest wait for the answer to a call that does not wait for changes, and for more of an answer that
+/// has begun to come.
 const CALL_PATIENCE: Duration = Duration::from_millis(900);
 /// Wait of the polls after a failed call.
 ///
@@ -29,9 +30,9 @@
 /// at its end, and until then keys stay too old though the store is back. Sent into the outage, it
 /// would also be given up that much later.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
-/// Largest answer of the store: a page of rows and its framing.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// Size of an answer from which its transfer is worth a line.
+/// Largest answer of the store: a row with some sixty thousand routes, a small part of the least memory.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Size of an answer from which its transfer is worth a line, and which is decoded beside the requests.
 const LONG_BYTES: usize = 64 * 1024;
 
 /// What a feed tells.
@@ -271,28 +272,33 @@
 }
 
 /// Sends one call; the connection comes back only after a whole answer.
+///
+/// The patience is with the beginning of the answer: once it comes, it is read for as long as more of it
+/// does. An answer that is given up for its length would be begun anew by the next call, and never end.
 pub(super) async fn call_store(
     store: &StoreCalls,
     mut connection: Http1Connection,
     request: Request<Full<Bytes>>,
     patience: Duration,
 ) -> Result<(StoreAnswer, Http1Connection), String> {
-    let started = Instant::now();
     let response = tokio::time::timeout(patience, connection.send(request))
         .await
         .map_err(|_elapsed| format!("no answer within {} ms", patience.as_millis()))?
         .map_err(|error| error.to_string())?;
     let status = response.status();
     let answered = Instant::now();
-    let left = patience.saturating_sub(started.elapsed());
-    let body = read_body(response.into_body(), MAX_ANSWER_BYTES, left)
+    let body = read_arriving_body(response.into_body(), MAX_ANSWER_BYTES, CALL_PATIENCE)
         .await
         .map_err(|error| error.to_string())?;
-    let transfer_ms = ms(answered.elapsed());
-    let answer = (store.answer)(status, &body)?;
-    if body.len() > LONG_BYTES {
-        let (bytes, decode_ms) = (body.len(), ms(answered.elapsed()) - transfer_ms);
-        info!(bytes, transfer_ms, decode_ms; "store: long answer read");
+    let transfer = answered.elapsed();
+    let decode = store.answer;
+    let bytes = body.len();
+    if bytes <= LONG_BYTES {
+        return Ok((decode(status, &body)?, connection));
     }
-    Ok((answer, connection))
+    let answer = tokio::task::spawn_blocking(move || decode(status, &body)).await;
+    let decoding = answered.elapsed() - transfer;
+    let (transfer_ms, decode_ms) = (ms(transfer), ms(decoding));
+    info!(bytes, transfer_ms, decode_ms; "store: long answer read");
+    Ok((answer.map_err(|error| error.to_string())??, connection))
 }
