Long rows are handed on between gateways packed, by their difference to the version that is held

Callers saw: with the transfer mended, gateways on links of 10 Mbit/s still had a configuration of 8,450 routes 2.1 to 2.4 s after the strong ones, and their links were full that long; a change of one time-out cost every slow link the whole configuration again. Cause: rows beyond 64 KB were not handed on, so each gateway of a zone read them from the store by itself. Why it works: the zone's reader, a strong host, packs a row once for all who hold the same version: 292,891 bytes become 21,332 without a version to start from, and 1,611,771 become 752 where one time-out changed. A checksum notices a wrong base; who cannot unpack asks the store.

--- a/crates/amaranthscale/src/gateway/store_calls.rs
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -35,11 +35,10 @@
 }
 
 /// What a row holds.
-#[serde_with::serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoredValue {
     /// Its content.
-    Content(#[serde_as(as = "serde_with::Bytes")] Vec<u8>),
+    Content(Bytes),
     /// Content that the store cannot have taken from one of its own writers, and why.
     Unreadable(String),
     /// Nothing: the row was dropped.
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a version: the routing, servers and gateways as the store tells them.
 
 mod announce;
+mod copied_table;
 mod feed;
 mod feed_pace;
 mod follow;
@@ -8,6 +9,7 @@
 mod knowledge;
 mod line_budget;
 mod neighbour;
+mod packed_row;
 mod refused_entries;
 mod store_write;
 mod zones;
@@ -21,9 +23,11 @@
 #[doc(inline)]
 pub use follow::{Own, follow_instances, follow_routing, follow_servers};
 #[doc(inline)]
-pub use handed_on::{HandedOn, HandedRows, RowsQuestion};
+pub use handed_on::{HandedAnswer, HandedOn, HandedRows, RowsQuestion};
 #[doc(inline)]
 pub use knowledge::Knowledge;
 #[doc(inline)]
 pub use neighbour::{Neighbours, ROWS_PATH};
+#[doc(inline)]
+pub use packed_row::{HeldRow, PackedRow, UnpackError};
 pub(crate) use store_write::{write_store, write_store_if, write_store_until_taken};
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -145,6 +145,7 @@
             after: position,
             clock: self.clock,
             is_lost,
+            held: neighbour.with().handed_on.held(self.table),
         };
         let asked = neighbour.ask(&id, address, question, self.pace.handed_silence());
         let counters = Arc::clone(&neighbour.with().counters);
@@ -296,9 +297,9 @@
     if bytes <= LONG_BYTES {
         return Ok((decode(status, &body)?, connection));
     }
+    let received = Instant::now();
     let answer = tokio::task::spawn_blocking(move || decode(status, &body)).await;
-    let decoding = answered.elapsed() - transfer;
-    let (transfer_ms, decode_ms) = (ms(transfer), ms(decoding));
+    let (transfer_ms, decode_ms) = (ms(transfer), ms(received.elapsed()));
     info!(bytes, transfer_ms, decode_ms; "store: long answer read");
     Ok((answer.map_err(|error| error.to_string())??, connection))
 }
--- a/crates/amaranthscale/src/gateway/version/neighbour.rs
+++ b/crates/amaranthscale/src/gateway/version/neighbour.rs
@@ -10,9 +10,12 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use log::info;
+use tokio::time::Instant;
 
-use super::{HandedOn, HandedRows, Knowledge, RowsQuestion};
-use crate::connection::{PeerClient, read_body};
+use super::super::clock::ms;
+use super::packed_row::MAX_CONTENT_BYTES;
+use super::{HandedAnswer, HandedOn, HandedRows, Knowledge, RowsQuestion};
+use crate::connection::{PeerClient, read_arriving_body};
 use crate::process::Counters;
 
 /// Start of the path of a question for rows; the neighbour's name follows.
@@ -25,8 +28,8 @@
 /// Most doublings of that time, for one that fails again soon after it was tried again: each trial
 /// of a reader that stays cut off costs a call to the store by each of its neighbours.
 const MOST_DOUBLINGS: u32 = 3;
-/// Largest answer: what is handed on at once, and its framing.
-const MOST_ANSWER_BYTES: usize = 256 * 1024;
+/// Largest answer: a long row that could not be made smaller, what is handed on beside it, and its framing.
+const MOST_ANSWER_BYTES: usize = MAX_CONTENT_BYTES + 256 * 1024;
 
 /// What a feed needs to ask a neighbour.
 #[derive(Debug, Clone)]
@@ -120,7 +123,8 @@
         self.left_out.insert(id, out);
     }
 
-    /// Asks a gateway; what is not answered within its pace and the way there is given up.
+    /// Asks a gateway; what is not answered within its pace and the way there is given up, and so is an
+    /// answer that falls silent on its way.
     pub(super) async fn ask(
         &self,
         id: &InstanceId,
@@ -128,26 +132,32 @@
         question: RowsQuestion,
         pace: Duration,
     ) -> Result<HandedRows, String> {
-        let asking = self.ask_for_good(id, address, question);
-        let answered = tokio::time::timeout(pace + WAY, asking).await;
-        answered.map_err(|_elapsed| "it told nothing new".to_owned())?
-    }
-
-    async fn ask_for_good(
-        &self,
-        id: &InstanceId,
-        address: SocketAddr,
-        question: RowsQuestion,
-    ) -> Result<HandedRows, String> {
+        let table = question.table;
         let question = rmp_serde::to_vec_named(&question).map_err(|error| error.to_string())?;
         let path = format!("{ROWS_PATH}{id}");
-        let answer = self.with.peers.post(address, &path, Bytes::from(question));
-        let answer = answer.await.map_err(|error| error.to_string())?;
+        let asking = self.with.peers.post(address, &path, Bytes::from(question));
+        let answer = tokio::time::timeout(pace + WAY, asking).await;
+        let answer = answer.map_err(|_elapsed| "it told nothing new".to_owned())?;
+        let answer = answer.map_err(|error| error.to_string())?;
         if answer.status() != StatusCode::OK {
             return Err(format!("it answered {}", answer.status()));
         }
-        let body = read_body(answer.into_body(), MOST_ANSWER_BYTES, WAY).await;
+        let body = read_arriving_body(answer.into_body(), MOST_ANSWER_BYTES, WAY).await;
         let body = body.map_err(|error| error.to_string())?;
-        rmp_serde::from_slice(&body).map_err(|error| error.to_string())
+        let answer: HandedAnswer =
+            rmp_serde::from_slice(&body).map_err(|error| error.to_string())?;
+        if answer.packed.is_empty() {
+            return Ok(answer.told);
+        }
+        let started = Instant::now();
+        let handed_on = Arc::clone(&self.with.handed_on);
+        let unpacking = tokio::task::spawn_blocking(move || {
+            answer.unpack(|key, version| handed_on.content(table, key, version))
+        });
+        let unpacked = unpacking.await.map_err(|error| error.to_string())?;
+        let unpacked = unpacked.map_err(|error| error.to_string())?;
+        let (bytes, unpack_ms) = (body.len(), ms(started.elapsed()));
+        info!(feed = self.feed, bytes, unpack_ms; "store: long row unpacked");
+        Ok(unpacked)
     }
 }
--- a/crates/core/src/version/table_copy.rs
+++ b/crates/core/src/version/table_copy.rs
@@ -108,6 +108,18 @@
         }
     }
 
+    /// A row and its version.
+    #[must_use]
+    pub fn row(&self, key: &str) -> Option<(&V, RowVersion)> {
+        self.rows.get(key).map(|(value, version)| (value, *version))
+    }
+
+    /// All rows and their versions, in the order of their keys.
+    pub fn rows(&self) -> impl Iterator<Item = (&str, &V, RowVersion)> {
+        let rows = self.rows.iter();
+        rows.map(|(key, (value, version))| (key.as_str(), value, *version))
+    }
+
     /// The version that it is as of.
     #[must_use]
     pub const fn version(&self) -> RowVersion {
