What a long answer tells is as old as its beginning

Found by reading what else a long transfer touches: the age of keys was counted from the end of the transfer and of the reading, as the first answer of a life dates all others. A key revoked while 300 KB came over a narrow link was believed for as long again (strict bound). Why it works: an answer's clock is taken when the store writes its head, so the head's arrival bounds its age whatever follows. After a slow answer the next poll waits for nothing, so keys are confirmed at once and not a poll later.

--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -24,12 +24,15 @@
 /// Longest wait for the answer to a call that does not wait for changes, and for more of an answer that
 /// has begun to come.
 const CALL_PATIENCE: Duration = Duration::from_millis(900);
-/// Wait of the polls after a failed call.
+/// Wait of the polls after a failed call and after a slow answer.
 ///
 /// Guards against an outage that lasts longer than it did: a poll that waits for changes is answered
 /// at its end, and until then keys stay too old though the store is back. Sent into the outage, it
-/// would also be given up that much later.
+/// would also be given up that much later. After an answer that was long on its way, too: what it told
+/// is as old as that.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+/// Time on its way from which an answer is slow: beyond that of a long one over a good link.
+const SLOW: Duration = Duration::from_millis(300);
 /// Largest answer of the store: a row with some sixty thousand routes, a small part of the least memory.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Size of an answer from which its transfer is worth a line, and which is decoded beside the requests.
@@ -61,6 +64,10 @@
     is_lost: bool,
     /// Whether nothing came since the whole table.
     is_first: bool,
+    /// When the last answer began to come, by a clock that goes on while the machine is suspended.
+    heard_at: Duration,
+    /// Whether the last answer of the store was long on its way.
+    was_slow: bool,
     started: Instant,
 }
 
@@ -78,6 +85,8 @@
             neighbour: None,
             is_lost: false,
             is_first: true,
+            heard_at: Duration::ZERO,
+            was_slow: false,
             started: Instant::now(),
         }
     }
@@ -90,6 +99,13 @@
         self
     }
 
+    /// When the answer that the last event came from began to come: it is no newer than that, however
+    /// long the rest of it took.
+    #[must_use]
+    pub const fn heard_at(&self) -> Duration {
+        self.heard_at
+    }
+
     /// The next event; a failure is followed by a pause.
     pub async fn next(&mut self) -> FeedEvent {
         let event = self.read().await;
@@ -149,7 +165,10 @@
         };
         let asked = neighbour.ask(&id, address, question, self.pace.handed_silence());
         let counters = Arc::clone(&neighbour.with().counters);
-        let reason = match asked.await {
+        let answered = asked.await;
+        // Dated by the store's clock in it and by the store's own first answer.
+        self.heard_at = neighbour.with().knowledge.clock().with_suspension();
+        let reason = match answered {
             Ok(HandedRows::All(rows)) if rows.clock > self.clock => {
                 counters.count("store.handed");
                 self.position = Some(rows.version);
@@ -183,7 +202,7 @@
     }
 
     async fn read_all(&mut self) -> Result<StoreRows, String> {
-        let mut first: Option<StoreRows> = None;
+        let mut first: Option<(StoreRows, Duration)> = None;
         let mut rows: Vec<StoreRow> = Vec::new();
         loop {
             let after = rows.last().map(|row| row.key.clone());
@@ -195,8 +214,9 @@
             let is_last = !page.is_truncated || page.rows.is_empty();
             rows.append(&mut page.rows);
             // Changes between two pages are told again by the feed: it goes on from the first page.
-            let first = first.get_or_insert(page);
+            let (first, heard_at) = first.get_or_insert((page, self.heard_at));
             if is_last {
+                self.heard_at = *heard_at;
                 self.position = Some(first.version);
                 return Ok(StoreRows {
                     rows,
@@ -208,7 +228,7 @@
 
     async fn read_changes(&mut self, position: RowVersion) -> Result<Option<FeedEvent>, String> {
         // A whole answer gives its connection back, so none is there only after a failed call.
-        let wait = if self.connection.is_none() {
+        let wait = if self.connection.is_none() || self.was_slow {
             SHORTEST_WAIT
         } else {
             let is_young = self.started.elapsed() < YOUNG;
@@ -266,13 +286,23 @@
                 .await
                 .map_err(|error| error.to_string())?,
         };
-        let (answer, connection) = call_store(&self.store, connection, request, patience).await?;
+        let clock = self
+            .neighbour
+            .as_ref()
+            .map(|one| *one.with().knowledge.clock());
+        let now = || clock.map_or(Duration::ZERO, |clock| clock.with_suspension());
+        let mut heard_at = Duration::ZERO;
+        let begun = || heard_at = now();
+        let called = call_store(&self.store, connection, request, patience, begun).await;
+        let (answer, connection) = called?;
+        self.heard_at = heard_at;
+        self.was_slow = now().saturating_sub(heard_at) > SLOW;
         self.connection = Some(connection);
         Ok(answer)
     }
 }
 
-/// Sends one call; the connection comes back only after a whole answer.
+/// Sends one call; the connection comes back only after a whole answer. Calls a function as the answer begins.
 ///
 /// The patience is with the beginning of the answer: once it comes, it is read for as long as more of it
 /// does. An answer that is given up for its length would be begun anew by the next call, and never end.
@@ -281,11 +311,13 @@
     mut connection: Http1Connection,
     request: Request<Full<Bytes>>,
     patience: Duration,
+    begun: impl FnOnce(),
 ) -> Result<(StoreAnswer, Http1Connection), String> {
     let response = tokio::time::timeout(patience, connection.send(request))
         .await
         .map_err(|_elapsed| format!("no answer within {} ms", patience.as_millis()))?
         .map_err(|error| error.to_string())?;
+    begun();
     let status = response.status();
     let answered = Instant::now();
     let body = read_arriving_body(response.into_body(), MAX_ANSWER_BYTES, CALL_PATIENCE)
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -49,7 +49,7 @@
                 Err(reason) => warn!(reason = reason.as_str(); "routing: version refused"),
             }
         }
-        knowledge.confirm(rows.clock);
+        knowledge.confirm(rows.clock, feed.heard_at());
     }
 }
 
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -197,10 +197,10 @@
         self.changed();
     }
 
-    /// Dates the routing by an answer of the store.
-    pub fn confirm(&self, store_clock: Duration) {
-        let now = self.clock.with_suspension();
-        self.known().freshness.answered(store_clock, now);
+    /// Dates the routing by an answer of the store that began to come at a time of the clock that goes on
+    /// while the machine is suspended.
+    pub fn confirm(&self, store_clock: Duration, heard_at: Duration) {
+        self.known().freshness.answered(store_clock, heard_at);
     }
 
     /// Changes the list of servers by a function that says whether anything in use changed.
--- a/crates/amaranthscale/src/gateway/version/store_write.rs
+++ b/crates/amaranthscale/src/gateway/version/store_write.rs
@@ -42,7 +42,8 @@
     let connection = Http1Connection::open(store.address, WRITE_PATIENCE)
         .await
         .map_err(|error| error.to_string())?;
-    let (answer, _connection) = call_store(store, connection, request, WRITE_PATIENCE).await?;
+    let (answer, _connection) =
+        call_store(store, connection, request, WRITE_PATIENCE, || {}).await?;
     match answer {
         StoreAnswer::Rows(_) => Ok(true),
         StoreAnswer::Conflict => Ok(false),
