A gateway that knows of a newer configuration for four fifths of the bound refuses until it has it

Found by asking what a gateway does that knows it is behind: where no neighbour hands the configuration on (few gateways in a zone, the strong ones lost), a slow link still takes seconds for some ten thousand routes, and all the while requests were decided by the old version. Why it works: the head of an answer comes when the store has the version and tells its size, long before its end. A version that is not told by a long answer takes no time to come, so nothing else is refused. Each version's line and a histogram (routing.in-force) tell how long after the store's word it was in force.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -35,6 +35,9 @@
     connect_timeout: Duration::from_millis(400),
     silence: Duration::from_secs(1),
 };
+/// Part of the bound on configurations for which a routing that is known to be replaced is still decided by, in
+/// hundredths: the rest is for the way of the word that there is a newer one.
+const BEHIND_PERCENT: u32 = 80;
 /// Time between two sweeps of kept connections.
 const SWEEP: Duration = Duration::from_secs(2);
 
@@ -173,6 +176,7 @@
         tokio::spawn(follow_routing(
             config.store.clone(),
             neighbours.clone(),
+            Arc::clone(&parts.latencies),
             FeedPace::routing(config.revoke_bound)
                 .heard_within(config.apply_bound.min(config.evacuation_bound)),
         )),
@@ -229,6 +233,7 @@
         stop: Arc::new(StopGate::default()),
         key_age: config.revoke_bound * KEY_AGE_PERCENT / 100,
         ready_age: config.revoke_bound * READY_AGE_PERCENT / 100,
+        behind_after: config.apply_bound * BEHIND_PERCENT / 100,
         choice: Mutex::new(BackendChoice::default()),
     }
 }
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -105,7 +105,8 @@
         .knowledge
         .age()
         .is_some_and(|age| age <= parts.ready_age);
-    let is_ready = is_known && is_fresh && !parts.stop.is_stopping();
+    let is_behind = parts.knowledge.is_behind(parts.behind_after);
+    let is_ready = is_known && is_fresh && !is_behind && !parts.stop.is_stopping();
     let mut response = Response::new(empty_body());
     if !is_ready {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -47,6 +47,8 @@
     pub key_age: std::time::Duration,
     /// Longest age of the routing at which the gateway is ready.
     pub ready_age: std::time::Duration,
+    /// Time after which nothing is decided by a routing that is known to be replaced.
+    pub behind_after: std::time::Duration,
     /// Servers that crash, and the requests that crash them.
     pub crashes: Arc<CrashWatch>,
     /// What sends told of the servers.
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -179,6 +179,9 @@
 ) -> Result<Response<AnswerBody>, Refused> {
     let routing = parts.knowledge.routing();
     let routing = routing.ok_or(Refused::new(ResultCode::NotReady))?;
+    if parts.knowledge.is_behind(parts.behind_after) {
+        return Err(Refused::new(ResultCode::RoutingBehind));
+    }
     let route = find_route(&routing, head)?;
     let holder = check_key(parts, &routing, &route, head)?;
     let work = (parts.dialect.caller_work)(&head.headers).map_err(|error| {
--- a/crates/amaranthscale/src/gateway/request/refused.rs
+++ b/crates/amaranthscale/src/gateway/request/refused.rs
@@ -78,7 +78,7 @@
             let usual = match self.code {
                 ResultCode::ZonesEvacuated => EVACUATED_RETRY,
                 ResultCode::RequestQuarantined => QUARANTINED_RETRY,
-                ResultCode::KnowledgeStale => ELSEWHERE_RETRY,
+                ResultCode::KnowledgeStale | ResultCode::RoutingBehind => ELSEWHERE_RETRY,
                 _ => USUAL_RETRY,
             };
             let retry_after = self.retry_after.unwrap_or(usual);
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::body::Body;
 use log::{debug, info};
 use tokio::time::Instant;
 
@@ -286,13 +287,23 @@
                 .await
                 .map_err(|error| error.to_string())?,
         };
-        let clock = self
-            .neighbour
-            .as_ref()
-            .map(|one| *one.with().knowledge.clock());
-        let now = || clock.map_or(Duration::ZERO, |clock| clock.with_suspension());
+        let knowledge = self.neighbour.as_ref().map(|one| &one.with().knowledge);
+        let knowledge = knowledge.map(Arc::clone);
+        let now = || {
+            let knowledge = knowledge.as_ref();
+            knowledge.map_or(Duration::ZERO, |known| known.clock().with_suspension())
+        };
         let mut heard_at = Duration::ZERO;
-        let begun = || heard_at = now();
+        let begun = |told_bytes: usize| {
+            heard_at = now();
+            // Zones' words are short, so a long answer holds a routing.
+            if self.table == StoreTable::Routing
+                && told_bytes > LONG_BYTES
+                && let Some(knowledge) = &knowledge
+            {
+                knowledge.newer_has_begun();
+            }
+        };
         let called = call_store(&self.store, connection, request, patience, begun).await;
         let (answer, connection) = called?;
         self.heard_at = heard_at;
@@ -302,7 +313,8 @@
     }
 }
 
-/// Sends one call; the connection comes back only after a whole answer. Calls a function as the answer begins.
+/// Sends one call; the connection comes back only after a whole answer. Calls a function as the answer
+/// begins, with the bytes that its head tells.
 ///
 /// The patience is with the beginning of the answer: once it comes, it is read for as long as more of it
 /// does. An answer that is given up for its length would be begun anew by the next call, and never end.
@@ -311,13 +323,14 @@
     mut connection: Http1Connection,
     request: Request<Full<Bytes>>,
     patience: Duration,
-    begun: impl FnOnce(),
+    begun: impl FnOnce(usize),
 ) -> Result<(StoreAnswer, Http1Connection), String> {
     let response = tokio::time::timeout(patience, connection.send(request))
         .await
         .map_err(|_elapsed| format!("no answer within {} ms", patience.as_millis()))?
         .map_err(|error| error.to_string())?;
-    begun();
+    let told_bytes = response.body().size_hint().lower();
+    begun(usize::try_from(told_bytes).unwrap_or(usize::MAX));
     let status = response.status();
     let answered = Instant::now();
     let body = read_arriving_body(response.into_body(), MAX_ANSWER_BYTES, CALL_PATIENCE)
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -18,12 +18,18 @@
 use super::refused_entries::RefusedEntries;
 use super::zones::{take_zones, zone_changes};
 use super::{Feed, FeedEvent, FeedPace, Knowledge, Neighbours};
+use crate::process::Latencies;
 
 /// Size of a configuration from which it is read beside the requests: a millisecond's work.
 const LONG_BYTES: usize = 64 * 1024;
 
 /// Follows the routing for good.
-pub async fn follow_routing(store: StoreCalls, neighbours: Neighbours, pace: FeedPace) {
+pub async fn follow_routing(
+    store: StoreCalls,
+    neighbours: Neighbours,
+    latencies: Arc<Latencies>,
+    pace: FeedPace,
+) {
     let knowledge = Arc::clone(&neighbours.knowledge);
     let counters = Arc::clone(&neighbours.counters);
     let mut feed = Feed::new(StoreTable::Routing, store.clone(), pace).beside(neighbours);
@@ -37,13 +43,17 @@
             FeedEvent::All(rows) | FeedEvent::Changed(rows) => rows,
             FeedEvent::Lost(_) => continue,
         };
-        // First, as a long routing takes its time to read.
+        // Before the routing: a long one takes its time to read.
         let zones = zone_changes(&store, &rows.rows, &mut refusals);
         let taken = take_zones(&knowledge, zones, is_whole);
         counters.add("zones.changed", taken);
         for row in rows.rows {
             match read_routing(&store, row).await {
-                Ok(Some(routing)) => knowledge.take_routing(routing),
+                Ok(Some(routing)) => {
+                    if let Some(delay) = knowledge.take_routing(routing, rows.clock) {
+                        latencies.record("routing.in-force", delay);
+                    }
+                }
                 Ok(None) => {}
                 // The last good version stays in force.
                 Err(reason) => warn!(reason = reason.as_str(); "routing: version refused"),
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::super::Clock;
+use super::super::clock::ms;
 
 /// The newest routing, servers and gateways.
 #[derive(Debug)]
@@ -29,6 +30,8 @@
     servers: Arc<ServerList>,
     instances: InstanceView,
     freshness: Freshness,
+    /// Since when there is known to be a newer routing that has not been taken yet.
+    newer_since: Option<Duration>,
     /// Addresses of all announced gateways; none while this one is not announced itself.
     announced: Arc<[SocketAddr]>,
     /// Whether the view of the gateways has changed since those were taken.
@@ -48,6 +51,7 @@
                 servers: Arc::default(),
                 instances: InstanceView::new(instance, announcement),
                 freshness: Freshness::default(),
+                newer_since: None,
                 announced: Arc::default(),
                 announced_is_stale: true,
                 cells: 1,
@@ -180,27 +184,47 @@
         self.known().instances.forgotten(now)
     }
 
-    /// Takes a routing; one that is not newer is dropped, so that nothing ever reverts.
-    pub fn take_routing(&self, routing: Routing) {
+    /// Takes a routing that the store told at a time of its clock; one that is not newer is dropped, so that
+    /// nothing ever reverts. Says how long ago the store told it, if it was taken and that is known.
+    pub fn take_routing(&self, routing: Routing, store_clock: Duration) -> Option<Duration> {
+        let now = self.clock.with_suspension();
         let mut known = self.known();
         let in_force = known.routing.as_ref().map(|routing| routing.version());
         if in_force >= Some(routing.version()) {
-            return;
+            return None;
         }
+        let delay = known.freshness.age_of(store_clock, now);
         info!(
             version = routing.version().get(),
-            routes = routing.routes().count();
+            routes = routing.routes().count(), delay_ms = delay.map_or(0, ms);
             "routing: version in force"
         );
         known.routing = Some(Arc::new(routing));
         drop(known);
         self.changed();
+        delay
     }
 
     /// Dates the routing by an answer of the store that began to come at a time of the clock that goes on
     /// while the machine is suspended.
     pub fn confirm(&self, store_clock: Duration, heard_at: Duration) {
-        self.known().freshness.answered(store_clock, heard_at);
+        let mut known = self.known();
+        known.freshness.answered(store_clock, heard_at);
+        known.newer_since = None;
+    }
+
+    /// Notes that a newer routing has begun to come.
+    pub fn newer_has_begun(&self) {
+        let now = self.clock.now();
+        self.known().newer_since.get_or_insert(now);
+    }
+
+    /// Whether there has been known to be a newer routing for longer than a time.
+    #[must_use]
+    pub fn is_behind(&self, after: Duration) -> bool {
+        let now = self.clock.now();
+        let newer_since = self.known().newer_since;
+        newer_since.is_some_and(|since| now.saturating_sub(since) > after)
     }
 
     /// Changes the list of servers by a function that says whether anything in use changed.
--- a/crates/amaranthscale/src/gateway/version/store_write.rs
+++ b/crates/amaranthscale/src/gateway/version/store_write.rs
@@ -43,7 +43,7 @@
         .await
         .map_err(|error| error.to_string())?;
     let (answer, _connection) =
-        call_store(store, connection, request, WRITE_PATIENCE, || {}).await?;
+        call_store(store, connection, request, WRITE_PATIENCE, |_bytes| {}).await?;
     match answer {
         StoreAnswer::Rows(_) => Ok(true),
         StoreAnswer::Conflict => Ok(false),
--- a/crates/core/src/process/freshness.rs
+++ b/crates/core/src/process/freshness.rs
@@ -41,6 +41,13 @@
         self.known_at = self.known_at.max(Some(given_at));
     }
 
+    /// Time since the store's clock showed a time; none without an answer.
+    #[must_use]
+    pub fn age_of(&self, store_clock: Duration, now: Duration) -> Option<Duration> {
+        let age_ms = signed_ms(now) - signed_ms(store_clock) - self.ahead_ms?;
+        Some(Duration::from_millis(u64::try_from(age_ms).unwrap_or(0)))
+    }
+
     /// Time since the newest answer was given; none without an answer.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -167,6 +167,8 @@
 
     /// The entry has not heard from the store for too long to believe a key.
     KnowledgeStale = 2212, 503, "the entry cannot check the key now";
+    /// The entry knows that there is a newer configuration and has not taken it yet.
+    RoutingBehind = 2213, 503, "the entry is still taking a newer configuration";
 
     /// The backend server answered with an error.
     BackendFailed = 3001, 502, "the backend server answered with an error";
