Entries and sidecars read the platform's and each other's long answers for as long as they come

A question for rows may name long rows that are held, so its bound has room for four names of the greatest length.

--- a/crates/amaranthscale/src/gateway/process/peer_server.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_server.rs
@@ -17,8 +17,8 @@
 
 /// Start of the path of the question whether a gateway lives; its name follows.
 pub const ALIVE_PATH: &str = "/alive/";
-/// Largest question for rows: a table, a version and a time.
-const MAX_QUESTION_BYTES: usize = 1024;
+/// Largest question for rows: a table, a version, a time and the names of some rows.
+const MAX_QUESTION_BYTES: usize = 4 * 1024;
 
 /// Answers other gateways: jobs, the store's rows, and whether this life is here.
 pub async fn serve_peer(
--- a/crates/amaranthscale/src/process/platform_client.rs
+++ b/crates/amaranthscale/src/process/platform_client.rs
@@ -14,7 +14,7 @@
 use serde::de::DeserializeOwned;
 
 use super::{ControlKind, ControlTraffic};
-use crate::connection::read_body;
+use crate::connection::read_arriving_body;
 
 /// Largest answer that the platform gives: a page of rows or one object.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
@@ -41,7 +41,7 @@
 /// Bounds of calls to the platform.
 #[derive(Debug, Clone, Copy)]
 pub struct PlatformClientLimits {
-    /// Longest wait for one answer.
+    /// Longest wait for the beginning of an answer, and for more of it once it comes.
     pub timeout: Duration,
 }
 
@@ -202,18 +202,15 @@
             .uri(format!("http://{}{path}", self.address))
             .body(Full::new(body))
             .map_err(|error| PlatformError::Malformed(error.to_string()))?;
-        let answer = async {
-            let response = self.http.request(request).await.map_err(lost)?;
-            let status = response.status();
-            let body = read_body(response.into_body(), MAX_ANSWER_BYTES, self.limits.timeout);
-            let body = body.await.map_err(lost)?;
-            self.traffic.received(self.kind, body.len());
-            Ok((status, body))
-        };
-        let timeout = tokio::time::timeout(self.limits.timeout, answer);
-        timeout
-            .await
-            .unwrap_or_else(|_elapsed| Err(lost("no answer in time")))
+        let patience = self.limits.timeout;
+        let response = tokio::time::timeout(patience, self.http.request(request)).await;
+        let response = response.map_err(|_elapsed| lost("no answer in time"))?;
+        let response = response.map_err(lost)?;
+        let status = response.status();
+        let body = read_arriving_body(response.into_body(), MAX_ANSWER_BYTES, patience);
+        let body = body.await.map_err(lost)?;
+        self.traffic.received(self.kind, body.len());
+        Ok((status, body))
     }
 }
 
--- a/crates/amaranthscale/src/version/tree_client.rs
+++ b/crates/amaranthscale/src/version/tree_client.rs
@@ -10,7 +10,7 @@
 use amaranthscale_core::wire::{self, Row, TreeReply, TreeSince};
 use quick_error::quick_error;
 
-use crate::connection::{PeerClient, read_body};
+use crate::connection::{PeerClient, read_arriving_body};
 use crate::process::{ControlKind, PlatformClient, PlatformError};
 
 /// Most edits read in one go; whoever is further behind takes the snapshot first.
@@ -105,17 +105,15 @@
 ) -> Result<bytes::Bytes, ReadTreeError> {
     let sent_bytes = path.len() + message.len();
     let answer = async {
-        let response = peers.post(address, path, message).await.ok()?;
+        let answering = peers.post(address, path, message);
+        let response = tokio::time::timeout(PEER_PATIENCE, answering).await.ok()?;
+        let response = response.ok()?;
         let is_success = response.status().is_success();
-        let body = read_body(response.into_body(), MAX_REPLY_BYTES, PEER_PATIENCE)
-            .await
-            .ok()?;
+        let body = read_arriving_body(response.into_body(), MAX_REPLY_BYTES, PEER_PATIENCE);
+        let body = body.await.ok()?;
         is_success.then_some(body)
     };
-    let answer = tokio::time::timeout(PEER_PATIENCE, answer)
-        .await
-        .ok()
-        .flatten();
+    let answer = answer.await;
     peers.count(
         kind,
         sent_bytes,
--- /dev/null
+++ b/crates/amaranthscale/tests/platform_client.rs
@@ -0,0 +1,61 @@
+//! The platform's answers over a narrow link.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranthscale::process::{PlatformClient, PlatformClientLimits};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Patience of the client.
+const TIMEOUT: Duration = Duration::from_millis(300);
+/// Parts of an answer, and the time between two of them.
+const PARTS: usize = 8;
+const BETWEEN: Duration = Duration::from_millis(100);
+const PART_BYTES: usize = 1_000;
+
+/// A platform that sends so many parts of each answer and then nothing more.
+async fn slow_platform(sent_parts: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("accepted");
+            tokio::spawn(async move {
+                let mut request = [0; 1_024];
+                let _head = stream.read(&mut request).await;
+                let length = PARTS * PART_BYTES;
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                let _sent = stream.write_all(head.as_bytes()).await;
+                for _ in 0..sent_parts {
+                    tokio::time::sleep(BETWEEN).await;
+                    let _sent = stream.write_all(&[b'x'; PART_BYTES]).await;
+                }
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a snapshot of the tree that is given up before its end and begun anew for good.
+#[tokio::test]
+async fn an_object_that_takes_longer_than_the_patience_is_read() {
+    let platform = slow_platform(PARTS).await;
+    let client = PlatformClient::new(platform, PlatformClientLimits { timeout: TIMEOUT });
+
+    let object = client.object("tree").await.expect("it comes all the while");
+
+    assert_eq!(object.len(), PARTS * PART_BYTES);
+}
+
+/// Guards against a reader that waits for good for the rest of an answer.
+#[tokio::test]
+async fn an_answer_that_falls_silent_is_lost() {
+    let platform = slow_platform(PARTS / 2).await;
+    let client = PlatformClient::new(platform, PlatformClientLimits { timeout: TIMEOUT });
+
+    let read = tokio::time::timeout(BETWEEN * 20, client.object("tree")).await;
+
+    assert!(read.expect("given up").is_err());
+}
