--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -14,7 +14,7 @@
 use super::connection::ServerPool;
 use super::listen::{OtherServers, bind, listen_callers, listen_others};
 use super::process::{
-    BatchOwnerArguments, BatchOwners, Budgets, ColdServers, CrashWatch, GatewayParts,
+    BatchOwnerArguments, BatchOwners, BoundedServers, Budgets, CrashWatch, GatewayParts,
     ServicePromptTimes, StopGate, remove_outdated, tell_crashes, tend_silent,
 };
 use super::version::{
@@ -224,7 +224,7 @@
         dialect,
         budgets: Budgets::new(config.budget),
         prompt_times: ServicePromptTimes::default(),
-        cold: ColdServers::new(config.cold, config.clock.now()),
+        cold: BoundedServers::new(config.cold, config.clock.now()),
         batches: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
         handed_on: Arc::default(),
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -5,8 +5,8 @@
 mod batch_owner;
 mod batch_owner_handle;
 mod batch_owners;
+mod bounded_servers;
 mod budgets;
-mod cold_servers;
 mod crash_watch;
 mod kept_pieces;
 mod parts;
@@ -30,9 +30,9 @@
 #[doc(inline)]
 pub use batch_owners::BatchOwners;
 #[doc(inline)]
-pub use budgets::Budgets;
+pub use bounded_servers::{BoundedServers, ShareBasis};
 #[doc(inline)]
-pub use cold_servers::{ColdServers, ShareBasis};
+pub use budgets::Budgets;
 #[doc(inline)]
 pub use crash_watch::CrashWatch;
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/process/cold_servers.rs
+++ b/crates/amaranthscale/src/gateway/process/bounded_servers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerLife;
-use amaranthscale_core::process::{ColdBounds, ColdSends, ColdShare};
+use amaranthscale_core::process::{ColdBounds, RecentSends, SendShare};
 
 /// Time after a start in which nothing is sent to cold servers: an earlier life at the address may
 /// have used its share just before it ended.
@@ -14,7 +14,7 @@
 
 /// Shares of cold servers, and what was sent by them.
 #[derive(Debug)]
-pub struct ColdServers {
+pub struct BoundedServers {
     bounds: ColdBounds,
     started: Duration,
     state: Mutex<State>,
@@ -35,7 +35,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    sends: ColdSends,
+    sends: RecentSends,
     shares: BTreeMap<ServerLife, KnownShare>,
 }
 
@@ -43,10 +43,10 @@
 #[derive(Debug)]
 struct KnownShare {
     basis: ShareBasis,
-    share: ColdShare,
+    share: SendShare,
 }
 
-impl ColdServers {
+impl BoundedServers {
     /// No sends yet, by a process that started at a time.
     #[must_use]
     pub fn new(bounds: ColdBounds, started: Duration) -> Self {
@@ -102,16 +102,16 @@
         server: &ServerLife,
         basis: &ShareBasis,
         now: Duration,
-    ) -> ColdShare {
+    ) -> SendShare {
         if basis.gateways.is_empty() || now.saturating_sub(self.started) < QUIET_START {
-            return ColdShare::NONE;
+            return SendShare::NONE;
         }
         if let Some(known) = state.shares.get(server)
             && known.basis.is_same(basis)
         {
             return known.share;
         }
-        let share = ColdShare::of_entry(
+        let share = SendShare::of_entry(
             server,
             basis.most_per_s,
             basis.servers,
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -8,7 +8,7 @@
 use super::super::Dialect;
 use super::super::connection::ServerPool;
 use super::super::version::{HandedOn, Knowledge};
-use super::{BatchOwners, Budgets, ColdServers, CrashWatch, ServicePromptTimes, StopGate};
+use super::{BatchOwners, BoundedServers, Budgets, CrashWatch, ServicePromptTimes, StopGate};
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
 
@@ -30,7 +30,7 @@
     /// How long engines take to the first event.
     pub prompt_times: ServicePromptTimes,
     /// Sends to cold servers.
-    pub cold: ColdServers,
+    pub cold: BoundedServers,
     /// The owners of batches in this process.
     pub batches: Arc<BatchOwners>,
     /// Connections to other gateways.
--- a/crates/amaranthscale/src/gateway/process/server_uses.rs
+++ b/crates/amaranthscale/src/gateway/process/server_uses.rs
@@ -9,7 +9,7 @@
 };
 
 use super::GatewayParts;
-use super::cold_servers::ShareBasis;
+use super::bounded_servers::ShareBasis;
 
 impl GatewayParts {
     /// Chooses a server of a service by a function, and says by what load.
--- a/crates/core/examples/cold_load.rs
+++ b/crates/core/examples/cold_load.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerLife;
-use amaranthscale_core::process::{ColdSends, ColdShare};
+use amaranthscale_core::process::{RecentSends, SendShare};
 
 /// Servers of the service.
 const SERVERS: usize = 12;
@@ -93,15 +93,15 @@
         .collect();
     let lives = lives?;
     let share = |own: &SocketAddr, life: &ServerLife| match way {
-        Way::Each => ColdShare::of_owner(MOST_PER_S * USED_PART / as_f64(entries) / OWNER_PART),
-        Way::Few => ColdShare::of_entry(life, MOST_PER_S, SERVERS, *own, &addresses),
+        Way::Each => SendShare::of_owner(MOST_PER_S * USED_PART / as_f64(entries) / OWNER_PART),
+        Way::Few => SendShare::of_entry(life, MOST_PER_S, SERVERS, *own, &addresses),
     };
-    let shares: Vec<Vec<ColdShare>> = addresses
+    let shares: Vec<Vec<SendShare>> = addresses
         .iter()
         .map(|own| lives.iter().map(|life| share(own, life)).collect())
         .collect();
-    let none = |shares: &&Vec<ColdShare>| shares.iter().all(|share| share.sends() == 0);
-    let mut sends = vec![ColdSends::default(); entries];
+    let none = |shares: &&Vec<SendShare>| shares.iter().all(|share| share.sends() == 0);
+    let mut sends = vec![RecentSends::default(); entries];
     let mut recent = vec![VecDeque::new(); SERVERS];
     let mut numbers = Numbers(7);
     let (mut served, mut most) = (0_u32, 0);
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -13,8 +13,6 @@
 mod backend_choice;
 mod batcher;
 mod cell;
-mod cold_sends;
-mod cold_share;
 mod cold_terms;
 mod cold_times;
 mod connection_share;
@@ -36,12 +34,14 @@
 mod quarantine;
 mod queued_attempt;
 mod rank;
+mod recent_sends;
 mod refusal;
 pub(crate) mod rendezvous;
 mod retry_budget;
 mod router;
 mod router_settings;
 mod seen_load;
+mod send_share;
 mod server_list;
 mod server_use;
 mod shared_budget;
@@ -68,10 +68,6 @@
 #[doc(inline)]
 pub use cell::Cell;
 #[doc(inline)]
-pub use cold_sends::ColdSends;
-#[doc(inline)]
-pub use cold_share::ColdShare;
-#[doc(inline)]
 pub use cold_terms::{ColdBounds, ColdSpec, ColdTerms};
 #[doc(inline)]
 pub use connection_share::ConnectionShare;
@@ -108,6 +104,8 @@
 #[doc(inline)]
 pub use rank::Rank;
 #[doc(inline)]
+pub use recent_sends::RecentSends;
+#[doc(inline)]
 pub use refusal::Refusal;
 #[doc(inline)]
 pub use retry_budget::RetryBudget;
@@ -118,6 +116,8 @@
 #[doc(inline)]
 pub use seen_load::{SeenLoad, SeenNumber};
 #[doc(inline)]
+pub use send_share::SendShare;
+#[doc(inline)]
 pub use server_list::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord};
 #[doc(inline)]
 pub use server_use::{ServerUse, UsableServers};
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -6,9 +6,9 @@
 
 use super::queue::Queue;
 use crate::id::{ServerLife, ZoneId};
-use crate::process::cold_sends::ColdSends;
-use crate::process::cold_share::ColdShare;
 use crate::process::count::as_f64;
+use crate::process::recent_sends::RecentSends;
+use crate::process::send_share::SendShare;
 use crate::process::server_list::ServerRecord;
 use crate::process::server_use::ServerUse;
 use crate::version::BatchSpec;
@@ -90,10 +90,10 @@
     }
 
     /// The owner's share of its calls while it is cold.
-    fn cold_share(&self, now: Duration) -> Option<ColdShare> {
+    fn send_share(&self, now: Duration) -> Option<SendShare> {
         match self.server_use {
             ServerUse::Cold { until, most_per_s } if until > now => {
-                Some(ColdShare::of_owner(most_per_s))
+                Some(SendShare::of_owner(most_per_s))
             }
             _ => None,
         }
@@ -118,7 +118,7 @@
     pub(super) spec: Option<BatchSpec>,
     pub(super) servers: BTreeMap<ServerLife, StageServer>,
     pub(super) queue: Queue,
-    cold_sends: ColdSends,
+    recent_sends: RecentSends,
     arriving: f64,
     arrived_at: Duration,
 }
@@ -184,7 +184,7 @@
         }
         let is_cold = |server: &StageServer| matches!(server.server_use, ServerUse::Cold { .. });
         let servers = &self.servers;
-        self.cold_sends
+        self.recent_sends
             .retain(|life| servers.get(life).is_some_and(is_cold));
     }
 
@@ -197,9 +197,9 @@
     /// Counts a call to a server, if it is cold.
     pub(super) fn count_cold(&mut self, server: &ServerLife, now: Duration) {
         let state = self.servers.get(server);
-        if let Some(share) = state.and_then(|server| server.cold_share(now)) {
+        if let Some(share) = state.and_then(|server| server.send_share(now)) {
             // Asked for in `free` a moment ago.
-            self.cold_sends.try_send(server, share, now);
+            self.recent_sends.try_send(server, share, now);
         }
     }
 
@@ -246,8 +246,8 @@
         let slots = self.spec.map_or(0, |spec| spec.slots.max(1));
         let is_free = move |server: &StageServer| server.calls < slots && server.busy_until <= now;
         let has_share = move |life: &ServerLife, server: &StageServer| {
-            let share = server.cold_share(now);
-            share.is_none_or(|share| self.cold_sends.may_send(life, share, now))
+            let share = server.send_share(now);
+            share.is_none_or(|share| self.recent_sends.may_send(life, share, now))
         };
         let in_use = self.in_use(now);
         in_use.filter(move |(life, server)| is_free(server) && has_share(life, server))
--- a/crates/core/src/process/cold_sends.rs
+++ b/crates/core/src/process/recent_sends.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::cold_share::{ColdShare, WINDOW};
+use super::send_share::{SendShare, WINDOW};
 use crate::id::ServerLife;
 
 /// Sends of one process to cold servers in the last spans.
@@ -12,11 +12,11 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use amaranthscale_core::process::{ColdShare, ColdSends};
+/// use amaranthscale_core::process::{SendShare, RecentSends};
 ///
 /// let server = "a".parse()?;
-/// let share = ColdShare::of_owner(4.0);
-/// let mut sends = ColdSends::default();
+/// let share = SendShare::of_owner(4.0);
+/// let mut sends = RecentSends::default();
 /// let now = Duration::from_secs(10);
 /// assert!(sends.try_send(&server, share, now));
 /// assert!(sends.try_send(&server, share, now));
@@ -25,7 +25,7 @@
 /// # Ok::<(), amaranthscale_core::id::InvalidName>(())
 /// ```
 #[derive(Debug, Clone, Default)]
-pub struct ColdSends {
+pub struct RecentSends {
     by_server: BTreeMap<ServerLife, Recent>,
 }
 
@@ -36,16 +36,16 @@
     sent_at: VecDeque<Duration>,
 }
 
-impl ColdSends {
+impl RecentSends {
     /// Whether one more request may be given a server, as far as choices of the last span go.
     #[must_use]
-    pub fn has_place(&self, server: &ServerLife, share: ColdShare, now: Duration) -> bool {
+    pub fn has_place(&self, server: &ServerLife, share: SendShare, now: Duration) -> bool {
         let recent = self.by_server.get(server);
         recent.map_or(0, |recent| within(&recent.chosen_at, share, now)) < share.sends
     }
 
     /// Counts a choice of a server.
-    pub fn chosen(&mut self, server: &ServerLife, share: ColdShare, now: Duration) {
+    pub fn chosen(&mut self, server: &ServerLife, share: SendShare, now: Duration) {
         let recent = self.by_server.entry(server.clone()).or_default();
         forget(&mut recent.chosen_at, share.span, now);
         recent.chosen_at.push_back(now);
@@ -55,7 +55,7 @@
     ///
     /// Guards against requests that were chosen at different times and leave together, as when
     /// pieces of many come at once or a frozen process wakes: choices alone would keep no bound.
-    pub fn try_send(&mut self, server: &ServerLife, share: ColdShare, now: Duration) -> bool {
+    pub fn try_send(&mut self, server: &ServerLife, share: SendShare, now: Duration) -> bool {
         let recent = self.by_server.entry(server.clone()).or_default();
         forget(&mut recent.sent_at, share.span, now);
         if recent.sent_at.len() >= share.sends {
@@ -77,7 +77,7 @@
 
     /// Whether one more send may leave now.
     #[must_use]
-    pub fn may_send(&self, server: &ServerLife, share: ColdShare, now: Duration) -> bool {
+    pub fn may_send(&self, server: &ServerLife, share: SendShare, now: Duration) -> bool {
         let recent = self.by_server.get(server);
         recent.map_or(0, |recent| within(&recent.sent_at, share, now)) < share.sends
     }
@@ -97,7 +97,7 @@
     }
 }
 
-fn within(times: &VecDeque<Duration>, share: ColdShare, now: Duration) -> usize {
+fn within(times: &VecDeque<Duration>, share: SendShare, now: Duration) -> usize {
     // The newest are last; a span holds the moment at its end but not the one at its start.
     let recent = times.iter().rev();
     let recent = recent.take_while(|at| now.saturating_sub(**at) < share.span);
--- a/crates/core/src/process/cold_share.rs
+++ b/crates/core/src/process/send_share.rs
@@ -33,12 +33,12 @@
 
 /// So many sends in any span of a length.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ColdShare {
+pub struct SendShare {
     pub(super) sends: usize,
     pub(super) span: Duration,
 }
 
-impl ColdShare {
+impl SendShare {
     /// Nothing may be sent.
     pub const NONE: Self = Self {
         sends: 0,
--- a/crates/core/tests/cold_share.rs
+++ b/crates/core/tests/send_share.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerLife;
-use amaranthscale_core::process::{ColdBounds, ColdSends, ColdShare, ColdSpec};
+use amaranthscale_core::process::{ColdBounds, ColdSpec, RecentSends, SendShare};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -31,8 +31,8 @@
     servers: usize,
     own: usize,
     all: &[SocketAddr],
-) -> ColdShare {
-    ColdShare::of_entry(&life(server), most_per_s, servers, all[own], all)
+) -> SendShare {
+    SendShare::of_entry(&life(server), most_per_s, servers, all[own], all)
 }
 
 #[test]
@@ -80,7 +80,7 @@
 
 #[test]
 fn a_rate_of_nothing_lets_nothing_through() {
-    assert_eq!(share(0, 0.0, 4, 0, &addresses(1)), ColdShare::NONE);
+    assert_eq!(share(0, 0.0, 4, 0, &addresses(1)), SendShare::NONE);
 }
 
 /// A whole service comes back cold. Each entry should be able to reach one of its servers, or all
@@ -112,8 +112,8 @@
     turned.reverse();
 
     for own in &all {
-        let first = ColdShare::of_entry(&life(1), 36.5, 47, *own, &all);
-        let second = ColdShare::of_entry(&life(1), 36.5, 47, *own, &turned);
+        let first = SendShare::of_entry(&life(1), 36.5, 47, *own, &all);
+        let second = SendShare::of_entry(&life(1), 36.5, 47, *own, &turned);
         assert_eq!(first, second);
     }
 }
@@ -123,8 +123,8 @@
     index: usize,
     /// Entries that it has heard of.
     known: usize,
-    share: ColdShare,
-    sends: ColdSends,
+    share: SendShare,
+    sends: RecentSends,
     started: Duration,
     frozen_until: Duration,
     queue: VecDeque<Duration>,
@@ -135,8 +135,8 @@
         Self {
             index,
             known: 0,
-            share: ColdShare::NONE,
-            sends: ColdSends::default(),
+            share: SendShare::NONE,
+            sends: RecentSends::default(),
             started: now,
             frozen_until: now,
             queue: VecDeque::new(),
@@ -148,7 +148,7 @@
         if self.known != known {
             let own = address(self.index);
             let all = addresses(known);
-            self.share = ColdShare::of_entry(server, most_per_s, 12, own, &all);
+            self.share = SendShare::of_entry(server, most_per_s, 12, own, &all);
             self.known = known;
         }
     }
@@ -251,9 +251,9 @@
 /// count of sends, and choices alone never fill it.
 #[test]
 fn choices_and_sends_are_counted_apart() {
-    let share = ColdShare::of_owner(4.0);
+    let share = SendShare::of_owner(4.0);
     let (server, now) = (life(0), 10 * SECOND);
-    let mut sends = ColdSends::default();
+    let mut sends = RecentSends::default();
     sends.chosen(&server, share, now);
     assert!(sends.has_place(&server, share, now));
     sends.chosen(&server, share, now);
@@ -273,9 +273,9 @@
 /// must not get a whole share on top.
 #[test]
 fn what_was_sent_before_a_server_became_cold_counts() {
-    let share = ColdShare::of_owner(6.0);
+    let share = SendShare::of_owner(6.0);
     let (server, now) = (life(0), 10 * SECOND);
-    let mut sends = ColdSends::default();
+    let mut sends = RecentSends::default();
     for _ in 0..2 {
         sends.sent(&server, now);
     }
--- a/crates/core/tests/spec_withheld.rs
+++ b/crates/core/tests/spec_withheld.rs
@@ -15,8 +15,8 @@
 
 use amaranthscale_core::id::{RowVersion, ServerLife};
 use amaranthscale_core::process::{
-    ColdSends, ColdShare, ColdTerms, ServerChange, ServerList, ServerRecord, ServerUse, ZoneChange,
-    ZoneState,
+    ColdTerms, RecentSends, SendShare, ServerChange, ServerList, ServerRecord, ServerUse,
+    ZoneChange, ZoneState,
 };
 
 const ENTRIES: usize = 2;
@@ -64,7 +64,7 @@
 #[derive(Clone)]
 struct Entry {
     list: ServerList,
-    sends: ColdSends,
+    sends: RecentSends,
     /// Requests that were given the server and have not left.
     chosen: u8,
     /// Whether the last word that it heard is of an evacuation.
@@ -101,11 +101,11 @@
     }
 }
 
-fn share(own: usize) -> ColdShare {
+fn share(own: usize) -> SendShare {
     let all: Vec<SocketAddr> = (0..ENTRIES)
         .map(|index| format!("10.0.0.{}:7740", index + 1).parse().unwrap())
         .collect();
-    ColdShare::of_entry(&life(), TERMS.most_per_s, 1, all[own], &all)
+    SendShare::of_entry(&life(), TERMS.most_per_s, 1, all[own], &all)
 }
 
 impl World {
@@ -114,7 +114,7 @@
         list.take_all(vec![ServerChange::Listed(record())], Duration::ZERO);
         let entry = Entry {
             list,
-            sends: ColdSends::default(),
+            sends: RecentSends::default(),
             chosen: 0,
             has_heard: false,
             is_blind: false,
