A server that names a limit gets no more than that from all gateways together

Cause: nobody read the header, and a bound on the sum over all gateways had no owner among them. Ruled out: repeats (the servers failed nothing); affinity is how the requests came, not why they were too many. Why it works: the answer's word makes the server Limited in the list that all sends ask (ServerUse), once more as the bytes leave. The share of each gateway follows from the list of announced gateways, as for cold servers: few senders with whole sends, nine tenths of the limit. Who hears a word tells it through the store, so that those who never send there know it and its end. A late answer to an earlier request ends nothing. What fits nowhere is refused at once (2111, not run) with the time of the next place.

--- a/crates/amaranthscale/src/gateway.rs
+++ b/crates/amaranthscale/src/gateway.rs
@@ -32,5 +32,5 @@
 pub(crate) use request_content::RequestContent;
 #[doc(inline)]
 pub use store_calls::{
-    StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable, StoredValue, ToldEvidence,
+    StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable, StoredValue, ToldEvidence, ToldLimit,
 };
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -15,7 +15,8 @@
 use super::listen::{OtherServers, bind, listen_callers, listen_others};
 use super::process::{
     BatchOwnerArguments, BatchOwners, BoundedServers, Budgets, CrashWatch, GatewayParts,
-    ServicePromptTimes, StopGate, remove_outdated, tell_crashes, tend_silent,
+    LimitWatch, ServicePromptTimes, StopGate, forget_limits, remove_outdated, tell_crashes,
+    tell_limits, tend_silent,
 };
 use super::version::{
     FeedPace, KEY_AGE_PERCENT, Knowledge, Neighbours, Own, READY_AGE_PERCENT, announce_instance,
@@ -82,6 +83,7 @@
             announcement: config.announcement.clone(),
             stop: Arc::clone(&parts.stop),
             crashes: Arc::clone(&parts.crashes),
+            limits: Arc::clone(&parts.limits),
             is_announced: Arc::default(),
         };
         let following = follow(&config, &parts, own.clone());
@@ -92,6 +94,8 @@
         tokio::spawn(tend_silent(Arc::clone(&parts), config.store.clone()));
         tokio::spawn(tell_crashes(Arc::clone(&parts), config.store.clone()));
         tokio::spawn(remove_outdated(Arc::clone(&parts), config.store.clone()));
+        tokio::spawn(tell_limits(Arc::clone(&parts), config.store.clone()));
+        tokio::spawn(forget_limits(Arc::clone(&parts), config.store.clone()));
         tokio::spawn(announce_instance(config.store.clone(), own.clone()));
         info!(instance = config.instance.as_str(), zone = config.zone.as_str(); "gateway: started");
         Ok(Self {
@@ -198,9 +202,12 @@
     let counters = Arc::new(Counters::local("amaranth.gateway"));
     let pool = Arc::new(ServerPool::default());
     let dialect = Arc::new(config.dialect.clone());
+    let limits = LimitWatch::new(config.clock, Arc::clone(knowledge), Arc::clone(&counters));
+    let limits = Arc::new(limits);
     let arguments = BatchOwnerArguments {
         cell: Cell::WHOLE,
         cold: config.cold,
+        limits: Arc::clone(&limits),
         knowledge: Arc::clone(knowledge),
         pool: Arc::clone(&pool),
         dialect: Arc::clone(&dialect),
@@ -220,11 +227,12 @@
         instance: config.instance.clone(),
         zone: config.zone.clone(),
         knowledge: Arc::clone(knowledge),
+        limits,
         pool,
         dialect,
         budgets: Budgets::new(config.budget),
         prompt_times: ServicePromptTimes::default(),
-        cold: BoundedServers::new(config.cold, config.clock.now()),
+        bounded: BoundedServers::new(config.cold, config.clock.now()),
         batches: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
         handed_on: Arc::default(),
@@ -255,6 +263,6 @@
         let is_known = |life: &ServerLife| servers.is_usable(life);
         parts.pool.retain(is_known);
         parts.choice().retain(is_known);
-        parts.cold.retain(is_known);
+        parts.bounded.retain(is_known);
     }
 }
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, ResultHandle};
-use amaranthscale_core::process::{Batch, BatchEnd, ToldLoad};
+use amaranthscale_core::process::{Batch, BatchEnd, InvalidServerLimit, ServerLimit, ToldLoad};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
@@ -84,6 +84,8 @@
     pub is_input_gone: fn(StatusCode) -> bool,
     /// The load that an answer tells.
     pub told_load: fn(&HeaderMap) -> Option<ToldLoad>,
+    /// The limit that an answer names.
+    pub named_limit: fn(&HeaderMap) -> Option<Result<ServerLimit, InvalidServerLimit>>,
     /// A call for a batch of pieces.
     pub batch: fn(&Batch) -> Request<Full<Bytes>>,
     /// Reads the answer to such a call.
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -168,5 +168,11 @@
             "amaranth_quarantined{{fingerprint=\"{request}\"}} {crashed}"
         );
     }
+    for (server, limit) in parts.limits.limits() {
+        let _ = writeln!(
+            text,
+            "amaranth_server_limit_per_s{{server=\"{server}\"}} {limit}"
+        );
+    }
     text + &parts.latencies.text()
 }
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -9,6 +9,7 @@
 mod budgets;
 mod crash_watch;
 mod kept_pieces;
+mod limit_watch;
 mod parts;
 mod peer_message;
 mod peer_pieces;
@@ -19,6 +20,7 @@
 mod single_run;
 mod stop_gate;
 mod tell_crashes;
+mod tell_limits;
 mod tend_silent;
 
 #[doc(inline)]
@@ -36,6 +38,8 @@
 #[doc(inline)]
 pub use crash_watch::CrashWatch;
 #[doc(inline)]
+pub use limit_watch::LimitWatch;
+#[doc(inline)]
 pub use parts::GatewayParts;
 #[doc(inline)]
 pub use peer_pieces::PIECES_PATH;
@@ -44,6 +48,7 @@
 pub(crate) use pieces::make_pieces;
 #[doc(inline)]
 pub use pieces::{MadePieces, PiecesError};
+pub(crate) use server_uses::NoneUsable;
 #[doc(inline)]
 pub use service_prompt_times::ServicePromptTimes;
 pub(crate) use single_run::SingleRun;
@@ -52,4 +57,6 @@
 #[doc(inline)]
 pub use tell_crashes::{remove_outdated, tell_crashes};
 #[doc(inline)]
+pub use tell_limits::{forget_limits, tell_limits};
+#[doc(inline)]
 pub use tend_silent::tend_silent;
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -14,6 +14,7 @@
 use super::super::clock::ms;
 use super::super::connection::ServerPool;
 use super::super::version::Knowledge;
+use super::LimitWatch;
 use crate::connection::{SendError, read_body};
 use crate::process::Counters;
 
@@ -29,6 +30,7 @@
     pub(super) dialect: Arc<Dialect>,
     pub(super) knowledge: Arc<Knowledge>,
     pub(super) counters: Arc<Counters>,
+    pub(super) limits: Arc<LimitWatch>,
 }
 
 /// Has a batch made; a call without an answer in time counts as lost.
@@ -94,8 +96,14 @@
             told: None,
         });
     }
+    let sent_at = Instant::now();
     let response = connection.send((dialect.batch)(batch)).await?;
     let (head, body) = response.into_parts();
+    if !(dialect.is_other_server)(head.status) {
+        let named = (dialect.named_limit)(&head.headers);
+        let has_run = !(dialect.did_not_run)(head.status, &head.headers);
+        caller.limits.heard(&batch.server, named, has_run, sent_at);
+    }
     let body = read_body(body, MAX_ANSWER_BYTES, batch.patience)
         .await
         .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -22,6 +22,7 @@
 use super::super::clock::ms;
 use super::super::connection::ServerPool;
 use super::super::version::Knowledge;
+use super::LimitWatch;
 use super::batch_calls::{BatchCaller, CallEnd, call_free, run_batch};
 use super::batch_message::{BatchOwnerMessage, JobAnswer, JobNews, JobSource, Submission};
 use crate::process::{Counters, Latencies};
@@ -56,6 +57,8 @@
     pub counters: Arc<Counters>,
     /// Times of calls by service.
     pub latencies: Arc<Latencies>,
+    /// What servers say of their limits.
+    pub limits: Arc<LimitWatch>,
 }
 
 /// State of the actor.
@@ -280,13 +283,16 @@
 
     /// One call that frees results a server at a time: what comes meanwhile goes with the next.
     ///
-    /// Nothing is sent to an evacuated zone, these calls neither; its results lapse by themselves.
+    /// Nothing is sent to an evacuated zone, these calls neither, and a limited server takes calls that
+    /// make pieces instead; their results lapse by themselves.
     fn send_frees(&mut self, myself: &ActorRef<BatchOwnerMessage>) {
         let freeing = &self.freeing;
         let servers = self.arguments.knowledge.servers();
-        let is_evacuated =
-            |life: &ServerLife| servers.use_of(life, None, Duration::ZERO) == ServerUse::Evacuated;
-        let is_wanted = |life: &ServerLife| !freeing.contains(life) && !is_evacuated(life);
+        let takes_none = |life: &ServerLife| {
+            let server_use = servers.use_of(life, None, Duration::ZERO);
+            matches!(server_use, ServerUse::Evacuated | ServerUse::Limited { .. })
+        };
+        let is_wanted = |life: &ServerLife| !freeing.contains(life) && !takes_none(life);
         for frees in self.batcher.take_frees(is_wanted) {
             self.freeing.insert(frees.server.clone());
             let myself = myself.clone();
@@ -308,6 +314,7 @@
                 dialect: Arc::clone(&self.arguments.dialect),
                 knowledge: Arc::clone(&self.arguments.knowledge),
                 counters: Arc::clone(&self.arguments.counters),
+                limits: Arc::clone(&self.arguments.limits),
             };
             let latencies = Arc::clone(&self.arguments.latencies);
             tokio::spawn(async move {
--- a/crates/amaranthscale/src/gateway/process/bounded_servers.rs
+++ b/crates/amaranthscale/src/gateway/process/bounded_servers.rs
@@ -1,4 +1,4 @@
-//! This gateway's sends to cold servers.
+//! This gateway's sends to servers that all gateways together may send so much.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerLife;
-use amaranthscale_core::process::{ColdBounds, RecentSends, SendShare};
+use amaranthscale_core::process::{ColdBounds, RecentSends, SendBound, SendShare};
 
-/// Time after a start in which nothing is sent to cold servers: an earlier life at the address may
+/// Time after a start in which nothing is sent to such servers: an earlier life at the address may
 /// have used its share just before it ended.
 const QUIET_START: Duration = Duration::from_secs(1);
 
-/// Shares of cold servers, and what was sent by them.
+/// Shares of cold and limited servers, and what was sent by them.
 #[derive(Debug)]
 pub struct BoundedServers {
     bounds: ColdBounds,
@@ -23,8 +23,8 @@
 /// What a share at a server is worked out from.
 #[derive(Debug, Clone)]
 pub struct ShareBasis {
-    /// Requests that may reach the server in any second, from all gateways together.
-    pub most_per_s: f64,
+    /// What bounds the sum of all gateways' sends to the server.
+    pub bound: SendBound,
     /// Servers of its service.
     pub servers: usize,
     /// This gateway's address, by which the others know it.
@@ -84,6 +84,18 @@
         state.sends.try_send(server, share, now)
     }
 
+    /// When one more request may be given a server; none if this gateway sends it nothing.
+    pub fn next_place(
+        &self,
+        server: &ServerLife,
+        basis: &ShareBasis,
+        now: Duration,
+    ) -> Option<Duration> {
+        let mut state = self.state();
+        let share = self.share(&mut state, server, basis, now);
+        state.sends.next_place(server, share, now)
+    }
+
     /// Counts a send to a server of a service that may have cold ones, while it is not known to be.
     pub fn sent(&self, server: &ServerLife, now: Duration) {
         self.state().sends.sent(server, now);
@@ -111,13 +123,9 @@
         {
             return known.share;
         }
-        let share = SendShare::of_entry(
-            server,
-            basis.most_per_s,
-            basis.servers,
-            basis.own,
-            &basis.gateways,
-        );
+        let share = basis
+            .bound
+            .share_of_entry(server, basis.servers, basis.own, &basis.gateways);
         let basis = basis.clone();
         state
             .shares
@@ -135,6 +143,6 @@
         // The same list is shared until the gateways change.
         Arc::ptr_eq(&self.gateways, &other.gateways)
             && self.servers == other.servers
-            && self.most_per_s.total_cmp(&other.most_per_s).is_eq()
+            && self.bound == other.bound
     }
 }
--- a/crates/amaranthscale/src/gateway/process/parts.rs
+++ b/crates/amaranthscale/src/gateway/process/parts.rs
@@ -8,7 +8,9 @@
 use super::super::Dialect;
 use super::super::connection::ServerPool;
 use super::super::version::{HandedOn, Knowledge};
-use super::{BatchOwners, BoundedServers, Budgets, CrashWatch, ServicePromptTimes, StopGate};
+use super::{
+    BatchOwners, BoundedServers, Budgets, CrashWatch, LimitWatch, ServicePromptTimes, StopGate,
+};
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
 
@@ -29,8 +31,10 @@
     pub budgets: Budgets,
     /// How long engines take to the first event.
     pub prompt_times: ServicePromptTimes,
-    /// Sends to cold servers.
-    pub cold: BoundedServers,
+    /// Sends to servers that all gateways together may send so much.
+    pub bounded: BoundedServers,
+    /// What servers say of their limits.
+    pub limits: Arc<LimitWatch>,
     /// The owners of batches in this process.
     pub batches: Arc<BatchOwners>,
     /// Connections to other gateways.
--- a/crates/amaranthscale/src/gateway/process/server_uses.rs
+++ b/crates/amaranthscale/src/gateway/process/server_uses.rs
@@ -5,12 +5,22 @@
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::ServiceId;
 use amaranthscale_core::process::{
-    BackendChoice, ColdTerms, SeenLoad, ServerList, ServerRecord, ServerUse, UsableServers,
+    BackendChoice, ColdTerms, SeenLoad, SendBound, ServerList, ServerRecord, ServerUse,
+    UsableServers,
 };
 
 use super::GatewayParts;
 use super::bounded_servers::ShareBasis;
 
+/// Why no server of a service can be chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoneUsable {
+    /// The numbered result.
+    pub code: ResultCode,
+    /// When this gateway may send to a limited server of the service again, if that is why.
+    pub place_in: Option<Duration>,
+}
+
 impl GatewayParts {
     /// Chooses a server of a service by a function, and says by what load.
     pub fn choose(
@@ -41,17 +51,25 @@
         now: Duration,
     ) -> UsableServers<'a> {
         let terms = self.cold_terms(service);
-        // One for all cold servers of the service, as it costs a pass over the list.
+        // One for all bounded servers of the service, as it costs a pass over the list.
         let mut basis = None;
         let mut usable = UsableServers::default();
         for server in servers.staying(service) {
             match servers.use_of_listed(server, terms, now) {
                 ServerUse::Free => usable.free.push(server),
-                ServerUse::Cold { most_per_s, .. } => {
+                server_use @ (ServerUse::Cold { .. } | ServerUse::Limited { .. }) => {
+                    let Some(bound) = server_use.bound() else {
+                        continue;
+                    };
                     let basis =
-                        basis.get_or_insert_with(|| self.share_basis(servers, service, most_per_s));
-                    if self.cold.has_place(&server.life, basis, now) {
-                        usable.cold.push(server);
+                        basis.get_or_insert_with(|| self.share_basis(servers, service, bound));
+                    basis.bound = bound;
+                    if !self.bounded.has_place(&server.life, basis, now) {
+                        continue;
+                    }
+                    match bound {
+                        SendBound::Cold { .. } => usable.cold.push(server),
+                        SendBound::Limited { .. } => usable.free.push(server),
                     }
                 }
                 ServerUse::Leaving | ServerUse::Evacuated | ServerUse::Unlisted => {}
@@ -60,17 +78,17 @@
         usable
     }
 
-    /// Counts a choice of a server for a request, if the server is cold.
+    /// Counts a choice of a server for a request, if what the server is sent is bounded.
     fn note_chosen(&self, servers: &ServerList, server: &ServerRecord, now: Duration) {
         let terms = self.cold_terms(&server.service);
-        if let ServerUse::Cold { most_per_s, .. } = servers.use_of_listed(server, terms, now) {
-            let basis = self.share_basis(servers, &server.service, most_per_s);
-            self.cold.chosen(&server.life, &basis, now);
+        if let Some(bound) = servers.use_of_listed(server, terms, now).bound() {
+            let basis = self.share_basis(servers, &server.service, bound);
+            self.bounded.chosen(&server.life, &basis, now);
         }
     }
 
     /// Asks once more whether a request may go to a server, as its bytes are about to leave; says
-    /// why not. A send to a cold one is taken from this gateway's share.
+    /// why not. A send to a cold or a limited one is taken from this gateway's share.
     ///
     /// Guards against what happens between a choice and its send: pieces take most of a second, a
     /// connection some hundred milliseconds, and a frozen process wakes with all its choices made.
@@ -80,17 +98,19 @@
         let terms = self.cold_terms(&server.service);
         let server_use = servers.use_of(&server.life, terms, now);
         let may_send = match server_use {
-            ServerUse::Cold { most_per_s, .. } => {
-                let basis = self.share_basis(&servers, &server.service, most_per_s);
-                self.cold.try_send(&server.life, &basis, now)
+            ServerUse::Cold { .. } | ServerUse::Limited { .. } => {
+                server_use.bound().is_some_and(|bound| {
+                    let basis = self.share_basis(&servers, &server.service, bound);
+                    self.bounded.try_send(&server.life, &basis, now)
+                })
             }
             ServerUse::Free => {
                 if terms.is_some() {
-                    self.cold.sent(&server.life, now);
+                    self.bounded.sent(&server.life, now);
                 }
                 true
             }
-            _ => false,
+            ServerUse::Leaving | ServerUse::Evacuated | ServerUse::Unlisted => false,
         };
         if may_send {
             return Ok(());
@@ -101,40 +121,50 @@
     }
 
     /// Why no server of a service can be chosen now.
-    pub fn none_usable(&self, service: &ServiceId) -> ResultCode {
+    pub fn none_usable(&self, service: &ServiceId) -> NoneUsable {
         let servers = self.knowledge.servers();
         let now = self.knowledge.clock().now();
         let terms = self.cold_terms(service);
-        let uses: Vec<_> = servers
-            .staying(service)
-            .map(|server| servers.use_of_listed(server, terms, now))
+        let staying = servers.staying(service);
+        let uses: Vec<_> = staying
+            .map(|server| (server, servers.use_of_listed(server, terms, now)))
             .collect();
-        let is_cold = |server_use: &ServerUse| matches!(server_use, ServerUse::Cold { .. });
-        if uses.iter().any(is_cold) {
-            // The others, if there are any, were tried; of these the share is used up.
-            ResultCode::ServersCold
-        } else if !uses.is_empty() && uses.iter().all(|one| *one == ServerUse::Evacuated) {
-            ResultCode::ZonesEvacuated
+        // The others, if there are any, were tried; of these the share is used up.
+        let is_any = |holds: fn(&ServerUse) -> bool| uses.iter().any(|(_, one)| holds(one));
+        let (code, bounded) = if is_any(|one| matches!(one, ServerUse::Limited { .. })) {
+            (ResultCode::ServersLimited, &uses[..])
+        } else if is_any(|one| matches!(one, ServerUse::Cold { .. })) {
+            (ResultCode::ServersCold, &[][..])
+        } else if !uses.is_empty() && !is_any(|one| *one != ServerUse::Evacuated) {
+            (ResultCode::ZonesEvacuated, &[][..])
         } else {
-            ResultCode::NoBackendServer
+            (ResultCode::NoBackendServer, &[][..])
+        };
+        let places = bounded.iter().filter_map(|(server, server_use)| {
+            let basis = self.share_basis(&servers, service, server_use.bound()?);
+            self.bounded.next_place(&server.life, &basis, now)
+        });
+        NoneUsable {
+            code,
+            place_in: places.min().map(|at| at.saturating_sub(now)),
         }
     }
 
     /// What holds of a service's cold servers.
     fn cold_terms(&self, service: &ServiceId) -> Option<ColdTerms> {
         let routing = self.knowledge.routing()?;
-        routing.cold_terms(service, self.cold.bounds())
+        routing.cold_terms(service, self.bounded.bounds())
     }
 
     fn share_basis(
         &self,
         servers: &ServerList,
         service: &ServiceId,
-        most_per_s: f64,
+        bound: SendBound,
     ) -> ShareBasis {
         let (own, gateways) = self.knowledge.announced();
         ShareBasis {
-            most_per_s,
+            bound,
             servers: servers.staying(service).count(),
             own,
             gateways,
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -120,7 +120,7 @@
             }
             let server = self
                 .choose()
-                .ok_or_else(|| Refused::new(self.parts.none_usable(&self.service)))?;
+                .ok_or_else(|| Refused::none_usable(self.parts.none_usable(&self.service)))?;
             // Counted from here on, so that requests which wait for pieces spread as well.
             let sent = Sent::new(&self.parts, &server);
             let made = match pieces {
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -91,8 +91,8 @@
                 return self.give_up(refused);
             }
             let Some(server) = self.choose() else {
-                let code = self.parts.none_usable(self.service);
-                return self.give_up(Refused::new(code));
+                let none = self.parts.none_usable(self.service);
+                return self.give_up(Refused::none_usable(none));
             };
             let tried = self.try_at(&server, outgoing).await;
             let has_more = match tried {
--- a/crates/amaranthscale/src/gateway/request/refused.rs
+++ b/crates/amaranthscale/src/gateway/request/refused.rs
@@ -6,7 +6,7 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use super::super::process::GatewayParts;
+use super::super::process::{GatewayParts, NoneUsable};
 use super::answer::{AnswerBody, whole};
 
 /// Time after which a caller may come back if nothing better is known.
@@ -47,6 +47,15 @@
         }
     }
 
+    /// A refusal where no server of the service can be chosen.
+    #[must_use]
+    pub const fn none_usable(none: NoneUsable) -> Self {
+        Self {
+            retry_after: none.place_in,
+            ..Self::new(none.code)
+        }
+    }
+
     /// Says when to come back.
     #[must_use]
     pub const fn come_back_in(mut self, retry_after: Duration) -> Self {
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -137,6 +137,7 @@
         sent.end(SendEnd::Abandoned);
         return SendOutcome::Withheld(server_use);
     }
+    let sent_at = Instant::now();
     let request = outgoing.request(&parts.dialect, server.life.id(), admitted.left());
     let response = match connection.send(request).await {
         Ok(response) => response,
@@ -165,8 +166,13 @@
         sent.end(SendEnd::Failed);
         return SendOutcome::Lost;
     }
-    if (dialect.did_not_run)(head.status, &head.headers) {
-        let is_other = (dialect.is_other_server)(head.status);
+    let has_run = !(dialect.did_not_run)(head.status, &head.headers);
+    let is_other = (dialect.is_other_server)(head.status);
+    if !is_other {
+        let named = (dialect.named_limit)(&head.headers);
+        parts.limits.heard(&server.life, named, has_run, sent_at);
+    }
+    if !has_run {
         sent.end(if is_other {
             SendEnd::Failed
         } else {
--- a/crates/amaranthscale/src/gateway/store_calls.rs
+++ b/crates/amaranthscale/src/gateway/store_calls.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranthscale_core::id::{EvidenceId, InstanceId, RowVersion, ServerId};
-use amaranthscale_core::process::{Announcement, CrashEvidence, ServerRecord, ZoneChange};
+use amaranthscale_core::id::{EvidenceId, InstanceId, RowVersion, ServerId, ServerLife};
+use amaranthscale_core::process::{
+    Announcement, CrashEvidence, ServerLimit, ServerRecord, ZoneChange,
+};
 use amaranthscale_core::version::Routing;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -102,6 +104,9 @@
 /// Evidence of crashed servers by its name; none where it was removed.
 pub type ToldEvidence = (EvidenceId, Option<CrashEvidence>);
 
+/// The limit that a server has named; none where the word was removed.
+pub type ToldLimit = (ServerLife, Option<ServerLimit>);
+
 /// How one platform's store is called.
 #[derive(Debug, Clone)]
 pub struct StoreCalls {
@@ -121,6 +126,10 @@
     pub tell_first: fn(&EvidenceId, &CrashEvidence) -> Request<Full<Bytes>>,
     /// Removes what was told.
     pub take_back: fn(&EvidenceId) -> Request<Full<Bytes>>,
+    /// Tells of a server's limit.
+    pub tell_limit: fn(&ServerLife, ServerLimit) -> Request<Full<Bytes>>,
+    /// Removes what was told of it.
+    pub end_limit: fn(&ServerLife) -> Request<Full<Bytes>>,
     /// Reads an answer.
     pub answer: fn(StatusCode, &[u8]) -> Result<StoreAnswer, String>,
     /// Reads the routing from its row; none if the row is another one.
@@ -133,6 +142,9 @@
     /// Reads what a gateway tells of crashed servers from a row of the gateways' table, and nothing of
     /// it where the row was dropped; none if the row is another one.
     pub evidence: fn(&StoreRow) -> Result<Option<ToldEvidence>, String>,
+    /// Reads what a gateway tells of a server's limit from a row of the gateways' table; none if the row
+    /// is another one.
+    pub limit: fn(&StoreRow) -> Result<Option<ToldLimit>, String>,
     /// Reads what a gateway announces from its row.
     pub instance: fn(&[u8]) -> Result<Announcement, String>,
 }
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::{CrashWatch, StopGate};
-use super::super::{StoreCalls, StoreRow, StoreTable, StoredValue};
+use super::super::process::{CrashWatch, LimitWatch, StopGate};
+use super::super::{StoreCalls, StoreRow, StoreTable, StoredValue, ToldEvidence, ToldLimit};
 use super::announce::{announce_instance, withdraw_instance};
 use super::line_budget::LineBudget;
 use super::refused_entries::RefusedEntries;
@@ -137,13 +137,9 @@
             FeedEvent::All(rows) => (rows.rows, true),
             FeedEvent::Changed(rows) => (rows.rows, false),
         };
-        let evidence: Vec<_> = rows.iter().map(store.evidence).collect();
+        let told: Vec<_> = rows.iter().map(|row| told_by(&store, row)).collect();
         if is_whole {
-            let told = evidence
-                .iter()
-                .filter_map(|one| one.as_ref().ok()?.as_ref());
-            let told: Vec<_> = told.map(|(id, _)| id.clone()).collect();
-            own.crashes.keep_only(&told);
+            keep_only(&own, &told);
             let ids = rows.iter().filter_map(|row| row.key.parse().ok());
             let ids: Vec<_> = ids.collect();
             knowledge.change_instances(|instances| instances.keep_only(&ids));
@@ -152,10 +148,11 @@
                 announce_again(&store, &own);
             }
         }
-        for (row, evidence) in rows.iter().zip(evidence) {
-            match evidence {
-                Ok(Some((id, evidence))) => own.crashes.take(id, evidence),
-                Ok(None) => {
+        for (row, told) in rows.iter().zip(told) {
+            match told {
+                Ok(Told::Evidence((id, evidence))) => own.crashes.take(id, evidence),
+                Ok(Told::Limit((server, limit))) => own.limits.take(&server, limit),
+                Ok(Told::Instance) => {
                     take_instance(&store, &knowledge, &own, row, &mut refusals, &mut turnover);
                 }
                 Err(reason) => refusals.note(&row.key, &reason),
@@ -168,6 +165,36 @@
     }
 }
 
+/// What a row of the gateways' table is about.
+#[derive(Debug)]
+enum Told {
+    Evidence(ToldEvidence),
+    Limit(ToldLimit),
+    Instance,
+}
+
+fn told_by(store: &StoreCalls, row: &StoreRow) -> Result<Told, String> {
+    if let Some(evidence) = (store.evidence)(row)? {
+        return Ok(Told::Evidence(evidence));
+    }
+    let limit = (store.limit)(row)?;
+    Ok(limit.map_or(Told::Instance, Told::Limit))
+}
+
+/// Drops what a whole table names no more.
+fn keep_only(own: &Own, told: &[Result<Told, String>]) {
+    let (mut evidence, mut limited) = (Vec::new(), Vec::new());
+    for told in told.iter().flatten() {
+        match told {
+            Told::Evidence((id, _)) => evidence.push(id.clone()),
+            Told::Limit((server, _)) => limited.push(server.clone()),
+            Told::Instance => {}
+        }
+    }
+    own.crashes.keep_only(&evidence);
+    own.limits.keep_only(&limited);
+}
+
 /// The gateway itself, as it announces itself.
 #[derive(Debug, Clone)]
 pub struct Own {
@@ -179,6 +206,8 @@
     pub stop: Arc<StopGate>,
     /// What it knows of crashed servers.
     pub crashes: Arc<CrashWatch>,
+    /// What it knows of servers' limits.
+    pub limits: Arc<LimitWatch>,
     /// Whether the store has taken its announcement.
     pub is_announced: Arc<AtomicBool>,
 }
--- a/crates/amaranthscale/src/operator/explain/story.rs
+++ b/crates/amaranthscale/src/operator/explain/story.rs
@@ -178,6 +178,15 @@
                 "Refused with {code}: the servers had just started, and this gateway's share of \
                 what they take was used up."
             ),
+            "ServersLimited" => format!(
+                "Refused with {code}: its servers had named limits, and this gateway's share of \
+                what they take was used up."
+            ),
+            "RoutingBehind" => format!(
+                "Refused with {code}: a newer configuration than version {} was still on its way to \
+                the gateway.",
+                refused.field("version")
+            ),
             _ => format!("Refused with {code}."),
         }
     }
@@ -283,7 +292,10 @@
 
 /// Whether an end of a send says that nothing was sent, as the server might not be used.
 fn is_withheld(end: &str) -> bool {
-    matches!(end, "evacuated" | "leaving" | "cold" | "gone" | "held")
+    matches!(
+        end,
+        "evacuated" | "leaving" | "cold" | "limited" | "gone" | "held"
+    )
 }
 
 /// The load that a line's server was chosen by; nothing for lines without it.
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -28,6 +28,7 @@
 mod host_track;
 mod instance_view;
 mod keeping_up;
+mod limit_words;
 mod load_meter;
 mod organisation_limits;
 mod prompt_times;
@@ -42,6 +43,7 @@
 mod router_settings;
 mod seen_load;
 mod send_share;
+mod server_limit;
 mod server_list;
 mod server_use;
 mod shared_budget;
@@ -90,6 +92,8 @@
 #[doc(inline)]
 pub use keeping_up::{KeepingUp, Pace};
 #[doc(inline)]
+pub use limit_words::LimitWords;
+#[doc(inline)]
 pub use load_meter::LoadMeter;
 #[doc(inline)]
 pub use organisation_limits::OrganisationLimits;
@@ -116,7 +120,9 @@
 #[doc(inline)]
 pub use seen_load::{SeenLoad, SeenNumber};
 #[doc(inline)]
-pub use send_share::SendShare;
+pub use send_share::{SendBound, SendShare};
+#[doc(inline)]
+pub use server_limit::{InvalidServerLimit, ServerLimit};
 #[doc(inline)]
 pub use server_list::{LAPSE_GRACE, ServerChange, ServerList, ServerRecord};
 #[doc(inline)]
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -177,7 +177,7 @@
             });
         }
         pool.reserve(server, reserved_bytes);
-        pool.count_cold(server, now);
+        pool.count_send(server, now);
         let state = pool.servers.get_mut(server)?;
         let expected = spec
             .time_of(items.len())
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -8,7 +8,7 @@
 use crate::id::{ServerLife, ZoneId};
 use crate::process::count::as_f64;
 use crate::process::recent_sends::RecentSends;
-use crate::process::send_share::SendShare;
+use crate::process::send_share::{SendBound, SendShare};
 use crate::process::server_list::ServerRecord;
 use crate::process::server_use::ServerUse;
 use crate::version::BatchSpec;
@@ -89,13 +89,20 @@
         u64::try_from(left).unwrap_or(u64::MAX)
     }
 
-    /// The owner's share of its calls while it is cold.
+    /// The owner's share of its calls while it is cold or names a limit.
     fn send_share(&self, now: Duration) -> Option<SendShare> {
+        let bound = match self.server_use {
+            ServerUse::Cold { until, .. } if until <= now => None,
+            server_use => server_use.bound(),
+        };
+        bound.map(SendBound::share_of_owner)
+    }
+
+    /// Part of a server's usual calls that it takes, by its limit.
+    fn part_by_limit(&self, usual_call: Duration) -> f64 {
         match self.server_use {
-            ServerUse::Cold { until, most_per_s } if until > now => {
-                Some(SendShare::of_owner(most_per_s))
-            }
-            _ => None,
+            ServerUse::Limited { most_per_s } => (most_per_s * usual_call.as_secs_f64()).min(1.0),
+            _ => 1.0,
         }
     }
 
@@ -133,7 +140,11 @@
         let piece_time = spec.piece_time + spec.call_time / max_pieces;
         let work = piece_time.saturating_mul(u32::try_from(pieces).unwrap_or(u32::MAX));
         let servers = self.in_use(now);
-        let speed: f64 = servers.map(|(_, server)| 1.0 / server.slowness(now)).sum();
+        let usual_call = spec.time_of(spec.max_pieces);
+        let speed_of = |server: &StageServer| {
+            (1.0 / server.slowness(now)).min(server.part_by_limit(usual_call))
+        };
+        let speed: f64 = servers.map(|(_, server)| speed_of(server)).sum();
         let slots = f64::from(u32::try_from(spec.slots.max(1)).unwrap_or(1));
         work.div_f64((speed * slots).max(LEAST_SPEED))
     }
@@ -182,10 +193,10 @@
                 .or_insert_with(|| StageServer::new(record, *server_use))
                 .server_use = *server_use;
         }
-        let is_cold = |server: &StageServer| matches!(server.server_use, ServerUse::Cold { .. });
+        let is_bounded = |server: &StageServer| server.server_use.bound().is_some();
         let servers = &self.servers;
         self.recent_sends
-            .retain(|life| servers.get(life).is_some_and(is_cold));
+            .retain(|life| servers.get(life).is_some_and(is_bounded));
     }
 
     /// Whether operators have evacuated the zones of all its servers.
@@ -194,8 +205,8 @@
         !self.servers.is_empty() && servers.all(|server| !server.server_use.is_usable())
     }
 
-    /// Counts a call to a server, if it is cold.
-    pub(super) fn count_cold(&mut self, server: &ServerLife, now: Duration) {
+    /// Counts a call to a server, if its calls are bounded.
+    pub(super) fn count_send(&mut self, server: &ServerLife, now: Duration) {
         let state = self.servers.get(server);
         if let Some(share) = state.and_then(|server| server.send_share(now)) {
             // Asked for in `free` a moment ago.
--- a/crates/core/src/process/recent_sends.rs
+++ b/crates/core/src/process/recent_sends.rs
@@ -1,4 +1,4 @@
-//! What one process has sent to cold servers.
+//! What one process has sent to servers that all processes together may send so much.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -6,7 +6,7 @@
 use super::send_share::{SendShare, WINDOW};
 use crate::id::ServerLife;
 
-/// Sends of one process to cold servers in the last spans.
+/// Sends of one process to such servers in the last spans.
 ///
 /// # Examples
 ///
@@ -82,9 +82,31 @@
         recent.map_or(0, |recent| within(&recent.sent_at, share, now)) < share.sends
     }
 
-    /// Forgets servers that are cold no longer.
-    pub fn retain(&mut self, is_cold: impl Fn(&ServerLife) -> bool) {
-        self.by_server.retain(|server, _| is_cold(server));
+    /// When one more request may be given a server; none if never by this share.
+    #[must_use]
+    pub fn next_place(
+        &self,
+        server: &ServerLife,
+        share: SendShare,
+        now: Duration,
+    ) -> Option<Duration> {
+        if share.sends == 0 {
+            return None;
+        }
+        let Some(recent) = self.by_server.get(server) else {
+            return Some(now);
+        };
+        // The oldest of the newest ones that fill the share makes room when it leaves the span.
+        let place = |times: &VecDeque<Duration>| {
+            let filling = times.iter().rev().nth(share.sends - 1);
+            filling.map_or(now, |at| (*at + share.span).max(now))
+        };
+        Some(place(&recent.chosen_at).max(place(&recent.sent_at)))
+    }
+
+    /// Forgets servers whose sends are bounded no longer.
+    pub fn retain(&mut self, is_bounded: impl Fn(&ServerLife) -> bool) {
+        self.by_server.retain(|server, _| is_bounded(server));
     }
 }
 
--- a/crates/core/src/process/send_share.rs
+++ b/crates/core/src/process/send_share.rs
@@ -1,9 +1,10 @@
-//! An entry's share of what a cold server takes.
+//! An entry's share of what all entries together may send to a server.
 //!
 //! A server that has just started takes so many requests a second from all entries together and
-//! crashes well above that. No word between entries is needed to keep the bound: each works out
-//! from the list of entries which of them send to the server, and how much. A few send, with larger
-//! shares: the bound divided by hundreds of entries would be less than one request each.
+//! crashes well above that; one in need names the requests a second that it takes. No word between
+//! entries is needed to keep such a bound: each works out from the list of entries which of them send
+//! to the server, and how much. A few send, with larger shares: the bound divided by hundreds of
+//! entries would be less than one request each.
 //!
 //! The senders of a server are found by rendezvous hash of the entries' addresses, so that an entry
 //! that starts again has the place of its earlier life. Part of the bound is left unused for entries
@@ -31,6 +32,65 @@
 /// service is cold.
 const SERVERS_EACH: f64 = 3.0;
 
+/// Part of a limit that all entries together use, in hundredths. The server counts over longer spans than
+/// for cold ones, so less is kept back for lists that differ.
+const LIMIT_USED_PERCENT: f64 = 90.0;
+/// The same for the owner of batches: two may act at once for a moment.
+const LIMIT_OWNER_PERCENT: f64 = 70.0;
+/// Limited servers of a service that each entry should be able to reach.
+const LIMITED_SERVERS_EACH: usize = 3;
+/// Senders of a limited server beyond two for each request a second that it takes: each may have one
+/// send more than its rate in the span in which the server counts.
+const SENDERS_BEYOND: usize = 3;
+
+/// What bounds the sum of all entries' sends to a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum SendBound {
+    /// It is cold.
+    Cold {
+        /// Requests that may reach it in any second.
+        most_per_s: f64,
+    },
+    /// It is in need.
+    Limited {
+        /// Requests a second that it takes.
+        most_per_s: f64,
+    },
+}
+
+impl SendBound {
+    /// The share of one entry among all that are announced, itself among them, at one of so many servers
+    /// of a service.
+    #[must_use]
+    pub fn share_of_entry(
+        self,
+        server: &ServerLife,
+        servers: usize,
+        own: SocketAddr,
+        entries: &[SocketAddr],
+    ) -> SendShare {
+        match self {
+            Self::Cold { most_per_s } => {
+                SendShare::of_entry(server, most_per_s, servers, own, entries)
+            }
+            Self::Limited { most_per_s } => {
+                SendShare::of_entry_at_limit(server, most_per_s, servers, own, entries)
+            }
+        }
+    }
+
+    /// The share of the owner of batches, which alone calls the servers of stages.
+    #[must_use]
+    pub fn share_of_owner(self) -> SendShare {
+        match self {
+            Self::Cold { most_per_s } => SendShare::of_owner(most_per_s),
+            Self::Limited { most_per_s } => {
+                SendShare::spread(most_per_s * LIMIT_OWNER_PERCENT / 100.0)
+            }
+        }
+    }
+}
+
 /// So many sends in any span of a length.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SendShare {
@@ -58,13 +118,7 @@
         let used_per_s = most_per_s * USED_PERCENT / 100.0;
         let sends = sends_each(used_per_s, servers, entries.len());
         let senders = whole(used_per_s / sends).clamp(1, entries.len().max(1));
-        let score = |address: &SocketAddr| {
-            let seed = rendezvous::score(2, server.id());
-            (rendezvous::score(seed, address.to_string()), *address)
-        };
-        let own_score = score(&own);
-        let before = entries.iter().filter(|entry| score(entry) > own_score);
-        if before.count() >= senders {
+        if !is_sender(server, senders, own, entries) {
             return Self::NONE;
         }
         if senders == entries.len() {
@@ -74,7 +128,40 @@
         Self::of_rate(sends.min(used_per_s))
     }
 
-    /// The share of the owner of batches, which alone calls the servers of stages.
+    /// The share of one entry at a server that names a limit.
+    ///
+    /// As many entries send as leave each a request a second, or as each needs to reach some servers of the
+    /// service; then one send of a share may be in a span of several seconds.
+    #[must_use]
+    pub fn of_entry_at_limit(
+        server: &ServerLife,
+        most_per_s: f64,
+        servers: usize,
+        own: SocketAddr,
+        entries: &[SocketAddr],
+    ) -> Self {
+        let used_per_s = most_per_s * LIMIT_USED_PERCENT / 100.0;
+        let reached = servers.clamp(1, LIMITED_SERVERS_EACH);
+        let by_reach = (entries.len() * reached).div_ceil(servers.max(1));
+        let most = whole(used_per_s * 2.0) + SENDERS_BEYOND;
+        let senders = whole(used_per_s).max(by_reach.min(most));
+        let senders = senders.clamp(1, entries.len().max(1));
+        if !is_sender(server, senders, own, entries) {
+            return Self::NONE;
+        }
+        Self::spread(used_per_s / as_f64(senders))
+    }
+
+    /// As even as whole sends are: no more of them at once than a second's.
+    fn spread(per_s: f64) -> Self {
+        let sends = whole(per_s.ceil()).max(1);
+        match Duration::try_from_secs_f64(as_f64(sends) / per_s) {
+            Ok(span) => Self { sends, span },
+            Err(_endless) => Self::NONE,
+        }
+    }
+
+    /// The share of the owner of batches at a cold server.
     #[must_use]
     pub fn of_owner(most_per_s: f64) -> Self {
         Self::of_rate(most_per_s * OWNER_PERCENT / 100.0)
@@ -107,6 +194,17 @@
     }
 }
 
+/// Whether an entry is among so many senders of a server.
+fn is_sender(server: &ServerLife, senders: usize, own: SocketAddr, entries: &[SocketAddr]) -> bool {
+    let score = |address: &SocketAddr| {
+        let seed = rendezvous::score(2, server.id());
+        (rendezvous::score(seed, address.to_string()), *address)
+    };
+    let own_score = score(&own);
+    let before = entries.iter().filter(|entry| score(entry) > own_score);
+    before.count() < senders
+}
+
 /// Whole sends a second of each sender of one cold server: fewer where more senders are needed, so
 /// that each entry reaches some, and never less than one, as all may send at once.
 fn sends_each(used_per_s: f64, servers: usize, entries: usize) -> f64 {
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -18,6 +18,7 @@
 
 use super::cold_terms::ColdTerms;
 use super::cold_times::ColdTimes;
+use super::server_limit::ServerLimit;
 use super::server_use::ServerUse;
 use super::zone_uses::{ZoneChange, ZoneState, ZoneUses};
 use crate::id::{RowVersion, ServerId, ServerLife, ServiceId, ZoneId};
@@ -78,6 +79,8 @@
     is_away: bool,
     zones: ZoneUses,
     cold: ColdTimes,
+    /// Limits that servers have named, also of some that are not listed yet.
+    limits: BTreeMap<ServerLife, ServerLimit>,
     /// Whether a whole list was taken: what comes after it has just started.
     is_whole: bool,
 }
@@ -98,6 +101,14 @@
         self.zones.evacuated()
     }
 
+    /// Takes the limit that a server names, or its end; false if it is the same.
+    pub fn set_limit(&mut self, server: &ServerLife, limit: Option<ServerLimit>) -> bool {
+        match limit {
+            Some(limit) => self.limits.insert(server.clone(), limit) != Some(limit),
+            None => self.limits.remove(server).is_some(),
+        }
+    }
+
     /// What may be sent to a life of a server now, where its service may have cold servers.
     #[must_use]
     pub fn use_of(&self, life: &ServerLife, cold: Option<ColdTerms>, now: Duration) -> ServerUse {
@@ -122,16 +133,20 @@
         if record.is_leaving {
             return ServerUse::Leaving;
         }
-        let Some(terms) = cold else {
-            return ServerUse::Free;
-        };
-        let taken_back_at = self.zones.taken_back_at(&record.zone);
-        match self.cold.until(record.life.id(), terms, taken_back_at) {
-            Some(until) if until > now => ServerUse::Cold {
+        let limit = self.limits.get(&record.life).map(|limit| limit.per_s());
+        let cold_until = cold.and_then(|terms| {
+            let taken_back_at = self.zones.taken_back_at(&record.zone);
+            let until = self.cold.until(record.life.id(), terms, taken_back_at)?;
+            (until > now).then_some((until, terms.most_per_s))
+        });
+        match (cold_until, limit) {
+            // Of two bounds the tighter one holds, and that of cold servers is counted more strictly.
+            (Some((until, most_per_s)), limit) => ServerUse::Cold {
                 until,
-                most_per_s: terms.most_per_s,
+                most_per_s: limit.map_or(most_per_s, |limit| limit.min(most_per_s)),
             },
-            _ => ServerUse::Free,
+            (None, Some(most_per_s)) => ServerUse::Limited { most_per_s },
+            (None, None) => ServerUse::Free,
         }
     }
 
@@ -188,6 +203,7 @@
 
     fn forget(&mut self, id: &ServerId) -> bool {
         self.cold.forget(id);
+        self.limits.retain(|life, _| life.id() != id);
         self.servers.remove(id).is_some()
     }
 
--- a/crates/core/src/process/server_use.rs
+++ b/crates/core/src/process/server_use.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use super::send_share::SendBound;
 use super::server_list::ServerRecord;
 
 /// What may be sent to a server now.
@@ -20,6 +21,11 @@
         /// Requests that may reach it in any second, from all entries together.
         most_per_s: f64,
     },
+    /// Few requests: it is in need and says how many it takes.
+    Limited {
+        /// Requests a second that it takes from all entries together.
+        most_per_s: f64,
+    },
     /// Nothing: it says that it leaves.
     Leaving,
     /// Nothing: operators have evacuated its availability zone.
@@ -29,10 +35,20 @@
 }
 
 impl ServerUse {
+    /// The bound on the sum of what all entries send, where there is one.
+    #[must_use]
+    pub const fn bound(self) -> Option<SendBound> {
+        match self {
+            Self::Cold { most_per_s, .. } => Some(SendBound::Cold { most_per_s }),
+            Self::Limited { most_per_s } => Some(SendBound::Limited { most_per_s }),
+            Self::Free | Self::Leaving | Self::Evacuated | Self::Unlisted => None,
+        }
+    }
+
     /// Whether any request may be sent, be it a few a second.
     #[must_use]
     pub const fn is_usable(self) -> bool {
-        matches!(self, Self::Free | Self::Cold { .. })
+        matches!(self, Self::Free | Self::Cold { .. } | Self::Limited { .. })
     }
 
     /// Name in lines and counters.
@@ -41,6 +57,7 @@
         match self {
             Self::Free => "free",
             Self::Cold { .. } => "cold",
+            Self::Limited { .. } => "limited",
             Self::Leaving => "leaving",
             Self::Evacuated => "evacuated",
             Self::Unlisted => "gone",
@@ -51,7 +68,7 @@
 /// Servers of a service that a request may be sent to.
 #[derive(Debug, Clone, Default)]
 pub struct UsableServers<'a> {
-    /// Those that take any request.
+    /// Those that take any request, and limited ones to which this entry may send one more now.
     pub free: Vec<&'a ServerRecord>,
     /// Cold ones to which this entry may send one more now.
     pub cold: Vec<&'a ServerRecord>,
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -141,6 +141,8 @@
     ServersCold = 2109, 503, "its servers are cold and take no more now";
     /// Servers crashed while they ran the same request.
     RequestQuarantined = 2110, 503, "servers crashed under this request; it is held back";
+    /// The servers of the service name limits, and all that they take is sent.
+    ServersLimited = 2111, 503, "its servers are in need and take no more now";
 
     /// The attempt was meant for another life of the sidecar.
     WrongIncarnation = 2201, 503, "the attempt names another incarnation";
