--- a/crates/core/tests/limit_words.rs
+++ b/crates/core/tests/limit_words.rs
@@ -15,13 +15,13 @@
     "a@1".parse().unwrap()
 }
 
-fn limit(text: &str) -> Option<ServerLimit> {
-    Some(text.parse().unwrap())
+fn limit(text: &str) -> ServerLimit {
+    text.parse().unwrap()
 }
 
 fn with_own_word() -> LimitWords {
     let mut words = LimitWords::default();
-    assert!(words.heard(&server(), limit("2"), at(900), at(1_000)));
+    assert!(words.heard(&server(), Some(limit("2")), at(900), at(1_000)));
     words
 }
 
@@ -60,15 +60,15 @@
 
     assert!(!words.heard(&server(), None, at(950), at(1_200)));
 
-    assert_eq!(words.limit(&server()), limit("2"));
+    assert_eq!(words.limit(&server()), Some(limit("2")));
 }
 
 #[test]
 fn an_own_word_is_told_until_the_store_says_it() {
     let mut words = with_own_word();
-    assert_eq!(words.untold(), [(server(), limit("2"))]);
+    assert_eq!(words.untold(), [(server(), Some(limit("2")))]);
 
-    words.stored(&server(), limit("2"));
+    words.stored(&server(), Some(limit("2")));
 
     assert!(words.untold().is_empty());
 }
@@ -77,12 +77,12 @@
 #[test]
 fn a_limit_that_changes_little_is_no_news() {
     let mut words = with_own_word();
-    words.stored(&server(), limit("2"));
+    words.stored(&server(), Some(limit("2")));
 
-    assert!(!words.heard(&server(), limit("2.1"), at(1_100), at(1_200)));
+    assert!(!words.heard(&server(), Some(limit("2.1")), at(1_100), at(1_200)));
     assert!(words.untold().is_empty());
-    assert!(words.heard(&server(), limit("1"), at(1_300), at(1_400)));
-    assert_eq!(words.untold(), [(server(), limit("1"))]);
+    assert!(words.heard(&server(), Some(limit("1")), at(1_300), at(1_400)));
+    assert_eq!(words.untold(), [(server(), Some(limit("1")))]);
 }
 
 /// Guards against the store's older word that ends what a server has just said.
@@ -92,17 +92,17 @@
 
     assert!(!words.told(&server(), None, at(1_050)));
 
-    assert_eq!(words.limit(&server()), limit("2"));
-    assert_eq!(words.untold(), [(server(), limit("2"))]);
+    assert_eq!(words.limit(&server()), Some(limit("2")));
+    assert_eq!(words.untold(), [(server(), Some(limit("2")))]);
 }
 
 #[test]
 fn another_ones_word_counts_and_is_not_told_again() {
     let mut words = LimitWords::default();
 
-    assert!(words.told(&server(), limit("3"), at(500)));
+    assert!(words.told(&server(), Some(limit("3")), at(500)));
 
-    assert_eq!(words.limit(&server()), limit("3"));
+    assert_eq!(words.limit(&server()), Some(limit("3")));
     assert!(words.untold().is_empty());
     assert!(words.told(&server(), None, at(700)));
     assert!(words.is_empty());
@@ -112,7 +112,7 @@
 #[test]
 fn the_end_of_another_ones_word_is_told() {
     let mut words = LimitWords::default();
-    words.told(&server(), limit("3"), at(500));
+    words.told(&server(), Some(limit("3")), at(500));
 
     assert!(words.heard(&server(), None, at(600), at(700)));
 
@@ -126,19 +126,19 @@
 fn a_whole_table_ends_what_it_leaves_out_but_not_an_own_word() {
     let other: ServerLife = "b@1".parse().unwrap();
     let mut words = with_own_word();
-    words.stored(&server(), limit("2"));
-    words.told(&other, limit("3"), at(1_100));
+    words.stored(&server(), Some(limit("2")));
+    words.told(&other, Some(limit("3")), at(1_100));
 
     let ended = words.keep_only(&[]);
 
     assert_eq!(ended, [other]);
-    assert_eq!(words.untold(), [(server(), limit("2"))]);
+    assert_eq!(words.untold(), [(server(), Some(limit("2")))]);
 }
 
 #[test]
 fn servers_that_are_gone_are_forgotten_and_their_rows_named() {
     let mut words = with_own_word();
-    words.stored(&server(), limit("2"));
+    words.stored(&server(), Some(limit("2")));
 
     let rows = words.forget_gone(|_| false);
 
