--- a/crates/amaranthscale/src/gateway/version/copied_table.rs
+++ b/crates/amaranthscale/src/gateway/version/copied_table.rs
@@ -1,6 +1,7 @@
 //! A copy of one of the store's tables, and what neighbours are told from it.
 
 use std::collections::VecDeque;
+use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -155,17 +156,10 @@
                 let base = base.map(|(version, content)| (*version, content.as_ref()));
                 PackedRow::pack(key, &content, base)
             });
-            let packed = match packing.await {
-                Ok(Ok(packed)) => packed,
-                Ok(Err(error)) => {
-                    warn!(reason:% = error; "store: long row not packed");
-                    return None;
-                }
-                Err(error) => {
-                    warn!(reason:% = error; "store: long row not packed");
-                    return None;
-                }
-            };
+            let packed = packing.await.map_err(io::Error::other).flatten();
+            let packed = packed
+                .inspect_err(|error| warn!(reason:% = error; "store: long row not packed"))
+                .ok()?;
             let against = packed.base().map_or(0, RowVersion::get);
             info!(
                 row = packed.key(), bytes = packed.content_bytes(),
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -36,8 +36,9 @@
 const SLOW: Duration = Duration::from_millis(300);
 /// Largest answer of the store: a row with some sixty thousand routes, a small part of the least memory.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// Size of an answer from which its transfer is worth a line, and which is decoded beside the requests.
-const LONG_BYTES: usize = 64 * 1024;
+/// Size from which an answer is decoded and a configuration read beside the requests, each with a line: a
+/// millisecond's work.
+pub(super) const LONG_BYTES: usize = 64 * 1024;
 
 /// What a feed tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -14,15 +14,13 @@
 use super::super::process::{CrashWatch, LimitWatch, StopGate};
 use super::super::{StoreCalls, StoreRow, StoreTable, StoredValue, ToldEvidence, ToldLimit};
 use super::announce::{announce_instance, withdraw_instance};
+use super::feed::LONG_BYTES;
 use super::line_budget::LineBudget;
 use super::refused_entries::RefusedEntries;
 use super::zones::{take_zones, zone_changes};
 use super::{Feed, FeedEvent, FeedPace, Knowledge, Neighbours};
 use crate::process::Latencies;
 
-/// Size of a configuration from which it is read beside the requests: a millisecond's work.
-const LONG_BYTES: usize = 64 * 1024;
-
 /// Follows the routing for good.
 pub async fn follow_routing(
     store: StoreCalls,
--- a/crates/core/tests/limit_share.rs
+++ b/crates/core/tests/limit_share.rs
@@ -2,12 +2,15 @@
 
 #![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
 
+#[path = "support/entries.rs"]
+mod entries;
+
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranthscale_core::id::ServerLife;
 use amaranthscale_core::process::{RecentSends, SendBound, SendShare};
+use entries::{Numbers, address, addresses, life};
 
 const STEP: Duration = Duration::from_millis(50);
 /// Span in which the server counts.
@@ -20,20 +23,6 @@
 /// Requests that an entry has for the server in each step.
 const WANTED: usize = 3;
 
-fn address(index: usize) -> SocketAddr {
-    format!("10.{}.{}.1:7740", index / 250, index % 250)
-        .parse()
-        .unwrap()
-}
-
-fn addresses(count: usize) -> Vec<SocketAddr> {
-    (0..count).map(address).collect()
-}
-
-fn life(index: usize) -> ServerLife {
-    format!("server-{index}").parse().unwrap()
-}
-
 /// Requests that may reach the server within a span.
 fn allowed(per_s: f64) -> f64 {
     per_s * SPAN.as_secs_f64() * 1.5 + 5.0
@@ -176,18 +165,6 @@
     }
 }
 
-struct Numbers(u64);
-
-impl Numbers {
-    fn below(&mut self, bound: usize) -> usize {
-        self.0 = self
-            .0
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        usize::try_from(self.0 >> 33).unwrap() % bound
-    }
-}
-
 /// One run of half a minute; the most that counts in any span, and all that counts.
 fn run(seed: u64, entries: usize, per_s: f64, servers: usize) -> (usize, usize) {
     let mut numbers = Numbers(seed);
@@ -223,7 +200,10 @@
                 total += 1;
             }
         }
-        while sent_at.front().is_some_and(|at| now - *at >= SPAN) {
+        while sent_at
+            .front()
+            .is_some_and(|at| now.saturating_sub(*at) >= SPAN)
+        {
             sent_at.pop_front();
         }
         most = most.max(sent_at.len());
--- a/crates/core/tests/send_share.rs
+++ b/crates/core/tests/send_share.rs
@@ -2,29 +2,19 @@
 
 #![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
 
+#[path = "support/entries.rs"]
+mod entries;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerLife;
 use amaranthscale_core::process::{ColdBounds, ColdSpec, RecentSends, SendShare};
+use entries::{Numbers, address, addresses, life};
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn address(index: usize) -> SocketAddr {
-    format!("10.{}.{}.1:7740", index / 250, index % 250)
-        .parse()
-        .unwrap()
-}
-
-fn addresses(count: usize) -> Vec<SocketAddr> {
-    (0..count).map(address).collect()
-}
-
-fn life(index: usize) -> ServerLife {
-    format!("server-{index}").parse().unwrap()
-}
-
 fn share(
     server: usize,
     most_per_s: f64,
@@ -168,19 +158,6 @@
     }
 }
 
-/// A small generator of numbers, the same in each run.
-struct Numbers(u64);
-
-impl Numbers {
-    fn below(&mut self, bound: usize) -> usize {
-        self.0 = self
-            .0
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        usize::try_from(self.0 >> 33).unwrap() % bound
-    }
-}
-
 /// One run: entries come and hear of each other late, freeze with full queues and start again, all
 /// with more requests for one cold server than it takes. Gives the most sends in any second.
 fn most_in_a_second(seed: u64, entries: usize, most_per_s: f64) -> usize {
--- a/crates/core/tests/spec_limits.rs
+++ b/crates/core/tests/spec_limits.rs
@@ -199,20 +199,16 @@
 
     /// What later events depend on.
     fn key(&self) -> String {
-        let mut key = format!("{:?} {:?}", self.named, self.stored);
-        for (one, entry) in self.entries.iter().enumerate() {
-            let share = share(one);
-            let next = entry.sends.next_place(&life(), share, self.now);
-            let next = next.map(|at| at - self.now);
-            key += &format!(
-                " {:?} {:?} {next:?}",
-                entry.words.limit(&life()),
-                entry.words.untold()
-            );
-        }
-        let recent = self.sent_at.iter().map(|at| self.now - *at);
+        let entries = self.entries.iter().enumerate().map(|(one, entry)| {
+            let next = entry.sends.next_place(&life(), share(one), self.now);
+            let next = next.map(|at| at.saturating_sub(self.now));
+            (entry.words.limit(&life()), entry.words.untold(), next)
+        });
+        let entries: Vec<_> = entries.collect();
+        let recent = self.sent_at.iter();
+        let recent = recent.map(|at| self.now.saturating_sub(*at));
         let recent: Vec<_> = recent.filter(|age| *age < SPAN).collect();
-        key + &format!(" {recent:?}")
+        format!("{:?} {:?} {entries:?} {recent:?}", self.named, self.stored)
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/support/entries.rs
@@ -0,0 +1,32 @@
+//! Entries and servers by number, and numbers that are the same in each run.
+
+use std::net::SocketAddr;
+
+use amaranthscale_core::id::ServerLife;
+
+pub fn address(index: usize) -> SocketAddr {
+    format!("10.{}.{}.1:7740", index / 250, index % 250)
+        .parse()
+        .unwrap()
+}
+
+pub fn addresses(count: usize) -> Vec<SocketAddr> {
+    (0..count).map(address).collect()
+}
+
+pub fn life(index: usize) -> ServerLife {
+    format!("server-{index}").parse().unwrap()
+}
+
+/// A small generator of numbers, the same in each run.
+pub struct Numbers(pub u64);
+
+impl Numbers {
+    pub fn below(&mut self, bound: usize) -> usize {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        usize::try_from(self.0 >> 33).unwrap() % bound
+    }
+}
