Uploads of entries to the platform have time by their size

Before: an_object_that_takes_longer_than_the_patience_is_kept fails (0.8 s for 400 KB, 0.3 s of patience); after: it passes. The time grows with the bytes, at the rate of the slowest link that is counted on.

--- a/crates/amaranthscale/src/process/platform_client.rs
+++ b/crates/amaranthscale/src/process/platform_client.rs
@@ -18,6 +18,8 @@
 
 /// Largest answer that the platform gives: a page of rows or one object.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Rate of the slowest link that is counted on, 1 Mbit/s: a snapshot that leaves more slowly is given up.
+const SLOWEST_BYTES_PER_S: f64 = 125_000.0;
 
 quick_error! {
     /// A call to the platform that gave no usable answer.
@@ -195,6 +197,7 @@
         body: impl Into<Bytes>,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let body = body.into();
+        let upload = upload_time(body.len());
         self.traffic.message(self.kind);
         self.traffic.sent(self.kind, path.len() + body.len());
         let request = Request::builder()
@@ -203,7 +206,8 @@
             .body(Full::new(body))
             .map_err(|error| PlatformError::Malformed(error.to_string()))?;
         let patience = self.limits.timeout;
-        let response = tokio::time::timeout(patience, self.http.request(request)).await;
+        let answering = tokio::time::timeout(patience + upload, self.http.request(request));
+        let response = answering.await;
         let response = response.map_err(|_elapsed| lost("no answer in time"))?;
         let response = response.map_err(lost)?;
         let status = response.status();
@@ -214,6 +218,12 @@
     }
 }
 
+/// Time that a body may take to leave, beside the patience with its answer.
+fn upload_time(bytes: usize) -> Duration {
+    let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+    Duration::from_secs(1).mul_f64(f64::from(bytes) / SLOWEST_BYTES_PER_S)
+}
+
 fn lost(reason: impl std::fmt::Display) -> PlatformError {
     PlatformError::Lost(reason.to_string())
 }
--- a/crates/amaranthscale/tests/platform_client.rs
+++ b/crates/amaranthscale/tests/platform_client.rs
@@ -49,6 +49,37 @@
     assert_eq!(object.len(), PARTS * PART_BYTES);
 }
 
+/// A platform that reads what is sent to it slowly, and then answers.
+async fn slowly_reading_platform(bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accepted");
+        let mut buffer = vec![0; bytes / PARTS];
+        let mut read = 0;
+        while read < bytes {
+            tokio::time::sleep(BETWEEN).await;
+            read += stream.read(&mut buffer).await.expect("more of the body");
+        }
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(answer).await.expect("answered");
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+/// Guards against a snapshot of the tree that is too large to be kept in a second.
+#[tokio::test]
+async fn an_object_that_takes_longer_than_the_patience_is_kept() {
+    let bytes = 400_000;
+    let platform = slowly_reading_platform(bytes).await;
+    let client = PlatformClient::new(platform, PlatformClientLimits { timeout: TIMEOUT });
+
+    let kept = client.put_object("tree", vec![0; bytes]).await;
+
+    kept.expect("it leaves all the while");
+}
+
 /// Guards against a reader that waits for good for the rest of an answer.
 #[tokio::test]
 async fn an_answer_that_falls_silent_is_lost() {
