What was replaced on its way is not decided by beyond the bound

Cause: taking any version ended the knowledge of being behind, and an answer at once to a question was taken for news of that moment. Why it works: what was long on its way is as old as its beginning until the next answer, which is asked for at once; an answer that did not wait may be as old as the last word.

--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -18,6 +18,7 @@
 use super::super::clock::ms;
 use super::super::{StoreAnswer, StoreCalls, StoreRow, StoreRows, StoreTable};
 use super::feed_pace::YOUNG;
+use super::knowledge::SLOW_ANSWER;
 use super::neighbour::Neighbour;
 use super::{FeedPace, HandedRows, Neighbours, RowsQuestion};
 use crate::connection::{Http1Connection, read_arriving_body};
@@ -32,8 +33,8 @@
 /// would also be given up that much later. After an answer that was long on its way, too: what it told
 /// is as old as that.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
-/// Time on its way from which an answer is slow: beyond that of a long one over a good link.
-const SLOW: Duration = Duration::from_millis(300);
+/// Time within which an answer begins that did not wait for its change.
+const AT_ONCE: Duration = Duration::from_millis(100);
 /// Largest answer of the store: a row with some sixty thousand routes, a small part of the least memory.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Size from which an answer is decoded and a configuration read beside the requests, each with a line: a
@@ -68,8 +69,6 @@
     is_first: bool,
     /// When the last answer began to come, by a clock that goes on while the machine is suspended.
     heard_at: Duration,
-    /// Whether the last answer of the store was long on its way.
-    was_slow: bool,
     started: Instant,
 }
 
@@ -88,7 +87,6 @@
             is_lost: false,
             is_first: true,
             heard_at: Duration::ZERO,
-            was_slow: false,
             started: Instant::now(),
         }
     }
@@ -229,8 +227,9 @@
     }
 
     async fn read_changes(&mut self, position: RowVersion) -> Result<Option<FeedEvent>, String> {
+        let is_old = self.now().saturating_sub(self.heard_at) > SLOW_ANSWER;
         // A whole answer gives its connection back, so none is there only after a failed call.
-        let wait = if self.connection.is_none() || self.was_slow {
+        let wait = if self.connection.is_none() || is_old {
             SHORTEST_WAIT
         } else {
             let is_young = self.started.elapsed() < YOUNG;
@@ -261,6 +260,12 @@
         }
     }
 
+    /// Time of the clock that goes on while the machine is suspended; zero where nothing is dated.
+    fn now(&self) -> Duration {
+        let knowledge = self.neighbour.as_ref().map(|one| &one.with().knowledge);
+        knowledge.map_or(Duration::ZERO, |known| known.clock().with_suspension())
+    }
+
     /// Longest wait of the next poll.
     fn wait(&self) -> Duration {
         let is_handed_on = self.neighbour.as_ref().is_some_and(|neighbour| {
@@ -288,27 +293,21 @@
                 .await
                 .map_err(|error| error.to_string())?,
         };
-        let knowledge = self.neighbour.as_ref().map(|one| &one.with().knowledge);
-        let knowledge = knowledge.map(Arc::clone);
-        let now = || {
-            let knowledge = knowledge.as_ref();
-            knowledge.map_or(Duration::ZERO, |known| known.clock().with_suspension())
-        };
-        let mut heard_at = Duration::ZERO;
+        let (asked_at, mut heard_at) = (self.now(), Duration::ZERO);
         let begun = |told_bytes: usize| {
-            heard_at = now();
+            heard_at = self.now();
             // Zones' words are short, so a long answer holds a routing.
             if self.table == StoreTable::Routing
                 && told_bytes > LONG_BYTES
-                && let Some(knowledge) = &knowledge
+                && let Some(neighbour) = &self.neighbour
             {
-                knowledge.newer_has_begun();
+                let answered_at_once = heard_at.saturating_sub(asked_at) < AT_ONCE;
+                neighbour.with().knowledge.newer_has_begun(answered_at_once);
             }
         };
         let called = call_store(&self.store, connection, request, patience, begun).await;
         let (answer, connection) = called?;
         self.heard_at = heard_at;
-        self.was_slow = now().saturating_sub(heard_at) > SLOW;
         self.connection = Some(connection);
         Ok(answer)
     }
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -34,12 +34,18 @@
     let mut link = Link::new("routing");
     let mut refusals = RefusedEntries::new("zones");
     loop {
+        let was_up = link.is_up;
         let event = feed.next().await;
         link.note(&event);
         let is_whole = matches!(event, FeedEvent::All(_));
         let rows = match event {
             FeedEvent::All(rows) | FeedEvent::Changed(rows) => rows,
-            FeedEvent::Lost(_) => continue,
+            FeedEvent::Lost(_) => {
+                if !was_up {
+                    knowledge.nothing_newer_is_to_be_had();
+                }
+                continue;
+            }
         };
         // Before the routing: a long one takes its time to read.
         let zones = zone_changes(&store, &rows.rows, &mut refusals);
--- a/crates/amaranthscale/src/gateway/version/knowledge.rs
+++ b/crates/amaranthscale/src/gateway/version/knowledge.rs
@@ -15,6 +15,10 @@
 use super::super::Clock;
 use super::super::clock::ms;
 
+/// Time from its beginning after which an answer counts as old when it is handled: beyond that of a long one over a
+/// good link.
+pub(super) const SLOW_ANSWER: Duration = Duration::from_millis(300);
+
 /// The newest routing, servers and gateways.
 #[derive(Debug)]
 pub struct Knowledge {
@@ -208,15 +212,28 @@
     /// Dates the routing by an answer of the store that began to come at a time of the clock that goes on
     /// while the machine is suspended.
     pub fn confirm(&self, store_clock: Duration, heard_at: Duration) {
+        let handled = self.clock.with_suspension().saturating_sub(heard_at);
+        let began_at = self.clock.now().saturating_sub(handled);
         let mut known = self.known();
         known.freshness.answered(store_clock, heard_at);
-        known.newer_since = None;
+        // What was long on its way may have been replaced meanwhile: the next answer tells.
+        known.newer_since = (handled > SLOW_ANSWER).then_some(began_at);
     }
 
-    /// Notes that a newer routing has begun to come.
-    pub fn newer_has_begun(&self) {
+    /// Notes that a newer routing has begun to come: one that was just published, or, where the store answered
+    /// at once, one that may be as old as the last word that the present one is in force.
+    pub fn newer_has_begun(&self, answered_at_once: bool) {
         let now = self.clock.now();
-        self.known().newer_since.get_or_insert(now);
+        let age = self.age().filter(|_| answered_at_once);
+        let since = now.saturating_sub(age.unwrap_or_default());
+        self.known().newer_since.get_or_insert(since);
+    }
+
+    /// Notes that the store does not answer: what is known is all that can be decided by.
+    ///
+    /// Guards against an outage in which all gateways that had just begun to hear of a change refuse everything.
+    pub fn nothing_newer_is_to_be_had(&self) {
+        self.known().newer_since = None;
     }
 
     /// Whether there has been known to be a newer routing for longer than a time.
