--- a/crates/amaranthscale/src/gateway/process/server_uses.rs
+++ b/crates/amaranthscale/src/gateway/process/server_uses.rs
@@ -55,24 +55,21 @@
         let mut basis = None;
         let mut usable = UsableServers::default();
         for server in servers.staying(service) {
-            match servers.use_of_listed(server, terms, now) {
-                ServerUse::Free => usable.free.push(server),
-                server_use @ (ServerUse::Cold { .. } | ServerUse::Limited { .. }) => {
-                    let Some(bound) = server_use.bound() else {
-                        continue;
-                    };
-                    let basis =
-                        basis.get_or_insert_with(|| self.share_basis(servers, service, bound));
-                    basis.bound = bound;
-                    if !self.bounded.has_place(&server.life, basis, now) {
-                        continue;
-                    }
-                    match bound {
-                        SendBound::Cold { .. } => usable.cold.push(server),
-                        SendBound::Limited { .. } => usable.free.push(server),
-                    }
-                }
-                ServerUse::Leaving | ServerUse::Evacuated | ServerUse::Unlisted => {}
+            let server_use = servers.use_of_listed(server, terms, now);
+            if server_use == ServerUse::Free {
+                usable.free.push(server);
+            }
+            let Some(bound) = server_use.bound() else {
+                continue;
+            };
+            let basis = basis.get_or_insert_with(|| self.share_basis(servers, service, bound));
+            basis.bound = bound;
+            if !self.bounded.has_place(&server.life, basis, now) {
+                continue;
+            }
+            match bound {
+                SendBound::Cold { .. } => usable.cold.push(server),
+                SendBound::Limited { .. } => usable.free.push(server),
             }
         }
         usable
@@ -97,21 +94,15 @@
         let now = self.knowledge.clock().now();
         let terms = self.cold_terms(&server.service);
         let server_use = servers.use_of(&server.life, terms, now);
-        let may_send = match server_use {
-            ServerUse::Cold { .. } | ServerUse::Limited { .. } => {
-                server_use.bound().is_some_and(|bound| {
-                    let basis = self.share_basis(&servers, &server.service, bound);
-                    self.bounded.try_send(&server.life, &basis, now)
-                })
-            }
-            ServerUse::Free => {
-                if terms.is_some() {
-                    self.bounded.sent(&server.life, now);
-                }
-                true
-            }
-            ServerUse::Leaving | ServerUse::Evacuated | ServerUse::Unlisted => false,
+        let may_send = if let Some(bound) = server_use.bound() {
+            let basis = self.share_basis(&servers, &server.service, bound);
+            self.bounded.try_send(&server.life, &basis, now)
+        } else {
+            server_use == ServerUse::Free
         };
+        if server_use == ServerUse::Free && terms.is_some() {
+            self.bounded.sent(&server.life, now);
+        }
         if may_send {
             return Ok(());
         }
@@ -131,16 +122,17 @@
             .collect();
         // The others, if there are any, were tried; of these the share is used up.
         let is_any = |holds: fn(&ServerUse) -> bool| uses.iter().any(|(_, one)| holds(one));
-        let (code, bounded) = if is_any(|one| matches!(one, ServerUse::Limited { .. })) {
-            (ResultCode::ServersLimited, &uses[..])
+        let code = if is_any(|one| matches!(one, ServerUse::Limited { .. })) {
+            ResultCode::ServersLimited
         } else if is_any(|one| matches!(one, ServerUse::Cold { .. })) {
-            (ResultCode::ServersCold, &[][..])
+            ResultCode::ServersCold
         } else if !uses.is_empty() && !is_any(|one| *one != ServerUse::Evacuated) {
-            (ResultCode::ZonesEvacuated, &[][..])
+            ResultCode::ZonesEvacuated
         } else {
-            (ResultCode::NoBackendServer, &[][..])
+            ResultCode::NoBackendServer
         };
-        let places = bounded.iter().filter_map(|(server, server_use)| {
+        let limited = uses.iter().filter(|_| code == ResultCode::ServersLimited);
+        let places = limited.filter_map(|(server, server_use)| {
             let basis = self.share_basis(&servers, service, server_use.bound()?);
             self.bounded.next_place(&server.life, &basis, now)
         });
