Reading the change again: one place each that gathers a body, reads told rows, takes an answer's limit; no change of behaviour

The cold and the limited servers' reach is one constant. Rows of crashes and of limits are read by one function; plain sends and calls for pieces take an answer's limit by one.

--- a/crates/amaranthscale/src/connection/body.rs
+++ b/crates/amaranthscale/src/connection/body.rs
@@ -5,7 +5,7 @@
 use std::pin::{Pin, pin};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
 use hyper::body::Body;
@@ -59,16 +59,16 @@
 {
     check_told_length(&body, max_bytes)?;
     let mut body = pin!(Limited::new(body, max_bytes));
-    let mut received = BytesMut::new();
+    let mut received = Received::default();
     let whole = async {
         while let Some(part) = next_part(&mut body, max_bytes).await? {
-            received.extend_from_slice(&part);
+            received.parts.push(part);
         }
         Ok(())
     };
     match tokio::time::timeout(patience, whole).await {
-        Ok(read) => read.map(|()| received.freeze()),
-        Err(_elapsed) => Err(ReadBodyError::Slow(patience, received.len())),
+        Ok(read) => read.map(|()| received.whole()),
+        Err(_elapsed) => Err(ReadBodyError::Slow(patience, received.bytes())),
     }
 }
 
@@ -87,14 +87,32 @@
 {
     check_told_length(&body, max_bytes)?;
     let mut body = pin!(Limited::new(body, max_bytes));
-    let mut received = BytesMut::new();
+    let mut received = Received::default();
     loop {
         let part = tokio::time::timeout(silence, next_part(&mut body, max_bytes)).await;
-        match part {
-            Ok(Ok(Some(part))) => received.extend_from_slice(&part),
-            Ok(Ok(None)) => return Ok(received.freeze()),
-            Ok(Err(error)) => return Err(error),
-            Err(_elapsed) => return Err(ReadBodyError::Slow(silence, received.len())),
+        match part.map_err(|_elapsed| ReadBodyError::Slow(silence, received.bytes()))?? {
+            Some(part) => received.parts.push(part),
+            None => return Ok(received.whole()),
+        }
+    }
+}
+
+/// Content of a body that has come.
+#[derive(Debug, Default)]
+struct Received {
+    parts: Vec<Bytes>,
+}
+
+impl Received {
+    fn bytes(&self) -> usize {
+        self.parts.iter().map(Bytes::len).sum()
+    }
+
+    /// All of it; most bodies come in one part, which is not copied.
+    fn whole(mut self) -> Bytes {
+        match self.parts.len() {
+            1 => self.parts.swap_remove(0),
+            _ => self.parts.concat().into(),
         }
     }
 }
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -99,11 +99,7 @@
     let sent_at = Instant::now();
     let response = connection.send((dialect.batch)(batch)).await?;
     let (head, body) = response.into_parts();
-    if !(dialect.is_other_server)(head.status) {
-        let named = (dialect.named_limit)(&head.headers);
-        let has_run = !(dialect.did_not_run)(head.status, &head.headers);
-        caller.limits.heard(&batch.server, named, has_run, sent_at);
-    }
+    caller.limits.heard(dialect, &batch.server, &head, sent_at);
     let body = read_body(body, MAX_ANSWER_BYTES, batch.patience)
         .await
         .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
--- a/crates/amaranthscale/src/gateway/process/limit_watch.rs
+++ b/crates/amaranthscale/src/gateway/process/limit_watch.rs
@@ -3,13 +3,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use amaranthscale_core::id::ServerLife;
-use amaranthscale_core::process::{InvalidServerLimit, LimitWords, ServerLimit};
+use amaranthscale_core::process::{LimitWords, ServerLimit};
+use hyper::http::response;
 use log::info;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::super::Clock;
 use super::super::version::Knowledge;
+use super::super::{Clock, Dialect};
 use crate::process::Counters;
 
 /// The limits that servers have named, and what of them is still to be told.
@@ -35,18 +36,22 @@
         }
     }
 
-    /// Takes what a server's answer says to a request that left at a time.
+    /// Takes what the head of an answer says to a request that left for a server at a time.
     ///
     /// Only an answer to what ran ends a limit by not naming it: a rejection may come from what stands
-    /// before the server.
+    /// before the server. What another server at its address says is not its word.
     pub(crate) fn heard(
         &self,
+        dialect: &Dialect,
         server: &ServerLife,
-        named: Option<Result<ServerLimit, InvalidServerLimit>>,
-        has_run: bool,
+        head: &response::Parts,
         sent_at: Instant,
     ) {
-        let limit = match named.transpose() {
+        if (dialect.is_other_server)(head.status) {
+            return;
+        }
+        let has_run = !(dialect.did_not_run)(head.status, &head.headers);
+        let limit = match (dialect.named_limit)(&head.headers).transpose() {
             Ok(limit) => limit,
             Err(error) => {
                 self.counters.count("limits.invalid");
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -166,13 +166,9 @@
         sent.end(SendEnd::Failed);
         return SendOutcome::Lost;
     }
-    let has_run = !(dialect.did_not_run)(head.status, &head.headers);
-    let is_other = (dialect.is_other_server)(head.status);
-    if !is_other {
-        let named = (dialect.named_limit)(&head.headers);
-        parts.limits.heard(&server.life, named, has_run, sent_at);
-    }
-    if !has_run {
+    parts.limits.heard(dialect, &server.life, &head, sent_at);
+    if (dialect.did_not_run)(head.status, &head.headers) {
+        let is_other = (dialect.is_other_server)(head.status);
         sent.end(if is_other {
             SendEnd::Failed
         } else {
--- a/crates/core/src/process/send_share.rs
+++ b/crates/core/src/process/send_share.rs
@@ -28,17 +28,15 @@
 /// Sends that a sender should have: with fewer, a share is often left over at one entry while
 /// another one has none left.
 const SENDS_EACH: f64 = 4.0;
-/// Cold servers that each entry should be able to reach, so that few have none at all when a whole
-/// service is cold.
-const SERVERS_EACH: f64 = 3.0;
+/// Bounded servers of a service that each entry should be able to reach, so that few have none at all when a
+/// whole service is cold or in need.
+const SERVERS_EACH: usize = 3;
 
 /// Part of a limit that all entries together use, in hundredths. The server counts over longer spans than
 /// for cold ones, so less is kept back for lists that differ.
 const LIMIT_USED_PERCENT: f64 = 90.0;
 /// The same for the owner of batches: two may act at once for a moment.
 const LIMIT_OWNER_PERCENT: f64 = 70.0;
-/// Limited servers of a service that each entry should be able to reach.
-const LIMITED_SERVERS_EACH: usize = 3;
 /// Senders of a limited server beyond two for each request a second that it takes: each may have one
 /// send more than its rate in the span in which the server counts.
 const SENDERS_BEYOND: usize = 3;
@@ -141,7 +139,7 @@
         entries: &[SocketAddr],
     ) -> Self {
         let used_per_s = most_per_s * LIMIT_USED_PERCENT / 100.0;
-        let reached = servers.clamp(1, LIMITED_SERVERS_EACH);
+        let reached = servers.clamp(1, SERVERS_EACH);
         let by_reach = (entries.len() * reached).div_ceil(servers.max(1));
         let most = whole(used_per_s * 2.0) + SENDERS_BEYOND;
         let senders = whole(used_per_s).max(by_reach.min(most));
@@ -208,7 +206,7 @@
 /// Whole sends a second of each sender of one cold server: fewer where more senders are needed, so
 /// that each entry reaches some, and never less than one, as all may send at once.
 fn sends_each(used_per_s: f64, servers: usize, entries: usize) -> f64 {
-    let by_reach = as_f64(entries) * SERVERS_EACH / as_f64(servers.max(1));
+    let by_reach = as_f64(entries * SERVERS_EACH) / as_f64(servers.max(1));
     (used_per_s / by_reach.max(1.0))
         .min(SENDS_EACH)
         .floor()
