--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -7,10 +7,12 @@
 mod open_stream;
 mod peer_client;
 mod port_probe;
+mod stall_guard;
 
 #[doc(inline)]
 pub use body::{
-    ReadBodyError, ResponseBody, empty_body, full_body, read_body, read_body_with_idle_timeout,
+    ReadBodyError, ResponseBody, empty_body, full_body, read_body, read_body_if_kept,
+    read_body_with_idle_timeout,
 };
 #[doc(inline)]
 pub use frame_reader::{FrameError, FrameReader, encode_frame};
@@ -22,3 +24,5 @@
 #[doc(inline)]
 pub use peer_client::{ConnectionNumber, PeerClient, PeerClientLimits, PeerConnection, PeerError};
 pub(crate) use port_probe::{PortState, probe_port};
+#[doc(inline)]
+pub use stall_guard::StallLimit;
--- a/crates/amaranthscale/src/connection/body.rs
+++ b/crates/amaranthscale/src/connection/body.rs
@@ -29,6 +29,10 @@
                 waited.as_millis()
             )
         }
+        /// There is no memory to keep it.
+        NoMemory(received_bytes: usize) {
+            display("there is no memory to keep {received_bytes} bytes of the body now")
+        }
         /// The connection broke.
         Broken(reason: String) {
             display("the connection broke before the end of the body: {reason}")
@@ -53,6 +57,21 @@
     max_bytes: usize,
     timeout: Duration,
 ) -> Result<Bytes, ReadBodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    read_body_if_kept(body, max_bytes, timeout, |_bytes| true).await
+}
+
+/// Like [`read_body`]; `may_keep` is called with the bytes received so far before each part is
+/// kept.
+pub async fn read_body_if_kept<B>(
+    body: B,
+    max_bytes: usize,
+    timeout: Duration,
+    mut may_keep: impl FnMut(usize) -> bool,
+) -> Result<Bytes, ReadBodyError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -62,6 +81,10 @@
     let mut received = Received::default();
     let reading = async {
         while let Some(part) = next_part(&mut body, max_bytes).await? {
+            let bytes = received.bytes() + part.len();
+            if !may_keep(bytes) {
+                return Err(ReadBodyError::NoMemory(bytes));
+            }
             received.parts.push(part);
         }
         Ok(())
--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -18,6 +18,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::stall_guard::{StallGuard, StallLimit};
+
 /// Pause after a failed accept, so that a process out of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -26,12 +28,14 @@
 const MAX_STREAMS: u32 = 4096;
 
 /// Bounds that protect a server from its clients.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct HttpServerLimits {
     /// Most bytes of headers.
     pub max_header_bytes: usize,
     /// Longest wait for a request's headers.
     pub header_timeout: Duration,
+    /// When to end a connection whose client reads nothing of its answer.
+    pub stall: Option<StallLimit>,
 }
 
 impl Default for HttpServerLimits {
@@ -39,6 +43,7 @@
         Self {
             max_header_bytes: 16 * 1024,
             header_timeout: Duration::from_secs(10),
+            stall: None,
         }
     }
 }
@@ -65,7 +70,7 @@
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let listener = TcpListener::bind(listen).await?;
-        Self::start_on(listener, move || limits, handle)
+        Self::start_on(listener, move || limits.clone(), handle)
     }
 
     /// Like [`Self::start`], on a listener that is already bound, with limits that are read for
@@ -126,7 +131,7 @@
             _ = stopped.wait_for(|stop| *stop) => return connections,
         };
         match accepted {
-            Ok((stream, _peer)) => serve(stream, limits(), handle.clone(), &connections),
+            Ok((stream, _peer)) => serve(stream, &limits(), handle.clone(), &connections),
             Err(error) => {
                 debug!("server: accept failed: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -137,7 +142,7 @@
 
 fn serve<H, F, B>(
     stream: TcpStream,
-    limits: HttpServerLimits,
+    limits: &HttpServerLimits,
     handle: H,
     connections: &GracefulShutdown,
 ) where
@@ -152,6 +157,7 @@
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let stream = StallGuard::new(stream, limits.stall.clone());
     let connection = builder(limits)
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
@@ -163,7 +169,7 @@
     });
 }
 
-fn builder(limits: HttpServerLimits) -> Builder<TokioExecutor> {
+fn builder(limits: &HttpServerLimits) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
--- a/crates/amaranthscale/src/entry/connection/caller_http.rs
+++ b/crates/amaranthscale/src/entry/connection/caller_http.rs
@@ -223,6 +223,7 @@
 const fn body_error_code(error: &ReadBodyError) -> ResultCode {
     match error {
         ReadBodyError::TooLarge(_) => ResultCode::BodyTooLarge,
+        ReadBodyError::NoMemory(_) => ResultCode::EntryFull,
         ReadBodyError::TimedOut(..) => ResultCode::SlowCaller,
         ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
     }
--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -215,9 +215,10 @@
     let limits = HttpServerLimits {
         max_header_bytes: config.max_header_bytes,
         header_timeout: config.read_timeout,
+        stall: None,
     };
     let caller_service = caller_service(config, context, tree);
-    let callers = HttpServer::start(config.listen, limits, caller_service).await;
+    let callers = HttpServer::start(config.listen, limits.clone(), caller_service).await;
     let callers = callers.map_err(|cause| StartError::Listen(config.listen, cause))?;
     let peer_http = PeerHttp::new(
         tree.clone(),
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -14,9 +14,9 @@
 use super::connection::ConnectionPool;
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
-    BatchOwnerArguments, BatchOwners, CrashTracker, FirstEventEstimators, GatewayContext,
-    LimitTracker, RetryBudgets, SendShares, ShutdownGate, monitor_unresponsive, publish_crashes,
-    publish_limits, remove_expired_evidence, remove_stale_limits,
+    BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
+    GatewayContext, LimitTracker, RetryBudgets, SendShares, ShutdownGate, monitor_unresponsive,
+    publish_crashes, publish_limits, remove_expired_evidence, remove_stale_limits,
 };
 use super::version::{
     ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming, READY_AGE_PERCENT, RelayContext,
@@ -41,6 +41,9 @@
 /// Percentage of `apply_bound` for which a routing that is known to be replaced is still used; the
 /// rest allows for the time until the gateway learns of the newer one.
 const MAX_ROUTING_LAG_PERCENT: u32 = 80;
+/// Fraction of the process's memory for callers' requests, and the same for answers that callers
+/// have not read; the rest is for connections, tables and batches.
+const BUFFER_MEMORY_FRACTION: usize = 4;
 /// Interval at which state of removed servers is dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -258,6 +261,9 @@
         table_relay: Arc::default(),
         counters,
         latencies,
+        request_memory: BufferMemory::new(config.memory_bytes / BUFFER_MEMORY_FRACTION),
+        answer_memory: BufferMemory::new(config.memory_bytes / BUFFER_MEMORY_FRACTION),
+        stalled_callers: Arc::default(),
         shutdown: Arc::new(ShutdownGate::default()),
         max_key_age: config.revoke_bound * KEY_AGE_PERCENT / 100,
         max_ready_age: config.revoke_bound * READY_AGE_PERCENT / 100,
--- a/crates/amaranthscale/src/gateway/gateway_config.rs
+++ b/crates/amaranthscale/src/gateway/gateway_config.rs
@@ -23,6 +23,8 @@
     pub announcement: Announcement,
     /// Listening address for metrics.
     pub metrics_address: Option<SocketAddr>,
+    /// Memory that the process may use.
+    pub memory_bytes: usize,
     /// Maximum time for which a revoked key may still be accepted.
     pub revoke_bound: Duration,
     /// Maximum time until a change of the routing is in force.
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use amaranthscale_core::id::RequestFingerprint;
 use hyper::body::Incoming;
@@ -11,7 +12,9 @@
 use super::process::{GatewayContext, serve_peer};
 use super::request::answer_caller;
 use super::{GatewayConfig, GatewayError};
-use crate::connection::{HttpServer, HttpServerLimits, ResponseBody, empty_body, full_body};
+use crate::connection::{
+    HttpServer, HttpServerLimits, ResponseBody, StallLimit, empty_body, full_body,
+};
 
 /// Path that lists the quarantined requests.
 const QUARANTINE_LIST_PATH: &str = "/quarantine";
@@ -50,6 +53,10 @@
         max_header_bytes: bounds.max_header_bytes,
         // The library counts idle time between two requests as part of reading the next head.
         header_timeout: bounds.idle_timeout.max(bounds.header_timeout),
+        stall: Some(StallLimit {
+            timeout: bounds.idle_timeout,
+            ended: Arc::clone(&context.stalled_callers),
+        }),
     }
 }
 
@@ -73,14 +80,15 @@
         let response = ready_response(&ready_context);
         async move { response }
     };
-    let ready = HttpServer::start(config.ready_address, limits, ready)
+    let ready = HttpServer::start(config.ready_address, limits.clone(), ready)
         .await
         .map_err(|cause| GatewayError::Listen("readiness", config.ready_address, cause))?;
     let peer_context = Arc::clone(context);
     let answer_peer =
         move |request: Request<Incoming>| serve_peer(Arc::clone(&peer_context), request);
     let address = config.announcement.address;
-    let peers = HttpServer::start_on(peers, move || limits, answer_peer)
+    let peer_limits = limits.clone();
+    let peers = HttpServer::start_on(peers, move || peer_limits.clone(), answer_peer)
         .map_err(|cause| GatewayError::Listen("other gateways", address, cause))?;
     let mut metrics = None;
     if let Some(address) = config.metrics_address {
@@ -172,6 +180,11 @@
         "amaranth_open_requests {}",
         context.shutdown.open_requests()
     );
+    let _ = writeln!(
+        text,
+        "amaranth_stalled_callers_total {}",
+        context.stalled_callers.load(Ordering::Relaxed)
+    );
     for (request, servers) in context.crashes.quarantined_requests() {
         let crashed = servers.len();
         let _ = writeln!(
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -5,6 +5,7 @@
 mod batch_owner;
 mod batch_owner_handle;
 mod batch_owners;
+mod buffer_memory;
 mod crash_tracker;
 mod first_event_estimators;
 mod gateway_context;
@@ -32,6 +33,8 @@
 #[doc(inline)]
 pub use batch_owners::BatchOwners;
 #[doc(inline)]
+pub use buffer_memory::{BufferMemory, BufferReservation};
+#[doc(inline)]
 pub use crash_tracker::CrashTracker;
 #[doc(inline)]
 pub use first_event_estimators::FirstEventEstimators;
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -1,5 +1,6 @@
 //! State shared by all requests of a gateway.
 
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use amaranthscale_core::id::{InstanceId, ServiceId, ZoneId};
@@ -9,8 +10,8 @@
 use super::super::connection::ConnectionPool;
 use super::super::version::{ClusterView, TableRelay};
 use super::{
-    BatchOwners, CrashTracker, FirstEventEstimators, LimitTracker, RetryBudgets, SendShares,
-    ShutdownGate,
+    BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, RetryBudgets,
+    SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -46,6 +47,12 @@
     pub counters: Arc<Counters>,
     /// Latencies by part of a request and by stage service.
     pub latencies: Arc<Latencies>,
+    /// Memory for callers' requests.
+    pub request_memory: BufferMemory,
+    /// Memory for servers' answers until their callers have read them.
+    pub answer_memory: BufferMemory,
+    /// Number of callers' connections that were ended because nothing of the answer was read.
+    pub stalled_callers: Arc<AtomicU64>,
     /// Open requests and the state of a shutdown.
     pub shutdown: Arc<ShutdownGate>,
     /// Maximum age of the routing at which a key is accepted.
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -12,6 +12,10 @@
 use super::GatewayContext;
 use super::send_shares::ShareInputs;
 
+/// Bytes of request bodies that all gateways together have at one server. Servers do not state
+/// their memory and crash beyond it; a small one has three times as much.
+const MAX_BODY_BYTES_PER_SERVER: usize = 64 * 1024 * 1024;
+
 /// Why no server of a service can be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NoServerAvailable {
@@ -23,11 +27,12 @@
 }
 
 impl GatewayContext {
-    /// Chooses a server of a service by `select`; also returns the load on which the choice was
-    /// based.
+    /// Chooses a server of a service by `select` for a request with a body of a size; also returns
+    /// the load on which the choice was based.
     pub fn choose_server(
         &self,
         service: &ServiceId,
+        body_bytes: usize,
         select: impl for<'a> FnOnce(
             &ServerSelector,
             UsableServers<'a>,
@@ -36,8 +41,12 @@
     ) -> Option<(ServerRecord, LoadSnapshot)> {
         let servers = self.cluster_view.servers();
         let now = self.cluster_view.clock().now();
-        let usable = self.usable_servers(&servers, service, now);
+        let mut usable = self.usable_servers(&servers, service, now);
+        let max_body_bytes = MAX_BODY_BYTES_PER_SERVER / self.cluster_view.live_count().max(1);
         let server_selector = self.server_selector();
+        usable.retain(|server| {
+            server_selector.may_take_body(&server.incarnation, body_bytes, max_body_bytes)
+        });
         let chosen = select(&server_selector, usable, now)?.clone();
         let load = server_selector.load_snapshot(&chosen.incarnation, now);
         drop(server_selector);
--- a/crates/amaranthscale/src/gateway/request.rs
+++ b/crates/amaranthscale/src/gateway/request.rs
@@ -1,6 +1,7 @@
 //! State with the life span of a request: its head, its sends and its one answer.
 
 mod answer;
+mod buffered_body;
 mod caller;
 mod engine_run;
 mod event_splitter;
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -7,7 +7,7 @@
 use amaranthscale_core::process::Rank;
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request;
 use hyper::{Request, Response};
@@ -18,11 +18,12 @@
 use super::super::process::{GatewayContext, OpenRequest, SingleRun};
 use super::super::{RequestAttributes, RequestContent};
 use super::answer::AnswerBody;
+use super::buffered_body::read_request_body;
 use super::engine_run::run_engine;
 use super::outgoing::OutgoingRequest;
 use super::plain_run::run_plain;
 use super::refusal::Refusal;
-use crate::connection::{ReadBodyError, read_body};
+use crate::connection::ReadBodyError;
 
 /// Retry delay for a request that is limited to a single run and already runs elsewhere.
 const SINGLE_RUN_RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -203,7 +204,7 @@
         .unwrap_or(route.timeout)
         .min(route.timeout);
     let deadline = arrived_at + timeout;
-    let body = read_caller_body(&routing, body, deadline).await?;
+    let body = read_caller_body(context, &routing, body, deadline).await?;
     let service = route.service_for(&attributes.call).cloned();
     let service = service.ok_or(Refusal::new(ResultCode::NoBackendServer))?;
     let host = host_of(head).to_owned();
@@ -271,20 +272,19 @@
 }
 
 async fn read_caller_body(
+    context: &GatewayContext,
     routing: &Routing,
     body: Incoming,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
     let max_bytes = routing.bounds().max_body_bytes;
-    let min_bytes = body.size_hint().lower();
-    if min_bytes > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
-        return Err(Refusal::new(ResultCode::BodyTooLarge).closing());
-    }
     let timeout = deadline.saturating_duration_since(Instant::now());
-    read_body(body, max_bytes, timeout).await.map_err(|error| {
+    let read = read_request_body(&context.request_memory, body, max_bytes, timeout).await;
+    read.map_err(|error| {
         let code = match error {
             ReadBodyError::TooLarge(_) => ResultCode::BodyTooLarge,
             ReadBodyError::TimedOut(..) => ResultCode::SlowCaller,
+            ReadBodyError::NoMemory(_) => ResultCode::EntryFull,
             ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
         };
         Refusal::new(code).closing()
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
     ConnectionShare, DEFAULT_ENGINE_TIME, JobFailure, JobSpec, LoadSnapshot, SendingEntry,
     ServerRecord, StageSpec,
 };
+use amaranthscale_core::{Ran, ResultCode};
 use hyper::Response;
 use log::info;
 use tokio::time::Instant;
@@ -17,12 +17,12 @@
 use super::super::clock::ms;
 use super::super::process::{GatewayContext, JobError, JobResults, OpenRequest, run_job};
 use super::answer::{AnswerBody, forwarded_response, full_body};
+use super::buffered_body::read_answer_body;
 use super::caller::AdmittedRequest;
 use super::outgoing::OutgoingRequest;
 use super::refusal::Refusal;
 use super::send::{InFlightSend, SendOutcome, StartedAnswer, send};
 use super::stream_relay::relay_stream;
-use crate::connection::read_body;
 
 /// Maximum size of an engine's error answer that is forwarded.
 const MAX_FAILURE_BYTES: usize = 1024 * 1024;
@@ -114,17 +114,28 @@
 impl EngineRun {
     /// Runs the job and sends the request until an engine has begun to answer.
     pub(super) async fn start(&mut self) -> Result<EngineAnswer, Refusal> {
+        let answer = self.run_until_answered().await;
+        // Whatever prevents a further run, an engine may have run the request before.
+        answer.map_err(|refusal| {
+            if self.possible_runs > 0 && refusal.code.ran() == Ran::No {
+                Refusal::new(ResultCode::AnswerLost)
+            } else {
+                refusal
+            }
+        })
+    }
+
+    async fn run_until_answered(&mut self) -> Result<EngineAnswer, Refusal> {
         let mut stage_results = StageResults::Missing;
         loop {
-            if let Err(refusal) = self.admitted.check_quarantine(&self.context).await {
-                return Err(self.quarantine_refusal(refusal));
-            }
+            self.admitted.check_quarantine(&self.context).await?;
             let server = self.choose_server().ok_or_else(|| {
                 Refusal::no_server_available(self.context.no_server_available(&self.service))
             })?;
             // Counted from here on, so that requests which wait for their jobs are spread over
             // engines as well.
-            let in_flight_send = InFlightSend::new(&self.context, &server);
+            let body_bytes = self.outgoing.body_bytes();
+            let in_flight_send = InFlightSend::new(&self.context, &server, body_bytes);
             let results = match stage_results {
                 StageResults::Missing => self.stage_results(&server).await?,
                 StageResults::Retained(results) => results,
@@ -185,15 +196,6 @@
         Ok(AttemptOutcome::Retry(StageResults::Retained(results)))
     }
 
-    /// The refusal of a quarantined request, which depends on whether an engine may have run it.
-    const fn quarantine_refusal(&self, refusal: Refusal) -> Refusal {
-        if self.possible_runs == 0 {
-            refusal
-        } else {
-            Refusal::new(ResultCode::AnswerLost)
-        }
-    }
-
     /// Records a rejection; an error if no further attempt is allowed.
     fn add_rejection(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refusal> {
         self.add_unsent(end, server)?;
@@ -249,20 +251,16 @@
         let (id, zone) = (&self.context.instance, &self.context.zone);
         let entry = SendingEntry::new(id, zone, ConnectionShare::UNLIMITED);
         let shared_prefix = self.admitted.attributes.shared_prefix.as_deref();
-        let chosen = self
-            .context
-            .choose_server(
-                &self.service,
-                |server_selector, usable, now| match shared_prefix {
-                    Some(shared_prefix) => server_selector.select_engine(
-                        usable,
-                        &self.tried_servers,
-                        shared_prefix,
-                        now,
-                    ),
-                    None => server_selector.select_plain(usable, &self.tried_servers, entry, now),
-                },
-            );
+        let chosen = self.context.choose_server(
+            &self.service,
+            self.outgoing.body_bytes(),
+            |server_selector, usable, now| match shared_prefix {
+                Some(shared_prefix) => {
+                    server_selector.select_engine(usable, &self.tried_servers, shared_prefix, now)
+                }
+                None => server_selector.select_plain(usable, &self.tried_servers, entry, now),
+            },
+        );
         let (server, load) = chosen?;
         self.load = load;
         Some(server)
@@ -307,7 +305,7 @@
                 results = tokio::time::timeout(self.admitted.remaining(), job) => results,
                 crashed = self.context.crashes.wait_until_quarantined(&self.admitted.request_content) => {
                     let code = self.admitted.record_quarantined(crashed);
-                    return Err(self.quarantine_refusal(Refusal::new(code)));
+                    return Err(Refusal::new(code));
                 }
                 () = self.context.shutdown.unsent_aborted() => {
                     return Err(Refusal::new(ResultCode::NotReady).closing());
@@ -381,7 +379,9 @@
             connection,
             in_flight_send,
         } = answer.answer;
-        let body = match read_body(body, MAX_FAILURE_BYTES, self.admitted.remaining()).await {
+        let memory = &self.context.answer_memory;
+        let remaining = self.admitted.remaining();
+        let body = match read_answer_body(memory, body, MAX_FAILURE_BYTES, remaining).await {
             Ok(body) => body,
             Err(error) => {
                 in_flight_send.record_read_failure(&error, &self.admitted);
--- a/crates/amaranthscale/src/gateway/request/outgoing.rs
+++ b/crates/amaranthscale/src/gateway/request/outgoing.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Size of the body.
+    pub(super) const fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Sets a header of all further sends.
     pub(super) fn set_header(&mut self, name: &HeaderName, value: &str) {
         set_header(&mut self.headers, name, value);
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -16,11 +16,11 @@
 use super::super::clock::ms;
 use super::super::process::GatewayContext;
 use super::answer::{AnswerBody, forwarded_response, full_body};
+use super::buffered_body::read_answer_body;
 use super::caller::AdmittedRequest;
 use super::outgoing::OutgoingRequest;
 use super::refusal::Refusal;
 use super::send::{InFlightSend, SendOutcome, StartedAnswer, send};
-use crate::connection::read_body;
 
 /// Maximum size of an answer, which is buffered before it is forwarded; usual ones are some
 /// kilobytes.
@@ -91,7 +91,7 @@
             if let Err(refusal) = self.admitted.check_quarantine(self.context).await {
                 return self.finish_unanswered(refusal);
             }
-            let Some(server) = self.choose_server() else {
+            let Some(server) = self.choose_server(outgoing.body_bytes()) else {
                 let none = self.context.no_server_available(self.service);
                 return self.finish_unanswered(Refusal::no_server_available(none));
             };
@@ -131,13 +131,13 @@
         }
     }
 
-    fn choose_server(&mut self) -> Option<ServerRecord> {
+    fn choose_server(&mut self, body_bytes: usize) -> Option<ServerRecord> {
         let entry = SendingEntry::new(&self.context.instance, &self.context.zone, self.share);
-        let chosen = self
-            .context
-            .choose_server(self.service, |server_selector, usable, now| {
-                server_selector.select_plain(usable, &self.tried_servers, entry, now)
-            });
+        let chosen =
+            self.context
+                .choose_server(self.service, body_bytes, |server_selector, usable, now| {
+                    server_selector.select_plain(usable, &self.tried_servers, entry, now)
+                });
         let (server, load) = chosen?;
         self.load = load;
         Some(server)
@@ -149,7 +149,7 @@
         outgoing: &OutgoingRequest,
     ) -> AttemptOutcome {
         let remaining = self.admitted.remaining();
-        let in_flight_send = InFlightSend::new(self.context, server);
+        let in_flight_send = InFlightSend::new(self.context, server, outgoing.body_bytes());
         let call = &self.admitted.attributes.call;
         let buffered_answer = async {
             match send(
@@ -200,7 +200,9 @@
             connection,
             in_flight_send,
         } = answer;
-        match read_body(body, MAX_ANSWER_BYTES, self.admitted.remaining()).await {
+        let memory = &self.context.answer_memory;
+        let remaining = self.admitted.remaining();
+        match read_answer_body(memory, body, MAX_ANSWER_BYTES, remaining).await {
             Ok(body) => {
                 in_flight_send.record_answer(self.admitted);
                 self.context
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -49,17 +49,26 @@
 pub(super) struct InFlightSend {
     context: std::sync::Arc<GatewayContext>,
     server: amaranthscale_core::id::ServerIncarnation,
+    body_bytes: usize,
     address: SocketAddr,
     started: Instant,
     end: SendEnd,
 }
 
 impl InFlightSend {
-    pub(super) fn new(context: &std::sync::Arc<GatewayContext>, server: &ServerRecord) -> Self {
-        context.server_selector().record_send(&server.incarnation);
+    pub(super) fn new(
+        context: &std::sync::Arc<GatewayContext>,
+        server: &ServerRecord,
+        body_bytes: usize,
+    ) -> Self {
+        let mut server_selector = context.server_selector();
+        server_selector.record_send(&server.incarnation);
+        server_selector.record_body_sent(&server.incarnation, body_bytes);
+        drop(server_selector);
         Self {
             context: std::sync::Arc::clone(context),
             server: server.incarnation.clone(),
+            body_bytes,
             address: server.address,
             started: Instant::now(),
             end: SendEnd::Abandoned,
@@ -84,6 +93,10 @@
         match error {
             ReadBodyError::Broken(_) => self.record_lost(admitted),
             ReadBodyError::TooLarge(_) | ReadBodyError::TimedOut(..) => self.end(SendEnd::Failed),
+            ReadBodyError::NoMemory(_) => {
+                self.context.counters.count("answer.no-memory");
+                self.end(SendEnd::Abandoned);
+            }
         }
     }
 
@@ -97,10 +110,10 @@
     fn drop(&mut self) {
         let now = self.context.cluster_view.clock().now();
         let elapsed = self.started.elapsed();
-        let change =
-            self.context
-                .server_selector()
-                .record_end(&self.server, self.end, elapsed, now);
+        let mut server_selector = self.context.server_selector();
+        server_selector.record_body_done(&self.server, self.body_bytes);
+        let change = server_selector.record_end(&self.server, self.end, elapsed, now);
+        drop(server_selector);
         match change {
             Some(HealthChange::Ejected) => info!(server:% = self.server; "servers: ejected"),
             Some(HealthChange::Readmitted) => info!(server:% = self.server; "servers: readmitted"),
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -18,17 +18,17 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::OpenRequest;
+use super::super::process::{BufferMemory, OpenRequest};
 use super::answer::{AnswerBody, TruncatedAnswer, forwarded_response};
 use super::engine_run::{EngineAnswer, EngineRun};
 use super::event_splitter::{EventSplitter, StreamEvent};
 use super::send::StartedAnswer;
 
-/// Maximum number of events buffered for the caller; beyond it a slow caller delays the engine's
-/// stream.
-const MAX_BUFFERED_EVENTS: usize = 16;
+/// Maximum bytes of events that one caller leaves unread; several times a usual stream. Beyond it
+/// the engine has to wait, and ends a stream that nobody reads for some seconds.
+const MAX_UNREAD_BYTES: usize = 256 * 1024;
 
-type EventSender = mpsc::Sender<Result<Bytes, TruncatedAnswer>>;
+type EventSender = mpsc::UnboundedSender<Result<Bytes, TruncatedAnswer>>;
 
 /// How one engine's stream ended.
 enum EngineStreamEnd {
@@ -48,13 +48,14 @@
     answer: EngineAnswer,
     open_request: OpenRequest,
 ) -> Response<AnswerBody> {
-    let (sender, events) = mpsc::channel(MAX_BUFFERED_EVENTS);
+    let (sender, events) = mpsc::unbounded_channel();
     let body = StreamBody { events };
     let head = &answer.answer.head;
     let response = forwarded_response(head.status, &head.headers, body.boxed_unsync());
     let relay = StreamRelay {
         run,
         sender,
+        unread: BufferMemory::new(MAX_UNREAD_BYTES),
         last_id: None,
         forwarded: 0,
     };
@@ -65,6 +66,8 @@
 struct StreamRelay {
     run: EngineRun,
     sender: EventSender,
+    /// Memory of this caller's share of the answers' memory.
+    unread: BufferMemory,
     last_id: Option<u64>,
     forwarded: u64,
 }
@@ -101,7 +104,7 @@
             }
         };
         // Without a receiver the caller has disconnected.
-        let _ = self.sender.send(Err(TruncatedAnswer::Early(reason))).await;
+        let _ = self.sender.send(Err(TruncatedAnswer::Early(reason)));
     }
 
     /// Records the time that the engine took to its first event.
@@ -155,7 +158,7 @@
             .pool
             .return_connection(connection, &head.headers, share);
         let rest = splitter.rest();
-        if !rest.is_empty() && self.sender.send(Ok(rest)).await.is_err() {
+        if !rest.is_empty() && self.sender.send(Ok(rest)).is_err() {
             return EngineStreamEnd::CallerLeft;
         }
         EngineStreamEnd::Complete
@@ -173,10 +176,22 @@
         }
         self.last_id = event.id.or(self.last_id);
         self.forwarded += 1;
-        let forwarded = self.sender.send(Ok(event.bytes)).await;
+        let held = tokio::select! {
+            held = self.hold(event.bytes) => held,
+            () = self.sender.closed() => return Err(EngineStreamEnd::CallerLeft),
+            () = tokio::time::sleep_until(self.run.admitted.deadline) => return Err(EngineStreamEnd::TimedOut),
+        };
+        let forwarded = self.sender.send(Ok(held));
         forwarded.map_err(|_left| EngineStreamEnd::CallerLeft)
     }
 
+    /// Keeps an event until the caller has read it, once there is memory for it.
+    async fn hold(&self, event: Bytes) -> Bytes {
+        let own = self.unread.reserve(event.len()).await;
+        let shared = self.run.context.answer_memory.reserve(event.len()).await;
+        shared.hold(own.hold(event))
+    }
+
     /// Continues the stream at another engine, if the route allows it.
     async fn resume(&mut self, server: ServerIncarnation) -> Option<EngineAnswer> {
         if !self.run.try_retry() {
@@ -225,7 +240,7 @@
 
 /// Response body with the events of the relay's task.
 struct StreamBody {
-    events: mpsc::Receiver<Result<Bytes, TruncatedAnswer>>,
+    events: mpsc::UnboundedReceiver<Result<Bytes, TruncatedAnswer>>,
 }
 
 impl Body for StreamBody {
--- a/crates/amaranthscale/tests/http_server.rs
+++ b/crates/amaranthscale/tests/http_server.rs
@@ -1,8 +1,13 @@
 //! Bounds that protect a server from its clients.
 
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
-use amaranthscale::connection::{HttpServer, HttpServerLimits, empty_body};
+use amaranthscale::connection::{HttpServer, HttpServerLimits, StallLimit, empty_body, full_body};
 use hyper::Response;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -33,3 +38,60 @@
         assert_eq!(&head, b"HTTP/1.1 431");
     }
 }
+
+/// Far more than the sockets' buffers hold.
+const LONG_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+async fn server_with_long_answers(ended: &Arc<AtomicU64>) -> HttpServer {
+    let limits = HttpServerLimits {
+        stall: Some(StallLimit {
+            timeout: Duration::from_millis(300),
+            ended: Arc::clone(ended),
+        }),
+        ..HttpServerLimits::default()
+    };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer = |_request| async { Response::new(full_body(vec![7; LONG_ANSWER_BYTES])) };
+    HttpServer::start(listen, limits, answer).await.unwrap()
+}
+
+async fn send_request(server: &HttpServer) -> TcpStream {
+    let mut caller = TcpStream::connect(server.address()).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: entry\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    caller
+}
+
+/// A caller sends a request and reads nothing of the answer. Without a limit the answer would stay
+/// in memory for as long as the caller keeps its connection.
+#[tokio::test]
+async fn a_connection_whose_answer_stays_unread_is_ended() {
+    let ended = Arc::<AtomicU64>::default();
+    let server = server_with_long_answers(&ended).await;
+
+    let mut caller = send_request(&server).await;
+    while ended.load(Ordering::Relaxed) == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let mut rest = Vec::new();
+    let _ = caller.read_to_end(&mut rest).await;
+
+    assert!(rest.len() < LONG_ANSWER_BYTES, "the answer ends early");
+}
+
+/// A caller reads slowly, but it reads: its answer is delivered whole.
+#[tokio::test]
+async fn a_connection_whose_answer_is_read_slowly_is_kept() {
+    let ended = Arc::<AtomicU64>::default();
+    let server = server_with_long_answers(&ended).await;
+    let mut caller = send_request(&server).await;
+    let mut buffer = vec![0; 8 * 1024 * 1024];
+    let mut read = 0;
+
+    while read < LONG_ANSWER_BYTES {
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        read += caller.read(&mut buffer).await.unwrap();
+    }
+
+    assert_eq!(ended.load(Ordering::Relaxed), 0);
+}
--- a/crates/core/src/process/server_availability.rs
+++ b/crates/core/src/process/server_availability.rs
@@ -74,6 +74,14 @@
     pub cold: Vec<&'a ServerRecord>,
 }
 
+impl UsableServers<'_> {
+    /// Keeps only the servers for which a condition holds.
+    pub fn retain(&mut self, is_kept: impl Fn(&ServerRecord) -> bool) {
+        self.free.retain(|server| is_kept(server));
+        self.cold.retain(|server| is_kept(server));
+    }
+}
+
 impl<'a> FromIterator<&'a ServerRecord> for UsableServers<'a> {
     fn from_iter<T: IntoIterator<Item = &'a ServerRecord>>(servers: T) -> Self {
         Self {
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -102,6 +102,8 @@
 #[derive(Debug, Clone, Default)]
 struct ServerTracker {
     in_flight: usize,
+    /// Bytes of the bodies of these requests.
+    body_bytes: usize,
     smoothed_ms: Option<f64>,
     sampled_at: Duration,
     reported: Option<(ServerLoad, Duration)>,
@@ -323,6 +325,31 @@
         }
     }
 
+    /// Whether a server may be sent a body in addition to those that this entry has there: one
+    /// alone always, and more of them up to a bound.
+    #[must_use]
+    pub fn may_take_body(
+        &self,
+        server: &ServerIncarnation,
+        body_bytes: usize,
+        max_bytes: usize,
+    ) -> bool {
+        let present_bytes = self.tracker(server).map_or(0, |tracker| tracker.body_bytes);
+        present_bytes == 0 || body_bytes == 0 || present_bytes + body_bytes <= max_bytes
+    }
+
+    /// Records a body that is sent to a server.
+    pub fn record_body_sent(&mut self, server: &ServerIncarnation, body_bytes: usize) {
+        self.trackers.entry(server.clone()).or_default().body_bytes += body_bytes;
+    }
+
+    /// Records that a server no longer needs a body.
+    pub fn record_body_done(&mut self, server: &ServerIncarnation, body_bytes: usize) {
+        if let Some(tracker) = self.trackers.get_mut(server) {
+            tracker.body_bytes = tracker.body_bytes.saturating_sub(body_bytes);
+        }
+    }
+
     /// Records the load that a server reported.
     pub fn record_load(&mut self, server: &ServerIncarnation, load: ServerLoad, now: Duration) {
         self.trackers.entry(server.clone()).or_default().reported = Some((load, now));
--- a/crates/core/tests/server_selector.rs
+++ b/crates/core/tests/server_selector.rs
@@ -360,3 +360,24 @@
 
     assert_eq!(chosen.unwrap().incarnation, servers[0].incarnation);
 }
+
+/// Many callers send large bodies at once. A server crashes if those that it holds exceed its
+/// memory, so they are not all sent to one; a single large body is.
+#[test]
+fn bodies_at_a_server_are_bounded() {
+    let mut selector = ServerSelector::default();
+    let server: ServerIncarnation = "a".parse().unwrap();
+
+    let alone = selector.may_take_body(&server, 900, 100);
+    selector.record_body_sent(&server, 60);
+    let small = selector.may_take_body(&server, 40, 100);
+    let large = selector.may_take_body(&server, 41, 100);
+    let none = selector.may_take_body(&server, 0, 100);
+    selector.record_body_done(&server, 60);
+    let after = selector.may_take_body(&server, 900, 100);
+
+    assert_eq!(
+        [alone, small, large, none, after],
+        [true, true, false, true, true]
+    );
+}
