A table that is read again gives its readers only the changes

Cause: when the store loses its history, a zone's reader fills its copy with the whole table, and the copy then answered every reader with the whole table; beyond 64 KB that is not handed on, so all 356 gateways of the fleet read it from the store themselves. Change: replacing a copy records the rows that are missing now as dropped at the new version, so a reader of the earlier copy gets the difference. Test: a_table_read_again_gives_readers_only_the_changes.

--- a/crates/core/src/version/table_copy.rs
+++ b/crates/core/src/version/table_copy.rs
@@ -65,6 +65,9 @@
 
 impl<V: Clone> TableCopy<V> {
     /// Replaces all rows with the table as of a version and time of the store.
+    ///
+    /// Rows of an earlier copy that are missing now count as dropped at that version: whoever has
+    /// the earlier copy needs only what changed, as after the store has lost its history.
     pub fn replace(
         &mut self,
         rows: impl IntoIterator<Item = (String, V, RowVersion)>,
@@ -72,14 +75,21 @@
         clock: Duration,
     ) {
         let rows = rows.into_iter();
-        self.rows = rows
+        let rows: BTreeMap<_, _> = rows
             .map(|(key, value, version)| (key, (value, version)))
             .collect();
-        self.dropped.clear();
-        self.dropped_rows = 0;
-        self.complete_since = version;
-        self.version = version;
+        if self.version == RowVersion::new(0) {
+            self.complete_since = version;
+        }
+        let replaced = std::mem::replace(&mut self.rows, rows);
+        for key in replaced.into_keys() {
+            if !self.rows.contains_key(&key) {
+                self.record_dropped(key, version);
+            }
+        }
+        self.version = self.version.max(version);
         self.clock = self.clock.max(clock);
+        self.forget_oldest_dropped();
     }
 
     /// Applies changes as of a version and time of the store.
@@ -94,12 +104,20 @@
                 self.rows.insert(key, (value, version));
             } else {
                 self.rows.remove(&key);
-                self.dropped.entry(version).or_default().push(key);
-                self.dropped_rows += 1;
+                self.record_dropped(key, version);
             }
         }
         self.version = self.version.max(version);
         self.clock = self.clock.max(clock);
+        self.forget_oldest_dropped();
+    }
+
+    fn record_dropped(&mut self, key: String, version: RowVersion) {
+        self.dropped.entry(version).or_default().push(key);
+        self.dropped_rows += 1;
+    }
+
+    fn forget_oldest_dropped(&mut self) {
         while self.dropped_rows > MAX_DROPPED_ROWS
             && let Some((version, keys)) = self.dropped.pop_first()
         {
--- a/crates/core/tests/table_copy.rs
+++ b/crates/core/tests/table_copy.rs
@@ -169,3 +169,26 @@
     assert!(matches!(far_behind, TableChanges::Full(rows) if rows.len() == 1));
     assert!(matches!(up_to_date, TableChanges::Incremental(rows) if rows.len() == 1));
 }
+
+/// The store loses its history, and the copy is filled with the whole table again. Hundreds of
+/// readers have the earlier copy: they get what changed meanwhile, drops included, and not the whole
+/// table.
+#[test]
+fn a_table_read_again_gives_readers_only_the_changes() {
+    let row = |key: &str, version| (key.to_owned(), 1, RowVersion::new(version));
+    let mut copy = TableCopy::default();
+    let before = [row("dropped", 2), row("kept", 3), row("written", 4)];
+    copy.replace(before, RowVersion::new(5), Duration::from_secs(1));
+
+    let after = [row("kept", 3), row("new", 7), row("written", 8)];
+    copy.replace(after, RowVersion::new(9), Duration::from_secs(2));
+
+    let expected = TableChanges::Incremental(vec![
+        ("new".to_owned(), Some(1), RowVersion::new(7)),
+        ("written".to_owned(), Some(1), RowVersion::new(8)),
+        ("dropped".to_owned(), None, RowVersion::new(9)),
+    ]);
+    assert_eq!(copy.changes_since(RowVersion::new(5)), expected);
+    let up_to_date = copy.changes_since(RowVersion::new(9));
+    assert_eq!(up_to_date, TableChanges::Incremental(Vec::new()));
+}
