--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -122,6 +122,13 @@
         self.received_at
     }
 
+    /// Whether this gateway reads the table from the store, and not through another one.
+    #[must_use]
+    pub fn reads_store(&self) -> bool {
+        let reader_client = self.reader_client.as_ref();
+        reader_client.is_none_or(ZoneReaderClient::reads_store)
+    }
+
     /// The next event; after a failure, following a pause.
     pub async fn next(&mut self) -> FeedEvent {
         let event = self.read().await;
@@ -130,11 +137,14 @@
         if let FeedEvent::Snapshot(rows) | FeedEvent::Changes(rows) = &event {
             self.clock = self.clock.max(rows.clock);
         }
-        if let Some(reader_client) = &self.reader_client {
+        if let Some(reader_client) = &mut self.reader_client {
             reader_client
                 .context()
                 .table_relay
                 .record(self.table, &event);
+            if !self.is_store_unavailable {
+                reader_client.log_reader();
+            }
         }
         event
     }
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -119,8 +119,13 @@
             }
             FeedEvent::Changes(rows) => {
                 let changes = parse_server_changes(&store, &rows.rows, &mut invalid_entries);
+                let detail = if feed.reads_store() {
+                    LogDetail::Each
+                } else {
+                    LogDetail::Sum
+                };
                 cluster_view.change_servers(|servers, now| {
-                    apply_server_changes(servers, changes, &mut log_limiter, now)
+                    apply_server_changes(servers, changes, detail, &mut log_limiter, now)
                 });
             }
         }
@@ -353,21 +358,37 @@
     }
 }
 
+/// How changes of servers are logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LogDetail {
+    /// A line for each, by the gateway that read them from the store.
+    Each,
+    /// One line for all of an answer, by those that the changes were relayed to: at hundreds of
+    /// gateways, a line of each about each server would be tens of thousands.
+    Sum,
+}
+
 fn apply_server_changes(
     servers: &mut ServerList,
     changes: Vec<ServerChange>,
+    detail: LogDetail,
     log_limiter: &mut LogLimiter,
     now: Duration,
 ) -> bool {
     servers.store_answered(now);
-    let mut is_changed = false;
+    let mut applied = 0;
     for change in changes {
         if servers.apply_change(change.clone(), now) {
-            log_change(&change, log_limiter);
-            is_changed = true;
+            applied += 1;
+            if detail == LogDetail::Each {
+                log_change(&change, log_limiter);
+            }
         }
     }
-    is_changed
+    if applied > 0 && detail == LogDetail::Sum {
+        info!(changed = applied, servers = servers.all().count(); "servers: changes relayed");
+    }
+    applied > 0
 }
 
 fn log_change(change: &ServerChange, log_limiter: &mut LogLimiter) {
--- a/crates/amaranthscale/src/gateway/version/zone_reader_client.rs
+++ b/crates/amaranthscale/src/gateway/version/zone_reader_client.rs
@@ -99,6 +99,8 @@
     feed: &'static str,
     excluded: BTreeMap<InstanceId, Exclusion>,
     reader: StoreReader,
+    /// The reader in the last log line.
+    logged_reader: StoreReader,
 }
 
 /// Exclusion of a zone reader that failed or had no newer rows.
@@ -122,6 +124,7 @@
             feed,
             excluded: BTreeMap::new(),
             reader: StoreReader::Each,
+            logged_reader: StoreReader::Each,
         }
     }
 
@@ -134,6 +137,11 @@
         self.reader == StoreReader::This
     }
 
+    /// Whether this gateway reads the store itself, for others or for itself only.
+    pub(super) const fn reads_store(&self) -> bool {
+        !matches!(self.reader, StoreReader::Other(..))
+    }
+
     /// The gateway to read from; `None` if this one reads the store itself.
     pub(super) fn choose_reader(
         &mut self,
@@ -152,21 +160,28 @@
                     .is_some_and(|exclusion| exclusion.until > now)
         };
         let reader = self.context.cluster_view.zone_reader(is_excluded);
-        if reader != self.reader {
-            let through = match &reader {
-                StoreReader::Other(id, _) => id.as_str(),
-                StoreReader::This => "for-others",
-                StoreReader::Each => "-",
-            };
-            info!(feed = self.feed, through; "store: reader chosen");
-            self.reader = reader.clone();
-        }
+        self.reader = reader.clone();
         match reader {
             StoreReader::Other(id, address) => Some((id, address)),
             StoreReader::This | StoreReader::Each => None,
         }
     }
 
+    /// Logs the reader that an answer came through, if it is another one than before. Readers that
+    /// were only tried are not logged: while the store turns gateways away, there are many.
+    pub(super) fn log_reader(&mut self) {
+        if self.reader == self.logged_reader {
+            return;
+        }
+        let through = match &self.reader {
+            StoreReader::Other(id, _) => id.as_str(),
+            StoreReader::This => "for-others",
+            StoreReader::Each => "-",
+        };
+        info!(feed = self.feed, through; "store: reader chosen");
+        self.logged_reader = self.reader.clone();
+    }
+
     /// Excludes a gateway for some time.
     pub(super) fn exclude(&mut self, id: InstanceId) {
         let now = self.context.cluster_view.clock().now();
