--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -193,10 +193,10 @@
             let ids = rows.iter().filter_map(|row| row.key.parse().ok());
             ids.collect::<BTreeSet<InstanceId>>()
         });
-        // The announcement may have been removed without an event, as when the store lost its
-        // history.
-        let is_removed = match &listed {
-            Some(ids) => !ids.contains(&own.instance),
+        let is_own_removed = match &listed {
+            // The announcement may have been removed without an event, as when the store lost its
+            // history.
+            Some(ids) => *own.is_announced.borrow() && !ids.contains(&own.instance),
             None => changes
                 .iter()
                 .any(|one| one.id == own.instance && one.is_gone()),
@@ -210,7 +210,7 @@
         if listed.is_some() {
             cluster_view.mark_listed();
         }
-        if is_removed && *own.is_announced.borrow() && !own.shutdown.is_stopping() {
+        if is_own_removed && !own.shutdown.is_stopping() {
             tokio::spawn(announcer.clone().announce(own.clone()));
         }
         membership_changes.log(cluster_view.live_count());
