Gateways wait for the zone reader while the store answers nobody

Cause: the search over several readers ended in a call to the store as soon as all readers were left out; in an outage for all, each gateway of a zone polled the store at its own pace, where it had waited for the first reader before. Change: a search that finds no reader falls through to that wait.

--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -225,7 +225,9 @@
     async fn read_from_zone_reader(&mut self, position: RowVersion) -> Option<FeedEvent> {
         let started = Instant::now();
         for _ in 0..MAX_READERS_ASKED {
-            let (id, address) = self.reader_client.as_mut()?.choose_reader(false)?;
+            let Some((id, address)) = self.reader_client.as_mut()?.choose_reader(false) else {
+                break;
+            };
             if let Some(event) = self.read_from(id, address, position, false).await {
                 return Some(event);
             }
