--- a/crates/amaranthscale/src/connection/body.rs
+++ b/crates/amaranthscale/src/connection/body.rs
@@ -80,10 +80,11 @@
     let mut body = pin!(Limited::new(body, max_bytes));
     let mut received = Received::default();
     let reading = async {
+        let mut kept_bytes = 0;
         while let Some(part) = next_part(&mut body, max_bytes).await? {
-            let bytes = received.bytes() + part.len();
-            if !may_keep(bytes) {
-                return Err(ReadBodyError::NoMemory(bytes));
+            kept_bytes += part.len();
+            if !may_keep(kept_bytes) {
+                return Err(ReadBodyError::NoMemory(kept_bytes));
             }
             received.parts.push(part);
         }
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -8,7 +8,6 @@
 use amaranthscale_core::process::{Cell, ServerSelector};
 use log::info;
 use quick_error::quick_error;
-use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::GatewayConfig;
@@ -91,7 +90,7 @@
             shutdown: Arc::clone(&context.shutdown),
             crashes: Arc::clone(&context.crashes),
             limits: Arc::clone(&context.limits),
-            is_announced: Arc::new(watch::Sender::new(false)),
+            is_announced: Arc::default(),
             is_first_start: config.is_first_start,
         };
         let announcer = announcer(&context);
--- a/crates/amaranthscale/src/gateway/version/announce.rs
+++ b/crates/amaranthscale/src/gateway/version/announce.rs
@@ -6,6 +6,7 @@
 //! writes for all that start at the same time.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use amaranthscale_core::id::InstanceId;
@@ -62,7 +63,7 @@
             pause().await;
         }
         info!(instance = own.instance.as_str(); "membership: announced");
-        own.is_announced.send_replace(true);
+        own.is_announced.store(true, Ordering::Release);
         // A former incarnation that was not listed yet when this one announced itself.
         tokio::time::sleep(FORMER_LISTED_TIME).await;
         let former = self.relay_context.cluster_view.former_instances();
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, RowVersion, ServerId};
@@ -10,7 +11,6 @@
 };
 use amaranthscale_core::version::Routing;
 use log::{info, warn};
-use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::super::clock::ms;
@@ -196,7 +196,7 @@
         let is_own_removed = match &listed {
             // The announcement may have been removed without an event, as when the store lost its
             // history.
-            Some(ids) => *own.is_announced.borrow() && !ids.contains(&own.instance),
+            Some(ids) => own.is_announced.load(Ordering::Acquire) && !ids.contains(&own.instance),
             None => changes
                 .iter()
                 .any(|one| one.id == own.instance && one.is_gone()),
@@ -270,7 +270,7 @@
     /// Rate limits of servers.
     pub limits: Arc<LimitTracker>,
     /// Whether the store has accepted its announcement.
-    pub is_announced: Arc<watch::Sender<bool>>,
+    pub is_announced: Arc<AtomicBool>,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
 }
--- a/crates/amaranthscale/src/gateway/version/start_reader.rs
+++ b/crates/amaranthscale/src/gateway/version/start_reader.rs
@@ -116,31 +116,30 @@
     async fn read(self) -> Option<StoreRows> {
         let mut has_failed = false;
         loop {
-            match self.context.peers.connection(self.address).await {
-                Ok(_connection) => {
-                    self.reached.fetch_add(1, Ordering::Relaxed);
-                    let answer = self.request().await;
-                    self.reached.fetch_sub(1, Ordering::Relaxed);
-                    match answer {
-                        Ok(RelayedRows::All(rows)) if self.is_recent(&rows) => return Some(rows),
-                        Ok(_none) => {
-                            if !has_failed {
-                                self.failed.send_modify(|failed| *failed += 1);
-                            }
-                            return None;
-                        }
-                        Err(reason) => debug!("store: {} gave no table: {reason}", self.id),
-                    }
-                }
-                Err(reason) => debug!("store: {} was not reached: {reason}", self.id),
-            }
+            let failure = match self.ask().await {
+                Ok(RelayedRows::All(rows)) if self.is_recent(&rows) => return Some(rows),
+                Ok(_no_rows) => None,
+                Err(reason) => Some(reason),
+            };
             if !std::mem::replace(&mut has_failed, true) {
                 self.failed.send_modify(|failed| *failed += 1);
             }
+            let reason = failure?;
+            debug!("store: {} gave no table: {reason}", self.id);
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 
+    /// Asks once; the neighbour counts as reached while it has not answered.
+    async fn ask(&self) -> Result<RelayedRows, String> {
+        let connection = self.context.peers.connection(self.address).await;
+        connection.map_err(|error| error.to_string())?;
+        self.reached.fetch_add(1, Ordering::Relaxed);
+        let answer = self.request().await;
+        self.reached.fetch_sub(1, Ordering::Relaxed);
+        answer
+    }
+
     /// Whether rows are newer than those known here, and as recent as those that gateways pass on.
     ///
     /// A neighbour that was cut off from the store and has not noticed it yet has older ones.
--- a/crates/amaranthscale/tests/table_relay.rs
+++ b/crates/amaranthscale/tests/table_relay.rs
@@ -231,6 +231,14 @@
     assert!(matches!(later, RelayedRows::Changed(rows) if rows.rows.is_empty()));
 }
 
+/// A request for a whole table, packed if it is long.
+fn packed_request() -> RowsRequest {
+    RowsRequest {
+        takes_packed_table: true,
+        ..request(0, ms(0))
+    }
+}
+
 fn many_servers() -> StoreRows {
     let many = (1..2_001).map(|version| {
         row(
@@ -248,12 +256,8 @@
 async fn a_whole_table_of_many_rows_is_relayed_packed() {
     let table_relay = TableRelay::default();
     table_relay.record(TABLE, &FeedEvent::Snapshot(many_servers()));
-    let start_request = RowsRequest {
-        takes_packed_table: true,
-        ..request(0, ms(0))
-    };
 
-    let answer = table_relay.answer(start_request).await;
+    let answer = table_relay.answer(packed_request()).await;
 
     assert!(bytes_of(&answer) < 50_000, "{}", bytes_of(&answer));
     let read = answer.unpack(|_, _| None);
@@ -268,11 +272,7 @@
 async fn a_torn_packed_table_is_an_error() {
     let table_relay = TableRelay::default();
     table_relay.record(TABLE, &FeedEvent::Snapshot(many_servers()));
-    let start_request = RowsRequest {
-        takes_packed_table: true,
-        ..request(0, ms(0))
-    };
-    let answer = table_relay.answer(start_request).await;
+    let answer = table_relay.answer(packed_request()).await;
 
     let without_content = RelayAnswer {
         packed: Vec::new(),
