Statements of servers in answers are decoded once and logged

An answer's Server-Leaving and Retry-After had no name in platform/ and left no line or counter, so a word that is never read could not be told from one that is read and lost.

Each connection to a server now hands the head of every answer to one recorder: plain answers, streams, calls for pieces, calls that free results. A server's statement is one value (load, limit, leaving, backoff). Lines 'servers: leaving stated', 'servers: backoff requested', counters and gauges tell who said what. No decision uses it yet.

--- a/crates/amaranthscale/src/gateway/connection.rs
+++ b/crates/amaranthscale/src/gateway/connection.rs
@@ -3,4 +3,4 @@
 mod connection_pool;
 
 #[doc(inline)]
-pub use connection_pool::{ConnectionPool, ServerConnection};
+pub use connection_pool::{ConnectionPool, ServerAnswer, ServerConnection};
--- a/crates/amaranthscale/src/gateway/connection/connection_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/connection_pool.rs
@@ -6,18 +6,20 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::{ConnectionShare, ServerRecord};
+use amaranthscale_core::process::{ConnectionShare, ServerRecord, ServerStatement};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
-use hyper::{HeaderMap, Request, Response};
+use hyper::http::response;
+use hyper::{HeaderMap, Request};
 use tokio::time::Instant;
 
+use super::super::process::StatementRecorder;
 use crate::connection::{Http1Connection, SendError};
 
 /// Timeout for opening a connection; a host that is up answers within a few milliseconds.
@@ -42,6 +44,18 @@
     is_reused: bool,
     /// Time that opening the connection took.
     connect_time: Duration,
+    statements: Arc<StatementRecorder>,
+}
+
+/// A server's answer, whose body is not read yet.
+#[derive(Debug)]
+pub struct ServerAnswer {
+    /// Its head.
+    pub head: response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// What the server states about itself; recorded already.
+    pub statement: ServerStatement,
 }
 
 impl ServerConnection {
@@ -63,12 +77,17 @@
         self.is_reused
     }
 
-    /// Sends one request and waits for the head of its answer.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        self.connection.send(request).await
+    /// Sends one request and waits for the head of its answer. What the server states about itself
+    /// is recorded here, so that no sender can miss it.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<ServerAnswer, SendError> {
+        let response = self.connection.send(request).await?;
+        let (head, body) = response.into_parts();
+        let statement = self.statements.record(&self.server, &head);
+        Ok(ServerAnswer {
+            head,
+            body,
+            statement,
+        })
     }
 }
 
@@ -79,12 +98,22 @@
 }
 
 /// Idle connections by server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
     idle: Mutex<BTreeMap<ServerIncarnation, Vec<IdleConnection>>>,
+    statements: Arc<StatementRecorder>,
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool; all its connections record servers' statements.
+    #[must_use]
+    pub fn new(statements: Arc<StatementRecorder>) -> Self {
+        Self {
+            idle: Mutex::default(),
+            statements,
+        }
+    }
+
     /// An idle connection, or a new one.
     pub async fn connection(&self, server: &ServerRecord) -> Result<ServerConnection, SendError> {
         if let Some(connection) = self.take_idle(&server.incarnation) {
@@ -106,6 +135,7 @@
             connection,
             is_reused: false,
             connect_time: started.elapsed(),
+            statements: Arc::clone(&self.statements),
         })
     }
 
@@ -153,6 +183,7 @@
                     connection: one.connection,
                     is_reused: true,
                     connect_time: Duration::ZERO,
+                    statements: Arc::clone(&self.statements),
                 });
             }
         }
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -15,8 +15,9 @@
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
-    GatewayContext, LimitTracker, RetryBudgets, SendShares, ShutdownGate, monitor_unresponsive,
-    publish_crashes, publish_limits, remove_expired_evidence, remove_stale_limits,
+    GatewayContext, LimitTracker, RetryBudgets, SendShares, ShutdownGate, StatementRecorder,
+    monitor_unresponsive, publish_crashes, publish_limits, remove_expired_evidence,
+    remove_stale_limits,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -230,8 +231,14 @@
 
 fn build_context(config: &GatewayConfig, cluster_view: &Arc<ClusterView>) -> GatewayContext {
     let counters = Arc::new(Counters::local("amaranth.gateway"));
-    let pool = Arc::new(ConnectionPool::default());
     let dialect = Arc::new(config.dialect.clone());
+    let statements = StatementRecorder::new(
+        config.clock,
+        Arc::clone(&dialect),
+        Arc::clone(cluster_view),
+        Arc::clone(&counters),
+    );
+    let pool = Arc::new(ConnectionPool::new(Arc::new(statements)));
     let limits = LimitTracker::new(
         config.clock,
         Arc::clone(cluster_view),
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, ResultHandle};
-use amaranthscale_core::process::{Batch, BatchEnd, InvalidServerLimit, ServerLimit, ServerLoad};
+use amaranthscale_core::process::{Batch, BatchEnd, ServerStatement};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
@@ -82,10 +82,8 @@
     pub is_other_server: fn(StatusCode) -> bool,
     /// Whether an answer states that a stage result which the request needs is missing.
     pub is_input_gone: fn(StatusCode) -> bool,
-    /// The load reported with an answer.
-    pub reported_load: fn(&HeaderMap) -> Option<ServerLoad>,
-    /// The rate limit reported with an answer.
-    pub reported_limit: fn(&HeaderMap) -> Option<Result<ServerLimit, InvalidServerLimit>>,
+    /// What a server states about itself with an answer.
+    pub server_statement: fn(StatusCode, &HeaderMap) -> ServerStatement,
     /// Builds the request for a batch of pieces.
     pub batch_request: fn(&Batch) -> Request<Full<Bytes>>,
     /// Parses the answer to it.
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -198,5 +198,25 @@
             "amaranth_server_limit_per_s{{server=\"{server}\"}} {limit}"
         );
     }
+    let (servers, now) = (
+        context.cluster_view.servers(),
+        context.cluster_view.clock().now(),
+    );
+    for record in servers.all() {
+        let server = &record.incarnation;
+        if servers.has_stated_leaving(server) {
+            let _ = writeln!(
+                text,
+                "amaranth_server_leaving_stated{{server=\"{server}\"}} 1"
+            );
+        }
+        if let Some(until) = servers.backoff_until(server, now) {
+            let left_s = until.saturating_sub(now).as_secs_f64();
+            let _ = writeln!(
+                text,
+                "amaranth_server_backoff_left_s{{server=\"{server}\"}} {left_s:.3}"
+            );
+        }
+    }
     text + &context.latencies.text()
 }
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -23,6 +23,7 @@
 mod server_selection;
 mod shutdown_gate;
 mod single_run;
+mod statement_recorder;
 
 #[doc(inline)]
 pub use batch_message::{BatchOwnerMessage, JobOutcome, JobSource, JobUpdate, Submission};
@@ -63,3 +64,5 @@
 #[doc(inline)]
 pub use shutdown_gate::{OpenRequest, ShutdownGate};
 pub(crate) use single_run::SingleRun;
+#[doc(inline)]
+pub use statement_recorder::StatementRecorder;
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -12,7 +12,7 @@
 
 use super::super::Dialect;
 use super::super::clock::ms;
-use super::super::connection::ConnectionPool;
+use super::super::connection::{ConnectionPool, ServerAnswer};
 use super::super::version::ClusterView;
 use super::LimitTracker;
 use crate::connection::{SendError, read_body};
@@ -97,18 +97,21 @@
         });
     }
     let sent_at = Instant::now();
-    let response = connection.send((dialect.batch_request)(batch)).await?;
-    let (head, body) = response.into_parts();
+    let ServerAnswer {
+        head,
+        body,
+        statement,
+    } = connection.send((dialect.batch_request)(batch)).await?;
     caller
         .limits
-        .record_answer(dialect, &batch.server, &head, sent_at);
+        .record_answer(dialect, &batch.server, &head, &statement, sent_at);
     let body = read_body(body, MAX_ANSWER_BYTES, batch.timeout)
         .await
         .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
     pool.return_connection(connection, &head.headers, ConnectionShare::UNLIMITED);
     Ok(CallEnd {
         end: (dialect.parse_batch_answer)(head.status, &head.headers, &body),
-        reported_load: (dialect.reported_load)(&head.headers),
+        reported_load: statement.load,
     })
 }
 
@@ -138,10 +141,9 @@
                     .await?
             }
         };
-        let response = connection
+        let ServerAnswer { head, body, .. } = connection
             .send((dialect.free_request)(&free_request.handles))
             .await?;
-        let (head, body) = response.into_parts();
         if read_body(body, MAX_ANSWER_BYTES, FREE_TIMEOUT)
             .await
             .is_ok()
--- a/crates/amaranthscale/src/gateway/process/limit_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/limit_tracker.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::{ReportedLimits, ServerLimit};
+use amaranthscale_core::process::{ReportedLimits, ServerLimit, ServerStatement};
 use hyper::http::response;
 use log::info;
 use tokio::sync::Notify;
@@ -46,13 +46,14 @@
         dialect: &Dialect,
         server: &ServerIncarnation,
         head: &response::Parts,
+        statement: &ServerStatement,
         sent_at: Instant,
     ) {
         if (dialect.is_other_server)(head.status) {
             return;
         }
         let has_run = !(dialect.did_not_run)(head.status, &head.headers);
-        let limit = match (dialect.reported_limit)(&head.headers).transpose() {
+        let limit = match statement.limit.clone().transpose() {
             Ok(limit) => limit,
             Err(error) => {
                 self.counters.count("limits.invalid");
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/statement_recorder.rs
@@ -0,0 +1,92 @@
+//! Records what servers state about themselves in the heads of their answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthscale_core::id::ServerIncarnation;
+use amaranthscale_core::process::{ServerBackoff, ServerList, ServerStatement};
+use hyper::http::response;
+use log::info;
+
+use super::super::version::ClusterView;
+use super::super::{Clock, Dialect};
+use crate::process::Counters;
+
+/// Records the statements of all answers, on whatever path they arrive.
+#[derive(Debug)]
+pub struct StatementRecorder {
+    clock: Clock,
+    dialect: Arc<Dialect>,
+    cluster_view: Arc<ClusterView>,
+    counters: Arc<Counters>,
+}
+
+impl StatementRecorder {
+    /// Creates a recorder.
+    #[must_use]
+    pub const fn new(
+        clock: Clock,
+        dialect: Arc<Dialect>,
+        cluster_view: Arc<ClusterView>,
+        counters: Arc<Counters>,
+    ) -> Self {
+        Self {
+            clock,
+            dialect,
+            cluster_view,
+            counters,
+        }
+    }
+
+    /// Records what the head of a server's answer states, and returns it.
+    ///
+    /// Answers of another server at its address are ignored.
+    pub(crate) fn record(
+        &self,
+        server: &ServerIncarnation,
+        head: &response::Parts,
+    ) -> ServerStatement {
+        if (self.dialect.is_other_server)(head.status) {
+            return ServerStatement::default();
+        }
+        let statement = (self.dialect.server_statement)(head.status, &head.headers);
+        if statement.is_leaving {
+            self.record_leaving(server);
+        }
+        match &statement.backoff {
+            Some(Ok(backoff)) => self.record_backoff(server, *backoff),
+            Some(Err(error)) => {
+                self.counters.count("servers.invalid-backoff");
+                info!(server:% = server, reason:% = error; "servers: invalid backoff requested");
+            }
+            None => {}
+        }
+        statement
+    }
+
+    fn record_leaving(&self, server: &ServerIncarnation) {
+        let is_new = self.change(|servers, now| servers.record_leaving(server, now));
+        if is_new {
+            self.counters.count("servers.leaving-stated");
+            info!(server:% = server; "servers: leaving stated");
+        }
+    }
+
+    fn record_backoff(&self, server: &ServerIncarnation, backoff: ServerBackoff) {
+        let until = self.clock.now() + backoff.time();
+        self.counters.count("servers.backoff-requested");
+        let is_later = self.change(|servers, now| servers.record_backoff(server, until, now));
+        if is_later {
+            info!(server:% = server, backoff_s:% = backoff; "servers: backoff requested");
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut ServerList, Duration) -> bool) -> bool {
+        let mut is_changed = false;
+        self.cluster_view.change_servers(|servers, now| {
+            is_changed = change(servers, now);
+            is_changed
+        });
+        is_changed
+    }
+}
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -10,7 +10,7 @@
 use log::info;
 use tokio::time::Instant;
 
-use super::super::connection::ServerConnection;
+use super::super::connection::{ServerAnswer, ServerConnection};
 use super::super::process::GatewayContext;
 use super::caller::AdmittedRequest;
 use super::outgoing::OutgoingRequest;
@@ -156,8 +156,12 @@
         server.incarnation.id(),
         admitted.remaining(),
     );
-    let response = match connection.send(request).await {
-        Ok(response) => response,
+    let ServerAnswer {
+        head,
+        body,
+        statement,
+    } = match connection.send(request).await {
+        Ok(answer) => answer,
         Err(SendError::NotSent(..)) => {
             // A reused connection that has ended does not indicate a failed server.
             let end = if connection.is_reused() {
@@ -173,9 +177,8 @@
             return SendOutcome::Lost;
         }
     };
-    let (head, body) = response.into_parts();
     let dialect = &context.dialect;
-    if let Some(load) = (dialect.reported_load)(&head.headers) {
+    if let Some(load) = statement.load {
         let now = context.cluster_view.clock().now();
         context
             .server_selector()
@@ -187,7 +190,7 @@
     }
     context
         .limits
-        .record_answer(dialect, &server.incarnation, &head, sent_at);
+        .record_answer(dialect, &server.incarnation, &head, &statement, sent_at);
     if (dialect.did_not_run)(head.status, &head.headers) {
         let is_other = (dialect.is_other_server)(head.status);
         in_flight_send.end(if is_other {
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -42,9 +42,12 @@
 mod router_settings;
 mod send_share;
 mod server_availability;
+mod server_backoff;
 mod server_limit;
 mod server_list;
+mod server_notices;
 mod server_selector;
+mod server_statement;
 mod shared_retry_budget;
 mod stage_estimate;
 mod start_plan;
@@ -123,12 +126,16 @@
 #[doc(inline)]
 pub use server_availability::{ServerAvailability, UsableServers};
 #[doc(inline)]
+pub use server_backoff::{InvalidServerBackoff, ServerBackoff};
+#[doc(inline)]
 pub use server_limit::{InvalidServerLimit, ServerLimit};
 #[doc(inline)]
 pub use server_list::{EXPIRY_GRACE, ServerChange, ServerList, ServerRecord};
 #[doc(inline)]
 pub use server_selector::{HealthChange, SendEnd, SendingEntry, ServerLoad, ServerSelector};
 #[doc(inline)]
+pub use server_statement::ServerStatement;
+#[doc(inline)]
 pub use shared_retry_budget::{RetryBudgetSettings, SharedRetryBudget};
 #[doc(inline)]
 pub use stage_estimate::StageEstimate;
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -20,6 +20,7 @@
 use super::cold_times::ColdTimes;
 use super::server_availability::ServerAvailability;
 use super::server_limit::ServerLimit;
+use super::server_notices::ServerNotices;
 use super::zone_states::{ZoneChange, ZoneState, ZoneStates};
 use crate::id::{RowVersion, ServerId, ServerIncarnation, ServiceId, ZoneId};
 
@@ -81,6 +82,7 @@
     cold: ColdTimes,
     /// Limits that servers have reported, including servers that are not listed yet.
     limits: BTreeMap<ServerIncarnation, ServerLimit>,
+    notices: ServerNotices,
     /// Whether a complete list was received: servers that appear later have just started.
     is_complete: bool,
 }
@@ -109,6 +111,44 @@
         }
     }
 
+    /// Records that a server has stated that it leaves; returns whether this is new.
+    pub fn record_leaving(&mut self, server: &ServerIncarnation, now: Duration) -> bool {
+        self.prune_notices(now);
+        self.notices.record_leaving(server, now)
+    }
+
+    /// Records that a server wants no requests until a time; returns whether it is a later one.
+    pub fn record_backoff(
+        &mut self,
+        server: &ServerIncarnation,
+        until: Duration,
+        now: Duration,
+    ) -> bool {
+        self.prune_notices(now);
+        self.notices.record_backoff(server, until)
+    }
+
+    /// Whether a server has stated that it leaves.
+    #[must_use]
+    pub fn has_stated_leaving(&self, server: &ServerIncarnation) -> bool {
+        self.notices.is_leaving(server)
+    }
+
+    /// Until when a server wants no requests; none if it takes them now.
+    #[must_use]
+    pub fn backoff_until(&self, server: &ServerIncarnation, now: Duration) -> Option<Duration> {
+        self.notices.backoff_until(server, now)
+    }
+
+    fn prune_notices(&mut self, now: Duration) {
+        let servers = &self.servers;
+        let is_listed = |server: &ServerIncarnation| {
+            let record = servers.get(server.id());
+            record.is_some_and(|record| record.incarnation == *server)
+        };
+        self.notices.prune(is_listed, now);
+    }
+
     /// Availability of an incarnation of a server, with the limits for cold servers of its service.
     #[must_use]
     pub fn availability(
--- /dev/null
+++ b/crates/core/src/process/server_statement.rs
@@ -0,0 +1,18 @@
+//! What a server states about itself with an answer.
+
+use super::server_backoff::{InvalidServerBackoff, ServerBackoff};
+use super::server_limit::{InvalidServerLimit, ServerLimit};
+use super::server_selector::ServerLoad;
+
+/// What a server states about itself with an answer, whatever the answer is to the request.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ServerStatement {
+    /// Its load.
+    pub load: Option<ServerLoad>,
+    /// The rate that it accepts from all entries together.
+    pub limit: Option<Result<ServerLimit, InvalidServerLimit>>,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
+    /// How long it wants no further requests from this entry.
+    pub backoff: Option<Result<ServerBackoff, InvalidServerBackoff>>,
+}
