A server that states in an answer that it leaves gets no more requests

Cause: a gateway learned of leaving from the store's list alone. What the server says itself, with each answer, had no reader, and nothing of what one read would have outlasted the list's word: a complete list is applied as it is, and a lapsed entry takes all that is known of its server with it.

Availability answers Leaving for it, so plain requests, streams, repeats and calls for pieces keep away. A send needs a permit that only the check just before it gives out, so no path can skip the second look. Calls that free results are not sent there either. Shares and cells are still reckoned by the records alone, which all gateways have alike. A request that finds no server logs why (request: no server available).

--- a/crates/amaranthscale/src/gateway/connection/connection_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/connection_pool.rs
@@ -19,7 +19,7 @@
 use hyper::{HeaderMap, Request};
 use tokio::time::Instant;
 
-use super::super::process::StatementRecorder;
+use super::super::process::{SendPermit, StatementRecorder};
 use crate::connection::{Http1Connection, SendError};
 
 /// Timeout for opening a connection; a host that is up answers within a few milliseconds.
@@ -79,7 +79,11 @@
 
     /// Sends one request and waits for the head of its answer. What the server states about itself
     /// is recorded here, so that no sender can miss it.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<ServerAnswer, SendError> {
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        _permit: SendPermit,
+    ) -> Result<ServerAnswer, SendError> {
         let response = self.connection.send(request).await?;
         let (head, body) = response.into_parts();
         let statement = self.statements.record(&self.server, &head);
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -19,6 +19,7 @@
 mod retained_results;
 mod retry_budgets;
 mod run_job;
+mod send_permit;
 mod send_shares;
 mod server_selection;
 mod shutdown_gate;
@@ -59,6 +60,8 @@
 #[doc(inline)]
 pub use run_job::{JobError, JobResults};
 #[doc(inline)]
+pub use send_permit::SendPermit;
+#[doc(inline)]
 pub use send_shares::{SendShares, ShareInputs};
 pub(crate) use server_selection::NoServerAvailable;
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranthscale_core::id::ServerIncarnation;
 use amaranthscale_core::process::{
-    Batch, BatchEnd, ConnectionShare, FreeRequest, PieceEnd, ServerLoad, ServerRecord,
+    Batch, BatchEnd, ConnectionShare, FreeRequest, PieceEnd, ServerAvailability, ServerLoad,
+    ServerRecord,
 };
 use log::{debug, info};
 use tokio::time::Instant;
@@ -14,7 +16,7 @@
 use super::super::clock::ms;
 use super::super::connection::{ConnectionPool, ServerAnswer};
 use super::super::version::ClusterView;
-use super::LimitTracker;
+use super::{LimitTracker, SendPermit};
 use crate::connection::{SendError, read_body};
 use crate::process::Counters;
 
@@ -33,6 +35,21 @@
     pub(super) limits: Arc<LimitTracker>,
 }
 
+impl BatchCaller {
+    /// Checks just before a call that its server may still be used; the owner has counted the call
+    /// against the server's rate limit already.
+    fn check_send(&self, server: &ServerIncarnation) -> Result<SendPermit, ServerAvailability> {
+        let now = self.cluster_view.clock().now();
+        let servers = self.cluster_view.servers();
+        let permit = SendPermit::check(servers.availability(server, None, now));
+        if let Err(availability) = &permit {
+            self.counters
+                .count_reason("servers.withheld", availability.name());
+        }
+        permit
+    }
+}
+
 /// Sends a batch; a call without an answer within the batch's timeout counts as unanswered.
 async fn call_batch(caller: &BatchCaller, batch: &Batch) -> CallEnd {
     let call = call_with_reconnect(caller, batch);
@@ -89,19 +106,19 @@
     } else {
         pool.open(&batch.server, batch.address).await?
     };
-    // Since the server was chosen, its zone may have been evacuated or it may have begun to leave.
-    if !caller.cluster_view.servers().is_usable(&batch.server) {
+    let request = (dialect.batch_request)(batch);
+    let Ok(permit) = caller.check_send(&batch.server) else {
         return Ok(CallEnd {
             end: BatchEnd::NotSent,
             reported_load: None,
         });
-    }
+    };
     let sent_at = Instant::now();
     let ServerAnswer {
         head,
         body,
         statement,
-    } = connection.send((dialect.batch_request)(batch)).await?;
+    } = connection.send(request, permit).await?;
     caller
         .limits
         .record_answer(dialect, &batch.server, &head, &statement, sent_at);
@@ -128,11 +145,8 @@
 }
 
 /// Requests a server to free results.
-pub(super) async fn send_free_request(
-    dialect: &Dialect,
-    pool: &ConnectionPool,
-    free_request: &FreeRequest,
-) {
+pub(super) async fn send_free_request(caller: &BatchCaller, free_request: &FreeRequest) {
+    let BatchCaller { pool, dialect, .. } = caller;
     let call = async {
         let mut connection = match pool.take_idle(&free_request.server) {
             Some(connection) => connection,
@@ -141,9 +155,12 @@
                     .await?
             }
         };
-        let ServerAnswer { head, body, .. } = connection
-            .send((dialect.free_request)(&free_request.handles))
-            .await?;
+        // The server expires the results if it may not be sent the request.
+        let Ok(permit) = caller.check_send(&free_request.server) else {
+            return Ok(());
+        };
+        let request = (dialect.free_request)(&free_request.handles);
+        let ServerAnswer { head, body, .. } = connection.send(request, permit).await?;
         if read_body(body, MAX_ANSWER_BYTES, FREE_TIMEOUT)
             .await
             .is_ok()
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -288,8 +288,8 @@
     /// Sends free requests, at most one at a time to each server; results released meanwhile go
     /// with the next one.
     ///
-    /// Nothing is sent to an evacuated zone, and a rate-limited server's calls are left to batches;
-    /// such servers expire the results themselves.
+    /// Nothing is sent to an evacuated zone or to a server that leaves, and a rate-limited server's
+    /// calls are left to batches; such servers expire the results themselves.
     fn send_free_requests(&mut self, myself: &ActorRef<BatchOwnerMessage>) {
         let servers_freeing = &self.servers_freeing;
         let servers = self.arguments.cluster_view.servers();
@@ -304,12 +304,14 @@
             !servers_freeing.contains(incarnation) && !is_excluded(incarnation)
         };
         for free_request in self.batcher.take_free_requests(may_free) {
+            if !servers.is_usable(&free_request.server) {
+                self.batcher.results_freed(&free_request);
+                continue;
+            }
             self.servers_freeing.insert(free_request.server.clone());
-            let myself = myself.clone();
-            let pool = Arc::clone(&self.arguments.pool);
-            let dialect = Arc::clone(&self.arguments.dialect);
+            let (myself, caller) = (myself.clone(), self.caller());
             tokio::spawn(async move {
-                send_free_request(&dialect, &pool, &free_request).await;
+                send_free_request(&caller, &free_request).await;
                 // The actor ends only with the process.
                 let _ = myself.send_message(BatchOwnerMessage::ResultsFreed(free_request));
             });
@@ -318,14 +320,7 @@
 
     fn send_batches(&mut self, myself: &ActorRef<BatchOwnerMessage>, now: Duration) {
         for batch in self.batcher.next_batches(now) {
-            let myself = myself.clone();
-            let caller = BatchCaller {
-                pool: Arc::clone(&self.arguments.pool),
-                dialect: Arc::clone(&self.arguments.dialect),
-                cluster_view: Arc::clone(&self.arguments.cluster_view),
-                counters: Arc::clone(&self.arguments.counters),
-                limits: Arc::clone(&self.arguments.limits),
-            };
+            let (myself, caller) = (myself.clone(), self.caller());
             let latencies = Arc::clone(&self.arguments.latencies);
             tokio::spawn(async move {
                 let started = Instant::now();
@@ -338,6 +333,16 @@
         }
     }
 
+    fn caller(&self) -> BatchCaller {
+        BatchCaller {
+            pool: Arc::clone(&self.arguments.pool),
+            dialect: Arc::clone(&self.arguments.dialect),
+            cluster_view: Arc::clone(&self.arguments.cluster_view),
+            counters: Arc::clone(&self.arguments.counters),
+            limits: Arc::clone(&self.arguments.limits),
+        }
+    }
+
     fn deliver_events(&mut self) {
         for event in self.batcher.take_events() {
             let (job, outcome) = match event {
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/send_permit.rs
@@ -0,0 +1,24 @@
+//! Proof that a server was checked just before a request is sent to it.
+
+use amaranthscale_core::process::ServerAvailability;
+
+/// Permission for one send, needed by every request to a server.
+///
+/// A server may have changed since it was chosen: stage results take most of a second, a connection
+/// some hundred milliseconds, and a process that was frozen resumes with its old choices.
+#[derive(Debug)]
+#[must_use = "a permit is for a send that follows at once"]
+pub struct SendPermit(());
+
+impl SendPermit {
+    /// A permit for a server that may be used now; the error is the reason why it may not.
+    pub(super) const fn check(
+        availability: ServerAvailability,
+    ) -> Result<Self, ServerAvailability> {
+        if availability.is_usable() {
+            Ok(Self(()))
+        } else {
+            Err(availability)
+        }
+    }
+}
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -1,16 +1,19 @@
 //! Selects a server for a request, and checks again just before the send.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::ServiceId;
+use amaranthscale_core::id::{CallId, ServiceId};
 use amaranthscale_core::process::{
     ColdLimits, LoadSnapshot, SendRateLimit, ServerAvailability, ServerList, ServerRecord,
     ServerSelector, UsableServers,
 };
 
-use super::GatewayContext;
+use log::info;
+
 use super::send_shares::ShareInputs;
+use super::{GatewayContext, SendPermit};
 
 /// Bytes of request bodies that all gateways together have at one server. Servers do not state
 /// their memory and crash beyond it; a small one has three times as much.
@@ -105,41 +108,47 @@
 
     /// Checks just before a send that the server may still be used; the error is the reason why
     /// not. A send to a cold or rate-limited server is taken from this gateway's share.
-    ///
-    /// The server may have changed since it was chosen: stage results take most of a second, a
-    /// connection some hundred milliseconds, and a process that was frozen resumes with its old
-    /// choices.
-    pub fn try_reserve_send(&self, server: &ServerRecord) -> Result<(), ServerAvailability> {
+    pub fn try_reserve_send(
+        &self,
+        server: &ServerRecord,
+    ) -> Result<SendPermit, ServerAvailability> {
         let servers = self.cluster_view.servers();
         let now = self.cluster_view.clock().now();
         let cold_limits = self.cold_limits(&server.service);
         let availability = servers.availability(&server.incarnation, cold_limits, now);
-        let may_send = if let Some(rate_limit) = availability.rate_limit() {
+        let permit = SendPermit::check(availability).and_then(|permit| {
+            let Some(rate_limit) = availability.rate_limit() else {
+                return Ok(permit);
+            };
             let inputs = self.share_inputs(&servers, &server.service, rate_limit);
-            self.send_shares.try_send(&server.incarnation, &inputs, now)
-        } else {
-            availability == ServerAvailability::Free
-        };
+            let is_in_share = self.send_shares.try_send(&server.incarnation, &inputs, now);
+            is_in_share.then_some(permit).ok_or(availability)
+        });
         if availability == ServerAvailability::Free && cold_limits.is_some() {
             self.send_shares.record_send(&server.incarnation, now);
         }
-        if may_send {
-            return Ok(());
+        if permit.is_err() {
+            self.counters
+                .count_reason("servers.withheld", availability.name());
         }
-        self.counters
-            .count_reason("servers.withheld", availability.name());
-        Err(availability)
+        permit
     }
 
-    /// Why no server of a service can be chosen now.
-    pub fn no_server_available(&self, service: &ServiceId) -> NoServerAvailable {
+    /// Why no server of a service can be chosen for a call now, which is also logged.
+    pub fn no_server_available(&self, service: &ServiceId, call: &CallId) -> NoServerAvailable {
         let servers = self.cluster_view.servers();
         let now = self.cluster_view.clock().now();
         let cold_limits = self.cold_limits(service);
-        let not_leaving = servers.not_leaving(service);
-        let availabilities: Vec<_> = not_leaving
+        let of_service = servers.all().filter(|server| server.service == *service);
+        let mut availabilities: Vec<_> = of_service
             .map(|server| (server, servers.availability_of(server, cold_limits, now)))
             .collect();
+        let counts = availability_counts(availabilities.iter().map(|(_, one)| *one));
+        info!(
+            call = call.as_str(), service = service.as_str(), servers = counts.as_str();
+            "request: no server available"
+        );
+        availabilities.retain(|(_, availability)| *availability != ServerAvailability::Leaving);
         // Unlimited servers, if there are any, were tried already; the shares of the others are
         // used up.
         let is_any = |holds: fn(&ServerAvailability) -> bool| {
@@ -190,3 +199,16 @@
         }
     }
 }
+
+/// Numbers of servers by the name of their availability, such as `leaving=2,limited=1`.
+fn availability_counts(availabilities: impl Iterator<Item = ServerAvailability>) -> String {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for availability in availabilities {
+        *counts.entry(availability.name()).or_default() += 1;
+    }
+    let counts: Vec<_> = counts
+        .iter()
+        .map(|(name, count)| format!("{name}={count}"))
+        .collect();
+    counts.join(",")
+}
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -130,7 +130,8 @@
         loop {
             self.admitted.check_quarantine(&self.context).await?;
             let server = self.choose_server().ok_or_else(|| {
-                Refusal::no_server_available(self.context.no_server_available(&self.service))
+                let call = &self.admitted.attributes.call;
+                Refusal::no_server_available(self.context.no_server_available(&self.service, call))
             })?;
             // Counted from here on, so that requests which wait for their jobs are spread over
             // engines as well.
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -92,7 +92,8 @@
                 return self.finish_unanswered(refusal);
             }
             let Some(server) = self.choose_server(outgoing.body_bytes()) else {
-                let none = self.context.no_server_available(self.service);
+                let call = &self.admitted.attributes.call;
+                let none = self.context.no_server_available(self.service, call);
                 return self.finish_unanswered(Refusal::no_server_available(none));
             };
             let outcome = self.attempt(&server, outgoing).await;
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -146,21 +146,24 @@
         in_flight_send.end(SendEnd::Abandoned);
         return SendOutcome::Quarantined;
     }
-    if let Err(availability) = context.try_reserve_send(server) {
-        in_flight_send.end(SendEnd::Abandoned);
-        return SendOutcome::Withheld(availability);
-    }
-    let sent_at = Instant::now();
     let request = outgoing.request(
         &context.dialect,
         server.incarnation.id(),
         admitted.remaining(),
     );
+    let permit = match context.try_reserve_send(server) {
+        Ok(permit) => permit,
+        Err(availability) => {
+            in_flight_send.end(SendEnd::Abandoned);
+            return SendOutcome::Withheld(availability);
+        }
+    };
+    let sent_at = Instant::now();
     let ServerAnswer {
         head,
         body,
         statement,
-    } = match connection.send(request).await {
+    } = match connection.send(request, permit).await {
         Ok(answer) => answer,
         Err(SendError::NotSent(..)) => {
             // A reused connection that has ended does not indicate a failed server.
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -9,7 +9,10 @@
 //! times, a record without one was also written by another program.
 //!
 //! Operators may evacuate an availability zone: until it is taken back, its servers get no
-//! requests. A server reports how long it stays cold; servers of a zone that was just taken back
+//! requests. A server that states in an answer to this entry that it leaves gets none either,
+//! whatever its record says, as the record may be older than the answer.
+//!
+//! A server reports how long it stays cold; servers of a zone that was just taken back
 //! are assumed to be cold, as their records report it too late.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -177,7 +180,7 @@
         if self.zones.is_evacuated(&record.zone) {
             return ServerAvailability::Evacuated;
         }
-        if record.is_leaving {
+        if record.is_leaving || self.notices.is_leaving(&record.incarnation) {
             return ServerAvailability::Leaving;
         }
         let limit = self
@@ -241,7 +244,7 @@
             // The record was read from the store, so no outage explains it.
             ServerChange::Unreadable(id) => {
                 self.expired.remove(&id);
-                self.remove(&id)
+                self.remove(&id, now)
             }
         }
     }
@@ -254,10 +257,14 @@
             .record(record.incarnation.id(), record.cold_left, has_joined, now);
     }
 
-    fn remove(&mut self, id: &ServerId) -> bool {
+    fn remove(&mut self, id: &ServerId, now: Duration) -> bool {
         self.cold.remove(id);
         self.limits.retain(|incarnation, _| incarnation.id() != id);
-        self.servers.remove(id).is_some()
+        let removed = self.servers.remove(id);
+        if let Some(removed) = &removed {
+            self.notices.record_unlisted(&removed.incarnation, now);
+        }
+        removed.is_some()
     }
 
     /// Applies a complete list: servers that are missing from it have expired or are gone.
@@ -290,13 +297,14 @@
         }
         let dropped: Vec<_> = std::mem::take(&mut self.expired).into_iter().collect();
         for id in &dropped {
-            self.remove(id);
+            self.remove(id, now);
         }
         self.detect_start_times();
         dropped
     }
 
-    /// Servers of a service that are not about to leave, including those of evacuated zones.
+    /// Servers of a service that are not about to leave by their records, including those of
+    /// evacuated zones: the same for all entries that have read the same records.
     pub fn not_leaving<'a>(
         &'a self,
         service: &'a ServiceId,
@@ -308,7 +316,9 @@
     /// Servers of a service that may be used, including cold ones.
     pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a ServerRecord> {
         let not_leaving = self.not_leaving(service);
-        not_leaving.filter(|record| !self.zones.is_evacuated(&record.zone))
+        not_leaving.filter(|record| {
+            !self.zones.is_evacuated(&record.zone) && !self.notices.is_leaving(&record.incarnation)
+        })
     }
 
     /// Whether an incarnation of a server may be used, even if it is cold.
@@ -358,6 +368,6 @@
             return false;
         }
         self.expired.remove(&id);
-        self.remove(&id)
+        self.remove(&id, now)
     }
 }
--- a/crates/core/src/process/server_notices.rs
+++ b/crates/core/src/process/server_notices.rs
@@ -14,7 +14,7 @@
 /// Notices of servers by incarnation.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ServerNotices {
-    /// Servers that stated that they leave, and when they did so first.
+    /// Servers that stated that they leave, and when this or the end of their listing was noticed.
     leaving: BTreeMap<ServerIncarnation, Duration>,
     /// Servers that requested a backoff, and when it ends.
     backoff_until: BTreeMap<ServerIncarnation, Duration>,
@@ -36,6 +36,13 @@
         is_later
     }
 
+    /// Records that a server's listing has ended, from when on its notices are retained for a while.
+    pub(super) fn record_unlisted(&mut self, server: &ServerIncarnation, now: Duration) {
+        if let Some(noticed_at) = self.leaving.get_mut(server) {
+            *noticed_at = now;
+        }
+    }
+
     /// Whether a server has stated that it leaves.
     pub(super) fn is_leaving(&self, server: &ServerIncarnation) -> bool {
         self.leaving.contains_key(server)
@@ -54,8 +61,8 @@
     /// Drops ended backoffs, and old notices of servers that are not listed.
     pub(super) fn prune(&mut self, is_listed: impl Fn(&ServerIncarnation) -> bool, now: Duration) {
         self.backoff_until.retain(|_, until| *until > now);
-        self.leaving.retain(|server, stated_at| {
-            is_listed(server) || now.saturating_sub(*stated_at) < UNLISTED_LIFETIME
+        self.leaving.retain(|server, noticed_at| {
+            is_listed(server) || now.saturating_sub(*noticed_at) < UNLISTED_LIFETIME
         });
     }
 }
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use amaranthscale_core::id::{RowVersion, ServiceId, ZoneId};
+use amaranthscale_core::id::{RowVersion, ServerIncarnation, ServiceId, ZoneId};
 use amaranthscale_core::process::{
     ColdLimits, EXPIRY_GRACE, ServerAvailability, ServerChange, ServerList, ServerRecord,
     ZoneChange, ZoneState,
@@ -422,3 +422,56 @@
     );
     assert!(!availability(&servers, "a", SECOND).is_usable());
 }
+
+/// Guards against a record that was written before an answer and is read after it.
+#[test]
+fn a_stated_leaving_is_not_undone_by_records() {
+    let mut servers = list_of(&["a@1000", "b@1000"]);
+    let leaving = "a@1000".parse().unwrap();
+    assert!(servers.record_leaving(&leaving, SECOND));
+    assert!(!servers.record_leaving(&leaving, SECOND));
+    let records = || {
+        vec![
+            ServerChange::Listed(record("a@1000")),
+            ServerChange::Listed(record("b@1000")),
+        ]
+    };
+
+    servers.apply_change(ServerChange::Listed(record("a@1000")), 2 * SECOND);
+    servers.replace_all(records(), 3 * SECOND);
+    servers.apply_change(ServerChange::Removed("a".parse().unwrap()), 4 * SECOND);
+    servers.replace_all(records(), 5 * SECOND);
+
+    assert_eq!(usable(&servers), ["b@1000"]);
+    let availability = availability(&servers, "a@1000", 5 * SECOND);
+    assert_eq!(availability, ServerAvailability::Leaving);
+}
+
+/// Guards against a restarted server that stays excluded because its earlier incarnation left.
+#[test]
+fn a_stated_leaving_ends_with_the_incarnation() {
+    let mut servers = list_of(&["a@1000"]);
+    servers.record_leaving(&"a@1000".parse().unwrap(), SECOND);
+
+    servers.apply_change(ServerChange::Listed(record("a@2000")), 2 * SECOND);
+
+    assert_eq!(usable(&servers), ["a@2000"]);
+}
+
+/// Guards against memory that grows with every server that ever left.
+#[test]
+fn stated_leavings_of_servers_that_are_gone_are_forgotten() {
+    let mut servers = list_of(&["listed"]);
+    let listed = "listed".parse().unwrap();
+    servers.record_leaving(&listed, SECOND);
+    let gone: Vec<ServerIncarnation> = (0..10_000)
+        .map(|number| format!("gone-{number}").parse().unwrap())
+        .collect();
+    for (second, server) in (1..).zip(&gone) {
+        servers.record_leaving(server, second * SECOND);
+    }
+
+    let remembered = gone.iter().filter(|one| servers.has_stated_leaving(one));
+    assert!(remembered.count() < 1_000);
+    assert!(servers.has_stated_leaving(&listed));
+}
