A server that turns a request away with Retry-After gets nothing until its end

Callers of an overloaded service saw refusals that were not needed: a server that sheds answers within a millisecond and tells that nothing runs there, so each next request chose it again (3 to 13 requests a second in play, up to 26 at a plain service), was turned away and used up its repeats.

Cause: a rejection excluded a server for the rest of one request only; what the server asked for with it had no reader, and requests whose pieces were being made were sent by a choice older than the answer.

Now a backoff is a notice beside the server's record, up to the latest end of all that it requested, at most an hour, by the runtime's clock from the answer's arrival. Availability answers BackingOff until then, so requests, streams, repeats, calls for pieces and calls that free results keep away, and the check before each send withholds what was chosen earlier. Where all servers of a service back off, requests are refused at once as not run (2112) with the first end; pieces wait at their owner if their time allows.

--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -288,16 +288,19 @@
     /// Sends free requests, at most one at a time to each server; results released meanwhile go
     /// with the next one.
     ///
-    /// Nothing is sent to an evacuated zone or to a server that leaves, and a rate-limited server's
-    /// calls are left to batches; such servers expire the results themselves.
+    /// Nothing is sent to an evacuated zone, to a server that leaves or to one that backs off, and a
+    /// rate-limited server's calls are left to batches; such servers expire the results themselves.
     fn send_free_requests(&mut self, myself: &ActorRef<BatchOwnerMessage>) {
         let servers_freeing = &self.servers_freeing;
         let servers = self.arguments.cluster_view.servers();
+        let now = self.arguments.cluster_view.clock().now();
         let is_excluded = |incarnation: &ServerIncarnation| {
-            let availability = servers.availability(incarnation, None, Duration::ZERO);
+            let availability = servers.availability(incarnation, None, now);
             matches!(
                 availability,
-                ServerAvailability::Evacuated | ServerAvailability::Limited { .. }
+                ServerAvailability::Evacuated
+                    | ServerAvailability::Limited { .. }
+                    | ServerAvailability::BackingOff { .. }
             )
         };
         let may_free = |incarnation: &ServerIncarnation| {
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -24,8 +24,7 @@
 pub struct NoServerAvailable {
     /// The result code.
     pub code: ResultCode,
-    /// Time until this gateway may send to a rate-limited server of the service again, if that is
-    /// the reason.
+    /// Time until this gateway may send to a server of the service again, if that is known.
     pub retry_after: Option<Duration>,
 }
 
@@ -154,27 +153,40 @@
         let is_any = |holds: fn(&ServerAvailability) -> bool| {
             availabilities.iter().any(|(_, one)| holds(one))
         };
+        let is_free = |one: &ServerAvailability| *one == ServerAvailability::Free;
+        let is_backing_off =
+            |one: &ServerAvailability| matches!(one, ServerAvailability::BackingOff { .. });
         let code = if is_any(|one| matches!(one, ServerAvailability::Limited { .. })) {
             ResultCode::ServersLimited
         } else if is_any(|one| matches!(one, ServerAvailability::Cold { .. })) {
             ResultCode::ServersCold
+        } else if is_any(is_backing_off) && !is_any(is_free) {
+            ResultCode::ServersBackingOff
         } else if !availabilities.is_empty() && !is_any(|one| *one != ServerAvailability::Evacuated)
         {
             ResultCode::ZonesEvacuated
         } else {
             ResultCode::NoBackendServer
         };
-        let limited = availabilities
-            .iter()
-            .filter(|_| code == ResultCode::ServersLimited);
-        let choice_times = limited.filter_map(|(server, availability)| {
-            let inputs = self.share_inputs(&servers, service, availability.rate_limit()?);
+        let choice_times = availabilities.iter().filter_map(|(server, availability)| {
+            if let ServerAvailability::BackingOff { until } = availability {
+                return Some(*until);
+            }
+            let rate_limit = availability.rate_limit()?;
+            let inputs = self.share_inputs(&servers, service, rate_limit);
             self.send_shares
                 .next_choice_at(&server.incarnation, &inputs, now)
         });
+        let has_known_time = matches!(
+            code,
+            ResultCode::ServersLimited | ResultCode::ServersBackingOff
+        );
         NoServerAvailable {
             code,
-            retry_after: choice_times.min().map(|at| at.saturating_sub(now)),
+            retry_after: choice_times
+                .min()
+                .filter(|_| has_known_time)
+                .map(|at| at.saturating_sub(now)),
         }
     }
 
--- a/crates/amaranthscale/src/gateway/process/statement_recorder.rs
+++ b/crates/amaranthscale/src/gateway/process/statement_recorder.rs
@@ -78,6 +78,12 @@
         let is_later = self.change(|servers, now| servers.record_backoff(server, until, now));
         if is_later {
             info!(server:% = server, backoff_s:% = backoff; "servers: backoff requested");
+            // The batch owners learn by a change that the server may be used again.
+            let cluster_view = Arc::clone(&self.cluster_view);
+            tokio::spawn(async move {
+                tokio::time::sleep(backoff.time()).await;
+                cluster_view.change_servers(|_servers, _now| true);
+            });
         }
     }
 
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -129,7 +129,7 @@
         let mut incarnations = ListedIncarnations::new();
         for (server, server_availability) in servers {
             incarnations.insert(server.incarnation.id().clone(), server.incarnation.clone());
-            if server_availability.is_usable()
+            if server_availability.is_usable_in_time()
                 || server_availability == ServerAvailability::Evacuated
             {
                 let of_service = listed.entry(&server.service).or_default();
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -134,7 +134,7 @@
             }
             let pool = self.pools.get(&stage.service).ok_or(no_server)?;
             let spec = pool.spec.ok_or(no_server)?;
-            if pool.usable(now).next().is_none() {
+            if pool.usable(now).next().is_none() && pool.backoff_left(now).is_none() {
                 return Err(no_server);
             }
             let usual_pieces = stage.pieces.max(spec.max_pieces / 2).min(spec.max_pieces);
@@ -143,9 +143,13 @@
         job_spec.stages.iter().map(time_of).collect()
     }
 
-    /// Time in which a service completes the on-time pieces that are scheduled up to a time.
+    /// Time in which a service completes the on-time pieces that are scheduled up to a time, from
+    /// when one of its servers may be used.
     pub(super) fn backlog(&self, service: &ServiceId, before: Duration, now: Duration) -> Duration {
-        self.processing_time(service, self.pending_work.before(service, before), now)
+        let pool = self.pools.get(service);
+        let backoff_left = pool.and_then(|pool| pool.backoff_left(now));
+        let pieces = self.pending_work.before(service, before);
+        backoff_left.unwrap_or_default() + self.processing_time(service, pieces, now)
     }
 
     fn processing_time(&self, service: &ServiceId, pieces: usize, now: Duration) -> Duration {
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -91,6 +91,13 @@
         u64::try_from(left).unwrap_or(u64::MAX)
     }
 
+    fn is_usable(&self, now: Duration) -> bool {
+        match self.server_availability {
+            ServerAvailability::BackingOff { until } => until <= now,
+            availability => availability.is_usable(),
+        }
+    }
+
     /// The owner's share of the server's rate limit while it is cold or limited.
     fn send_share(&self, now: Duration) -> Option<SendShare> {
         let rate_limit = match self.server_availability {
@@ -209,7 +216,8 @@
     /// Whether all its servers are in zones that operators have evacuated.
     pub(super) fn is_evacuated(&self) -> bool {
         let mut servers = self.servers.values();
-        !self.servers.is_empty() && servers.all(|server| !server.server_availability.is_usable())
+        !self.servers.is_empty()
+            && servers.all(|server| !server.server_availability.is_usable_in_time())
     }
 
     /// Counts a call to a server whose send rate is limited.
@@ -282,9 +290,23 @@
         now: Duration,
     ) -> impl Iterator<Item = (&ServerIncarnation, &StageServer)> {
         let servers = self.servers.iter();
-        servers.filter(move |(_, server)| {
-            server.ejected_until <= now && server.server_availability.is_usable()
-        })
+        servers.filter(move |(_, server)| server.ejected_until <= now && server.is_usable(now))
+    }
+
+    /// Time until a server may be used again if all those that may be used back off now; none if
+    /// one may be used now, or none at all.
+    pub(super) fn backoff_left(&self, now: Duration) -> Option<Duration> {
+        let mut first_end = None;
+        for server in self.servers.values() {
+            match server.server_availability {
+                ServerAvailability::BackingOff { until } if until > now => {
+                    first_end = Some(first_end.map_or(until, |end: Duration| end.min(until)));
+                }
+                availability if availability.is_usable_in_time() => return None,
+                _ => {}
+            }
+        }
+        first_end.map(|end| end.saturating_sub(now))
     }
 }
 
--- a/crates/core/src/process/server_availability.rs
+++ b/crates/core/src/process/server_availability.rs
@@ -26,6 +26,11 @@
         /// Requests per second that it accepts from all entries together.
         max_per_s: f64,
     },
+    /// Nothing until a time: it has turned a request of this entry away and requested so.
+    BackingOff {
+        /// When it accepts requests again, by the clock of the process.
+        until: Duration,
+    },
     /// Nothing: it is about to leave.
     Leaving,
     /// Nothing: operators have evacuated its availability zone.
@@ -41,7 +46,11 @@
         match self {
             Self::Cold { max_per_s, .. } => Some(SendRateLimit::Cold { max_per_s }),
             Self::Limited { max_per_s } => Some(SendRateLimit::Limited { max_per_s }),
-            Self::Free | Self::Leaving | Self::Evacuated | Self::Unlisted => None,
+            Self::Free
+            | Self::BackingOff { .. }
+            | Self::Leaving
+            | Self::Evacuated
+            | Self::Unlisted => None,
         }
     }
 
@@ -51,6 +60,12 @@
         matches!(self, Self::Free | Self::Cold { .. } | Self::Limited { .. })
     }
 
+    /// Whether any requests may be sent now or, without a change of the server's listing, later.
+    #[must_use]
+    pub const fn is_usable_in_time(self) -> bool {
+        self.is_usable() || matches!(self, Self::BackingOff { .. })
+    }
+
     /// Name in log lines and counters.
     #[must_use]
     pub const fn name(self) -> &'static str {
@@ -58,6 +73,7 @@
             Self::Free => "free",
             Self::Cold { .. } => "cold",
             Self::Limited { .. } => "limited",
+            Self::BackingOff { .. } => "backing-off",
             Self::Leaving => "leaving",
             Self::Evacuated => "evacuated",
             Self::Unlisted => "gone",
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -183,6 +183,9 @@
         if record.is_leaving || self.notices.is_leaving(&record.incarnation) {
             return ServerAvailability::Leaving;
         }
+        if let Some(until) = self.notices.backoff_until(&record.incarnation, now) {
+            return ServerAvailability::BackingOff { until };
+        }
         let limit = self
             .limits
             .get(&record.incarnation)
@@ -313,7 +316,7 @@
         of_service.filter(|record| !record.is_leaving)
     }
 
-    /// Servers of a service that may be used, including cold ones.
+    /// Servers of a service that may be used, including cold ones and those that back off now.
     pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a ServerRecord> {
         let not_leaving = self.not_leaving(service);
         not_leaving.filter(|record| {
@@ -321,11 +324,11 @@
         })
     }
 
-    /// Whether an incarnation of a server may be used, even if it is cold.
+    /// Whether an incarnation of a server may be used, even if it is cold or backs off now.
     #[must_use]
     pub fn is_usable(&self, incarnation: &ServerIncarnation) -> bool {
         self.availability(incarnation, None, Duration::ZERO)
-            .is_usable()
+            .is_usable_in_time()
     }
 
     /// Whether an incarnation of a server is listed, even if it is about to leave.
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -144,6 +144,8 @@
     RequestQuarantined = 2110, 503, "servers crashed under this request; it is held back";
     /// The servers of the service report rate limits, and these are used up.
     ServersLimited = 2111, 503, "its servers are in need and take no more now";
+    /// All servers of its service that may be used have requested a backoff.
+    ServersBackingOff = 2112, 503, "its servers turn requests away and want none for a while";
 
     /// The attempt was addressed to another incarnation of the sidecar.
     WrongIncarnation = 2201, 503, "the attempt names another incarnation";
--- a/crates/core/tests/batcher/availability.rs
+++ b/crates/core/tests/batcher/availability.rs
@@ -125,3 +125,33 @@
     );
     assert!(within(until).count() > 2, "{calls_at:?}");
 }
+
+/// Guards against calls to servers that want none, and against jobs that are refused although the
+/// servers take calls again in time.
+#[test]
+fn jobs_wait_for_servers_that_back_off_if_their_time_allows() {
+    let mut fixture = Fixture::new(&["north"]);
+    let until = fixture.now + ms(100);
+    fixture.set_availability("north", ServerAvailability::BackingOff { until });
+    let spec = fixture.chain(&[(ENCODE, 2, 1_000)]);
+
+    let job = fixture.submit(spec);
+
+    assert!(fixture.next_batches().is_empty());
+    assert!(fixture.events().is_empty(), "{job:?} has failed");
+    fixture.advance(100);
+    assert_eq!(fixture.next_batch().items.len(), 2);
+}
+
+/// Guards against callers that wait for servers which all want nothing for longer than they wait.
+#[test]
+fn jobs_that_a_backoff_makes_hopeless_are_refused_at_once() {
+    let mut fixture = Fixture::new(&["north"]);
+    let until = fixture.now + ms(60_000);
+    fixture.set_availability("north", ServerAvailability::BackingOff { until });
+    let spec = fixture.chain(&[(ENCODE, 2, 1_000)]);
+
+    let refused = fixture.batcher.submit(spec, fixture.now).unwrap_err();
+
+    assert_eq!(refused.reason, JobFailure::Late);
+}
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -475,3 +475,47 @@
     assert!(remembered.count() < 1_000);
     assert!(servers.has_stated_leaving(&listed));
 }
+
+/// Guards against an older or shorter request that ends a backoff early.
+#[test]
+fn the_latest_end_of_all_requested_backoffs_counts() {
+    let mut servers = list_of(&["a", "b"]);
+    let server = "a".parse().unwrap();
+    let backing_off = |until| ServerAvailability::BackingOff { until };
+
+    assert!(servers.record_backoff(&server, 4 * SECOND, SECOND));
+    assert!(!servers.record_backoff(&server, 2 * SECOND, SECOND));
+    assert!(!servers.record_backoff(&server, SECOND, SECOND));
+    servers.apply_change(ServerChange::Removed("a".parse().unwrap()), SECOND);
+    servers.apply_change(ServerChange::Listed(record("a")), SECOND);
+
+    assert_eq!(
+        availability(&servers, "a", 3 * SECOND),
+        backing_off(4 * SECOND)
+    );
+    assert_eq!(
+        availability(&servers, "a", 4 * SECOND),
+        ServerAvailability::Free
+    );
+    assert_eq!(
+        availability(&servers, "b", 3 * SECOND),
+        ServerAvailability::Free
+    );
+}
+
+/// Guards against a backoff that hides that a server leaves or that its zone is evacuated: it would
+/// be used again at the backoff's end.
+#[test]
+fn a_backoff_comes_after_what_excludes_a_server_for_good() {
+    let mut servers = list_of(&["a"]);
+    let server = "a".parse().unwrap();
+    servers.record_backoff(&server, 4 * SECOND, SECOND);
+    servers.record_leaving(&server, SECOND);
+    let stated = availability(&servers, "a", 2 * SECOND);
+
+    servers.apply_zones(vec![evacuated("north", 7)], false, SECOND);
+
+    assert_eq!(stated, ServerAvailability::Leaving);
+    let in_evacuated_zone = availability(&servers, "a", 2 * SECOND);
+    assert_eq!(in_evacuated_zone, ServerAvailability::Evacuated);
+}
