A backend server's Retry-After pauses its sidecar's calls

A sidecar told the caller when to come back and went on calling: each queued attempt was sent to the server that had just turned one away, and refused in turn; seconds with a fraction were lost. The entry heard of it for that one attempt only.

Now the sidecar's client records what each reply requests, on all its paths. Until the end it refuses new and queued attempts at once as not run (2112), so that their entries send them elsewhere, and its stamps tell every entry how long; routers choose no host whose server backs off, and refuse with the first end where all do.

With the recording disabled the two sidecar tests fail (Complete instead of 2112; four calls instead of one); the router has a test of its own.

--- a/crates/amaranthscale/src/sidecar.rs
+++ b/crates/amaranthscale/src/sidecar.rs
@@ -204,11 +204,16 @@
     );
     let slots = usize::try_from(config.limits.queue.slots).unwrap_or(usize::MAX);
     let claim_permits = usize::try_from(config.limits.max_unsettled_claims).unwrap_or(usize::MAX);
+    let shared = Arc::new(SharedState::new(config.host.clone(), incarnation, tree));
     Runner {
         service: config.service.clone(),
         limits: config.limits,
-        shared: Arc::new(SharedState::new(config.host.clone(), incarnation, tree)),
-        backend: Arc::new(BackendClient::new(config.backend, slots)),
+        backend: Arc::new(BackendClient::new(
+            config.backend,
+            slots,
+            Arc::clone(&shared),
+        )),
+        shared,
         claim_writer: Arc::new(claim_writer),
         counters,
         claim_permits: Arc::new(Semaphore::new(claim_permits.min(Semaphore::MAX_PERMITS))),
--- a/crates/amaranthscale/src/sidecar/backend_client.rs
+++ b/crates/amaranthscale/src/sidecar/backend_client.rs
@@ -4,25 +4,27 @@
 //! whether a request was sent at all.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use amaranthscale_core::id::AttemptId;
+use amaranthscale_core::process::{InvalidServerBackoff, ServerBackoff};
 use amaranthscale_core::unit::Class;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Request, Response};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use log::debug;
+use log::{debug, warn};
 use tokio::time::Instant;
 
 use crate::connection::open_stream;
 
 use super::call_error::CallError;
 use super::job::Job;
+use super::shared_state::SharedState;
 
 /// Connect timeout; the backend server is on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -43,6 +45,7 @@
 pub(super) struct BackendClient {
     address: SocketAddr,
     max_idle_connections: usize,
+    shared: Arc<SharedState>,
     idle: Mutex<Vec<(Sender, Instant)>>,
 }
 
@@ -54,10 +57,15 @@
 }
 
 impl BackendClient {
-    pub(super) const fn new(address: SocketAddr, max_idle_connections: usize) -> Self {
+    pub(super) const fn new(
+        address: SocketAddr,
+        max_idle_connections: usize,
+        shared: Arc<SharedState>,
+    ) -> Self {
         Self {
             address,
             max_idle_connections,
+            shared,
             idle: Mutex::new(Vec::new()),
         }
     }
@@ -73,7 +81,7 @@
         // A call that may not be repeated uses a new connection: on an idle one that the server is
         // closing it would be unknown whether the server received the call.
         let sender = self.connect().await?;
-        send(sender, request).await.map_err(|(error, _)| error)
+        self.send(sender, request).await.map_err(|(error, _)| error)
     }
 
     /// Returns a connection to the idle ones after its response was read to the end.
@@ -95,7 +103,7 @@
                 .body(Full::default())
                 .map_err(|error| CallError::NotSent(error.to_string()))?;
             let sender = self.connect().await?;
-            send(sender, request).await.map_err(|(error, _)| error)
+            self.send(sender, request).await.map_err(|(error, _)| error)
         };
         match tokio::time::timeout(CANCEL_TIMEOUT, cancelling).await {
             Ok(Ok(_reply)) => debug!("sidecar: {attempt} cancelled"),
@@ -126,17 +134,36 @@
         sender: Sender,
         request: Request<Full<Bytes>>,
     ) -> Result<BackendReply, CallError> {
-        match send(sender, request).await {
+        match self.send(sender, request).await {
             // The server closed the idle connection before the request was sent.
             Err((CallError::NotSent(_), Some(request))) => {
                 let sender = self.connect().await?;
-                send(sender, *request).await.map_err(|(error, _)| error)
+                self.send(sender, *request)
+                    .await
+                    .map_err(|(error, _)| error)
             }
             Err((error, _)) => Err(error),
             Ok(reply) => Ok(reply),
         }
     }
 
+    /// Sends a request. What the backend server states about itself is recorded here, so that no
+    /// call can miss it.
+    async fn send(
+        &self,
+        sender: Sender,
+        request: Request<Full<Bytes>>,
+    ) -> Result<BackendReply, SendFailure> {
+        let reply = send(sender, request).await?;
+        let (status, headers) = (reply.response.status(), reply.response.headers());
+        match requested_backoff(status, headers) {
+            Some(Ok(backoff)) => self.shared.record_backoff(backoff),
+            Some(Err(error)) => warn!("sidecar: invalid backoff requested: {error}"),
+            None => {}
+        }
+        Ok(reply)
+    }
+
     fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         while let Some((sender, since)) = idle.pop() {
@@ -163,6 +190,26 @@
     }
 }
 
+/// The backoff that a server requests by turning a call away, in seconds with a fraction.
+pub(super) fn requested_backoff(
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Option<Result<ServerBackoff, InvalidServerBackoff>> {
+    if !is_turned_away(status) {
+        return None;
+    }
+    let value = headers.get(RETRY_AFTER)?;
+    Some(String::from_utf8_lossy(value.as_bytes()).parse())
+}
+
+/// Whether a status says that a server turned a call away.
+pub(super) const fn is_turned_away(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 const fn priority(class: Class) -> u16 {
     match class {
         Class::Paid => PAID_PRIORITY,
--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -2,15 +2,16 @@
 
 use super::token_count::TokenCount;
 use amaranthscale_core::ResultCode;
+use amaranthscale_core::process::ServerBackoff;
 use amaranthscale_core::wire::{Outcome, ResultDigest};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Response, StatusCode};
 use sha2::{Digest as _, Sha256};
 
-use crate::sidecar::backend_client::{BackendReply, Sender};
+use crate::sidecar::backend_client::{BackendReply, Sender, is_turned_away, requested_backoff};
 use crate::sidecar::call_error::CallError;
 use crate::sidecar::job::Job;
 
@@ -131,19 +132,17 @@
 
 /// Whether the backend server states that it did not run the call.
 fn states_not_run(response: &Response<Incoming>) -> bool {
-    let is_refusal = matches!(
-        response.status(),
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
-    );
     let not_run = response.headers().get(NOT_RUN);
-    is_refusal && not_run.is_some_and(|value| value == "1")
+    is_turned_away(response.status()) && not_run.is_some_and(|value| value == "1")
 }
 
 fn refusal_outcome(response: &Response<Incoming>) -> Outcome {
     let mut outcome = Outcome::without_result(ResultCode::QueueFull);
     outcome.backend_status = response.status().as_u16();
-    let after_s = header_number(response.headers(), RETRY_AFTER.as_str());
-    outcome.retry_after_ms = after_s.map(|after_s| after_s.saturating_mul(1000));
+    let backoff = requested_backoff(response.status(), response.headers());
+    let backoff = backoff.and_then(Result::ok).map(ServerBackoff::time);
+    outcome.retry_after_ms =
+        backoff.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
     outcome
 }
 
--- a/crates/amaranthscale/src/sidecar/scheduler/scheduler_state.rs
+++ b/crates/amaranthscale/src/sidecar/scheduler/scheduler_state.rs
@@ -96,6 +96,10 @@
         if self.runner.shared.is_leaving() {
             return Err(Refusal::new(ResultCode::Leaving, 0));
         }
+        let backoff_ms = self.backoff_left_ms();
+        if backoff_ms > 0 {
+            return Err(Refusal::new(ResultCode::ServersBackingOff, backoff_ms));
+        }
         self.ledger
             .admit(attempt, dispatch.incarnation, dispatch.expiry, now)
             .map_err(|code| Refusal::new(code, 0))?;
@@ -122,10 +126,16 @@
     /// Starts attempts for which slots are free, and refuses those that can no longer start.
     fn start_queued(&mut self, now: SidecarClock) {
         for item in self.queue.take_displaced() {
-            self.refuse_queued(item.attempt, ResultCode::TrialShed, now);
+            self.refuse_queued(item.attempt, Refusal::new(ResultCode::TrialShed, 0), now);
         }
         for item in self.queue.expired(now) {
-            self.refuse_queued(item.attempt, ResultCode::ExpiredInQueue, now);
+            let expired = Refusal::new(ResultCode::ExpiredInQueue, 0);
+            self.refuse_queued(item.attempt, expired, now);
+        }
+        let backoff_ms = self.backoff_left_ms();
+        if backoff_ms > 0 {
+            // Their entries send them elsewhere at once.
+            self.refuse_all_queued(Refusal::new(ResultCode::ServersBackingOff, backoff_ms), now);
         }
         while let Some(item) = self.queue.pop(now) {
             self.start(item.attempt, now);
@@ -137,7 +147,7 @@
         // that their entries have abandoned, and starting those would be wasted work.
         if let Err(code) = self.ledger.start(attempt, now) {
             self.queue.release(attempt);
-            self.refuse_queued(attempt, code, now);
+            self.refuse_queued(attempt, Refusal::new(code, 0), now);
             return;
         }
         let Some(job) = self.answers.get(&attempt).map(Arc::clone) else {
@@ -149,13 +159,25 @@
         tokio::spawn(Arc::clone(&self.runner).run(job, self.myself.clone()));
     }
 
-    fn refuse_queued(&mut self, attempt: AttemptId, code: ResultCode, now: SidecarClock) {
-        self.ledger.refuse(attempt, code, now);
+    fn refuse_queued(&mut self, attempt: AttemptId, refusal: Refusal, now: SidecarClock) {
+        self.ledger.refuse(attempt, refusal.code, now);
         if let Some(job) = self.answers.remove(&attempt) {
-            self.end_refused(&job, Refusal::new(code, 0));
+            self.end_refused(&job, refusal);
+        }
+    }
+
+    fn refuse_all_queued(&mut self, refusal: Refusal, now: SidecarClock) {
+        for attempt in self.answers.attempts() {
+            if self.queue.remove(&attempt) {
+                self.refuse_queued(attempt, refusal, now);
+            }
         }
     }
 
+    fn backoff_left_ms(&self) -> u64 {
+        millis(self.runner.shared.backoff_left())
+    }
+
     fn end_refused(&self, job: &Job, refusal: Refusal) {
         let code = refusal.code;
         self.runner.counters.count_reason("refused", code.name());
@@ -320,11 +342,7 @@
         {
             return;
         }
-        for attempt in self.answers.attempts() {
-            if self.queue.remove(&attempt) {
-                self.refuse_queued(attempt, ResultCode::Leaving, now);
-            }
-        }
+        self.refuse_all_queued(Refusal::new(ResultCode::Leaving, 0), now);
     }
 
     fn notify_drained(&mut self) {
--- a/crates/amaranthscale/src/sidecar/shared_state.rs
+++ b/crates/amaranthscale/src/sidecar/shared_state.rs
@@ -1,9 +1,11 @@
 //! State of a sidecar that is readable without a message to its actor.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use amaranthscale_core::id::{HostId, Incarnation};
+use amaranthscale_core::process::ServerBackoff;
 use amaranthscale_core::unit::SidecarClock;
 use amaranthscale_core::wire::{LoadReport, Stamp};
 use tokio::time::Instant;
@@ -18,6 +20,8 @@
     pub(super) tree: TreeSource,
     started: Instant,
     is_leaving: AtomicBool,
+    /// Until when the backend server wants no calls.
+    backoff_until: Mutex<SidecarClock>,
     load: Mutex<LoadReport>,
 }
 
@@ -29,6 +33,7 @@
             tree,
             started: Instant::now(),
             is_leaving: AtomicBool::new(false),
+            backoff_until: Mutex::default(),
             load: Mutex::new(LoadReport::default()),
         }
     }
@@ -52,6 +57,25 @@
         !self.is_leaving.swap(true, Ordering::AcqRel)
     }
 
+    /// Records that the backend server wants no calls for a while.
+    pub(super) fn record_backoff(&self, backoff: ServerBackoff) {
+        let until = self.now().plus(backoff.time());
+        let mut known = self.backoff_until();
+        *known = until.max(*known);
+    }
+
+    /// Time for which the backend server wants no calls.
+    pub(super) fn backoff_left(&self) -> Duration {
+        let until = *self.backoff_until();
+        self.now().until(until)
+    }
+
+    fn backoff_until(&self) -> MutexGuard<'_, SidecarClock> {
+        self.backoff_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(super) fn load(&self) -> LoadReport {
         *self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -67,6 +91,9 @@
             clock: self.now(),
             tree_version: self.tree.version(),
             is_leaving: self.is_leaving(),
+            // Rounded up, so that a rest of less than a millisecond is not taken for none.
+            backoff_ms: u64::try_from(self.backoff_left().as_micros().div_ceil(1_000))
+                .unwrap_or(u64::MAX),
             load: self.load(),
         }
     }
--- a/crates/amaranthscale/tests/entry_decisions.rs
+++ b/crates/amaranthscale/tests/entry_decisions.rs
@@ -35,6 +35,7 @@
         clock: SidecarClock::from_millis(1),
         tree_version: TreeVersion::new(1),
         is_leaving: false,
+        backoff_ms: 0,
         load: LoadReport {
             slots: 4,
             service_ms,
--- a/crates/amaranthscale/tests/sidecar_flow.rs
+++ b/crates/amaranthscale/tests/sidecar_flow.rs
@@ -114,6 +114,51 @@
     assert!(matches!(reading, ClaimStatus::Free { .. }), "{reading:?}");
 }
 
+/// Guards against calls to a backend server that has turned one away and wants none for a while.
+#[tokio::test]
+async fn a_backend_server_that_requests_a_backoff_gets_no_calls() {
+    let fixture = fixture().await;
+    fixture.run(&fixture.attempt(1, "/busy")).await;
+    let calls = fixture.backend.calls().len();
+
+    let answer = fixture.run(&fixture.attempt(2, "/echo")).await;
+
+    assert_eq!(answer.code(), ResultCode::ServersBackingOff);
+    let retry_ms = answer.end.outcome.retry_after_ms.unwrap();
+    assert!((1_000..=2_000).contains(&retry_ms), "{retry_ms}");
+    assert!((1_000..=2_000).contains(&answer.end.stamp.backoff_ms));
+    assert_eq!(fixture.backend.calls().len(), calls);
+}
+
+/// Guards against queued calls that are sent one by one to a server that turns them all away.
+#[tokio::test]
+async fn queued_attempts_are_refused_when_the_backend_server_requests_a_backoff() {
+    let fixture = fixture().await;
+    let running = fixture.open(&fixture.attempt(1, "/held")).await;
+    fixture.backend.wait_for_calls(1).await;
+    let mut queued = Vec::new();
+    for number in 2..=5 {
+        let attempt = fixture.attempt(number, "/busy");
+        queued.push((fixture.open(&attempt).await, attempt.attempt));
+    }
+
+    fixture.backend.release_call();
+
+    let first = read_to_end(running, fixture.attempt(1, "/held").attempt, 0).await;
+    assert_eq!(first.code(), ResultCode::Complete);
+    let mut codes = Vec::new();
+    for (response, attempt) in queued {
+        codes.push(read_to_end(response, attempt, 0).await.code());
+    }
+    codes.sort();
+    let backing_off = ResultCode::ServersBackingOff;
+    assert_eq!(
+        codes,
+        [ResultCode::QueueFull, backing_off, backing_off, backing_off]
+    );
+    assert_eq!(fixture.backend.calls().len(), 2);
+}
+
 #[tokio::test]
 async fn stores_the_outcome_of_a_claimed_call_in_its_row() {
     let fixture = fixture().await;
--- a/crates/core/src/process/host_tracker.rs
+++ b/crates/core/src/process/host_tracker.rs
@@ -46,6 +46,8 @@
     pub(super) health: Health,
     in_flight: u32,
     is_leaving: bool,
+    /// Until when its backend server wants no work.
+    backoff_until: Duration,
     failures: u32,
     answered_at: Duration,
     busy_since: Duration,
@@ -64,6 +66,7 @@
             health: Health::Healthy,
             in_flight: 0,
             is_leaving: false,
+            backoff_until: Duration::ZERO,
             failures: 0,
             answered_at: now,
             busy_since: now,
@@ -87,6 +90,7 @@
         }
         self.record_answer(now);
         self.is_leaving |= stamp.is_leaving;
+        self.backoff_until = now.saturating_add(Duration::from_millis(stamp.backoff_ms));
         self.last_stamp = Some(LastStamp {
             incarnation: stamp.incarnation,
             clock: stamp.clock,
@@ -138,6 +142,11 @@
         self.is_leaving || self.record.state == HostState::Leaving
     }
 
+    /// When its backend server takes work again, unless it does now.
+    pub(super) fn backoff_until(&self, now: Duration) -> Option<Duration> {
+        (self.backoff_until > now).then_some(self.backoff_until)
+    }
+
     pub(super) const fn is_ejected(&self) -> bool {
         !matches!(self.health, Health::Healthy)
     }
--- a/crates/core/src/process/router.rs
+++ b/crates/core/src/process/router.rs
@@ -105,18 +105,20 @@
 
     /// Availability of a host, by the host list, its own report and the operators' evacuations.
     #[must_use]
-    pub fn availability(&self, host: &HostId) -> ServerAvailability {
+    pub fn availability(&self, host: &HostId, now: Duration) -> ServerAvailability {
         let tracker = self.hosts.get(host);
         tracker.map_or(ServerAvailability::Unlisted, |tracker| {
-            self.availability_of(tracker)
+            self.availability_of(tracker, now)
         })
     }
 
-    fn availability_of(&self, tracker: &HostTracker) -> ServerAvailability {
+    fn availability_of(&self, tracker: &HostTracker, now: Duration) -> ServerAvailability {
         if self.evacuated.contains(&tracker.record.zone) {
             ServerAvailability::Evacuated
         } else if tracker.is_leaving() {
             ServerAvailability::Leaving
+        } else if let Some(until) = tracker.backoff_until(now) {
+            ServerAvailability::BackingOff { until }
         } else {
             ServerAvailability::Free
         }
@@ -163,10 +165,7 @@
         }
         let usable = self.usable(service, exclude, now);
         if usable.is_empty() {
-            return Err(Refusal::new(
-                self.no_host_code(service),
-                NO_HOST_RETRY_AFTER_MS,
-            ));
+            return Err(self.no_host_refusal(service, now));
         }
         let holder = affinity.and_then(|prefix| self.prefix_holder(&usable, prefix, now));
         let chosen = holder.or_else(|| self.less_loaded(&usable, now));
@@ -233,7 +232,12 @@
     fn choose_subsets(&mut self) {
         let mut by_service: BTreeMap<ServiceId, Vec<HostId>> = BTreeMap::new();
         let hosts = self.hosts.values();
-        for tracker in hosts.filter(|tracker| self.availability_of(tracker).is_usable()) {
+        // Whether a host backs off changes with time, so it is checked at each choice.
+        let is_usable = |tracker: &&HostTracker| {
+            let availability = self.availability_of(tracker, Duration::ZERO);
+            availability.is_usable_in_time()
+        };
+        for tracker in hosts.filter(is_usable) {
             if let Some(service) = &tracker.record.service {
                 by_service
                     .entry(service.clone())
@@ -249,24 +253,45 @@
         self.readmit_above_cap();
     }
 
-    /// Result code if a service has no usable host: all are evacuated, or there is none.
-    fn no_host_code(&self, service: &ServiceId) -> ResultCode {
+    /// Why a service has no usable host: its zones are evacuated, its servers back off, or there is
+    /// none.
+    fn no_host_refusal(&self, service: &ServiceId, now: Duration) -> Refusal {
         let of_service = self.hosts.values();
-        let mut of_service =
+        let of_service =
             of_service.filter(|tracker| tracker.record.service.as_ref() == Some(service));
-        let is_evacuated =
-            |tracker: &HostTracker| self.availability_of(tracker) == ServerAvailability::Evacuated;
-        if self.subset(service).next().is_none() && of_service.any(is_evacuated) {
+        let availabilities = of_service.map(|tracker| self.availability_of(tracker, now));
+        let mut is_any_evacuated = false;
+        let mut first_end: Option<Duration> = None;
+        for availability in availabilities {
+            match availability {
+                ServerAvailability::Evacuated => is_any_evacuated = true,
+                ServerAvailability::BackingOff { until } => {
+                    first_end = Some(first_end.map_or(until, |end| end.min(until)));
+                }
+                _ => {}
+            }
+        }
+        if let Some(end) = first_end {
+            let left_ms = u64::try_from(end.saturating_sub(now).as_millis()).unwrap_or(u64::MAX);
+            return Refusal::new(ResultCode::ServersBackingOff, left_ms.max(1));
+        }
+        let is_evacuated = is_any_evacuated && self.subset(service).next().is_none();
+        let code = if is_evacuated {
             ResultCode::ZonesEvacuated
         } else {
             ResultCode::NoBackendServer
-        }
+        };
+        Refusal::new(code, NO_HOST_RETRY_AFTER_MS)
     }
 
     fn usable(&self, service: &ServiceId, exclude: &[HostId], now: Duration) -> Vec<HostId> {
         let healthy: Vec<_> = self
             .subset(service)
-            .filter(|host| !exclude.contains(host) && !self.hosts[*host].is_ejected())
+            .filter(|host| !exclude.contains(host))
+            .filter(|host| {
+                let tracker = &self.hosts[*host];
+                !tracker.is_ejected() && tracker.backoff_until(now).is_none()
+            })
             .cloned()
             .collect();
         let answering: Vec<_> = healthy
@@ -291,7 +316,10 @@
         let due = self
             .subset(service)
             .find(|host| {
-                !exclude.contains(host) && self.hosts[*host].is_due_for_probe(now, &self.settings)
+                let tracker = &self.hosts[*host];
+                !exclude.contains(host)
+                    && tracker.is_due_for_probe(now, &self.settings)
+                    && tracker.backoff_until(now).is_none()
             })?
             .clone();
         self.hosts.get_mut(&due)?.probe(now);
--- a/crates/core/src/wire/stamp.rs
+++ b/crates/core/src/wire/stamp.rs
@@ -37,6 +37,10 @@
     pub tree_version: TreeVersion,
     /// Whether the backend server is shutting down.
     pub is_leaving: bool,
+    /// Milliseconds for which the backend server wants no calls, as it turned one away; 0 if it
+    /// takes them now.
+    #[serde(default)]
+    pub backoff_ms: u64,
     /// Load of the backend server.
     pub load: LoadReport,
 }
--- a/crates/core/tests/router.rs
+++ b/crates/core/tests/router.rs
@@ -43,6 +43,7 @@
         clock: SidecarClock::from_millis(clock_ms),
         tree_version: TreeVersion::new(1),
         is_leaving: false,
+        backoff_ms: 0,
         load,
     }
 }
@@ -201,6 +202,29 @@
     assert_eq!(refusal.code, ResultCode::NoBackendServer);
 }
 
+/// Guards against work for a server that has turned a call of its sidecar away and wants none.
+#[test]
+fn a_host_whose_server_backs_off_gets_no_work_until_the_end() {
+    let mut router = router(2);
+    let backing_off = |number, backoff_ms| Stamp {
+        backoff_ms,
+        ..stamp(number, 10, idle())
+    };
+    router.observe(&host(0), &backing_off(0, 500), Duration::ZERO);
+    let choose =
+        |router: &mut Router, ms| router.choose(&service(), &[], None, Duration::from_millis(ms));
+
+    for _ in 0..100 {
+        assert_eq!(choose(&mut router, 499), Ok(host(1)));
+    }
+    router.observe(&host(1), &backing_off(1, 800), Duration::ZERO);
+    let refusal = choose(&mut router, 100).unwrap_err();
+
+    assert_eq!(refusal.code, ResultCode::ServersBackingOff);
+    assert_eq!(refusal.retry_after_ms, 400);
+    assert_eq!(choose(&mut router, 500), Ok(host(0)));
+}
+
 /// One server wrongly reports that it is idle while all others report a full queue. It must not
 /// attract all requests: it gets no more than its chance of being one of two drawn at random.
 #[test]
@@ -425,7 +449,10 @@
         let chosen = router.choose(&service(), &[], Some(affinity), Duration::ZERO);
         assert_ne!(zone_of(&router, &chosen.unwrap()), one);
     }
-    assert_eq!(router.availability(&host(0)), ServerAvailability::Evacuated);
+    assert_eq!(
+        router.availability(&host(0), Duration::ZERO),
+        ServerAvailability::Evacuated
+    );
 
     router.set_evacuated(&all);
     let refused = router
@@ -435,5 +462,8 @@
 
     router.set_evacuated(&BTreeSet::new());
     assert!(router.choose(&service(), &[], None, Duration::ZERO).is_ok());
-    assert_eq!(router.availability(&host(0)), ServerAvailability::Free);
+    assert_eq!(
+        router.availability(&host(0), Duration::ZERO),
+        ServerAvailability::Free
+    );
 }
--- a/crates/standins/src/policy/fake_server.rs
+++ b/crates/standins/src/policy/fake_server.rs
@@ -81,6 +81,7 @@
             clock: clock(now),
             tree_version: TreeVersion::new(1),
             is_leaving: self.record.state == HostState::Leaving,
+            backoff_ms: 0,
             load: self.meter.report(&self.queue, clock(now)),
         }
     }
