A reported limit outlasts a lapse of its server's entry

A server whose entry expired and returned was used without the limit that it had reported: the list dropped the limit with the entry, while the tracker took the report for known and never set it again.

The test of the list failed before (Free instead of Limited).

--- a/crates/amaranthscale/src/gateway/process/limit_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/limit_tracker.rs
@@ -118,8 +118,15 @@
     /// Drops servers that are no longer listed; returns those that still have a row in the store.
     pub(super) fn remove_unlisted(&self) -> Vec<ServerIncarnation> {
         let servers = self.cluster_view.servers();
-        self.reported()
-            .remove_unlisted(|server| servers.is_listed(server))
+        let removed = self
+            .reported()
+            .remove_unlisted(|server| servers.is_listed(server));
+        for (server, _) in &removed {
+            self.cluster_view
+                .change_servers(|servers, _now| servers.set_limit(server, None));
+        }
+        let with_row = removed.into_iter().filter(|(_, has_row)| *has_row);
+        with_row.map(|(server, _)| server).collect()
     }
 
     /// Servers with a limit, for operators.
--- a/crates/core/src/process/reported_limits.rs
+++ b/crates/core/src/process/reported_limits.rs
@@ -41,6 +41,8 @@
     /// Whether this entry received the report from the server.
     is_own: bool,
     reported_at: Duration,
+    /// Whether its server was not listed at the last check.
+    is_unlisted: bool,
 }
 
 impl ReportedLimits {
@@ -85,6 +87,7 @@
                 published: None,
                 is_own: true,
                 reported_at: now,
+                is_unlisted: false,
             };
             self.by_server.insert(server.clone(), report);
             return true;
@@ -111,6 +114,7 @@
             published: None,
             is_own: false,
             reported_at: now,
+            is_unlisted: false,
         });
         // A report that was received here and is not published yet is newer than the store.
         let is_changed = !known.is_unpublished() && !is_similar(limit, known.limit);
@@ -160,17 +164,22 @@
         self.remove_ended(server);
     }
 
-    /// Removes servers that are gone; returns those with a limit in the store.
+    /// Removes servers that were listed neither now nor at the previous check, as an entry that has
+    /// expired may return; returns them, each with whether it has a limit in the store.
     pub fn remove_unlisted(
         &mut self,
         is_listed: impl Fn(&ServerIncarnation) -> bool,
-    ) -> Vec<ServerIncarnation> {
-        let unlisted = self.by_server.iter();
-        let unlisted =
-            unlisted.filter(|(server, report)| report.published.is_some() && !is_listed(server));
-        let unlisted = unlisted.map(|(server, _)| server.clone()).collect();
-        self.by_server.retain(|server, _| is_listed(server));
-        unlisted
+    ) -> Vec<(ServerIncarnation, bool)> {
+        let mut removed = Vec::new();
+        self.by_server.retain(|server, report| {
+            let was_unlisted = std::mem::replace(&mut report.is_unlisted, !is_listed(server));
+            let is_gone = was_unlisted && report.is_unlisted;
+            if is_gone {
+                removed.push((server.clone(), report.published.is_some()));
+            }
+            !is_gone
+        });
+        removed
     }
 
     fn remove_ended(&mut self, server: &ServerIncarnation) {
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -83,7 +83,7 @@
     is_store_unreachable: bool,
     zones: ZoneStates,
     cold: ColdTimes,
-    /// Limits that servers have reported, including servers that are not listed yet.
+    /// Limits that servers have reported, including servers that are not listed yet or any more.
     limits: BTreeMap<ServerIncarnation, ServerLimit>,
     notices: ServerNotices,
     /// Whether a complete list was received: servers that appear later have just started.
@@ -262,7 +262,6 @@
 
     fn remove(&mut self, id: &ServerId, now: Duration) -> bool {
         self.cold.remove(id);
-        self.limits.retain(|incarnation, _| incarnation.id() != id);
         let removed = self.servers.remove(id);
         if let Some(removed) = &removed {
             self.notices.record_unlisted(&removed.incarnation, now);
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -519,3 +519,16 @@
     let in_evacuated_zone = availability(&servers, "a", 2 * SECOND);
     assert_eq!(in_evacuated_zone, ServerAvailability::Evacuated);
 }
+
+/// Guards against a limit that is lost with an entry which expires and returns.
+#[test]
+fn a_reported_limit_outlasts_the_servers_entry() {
+    let mut servers = list_of(&["a", "b"]);
+    servers.set_limit(&"a".parse().unwrap(), Some("1.5".parse().unwrap()));
+
+    servers.apply_change(ServerChange::Removed("a".parse().unwrap()), SECOND);
+    servers.apply_change(ServerChange::Listed(record("a")), 2 * SECOND);
+
+    let limited = ServerAvailability::Limited { max_per_s: 1.5 };
+    assert_eq!(availability(&servers, "a", 2 * SECOND), limited);
+}
