After a backoff a server gets few requests at first

Now a gateway sends one request at first, twice as many with each that the server accepts up to half of what was in flight when it turned one away, and one more a round from then on; ten seconds later nothing bounds it. Gateways return spread over 2 ms each.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -232,11 +232,13 @@
 fn build_context(config: &GatewayConfig, cluster_view: &Arc<ClusterView>) -> GatewayContext {
     let counters = Arc::new(Counters::local("amaranth.gateway"));
     let dialect = Arc::new(config.dialect.clone());
+    let server_selector = Arc::<Mutex<ServerSelector>>::default();
     let statements = StatementRecorder::new(
         config.clock,
         Arc::clone(&dialect),
         Arc::clone(cluster_view),
         Arc::clone(&counters),
+        Arc::clone(&server_selector),
     );
     let pool = Arc::new(ConnectionPool::new(Arc::new(statements)));
     let limits = LimitTracker::new(
@@ -287,7 +289,7 @@
         max_key_age: config.revoke_bound * KEY_AGE_PERCENT / 100,
         max_ready_age: config.revoke_bound * READY_AGE_PERCENT / 100,
         max_routing_lag: config.apply_bound * MAX_ROUTING_LAG_PERCENT / 100,
-        server_selector: Mutex::new(ServerSelector::default()),
+        server_selector,
     }
 }
 
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -66,7 +66,7 @@
     /// Crashed servers and the requests suspected of crashing them.
     pub crashes: Arc<CrashTracker>,
     /// Selects servers by the load and health that earlier sends showed.
-    pub server_selector: Mutex<ServerSelector>,
+    pub server_selector: Arc<Mutex<ServerSelector>>,
 }
 
 impl GatewayContext {
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -19,6 +19,10 @@
 /// their memory and crash beyond it; a small one has three times as much.
 const MAX_BODY_BYTES_PER_SERVER: usize = 64 * 1024 * 1024;
 
+/// Retry delay for callers while servers take few requests after a backoff: some requests have
+/// ended by then.
+const RECOVERING_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// Why no server of a service can be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NoServerAvailable {
@@ -154,13 +158,19 @@
             availabilities.iter().any(|(_, one)| holds(one))
         };
         let is_free = |one: &ServerAvailability| *one == ServerAvailability::Free;
+        let server_selector = self.server_selector();
+        let is_full_after_backoff = availabilities.iter().any(|(server, availability)| {
+            *availability == ServerAvailability::Free
+                && server_selector.is_full_after_backoff(&server.incarnation, now)
+        });
+        drop(server_selector);
         let is_backing_off =
             |one: &ServerAvailability| matches!(one, ServerAvailability::BackingOff { .. });
         let code = if is_any(|one| matches!(one, ServerAvailability::Limited { .. })) {
             ResultCode::ServersLimited
         } else if is_any(|one| matches!(one, ServerAvailability::Cold { .. })) {
             ResultCode::ServersCold
-        } else if is_any(is_backing_off) && !is_any(is_free) {
+        } else if is_full_after_backoff || (is_any(is_backing_off) && !is_any(is_free)) {
             ResultCode::ServersBackingOff
         } else if !availabilities.is_empty() && !is_any(|one| *one != ServerAvailability::Evacuated)
         {
@@ -168,6 +178,7 @@
         } else {
             ResultCode::NoBackendServer
         };
+        let soon = is_full_after_backoff.then_some(now + RECOVERING_RETRY_DELAY);
         let choice_times = availabilities.iter().filter_map(|(server, availability)| {
             if let ServerAvailability::BackingOff { until } = availability {
                 return Some(*until);
@@ -184,6 +195,7 @@
         NoServerAvailable {
             code,
             retry_after: choice_times
+                .chain(soon)
                 .min()
                 .filter(|_| has_known_time)
                 .map(|at| at.saturating_sub(now)),
--- a/crates/amaranthscale/src/gateway/process/statement_recorder.rs
+++ b/crates/amaranthscale/src/gateway/process/statement_recorder.rs
@@ -1,10 +1,10 @@
 //! Records what servers state about themselves in the heads of their answers.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::{ServerBackoff, ServerList, ServerStatement};
+use amaranthscale_core::process::{ServerBackoff, ServerList, ServerSelector, ServerStatement};
 use hyper::http::response;
 use log::info;
 
@@ -12,6 +12,9 @@
 use super::super::{Clock, Dialect};
 use crate::process::Counters;
 
+/// Time per gateway over which gateways return to a server after its backoff.
+const SPREAD_PER_GATEWAY: Duration = Duration::from_millis(2);
+
 /// Records the statements of all answers, on whatever path they arrive.
 #[derive(Debug)]
 pub struct StatementRecorder {
@@ -19,6 +22,7 @@
     dialect: Arc<Dialect>,
     cluster_view: Arc<ClusterView>,
     counters: Arc<Counters>,
+    server_selector: Arc<Mutex<ServerSelector>>,
 }
 
 impl StatementRecorder {
@@ -29,12 +33,14 @@
         dialect: Arc<Dialect>,
         cluster_view: Arc<ClusterView>,
         counters: Arc<Counters>,
+        server_selector: Arc<Mutex<ServerSelector>>,
     ) -> Self {
         Self {
             clock,
             dialect,
             cluster_view,
             counters,
+            server_selector,
         }
     }
 
@@ -73,15 +79,23 @@
     }
 
     fn record_backoff(&self, server: &ServerIncarnation, backoff: ServerBackoff) {
-        let until = self.clock.now() + backoff.time();
+        // All gateways that a server has turned away would otherwise return in the same moment.
+        let gateways = u32::try_from(self.cluster_view.live_count()).unwrap_or(u32::MAX);
+        let spread = SPREAD_PER_GATEWAY.saturating_mul(gateways);
+        let delay = backoff.time() + spread.mul_f64(rand::random_range(0.0..1.0));
+        let until = self.clock.now() + delay;
         self.counters.count("servers.backoff-requested");
         let is_later = self.change(|servers, now| servers.record_backoff(server, until, now));
         if is_later {
+            self.server_selector
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .record_backoff(server, until);
             info!(server:% = server, backoff_s:% = backoff; "servers: backoff requested");
             // The batch owners learn by a change that the server may be used again.
             let cluster_view = Arc::clone(&self.cluster_view);
             tokio::spawn(async move {
-                tokio::time::sleep(backoff.time()).await;
+                tokio::time::sleep(delay).await;
                 cluster_view.change_servers(|_servers, _now| true);
             });
         }
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -207,6 +207,10 @@
             SendOutcome::NotRun
         };
     }
+    let now = context.cluster_view.clock().now();
+    context
+        .server_selector()
+        .record_accepted(&server.incarnation, now);
     SendOutcome::Answer(Box::new(StartedAnswer {
         head,
         body,
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -4,7 +4,8 @@
 //! flight and the reported load. Engine requests go to the engine that has read the shared prefix
 //! of their prompt before, the same from every entry, unless that engine is nearly full and has
 //! much more in flight than the others. Cold servers are selected only if no other server has
-//! capacity, as they are slow and accept few requests. A server that fails several times in a row
+//! capacity, as they are slow and accept few requests. A server that has turned requests away gets
+//! few at first after the backoff that it requested. A server that fails several times in a row
 //! is ejected for a while, but never more than half of them.
 
 use std::cmp::Reverse;
@@ -40,6 +41,10 @@
 const AFFINITY_MIN_IN_FLIGHT: usize = 4;
 /// Multiple of the mean in flight up to which affinity applies.
 const AFFINITY_FACTOR: f64 = 1.6;
+/// Requests in flight at a server from which it counts as recovered from a backoff.
+const MAX_RECOVERING_IN_FLIGHT: usize = 32;
+/// Time after a backoff from which it no longer bounds what is in flight.
+const RECOVERY_LIFETIME: Duration = Duration::from_secs(10);
 /// Expected wait that is added for a server in another availability zone.
 const ZONE_COST_MS: f64 = 3.0;
 
@@ -109,6 +114,20 @@
     reported: Option<(ServerLoad, Duration)>,
     failures: u32,
     ejected_until: Duration,
+    /// Set from a requested backoff until the server has accepted enough again.
+    recovery: Option<Recovery>,
+}
+
+/// How much may be in flight at a server after its backoff.
+#[derive(Debug, Clone, Copy)]
+struct Recovery {
+    /// End of the backoff.
+    from: Duration,
+    max_in_flight: usize,
+    /// In flight up to which each accepted request allows twice as many.
+    fast_until: usize,
+    /// Requests accepted since `max_in_flight` was last raised.
+    accepted: usize,
 }
 
 impl ServerTracker {
@@ -116,6 +135,13 @@
         self.ejected_until > now
     }
 
+    fn may_take_one_more(&self, now: Duration) -> bool {
+        let recovery = self
+            .recovery
+            .filter(|recovery| now.saturating_sub(recovery.from) < RECOVERY_LIFETIME);
+        recovery.is_none_or(|recovery| self.in_flight < recovery.max_in_flight)
+    }
+
     fn requests_ahead(&self, load_lifetime: Duration, now: Duration) -> f64 {
         let reported = self
             .reported
@@ -325,6 +351,55 @@
         }
     }
 
+    /// Records that a server wants no requests until a time.
+    ///
+    /// After it, one request may be in flight there at first; with each that the server accepts twice
+    /// as many, up to half of those that were in flight when it turned one away, and one more for
+    /// each round of them from then on. All that it turned away would otherwise return at once and
+    /// overload it again.
+    pub fn record_backoff(&mut self, server: &ServerIncarnation, until: Duration) {
+        let tracker = self.trackers.entry(server.clone()).or_default();
+        let max_in_flight = tracker.in_flight / 2;
+        // Later rejections of the same burst find fewer in flight.
+        let before = tracker.recovery.filter(|before| before.accepted == 0);
+        tracker.recovery = Some(Recovery {
+            from: until,
+            max_in_flight: 1,
+            fast_until: before.map_or(max_in_flight, |before| before.fast_until.max(max_in_flight)),
+            accepted: 0,
+        });
+    }
+
+    /// Whether a server has as much in flight as it may have soon after a backoff.
+    #[must_use]
+    pub fn is_full_after_backoff(&self, server: &ServerIncarnation, now: Duration) -> bool {
+        let tracker = self.tracker(server);
+        tracker.is_some_and(|tracker| !tracker.may_take_one_more(now))
+    }
+
+    /// Records that a server has begun to answer a request that it accepted.
+    pub fn record_accepted(&mut self, server: &ServerIncarnation, now: Duration) {
+        let Some(tracker) = self.trackers.get_mut(server) else {
+            return;
+        };
+        // An answer to a request from before the backoff tells nothing about what it takes now.
+        if let Some(recovery) = &mut tracker.recovery
+            && recovery.from <= now
+        {
+            recovery.accepted += 1;
+            if recovery.max_in_flight < recovery.fast_until {
+                recovery.max_in_flight = (recovery.max_in_flight * 2).min(recovery.fast_until);
+                recovery.accepted = 1;
+            } else if recovery.accepted > recovery.max_in_flight {
+                recovery.max_in_flight += 1;
+                recovery.accepted = 1;
+            }
+            if recovery.max_in_flight > MAX_RECOVERING_IN_FLIGHT {
+                tracker.recovery = None;
+            }
+        }
+    }
+
     /// Whether a server may be sent a body in addition to those that this entry has there: one
     /// alone always, and more of them up to a bound.
     #[must_use]
@@ -412,8 +487,13 @@
         tried: &BTreeSet<ServerIncarnation>,
         now: Duration,
     ) -> Vec<&'a ServerRecord> {
+        let may_take_one_more = |server: &&ServerRecord| {
+            self.tracker(&server.incarnation)
+                .is_none_or(|tracker| tracker.may_take_one_more(now))
+        };
         let untried: Vec<_> = servers
             .filter(|server| !tried.contains(&server.incarnation))
+            .filter(may_take_one_more)
             .collect();
         if !self
             .trackers
--- a/crates/core/tests/server_selector.rs
+++ b/crates/core/tests/server_selector.rs
@@ -381,3 +381,43 @@
         [true, true, false, true, true]
     );
 }
+
+/// Guards against a server that is overloaded again by all that it turned away, as soon as its
+/// backoff ends.
+#[test]
+fn a_server_gets_few_requests_at_first_after_a_backoff() {
+    let (mut selector, servers) = (ServerSelector::default(), servers(1));
+    let server = &servers[0].incarnation;
+    for _ in 0..8 {
+        selector.record_send(server);
+    }
+    let end = Duration::from_secs(3);
+    selector.record_backoff(server, end);
+    for _ in 0..8 {
+        selector.record_end(server, SendEnd::Answered, Duration::ZERO, Duration::ZERO);
+    }
+    let fill = |selector: &mut ServerSelector, now| {
+        let zone = north();
+        let usable = || servers.iter().collect();
+        let mut sent = 0;
+        while sent < 100
+            && selector
+                .select_plain(usable(), &BTreeSet::new(), entry(&zone), now)
+                .is_some()
+        {
+            selector.record_send(server);
+            sent += 1;
+        }
+        for _ in 0..sent {
+            selector.record_accepted(server, now);
+            selector.record_end(server, SendEnd::Answered, Duration::ZERO, now);
+        }
+        sent
+    };
+
+    let rounds: Vec<_> = (0..6).map(|_| fill(&mut selector, end)).collect();
+    let later = fill(&mut selector, end + Duration::from_secs(10));
+
+    assert_eq!(rounds, [1, 2, 4, 5, 6, 7]);
+    assert_eq!(later, 100, "nothing was turned away for ten seconds");
+}
