Stand-in services turn calls away with a Retry-After

The random failures of the own path draw it for the server whose sidecar is never killed; counted at the server: at most two calls later than half a second after one was turned away.

--- a/crates/standins/src/backend/active_faults.rs
+++ b/crates/standins/src/backend/active_faults.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::backend::{BackendFaults, CrashMode};
 use crate::http::StopSignal;
 
+/// Time in which calls that were sent before a rejection may still come.
+const BACKOFF_GRACE: Duration = Duration::from_millis(500);
+
 /// Active faults of one backend server.
 #[derive(Debug)]
 pub(crate) struct ActiveFaults {
@@ -24,6 +28,11 @@
     fail_next: u32,
     fail_orders: u32,
     break_next: u32,
+    turn_away_until: Option<Instant>,
+    /// When a call was told first that all are turned away.
+    turned_away_at: Option<Instant>,
+    /// Calls that came some time after that.
+    calls_in_backoff: u32,
 }
 
 impl ActiveFaults {
@@ -35,6 +44,9 @@
                 fail_next: 0,
                 fail_orders: 0,
                 break_next: 0,
+                turn_away_until: None,
+                turned_away_at: None,
+                calls_in_backoff: 0,
             }),
             frozen: watch::channel(false).0,
             answers_held: watch::channel(false).0,
@@ -78,6 +90,23 @@
         wait_until_off(&self.answers_held).await;
     }
 
+    /// Time for which the current call is turned away, if it is.
+    pub(crate) fn turned_away(&self) -> Option<Duration> {
+        let mut counters = self.lock();
+        let now = Instant::now();
+        let left = counters.turn_away_until?.checked_duration_since(now)?;
+        let first = *counters.turned_away_at.get_or_insert(now);
+        if now.duration_since(first) > BACKOFF_GRACE {
+            counters.calls_in_backoff += 1;
+        }
+        Some(left)
+    }
+
+    /// Calls that came later than half a second after one had been told that all are turned away.
+    pub(crate) fn calls_in_backoff(&self) -> u32 {
+        self.lock().calls_in_backoff
+    }
+
     /// Whether the current call fails; uses up one of the failures that were set.
     pub(crate) fn take_failure(&self) -> bool {
         decrement(&mut self.lock().fail_next)
@@ -104,6 +133,11 @@
         if let Some(fail_orders) = faults.fail_orders {
             counters.fail_orders = fail_orders;
         }
+        if let Some(seconds) = faults.turn_away_s {
+            let time = Duration::try_from_secs_f64(seconds).unwrap_or_default();
+            counters.turn_away_until = (!time.is_zero()).then(|| Instant::now() + time);
+            counters.turned_away_at = None;
+        }
         if let Some(break_next) = faults.break_mid_stream {
             counters.break_next = break_next;
         }
--- a/crates/standins/src/backend/backend_faults.rs
+++ b/crates/standins/src/backend/backend_faults.rs
@@ -18,6 +18,9 @@
     pub break_mid_stream: Option<u32>,
     /// Calls start, but are answered only when this is switched off; plain services only.
     pub hold: Option<bool>,
+    /// Seconds for which all calls are turned away as not run and told to come back after the rest of
+    /// them; 0 ends it. Plain services only.
+    pub turn_away_s: Option<f64>,
     /// Crashes at once.
     pub die: Option<bool>,
 }
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -14,6 +14,7 @@
 
 pub(crate) use answer::{
     Answer, HandlerResult, json, json_body, no_content, plain_text, status, truncated_answer,
+    turned_away,
 };
 pub(crate) use connection_closed::ConnectionClosed;
 pub(crate) use query::Query;
--- a/crates/standins/src/http/answer.rs
+++ b/crates/standins/src/http/answer.rs
@@ -1,7 +1,9 @@
 //! Constructors of HTTP answers.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -44,6 +46,16 @@
     with_type(status, "text/plain", text.into())
 }
 
+/// A refusal of a call that did not run, with the time for which the server wants none.
+pub(crate) fn turned_away(left: Duration) -> Answer {
+    let mut answer = status(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = answer.headers_mut();
+    headers.insert("x-not-run", HeaderValue::from_static("1"));
+    let seconds = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64()));
+    headers.extend(seconds.ok().map(|seconds| (RETRY_AFTER, seconds)));
+    answer
+}
+
 /// An answer that is cut off after its first bytes.
 pub(crate) fn truncated_answer(first: Bytes) -> Answer {
     let (chunks, body) = mpsc::channel(1);
--- a/crates/standins/src/service/service_routes.rs
+++ b/crates/standins/src/service/service_routes.rs
@@ -10,6 +10,7 @@
 use crate::backend::{BackendFaults, CallHeaders, CallId, Digest, digest};
 use crate::http::{
     Answer, HandlerResult, json, json_body, no_content, plain_text, status, truncated_answer,
+    turned_away,
 };
 use crate::service::service_state::ServiceState;
 
@@ -27,6 +28,9 @@
 pub(crate) async fn handle(state: Arc<ServiceState>, request: Request<Bytes>) -> HandlerResult {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/executions") => Ok(json(StatusCode::OK, &state.executions())),
+        (&Method::GET, "/calls-in-backoff") => {
+            Ok(json(StatusCode::OK, &state.faults.calls_in_backoff()))
+        }
         (&Method::POST, "/admin/faults") => Ok(set_faults(&state, request.body())),
         (&Method::POST, path) => call(&state, path.trim_start_matches('/'), &request).await,
         _ => Ok(status(StatusCode::NOT_FOUND)),
@@ -39,6 +43,9 @@
         Err(error) => return Ok(plain_text(StatusCode::BAD_REQUEST, error.to_string())),
     };
     state.faults.until_unfrozen().await;
+    if let Some(left) = state.faults.turned_away() {
+        return Ok(turned_away(left));
+    }
     let body_digest = digest(request.body());
     let execution = state.record(&headers, path, body_digest);
     state.faults.simulate_work(state.service_time).await;
--- a/crates/standins/tests/failure_random.rs
+++ b/crates/standins/tests/failure_random.rs
@@ -1,7 +1,7 @@
 //! Settlements under random sequences of failures, with fixed seeds.
 //!
-//! Kills, pauses, silent and closed connections, outages, lost answers and late writes overlap while
-//! settlements are made. Then all failures end, and each settlement that was not refused as not run
+//! Kills, pauses, silent and closed connections, outages, lost answers, late writes and a server that
+//! turns calls away overlap while settlements are made. Then all failures end, and each settlement that was not refused as not run
 //! is sent again until its answer is final.
 
 mod support;
@@ -25,6 +25,8 @@
 const STEP_DURATION: Duration = Duration::from_millis(150);
 /// Makes a call take about as long as two steps, so that failures occur while it runs.
 const SLOW_FACTOR: f64 = 60.0;
+/// Calls of all steps that may come later than half a second after one was turned away.
+const MAX_CALLS_IN_BACKOFF: u32 = 2;
 /// Deadline of a settlement during failures.
 const DEADLINE_MS: &str = "5000";
 
@@ -40,6 +42,7 @@
     SidecarPaused(bool),
     EntryKilled,
     SidecarKilled,
+    TurnedAway(u32),
 }
 
 /// The processes, current failures and requests of a run.
@@ -101,7 +104,7 @@
     }
 
     fn next_failure(&mut self) -> Failure {
-        match self.random.random_range(0..9) {
+        match self.random.random_range(0..10) {
             0 => Failure::SilentConnections,
             1 => Failure::ClosedConnections,
             2 => Failure::Outage,
@@ -110,7 +113,8 @@
             5 => Failure::EntryPaused(!self.is_entry_paused),
             6 => Failure::SidecarPaused(!self.is_sidecar_paused),
             7 => Failure::EntryKilled,
-            _ => Failure::SidecarKilled,
+            8 => Failure::SidecarKilled,
+            _ => Failure::TurnedAway(self.random.random_range(200..2_000)),
         }
     }
 
@@ -140,9 +144,19 @@
                 kill(&mut self.basin.backends[1].sidecar);
                 self.basin.replace_sidecar(1).await;
             }
+            Failure::TurnedAway(time_ms) => self.turn_away(time_ms).await,
         }
     }
 
+    /// Makes the backend server whose sidecar is never killed turn calls away for a while.
+    async fn turn_away(&self, time_ms: u32) {
+        let faults = BackendFaults {
+            turn_away_s: Some(f64::from(time_ms) / 1_000.0),
+            ..BackendFaults::default()
+        };
+        self.basin.backends[0].set_faults(faults).await;
+    }
+
     async fn set_outage(&mut self, is_unavailable: bool) {
         self.basin.platform.set_outage(is_unavailable).await;
         self.is_platform_unavailable = is_unavailable;
@@ -190,6 +204,7 @@
     async fn end_failures(&mut self) {
         self.set_outage(false).await;
         self.set_late_writes(0).await;
+        self.turn_away(0).await;
         if self.is_entry_paused {
             self.set_entry_paused(false);
         }
@@ -227,6 +242,11 @@
         for backend in &self.basin.backends {
             backend.wait_for_unsettled(0).await;
         }
+        let calls_in_backoff = self.basin.backends[0].calls_in_backoff().await;
+        assert!(
+            calls_in_backoff <= MAX_CALLS_IN_BACKOFF,
+            "{calls_in_backoff} calls at a server that wanted none"
+        );
         checker.check(&self.basin.executions().await);
         println!("complete: {complete}, not run: {not_run}");
         assert!(
--- a/crates/standins/tests/support/backend_host.rs
+++ b/crates/standins/tests/support/backend_host.rs
@@ -150,6 +150,13 @@
         executions.expect("a service reports its executions")
     }
 
+    /// Calls that came later than half a second after the plain service had turned one away.
+    pub async fn calls_in_backoff(&self) -> u32 {
+        let url = self.backend.url("/calls-in-backoff");
+        let calls = HttpClient::new().get_json(url).await;
+        calls.expect("a service reports its calls")
+    }
+
     /// Executions of the engine.
     pub async fn engine_executions(&self) -> Vec<EngineExecution> {
         let url = self.backend.url("/executions");
