--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -119,16 +119,18 @@
         body,
         statement,
     } = connection.send(request, permit).await?;
+    let reported_load = statement.load;
+    let has_run = !(dialect.did_not_run)(head.status, &head.headers);
     caller
         .limits
-        .record_answer(dialect, &batch.server, &head, &statement, sent_at);
+        .record_answer(&batch.server, statement, has_run, sent_at);
     let body = read_body(body, MAX_ANSWER_BYTES, batch.timeout)
         .await
         .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
     pool.return_connection(connection, &head.headers, ConnectionShare::UNLIMITED);
     Ok(CallEnd {
         end: (dialect.parse_batch_answer)(head.status, &head.headers, &body),
-        reported_load: statement.load,
+        reported_load,
     })
 }
 
--- a/crates/amaranthscale/src/gateway/process/limit_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/limit_tracker.rs
@@ -5,13 +5,12 @@
 
 use amaranthscale_core::id::ServerIncarnation;
 use amaranthscale_core::process::{ReportedLimits, ServerLimit, ServerStatement};
-use hyper::http::response;
 use log::info;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::super::Clock;
 use super::super::version::ClusterView;
-use super::super::{Clock, Dialect};
 use crate::process::Counters;
 
 /// The rate limits that servers have reported, and which of them are not published yet.
@@ -37,23 +36,18 @@
         }
     }
 
-    /// Records the limit in the head of a server's answer to a request sent at `sent_at`.
+    /// Records the limit that a server states with its answer to a request sent at `sent_at`.
     ///
     /// An answer without a limit ends the limit only if the request ran, as a rejection may come
-    /// from a proxy in front of the server. Answers of another server at its address are ignored.
+    /// from a proxy in front of the server.
     pub(crate) fn record_answer(
         &self,
-        dialect: &Dialect,
         server: &ServerIncarnation,
-        head: &response::Parts,
-        statement: &ServerStatement,
+        statement: ServerStatement,
+        has_run: bool,
         sent_at: Instant,
     ) {
-        if (dialect.is_other_server)(head.status) {
-            return;
-        }
-        let has_run = !(dialect.did_not_run)(head.status, &head.headers);
-        let limit = match statement.limit.clone().transpose() {
+        let limit = match statement.limit.transpose() {
             Ok(limit) => limit,
             Err(error) => {
                 self.counters.count("limits.invalid");
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -9,7 +9,6 @@
     ColdLimits, LoadSnapshot, SendRateLimit, ServerAvailability, ServerList, ServerRecord,
     ServerSelector, UsableServers,
 };
-
 use log::info;
 
 use super::send_shares::ShareInputs;
@@ -157,20 +156,19 @@
         let is_any = |holds: fn(&ServerAvailability) -> bool| {
             availabilities.iter().any(|(_, one)| holds(one))
         };
-        let is_free = |one: &ServerAvailability| *one == ServerAvailability::Free;
         let server_selector = self.server_selector();
         let is_full_after_backoff = availabilities.iter().any(|(server, availability)| {
             *availability == ServerAvailability::Free
                 && server_selector.is_full_after_backoff(&server.incarnation, now)
         });
         drop(server_selector);
-        let is_backing_off =
-            |one: &ServerAvailability| matches!(one, ServerAvailability::BackingOff { .. });
+        let has_free = is_any(|one| *one == ServerAvailability::Free);
+        let has_backing_off = is_any(|one| one.backoff_until().is_some());
         let code = if is_any(|one| matches!(one, ServerAvailability::Limited { .. })) {
             ResultCode::ServersLimited
         } else if is_any(|one| matches!(one, ServerAvailability::Cold { .. })) {
             ResultCode::ServersCold
-        } else if is_full_after_backoff || (is_any(is_backing_off) && !is_any(is_free)) {
+        } else if is_full_after_backoff || (has_backing_off && !has_free) {
             ResultCode::ServersBackingOff
         } else if !availabilities.is_empty() && !is_any(|one| *one != ServerAvailability::Evacuated)
         {
@@ -180,13 +178,12 @@
         };
         let soon = is_full_after_backoff.then_some(now + RECOVERING_RETRY_DELAY);
         let choice_times = availabilities.iter().filter_map(|(server, availability)| {
-            if let ServerAvailability::BackingOff { until } = availability {
-                return Some(*until);
-            }
-            let rate_limit = availability.rate_limit()?;
-            let inputs = self.share_inputs(&servers, service, rate_limit);
-            self.send_shares
-                .next_choice_at(&server.incarnation, &inputs, now)
+            availability.backoff_until().or_else(|| {
+                let rate_limit = availability.rate_limit()?;
+                let inputs = self.share_inputs(&servers, service, rate_limit);
+                self.send_shares
+                    .next_choice_at(&server.incarnation, &inputs, now)
+            })
         });
         let has_known_time = matches!(
             code,
--- a/crates/amaranthscale/src/gateway/process/statement_recorder.rs
+++ b/crates/amaranthscale/src/gateway/process/statement_recorder.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::{ServerBackoff, ServerList, ServerSelector, ServerStatement};
+use amaranthscale_core::process::{ServerBackoff, ServerSelector, ServerStatement};
 use hyper::http::response;
 use log::info;
 
@@ -71,7 +71,13 @@
     }
 
     fn record_leaving(&self, server: &ServerIncarnation) {
-        let is_new = self.change(|servers, now| servers.record_leaving(server, now));
+        // Each answer of a leaving server states it; only the first one changes the list.
+        if self.cluster_view.servers().has_stated_leaving(server) {
+            return;
+        }
+        let is_new = self
+            .cluster_view
+            .change_servers(|servers, now| servers.record_leaving(server, now));
         if is_new {
             self.counters.count("servers.leaving-stated");
             info!(server:% = server; "servers: leaving stated");
@@ -85,14 +91,16 @@
         let delay = backoff.time() + spread.mul_f64(rand::random_range(0.0..1.0));
         let until = self.clock.now() + delay;
         self.counters.count("servers.backoff-requested");
-        let is_later = self.change(|servers, now| servers.record_backoff(server, until, now));
+        let is_later = self
+            .cluster_view
+            .change_servers(|servers, now| servers.record_backoff(server, until, now));
         if is_later {
             self.server_selector
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .record_backoff(server, until);
             info!(server:% = server, backoff_s:% = backoff; "servers: backoff requested");
-            // The batch owners learn by a change that the server may be used again.
+            // At its end the batch owners learn which limits apply to the server.
             let cluster_view = Arc::clone(&self.cluster_view);
             tokio::spawn(async move {
                 tokio::time::sleep(delay).await;
@@ -100,13 +108,4 @@
             });
         }
     }
-
-    fn change(&self, change: impl FnOnce(&mut ServerList, Duration) -> bool) -> bool {
-        let mut is_changed = false;
-        self.cluster_view.change_servers(|servers, now| {
-            is_changed = change(servers, now);
-            is_changed
-        });
-        is_changed
-    }
 }
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -191,10 +191,11 @@
         in_flight_send.end(SendEnd::Failed);
         return SendOutcome::Lost;
     }
+    let has_run = !(dialect.did_not_run)(head.status, &head.headers);
     context
         .limits
-        .record_answer(dialect, &server.incarnation, &head, &statement, sent_at);
-    if (dialect.did_not_run)(head.status, &head.headers) {
+        .record_answer(&server.incarnation, statement, has_run, sent_at);
+    if !has_run {
         let is_other = (dialect.is_other_server)(head.status);
         in_flight_send.end(if is_other {
             SendEnd::Failed
--- a/crates/amaranthscale/src/gateway/version/cluster_view.rs
+++ b/crates/amaranthscale/src/gateway/version/cluster_view.rs
@@ -336,8 +336,9 @@
         newer_since.is_some_and(|since| now.saturating_sub(since) > after)
     }
 
-    /// Changes the list of servers; the function returns whether anything in use changed.
-    pub fn change_servers(&self, change: impl FnOnce(&mut ServerList, Duration) -> bool) {
+    /// Changes the list of servers; the function returns whether anything in use changed, and so does
+    /// this.
+    pub fn change_servers(&self, change: impl FnOnce(&mut ServerList, Duration) -> bool) -> bool {
         let now = self.clock.now();
         let mut state = self.state();
         let is_changed = change(Arc::make_mut(&mut state.servers), now);
@@ -345,6 +346,7 @@
         if is_changed {
             self.notify_changed();
         }
+        is_changed
     }
 
     /// Changes the view of the gateways.
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -104,10 +104,12 @@
         let event = feed.next().await;
         link.record(&event);
         match event {
-            FeedEvent::Unavailable(_) => cluster_view.change_servers(|servers, _now| {
-                servers.store_lost();
-                false
-            }),
+            FeedEvent::Unavailable(_) => {
+                cluster_view.change_servers(|servers, _now| {
+                    servers.store_lost();
+                    false
+                });
+            }
             FeedEvent::Snapshot(rows) => {
                 let entries = parse_server_changes(&store, &rows.rows, &mut invalid_entries);
                 info!(servers = entries.len(); "servers: listed");
--- a/crates/amaranthscale/src/sidecar/backend_client.rs
+++ b/crates/amaranthscale/src/sidecar/backend_client.rs
@@ -54,6 +54,8 @@
 pub(super) struct BackendReply {
     pub(super) response: Response<Incoming>,
     pub(super) sender: Sender,
+    /// The backoff that the server requests with it; recorded already.
+    pub(super) backoff: Option<ServerBackoff>,
 }
 
 impl BackendClient {
@@ -151,17 +153,34 @@
     /// call can miss it.
     async fn send(
         &self,
-        sender: Sender,
+        mut sender: Sender,
         request: Request<Full<Bytes>>,
     ) -> Result<BackendReply, SendFailure> {
-        let reply = send(sender, request).await?;
-        let (status, headers) = (reply.response.status(), reply.response.headers());
-        match requested_backoff(status, headers) {
-            Some(Ok(backoff)) => self.shared.record_backoff(backoff),
-            Some(Err(error)) => warn!("sidecar: invalid backoff requested: {error}"),
-            None => {}
+        let response = sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| {
+                // The library returns the request only if it has not begun to write it.
+                if let Some(request) = error.take_message() {
+                    let reason = error.error().to_string();
+                    return (CallError::NotSent(reason), Some(Box::new(request)));
+                }
+                let reason = error.into_error().to_string();
+                (CallError::ConnectionLost(reason), None)
+            })?;
+        let backoff = requested_backoff(response.status(), response.headers());
+        let backoff = backoff.transpose().unwrap_or_else(|error| {
+            warn!("sidecar: invalid backoff requested: {error}");
+            None
+        });
+        if let Some(backoff) = backoff {
+            self.shared.record_backoff(backoff);
         }
-        Ok(reply)
+        Ok(BackendReply {
+            response,
+            sender,
+            backoff,
+        })
     }
 
     fn take_idle(&self) -> Option<Sender> {
@@ -191,7 +210,7 @@
 }
 
 /// The backoff that a server requests by turning a call away, in seconds with a fraction.
-pub(super) fn requested_backoff(
+fn requested_backoff(
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Option<Result<ServerBackoff, InvalidServerBackoff>> {
@@ -218,23 +237,3 @@
 }
 
 type SendFailure = (CallError, Option<Box<Request<Full<Bytes>>>>);
-
-async fn send(
-    mut sender: Sender,
-    request: Request<Full<Bytes>>,
-) -> Result<BackendReply, SendFailure> {
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok(BackendReply { response, sender }),
-        Err(mut error) => match error.take_message() {
-            // The library returns the request only if it has not begun to write it.
-            Some(request) => {
-                let reason = error.error().to_string();
-                Err((CallError::NotSent(reason), Some(Box::new(request))))
-            }
-            None => Err((
-                CallError::ConnectionLost(error.into_error().to_string()),
-                None,
-            )),
-        },
-    }
-}
--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -11,7 +11,8 @@
 use hyper::{Response, StatusCode};
 use sha2::{Digest as _, Sha256};
 
-use crate::sidecar::backend_client::{BackendReply, Sender, is_turned_away, requested_backoff};
+use crate::process::ms;
+use crate::sidecar::backend_client::{BackendReply, Sender, is_turned_away};
 use crate::sidecar::call_error::CallError;
 use crate::sidecar::job::Job;
 
@@ -57,10 +58,14 @@
     }
 
     pub(super) async fn run(mut self, reply: BackendReply) -> Result<Relayed, CallError> {
-        let BackendReply { response, sender } = reply;
+        let BackendReply {
+            response,
+            sender,
+            backoff,
+        } = reply;
         if states_not_run(&response) {
             return Ok(Relayed {
-                outcome: refusal_outcome(&response),
+                outcome: refusal_outcome(response.status(), backoff),
                 result: Bytes::new(),
                 sender: None,
             });
@@ -136,13 +141,10 @@
     is_turned_away(response.status()) && not_run.is_some_and(|value| value == "1")
 }
 
-fn refusal_outcome(response: &Response<Incoming>) -> Outcome {
+fn refusal_outcome(status: StatusCode, backoff: Option<ServerBackoff>) -> Outcome {
     let mut outcome = Outcome::without_result(ResultCode::QueueFull);
-    outcome.backend_status = response.status().as_u16();
-    let backoff = requested_backoff(response.status(), response.headers());
-    let backoff = backoff.and_then(Result::ok).map(ServerBackoff::time);
-    outcome.retry_after_ms =
-        backoff.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
+    outcome.backend_status = status.as_u16();
+    outcome.retry_after_ms = backoff.map(|backoff| ms(backoff.time()));
     outcome
 }
 
--- a/crates/amaranthscale/src/sidecar/shared_state.rs
+++ b/crates/amaranthscale/src/sidecar/shared_state.rs
@@ -91,7 +91,7 @@
             clock: self.now(),
             tree_version: self.tree.version(),
             is_leaving: self.is_leaving(),
-            // Rounded up, so that a rest of less than a millisecond is not taken for none.
+            // Rounded up, so that a backoff of less than a millisecond is not taken for none.
             backoff_ms: u64::try_from(self.backoff_left().as_micros().div_ceil(1_000))
                 .unwrap_or(u64::MAX),
             load: self.load(),
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -92,10 +92,11 @@
     }
 
     fn is_usable(&self, now: Duration) -> bool {
-        match self.server_availability {
-            ServerAvailability::BackingOff { until } => until <= now,
-            availability => availability.is_usable(),
-        }
+        let availability = self.server_availability;
+        let has_backed_off = availability
+            .backoff_until()
+            .is_some_and(|until| until <= now);
+        availability.is_usable() || has_backed_off
     }
 
     /// The owner's share of the server's rate limit while it is cold or limited.
@@ -296,17 +297,12 @@
     /// Time until a server may be used again if all those that may be used back off now; none if
     /// one may be used now, or none at all.
     pub(super) fn backoff_left(&self, now: Duration) -> Option<Duration> {
-        let mut first_end = None;
-        for server in self.servers.values() {
-            match server.server_availability {
-                ServerAvailability::BackingOff { until } if until > now => {
-                    first_end = Some(first_end.map_or(until, |end: Duration| end.min(until)));
-                }
-                availability if availability.is_usable_in_time() => return None,
-                _ => {}
-            }
+        if self.servers.values().any(|server| server.is_usable(now)) {
+            return None;
         }
-        first_end.map(|end| end.saturating_sub(now))
+        let servers = self.servers.values();
+        let ends = servers.filter_map(|server| server.server_availability.backoff_until());
+        ends.min().map(|end| end.saturating_sub(now))
     }
 }
 
--- a/crates/core/src/process/router.rs
+++ b/crates/core/src/process/router.rs
@@ -259,24 +259,18 @@
         let of_service = self.hosts.values();
         let of_service =
             of_service.filter(|tracker| tracker.record.service.as_ref() == Some(service));
-        let availabilities = of_service.map(|tracker| self.availability_of(tracker, now));
-        let mut is_any_evacuated = false;
-        let mut first_end: Option<Duration> = None;
-        for availability in availabilities {
-            match availability {
-                ServerAvailability::Evacuated => is_any_evacuated = true,
-                ServerAvailability::BackingOff { until } => {
-                    first_end = Some(first_end.map_or(until, |end| end.min(until)));
-                }
-                _ => {}
-            }
-        }
-        if let Some(end) = first_end {
+        let availabilities: Vec<_> = of_service
+            .map(|tracker| self.availability_of(tracker, now))
+            .collect();
+        let ends = availabilities
+            .iter()
+            .filter_map(|availability| availability.backoff_until());
+        if let Some(end) = ends.min() {
             let left_ms = u64::try_from(end.saturating_sub(now).as_millis()).unwrap_or(u64::MAX);
             return Refusal::new(ResultCode::ServersBackingOff, left_ms.max(1));
         }
-        let is_evacuated = is_any_evacuated && self.subset(service).next().is_none();
-        let code = if is_evacuated {
+        let is_any_evacuated = availabilities.contains(&ServerAvailability::Evacuated);
+        let code = if is_any_evacuated && self.subset(service).next().is_none() {
             ResultCode::ZonesEvacuated
         } else {
             ResultCode::NoBackendServer
--- a/crates/core/src/process/server_availability.rs
+++ b/crates/core/src/process/server_availability.rs
@@ -66,6 +66,15 @@
         self.is_usable() || matches!(self, Self::BackingOff { .. })
     }
 
+    /// When a requested backoff ends, if that is what keeps it.
+    #[must_use]
+    pub const fn backoff_until(self) -> Option<Duration> {
+        match self {
+            Self::BackingOff { until } => Some(until),
+            _ => None,
+        }
+    }
+
     /// Name in log lines and counters.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/crates/core/src/process/server_notices.rs
+++ b/crates/core/src/process/server_notices.rs
@@ -23,9 +23,11 @@
 impl ServerNotices {
     /// Records that a server leaves; returns whether this is new.
     pub(super) fn record_leaving(&mut self, server: &ServerIncarnation, now: Duration) -> bool {
-        let known = self.leaving.len();
-        self.leaving.entry(server.clone()).or_insert(now);
-        self.leaving.len() > known
+        if self.is_leaving(server) {
+            return false;
+        }
+        self.leaving.insert(server.clone(), now);
+        true
     }
 
     /// Records a requested backoff; returns whether it ends later than those before.
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -135,11 +135,11 @@
         self.ejected_until > now
     }
 
-    fn may_take_one_more(&self, now: Duration) -> bool {
-        let recovery = self
-            .recovery
-            .filter(|recovery| now.saturating_sub(recovery.from) < RECOVERY_LIFETIME);
-        recovery.is_none_or(|recovery| self.in_flight < recovery.max_in_flight)
+    fn is_full_after_backoff(&self, now: Duration) -> bool {
+        self.recovery.is_some_and(|recovery| {
+            now.saturating_sub(recovery.from) < RECOVERY_LIFETIME
+                && self.in_flight >= recovery.max_in_flight
+        })
     }
 
     fn requests_ahead(&self, load_lifetime: Duration, now: Duration) -> f64 {
@@ -374,7 +374,7 @@
     #[must_use]
     pub fn is_full_after_backoff(&self, server: &ServerIncarnation, now: Duration) -> bool {
         let tracker = self.tracker(server);
-        tracker.is_some_and(|tracker| !tracker.may_take_one_more(now))
+        tracker.is_some_and(|tracker| tracker.is_full_after_backoff(now))
     }
 
     /// Records that a server has begun to answer a request that it accepted.
@@ -487,13 +487,9 @@
         tried: &BTreeSet<ServerIncarnation>,
         now: Duration,
     ) -> Vec<&'a ServerRecord> {
-        let may_take_one_more = |server: &&ServerRecord| {
-            self.tracker(&server.incarnation)
-                .is_none_or(|tracker| tracker.may_take_one_more(now))
-        };
         let untried: Vec<_> = servers
             .filter(|server| !tried.contains(&server.incarnation))
-            .filter(may_take_one_more)
+            .filter(|server| !self.is_full_after_backoff(&server.incarnation, now))
             .collect();
         if !self
             .trackers
