Configuration of KV cache transfer, prompt parts and feature switches for hard load

The three parts of docs/design/hard-load.md share some inputs: the parts of a prompt, the size and bandwidth of KV cache transfers, the longest pause between events, the organisation of a job, and a way to disable each part.

They are parsed and carried here without any change of behaviour.

--- a/crates/amaranthscale/src/gateway.rs
+++ b/crates/amaranthscale/src/gateway.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod daemon;
 mod dialect;
+mod feature;
 mod gateway_config;
 mod listen;
 mod request_content;
@@ -26,7 +27,9 @@
 #[doc(inline)]
 pub use daemon::{Gateway, GatewayError};
 #[doc(inline)]
-pub use dialect::{Dialect, HeaderNames, InvalidHeader, RequestAttributes};
+pub use dialect::{Dialect, HeaderNames, InvalidHeader, PromptPart, RequestAttributes};
+#[doc(inline)]
+pub use feature::{Feature, FeatureSet, UnknownFeature};
 #[doc(inline)]
 pub use gateway_config::GatewayConfig;
 pub(crate) use request_content::RequestContent;
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -50,6 +50,15 @@
     pub reserved: Vec<HeaderName>,
 }
 
+/// A part of a prompt, which other requests may share.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Id of the part.
+    pub id: String,
+    /// Tokens of the part.
+    pub tokens: u64,
+}
+
 /// What a caller's headers state about its request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestAttributes {
@@ -65,6 +74,10 @@
     pub value_tokens: u64,
     /// Tokens of the prompt; 0 if not known.
     pub prompt_tokens: u64,
+    /// Tokens that the answer may have at most; 0 if not known.
+    pub max_output_tokens: u64,
+    /// Parts of the prompt in order; the last one belongs to the request or its session.
+    pub prompt_parts: Vec<PromptPart>,
     /// Id of the last prefix of the prompt that other requests share.
     pub shared_prefix: Option<String>,
 }
--- a/crates/amaranthscale/src/gateway/gateway_config.rs
+++ b/crates/amaranthscale/src/gateway/gateway_config.rs
@@ -6,7 +6,7 @@
 use amaranthscale_core::id::{InstanceId, ZoneId};
 use amaranthscale_core::process::{Announcement, ColdAllowance, RetryBudgetSettings};
 
-use super::{Clock, Dialect, StoreApi};
+use super::{Clock, Dialect, FeatureSet, StoreApi};
 
 /// Settings and platform formats of one gateway.
 #[derive(Debug, Clone)]
@@ -43,6 +43,8 @@
     pub stop_bound: Duration,
     /// Retries that all gateways together may send to a service.
     pub retry_budget: RetryBudgetSettings,
+    /// The enabled features.
+    pub features: FeatureSet,
     /// The clocks.
     pub clock: Clock,
     /// Headers and formats of callers and servers.
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -18,10 +18,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use super::super::Dialect;
 use super::super::clock::ms;
 use super::super::connection::ConnectionPool;
 use super::super::version::ClusterView;
+use super::super::{Dialect, FeatureSet};
 use super::LimitTracker;
 use super::batch_calls::{BatchCaller, CallEnd, run_batch, send_free_request};
 use super::batch_message::{BatchOwnerMessage, JobOutcome, JobSource, JobUpdate, Submission};
@@ -52,6 +52,8 @@
     pub cold_allowance: ColdAllowance,
     /// Connections to stage servers.
     pub pool: Arc<ConnectionPool>,
+    /// The enabled features.
+    pub features: FeatureSet,
     /// Headers and formats of calls to stage servers.
     pub dialect: Arc<Dialect>,
     /// Counts results of calls and jobs.
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -6,9 +6,9 @@
 use amaranthscale_core::id::{InstanceId, ServiceId, ZoneId};
 use amaranthscale_core::process::{ConnectionShare, ServerSelector};
 
-use super::super::Dialect;
 use super::super::connection::ConnectionPool;
 use super::super::version::{AnnouncementWriter, ClusterView, TableRelay};
+use super::super::{Dialect, FeatureSet};
 use super::{
     BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, RetryBudgets,
     SendShares, ShutdownGate,
@@ -27,6 +27,8 @@
     pub cluster_view: Arc<ClusterView>,
     /// Idle connections to servers.
     pub pool: Arc<ConnectionPool>,
+    /// The enabled features.
+    pub features: FeatureSet,
     /// Headers and formats of callers and servers.
     pub dialect: Arc<Dialect>,
     /// Retry budgets by service.
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
+use amaranthscale_core::id::OrganisationId;
 use amaranthscale_core::process::Rank;
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
@@ -37,6 +38,8 @@
     /// The claim of its single run, if it is limited to one server at a time.
     pub(super) single_run: OnceLock<SingleRun>,
     pub(super) rank: Rank,
+    /// Organisation of the caller, if its key names one.
+    pub(super) organisation: Option<OrganisationId>,
     pub(super) arrived_at: Instant,
     /// The caller's or the route's deadline, whichever is earlier.
     pub(super) deadline: Instant,
@@ -210,6 +213,7 @@
     let host = host_of(head).to_owned();
     let request_content = RequestContent::new(holder.clone(), host, head.uri.clone(), body.clone());
     let outgoing = OutgoingRequest::new(head, body, &context.dialect, holder.as_deref());
+    let organisation = holder.as_ref().map(|holder| holder.organisation.clone());
     let rank = Rank {
         organisation: holder.and_then(|holder| holder.priority).unwrap_or(0),
         route: route.priority,
@@ -220,6 +224,7 @@
         request_content,
         single_run: OnceLock::new(),
         rank,
+        organisation,
         arrived_at,
         deadline,
     };
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -289,6 +289,8 @@
                 piece_key: self.admitted.attributes.piece_key.clone(),
                 stages,
                 rank: self.admitted.rank,
+                organisation: self.admitted.organisation.clone(),
+                was_admitted: false,
                 value_tokens: self.admitted.attributes.value_tokens,
                 target_latency: route.target_latency,
                 target_latency_left: route
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -128,6 +128,8 @@
         piece_key: "key".to_owned(),
         stages: stages.collect(),
         rank: Rank::default(),
+        organisation: None,
+        was_admitted: false,
         value_tokens: 1_000 + number % 7 * 500,
         target_latency: Duration::from_secs(2),
         target_latency_left: Duration::from_secs(2),
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use super::RetainedResult;
-use crate::id::{CallId, ResultHandle, RouteId, ServerIncarnation, ServiceId, ZoneId};
+use crate::id::{
+    CallId, OrganisationId, ResultHandle, RouteId, ServerIncarnation, ServiceId, ZoneId,
+};
 use crate::process::{Cell, Rank};
 
 /// Identifies a job of the batcher.
@@ -45,6 +47,12 @@
     pub stages: Vec<StageSpec>,
     /// Its urgency relative to others.
     pub rank: Rank,
+    /// Organisation of the caller, if its key names one.
+    #[serde(default)]
+    pub organisation: Option<OrganisationId>,
+    /// Whether an earlier owner admitted it.
+    #[serde(default)]
+    pub was_admitted: bool,
     /// Value of the answer relative to others, in tokens of engine work; 0 if not known.
     #[serde(rename = "worth_tokens")]
     pub value_tokens: u64,
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -284,6 +284,18 @@
         with_capacity.or_else(|| servers.first()).copied()
     }
 
+    /// The engine that prompts with a shared prefix go to as long as it has capacity.
+    #[must_use]
+    pub fn prefix_home<'a>(
+        &self,
+        servers: &UsableServers<'a>,
+        shared_prefix: &str,
+    ) -> Option<&'a ServerRecord> {
+        let seed = rendezvous::score(1, shared_prefix);
+        let score = |server: &&ServerRecord| rendezvous::score(seed, server.incarnation.id());
+        servers.free.iter().copied().max_by_key(score)
+    }
+
     fn is_nearly_full(&self, server: &ServerRecord, now: Duration) -> bool {
         self.fullness(server, ENGINE_LOAD_LIFETIME, now) >= AFFINITY_MAX_FULLNESS
     }
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -63,6 +63,7 @@
 #[doc(inline)]
 pub use routing::{
     BatchSpec, CallerBounds, EngineSpec, KeyHolder, Pool, Route, RouteKind, RouteStage, Routing,
+    TransferSpec,
 };
 #[doc(inline)]
 pub use service::Service;
--- a/crates/core/src/version/routing.rs
+++ b/crates/core/src/version/routing.rs
@@ -22,7 +22,7 @@
 #[doc(inline)]
 pub use key_holder::KeyHolder;
 #[doc(inline)]
-pub use pool::{BatchSpec, EngineSpec, Pool};
+pub use pool::{BatchSpec, EngineSpec, Pool, TransferSpec};
 #[doc(inline)]
 pub use route::{Route, RouteKind, RouteStage};
 
--- a/crates/core/src/version/routing/pool.rs
+++ b/crates/core/src/version/routing/pool.rs
@@ -27,6 +27,33 @@
     pub slots: usize,
     /// Memory for running requests and cached prompts, in tokens.
     pub memory_tokens: u64,
+    /// How engines copy the KV cache of prompts and runs to each other, if they can.
+    pub transfer: Option<TransferSpec>,
+}
+
+/// How engines of a service copy KV cache to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TransferSpec {
+    /// KV cache of one token.
+    pub bytes_per_token: u64,
+    /// Bandwidth of an engine's link for transfers.
+    pub bytes_per_s: u64,
+    /// Whether an engine can replicate a running request to another engine.
+    pub can_back_up: bool,
+    /// Whether an engine can migrate a running request to another engine.
+    pub can_move: bool,
+    /// How long an unused copy is retained.
+    pub copy_retention: Duration,
+}
+
+impl TransferSpec {
+    /// Time to transfer the KV cache of some tokens over an idle link.
+    #[must_use]
+    pub fn transfer_time(&self, tokens: u64) -> Duration {
+        let bytes = u128::from(tokens) * u128::from(self.bytes_per_token);
+        let micros = bytes * 1_000_000 / u128::from(self.bytes_per_s.max(1));
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
 }
 
 /// Batch capacity of one server of a stage service.
--- a/crates/core/src/version/routing/route.rs
+++ b/crates/core/src/version/routing/route.rs
@@ -73,6 +73,8 @@
     pub stages: Vec<RouteStage>,
     /// Whether no key is needed.
     pub is_public: bool,
+    /// Longest pause between two events of an answer that is on time, if one is set.
+    pub max_event_gap: Option<Duration>,
 }
 
 impl Route {
--- a/crates/core/tests/batcher/fixture.rs
+++ b/crates/core/tests/batcher/fixture.rs
@@ -177,6 +177,8 @@
             piece_key: "key".to_owned(),
             stages: stages.collect(),
             rank: Rank::default(),
+            organisation: None,
+            was_admitted: false,
             value_tokens: 0,
             target_latency: ms(2_000),
             target_latency_left: ms(2_000),
--- a/crates/core/tests/routing_look_up.rs
+++ b/crates/core/tests/routing_look_up.rs
@@ -20,6 +20,7 @@
         max_attempts: 2,
         stages: Vec::new(),
         is_public: false,
+        max_event_gap: None,
     }
 }
 
