Gateway lists its servers to operators

GET /servers at the operator listener states each listed server with its availability as this gateway would use it and what the gateway has in flight there, batch calls included. Operators had only the rows of limits, leaving and backoffs on the metrics page, and no figure of what still runs at a server. MovingRuns::begin lists a run as being moved until its guard is dropped.

The listener's handlers move from listen.rs to gateway/operator/.

--- a/crates/amaranthscale/src/gateway.rs
+++ b/crates/amaranthscale/src/gateway.rs
@@ -19,6 +19,7 @@
 mod feature;
 mod gateway_config;
 mod listen;
+mod operator;
 mod request_content;
 mod store_api;
 
@@ -32,6 +33,8 @@
 pub use feature::{Feature, FeatureSet, UnknownFeature};
 #[doc(inline)]
 pub use gateway_config::GatewayConfig;
+#[doc(inline)]
+pub use operator::{ListingInputs, server_reports};
 pub(crate) use request_content::RequestContent;
 #[doc(inline)]
 pub use store_api::{
--- a/crates/amaranthscale/src/gateway/connection/connection_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/connection_pool.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use super::super::process::{SendPermit, StatementRecorder};
+use super::CallsInFlight;
 use crate::connection::{Http1Connection, SendError};
 
 /// Timeout for opening a connection; a host that is up answers within a few milliseconds.
@@ -106,6 +107,7 @@
 pub struct ConnectionPool {
     idle: Mutex<BTreeMap<ServerIncarnation, Vec<IdleConnection>>>,
     statements: Arc<StatementRecorder>,
+    calls_in_flight: Arc<CallsInFlight>,
 }
 
 impl ConnectionPool {
@@ -115,9 +117,16 @@
         Self {
             idle: Mutex::default(),
             statements,
+            calls_in_flight: Arc::default(),
         }
     }
 
+    /// Batch calls in flight over the pool's connections.
+    #[must_use]
+    pub const fn calls_in_flight(&self) -> &Arc<CallsInFlight> {
+        &self.calls_in_flight
+    }
+
     /// An idle connection, or a new one.
     pub async fn connection(&self, server: &ServerRecord) -> Result<ServerConnection, SendError> {
         if let Some(connection) = self.take_idle(&server.incarnation) {
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -2,24 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
-use amaranthscale_core::id::RequestFingerprint;
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 
+use super::operator::answer_operator;
 use super::process::{GatewayContext, serve_peer};
 use super::request::answer_caller;
 use super::{GatewayConfig, GatewayError};
-use crate::connection::{
-    HttpServer, HttpServerLimits, ResponseBody, StallLimit, empty_body, full_body,
-};
-
-/// Path that lists the quarantined requests.
-const QUARANTINE_LIST_PATH: &str = "/quarantine";
-/// Prefix of the path that lifts the quarantine of a request; its fingerprint follows.
-const QUARANTINE_LIFT_PATH: &str = "/quarantine/lift/";
+use crate::connection::{HttpServer, HttpServerLimits, ResponseBody, StallLimit, empty_body};
 
 /// Servers for readiness checks, other gateways and metrics.
 #[derive(Debug)]
@@ -94,8 +86,7 @@
     if let Some(address) = config.metrics_address {
         let metrics_context = Arc::clone(context);
         let answer = move |request: Request<Incoming>| {
-            let response = operator_response(&metrics_context, &request);
-            async move { response }
+            answer_operator(Arc::clone(&metrics_context), request)
         };
         let server = HttpServer::start(address, limits, answer)
             .await
@@ -123,100 +114,3 @@
     }
     response
 }
-
-/// Answers requests for metrics, for the list of quarantined requests and to lift a quarantine.
-fn operator_response(
-    context: &GatewayContext,
-    request: &Request<Incoming>,
-) -> Response<ResponseBody> {
-    let path = request.uri().path();
-    let lift_target = path.strip_prefix(QUARANTINE_LIFT_PATH);
-    match (request.method(), lift_target) {
-        (&Method::POST, Some(name)) => {
-            let fingerprint: Result<RequestFingerprint, _> = name.parse();
-            let (status, text) = match fingerprint {
-                Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
-                Ok(request) if context.crashes.lift(request) => (
-                    StatusCode::OK,
-                    format!("{request} is sent to servers again"),
-                ),
-                Ok(request) => (
-                    StatusCode::NOT_FOUND,
-                    format!(
-                        "{request} is not held back: GET {QUARANTINE_LIST_PATH} lists those that are"
-                    ),
-                ),
-            };
-            let mut response = Response::new(full_body(text + "\n"));
-            *response.status_mut() = status;
-            response
-        }
-        _ if path == QUARANTINE_LIST_PATH => Response::new(full_body(quarantine_text(context))),
-        _ => Response::new(full_body(metrics_text(context))),
-    }
-}
-
-/// Quarantined requests, one per line with the servers that crashed under each.
-fn quarantine_text(context: &GatewayContext) -> String {
-    let quarantined = context.crashes.quarantined_requests().into_iter();
-    let lines = quarantined.map(|(request, servers)| {
-        let servers: Vec<_> = servers.iter().map(ToString::to_string).collect();
-        format!("{request} {}\n", servers.join(","))
-    });
-    lines.collect()
-}
-
-/// All counters and latencies, one per line.
-fn metrics_text(context: &GatewayContext) -> String {
-    use std::fmt::Write;
-    let mut text = String::new();
-    for (name, total) in context.counters.totals() {
-        let name = name.replace(['.', '-'], "_");
-        // Writing to a string cannot fail.
-        let _ = writeln!(text, "amaranth_{name}_total {total}");
-    }
-    let _ = writeln!(
-        text,
-        "amaranth_open_requests {}",
-        context.shutdown.open_requests()
-    );
-    let _ = writeln!(
-        text,
-        "amaranth_stalled_callers_total {}",
-        context.stalled_callers.load(Ordering::Relaxed)
-    );
-    for (request, servers) in context.crashes.quarantined_requests() {
-        let crashed = servers.len();
-        let _ = writeln!(
-            text,
-            "amaranth_quarantined{{fingerprint=\"{request}\"}} {crashed}"
-        );
-    }
-    for (server, limit) in context.limits.limits() {
-        let _ = writeln!(
-            text,
-            "amaranth_server_limit_per_s{{server=\"{server}\"}} {limit}"
-        );
-    }
-    let (servers, now) = (
-        context.cluster_view.servers(),
-        context.cluster_view.clock().now(),
-    );
-    for record in servers.all() {
-        let server = &record.incarnation;
-        if servers.has_stated_leaving(server) {
-            let _ = writeln!(
-                text,
-                "amaranth_server_leaving_stated{{server=\"{server}\"}} 1"
-            );
-        }
-        if let Some(until) = servers.backoff_until(server, now) {
-            let left_s = until.saturating_sub(now).as_secs_f64();
-            let _ = writeln!(
-                text,
-                "amaranth_server_backoff_left_s{{server=\"{server}\"}} {left_s:.3}"
-            );
-        }
-    }
-    text + &context.latencies.text()
-}
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -7,10 +7,12 @@
 mod batch_owners;
 mod buffer_memory;
 mod crash_tracker;
+mod ejections;
 mod first_event_estimators;
 mod gateway_context;
 mod limit_tracker;
 mod monitor_unresponsive;
+mod moving_runs;
 mod peer_jobs;
 mod peer_message;
 mod peer_server;
@@ -39,6 +41,8 @@
 #[doc(inline)]
 pub use crash_tracker::CrashTracker;
 #[doc(inline)]
+pub use ejections::Ejections;
+#[doc(inline)]
 pub use first_event_estimators::FirstEventEstimators;
 #[doc(inline)]
 pub use gateway_context::GatewayContext;
@@ -47,6 +51,8 @@
 #[doc(inline)]
 pub use monitor_unresponsive::monitor_unresponsive;
 #[doc(inline)]
+pub use moving_runs::{MovingRunGuard, MovingRuns};
+#[doc(inline)]
 pub use peer_jobs::JOB_PATH;
 #[doc(inline)]
 pub use peer_server::{ALIVE_PATH, check_alive, serve_peer};
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -184,6 +184,7 @@
     let started = Instant::now();
     let counters = &caller.counters;
     counters.count("batch.calls");
+    let _in_flight = caller.pool.calls_in_flight().begin(&batch.server);
     let end = call_batch(caller, batch).await;
     let ms = ms(started.elapsed());
     for (end, pieces) in failed_piece_counts(&end.end, batch.items.len()) {
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -10,8 +10,8 @@
 use super::super::version::{AnnouncementWriter, ClusterView, TableRelay};
 use super::super::{Dialect, FeatureSet};
 use super::{
-    BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, RetryBudgets,
-    SendShares, ShutdownGate,
+    BatchOwners, BufferMemory, CrashTracker, Ejections, FirstEventEstimators, LimitTracker,
+    MovingRuns, RetryBudgets, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -69,6 +69,10 @@
     pub crashes: Arc<CrashTracker>,
     /// Selects servers by the load and health that earlier sends showed.
     pub server_selector: Arc<Mutex<ServerSelector>>,
+    /// Ejected servers.
+    pub ejections: Ejections,
+    /// Runs that are being moved.
+    pub moving_runs: Arc<MovingRuns>,
 }
 
 impl GatewayContext {
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -200,7 +200,7 @@
     }
 
     /// Limits of a service's cold servers.
-    fn cold_limits(&self, service: &ServiceId) -> Option<ColdLimits> {
+    pub(crate) fn cold_limits(&self, service: &ServiceId) -> Option<ColdLimits> {
         let routing = self.cluster_view.routing()?;
         routing.cold_limits(service, self.send_shares.cold_allowance())
     }
--- a/crates/amaranthscale/src/operator.rs
+++ b/crates/amaranthscale/src/operator.rs
@@ -11,6 +11,14 @@
 //! | `GET /v1/operator/status` | the entry's `/status` |
 //! | `GET /v1/operator/cost` | a list of [`CostLine`](crate::entry::process::CostLine) |
 //!
+//! A gateway's operator listener, which also serves metrics, has these without a key:
+//!
+//! | call | answer |
+//! |---|---|
+//! | `GET /servers` | [`GatewayServers`] |
+//! | `GET /quarantine` | a line for each quarantined request |
+//! | `POST /quarantine/lift/ID` | a line of text |
+//!
 //! [`ctl`] is the client, the program `amaranthctl`, and [`explain`] evaluates log files.
 
 pub mod ctl;
@@ -19,7 +27,10 @@
 mod edit_accepted;
 mod edit_conflict;
 mod edit_request;
+mod gateway_servers;
+mod moving_run;
 mod refusal;
+mod server_report;
 
 #[doc(inline)]
 pub use edit_accepted::EditAccepted;
@@ -28,7 +39,13 @@
 #[doc(inline)]
 pub use edit_request::EditRequest;
 #[doc(inline)]
+pub use gateway_servers::GatewayServers;
+#[doc(inline)]
+pub use moving_run::MovingRun;
+#[doc(inline)]
 pub use refusal::Refusal;
+#[doc(inline)]
+pub use server_report::ServerReport;
 
 /// Path of the settings tree.
 pub const TREE_PATH: &str = "/v1/operator/tree";
@@ -38,3 +55,9 @@
 pub const STATUS_PATH: &str = "/v1/operator/status";
 /// Path of the cost report.
 pub const COST_PATH: &str = "/v1/operator/cost";
+/// Path at a gateway of its servers' states.
+pub const GATEWAY_SERVERS_PATH: &str = "/servers";
+/// Path at a gateway of the quarantined requests.
+pub const QUARANTINE_LIST_PATH: &str = "/quarantine";
+/// Prefix of the path at a gateway that lifts the quarantine of a request; its fingerprint follows.
+pub const QUARANTINE_LIFT_PATH: &str = "/quarantine/lift/";
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -48,6 +48,7 @@
 mod server_notices;
 mod server_selector;
 mod server_statement;
+mod server_use;
 mod shared_retry_budget;
 mod stage_estimate;
 mod start_plan;
@@ -136,6 +137,8 @@
 #[doc(inline)]
 pub use server_statement::ServerStatement;
 #[doc(inline)]
+pub use server_use::ServerUse;
+#[doc(inline)]
 pub use shared_retry_budget::{RetryBudgetSettings, SharedRetryBudget};
 #[doc(inline)]
 pub use stage_estimate::StageEstimate;
