amaranthctl lists servers and held-back requests of a gateway, and lifts one

A lost answer to a lift is told from a gateway that was not reached, and the metrics page that an earlier version answers with is not taken for a confirmation.

--- a/crates/amaranthscale/src/operator.rs
+++ b/crates/amaranthscale/src/operator.rs
@@ -28,6 +28,7 @@
 mod edit_conflict;
 mod edit_request;
 mod gateway_servers;
+mod held_back_request;
 mod moving_run;
 mod refusal;
 mod server_report;
@@ -41,6 +42,8 @@
 #[doc(inline)]
 pub use gateway_servers::GatewayServers;
 #[doc(inline)]
+pub use held_back_request::HeldBackRequest;
+#[doc(inline)]
 pub use moving_run::MovingRun;
 #[doc(inline)]
 pub use refusal::Refusal;
--- a/crates/amaranthscale/src/operator/ctl.rs
+++ b/crates/amaranthscale/src/operator/ctl.rs
@@ -12,6 +12,10 @@
 mod entry_client;
 mod exit_status;
 mod explain_call;
+mod gateway_address;
+mod gateway_client;
+mod gateway_commands;
+mod gateway_render;
 mod program;
 mod render;
 mod submit;
@@ -27,4 +31,8 @@
 #[doc(inline)]
 pub use exit_status::ExitStatus;
 #[doc(inline)]
+pub use gateway_address::{GatewayAddress, InvalidGatewayAddress};
+#[doc(inline)]
+pub use gateway_client::GatewayClient;
+#[doc(inline)]
 pub use program::{run, run_program};
--- a/crates/amaranthscale/src/operator/ctl/command.rs
+++ b/crates/amaranthscale/src/operator/ctl/command.rs
@@ -2,13 +2,15 @@
 
 use std::path::PathBuf;
 
-use amaranthscale_core::id::{OrganisationId, PipelineId, ServiceId, TreeVersion, ZoneId};
+use amaranthscale_core::id::{
+    OrganisationId, PipelineId, RequestFingerprint, ServiceId, TreeVersion, ZoneId,
+};
 use amaranthscale_core::unit::Class;
 use amaranthscale_core::version::OverrideField;
 use clap::{Arg, ArgAction, Command, value_parser};
 use clap_complete::Shell;
 
-use super::EntryAddress;
+use super::{EntryAddress, GatewayAddress};
 
 /// Name of the program.
 pub(super) const PROGRAM: &str = "amaranthctl";
@@ -21,7 +23,7 @@
 
 Exit codes:
   0 done, 2 usage, 3 refused by a check, 4 another edit came first,
-  5 entry not reached or outcome not known, 6 wrong key";
+  5 entry or gateway not reached or outcome not known, 6 wrong key";
 
 const TREE_EXAMPLES: &str = "\
 Examples:
@@ -57,6 +59,14 @@
   amaranthctl ... status        (shows zones, and since when they are evacuated)
   amaranthctl ... zone take-back mill-office";
 
+const GATEWAY_EXAMPLES: &str = "\
+Examples:
+  amaranthctl gateway --gateway 10.0.0.1:7101 servers
+  amaranthctl gateway --gateway 10.0.0.1:7101 held-back
+  amaranthctl gateway --gateway 10.0.0.1:7101 lift 5f3c0a77d21be904c6a1d5508e3b9f12
+
+The address is the one where the gateway serves its metrics. No key is needed.";
+
 /// The command line of `amaranthctl`.
 #[must_use]
 pub fn command() -> Command {
@@ -74,6 +84,7 @@
         .subcommand(zone())
         .subcommand(Command::new("status").about("Shows how an entry and its servers fare"))
         .subcommand(Command::new("cost").about("Shows cost by organisation and stage"))
+        .subcommand(gateway())
         .subcommand(config())
         .subcommand(explain())
         .subcommand(completions())
@@ -218,6 +229,36 @@
     group("zone", "Evacuates availability zones", ZONE_EXAMPLES).subcommands([evacuate, take_back])
 }
 
+fn gateway() -> Command {
+    let address = Arg::new("gateway")
+        .long("gateway")
+        .value_name("ADDRESS")
+        .value_parser(value_parser!(GatewayAddress))
+        .global(true)
+        .help("Operator listener of any gateway, such as 10.0.0.1:7101");
+    let servers = leaf(
+        "servers",
+        "Lists the servers as the gateway uses them, and what it has in flight there",
+    );
+    let held_back = leaf(
+        "held-back",
+        "Lists the requests that are held back as servers crash under them",
+    );
+    let request = text("id", "Fingerprint of the request, as held-back lists it");
+    let lift = leaf(
+        "lift",
+        "Lets a request that is held back go on, at all gateways",
+    )
+    .arg(request.value_parser(value_parser!(RequestFingerprint)));
+    group(
+        "gateway",
+        "Shows and changes what a gateway does with servers and requests",
+        GATEWAY_EXAMPLES,
+    )
+    .arg(address)
+    .subcommands([servers, held_back, lift])
+}
+
 fn explain() -> Command {
     let call = Arg::new("call")
         .value_name("ID")
--- a/crates/amaranthscale/src/operator/ctl/ctl_error.rs
+++ b/crates/amaranthscale/src/operator/ctl/ctl_error.rs
@@ -8,7 +8,7 @@
 use quick_error::quick_error;
 use serde_json::{Value, json};
 
-use super::{EntryAddress, ExitStatus};
+use super::{EntryAddress, ExitStatus, GatewayAddress};
 use crate::operator::{EditConflict, Refusal};
 use crate::process::settings::SettingsError;
 
@@ -69,6 +69,22 @@
         EditUnknown(entry: EntryAddress, cause: String) {
             display("{}: {cause}: look at tree history at another entry than {entry} before you make the edit again", ResultCode::EditUnknown)
         }
+        /// The gateway cannot be reached, or gave no answer to a query.
+        GatewayUnreachable(gateway: GatewayAddress, cause: String) {
+            display("gateway {gateway} cannot be reached: {cause}: try another gateway, and check that it serves metrics at this address")
+        }
+        /// The gateway's answer cannot be parsed.
+        GatewayUnreadable(gateway: GatewayAddress, status: u16, cause: String) {
+            display("gateway {gateway} answered with status {status} and no readable body: {cause}: check that it serves metrics at this address, and that its version knows the command")
+        }
+        /// The gateway refused the call; nothing has changed.
+        GatewayRefused(text: String) {
+            display("{text}")
+        }
+        /// A change was sent to a gateway and its outcome is unknown.
+        GatewayChangeUnknown(gateway: GatewayAddress, cause: String, look_at: &'static str) {
+            display("the change may have happened: {cause}: look at {look_at} at another gateway than {gateway}; the command may be repeated")
+        }
         /// The operator's key is wrong.
         WrongKey(entry: EntryAddress) {
             display("{}: entry {entry} does not take the key: check --key-file", ResultCode::WrongOperatorKey)
@@ -85,11 +101,16 @@
             | Self::File(..)
             | Self::FileContent(..)
             | Self::KeyFile(..) => ExitStatus::Usage,
-            Self::Check(_) | Self::Settings(_) | Self::Refused(_) => ExitStatus::Refused,
-            Self::Conflict(_) | Self::StaleFile(_) => ExitStatus::Conflict,
-            Self::Unreachable(..) | Self::Unreadable(..) | Self::EditUnknown(..) => {
-                ExitStatus::Unreachable
+            Self::Check(_) | Self::Settings(_) | Self::Refused(_) | Self::GatewayRefused(_) => {
+                ExitStatus::Refused
             }
+            Self::Conflict(_) | Self::StaleFile(_) => ExitStatus::Conflict,
+            Self::Unreachable(..)
+            | Self::Unreadable(..)
+            | Self::EditUnknown(..)
+            | Self::GatewayUnreachable(..)
+            | Self::GatewayUnreadable(..)
+            | Self::GatewayChangeUnknown(..) => ExitStatus::Unreachable,
             Self::WrongKey(_) => ExitStatus::WrongKey,
         }
     }
@@ -98,7 +119,11 @@
     #[must_use]
     pub fn may_have_taken_effect(&self) -> bool {
         match self {
-            Self::Unreachable(..) | Self::Unreadable(..) | Self::EditUnknown(..) => true,
+            Self::Unreachable(..)
+            | Self::Unreadable(..)
+            | Self::EditUnknown(..)
+            | Self::GatewayUnreadable(..)
+            | Self::GatewayChangeUnknown(..) => true,
             Self::Refused(refusal) => refusal.code == ResultCode::EditUnknown,
             _ => false,
         }
--- /dev/null
+++ b/crates/amaranthscale/src/operator/ctl/gateway_commands.rs
@@ -0,0 +1,41 @@
+//! The commands `gateway …`.
+
+use amaranthscale_core::id::RequestFingerprint;
+use clap::ArgMatches;
+use serde_json::json;
+
+use super::arguments::required;
+use super::program::{as_json, formatted, is_json};
+use super::{CtlError, GatewayAddress, GatewayClient, gateway_render};
+
+/// Runs a command of the group and returns the text to print.
+pub(super) async fn run(name: &str, matches: &ArgMatches) -> Result<String, CtlError> {
+    let gateway = matches.get_one::<GatewayAddress>("gateway").copied();
+    let gateway = gateway.ok_or(CtlError::MissingOption("--gateway", "10.0.0.1:7101"))?;
+    let client = GatewayClient::new(gateway);
+    match name {
+        "held-back" => {
+            let requests = client.held_back().await?;
+            Ok(formatted(matches, &requests, |requests| {
+                gateway_render::held_back(requests)
+            }))
+        }
+        "lift" => {
+            let request: RequestFingerprint = required(matches, "id");
+            Ok(confirmed(matches, &client.lift(request).await?))
+        }
+        _ => {
+            let servers = client.servers().await?;
+            Ok(formatted(matches, &servers, gateway_render::servers))
+        }
+    }
+}
+
+/// The confirmation of a change.
+fn confirmed(matches: &ArgMatches, text: &str) -> String {
+    if is_json(matches) {
+        as_json(&json!({ "text": text }))
+    } else {
+        format!("{text}\n")
+    }
+}
--- a/crates/amaranthscale/src/operator/ctl/program.rs
+++ b/crates/amaranthscale/src/operator/ctl/program.rs
@@ -14,7 +14,9 @@
 use super::command::{PROGRAM, command};
 use super::edit_commands::PlannedEdit;
 use super::submit::submit;
-use super::{CtlError, EntryClient, ExitStatus, config_check, explain_call, render};
+use super::{
+    CtlError, EntryClient, ExitStatus, config_check, explain_call, gateway_commands, render,
+};
 
 /// Runs the program: prints the result of a command and returns the exit status.
 ///
@@ -44,6 +46,7 @@
     let (name, leaf) = group_matches.subcommand().unwrap_or((group, group_matches));
     match (group, name) {
         ("config", _) => return config_check::check(leaf),
+        ("gateway", _) => return gateway_commands::run(name, leaf).await,
         ("explain", _) => return explain_call::explain(group_matches),
         ("completions", _) => return Ok(completion_script(required(leaf, "shell"))),
         _ => {}
@@ -123,7 +126,11 @@
     String::from_utf8_lossy(&script).into_owned()
 }
 
-fn formatted<T: Serialize>(matches: &ArgMatches, value: &T, text: impl Fn(&T) -> String) -> String {
+pub(super) fn formatted<T: Serialize>(
+    matches: &ArgMatches,
+    value: &T,
+    text: impl Fn(&T) -> String,
+) -> String {
     if is_json(matches) {
         as_json(value)
     } else {
@@ -136,12 +143,12 @@
 /// # Panics
 ///
 /// Panics if a message cannot be represented as JSON, which is a bug.
-fn as_json(value: &impl Serialize) -> String {
+pub(super) fn as_json(value: &impl Serialize) -> String {
     let text = serde_json::to_string_pretty(value);
     text.expect("messages hold only what JSON can carry") + "\n"
 }
 
-fn is_json(matches: &ArgMatches) -> bool {
+pub(super) fn is_json(matches: &ArgMatches) -> bool {
     matches.get_flag("json")
 }
 
--- a/crates/amaranthscale/src/operator/ctl/render.rs
+++ b/crates/amaranthscale/src/operator/ctl/render.rs
@@ -214,7 +214,7 @@
     names.join(",")
 }
 
-fn with_head<const N: usize>(
+pub(super) fn with_head<const N: usize>(
     head: [&str; N],
     rows: impl Iterator<Item = [String; N]>,
 ) -> Vec<[String; N]> {
@@ -223,7 +223,7 @@
 }
 
 /// Rows with aligned columns.
-fn table<const N: usize>(rows: &[[String; N]]) -> String {
+pub(super) fn table<const N: usize>(rows: &[[String; N]]) -> String {
     let width = |column: usize| {
         let widths = rows.iter().map(|row| row[column].chars().count());
         widths.max().unwrap_or_default()
