Operators drain one server at all gateways

POST /servers/drain/ID and /servers/undrain/ID at any gateway, and amaranthctl gateway drain and undrain, write and remove the row drain/ID of the gateways' table. A gateway treats a drained server like one of an evacuated zone: nothing new is sent, running work ends. Until now only a whole zone could be taken out of use. The row names the server's id, so a restart under the same id stays drained; an unreadable row changes nothing; a whole table ends the drains that it does not name. Only rows take effect, so nothing changes while the store does not answer, and the answer says whether the change may have happened. The owner of the single cell removes rows of servers that were not listed for a minute, without which a restart would end a drain.

A POST to an unknown path of the operator listener is refused with 404; it got the metrics page with status 200.

The soak was not run.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -17,7 +17,7 @@
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, Ejections, FirstEventEstimators,
     GatewayContext, LimitTracker, RetryBudgets, SendShares, ShutdownGate, StatementRecorder,
     monitor_unresponsive, publish_crashes, publish_limits, remove_expired_evidence,
-    remove_stale_limits,
+    remove_stale_drains, remove_stale_limits,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -114,6 +114,10 @@
             Arc::clone(&context),
             config.store.clone(),
         ));
+        tokio::spawn(remove_stale_drains(
+            Arc::clone(&context),
+            config.store.clone(),
+        ));
         tokio::spawn(announcer.announce(own.clone()));
         info!(instance = config.instance.as_str(), zone = config.zone.as_str(); "gateway: started");
         Ok(Self {
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -85,8 +85,9 @@
     let mut metrics = None;
     if let Some(address) = config.metrics_address {
         let metrics_context = Arc::clone(context);
+        let store = config.store.clone();
         let answer = move |request: Request<Incoming>| {
-            answer_operator(Arc::clone(&metrics_context), request)
+            answer_operator(Arc::clone(&metrics_context), store.clone(), request)
         };
         let server = HttpServer::start(address, limits, answer)
             .await
--- a/crates/amaranthscale/src/gateway/operator.rs
+++ b/crates/amaranthscale/src/gateway/operator.rs
@@ -1,5 +1,6 @@
 //! The operator listener of a gateway: metrics, servers and quarantined requests.
 
+mod drains;
 mod metrics;
 mod quarantine;
 mod server_listing;
@@ -9,9 +10,12 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 
+use super::StoreApi;
 use super::process::GatewayContext;
 use crate::connection::{ResponseBody, full_body};
-use crate::operator::{GATEWAY_SERVERS_PATH, QUARANTINE_LIFT_PATH, QUARANTINE_LIST_PATH};
+use crate::operator::{
+    DRAIN_PATH, GATEWAY_SERVERS_PATH, QUARANTINE_LIFT_PATH, QUARANTINE_LIST_PATH, UNDRAIN_PATH,
+};
 
 #[doc(inline)]
 pub use server_listing::{ListingInputs, server_reports};
@@ -19,13 +23,25 @@
 /// Answers a request to the operator listener.
 pub(super) async fn answer_operator(
     context: Arc<GatewayContext>,
+    store: StoreApi,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let path = request.uri().path();
-    if *request.method() == Method::POST
-        && let Some(name) = path.strip_prefix(QUARANTINE_LIFT_PATH)
-    {
-        return quarantine::lift(&context, name);
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    if head.method == Method::POST {
+        return if let Some(name) = path.strip_prefix(QUARANTINE_LIFT_PATH) {
+            quarantine::lift(&context, name)
+        } else if let Some(name) = path.strip_prefix(DRAIN_PATH) {
+            drains::drain(&context, &store, name, body).await
+        } else if let Some(name) = path.strip_prefix(UNDRAIN_PATH) {
+            drains::undrain(&context, &store, name, body).await
+        } else {
+            let known = [QUARANTINE_LIFT_PATH, DRAIN_PATH, UNDRAIN_PATH].join("ID, ");
+            line(
+                StatusCode::NOT_FOUND,
+                format!("nothing changes by {path}: POST to {known}ID"),
+            )
+        };
     }
     match path {
         QUARANTINE_LIST_PATH => Response::new(full_body(quarantine::list(&context))),
--- a/crates/amaranthscale/src/gateway/operator/server_listing.rs
+++ b/crates/amaranthscale/src/gateway/operator/server_listing.rs
@@ -23,7 +23,7 @@
     pub in_flight: F,
 }
 
-/// Reports of all listed servers, in order of their ids.
+/// Reports of all listed servers in order of their ids, then of drained ones that are not listed.
 pub fn server_reports<C, E, F>(
     servers: &ServerList,
     inputs: &ListingInputs<C, E, F>,
@@ -38,10 +38,16 @@
         let server = &record.incarnation;
         let cold_limits = (inputs.cold_limits)(&record.service);
         let availability = servers.availability_of(record, cold_limits, now);
-        let server_use = ServerUse::of(availability, (inputs.ejected_for)(server), now);
-        ServerReport::of(record, server_use, (inputs.in_flight)(server))
+        let drain = servers.drain(server.id());
+        let ejected_for = (inputs.ejected_for)(server);
+        let server_use = ServerUse::of(availability, drain.is_some(), ejected_for, now);
+        ServerReport::of(record, server_use, (inputs.in_flight)(server)).with_drain(drain)
     });
-    reports.collect()
+    let unlisted = servers
+        .drains()
+        .filter(|(server, _)| servers.record(server).is_none())
+        .map(|(server, drain)| ServerReport::of_unlisted(server, drain));
+    reports.chain(unlisted).collect()
 }
 
 /// Answers `GET /servers`.
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -18,6 +18,7 @@
 mod peer_server;
 mod publish_crashes;
 mod publish_limits;
+mod remove_stale_drains;
 mod retained_results;
 mod retry_budgets;
 mod run_job;
@@ -61,6 +62,8 @@
 #[doc(inline)]
 pub use publish_limits::{publish_limits, remove_stale_limits};
 #[doc(inline)]
+pub use remove_stale_drains::remove_stale_drains;
+#[doc(inline)]
 pub use retry_budgets::RetryBudgets;
 pub(crate) use run_job::run_job;
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/store_api.rs
+++ b/crates/amaranthscale/src/gateway/store_api.rs
@@ -5,7 +5,7 @@
 
 use amaranthscale_core::id::{EvidenceId, RowVersion, ServerId, ServerIncarnation};
 use amaranthscale_core::process::{
-    Announcement, CrashEvidence, ServerLimit, ServerRecord, ZoneChange,
+    Announcement, CrashEvidence, DrainChange, ServerDrain, ServerLimit, ServerRecord, ZoneChange,
 };
 use amaranthscale_core::version::Routing;
 use bytes::Bytes;
@@ -132,6 +132,10 @@
     pub publish_limit: fn(&ServerIncarnation, ServerLimit) -> Request<Full<Bytes>>,
     /// Removes a server's rate limit.
     pub remove_limit: fn(&ServerIncarnation) -> Request<Full<Bytes>>,
+    /// Drains a server.
+    pub publish_drain: fn(&ServerId, &ServerDrain) -> Request<Full<Bytes>>,
+    /// Ends the drain of a server.
+    pub remove_drain: fn(&ServerId) -> Request<Full<Bytes>>,
     /// Parses an answer.
     pub parse_answer: fn(StatusCode, &[u8]) -> Result<StoreAnswer, String>,
     /// Parses the routing from its row; `None` if it is another row.
@@ -146,6 +150,8 @@
     pub parse_evidence: fn(&StoreRow) -> Result<Option<EvidenceUpdate>, String>,
     /// Parses a server's rate limit from a row of the gateways' table; `None` if it is another row.
     pub parse_limit: fn(&StoreRow) -> Result<Option<LimitUpdate>, String>,
+    /// Parses the drain of a server from a row of the gateways' table; `None` if it is another row.
+    pub parse_drain: fn(&StoreRow) -> Result<Option<DrainChange>, String>,
     /// Parses a gateway's announcement.
     pub parse_announcement: fn(&[u8]) -> Result<Announcement, String>,
 }
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -33,7 +33,9 @@
 pub use packed_row::{KnownRow, PackedRow, UnpackError};
 #[doc(inline)]
 pub use poll_timing::{KEY_AGE_PERCENT, PollTiming, READY_AGE_PERCENT};
-pub(crate) use store_write::{write_store, write_store_if, write_store_with_retry};
+pub(crate) use store_write::{
+    WriteError, write_store, write_store_if, write_store_once, write_store_with_retry,
+};
 #[doc(inline)]
 pub use table_relay::{RelayAnswer, RelayedRows, RowsRequest, TableRelay};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -7,7 +7,7 @@
 
 use amaranthscale_core::id::{InstanceId, RowVersion, ServerId};
 use amaranthscale_core::process::{
-    Announcement, EXPIRY_GRACE, InstanceView, ServerChange, ServerList,
+    Announcement, DrainChange, EXPIRY_GRACE, InstanceView, ServerChange, ServerList,
 };
 use amaranthscale_core::version::Routing;
 use log::{info, warn};
@@ -153,6 +153,7 @@
 ) {
     let cluster_view = Arc::clone(&announcer.relay_context.cluster_view);
     let relay_context = announcer.relay_context.clone();
+    let counters = Arc::clone(&relay_context.counters);
     let mut feed =
         Feed::new(StoreTable::Instances, store.clone(), timing).with_relay(relay_context);
     let mut invalid_entries = InvalidEntryLog::new("gateways");
@@ -176,6 +177,7 @@
             .map(|row| parse_gateway_row(&store, row))
             .collect();
         let mut changes = Vec::new();
+        let mut drains = Vec::new();
         for (row, parsed) in rows.iter().zip(&parsed) {
             match parsed {
                 Ok(RowKind::Evidence((id, evidence))) => {
@@ -184,12 +186,23 @@
                 Ok(RowKind::Limit((server, limit))) => {
                     own.limits.apply_published(server, *limit);
                 }
+                Ok(RowKind::Drain(change)) => {
+                    match &change.state {
+                        Ok(_) => invalid_entries.remove(&row.key),
+                        Err(reason) => invalid_entries.record(&row.key, reason),
+                    }
+                    drains.push(change.clone());
+                }
                 Ok(RowKind::Instance) => {
                     changes.extend(parse_announcement(&store, row, &mut invalid_entries));
                 }
                 Err(reason) => invalid_entries.record(&row.key, reason),
             }
         }
+        counters.add(
+            "drains.changed",
+            apply_drains(&cluster_view, drains, is_snapshot),
+        );
         let listed = is_snapshot.then(|| {
             retain_listed(&own, &parsed);
             let ids = rows.iter().filter_map(|row| row.key.parse().ok());
@@ -233,6 +246,7 @@
 enum RowKind {
     Evidence(EvidenceUpdate),
     Limit(LimitUpdate),
+    Drain(DrainChange),
     Instance,
 }
 
@@ -240,8 +254,33 @@
     if let Some(evidence) = (store.parse_evidence)(row)? {
         return Ok(RowKind::Evidence(evidence));
     }
-    let limit = (store.parse_limit)(row)?;
-    Ok(limit.map_or(RowKind::Instance, RowKind::Limit))
+    if let Some(limit) = (store.parse_limit)(row)? {
+        return Ok(RowKind::Limit(limit));
+    }
+    let drain = (store.parse_drain)(row)?;
+    Ok(drain.map_or(RowKind::Instance, RowKind::Drain))
+}
+
+/// Applies the operators' changes of drains and logs them; returns how many servers are affected.
+fn apply_drains(cluster_view: &ClusterView, changes: Vec<DrainChange>, is_complete: bool) -> u64 {
+    if changes.is_empty() && !is_complete {
+        return 0;
+    }
+    let mut applied = Vec::new();
+    cluster_view.change_servers(|servers, _now| {
+        applied = servers.apply_drains(changes, is_complete);
+        !applied.is_empty()
+    });
+    for (server, drain) in &applied {
+        match drain {
+            Some(drain) => {
+                let (by, at_ms) = (drain.by(), drain.at_ms());
+                info!(server = server.as_str(), by, at_ms; "servers: drained");
+            }
+            None => info!(server = server.as_str(); "servers: drain ended"),
+        }
+    }
+    u64::try_from(applied.len()).unwrap_or(u64::MAX)
 }
 
 /// Drops evidence and limits that a full read of the table does not contain.
@@ -251,7 +290,7 @@
         match parsed {
             RowKind::Evidence((id, _)) => evidence.push(id.clone()),
             RowKind::Limit((server, _)) => limited.push(server.clone()),
-            RowKind::Instance => {}
+            RowKind::Drain(_) | RowKind::Instance => {}
         }
     }
     own.crashes.retain_published(&evidence);
--- a/crates/amaranthscale/src/operator.rs
+++ b/crates/amaranthscale/src/operator.rs
@@ -16,6 +16,7 @@
 //! | call | answer |
 //! |---|---|
 //! | `GET /servers` | [`GatewayServers`] |
+//! | `POST /servers/drain/ID`, `POST /servers/undrain/ID` with [`ChangeRequest`] or without a body | [`ChangeAnswer`] |
 //! | `GET /quarantine` | a line for each quarantined request |
 //! | `POST /quarantine/lift/ID` | a line of text |
 //!
@@ -24,6 +25,8 @@
 pub mod ctl;
 pub mod explain;
 
+mod change_answer;
+mod change_request;
 mod edit_accepted;
 mod edit_conflict;
 mod edit_request;
@@ -33,6 +36,10 @@
 mod refusal;
 mod server_report;
 
+#[doc(inline)]
+pub use change_answer::{ChangeAnswer, ChangeOutcome};
+#[doc(inline)]
+pub use change_request::ChangeRequest;
 #[doc(inline)]
 pub use edit_accepted::EditAccepted;
 #[doc(inline)]
@@ -64,3 +71,7 @@
 pub const QUARANTINE_LIST_PATH: &str = "/quarantine";
 /// Prefix of the path at a gateway that lifts the quarantine of a request; its fingerprint follows.
 pub const QUARANTINE_LIFT_PATH: &str = "/quarantine/lift/";
+/// Prefix of the path at a gateway that drains a server; its id follows.
+pub const DRAIN_PATH: &str = "/servers/drain/";
+/// Prefix of the path at a gateway that ends the drain of a server; its id follows.
+pub const UNDRAIN_PATH: &str = "/servers/undrain/";
--- a/crates/amaranthscale/src/operator/ctl/command.rs
+++ b/crates/amaranthscale/src/operator/ctl/command.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use amaranthscale_core::id::{
-    OrganisationId, PipelineId, RequestFingerprint, ServiceId, TreeVersion, ZoneId,
+    OrganisationId, PipelineId, RequestFingerprint, ServerId, ServiceId, TreeVersion, ZoneId,
 };
 use amaranthscale_core::unit::Class;
 use amaranthscale_core::version::OverrideField;
@@ -63,6 +63,8 @@
 Examples:
   amaranthctl gateway --gateway 10.0.0.1:7101 servers
   amaranthctl gateway --gateway 10.0.0.1:7101 held-back
+  amaranthctl gateway --gateway 10.0.0.1:7101 drain i-7
+  amaranthctl gateway --gateway 10.0.0.1:7101 undrain i-7
   amaranthctl gateway --gateway 10.0.0.1:7101 lift 5f3c0a77d21be904c6a1d5508e3b9f12
 
 The address is the one where the gateway serves its metrics. No key is needed.";
@@ -250,13 +252,23 @@
         "Lets a request that is held back go on, at all gateways",
     )
     .arg(request.value_parser(value_parser!(RequestFingerprint)));
+    let server = || {
+        text("server", "Id of the server, without what follows an @")
+            .value_parser(value_parser!(ServerId))
+    };
+    let drain = leaf(
+        "drain",
+        "Lets a server get nothing more from any gateway; running work ends",
+    )
+    .arg(server());
+    let undrain = leaf("undrain", "Uses a drained server again").arg(server());
     group(
         "gateway",
         "Shows and changes what a gateway does with servers and requests",
         GATEWAY_EXAMPLES,
     )
     .arg(address)
-    .subcommands([servers, held_back, lift])
+    .subcommands([servers, held_back, lift, drain, undrain])
 }
 
 fn explain() -> Command {
--- a/crates/amaranthscale/src/operator/ctl/ctl_error.rs
+++ b/crates/amaranthscale/src/operator/ctl/ctl_error.rs
@@ -81,6 +81,10 @@
         GatewayRefused(text: String) {
             display("{text}")
         }
+        /// The gateway could not make a change; nothing has changed.
+        GatewayChangeNotDone(gateway: GatewayAddress, text: String) {
+            display("gateway {gateway}: {text}")
+        }
         /// A change was sent to a gateway and its outcome is unknown.
         GatewayChangeUnknown(gateway: GatewayAddress, cause: String, look_at: &'static str) {
             display("the change may have happened: {cause}: look at {look_at} at another gateway than {gateway}; the command may be repeated")
@@ -110,6 +114,7 @@
             | Self::EditUnknown(..)
             | Self::GatewayUnreachable(..)
             | Self::GatewayUnreadable(..)
+            | Self::GatewayChangeNotDone(..)
             | Self::GatewayChangeUnknown(..) => ExitStatus::Unreachable,
             Self::WrongKey(_) => ExitStatus::WrongKey,
         }
--- a/crates/amaranthscale/src/operator/ctl/gateway_client.rs
+++ b/crates/amaranthscale/src/operator/ctl/gateway_client.rs
@@ -3,18 +3,19 @@
 use std::error::Error;
 use std::time::Duration;
 
-use amaranthscale_core::id::RequestFingerprint;
+use amaranthscale_core::id::{RequestFingerprint, ServerId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use serde_json::json;
 
 use super::{CtlError, GatewayAddress};
 use crate::operator::{
-    GATEWAY_SERVERS_PATH, GatewayServers, HeldBackRequest, QUARANTINE_LIFT_PATH,
-    QUARANTINE_LIST_PATH,
+    ChangeAnswer, ChangeOutcome, ChangeRequest, DRAIN_PATH, GATEWAY_SERVERS_PATH, GatewayServers,
+    HeldBackRequest, QUARANTINE_LIFT_PATH, QUARANTINE_LIST_PATH, UNDRAIN_PATH,
 };
 
 /// Timeout of a call; a change needs one write of the store, which a gateway gives up after 2 s.
@@ -81,6 +82,35 @@
         }
     }
 
+    /// Drains a server; returns the gateway's confirmation.
+    pub async fn drain(&self, server: &ServerId, by: &str) -> Result<String, CtlError> {
+        self.change(&format!("{DRAIN_PATH}{server}"), by).await
+    }
+
+    /// Ends the drain of a server; returns the gateway's confirmation.
+    pub async fn undrain(&self, server: &ServerId, by: &str) -> Result<String, CtlError> {
+        self.change(&format!("{UNDRAIN_PATH}{server}"), by).await
+    }
+
+    async fn change(&self, path: &str, by: &str) -> Result<String, CtlError> {
+        let request = json!(ChangeRequest { by: by.to_owned() });
+        let body = request.to_string().into();
+        let (status, body) = self.post(path, body, "gateway servers").await?;
+        let answer: Result<ChangeAnswer, _> = serde_json::from_slice(&body);
+        let ChangeAnswer { outcome, text } =
+            answer.map_err(|cause| self.unreadable(status, &cause))?;
+        match outcome {
+            ChangeOutcome::Done => Ok(text),
+            ChangeOutcome::Invalid | ChangeOutcome::NotFound => Err(CtlError::GatewayRefused(text)),
+            ChangeOutcome::NotDone => Err(CtlError::GatewayChangeNotDone(self.gateway, text)),
+            ChangeOutcome::Unknown => Err(CtlError::GatewayChangeUnknown(
+                self.gateway,
+                text,
+                "gateway servers",
+            )),
+        }
+    }
+
     async fn get(&self, path: &str) -> Result<Bytes, CtlError> {
         let answer = self.call(Method::GET, path, Bytes::new()).await;
         let (status, body) =
--- a/crates/amaranthscale/src/operator/ctl/gateway_commands.rs
+++ b/crates/amaranthscale/src/operator/ctl/gateway_commands.rs
@@ -1,10 +1,10 @@
 //! The commands `gateway …`.
 
-use amaranthscale_core::id::RequestFingerprint;
+use amaranthscale_core::id::{RequestFingerprint, ServerId};
 use clap::ArgMatches;
 use serde_json::json;
 
-use super::arguments::required;
+use super::arguments::{editor, required};
 use super::program::{as_json, formatted, is_json};
 use super::{CtlError, GatewayAddress, GatewayClient, gateway_render};
 
@@ -24,6 +24,16 @@
             let request: RequestFingerprint = required(matches, "id");
             Ok(confirmed(matches, &client.lift(request).await?))
         }
+        "drain" => {
+            let server: ServerId = required(matches, "server");
+            let text = client.drain(&server, &editor(matches)).await?;
+            Ok(confirmed(matches, &text))
+        }
+        "undrain" => {
+            let server: ServerId = required(matches, "server");
+            let text = client.undrain(&server, &editor(matches)).await?;
+            Ok(confirmed(matches, &text))
+        }
         _ => {
             let servers = client.servers().await?;
             Ok(formatted(matches, &servers, gateway_render::servers))
--- a/crates/amaranthscale/src/operator/ctl/gateway_render.rs
+++ b/crates/amaranthscale/src/operator/ctl/gateway_render.rs
@@ -49,6 +49,7 @@
             .ejected_for_ms
             .map(|elapsed_ms| format!("for {elapsed_ms} ms")),
     );
+    parts.extend(report.drained_by.as_ref().map(|by| format!("by {by}")));
     parts.join(", ")
 }
 
--- a/crates/amaranthscale/src/operator/server_report.rs
+++ b/crates/amaranthscale/src/operator/server_report.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use amaranthscale_core::id::{ServerIncarnation, ServiceId, ZoneId};
-use amaranthscale_core::process::{ServerRecord, ServerUse};
+use amaranthscale_core::id::{ServerId, ServerIncarnation, ServiceId, ZoneId};
+use amaranthscale_core::process::{ServerDrain, ServerRecord, ServerUse};
 use serde::{Deserialize, Serialize};
 
 use crate::process::ms;
@@ -30,6 +30,12 @@
     /// Milliseconds since the ejection of an ejected server.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub ejected_for_ms: Option<u64>,
+    /// Operator who drained it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub drained_by: Option<String>,
+    /// When it was drained, in milliseconds since 1970.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub drained_at_ms: Option<u64>,
     /// Requests and batch calls of this gateway there.
     pub in_flight: usize,
 }
@@ -47,7 +53,36 @@
             max_per_s: server_use.max_per_s(),
             left_ms: server_use.left().map(ms),
             ejected_for_ms: server_use.ejected_for().map(ms),
+            drained_by: None,
+            drained_at_ms: None,
             in_flight,
         }
     }
+
+    /// Report of a drained server that is not listed.
+    #[must_use]
+    pub fn of_unlisted(server: &ServerId, drain: &ServerDrain) -> Self {
+        Self {
+            server: ServerIncarnation::new(server.clone()),
+            service: None,
+            address: None,
+            zone: None,
+            state: ServerUse::Unlisted.name().to_owned(),
+            max_per_s: None,
+            left_ms: None,
+            ejected_for_ms: None,
+            drained_by: None,
+            drained_at_ms: None,
+            in_flight: 0,
+        }
+        .with_drain(Some(drain))
+    }
+
+    /// Adds who drained the server, and when.
+    #[must_use]
+    pub fn with_drain(mut self, drain: Option<&ServerDrain>) -> Self {
+        self.drained_by = drain.map(|drain| drain.by().to_owned());
+        self.drained_at_ms = drain.map(ServerDrain::at_ms);
+        self
+    }
 }
--- a/crates/amaranthscale/tests/ctl_gateway_commands.rs
+++ b/crates/amaranthscale/tests/ctl_gateway_commands.rs
@@ -11,8 +11,8 @@
 
 use amaranthscale::operator::ctl::{CtlError, ExitStatus, command, run};
 use amaranthscale::operator::{
-    GATEWAY_SERVERS_PATH, GatewayServers, MovingRun, QUARANTINE_LIFT_PATH, QUARANTINE_LIST_PATH,
-    ServerReport,
+    ChangeAnswer, ChangeOutcome, DRAIN_PATH, GATEWAY_SERVERS_PATH, GatewayServers, MovingRun,
+    QUARANTINE_LIFT_PATH, QUARANTINE_LIST_PATH, ServerReport, UNDRAIN_PATH,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -32,6 +32,8 @@
     None,
     /// Every call is taken, and its answer is lost.
     AnswerLost,
+    /// A change ends with this outcome.
+    ChangeEnds(ChangeOutcome),
     /// Every call gets the metrics page, as from a gateway that does not know the path.
     Metrics,
 }
@@ -53,6 +55,8 @@
         max_per_s: Some(2.5),
         left_ms: Some(1_500),
         ejected_for_ms: None,
+        drained_by: None,
+        drained_at_ms: None,
         in_flight: 3,
     }
 }
@@ -84,6 +88,14 @@
             (404, format!("{request} is not held back: look again\n"))
         };
     }
+    if path.starts_with(DRAIN_PATH) || path.starts_with(UNDRAIN_PATH) {
+        let outcome = match gateway.fault {
+            Fault::ChangeEnds(outcome) => outcome,
+            _ => ChangeOutcome::Done,
+        };
+        let text = format!("{path} is {outcome:?}");
+        return (200, json!(ChangeAnswer { outcome, text }).to_string());
+    }
     match path {
         GATEWAY_SERVERS_PATH => (200, json!(listing()).to_string()),
         QUARANTINE_LIST_PATH => (200, format!("{FINGERPRINT} i-1@5,i-2@6\n")),
@@ -238,7 +250,8 @@
 async fn a_metrics_page_is_not_taken_for_an_answer() {
     let fixture = Fixture::open(Fault::Metrics).await;
 
-    for arguments in ["servers", "held-back", &format!("lift {FINGERPRINT}")] {
+    let lift = format!("lift {FINGERPRINT}");
+    for arguments in ["servers", "held-back", "drain i-7", "undrain i-7", &lift] {
         let error = fixture.run(arguments).await.unwrap_err();
 
         assert_eq!(error.exit_status(), ExitStatus::Unreachable);
@@ -262,3 +275,39 @@
         "{malformed}"
     );
 }
+
+/// Guards against a change at another path than the one that the operator asked for.
+#[tokio::test]
+async fn a_server_is_drained_and_undrained_by_its_id() {
+    let fixture = Fixture::open(Fault::None).await;
+
+    let drained = fixture.run("drain i-7 --json").await.unwrap();
+    let undrained = fixture.run("undrain i-7").await.unwrap();
+
+    let drained: Value = serde_json::from_str(&drained).unwrap();
+    assert_eq!(drained, json!({"text": "/servers/drain/i-7 is Done"}));
+    assert_eq!(undrained, "/servers/undrain/i-7 is Done\n");
+    assert_eq!(
+        fixture.changes(),
+        ["/servers/drain/i-7", "/servers/undrain/i-7"]
+    );
+}
+
+/// Guards against an exit code that tells a script the wrong thing about a drain.
+#[tokio::test]
+async fn each_outcome_of_a_drain_has_its_exit_code() {
+    for (outcome, status, may_have_happened) in [
+        (ChangeOutcome::Invalid, ExitStatus::Refused, false),
+        (ChangeOutcome::NotFound, ExitStatus::Refused, false),
+        (ChangeOutcome::NotDone, ExitStatus::Unreachable, false),
+        (ChangeOutcome::Unknown, ExitStatus::Unreachable, true),
+    ] {
+        let fixture = Fixture::open(Fault::ChangeEnds(outcome)).await;
+
+        let error = fixture.run("drain i-7").await.unwrap_err();
+
+        assert_eq!(error.exit_status(), status, "{outcome:?}");
+        assert_eq!(error.may_have_taken_effect(), may_have_happened);
+        assert!(error.to_string().contains("/servers/drain/i-7"), "{error}");
+    }
+}
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -43,6 +43,8 @@
 mod send_share;
 mod server_availability;
 mod server_backoff;
+mod server_drain;
+mod server_drains;
 mod server_limit;
 mod server_list;
 mod server_notices;
@@ -51,6 +53,7 @@
 mod server_use;
 mod shared_retry_budget;
 mod stage_estimate;
+mod stale_drains;
 mod start_plan;
 mod zone_states;
 
@@ -129,6 +132,8 @@
 #[doc(inline)]
 pub use server_backoff::{InvalidServerBackoff, ServerBackoff};
 #[doc(inline)]
+pub use server_drain::{DrainChange, InvalidServerDrain, ServerDrain};
+#[doc(inline)]
 pub use server_limit::{InvalidServerLimit, ServerLimit};
 #[doc(inline)]
 pub use server_list::{EXPIRY_GRACE, ServerChange, ServerList, ServerRecord};
@@ -143,6 +148,8 @@
 #[doc(inline)]
 pub use stage_estimate::StageEstimate;
 #[doc(inline)]
+pub use stale_drains::{DRAIN_RETENTION, StaleDrains};
+#[doc(inline)]
 pub use start_plan::StartPlan;
 #[doc(inline)]
 pub use zone_states::{ZoneChange, ZoneState};
--- a/crates/core/src/process/server_availability.rs
+++ b/crates/core/src/process/server_availability.rs
@@ -33,7 +33,7 @@
     },
     /// Nothing: it is about to leave.
     Leaving,
-    /// Nothing: operators have evacuated its availability zone.
+    /// Nothing: operators have evacuated its availability zone, or drain the server.
     Evacuated,
     /// Nothing: this incarnation of a server is not listed.
     Unlisted,
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -9,7 +9,7 @@
 //! times, a record without one was also written by another program.
 //!
 //! Operators may evacuate an availability zone: until it is taken back, its servers get no
-//! requests. A server that states in an answer to this entry that it leaves gets none either,
+//! requests. They may drain a single server in the same way, by its id. A server that states in an answer to this entry that it leaves gets none either,
 //! whatever its record says, as the record may be older than the answer.
 //!
 //! A server reports how long it stays cold; servers of a zone that was just taken back
@@ -22,6 +22,8 @@
 use super::cold_limits::ColdLimits;
 use super::cold_times::ColdTimes;
 use super::server_availability::ServerAvailability;
+use super::server_drain::{DrainChange, ServerDrain};
+use super::server_drains::ServerDrains;
 use super::server_limit::ServerLimit;
 use super::server_notices::ServerNotices;
 use super::zone_states::{ZoneChange, ZoneState, ZoneStates};
@@ -82,6 +84,7 @@
     store_returned_at: Option<Duration>,
     is_store_unreachable: bool,
     zones: ZoneStates,
+    drains: ServerDrains,
     cold: ColdTimes,
     /// Limits that servers have reported, including servers that are not listed yet or any more.
     limits: BTreeMap<ServerIncarnation, ServerLimit>,
@@ -106,6 +109,39 @@
         self.zones.evacuated()
     }
 
+    /// Applies the operators' changes of drains; returns the servers whose drain began or ended.
+    pub fn apply_drains(
+        &mut self,
+        changes: Vec<DrainChange>,
+        is_complete: bool,
+    ) -> Vec<(ServerId, Option<ServerDrain>)> {
+        self.drains.apply(changes, is_complete)
+    }
+
+    /// The drain of a server, if operators drain it.
+    #[must_use]
+    pub fn drain(&self, server: &ServerId) -> Option<&ServerDrain> {
+        self.drains.get(server)
+    }
+
+    /// All drains, also of servers that are not listed.
+    pub fn drains(&self) -> impl Iterator<Item = (&ServerId, &ServerDrain)> {
+        self.drains.all()
+    }
+
+    /// The record of the server with an id, if it is listed.
+    #[must_use]
+    pub fn record(&self, server: &ServerId) -> Option<&ServerRecord> {
+        let record = self.servers.get(server);
+        record.filter(|record| self.is_written_by_server(record))
+    }
+
+    /// Whether the list is complete and the store answers.
+    #[must_use]
+    pub const fn is_current(&self) -> bool {
+        self.is_complete && !self.is_store_unreachable
+    }
+
     /// Sets or removes the limit that a server reports; returns whether it changed.
     pub fn set_limit(&mut self, server: &ServerIncarnation, limit: Option<ServerLimit>) -> bool {
         match limit {
@@ -177,7 +213,8 @@
         cold: Option<ColdLimits>,
         now: Duration,
     ) -> ServerAvailability {
-        if self.zones.is_evacuated(&record.zone) {
+        // A drained server is treated like one of an evacuated zone.
+        if self.zones.is_evacuated(&record.zone) || self.drains.contains(record.incarnation.id()) {
             return ServerAvailability::Evacuated;
         }
         if record.is_leaving || self.notices.is_leaving(&record.incarnation) {
@@ -319,7 +356,9 @@
     pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a ServerRecord> {
         let not_leaving = self.not_leaving(service);
         not_leaving.filter(|record| {
-            !self.zones.is_evacuated(&record.zone) && !self.notices.is_leaving(&record.incarnation)
+            !self.zones.is_evacuated(&record.zone)
+                && !self.drains.contains(record.incarnation.id())
+                && !self.notices.is_leaving(&record.incarnation)
         })
     }
 
--- a/crates/core/src/process/server_use.rs
+++ b/crates/core/src/process/server_use.rs
@@ -31,6 +31,8 @@
     Leaving,
     /// Nothing: operators have evacuated its availability zone.
     Evacuated,
+    /// Nothing: operators drain it.
+    Drained,
     /// Other servers first: it failed several times in a row and has not answered since.
     Ejected {
         /// Time since the ejection.
@@ -41,12 +43,14 @@
 }
 
 impl ServerUse {
-    /// Use of a server by its availability and, if it is ejected, the time since then.
+    /// Use of a server by its availability, whether it is drained and, if it is ejected, the time
+    /// since then.
     ///
     /// An ejection is stated only where requests could be sent without it.
     #[must_use]
     pub fn of(
         availability: ServerAvailability,
+        is_drained: bool,
         ejected_for: Option<Duration>,
         now: Duration,
     ) -> Self {
@@ -62,6 +66,7 @@
                 left: until.saturating_sub(now),
             },
             (ServerAvailability::Leaving, _) => Self::Leaving,
+            (ServerAvailability::Evacuated, _) if is_drained => Self::Drained,
             (ServerAvailability::Evacuated, _) => Self::Evacuated,
             (ServerAvailability::Unlisted, _) => Self::Unlisted,
         }
@@ -77,6 +82,7 @@
             Self::BackingOff { .. } => "backing-off",
             Self::Leaving => "leaving",
             Self::Evacuated => "evacuated",
+            Self::Drained => "drained",
             Self::Ejected { .. } => "ejected",
             Self::Unlisted => "not-listed",
         }
