--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -7,15 +7,18 @@
 mod batch_owners;
 mod buffer_memory;
 mod crash_tracker;
+mod ejections;
 mod first_event_estimators;
 mod gateway_context;
 mod limit_tracker;
 mod monitor_unresponsive;
+mod moving_runs;
 mod peer_jobs;
 mod peer_message;
 mod peer_server;
 mod publish_crashes;
 mod publish_limits;
+mod remove_stale_drains;
 mod retained_results;
 mod retry_budgets;
 mod run_job;
@@ -39,6 +42,8 @@
 #[doc(inline)]
 pub use crash_tracker::CrashTracker;
 #[doc(inline)]
+pub use ejections::Ejections;
+#[doc(inline)]
 pub use first_event_estimators::FirstEventEstimators;
 #[doc(inline)]
 pub use gateway_context::GatewayContext;
@@ -47,6 +52,8 @@
 #[doc(inline)]
 pub use monitor_unresponsive::monitor_unresponsive;
 #[doc(inline)]
+pub use moving_runs::{MovingRunGuard, MovingRuns};
+#[doc(inline)]
 pub use peer_jobs::JOB_PATH;
 #[doc(inline)]
 pub use peer_server::{ALIVE_PATH, check_alive, serve_peer};
@@ -55,6 +62,8 @@
 #[doc(inline)]
 pub use publish_limits::{publish_limits, remove_stale_limits};
 #[doc(inline)]
+pub use remove_stale_drains::remove_stale_drains;
+#[doc(inline)]
 pub use retry_budgets::RetryBudgets;
 pub(crate) use run_job::run_job;
 #[doc(inline)]
