Engines are chosen by measured speed in the core

Cause: the largest fifth of large prompts waits for slow engines while engines twice as fast are idle; the choice knew only the home engine of a shared prefix and its fullness.

The estimator takes the times of a gateway's runs, combines those of all gateways in one collector and publishes estimates with coarse speed classes. Classes weight the rendezvous hash of shared prefixes; a prompt leaves its home only for a gain that exceeds the cost of its shared parts. Even engines are chosen as before. Nothing in the gateway uses it yet.

--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -18,6 +18,7 @@
 mod cost_totals;
 mod cost_tracker;
 mod count;
+mod engine_speed;
 mod fair_queue;
 mod fair_queue_limits;
 mod fair_share;
@@ -82,6 +83,12 @@
 #[doc(inline)]
 pub use cost_tracker::{CostTracker, sum_by_organisation};
 #[doc(inline)]
+pub use engine_speed::{
+    EngineEstimate, EnginePrompt, EngineRunId, EngineSamples, EngineSpeeds, InvalidSamples,
+    PrefillSample, SPEED_FORMAT, SpeedClass, SpeedCollector, SpeedReport, SpeedUpdate,
+    SpeedVersion,
+};
+#[doc(inline)]
 pub use fair_queue::FairQueue;
 #[doc(inline)]
 pub use fair_queue_limits::FairQueueLimits;
--- /dev/null
+++ b/crates/core/src/process/engine_speed.rs
@@ -0,0 +1,39 @@
+//! Measured speed of engines, and what gateways exchange about it.
+//!
+//! Each gateway measures its own runs ([`EngineSpeeds`]) and posts the sums to one collector
+//! ([`SpeedCollector`]), as a single gateway sees too few runs of an engine. The collector alone
+//! assigns [`SpeedClass`]es, so that all gateways agree on the home engine of a shared prefix.
+
+mod collected_engines;
+mod engine_aggregate;
+mod engine_cost;
+mod engine_estimate;
+mod engine_prompt;
+mod engine_runs;
+mod engine_samples;
+mod engine_speeds;
+mod speed_class;
+mod speed_collector;
+mod speed_message;
+
+pub(super) use engine_cost::EngineCost;
+#[doc(inline)]
+pub use engine_estimate::EngineEstimate;
+#[doc(inline)]
+pub use engine_prompt::EnginePrompt;
+#[doc(inline)]
+pub use engine_runs::EngineRunId;
+pub(super) use engine_runs::PROMPT_OVERHEAD_TOKENS;
+#[doc(inline)]
+pub use engine_samples::{EngineSamples, InvalidSamples, PrefillSample};
+#[doc(inline)]
+pub use engine_speeds::EngineSpeeds;
+#[doc(inline)]
+pub use speed_class::SpeedClass;
+#[doc(inline)]
+pub use speed_collector::SpeedCollector;
+#[doc(inline)]
+pub use speed_message::{SPEED_FORMAT, SpeedReport, SpeedUpdate, SpeedVersion};
+
+/// Age from which samples and estimates are no longer used.
+pub(super) const SPEED_LIFETIME: std::time::Duration = std::time::Duration::from_secs(10);
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -3,17 +3,20 @@
 //! Plain requests go to the server with the shortest expected wait, by the entry's own count in
 //! flight and the reported load. Engine requests go to the engine that has read the shared prefix
 //! of their prompt before, the same from every entry, unless that engine is nearly full and has
-//! much more in flight than the others. Cold servers are selected only if no other server has
+//! much more in flight than the others; where engines differ in speed, by their expected times. Cold
+//! servers are selected only if no other server has
 //! capacity, as they are slow and accept few requests. A server that has turned requests away gets
 //! few at first after the backoff that it requested. A server that fails several times in a row
 //! is ejected for a while, but never more than half of them.
 
+mod engine_choice;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::connection_share::ConnectionShare;
-use super::count::as_f64;
+use super::engine_speed::EngineSpeeds;
 use super::load_snapshot::{LoadSnapshot, OptionalNumber};
 use super::rendezvous;
 use super::server_availability::UsableServers;
@@ -37,10 +40,6 @@
 /// Fraction of an engine's slots up to which affinity applies: the rest is for requests that other
 /// entries have sent meanwhile.
 const AFFINITY_MAX_FULLNESS: f64 = 0.75;
-/// Own requests in flight below which affinity always applies.
-const AFFINITY_MIN_IN_FLIGHT: usize = 4;
-/// Multiple of the mean in flight up to which affinity applies.
-const AFFINITY_FACTOR: f64 = 1.6;
 /// Requests in flight at a server from which it counts as recovered from a backoff.
 const MAX_RECOVERING_IN_FLIGHT: usize = 32;
 /// Time after a backoff from which it no longer bounds what is in flight.
@@ -162,9 +161,22 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerSelector {
     trackers: BTreeMap<ServerIncarnation, ServerTracker>,
+    /// Measured speed of engines; empty where it is not used.
+    engine_speeds: EngineSpeeds,
 }
 
 impl ServerSelector {
+    /// What is known of the engines' speed.
+    #[must_use]
+    pub const fn engine_speeds(&self) -> &EngineSpeeds {
+        &self.engine_speeds
+    }
+
+    /// What is known of the engines' speed, to record more of it.
+    pub const fn engine_speeds_mut(&mut self) -> &mut EngineSpeeds {
+        &mut self.engine_speeds
+    }
+
     /// The server with the shortest expected wait for a plain request, among the entry's share of
     /// servers; another server only if all of those have as many requests in flight as the share
     /// allows.
@@ -255,47 +267,6 @@
         recent_time_ms * (1.0 + ahead / slots) + zone_cost_ms
     }
 
-    /// The engine for a prompt, by the id of the last prefix that it shares with other requests.
-    #[must_use]
-    pub fn select_engine<'a>(
-        &self,
-        servers: UsableServers<'a>,
-        tried: &BTreeSet<ServerIncarnation>,
-        shared_prefix: &str,
-        now: Duration,
-    ) -> Option<&'a ServerRecord> {
-        let has_capacity = |server: &ServerRecord| !self.is_nearly_full(server, now);
-        let mut servers = self.candidates(servers, tried, has_capacity, now);
-        let seed = rendezvous::score(1, shared_prefix);
-        servers
-            .sort_by_cached_key(|server| Reverse(rendezvous::score(seed, server.incarnation.id())));
-        let mut mean = None;
-        // At another engine the prompt has to be read again, so affinity gives way only at a full
-        // engine.
-        let mut has_capacity = |server: &&&ServerRecord| {
-            if !self.is_nearly_full(server, now) {
-                return true;
-            }
-            let own = self.in_flight(&server.incarnation);
-            let mean = *mean.get_or_insert_with(|| self.mean_in_flight(&servers));
-            own < AFFINITY_MIN_IN_FLIGHT || as_f64(own) < mean * AFFINITY_FACTOR
-        };
-        let with_capacity = servers.iter().find(|server| has_capacity(server));
-        with_capacity.or_else(|| servers.first()).copied()
-    }
-
-    /// The engine that prompts with a shared prefix go to as long as it has capacity.
-    #[must_use]
-    pub fn prefix_home<'a>(
-        &self,
-        servers: &UsableServers<'a>,
-        shared_prefix: &str,
-    ) -> Option<&'a ServerRecord> {
-        let seed = rendezvous::score(1, shared_prefix);
-        let score = |server: &&ServerRecord| rendezvous::score(seed, server.incarnation.id());
-        servers.free.iter().copied().max_by_key(score)
-    }
-
     fn is_nearly_full(&self, server: &ServerRecord, now: Duration) -> bool {
         self.fullness(server, ENGINE_LOAD_LIFETIME, now) >= AFFINITY_MAX_FULLNESS
     }
@@ -307,13 +278,6 @@
         ahead / f64::from(u32::try_from(server.slots.max(1)).unwrap_or(1))
     }
 
-    fn mean_in_flight(&self, servers: &[&ServerRecord]) -> f64 {
-        let in_flight = servers
-            .iter()
-            .map(|server| self.in_flight(&server.incarnation));
-        as_f64(in_flight.sum::<usize>()) / as_f64(servers.len().max(1))
-    }
-
     /// Records a send.
     pub fn record_send(&mut self, server: &ServerIncarnation) {
         self.trackers.entry(server.clone()).or_default().in_flight += 1;
@@ -468,6 +432,7 @@
 
     /// Removes servers that are gone.
     pub fn retain(&mut self, is_known: impl Fn(&ServerIncarnation) -> bool) {
+        self.engine_speeds.retain(&is_known);
         self.trackers
             .retain(|id, tracker| tracker.in_flight > 0 || is_known(id));
     }
--- /dev/null
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -0,0 +1,307 @@
+//! Selects an engine for a prompt.
+//!
+//! Without measured speeds, or where all engines are about as fast, a prompt goes to the home engine
+//! of its shared prefix unless that is nearly full. Otherwise faster engines are the home of more
+//! prefixes, and a prompt leaves its home for an engine whose first event is expected earlier by
+//! more than the shared parts cost there.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::super::count::as_f64;
+use super::super::engine_speed::{EngineCost, EnginePrompt, EngineRunId, PROMPT_OVERHEAD_TOKENS};
+use super::super::rendezvous;
+use super::super::server_availability::UsableServers;
+use super::super::server_list::ServerRecord;
+use super::{ENGINE_LOAD_LIFETIME, ServerSelector};
+use crate::id::ServerIncarnation;
+
+/// Own requests in flight below which affinity always applies.
+const AFFINITY_MIN_IN_FLIGHT: usize = 4;
+/// Multiple of the mean in flight up to which affinity applies.
+const AFFINITY_FACTOR: f64 = 1.6;
+/// Relative difference to the median up to which engines count as equally fast.
+const EVEN_DIFFERENCE: f64 = 0.15;
+/// Lateness of a request that costs as much as a token that is prefilled again.
+const TOKEN_COST_S: f64 = 60e-6;
+/// Gain from which a prompt leaves its home.
+const MIN_GAIN_S: f64 = 0.1;
+/// Gain from which a prompt without shared parts leaves the engine that it would go to if all were
+/// equally fast. Small prompts stay even at an engine that is four times slower; without them
+/// nothing would show that it has recovered.
+const MIN_UNSHARED_GAIN_S: f64 = 0.25;
+/// Difference of expected times that is within their error: prompts of a prefix then go to the same
+/// engine.
+const SIMILAR_S: f64 = 0.05;
+/// Fraction of the longest pause between events that an engine's mean time of an event may take.
+const MAX_GAP_FRACTION: f64 = 0.8;
+/// Cost of an engine whose events are further apart than allowed; more than any first event.
+const SLOW_EVENTS_COST_S: f64 = 30.0;
+
+impl ServerSelector {
+    /// The engine for a prompt, by the id of the last prefix that it shares with other requests.
+    #[must_use]
+    pub fn select_engine<'a>(
+        &self,
+        servers: UsableServers<'a>,
+        tried: &BTreeSet<ServerIncarnation>,
+        shared_prefix: &str,
+        now: Duration,
+    ) -> Option<&'a ServerRecord> {
+        self.select_by_affinity(self.engines(servers, tried, now), shared_prefix, now)
+    }
+
+    /// The engine for a prompt by the measured speed of the engines; as [`Self::select_engine`] if
+    /// they are equally fast or nothing was measured.
+    #[must_use]
+    pub fn select_engine_by_speed<'a>(
+        &self,
+        servers: UsableServers<'a>,
+        tried: &BTreeSet<ServerIncarnation>,
+        prompt: &EnginePrompt<'_>,
+        now: Duration,
+    ) -> Option<&'a ServerRecord> {
+        let home = self.prefix_home(&servers, prompt.shared_prefix);
+        let engines = self.engines(servers, tried, now);
+        let measured = self.engine_speeds.costs(&engines, now);
+        let Some(costs) = measured.filter(|costs| !are_even(costs)) else {
+            return self.select_by_affinity(engines, prompt.shared_prefix, now);
+        };
+        let has_free: Vec<_> = engines
+            .iter()
+            .map(|engine| !self.is_nearly_full(engine, now))
+            .collect();
+        let is_any_free = has_free.contains(&true);
+        let seed = rendezvous::score(1, prompt.shared_prefix);
+        let rank_of = |engine: &ServerRecord| {
+            // Prompts that share nothing with others would only crowd the faster engines.
+            let is_weighted = prompt.shared_tokens > 0;
+            let class = self.engine_speeds.class(&engine.incarnation);
+            rank(seed, engine, if is_weighted { class.weight() } else { 1.0 })
+        };
+        let ranks: Vec<_> = engines.iter().map(|engine| rank_of(engine)).collect();
+        let home = if prompt.shared_tokens > 0 {
+            home.map(|home| &home.incarnation)
+        } else {
+            let ranked = ranks.iter().zip(&engines);
+            let first = ranked.max_by(|(a, _), (b, _)| a.total_cmp(b));
+            first.map(|(_, engine)| &engine.incarnation)
+        };
+        let mut ranked: Vec<_> = (0..engines.len())
+            .filter(|index| has_free[*index] || !is_any_free)
+            .map(|index| {
+                let engine = engines[index];
+                let is_home = home == Some(&engine.incarnation);
+                let expected_s = self.expected_cost_s(engine, costs[index], prompt, is_home, now);
+                (ranks[index], expected_s, engine)
+            })
+            .collect();
+        ranked.sort_by(|(a, ..), (b, ..)| b.total_cmp(a));
+        let all = ranked.iter().map(|(_, expected_s, _)| *expected_s);
+        let least_s = all.min_by(f64::total_cmp)?;
+        let is_similar = |expected_s: f64| expected_s <= least_s + SIMILAR_S;
+        let chosen = ranked
+            .iter()
+            .find(|(_, expected_s, _)| is_similar(*expected_s));
+        chosen.map(|(.., engine)| *engine)
+    }
+
+    /// The engine that prompts with a shared prefix go to as long as it has capacity.
+    #[must_use]
+    pub fn prefix_home<'a>(
+        &self,
+        servers: &UsableServers<'a>,
+        shared_prefix: &str,
+    ) -> Option<&'a ServerRecord> {
+        let seed = rendezvous::score(1, shared_prefix);
+        let free = servers.free.iter();
+        let classes = free.map(|server| self.engine_speeds.class(&server.incarnation));
+        let classes: Vec<_> = classes.collect();
+        if classes.windows(2).all(|pair| pair[0] == pair[1]) {
+            let score = |server: &&ServerRecord| rendezvous::score(seed, server.incarnation.id());
+            return servers.free.iter().copied().max_by_key(score);
+        }
+        let ranked = servers.free.iter().zip(classes);
+        let ranked = ranked.map(|(server, class)| (rank(seed, server, class.weight()), *server));
+        let home = ranked.max_by(|(a, _), (b, _)| a.total_cmp(b));
+        home.map(|(_, server)| server)
+    }
+
+    /// Records that a prompt is sent to an engine; the home engine of its shared parts has them
+    /// already.
+    pub fn begin_engine_run(
+        &mut self,
+        engine: &ServerRecord,
+        servers: &UsableServers<'_>,
+        prompt: &EnginePrompt<'_>,
+        now: Duration,
+    ) -> EngineRunId {
+        let home = self.prefix_home(servers, prompt.shared_prefix);
+        let is_home = home.is_some_and(|home| home.incarnation == engine.incarnation);
+        let cached = if is_home { prompt.shared_tokens } else { 0 };
+        let tokens = prompt.tokens.saturating_sub(cached);
+        let others = self.others_backlog_tokens(&engine.incarnation, now);
+        let others = Duration::try_from_secs_f64(others).map_or(0, |others| others.as_secs());
+        self.engine_speeds.begin_run(engine, tokens, others, now)
+    }
+
+    /// Expected time to a prompt's first event at an engine, if engines of the service differ in
+    /// speed.
+    #[must_use]
+    pub fn expected_first_event(
+        &self,
+        engine: &ServerRecord,
+        servers: &UsableServers<'_>,
+        prompt: &EnginePrompt<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let costs = self.engine_speeds.costs(&servers.free, now)?;
+        let mut servers_in_use = servers.free.iter();
+        let index = servers_in_use.position(|one| one.incarnation == engine.incarnation)?;
+        if are_even(&costs) {
+            return None;
+        }
+        let cost = costs[index];
+        let home = self.prefix_home(servers, prompt.shared_prefix);
+        let is_home = home.is_some_and(|home| home.incarnation == engine.incarnation);
+        let seconds = self.first_event_s(engine, cost, prompt, is_home, now);
+        Duration::try_from_secs_f64(seconds).ok()
+    }
+
+    /// Tokens of other gateways' prompts that an engine has not prefilled yet, by the load that it
+    /// reported.
+    #[must_use]
+    pub fn others_backlog_tokens(&self, server: &ServerIncarnation, now: Duration) -> f64 {
+        let Some((load, at)) = self.tracker(server).and_then(|tracker| tracker.reported) else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        let freshness = (1.0 - age / ENGINE_LOAD_LIFETIME.as_secs_f64()).max(0.0);
+        let own = self.engine_speeds.run_count(server);
+        let others = (f64::from(load.running) - as_f64(own)).max(0.0);
+        let unread = f64::from(load.waiting) + others * self.engine_speeds.prefill_share();
+        unread * self.engine_speeds.usual_tokens() * freshness
+    }
+
+    /// Expected time to a prompt's first event at an engine, and the cost of work that is done there
+    /// again.
+    fn expected_cost_s(
+        &self,
+        engine: &ServerRecord,
+        cost: EngineCost,
+        prompt: &EnginePrompt<'_>,
+        is_home: bool,
+        now: Duration,
+    ) -> f64 {
+        let first_event_s = self.first_event_s(engine, cost, prompt, is_home, now);
+        let is_too_slow = cost
+            .event_s
+            .zip(prompt.max_event_gap)
+            .is_some_and(|(event_s, gap)| event_s > gap.as_secs_f64() * MAX_GAP_FRACTION);
+        let events_s = if is_too_slow { SLOW_EVENTS_COST_S } else { 0.0 };
+        if is_home {
+            return first_event_s + events_s;
+        }
+        let fetch = prompt.fetch_time();
+        let is_fetched = fetch.is_some_and(|time| {
+            time.as_secs_f64() < as_f64(prompt.shared_tokens) * cost.prefill_s_per_token
+        });
+        let again_s = if is_fetched {
+            0.0
+        } else {
+            as_f64(prompt.shared_tokens) * TOKEN_COST_S
+        };
+        let min_gain_s = if prompt.shared_tokens > 0 {
+            MIN_GAIN_S
+        } else {
+            MIN_UNSHARED_GAIN_S
+        };
+        first_event_s + again_s + min_gain_s + events_s
+    }
+
+    /// Expected time to a prompt's first event at an engine.
+    fn first_event_s(
+        &self,
+        engine: &ServerRecord,
+        cost: EngineCost,
+        prompt: &EnginePrompt<'_>,
+        is_home: bool,
+        now: Duration,
+    ) -> f64 {
+        let server = &engine.incarnation;
+        let backlog = self.engine_speeds.backlog_tokens(server, cost, now)
+            + self.others_backlog_tokens(server, now);
+        let own = prompt.tokens.saturating_sub(prompt.shared_tokens) + PROMPT_OVERHEAD_TOKENS;
+        let own_s = (backlog + as_f64(own)) * cost.prefill_s_per_token;
+        if is_home {
+            return own_s;
+        }
+        let prefilled_s = as_f64(prompt.shared_tokens) * cost.prefill_s_per_token;
+        let fetched_s = prompt.fetch_time().map(|time| time.as_secs_f64());
+        own_s + fetched_s.map_or(prefilled_s, |fetched_s| fetched_s.min(prefilled_s))
+    }
+
+    fn engines<'a>(
+        &self,
+        servers: UsableServers<'a>,
+        tried: &BTreeSet<ServerIncarnation>,
+        now: Duration,
+    ) -> Vec<&'a ServerRecord> {
+        let has_capacity = |server: &ServerRecord| !self.is_nearly_full(server, now);
+        self.candidates(servers, tried, has_capacity, now)
+    }
+
+    fn select_by_affinity<'a>(
+        &self,
+        mut servers: Vec<&'a ServerRecord>,
+        shared_prefix: &str,
+        now: Duration,
+    ) -> Option<&'a ServerRecord> {
+        let seed = rendezvous::score(1, shared_prefix);
+        servers
+            .sort_by_cached_key(|server| Reverse(rendezvous::score(seed, server.incarnation.id())));
+        let mut mean = None;
+        // At another engine the prompt has to be read again, so affinity gives way only at a full
+        // engine.
+        let mut has_capacity = |server: &&&ServerRecord| {
+            if !self.is_nearly_full(server, now) {
+                return true;
+            }
+            let own = self.in_flight(&server.incarnation);
+            let mean = *mean.get_or_insert_with(|| self.mean_in_flight(&servers));
+            own < AFFINITY_MIN_IN_FLIGHT || as_f64(own) < mean * AFFINITY_FACTOR
+        };
+        let with_capacity = servers.iter().find(|server| has_capacity(server));
+        with_capacity.or_else(|| servers.first()).copied()
+    }
+
+    fn mean_in_flight(&self, servers: &[&ServerRecord]) -> f64 {
+        let in_flight = servers
+            .iter()
+            .map(|server| self.in_flight(&server.incarnation));
+        as_f64(in_flight.sum::<usize>()) / as_f64(servers.len().max(1))
+    }
+}
+
+/// Rank of an engine for a prefix by a weighted rendezvous hash; the highest one wins. Its share of
+/// the prefixes is proportional to its weight, and a change of the weight moves only prefixes to or
+/// from that engine.
+fn rank(seed: u64, server: &ServerRecord, weight: f64) -> f64 {
+    let score = rendezvous::score(seed, server.incarnation.id());
+    // The upper half of the score as a number between 0 and 1, without either.
+    let upper = u32::try_from(score >> 32).unwrap_or(u32::MAX);
+    let uniform = (f64::from(upper) + 0.5) / (f64::from(u32::MAX) + 1.0);
+    -weight / uniform.ln()
+}
+
+/// Whether all engines are about as fast as the median.
+fn are_even(costs: &[EngineCost]) -> bool {
+    let mut prefills: Vec<_> = costs.iter().map(|cost| cost.prefill_s_per_token).collect();
+    prefills.sort_by(f64::total_cmp);
+    let Some(median) = prefills.get(prefills.len() / 2) else {
+        return true;
+    };
+    let differs = |prefill: &f64| (prefill / median - 1.0).abs() > EVEN_DIFFERENCE;
+    !prefills.iter().any(differs)
+}
--- /dev/null
+++ b/crates/core/tests/engine_speed/choice.rs
@@ -0,0 +1,255 @@
+//! The choice of an engine by measured speed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use amaranthscale_core::id::{InstanceId, ServerIncarnation};
+use amaranthscale_core::process::{
+    EngineEstimate, EnginePrompt, SPEED_FORMAT, ServerRecord, ServerSelector, SpeedClass,
+    SpeedUpdate, SpeedVersion,
+};
+use amaranthscale_core::version::TransferSpec;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn engines(count: usize) -> Vec<ServerRecord> {
+    let engine = |index| ServerRecord {
+        incarnation: format!("e{index}").parse().unwrap(),
+        service: "engines".parse().unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: "north".parse().unwrap(),
+        slots: 64,
+        is_leaving: false,
+        cold_left: None,
+    };
+    (0..count).map(engine).collect()
+}
+
+/// A selector with estimates in ms for 1,000 tokens, by the number of the engine.
+fn selector(engines: &[ServerRecord], prefill_ms: impl Fn(usize) -> u32) -> ServerSelector {
+    selector_with(engines, |index| {
+        (prefill_ms(index) * 1_000, 40_000, SpeedClass::USUAL)
+    })
+}
+
+fn selector_with(
+    engines: &[ServerRecord],
+    estimate: impl Fn(usize) -> (u32, u32, SpeedClass),
+) -> ServerSelector {
+    let estimates = engines.iter().enumerate().map(|(index, engine)| {
+        let (prefill_ns, event_us, class) = estimate(index);
+        let estimate = EngineEstimate {
+            prefill_ns,
+            event_us: Some(event_us),
+            recent_percent: 100,
+            class,
+        };
+        (engine.incarnation.clone(), Some(estimate))
+    });
+    let collector: InstanceId = "g1".parse().unwrap();
+    let mut selector = ServerSelector::default();
+    let update = SpeedUpdate {
+        format: SPEED_FORMAT,
+        version: SpeedVersion {
+            collector,
+            number: 1,
+        },
+        is_complete: true,
+        estimates: estimates.collect(),
+    };
+    assert_eq!(selector.engine_speeds_mut().apply(update, NOW), 0);
+    selector
+}
+
+fn prompt(shared_prefix: &str, tokens: u64, shared_tokens: u64) -> EnginePrompt<'_> {
+    EnginePrompt {
+        shared_prefix,
+        tokens,
+        shared_tokens,
+        max_event_gap: Some(Duration::from_millis(400)),
+        fetch: None,
+    }
+}
+
+fn chosen(
+    selector: &ServerSelector,
+    engines: &[ServerRecord],
+    prompt: &EnginePrompt<'_>,
+) -> ServerIncarnation {
+    let usable = engines.iter().collect();
+    let chosen = selector.select_engine_by_speed(usable, &BTreeSet::new(), prompt, NOW);
+    chosen.unwrap().incarnation.clone()
+}
+
+fn by_affinity(
+    selector: &ServerSelector,
+    engines: &[ServerRecord],
+    prefix: &str,
+) -> ServerIncarnation {
+    let usable = engines.iter().collect();
+    let chosen = selector.select_engine(usable, &BTreeSet::new(), prefix, NOW);
+    chosen.unwrap().incarnation.clone()
+}
+
+fn prefixes() -> Vec<String> {
+    (0..200).map(|index| format!("part-{index}")).collect()
+}
+
+/// Guards against a change for deployments whose engines are equally fast.
+#[test]
+fn even_engines_are_chosen_as_by_affinity() {
+    let engines = engines(9);
+    let even = selector(&engines, |index| if index < 4 { 30 } else { 34 });
+    let unmeasured = ServerSelector::default();
+
+    for selector in [&even, &unmeasured] {
+        for prefix in prefixes() {
+            let expected = by_affinity(selector, &engines, &prefix);
+            let prompt = prompt(&prefix, 60_000, 5_000);
+            assert_eq!(chosen(selector, &engines, &prompt), expected);
+            let usable = engines.iter().collect();
+            let home = selector.prefix_home(&usable, &prefix).unwrap();
+            assert_eq!(home.incarnation, expected);
+        }
+    }
+}
+
+/// Guards against a large prompt that waits for a slow engine, and against small ones that leave
+/// the engine which has read their shared part.
+#[test]
+fn a_large_prompt_leaves_a_slow_home_and_a_small_one_stays() {
+    let engines = engines(9);
+    let selector = selector(&engines, |index| if index < 3 { 13 } else { 30 });
+    let is_fast =
+        |engine: &ServerIncarnation| engines[..3].iter().any(|e| e.incarnation == *engine);
+
+    for prefix in prefixes() {
+        let home = by_affinity(&selector, &engines, &prefix);
+        let large = chosen(&selector, &engines, &prompt(&prefix, 60_000, 5_000));
+        let small = chosen(&selector, &engines, &prompt(&prefix, 7_000, 5_000));
+        assert!(is_fast(&large), "{prefix}: {large}");
+        assert_eq!(small, home);
+    }
+}
+
+/// Guards against a prompt that is prefilled again at another engine for a small gain, and one that
+/// stays although the other engine can fetch the shared part.
+#[test]
+fn a_prompt_leaves_more_readily_where_shared_parts_are_fetched() {
+    let engines = engines(9);
+    let selector = selector(&engines, |index| if index < 3 { 13 } else { 30 });
+    let prefix = prefixes()
+        .into_iter()
+        .find(|prefix| by_affinity(&selector, &engines, prefix) == engines[5].incarnation)
+        .unwrap();
+    let prefilled = prompt(&prefix, 25_000, 10_000);
+    let fetched = EnginePrompt {
+        fetch: Some(TransferSpec {
+            bytes_per_token: 18_432,
+            bytes_per_s: 92_500_000_000,
+            can_back_up: true,
+            can_move: true,
+            copy_retention: Duration::from_secs(5),
+        }),
+        ..prefilled
+    };
+
+    assert_eq!(
+        chosen(&selector, &engines, &prefilled),
+        engines[5].incarnation
+    );
+    assert_ne!(
+        chosen(&selector, &engines, &fetched),
+        engines[5].incarnation
+    );
+}
+
+/// Guards against a large prompt that waits until another large one is prefilled.
+#[test]
+fn a_large_prompt_does_not_queue_behind_another() {
+    let engines = engines(9);
+    let mut selector = selector(&engines, |index| if index < 3 { 13 } else { 30 });
+    let first = chosen(&selector, &engines, &prompt("part", 60_000, 5_000));
+    let record = engines
+        .iter()
+        .find(|engine| engine.incarnation == first)
+        .unwrap();
+    let run = selector
+        .engine_speeds_mut()
+        .begin_run(record, 60_000, 0, NOW);
+
+    let second = chosen(&selector, &engines, &prompt("part", 60_000, 5_000));
+    selector.engine_speeds_mut().record_event(&first, run, NOW);
+    let third = chosen(&selector, &engines, &prompt("part", 60_000, 5_000));
+
+    assert_ne!(second, first);
+    assert_eq!(third, first, "the first one is prefilled");
+}
+
+/// Guards against streams at an engine whose events are further apart than callers accept.
+#[test]
+fn an_engine_with_slow_events_is_avoided() {
+    let engines = engines(5);
+    let selector = selector_with(&engines, |index| {
+        let event_us = if index == 2 { 500_000 } else { 40_000 };
+        (
+            if index == 2 { 20_000 } else { 30_000 },
+            event_us,
+            SpeedClass::USUAL,
+        )
+    });
+
+    for prefix in prefixes() {
+        let engine = chosen(&selector, &engines, &prompt(&prefix, 7_000, 5_000));
+        assert_ne!(engine, engines[2].incarnation);
+    }
+}
+
+/// Guards against an engine that stalls: its next estimate is published only after its runs end.
+#[test]
+fn an_own_overdue_run_counts_at_once() {
+    let engines = engines(5);
+    let mut selector = selector(&engines, |_| 30);
+    let home = chosen(&selector, &engines, &prompt("part", 12_000, 5_000));
+    let record = engines
+        .iter()
+        .find(|engine| engine.incarnation == home)
+        .unwrap();
+    let sent_at = NOW.checked_sub(Duration::from_secs(2)).unwrap();
+    selector
+        .engine_speeds_mut()
+        .begin_run(record, 7_000, 0, sent_at);
+
+    let engine = chosen(&selector, &engines, &prompt("part", 12_000, 5_000));
+
+    assert_ne!(engine, home);
+}
+
+/// Guards against fast engines that are home of no more prefixes than slow ones, and against
+/// prefixes that move between engines whose class has not changed.
+#[test]
+fn a_faster_class_takes_prefixes_in_proportion_and_moves_no_others() {
+    let engines = engines(10);
+    let fast = SpeedClass::USUAL.after(2.0);
+    let homes = |class: SpeedClass| {
+        let class_of = |index| if index == 0 { class } else { SpeedClass::USUAL };
+        let selector = selector_with(&engines, |index| (30_000, 40_000, class_of(index)));
+        let usable = engines.iter().collect();
+        let home = |prefix: &String| selector.prefix_home(&usable, prefix).unwrap();
+        let prefixes = (0..2_000).map(|index| format!("part-{index}"));
+        prefixes
+            .map(|prefix| home(&prefix).incarnation.clone())
+            .collect::<Vec<_>>()
+    };
+
+    let (before, after) = (homes(SpeedClass::USUAL), homes(fast));
+
+    let count = |homes: &[ServerIncarnation]| {
+        let first = homes.iter().filter(|home| **home == engines[0].incarnation);
+        first.count()
+    };
+    assert!((150..250).contains(&count(&before)), "{}", count(&before));
+    assert!((310..420).contains(&count(&after)), "{}", count(&after));
+    let mut moved = before.iter().zip(&after).filter(|(a, b)| a != b);
+    assert!(moved.all(|(_, to)| *to == engines[0].incarnation));
+}
--- /dev/null
+++ b/crates/core/tests/engine_speed/main.rs
@@ -0,0 +1,8 @@
+//! Measured speed of engines: the estimates, their exchange and the choice by them.
+
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
+mod choice;
+mod estimates;
+mod simulated;
+mod simulation;
--- /dev/null
+++ b/crates/core/tests/engine_speed/simulated.rs
@@ -0,0 +1,100 @@
+//! Simulated engines of two speeds behind twenty gateways.
+
+use std::time::Duration;
+
+use super::simulation::{Choice, Scenario, Simulation, late_fraction, percentile};
+
+/// Time to the first event within which the largest prompts are on time.
+const LIMIT: Duration = Duration::from_millis(1_200);
+
+fn scenario(choice: Choice) -> Scenario {
+    Scenario {
+        choice,
+        duration: Duration::from_secs(40),
+        ..Scenario::default()
+    }
+}
+
+/// Guards against large prompts that wait at slow engines while fast ones are idle.
+#[test]
+fn the_largest_prompts_get_their_first_event_earlier_at_no_cost_to_others() {
+    let before = Simulation::new(scenario(Choice::Affinity)).run();
+    let after = Simulation::new(scenario(Choice::Speed)).run();
+
+    let p90 = |times: &[Duration]| percentile(times, 90);
+    assert!(
+        late_fraction(&before.largest, LIMIT) > 0.15,
+        "the load is as measured"
+    );
+    assert!(late_fraction(&after.largest, LIMIT) < 0.08);
+    assert!(p90(&after.largest) < p90(&before.largest).mul_f64(0.8));
+    assert!(p90(&after.large) <= p90(&before.large));
+    assert!(p90(&after.others) <= p90(&before.others));
+    assert!(p90(&after.other_totals) <= p90(&before.other_totals));
+    // Lateness that is saved by all large prompts outweighs 60 ms for each 1,000 tokens.
+    let sum = |times: &[Duration]| times.iter().sum::<Duration>();
+    let saved = sum(&before.largest).saturating_sub(sum(&after.largest))
+        + sum(&before.large).saturating_sub(sum(&after.large));
+    let again = Duration::from_micros(after.tokens_again * 60);
+    assert!(saved > again, "{saved:?} saved, {again:?} spent");
+}
+
+/// Guards against prompts that keep going to an engine which has become slow, and against an engine
+/// that stays unused after it has recovered.
+#[test]
+fn a_slowed_engine_gets_less_within_a_second_and_is_back_within_three() {
+    for slow in [3, 20] {
+        let (from, until) = (Duration::from_secs(20), Duration::from_secs(28));
+        let mut simulation = Simulation::new(Scenario {
+            slowdown: Some((slow, 4.0, from, until)),
+            ..scenario(Choice::Speed)
+        });
+
+        simulation.run_until(from);
+        let before = simulation.subjects_at(slow);
+        simulation.run_until(from + Duration::from_secs(1));
+        let slowed = simulation.subjects_at(slow);
+        simulation.run_until(until + Duration::from_secs(3));
+        let after = simulation.subjects_at(slow);
+
+        let is_all = |holds: fn(usize, usize) -> bool, counts: &[usize]| {
+            let mut pairs = before.iter().zip(counts);
+            pairs.all(|(before, count)| holds(*before, *count))
+        };
+        assert!(
+            is_all(|before, count| before > 0 && count < before, &slowed),
+            "{slow}: {before:?} {slowed:?}"
+        );
+        assert!(
+            is_all(|before, count| count * 2 >= before, &after),
+            "{slow}: {before:?} {after:?} {:?}",
+            simulation.estimate(slow)
+        );
+    }
+}
+
+/// Guards against subjects that move between engines with small changes of the estimates, and
+/// against gateways that disagree on them.
+#[test]
+fn gateways_agree_on_homes_that_stay() {
+    let mut simulation = Simulation::new(scenario(Choice::Speed));
+    simulation.run_until(Duration::from_secs(25));
+    let before = simulation.homes(0);
+
+    let others = (1..20).map(|gateway| simulation.homes(gateway));
+    assert!(others.into_iter().all(|homes| homes == before));
+
+    simulation.run_until(Duration::from_secs(40));
+    let after = simulation.homes(0);
+    let moved = before.iter().zip(&after).filter(|(a, b)| a != b);
+    assert!(moved.count() * 50 < before.len(), "under 2% in 15 s");
+}
+
+/// Guards against a gateway that needs the collector to use engines by their speed.
+#[test]
+fn gateways_without_a_collector_are_no_worse_than_by_affinity() {
+    let before = Simulation::new(scenario(Choice::Affinity)).run();
+    let after = Simulation::new(scenario(Choice::SpeedWithoutExchange)).run();
+
+    assert!(percentile(&after.largest, 90) < percentile(&before.largest, 90));
+}
