Gateways measure engines, exchange what they measured and choose by it

Cause: each of twenty gateways sees a twentieth of an engine's runs, too few to know its speed.

Runs are measured from the send to each event. Samples of no time are left out, as the engine had the prompt in its cache.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::{Cell, ServerSelector};
+use amaranthscale_core::process::{Cell, ServerSelector, SpeedCollector};
 use log::info;
 use quick_error::quick_error;
 use tokio::task::JoinHandle;
@@ -16,8 +16,8 @@
 use super::process::{
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
     GatewayContext, LimitTracker, RetryBudgets, SendShares, ShutdownGate, StatementRecorder,
-    monitor_unresponsive, publish_crashes, publish_limits, remove_expired_evidence,
-    remove_stale_limits,
+    exchange_speeds, monitor_unresponsive, publish_crashes, publish_limits,
+    remove_expired_evidence, remove_stale_limits,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -100,6 +100,7 @@
         let internal = listen_internal(&config, &context, peers).await?;
         tokio::spawn(propagate_changes(Arc::clone(&context)));
         tokio::spawn(sweep(Arc::clone(&context)));
+        tokio::spawn(exchange_speeds(Arc::clone(&context)));
         tokio::spawn(monitor_unresponsive(
             Arc::clone(&context),
             announcer.clone(),
@@ -292,6 +293,7 @@
         max_ready_age: config.revoke_bound * READY_AGE_PERCENT / 100,
         max_routing_lag: config.apply_bound * MAX_ROUTING_LAG_PERCENT / 100,
         server_selector,
+        speed_collector: Mutex::new(SpeedCollector::new(config.instance.clone())),
     }
 }
 
@@ -312,6 +314,7 @@
         let is_known = |incarnation: &ServerIncarnation| servers.is_usable(incarnation);
         context.pool.retain(is_known);
         context.server_selector().retain(is_known);
+        context.speed_collector().retain(is_known);
         context.send_shares.retain(is_known);
     }
 }
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -7,6 +7,7 @@
 mod batch_owners;
 mod buffer_memory;
 mod crash_tracker;
+mod engine_speeds;
 mod first_event_estimators;
 mod gateway_context;
 mod limit_tracker;
@@ -24,6 +25,7 @@
 mod server_selection;
 mod shutdown_gate;
 mod single_run;
+mod speed_exchange;
 mod statement_recorder;
 
 #[doc(inline)]
@@ -38,6 +40,7 @@
 pub use buffer_memory::{BufferMemory, BufferReservation};
 #[doc(inline)]
 pub use crash_tracker::CrashTracker;
+pub(crate) use engine_speeds::EngineRunTimes;
 #[doc(inline)]
 pub use first_event_estimators::FirstEventEstimators;
 #[doc(inline)]
@@ -68,4 +71,6 @@
 pub use shutdown_gate::{OpenRequest, ShutdownGate};
 pub(crate) use single_run::SingleRun;
 #[doc(inline)]
+pub use speed_exchange::{SPEEDS_PATH, exchange_speeds};
+#[doc(inline)]
 pub use statement_recorder::StatementRecorder;
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use amaranthscale_core::id::{InstanceId, ServiceId, ZoneId};
-use amaranthscale_core::process::{ConnectionShare, ServerSelector};
+use amaranthscale_core::process::{ConnectionShare, ServerSelector, SpeedCollector};
 
 use super::super::connection::ConnectionPool;
 use super::super::version::{AnnouncementWriter, ClusterView, TableRelay};
@@ -69,6 +69,8 @@
     pub crashes: Arc<CrashTracker>,
     /// Selects servers by the load and health that earlier sends showed.
     pub server_selector: Arc<Mutex<ServerSelector>>,
+    /// Combines the samples of engines' speed while this gateway is the collector.
+    pub speed_collector: Mutex<SpeedCollector>,
 }
 
 impl GatewayContext {
@@ -102,6 +104,13 @@
         })
     }
 
+    /// The collector of engines' speed; the lock is held for single messages only.
+    pub fn speed_collector(&self) -> MutexGuard<'_, SpeedCollector> {
+        self.speed_collector
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The server selector; the lock is held for single decisions only.
     pub fn server_selector(&self) -> MutexGuard<'_, ServerSelector> {
         self.server_selector
--- a/crates/amaranthscale/src/gateway/process/peer_server.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_server.rs
@@ -1,4 +1,5 @@
-//! Serves requests of other gateways: jobs, relayed rows of the store and liveness checks.
+//! Serves requests of other gateways: jobs, relayed rows of the store, measured speeds and liveness
+//! checks.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use super::GatewayContext;
 use super::peer_jobs::serve_job;
 use super::peer_message::{read_message, status_response};
+use super::speed_exchange::{SPEEDS_PATH, serve_speeds};
 use crate::connection::{PeerClient, ResponseBody, full_body};
 
 /// Prefix of the path for checking that a gateway is alive; its id follows.
@@ -22,8 +24,8 @@
 /// Maximum size of an update of announcements: one gateway's own and the names of some ended ones.
 const MAX_ANNOUNCEMENTS_BYTES: usize = 64 * 1024;
 
-/// Serves requests of other gateways: jobs, relayed rows of the store, announcements and liveness
-/// checks.
+/// Serves requests of other gateways: jobs, relayed rows of the store, announcements, measured
+/// speeds and liveness checks.
 ///
 /// Rows are the store's own, so they are served to those that know only an earlier incarnation at
 /// this address too, as after a power failure.
@@ -43,6 +45,8 @@
         serve_rows(&context, request).await
     } else if path == ANNOUNCEMENTS_PATH {
         serve_announcements(&context, request).await
+    } else if path.starts_with(SPEEDS_PATH) {
+        serve_speeds(&context, request).await
     } else {
         serve_job(&context, request).await
     }
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -6,8 +6,8 @@
 
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
-    ConnectionShare, DEFAULT_ENGINE_TIME, JobFailure, JobSpec, LoadSnapshot, SendingEntry,
-    ServerRecord, StageSpec,
+    ConnectionShare, DEFAULT_ENGINE_TIME, EnginePrompt, JobFailure, JobSpec, LoadSnapshot,
+    SendingEntry, ServerRecord, StageSpec,
 };
 use amaranthscale_core::{Ran, ResultCode};
 use hyper::Response;
@@ -252,14 +252,20 @@
         let (id, zone) = (&self.context.instance, &self.context.zone);
         let entry = SendingEntry::new(id, zone, ConnectionShare::UNLIMITED);
         let shared_prefix = self.admitted.attributes.shared_prefix.as_deref();
+        let prompt = self.engine_prompt();
         let chosen = self.context.choose_server(
             &self.service,
             self.outgoing.body_bytes(),
-            |server_selector, usable, now| match shared_prefix {
-                Some(shared_prefix) => {
+            |server_selector, usable, now| match (&prompt, shared_prefix) {
+                (Some(prompt), _) => {
+                    server_selector.select_engine_by_speed(usable, &self.tried_servers, prompt, now)
+                }
+                (None, Some(shared_prefix)) => {
                     server_selector.select_engine(usable, &self.tried_servers, shared_prefix, now)
                 }
-                None => server_selector.select_plain(usable, &self.tried_servers, entry, now),
+                (None, None) => {
+                    server_selector.select_plain(usable, &self.tried_servers, entry, now)
+                }
             },
         );
         let (server, load) = chosen?;
@@ -297,7 +303,7 @@
                     .target_latency
                     .saturating_sub(self.admitted.arrived_at.elapsed()),
                 deadline_left: self.admitted.remaining().saturating_sub(ENGINE_RESERVE),
-                engine_time: self.engine_time(),
+                engine_time: self.engine_time(engine),
                 reader_zone: engine.zone.clone(),
                 retained: Vec::new(),
             };
@@ -331,13 +337,22 @@
         Ok(results)
     }
 
+    /// The prompt, where engines are chosen by their speed.
+    fn engine_prompt(&self) -> Option<EnginePrompt<'_>> {
+        let attributes = &self.admitted.attributes;
+        let max_event_gap = self.admitted.route.max_event_gap;
+        self.context
+            .engine_prompt(&self.service, attributes, max_event_gap)
+    }
+
     /// Expected time of an engine to the first event of this prompt.
-    fn engine_time(&self) -> Duration {
+    fn engine_time(&self, engine: &ServerRecord) -> Duration {
         let tokens = self.admitted.attributes.prompt_tokens;
-        let expected = self
-            .context
-            .first_event_estimators
-            .expected(&self.service, tokens);
+        let estimators = &self.context.first_event_estimators;
+        let prompt = self.engine_prompt();
+        let expected = prompt
+            .and_then(|prompt| self.context.expected_first_event(engine, &prompt))
+            .or_else(|| estimators.expected(&self.service, tokens));
         // A prompt that alone takes the whole target latency misses it however fast the stages are.
         let max = self.admitted.route.target_latency / 2;
         expected.unwrap_or(DEFAULT_ENGINE_TIME).min(max)
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::super::connection::{ServerAnswer, ServerConnection};
-use super::super::process::GatewayContext;
+use super::super::process::{EngineRunTimes, GatewayContext};
 use super::caller::AdmittedRequest;
 use super::outgoing::OutgoingRequest;
 use crate::connection::{ReadBodyError, SendError};
@@ -52,6 +52,8 @@
     body_bytes: usize,
     address: SocketAddr,
     started: Instant,
+    /// Measures the run; none before it is sent, and where the speed is not used.
+    run_times: Option<EngineRunTimes>,
     end: SendEnd,
 }
 
@@ -71,10 +73,18 @@
             body_bytes,
             address: server.address,
             started: Instant::now(),
+            run_times: None,
             end: SendEnd::Abandoned,
         }
     }
 
+    /// Records that an event of the answer has arrived.
+    pub(super) fn record_event(&self) {
+        if let Some(run_times) = &self.run_times {
+            run_times.record_event();
+        }
+    }
+
     /// Records that the complete answer was received.
     pub(super) fn record_answer(self, admitted: &AdmittedRequest) {
         admitted.record_completion(&self.context);
@@ -128,7 +138,7 @@
     outgoing: &OutgoingRequest,
     admitted: &AdmittedRequest,
     server: &ServerRecord,
-    in_flight_send: InFlightSend,
+    mut in_flight_send: InFlightSend,
 ) -> SendOutcome {
     let call = &admitted.attributes.call;
     let Ok(mut connection) = context.pool.connection(server).await else {
@@ -158,6 +168,7 @@
             return SendOutcome::Withheld(availability);
         }
     };
+    in_flight_send.run_times = context.begin_engine_run(server, &admitted.attributes);
     let sent_at = Instant::now();
     let ServerAnswer {
         head,
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -146,6 +146,7 @@
             results.take();
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
+                in_flight_send.record_event();
                 if let Err(end) = self.forward(event).await {
                     return end;
                 }
--- a/crates/core/src/process/engine_speed/engine_samples.rs
+++ b/crates/core/src/process/engine_speed/engine_samples.rs
@@ -97,10 +97,12 @@
         Ok(())
     }
 
+    /// Adds a prompt. One that took no time is left out: the engine had all of it in its cache.
     pub(super) fn add_prefill(&mut self, tokens: u64, time: Duration) {
-        if self.prefills.len() < MAX_PREFILLS {
-            let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
-            self.prefills.push(PrefillSample::new(tokens, micros(time)));
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        let sample = PrefillSample::new(tokens, micros(time));
+        if self.prefills.len() < MAX_PREFILLS && sample.is_valid() {
+            self.prefills.push(sample);
         }
     }
 
