--- a/crates/amaranthscale/src/gateway/process/statement_recorder.rs
+++ b/crates/amaranthscale/src/gateway/process/statement_recorder.rs
@@ -59,6 +59,10 @@
         if statement.is_leaving {
             self.record_leaving(server);
         }
+        if statement.has_invalid_load {
+            self.counters.count("servers.invalid-load");
+            info!(server:% = server; "servers: invalid load reported");
+        }
         match &statement.backoff {
             Some(Ok(backoff)) => self.record_backoff(server, *backoff),
             Some(Err(error)) => {
