Calls to slow stage servers get fewer pieces

Cause: a full call at a slow server holds all its pieces for as many times longer. From 1.5 times the usual time on, a call's size is divided by the slowness; the server still gets calls, which show when it has recovered.

--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -21,7 +21,7 @@
 use super::super::clock::ms;
 use super::super::connection::ConnectionPool;
 use super::super::version::ClusterView;
-use super::super::{Dialect, FeatureSet};
+use super::super::{Dialect, Feature, FeatureSet};
 use super::LimitTracker;
 use super::batch_calls::{BatchCaller, CallEnd, run_batch, send_free_request};
 use super::batch_message::{BatchOwnerMessage, JobOutcome, JobSource, JobUpdate, Submission};
@@ -101,9 +101,10 @@
         _myself: ActorRef<Self::Msg>,
         arguments: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
+        let is_paced = arguments.features.is_enabled(Feature::EngineSpeed);
         let mut state = BatchOwnerState {
             arguments,
-            batcher: Batcher::new(),
+            batcher: Batcher::new().with_paced_calls(is_paced),
             pending: BTreeMap::new(),
             servers_freeing: BTreeSet::new(),
             next_tick: None,
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -74,6 +74,8 @@
     /// Until when another owner may be using the same servers.
     shared_until: Duration,
     is_stopping: bool,
+    /// Whether slow servers get fewer pieces in a call.
+    is_paced: bool,
 }
 
 #[derive(Debug)]
@@ -109,6 +111,13 @@
         Self::default()
     }
 
+    /// Sets whether calls to slow servers get fewer pieces.
+    #[must_use]
+    pub const fn with_paced_calls(mut self, is_paced: bool) -> Self {
+        self.is_paced = is_paced;
+        self
+    }
+
     /// Replaces the services and their servers, each with its availability.
     pub fn set_servers<'a>(
         &mut self,
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::job::{Job, LARGE_RESULT_BYTES, PieceState, StageState};
-use super::pool_state::PoolState;
+use super::pool_state::{PoolState, size_by_pace};
 use super::queue::Entry;
 use super::scan_interval::scan_interval;
 use super::zone_availability::ZoneAvailability;
@@ -119,13 +119,18 @@
         let mut waiting_pieces =
             self.waiting_pieces(pool, spec.max_pieces.max(1) * available.len());
         let mut batches = Vec::new();
-        for (index, (_, server)) in available.iter().enumerate() {
+        for (index, (slowness, server)) in available.iter().enumerate() {
             let servers_left = available.len() - index;
             // The time of a call grows with its pieces, so free servers share the waiting pieces,
             // unless the smaller calls would leave the servers unable to keep up with arriving
             // work.
             let target_size = waiting_pieces.div_ceil(servers_left).max(min_pieces);
             let target_size = target_size.clamp(1, spec.max_pieces.max(1));
+            let target_size = if self.is_paced {
+                size_by_pace(target_size, *slowness)
+            } else {
+                target_size
+            };
             if let Some(batch) = self.form_batch(service, spec, server, target_size, now) {
                 waiting_pieces = waiting_pieces.saturating_sub(batch.items.len());
                 batches.push(batch);
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -20,6 +20,8 @@
 const BUSY_FRACTION: f64 = 0.9;
 /// Weight of each new sample in a server's slowness.
 const SAMPLE_WEIGHT: f64 = 0.5;
+/// Slowness from which calls to a server get fewer pieces; less is within the usual variation.
+const MIN_PACED_SLOWNESS: f64 = 1.5;
 /// Time without a call after which a server is assumed to be as fast as the others again.
 const SLOWNESS_LIFETIME: Duration = Duration::from_secs(3);
 /// First ejection time of a server that lost a call; doubles with each further loss.
@@ -309,3 +311,14 @@
 const fn usable_bytes(spec: BatchSpec) -> u64 {
     spec.result_capacity_bytes / 100 * USABLE_CAPACITY_PERCENT
 }
+
+/// Pieces in a call to a server, by its slowness: a slow one would hold all of a full call's pieces
+/// for as many times longer. It still gets calls, which show when it has recovered.
+pub(super) fn size_by_pace(pieces: usize, slowness: f64) -> usize {
+    if slowness < MIN_PACED_SLOWNESS {
+        return pieces;
+    }
+    let fewer = (as_f64(pieces) / slowness).ceil();
+    let sizes = 1..pieces;
+    sizes.rev().find(|size| as_f64(*size) <= fewer).unwrap_or(1)
+}
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -7,6 +7,7 @@
 mod connection_loss;
 mod ends;
 mod fixture;
+mod paced_calls;
 mod random;
 mod restarts;
 mod result_storage;
