--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -8,6 +8,7 @@
 mod buffer_memory;
 mod crash_tracker;
 mod ejections;
+mod engine_speeds;
 mod first_event_estimators;
 mod gateway_context;
 mod limit_tracker;
@@ -27,6 +28,7 @@
 mod server_selection;
 mod shutdown_gate;
 mod single_run;
+mod speed_exchange;
 mod statement_recorder;
 
 #[doc(inline)]
@@ -43,6 +45,7 @@
 pub use crash_tracker::CrashTracker;
 #[doc(inline)]
 pub use ejections::Ejections;
+pub(crate) use engine_speeds::EngineRunTimes;
 #[doc(inline)]
 pub use first_event_estimators::FirstEventEstimators;
 #[doc(inline)]
@@ -77,4 +80,6 @@
 pub use shutdown_gate::{OpenRequest, ShutdownGate};
 pub(crate) use single_run::SingleRun;
 #[doc(inline)]
+pub use speed_exchange::{SPEEDS_PATH, exchange_speeds};
+#[doc(inline)]
 pub use statement_recorder::StatementRecorder;
