Engines fetch shared prompt parts instead of prefilling them again

A prompt that leaves the home engine of its shared part was prefilled anew at the next engine, which takes 20 ms or more per 1,000 tokens; a transfer takes a few milliseconds. The gateway now states the source engine with the request where the measured prefill time is at least twice the fetch. The source is a listed, usable and not failing engine: the latest one that this gateway saw prefill the part within 8 s, or the home engine. Without timed prompts nothing is fetched. Switch: prompt-fetch. Counter: prompts.fetched.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -15,9 +15,9 @@
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
-    GatewayContext, LimitTracker, RetryBudgets, SendShares, ShutdownGate, StatementRecorder,
-    monitor_unresponsive, publish_crashes, publish_limits, remove_expired_evidence,
-    remove_stale_limits,
+    GatewayContext, LimitTracker, PromptSources, RetryBudgets, SendShares, ShutdownGate,
+    StatementRecorder, monitor_unresponsive, publish_crashes, publish_limits,
+    remove_expired_evidence, remove_stale_limits,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -277,6 +277,7 @@
         dialect,
         retry_budgets: RetryBudgets::new(config.retry_budget),
         first_event_estimators: FirstEventEstimators::default(),
+        prompt_sources: PromptSources::default(),
         send_shares: SendShares::new(config.cold_allowance, config.clock.now()),
         batch_owners: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -44,6 +44,8 @@
     pub inputs: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
+    /// Address of the engine from which shared prompt parts are fetched.
+    pub prompt_source: HeaderName,
     /// Headers forwarded even where the caller lists them as hop-by-hop.
     pub always_forwarded: Vec<HeaderName>,
     /// Headers of callers that are never forwarded.
@@ -82,6 +84,20 @@
     pub shared_prefix: Option<String>,
 }
 
+impl RequestAttributes {
+    /// Tokens of the prompt parts that other requests share; 0 if not known.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u64 {
+        let shared = match self.prompt_parts.as_slice() {
+            [only] => std::slice::from_ref(only),
+            [shared @ .., _own] => shared,
+            [] => &[],
+        };
+        let tokens = shared.iter().map(|part| part.tokens);
+        tokens.fold(0, u64::saturating_add)
+    }
+}
+
 /// Headers and message formats of one platform's callers and servers.
 #[derive(Debug, Clone)]
 pub struct Dialect {
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -18,6 +18,7 @@
 mod publish_limits;
 mod retained_results;
 mod retry_budgets;
+mod run_copies;
 mod run_job;
 mod send_permit;
 mod send_shares;
@@ -56,6 +57,8 @@
 pub use publish_limits::{publish_limits, remove_stale_limits};
 #[doc(inline)]
 pub use retry_budgets::RetryBudgets;
+#[doc(inline)]
+pub use run_copies::PromptSources;
 pub(crate) use run_job::run_job;
 #[doc(inline)]
 pub use run_job::{JobError, JobResults};
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -10,8 +10,8 @@
 use super::super::version::{AnnouncementWriter, ClusterView, TableRelay};
 use super::super::{Dialect, FeatureSet};
 use super::{
-    BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, RetryBudgets,
-    SendShares, ShutdownGate,
+    BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, PromptSources,
+    RetryBudgets, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -35,6 +35,8 @@
     pub retry_budgets: RetryBudgets,
     /// Estimates of the engines' time to the first event.
     pub first_event_estimators: FirstEventEstimators,
+    /// Engines that have recently prefilled shared prompt parts.
+    pub prompt_sources: PromptSources,
     /// This gateway's shares of sends to cold and rate-limited servers.
     pub send_shares: SendShares,
     /// Rate limits that servers report.
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -60,7 +60,7 @@
     }
 
     /// Servers of a service that may be chosen now.
-    fn usable_servers<'a>(
+    pub(super) fn usable_servers<'a>(
         &self,
         servers: &'a ServerList,
         service: &'a ServiceId,
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -156,6 +156,7 @@
         results: Option<JobResults>,
         in_flight_send: InFlightSend,
     ) -> Result<AttemptOutcome, Refusal> {
+        let prompt_source = self.set_prompt_source(server);
         let remaining = self.admitted.remaining();
         let sending = send(
             &self.context,
@@ -171,6 +172,7 @@
         match outcome {
             SendOutcome::Answer(answer) => {
                 self.possible_runs += 1;
+                self.record_begun(&answer, server, prompt_source.as_ref());
                 return Ok(AttemptOutcome::Started(Box::new(EngineAnswer {
                     answer: *answer,
                     results,
@@ -197,6 +199,41 @@
         Ok(AttemptOutcome::Retry(StageResults::Retained(results)))
     }
 
+    /// Sets or removes the header with the engine from which `server` fetches the shared parts of
+    /// the prompt, and returns that engine.
+    fn set_prompt_source(&mut self, server: &ServerRecord) -> Option<ServerRecord> {
+        let attributes = &self.admitted.attributes;
+        let source = self
+            .context
+            .prompt_source(&self.service, attributes, server);
+        let address = source.as_ref().map(|source| source.address.to_string());
+        let name = &self.context.dialect.headers.prompt_source;
+        self.outgoing.replace_header(name, address.as_deref());
+        source
+    }
+
+    /// Records what a successful answer shows of the prompt's shared parts.
+    fn record_begun(
+        &self,
+        answer: &StartedAnswer,
+        server: &ServerRecord,
+        prompt_source: Option<&ServerRecord>,
+    ) {
+        if !answer.head.status.is_success() {
+            return;
+        }
+        let attributes = &self.admitted.attributes;
+        self.context.record_prefill(attributes, &server.incarnation);
+        if let Some(source) = prompt_source {
+            self.context.counters.count("prompts.fetched");
+            info!(
+                call = attributes.call.as_str(), from:% = source.incarnation,
+                to:% = server.incarnation, tokens = attributes.shared_tokens();
+                "prompt: fetched"
+            );
+        }
+    }
+
     /// Records a rejection; an error if no further attempt is allowed.
     fn add_rejection(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refusal> {
         self.add_unsent(end, server)?;
--- a/crates/amaranthscale/src/gateway/request/outgoing.rs
+++ b/crates/amaranthscale/src/gateway/request/outgoing.rs
@@ -74,6 +74,14 @@
         set_header(&mut self.headers, name, value);
     }
 
+    /// Sets a header of all further sends, or removes it.
+    pub(super) fn replace_header(&mut self, name: &HeaderName, value: Option<&str>) {
+        self.headers.remove(name);
+        if let Some(value) = value {
+            self.set_header(name, value);
+        }
+    }
+
     /// The request to one server, with the remaining time.
     pub(super) fn request(
         &self,
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -40,6 +40,7 @@
 mod retry_budget;
 mod router;
 mod router_settings;
+mod run_copies;
 mod send_share;
 mod server_availability;
 mod server_backoff;
@@ -122,6 +123,8 @@
 #[doc(inline)]
 pub use router_settings::RouterSettings;
 #[doc(inline)]
+pub use run_copies::{PromptFetch, RecentPrefills};
+#[doc(inline)]
 pub use send_share::{SendRateLimit, SendShare};
 #[doc(inline)]
 pub use server_availability::{ServerAvailability, UsableServers};
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -296,6 +296,13 @@
         servers.free.iter().copied().max_by_key(score)
     }
 
+    /// Whether a server's last send failed, or it is ejected.
+    #[must_use]
+    pub fn is_failing(&self, server: &ServerIncarnation, now: Duration) -> bool {
+        let tracker = self.tracker(server);
+        tracker.is_some_and(|tracker| tracker.failures > 0 || tracker.is_ejected(now))
+    }
+
     fn is_nearly_full(&self, server: &ServerRecord, now: Duration) -> bool {
         self.fullness(server, ENGINE_LOAD_LIFETIME, now) >= AFFINITY_MAX_FULLNESS
     }
--- /dev/null
+++ b/crates/core/tests/run_copies.rs
@@ -0,0 +1,84 @@
+//! Decisions on copies of KV cache between engines.
+
+#![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
+
+use std::time::Duration;
+
+use amaranthscale_core::id::ServerIncarnation;
+use amaranthscale_core::process::{PromptFetch, RecentPrefills};
+use amaranthscale_core::version::TransferSpec;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn engine(name: &str) -> ServerIncarnation {
+    name.parse().unwrap()
+}
+
+/// 131,072 bytes a token over 1,100,000 Mbit/s: about 1 ms for 1,000 tokens.
+fn transfer() -> TransferSpec {
+    TransferSpec {
+        bytes_per_token: 131_072,
+        bytes_per_s: 137_500_000_000,
+        can_back_up: true,
+        can_move: true,
+        copy_retention: Duration::from_secs(5),
+    }
+}
+
+/// A fetch that costs as much as prefilling only loads the links that other transfers need.
+#[test]
+fn parts_are_fetched_only_where_prefilling_takes_twice_as_long() {
+    let of = |tokens, prefill_ms| PromptFetch {
+        tokens,
+        prefill_time: Duration::from_millis(prefill_ms),
+    };
+
+    assert!(of(5_000, 35).is_worthwhile(&transfer()));
+    assert!(!of(5_000, 14).is_worthwhile(&transfer()));
+    assert!(!of(100, 1).is_worthwhile(&transfer()), "the start alone");
+    assert!(!of(0, 0).is_worthwhile(&transfer()));
+    assert!(!of(u64::MAX, 60_000).is_worthwhile(&transfer()));
+}
+
+/// An engine that prefilled a part long ago has evicted it: the fetch would find nothing.
+#[test]
+fn a_prefill_is_forgotten_after_eight_seconds() {
+    let mut prefills = RecentPrefills::default();
+    prefills.record("a", &engine("p1"), NOW);
+
+    let within = NOW + Duration::from_millis(7_999);
+    let after = NOW + Duration::from_secs(8);
+
+    assert_eq!(prefills.engines("a", within).count(), 1);
+    assert_eq!(prefills.engines("a", after).count(), 0);
+    prefills.record("b", &engine("p1"), after);
+    assert_eq!(prefills.len(), 1, "the expired part is dropped");
+}
+
+#[test]
+fn the_latest_engine_of_a_part_comes_first() {
+    let mut prefills = RecentPrefills::default();
+    for name in ["p1", "p2", "p1"] {
+        prefills.record("a", &engine(name), NOW);
+    }
+
+    let engines: Vec<_> = prefills.engines("a", NOW).cloned().collect();
+
+    assert_eq!(engines, [engine("p1"), engine("p2")]);
+}
+
+/// Callers name the parts, so their number must not grow the gateway's memory.
+#[test]
+fn the_number_of_parts_and_of_their_engines_is_bounded() {
+    let mut prefills = RecentPrefills::default();
+    for number in 0..10_000 {
+        prefills.record(&format!("part{number}"), &engine("p1"), NOW);
+    }
+    for number in 0..100 {
+        prefills.record("part9999", &engine(&format!("p{number}")), NOW);
+    }
+
+    assert_eq!(prefills.len(), 4_096);
+    assert_eq!(prefills.engines("part0", NOW).count(), 0, "the oldest part");
+    assert_eq!(prefills.engines("part9999", NOW).count(), 4);
+}
