Runs are backed up at a second engine and continue there

A stream that may not be repeated was lost with its engine. While a service's streams break, or the chosen engine is failing, the gateway now names a second engine for a copy of the run. When the connection ends, or no event comes for three times the route's pause, it closes the connection and sends the request with the copy's name to that engine, which answers 'not run' without one. The send passes the usual checks and draws on the retry budget; results that no engine has read stay alive for it. A resumable stream tries its copy before it is run again.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -15,8 +15,8 @@
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
-    GatewayContext, LimitTracker, PromptSources, RetryBudgets, SendShares, ShutdownGate,
-    StatementRecorder, monitor_unresponsive, publish_crashes, publish_limits,
+    GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups, SendShares,
+    ShutdownGate, StatementRecorder, monitor_unresponsive, publish_crashes, publish_limits,
     remove_expired_evidence, remove_stale_limits,
 };
 use super::version::{
@@ -278,6 +278,7 @@
         retry_budgets: RetryBudgets::new(config.retry_budget),
         first_event_estimators: FirstEventEstimators::default(),
         prompt_sources: PromptSources::default(),
+        run_backups: RunBackups::default(),
         send_shares: SendShares::new(config.cold_allowance, config.clock.now()),
         batch_owners: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -1,5 +1,6 @@
 //! Header names and message formats of a platform's callers and backend servers, without decisions.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, ResultHandle};
@@ -46,6 +47,10 @@
     pub last_event: HeaderName,
     /// Address of the engine from which shared prompt parts are fetched.
     pub prompt_source: HeaderName,
+    /// Address of the engine to which the run is copied.
+    pub backup_target: HeaderName,
+    /// Copy from which an engine resumes the run.
+    pub run_source: HeaderName,
     /// Headers forwarded even where the caller lists them as hop-by-hop.
     pub always_forwarded: Vec<HeaderName>,
     /// Headers of callers that are never forwarded.
@@ -105,6 +110,8 @@
     pub headers: HeaderNames,
     /// Parses a caller's headers.
     pub parse_request_attributes: fn(&HeaderMap) -> Result<RequestAttributes, InvalidHeader>,
+    /// Names the copy of a run at an engine.
+    pub run_source: fn(SocketAddr, &CallId) -> String,
     /// Whether an answer states that the request did not run.
     pub did_not_run: fn(StatusCode, &HeaderMap) -> bool,
     /// Whether an answer states that another server is at the address.
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -11,7 +11,7 @@
 use super::super::{Dialect, FeatureSet};
 use super::{
     BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, PromptSources,
-    RetryBudgets, SendShares, ShutdownGate,
+    RetryBudgets, RunBackups, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -37,6 +37,8 @@
     pub first_event_estimators: FirstEventEstimators,
     /// Engines that have recently prefilled shared prompt parts.
     pub prompt_sources: PromptSources,
+    /// Recent ends of streams, by which runs are backed up.
+    pub run_backups: RunBackups,
     /// This gateway's shares of sends to cold and rate-limited servers.
     pub send_shares: SendShares,
     /// Rate limits that servers report.
--- a/crates/amaranthscale/src/gateway/process/run_copies.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies.rs
@@ -1,6 +1,9 @@
 //! State of the copies of KV cache between engines.
 
 mod prompt_sources;
+mod run_backups;
 
 #[doc(inline)]
 pub use prompt_sources::PromptSources;
+#[doc(inline)]
+pub use run_backups::RunBackups;
--- a/crates/amaranthscale/src/gateway/request.rs
+++ b/crates/amaranthscale/src/gateway/request.rs
@@ -8,6 +8,7 @@
 mod outgoing;
 mod plain_run;
 mod refusal;
+mod run_continuation;
 mod send;
 mod stream_relay;
 
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -49,6 +49,12 @@
     pub(super) owner: Option<InstanceId>,
     /// When the stage results were computed.
     pub(super) results_at: Option<Instant>,
+    /// The engine that holds a copy of the run, if one was requested with the last send.
+    pub(super) backup: Option<ServerRecord>,
+    /// Engines that may have continued the run from a copy.
+    pub(super) continuations: u32,
+    /// Whether a retry was taken from the budget for the next continuation.
+    pub(super) is_continuation_reserved: bool,
     /// Load on which the choice of the last engine was based.
     pub(super) load: LoadSnapshot,
 }
@@ -59,6 +65,8 @@
     pub(super) answer: StartedAnswer,
     pub(super) results: Option<JobResults>,
     pub(super) server: ServerIncarnation,
+    /// Event after which a run continues at a copy; none if it began at this engine.
+    pub(super) continued_after: Option<u64>,
 }
 
 /// The stage results that a request needs before an engine can run it.
@@ -102,6 +110,9 @@
         recomputations: 0,
         owner: None,
         results_at: None,
+        backup: None,
+        continuations: 0,
+        is_continuation_reserved: false,
         load: LoadSnapshot::default(),
     };
     let answer = run.start().await?;
@@ -153,10 +164,14 @@
     async fn attempt(
         &mut self,
         server: &ServerRecord,
-        results: Option<JobResults>,
+        mut results: Option<JobResults>,
         in_flight_send: InFlightSend,
     ) -> Result<AttemptOutcome, Refusal> {
+        // Left if the caller disconnected during a continuation.
+        let run_source = &self.context.dialect.headers.run_source;
+        self.outgoing.replace_header(run_source, None);
         let prompt_source = self.set_prompt_source(server);
+        let backup = self.set_backup_target(server);
         let remaining = self.admitted.remaining();
         let sending = send(
             &self.context,
@@ -173,10 +188,12 @@
             SendOutcome::Answer(answer) => {
                 self.possible_runs += 1;
                 self.record_begun(&answer, server, prompt_source.as_ref());
+                self.set_backup(backup, server);
                 return Ok(AttemptOutcome::Started(Box::new(EngineAnswer {
                     answer: *answer,
                     results,
                     server: server.incarnation.clone(),
+                    continued_after: None,
                 })));
             }
             SendOutcome::NotSent => self.add_unsent("not-sent", server)?,
@@ -194,7 +211,20 @@
                 self.add_rejection("input-gone", server)?;
                 return Ok(AttemptOutcome::Retry(StageResults::Missing));
             }
-            SendOutcome::Lost => self.add_loss(server)?,
+            SendOutcome::Lost => {
+                self.log_unanswered("lost", server);
+                self.possible_runs += 1;
+                self.record_stream_end(true);
+                self.exclude(server.incarnation.clone());
+                self.set_backup(backup, server);
+                let continued = self.continue_run(&server.incarnation, None, &mut results);
+                if let Some(answer) = continued.await {
+                    return Ok(AttemptOutcome::Started(Box::new(answer)));
+                }
+                if !self.try_retry() {
+                    return Err(Refusal::new(ResultCode::AnswerLost));
+                }
+            }
         }
         Ok(AttemptOutcome::Retry(StageResults::Retained(results)))
     }
@@ -257,22 +287,12 @@
         Ok(())
     }
 
-    /// Records a lost answer; an error if the request may not be retried.
-    fn add_loss(&mut self, server: &ServerRecord) -> Result<(), Refusal> {
-        self.log_unanswered("lost", server);
-        self.possible_runs += 1;
-        if !self.try_retry() {
-            return Err(Refusal::new(ResultCode::AnswerLost));
-        }
-        Ok(())
-    }
-
     /// Whether a request that may have run may be sent to another engine; takes a retry from the
     /// budget.
     pub(super) fn try_retry(&self) -> bool {
         let route = &self.admitted.route;
         route.kind.may_repeat()
-            && self.possible_runs < route.max_attempts
+            && self.possible_engines() < route.max_attempts
             && !self
                 .context
                 .crashes
@@ -440,7 +460,7 @@
         ))
     }
 
-    fn log_unanswered(&self, end: &'static str, server: &ServerRecord) {
+    pub(super) fn log_unanswered(&self, end: &'static str, server: &ServerRecord) {
         info!(
             call = self.admitted.attributes.call.as_str(), fingerprint:% = self.admitted.request_content.fingerprint(),
             server:% = server.incarnation, end,
--- a/crates/amaranthscale/src/gateway/request/outgoing.rs
+++ b/crates/amaranthscale/src/gateway/request/outgoing.rs
@@ -74,6 +74,11 @@
         set_header(&mut self.headers, name, value);
     }
 
+    /// Value of a header, if it is text.
+    pub(super) fn header(&self, name: &HeaderName) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
     /// Sets a header of all further sends, or removes it.
     pub(super) fn replace_header(&mut self, name: &HeaderName, value: Option<&str>) {
         self.headers.remove(name);
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -35,6 +35,21 @@
     Lost,
 }
 
+impl SendOutcome {
+    /// Name in log lines.
+    pub(super) const fn name(&self) -> &'static str {
+        match self {
+            Self::Answer(_) => "answered",
+            Self::NotSent => "not-sent",
+            Self::Withheld(availability) => availability.name(),
+            Self::Quarantined => "quarantined",
+            Self::NotRun => "not-run",
+            Self::InputMissing => "input-gone",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// An answer whose head was received.
 #[derive(Debug)]
 pub(super) struct StartedAnswer {
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
+use amaranthscale_core::process::SendEnd;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -18,7 +19,7 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::{BufferMemory, OpenRequest};
+use super::super::process::{BufferMemory, JobResults, OpenRequest};
 use super::answer::{AnswerBody, TruncatedAnswer, forwarded_response};
 use super::engine_run::{EngineAnswer, EngineRun};
 use super::event_splitter::{EventSplitter, StreamEvent};
@@ -30,6 +31,10 @@
 
 type EventSender = mpsc::UnboundedSender<Result<Bytes, TruncatedAnswer>>;
 
+/// Multiple of the route's longest pause between events after which a silent run continues at its
+/// copy. Its answer is late by then, and an engine that is only slow would have sent an event.
+const SILENCE_FACTOR: u32 = 3;
+
 /// How one engine's stream ended.
 enum EngineStreamEnd {
     /// All events were forwarded.
@@ -56,8 +61,9 @@
         run,
         sender,
         unread: BufferMemory::new(MAX_UNREAD_BYTES),
-        last_id: None,
+        last_id: answer.continued_after,
         forwarded: 0,
+        unread_results: None,
     };
     tokio::spawn(relay.run(answer, open_request));
     response
@@ -70,6 +76,8 @@
     unread: BufferMemory,
     last_id: Option<u64>,
     forwarded: u64,
+    /// Stage results that no engine has read yet, of a stream that broke before its first event.
+    unread_results: Option<JobResults>,
 }
 
 impl StreamRelay {
@@ -84,6 +92,7 @@
             let server = answer.server.clone();
             match self.forward_stream(answer).await {
                 EngineStreamEnd::Complete => {
+                    self.run.record_stream_end(false);
                     self.log("whole", &server, first_event_after);
                     return;
                 }
@@ -97,9 +106,14 @@
                 }
                 EngineStreamEnd::Broken => {}
             }
+            self.run.record_stream_end(true);
             self.log("broken", &server, first_event_after);
-            match self.resume(server).await {
-                Some(resumed) => answer = resumed,
+            let next = match self.continue_at_copy(&server).await {
+                Some(continued) => Some(continued),
+                None => self.resume(server).await,
+            };
+            match next {
+                Some(next) => answer = next,
                 None => break "the engine's stream broke",
             }
         };
@@ -128,22 +142,35 @@
         } = answer.answer;
         let mut results = answer.results;
         let mut splitter = EventSplitter::default();
+        let mut has_begun = false;
         loop {
+            let silence = self.max_silence().filter(|_| has_begun);
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.sender.closed() => return EngineStreamEnd::CallerLeft,
                 () = tokio::time::sleep_until(self.run.admitted.deadline) => return EngineStreamEnd::TimedOut,
+                () = tokio::time::sleep(silence.unwrap_or_default()), if silence.is_some() => {
+                    // Without a continuation, a late answer is better than none.
+                    if !self.run.reserve_continuation() {
+                        continue;
+                    }
+                    self.run.context.counters.count("stream.silent");
+                    in_flight_send.end(SendEnd::Failed);
+                    return EngineStreamEnd::Broken;
+                }
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_broken)) => {
                     in_flight_send.record_lost(&self.run.admitted);
+                    self.unread_results = results;
                     return EngineStreamEnd::Broken;
                 }
                 None => break,
             };
             // The engine has read its inputs before it sends its first event.
             results.take();
+            has_begun = true;
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
                 if let Err(end) = self.forward(event).await {
@@ -192,6 +219,34 @@
         shared.hold(own.hold(event))
     }
 
+    /// Time without an event after which the run continues at its copy; none without a copy.
+    fn max_silence(&self) -> Option<Duration> {
+        let run = &self.run;
+        run.backup.as_ref()?;
+        let max_gap = run.admitted.route.max_event_gap?;
+        // The copy expires if the engine adds nothing to it.
+        let retention = run.context.transfer_spec(&run.service)?.copy_retention;
+        Some((max_gap * SILENCE_FACTOR).min(retention * 3 / 4))
+    }
+
+    /// Continues the stream at the engine that holds a copy of the run, if there is one.
+    ///
+    /// Without ids, the events that the caller has cannot be told from those that follow.
+    async fn continue_at_copy(&mut self, server: &ServerIncarnation) -> Option<EngineAnswer> {
+        let mut results = self.unread_results.take();
+        if self.forwarded > 0 && self.last_id.is_none() {
+            return None;
+        }
+        self.run.exclude(server.clone());
+        let continuing = self.run.continue_run(server, self.last_id, &mut results);
+        let answer = tokio::select! {
+            answer = continuing => answer?,
+            () = self.sender.closed() => return None,
+        };
+        self.last_id = answer.continued_after;
+        Some(answer)
+    }
+
     /// Continues the stream at another engine, if the route allows it.
     async fn resume(&mut self, server: ServerIncarnation) -> Option<EngineAnswer> {
         if !self.run.try_retry() {
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -123,7 +123,7 @@
 #[doc(inline)]
 pub use router_settings::RouterSettings;
 #[doc(inline)]
-pub use run_copies::{PromptFetch, RecentPrefills};
+pub use run_copies::{PromptFetch, RecentPrefills, RunBackup, StreamLosses};
 #[doc(inline)]
 pub use send_share::{SendRateLimit, SendShare};
 #[doc(inline)]
--- a/crates/core/src/process/run_copies.rs
+++ b/crates/core/src/process/run_copies.rs
@@ -2,8 +2,14 @@
 
 mod prompt_fetch;
 mod recent_prefills;
+mod run_backup;
+mod stream_losses;
 
 #[doc(inline)]
 pub use prompt_fetch::PromptFetch;
 #[doc(inline)]
 pub use recent_prefills::RecentPrefills;
+#[doc(inline)]
+pub use run_backup::RunBackup;
+#[doc(inline)]
+pub use stream_losses::StreamLosses;
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -303,8 +303,14 @@
         tracker.is_some_and(|tracker| tracker.failures > 0 || tracker.is_ejected(now))
     }
 
+    /// Requests at an engine, as a fraction of its slots.
+    #[must_use]
+    pub fn engine_fullness(&self, server: &ServerRecord, now: Duration) -> f64 {
+        self.fullness(server, ENGINE_LOAD_LIFETIME, now)
+    }
+
     fn is_nearly_full(&self, server: &ServerRecord, now: Duration) -> bool {
-        self.fullness(server, ENGINE_LOAD_LIFETIME, now) >= AFFINITY_MAX_FULLNESS
+        self.engine_fullness(server, now) >= AFFINITY_MAX_FULLNESS
     }
 
     /// Requests ahead at a server, as a fraction of its slots.
--- a/crates/core/tests/run_copies.rs
+++ b/crates/core/tests/run_copies.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::{PromptFetch, RecentPrefills};
+use amaranthscale_core::process::{
+    PromptFetch, RecentPrefills, RunBackup, SendEnd, ServerLoad, ServerRecord, ServerSelector,
+    StreamLosses,
+};
 use amaranthscale_core::version::TransferSpec;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -82,3 +85,90 @@
     assert_eq!(prefills.engines("part0", NOW).count(), 0, "the oldest part");
     assert_eq!(prefills.engines("part9999", NOW).count(), 4);
 }
+
+fn record(name: &str, zone: &str, port: u16) -> ServerRecord {
+    ServerRecord {
+        incarnation: engine(name),
+        service: "pool".parse().unwrap(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: zone.parse().unwrap(),
+        slots: 8,
+        is_leaving: false,
+        cold_left: None,
+    }
+}
+
+/// Copies without losses would only take the links' bandwidth from fetches and moves.
+#[test]
+fn runs_are_backed_up_only_while_streams_break() {
+    let backup = RunBackup {
+        broken_share: 0.01,
+        lost_time: Duration::from_secs(3),
+        transfer_time: Duration::from_millis(2),
+        is_engine_failing: false,
+    };
+    let is_worthwhile = |backup: RunBackup| backup.is_worthwhile();
+
+    assert!(is_worthwhile(backup));
+    assert!(!is_worthwhile(RunBackup {
+        broken_share: 0.0,
+        ..backup
+    }));
+    assert!(!is_worthwhile(RunBackup {
+        broken_share: 0.005,
+        ..backup
+    }));
+    let failing = RunBackup {
+        broken_share: 0.0,
+        is_engine_failing: true,
+        ..backup
+    };
+    assert!(is_worthwhile(failing));
+}
+
+/// A loss of long ago must not cause copies for the rest of the process's life.
+#[test]
+fn losses_count_for_ten_seconds() {
+    let mut losses = StreamLosses::default();
+    losses.record(Duration::from_secs(4), true, NOW);
+    losses.record(Duration::from_secs(2), false, NOW + Duration::from_secs(9));
+
+    let shares = [0, 9, 11, 60].map(|s| losses.broken_share(NOW + Duration::from_secs(s)));
+
+    assert_eq!(shares.map(|share| share > 0.0), [true, true, false, false]);
+    let mean = losses.mean_engine_time(NOW + Duration::from_secs(9));
+    assert_eq!(mean, Duration::from_secs(3));
+}
+
+/// A copy at the run's own engine is lost with it, and full or failing engines keep none.
+#[test]
+fn backups_go_to_another_engine_with_free_capacity_in_the_same_zone() {
+    let engines = [
+        record("own", "east", 1),
+        record("full", "east", 2),
+        record("failing", "east", 3),
+        record("near", "east", 4),
+        record("far", "west", 5),
+    ];
+    let mut selector = ServerSelector::default();
+    let load = ServerLoad {
+        running: 6,
+        waiting: 0,
+        slots: 8,
+    };
+    selector.record_load(&engine("full"), load, NOW);
+    selector.record_send(&engine("failing"));
+    selector.record_end(&engine("failing"), SendEnd::Failed, Duration::ZERO, NOW);
+    let target = |candidates: &[ServerRecord]| {
+        let call = "c1".parse().unwrap();
+        let target = RunBackup::target(candidates, &engines[0], &call, &selector, NOW);
+        target.map(|target| target.incarnation.id().to_string())
+    };
+
+    assert_eq!(target(&engines).as_deref(), Some("near"));
+    assert_eq!(
+        target(&[engines[0].clone(), engines[4].clone()]).as_deref(),
+        Some("far")
+    );
+    assert_eq!(target(&engines[..3]), None);
+}
