Runs move away from engines that leave

A run at a leaving or evacuated engine kept it from leaving, or was lost with it. At most two moves at once leave and enter an engine for each gateway, and none goes to a nearly full one. The copy is freed unless an engine continued from it, also if the caller leaves. Each move takes a retry from the budget before it begins; a suspected request is never moved. Slowed and unevenly loaded engines need the measured speeds and are not moved from yet.

A run that was stopped and that no engine takes ends as broken: a leaving source takes no sends. Switch: run-move. Counters: moves.begun, moves.completed, moves.failed.REASON, handles.freed.

--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, ResultHandle};
-use amaranthscale_core::process::{Batch, BatchEnd, ServerStatement};
+use amaranthscale_core::process::{Batch, BatchEnd, CopyHandle, MoveAnswer, ServerStatement};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
@@ -112,6 +112,14 @@
     pub parse_request_attributes: fn(&HeaderMap) -> Result<RequestAttributes, InvalidHeader>,
     /// Names the copy of a run at an engine.
     pub run_source: fn(SocketAddr, &CallId) -> String,
+    /// Names the copy of a run that an engine made to move it.
+    pub moved_run_source: fn(SocketAddr, &CopyHandle) -> String,
+    /// Builds the request that copies a run to an engine, and stops it if this is the last copy.
+    pub move_request: fn(&CallId, SocketAddr, bool) -> Request<Full<Bytes>>,
+    /// Parses the answer to it.
+    pub parse_move_answer: fn(StatusCode, &[u8]) -> MoveAnswer,
+    /// Builds the request that frees a copy.
+    pub free_copy_request: fn(&CopyHandle) -> Request<Full<Bytes>>,
     /// Whether an answer states that the request did not run.
     pub did_not_run: fn(StatusCode, &HeaderMap) -> bool,
     /// Whether an answer states that another server is at the address.
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -58,7 +58,7 @@
 #[doc(inline)]
 pub use retry_budgets::RetryBudgets;
 #[doc(inline)]
-pub use run_copies::{PromptSources, RunBackups};
+pub use run_copies::{HeldCopy, MoveEnd, PromptSources, RunBackups, RunMoves};
 pub(crate) use run_job::run_job;
 #[doc(inline)]
 pub use run_job::{JobError, JobResults};
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -11,7 +11,7 @@
 use super::super::{Dialect, FeatureSet};
 use super::{
     BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, PromptSources,
-    RetryBudgets, RunBackups, SendShares, ShutdownGate,
+    RetryBudgets, RunBackups, RunMoves, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -39,6 +39,8 @@
     pub prompt_sources: PromptSources,
     /// Recent ends of streams, by which runs are backed up.
     pub run_backups: RunBackups,
+    /// Moves of runs that take place now.
+    pub run_moves: RunMoves,
     /// This gateway's shares of sends to cold and rate-limited servers.
     pub send_shares: SendShares,
     /// Rate limits that servers report.
--- a/crates/amaranthscale/src/gateway/process/run_copies.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies.rs
@@ -2,8 +2,11 @@
 
 mod prompt_sources;
 mod run_backups;
+mod run_moves;
 
 #[doc(inline)]
 pub use prompt_sources::PromptSources;
 #[doc(inline)]
 pub use run_backups::RunBackups;
+#[doc(inline)]
+pub use run_moves::{HeldCopy, MoveEnd, RunMoves};
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -0,0 +1,288 @@
+//! Moves runs away from engines that leave.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use amaranthscale_core::id::{CallId, ServerIncarnation, ServiceId};
+use amaranthscale_core::process::{
+    ActiveMoves, ConnectionShare, CopyHandle, MoveAnswer, RunBackup, RunMove, ServerAvailability,
+    ServerRecord,
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use log::{debug, info};
+use tokio::sync::oneshot;
+
+use super::super::super::connection::ServerAnswer;
+use super::super::super::{Feature, RequestAttributes};
+use super::super::{GatewayContext, SendPermit};
+use crate::connection::{SendError, read_body};
+
+/// Timeout of a call that copies a run; a copy takes some milliseconds, between zones twice as many.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout of a call that frees a copy; engines expire copies that were not freed.
+const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of an answer, which has one handle.
+const MAX_ANSWER_BYTES: usize = 4 * 1024;
+
+/// Moves that take place now.
+#[derive(Debug, Default)]
+pub struct RunMoves {
+    active: Mutex<ActiveMoves>,
+}
+
+impl RunMoves {
+    fn active(&self) -> MutexGuard<'_, ActiveMoves> {
+        self.active.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A move that counts as active until this is dropped.
+#[derive(Debug)]
+struct ActiveMove {
+    context: Arc<GatewayContext>,
+    source: ServerRecord,
+    target: ServerRecord,
+}
+
+impl Drop for ActiveMove {
+    fn drop(&mut self) {
+        let (source, target) = (&self.source.incarnation, &self.target.incarnation);
+        self.context.run_moves.active().end(source, target);
+    }
+}
+
+/// A copy of a run at another engine, which is freed when this is dropped unless it was used.
+#[derive(Debug)]
+pub struct HeldCopy {
+    context: Arc<GatewayContext>,
+    /// The engine that made the copy.
+    pub source: ServerRecord,
+    /// The engine that has it.
+    pub target: ServerRecord,
+    /// Names the copy at both.
+    pub handle: CopyHandle,
+    is_used: bool,
+}
+
+impl HeldCopy {
+    /// Records that an engine has continued the run from the copy.
+    pub fn mark_used(mut self) {
+        self.is_used = true;
+    }
+}
+
+impl Drop for HeldCopy {
+    fn drop(&mut self) {
+        if !self.is_used {
+            let (context, source) = (Arc::clone(&self.context), self.source.clone());
+            let request = (context.dialect.free_copy_request)(&self.handle);
+            tokio::spawn(async move { context.free_copy(&source, request).await });
+        }
+    }
+}
+
+/// How a move ended.
+#[derive(Debug)]
+pub enum MoveEnd {
+    /// The run has stopped, or may have, and continues from the copy.
+    Stopped {
+        /// The copy.
+        copy: Box<HeldCopy>,
+        /// Events that the run has sent, if its engine has told.
+        events: Option<u64>,
+    },
+    /// The run goes on where it is.
+    Continues(&'static str),
+}
+
+impl GatewayContext {
+    /// Begins to move a run from `source` if its engine takes no new requests and the rest of the
+    /// run takes much longer than its copy. Takes a retry from the budget.
+    pub fn begin_move(
+        self: &Arc<Self>,
+        service: &ServiceId,
+        attributes: &RequestAttributes,
+        source: &ServerIncarnation,
+        events: u64,
+        event_time: Duration,
+    ) -> Option<oneshot::Receiver<MoveEnd>> {
+        let transfer = self.transfer_spec(service)?;
+        if !transfer.can_move || !self.features.is_enabled(Feature::RunMove) {
+            return None;
+        }
+        let now = self.cluster_view.clock().now();
+        let (source, target) = {
+            let servers = self.cluster_view.servers();
+            let availability = servers.availability(source, None, now);
+            if !matches!(
+                availability,
+                ServerAvailability::Leaving | ServerAvailability::Evacuated
+            ) {
+                return None;
+            }
+            let source = servers.all().find(|server| server.incarnation == *source)?;
+            let mut usable = self.usable_servers(&servers, service, now);
+            let active = self.run_moves.active();
+            if !active.may_leave(&source.incarnation) {
+                return None;
+            }
+            usable.retain(|server| active.may_enter(&server.incarnation));
+            drop(active);
+            let server_selector = self.server_selector();
+            let call = &attributes.call;
+            let target = RunBackup::target(usable.free, source, call, &server_selector, now)?;
+            (source.clone(), target.clone())
+        };
+        let events_left = attributes.max_output_tokens.saturating_sub(events);
+        let events_left = u32::try_from(events_left).unwrap_or(u32::MAX);
+        let run = RunMove {
+            tokens: attributes.prompt_tokens.saturating_add(events),
+            remaining_time: event_time.saturating_mul(events_left),
+            is_other_zone: source.zone != target.zone,
+        };
+        let is_begun = run.is_worthwhile(&transfer)
+            && self.try_retry(service)
+            && self
+                .run_moves
+                .active()
+                .try_begin(&source.incarnation, &target.incarnation);
+        if !is_begun {
+            return None;
+        }
+        self.counters.count("moves.begun");
+        let active = ActiveMove {
+            context: Arc::clone(self),
+            source,
+            target,
+        };
+        let (sender, receiver) = oneshot::channel();
+        tokio::spawn(move_run(active, attributes.call.clone(), sender));
+        Some(receiver)
+    }
+
+    /// Sends a call about a copy to the engine that made it, which may be leaving.
+    async fn call_engine(
+        &self,
+        engine: &ServerRecord,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let connection = self.pool.connection(engine).await;
+        let mut connection = connection.map_err(|_error| CallError::NotSent)?;
+        let now = self.cluster_view.clock().now();
+        let availability = {
+            let servers = self.cluster_view.servers();
+            servers.availability(&engine.incarnation, None, now)
+        };
+        let permit = SendPermit::check_copy_call(availability);
+        let permit = permit.map_err(|_availability| CallError::NotSent)?;
+        let sent = connection.send(request, permit).await;
+        let ServerAnswer { head, body, .. } = sent.map_err(|error| match error {
+            SendError::NotSent(..) => CallError::NotSent,
+            SendError::Lost(..) => CallError::Lost,
+        })?;
+        let body = read_body(body, MAX_ANSWER_BYTES, MOVE_TIMEOUT).await;
+        let body = body.map_err(|_error| CallError::Lost)?;
+        self.pool
+            .return_connection(connection, &head.headers, ConnectionShare::UNLIMITED);
+        Ok((head.status, body))
+    }
+
+    async fn free_copy(&self, source: &ServerRecord, request: Request<Full<Bytes>>) {
+        match tokio::time::timeout(FREE_TIMEOUT, self.call_engine(source, request)).await {
+            Ok(Ok(_answer)) => self.counters.count("handles.freed"),
+            // The engines expire the copy.
+            Ok(Err(error)) => debug!("moves: copy not freed: {error:?}"),
+            Err(_elapsed) => debug!("moves: copy not freed in time"),
+        }
+    }
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallError {
+    NotSent,
+    Lost,
+}
+
+/// Copies a run while it goes on, then stops it and copies the rest.
+async fn move_run(active: ActiveMove, call: CallId, sender: oneshot::Sender<MoveEnd>) {
+    let end = copy_and_stop(&active, &call, &sender).await;
+    if let MoveEnd::Continues(reason) = &end {
+        active.context.counters.count_reason("moves.failed", reason);
+        info!(
+            call = call.as_str(), from:% = active.source.incarnation,
+            to:% = active.target.incarnation, reason;
+            "stream: not moved"
+        );
+    }
+    // If the stream has ended meanwhile, the copy is dropped and thereby freed.
+    let _ = sender.send(end);
+}
+
+async fn copy_and_stop(
+    active: &ActiveMove,
+    call: &CallId,
+    sender: &oneshot::Sender<MoveEnd>,
+) -> MoveEnd {
+    let hold = |handle: CopyHandle| {
+        Box::new(HeldCopy {
+            context: Arc::clone(&active.context),
+            source: active.source.clone(),
+            target: active.target.clone(),
+            handle,
+            is_used: false,
+        })
+    };
+    let copy = match call_move(active, call, false).await {
+        Ok(MoveAnswer::Copied { handle, .. }) => hold(handle),
+        Ok(MoveAnswer::NoCapacity(handle)) => {
+            drop(handle.map(hold));
+            return MoveEnd::Continues("target-full");
+        }
+        Ok(MoveAnswer::NoRun) => return MoveEnd::Continues("no-run"),
+        Ok(MoveAnswer::Busy) => return MoveEnd::Continues("busy"),
+        Ok(MoveAnswer::Unreadable) => return MoveEnd::Continues("unreadable"),
+        Err(CallError::NotSent) => return MoveEnd::Continues("not-sent"),
+        Err(CallError::Lost) => return MoveEnd::Continues("lost"),
+    };
+    if sender.is_closed() {
+        return MoveEnd::Continues("stream-ended");
+    }
+    match call_move(active, call, true).await {
+        Ok(MoveAnswer::Copied { handle, events }) => {
+            let copy = if handle == copy.handle {
+                copy
+            } else {
+                hold(handle)
+            };
+            MoveEnd::Stopped {
+                copy,
+                events: Some(events),
+            }
+        }
+        Ok(MoveAnswer::NoRun) => MoveEnd::Continues("no-run"),
+        Ok(MoveAnswer::Busy) => MoveEnd::Continues("busy"),
+        Err(CallError::NotSent) => MoveEnd::Continues("not-sent"),
+        // The run may have stopped. The first copy lacks the latest events, which the target
+        // prefills.
+        Ok(MoveAnswer::NoCapacity(_) | MoveAnswer::Unreadable) | Err(CallError::Lost) => {
+            active.context.counters.count("moves.failed.not-completed");
+            MoveEnd::Stopped { copy, events: None }
+        }
+    }
+}
+
+async fn call_move(
+    active: &ActiveMove,
+    call: &CallId,
+    is_last: bool,
+) -> Result<MoveAnswer, CallError> {
+    let dialect = &active.context.dialect;
+    let request = (dialect.move_request)(call, active.target.address, is_last);
+    let calling = active.context.call_engine(&active.source, request);
+    let answer = tokio::time::timeout(MOVE_TIMEOUT, calling).await;
+    let (status, body) = answer.unwrap_or(Err(CallError::Lost))?;
+    Ok((dialect.parse_move_answer)(status, &body))
+}
--- a/crates/amaranthscale/src/gateway/process/send_permit.rs
+++ b/crates/amaranthscale/src/gateway/process/send_permit.rs
@@ -11,6 +11,17 @@
 pub struct SendPermit(());
 
 impl SendPermit {
+    /// A permit for a call about a copy of a run, which an engine takes until it is gone: such calls
+    /// let its runs end sooner.
+    pub(super) const fn check_copy_call(
+        availability: ServerAvailability,
+    ) -> Result<Self, ServerAvailability> {
+        match availability {
+            ServerAvailability::Leaving | ServerAvailability::Evacuated => Ok(Self(())),
+            other => Self::check(other),
+        }
+    }
+
     /// A permit for a server that may be used now; the error is the reason why it may not.
     pub(super) const fn check(
         availability: ServerAvailability,
--- a/crates/amaranthscale/src/gateway/request.rs
+++ b/crates/amaranthscale/src/gateway/request.rs
@@ -9,6 +9,7 @@
 mod plain_run;
 mod refusal;
 mod run_continuation;
+mod run_move_state;
 mod send;
 mod stream_relay;
 
--- a/crates/amaranthscale/src/gateway/request/run_continuation.rs
+++ b/crates/amaranthscale/src/gateway/request/run_continuation.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::super::Feature;
-use super::super::process::JobResults;
+use super::super::process::{HeldCopy, JobResults};
 use super::engine_run::{EngineAnswer, EngineRun};
 use super::send::{InFlightSend, SendOutcome, send};
 
@@ -99,16 +99,10 @@
             if self.admitted.check_quarantine(&self.context).await.is_err() {
                 return None;
             }
-            let last_event = self.context.dialect.headers.last_event.clone();
-            let callers_last = self.outgoing.header(&last_event).map(str::to_owned);
-            let parsed_last = callers_last
-                .as_deref()
-                .and_then(|last| last.trim().parse().ok());
-            let after = last_id.or(parsed_last).unwrap_or(0);
-            self.outgoing.set_header(&last_event, &after.to_string());
-            let (outcome, next_backup) = self.send_to_copy(&copy).await;
-            self.outgoing
-                .replace_header(&last_event, callers_last.as_deref());
+            let call = &self.admitted.attributes.call;
+            let source = (self.context.dialect.run_source)(copy.address, call);
+            let after = self.continued_after(last_id);
+            let (outcome, next_backup) = self.send_to_copy(&copy, &source, after).await;
             if matches!(
                 outcome,
                 Some(SendOutcome::Answer(_) | SendOutcome::Lost) | None
@@ -152,17 +146,79 @@
         None
     }
 
+    /// Continues a run that its engine has stopped to move it, at the engine with the copy or else
+    /// where it stopped; none if neither runs it.
+    pub(super) async fn continue_moved_run(
+        &mut self,
+        copy: Box<HeldCopy>,
+        last_id: Option<u64>,
+    ) -> Option<EngineAnswer> {
+        let source = (self.context.dialect.moved_run_source)(copy.source.address, &copy.handle);
+        let after = self.continued_after(last_id);
+        for engine in [copy.target.clone(), copy.source.clone()] {
+            if self.admitted.check_quarantine(&self.context).await.is_err() {
+                return None;
+            }
+            let (outcome, next_backup) = self.send_to_copy(&engine, &source, after).await;
+            match outcome {
+                Some(SendOutcome::Answer(answer)) if answer.head.status.is_success() => {
+                    info!(
+                        call = self.admitted.attributes.call.as_str(),
+                        from:% = copy.source.incarnation, to:% = engine.incarnation, event = after;
+                        "stream: moved"
+                    );
+                    self.context.counters.count("moves.completed");
+                    copy.mark_used();
+                    self.set_backup(next_backup, &engine);
+                    return Some(EngineAnswer {
+                        answer: *answer,
+                        results: None,
+                        server: engine.incarnation,
+                        continued_after: Some(after),
+                    });
+                }
+                Some(SendOutcome::Lost) => {
+                    self.log_unanswered("lost", &engine);
+                    self.continuations += 1;
+                    self.exclude(engine.incarnation.clone());
+                    self.set_backup(next_backup, &engine);
+                    return None;
+                }
+                // Not run there, so that the copy is unused.
+                Some(SendOutcome::NotSent | SendOutcome::Withheld(_) | SendOutcome::NotRun) => {
+                    let end = outcome.as_ref().map_or("-", SendOutcome::name);
+                    self.log_unanswered(end, &engine);
+                }
+                _ => return None,
+            }
+        }
+        self.context.counters.count("moves.failed.copy-missing");
+        None
+    }
+
+    /// The event after which a run continues: the last one that the caller has, or the one that it
+    /// had before this request.
+    fn continued_after(&self, last_id: Option<u64>) -> u64 {
+        let name = &self.context.dialect.headers.last_event;
+        let callers_last = self.outgoing.header(name);
+        let callers_last = callers_last.and_then(|last| last.trim().parse().ok());
+        last_id.or(callers_last).unwrap_or(0)
+    }
+
     /// Sends the request to the engine that holds the copy; also returns the engine to which that
     /// one copies the run. No outcome if the deadline passed.
     async fn send_to_copy(
         &mut self,
         copy: &ServerRecord,
+        source: &str,
+        after: u64,
     ) -> (Option<SendOutcome>, Option<ServerRecord>) {
         let names = &self.context.dialect.headers;
-        let source =
-            (self.context.dialect.run_source)(copy.address, &self.admitted.attributes.call);
+        let callers_last = self.outgoing.header(&names.last_event).map(str::to_owned);
+        self.outgoing
+            .set_header(&names.last_event, &after.to_string());
         self.outgoing.replace_header(&names.prompt_source, None);
-        self.outgoing.set_header(&names.run_source, &source);
+        self.outgoing.set_header(&names.run_source, source);
         let next_backup = self.set_backup_target(copy);
         let mut outcome = None;
         for _ in 0..MAX_UNSENT {
@@ -182,8 +238,10 @@
                 break;
             }
         }
-        let name = &self.context.dialect.headers.run_source;
-        self.outgoing.replace_header(name, None);
+        let names = &self.context.dialect.headers;
+        self.outgoing.replace_header(&names.run_source, None);
+        self.outgoing
+            .replace_header(&names.last_event, callers_last.as_deref());
         (outcome, next_backup)
     }
 }
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -19,10 +19,11 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::{BufferMemory, JobResults, OpenRequest};
+use super::super::process::{BufferMemory, HeldCopy, JobResults, OpenRequest};
 use super::answer::{AnswerBody, TruncatedAnswer, forwarded_response};
 use super::engine_run::{EngineAnswer, EngineRun};
 use super::event_splitter::{EventSplitter, StreamEvent};
+use super::run_move_state::RunMoveState;
 use super::send::StartedAnswer;
 
 /// Maximum bytes of events that one caller leaves unread; several times a usual stream. Beyond it
@@ -41,6 +42,8 @@
     Complete,
     /// The engine's stream broke.
     Broken,
+    /// The engine stopped the run to move it.
+    Moved(Box<HeldCopy>),
     /// The caller disconnected.
     CallerLeft,
     /// The deadline passed.
@@ -104,6 +107,13 @@
                     self.log("time-over", &server, first_event_after);
                     break "the deadline passed";
                 }
+                EngineStreamEnd::Moved(copy) => {
+                    self.log("moved", &server, first_event_after);
+                    if let Some(moved) = self.continue_moved(copy).await {
+                        answer = moved;
+                        continue;
+                    }
+                }
                 EngineStreamEnd::Broken => {}
             }
             self.run.record_stream_end(true);
@@ -143,10 +153,23 @@
         let mut results = answer.results;
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
+        let mut run_move = RunMoveState::new(answer.server.clone(), self.last_id);
         loop {
-            let silence = self.max_silence().filter(|_| has_begun);
+            if has_begun {
+                self.begin_move(&mut run_move);
+            }
+            let silence = self
+                .max_silence()
+                .filter(|_| has_begun && !run_move.is_copying());
             let frame = tokio::select! {
                 frame = body.frame() => frame,
+                is_overdue = run_move.next_step() => {
+                    if let Some(copy) = run_move.take_copy(self.last_id, is_overdue) {
+                        in_flight_send.end(SendEnd::Abandoned);
+                        return EngineStreamEnd::Moved(copy);
+                    }
+                    continue;
+                }
                 () = self.sender.closed() => return EngineStreamEnd::CallerLeft,
                 () = tokio::time::sleep_until(self.run.admitted.deadline) => return EngineStreamEnd::TimedOut,
                 () = tokio::time::sleep(silence.unwrap_or_default()), if silence.is_some() => {
@@ -162,7 +185,23 @@
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_broken)) => {
-                    in_flight_send.record_lost(&self.run.admitted);
+                    // The engine closes a stream that it stops, maybe before it answers the move.
+                    if run_move.is_copying() {
+                        tokio::select! {
+                            _ = run_move.next_step() => {}
+                            () = self.sender.closed() => return EngineStreamEnd::CallerLeft,
+                            () = tokio::time::sleep_until(self.run.admitted.deadline) => return EngineStreamEnd::TimedOut,
+                        }
+                    }
+                    let has_stopped = run_move.has_stopped_as_told();
+                    if has_stopped {
+                        in_flight_send.end(SendEnd::Abandoned);
+                    } else {
+                        in_flight_send.record_lost(&self.run.admitted);
+                    }
+                    if let Some(copy) = run_move.take_copy(self.last_id, true) {
+                        return EngineStreamEnd::Moved(copy);
+                    }
                     self.unread_results = results;
                     return EngineStreamEnd::Broken;
                 }
@@ -177,6 +216,10 @@
                     return end;
                 }
             }
+            if let Some(copy) = run_move.take_copy(self.last_id, false) {
+                in_flight_send.end(SendEnd::Abandoned);
+                return EngineStreamEnd::Moved(copy);
+            }
         }
         in_flight_send.record_answer(&self.run.admitted);
         let share = self.run.context.connection_share(&self.run.service);
@@ -229,6 +272,47 @@
         Some((max_gap * SILENCE_FACTOR).min(retention * 3 / 4))
     }
 
+    /// Begins to move the run if its engine leaves.
+    fn begin_move(&self, run_move: &mut RunMoveState) {
+        let admitted = &self.run.admitted;
+        let Some(last_id) = self.last_id.filter(|_| run_move.is_check_due()) else {
+            return;
+        };
+        // A suspected request runs at one engine at a time.
+        if self
+            .run
+            .context
+            .crashes
+            .requires_single_run(&admitted.request_content)
+        {
+            return;
+        }
+        let Some(event_time) = run_move.event_time(last_id) else {
+            return;
+        };
+        let begun = self.run.context.begin_move(
+            &self.run.service,
+            &admitted.attributes,
+            run_move.engine(),
+            last_id,
+            event_time,
+        );
+        if let Some(begun) = begun {
+            run_move.set_begun(begun);
+        }
+    }
+
+    /// Continues a run that was stopped to move it.
+    async fn continue_moved(&mut self, copy: Box<HeldCopy>) -> Option<EngineAnswer> {
+        let continuing = self.run.continue_moved_run(copy, self.last_id);
+        let answer = tokio::select! {
+            answer = continuing => answer?,
+            () = self.sender.closed() => return None,
+        };
+        self.last_id = answer.continued_after;
+        Some(answer)
+    }
+
     /// Continues the stream at the engine that holds a copy of the run, if there is one.
     ///
     /// Without ids, the events that the caller has cannot be told from those that follow.
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -123,7 +123,10 @@
 #[doc(inline)]
 pub use router_settings::RouterSettings;
 #[doc(inline)]
-pub use run_copies::{PromptFetch, RecentPrefills, RunBackup, StreamLosses};
+pub use run_copies::{
+    ActiveMoves, CopyHandle, MoveAnswer, PromptFetch, RecentPrefills, RunBackup, RunMove,
+    StreamLosses,
+};
 #[doc(inline)]
 pub use send_share::{SendRateLimit, SendShare};
 #[doc(inline)]
--- a/crates/core/src/process/run_copies.rs
+++ b/crates/core/src/process/run_copies.rs
@@ -1,10 +1,16 @@
 //! Copies of KV cache between engines: fetched parts of prompts and backups of runs.
 
+mod copy_handle;
 mod prompt_fetch;
 mod recent_prefills;
 mod run_backup;
+mod run_move;
 mod stream_losses;
 
+use std::time::Duration;
+
+#[doc(inline)]
+pub use copy_handle::{CopyHandle, MoveAnswer};
 #[doc(inline)]
 pub use prompt_fetch::PromptFetch;
 #[doc(inline)]
@@ -12,4 +18,9 @@
 #[doc(inline)]
 pub use run_backup::RunBackup;
 #[doc(inline)]
+pub use run_move::{ActiveMoves, RunMove};
+#[doc(inline)]
 pub use stream_losses::StreamLosses;
+
+/// Time before the first byte of a transfer arrives.
+const START_TIME: Duration = Duration::from_micros(2_500);
--- a/crates/core/src/process/run_copies/prompt_fetch.rs
+++ b/crates/core/src/process/run_copies/prompt_fetch.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
+use super::START_TIME;
 use crate::version::TransferSpec;
 
-/// Time before the first byte of a transfer arrives.
-const START_TIME: Duration = Duration::from_micros(2_500);
 /// Factor by which a fetch has to be faster than prefilling: transfers share the link, so that a
 /// fetch may have to wait for others.
 const MIN_GAIN: u32 = 2;
--- a/crates/core/tests/run_copies.rs
+++ b/crates/core/tests/run_copies.rs
@@ -6,8 +6,8 @@
 
 use amaranthscale_core::id::ServerIncarnation;
 use amaranthscale_core::process::{
-    PromptFetch, RecentPrefills, RunBackup, SendEnd, ServerLoad, ServerRecord, ServerSelector,
-    StreamLosses,
+    ActiveMoves, PromptFetch, RecentPrefills, RunBackup, RunMove, SendEnd, ServerLoad,
+    ServerRecord, ServerSelector, StreamLosses,
 };
 use amaranthscale_core::version::TransferSpec;
 
@@ -172,3 +172,33 @@
     );
     assert_eq!(target(&engines[..3]), None);
 }
+
+/// A move whose copy takes as long as the rest of the run gains nothing.
+#[test]
+fn runs_are_moved_only_if_their_rest_takes_much_longer_than_the_copy() {
+    let run = |remaining_ms, is_other_zone| RunMove {
+        tokens: 5_000,
+        remaining_time: Duration::from_millis(remaining_ms),
+        is_other_zone,
+    };
+
+    assert!(run(50, false).is_worthwhile(&transfer()));
+    assert!(!run(30, false).is_worthwhile(&transfer()));
+    assert!(!run(50, true).is_worthwhile(&transfer()), "twice as long");
+    assert!(run(80, true).is_worthwhile(&transfer()));
+}
+
+/// Many moves at once would hold up the fetches of both engines.
+#[test]
+fn an_engine_takes_part_in_two_moves_of_each_direction_at_once() {
+    let mut moves = ActiveMoves::default();
+    let (a, b, c) = (engine("a"), engine("b"), engine("c"));
+
+    assert!(moves.try_begin(&a, &b));
+    assert!(moves.try_begin(&a, &c));
+    assert!(!moves.try_begin(&a, &c), "two from a");
+    assert!(moves.try_begin(&c, &b));
+    assert!(!moves.try_begin(&c, &b), "two to b");
+    moves.end(&a, &b);
+    assert!(moves.try_begin(&a, &b));
+}
