Engines get the urgency of the organisation and the route

Engines admitted all requests alike, so that large prompts of the least urgent organisation delayed those of the most urgent one. Stated to services of engines only. Switch: engine-urgency.

--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -51,6 +51,8 @@
     pub backup_target: HeaderName,
     /// Copy from which an engine resumes the run.
     pub run_source: HeaderName,
+    /// Urgency class of the request, from 0, the most urgent, to 9.
+    pub urgency_class: HeaderName,
     /// Headers forwarded even where the caller lists them as hop-by-hop.
     pub always_forwarded: Vec<HeaderName>,
     /// Headers of callers that are never forwarded.
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -14,6 +14,7 @@
 use log::info;
 use tokio::time::Instant;
 
+use super::super::Feature;
 use super::super::clock::ms;
 use super::super::process::{GatewayContext, JobError, JobResults, OpenRequest, run_job};
 use super::answer::{AnswerBody, forwarded_response, full_body};
@@ -115,6 +116,7 @@
         is_continuation_reserved: false,
         load: LoadSnapshot::default(),
     };
+    run.set_urgency();
     let answer = run.start().await?;
     if answer.answer.head.status.is_success() {
         return Ok(relay_stream(run, answer, open_request));
@@ -123,6 +125,20 @@
 }
 
 impl EngineRun {
+    /// States the request's urgency to the engines of all its sends.
+    fn set_urgency(&mut self) {
+        let routing = self.context.cluster_view.routing();
+        let pool = routing
+            .as_ref()
+            .and_then(|routing| routing.pool(&self.service));
+        let is_engine = pool.is_some_and(|pool| pool.engine.is_some());
+        if is_engine && self.context.features.is_enabled(Feature::EngineUrgency) {
+            let class = self.admitted.rank.urgency_class().to_string();
+            let name = &self.context.dialect.headers.urgency_class;
+            self.outgoing.set_header(name, &class);
+        }
+    }
+
     /// Runs the job and sends the request until an engine has begun to answer.
     pub(super) async fn start(&mut self) -> Result<EngineAnswer, Refusal> {
         let answer = self.run_until_answered().await;
