Moves and silence: fixes of a review

A silent stream whose events have no ids was closed although it could not continue. A copy held when the process ends is left to expire, as no task can be spawned then. Only successful answers count as backed up.

--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -75,10 +75,13 @@
 
 impl Drop for HeldCopy {
     fn drop(&mut self) {
-        if !self.is_used {
+        // Without a runtime the process ends, and the engines expire the copy.
+        if !self.is_used
+            && let Ok(runtime) = tokio::runtime::Handle::try_current()
+        {
             let (context, source) = (Arc::clone(&self.context), self.source.clone());
             let request = (context.dialect.free_copy_request)(&self.handle);
-            tokio::spawn(async move { context.free_copy(&source, request).await });
+            runtime.spawn(async move { context.free_copy(&source, request).await });
         }
     }
 }
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -204,6 +204,7 @@
             SendOutcome::Answer(answer) => {
                 self.possible_runs += 1;
                 self.record_begun(&answer, server, prompt_source.as_ref());
+                let backup = backup.filter(|_| answer.head.status.is_success());
                 self.set_backup(backup, server);
                 return Ok(AttemptOutcome::Started(Box::new(EngineAnswer {
                     answer: *answer,
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -262,10 +262,12 @@
         shared.hold(own.hold(event))
     }
 
-    /// Time without an event after which the run continues at its copy; none without a copy.
+    /// Time without an event after which the run continues at its copy; none without a copy, or
+    /// without ids by which the events that the caller has are known.
     fn max_silence(&self) -> Option<Duration> {
         let run = &self.run;
         run.backup.as_ref()?;
+        self.last_id?;
         let max_gap = run.admitted.route.max_event_gap?;
         // The copy expires if the engine adds nothing to it.
         let retention = run.context.transfer_spec(&run.service)?.copy_retention;
