--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -22,6 +22,7 @@
 mod remove_stale_drains;
 mod retained_results;
 mod retry_budgets;
+mod run_copies;
 mod run_job;
 mod send_permit;
 mod send_shares;
@@ -68,6 +69,8 @@
 pub use remove_stale_drains::remove_stale_drains;
 #[doc(inline)]
 pub use retry_budgets::RetryBudgets;
+#[doc(inline)]
+pub use run_copies::{HeldCopy, MoveEnd, PromptSources, RunBackups, RunMoves};
 pub(crate) use run_job::run_job;
 #[doc(inline)]
 pub use run_job::{JobError, JobResults};
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -11,7 +11,7 @@
 use super::super::{Dialect, FeatureSet};
 use super::{
     BatchOwners, BufferMemory, CrashTracker, Ejections, FirstEventEstimators, LimitTracker,
-    MovingRuns, RetryBudgets, SendShares, ShutdownGate,
+    MovingRuns, PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -35,6 +35,12 @@
     pub retry_budgets: RetryBudgets,
     /// Estimates of the engines' time to the first event.
     pub first_event_estimators: FirstEventEstimators,
+    /// Engines that have recently prefilled shared prompt parts.
+    pub prompt_sources: PromptSources,
+    /// Recent ends of streams, by which runs are backed up.
+    pub run_backups: RunBackups,
+    /// Moves of runs that take place now.
+    pub run_moves: RunMoves,
     /// This gateway's shares of sends to cold and rate-limited servers.
     pub send_shares: SendShares,
     /// Rate limits that servers report.
--- a/crates/amaranthscale/src/gateway/request.rs
+++ b/crates/amaranthscale/src/gateway/request.rs
@@ -8,6 +8,8 @@
 mod outgoing;
 mod plain_run;
 mod refusal;
+mod run_continuation;
+mod run_move_state;
 mod send;
 mod stream_relay;
 
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -14,6 +14,7 @@
 use log::info;
 use tokio::time::Instant;
 
+use super::super::Feature;
 use super::super::clock::ms;
 use super::super::process::{GatewayContext, JobError, JobResults, OpenRequest, run_job};
 use super::answer::{AnswerBody, forwarded_response, full_body};
@@ -49,6 +50,12 @@
     pub(super) owner: Option<InstanceId>,
     /// When the stage results were computed.
     pub(super) results_at: Option<Instant>,
+    /// The engine that holds a copy of the run, if one was requested with the last send.
+    pub(super) backup: Option<ServerRecord>,
+    /// Engines that may have continued the run from a copy.
+    pub(super) continuations: u32,
+    /// Whether a retry was taken from the budget for the next continuation.
+    pub(super) is_continuation_reserved: bool,
     /// Load on which the choice of the last engine was based.
     pub(super) load: LoadSnapshot,
 }
@@ -59,6 +66,8 @@
     pub(super) answer: StartedAnswer,
     pub(super) results: Option<JobResults>,
     pub(super) server: ServerIncarnation,
+    /// Event after which a run continues at a copy; none if it began at this engine.
+    pub(super) continued_after: Option<u64>,
 }
 
 /// The stage results that a request needs before an engine can run it.
@@ -102,8 +111,12 @@
         recomputations: 0,
         owner: None,
         results_at: None,
+        backup: None,
+        continuations: 0,
+        is_continuation_reserved: false,
         load: LoadSnapshot::default(),
     };
+    run.set_urgency();
     let answer = run.start().await?;
     if answer.answer.head.status.is_success() {
         return Ok(relay_stream(run, answer, open_request));
@@ -112,6 +125,20 @@
 }
 
 impl EngineRun {
+    /// States the request's urgency to the engines of all its sends.
+    fn set_urgency(&mut self) {
+        let routing = self.context.cluster_view.routing();
+        let pool = routing
+            .as_ref()
+            .and_then(|routing| routing.pool(&self.service));
+        let is_engine = pool.is_some_and(|pool| pool.engine.is_some());
+        if is_engine && self.context.features.is_enabled(Feature::EngineUrgency) {
+            let class = self.admitted.rank.urgency_class().to_string();
+            let name = &self.context.dialect.headers.urgency_class;
+            self.outgoing.set_header(name, &class);
+        }
+    }
+
     /// Runs the job and sends the request until an engine has begun to answer.
     pub(super) async fn start(&mut self) -> Result<EngineAnswer, Refusal> {
         let answer = self.run_until_answered().await;
@@ -153,9 +180,14 @@
     async fn attempt(
         &mut self,
         server: &ServerRecord,
-        results: Option<JobResults>,
+        mut results: Option<JobResults>,
         in_flight_send: InFlightSend,
     ) -> Result<AttemptOutcome, Refusal> {
+        // Left if the caller disconnected during a continuation.
+        let run_source = &self.context.dialect.headers.run_source;
+        self.outgoing.replace_header(run_source, None);
+        let prompt_source = self.set_prompt_source(server);
+        let backup = self.set_backup_target(server);
         let remaining = self.admitted.remaining();
         let sending = send(
             &self.context,
@@ -171,10 +203,14 @@
         match outcome {
             SendOutcome::Answer(answer) => {
                 self.possible_runs += 1;
+                self.record_begun(&answer, server, prompt_source.as_ref());
+                let backup = backup.filter(|_| answer.head.status.is_success());
+                self.set_backup(backup, server);
                 return Ok(AttemptOutcome::Started(Box::new(EngineAnswer {
                     answer: *answer,
                     results,
                     server: server.incarnation.clone(),
+                    continued_after: None,
                 })));
             }
             SendOutcome::NotSent => self.add_unsent("not-sent", server)?,
@@ -192,11 +228,59 @@
                 self.add_rejection("input-gone", server)?;
                 return Ok(AttemptOutcome::Retry(StageResults::Missing));
             }
-            SendOutcome::Lost => self.add_loss(server)?,
+            SendOutcome::Lost => {
+                self.log_unanswered("lost", server);
+                self.possible_runs += 1;
+                self.record_stream_end(true);
+                self.exclude(server.incarnation.clone());
+                self.set_backup(backup, server);
+                let continued = self.continue_run(&server.incarnation, None, &mut results);
+                if let Some(answer) = continued.await {
+                    return Ok(AttemptOutcome::Started(Box::new(answer)));
+                }
+                if !self.try_retry() {
+                    return Err(Refusal::new(ResultCode::AnswerLost));
+                }
+            }
         }
         Ok(AttemptOutcome::Retry(StageResults::Retained(results)))
     }
 
+    /// Sets or removes the header with the engine from which `server` fetches the shared parts of
+    /// the prompt, and returns that engine.
+    fn set_prompt_source(&mut self, server: &ServerRecord) -> Option<ServerRecord> {
+        let attributes = &self.admitted.attributes;
+        let source = self
+            .context
+            .prompt_source(&self.service, attributes, server);
+        let address = source.as_ref().map(|source| source.address.to_string());
+        let name = &self.context.dialect.headers.prompt_source;
+        self.outgoing.replace_header(name, address.as_deref());
+        source
+    }
+
+    /// Records what a successful answer shows of the prompt's shared parts.
+    fn record_begun(
+        &self,
+        answer: &StartedAnswer,
+        server: &ServerRecord,
+        prompt_source: Option<&ServerRecord>,
+    ) {
+        if !answer.head.status.is_success() {
+            return;
+        }
+        let attributes = &self.admitted.attributes;
+        self.context.record_prefill(attributes, &server.incarnation);
+        if let Some(source) = prompt_source {
+            self.context.counters.count("prompts.fetched");
+            info!(
+                call = attributes.call.as_str(), from:% = source.incarnation,
+                to:% = server.incarnation, tokens = attributes.shared_tokens();
+                "prompt: fetched"
+            );
+        }
+    }
+
     /// Records a rejection; an error if no further attempt is allowed.
     fn add_rejection(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refusal> {
         self.add_unsent(end, server)?;
@@ -220,22 +304,12 @@
         Ok(())
     }
 
-    /// Records a lost answer; an error if the request may not be retried.
-    fn add_loss(&mut self, server: &ServerRecord) -> Result<(), Refusal> {
-        self.log_unanswered("lost", server);
-        self.possible_runs += 1;
-        if !self.try_retry() {
-            return Err(Refusal::new(ResultCode::AnswerLost));
-        }
-        Ok(())
-    }
-
     /// Whether a request that may have run may be sent to another engine; takes a retry from the
     /// budget.
     pub(super) fn try_retry(&self) -> bool {
         let route = &self.admitted.route;
         route.kind.may_repeat()
-            && self.possible_runs < route.max_attempts
+            && self.possible_engines() < route.max_attempts
             && !self
                 .context
                 .crashes
@@ -418,7 +492,7 @@
         ))
     }
 
-    fn log_unanswered(&self, end: &'static str, server: &ServerRecord) {
+    pub(super) fn log_unanswered(&self, end: &'static str, server: &ServerRecord) {
         info!(
             call = self.admitted.attributes.call.as_str(), fingerprint:% = self.admitted.request_content.fingerprint(),
             server:% = server.incarnation, end,
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -267,8 +267,21 @@
         recent_time_ms * (1.0 + ahead / slots) + zone_cost_ms
     }
 
+    /// Whether a server's last send failed, or it is ejected.
+    #[must_use]
+    pub fn is_failing(&self, server: &ServerIncarnation, now: Duration) -> bool {
+        let tracker = self.tracker(server);
+        tracker.is_some_and(|tracker| tracker.failures > 0 || tracker.is_ejected(now))
+    }
+
+    /// Requests at an engine, as a fraction of its slots.
+    #[must_use]
+    pub fn engine_fullness(&self, server: &ServerRecord, now: Duration) -> f64 {
+        self.fullness(server, ENGINE_LOAD_LIFETIME, now)
+    }
+
     fn is_nearly_full(&self, server: &ServerRecord, now: Duration) -> bool {
-        self.fullness(server, ENGINE_LOAD_LIFETIME, now) >= AFFINITY_MAX_FULLNESS
+        self.engine_fullness(server, now) >= AFFINITY_MAX_FULLNESS
     }
 
     /// Requests ahead at a server, as a fraction of its slots.
