--- a/crates/core/examples/engine_speed.rs
+++ b/crates/core/examples/engine_speed.rs
@@ -2,8 +2,8 @@
 //!
 //! Time is simulated. Each line is one run: times to the first event at the 50th and 90th
 //! percentile and the fraction beyond 1.2 s of the largest fifth of the large prompts, the times of
-//! the other large prompts and of the small and medium ones, and the shared tokens that were
-//! prefilled although another engine held them.
+//! the other large prompts and of the small and medium ones, the shared tokens that were prefilled
+//! although another engine held them, and the bytes that a gateway sends and gets a second.
 //!
 //! `cargo run --release -p amaranthscale-core --example engine_speed -- SEED...`
 #![expect(
@@ -51,10 +51,13 @@
         "{:?} seed {} fast {} load {}",
         scenario.choice, scenario.seed, scenario.fast_engines, scenario.load
     );
+    let seconds = usize::try_from(scenario.duration.as_secs()).unwrap();
+    let gateway_seconds = seconds * scenario.gateways;
     let outcome = Simulation::new(scenario).run();
     let ms = |times: &[Duration], percent| percentile(times, percent).as_millis();
     println!(
-        "{shown:45} largest {:5} {:5} late {:.3}  large {:5} {:5}  others {:4} {:4} totals {:5} {:5}  again {}",
+        "{shown:45} largest {:5} {:5} late {:.3}  large {:5} {:5}  others {:4} {:4} totals {:5} {:5}  again {}  \
+        bytes/s {} {}",
         ms(&outcome.largest, 50),
         ms(&outcome.largest, 90),
         late_fraction(&outcome.largest, Duration::from_millis(1_200)),
@@ -65,6 +68,8 @@
         ms(&outcome.other_totals, 50),
         ms(&outcome.other_totals, 90),
         outcome.tokens_again,
+        outcome.report_bytes / gateway_seconds,
+        outcome.update_bytes / gateway_seconds,
     );
 }
 
--- a/crates/core/tests/engine_speed/simulated.rs
+++ b/crates/core/tests/engine_speed/simulated.rs
@@ -39,6 +39,17 @@
     assert!(saved > again, "{saved:?} saved, {again:?} spent");
 }
 
+/// Guards against an exchange that takes more than a gateway's share of the control traffic, 3 kB/s
+/// for all purposes.
+#[test]
+fn the_exchange_is_small() {
+    let outcome = Simulation::new(scenario(Choice::Speed)).run();
+
+    let gateway_seconds = 20 * 40;
+    let bytes_per_s = (outcome.report_bytes + outcome.update_bytes) / gateway_seconds;
+    assert!((1..1_500).contains(&bytes_per_s), "{bytes_per_s}");
+}
+
 /// Guards against prompts that keep going to an engine which has become slow, and against an engine
 /// that stays unused after it has recovered.
 #[test]
--- a/crates/core/tests/engine_speed/simulation.rs
+++ b/crates/core/tests/engine_speed/simulation.rs
@@ -80,6 +80,9 @@
     pub others: Vec<Duration>,
     /// Shared tokens that an engine prefilled although another one held them.
     pub tokens_again: u64,
+    /// Bytes of the bodies of all gateways' reports, and of the answers to them.
+    pub report_bytes: usize,
+    pub update_bytes: usize,
     /// Total times of the answers to the small and medium prompts.
     pub other_totals: Vec<Duration>,
 }
@@ -448,6 +451,8 @@
             .record(&report, |_| Some(service.clone()), self.now);
         assert!(invalid.is_empty(), "{invalid:?}");
         let update = self.collector.update_since(report.known.as_ref(), self.now);
+        self.outcome.report_bytes += rmp_serde::to_vec(&report).unwrap().len();
+        self.outcome.update_bytes += rmp_serde::to_vec(&update).unwrap().len();
         let invalid = speeds.apply(update, self.now);
         assert_eq!(invalid, 0);
     }
