A gateway without a usable collector posts speeds rarely

Cause: where the collector has the feature disabled, each other gateway would post and log four times a second. After four failures in a row it posts every 5 s.

--- a/crates/amaranthscale/src/gateway/process/speed_exchange.rs
+++ b/crates/amaranthscale/src/gateway/process/speed_exchange.rs
@@ -28,6 +28,9 @@
 const INTERVAL_PER_GATEWAY: Duration = Duration::from_micros(1_500);
 /// Time between two posts without samples; shorter than estimates last.
 const IDLE_INTERVAL: Duration = Duration::from_secs(5);
+/// Failed posts in a row from which a gateway posts as rarely as without samples: its collector has
+/// the feature disabled or another format.
+const MAX_FAST_FAILURES: u32 = 4;
 /// Maximum size of a report: some bytes for each of a gateway's requests in ten seconds.
 const MAX_REPORT_BYTES: usize = 256 * 1024;
 /// Maximum size of an update: about a hundred bytes for each engine.
@@ -50,6 +53,7 @@
         return;
     }
     let mut posted_at = Instant::now();
+    let mut failures = 0;
     loop {
         let gateways = u32::try_from(context.cluster_view.live_count()).unwrap_or(u32::MAX);
         let interval = INTERVAL_PER_GATEWAY
@@ -61,16 +65,22 @@
             .server_selector()
             .engine_speeds_mut()
             .collect_overdue(now);
-        if has_samples || posted_at.elapsed() >= IDLE_INTERVAL {
+        let is_due = has_samples && failures < MAX_FAST_FAILURES;
+        if is_due || posted_at.elapsed() >= IDLE_INTERVAL {
             posted_at = Instant::now();
-            exchange_once(&context).await;
+            failures = if exchange_once(&context).await {
+                0
+            } else {
+                failures + 1
+            };
         }
     }
 }
 
-async fn exchange_once(context: &GatewayContext) {
+/// Posts the samples; false if no update was received.
+async fn exchange_once(context: &GatewayContext) -> bool {
     if !has_engines(context) {
-        return;
+        return true;
     }
     let (collector, address, is_own) = context.cluster_view.owner(Cell::SINGLE);
     let now = context.cluster_view.clock().now();
@@ -84,7 +94,10 @@
         post(context, &collector, address, &report).await
     };
     match updated {
-        Ok(update) => apply(context, update),
+        Ok(update) => {
+            apply(context, update);
+            true
+        }
         Err(error) => {
             context.counters.count("speeds.not-posted");
             context
@@ -99,6 +112,7 @@
                 ExchangeError::Unusable(reason) => reason,
             };
             info!(collector = collector.as_str(), reason = reason.as_str(); "speeds: not exchanged");
+            false
         }
     }
 }
