Admit jobs by a forecast of their whole path in the batcher

At overload, jobs were accepted, waited for seconds and were given up, with the server time of their first stages lost. A switch of the batcher now forecasts each stage's wait on arrival (backlog by order, more urgent arrivals, result storage, corrected by the errors of the last seconds), refuses what is not reachable, and displaces admitted jobs that can no longer be reached. Nothing enables it yet; without it the batcher decides as before.

--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -227,10 +227,10 @@
             info!(call = call.as_str(), kept = retained; "batches: continuing the job of an earlier owner");
         }
         let accepted = if self.lag_detector.is_behind() {
-            Err(JobRefusal {
-                retry_after: OVERLOAD_RETRY_DELAY,
-                reason: JobFailure::Overloaded,
-            })
+            Err(JobRefusal::new(
+                JobFailure::Overloaded,
+                OVERLOAD_RETRY_DELAY,
+            ))
         } else {
             self.batcher.submit(spec, now)
         };
@@ -371,6 +371,7 @@
                     self.log_failed(job, failure);
                     (job, JobOutcome::Failed(failure))
                 }
+                JobEvent::Displaced(job, refused) => (job, refusal(refused)),
             };
             if let Some(pending_job) = self.pending.remove(&job) {
                 let _ = pending_job.updates.send(JobUpdate::Ended(outcome));
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -199,7 +199,7 @@
                     figures.done += 1;
                     job
                 }
-                JobEvent::Failed(job, _) => {
+                JobEvent::Failed(job, _) | JobEvent::Displaced(job, _) => {
                     figures.failed += 1;
                     job
                 }
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -65,9 +65,9 @@
 pub use attempt_end::AttemptEnd;
 #[doc(inline)]
 pub use batcher::{
-    Batch, BatchEnd, BatchId, BatchItem, Batcher, DEFAULT_ENGINE_TIME, FreeRequest, JobEvent,
-    JobFailure, JobId, JobRefusal, JobSpec, PieceEnd, PieceInput, RetainedResult, StageSpec,
-    StageTimes,
+    Batch, BatchEnd, BatchId, BatchItem, Batcher, Bound, DEFAULT_ENGINE_TIME, FreeRequest,
+    JobEvent, JobFailure, JobId, JobRefusal, JobSpec, PieceEnd, PieceInput, RefusedForecast,
+    RetainedResult, StageSpec, StageTimes,
 };
 #[doc(inline)]
 pub use cell::Cell;
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -15,6 +15,7 @@
 //! Two simultaneous owners are safe: their calls meet at the servers, which reject the excess, and
 //! a piece may be computed twice.
 
+mod admission;
 mod ends;
 mod estimate;
 mod fill;
@@ -39,6 +40,8 @@
 use crate::process::server_list::ServerRecord;
 use crate::version::{BatchSpec, Routing};
 
+#[doc(inline)]
+pub use admission::{Bound, RefusedForecast};
 #[doc(inline)]
 pub use message::{
     Batch, BatchEnd, BatchId, BatchItem, DEFAULT_ENGINE_TIME, FreeRequest, JobEvent, JobFailure,
@@ -47,6 +50,7 @@
 #[doc(inline)]
 pub use retained_result::RetainedResult;
 
+use admission::Admission;
 use job::{Job, PieceState, StageState};
 use pending_work::PendingWork;
 use pool_state::PoolState;
@@ -74,6 +78,8 @@
     /// Until when another owner may be using the same servers.
     shared_until: Duration,
     is_stopping: bool,
+    /// State of admission by forecast, if it is enabled.
+    admission: Option<Admission>,
 }
 
 #[derive(Debug)]
@@ -109,6 +115,13 @@
         Self::default()
     }
 
+    /// Sets whether jobs are admitted by a forecast of their whole path.
+    #[must_use]
+    pub fn with_forecast(mut self, is_enabled: bool) -> Self {
+        self.admission = is_enabled.then(Admission::default);
+        self
+    }
+
     /// Replaces the services and their servers, each with its availability.
     pub fn set_servers<'a>(
         &mut self,
@@ -146,10 +159,7 @@
     /// Accepts a job, or refuses one that cannot be completed in time.
     pub fn submit(&mut self, mut spec: JobSpec, now: Duration) -> Result<JobId, JobRefusal> {
         if !spec.is_well_formed() {
-            return Err(JobRefusal {
-                retry_after: Duration::ZERO,
-                reason: JobFailure::Malformed,
-            });
+            return Err(JobRefusal::new(JobFailure::Malformed, Duration::ZERO));
         }
         if self.jobs.is_empty() {
             // Another owner may have been active until now.
@@ -162,6 +172,7 @@
         let job = Job::new(spec, estimate, now);
         self.jobs.insert(id, job);
         self.adopt_retained(id, now);
+        self.count_admitted(id);
         self.advance(id, now);
         Ok(id)
     }
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -3,6 +3,7 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
+use super::admission::AdmissionPlan;
 use super::job::priority_delay;
 use super::retained_result::remaining_pieces;
 use super::{Batcher, JobFailure, JobRefusal, JobSpec, StageSpec};
@@ -14,9 +15,9 @@
 /// Multiple of its target latency within which a late request must complete to be accepted.
 const LATE_TARGET_FACTOR: f64 = 2.5;
 /// Shortest retry delay after a refusal.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Longest retry delay after a refusal; callers wait for a fraction of their deadline at most.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// When the stages of a job must start, and how long they take.
 #[derive(Debug)]
@@ -27,6 +28,8 @@
     pub(super) work: Vec<Duration>,
     pub(super) priority_delay: Duration,
     pub(super) is_late: bool,
+    /// What it is admitted by, with admission by forecast.
+    pub(super) plan: Option<AdmissionPlan>,
 }
 
 impl Batcher {
@@ -37,6 +40,9 @@
         now: Duration,
     ) -> Result<Estimate, JobRefusal> {
         self.pending_work.refresh(self.jobs.values(), now);
+        if self.admission.is_some() {
+            return self.estimate_by_forecast(job_spec, now);
+        }
         let full_spec = job_spec;
         let job_spec = &remaining_work(full_spec);
         let calls = self.call_times(job_spec, now)?;
@@ -69,11 +75,12 @@
             latest_starts,
             priority_delay,
             is_late,
+            plan: None,
         })
     }
 
     /// Server time that a stage's pieces take in full batches.
-    fn stage_work(&self, stage: &StageSpec) -> Duration {
+    pub(super) fn stage_work(&self, stage: &StageSpec) -> Duration {
         let spec = self.pools.get(&stage.service).and_then(|pool| pool.spec);
         let Some(spec) = spec else {
             return Duration::ZERO;
@@ -105,14 +112,14 @@
         }
         let excess =
             (done + job_spec.engine_time).saturating_sub(now + job_spec.target_latency_left);
-        Err(JobRefusal {
-            retry_after: excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
-            reason: JobFailure::Late,
-        })
+        Err(JobRefusal::new(
+            JobFailure::Late,
+            excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        ))
     }
 
     /// Records the work that a job adds, for the estimates of later jobs.
-    fn record_arrival(&mut self, job_spec: &JobSpec, now: Duration) {
+    pub(super) fn record_arrival(&mut self, job_spec: &JobSpec, now: Duration) {
         for stage in &job_spec.stages {
             let Some(pool) = self.pools.get_mut(&stage.service) else {
                 continue;
@@ -123,11 +130,12 @@
     }
 
     /// Expected time of one call of each stage.
-    fn call_times(&self, job_spec: &JobSpec, now: Duration) -> Result<Vec<Duration>, JobRefusal> {
-        let no_server = JobRefusal {
-            retry_after: MIN_RETRY_AFTER,
-            reason: JobFailure::NoServer,
-        };
+    pub(super) fn call_times(
+        &self,
+        job_spec: &JobSpec,
+        now: Duration,
+    ) -> Result<Vec<Duration>, JobRefusal> {
+        let no_server = JobRefusal::new(JobFailure::NoServer, MIN_RETRY_AFTER);
         let time_of = |stage: &StageSpec| {
             if stage.pieces == 0 {
                 return Ok(Duration::ZERO);
@@ -159,7 +167,7 @@
 }
 
 /// The spec without the pieces whose results are retained.
-fn remaining_work(job_spec: &JobSpec) -> Cow<'_, JobSpec> {
+pub(super) fn remaining_work(job_spec: &JobSpec) -> Cow<'_, JobSpec> {
     if job_spec.retained.is_empty() {
         return Cow::Borrowed(job_spec);
     }
@@ -171,7 +179,7 @@
 }
 
 /// When the last stage is done, if each service first completes the work queued before.
-fn completion_time(
+pub(super) fn completion_time(
     job_spec: &JobSpec,
     calls: &[Duration],
     waits: &[Duration],
@@ -192,7 +200,11 @@
 }
 
 /// Latest start of each stage that still meets the target latency.
-fn latest_starts(job_spec: &JobSpec, calls: &[Duration], now: Duration) -> Vec<Duration> {
+pub(super) fn latest_starts(
+    job_spec: &JobSpec,
+    calls: &[Duration],
+    now: Duration,
+) -> Vec<Duration> {
     let target_at = (now + job_spec.target_latency_left).saturating_sub(job_spec.engine_time);
     let mut starts = vec![target_at; job_spec.stages.len()];
     for index in (0..job_spec.stages.len()).rev() {
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -36,6 +36,7 @@
         if now.saturating_sub(self.swept_at) >= scan_interval(MIN_SWEEP_INTERVAL, self.jobs.len()) {
             self.swept_at = now;
             self.sweep(now);
+            self.displace_unreachable(now);
         }
         let has_work = |pool: &PoolState| !pool.queue.is_empty() && pool.has_available(now);
         let ready = self.pools.iter().filter(|(_, pool)| has_work(pool));
@@ -170,6 +171,13 @@
             job.mark_sent(piece.stage, now);
             items.push(job.batch_item(piece.stage, piece.piece, now));
             let stage = &mut job.stages[piece.stage];
+            if stage.timestamps.sent_at.is_none()
+                && let Some((plan, admission)) = job.plan.as_ref().zip(self.admission.as_mut())
+                && !job.is_late
+            {
+                let forecast = plan.stages[piece.stage];
+                admission.record_start(service, forecast, stage.timestamps.queued_at, now);
+            }
             stage.pieces[piece.piece] = PieceState::Running;
             stage.timestamps.sent_at.get_or_insert(now);
             stage.timestamps.last_sent_at = now;
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::admission::AdmissionPlan;
 use super::estimate::Estimate;
 use super::queue::Entry;
 use super::{BatchItem, JobSpec, PieceInput, StageSpec, StageTimes};
@@ -45,6 +46,22 @@
     by_rank + VALUE_STEP.mul_f64(MAX_VALUE_STEPS + steps)
 }
 
+/// Delay per organisation rank with admission by forecast.
+const FORECAST_ORGANISATION_RANK_DELAY: Duration = Duration::from_millis(2_400);
+/// Delay per route rank with admission by forecast: longer than the delays by value and by share
+/// within a rank, so that a less urgent rank has what the more urgent ones leave. Its jobs do not
+/// starve in the queue, as they are refused at arrival instead.
+const FORECAST_ROUTE_RANK_DELAY: Duration = Duration::from_secs(36);
+
+/// Delay of a job behind others with admission by forecast.
+pub(super) fn forecast_delay(rank: Rank, relative_value: f64) -> Duration {
+    let steps_of = |rank: u8| u32::from(rank.min(MAX_RANK));
+    let by_value = priority_delay(Rank::default(), relative_value);
+    FORECAST_ORGANISATION_RANK_DELAY * steps_of(rank.organisation)
+        + FORECAST_ROUTE_RANK_DELAY * steps_of(rank.route)
+        + by_value
+}
+
 /// Number of servers to which connections were lost during a job's calls from which the job runs
 /// alone. Not from the first: a call has a high fixed cost, and most servers end for other reasons.
 const RUN_ALONE_FROM: usize = 2;
@@ -143,6 +160,8 @@
     pub(super) priority_delay: Duration,
     /// Whether the target latency cannot be met any more, so that the job runs on spare capacity.
     pub(super) is_late: bool,
+    /// What it was admitted by, with admission by forecast.
+    pub(super) plan: Option<AdmissionPlan>,
     /// Whether most of its work was sent: from then on, giving up wastes more than it saves.
     pub(super) is_committed: bool,
     /// Server time that each stage takes.
@@ -176,6 +195,7 @@
             path_time: estimate.path_time,
             priority_delay: estimate.priority_delay,
             is_late: estimate.is_late,
+            plan: estimate.plan,
             is_committed: false,
             work: estimate.work,
             spec,
@@ -228,10 +248,20 @@
     /// A late job that has most of its work done continues as if it were just on time: if it were
     /// stopped, its results would occupy storage until they expire, and be recomputed later.
     pub(super) fn mark_sent(&mut self, stage: usize, now: Duration) {
-        if self.is_committed || !self.is_mostly_sent(stage) {
+        if self.is_committed {
+            return;
+        }
+        if let Some(plan) = &self.plan {
+            self.priority_delay = plan.started_delay;
+        }
+        if !self.is_mostly_sent(stage) {
             return;
         }
         self.is_committed = true;
+        if self.plan.is_some() {
+            // Most of its work would be lost for a small rest, whatever its rank is.
+            self.priority_delay = Duration::ZERO;
+        }
         if self.is_late {
             self.is_late = false;
             let shift = now.saturating_sub(self.stages[stage].latest_start);
@@ -241,6 +271,19 @@
         }
     }
 
+    /// Whether pieces of any stage were sent.
+    pub(super) fn has_started(&self) -> bool {
+        let mut stages = self.stages.iter();
+        stages.any(|stage| stage.timestamps.sent_at.is_some())
+    }
+
+    /// Server time of the stages that were sent.
+    pub(super) fn sunk_work(&self) -> Duration {
+        let stages = self.stages.iter().zip(&self.work);
+        let sent = stages.filter(|(stage, _)| stage.timestamps.sent_at.is_some());
+        sent.map(|(_, work)| *work).sum()
+    }
+
     /// Whether a stage and the stages sent before it make up at least half of the work.
     fn is_mostly_sent(&self, stage: usize) -> bool {
         let is_sent =
@@ -252,7 +295,8 @@
 
     /// Marks the job late if a waiting stage has missed its latest start; returns whether it did.
     pub(super) fn mark_late_if_overdue(&mut self, now: Duration) -> bool {
-        if self.is_committed || self.is_late {
+        let is_kept = self.plan.is_some() && self.has_started();
+        if self.is_committed || self.is_late || is_kept {
             return false;
         }
         let is_waiting = |stage: &&StageState| stage.is_queued && stage.has_waiting();
--- a/crates/core/src/process/batcher/late.rs
+++ b/crates/core/src/process/batcher/late.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::job::Job;
-use super::{Batcher, JobFailure, JobId};
+use super::{Batcher, JobId};
 use crate::id::ServiceId;
 
 /// Fraction of a service's time that is always assumed to be left for late jobs.
@@ -49,7 +49,9 @@
     /// vain until their time limit, although their callers could have retried long before. Each job
     /// that is given up shortens the wait of those before it.
     pub(super) fn abandon_hopeless(&mut self, now: Duration) {
-        let may_abandon = |job: &Job| job.is_late && !job.is_committed && !job.is_reported;
+        let is_protected = |job: &Job| job.plan.as_ref().is_some_and(|plan| plan.is_protected);
+        let may_abandon =
+            |job: &Job| job.is_late && !job.is_committed && !job.is_reported && !is_protected(job);
         let late = self.jobs.iter().filter(|(_, job)| may_abandon(job));
         let mut late: Vec<_> = late
             .map(|(id, job)| (job.first_scheduled_start(), *id))
@@ -66,7 +68,7 @@
         for (_, id) in late.into_iter().rev() {
             if self.is_hopeless(id, &waits, now) {
                 self.subtract_job(id, &mut waits);
-                self.fail(id, JobFailure::Late);
+                self.give_up_late(id, now);
             }
         }
     }
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::RetainedResult;
+use super::{RefusedForecast, RetainedResult};
 use crate::id::{
     CallId, OrganisationId, ResultHandle, RouteId, ServerIncarnation, ServiceId, ZoneId,
 };
@@ -31,6 +31,14 @@
     pub result_bytes: u64,
 }
 
+impl StageSpec {
+    /// Storage that the results of some of its pieces occupy.
+    pub(super) fn waiting_bytes(&self, pieces: usize) -> u64 {
+        let pieces = u64::try_from(pieces).unwrap_or(u64::MAX);
+        self.result_bytes.saturating_mul(pieces)
+    }
+}
+
 /// The work that is done before a request runs at its engine.
 #[serde_with::serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -192,6 +200,9 @@
     Done(JobId, Vec<ResultHandle>, Vec<StageTimes>),
     /// The job has failed.
     Failed(JobId, JobFailure),
+    /// The job gave way to more urgent work, or can no longer be reached: it may be submitted
+    /// again.
+    Displaced(JobId, JobRefusal),
     /// The connection was lost during a call with some of its pieces.
     ConnectionLost(JobId, ServerIncarnation, SocketAddr),
     /// Some results are stored; their age counts from now.
@@ -243,6 +254,20 @@
     pub retry_after: Duration,
     /// Why.
     pub reason: JobFailure,
+    /// The forecast that was above its limit, if the refusal is for a forecast.
+    pub forecast: Option<RefusedForecast>,
+}
+
+impl JobRefusal {
+    /// A refusal that is not for a forecast.
+    #[must_use]
+    pub const fn new(reason: JobFailure, retry_after: Duration) -> Self {
+        Self {
+            retry_after,
+            reason,
+            forecast: None,
+        }
+    }
 }
 
 /// Results that a server may free.
--- a/crates/core/src/process/batcher/pending_work.rs
+++ b/crates/core/src/process/batcher/pending_work.rs
@@ -22,8 +22,11 @@
 
 #[derive(Debug, Default)]
 struct PendingPieces {
-    /// Scheduled starts in order, with the cumulative number of pieces up to each.
-    on_time: Vec<(Duration, usize)>,
+    /// Scheduled starts in order, with the cumulative number of pieces and bytes of results up to
+    /// each.
+    on_time: Vec<(Duration, usize, u64)>,
+    /// Pieces of jobs that were accepted since the count.
+    recent: Vec<(Duration, usize, u64)>,
     late: usize,
 }
 
@@ -42,6 +45,7 @@
         self.counted_at = Some(now);
         for pieces in self.services.values_mut() {
             pieces.on_time.clear();
+            pieces.recent.clear();
             pieces.late = 0;
         }
         for job in jobs.filter(|job| !job.is_reported) {
@@ -59,10 +63,50 @@
         };
         let end = pieces
             .on_time
-            .partition_point(|(other, _)| *other <= scheduled_start);
+            .partition_point(|(other, ..)| *other <= scheduled_start);
         end.checked_sub(1).map_or(0, |last| pieces.on_time[last].1)
     }
 
+    /// On-time pieces of a service that are scheduled up to a time, and the bytes of their results,
+    /// with those of jobs that were accepted since the count.
+    pub(super) fn ahead(&self, service: &ServiceId, scheduled_start: Duration) -> (usize, u64) {
+        let Some(pending) = self.services.get(service) else {
+            return (0, 0);
+        };
+        let end = pending
+            .on_time
+            .partition_point(|(other, ..)| *other <= scheduled_start);
+        let counted = end.checked_sub(1).map_or((0, 0), |last| {
+            let (_, pieces, bytes) = pending.on_time[last];
+            (pieces, bytes)
+        });
+        let recent = pending.recent.iter();
+        let recent = recent.filter(|(other, ..)| *other <= scheduled_start);
+        recent.fold(counted, |(pieces, bytes), recent| {
+            (pieces + recent.1, bytes + recent.2)
+        })
+    }
+
+    /// Adds a job that was accepted since the count.
+    pub(super) fn add(&mut self, job: &Job) {
+        for (index, stage) in job.stages.iter().enumerate() {
+            let waiting = stage.waiting_pieces().count();
+            if waiting == 0 {
+                continue;
+            }
+            let service = stage.spec.service.clone();
+            let pending = self.services.entry(service).or_default();
+            if job.is_late {
+                pending.late += waiting;
+            } else {
+                let bytes = stage.spec.waiting_bytes(waiting);
+                pending
+                    .recent
+                    .push((job.scheduled_start(index), waiting, bytes));
+            }
+        }
+    }
+
     /// Pieces of late jobs.
     pub(super) fn late(&self, service: &ServiceId) -> usize {
         self.services.get(service).map_or(0, |pieces| pieces.late)
@@ -84,7 +128,10 @@
             if job.is_late {
                 pieces.late += waiting;
             } else {
-                pieces.on_time.push((job.scheduled_start(index), waiting));
+                let bytes = stage.spec.waiting_bytes(waiting);
+                pieces
+                    .on_time
+                    .push((job.scheduled_start(index), waiting, bytes));
             }
         }
     }
@@ -93,10 +140,12 @@
 impl PendingPieces {
     fn accumulate(&mut self) {
         self.on_time.sort_unstable();
-        let mut sum = 0;
-        for (_, pieces) in &mut self.on_time {
-            sum += *pieces;
-            *pieces = sum;
+        let (mut piece_sum, mut byte_sum) = (0, 0_u64);
+        for (_, pieces, bytes) in &mut self.on_time {
+            piece_sum += *pieces;
+            *pieces = piece_sum;
+            byte_sum = byte_sum.saturating_add(*bytes);
+            *bytes = byte_sum;
         }
     }
 }
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::admission::{Residence, bytes_as_f64};
 use super::queue::Queue;
 use crate::id::{ServerIncarnation, ZoneId};
 use crate::process::count::as_f64;
@@ -138,6 +139,8 @@
     pub(super) servers: BTreeMap<ServerIncarnation, StageServer>,
     pub(super) queue: Queue,
     recent_sends: RecentSends,
+    /// How long results occupy storage.
+    pub(super) residence: Residence,
     arrival_load: f64,
     arrival_load_at: Duration,
 }
@@ -151,6 +154,14 @@
         let max_pieces = u32::try_from(spec.max_pieces.max(1)).unwrap_or(1);
         let piece_time = spec.piece_time + spec.call_time / max_pieces;
         let work = piece_time.saturating_mul(u32::try_from(pieces).unwrap_or(u32::MAX));
+        work.div_f64(self.speed(now).max(MIN_SPEED))
+    }
+
+    /// Number of calls that the servers process at once, each by its server's speed.
+    pub(super) fn speed(&self, now: Duration) -> f64 {
+        let Some(spec) = self.spec else {
+            return 0.0;
+        };
         let servers = self.usable(now);
         let usual_call = spec.call_time_for(spec.max_pieces);
         let speed_of = |server: &StageServer| {
@@ -158,7 +169,18 @@
         };
         let speed: f64 = servers.map(|(_, server)| speed_of(server)).sum();
         let slots = f64::from(u32::try_from(spec.slots.max(1)).unwrap_or(1));
-        work.div_f64((speed * slots).max(MIN_SPEED))
+        speed * slots
+    }
+
+    /// Result storage of one server.
+    pub(super) fn usable_bytes(&self) -> u64 {
+        self.spec.map_or(0, usable_bytes)
+    }
+
+    /// Records how much storage is occupied.
+    pub(super) fn observe_storage(&mut self, now: Duration) {
+        let stored = self.servers.values().map(|server| server.reserved_bytes);
+        self.residence.observe(bytes_as_f64(stored.sum()), now);
     }
 
     /// Adds arriving work to the average.
@@ -253,6 +275,7 @@
     }
 
     pub(super) fn reserve(&mut self, server: &ServerIncarnation, bytes: u64) {
+        self.residence.add(bytes_as_f64(bytes));
         if let Some(server) = self.servers.get_mut(server) {
             server.reserved_bytes += bytes;
         }
--- a/crates/core/tests/batcher/fixture.rs
+++ b/crates/core/tests/batcher/fixture.rs
@@ -48,6 +48,14 @@
         fixture
     }
 
+    /// As [`Self::new`], with admission by forecast.
+    pub fn with_forecast(zones: &[&str]) -> Self {
+        let mut fixture = Self::new(zones);
+        fixture.batcher = Batcher::new().with_forecast(true);
+        fixture.set_servers(zones);
+        fixture
+    }
+
     /// Replaces the owner; returns the previous one.
     pub fn change_owner(&mut self) -> Batcher {
         let before = std::mem::replace(&mut self.batcher, Batcher::new());
@@ -156,7 +164,12 @@
     /// Events that end jobs.
     pub fn events(&mut self) -> Vec<JobEvent> {
         let events = self.batcher.take_events().into_iter();
-        let is_end = |event: &JobEvent| matches!(event, JobEvent::Done(..) | JobEvent::Failed(..));
+        let is_end = |event: &JobEvent| {
+            matches!(
+                event,
+                JobEvent::Done(..) | JobEvent::Failed(..) | JobEvent::Displaced(..)
+            )
+        };
         events.filter(is_end).collect()
     }
 
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -2,11 +2,13 @@
 
 #![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
 
+mod admission;
 mod availability;
 mod burst;
 mod connection_loss;
 mod ends;
 mod fixture;
+mod load_simulation;
 mod random;
 mod restarts;
 mod result_storage;
--- a/crates/core/tests/batcher/random.rs
+++ b/crates/core/tests/batcher/random.rs
@@ -177,7 +177,9 @@
     fn process_events(&mut self, fixture: &mut Fixture) {
         for event in fixture.batcher.take_events() {
             let job = match event {
-                JobEvent::Done(job, _, _) | JobEvent::Failed(job, _) => job,
+                JobEvent::Done(job, _, _)
+                | JobEvent::Failed(job, _)
+                | JobEvent::Displaced(job, _) => job,
                 JobEvent::ResultsStored(job, pieces) => {
                     let reported_results = self.reported_results.entry(job).or_default();
                     reported_results.extend(
--- a/crates/core/tests/batcher/retained_results.rs
+++ b/crates/core/tests/batcher/retained_results.rs
@@ -21,7 +21,10 @@
             JobEvent::ResultsDropped(_, stage) => {
                 reported_results.retain(|(of, _), _| *of != stage);
             }
-            JobEvent::Done(..) | JobEvent::Failed(..) | JobEvent::ConnectionLost(..) => {}
+            JobEvent::Done(..)
+            | JobEvent::Failed(..)
+            | JobEvent::Displaced(..)
+            | JobEvent::ConnectionLost(..) => {}
         }
     }
     reported_results.into_values().collect()
