Batch owners admit jobs by forecast; gateways tell the next owner of admissions

The owner takes Feature::AdmissionForecast, logs a refusal with its forecast, limit, stage and bound, and answers a displaced job as refused with its retry time. An admitted job is reported to its gateway by an update without results, which gateways of earlier versions understand, and a later owner gets it with was_admitted, so that it does not refuse it for its forecast.

--- a/crates/amaranthscale/src/gateway/process/batch_message.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_message.rs
@@ -46,6 +46,22 @@
     Ended(JobOutcome),
 }
 
+impl JobUpdate {
+    /// The owner has admitted the job.
+    ///
+    /// No results yet, so that gateways of earlier versions understand it.
+    #[must_use]
+    pub const fn admitted() -> Self {
+        Self::Made(Vec::new())
+    }
+
+    /// Whether it only says that the owner has admitted the job.
+    #[must_use]
+    pub const fn is_admitted(&self) -> bool {
+        matches!(self, Self::Made(results) if results.is_empty())
+    }
+}
+
 /// Origin of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobSource {
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthscale_core::id::{CallId, ServerIncarnation};
+use amaranthscale_core::id::{CallId, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
     Batcher, Cell, ColdAllowance, JobEvent, JobFailure, JobId, JobRefusal, LagChange, LagDetector,
     ServerAvailability, StageTimes,
@@ -21,7 +21,7 @@
 use super::super::clock::ms;
 use super::super::connection::ConnectionPool;
 use super::super::version::ClusterView;
-use super::super::{Dialect, FeatureSet};
+use super::super::{Dialect, Feature, FeatureSet};
 use super::LimitTracker;
 use super::batch_calls::{BatchCaller, CallEnd, run_batch, send_free_request};
 use super::batch_message::{BatchOwnerMessage, JobOutcome, JobSource, JobUpdate, Submission};
@@ -101,9 +101,10 @@
         _myself: ActorRef<Self::Msg>,
         arguments: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
+        let has_forecast = arguments.features.is_enabled(Feature::AdmissionForecast);
         let mut state = BatchOwnerState {
             arguments,
-            batcher: Batcher::new(),
+            batcher: Batcher::new().with_forecast(has_forecast),
             pending: BTreeMap::new(),
             servers_freeing: BTreeSet::new(),
             next_tick: None,
@@ -161,6 +162,7 @@
         self.send_free_requests(myself);
         self.send_batches(myself, now);
         self.deliver_events();
+        self.record_forecast_errors();
         self.hand_over();
         if self.batcher.job_count() > 0 {
             // Without jobs no tick is scheduled, so that an idle owner does not wake up.
@@ -226,6 +228,8 @@
                 .add("pieces.handed-over", u64::try_from(retained).unwrap_or(0));
             info!(call = call.as_str(), kept = retained; "batches: continuing the job of an earlier owner");
         }
+        let stages = spec.stages.iter().map(|stage| stage.service.clone());
+        let stages: Vec<_> = stages.collect();
         let accepted = if self.lag_detector.is_behind() {
             Err(JobRefusal::new(
                 JobFailure::Overloaded,
@@ -236,6 +240,7 @@
         };
         match accepted {
             Ok(job) => {
+                self.record_admitted(&updates);
                 let accepted_at = Instant::now();
                 let pending_job = PendingJob {
                     call,
@@ -250,11 +255,7 @@
                 }
             }
             Err(refused) => {
-                info!(
-                    call = call.as_str(), reason:% = refused.reason,
-                    waiting = self.batcher.queued_stages();
-                    "batches: job refused"
-                );
+                self.log_refused(&call, &stages, &refused);
                 let _ = updates.send(JobUpdate::Ended(refusal(refused)));
             }
         }
@@ -371,7 +372,10 @@
                     self.log_failed(job, failure);
                     (job, JobOutcome::Failed(failure))
                 }
-                JobEvent::Displaced(job, refused) => (job, refusal(refused)),
+                JobEvent::Displaced(job, refused) => {
+                    self.log_displaced(job, &refused);
+                    (job, refusal(refused))
+                }
             };
             if let Some(pending_job) = self.pending.remove(&job) {
                 let _ = pending_job.updates.send(JobUpdate::Ended(outcome));
@@ -379,6 +383,45 @@
         }
     }
 
+    fn has_forecast(&self) -> bool {
+        self.arguments
+            .features
+            .is_enabled(Feature::AdmissionForecast)
+    }
+
+    /// Records how far the forecasts were off.
+    fn record_forecast_errors(&mut self) {
+        let latencies = &self.arguments.latencies;
+        for error in self.batcher.take_forecast_errors() {
+            latencies.record("admission.forecast-error", error);
+        }
+    }
+
+    /// Records an accepted job, and tells its gateway, so that the next owner knows of it if this
+    /// one ends.
+    fn record_admitted(&self, updates: &mpsc::UnboundedSender<JobUpdate>) {
+        if self.has_forecast() {
+            self.arguments.counters.count("admission.admitted");
+            let _ = updates.send(JobUpdate::admitted());
+        }
+    }
+
+    fn log_refused(&self, call: &CallId, stages: &[ServiceId], refused: &JobRefusal) {
+        let (reason, waiting) = (refused.reason, self.batcher.queued_stages());
+        let Some(forecast) = refused.forecast else {
+            info!(call = call.as_str(), reason:% = reason, waiting; "batches: job refused");
+            return;
+        };
+        self.arguments.counters.count("admission.refused");
+        let stage = stages.get(forecast.stage).map_or("", ServiceId::as_str);
+        info!(
+            call = call.as_str(), reason:% = reason, waiting,
+            forecast_ms = ms(forecast.forecast), limit_ms = ms(forecast.limit), stage,
+            bound:% = forecast.bound, retry_after_ms = ms(refused.retry_after);
+            "batches: job refused"
+        );
+    }
+
     fn send_update(&self, job: JobId, update: JobUpdate) {
         if let Some(pending_job) = self.pending.get(&job) {
             let _ = pending_job.updates.send(update);
@@ -399,10 +442,25 @@
         );
     }
 
+    fn log_displaced(&self, job: JobId, refused: &JobRefusal) {
+        let Some(pending_job) = self.pending.get(&job) else {
+            return;
+        };
+        self.arguments.counters.count("admission.displaced");
+        info!(
+            call = pending_job.call.as_str(), retry_after_ms = ms(refused.retry_after),
+            waiting = self.batcher.queued_stages(), ms = ms(pending_job.accepted_at.elapsed());
+            "batches: job displaced"
+        );
+    }
+
     fn log_failed(&self, job: JobId, failure: JobFailure) {
         let Some(pending_job) = self.pending.get(&job) else {
             return;
         };
+        if self.has_forecast() && failure == JobFailure::Late {
+            self.arguments.counters.count("admission.late");
+        }
         let ms = ms(pending_job.accepted_at.elapsed());
         info!(
             call = pending_job.call.as_str(), reason:% = failure, waiting = self.batcher.queued_stages(), ms;
--- a/crates/amaranthscale/src/gateway/process/run_job.rs
+++ b/crates/amaranthscale/src/gateway/process/run_job.rs
@@ -96,12 +96,19 @@
     let (target_latency_left, deadline_left) = (spec.target_latency_left, spec.deadline_left);
     let mut failed_owner: Option<InstanceId> = None;
     let mut retained = RetainedResults::default();
+    // What one owner admitted is not refused by the next one for its forecast.
+    let was_admitted = AtomicBool::new(false);
     for _ in 0..MAX_OWNER_ATTEMPTS {
         spec.retained = retained.with_current_ages();
+        spec.was_admitted = was_admitted.load(Ordering::Relaxed);
         spec.target_latency_left = target_latency_left.saturating_sub(started.elapsed());
         spec.deadline_left = deadline_left.saturating_sub(started.elapsed());
         let (owner, address, is_own) = context.cluster_view.owner(spec.cell);
-        let on_update = |update| {
+        let on_update = |update: JobUpdate| {
+            if update.is_admitted() {
+                was_admitted.store(true, Ordering::Relaxed);
+                return;
+            }
             if let JobUpdate::CutOff { server, address } = &update {
                 context
                     .crashes
