--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -162,7 +162,7 @@
         self.send_free_requests(myself);
         self.send_batches(myself, now);
         self.deliver_events();
-        self.record_forecast_errors();
+        self.record_forecast_errors(now);
         self.hand_over();
         if self.batcher.job_count() > 0 {
             // Without jobs no tick is scheduled, so that an idle owner does not wake up.
@@ -389,12 +389,21 @@
             .is_enabled(Feature::AdmissionForecast)
     }
 
-    /// Records how far the forecasts were off.
-    fn record_forecast_errors(&mut self) {
+    /// Records how far the forecasts were off, and the ratio by which each service's forecasts are
+    /// corrected, in seconds per forecast second.
+    fn record_forecast_errors(&mut self, now: Duration) {
+        let errors = self.batcher.take_forecast_errors();
+        if errors.is_empty() {
+            return;
+        }
         let latencies = &self.arguments.latencies;
-        for error in self.batcher.take_forecast_errors() {
+        for error in errors {
             latencies.record("admission.forecast-error", error);
         }
+        for (service, ratio) in self.batcher.forecast_ratios(now) {
+            let name = format!("admission.forecast-ratio.{service}");
+            latencies.record(&name, Duration::from_secs_f64(ratio));
+        }
     }
 
     /// Records an accepted job, and tells its gateway, so that the next owner knows of it if this
