Small results are not refused for the storage that large ones lack

The forecast counted the large results of a service ahead of its small ones, although a server without storage for a large result gets a small one that fits.

--- a/crates/core/src/process/batcher/admission/capacity.rs
+++ b/crates/core/src/process/batcher/admission/capacity.rs
@@ -109,6 +109,19 @@
     }
 }
 
+/// Fraction of the average result that waits up to which a result fits into the storage that is left
+/// beside results that do not.
+const SMALL_FRACTION: f64 = 0.25;
+
+/// Whether results of a size are sent ahead of those that wait for storage.
+///
+/// Guards against a refusal of small results for the storage that large ones of the same service
+/// lack: a server with too little storage for the next result gets one that fits.
+pub(super) fn fits_beside(result_bytes: u64, pieces_ahead: usize, bytes_ahead: u64) -> bool {
+    let average = bytes_as_f64(bytes_ahead) / as_f64(pieces_ahead).max(1.0);
+    bytes_as_f64(result_bytes) < average * SMALL_FRACTION
+}
+
 /// The longer of two waits.
 pub(super) fn longer(time_s: f64, room_s: f64) -> (f64, Bound) {
     if room_s > time_s {
--- a/crates/core/src/process/batcher/admission/displacement.rs
+++ b/crates/core/src/process/batcher/admission/displacement.rs
@@ -6,7 +6,7 @@
 
 use super::super::job::{Job, StageState};
 use super::super::{Batcher, JobEvent, JobFailure, JobId, JobRefusal};
-use super::capacity::{Capacity, bytes_as_f64};
+use super::capacity::{Capacity, bytes_as_f64, fits_beside};
 use super::forecast::retry_after;
 use crate::id::ServiceId;
 use crate::process::Rank;
@@ -194,6 +194,8 @@
         done[index] = waiting.map_or(inputs_at, |capacity| {
             let ahead = backlog.get(&stage.spec.service);
             let (pieces, bytes) = ahead.copied().unwrap_or_default();
+            let is_small = fits_beside(stage.spec.result_bytes, pieces, bytes);
+            let bytes = if is_small { 0 } else { bytes };
             let (wait_s, _) = capacity.wait(pieces, bytes_as_f64(bytes));
             let wait = Duration::try_from_secs_f64(wait_s).unwrap_or(MAX_WAIT);
             // In the smallest call: only what is certainly late is displaced.
--- a/crates/core/src/process/batcher/admission/forecast.rs
+++ b/crates/core/src/process/batcher/admission/forecast.rs
@@ -7,7 +7,7 @@
 use super::super::job::{Job, forecast_delay};
 use super::super::{Batcher, JobFailure, JobId, JobRefusal, JobSpec};
 use super::arriving::AdmittedStage;
-use super::capacity::{Capacity, bytes_as_f64, longer};
+use super::capacity::{Capacity, bytes_as_f64, fits_beside, longer};
 use super::fluid_wait::fluid_wait;
 use super::{Admission, AdmissionPlan, Bound, RefusedForecast, StageForecast};
 use crate::id::ServiceId;
@@ -130,6 +130,7 @@
                 continue;
             };
             let (pieces, bytes) = self.pending_work.ahead(&stage.service, starts[index]);
+            let is_small = fits_beside(stage.result_bytes, pieces, bytes);
             let own_bytes = stage.waiting_bytes(stage.pieces);
             let bytes = bytes_as_f64(bytes.saturating_add(own_bytes));
             let inputs_in_s = inputs_at.saturating_sub(now).as_secs_f64();
@@ -143,7 +144,11 @@
                 })
                 .unwrap_or_default();
             let time_s = fluid_wait(capacity.time_wait(pieces), inputs_in_s, &by_time);
-            let room_s = fluid_wait(capacity.room_wait(bytes), inputs_in_s, &by_room);
+            let room_s = if is_small {
+                0.0
+            } else {
+                fluid_wait(capacity.room_wait(bytes), inputs_in_s, &by_room)
+            };
             let (wait_s, limited_by) = longer(time_s, room_s);
             stages[index].wait_s = wait_s;
             stages[index].margin_s = capacity.call_time_s(capacity.usual_pieces) / 2.0;
--- a/crates/core/tests/batcher/admission.rs
+++ b/crates/core/tests/batcher/admission.rs
@@ -206,6 +206,26 @@
     assert!(bounds.contains(&Bound::Room), "{bounds:?}");
 }
 
+/// Large results lack storage. A small one of the same service fits beside them, and must not be
+/// refused for their backlog.
+#[test]
+fn a_small_result_is_not_refused_for_the_storage_of_large_ones() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    for _ in 0..16 {
+        let mut large = fixture.chain(&[(ENCODE, 2, 400_000)]);
+        large.was_admitted = true;
+        fixture.submit(large);
+    }
+    let large = fixture.chain(&[(ENCODE, 2, 400_000)]);
+    let small = fixture.chain(&[(ENCODE, 1, 100)]);
+
+    let refusal = fixture.batcher.submit(large, fixture.now).unwrap_err();
+    let accepted = fixture.batcher.submit(small, fixture.now);
+
+    assert_eq!(refusal.forecast.unwrap().bound, Bound::Room);
+    assert!(accepted.is_ok(), "{accepted:?}");
+}
+
 /// The later stages of the path are forecast as well: otherwise the first stages of a job are
 /// computed in vain.
 #[test]
