Continuations only after the first event; prompts stay at a home that answers in time

A continuation was sent when the answer was lost before its head.

Losses before the first event no longer count for backups, as a copy cannot save them, and a backup has to save more than the cached tokens that its copy evicts.

--- a/crates/amaranthscale/src/gateway/process/engine_speeds.rs
+++ b/crates/amaranthscale/src/gateway/process/engine_speeds.rs
@@ -70,6 +70,7 @@
             shared_prefix: attributes.shared_prefix.as_deref()?,
             tokens: attributes.prompt_tokens,
             shared_tokens: shared_tokens.min(attributes.prompt_tokens),
+            acceptable_time: Duration::ZERO,
             max_event_gap,
             fetch,
         })
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_backups.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_backups.rs
@@ -69,11 +69,12 @@
                 of_service.mean_engine_time(now),
             )
         };
+        let prefill_time = self
+            .first_event_estimators
+            .expected(service, attributes.prompt_tokens)
+            .unwrap_or_default();
         let lost_time = if may_repeat {
-            let expected = self
-                .first_event_estimators
-                .expected(service, attributes.prompt_tokens);
-            expected.unwrap_or_default()
+            prefill_time
         } else {
             mean_engine_time
         };
@@ -87,6 +88,7 @@
             broken_share,
             lost_time,
             transfer_time: transfer.transfer_time(tokens),
+            prefill_time,
             is_engine_failing: server_selector.is_failing(&engine.incarnation, now),
         };
         if !backup.is_worthwhile() {
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -31,6 +31,9 @@
 const MAX_REJECTIONS: u32 = 4;
 /// Maximum number of times that missing results are recomputed for one request.
 const MAX_RECOMPUTATIONS: u32 = 1;
+/// Part of the target latency within which an engine that begins to answer needs no replacement by a
+/// faster one; the stages before it take most of the rest.
+const ACCEPTABLE_TARGET_DIVISOR: u32 = 5;
 /// Time reserved for the engine between the job's deadline and the request's.
 const ENGINE_RESERVE: Duration = Duration::from_millis(150);
 
@@ -180,7 +183,7 @@
     async fn attempt(
         &mut self,
         server: &ServerRecord,
-        mut results: Option<JobResults>,
+        results: Option<JobResults>,
         in_flight_send: InFlightSend,
     ) -> Result<AttemptOutcome, Refusal> {
         // Left if the caller disconnected during a continuation.
@@ -231,13 +234,7 @@
             SendOutcome::Lost => {
                 self.log_unanswered("lost", server);
                 self.possible_runs += 1;
-                self.record_stream_end(true);
-                self.exclude(server.incarnation.clone());
-                self.set_backup(backup, server);
-                let continued = self.continue_run(&server.incarnation, None, &mut results);
-                if let Some(answer) = continued.await {
-                    return Ok(AttemptOutcome::Started(Box::new(answer)));
-                }
+                // An engine copies a run from its first event on, so there is no copy yet.
                 if !self.try_retry() {
                     return Err(Refusal::new(ResultCode::AnswerLost));
                 }
@@ -414,9 +411,14 @@
     /// The prompt, where engines are chosen by their speed.
     fn engine_prompt(&self) -> Option<EnginePrompt<'_>> {
         let attributes = &self.admitted.attributes;
-        let max_event_gap = self.admitted.route.max_event_gap;
-        self.context
-            .engine_prompt(&self.service, attributes, max_event_gap)
+        let route = &self.admitted.route;
+        let prompt = self
+            .context
+            .engine_prompt(&self.service, attributes, route.max_event_gap)?;
+        Some(EnginePrompt {
+            acceptable_time: route.target_latency / ACCEPTABLE_TARGET_DIVISOR,
+            ..prompt
+        })
     }
 
     /// Expected time of an engine to the first event of this prompt.
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -116,7 +116,9 @@
                 }
                 EngineStreamEnd::Broken => {}
             }
-            self.run.record_stream_end(true);
+            if self.forwarded > 0 {
+                self.run.record_stream_end(true);
+            }
             self.log("broken", &server, first_event_after);
             let next = match self.continue_at_copy(&server).await {
                 Some(continued) => Some(continued),
@@ -318,12 +320,12 @@
 
     /// Continues the stream at the engine that holds a copy of the run, if there is one.
     ///
-    /// Without ids, the events that the caller has cannot be told from those that follow.
+    /// Before the first event there is no copy, and the request could run anew at an engine that
+    /// fails before it looks for one. Without ids, the events that the caller has cannot be told
+    /// from those that follow.
     async fn continue_at_copy(&mut self, server: &ServerIncarnation) -> Option<EngineAnswer> {
         let mut results = self.unread_results.take();
-        if self.forwarded > 0 && self.last_id.is_none() {
-            return None;
-        }
+        self.last_id?;
         self.run.exclude(server.clone());
         let continuing = self.run.continue_run(server, self.last_id, &mut results);
         let answer = tokio::select! {
--- a/crates/core/src/process/engine_speed/engine_prompt.rs
+++ b/crates/core/src/process/engine_speed/engine_prompt.rs
@@ -13,6 +13,8 @@
     pub tokens: u64,
     /// Tokens of its shared parts.
     pub shared_tokens: u64,
+    /// Time to the first event up to which no faster engine is needed.
+    pub acceptable_time: Duration,
     /// Longest pause between events for which the answer is on time.
     pub max_event_gap: Option<Duration>,
     /// How engines fetch shared parts from each other, if they may.
--- a/crates/core/src/process/run_copies/run_backup.rs
+++ b/crates/core/src/process/run_copies/run_backup.rs
@@ -10,6 +10,9 @@
 /// Factor by which the expected saving has to exceed the transfer time: fetches and moves share the
 /// links.
 const MIN_GAIN: f64 = 10.0;
+/// Part of the prefill time of a copy's tokens that it costs at its target: the copy evicts as many
+/// cached tokens there, about half of which are used again.
+const EVICTION_COST: f64 = 0.5;
 /// Fraction of its slots up to which an engine is a target; engines keep copies only while they have
 /// free capacity.
 const MAX_TARGET_FULLNESS: f64 = 0.75;
@@ -26,6 +29,7 @@
 ///     broken_share: 0.02,
 ///     lost_time: Duration::from_secs(3),
 ///     transfer_time: Duration::from_millis(2),
+///     prefill_time: Duration::from_millis(20),
 ///     is_engine_failing: false,
 /// };
 /// assert!(backup.is_worthwhile());
@@ -39,6 +43,8 @@
     pub lost_time: Duration,
     /// Time to transfer the run's KV cache.
     pub transfer_time: Duration,
+    /// Time to prefill as many tokens as the copy occupies.
+    pub prefill_time: Duration,
     /// Whether the engine's last send failed.
     pub is_engine_failing: bool,
 }
@@ -48,7 +54,9 @@
     #[must_use]
     pub fn is_worthwhile(&self) -> bool {
         let saving_s = self.broken_share * self.lost_time.as_secs_f64();
-        self.is_engine_failing || saving_s > MIN_GAIN * self.transfer_time.as_secs_f64()
+        let cost_s = MIN_GAIN * self.transfer_time.as_secs_f64()
+            + EVICTION_COST * self.prefill_time.as_secs_f64();
+        self.is_engine_failing || saving_s > cost_s
     }
 
     /// The engine to which a run at `engine` is copied.
--- a/crates/core/src/process/server_selector/engine_choice.rs
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -25,6 +25,9 @@
 const EVEN_DIFFERENCE: f64 = 0.15;
 /// Lateness of a request that costs as much as a token that is prefilled again.
 const TOKEN_COST_S: f64 = 60e-6;
+/// Fraction of fetches that are assumed to find nothing, as the home engine has evicted the part or
+/// is still prefilling it.
+const MISSED_FETCH_FRACTION: f64 = 0.25;
 /// Gain from which a prompt leaves its home.
 const MIN_GAIN_S: f64 = 0.1;
 /// Gain from which a prompt without shared parts leaves the engine that it would go to if all were
@@ -97,6 +100,13 @@
                 (ranks[index], expected_s, engine)
             })
             .collect();
+        let acceptable_s = prompt.acceptable_time.as_secs_f64();
+        let home_in_time = ranked.iter().find(|(_, expected_s, engine)| {
+            home == Some(&engine.incarnation) && *expected_s <= acceptable_s
+        });
+        if let Some((.., home)) = home_in_time {
+            return Some(home);
+        }
         ranked.sort_by(|(a, ..), (b, ..)| b.total_cmp(a));
         let all = ranked.iter().map(|(_, expected_s, _)| *expected_s);
         let least_s = all.min_by(f64::total_cmp)?;
@@ -207,11 +217,12 @@
         let is_fetched = fetch.is_some_and(|time| {
             time.as_secs_f64() < as_f64(prompt.shared_tokens) * cost.prefill_s_per_token
         });
-        let again_s = if is_fetched {
-            0.0
+        let token_cost_s = if is_fetched {
+            TOKEN_COST_S * MISSED_FETCH_FRACTION
         } else {
-            as_f64(prompt.shared_tokens) * TOKEN_COST_S
+            TOKEN_COST_S
         };
+        let again_s = as_f64(prompt.shared_tokens) * token_cost_s;
         let min_gain_s = if prompt.shared_tokens > 0 {
             MIN_GAIN_S
         } else {
--- a/crates/core/tests/engine_speed/choice.rs
+++ b/crates/core/tests/engine_speed/choice.rs
@@ -66,6 +66,7 @@
         shared_prefix,
         tokens,
         shared_tokens,
+        acceptable_time: Duration::ZERO,
         max_event_gap: Some(Duration::from_millis(400)),
         fetch: None,
     }
@@ -253,3 +254,25 @@
     let mut moved = before.iter().zip(&after).filter(|(a, b)| a != b);
     assert!(moved.all(|(_, to)| *to == engines[0].incarnation));
 }
+
+/// Leaving a home that answers in time prefills shared parts again for nothing.
+#[test]
+fn a_prompt_stays_at_a_home_that_answers_soon_enough() {
+    let engines = engines(12);
+    let selector = selector(&engines, |index| if index < 3 { 13 } else { 30 });
+    let prefix = prefixes()
+        .into_iter()
+        .find(|prefix| by_affinity(&selector, &engines, prefix) == engines[5].incarnation)
+        .unwrap();
+    let urgent = prompt(&prefix, 40_000, 2_000);
+    let patient = EnginePrompt {
+        acceptable_time: Duration::from_secs(2),
+        ..urgent
+    };
+
+    assert_ne!(chosen(&selector, &engines, &urgent), engines[5].incarnation);
+    assert_eq!(
+        chosen(&selector, &engines, &patient),
+        engines[5].incarnation
+    );
+}
--- a/crates/core/tests/engine_speed/simulation.rs
+++ b/crates/core/tests/engine_speed/simulation.rs
@@ -496,6 +496,7 @@
         shared_prefix,
         tokens,
         shared_tokens,
+        acceptable_time: Duration::ZERO,
         max_event_gap: Some(Duration::from_millis(800)),
         fetch: None,
     }
--- a/crates/core/tests/run_copies.rs
+++ b/crates/core/tests/run_copies.rs
@@ -105,6 +105,7 @@
         broken_share: 0.01,
         lost_time: Duration::from_secs(3),
         transfer_time: Duration::from_millis(2),
+        prefill_time: Duration::ZERO,
         is_engine_failing: false,
     };
     let is_worthwhile = |backup: RunBackup| backup.is_worthwhile();
@@ -118,6 +119,10 @@
         broken_share: 0.005,
         ..backup
     }));
+    assert!(!is_worthwhile(RunBackup {
+        prefill_time: Duration::from_millis(100),
+        ..backup
+    }));
     let failing = RunBackup {
         broken_share: 0.0,
         is_engine_failing: true,
