--- a/crates/core/tests/batcher/fixture.rs
+++ b/crates/core/tests/batcher/fixture.rs
@@ -23,6 +23,7 @@
 pub struct Fixture {
     pub batcher: Batcher,
     pub now: Duration,
+    has_forecast: bool,
     calls: u64,
     handles: u64,
     zones: Vec<String>,
@@ -38,6 +39,7 @@
         let mut fixture = Self {
             batcher: Batcher::new(),
             now: ms(10_000),
+            has_forecast: false,
             calls: 0,
             handles: 0,
             zones: Vec::new(),
@@ -52,13 +54,15 @@
     pub fn with_forecast(zones: &[&str]) -> Self {
         let mut fixture = Self::new(zones);
         fixture.batcher = Batcher::new().with_forecast(true);
+        fixture.has_forecast = true;
         fixture.set_servers(zones);
         fixture
     }
 
     /// Replaces the owner; returns the previous one.
     pub fn change_owner(&mut self) -> Batcher {
-        let before = std::mem::replace(&mut self.batcher, Batcher::new());
+        let next = Batcher::new().with_forecast(self.has_forecast);
+        let before = std::mem::replace(&mut self.batcher, next);
         let zones = self.zones.clone();
         let zones: Vec<_> = zones.iter().map(String::as_str).collect();
         self.set_servers(&zones);
--- a/crates/core/tests/batcher/random.rs
+++ b/crates/core/tests/batcher/random.rs
@@ -215,8 +215,7 @@
         .collect()
 }
 
-fn run(random: &mut Gen) {
-    let mut fixture = Fixture::new(&["north", "south"]);
+fn run(mut fixture: Fixture, random: &mut Gen) {
     let mut world = World::default();
     for _ in 0..STEPS {
         match pick(random, 32) {
@@ -247,13 +246,27 @@
     assert_eq!(fixture.batcher.queued_stages(), 0);
 }
 
-#[test]
-fn random_runs_keep_the_invariants() {
+/// Number of runs, each with its own seed.
+fn runs() -> u64 {
     let requested_runs = std::env::var("AMARANTH_RANDOM_SCHEDULES").ok();
-    let runs = requested_runs
+    requested_runs
         .and_then(|runs| runs.parse().ok())
-        .unwrap_or(DEFAULT_RUNS);
-    for seed in 0..runs {
-        run(&mut Gen::from_size_and_seed(64, seed));
+        .unwrap_or(DEFAULT_RUNS)
+}
+
+#[test]
+fn random_runs_keep_the_invariants() {
+    for seed in 0..runs() {
+        let fixture = Fixture::new(&["north", "south"]);
+        run(fixture, &mut Gen::from_size_and_seed(64, seed));
+    }
+}
+
+/// Displaced jobs are reported once, and their results are freed.
+#[test]
+fn random_runs_with_forecast_keep_the_invariants() {
+    for seed in 0..runs() {
+        let fixture = Fixture::with_forecast(&["north", "south"]);
+        run(fixture, &mut Gen::from_size_and_seed(64, seed));
     }
 }
