A drain is written even where one is known

A gateway that had not heard of the end of a drain, as when its store is out of reach for reads, confirmed a new drain without writing it: the operator believed a server drained that was in use again. Each request to drain now writes the row, which names the later operator.

--- a/crates/amaranthscale/src/gateway/operator/drains.rs
+++ b/crates/amaranthscale/src/gateway/operator/drains.rs
@@ -41,10 +41,7 @@
     if servers.record(&server).is_none() {
         return answer(ChangeOutcome::NotFound, not_listed(&server));
     }
-    if let Some(known) = servers.drain(&server) {
-        let by = known.by();
-        return answer(ChangeOutcome::Done, format!("{server} is drained by {by}"));
-    }
+    // Written even where a drain is known here: its end may be on its way from another gateway.
     let written = write_store_once(store, (store.publish_drain)(&server, &drain)).await;
     log(context, "drain", &server, drain.by(), &written);
     let done = format!("{server} is drained: it gets nothing new as soon as a gateway hears of it");
@@ -58,8 +55,8 @@
     name: &str,
     body: Incoming,
 ) -> Response<ResponseBody> {
-    let (server, by) = match parse(name, body).await {
-        Ok((server, drain)) => (server, drain),
+    let (server, undrain) = match parse(name, body).await {
+        Ok(parsed) => parsed,
         Err(reason) => return answer(ChangeOutcome::Invalid, reason),
     };
     let servers = context.cluster_view.servers();
@@ -68,7 +65,7 @@
     }
     // Written even where no drain is known here: it may be on its way from another gateway.
     let written = write_store_once(store, (store.remove_drain)(&server)).await;
-    log(context, "undrain", &server, by.by(), &written);
+    log(context, "undrain", &server, undrain.by(), &written);
     let done = format!("{server} is not drained: it is used as soon as a gateway hears of it");
     outcome(written, done, "undrained")
 }
