--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::{Cell, ServerSelector};
+use amaranthscale_core::process::{Cell, ServerSelector, SpeedCollector};
 use log::info;
 use quick_error::quick_error;
 use tokio::task::JoinHandle;
@@ -15,9 +15,9 @@
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, Ejections, FirstEventEstimators,
-    GatewayContext, LimitTracker, RetryBudgets, SendShares, ShutdownGate, StatementRecorder,
-    monitor_unresponsive, publish_crashes, publish_limits, remove_expired_evidence,
-    remove_stale_drains, remove_stale_limits,
+    GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares,
+    ShutdownGate, StatementRecorder, exchange_speeds, monitor_unresponsive, publish_crashes,
+    publish_limits, remove_expired_evidence, remove_stale_drains, remove_stale_limits,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -100,6 +100,7 @@
         let internal = listen_internal(&config, &context, peers).await?;
         tokio::spawn(propagate_changes(Arc::clone(&context)));
         tokio::spawn(sweep(Arc::clone(&context)));
+        tokio::spawn(exchange_speeds(Arc::clone(&context)));
         tokio::spawn(monitor_unresponsive(
             Arc::clone(&context),
             announcer.clone(),
@@ -281,6 +282,9 @@
         dialect,
         retry_budgets: RetryBudgets::new(config.retry_budget),
         first_event_estimators: FirstEventEstimators::default(),
+        prompt_sources: PromptSources::default(),
+        run_backups: RunBackups::default(),
+        run_moves: RunMoves::default(),
         send_shares: SendShares::new(config.cold_allowance, config.clock.now()),
         batch_owners: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
@@ -298,6 +302,7 @@
         server_selector,
         ejections: Ejections::default(),
         moving_runs: Arc::default(),
+        speed_collector: Mutex::new(SpeedCollector::new(config.instance.clone())),
     }
 }
 
@@ -318,6 +323,7 @@
         let is_known = |incarnation: &ServerIncarnation| servers.is_usable(incarnation);
         context.pool.retain(is_known);
         context.server_selector().retain(is_known);
+        context.speed_collector().retain(is_known);
         context.send_shares.retain(is_known);
         context.ejections.retain(is_known);
     }
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -1,9 +1,10 @@
 //! Header names and message formats of a platform's callers and backend servers, without decisions.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, ResultHandle};
-use amaranthscale_core::process::{Batch, BatchEnd, ServerStatement};
+use amaranthscale_core::process::{Batch, BatchEnd, CopyHandle, MoveAnswer, ServerStatement};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
@@ -44,6 +45,14 @@
     pub inputs: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
+    /// Address of the engine from which shared prompt parts are fetched.
+    pub prompt_source: HeaderName,
+    /// Address of the engine to which the run is copied.
+    pub backup_target: HeaderName,
+    /// Copy from which an engine resumes the run.
+    pub run_source: HeaderName,
+    /// Urgency class of the request, from 0, the most urgent, to 9.
+    pub urgency_class: HeaderName,
     /// Headers forwarded even where the caller lists them as hop-by-hop.
     pub always_forwarded: Vec<HeaderName>,
     /// Headers of callers that are never forwarded.
@@ -82,6 +91,20 @@
     pub shared_prefix: Option<String>,
 }
 
+impl RequestAttributes {
+    /// Tokens of the prompt parts that other requests share; 0 if not known.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u64 {
+        let shared = match self.prompt_parts.as_slice() {
+            [only] => std::slice::from_ref(only),
+            [shared @ .., _own] => shared,
+            [] => &[],
+        };
+        let tokens = shared.iter().map(|part| part.tokens);
+        tokens.fold(0, u64::saturating_add)
+    }
+}
+
 /// Headers and message formats of one platform's callers and servers.
 #[derive(Debug, Clone)]
 pub struct Dialect {
@@ -89,6 +112,16 @@
     pub headers: HeaderNames,
     /// Parses a caller's headers.
     pub parse_request_attributes: fn(&HeaderMap) -> Result<RequestAttributes, InvalidHeader>,
+    /// Names the copy of a run at an engine.
+    pub run_source: fn(SocketAddr, &CallId) -> String,
+    /// Names the copy of a run that an engine made to move it.
+    pub moved_run_source: fn(SocketAddr, &CopyHandle) -> String,
+    /// Builds the request that copies a run to an engine, and stops it if this is the last copy.
+    pub move_request: fn(&CallId, SocketAddr, bool) -> Request<Full<Bytes>>,
+    /// Parses the answer to it.
+    pub parse_move_answer: fn(StatusCode, &[u8]) -> MoveAnswer,
+    /// Builds the request that frees a copy.
+    pub free_copy_request: fn(&CopyHandle) -> Request<Full<Bytes>>,
     /// Whether an answer states that the request did not run.
     pub did_not_run: fn(StatusCode, &HeaderMap) -> bool,
     /// Whether an answer states that another server is at the address.
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -8,6 +8,7 @@
 mod buffer_memory;
 mod crash_tracker;
 mod ejections;
+mod engine_speeds;
 mod first_event_estimators;
 mod gateway_context;
 mod limit_tracker;
@@ -21,12 +22,14 @@
 mod remove_stale_drains;
 mod retained_results;
 mod retry_budgets;
+mod run_copies;
 mod run_job;
 mod send_permit;
 mod send_shares;
 mod server_selection;
 mod shutdown_gate;
 mod single_run;
+mod speed_exchange;
 mod statement_recorder;
 
 #[doc(inline)]
@@ -43,6 +46,7 @@
 pub use crash_tracker::CrashTracker;
 #[doc(inline)]
 pub use ejections::Ejections;
+pub(crate) use engine_speeds::EngineRunTimes;
 #[doc(inline)]
 pub use first_event_estimators::FirstEventEstimators;
 #[doc(inline)]
@@ -65,6 +69,8 @@
 pub use remove_stale_drains::remove_stale_drains;
 #[doc(inline)]
 pub use retry_budgets::RetryBudgets;
+#[doc(inline)]
+pub use run_copies::{HeldCopy, MoveEnd, PromptSources, RunBackups, RunMoves};
 pub(crate) use run_job::run_job;
 #[doc(inline)]
 pub use run_job::{JobError, JobResults};
@@ -77,4 +83,6 @@
 pub use shutdown_gate::{OpenRequest, ShutdownGate};
 pub(crate) use single_run::SingleRun;
 #[doc(inline)]
+pub use speed_exchange::{SPEEDS_PATH, exchange_speeds};
+#[doc(inline)]
 pub use statement_recorder::StatementRecorder;
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -4,14 +4,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use amaranthscale_core::id::{InstanceId, ServiceId, ZoneId};
-use amaranthscale_core::process::{ConnectionShare, ServerSelector};
+use amaranthscale_core::process::{ConnectionShare, ServerSelector, SpeedCollector};
 
 use super::super::connection::ConnectionPool;
 use super::super::version::{AnnouncementWriter, ClusterView, TableRelay};
 use super::super::{Dialect, FeatureSet};
 use super::{
     BatchOwners, BufferMemory, CrashTracker, Ejections, FirstEventEstimators, LimitTracker,
-    MovingRuns, RetryBudgets, SendShares, ShutdownGate,
+    MovingRuns, PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -35,6 +35,12 @@
     pub retry_budgets: RetryBudgets,
     /// Estimates of the engines' time to the first event.
     pub first_event_estimators: FirstEventEstimators,
+    /// Engines that have recently prefilled shared prompt parts.
+    pub prompt_sources: PromptSources,
+    /// Recent ends of streams, by which runs are backed up.
+    pub run_backups: RunBackups,
+    /// Moves of runs that take place now.
+    pub run_moves: RunMoves,
     /// This gateway's shares of sends to cold and rate-limited servers.
     pub send_shares: SendShares,
     /// Rate limits that servers report.
@@ -73,6 +79,8 @@
     pub ejections: Ejections,
     /// Runs that are being moved.
     pub moving_runs: Arc<MovingRuns>,
+    /// Combines the samples of engines' speed while this gateway is the collector.
+    pub speed_collector: Mutex<SpeedCollector>,
 }
 
 impl GatewayContext {
@@ -106,6 +114,13 @@
         })
     }
 
+    /// The collector of engines' speed; the lock is held for single messages only.
+    pub fn speed_collector(&self) -> MutexGuard<'_, SpeedCollector> {
+        self.speed_collector
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The server selector; the lock is held for single decisions only.
     pub fn server_selector(&self) -> MutexGuard<'_, ServerSelector> {
         self.server_selector
--- /dev/null
+++ b/crates/amaranthscale/src/gateway/process/run_copies.rs
@@ -0,0 +1,12 @@
+//! State of the copies of KV cache between engines.
+
+mod prompt_sources;
+mod run_backups;
+mod run_moves;
+
+#[doc(inline)]
+pub use prompt_sources::PromptSources;
+#[doc(inline)]
+pub use run_backups::RunBackups;
+#[doc(inline)]
+pub use run_moves::{HeldCopy, MoveEnd, RunMoves};
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -6,14 +6,15 @@
 
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
-    ConnectionShare, DEFAULT_ENGINE_TIME, JobFailure, JobSpec, LoadSnapshot, SendingEntry,
-    ServerRecord, StageSpec,
+    ConnectionShare, DEFAULT_ENGINE_TIME, EnginePrompt, JobFailure, JobSpec, LoadSnapshot,
+    SendingEntry, ServerRecord, StageSpec,
 };
 use amaranthscale_core::{Ran, ResultCode};
 use hyper::Response;
 use log::info;
 use tokio::time::Instant;
 
+use super::super::Feature;
 use super::super::clock::ms;
 use super::super::process::{GatewayContext, JobError, JobResults, OpenRequest, run_job};
 use super::answer::{AnswerBody, forwarded_response, full_body};
@@ -30,6 +31,9 @@
 const MAX_REJECTIONS: u32 = 4;
 /// Maximum number of times that missing results are recomputed for one request.
 const MAX_RECOMPUTATIONS: u32 = 1;
+/// Part of the target latency within which an engine that begins to answer needs no replacement by a
+/// faster one; the stages before it take most of the rest.
+const ACCEPTABLE_TARGET_DIVISOR: u32 = 5;
 /// Time reserved for the engine between the job's deadline and the request's.
 const ENGINE_RESERVE: Duration = Duration::from_millis(150);
 
@@ -49,6 +53,12 @@
     pub(super) owner: Option<InstanceId>,
     /// When the stage results were computed.
     pub(super) results_at: Option<Instant>,
+    /// The engine that holds a copy of the run, if one was requested with the last send.
+    pub(super) backup: Option<ServerRecord>,
+    /// Engines that may have continued the run from a copy.
+    pub(super) continuations: u32,
+    /// Whether a retry was taken from the budget for the next continuation.
+    pub(super) is_continuation_reserved: bool,
     /// Load on which the choice of the last engine was based.
     pub(super) load: LoadSnapshot,
 }
@@ -59,6 +69,8 @@
     pub(super) answer: StartedAnswer,
     pub(super) results: Option<JobResults>,
     pub(super) server: ServerIncarnation,
+    /// Event after which a run continues at a copy; none if it began at this engine.
+    pub(super) continued_after: Option<u64>,
 }
 
 /// The stage results that a request needs before an engine can run it.
@@ -102,8 +114,12 @@
         recomputations: 0,
         owner: None,
         results_at: None,
+        backup: None,
+        continuations: 0,
+        is_continuation_reserved: false,
         load: LoadSnapshot::default(),
     };
+    run.set_urgency();
     let answer = run.start().await?;
     if answer.answer.head.status.is_success() {
         return Ok(relay_stream(run, answer, open_request));
@@ -112,6 +128,20 @@
 }
 
 impl EngineRun {
+    /// States the request's urgency to the engines of all its sends.
+    fn set_urgency(&mut self) {
+        let routing = self.context.cluster_view.routing();
+        let pool = routing
+            .as_ref()
+            .and_then(|routing| routing.pool(&self.service));
+        let is_engine = pool.is_some_and(|pool| pool.engine.is_some());
+        if is_engine && self.context.features.is_enabled(Feature::EngineUrgency) {
+            let class = self.admitted.rank.urgency_class().to_string();
+            let name = &self.context.dialect.headers.urgency_class;
+            self.outgoing.set_header(name, &class);
+        }
+    }
+
     /// Runs the job and sends the request until an engine has begun to answer.
     pub(super) async fn start(&mut self) -> Result<EngineAnswer, Refusal> {
         let answer = self.run_until_answered().await;
@@ -156,6 +186,11 @@
         results: Option<JobResults>,
         in_flight_send: InFlightSend,
     ) -> Result<AttemptOutcome, Refusal> {
+        // Left if the caller disconnected during a continuation.
+        let run_source = &self.context.dialect.headers.run_source;
+        self.outgoing.replace_header(run_source, None);
+        let prompt_source = self.set_prompt_source(server);
+        let backup = self.set_backup_target(server);
         let remaining = self.admitted.remaining();
         let sending = send(
             &self.context,
@@ -171,10 +206,14 @@
         match outcome {
             SendOutcome::Answer(answer) => {
                 self.possible_runs += 1;
+                self.record_begun(&answer, server, prompt_source.as_ref());
+                let backup = backup.filter(|_| answer.head.status.is_success());
+                self.set_backup(backup, server);
                 return Ok(AttemptOutcome::Started(Box::new(EngineAnswer {
                     answer: *answer,
                     results,
                     server: server.incarnation.clone(),
+                    continued_after: None,
                 })));
             }
             SendOutcome::NotSent => self.add_unsent("not-sent", server)?,
@@ -192,11 +231,53 @@
                 self.add_rejection("input-gone", server)?;
                 return Ok(AttemptOutcome::Retry(StageResults::Missing));
             }
-            SendOutcome::Lost => self.add_loss(server)?,
+            SendOutcome::Lost => {
+                self.log_unanswered("lost", server);
+                self.possible_runs += 1;
+                // An engine copies a run from its first event on, so there is no copy yet.
+                if !self.try_retry() {
+                    return Err(Refusal::new(ResultCode::AnswerLost));
+                }
+            }
         }
         Ok(AttemptOutcome::Retry(StageResults::Retained(results)))
     }
 
+    /// Sets or removes the header with the engine from which `server` fetches the shared parts of
+    /// the prompt, and returns that engine.
+    fn set_prompt_source(&mut self, server: &ServerRecord) -> Option<ServerRecord> {
+        let attributes = &self.admitted.attributes;
+        let source = self
+            .context
+            .prompt_source(&self.service, attributes, server);
+        let address = source.as_ref().map(|source| source.address.to_string());
+        let name = &self.context.dialect.headers.prompt_source;
+        self.outgoing.replace_header(name, address.as_deref());
+        source
+    }
+
+    /// Records what a successful answer shows of the prompt's shared parts.
+    fn record_begun(
+        &self,
+        answer: &StartedAnswer,
+        server: &ServerRecord,
+        prompt_source: Option<&ServerRecord>,
+    ) {
+        if !answer.head.status.is_success() {
+            return;
+        }
+        let attributes = &self.admitted.attributes;
+        self.context.record_prefill(attributes, &server.incarnation);
+        if let Some(source) = prompt_source {
+            self.context.counters.count("prompts.fetched");
+            info!(
+                call = attributes.call.as_str(), from:% = source.incarnation,
+                to:% = server.incarnation, tokens = attributes.shared_tokens();
+                "prompt: fetched"
+            );
+        }
+    }
+
     /// Records a rejection; an error if no further attempt is allowed.
     fn add_rejection(&mut self, end: &'static str, server: &ServerRecord) -> Result<(), Refusal> {
         self.add_unsent(end, server)?;
@@ -220,22 +301,12 @@
         Ok(())
     }
 
-    /// Records a lost answer; an error if the request may not be retried.
-    fn add_loss(&mut self, server: &ServerRecord) -> Result<(), Refusal> {
-        self.log_unanswered("lost", server);
-        self.possible_runs += 1;
-        if !self.try_retry() {
-            return Err(Refusal::new(ResultCode::AnswerLost));
-        }
-        Ok(())
-    }
-
     /// Whether a request that may have run may be sent to another engine; takes a retry from the
     /// budget.
     pub(super) fn try_retry(&self) -> bool {
         let route = &self.admitted.route;
         route.kind.may_repeat()
-            && self.possible_runs < route.max_attempts
+            && self.possible_engines() < route.max_attempts
             && !self
                 .context
                 .crashes
@@ -252,14 +323,20 @@
         let (id, zone) = (&self.context.instance, &self.context.zone);
         let entry = SendingEntry::new(id, zone, ConnectionShare::UNLIMITED);
         let shared_prefix = self.admitted.attributes.shared_prefix.as_deref();
+        let prompt = self.engine_prompt();
         let chosen = self.context.choose_server(
             &self.service,
             self.outgoing.body_bytes(),
-            |server_selector, usable, now| match shared_prefix {
-                Some(shared_prefix) => {
+            |server_selector, usable, now| match (&prompt, shared_prefix) {
+                (Some(prompt), _) => {
+                    server_selector.select_engine_by_speed(usable, &self.tried_servers, prompt, now)
+                }
+                (None, Some(shared_prefix)) => {
                     server_selector.select_engine(usable, &self.tried_servers, shared_prefix, now)
                 }
-                None => server_selector.select_plain(usable, &self.tried_servers, entry, now),
+                (None, None) => {
+                    server_selector.select_plain(usable, &self.tried_servers, entry, now)
+                }
             },
         );
         let (server, load) = chosen?;
@@ -297,7 +374,7 @@
                     .target_latency
                     .saturating_sub(self.admitted.arrived_at.elapsed()),
                 deadline_left: self.admitted.remaining().saturating_sub(ENGINE_RESERVE),
-                engine_time: self.engine_time(),
+                engine_time: self.engine_time(engine),
                 reader_zone: engine.zone.clone(),
                 retained: Vec::new(),
             };
@@ -331,13 +408,27 @@
         Ok(results)
     }
 
+    /// The prompt, where engines are chosen by their speed.
+    fn engine_prompt(&self) -> Option<EnginePrompt<'_>> {
+        let attributes = &self.admitted.attributes;
+        let route = &self.admitted.route;
+        let prompt = self
+            .context
+            .engine_prompt(&self.service, attributes, route.max_event_gap)?;
+        Some(EnginePrompt {
+            acceptable_time: route.target_latency / ACCEPTABLE_TARGET_DIVISOR,
+            ..prompt
+        })
+    }
+
     /// Expected time of an engine to the first event of this prompt.
-    fn engine_time(&self) -> Duration {
+    fn engine_time(&self, engine: &ServerRecord) -> Duration {
         let tokens = self.admitted.attributes.prompt_tokens;
-        let expected = self
-            .context
-            .first_event_estimators
-            .expected(&self.service, tokens);
+        let estimators = &self.context.first_event_estimators;
+        let prompt = self.engine_prompt();
+        let expected = prompt
+            .and_then(|prompt| self.context.expected_first_event(engine, &prompt))
+            .or_else(|| estimators.expected(&self.service, tokens));
         // A prompt that alone takes the whole target latency misses it however fast the stages are.
         let max = self.admitted.route.target_latency / 2;
         expected.unwrap_or(DEFAULT_ENGINE_TIME).min(max)
@@ -403,7 +494,7 @@
         ))
     }
 
-    fn log_unanswered(&self, end: &'static str, server: &ServerRecord) {
+    pub(super) fn log_unanswered(&self, end: &'static str, server: &ServerRecord) {
         info!(
             call = self.admitted.attributes.call.as_str(), fingerprint:% = self.admitted.request_content.fingerprint(),
             server:% = server.incarnation, end,
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::super::connection::{ServerAnswer, ServerConnection};
-use super::super::process::GatewayContext;
+use super::super::process::{EngineRunTimes, GatewayContext};
 use super::caller::AdmittedRequest;
 use super::outgoing::OutgoingRequest;
 use crate::connection::{ReadBodyError, SendError};
@@ -35,6 +35,21 @@
     Lost,
 }
 
+impl SendOutcome {
+    /// Name in log lines.
+    pub(super) const fn name(&self) -> &'static str {
+        match self {
+            Self::Answer(_) => "answered",
+            Self::NotSent => "not-sent",
+            Self::Withheld(availability) => availability.name(),
+            Self::Quarantined => "quarantined",
+            Self::NotRun => "not-run",
+            Self::InputMissing => "input-gone",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// An answer whose head was received.
 #[derive(Debug)]
 pub(super) struct StartedAnswer {
@@ -52,6 +67,8 @@
     body_bytes: usize,
     address: SocketAddr,
     started: Instant,
+    /// Measures the run; none before it is sent, and where the speed is not used.
+    run_times: Option<EngineRunTimes>,
     end: SendEnd,
 }
 
@@ -71,10 +88,18 @@
             body_bytes,
             address: server.address,
             started: Instant::now(),
+            run_times: None,
             end: SendEnd::Abandoned,
         }
     }
 
+    /// Records that an event of the answer has arrived.
+    pub(super) fn record_event(&self) {
+        if let Some(run_times) = &self.run_times {
+            run_times.record_event();
+        }
+    }
+
     /// Records that the complete answer was received.
     pub(super) fn record_answer(self, admitted: &AdmittedRequest) {
         admitted.record_completion(&self.context);
@@ -131,7 +156,7 @@
     outgoing: &OutgoingRequest,
     admitted: &AdmittedRequest,
     server: &ServerRecord,
-    in_flight_send: InFlightSend,
+    mut in_flight_send: InFlightSend,
 ) -> SendOutcome {
     let call = &admitted.attributes.call;
     let Ok(mut connection) = context.pool.connection(server).await else {
@@ -161,6 +186,7 @@
             return SendOutcome::Withheld(availability);
         }
     };
+    in_flight_send.run_times = context.begin_engine_run(server, &admitted.attributes);
     let sent_at = Instant::now();
     let ServerAnswer {
         head,
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
+use amaranthscale_core::process::SendEnd;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -18,10 +19,11 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::{BufferMemory, OpenRequest};
+use super::super::process::{BufferMemory, HeldCopy, JobResults, OpenRequest};
 use super::answer::{AnswerBody, TruncatedAnswer, forwarded_response};
 use super::engine_run::{EngineAnswer, EngineRun};
 use super::event_splitter::{EventSplitter, StreamEvent};
+use super::run_move_state::RunMoveState;
 use super::send::StartedAnswer;
 
 /// Maximum bytes of events that one caller leaves unread; several times a usual stream. Beyond it
@@ -30,12 +32,18 @@
 
 type EventSender = mpsc::UnboundedSender<Result<Bytes, TruncatedAnswer>>;
 
+/// Multiple of the route's longest pause between events after which a silent run continues at its
+/// copy. Its answer is late by then, and an engine that is only slow would have sent an event.
+const SILENCE_FACTOR: u32 = 3;
+
 /// How one engine's stream ended.
 enum EngineStreamEnd {
     /// All events were forwarded.
     Complete,
     /// The engine's stream broke.
     Broken,
+    /// The engine stopped the run to move it.
+    Moved(Box<HeldCopy>),
     /// The caller disconnected.
     CallerLeft,
     /// The deadline passed.
@@ -56,8 +64,9 @@
         run,
         sender,
         unread: BufferMemory::new(MAX_UNREAD_BYTES),
-        last_id: None,
+        last_id: answer.continued_after,
         forwarded: 0,
+        unread_results: None,
     };
     tokio::spawn(relay.run(answer, open_request));
     response
@@ -70,6 +79,8 @@
     unread: BufferMemory,
     last_id: Option<u64>,
     forwarded: u64,
+    /// Stage results that no engine has read yet, of a stream that broke before its first event.
+    unread_results: Option<JobResults>,
 }
 
 impl StreamRelay {
@@ -84,6 +95,7 @@
             let server = answer.server.clone();
             match self.forward_stream(answer).await {
                 EngineStreamEnd::Complete => {
+                    self.run.record_stream_end(false);
                     self.log("whole", &server, first_event_after);
                     return;
                 }
@@ -95,11 +107,25 @@
                     self.log("time-over", &server, first_event_after);
                     break "the deadline passed";
                 }
+                EngineStreamEnd::Moved(copy) => {
+                    self.log("moved", &server, first_event_after);
+                    if let Some(moved) = self.continue_moved(copy).await {
+                        answer = moved;
+                        continue;
+                    }
+                }
                 EngineStreamEnd::Broken => {}
             }
+            if self.forwarded > 0 {
+                self.run.record_stream_end(true);
+            }
             self.log("broken", &server, first_event_after);
-            match self.resume(server).await {
-                Some(resumed) => answer = resumed,
+            let next = match self.continue_at_copy(&server).await {
+                Some(continued) => Some(continued),
+                None => self.resume(server).await,
+            };
+            match next {
+                Some(next) => answer = next,
                 None => break "the engine's stream broke",
             }
         };
@@ -128,28 +154,75 @@
         } = answer.answer;
         let mut results = answer.results;
         let mut splitter = EventSplitter::default();
+        let mut has_begun = false;
+        let mut run_move = RunMoveState::new(answer.server.clone(), self.last_id);
         loop {
+            if has_begun {
+                self.begin_move(&mut run_move);
+            }
+            let silence = self
+                .max_silence()
+                .filter(|_| has_begun && !run_move.is_copying());
             let frame = tokio::select! {
                 frame = body.frame() => frame,
+                is_overdue = run_move.next_step() => {
+                    if let Some(copy) = run_move.take_copy(self.last_id, is_overdue) {
+                        in_flight_send.end(SendEnd::Abandoned);
+                        return EngineStreamEnd::Moved(copy);
+                    }
+                    continue;
+                }
                 () = self.sender.closed() => return EngineStreamEnd::CallerLeft,
                 () = tokio::time::sleep_until(self.run.admitted.deadline) => return EngineStreamEnd::TimedOut,
+                () = tokio::time::sleep(silence.unwrap_or_default()), if silence.is_some() => {
+                    // Without a continuation, a late answer is better than none.
+                    if !self.run.reserve_continuation() {
+                        continue;
+                    }
+                    self.run.context.counters.count("stream.silent");
+                    in_flight_send.end(SendEnd::Failed);
+                    return EngineStreamEnd::Broken;
+                }
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_broken)) => {
-                    in_flight_send.record_lost(&self.run.admitted);
+                    // The engine closes a stream that it stops, maybe before it answers the move.
+                    if run_move.is_copying() {
+                        tokio::select! {
+                            _ = run_move.next_step() => {}
+                            () = self.sender.closed() => return EngineStreamEnd::CallerLeft,
+                            () = tokio::time::sleep_until(self.run.admitted.deadline) => return EngineStreamEnd::TimedOut,
+                        }
+                    }
+                    let has_stopped = run_move.has_stopped_as_told();
+                    if has_stopped {
+                        in_flight_send.end(SendEnd::Abandoned);
+                    } else {
+                        in_flight_send.record_lost(&self.run.admitted);
+                    }
+                    if let Some(copy) = run_move.take_copy(self.last_id, true) {
+                        return EngineStreamEnd::Moved(copy);
+                    }
+                    self.unread_results = results;
                     return EngineStreamEnd::Broken;
                 }
                 None => break,
             };
             // The engine has read its inputs before it sends its first event.
             results.take();
+            has_begun = true;
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
+                in_flight_send.record_event();
                 if let Err(end) = self.forward(event).await {
                     return end;
                 }
             }
+            if let Some(copy) = run_move.take_copy(self.last_id, false) {
+                in_flight_send.end(SendEnd::Abandoned);
+                return EngineStreamEnd::Moved(copy);
+            }
         }
         in_flight_send.record_answer(&self.run.admitted);
         let share = self.run.context.connection_share(&self.run.service);
@@ -192,6 +265,77 @@
         shared.hold(own.hold(event))
     }
 
+    /// Time without an event after which the run continues at its copy; none without a copy, or
+    /// without ids by which the events that the caller has are known.
+    fn max_silence(&self) -> Option<Duration> {
+        let run = &self.run;
+        run.backup.as_ref()?;
+        self.last_id?;
+        let max_gap = run.admitted.route.max_event_gap?;
+        // The copy expires if the engine adds nothing to it.
+        let retention = run.context.transfer_spec(&run.service)?.copy_retention;
+        Some((max_gap * SILENCE_FACTOR).min(retention * 3 / 4))
+    }
+
+    /// Begins to move the run if its engine leaves.
+    fn begin_move(&self, run_move: &mut RunMoveState) {
+        let admitted = &self.run.admitted;
+        let Some(last_id) = self.last_id.filter(|_| run_move.is_check_due()) else {
+            return;
+        };
+        // A suspected request runs at one engine at a time.
+        if self
+            .run
+            .context
+            .crashes
+            .requires_single_run(&admitted.request_content)
+        {
+            return;
+        }
+        let Some(event_time) = run_move.event_time(last_id) else {
+            return;
+        };
+        let begun = self.run.context.begin_move(
+            &self.run.service,
+            &admitted.attributes,
+            run_move.engine(),
+            last_id,
+            event_time,
+        );
+        if let Some(begun) = begun {
+            run_move.set_begun(begun);
+        }
+    }
+
+    /// Continues a run that was stopped to move it.
+    async fn continue_moved(&mut self, copy: Box<HeldCopy>) -> Option<EngineAnswer> {
+        let continuing = self.run.continue_moved_run(copy, self.last_id);
+        let answer = tokio::select! {
+            answer = continuing => answer?,
+            () = self.sender.closed() => return None,
+        };
+        self.last_id = answer.continued_after;
+        Some(answer)
+    }
+
+    /// Continues the stream at the engine that holds a copy of the run, if there is one.
+    ///
+    /// Before the first event there is no copy, and the request could run anew at an engine that
+    /// fails before it looks for one. Without ids, the events that the caller has cannot be told
+    /// from those that follow.
+    async fn continue_at_copy(&mut self, server: &ServerIncarnation) -> Option<EngineAnswer> {
+        let mut results = self.unread_results.take();
+        self.last_id?;
+        self.run.exclude(server.clone());
+        let continuing = self.run.continue_run(server, self.last_id, &mut results);
+        let answer = tokio::select! {
+            answer = continuing => answer?,
+            () = self.sender.closed() => return None,
+        };
+        self.last_id = answer.continued_after;
+        Some(answer)
+    }
+
     /// Continues the stream at another engine, if the route allows it.
     async fn resume(&mut self, server: ServerIncarnation) -> Option<EngineAnswer> {
         if !self.run.try_retry() {
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -18,6 +18,7 @@
 mod cost_totals;
 mod cost_tracker;
 mod count;
+mod engine_speed;
 mod fair_queue;
 mod fair_queue_limits;
 mod fair_share;
@@ -40,6 +41,7 @@
 mod retry_budget;
 mod router;
 mod router_settings;
+mod run_copies;
 mod send_share;
 mod server_availability;
 mod server_backoff;
@@ -69,9 +71,9 @@
 pub use attempt_end::AttemptEnd;
 #[doc(inline)]
 pub use batcher::{
-    Batch, BatchEnd, BatchId, BatchItem, Batcher, DEFAULT_ENGINE_TIME, FreeRequest, JobEvent,
-    JobFailure, JobId, JobRefusal, JobSpec, PieceEnd, PieceInput, RetainedResult, StageSpec,
-    StageTimes,
+    Batch, BatchEnd, BatchId, BatchItem, Batcher, Bound, DEFAULT_ENGINE_TIME, FreeRequest,
+    JobEvent, JobFailure, JobId, JobRefusal, JobSpec, PieceEnd, PieceInput, RefusedForecast,
+    RetainedResult, StageSpec, StageTimes,
 };
 #[doc(inline)]
 pub use cell::Cell;
@@ -86,6 +88,12 @@
 #[doc(inline)]
 pub use cost_tracker::{CostTracker, sum_by_organisation};
 #[doc(inline)]
+pub use engine_speed::{
+    EngineEstimate, EnginePrompt, EngineRunId, EngineSamples, EngineSpeeds, InvalidSamples,
+    PrefillSample, SPEED_FORMAT, SpeedClass, SpeedCollector, SpeedReport, SpeedUpdate,
+    SpeedVersion,
+};
+#[doc(inline)]
 pub use fair_queue::FairQueue;
 #[doc(inline)]
 pub use fair_queue_limits::FairQueueLimits;
@@ -126,6 +134,11 @@
 #[doc(inline)]
 pub use router_settings::RouterSettings;
 #[doc(inline)]
+pub use run_copies::{
+    ActiveMoves, CopyHandle, MoveAnswer, PromptFetch, RecentPrefills, RunBackup, RunMove,
+    StreamLosses,
+};
+#[doc(inline)]
 pub use send_share::{SendRateLimit, SendShare};
 #[doc(inline)]
 pub use server_availability::{ServerAvailability, UsableServers};
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::admission::{Residence, bytes_as_f64};
 use super::queue::Queue;
 use crate::id::{ServerIncarnation, ZoneId};
 use crate::process::count::as_f64;
@@ -20,6 +21,8 @@
 const BUSY_FRACTION: f64 = 0.9;
 /// Weight of each new sample in a server's slowness.
 const SAMPLE_WEIGHT: f64 = 0.5;
+/// Slowness from which calls to a server get fewer pieces; less is within the usual variation.
+const MIN_PACED_SLOWNESS: f64 = 1.5;
 /// Time without a call after which a server is assumed to be as fast as the others again.
 const SLOWNESS_LIFETIME: Duration = Duration::from_secs(3);
 /// First ejection time of a server that lost a call; doubles with each further loss.
@@ -138,6 +141,8 @@
     pub(super) servers: BTreeMap<ServerIncarnation, StageServer>,
     pub(super) queue: Queue,
     recent_sends: RecentSends,
+    /// How long results occupy storage.
+    pub(super) residence: Residence,
     arrival_load: f64,
     arrival_load_at: Duration,
 }
@@ -151,6 +156,14 @@
         let max_pieces = u32::try_from(spec.max_pieces.max(1)).unwrap_or(1);
         let piece_time = spec.piece_time + spec.call_time / max_pieces;
         let work = piece_time.saturating_mul(u32::try_from(pieces).unwrap_or(u32::MAX));
+        work.div_f64(self.speed(now).max(MIN_SPEED))
+    }
+
+    /// Number of calls that the servers process at once, each by its server's speed.
+    pub(super) fn speed(&self, now: Duration) -> f64 {
+        let Some(spec) = self.spec else {
+            return 0.0;
+        };
         let servers = self.usable(now);
         let usual_call = spec.call_time_for(spec.max_pieces);
         let speed_of = |server: &StageServer| {
@@ -158,7 +171,18 @@
         };
         let speed: f64 = servers.map(|(_, server)| speed_of(server)).sum();
         let slots = f64::from(u32::try_from(spec.slots.max(1)).unwrap_or(1));
-        work.div_f64((speed * slots).max(MIN_SPEED))
+        speed * slots
+    }
+
+    /// Result storage of one server.
+    pub(super) fn usable_bytes(&self) -> u64 {
+        self.spec.map_or(0, usable_bytes)
+    }
+
+    /// Records how much storage is occupied.
+    pub(super) fn observe_storage(&mut self, now: Duration) {
+        let stored = self.servers.values().map(|server| server.reserved_bytes);
+        self.residence.observe(bytes_as_f64(stored.sum()), now);
     }
 
     /// Adds arriving work to the average.
@@ -253,6 +277,7 @@
     }
 
     pub(super) fn reserve(&mut self, server: &ServerIncarnation, bytes: u64) {
+        self.residence.add(bytes_as_f64(bytes));
         if let Some(server) = self.servers.get_mut(server) {
             server.reserved_bytes += bytes;
         }
@@ -309,3 +334,14 @@
 const fn usable_bytes(spec: BatchSpec) -> u64 {
     spec.result_capacity_bytes / 100 * USABLE_CAPACITY_PERCENT
 }
+
+/// Pieces in a call to a server, by its slowness: a slow one would hold all of a full call's pieces
+/// for as many times longer. It still gets calls, which show when it has recovered.
+pub(super) fn size_by_pace(pieces: usize, slowness: f64) -> usize {
+    if slowness < MIN_PACED_SLOWNESS {
+        return pieces;
+    }
+    let fewer = (as_f64(pieces) / slowness).ceil();
+    let sizes = 1..pieces;
+    sizes.rev().find(|size| as_f64(*size) <= fewer).unwrap_or(1)
+}
