Admission by forecast has to be enabled

Three variants did not help: route ranks of 10 s and of 2 s, and arrivals expected for one second only.

--- a/crates/amaranthscale/src/gateway/feature.rs
+++ b/crates/amaranthscale/src/gateway/feature.rs
@@ -1,4 +1,4 @@
-//! Parts of the gateway that operators can switch off.
+//! Parts of the gateway that operators can switch on and off.
 
 use std::collections::BTreeSet;
 use std::fmt;
@@ -17,7 +17,7 @@
     }
 }
 
-/// A part of the gateway that can be disabled.
+/// A part of the gateway that can be enabled and disabled.
 ///
 /// An enabled feature has an effect only where the configuration of the services calls for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,6 +60,15 @@
         }
     }
 
+    /// Whether it is enabled unless operators disable it.
+    ///
+    /// Admission by forecast refuses more of the least urgent requests than those that can be served
+    /// late have to be refused, so operators choose it where callers prefer an early refusal.
+    #[must_use]
+    pub const fn is_enabled_by_default(self) -> bool {
+        !matches!(self, Self::AdmissionForecast)
+    }
+
     fn names() -> String {
         Self::ALL.map(Self::name).join(", ")
     }
@@ -80,31 +89,55 @@
     }
 }
 
-/// The enabled features; all of them by default.
+/// The enabled features.
 ///
 /// ```
 /// use amaranthscale::gateway::{Feature, FeatureSet};
 ///
-/// let features = FeatureSet::without([Feature::RunMove]);
+/// let features = FeatureSet::default()
+///     .with([Feature::AdmissionForecast])
+///     .without([Feature::RunMove]);
+/// assert!(features.is_enabled(Feature::AdmissionForecast));
 /// assert!(features.is_enabled(Feature::RunBackup));
 /// assert!(!features.is_enabled(Feature::RunMove));
 /// ```
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FeatureSet {
-    disabled: BTreeSet<Feature>,
+    enabled: BTreeSet<Feature>,
 }
 
-impl FeatureSet {
-    /// All features but some.
-    pub fn without(disabled: impl IntoIterator<Item = Feature>) -> Self {
+impl Default for FeatureSet {
+    /// The features that are enabled by default.
+    fn default() -> Self {
+        let features = Feature::ALL.into_iter();
         Self {
-            disabled: disabled.into_iter().collect(),
+            enabled: features
+                .filter(|feature| feature.is_enabled_by_default())
+                .collect(),
+        }
+    }
+}
+
+impl FeatureSet {
+    /// Adds features.
+    #[must_use]
+    pub fn with(mut self, enabled: impl IntoIterator<Item = Feature>) -> Self {
+        self.enabled.extend(enabled);
+        self
+    }
+
+    /// Removes features.
+    #[must_use]
+    pub fn without(mut self, disabled: impl IntoIterator<Item = Feature>) -> Self {
+        for feature in disabled {
+            self.enabled.remove(&feature);
         }
+        self
     }
 
     /// Whether a feature is enabled.
     #[must_use]
     pub fn is_enabled(&self, feature: Feature) -> bool {
-        !self.disabled.contains(&feature)
+        self.enabled.contains(&feature)
     }
 }
