--- a/crates/amaranthscale/src/gateway/feature.rs
+++ b/crates/amaranthscale/src/gateway/feature.rs
@@ -64,9 +64,10 @@
     ///
     /// Admission by forecast refuses more of the least urgent requests than those that can be served
     /// late have to be refused, so operators choose it where callers prefer an early refusal.
+    /// Urgency classes let engines preempt requests that they have begun.
     #[must_use]
     pub const fn is_enabled_by_default(self) -> bool {
-        !matches!(self, Self::AdmissionForecast)
+        !matches!(self, Self::AdmissionForecast | Self::EngineUrgency)
     }
 
     fn names() -> String {
--- a/crates/amaranthscale/tests/features.rs
+++ b/crates/amaranthscale/tests/features.rs
@@ -17,12 +17,13 @@
     assert!(error.contains("engine-speed"), "{error}");
 }
 
-/// Deployments that do not ask for admission by forecast are served as before it.
+/// Deployments that do not ask for these are served as before them.
 #[test]
-fn admission_by_forecast_has_to_be_enabled() {
+fn admission_by_forecast_and_urgency_classes_have_to_be_enabled() {
     let features = FeatureSet::default();
 
     assert!(!features.is_enabled(Feature::AdmissionForecast));
+    assert!(!features.is_enabled(Feature::EngineUrgency));
     assert!(features.is_enabled(Feature::EngineSpeed));
     assert!(
         features
