The server selector alone knows which servers are ejected

The listing for operators kept a second registry of ejections beside the selector's trackers, with a lock, a clean-up and a record at the end of each send. The selector now keeps the time of the ejection, and the listing asks it. The listing is unchanged; its tests keep their assertions and fill the selector by sends.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -14,7 +14,7 @@
 use super::connection::ConnectionPool;
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
-    BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, Ejections, FirstEventEstimators,
+    BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
     GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares,
     ShutdownGate, StatementRecorder, exchange_speeds, monitor_unresponsive, publish_crashes,
     publish_limits, remove_expired_evidence, remove_stale_drains, remove_stale_limits,
@@ -300,7 +300,6 @@
         max_ready_age: config.revoke_bound * READY_AGE_PERCENT / 100,
         max_routing_lag: config.apply_bound * MAX_ROUTING_LAG_PERCENT / 100,
         server_selector,
-        ejections: Ejections::default(),
         moving_runs: Arc::default(),
         speed_collector: Mutex::new(SpeedCollector::new(config.instance.clone())),
     }
@@ -325,6 +324,5 @@
         context.server_selector().retain(is_known);
         context.speed_collector().retain(is_known);
         context.send_shares.retain(is_known);
-        context.ejections.retain(is_known);
     }
 }
--- a/crates/amaranthscale/src/gateway/operator/server_listing.rs
+++ b/crates/amaranthscale/src/gateway/operator/server_listing.rs
@@ -56,7 +56,9 @@
     let now = context.cluster_view.clock().now();
     let inputs = ListingInputs {
         cold_limits: |service: &ServiceId| context.cold_limits(service),
-        ejected_for: |server: &ServerIncarnation| context.ejections.ejected_for(server, now),
+        ejected_for: |server: &ServerIncarnation| {
+            context.server_selector().ejected_for(server, now)
+        },
         in_flight: |server: &ServerIncarnation| {
             let requests = context.server_selector().in_flight(server);
             requests + context.pool.calls_in_flight().count(server)
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -7,7 +7,6 @@
 mod batch_owners;
 mod buffer_memory;
 mod crash_tracker;
-mod ejections;
 mod engine_speeds;
 mod first_event_estimators;
 mod gateway_context;
@@ -44,8 +43,6 @@
 pub use buffer_memory::{BufferMemory, BufferReservation};
 #[doc(inline)]
 pub use crash_tracker::CrashTracker;
-#[doc(inline)]
-pub use ejections::Ejections;
 pub(crate) use engine_speeds::EngineRunTimes;
 #[doc(inline)]
 pub use first_event_estimators::FirstEventEstimators;
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -10,8 +10,8 @@
 use super::super::version::{AnnouncementWriter, ClusterView, TableRelay};
 use super::super::{Dialect, FeatureSet};
 use super::{
-    BatchOwners, BufferMemory, CrashTracker, Ejections, FirstEventEstimators, LimitTracker,
-    MovingRuns, PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares, ShutdownGate,
+    BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, MovingRuns,
+    PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -75,8 +75,6 @@
     pub crashes: Arc<CrashTracker>,
     /// Selects servers by the load and health that earlier sends showed.
     pub server_selector: Arc<Mutex<ServerSelector>>,
-    /// Ejected servers.
-    pub ejections: Ejections,
     /// Runs that are being moved.
     pub moving_runs: Arc<MovingRuns>,
     /// Combines the samples of engines' speed while this gateway is the collector.
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -139,9 +139,6 @@
         server_selector.record_body_done(&self.server, self.body_bytes);
         let change = server_selector.record_end(&self.server, self.end, elapsed, now);
         drop(server_selector);
-        if let Some(change) = change {
-            self.context.ejections.record(&self.server, change, now);
-        }
         match change {
             Some(HealthChange::Ejected) => info!(server:% = self.server; "servers: ejected"),
             Some(HealthChange::Readmitted) => info!(server:% = self.server; "servers: readmitted"),
--- a/crates/amaranthscale/tests/server_listing.rs
+++ b/crates/amaranthscale/tests/server_listing.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use amaranthscale::gateway::connection::CallsInFlight;
-use amaranthscale::gateway::process::{Ejections, MovingRuns};
+use amaranthscale::gateway::process::MovingRuns;
 use amaranthscale::gateway::{ListingInputs, server_reports};
 use amaranthscale::operator::ServerReport;
 use amaranthscale_core::id::{RowVersion, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
-    ColdLimits, HealthChange, ServerChange, ServerList, ServerRecord, ZoneChange, ZoneState,
+    ColdLimits, SendEnd, ServerChange, ServerList, ServerRecord, ServerSelector, ZoneChange,
+    ZoneState,
 };
 
 const NOW: Duration = Duration::from_secs(20);
@@ -36,7 +37,7 @@
     servers
 }
 
-fn reports(servers: &ServerList, ejections: &Ejections) -> Vec<ServerReport> {
+fn reports(servers: &ServerList, selector: &ServerSelector) -> Vec<ServerReport> {
     let inputs = ListingInputs {
         cold_limits: |_: &ServiceId| {
             Some(ColdLimits {
@@ -44,12 +45,18 @@
                 cold_duration: Duration::from_secs(5),
             })
         },
-        ejected_for: |server: &ServerIncarnation| ejections.ejected_for(server, NOW),
+        ejected_for: |server: &ServerIncarnation| selector.ejected_for(server, NOW),
         in_flight: |server: &ServerIncarnation| usize::from(server.id().as_str() == "free"),
     };
     server_reports(servers, &inputs, NOW)
 }
 
+fn record_send(selector: &mut ServerSelector, server: &str, end: SendEnd, now: Duration) {
+    let server = server.parse().unwrap();
+    selector.record_send(&server);
+    selector.record_end(&server, end, Duration::ZERO, now);
+}
+
 fn report<'a>(reports: &'a [ServerReport], id: &str) -> &'a ServerReport {
     let mut found = reports.iter();
     found.find(|one| one.server.to_string() == id).unwrap()
@@ -83,15 +90,11 @@
         state: Ok(ZoneState::Evacuated(RowVersion::new(1))),
     };
     servers.apply_zones(vec![south], false, NOW);
-    let ejections = Ejections::default();
+    let mut selector = ServerSelector::default();
     let failed_at = NOW.saturating_sub(Duration::from_millis(300));
-    ejections.record(
-        &"failing".parse().unwrap(),
-        HealthChange::Ejected,
-        failed_at,
-    );
+    record_send(&mut selector, "failing", SendEnd::Unreachable, failed_at);
 
-    let reports = reports(&servers, &ejections);
+    let reports = reports(&servers, &selector);
 
     let state = |id: &str| report(&reports, id).state.clone();
     assert_eq!(reports.len(), 7);
@@ -113,13 +116,12 @@
 #[test]
 fn a_readmitted_server_is_not_listed_as_ejected() {
     let servers = list_of(vec![record("failing")]);
-    let ejections = Ejections::default();
-    let server = "failing".parse().unwrap();
-    ejections.record(&server, HealthChange::Ejected, NOW);
+    let mut selector = ServerSelector::default();
+    record_send(&mut selector, "failing", SendEnd::Unreachable, NOW);
 
-    ejections.record(&server, HealthChange::Readmitted, NOW);
+    record_send(&mut selector, "failing", SendEnd::Answered, NOW);
 
-    assert_eq!(reports(&servers, &ejections)[0].state, "free");
+    assert_eq!(reports(&servers, &selector)[0].state, "free");
 }
 
 /// Guards against a call that is listed as in flight after its end, which would keep an operator
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -113,6 +113,8 @@
     reported: Option<(ServerLoad, Duration)>,
     failures: u32,
     ejected_until: Duration,
+    /// When it was ejected, until it is readmitted.
+    ejected_at: Option<Duration>,
     /// Set from a requested backoff until the server has accepted enough again.
     recovery: Option<Recovery>,
 }
@@ -267,6 +269,13 @@
         recent_time_ms * (1.0 + ahead / slots) + zone_cost_ms
     }
 
+    /// Time since a server was ejected, if it has not been readmitted.
+    #[must_use]
+    pub fn ejected_for(&self, server: &ServerIncarnation, now: Duration) -> Option<Duration> {
+        let ejected_at = self.tracker(server)?.ejected_at?;
+        Some(now.saturating_sub(ejected_at))
+    }
+
     /// Whether a server's last send failed, or it is ejected.
     #[must_use]
     pub fn is_failing(&self, server: &ServerIncarnation, now: Duration) -> bool {
@@ -334,8 +343,14 @@
             SendEnd::Rejected | SendEnd::Abandoned => {}
         }
         match (was_failing, tracker.failures >= FAILURES_TO_EJECT) {
-            (false, true) => Some(HealthChange::Ejected),
-            (true, false) => Some(HealthChange::Readmitted),
+            (false, true) => {
+                tracker.ejected_at = Some(now);
+                Some(HealthChange::Ejected)
+            }
+            (true, false) => {
+                tracker.ejected_at = None;
+                Some(HealthChange::Readmitted)
+            }
             _ => None,
         }
     }
