Moves fill the operators' listing of moving runs

The registry behind the listing was never written to: the listing and the moves were built side by side and not joined. A move now holds the registry's guard.

--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -16,7 +16,7 @@
 
 use super::super::super::connection::ServerAnswer;
 use super::super::super::{Feature, RequestAttributes};
-use super::super::{GatewayContext, SendPermit};
+use super::super::{GatewayContext, MovingRunGuard, SendPermit};
 use crate::connection::{SendError, read_body};
 
 /// Timeout of a call that copies a run; a copy takes some milliseconds, between zones twice as many.
@@ -44,6 +44,7 @@
     context: Arc<GatewayContext>,
     source: ServerRecord,
     target: ServerRecord,
+    _listed: MovingRunGuard,
 }
 
 impl Drop for ActiveMove {
@@ -155,13 +156,18 @@
             return None;
         }
         self.counters.count("moves.begun");
+        let call = &attributes.call;
+        let listed = self
+            .moving_runs
+            .begin(call, &source.incarnation, &target.incarnation, now);
         let active = ActiveMove {
             context: Arc::clone(self),
             source,
             target,
+            _listed: listed,
         };
         let (sender, receiver) = oneshot::channel();
-        tokio::spawn(move_run(active, attributes.call.clone(), sender));
+        tokio::spawn(move_run(active, call.clone(), sender));
         Some(receiver)
     }
 
