Copies of runs: one start time of transfers, and less work for each send and event

The time before the first byte of a transfer stood in two places and the time of a fetch was worked out twice; TransferSpec now has both. Each send looked at all engines of the service for a backup before it asked whether one pays; the question comes first. The longest silence of a stream was looked up in the routing at each event and is the same for the whole stream. A debug form in a log line has a text. Behaviour is unchanged.

--- a/crates/amaranthscale/src/gateway/process/run_copies/run_backups.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_backups.rs
@@ -81,19 +81,19 @@
         let tokens = attributes
             .prompt_tokens
             .saturating_add(attributes.max_output_tokens);
-        let servers = self.cluster_view.servers();
-        let usable = self.usable_servers(&servers, service, now);
-        let server_selector = self.server_selector();
         let backup = RunBackup {
             broken_share,
             lost_time,
             transfer_time: transfer.transfer_time(tokens),
             prefill_time,
-            is_engine_failing: server_selector.is_failing(&engine.incarnation, now),
+            is_engine_failing: self.server_selector().is_failing(&engine.incarnation, now),
         };
         if !backup.is_worthwhile() {
             return None;
         }
+        let servers = self.cluster_view.servers();
+        let usable = self.usable_servers(&servers, service, now);
+        let server_selector = self.server_selector();
         let call = &attributes.call;
         RunBackup::target(usable.free, engine, call, &server_selector, now).cloned()
     }
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use log::{debug, info};
+use quick_error::quick_error;
 use tokio::sync::oneshot;
 
 use super::super::super::connection::ServerAnswer;
@@ -202,17 +203,25 @@
         match tokio::time::timeout(FREE_TIMEOUT, self.call_engine(source, request)).await {
             Ok(Ok(_answer)) => self.counters.count("handles.freed"),
             // The engines expire the copy.
-            Ok(Err(error)) => debug!("moves: copy not freed: {error:?}"),
+            Ok(Err(error)) => debug!("moves: copy not freed: {error}"),
             Err(_elapsed) => debug!("moves: copy not freed in time"),
         }
     }
 }
 
-/// Why a call has no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CallError {
-    NotSent,
-    Lost,
+quick_error! {
+    /// Why a call has no answer.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    enum CallError {
+        /// The engine cannot be reached, or may not be called.
+        NotSent {
+            display("the call was not sent")
+        }
+        /// The call may have been carried out.
+        Lost {
+            display("the answer is lost")
+        }
+    }
 }
 
 /// Copies a run while it goes on, then stops it and copies the rest.
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -156,13 +156,14 @@
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
         let mut run_move = RunMoveState::new(answer.server.clone(), self.last_id);
+        let max_silence = self.max_silence();
         loop {
             if has_begun {
                 self.begin_move(&mut run_move);
             }
-            let silence = self
-                .max_silence()
-                .filter(|_| has_begun && !run_move.is_copying());
+            // Without ids, the events that the caller has are not known to a copy's engine.
+            let has_ids = self.last_id.is_some();
+            let silence = max_silence.filter(|_| has_begun && has_ids && !run_move.is_copying());
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 is_overdue = run_move.next_step() => {
@@ -265,12 +266,10 @@
         shared.hold(own.hold(event))
     }
 
-    /// Time without an event after which the run continues at its copy; none without a copy, or
-    /// without ids by which the events that the caller has are known.
+    /// Time without an event after which the run continues at its copy; none without a copy.
     fn max_silence(&self) -> Option<Duration> {
         let run = &self.run;
         run.backup.as_ref()?;
-        self.last_id?;
         let max_gap = run.admitted.route.max_event_gap?;
         // The copy expires if the engine adds nothing to it.
         let retention = run.context.transfer_spec(&run.service)?.copy_retention;
--- a/crates/core/src/process/engine_speed/engine_prompt.rs
+++ b/crates/core/src/process/engine_speed/engine_prompt.rs
@@ -21,13 +21,10 @@
     pub fetch: Option<TransferSpec>,
 }
 
-/// Time that an engine takes to begin a fetch.
-const FETCH_START: Duration = Duration::from_micros(2_500);
-
 impl EnginePrompt<'_> {
     /// Time to fetch the shared parts from the engine that has read them, if engines can.
     pub(crate) fn fetch_time(&self) -> Option<Duration> {
         let transfer = self.fetch?;
-        Some(transfer.transfer_time(self.shared_tokens) + FETCH_START)
+        Some(transfer.fetch_time(self.shared_tokens))
     }
 }
--- a/crates/core/src/process/run_copies.rs
+++ b/crates/core/src/process/run_copies.rs
@@ -7,8 +7,6 @@
 mod run_move;
 mod stream_losses;
 
-use std::time::Duration;
-
 #[doc(inline)]
 pub use copy_handle::{CopyHandle, MoveAnswer};
 #[doc(inline)]
@@ -21,6 +19,3 @@
 pub use run_move::{ActiveMoves, RunMove};
 #[doc(inline)]
 pub use stream_losses::StreamLosses;
-
-/// Time before the first byte of a transfer arrives.
-const START_TIME: Duration = Duration::from_micros(2_500);
--- a/crates/core/src/process/run_copies/prompt_fetch.rs
+++ b/crates/core/src/process/run_copies/prompt_fetch.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::START_TIME;
 use crate::version::TransferSpec;
 
 /// Factor by which a fetch has to be faster than prefilling: transfers share the link, so that a
@@ -40,7 +39,7 @@
     /// Whether the fetch is at least twice as fast as prefilling.
     #[must_use]
     pub fn is_worthwhile(&self, transfer: &TransferSpec) -> bool {
-        let fetch_time = START_TIME.saturating_add(transfer.transfer_time(self.tokens));
+        let fetch_time = transfer.fetch_time(self.tokens);
         self.prefill_time >= fetch_time.saturating_mul(MIN_GAIN)
     }
 }
--- a/crates/core/src/process/run_copies/run_move.rs
+++ b/crates/core/src/process/run_copies/run_move.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::START_TIME;
 use crate::id::ServerIncarnation;
 use crate::version::TransferSpec;
 
@@ -48,7 +47,8 @@
     pub fn is_worthwhile(&self, transfer: &TransferSpec) -> bool {
         let zone_factor = if self.is_other_zone { 2 } else { 1 };
         let transfer_time = transfer.transfer_time(self.tokens);
-        let copy_time = START_TIME.saturating_add(transfer_time.saturating_mul(zone_factor));
+        let copy_time =
+            TransferSpec::START_TIME.saturating_add(transfer_time.saturating_mul(zone_factor));
         self.remaining_time > copy_time.saturating_mul(MIN_GAIN)
     }
 }
--- a/crates/core/src/version/routing/pool.rs
+++ b/crates/core/src/version/routing/pool.rs
@@ -47,6 +47,15 @@
 }
 
 impl TransferSpec {
+    /// Time before the first byte of a transfer arrives.
+    pub const START_TIME: Duration = Duration::from_micros(2_500);
+
+    /// Time to fetch the KV cache of some tokens over an idle link.
+    #[must_use]
+    pub fn fetch_time(&self, tokens: u64) -> Duration {
+        Self::START_TIME.saturating_add(self.transfer_time(tokens))
+    }
+
     /// Time to transfer the KV cache of some tokens over an idle link.
     #[must_use]
     pub fn transfer_time(&self, tokens: u64) -> Duration {
