One piece of code for what the parts for hard load wrote twice

The schedule's inputs and the limit of late jobs stood in both ways of admission, and the count of pending work twice within itself. The question whether an engine is a prompt's home, the JSON answers of the operator listener and the parsing of addresses on amaranthctl's command line each have one place now. Behaviour is unchanged.

--- a/crates/amaranthscale/src/gateway/operator/drains.rs
+++ b/crates/amaranthscale/src/gateway/operator/drains.rs
@@ -5,7 +5,6 @@
 use amaranthscale_core::id::ServerId;
 use amaranthscale_core::process::ServerDrain;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use log::{info, warn};
 
@@ -13,8 +12,8 @@
 use super::super::clock::ms;
 use super::super::process::GatewayContext;
 use super::super::version::{WriteError, write_store_once};
-use super::line;
-use crate::connection::{ResponseBody, full_body, read_body};
+use super::json;
+use crate::connection::{ResponseBody, read_body};
 use crate::operator::{ChangeAnswer, ChangeOutcome, ChangeRequest, GATEWAY_SERVERS_PATH};
 
 /// Maximum size of a request's body, which names the operator.
@@ -145,15 +144,5 @@
         ChangeOutcome::NotDone => StatusCode::BAD_GATEWAY,
         ChangeOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
     };
-    match serde_json::to_vec(&ChangeAnswer { outcome, text }) {
-        Ok(json) => {
-            let mut response = Response::new(full_body(json));
-            *response.status_mut() = status;
-            response
-                .headers_mut()
-                .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-            response
-        }
-        Err(error) => line(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-    }
+    json(status, &ChangeAnswer { outcome, text })
 }
--- a/crates/amaranthscale/src/gateway/operator/server_listing.rs
+++ b/crates/amaranthscale/src/gateway/operator/server_listing.rs
@@ -4,12 +4,11 @@
 
 use amaranthscale_core::id::{ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{ColdLimits, ServerList, ServerUse};
-use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 
 use super::super::process::GatewayContext;
-use super::line;
-use crate::connection::{ResponseBody, full_body};
+use super::json;
+use crate::connection::ResponseBody;
 use crate::operator::{GatewayServers, ServerReport};
 
 /// What a gateway knows of servers beside their list.
@@ -69,14 +68,5 @@
         servers: server_reports(&servers, &inputs, now),
         moving: context.moving_runs.list(now),
     };
-    match serde_json::to_vec(&listing) {
-        Ok(json) => {
-            let mut response = Response::new(full_body(json));
-            response
-                .headers_mut()
-                .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-            response
-        }
-        Err(error) => line(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}")),
-    }
+    json(StatusCode::OK, &listing)
 }
--- a/crates/amaranthscale/src/operator/ctl.rs
+++ b/crates/amaranthscale/src/operator/ctl.rs
@@ -16,6 +16,7 @@
 mod gateway_client;
 mod gateway_commands;
 mod gateway_render;
+mod http_address;
 mod program;
 mod render;
 mod submit;
--- a/crates/amaranthscale/src/operator/ctl/entry_address.rs
+++ b/crates/amaranthscale/src/operator/ctl/entry_address.rs
@@ -6,6 +6,8 @@
 
 use quick_error::quick_error;
 
+use super::http_address::parse_http_address;
+
 quick_error! {
     /// Error for a text that is not an entry's address.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,10 +33,7 @@
     type Err = InvalidEntryAddress;
 
     fn from_str(text: &str) -> Result<Self, InvalidEntryAddress> {
-        let address = text.strip_prefix("http://").unwrap_or(text);
-        let address = address.strip_suffix('/').unwrap_or(address);
-        let parsed = address.parse().ok();
-        parsed
+        parse_http_address(text)
             .map(Self)
             .ok_or_else(|| InvalidEntryAddress::Malformed(text.to_owned()))
     }
--- a/crates/core/src/process/batcher/admission/forecast.rs
+++ b/crates/core/src/process/batcher/admission/forecast.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::super::estimate::{Estimate, MAX_RETRY_AFTER, MIN_RETRY_AFTER};
-use super::super::estimate::{completion_time, latest_starts, remaining_work};
+use super::super::estimate::{allowed_late, completion_time, latest_starts, remaining_work};
 use super::super::job::{Job, forecast_delay};
 use super::super::{Batcher, JobFailure, JobId, JobRefusal, JobSpec};
 use super::arriving::AdmittedStage;
@@ -12,8 +12,6 @@
 use super::{Admission, AdmissionPlan, Bound, RefusedForecast, StageForecast};
 use crate::id::ServiceId;
 
-/// Fraction of the remaining time that a late request may need.
-const LATE_DEADLINE_FRACTION: f64 = 0.6;
 /// Multiple of its target latency within which a late request must complete; jobs that are not
 /// begun by then are abandoned.
 const LATE_TARGET_FACTOR: f64 = 2.0;
@@ -59,14 +57,7 @@
             })
             .collect();
         let latest_starts = latest_starts(job_spec, &calls, now);
-        let work: Vec<_> = full_spec
-            .stages
-            .iter()
-            .map(|stage| self.stage_work(stage))
-            .collect();
-        let relative_value =
-            self.route_values
-                .relative(&job_spec.route, job_spec.value_tokens, work.iter().sum());
+        let (work, relative_value) = self.work_and_value(full_spec);
         let by_priority = forecast_delay(job_spec.rank, relative_value);
         let (fair_delay, is_alone) = self.fair_delay(job_spec, &capacities, now);
         let priority_delay = by_priority + fair_delay;
@@ -186,10 +177,7 @@
         });
         let waits: Vec<_> = waits.collect();
         let done = completion_time(job_spec, calls, &waits, now) + job_spec.engine_time;
-        let allowed = job_spec.deadline_left.mul_f64(LATE_DEADLINE_FRACTION).min(
-            job_spec.target_latency_left
-                + job_spec.target_latency.mul_f64(LATE_TARGET_FACTOR - 1.0),
-        );
+        let allowed = allowed_late(job_spec, LATE_TARGET_FACTOR);
         if done <= now + allowed {
             return Ok(());
         }
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -47,15 +47,7 @@
         let job_spec = &remaining_work(full_spec);
         let calls = self.call_times(job_spec, now)?;
         let latest_starts = latest_starts(job_spec, &calls, now);
-        let work: Vec<_> = full_spec
-            .stages
-            .iter()
-            .map(|stage| self.stage_work(stage))
-            .collect();
-        let total_work = work.iter().sum();
-        let relative_value =
-            self.route_values
-                .relative(&job_spec.route, job_spec.value_tokens, total_work);
+        let (work, relative_value) = self.work_and_value(full_spec);
         let priority_delay = priority_delay(job_spec.rank, relative_value);
         let waits = job_spec
             .stages
@@ -79,8 +71,19 @@
         })
     }
 
+    /// Server time that each stage takes, and the value of the answer per work relative to its route.
+    pub(super) fn work_and_value(&mut self, full_spec: &JobSpec) -> (Vec<Duration>, f64) {
+        let stages = full_spec.stages.iter();
+        let work: Vec<_> = stages.map(|stage| self.stage_work(stage)).collect();
+        let total_work = work.iter().sum();
+        let relative_value =
+            self.route_values
+                .relative(&full_spec.route, full_spec.value_tokens, total_work);
+        (work, relative_value)
+    }
+
     /// Server time that a stage's pieces take in full batches.
-    pub(super) fn stage_work(&self, stage: &StageSpec) -> Duration {
+    fn stage_work(&self, stage: &StageSpec) -> Duration {
         let spec = self.pools.get(&stage.service).and_then(|pool| pool.spec);
         let Some(spec) = spec else {
             return Duration::ZERO;
@@ -103,10 +106,7 @@
             .map(|stage| self.late_wait(&stage.service, now).total());
         let waits: Vec<_> = waits.collect();
         let done = completion_time(job_spec, calls, &waits, now);
-        let allowed = job_spec.deadline_left.mul_f64(LATE_DEADLINE_FRACTION).min(
-            job_spec.target_latency_left
-                + job_spec.target_latency.mul_f64(LATE_TARGET_FACTOR - 1.0),
-        );
+        let allowed = allowed_late(job_spec, LATE_TARGET_FACTOR);
         if done + job_spec.engine_time <= now + allowed {
             return Ok(());
         }
@@ -166,6 +166,15 @@
     }
 }
 
+/// Time within which a late request must complete: a fraction of its deadline, and a multiple of its
+/// target latency.
+pub(super) fn allowed_late(job_spec: &JobSpec, target_factor: f64) -> Duration {
+    let by_target =
+        job_spec.target_latency_left + job_spec.target_latency.mul_f64(target_factor - 1.0);
+    let by_deadline = job_spec.deadline_left.mul_f64(LATE_DEADLINE_FRACTION);
+    by_deadline.min(by_target)
+}
+
 /// The spec without the pieces whose results are retained.
 pub(super) fn remaining_work(job_spec: &JobSpec) -> Cow<'_, JobSpec> {
     if job_spec.retained.is_empty() {
--- a/crates/core/src/process/batcher/pending_work.rs
+++ b/crates/core/src/process/batcher/pending_work.rs
@@ -49,7 +49,7 @@
             pieces.late = 0;
         }
         for job in jobs.filter(|job| !job.is_reported) {
-            self.count(job);
+            self.add_to(job, |pieces| &mut pieces.on_time);
         }
         for pieces in self.services.values_mut() {
             pieces.accumulate();
@@ -58,13 +58,8 @@
 
     /// On-time pieces of a service that are scheduled up to a time.
     pub(super) fn before(&self, service: &ServiceId, scheduled_start: Duration) -> usize {
-        let Some(pieces) = self.services.get(service) else {
-            return 0;
-        };
-        let end = pieces
-            .on_time
-            .partition_point(|(other, ..)| *other <= scheduled_start);
-        end.checked_sub(1).map_or(0, |last| pieces.on_time[last].1)
+        let pieces = self.services.get(service);
+        pieces.map_or(0, |pieces| pieces.counted(scheduled_start).0)
     }
 
     /// On-time pieces of a service that are scheduled up to a time, and the bytes of their results,
@@ -73,38 +68,17 @@
         let Some(pending) = self.services.get(service) else {
             return (0, 0);
         };
-        let end = pending
-            .on_time
-            .partition_point(|(other, ..)| *other <= scheduled_start);
-        let counted = end.checked_sub(1).map_or((0, 0), |last| {
-            let (_, pieces, bytes) = pending.on_time[last];
-            (pieces, bytes)
-        });
         let recent = pending.recent.iter();
         let recent = recent.filter(|(other, ..)| *other <= scheduled_start);
-        recent.fold(counted, |(pieces, bytes), recent| {
-            (pieces + recent.1, bytes + recent.2)
-        })
+        recent.fold(
+            pending.counted(scheduled_start),
+            |(pieces, bytes), recent| (pieces + recent.1, bytes + recent.2),
+        )
     }
 
     /// Adds a job that was accepted since the count.
     pub(super) fn add(&mut self, job: &Job) {
-        for (index, stage) in job.stages.iter().enumerate() {
-            let waiting = stage.waiting_pieces().count();
-            if waiting == 0 {
-                continue;
-            }
-            let service = stage.spec.service.clone();
-            let pending = self.services.entry(service).or_default();
-            if job.is_late {
-                pending.late += waiting;
-            } else {
-                let bytes = stage.spec.waiting_bytes(waiting);
-                pending
-                    .recent
-                    .push((job.scheduled_start(index), waiting, bytes));
-            }
-        }
+        self.add_to(job, |pieces| &mut pieces.recent);
     }
 
     /// Pieces of late jobs.
@@ -112,7 +86,12 @@
         self.services.get(service).map_or(0, |pieces| pieces.late)
     }
 
-    fn count(&mut self, job: &Job) {
+    /// Adds a job's waiting stages to a list of its services, or to their late pieces.
+    fn add_to(
+        &mut self,
+        job: &Job,
+        list: impl Fn(&mut PendingPieces) -> &mut Vec<(Duration, usize, u64)>,
+    ) {
         for (index, stage) in job.stages.iter().enumerate() {
             let waiting = stage.waiting_pieces().count();
             if waiting == 0 {
@@ -129,15 +108,24 @@
                 pieces.late += waiting;
             } else {
                 let bytes = stage.spec.waiting_bytes(waiting);
-                pieces
-                    .on_time
-                    .push((job.scheduled_start(index), waiting, bytes));
+                list(pieces).push((job.scheduled_start(index), waiting, bytes));
             }
         }
     }
 }
 
 impl PendingPieces {
+    /// Pieces that were counted up to a time, and the bytes of their results.
+    fn counted(&self, scheduled_start: Duration) -> (usize, u64) {
+        let end = self
+            .on_time
+            .partition_point(|(other, ..)| *other <= scheduled_start);
+        end.checked_sub(1).map_or((0, 0), |last| {
+            let (_, pieces, bytes) = self.on_time[last];
+            (pieces, bytes)
+        })
+    }
+
     fn accumulate(&mut self) {
         self.on_time.sort_unstable();
         let (mut piece_sum, mut byte_sum) = (0, 0_u64);
--- a/crates/core/src/process/server_selector/engine_choice.rs
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -138,6 +138,16 @@
         home.map(|(_, server)| server)
     }
 
+    fn is_home(
+        &self,
+        engine: &ServerRecord,
+        servers: &UsableServers<'_>,
+        prompt: &EnginePrompt<'_>,
+    ) -> bool {
+        let home = self.prefix_home(servers, prompt.shared_prefix);
+        home.is_some_and(|home| home.incarnation == engine.incarnation)
+    }
+
     /// Records that a prompt is sent to an engine; the home engine of its shared parts has them
     /// already.
     pub fn begin_engine_run(
@@ -147,8 +157,7 @@
         prompt: &EnginePrompt<'_>,
         now: Duration,
     ) -> EngineRunId {
-        let home = self.prefix_home(servers, prompt.shared_prefix);
-        let is_home = home.is_some_and(|home| home.incarnation == engine.incarnation);
+        let is_home = self.is_home(engine, servers, prompt);
         let cached = if is_home { prompt.shared_tokens } else { 0 };
         let tokens = prompt.tokens.saturating_sub(cached);
         let others = self.others_backlog_tokens(&engine.incarnation, now);
@@ -173,8 +182,7 @@
             return None;
         }
         let cost = costs[index];
-        let home = self.prefix_home(servers, prompt.shared_prefix);
-        let is_home = home.is_some_and(|home| home.incarnation == engine.incarnation);
+        let is_home = self.is_home(engine, servers, prompt);
         let seconds = self.first_event_s(engine, cost, prompt, is_home, now);
         Duration::try_from_secs_f64(seconds).ok()
     }
