JSON answers and test fixtures have one place

The operator listener of gateways built JSON answers that the entry's replies build already; the functions moved to the connection module and serve both. No assertion is changed.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -4,6 +4,7 @@
 mod frame_reader;
 mod http1_client;
 mod http_server;
+mod json_response;
 mod open_stream;
 mod peer_client;
 mod port_probe;
@@ -20,6 +21,8 @@
 pub use http_server::{HttpServer, HttpServerLimits};
 #[doc(inline)]
 pub use http1_client::{Http1Connection, SendError};
+#[doc(inline)]
+pub use json_response::{json_response, serialised_response, to_json};
 pub(crate) use open_stream::open_stream;
 #[doc(inline)]
 pub use peer_client::{ConnectionNumber, PeerClient, PeerClientLimits, PeerConnection, PeerError};
--- a/crates/amaranthscale/src/entry/connection/caller_http.rs
+++ b/crates/amaranthscale/src/entry/connection/caller_http.rs
@@ -16,8 +16,8 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::Instant;
 
-use super::reply::{REQUEST_ID_HEADER, answer_response, to_json, with_retry_after};
-use crate::connection::{ReadBodyError, ResponseBody, read_body};
+use super::reply::{REQUEST_ID_HEADER, answer_response, with_retry_after};
+use crate::connection::{ReadBodyError, ResponseBody, read_body, to_json};
 use crate::entry::process::EntryContext;
 use crate::entry::request::{
     Answer, AnswerEnvelope, CallerHead, CallerRequest, DeadlineLimits, RequestRun, TokenText,
--- a/crates/amaranthscale/src/entry/connection/operator_http.rs
+++ b/crates/amaranthscale/src/entry/connection/operator_http.rs
@@ -13,8 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::CallerHttp;
-use super::reply::{json_response, serialised_response, status};
-use crate::connection::{ResponseBody, read_body};
+use super::reply::status;
+use crate::connection::{ResponseBody, json_response, read_body, serialised_response};
 use crate::entry::process::{DecisionsStatus, EntryContext};
 use crate::version::{EditProposal, EditResult, PlannerStatus, TreeStatus, TreeSyncHandle};
 
--- a/crates/amaranthscale/src/gateway/operator.rs
+++ b/crates/amaranthscale/src/gateway/operator.rs
@@ -8,9 +8,7 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use serde::Serialize;
 
 use super::StoreApi;
 use super::process::GatewayContext;
@@ -52,21 +50,6 @@
     }
 }
 
-/// An answer in JSON.
-fn json(status: StatusCode, content: &impl Serialize) -> Response<ResponseBody> {
-    match serde_json::to_vec(content) {
-        Ok(json) => {
-            let mut response = Response::new(full_body(json));
-            *response.status_mut() = status;
-            response
-                .headers_mut()
-                .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-            response
-        }
-        Err(error) => line(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-    }
-}
-
 /// An answer of one line of text.
 fn line(status: StatusCode, text: impl Into<String>) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(text.into() + "\n"));
--- a/crates/amaranthscale/src/gateway/operator/drains.rs
+++ b/crates/amaranthscale/src/gateway/operator/drains.rs
@@ -12,8 +12,7 @@
 use super::super::clock::ms;
 use super::super::process::GatewayContext;
 use super::super::version::{WriteError, write_store_once};
-use super::json;
-use crate::connection::{ResponseBody, read_body};
+use crate::connection::{ResponseBody, read_body, serialised_response};
 use crate::operator::{ChangeAnswer, ChangeOutcome, ChangeRequest, GATEWAY_SERVERS_PATH};
 
 /// Maximum size of a request's body, which names the operator.
@@ -144,5 +143,5 @@
         ChangeOutcome::NotDone => StatusCode::BAD_GATEWAY,
         ChangeOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
     };
-    json(status, &ChangeAnswer { outcome, text })
+    serialised_response(status, &ChangeAnswer { outcome, text })
 }
--- a/crates/amaranthscale/src/gateway/operator/server_listing.rs
+++ b/crates/amaranthscale/src/gateway/operator/server_listing.rs
@@ -7,8 +7,7 @@
 use hyper::{Response, StatusCode};
 
 use super::super::process::GatewayContext;
-use super::json;
-use crate::connection::ResponseBody;
+use crate::connection::{ResponseBody, serialised_response};
 use crate::operator::{GatewayServers, ServerReport};
 
 /// What a gateway knows of servers beside their list.
@@ -68,5 +67,5 @@
         servers: server_reports(&servers, &inputs, now),
         moving: context.moving_runs.list(now),
     };
-    json(StatusCode::OK, &listing)
+    serialised_response(StatusCode::OK, &listing)
 }
--- a/crates/core/tests/server_drains.rs
+++ b/crates/core/tests/server_drains.rs
@@ -2,28 +2,20 @@
 
 #![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
 
+#[path = "support/server_record.rs"]
+mod server_record;
+
 use std::time::Duration;
 
 use amaranthscale_core::id::ServiceId;
 use amaranthscale_core::process::{
     DRAIN_RETENTION, DrainChange, ServerAvailability, ServerChange, ServerDrain, ServerList,
-    ServerRecord, StaleDrains,
+    StaleDrains,
 };
+use server_record::record;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn record(id: &str) -> ServerRecord {
-    ServerRecord {
-        incarnation: id.parse().unwrap(),
-        service: "scale".parse().unwrap(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        zone: "north".parse().unwrap(),
-        slots: 4,
-        is_leaving: false,
-        cold_left: None,
-    }
-}
-
 fn listed(ids: &[&str]) -> Vec<ServerChange> {
     let records = ids.iter().map(|id| ServerChange::Listed(record(id)));
     records.collect()
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -2,6 +2,9 @@
 
 #![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
 
+#[path = "support/server_record.rs"]
+mod server_record;
+
 use std::time::Duration;
 
 use amaranthscale_core::id::{RowVersion, ServerIncarnation, ServiceId, ZoneId};
@@ -9,21 +12,10 @@
     ColdLimits, EXPIRY_GRACE, ServerAvailability, ServerChange, ServerList, ServerRecord,
     ZoneChange, ZoneState,
 };
+use server_record::record;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn record(id: &str) -> ServerRecord {
-    ServerRecord {
-        incarnation: id.parse().unwrap(),
-        service: "scale".parse().unwrap(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        zone: "north".parse().unwrap(),
-        slots: 4,
-        is_leaving: false,
-        cold_left: None,
-    }
-}
-
 fn list_of(ids: &[&str]) -> ServerList {
     let mut servers = ServerList::default();
     for id in ids {
