Admission by forecast learns from the jobs that it refuses

Cause: the forecast error was measured only on jobs that started, so a forecast that is too high for a kind was never corrected: the kind was refused and gave no samples. One error covered all ranks of a service, and urgent jobs, which wait little and start often, outweighed the least urgent ones. A refused job leaves a probe at each service that it would have waited for, which ends when the service would have started it (each probe takes its own places of a call), or at the job's limit as a lower bound of the wait; at most 64 for each service. The error is kept by service and rank with its mean deviation, and a job is refused only if the favourable end misses the limit as well. The test of the simulation's routes covers both deployments.

--- a/crates/core/src/process/batcher/admission.rs
+++ b/crates/core/src/process/batcher/admission.rs
@@ -16,8 +16,12 @@
 mod fluid_wait;
 mod forecast;
 mod forecast_error;
+mod probe;
+mod probes;
 mod refused_forecast;
 mod residence;
+mod service_error;
+mod started_places;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -32,17 +36,21 @@
 pub(super) use admission_plan::{AdmissionPlan, StageForecast};
 pub(super) use capacity::bytes_as_f64;
 pub(super) use residence::Residence;
+pub(super) use started_places::StartedPlaces;
 
 use arriving::Arriving;
 use capacity::Capacity;
 use fair_delay::FairDelay;
-use forecast_error::ForecastError;
+use probe::Probe;
+use probes::Probes;
+use service_error::ServiceError;
 
 /// State of admission by forecast.
 #[derive(Debug, Default)]
 pub(super) struct Admission {
     arriving: BTreeMap<ServiceId, Arriving>,
-    errors: BTreeMap<ServiceId, ForecastError>,
+    errors: BTreeMap<ServiceId, ServiceError>,
+    probes: BTreeMap<ServiceId, Probes>,
     fair_delays: BTreeMap<Rank, FairDelay>,
     /// Absolute errors of forecast waits that were not taken yet.
     wait_errors: Vec<Duration>,
@@ -51,15 +59,19 @@
 }
 
 impl Admission {
-    fn ratio(&self, service: &ServiceId, now: Duration) -> f64 {
-        let error = self.errors.get(service);
-        error.map_or(1.0, |error| error.ratio(now))
+    /// Ratio of actual to forecast waits of a rank, and the favourable end of the recent ones.
+    fn ratios(&self, service: &ServiceId, rank: Rank, now: Duration) -> (f64, f64) {
+        let error = self.errors.get(service).map(|error| error.of(rank));
+        error.map_or((1.0, 1.0), |error| {
+            (error.ratio(now), error.favourable_ratio(now))
+        })
     }
 
     /// Records the wait of a stage that starts now.
     pub(super) fn record_start(
         &mut self,
         service: &ServiceId,
+        rank: Rank,
         forecast: StageForecast,
         queued_at: Duration,
         now: Duration,
@@ -76,7 +88,45 @@
         let forecast_s = forecast.wait_s.max(forecast.inputs_in_s) + forecast.margin_s;
         let actual_s = forecast.inputs_in_s + waited_s + forecast.margin_s;
         let error = self.errors.entry(service.clone()).or_default();
-        error.record(actual_s, forecast_s, now);
+        error.record(rank, actual_s, forecast_s, now);
+    }
+
+    /// Whether refused jobs have left probes at a service.
+    pub(super) fn has_probes(&self, service: &ServiceId) -> bool {
+        let probes = self.probes.get(service);
+        probes.is_some_and(|probes| !probes.is_empty())
+    }
+
+    /// Ends the probes whose stages would start now.
+    pub(super) fn end_probes(
+        &mut self,
+        service: &ServiceId,
+        places: &StartedPlaces,
+        now: Duration,
+    ) {
+        let Some(probes) = self.probes.get_mut(service) else {
+            return;
+        };
+        let ended = probes.end(places, now);
+        let error = self.errors.entry(service.clone()).or_default();
+        for probe in ended {
+            error.record(probe.rank, probe.actual_s(now), probe.forecast_s(), now);
+        }
+    }
+
+    /// Drops the probes that have reached the limits of their jobs.
+    pub(super) fn expire_probes(&mut self, now: Duration) {
+        for (service, probes) in &mut self.probes {
+            for probe in probes.expire(now) {
+                let error = self.errors.entry(service.clone()).or_default();
+                error.record_at_least(probe.rank, probe.actual_s(now), probe.forecast_s(), now);
+            }
+        }
+    }
+
+    fn leave_probe(&mut self, service: &ServiceId, probe: Probe) {
+        let probes = self.probes.entry(service.clone()).or_default();
+        probes.add(probe);
     }
 }
 
@@ -85,7 +135,7 @@
     pub fn forecast_ratios(&self, now: Duration) -> impl Iterator<Item = (&ServiceId, f64)> {
         let admission = self.admission.iter();
         let errors = admission.flat_map(|admission| &admission.errors);
-        errors.map(move |(service, error)| (service, error.ratio(now)))
+        errors.map(move |(service, error)| (service, error.all().ratio(now)))
     }
 
     /// Absolute errors of the forecast waits of stages that have started since the last call.
--- a/crates/core/src/process/batcher/admission/displacement.rs
+++ b/crates/core/src/process/batcher/admission/displacement.rs
@@ -74,7 +74,8 @@
                 .entry(stage.spec.service.clone())
                 .or_default();
             let forecast_s = forecast.wait_s.max(forecast.inputs_in_s) + forecast.margin_s;
-            error.record(forecast_s + missing.as_secs_f64(), forecast_s, now);
+            let actual_s = forecast_s + missing.as_secs_f64();
+            error.record(job.spec.rank, actual_s, forecast_s, now);
         }
     }
 
--- a/crates/core/src/process/batcher/admission/forecast.rs
+++ b/crates/core/src/process/batcher/admission/forecast.rs
@@ -9,8 +9,10 @@
 use super::arriving::AdmittedStage;
 use super::capacity::{Capacity, bytes_as_f64, fits_beside, longer};
 use super::fluid_wait::fluid_wait;
+use super::probe::Probe;
 use super::{Admission, AdmissionPlan, Bound, RefusedForecast, StageForecast};
 use crate::id::ServiceId;
+use crate::process::Rank;
 
 /// Multiple of its target latency within which a late request must complete; jobs that are not
 /// begun by then are abandoned.
@@ -25,7 +27,12 @@
 
 /// Forecast of a job's path.
 struct PathForecast {
+    /// By the mean of the recent errors.
     done: Duration,
+    /// By the favourable end of the recent errors.
+    done_at_best: Duration,
+    /// When the inputs of each stage are complete.
+    inputs_at: Vec<Duration>,
     stages: Vec<StageForecast>,
     binding_stage: usize,
     bound: Bound,
@@ -74,10 +81,15 @@
         let path = self.forecast_path(job_spec, &capacities, &calls, &starts, &offsets, now);
         let limit = job_spec.target_latency_left;
         // What an earlier owner admitted keeps its place.
-        let is_late = path.done + job_spec.engine_time > now + limit && !job_spec.was_admitted;
+        let is_late =
+            path.done_at_best + job_spec.engine_time > now + limit && !job_spec.was_admitted;
         self.charge_organisation(job_spec, &capacities, now);
         if is_late {
-            self.check_late_by_forecast(job_spec, &capacities, &calls, &path, now)?;
+            let check = self.check_late_by_forecast(job_spec, &capacities, &calls, &path, now);
+            if let Err(refusal) = check {
+                self.leave_probes(job_spec, &starts, &path, now);
+                return Err(refusal);
+            }
         }
         self.record_arrival(job_spec, now);
         if !is_late {
@@ -109,12 +121,18 @@
     ) -> PathForecast {
         let mut stages = vec![StageForecast::default(); job_spec.stages.len()];
         let mut done = vec![now; job_spec.stages.len()];
+        let mut done_at_best = done.clone();
+        let mut all_inputs_at = done.clone();
         let mut longest = Duration::ZERO;
         let (mut binding_stage, mut bound) = (0, Bound::Time);
         for (index, stage) in job_spec.stages.iter().enumerate() {
             let inputs_at = stage.depends_on.iter().map(|input| done[*input]);
             let inputs_at = inputs_at.max().unwrap_or(now);
             done[index] = inputs_at;
+            let at_best = stage.depends_on.iter().map(|input| done_at_best[*input]);
+            let inputs_at_best = at_best.max().unwrap_or(now);
+            done_at_best[index] = inputs_at_best;
+            all_inputs_at[index] = inputs_at;
             let Some((capacity, admission)) =
                 capacities[index].as_ref().zip(self.admission.as_mut())
             else {
@@ -144,8 +162,11 @@
             stages[index].wait_s = wait_s;
             stages[index].margin_s = capacity.call_time_s(capacity.usual_pieces) / 2.0;
             stages[index].inputs_in_s = inputs_in_s;
-            let wait = duration(wait_s * admission.ratio(&stage.service, now));
+            let (ratio, ratio_at_best) = admission.ratios(&stage.service, job_spec.rank, now);
+            let wait = duration(wait_s * ratio);
             done[index] = inputs_at.max(now + wait) + calls[index];
+            let wait_at_best = duration(wait_s * ratio_at_best);
+            done_at_best[index] = inputs_at_best.max(now + wait_at_best) + calls[index];
             let waits_beyond_inputs = (now + wait).saturating_sub(inputs_at);
             if waits_beyond_inputs >= longest {
                 longest = waits_beyond_inputs;
@@ -154,12 +175,46 @@
         }
         PathForecast {
             done: done.into_iter().max().unwrap_or(now),
+            done_at_best: done_at_best.into_iter().max().unwrap_or(now),
+            inputs_at: all_inputs_at,
             stages,
             binding_stage,
             bound,
         }
     }
 
+    /// Leaves a probe of a refused job at each service that it would have waited for.
+    fn leave_probes(
+        &mut self,
+        job_spec: &JobSpec,
+        starts: &[Duration],
+        path: &PathForecast,
+        now: Duration,
+    ) {
+        let Some(admission) = self.admission.as_mut() else {
+            return;
+        };
+        let limit = job_spec.target_latency_left;
+        let limit_at = (now + limit).saturating_sub(job_spec.engine_time);
+        for (index, stage) in job_spec.stages.iter().enumerate() {
+            let forecast = path.stages[index];
+            if stage.pieces == 0 || forecast.wait_s <= forecast.inputs_in_s {
+                continue;
+            }
+            let probe = Probe {
+                scheduled_start: starts[index],
+                rank: job_spec.rank,
+                pieces: stage.pieces,
+                result_bytes: stage.result_bytes,
+                refused_at: now,
+                inputs_at: path.inputs_at[index],
+                limit_at,
+                forecast,
+            };
+            admission.leave_probe(&stage.service, probe);
+        }
+    }
+
     /// Refuses a late job that spare capacity is not forecast to complete well before its deadline.
     fn check_late_by_forecast(
         &self,
@@ -172,7 +227,7 @@
         let stages = job_spec.stages.iter().zip(capacities);
         let waits = stages.map(|(stage, capacity)| {
             capacity.as_ref().map_or(Duration::ZERO, |capacity| {
-                self.spare_wait(&stage.service, capacity, now)
+                self.spare_wait(&stage.service, job_spec.rank, capacity, now)
             })
         });
         let waits: Vec<_> = waits.collect();
@@ -196,7 +251,13 @@
     }
 
     /// Wait of a late job for spare capacity of a service.
-    fn spare_wait(&self, service: &ServiceId, capacity: &Capacity, now: Duration) -> Duration {
+    fn spare_wait(
+        &self,
+        service: &ServiceId,
+        rank: Rank,
+        capacity: &Capacity,
+        now: Duration,
+    ) -> Duration {
         let admission = self.admission.as_ref();
         let arriving = admission.and_then(|admission| admission.arriving.get(service));
         let load = arriving.map_or(0.0, |arriving| arriving.utilisation(capacity.cost(), now));
@@ -207,7 +268,8 @@
             return NEVER;
         }
         let (wait_s, _) = capacity.wait(pieces + late, bytes_as_f64(bytes));
-        let ratio = admission.map_or(1.0, |admission| admission.ratio(service, now));
+        let (ratio, _) =
+            admission.map_or((1.0, 1.0), |admission| admission.ratios(service, rank, now));
         duration(wait_s * ratio / spare)
     }
 
@@ -221,7 +283,7 @@
             let pool = self.pools.get(&stage.spec.service);
             let capacity = pool.and_then(|pool| Capacity::of(pool, now));
             capacity.map_or(NEVER, |capacity| {
-                self.spare_wait(&stage.spec.service, &capacity, now)
+                self.spare_wait(&stage.spec.service, job.spec.rank, &capacity, now)
             })
         });
         let wait = waits.max().unwrap_or_default();
--- a/crates/core/src/process/batcher/admission/forecast_error.rs
+++ b/crates/core/src/process/batcher/admission/forecast_error.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ForecastError {
     ratio: f64,
+    /// Mean absolute difference of the samples from the ratio.
+    deviation: f64,
     at: Duration,
 }
 
@@ -24,6 +26,7 @@
     fn default() -> Self {
         Self {
             ratio: 1.0,
+            deviation: 0.0,
             at: Duration::ZERO,
         }
     }
@@ -31,10 +34,21 @@
 
 impl ForecastError {
     pub(super) fn ratio(&self, now: Duration) -> f64 {
+        1.0 + (self.ratio - 1.0) * self.kept(now)
+    }
+
+    /// The favourable end of the recent errors: the mean less one mean deviation.
+    pub(super) fn favourable_ratio(&self, now: Duration) -> f64 {
+        let deviation = self.deviation * self.kept(now);
+        (self.ratio(now) - deviation).max(MIN_RATIO)
+    }
+
+    /// Fraction of the error that is left since the last sample.
+    fn kept(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at);
         // Samples arrive with each call, so only their absence lets the ratio decay.
         let idle = age.saturating_sub(WINDOW).as_secs_f64();
-        1.0 + (self.ratio - 1.0) * (-idle / DECAY.as_secs_f64()).exp()
+        (-idle / DECAY.as_secs_f64()).exp()
     }
 
     /// Adds the wait of a stage that started.
@@ -48,7 +62,16 @@
         // Stages of one call start at the same time: each still counts a little.
         let weight = weight.clamp(0.02, MAX_WEIGHT);
         let ratio = self.ratio(now);
+        let deviation = self.deviation * self.kept(now);
+        self.deviation = deviation + weight * ((sample - ratio).abs() - deviation);
         self.ratio = ratio + weight * (sample - ratio);
         self.at = now;
     }
+
+    /// Adds a wait that lasts longer than some time: it counts only if the mean is below it.
+    pub(super) fn record_at_least(&mut self, actual_s: f64, forecast_s: f64, now: Duration) {
+        if actual_s > forecast_s * self.ratio(now) {
+            self.record(actual_s, forecast_s, now);
+        }
+    }
 }
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::admission::StartedPlaces;
 use super::job::{Job, LARGE_RESULT_BYTES, PieceState, StageState};
 use super::pool_state::{PoolState, size_by_pace};
 use super::queue::Entry;
@@ -37,9 +38,18 @@
             self.swept_at = now;
             self.sweep(now);
             self.displace_unreachable(now);
+            if let Some(admission) = self.admission.as_mut() {
+                admission.expire_probes(now);
+            }
         }
-        let has_work = |pool: &PoolState| !pool.queue.is_empty() && pool.has_available(now);
-        let ready = self.pools.iter().filter(|(_, pool)| has_work(pool));
+        let admission = self.admission.as_ref();
+        let has_probes =
+            |service: &ServiceId| admission.is_some_and(|admission| admission.has_probes(service));
+        let has_work = |service: &ServiceId, pool: &PoolState| {
+            (!pool.queue.is_empty() || has_probes(service)) && pool.has_available(now)
+        };
+        let ready = self.pools.iter();
+        let ready = ready.filter(|(service, pool)| has_work(service, pool));
         let services: Vec<_> = ready.map(|(service, _)| service.clone()).collect();
         if services.is_empty() {
             return Vec::new();
@@ -120,6 +130,7 @@
         let mut waiting_pieces =
             self.waiting_pieces(pool, spec.max_pieces.max(1) * available.len());
         let mut batches = Vec::new();
+        let mut started = Vec::new();
         for (index, (slowness, server)) in available.iter().enumerate() {
             let servers_left = available.len() - index;
             // The time of a call grows with its pieces, so free servers share the waiting pieces,
@@ -132,14 +143,49 @@
             } else {
                 target_size
             };
-            if let Some(batch) = self.form_batch(service, spec, server, target_size, now) {
+            if let Some(batch) =
+                self.form_batch(service, spec, server, target_size, &mut started, now)
+            {
                 waiting_pieces = waiting_pieces.saturating_sub(batch.items.len());
                 batches.push(batch);
             }
         }
+        self.end_probes(service, spec, &batches, started, now);
         batches
     }
 
+    /// Ends the probes of refused jobs whose stages would start with the calls that start now.
+    fn end_probes(
+        &mut self,
+        service: &ServiceId,
+        spec: BatchSpec,
+        batches: &[Batch],
+        mut started: Vec<Duration>,
+        now: Duration,
+    ) {
+        let Some((pool, admission)) = self.pools.get(service).zip(self.admission.as_mut()) else {
+            return;
+        };
+        if !admission.has_probes(service) {
+            return;
+        }
+        let called = batches.iter().map(|batch| &batch.server);
+        let free = pool.available(now).map(|(incarnation, _)| incarnation);
+        let servers: Vec<_> = called.chain(free).collect();
+        let free_bytes = servers.iter().map(|server| pool.free_bytes(server, now));
+        let first = pool.queue.in_order().next_within(u64::MAX);
+        started.sort_unstable();
+        let places = StartedPlaces {
+            places: servers.len() * spec.max_pieces.max(1),
+            started,
+            first_waiting: first
+                .filter(|entry| !entry.is_late)
+                .map(|entry| entry.scheduled_start),
+            free_bytes: free_bytes.sum(),
+        };
+        admission.end_probes(service, &places, now);
+    }
+
     /// Number of waiting pieces, counted up to `enough`.
     fn waiting_pieces(&self, pool: &PoolState, enough: usize) -> usize {
         let mut waiting = pool.queue.in_order();
@@ -160,12 +206,21 @@
         spec: BatchSpec,
         server: &ServerIncarnation,
         target_size: usize,
+        started: &mut Vec<Duration>,
         now: Duration,
     ) -> Option<Batch> {
         let chosen = self.choose_pieces(service, spec, server, target_size, now);
         if chosen.is_empty() {
             return None;
         }
+        started.extend(chosen.iter().map(|piece| {
+            let job = &self.jobs[&piece.job];
+            if job.is_late {
+                Duration::MAX
+            } else {
+                job.scheduled_start(piece.stage)
+            }
+        }));
         let pool = self.pools.get_mut(service)?;
         let free_bytes = pool.free_bytes(server, now);
         let mut reserved_bytes = 0;
@@ -181,7 +236,13 @@
                 && !job.is_late
             {
                 let forecast = plan.stages[piece.stage];
-                admission.record_start(service, forecast, stage.timestamps.queued_at, now);
+                admission.record_start(
+                    service,
+                    job.spec.rank,
+                    forecast,
+                    stage.timestamps.queued_at,
+                    now,
+                );
             }
             stage.pieces[piece.piece] = PieceState::Running;
             stage.timestamps.sent_at.get_or_insert(now);
--- a/crates/core/tests/batcher/admission.rs
+++ b/crates/core/tests/batcher/admission.rs
@@ -5,7 +5,7 @@
 use amaranthscale_core::process::{Batch, Bound, JobEvent, JobFailure, JobId, JobRefusal};
 
 use super::fixture::{ENCODE, Fixture, RERANK, RETRIEVE, ms};
-use super::load_simulation::{Figures, ROUTES, Scenario};
+use super::load_simulation::{FOUR_SERVICES, Figures, Scenario, THREE_SERVICES};
 
 /// Number of pieces of a full call.
 const FULL_CALL: usize = 10;
@@ -416,6 +416,43 @@
     );
 }
 
+/// A refused job does not start, so a forecast that is too high for it would never be corrected.
+#[test]
+fn a_service_that_would_have_started_a_refused_job_lowers_its_forecast() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let (accepted, _) = fill(&mut fixture);
+    for job in accepted {
+        fixture.batcher.release(job);
+    }
+    fixture.advance(200);
+
+    fixture.next_batches();
+
+    assert!(ratio(&fixture) < 1.0, "{}", ratio(&fixture));
+}
+
+/// A call takes longer than forecast, and nothing else starts.
+#[test]
+fn a_refused_job_that_is_never_reached_raises_the_forecast() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let running = fixture.chain(&[(ENCODE, FULL_CALL, 100)]);
+    fixture.submit(running);
+    fixture.next_batch();
+    let mut spec = fixture.chain(&[(ENCODE, FULL_CALL, 100)]);
+    spec.target_latency = ms(500);
+    spec.target_latency_left = ms(500);
+    spec.deadline_left = ms(600);
+    assert!(fixture.batcher.submit(spec, fixture.now).is_err());
+    fixture.advance(350);
+    fixture.next_batches();
+    assert!((ratio(&fixture) - 1.0).abs() < f64::EPSILON);
+
+    fixture.advance(50);
+    fixture.next_batches();
+
+    assert!(ratio(&fixture) > 1.0, "{}", ratio(&fixture));
+}
+
 /// The owner was lost after it had admitted a job. If the next one refused it for its forecast, its
 /// caller would pay twice.
 #[test]
@@ -477,11 +514,75 @@
     assert_eq!(fixture.batcher.forecast_ratios(fixture.now).count(), 0);
 }
 
+/// A load of the deployment with three services, with admission by forecast and without it; sums
+/// over some seeds.
+fn three_services(scenario: Scenario, seeds: &[u64]) -> (Figures, Figures) {
+    let mut before = Figures::new(&THREE_SERVICES);
+    let mut after = Figures::new(&THREE_SERVICES);
+    for seed in seeds {
+        let scenario = Scenario {
+            deployment: &THREE_SERVICES,
+            seed: *seed,
+            ..scenario
+        };
+        let (run_before, run_after) = both(scenario);
+        before.add(run_before);
+        after.add(run_after);
+    }
+    (before, after)
+}
+
+/// Guards against a forecast that refuses jobs of the least urgent rank which would have been
+/// served: their queue is long, and a part of the expected urgent work never arrives.
+#[test]
+fn the_least_urgent_rank_is_served_at_full_load() {
+    for load in [0.9, 1.0] {
+        let (before, after) = three_services(Scenario::at(load, true), &[7, 8]);
+
+        let in_time = after.total(|route| route.in_time);
+        let in_time_before = before.total(|route| route.in_time);
+        assert!(
+            in_time >= in_time_before,
+            "{in_time} instead of {in_time_before} at {load}"
+        );
+        let served = after.least_urgent().served();
+        let served_before = before.least_urgent().served();
+        assert!(
+            served * 100 >= served_before * 95,
+            "{served} instead of {served_before} at {load}"
+        );
+    }
+}
+
+/// Guards against a forecast that takes the arrivals of a burst as lasting.
+#[test]
+fn bursts_leave_no_fewer_served_in_time() {
+    for (load, burst) in [(0.7, 1.8), (0.95, 1.3)] {
+        let (before, after) = three_services(Scenario::with_bursts(load, burst, true), &[7]);
+
+        let in_time = after.total(|route| route.in_time);
+        let in_time_before = before.total(|route| route.in_time);
+        let name = THREE_SERVICES.name;
+        assert!(
+            in_time >= in_time_before,
+            "{name}: {in_time} instead of {in_time_before} at {load} to {burst}"
+        );
+        assert!(after.refusal_time(85) <= ms(100), "{load} to {burst}");
+    }
+}
+
 /// The table of the example names its routes by the simulation's.
 #[test]
 fn all_routes_of_the_simulation_have_requests() {
-    let figures = Scenario::at(0.6, true).run();
+    for deployment in [&FOUR_SERVICES, &THREE_SERVICES] {
+        let scenario = Scenario {
+            deployment,
+            ..Scenario::at(0.6, true)
+        };
 
-    assert_eq!(figures.routes.len(), ROUTES.len());
-    assert!(figures.routes.iter().all(|route| route.requests > 0));
+        let figures = scenario.run();
+
+        assert_eq!(figures.routes.len(), deployment.routes.len());
+        assert!(figures.routes.iter().all(|route| route.requests > 0));
+    }
 }
--- a/crates/core/tests/batcher/load_simulation.rs
+++ b/crates/core/tests/batcher/load_simulation.rs
@@ -7,12 +7,14 @@
 // The example includes this file by its path, so its modules are named by path as well.
 #[path = "load_simulation/callers.rs"]
 mod callers;
+#[path = "load_simulation/deployment.rs"]
+mod deployment;
 #[path = "load_simulation/figures.rs"]
 mod figures;
 #[path = "load_simulation/servers.rs"]
 mod servers;
 
-pub use callers::ROUTES;
+pub use deployment::{Deployment, FOUR_SERVICES, THREE_SERVICES};
 pub use figures::Figures;
 
 use callers::Callers;
@@ -32,11 +34,26 @@
 /// Time after the last arrival in which open jobs may end.
 const DRAIN: Duration = Duration::from_secs(14);
 
+/// A higher load that returns.
+#[derive(Debug, Clone, Copy)]
+pub struct Burst {
+    /// Load during it, as a fraction of the servers' capacity.
+    pub load: f64,
+    /// How long it lasts.
+    pub length: Duration,
+    /// Time from one to the next.
+    pub period: Duration,
+}
+
 /// A simulated run.
 #[derive(Debug, Clone, Copy)]
 pub struct Scenario {
+    /// Services and routes.
+    pub deployment: &'static Deployment,
     /// Load as a fraction of the servers' capacity.
     pub load: f64,
+    /// Bursts beyond the load, if there are any.
+    pub burst: Option<Burst>,
     /// Seed of arrivals.
     pub seed: u64,
     /// Whether admission is by forecast.
@@ -56,7 +73,9 @@
     /// A run at a load, with one seed.
     pub const fn at(load: f64, has_forecast: bool) -> Self {
         Self {
+            deployment: &FOUR_SERVICES,
             load,
+            burst: None,
             seed: 7,
             has_forecast,
             arrivals: Duration::from_secs(20),
@@ -66,12 +85,37 @@
         }
     }
 
+    /// A run at a load with bursts of three seconds in every ten.
+    pub const fn with_bursts(load: f64, burst_load: f64, has_forecast: bool) -> Self {
+        let burst = Burst {
+            load: burst_load,
+            length: Duration::from_secs(3),
+            period: Duration::from_secs(10),
+        };
+        Self {
+            burst: Some(burst),
+            arrivals: Duration::from_secs(30),
+            ..Self::at(load, has_forecast)
+        }
+    }
+
+    /// Load at a time; bursts come at the end of their period.
+    fn load_at(&self, at: Duration) -> f64 {
+        let is_in = |burst: &Burst| {
+            let since_start = at.saturating_sub(START).as_secs_f64();
+            let into_period = since_start % burst.period.as_secs_f64();
+            into_period >= burst.period.saturating_sub(burst.length).as_secs_f64()
+        };
+        let burst = self.burst.filter(is_in);
+        burst.map_or(self.load, |burst| burst.load)
+    }
+
     /// Runs it.
     pub fn run(self) -> Figures {
         let mut batcher = Batcher::new().with_forecast(self.has_forecast);
-        let mut servers = StageServers::new();
+        let mut servers = StageServers::new(self.deployment);
         let mut callers = Callers::new(self, START);
-        let mut figures = Figures::new();
+        let mut figures = Figures::new(self.deployment);
         let mut releases: BTreeSet<(Duration, JobId)> = BTreeSet::new();
         let mut now = START;
         let lost_from = START + self.arrivals / 2;
--- a/crates/core/tests/batcher/load_simulation/callers.rs
+++ b/crates/core/tests/batcher/load_simulation/callers.rs
@@ -8,52 +8,7 @@
 
 use super::Scenario;
 use super::figures::Figures;
-use super::servers::SERVICES;
 
-/// Requests of one route.
-#[derive(Debug, Clone, Copy)]
-pub struct RouteLoad {
-    pub name: &'static str,
-    /// Index of the service and number of pieces of each stage.
-    stages: &'static [(usize, usize)],
-    target_ms: u64,
-    deadline_ms: u64,
-    rank: u8,
-    /// Value of an answer.
-    pub value: f64,
-    /// Requests per second that, with the other routes, take all of the servers' time.
-    per_second: f64,
-}
-
-pub const ROUTES: [RouteLoad; 3] = [
-    RouteLoad {
-        name: "one-stage",
-        stages: &[(0, 2)],
-        target_ms: 1_000,
-        deadline_ms: 10_000,
-        rank: 1,
-        value: 8.0,
-        per_second: 70.0,
-    },
-    RouteLoad {
-        name: "three-stages",
-        stages: &[(1, 1), (2, 4), (3, 6)],
-        target_ms: 2_000,
-        deadline_ms: 12_000,
-        rank: 0,
-        value: 1.0,
-        per_second: 25.0,
-    },
-    RouteLoad {
-        name: "four-stages",
-        stages: &[(1, 1), (2, 4), (3, 6), (0, 2)],
-        target_ms: 4_000,
-        deadline_ms: 6_000,
-        rank: 2,
-        value: 0.15,
-        per_second: 12.0,
-    },
-];
 /// Organisations; the first few are large.
 const ORGANISATION_WEIGHTS: [f64; 16] = [
     8.0, 6.0, 4.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0,
@@ -113,7 +68,7 @@
         Self {
             scenario,
             random: Random(scenario.seed),
-            next: vec![start; ROUTES.len()],
+            next: vec![start; scenario.deployment.routes.len()],
             end: start + scenario.arrivals,
             due: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -153,10 +108,11 @@
     fn arrive(&mut self, figures: &mut Figures, now: Duration) {
         let usual: f64 = ORGANISATION_WEIGHTS.iter().sum();
         let growth = self.total_weight() / usual;
-        for (index, route) in ROUTES.iter().enumerate() {
+        let routes = self.scenario.deployment.routes;
+        for (index, route) in routes.iter().enumerate() {
             while self.next[index] <= now && self.next[index] < self.end {
                 let at = self.next[index];
-                let rate = route.per_second * self.scenario.load * growth;
+                let rate = route.per_second * self.scenario.load_at(at) * growth;
                 self.next[index] += Duration::from_secs_f64(-self.random.unit().ln() / rate);
                 // A gateway reaches the owner with its next turn of the event loop.
                 let delay = self.random.next() % (self.scenario.gateways / 5).max(1);
@@ -172,15 +128,16 @@
     }
 
     fn request(&mut self, index: usize, arrived_at: Duration) -> Request {
-        let route = &ROUTES[index];
+        let deployment = self.scenario.deployment;
+        let route = &deployment.routes[index];
         let organisation = self.organisation();
         let extra = usize::try_from(self.random.next() % 2).unwrap();
         let stages = route.stages.iter().enumerate();
         let stages = stages.map(|(stage, (service, pieces))| StageSpec {
-            service: SERVICES[*service].0.parse().unwrap(),
+            service: deployment.services[*service].name.parse().unwrap(),
             depends_on: stage.checked_sub(1).into_iter().collect(),
             pieces: if *pieces == 2 { 2 + extra } else { *pieces },
-            result_bytes: SERVICES[*service].2,
+            result_bytes: deployment.services[*service].result_bytes,
         });
         let spec = JobSpec {
             call: format!("call-{}", self.count).parse().unwrap(),
@@ -221,7 +178,7 @@
             request.attempts += 1;
             request.attempt_at = now;
             let elapsed = now.saturating_sub(request.arrived_at);
-            let route = &ROUTES[request.route];
+            let route = &self.scenario.deployment.routes[request.route];
             let mut spec = request.spec.clone();
             spec.target_latency_left =
                 Duration::from_millis(route.target_ms).saturating_sub(elapsed);
@@ -235,8 +192,7 @@
                 }
                 Err(refusal) => {
                     let figures = &mut figures.routes[request.route];
-                    figures.refused += 1;
-                    figures.refused_early += 1;
+                    figures.add_refusal(Duration::ZERO);
                     self.come_back(number, request, refusal.retry_after, now);
                 }
             }
@@ -244,7 +200,8 @@
     }
 
     fn come_back(&mut self, number: u64, request: Request, after: Duration, now: Duration) {
-        let deadline = Duration::from_millis(ROUTES[request.route].deadline_ms);
+        let deadline =
+            Duration::from_millis(self.scenario.deployment.routes[request.route].deadline_ms);
         let left = (request.arrived_at + deadline).saturating_sub(now);
         if request.attempts < 2 && left > Duration::ZERO {
             self.due
@@ -264,7 +221,7 @@
         let Some(request) = self.take(job) else {
             return;
         };
-        let route = &ROUTES[request.1.route];
+        let route = &self.scenario.deployment.routes[request.1.route];
         let request = request.1;
         let figures = &mut figures.routes[request.route];
         let target_at = request.arrived_at + Duration::from_millis(route.target_ms);
@@ -280,9 +237,7 @@
         if let Some((number, mut request)) = self.take(job) {
             let figures = &mut figures.routes[request.route];
             figures.failed += 1;
-            figures.refused += 1;
-            let waited = now.saturating_sub(request.attempt_at);
-            figures.refused_early += usize::from(waited <= Duration::from_millis(100));
+            figures.add_refusal(now.saturating_sub(request.attempt_at));
             figures.wasted += std::mem::take(&mut request.spent);
             self.come_back(number, request, DEFAULT_RETRY, now);
         }
@@ -298,9 +253,7 @@
         if let Some((number, mut request)) = self.take(job) {
             let figures = &mut figures.routes[request.route];
             figures.displaced += 1;
-            figures.refused += 1;
-            let waited = now.saturating_sub(request.attempt_at);
-            figures.refused_early += usize::from(waited <= Duration::from_millis(100));
+            figures.add_refusal(now.saturating_sub(request.attempt_at));
             figures.wasted += std::mem::take(&mut request.spent);
             self.come_back(number, request, refusal.retry_after, now);
         }
