Log the host's duration of work and the expected and actual first event

Whether the fourth figure of an engine's load helps the choice could not be measured: no log line had it beside the error of the expected first event.

`stream: ended` has `host_percent`, as stated with the load on which the choice was based, `expected_event_ms` and `first_event_ms`, both since the send. The figure counts for no selection.

Core tests engine_speed (24) and server_selector (17) pass, and 48 gateway tests of streams, speeds, fetches and fake engines.

--- a/crates/amaranthscale/src/gateway/process/engine_speeds.rs
+++ b/crates/amaranthscale/src/gateway/process/engine_speeds.rs
@@ -111,4 +111,17 @@
         self.server_selector()
             .expected_first_event(engine, &usable, prompt, now)
     }
+
+    /// As [`Self::expected_first_event`] for the log, also where the engines are equally fast.
+    pub(crate) fn estimated_first_event(
+        &self,
+        engine: &ServerRecord,
+        prompt: &EnginePrompt<'_>,
+    ) -> Option<Duration> {
+        let servers = self.cluster_view.servers();
+        let usable: UsableServers<'_> = servers.not_leaving(&engine.service).collect();
+        let now = self.cluster_view.clock().now();
+        self.server_selector()
+            .estimated_first_event(engine, &usable, prompt, now)
+    }
 }
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -61,6 +61,9 @@
     pub(super) is_continuation_reserved: bool,
     /// Load on which the choice of the last engine was based.
     pub(super) load: LoadSnapshot,
+    /// Expected time from the send to the first event at the last engine that was chosen; none where
+    /// no engine is measured.
+    pub(super) expected_first_event: Option<Duration>,
 }
 
 /// An engine's answer that has begun, and the stage results that the engine may still read.
@@ -118,6 +121,7 @@
         continuations: 0,
         is_continuation_reserved: false,
         load: LoadSnapshot::default(),
+        expected_first_event: None,
     };
     run.set_urgency();
     let answer = run.start().await?;
@@ -340,6 +344,8 @@
             },
         );
         let (server, load) = chosen?;
+        self.expected_first_event =
+            prompt.and_then(|prompt| self.context.estimated_first_event(&server, &prompt));
         self.load = load;
         Some(server)
     }
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -67,6 +67,8 @@
     body_bytes: usize,
     address: SocketAddr,
     started: Instant,
+    /// When the request was about to be sent; before that, when the server was chosen.
+    sent_at: Instant,
     /// Measures the run; none before it is sent, and where the speed is not used.
     run_times: Option<EngineRunTimes>,
     end: SendEnd,
@@ -88,6 +90,7 @@
             body_bytes,
             address: server.address,
             started: Instant::now(),
+            sent_at: Instant::now(),
             run_times: None,
             end: SendEnd::Abandoned,
         }
@@ -100,6 +103,11 @@
         }
     }
 
+    /// Time since the request was sent.
+    pub(super) fn since_sent(&self) -> std::time::Duration {
+        self.sent_at.elapsed()
+    }
+
     /// Records that the complete answer was received.
     pub(super) fn record_answer(self, admitted: &AdmittedRequest) {
         admitted.record_completion(&self.context);
@@ -185,6 +193,7 @@
     };
     in_flight_send.run_times = context.begin_engine_run(server, &admitted.attributes);
     let sent_at = Instant::now();
+    in_flight_send.sent_at = sent_at;
     let ServerAnswer {
         head,
         body,
@@ -209,9 +218,9 @@
     let dialect = &context.dialect;
     if let Some(load) = statement.load {
         let now = context.cluster_view.clock().now();
-        context
-            .server_selector()
-            .record_load(&server.incarnation, load, now);
+        let mut server_selector = context.server_selector();
+        server_selector.record_load(&server.incarnation, load, now);
+        server_selector.record_work_percent(&server.incarnation, statement.work_percent);
     }
     if !belongs_to_request(context, call, &head) {
         in_flight_send.end(SendEnd::Failed);
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::SendEnd;
+use amaranthscale_core::process::{OptionalNumber, SendEnd};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -66,6 +66,7 @@
         unread: BufferMemory::new(MAX_UNREAD_BYTES),
         last_id: answer.continued_after,
         forwarded: 0,
+        engine_first_event: None,
         unread_results: None,
     };
     tokio::spawn(relay.run(answer, open_request));
@@ -79,6 +80,9 @@
     unread: BufferMemory,
     last_id: Option<u64>,
     forwarded: u64,
+    /// Time from the send to the first event at the current engine; none for a run that continues
+    /// from a copy, which prefills little or nothing.
+    engine_first_event: Option<Duration>,
     /// Stage results that no engine has read yet, of a stream that broke before its first event.
     unread_results: Option<JobResults>,
 }
@@ -152,6 +156,8 @@
             connection,
             in_flight_send,
         } = answer.answer;
+        let is_continued = answer.continued_after.is_some();
+        self.engine_first_event = None;
         let mut results = answer.results;
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
@@ -212,6 +218,9 @@
             };
             // The engine has read its inputs before it sends its first event.
             results.take();
+            if !has_begun && !is_continued {
+                self.engine_first_event = Some(in_flight_send.since_sent());
+            }
             has_begun = true;
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
@@ -367,6 +376,10 @@
         };
         let owner = self.run.owner.as_ref().map_or("-", |owner| owner.as_str());
         let load = self.run.load;
+        let expected = self.engine_first_event.and(self.run.expected_first_event);
+        let optional_ms = |time: Option<Duration>| {
+            time.map_or_else(OptionalNumber::default, OptionalNumber::of_ms)
+        };
         let results_at = self.run.results_at.unwrap_or(admitted.arrived_at);
         info!(
             call = admitted.attributes.call.as_str(), fingerprint = fingerprint.as_str(),
@@ -374,6 +387,8 @@
             server:% = server, end, events = self.forwarded, owner,
             prompt_tokens = admitted.attributes.prompt_tokens,
             in_flight = load.in_flight, told:% = load.reported, told_age_ms:% = load.reported_age_ms,
+            host_percent:% = load.host_percent, expected_event_ms:% = optional_ms(expected),
+            first_event_ms:% = optional_ms(self.engine_first_event),
             pieces_ms = ms(results_at - admitted.arrived_at),
             aim_ms = ms(admitted.route.target_latency), begun_ms = ms(first_event_after), ms = ms(Instant::now() - admitted.arrived_at);
             "stream: ended"
--- a/crates/core/src/process/load_snapshot.rs
+++ b/crates/core/src/process/load_snapshot.rs
@@ -12,6 +12,8 @@
     pub reported: OptionalNumber,
     /// Milliseconds since the report.
     pub reported_age_ms: OptionalNumber,
+    /// Duration of work on the server's host in percent of the usual one, if the report stated it.
+    pub host_percent: OptionalNumber,
 }
 
 /// A number that may be unknown, which is then shown as `-`.
@@ -19,7 +21,9 @@
 pub struct OptionalNumber(pub Option<u64>);
 
 impl OptionalNumber {
-    pub(super) fn of_ms(time: Duration) -> Self {
+    /// The whole milliseconds of a time.
+    #[must_use]
+    pub fn of_ms(time: Duration) -> Self {
         Self(u64::try_from(time.as_millis()).ok())
     }
 }
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -111,6 +111,8 @@
     smoothed_ms: Option<f64>,
     sampled_at: Duration,
     reported: Option<(ServerLoad, Duration)>,
+    /// Duration of work on its host in percent, stated with the last reported load.
+    work_percent: Option<u32>,
     failures: u32,
     ejected_until: Duration,
     /// When it was ejected, until it is readmitted.
@@ -434,6 +436,13 @@
         self.trackers.entry(server.clone()).or_default().reported = Some((load, now));
     }
 
+    /// Records the duration of work on a server's host in percent of the usual one, as stated with
+    /// the last reported load; it counts for no selection.
+    pub fn record_work_percent(&mut self, server: &ServerIncarnation, percent: Option<u32>) {
+        let tracker = self.trackers.entry(server.clone()).or_default();
+        tracker.work_percent = percent;
+    }
+
     /// Number of this entry's requests at a server.
     #[must_use]
     pub fn in_flight(&self, server: &ServerIncarnation) -> usize {
@@ -455,6 +464,7 @@
             reported: OptionalNumber(reported),
             reported_age_ms: reported_age
                 .map_or_else(OptionalNumber::default, OptionalNumber::of_ms),
+            host_percent: OptionalNumber(tracker.work_percent.map(u64::from)),
         }
     }
 
--- a/crates/core/src/process/server_selector/engine_choice.rs
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -176,14 +176,38 @@
         now: Duration,
     ) -> Option<Duration> {
         let costs = self.engine_speeds.costs(&servers.free, now)?;
-        let mut servers_in_use = servers.free.iter();
-        let index = servers_in_use.position(|one| one.incarnation == engine.incarnation)?;
         if are_even(&costs) {
             return None;
         }
-        let cost = costs[index];
+        self.first_event_by_costs(engine, servers, &costs, prompt, now)
+    }
+
+    /// Expected time to a prompt's first event at an engine, also if the engines are equally fast;
+    /// none before any is measured. It is for the log: with equal engines, no decision depends on it.
+    #[must_use]
+    pub fn estimated_first_event(
+        &self,
+        engine: &ServerRecord,
+        servers: &UsableServers<'_>,
+        prompt: &EnginePrompt<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let costs = self.engine_speeds.costs(&servers.free, now)?;
+        self.first_event_by_costs(engine, servers, &costs, prompt, now)
+    }
+
+    fn first_event_by_costs(
+        &self,
+        engine: &ServerRecord,
+        servers: &UsableServers<'_>,
+        costs: &[EngineCost],
+        prompt: &EnginePrompt<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let mut servers_in_use = servers.free.iter();
+        let index = servers_in_use.position(|one| one.incarnation == engine.incarnation)?;
         let is_home = self.is_home(engine, servers, prompt);
-        let seconds = self.first_event_s(engine, cost, prompt, is_home, now);
+        let seconds = self.first_event_s(engine, costs[index], prompt, is_home, now);
         Duration::try_from_secs_f64(seconds).ok()
     }
 
--- a/crates/core/tests/engine_speed/choice.rs
+++ b/crates/core/tests/engine_speed/choice.rs
@@ -276,3 +276,24 @@
         engines[5].incarnation
     );
 }
+
+/// Guards against a log without expected times, which could not be compared with the actual ones,
+/// wherever engines are equally fast.
+#[test]
+fn a_first_event_is_estimated_for_the_log_even_if_engines_are_equally_fast() {
+    let engines = engines(4);
+    let usable = engines.iter().collect();
+    let even = selector(&engines, |_| 30);
+    let prompt = prompt("call-1", 9_000, 0);
+
+    let estimate = |selector: &ServerSelector| {
+        selector.estimated_first_event(&engines[0], &usable, &prompt, NOW)
+    };
+
+    assert_eq!(
+        even.expected_first_event(&engines[0], &usable, &prompt, NOW),
+        None
+    );
+    assert_eq!(estimate(&even), Some(Duration::from_millis(300)));
+    assert_eq!(estimate(&ServerSelector::default()), None);
+}
--- a/crates/core/tests/server_selector.rs
+++ b/crates/core/tests/server_selector.rs
@@ -70,12 +70,18 @@
     };
     selector.record_send(&server);
     selector.record_load(&server, load, NOW);
+    selector.record_work_percent(&server, Some(130));
 
     let seen = selector.load_snapshot(&server, NOW + Duration::from_millis(120));
 
     assert_eq!(seen.in_flight, 1);
     assert_eq!(seen.reported, OptionalNumber(Some(7)));
     assert_eq!(seen.reported_age_ms, OptionalNumber(Some(120)));
+    assert_eq!(seen.host_percent, OptionalNumber(Some(130)));
+    // A later report without the figure does not keep an earlier one.
+    selector.record_work_percent(&server, None);
+    let seen = selector.load_snapshot(&server, NOW);
+    assert_eq!(seen.host_percent, OptionalNumber(None));
     assert_eq!(OptionalNumber(None).to_string(), "-");
 }
 
