One home of a prompt's shared parts for each choice of an engine

The home was computed up to four times for a request, from two lists: the choice and the fetch took usable engines, samples and expected times all that are not leaving. With an engine that backs off or is evacuated they disagreed, and the samples took an engine that held the parts for one that prefilled them.

`PromptHomes` is computed once for each choice, from the usable engines, with the engines that this gateway has seen prefill the parts. The choice, the fetch, the samples and the expected time use it; requests without engines or with `engine-speed` and `prompt-fetch` disabled compute none.

Tests take the homes as an argument in place of the list of servers; no assertion is changed.

--- a/crates/amaranthscale/src/gateway/process/engine_speeds.rs
+++ b/crates/amaranthscale/src/gateway/process/engine_speeds.rs
@@ -5,7 +5,7 @@
 
 use amaranthscale_core::id::{ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
-    EnginePrompt, EngineRunId, ServerRecord, ServerSelector, UsableServers,
+    EnginePrompt, EngineRunId, PromptHomes, ServerRecord, ServerSelector, UsableServers,
 };
 
 use super::super::{Clock, Feature, RequestAttributes};
@@ -54,6 +54,7 @@
         &self,
         service: &ServiceId,
         attributes: &'a RequestAttributes,
+        homes: &'a PromptHomes,
         max_event_gap: Option<Duration>,
     ) -> Option<EnginePrompt<'a>> {
         if !self.features.is_enabled(Feature::EngineSpeed) {
@@ -68,6 +69,7 @@
         let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
         Some(EnginePrompt {
             shared_prefix: attributes.shared_prefix.as_deref()?,
+            homes,
             tokens: attributes.prompt_tokens,
             shared_tokens: shared_tokens.min(attributes.prompt_tokens),
             acceptable_time: Duration::ZERO,
@@ -82,13 +84,12 @@
         &self,
         engine: &ServerRecord,
         attributes: &RequestAttributes,
+        homes: &PromptHomes,
     ) -> Option<EngineRunTimes> {
-        let prompt = self.engine_prompt(&engine.service, attributes, None)?;
-        let servers = self.cluster_view.servers();
-        let usable: UsableServers<'_> = servers.not_leaving(&engine.service).collect();
+        let prompt = self.engine_prompt(&engine.service, attributes, homes, None)?;
         let now = self.cluster_view.clock().now();
         let mut selector = self.server_selector();
-        let run = selector.begin_engine_run(engine, &usable, &prompt, now);
+        let run = selector.begin_engine_run(engine, &prompt, now);
         drop(selector);
         Some(EngineRunTimes {
             clock: *self.cluster_view.clock(),
--- a/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, ServiceId};
-use amaranthscale_core::process::{PromptFetch, RecentPrefills, ServerRecord};
+use amaranthscale_core::process::{PromptFetch, PromptHomes, RecentPrefills, ServerRecord};
 use amaranthscale_core::version::TransferSpec;
 
 use super::super::super::{Feature, RequestAttributes};
@@ -22,6 +22,11 @@
         self.prefills().record(part, engine, now);
     }
 
+    /// Engines that prefilled a part lately, the latest first.
+    fn engines(&self, part: &str, now: Duration) -> Vec<ServerIncarnation> {
+        self.prefills().engines(part, now).cloned().collect()
+    }
+
     fn prefills(&self) -> MutexGuard<'_, RecentPrefills> {
         self.prefills.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -44,54 +49,64 @@
         }
     }
 
+    /// Engines that hold the shared parts of a prompt. All gateways have the same home for it as
+    /// long as they may use the same engines, whatever each has sent to them.
+    pub fn prompt_homes(&self, service: &ServiceId, attributes: &RequestAttributes) -> PromptHomes {
+        let uses_homes = self.features.is_enabled(Feature::EngineSpeed)
+            || self.features.is_enabled(Feature::PromptFetch);
+        let routing = self.cluster_view.routing();
+        let pool = routing.as_ref().and_then(|routing| routing.pool(service));
+        let has_engines = pool.is_some_and(|pool| pool.engine.is_some());
+        let part = attributes.shared_prefix.as_deref();
+        let Some(part) = part.filter(|_| uses_homes && has_engines) else {
+            return PromptHomes::default();
+        };
+        let servers = self.cluster_view.servers();
+        let now = self.cluster_view.clock().now();
+        let usable = self.usable_servers(&servers, service, now);
+        let recent = self.prompt_sources.engines(part, now);
+        let server_selector = self.server_selector();
+        let home = server_selector.prefix_home(&usable, part);
+        PromptHomes {
+            home: home.map(|home| home.incarnation.clone()),
+            recent,
+        }
+    }
+
     /// The engine from which `engine` should fetch the shared parts of a prompt; none if it holds
     /// them or prefills them nearly as fast.
     ///
-    /// An engine that this gateway has seen prefill the last shared part is preferred to the one
-    /// that all gateways send such prompts to, which may have restarted since. An engine
-    /// that has just rejected the request as it is full still holds the parts.
+    /// An engine that has just rejected the request as it is full still holds the parts.
     pub fn prompt_source(
         &self,
         service: &ServiceId,
         attributes: &RequestAttributes,
+        homes: &PromptHomes,
         engine: &ServerRecord,
     ) -> Option<ServerRecord> {
         if !self.features.is_enabled(Feature::PromptFetch) {
             return None;
         }
-        let part = attributes.shared_prefix.as_deref()?;
         let transfer = self.transfer_spec(service)?;
         let fetch = self.prompt_fetch(service, attributes)?;
         if !fetch.is_worthwhile(&transfer) {
             return None;
         }
         let now = self.cluster_view.clock().now();
-        let engines: Vec<_> = self
-            .prompt_sources
-            .prefills()
-            .engines(part, now)
-            .cloned()
-            .collect();
-        if engines.contains(&engine.incarnation) {
-            return None;
-        }
         let servers = self.cluster_view.servers();
-        let usable = self.usable_servers(&servers, service, now);
         let server_selector = self.server_selector();
-        let home = server_selector.prefix_home(&usable, part);
         let is_source = |server: &&ServerRecord| {
             let incarnation = &server.incarnation;
             server.service == *service
-                && *incarnation != engine.incarnation
                 && servers.availability(incarnation, None, now).is_usable()
                 && !server_selector.is_failing(incarnation, now)
         };
-        let recent = engines.iter().filter_map(|incarnation| {
-            servers
-                .all()
-                .find(|server| server.incarnation == *incarnation)
+        let sources = homes.sources(&engine.incarnation).filter_map(|source| {
+            let mut all = servers.all();
+            all.find(|server| server.incarnation == *source)
         });
-        recent.chain(home).find(is_source).cloned()
+        let mut usable = sources.filter(is_source);
+        usable.next().cloned()
     }
 
     /// What a fetch saves; none before enough prompts of the service were timed.
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -7,7 +7,7 @@
 use amaranthscale_core::id::{InstanceId, ResultHandle, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
     ConnectionShare, DEFAULT_ENGINE_TIME, EnginePrompt, JobFailure, JobSpec, LoadSnapshot,
-    SendingEntry, ServerRecord, StageSpec,
+    PromptHomes, SendingEntry, ServerRecord, StageSpec,
 };
 use amaranthscale_core::{Ran, ResultCode};
 use hyper::Response;
@@ -59,6 +59,8 @@
     pub(super) continuations: u32,
     /// Whether a retry was taken from the budget for the next continuation.
     pub(super) is_continuation_reserved: bool,
+    /// Engines that held the shared parts of the prompt when the last engine was chosen.
+    prompt_homes: Arc<PromptHomes>,
     /// Load on which the choice of the last engine was based.
     pub(super) load: LoadSnapshot,
     /// Expected time from the send to the first event at the last engine that was chosen; none where
@@ -120,6 +122,7 @@
         backup: None,
         continuations: 0,
         is_continuation_reserved: false,
+        prompt_homes: Arc::default(),
         load: LoadSnapshot::default(),
         expected_first_event: None,
     };
@@ -170,7 +173,8 @@
             // Counted from here on, so that requests which wait for their jobs are spread over
             // engines as well.
             let body_bytes = self.outgoing.body_bytes();
-            let in_flight_send = InFlightSend::new(&self.context, &server, body_bytes);
+            let in_flight_send = InFlightSend::new(&self.context, &server, body_bytes)
+                .with_homes(Arc::clone(&self.prompt_homes));
             let results = match stage_results {
                 StageResults::Missing => self.stage_results(&server).await?,
                 StageResults::Retained(results) => results,
@@ -251,9 +255,9 @@
     /// the prompt, and returns that engine.
     fn set_prompt_source(&mut self, server: &ServerRecord) -> Option<ServerRecord> {
         let attributes = &self.admitted.attributes;
-        let source = self
-            .context
-            .prompt_source(&self.service, attributes, server);
+        let source =
+            self.context
+                .prompt_source(&self.service, attributes, &self.prompt_homes, server);
         let address = source.as_ref().map(|source| source.address.to_string());
         let name = &self.context.dialect.headers.prompt_source;
         self.outgoing.replace_header(name, address.as_deref());
@@ -326,7 +330,9 @@
     fn choose_server(&mut self) -> Option<ServerRecord> {
         let (id, zone) = (&self.context.instance, &self.context.zone);
         let entry = SendingEntry::new(id, zone, ConnectionShare::UNLIMITED);
-        let shared_prefix = self.admitted.attributes.shared_prefix.as_deref();
+        let attributes = &self.admitted.attributes;
+        let shared_prefix = attributes.shared_prefix.as_deref();
+        self.prompt_homes = Arc::new(self.context.prompt_homes(&self.service, attributes));
         let prompt = self.engine_prompt();
         let chosen = self.context.choose_server(
             &self.service,
@@ -418,9 +424,12 @@
     fn engine_prompt(&self) -> Option<EnginePrompt<'_>> {
         let attributes = &self.admitted.attributes;
         let route = &self.admitted.route;
-        let prompt = self
-            .context
-            .engine_prompt(&self.service, attributes, route.max_event_gap)?;
+        let prompt = self.context.engine_prompt(
+            &self.service,
+            attributes,
+            &self.prompt_homes,
+            route.max_event_gap,
+        )?;
         Some(EnginePrompt {
             acceptable_time: route.target_latency / ACCEPTABLE_TARGET_DIVISOR,
             ..prompt
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use amaranthscale_core::id::CallId;
-use amaranthscale_core::process::{HealthChange, SendEnd, ServerAvailability, ServerRecord};
+use amaranthscale_core::process::{
+    HealthChange, PromptHomes, SendEnd, ServerAvailability, ServerRecord,
+};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
@@ -69,6 +71,9 @@
     started: Instant,
     /// When the request was about to be sent; before that, when the server was chosen.
     sent_at: Instant,
+    /// Engines that held the shared parts of the prompt when the server was chosen; none for a plain
+    /// request and for a run that continues from a copy.
+    homes: std::sync::Arc<PromptHomes>,
     /// Measures the run; none before it is sent, and where the speed is not used.
     run_times: Option<EngineRunTimes>,
     end: SendEnd,
@@ -91,11 +96,18 @@
             address: server.address,
             started: Instant::now(),
             sent_at: Instant::now(),
+            homes: std::sync::Arc::default(),
             run_times: None,
             end: SendEnd::Abandoned,
         }
     }
 
+    /// Sets the engines that held the shared parts of the prompt when the server was chosen.
+    pub(super) fn with_homes(mut self, homes: std::sync::Arc<PromptHomes>) -> Self {
+        self.homes = homes;
+        self
+    }
+
     /// Records that an event of the answer has arrived.
     pub(super) fn record_event(&self) {
         if let Some(run_times) = &self.run_times {
@@ -191,7 +203,8 @@
             return SendOutcome::Withheld(availability);
         }
     };
-    in_flight_send.run_times = context.begin_engine_run(server, &admitted.attributes);
+    let run_times = context.begin_engine_run(server, &admitted.attributes, &in_flight_send.homes);
+    in_flight_send.run_times = run_times;
     let sent_at = Instant::now();
     in_flight_send.sent_at = sent_at;
     let ServerAnswer {
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -90,7 +90,7 @@
 #[doc(inline)]
 pub use engine_speed::{
     EngineEstimate, EnginePrompt, EngineRunId, EngineSamples, EngineSpeeds, InvalidSamples,
-    PrefillSample, SPEED_FORMAT, SpeedClass, SpeedCollector, SpeedReport, SpeedUpdate,
+    PrefillSample, PromptHomes, SPEED_FORMAT, SpeedClass, SpeedCollector, SpeedReport, SpeedUpdate,
     SpeedVersion,
 };
 #[doc(inline)]
--- a/crates/core/src/process/engine_speed.rs
+++ b/crates/core/src/process/engine_speed.rs
@@ -12,6 +12,7 @@
 mod engine_runs;
 mod engine_samples;
 mod engine_speeds;
+mod prompt_homes;
 mod speed_class;
 mod speed_collector;
 mod speed_message;
@@ -29,6 +30,8 @@
 #[doc(inline)]
 pub use engine_speeds::EngineSpeeds;
 #[doc(inline)]
+pub use prompt_homes::PromptHomes;
+#[doc(inline)]
 pub use speed_class::SpeedClass;
 #[doc(inline)]
 pub use speed_collector::SpeedCollector;
--- a/crates/core/src/process/engine_speed/engine_prompt.rs
+++ b/crates/core/src/process/engine_speed/engine_prompt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::PromptHomes;
 use crate::version::TransferSpec;
 
 /// A request's prompt and how it may be answered.
@@ -9,6 +10,8 @@
 pub struct EnginePrompt<'a> {
     /// Id of the last prefix that it shares with other requests.
     pub shared_prefix: &'a str,
+    /// Engines that hold its shared parts.
+    pub homes: &'a PromptHomes,
     /// Tokens of the prompt.
     pub tokens: u64,
     /// Tokens of its shared parts.
--- /dev/null
+++ b/crates/core/src/process/engine_speed/prompt_homes.rs
@@ -0,0 +1,34 @@
+//! Engines that hold the shared parts of a request's prompt.
+
+use crate::id::ServerIncarnation;
+
+/// Engines that hold the shared parts of a request's prompt, as far as a gateway knows.
+///
+/// Computed once for each choice of an engine. The choice, the fetch, the samples of the run and its
+/// expected times then agree on what an engine has cached.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PromptHomes {
+    /// The engine to which all gateways send prompts with these parts.
+    pub home: Option<ServerIncarnation>,
+    /// Engines that this gateway has seen prefill the parts within the last seconds, the latest first.
+    pub recent: Vec<ServerIncarnation>,
+}
+
+impl PromptHomes {
+    /// Whether an engine is the home.
+    #[must_use]
+    pub fn is_home(&self, engine: &ServerIncarnation) -> bool {
+        self.home.as_ref() == Some(engine)
+    }
+
+    /// Engines other than `engine` from which it may fetch the parts, the likeliest to hold them
+    /// first.
+    ///
+    /// An engine that was seen to prefill the parts is preferred to the home, which may have
+    /// restarted since. None if `engine` was seen to hold them.
+    pub fn sources(&self, engine: &ServerIncarnation) -> impl Iterator<Item = &ServerIncarnation> {
+        let is_held = self.recent.contains(engine);
+        let all = self.recent.iter().chain(&self.home);
+        all.filter(move |source| !is_held && *source != engine)
+    }
+}
--- a/crates/core/src/process/server_selector/engine_choice.rs
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -65,7 +65,6 @@
         prompt: &EnginePrompt<'_>,
         now: Duration,
     ) -> Option<&'a ServerRecord> {
-        let home = self.prefix_home(&servers, prompt.shared_prefix);
         let engines = self.engines(servers, tried, now);
         let measured = self.engine_speeds.costs(&engines, now);
         let Some(costs) = measured.filter(|costs| !are_even(costs)) else {
@@ -85,7 +84,7 @@
         };
         let ranks: Vec<_> = engines.iter().map(|engine| rank_of(engine)).collect();
         let home = if prompt.shared_tokens > 0 {
-            home.map(|home| &home.incarnation)
+            prompt.homes.home.as_ref()
         } else {
             let ranked = ranks.iter().zip(&engines);
             let first = ranked.max_by(|(a, _), (b, _)| a.total_cmp(b));
@@ -138,26 +137,15 @@
         home.map(|(_, server)| server)
     }
 
-    fn is_home(
-        &self,
-        engine: &ServerRecord,
-        servers: &UsableServers<'_>,
-        prompt: &EnginePrompt<'_>,
-    ) -> bool {
-        let home = self.prefix_home(servers, prompt.shared_prefix);
-        home.is_some_and(|home| home.incarnation == engine.incarnation)
-    }
-
     /// Records that a prompt is sent to an engine; the home engine of its shared parts has them
     /// already.
     pub fn begin_engine_run(
         &mut self,
         engine: &ServerRecord,
-        servers: &UsableServers<'_>,
         prompt: &EnginePrompt<'_>,
         now: Duration,
     ) -> EngineRunId {
-        let is_home = self.is_home(engine, servers, prompt);
+        let is_home = prompt.homes.is_home(&engine.incarnation);
         let cached = if is_home { prompt.shared_tokens } else { 0 };
         let tokens = prompt.tokens.saturating_sub(cached);
         let others = self.others_backlog_tokens(&engine.incarnation, now);
@@ -206,7 +194,7 @@
     ) -> Option<Duration> {
         let mut servers_in_use = servers.free.iter();
         let index = servers_in_use.position(|one| one.incarnation == engine.incarnation)?;
-        let is_home = self.is_home(engine, servers, prompt);
+        let is_home = prompt.homes.is_home(&engine.incarnation);
         let seconds = self.first_event_s(engine, costs[index], prompt, is_home, now);
         Duration::try_from_secs_f64(seconds).ok()
     }
--- a/crates/core/tests/engine_speed/choice.rs
+++ b/crates/core/tests/engine_speed/choice.rs
@@ -5,12 +5,16 @@
 
 use amaranthscale_core::id::{InstanceId, ServerIncarnation};
 use amaranthscale_core::process::{
-    EngineEstimate, EnginePrompt, SPEED_FORMAT, ServerRecord, ServerSelector, SpeedClass,
-    SpeedUpdate, SpeedVersion,
+    EngineEstimate, EnginePrompt, PromptHomes, SPEED_FORMAT, ServerRecord, ServerSelector,
+    SpeedClass, SpeedUpdate, SpeedVersion,
 };
 use amaranthscale_core::version::TransferSpec;
 
 const NOW: Duration = Duration::from_secs(100);
+static NO_HOMES: PromptHomes = PromptHomes {
+    home: None,
+    recent: Vec::new(),
+};
 
 fn engines(count: usize) -> Vec<ServerRecord> {
     let engine = |index| ServerRecord {
@@ -64,6 +68,7 @@
 fn prompt(shared_prefix: &str, tokens: u64, shared_tokens: u64) -> EnginePrompt<'_> {
     EnginePrompt {
         shared_prefix,
+        homes: &NO_HOMES,
         tokens,
         shared_tokens,
         acceptable_time: Duration::ZERO,
@@ -72,13 +77,27 @@
     }
 }
 
+/// The home of a prefix among engines; nothing was seen to hold it.
+fn homes(selector: &ServerSelector, engines: &[ServerRecord], prefix: &str) -> PromptHomes {
+    let home = selector.prefix_home(&engines.iter().collect(), prefix);
+    PromptHomes {
+        home: home.map(|home| home.incarnation.clone()),
+        recent: Vec::new(),
+    }
+}
+
 fn chosen(
     selector: &ServerSelector,
     engines: &[ServerRecord],
     prompt: &EnginePrompt<'_>,
 ) -> ServerIncarnation {
+    let homes = homes(selector, engines, prompt.shared_prefix);
+    let prompt = EnginePrompt {
+        homes: &homes,
+        ..*prompt
+    };
     let usable = engines.iter().collect();
-    let chosen = selector.select_engine_by_speed(usable, &BTreeSet::new(), prompt, NOW);
+    let chosen = selector.select_engine_by_speed(usable, &BTreeSet::new(), &prompt, NOW);
     chosen.unwrap().incarnation.clone()
 }
 
@@ -297,3 +316,54 @@
     assert_eq!(estimate(&even), Some(Duration::from_millis(300)));
     assert_eq!(estimate(&ServerSelector::default()), None);
 }
+
+/// Guards against a choice, samples and expected times that disagree on the engine which holds the
+/// shared parts: the engine that they are sent to would seem three times as fast as it is.
+#[test]
+fn the_home_of_a_choice_counts_for_its_samples_and_expected_times() {
+    let engines = engines(4);
+    let mut selector = selector(&engines, |index| if index < 2 { 20 } else { 30 });
+    let all_homes = homes(&selector, &engines, "part-1");
+    // As if the engine that is first by its hash could not be used at the choice.
+    let mut others = engines.iter();
+    let other = others.find(|engine| !all_homes.is_home(&engine.incarnation));
+    let other = other.unwrap();
+    let homes = PromptHomes {
+        home: Some(other.incarnation.clone()),
+        recent: Vec::new(),
+    };
+    let prompt = EnginePrompt {
+        homes: &homes,
+        ..prompt("part-1", 9_000, 6_000)
+    };
+
+    let usable = engines.iter().collect();
+    let expected = selector.expected_first_event(other, &usable, &prompt, NOW);
+    let run = selector.begin_engine_run(other, &prompt, NOW);
+    let speeds = selector.engine_speeds_mut();
+    speeds.record_event(&other.incarnation, run, NOW + Duration::from_millis(120));
+    let report = speeds.report_to(&"g1".parse().unwrap(), NOW);
+
+    assert!(expected.unwrap() <= Duration::from_millis(4 * 30));
+    let tokens: Vec<_> = report
+        .samples
+        .iter()
+        .flat_map(|(_, samples)| samples.prefills.iter().map(|sample| sample.tokens))
+        .collect();
+    assert_eq!(tokens, [4_000], "own tokens and the fixed part");
+}
+
+/// Guards against fetches from an engine that does not hold the parts, or by one that does.
+#[test]
+fn parts_are_fetched_from_engines_that_were_seen_to_hold_them_and_then_from_the_home() {
+    let id = |name: &str| -> ServerIncarnation { name.parse().unwrap() };
+    let homes = PromptHomes {
+        home: Some(id("home")),
+        recent: vec![id("late"), id("early")],
+    };
+    let sources = |engine: &str| -> Vec<_> { homes.sources(&id(engine)).cloned().collect() };
+
+    assert_eq!(sources("other"), [id("late"), id("early"), id("home")]);
+    assert_eq!(sources("home"), [id("late"), id("early")]);
+    assert_eq!(sources("early"), []);
+}
--- a/crates/core/tests/engine_speed/simulation.rs
+++ b/crates/core/tests/engine_speed/simulation.rs
@@ -6,8 +6,8 @@
 
 use amaranthscale_core::id::{InstanceId, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
-    EngineEstimate, EnginePrompt, EngineRunId, ServerLoad, ServerRecord, ServerSelector,
-    SpeedCollector,
+    EngineEstimate, EnginePrompt, EngineRunId, PromptHomes, ServerLoad, ServerRecord,
+    ServerSelector, SpeedCollector,
 };
 
 /// Interval of a gateway's reports.
@@ -304,7 +304,8 @@
         let chosen = if self.scenario.choice == Choice::Affinity {
             selector.select_engine(usable, &none, prefix, self.now)
         } else {
-            let prompt = prompt(prefix, tokens, shared_tokens);
+            let homes = self.prompt_homes(gateway, prefix);
+            let prompt = prompt(prefix, &homes, tokens, shared_tokens);
             selector.select_engine_by_speed(usable, &none, &prompt, self.now)
         };
         let chosen = &chosen.unwrap().incarnation;
@@ -314,16 +315,24 @@
             .unwrap()
     }
 
+    fn prompt_homes(&self, gateway: usize, prefix: &str) -> PromptHomes {
+        let home = self.gateways[gateway].prefix_home(&self.records.iter().collect(), prefix);
+        PromptHomes {
+            home: home.map(|home| home.incarnation.clone()),
+            recent: Vec::new(),
+        }
+    }
+
     fn send(&mut self, mut request: Request) {
         let shared_tokens = request.subject.map_or(0, |_| SHARED_TOKENS);
         let gateway = request.gateway;
         let index = self.choose(gateway, &request.prefix, request.tokens, shared_tokens);
+        let homes = self.prompt_homes(gateway, &request.prefix);
         let record = &self.records[index];
         let selector = &mut self.gateways[gateway];
-        let usable = self.records.iter().collect();
-        let prompt = prompt(&request.prefix, request.tokens, shared_tokens);
+        let prompt = prompt(&request.prefix, &homes, request.tokens, shared_tokens);
         selector.record_send(&record.incarnation);
-        request.run = Some(selector.begin_engine_run(record, &usable, &prompt, self.now));
+        request.run = Some(selector.begin_engine_run(record, &prompt, self.now));
         self.engines[index].waiting.push_back(request);
         if !self.engines[index].is_busy {
             self.begin_step(index);
@@ -491,9 +500,15 @@
     }
 }
 
-fn prompt(shared_prefix: &str, tokens: u64, shared_tokens: u64) -> EnginePrompt<'_> {
+fn prompt<'a>(
+    shared_prefix: &'a str,
+    homes: &'a PromptHomes,
+    tokens: u64,
+    shared_tokens: u64,
+) -> EnginePrompt<'a> {
     EnginePrompt {
         shared_prefix,
+        homes,
         tokens,
         shared_tokens,
         acceptable_time: Duration::ZERO,
