--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use amaranthscale_core::id::CallId;
-use amaranthscale_core::process::{HealthChange, SendEnd, ServerAvailability, ServerRecord};
+use amaranthscale_core::process::{
+    HealthChange, PromptHomes, SendEnd, ServerAvailability, ServerRecord,
+};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
@@ -67,6 +69,11 @@
     body_bytes: usize,
     address: SocketAddr,
     started: Instant,
+    /// When the request was about to be sent; before that, when the server was chosen.
+    sent_at: Instant,
+    /// Engines that held the shared parts of the prompt when the server was chosen; none for a plain
+    /// request and for a run that continues from a copy.
+    homes: std::sync::Arc<PromptHomes>,
     /// Measures the run; none before it is sent, and where the speed is not used.
     run_times: Option<EngineRunTimes>,
     end: SendEnd,
@@ -88,11 +95,19 @@
             body_bytes,
             address: server.address,
             started: Instant::now(),
+            sent_at: Instant::now(),
+            homes: std::sync::Arc::default(),
             run_times: None,
             end: SendEnd::Abandoned,
         }
     }
 
+    /// Sets the engines that held the shared parts of the prompt when the server was chosen.
+    pub(super) fn with_homes(mut self, homes: std::sync::Arc<PromptHomes>) -> Self {
+        self.homes = homes;
+        self
+    }
+
     /// Records that an event of the answer has arrived.
     pub(super) fn record_event(&self) {
         if let Some(run_times) = &self.run_times {
@@ -100,6 +115,11 @@
         }
     }
 
+    /// Time since the request was sent.
+    pub(super) fn since_sent(&self) -> std::time::Duration {
+        self.sent_at.elapsed()
+    }
+
     /// Records that the complete answer was received.
     pub(super) fn record_answer(self, admitted: &AdmittedRequest) {
         admitted.record_completion(&self.context);
@@ -183,8 +203,10 @@
             return SendOutcome::Withheld(availability);
         }
     };
-    in_flight_send.run_times = context.begin_engine_run(server, &admitted.attributes);
+    let run_times = context.begin_engine_run(server, &admitted.attributes, &in_flight_send.homes);
+    in_flight_send.run_times = run_times;
     let sent_at = Instant::now();
+    in_flight_send.sent_at = sent_at;
     let ServerAnswer {
         head,
         body,
@@ -209,9 +231,9 @@
     let dialect = &context.dialect;
     if let Some(load) = statement.load {
         let now = context.cluster_view.clock().now();
-        context
-            .server_selector()
-            .record_load(&server.incarnation, load, now);
+        let mut server_selector = context.server_selector();
+        server_selector.record_load(&server.incarnation, load, now);
+        server_selector.record_work_percent(&server.incarnation, statement.work_percent);
     }
     if !belongs_to_request(context, call, &head) {
         in_flight_send.end(SendEnd::Failed);
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -90,8 +90,8 @@
 #[doc(inline)]
 pub use engine_speed::{
     EngineEstimate, EnginePrompt, EngineRunId, EngineSamples, EngineSpeeds, InvalidSamples,
-    PrefillSample, SPEED_FORMAT, SpeedClass, SpeedCollector, SpeedReport, SpeedUpdate,
-    SpeedVersion,
+    PrefillSample, PromptHomes, SPEED_FORMAT, SpeedClass, SpeedCollector, SpeedReport, SpeedUpdate,
+    SpeedVersion, StageTime,
 };
 #[doc(inline)]
 pub use fair_queue::FairQueue;
--- a/crates/core/src/process/engine_speed.rs
+++ b/crates/core/src/process/engine_speed.rs
@@ -12,9 +12,11 @@
 mod engine_runs;
 mod engine_samples;
 mod engine_speeds;
+mod prompt_homes;
 mod speed_class;
 mod speed_collector;
 mod speed_message;
+mod stage_time;
 
 pub(super) use engine_cost::EngineCost;
 #[doc(inline)]
@@ -29,11 +31,15 @@
 #[doc(inline)]
 pub use engine_speeds::EngineSpeeds;
 #[doc(inline)]
+pub use prompt_homes::PromptHomes;
+#[doc(inline)]
 pub use speed_class::SpeedClass;
 #[doc(inline)]
 pub use speed_collector::SpeedCollector;
 #[doc(inline)]
 pub use speed_message::{SPEED_FORMAT, SpeedReport, SpeedUpdate, SpeedVersion};
+#[doc(inline)]
+pub use stage_time::StageTime;
 
 /// Age from which samples and estimates are no longer used.
 pub(super) const SPEED_LIFETIME: std::time::Duration = std::time::Duration::from_secs(10);
