Moves of runs have one registry, and counters and log lines their reason

Cause: the limits on moves and the operators' listing of them were kept in two places with locks of their own, so that a move could be counted in one and not in the other, and no log line told why a run was moved.

Change: MoveRegistry in the core holds each move with its call, engines, reason and beginning; MovingRuns wraps it for the limits and the listing. New counters moves.begun.REASON beside moves.begun; reason in 'stream: moved' and, beside the failure, in 'stream: not moved', whose field 'reason' named the failure before.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -15,7 +15,7 @@
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
-    GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares,
+    GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups, SendShares,
     ShutdownGate, StatementRecorder, exchange_speeds, monitor_unresponsive, publish_crashes,
     publish_limits, remove_expired_evidence, remove_stale_drains, remove_stale_limits,
 };
@@ -284,7 +284,6 @@
         first_event_estimators: FirstEventEstimators::default(),
         prompt_sources: PromptSources::default(),
         run_backups: RunBackups::default(),
-        run_moves: RunMoves::default(),
         send_shares: SendShares::new(config.cold_allowance, config.clock.now()),
         batch_owners: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -11,7 +11,7 @@
 use super::super::{Dialect, FeatureSet};
 use super::{
     BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, MovingRuns,
-    PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares, ShutdownGate,
+    PromptSources, RetryBudgets, RunBackups, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -39,8 +39,6 @@
     pub prompt_sources: PromptSources,
     /// Recent ends of streams, by which runs are backed up.
     pub run_backups: RunBackups,
-    /// Moves of runs that take place now.
-    pub run_moves: RunMoves,
     /// This gateway's shares of sends to cold and rate-limited servers.
     pub send_shares: SendShares,
     /// Rate limits that servers report.
@@ -75,7 +73,7 @@
     pub crashes: Arc<CrashTracker>,
     /// Selects servers by the load and health that earlier sends showed.
     pub server_selector: Arc<Mutex<ServerSelector>>,
-    /// Runs that are being moved.
+    /// Moves of runs that take place now.
     pub moving_runs: Arc<MovingRuns>,
     /// Combines the samples of engines' speed while this gateway is the collector.
     pub speed_collector: Mutex<SpeedCollector>,
--- a/crates/amaranthscale/src/gateway/process/moving_runs.rs
+++ b/crates/amaranthscale/src/gateway/process/moving_runs.rs
@@ -1,10 +1,9 @@
-//! Runs that this gateway moves between engines, for operators.
+//! Runs that this gateway moves between engines: the limits on them, and their list for operators.
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use amaranthscale_core::id::{CallId, ServerIncarnation};
+use amaranthscale_core::process::{BegunMove, MoveId, MoveRegistry};
 
 use super::super::clock::ms;
 use crate::operator::MovingRun;
@@ -12,54 +11,24 @@
 /// Runs that are being moved.
 #[derive(Debug, Default)]
 pub struct MovingRuns {
-    state: Mutex<State>,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    /// Number of the next move.
-    next: u64,
-    moves: BTreeMap<u64, Move>,
-}
-
-#[derive(Debug)]
-struct Move {
-    call: CallId,
-    from: ServerIncarnation,
-    to: ServerIncarnation,
-    began_at: Duration,
+    registry: Mutex<MoveRegistry>,
 }
 
 impl MovingRuns {
-    /// Lists a run as being moved until the guard is dropped.
-    pub fn begin(
-        self: &Arc<Self>,
-        call: &CallId,
-        from: &ServerIncarnation,
-        to: &ServerIncarnation,
-        now: Duration,
-    ) -> MovingRunGuard {
-        let mut state = self.state();
-        let number = state.next;
-        state.next += 1;
-        let begun = Move {
-            call: call.clone(),
-            from: from.clone(),
-            to: to.clone(),
-            began_at: now,
-        };
-        state.moves.insert(number, begun);
-        MovingRunGuard {
+    /// Begins a move, which takes place until the guard is dropped; none beyond the limits.
+    pub fn try_begin(self: &Arc<Self>, begun: BegunMove) -> Option<MovingRunGuard> {
+        let id = self.registry().try_begin(begun)?;
+        Some(MovingRunGuard {
             runs: Arc::clone(self),
-            number,
-        }
+            id,
+        })
     }
 
     /// The runs that are being moved, the oldest move first.
     #[must_use]
     pub fn list(&self, now: Duration) -> Vec<MovingRun> {
-        let state = self.state();
-        let moves = state.moves.values().map(|one| MovingRun {
+        let registry = self.registry();
+        let moves = registry.list().map(|one| MovingRun {
             call: one.call.clone(),
             from: one.from.clone(),
             to: one.to.clone(),
@@ -68,21 +37,22 @@
         moves.collect()
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The moves and their limits; the lock is held for single decisions only.
+    pub(super) fn registry(&self) -> MutexGuard<'_, MoveRegistry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// A run that is listed as being moved.
+/// A move that takes place.
 #[derive(Debug)]
-#[must_use = "a run is listed until this is dropped"]
+#[must_use = "a move counts until this is dropped"]
 pub struct MovingRunGuard {
     runs: Arc<MovingRuns>,
-    number: u64,
+    id: MoveId,
 }
 
 impl Drop for MovingRunGuard {
     fn drop(&mut self) {
-        self.runs.state().moves.remove(&self.number);
+        self.runs.registry().end(self.id);
     }
 }
--- a/crates/amaranthscale/src/gateway/process/run_copies.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies.rs
@@ -9,4 +9,4 @@
 #[doc(inline)]
 pub use run_backups::RunBackups;
 #[doc(inline)]
-pub use run_moves::{HeldCopy, MoveEnd, RunMoves};
+pub use run_moves::{HeldCopy, MoveEnd};
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -1,12 +1,12 @@
-//! Moves runs away from engines that leave.
+//! Moves runs between engines.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
-    ActiveMoves, ConnectionShare, CopyHandle, MoveAnswer, RunBackup, RunMove, ServerAvailability,
-    ServerRecord,
+    BegunMove, ConnectionShare, CopyHandle, MoveAnswer, MoveReason, RunBackup, RunMove,
+    ServerAvailability, ServerRecord,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -27,32 +27,14 @@
 /// Maximum size of an answer, which has one handle.
 const MAX_ANSWER_BYTES: usize = 4 * 1024;
 
-/// Moves that take place now.
-#[derive(Debug, Default)]
-pub struct RunMoves {
-    active: Mutex<ActiveMoves>,
-}
-
-impl RunMoves {
-    fn active(&self) -> MutexGuard<'_, ActiveMoves> {
-        self.active.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// A move that counts as active until this is dropped.
 #[derive(Debug)]
 struct ActiveMove {
     context: Arc<GatewayContext>,
     source: ServerRecord,
     target: ServerRecord,
-    _listed: MovingRunGuard,
-}
-
-impl Drop for ActiveMove {
-    fn drop(&mut self) {
-        let (source, target) = (&self.source.incarnation, &self.target.incarnation);
-        self.context.run_moves.active().end(source, target);
-    }
+    reason: MoveReason,
+    _counted: MovingRunGuard,
 }
 
 /// A copy of a run at another engine, which is freed when this is dropped unless it was used.
@@ -65,6 +47,8 @@
     pub target: ServerRecord,
     /// Names the copy at both.
     pub handle: CopyHandle,
+    /// Why the run is moved.
+    pub reason: MoveReason,
     is_used: bool,
 }
 
@@ -118,27 +102,25 @@
             return None;
         }
         let now = self.cluster_view.clock().now();
-        let (source, target) = {
+        let (source, target, reason) = {
             let servers = self.cluster_view.servers();
-            let availability = servers.availability(source, None, now);
-            if !matches!(
-                availability,
-                ServerAvailability::Leaving | ServerAvailability::Evacuated
-            ) {
-                return None;
-            }
+            let reason = match servers.availability(source, None, now) {
+                ServerAvailability::Leaving => MoveReason::Leaving,
+                ServerAvailability::Evacuated => MoveReason::Evacuated,
+                _ => return None,
+            };
             let source = servers.all().find(|server| server.incarnation == *source)?;
             let mut usable = self.usable_servers(&servers, service, now);
-            let active = self.run_moves.active();
-            if !active.may_leave(&source.incarnation) {
+            let moves = self.moving_runs.registry();
+            if !moves.may_leave(&source.incarnation) {
                 return None;
             }
-            usable.retain(|server| active.may_enter(&server.incarnation));
-            drop(active);
+            usable.retain(|server| moves.may_enter(&server.incarnation));
+            drop(moves);
             let server_selector = self.server_selector();
             let call = &attributes.call;
             let target = RunBackup::target(usable.free, source, call, &server_selector, now)?;
-            (source.clone(), target.clone())
+            (source.clone(), target.clone(), reason)
         };
         let events_left = attributes.max_output_tokens.saturating_sub(events);
         let events_left = u32::try_from(events_left).unwrap_or(u32::MAX);
@@ -147,25 +129,25 @@
             remaining_time: event_time.saturating_mul(events_left),
             is_other_zone: source.zone != target.zone,
         };
-        let is_begun = run.is_worthwhile(&transfer)
-            && self.try_retry(service)
-            && self
-                .run_moves
-                .active()
-                .try_begin(&source.incarnation, &target.incarnation);
-        if !is_begun {
+        if !run.is_worthwhile(&transfer) || !self.try_retry(service) {
             return None;
         }
-        self.counters.count("moves.begun");
         let call = &attributes.call;
-        let listed = self
-            .moving_runs
-            .begin(call, &source.incarnation, &target.incarnation, now);
+        let counted = self.moving_runs.try_begin(BegunMove {
+            call: call.clone(),
+            from: source.incarnation.clone(),
+            to: target.incarnation.clone(),
+            reason,
+            began_at: now,
+        })?;
+        self.counters.count("moves.begun");
+        self.counters.count_reason("moves.begun", reason);
         let active = ActiveMove {
             context: Arc::clone(self),
             source,
             target,
-            _listed: listed,
+            reason,
+            _counted: counted,
         };
         let (sender, receiver) = oneshot::channel();
         tokio::spawn(move_run(active, call.clone(), sender));
@@ -227,11 +209,14 @@
 /// Copies a run while it goes on, then stops it and copies the rest.
 async fn move_run(active: ActiveMove, call: CallId, sender: oneshot::Sender<MoveEnd>) {
     let end = copy_and_stop(&active, &call, &sender).await;
-    if let MoveEnd::Continues(reason) = &end {
-        active.context.counters.count_reason("moves.failed", reason);
+    if let MoveEnd::Continues(failure) = &end {
+        active
+            .context
+            .counters
+            .count_reason("moves.failed", failure);
         info!(
             call = call.as_str(), from:% = active.source.incarnation,
-            to:% = active.target.incarnation, reason;
+            to:% = active.target.incarnation, reason = active.reason.name(), failure;
             "stream: not moved"
         );
     }
@@ -250,6 +235,7 @@
             source: active.source.clone(),
             target: active.target.clone(),
             handle,
+            reason: active.reason,
             is_used: false,
         })
     };
--- a/crates/amaranthscale/src/gateway/request/run_continuation.rs
+++ b/crates/amaranthscale/src/gateway/request/run_continuation.rs
@@ -164,7 +164,8 @@
                 Some(SendOutcome::Answer(answer)) if answer.head.status.is_success() => {
                     info!(
                         call = self.admitted.attributes.call.as_str(),
-                        from:% = copy.source.incarnation, to:% = engine.incarnation, event = after;
+                        from:% = copy.source.incarnation, to:% = engine.incarnation,
+                        reason = copy.reason.name(), event = after;
                         "stream: moved"
                     );
                     self.context.counters.count("moves.completed");
--- a/crates/amaranthscale/tests/server_listing.rs
+++ b/crates/amaranthscale/tests/server_listing.rs
@@ -11,8 +11,8 @@
 use amaranthscale::operator::ServerReport;
 use amaranthscale_core::id::{RowVersion, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
-    ColdLimits, SendEnd, ServerChange, ServerList, ServerRecord, ServerSelector, ZoneChange,
-    ZoneState,
+    BegunMove, ColdLimits, MoveReason, SendEnd, ServerChange, ServerList, ServerRecord,
+    ServerSelector, ZoneChange, ZoneState,
 };
 
 const NOW: Duration = Duration::from_secs(20);
@@ -144,8 +144,16 @@
 #[test]
 fn a_run_is_listed_as_moving_until_its_guard_is_dropped() {
     let runs = Arc::<MovingRuns>::default();
-    let (from, to) = ("a".parse().unwrap(), "b".parse().unwrap());
-    let guard = runs.begin(&"c1".parse().unwrap(), &from, &to, NOW);
+    let (from, to): (ServerIncarnation, ServerIncarnation) =
+        ("a".parse().unwrap(), "b".parse().unwrap());
+    let begun = BegunMove {
+        call: "c1".parse().unwrap(),
+        from: from.clone(),
+        to: to.clone(),
+        reason: MoveReason::Leaving,
+        began_at: NOW,
+    };
+    let guard = runs.try_begin(begun).unwrap();
     let during = runs.list(NOW + Duration::from_millis(40));
 
     drop(guard);
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -135,8 +135,8 @@
 pub use router_settings::RouterSettings;
 #[doc(inline)]
 pub use run_copies::{
-    ActiveMoves, CopyHandle, MoveAnswer, PromptFetch, RecentPrefills, RunBackup, RunMove,
-    StreamLosses,
+    BegunMove, CopyHandle, MoveAnswer, MoveId, MoveReason,
+    MoveRegistry, PromptFetch, RecentPrefills, RunBackup, RunMove, StreamLosses,
 };
 #[doc(inline)]
 pub use send_share::{SendRateLimit, SendShare};
--- a/crates/core/src/process/run_copies.rs
+++ b/crates/core/src/process/run_copies.rs
@@ -1,6 +1,8 @@
-//! Copies of KV cache between engines: fetched parts of prompts and backups of runs.
+//! Copies of KV cache between engines: fetched parts of prompts, backups of runs and moves.
 
 mod copy_handle;
+mod move_reason;
+mod move_registry;
 mod prompt_fetch;
 mod recent_prefills;
 mod run_backup;
@@ -10,12 +12,16 @@
 #[doc(inline)]
 pub use copy_handle::{CopyHandle, MoveAnswer};
 #[doc(inline)]
+pub use move_reason::MoveReason;
+#[doc(inline)]
+pub use move_registry::{BegunMove, MoveId, MoveRegistry};
+#[doc(inline)]
 pub use prompt_fetch::PromptFetch;
 #[doc(inline)]
 pub use recent_prefills::RecentPrefills;
 #[doc(inline)]
 pub use run_backup::RunBackup;
 #[doc(inline)]
-pub use run_move::{ActiveMoves, RunMove};
+pub use run_move::RunMove;
 #[doc(inline)]
 pub use stream_losses::StreamLosses;
--- a/crates/core/tests/run_copies.rs
+++ b/crates/core/tests/run_copies.rs
@@ -6,8 +6,8 @@
 
 use amaranthscale_core::id::ServerIncarnation;
 use amaranthscale_core::process::{
-    ActiveMoves, PromptFetch, RecentPrefills, RunBackup, RunMove, SendEnd, ServerLoad,
-    ServerRecord, ServerSelector, StreamLosses,
+    BegunMove, MoveReason, MoveRegistry, PromptFetch, RecentPrefills, RunBackup, RunMove, SendEnd,
+    ServerLoad, ServerRecord, ServerSelector, StreamLosses,
 };
 use amaranthscale_core::version::TransferSpec;
 
@@ -193,17 +193,28 @@
     assert!(run(80, true).is_worthwhile(&transfer()));
 }
 
+fn begun(from: &str, to: &str) -> BegunMove {
+    BegunMove {
+        call: "c1".parse().unwrap(),
+        from: engine(from),
+        to: engine(to),
+        reason: MoveReason::Leaving,
+        began_at: NOW,
+    }
+}
+
 /// Many moves at once would hold up the fetches of both engines.
 #[test]
 fn an_engine_takes_part_in_two_moves_of_each_direction_at_once() {
-    let mut moves = ActiveMoves::default();
-    let (a, b, c) = (engine("a"), engine("b"), engine("c"));
-
-    assert!(moves.try_begin(&a, &b));
-    assert!(moves.try_begin(&a, &c));
-    assert!(!moves.try_begin(&a, &c), "two from a");
-    assert!(moves.try_begin(&c, &b));
-    assert!(!moves.try_begin(&c, &b), "two to b");
-    moves.end(&a, &b);
-    assert!(moves.try_begin(&a, &b));
+    let mut moves = MoveRegistry::default();
+
+    let first = moves.try_begin(begun("a", "b")).unwrap();
+    assert!(moves.try_begin(begun("a", "c")).is_some());
+    assert!(moves.try_begin(begun("a", "c")).is_none(), "two from a");
+    assert!(moves.try_begin(begun("c", "b")).is_some());
+    assert!(moves.try_begin(begun("c", "b")).is_none(), "two to b");
+    assert_eq!(moves.list().count(), 3);
+    moves.end(first);
+    assert_eq!(moves.list().count(), 2);
+    assert!(moves.try_begin(begun("a", "b")).is_some());
 }
