Runs move away from slow engines, and from full ones to others

Cause: a run stayed at an engine that had turned several times slower, or that was full while others were half empty; only leaving engines gave up runs.

Change: EngineOverview in the core decides by published estimates of the last ten seconds and by reported loads of the last two. A slow engine (three times the median of its service, or above 0.8 of the route's longest pause) gives up the runs that end earlier elsewhere, the shortest first. A full engine gives up the fraction of its runs that the gap to another one and the free capacity of all allow; a hash of the call decides which, so that gateways which see the same old load move the same runs and not more. MoveRegistry orders the runs of an engine, and keeps an engine that has received a run from giving one for 2 s. A run stays in its first second and is moved at most twice; targets take requests without a limit. These rules of age, estimates and 2 s hold for slow and uneven engines only: runs of leaving engines would be lost by them. A stream without events is checked as well, and the time of its silence counts from its last event. New event time accessor of EngineSpeeds and load accessor of ServerSelector.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -14,10 +14,11 @@
 use super::connection::ConnectionPool;
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
-    BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
-    GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups, SendShares,
-    ShutdownGate, StatementRecorder, exchange_speeds, monitor_unresponsive, publish_crashes,
-    publish_limits, remove_expired_evidence, remove_stale_drains, remove_stale_limits,
+    BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, EngineOverviews,
+    FirstEventEstimators, GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups,
+    SendShares, ShutdownGate, StatementRecorder, exchange_speeds, monitor_unresponsive,
+    publish_crashes, publish_limits, remove_expired_evidence, remove_stale_drains,
+    remove_stale_limits,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -299,6 +300,7 @@
         max_ready_age: config.revoke_bound * READY_AGE_PERCENT / 100,
         max_routing_lag: config.apply_bound * MAX_ROUTING_LAG_PERCENT / 100,
         server_selector,
+        engine_overviews: EngineOverviews::default(),
         moving_runs: Arc::default(),
         speed_collector: Mutex::new(SpeedCollector::new(config.instance.clone())),
     }
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -67,7 +67,7 @@
 #[doc(inline)]
 pub use retry_budgets::RetryBudgets;
 #[doc(inline)]
-pub use run_copies::{HeldCopy, MoveEnd, PromptSources, RunBackups};
+pub use run_copies::{EngineOverviews, HeldCopy, MovableRun, MoveEnd, PromptSources, RunBackups};
 pub(crate) use run_job::run_job;
 #[doc(inline)]
 pub use run_job::{JobError, JobResults};
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -10,8 +10,8 @@
 use super::super::version::{AnnouncementWriter, ClusterView, TableRelay};
 use super::super::{Dialect, FeatureSet};
 use super::{
-    BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators, LimitTracker, MovingRuns,
-    PromptSources, RetryBudgets, RunBackups, SendShares, ShutdownGate,
+    BatchOwners, BufferMemory, CrashTracker, EngineOverviews, FirstEventEstimators, LimitTracker,
+    MovingRuns, PromptSources, RetryBudgets, RunBackups, SendShares, ShutdownGate,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -73,6 +73,8 @@
     pub crashes: Arc<CrashTracker>,
     /// Selects servers by the load and health that earlier sends showed.
     pub server_selector: Arc<Mutex<ServerSelector>>,
+    /// What engines report and what is estimated of them, by which runs are moved.
+    pub engine_overviews: EngineOverviews,
     /// Moves of runs that take place now.
     pub moving_runs: Arc<MovingRuns>,
     /// Combines the samples of engines' speed while this gateway is the collector.
--- a/crates/amaranthscale/src/gateway/process/moving_runs.rs
+++ b/crates/amaranthscale/src/gateway/process/moving_runs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::process::{BegunMove, MoveId, MoveRegistry};
+use tokio::time::Instant;
 
 use super::super::clock::ms;
 use crate::operator::MovingRun;
@@ -17,10 +18,13 @@
 impl MovingRuns {
     /// Begins a move, which takes place until the guard is dropped; none beyond the limits.
     pub fn try_begin(self: &Arc<Self>, begun: BegunMove) -> Option<MovingRunGuard> {
+        let began_at = begun.began_at;
         let id = self.registry().try_begin(begun)?;
         Some(MovingRunGuard {
             runs: Arc::clone(self),
             id,
+            began_at,
+            begun: Instant::now(),
         })
     }
 
@@ -49,10 +53,14 @@
 pub struct MovingRunGuard {
     runs: Arc<MovingRuns>,
     id: MoveId,
+    /// When the move began by the gateway's clock.
+    began_at: Duration,
+    begun: Instant,
 }
 
 impl Drop for MovingRunGuard {
     fn drop(&mut self) {
-        self.runs.registry().end(self.id);
+        let now = self.began_at + self.begun.elapsed();
+        self.runs.registry().end(self.id, now);
     }
 }
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthscale_core::id::{CallId, ServerIncarnation, ServiceId};
+use amaranthscale_core::id::CallId;
 use amaranthscale_core::process::{
-    BegunMove, ConnectionShare, CopyHandle, MoveAnswer, MoveReason, RunBackup, RunMove,
-    ServerAvailability, ServerRecord,
+    BegunMove, ConnectionShare, CopyHandle, MoveAnswer, MoveReason, ServerRecord,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,9 +14,10 @@
 use quick_error::quick_error;
 use tokio::sync::oneshot;
 
+use super::super::super::Feature;
 use super::super::super::connection::ServerAnswer;
-use super::super::super::{Feature, RequestAttributes};
 use super::super::{GatewayContext, MovingRunGuard, SendPermit};
+use super::MovableRun;
 use crate::connection::{SendError, read_body};
 
 /// Timeout of a call that copies a run; a copy takes some milliseconds, between zones twice as many.
@@ -87,52 +87,22 @@
 }
 
 impl GatewayContext {
-    /// Begins to move a run from `source` if its engine takes no new requests and the rest of the
-    /// run takes much longer than its copy. Takes a retry from the budget.
+    /// Begins to move a run if there is a reason to. Takes a retry from the budget.
     pub fn begin_move(
         self: &Arc<Self>,
-        service: &ServiceId,
-        attributes: &RequestAttributes,
-        source: &ServerIncarnation,
-        events: u64,
-        event_time: Duration,
+        run: &MovableRun<'_>,
     ) -> Option<oneshot::Receiver<MoveEnd>> {
-        let transfer = self.transfer_spec(service)?;
+        let transfer = self.transfer_spec(run.service)?;
         if !transfer.can_move || !self.features.is_enabled(Feature::RunMove) {
             return None;
         }
         let now = self.cluster_view.clock().now();
-        let (source, target, reason) = {
-            let servers = self.cluster_view.servers();
-            let reason = match servers.availability(source, None, now) {
-                ServerAvailability::Leaving => MoveReason::Leaving,
-                ServerAvailability::Evacuated => MoveReason::Evacuated,
-                _ => return None,
-            };
-            let source = servers.all().find(|server| server.incarnation == *source)?;
-            let mut usable = self.usable_servers(&servers, service, now);
-            let moves = self.moving_runs.registry();
-            if !moves.may_leave(&source.incarnation) {
-                return None;
-            }
-            usable.retain(|server| moves.may_enter(&server.incarnation));
-            drop(moves);
-            let server_selector = self.server_selector();
-            let call = &attributes.call;
-            let target = RunBackup::target(usable.free, source, call, &server_selector, now)?;
-            (source.clone(), target.clone(), reason)
-        };
-        let events_left = attributes.max_output_tokens.saturating_sub(events);
-        let events_left = u32::try_from(events_left).unwrap_or(u32::MAX);
-        let run = RunMove {
-            tokens: attributes.prompt_tokens.saturating_add(events),
-            remaining_time: event_time.saturating_mul(events_left),
-            is_other_zone: source.zone != target.zone,
-        };
-        if !run.is_worthwhile(&transfer) || !self.try_retry(service) {
+        let planned = self.plan_move(run, &transfer, now)?;
+        if !self.try_retry(run.service) {
             return None;
         }
-        let call = &attributes.call;
+        let (source, target, reason) = (planned.source, planned.target, planned.reason);
+        let call = &run.attributes.call;
         let counted = self.moving_runs.try_begin(BegunMove {
             call: call.clone(),
             from: source.incarnation.clone(),
--- a/crates/amaranthscale/src/gateway/request/run_move_state.rs
+++ b/crates/amaranthscale/src/gateway/request/run_move_state.rs
@@ -8,7 +8,8 @@
 
 use super::super::process::{HeldCopy, MoveEnd};
 
-/// Interval at which a stream's engine is checked for a reason to move its run.
+/// Interval at which a stream's engine is checked for a reason to move its run; twice as long
+/// without an event.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time within which the last events of a stopped run arrive, as its connection is closed then.
 const LAST_EVENTS_TIMEOUT: Duration = Duration::from_millis(150);
@@ -94,8 +95,8 @@
         )
     }
 
-    /// Waits until the copying ends, or the last events of a stopped run are overdue; for ever if
-    /// there is no move. Returns whether they are overdue.
+    /// Waits until the copying ends, the last events of a stopped run are overdue, or the engine has
+    /// to be checked again although it has sent no event. Returns whether last events are overdue.
     pub(super) async fn next_step(&mut self) -> bool {
         match &mut self.phase {
             Phase::Copying(end) => {
@@ -107,6 +108,11 @@
                 tokio::time::sleep_until(*overdue_at).await;
                 true
             }
+            // The engine is checked from its first event on.
+            Phase::Waiting if self.first_at.is_some() => {
+                tokio::time::sleep_until(self.next_check + CHECK_INTERVAL).await;
+                false
+            }
             Phase::Waiting | Phase::Failed => std::future::pending().await,
         }
     }
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::{BufferMemory, HeldCopy, JobResults, OpenRequest};
+use super::super::process::{BufferMemory, HeldCopy, JobResults, MovableRun, OpenRequest};
 use super::answer::{AnswerBody, TruncatedAnswer, forwarded_response};
 use super::engine_run::{EngineAnswer, EngineRun};
 use super::event_splitter::{EventSplitter, StreamEvent};
@@ -65,6 +65,8 @@
         sender,
         unread: BufferMemory::new(MAX_UNREAD_BYTES),
         last_id: answer.continued_after,
+        begun_at: Instant::now(),
+        moves: 0,
         forwarded: 0,
         unread_results: None,
     };
@@ -78,6 +80,10 @@
     /// Memory of this caller's share of the answers' memory.
     unread: BufferMemory,
     last_id: Option<u64>,
+    /// When the first event arrived.
+    begun_at: Instant,
+    /// Moves of the run that have begun.
+    moves: u32,
     forwarded: u64,
     /// Stage results that no engine has read yet, of a stream that broke before its first event.
     unread_results: Option<JobResults>,
@@ -157,13 +163,15 @@
         let mut has_begun = false;
         let mut run_move = RunMoveState::new(answer.server.clone(), self.last_id);
         let max_silence = self.max_silence();
+        let mut heard_at = Instant::now();
         loop {
             if has_begun {
                 self.begin_move(&mut run_move);
             }
             // Without ids, the events that the caller has are not known to a copy's engine.
             let has_ids = self.last_id.is_some();
-            let silence = max_silence.filter(|_| has_begun && has_ids && !run_move.is_copying());
+            let was_copying = run_move.is_copying();
+            let silence = max_silence.filter(|_| has_begun && has_ids && !was_copying);
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 is_overdue = run_move.next_step() => {
@@ -171,13 +179,17 @@
                         in_flight_send.end(SendEnd::Abandoned);
                         return EngineStreamEnd::Moved(copy);
                     }
+                    if was_copying {
+                        heard_at = Instant::now();
+                    }
                     continue;
                 }
                 () = self.sender.closed() => return EngineStreamEnd::CallerLeft,
                 () = tokio::time::sleep_until(self.run.admitted.deadline) => return EngineStreamEnd::TimedOut,
-                () = tokio::time::sleep(silence.unwrap_or_default()), if silence.is_some() => {
+                () = tokio::time::sleep_until(heard_at + silence.unwrap_or_default()), if silence.is_some() => {
                     // Without a continuation, a late answer is better than none.
                     if !self.run.reserve_continuation() {
+                        heard_at = Instant::now();
                         continue;
                     }
                     self.run.context.counters.count("stream.silent");
@@ -210,6 +222,7 @@
                 }
                 None => break,
             };
+            heard_at = Instant::now();
             // The engine has read its inputs before it sends its first event.
             results.take();
             has_begun = true;
@@ -276,8 +289,8 @@
         Some((max_gap * SILENCE_FACTOR).min(retention * 3 / 4))
     }
 
-    /// Begins to move the run if its engine leaves.
-    fn begin_move(&self, run_move: &mut RunMoveState) {
+    /// Begins to move the run if there is a reason to.
+    fn begin_move(&mut self, run_move: &mut RunMoveState) {
         let admitted = &self.run.admitted;
         let Some(last_id) = self.last_id.filter(|_| run_move.is_check_due()) else {
             return;
@@ -291,17 +304,20 @@
         {
             return;
         }
-        let Some(event_time) = run_move.event_time(last_id) else {
-            return;
-        };
-        let begun = self.run.context.begin_move(
-            &self.run.service,
-            &admitted.attributes,
-            run_move.engine(),
-            last_id,
-            event_time,
-        );
+        let begun = self.run.context.begin_move(&MovableRun {
+            service: &self.run.service,
+            attributes: &admitted.attributes,
+            rank: admitted.rank,
+            engine: run_move.engine(),
+            max_event_gap: admitted.route.max_event_gap,
+            time_left: admitted.remaining(),
+            events: last_id,
+            event_time: run_move.event_time(last_id),
+            age: self.begun_at.elapsed(),
+            moves: self.moves,
+        });
         if let Some(begun) = begun {
+            self.moves += 1;
             run_move.set_begun(begun);
         }
     }
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -135,7 +135,7 @@
 pub use router_settings::RouterSettings;
 #[doc(inline)]
 pub use run_copies::{
-    BegunMove, CopyHandle, MoveAnswer, MoveId, MoveReason,
+    BegunMove, CopyHandle, ElectiveRun, EngineOverview, MoveAnswer, MoveId, MoveOrder, MoveReason,
     MoveRegistry, PromptFetch, RecentPrefills, RunBackup, RunMove, StreamLosses,
 };
 #[doc(inline)]
--- a/crates/core/src/process/engine_speed/engine_speeds.rs
+++ b/crates/core/src/process/engine_speed/engine_speeds.rs
@@ -202,6 +202,18 @@
         self.engines.get(engine)?.published
     }
 
+    /// Current time between events of an engine's streams by its published estimate; none without
+    /// a recent one.
+    #[must_use]
+    pub fn published_event_time(
+        &self,
+        engine: &ServerIncarnation,
+        now: Duration,
+    ) -> Option<Duration> {
+        let estimate = self.published(engine).filter(|_| self.has_published(now))?;
+        Duration::try_from_secs_f64(estimate.cost().event_s?).ok()
+    }
+
     /// Number of engines that are known.
     #[must_use]
     pub fn engine_count(&self) -> usize {
--- a/crates/core/src/process/run_copies/run_move.rs
+++ b/crates/core/src/process/run_copies/run_move.rs
@@ -41,10 +41,22 @@
     /// Whether the rest of the run takes more than five times as long as its copy.
     #[must_use]
     pub fn is_worthwhile(&self, transfer: &TransferSpec) -> bool {
+        self.remaining_time > self.copy_time(transfer).saturating_mul(MIN_GAIN)
+    }
+
+    /// Whether the run ends earlier if it is moved to an engine that needs a time for its rest, and
+    /// the move is worthwhile.
+    #[must_use]
+    pub fn ends_earlier(&self, transfer: &TransferSpec, time_at_target: Duration) -> bool {
+        let moved = self.copy_time(transfer).saturating_add(time_at_target);
+        self.remaining_time > moved && self.is_worthwhile(transfer)
+    }
+
+    /// Time to copy the run's KV cache; twice as long between availability zones.
+    #[must_use]
+    pub fn copy_time(&self, transfer: &TransferSpec) -> Duration {
         let zone_factor = if self.is_other_zone { 2 } else { 1 };
         let transfer_time = transfer.transfer_time(self.tokens);
-        let copy_time =
-            TransferSpec::START_TIME.saturating_add(transfer_time.saturating_mul(zone_factor));
-        self.remaining_time > copy_time.saturating_mul(MIN_GAIN)
+        TransferSpec::START_TIME.saturating_add(transfer_time.saturating_mul(zone_factor))
     }
 }
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -434,6 +434,17 @@
         self.trackers.entry(server.clone()).or_default().reported = Some((load, now));
     }
 
+    /// The load that an engine reported, if it counts still.
+    #[must_use]
+    pub fn reported_engine_load(
+        &self,
+        server: &ServerIncarnation,
+        now: Duration,
+    ) -> Option<ServerLoad> {
+        let (load, at) = self.tracker(server)?.reported?;
+        (now.saturating_sub(at) <= ENGINE_LOAD_LIFETIME).then_some(load)
+    }
+
     /// Number of this entry's requests at a server.
     #[must_use]
     pub fn in_flight(&self, server: &ServerIncarnation) -> usize {
--- a/crates/core/tests/run_copies.rs
+++ b/crates/core/tests/run_copies.rs
@@ -214,7 +214,7 @@
     assert!(moves.try_begin(begun("c", "b")).is_some());
     assert!(moves.try_begin(begun("c", "b")).is_none(), "two to b");
     assert_eq!(moves.list().count(), 3);
-    moves.end(first);
+    moves.end(first, NOW);
     assert_eq!(moves.list().count(), 2);
     assert!(moves.try_begin(begun("a", "b")).is_some());
 }
