Moves between uneven engines never go back, and fewer follow an old load

Change: a run is never moved to an engine that it left. An engine that had free capacity while others were full is no source for 2.5 s at any gateway that saw its load. The fraction of runs that leaves a full engine falls with the age of the loads.

--- a/crates/amaranthscale/src/gateway/process/run_copies/movable_run.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/movable_run.rs
@@ -28,8 +28,8 @@
     pub event_time: Option<Duration>,
     /// Time since its first event.
     pub age: Duration,
-    /// Moves of the run so far.
-    pub moves: u32,
+    /// Engines from which moves of the run have begun.
+    pub left: &'a [ServerIncarnation],
 }
 
 impl MovableRun<'_> {
--- a/crates/amaranthscale/src/gateway/process/run_copies/move_choice.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/move_choice.rs
@@ -39,7 +39,7 @@
         transfer: &TransferSpec,
         now: Duration,
     ) -> Option<PlannedMove> {
-        if !ElectiveRun::may_move_again(run.moves) {
+        if !ElectiveRun::may_move_again(run.left.len()) {
             return None;
         }
         let servers = self.cluster_view.servers();
@@ -105,7 +105,7 @@
             max_event_gap: run.max_event_gap,
             time_left: run.time_left,
             age: run.age,
-            moves: run.moves,
+            left: run.left,
         };
         if source.incarnation != *run.engine
             || !elective.may_move()
@@ -176,7 +176,11 @@
         }
         let free = self.free_engines(servers, service, now);
         let engines: Vec<_> = servers.not_leaving(service).collect();
-        let overview = EngineOverview::new(&engines, &free, &self.server_selector(), now);
+        let none = EngineOverview::default();
+        let previous = overviews.get(service).map_or(&none, |(_, earlier)| earlier);
+        let server_selector = self.server_selector();
+        let overview = EngineOverview::new(previous, &engines, &free, &server_selector, now);
+        drop(server_selector);
         let overview = Arc::new(overview);
         overviews.insert(service.clone(), (now, Arc::clone(&overview)));
         overview
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -66,7 +66,7 @@
         unread: BufferMemory::new(MAX_UNREAD_BYTES),
         last_id: answer.continued_after,
         begun_at: Instant::now(),
-        moves: 0,
+        left: Vec::new(),
         forwarded: 0,
         unread_results: None,
     };
@@ -82,8 +82,8 @@
     last_id: Option<u64>,
     /// When the first event arrived.
     begun_at: Instant,
-    /// Moves of the run that have begun.
-    moves: u32,
+    /// Engines from which moves of the run have begun.
+    left: Vec<ServerIncarnation>,
     forwarded: u64,
     /// Stage results that no engine has read yet, of a stream that broke before its first event.
     unread_results: Option<JobResults>,
@@ -314,10 +314,10 @@
             events: last_id,
             event_time: run_move.event_time(last_id),
             age: self.begun_at.elapsed(),
-            moves: self.moves,
+            left: &self.left,
         });
         if let Some(begun) = begun {
-            self.moves += 1;
+            self.left.push(run_move.engine().clone());
             run_move.set_begun(begun);
         }
     }
--- a/crates/core/src/process/run_copies/elective_run.rs
+++ b/crates/core/src/process/run_copies/elective_run.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{MoveOrder, MoveReason, RunMove};
-use crate::id::CallId;
+use crate::id::{CallId, ServerIncarnation};
 use crate::process::Rank;
 use crate::process::server_list::ServerRecord;
 use crate::version::TransferSpec;
@@ -11,7 +11,7 @@
 /// Time after a run's first event before which it is not moved: most runs end soon after.
 const MIN_AGE: Duration = Duration::from_secs(1);
 /// Moves of one run.
-const MAX_MOVES: u32 = 2;
+const MAX_MOVES: usize = 2;
 
 /// A run at an engine that could be moved.
 #[derive(Debug, Clone, Copy)]
@@ -32,21 +32,26 @@
     pub time_left: Duration,
     /// Time since its first event.
     pub age: Duration,
-    /// Moves of the run so far.
-    pub moves: u32,
+    /// Engines from which moves of the run have begun.
+    pub left: &'a [ServerIncarnation],
 }
 
 impl ElectiveRun<'_> {
     /// Whether a run that was moved a number of times may be moved again, for whatever reason.
     #[must_use]
-    pub const fn may_move_again(moves: u32) -> bool {
+    pub const fn may_move_again(moves: usize) -> bool {
         moves < MAX_MOVES
     }
 
     /// Whether the run may be moved now if there is a reason to.
     #[must_use]
     pub const fn may_move(&self) -> bool {
-        self.age.as_nanos() >= MIN_AGE.as_nanos() && Self::may_move_again(self.moves)
+        self.age.as_nanos() >= MIN_AGE.as_nanos() && Self::may_move_again(self.left.len())
+    }
+
+    /// Whether the run may be moved to an engine, as it runs at another one and has not left it.
+    pub(super) fn may_go_to(&self, target: &ServerIncarnation) -> bool {
+        *target != self.engine.incarnation && !self.left.contains(target)
     }
 
     /// Its place among the runs that leave its engine for a reason.
--- a/crates/core/src/process/run_copies/engine_overview.rs
+++ b/crates/core/src/process/run_copies/engine_overview.rs
@@ -4,9 +4,10 @@
 //! engines that are full while others of the service are not. All gateways see the same estimates,
 //! and loads that are up to two seconds old, so each decision depends only on these and on the run:
 //! which runs leave a full engine is decided by a hash of the call, and the fraction that leaves is
-//! what the gap between the engines allows. However many gateways decide, and however often while
-//! the reported load stays the same, they move the same runs.
+//! what the gap between the engines allows, less as the loads get older. However many gateways
+//! decide, and however often while the reported load stays the same, they move the same runs.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::super::count::as_f64;
@@ -14,7 +15,7 @@
 use super::super::server_list::ServerRecord;
 use super::super::server_selector::{ServerLoad, ServerSelector};
 use super::{ElectiveRun, MoveReason};
-use crate::id::{CallId, ServerIncarnation};
+use crate::id::ServerIncarnation;
 use crate::version::TransferSpec;
 
 /// Multiple of the median time of an event from which an engine is slow.
@@ -32,6 +33,10 @@
 const MIN_DIFFERENCE: f64 = 0.25;
 /// Fraction of its slots up to which an engine takes runs of slow ones.
 const MAX_TARGET_FULLNESS: f64 = 0.75;
+/// Time after which an engine that took runs of full ones may be a source itself. Another gateway may
+/// have moved runs to it, which is known only by its load of then: 2 s after the last of these, which
+/// ends half a second after an overview at the latest.
+const TARGET_LIFETIME: Duration = Duration::from_millis(2_500);
 /// Seeds of the hashes that choose the target, and the runs that are moved.
 const TARGET_SEED: u64 = 5;
 const RUN_SEED: u64 = 6;
@@ -43,6 +48,7 @@
     fullness: f64,
     /// Requests that it can take.
     capacity: f64,
+    freshness: f64,
 }
 
 /// What the engines of a service report and what is estimated of them, at one time.
@@ -53,12 +59,16 @@
     /// Requests at full engines.
     full_requests: f64,
     spare: Vec<SpareEngine>,
+    /// When engines last had free capacity while others were full.
+    targets: BTreeMap<ServerIncarnation, Duration>,
 }
 
 impl EngineOverview {
-    /// An overview of a service's engines; `free` are those that take requests without a limit.
+    /// An overview of a service's engines after an earlier one; `free` are those that take requests
+    /// without a limit.
     #[must_use]
     pub fn new(
+        previous: &Self,
         engines: &[&ServerRecord],
         free: &[&ServerRecord],
         server_selector: &ServerSelector,
@@ -76,12 +86,12 @@
         let load =
             |engine: &ServerRecord| server_selector.reported_engine_load(&engine.incarnation, now);
         for engine in engines {
-            if let Some(load) = load(engine).filter(|load| is_full(*load, engine)) {
+            if let Some((load, _)) = load(engine).filter(|(load, _)| is_full(*load, engine)) {
                 overview.full_requests += requests(load);
             }
         }
         for engine in free {
-            let Some(load) = load(engine).filter(|load| load.waiting == 0) else {
+            let Some((load, freshness)) = load(engine).filter(|(load, _)| load.waiting == 0) else {
                 continue;
             };
             let fullness = fullness(load, engine);
@@ -94,9 +104,18 @@
                     slots: slots(engine),
                     fullness,
                     capacity: (MAX_FILLED_FRACTION - fullness) * slots(engine),
+                    freshness,
                 });
             }
         }
+        let targets = previous.targets.iter();
+        let recent = targets.filter(|(_, at)| now.saturating_sub(**at) < TARGET_LIFETIME);
+        overview.targets = recent.map(|(engine, at)| (engine.clone(), *at)).collect();
+        if overview.full_requests > 0.0 {
+            let spare = overview.spare.iter();
+            let targets = spare.map(|spare| (spare.engine.clone(), now));
+            overview.targets.extend(targets.collect::<Vec<_>>());
+        }
         overview
     }
 
@@ -118,8 +137,7 @@
             return Some(MoveReason::Slow);
         }
         let load = server_selector.reported_engine_load(&engine.incarnation, now)?;
-        self.relief(engine, load, run.call)
-            .map(|_target| MoveReason::Uneven)
+        self.relief(run, load).map(|_target| MoveReason::Uneven)
     }
 
     /// The engine to which a run is moved for a reason, among those that take requests without a
@@ -148,14 +166,14 @@
                     && run.ends_in_time(&run_move, event_time, transfer)
             };
             is_gain
-                && target.incarnation != run.engine.incarnation
+                && run.may_go_to(&target.incarnation)
                 && target.address != run.engine.address
                 && !self.is_slow(event_time, run.max_event_gap)
                 && !is_avoided(target, server_selector, now)
         };
         if reason == MoveReason::Uneven {
             let load = server_selector.reported_engine_load(&run.engine.incarnation, now)?;
-            let chosen = self.relief(run.engine, load, run.call)?;
+            let chosen = self.relief(run, load)?;
             let target = free.iter().find(|one| one.incarnation == *chosen)?;
             return is_target(target).then_some(*target);
         }
@@ -185,21 +203,22 @@
     /// The engine that relieves a full one of a run; none if the run stays.
     fn relief(
         &self,
-        engine: &ServerRecord,
-        load: ServerLoad,
-        call: &CallId,
+        run: &ElectiveRun<'_>,
+        (load, freshness): (ServerLoad, f64),
     ) -> Option<&ServerIncarnation> {
-        if !is_full(load, engine) || self.spare.is_empty() {
+        let engine = run.engine;
+        let is_target = self.targets.contains_key(&engine.incarnation);
+        if !is_full(load, engine) || is_target || self.spare.is_empty() {
             return None;
         }
-        let seed = rendezvous::score(TARGET_SEED, call);
+        let seed = rendezvous::score(TARGET_SEED, run.call);
         let weight = |spare: &SpareEngine| {
             -spare.capacity / uniform(rendezvous::score(seed, spare.engine.id())).ln()
         };
         let target = self
             .spare
             .iter()
-            .filter(|spare| spare.engine != engine.incarnation)
+            .filter(|spare| run.may_go_to(&spare.engine))
             .max_by(|a, b| weight(a).total_cmp(&weight(b)))?;
         let gap = fullness(load, engine) - target.fullness - MIN_DIFFERENCE;
         let of_gap = gap / (1.0 / slots(engine) + 1.0 / target.slots) / requests(load).max(1.0);
@@ -207,7 +226,8 @@
         let of_capacity = capacity / self.full_requests.max(requests(load)).max(1.0);
         // The same number for a run at all engines would move the same few runs again and again.
         let seed = rendezvous::score(RUN_SEED, engine.incarnation.id());
-        let is_moved = uniform(rendezvous::score(seed, call)) < of_gap.min(of_capacity);
+        let fraction = of_gap.min(of_capacity) * freshness.min(target.freshness);
+        let is_moved = uniform(rendezvous::score(seed, run.call)) < fraction;
         is_moved.then_some(&target.engine)
     }
 }
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -434,15 +434,18 @@
         self.trackers.entry(server.clone()).or_default().reported = Some((load, now));
     }
 
-    /// The load that an engine reported, if it counts still.
+    /// The load that an engine reported, if it counts still, and how much it does by its age, from 1
+    /// to 0.
     #[must_use]
     pub fn reported_engine_load(
         &self,
         server: &ServerIncarnation,
         now: Duration,
-    ) -> Option<ServerLoad> {
+    ) -> Option<(ServerLoad, f64)> {
         let (load, at) = self.tracker(server)?.reported?;
-        (now.saturating_sub(at) <= ENGINE_LOAD_LIFETIME).then_some(load)
+        let age = now.saturating_sub(at);
+        let freshness = 1.0 - age.as_secs_f64() / ENGINE_LOAD_LIFETIME.as_secs_f64();
+        (age <= ENGINE_LOAD_LIFETIME).then_some((load, freshness))
     }
 
     /// Number of this entry's requests at a server.
--- a/crates/core/tests/run_moves/decisions.rs
+++ b/crates/core/tests/run_moves/decisions.rs
@@ -43,7 +43,13 @@
     /// Why and to which engine a run is moved.
     fn choose(&self, run: &ElectiveRun<'_>, now: Duration) -> Option<(MoveReason, String)> {
         let engines: Vec<_> = self.engines.iter().collect();
-        let overview = EngineOverview::new(&engines, &engines, &self.selector, now);
+        let overview = EngineOverview::new(
+            &EngineOverview::default(),
+            &engines,
+            &engines,
+            &self.selector,
+            now,
+        );
         let reason = overview.reason(run, &self.selector, now)?;
         let target = overview.target(run, reason, &engines, &TRANSFER, &self.selector, now)?;
         Some((reason, target.incarnation.id().to_string()))
@@ -59,7 +65,7 @@
             max_event_gap: Some(GAP),
             time_left: Duration::from_mins(1),
             age: Duration::from_secs(2),
-            moves: 0,
+            left: &[],
         }
     }
 
@@ -173,12 +179,42 @@
     let run = fixture.run(&call);
     let is_moved = |run: ElectiveRun<'_>| fixture.choose(&run, NOW).is_some();
 
-    assert!(is_moved(ElectiveRun { moves: 1, ..run }));
-    assert!(!is_moved(ElectiveRun { moves: 2, ..run }));
+    let left = [7, 8].map(incarnation);
+    assert!(is_moved(ElectiveRun {
+        left: &left[..1],
+        ..run
+    }));
+    assert!(!is_moved(ElectiveRun { left: &left, ..run }));
     let age = Duration::from_millis(999);
     assert!(!is_moved(ElectiveRun { age, ..run }));
 }
 
+/// Guards against a run that goes back and forth.
+#[test]
+fn a_run_does_not_return_to_an_engine_that_it_left() {
+    let left = [incarnation(1)];
+    for number in 0..50 {
+        let call = format!("c{number}").parse().unwrap();
+        let mut fixture = Fixture::new(&[120, 30, 30]);
+        let run = |fixture: &Fixture| {
+            let run = ElectiveRun {
+                left: &left,
+                ..fixture.run(&call)
+            };
+            fixture.choose(&run, NOW)
+        };
+        assert_eq!(run(&fixture), Some((MoveReason::Slow, "p2".to_owned())));
+
+        fixture = Fixture::new(&[30, 30, 30]);
+        fixture.load(0, 10, 20, NOW);
+        fixture.load(1, 0, 0, NOW);
+        assert_eq!(run(&fixture), None);
+        fixture.load(2, 0, 0, NOW);
+        let moved = run(&fixture);
+        assert!(moved.is_none_or(|(_, target)| target == "p2"));
+    }
+}
+
 #[test]
 fn failing_and_nearly_full_engines_get_no_runs_of_a_slow_one() {
     let call = call();
@@ -217,20 +253,66 @@
     assert_eq!(moved([(10, 0), (0, 0)], old), 0, "the loads are too old");
 }
 
+/// Guards against an engine that gives up runs which other gateways have just moved to it.
+#[test]
+fn an_engine_that_has_just_had_free_capacity_gives_no_runs() {
+    let mut fixture = Fixture::new(&[30, 30, 30]);
+    let load = |fixture: &mut Fixture, running: [u32; 3], at| {
+        for (engine, running) in running.into_iter().enumerate() {
+            fixture.load(engine, running, 0, at);
+        }
+    };
+    let after = |ms| NOW + Duration::from_millis(ms);
+    let calls: Vec<CallId> = (0..50)
+        .map(|number| format!("c{number}").parse().unwrap())
+        .collect();
+    let moved = |fixture: &Fixture, overview: &EngineOverview, now| {
+        let is_moved = |call: &&CallId| {
+            let run = fixture.run(call);
+            overview.reason(&run, &fixture.selector, now).is_some()
+        };
+        calls.iter().filter(is_moved).count()
+    };
+    let overview = |fixture: &Fixture, previous: &EngineOverview, now| {
+        let engines: Vec<_> = fixture.engines.iter().collect();
+        EngineOverview::new(previous, &engines, &engines, &fixture.selector, now)
+    };
+
+    load(&mut fixture, [1, 10, 1], NOW);
+    let first = overview(&fixture, &EngineOverview::default(), NOW);
+    load(&mut fixture, [10, 5, 0], after(500));
+    let second = overview(&fixture, &first, after(500));
+    let third = overview(&fixture, &second, after(2_499));
+    load(&mut fixture, [10, 5, 0], after(2_500));
+    let fourth = overview(&fixture, &third, after(2_500));
+
+    assert_eq!(moved(&fixture, &second, after(500)), 0);
+    assert_eq!(moved(&fixture, &third, after(2_500)), 0);
+    assert!(moved(&fixture, &fourth, after(2_500)) > 0);
+}
+
 /// Guards against each decision of the same load moving other runs, until all are moved.
 #[test]
-fn the_same_load_moves_the_same_runs() {
+fn the_same_load_moves_the_same_runs_and_fewer_with_age() {
     let mut fixture = Fixture::new(&[30, 30, 30]);
     fixture.load(0, 10, 6, NOW);
     fixture.load(1, 1, 0, NOW);
     fixture.load(2, 1, 0, NOW);
-    let later = NOW + Duration::from_secs(2);
+    let mut moved = [0; 3];
 
     for number in 0..200 {
         let call = format!("c{number}").parse().unwrap();
         let run = fixture.run(&call);
-        assert_eq!(fixture.choose(&run, NOW), fixture.choose(&run, later));
+        let first = fixture.choose(&run, NOW);
+        for (second, moved) in (0..).zip(&mut moved) {
+            let chosen = fixture.choose(&run, NOW + Duration::from_secs(second));
+            *moved += u32::from(chosen.is_some());
+            assert!(chosen.is_none() || chosen == first, "{chosen:?}, {first:?}");
+        }
     }
+
+    assert!(moved[0] > moved[1] && moved[1] > 0, "{moved:?}");
+    assert_eq!(moved[2], 0);
 }
 
 /// Guards against a run that would end after its deadline at the slower of two engines.
--- a/crates/core/tests/run_moves/simulated.rs
+++ b/crates/core/tests/run_moves/simulated.rs
@@ -16,13 +16,14 @@
 /// Requests with which an engine of 48 slots would itself be a source of moves.
 const MAX_REQUESTS: usize = 43;
 
-type PerEngine<T> = fn(engine: usize) -> T;
+type Initial = fn(engine: usize) -> usize;
+type Arrivals = fn(engine: usize, now: Duration) -> f64;
 
 fn even() -> Scenario {
     Scenario {
         event_ms: |_, _| 40,
         initial: |_| 24,
-        arrivals_per_s: |_| 6.0,
+        arrivals_per_s: |_, _| 6.0,
         engines: 40,
         report_interval: Duration::from_millis(500),
         duration: Duration::from_secs(12),
@@ -50,7 +51,7 @@
     Simulation::run(Scenario {
         event_ms: |_, _| 40,
         initial: |engine| if engine < 6 { 72 } else { 16 },
-        arrivals_per_s: |engine| if engine < 6 { 13.0 } else { 4.0 },
+        arrivals_per_s: |engine, _| if engine < 6 { 13.0 } else { 4.0 },
         engines: 42,
         report_interval,
         duration: Duration::from_secs(12),
@@ -130,6 +131,42 @@
     }
 }
 
+/// Guards against runs that follow a load which moves from one half of the engines to the other and
+/// back.
+#[test]
+fn a_load_that_changes_sides_takes_no_run_back() {
+    for report_interval in REPORT_INTERVALS {
+        for seed in 0..SEEDS {
+            let outcome = Simulation::run(Scenario {
+                initial: |_| 24,
+                arrivals_per_s: |engine, at| {
+                    let is_left = (at.as_secs() / 4) % 2 == 0;
+                    if (engine < 6) == is_left { 18.0 } else { 1.0 }
+                },
+                engines: 12,
+                duration: Duration::from_secs(20),
+                report_interval,
+                seed,
+                ..even()
+            });
+
+            println!(
+                "reports each {} ms, seed {seed}: {} moves, {} rejected, {} from engines that \
+                received a run within 2 s, fullest target {}",
+                report_interval.as_millis(),
+                outcome.completed.len(),
+                outcome.rejected,
+                outcome.swings(Duration::from_secs(2)),
+                outcome.fullest_target()
+            );
+            assert!(!outcome.completed.is_empty());
+            assert_eq!(outcome.returns(), 0);
+            assert_eq!(outcome.swings(Duration::from_secs(2)), 0);
+            assert_eq!(outcome.rejected, 0);
+        }
+    }
+}
+
 /// Guards against targets that 40 full engines overload at once: the two that have free capacity
 /// must not be filled by each of the others' gap.
 #[test]
@@ -138,7 +175,7 @@
         for seed in 0..SEEDS {
             let outcome = Simulation::run(Scenario {
                 initial: |engine| if engine < 40 { 60 } else { 10 },
-                arrivals_per_s: |engine| if engine < 40 { 12.0 } else { 2.5 },
+                arrivals_per_s: |engine, _| if engine < 40 { 12.0 } else { 2.5 },
                 engines: 42,
                 report_interval,
                 seed,
@@ -169,11 +206,11 @@
 /// and not full, or equally full.
 #[test]
 fn even_engines_make_no_moves() {
-    let scenarios: [(PerEngine<usize>, PerEngine<f64>); 4] = [
-        (|_| 0, |_| 0.0),
-        (|_| 1, |_| 0.3),
-        (|engine| 18 + engine / 2, |_| 6.0),
-        (|_| 60, |_| 12.0),
+    let scenarios: [(Initial, Arrivals); 4] = [
+        (|_| 0, |_, _| 0.0),
+        (|_| 1, |_, _| 0.3),
+        (|engine| 18 + engine / 2, |_, _| 6.0),
+        (|_| 60, |_, _| 12.0),
     ];
     for (initial, arrivals_per_s) in scenarios {
         let outcome = Simulation::run(Scenario {
--- a/crates/core/tests/run_moves/simulation.rs
+++ b/crates/core/tests/run_moves/simulation.rs
@@ -33,7 +33,7 @@
     /// Requests at each engine at the beginning.
     pub initial: fn(engine: usize) -> usize,
     /// Requests that arrive at each engine in a second.
-    pub arrivals_per_s: fn(engine: usize) -> f64,
+    pub arrivals_per_s: fn(engine: usize, now: Duration) -> f64,
     pub engines: usize,
     /// Time between two reports of an engine's load.
     pub report_interval: Duration,
@@ -77,7 +77,7 @@
     events: f64,
     events_left: f64,
     checked_at: Duration,
-    moves: u32,
+    left: Vec<ServerIncarnation>,
     moving: Option<Moving>,
 }
 
@@ -205,7 +205,7 @@
             events: 0.0,
             events_left: f64::from(events),
             checked_at: self.now,
-            moves: 0,
+            left: Vec::new(),
             moving: None,
         });
     }
@@ -223,7 +223,8 @@
 
     fn step(&mut self) {
         for engine in 0..self.scenario.engines {
-            self.due[engine] += (self.scenario.arrivals_per_s)(engine) * STEP.as_secs_f64();
+            self.due[engine] +=
+                (self.scenario.arrivals_per_s)(engine, self.elapsed()) * STEP.as_secs_f64();
             while self.due[engine] >= 1.0 {
                 self.due[engine] -= 1.0;
                 self.arrive(engine);
@@ -307,7 +308,13 @@
         for gateway in &mut self.gateways {
             let speeds = gateway.selector.engine_speeds_mut();
             assert_eq!(speeds.apply(update.clone(), self.now), 0);
-            let overview = EngineOverview::new(&engines, &engines, &gateway.selector, self.now);
+            let overview = EngineOverview::new(
+                &gateway.overview,
+                &engines,
+                &engines,
+                &gateway.selector,
+                self.now,
+            );
             gateway.overview = Arc::new(overview);
         }
     }
@@ -357,7 +364,7 @@
             max_event_gap: Some(Duration::from_millis(800)),
             time_left: Duration::from_secs(30),
             age: now.checked_sub(began_at).unwrap(),
-            moves: run.moves,
+            left: &run.left,
         };
         let gateway = &mut self.gateways[run.gateway];
         let source = &elective.engine.incarnation;
@@ -399,7 +406,7 @@
             .unwrap();
         let is_full = self.requests(to) >= SLOTS;
         let run = &mut self.runs[index];
-        run.moves += 1;
+        run.left.push(incarnation(run.engine));
         if is_full {
             self.outcome.rejected += 1;
             self.gateways[run.gateway].registry.end(id, now);
