--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -14,9 +14,9 @@
 use super::connection::ConnectionPool;
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
-    BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, FirstEventEstimators,
-    GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups, RunMoves, SendShares,
-    ShutdownGate, StageTimes, StatementRecorder, exchange_speeds, monitor_unresponsive,
+    BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, EngineOverviews,
+    FirstEventEstimators, GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups,
+    SendShares, ShutdownGate, StageTimes, StatementRecorder, exchange_speeds, monitor_unresponsive,
     publish_crashes, publish_limits, remove_expired_evidence, remove_stale_drains,
     remove_stale_limits,
 };
@@ -286,7 +286,6 @@
         stage_times: StageTimes::default(),
         prompt_sources: PromptSources::default(),
         run_backups: RunBackups::default(),
-        run_moves: RunMoves::default(),
         send_shares: SendShares::new(config.cold_allowance, config.clock.now()),
         batch_owners: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
@@ -302,6 +301,7 @@
         max_ready_age: config.revoke_bound * READY_AGE_PERCENT / 100,
         max_routing_lag: config.apply_bound * MAX_ROUTING_LAG_PERCENT / 100,
         server_selector,
+        engine_overviews: EngineOverviews::default(),
         moving_runs: Arc::default(),
         speed_collector: Mutex::new(SpeedCollector::new(config.instance.clone())),
     }
