A version that arrives slowly at the zone's reader is read elsewhere

Cause: a gateway learned nothing of a version while it arrived at its zone's reader, and waited 1.1 s for it (two fifths of the bound and a round trip). Rows that came late through the reader counted as new, so the next version, which arrived slowly at the reader too, was waited for as long again, and requests were served without it. A late answer of the store to a call that does not wait for changes counted as a change made just then.

Change: a reader tells those that wait when a long answer begins to arrive. They know from then on that theirs is outdated, ask the next reader after a quarter of the bound, the one after it after another quarter, and the store up to a quarter later at random, while the first answers may still come. The data of another gateway is as old as the store's clock in it. A call without a wait only gets changes that exist already.

The notice is only sent to gateways that ask for it, so releases may be mixed.

--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -3,6 +3,7 @@
 mod announce;
 mod announcement_update;
 mod announcement_writer;
+mod arrival_notice;
 mod cluster_view;
 mod feed;
 mod follow;
@@ -10,6 +11,7 @@
 mod log_limiter;
 mod packed_row;
 mod poll_timing;
+mod reader_requests;
 mod relayed_table;
 mod start_reader;
 mod store_write;
@@ -24,6 +26,8 @@
 #[doc(inline)]
 pub use announcement_writer::AnnouncementWriter;
 #[doc(inline)]
+pub use arrival_notice::ArrivalNotice;
+#[doc(inline)]
 pub use cluster_view::ClusterView;
 #[doc(inline)]
 pub use feed::{Feed, FeedEvent};
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -6,7 +6,6 @@
 //! again.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthscale_core::id::{InstanceId, RowVersion};
@@ -21,9 +20,10 @@
 use super::super::{StoreAnswer, StoreApi, StoreRow, StoreRows, StoreTable};
 use super::cluster_view::SLOW_ANSWER_AGE;
 use super::poll_timing::STARTUP_PERIOD;
+use super::reader_requests::ReaderRequests;
 use super::start_reader::read_from_neighbours;
 use super::zone_reader_client::ZoneReaderClient;
-use super::{PollTiming, RelayContext, RelayedRows, RowsRequest};
+use super::{ArrivalNotice, PollTiming, RelayContext, RelayedRows, RowsRequest};
 use crate::connection::{Http1Connection, read_body_with_idle_timeout};
 
 /// Timeout for the answer to a call that does not wait for changes, and idle timeout for an answer
@@ -43,6 +43,8 @@
 /// Time after the first request to a zone reader from which no other one is asked: the rest of the
 /// bound is needed to read the store.
 const MAX_READER_SEARCH: Duration = Duration::from_millis(300);
+/// Most other gateways that are asked while rows arrive at the zone reader.
+const MAX_OTHER_READERS: usize = 2;
 /// Longest wait for the list of gateways after the store could not be reached for it. Until then
 /// the other tables are not read from the store either.
 const LIST_RETRY_TIME: Duration = Duration::from_secs(1);
@@ -64,6 +66,15 @@
     Unavailable(String),
 }
 
+/// Rows that were read while they arrived at a reader.
+#[derive(Debug)]
+enum ArrivedRows {
+    /// From another gateway.
+    Relayed(RelayedRows),
+    /// From the store.
+    Stored(FeedEvent),
+}
+
 /// Follows one table.
 #[derive(Debug)]
 pub struct Feed {
@@ -253,7 +264,7 @@
         self.connection = None;
         let reader_client = self.reader_client.as_mut()?;
         let context = reader_client.context();
-        let rows_request = RowsRequest {
+        let mut rows_request = RowsRequest {
             table: self.table,
             after: position,
             clock: self.clock,
@@ -261,45 +272,121 @@
             known_rows: context.table_relay.known_rows(self.table),
             takes_packed_table: true,
             waits_for_start: self.started.elapsed() < STARTUP_PERIOD,
+            arrival_notice: if waits_for_store {
+                ArrivalNotice::Unwanted
+            } else {
+                ArrivalNotice::Wanted
+            },
         };
         let max_silence = self.timing.max_relay_silence();
-        let request = context.request_rows(&id, address, rows_request, max_silence);
-        let counters = Arc::clone(&context.counters);
-        let result = request.await;
-        // The age of the data follows from the store's clock in it and the store's own first
-        // answer.
-        self.received_at = context.cluster_view.clock().now_with_suspend();
-        let reason = match result {
-            Ok(RelayedRows::All(rows)) if rows.clock > self.clock => {
-                counters.count("store.handed");
-                self.position = Some(rows.version);
-                return Some(FeedEvent::Snapshot(rows));
-            }
-            Ok(RelayedRows::Changed(rows)) if rows.clock > self.clock => {
-                counters.count("store.handed");
-                self.position = Some(rows.version.max(position));
-                return Some(FeedEvent::Changes(rows));
+        let mut requests = ReaderRequests::new(context.clone(), rows_request.clone(), max_silence);
+        requests.ask(id.clone(), address);
+        let newer = requests.next_newer().await;
+        for failed in requests.take_failed() {
+            reader_client.exclude(failed);
+        }
+        if newer != Some(RelayedRows::Arriving) {
+            return self.accept_relayed(newer?, position);
+        }
+        reader_client
+            .context()
+            .cluster_view
+            .mark_newer_routing(false);
+        rows_request.arrival_notice = ArrivalNotice::Unwanted;
+        // Longer than the others are waited for, as the reader is known to be receiving rows.
+        let max_silence = max_silence.max(self.timing.arrival_wait * 4);
+        let context = reader_client.context().clone();
+        let mut requests = ReaderRequests::new(context, rows_request, max_silence);
+        requests.ask(id.clone(), address);
+        let newer = self.read_arriving(id, position, &mut requests).await?;
+        match newer {
+            ArrivedRows::Relayed(rows) => self.accept_relayed(rows, position),
+            ArrivedRows::Stored(event) => Some(event),
+        }
+    }
+
+    /// Reads rows that have begun to arrive at a reader, whose answer is being waited for.
+    ///
+    /// The reader's link may be slow. So other gateways are asked, one after the other, while the
+    /// first answers may still come: each becomes the reader of those that ask it, and only it reads
+    /// the store. Gateways that got nothing from any of them read the store at different times.
+    async fn read_arriving(
+        &mut self,
+        first: InstanceId,
+        position: RowVersion,
+        requests: &mut ReaderRequests,
+    ) -> Option<ArrivedRows> {
+        let arrival_wait = self.timing.arrival_wait;
+        let mut last_asked = first;
+        for _ in 0..MAX_OTHER_READERS {
+            let arrived = tokio::time::timeout(arrival_wait, requests.next_newer()).await;
+            let reader_client = self.reader_client.as_mut()?;
+            for failed in requests.take_failed() {
+                reader_client.exclude(failed);
             }
-            Ok(RelayedRows::Part(rows)) if rows.version > position => {
-                counters.count("store.handed");
-                self.position = Some(rows.version);
-                return Some(FeedEvent::Changes(rows));
+            if let Ok(Some(rows)) = arrived {
+                return Some(ArrivedRows::Relayed(rows));
             }
-            Ok(RelayedRows::TooLarge) => {
-                counters.count("store.too-large-to-hand-on");
-                "its rows are too large".to_owned()
+            if arrived.is_err() {
+                debug!(
+                    "store: {} arrives slowly at {last_asked}",
+                    self.table.name()
+                );
+                reader_client.exclude(last_asked);
+                reader_client.context().counters.count("store.slow-reader");
             }
-            Ok(RelayedRows::StoreUnavailable) => "it cannot reach the store".to_owned(),
-            Ok(_) => "it has no newer rows".to_owned(),
-            Err(reason) => reason,
+            let Some((id, address)) = reader_client.choose_reader(false) else {
+                return self.read_beside(position, requests).await;
+            };
+            requests.ask(id.clone(), address);
+            last_asked = id;
+        }
+        let wait = arrival_wait.mul_f64(rand::random_range(0.0..1.0));
+        if let Ok(Some(rows)) = tokio::time::timeout(wait, requests.next_newer()).await {
+            return Some(ArrivedRows::Relayed(rows));
+        }
+        self.read_beside(position, requests).await
+    }
+
+    /// Polls the store while the answers of other gateways may still come; `None` if neither has
+    /// newer rows.
+    async fn read_beside(
+        &mut self,
+        position: RowVersion,
+        requests: &mut ReaderRequests,
+    ) -> Option<ArrivedRows> {
+        tokio::select! {
+            Some(rows) = requests.next_newer() => Some(ArrivedRows::Relayed(rows)),
+            polled = self.poll_changes(position) => match polled {
+                Ok(event) => event.map(ArrivedRows::Stored),
+                Err(reason) => {
+                    debug!("store: {} not read: {reason}", self.table.name());
+                    requests.next_newer().await.map(ArrivedRows::Relayed)
+                }
+            },
+        }
+    }
+
+    /// The event of an answer of another gateway.
+    fn accept_relayed(&mut self, relayed: RelayedRows, position: RowVersion) -> Option<FeedEvent> {
+        let context = self.reader_client.as_ref()?.context();
+        let now = context.cluster_view.clock().now_with_suspend();
+        let (clock, version, event) = match relayed {
+            RelayedRows::All(rows) => (rows.clock, rows.version, FeedEvent::Snapshot(rows)),
+            RelayedRows::Changed(rows) | RelayedRows::Part(rows) => (
+                rows.clock,
+                rows.version.max(position),
+                FeedEvent::Changes(rows),
+            ),
+            _ => return None,
         };
-        counters.count("store.neighbour-lost");
-        debug!(
-            "store: {} not read through {id}: {reason}",
-            self.table.name()
-        );
-        reader_client.exclude(id);
-        None
+        context.counters.count("store.handed");
+        // A long answer of the store began to arrive at the reader long ago, and newer rows may
+        // exist since.
+        let age = context.cluster_view.age_of(clock).unwrap_or_default();
+        self.received_at = now.saturating_sub(age);
+        self.position = Some(version);
+        Some(event)
     }
 
     async fn read_snapshot(&mut self) -> Result<StoreRows, String> {
@@ -308,7 +395,7 @@
         loop {
             let after = rows.last().map(|row| row.key.clone());
             let request = (self.store.read)(self.table, after.as_deref());
-            let mut page = match self.call("read", request, CALL_TIMEOUT).await? {
+            let mut page = match self.call("read", request, Duration::ZERO).await? {
                 StoreAnswer::Rows(page) => page,
                 other => return Err(format!("the store answered {other:?} to a read")),
             };
@@ -344,8 +431,7 @@
             self.wait()
         };
         let request = (self.store.watch)(self.table, position, wait);
-        let timeout = wait + CALL_TIMEOUT;
-        match self.call("watch", request, timeout).await? {
+        match self.call("watch", request, wait).await? {
             StoreAnswer::Rows(rows) => {
                 self.position = Some(rows.version.max(position));
                 Ok(Some(FeedEvent::Changes(rows)))
@@ -389,11 +475,12 @@
         }
     }
 
+    /// Sends one call, for whose answer the store waits at most for a time.
     async fn call(
         &mut self,
         kind: &'static str,
         request: Request<Full<Bytes>>,
-        timeout: Duration,
+        wait: Duration,
     ) -> Result<StoreAnswer, String> {
         if let Some(reader_client) = &self.reader_client {
             let counters = &reader_client.context().counters;
@@ -414,13 +501,15 @@
                 && content_length > LONG_ANSWER_BYTES
                 && let Some(reader_client) = &self.reader_client
             {
-                let is_immediate = received_at.saturating_sub(sent_at) < IMMEDIATE_ANSWER;
-                reader_client
-                    .context()
-                    .cluster_view
-                    .mark_newer_routing(is_immediate);
+                let latency = received_at.saturating_sub(sent_at);
+                // Without a wait the change existed before, however busy the store is.
+                let is_immediate = wait <= MIN_WAIT || latency < IMMEDIATE_ANSWER;
+                let context = reader_client.context();
+                context.cluster_view.mark_newer_routing(is_immediate);
+                context.table_relay.mark_arriving(self.table);
             }
         };
+        let timeout = wait + CALL_TIMEOUT;
         let result = call_store(&self.store, connection, request, timeout, on_begin).await;
         let (answer, connection) = result?;
         if let (StoreAnswer::Rows(rows), Some(reader_client)) = (&answer, &self.reader_client) {
--- a/crates/amaranthscale/src/gateway/version/poll_timing.rs
+++ b/crates/amaranthscale/src/gateway/version/poll_timing.rs
@@ -14,6 +14,10 @@
 /// between two polls, a third of the bound remains for a gateway that receives nothing to read the
 /// store itself.
 const RELAY_WAIT_PERCENT: u32 = 40;
+/// Percentage of a bound after which another gateway is asked for rows that have begun to arrive at
+/// the zone reader. Two more readers can be asked one after the other within half of the bound, and
+/// the rest of it is for reading the store.
+const ARRIVAL_WAIT_PERCENT: u32 = 25;
 /// Maximum pause after a failed call.
 const MAX_FAILURE_PAUSE: Duration = Duration::from_millis(350);
 /// Minimum time between two polls of the gateways' table just after a start. Other gateways may
@@ -36,6 +40,8 @@
     pub failure_pause: Duration,
     /// Maximum wait of one poll whose answers are relayed.
     pub relay_wait: Duration,
+    /// Time from when rows have begun to arrive at a reader until another gateway is asked too.
+    pub arrival_wait: Duration,
 }
 
 impl PollTiming {
@@ -52,6 +58,7 @@
             startup_interval: Duration::ZERO,
             failure_pause: MAX_FAILURE_PAUSE.min(max_key_age / 10),
             relay_wait: max_key_age / 2,
+            arrival_wait: revoke_bound * ARRIVAL_WAIT_PERCENT / 100,
         }
     }
 
@@ -69,6 +76,7 @@
     #[must_use]
     pub fn with_relay_bound(mut self, bound: Duration) -> Self {
         self.relay_wait = self.wait.min(bound * RELAY_WAIT_PERCENT / 100);
+        self.arrival_wait = bound * ARRIVAL_WAIT_PERCENT / 100;
         self
     }
 
@@ -82,6 +90,7 @@
             startup_interval: drain_bound / 5,
             failure_pause: MAX_FAILURE_PAUSE.min(drain_bound / 5),
             relay_wait: drain_bound * 5 / 4,
+            arrival_wait: drain_bound * ARRIVAL_WAIT_PERCENT / 100,
         }
         .with_relay_bound(drain_bound)
     }
@@ -96,6 +105,7 @@
             startup_interval: STARTUP_INSTANCE_INTERVAL,
             failure_pause: MAX_FAILURE_PAUSE.min(crash_bound / 8),
             relay_wait: crash_bound * 2 / 5,
+            arrival_wait: crash_bound * ARRIVAL_WAIT_PERCENT / 100,
         }
     }
 }
--- a/crates/amaranthscale/src/gateway/version/relayed_table.rs
+++ b/crates/amaranthscale/src/gateway/version/relayed_table.rs
@@ -16,7 +16,7 @@
 use super::super::{StoreRow, StoreRows, StoredValue};
 use super::packed_row::LONG_ROW_BYTES;
 use super::table_relay::WHOLE_TABLE_KEY;
-use super::{FeedEvent, KnownRow, PackedRow, RelayAnswer, RelayedRows, RowsRequest};
+use super::{ArrivalNotice, FeedEvent, KnownRow, PackedRow, RelayAnswer, RelayedRows, RowsRequest};
 
 /// Maximum bytes of rows in one answer, without packed rows; more is sent in parts, so that other
 /// answers are not delayed.
@@ -43,6 +43,8 @@
 struct RelayState {
     copy: TableCopy<StoredValue>,
     availability: Availability,
+    /// Whether a long answer of the store has begun to arrive since the last event.
+    is_arriving: bool,
     requested_at: Option<Instant>,
     /// Long rows that were replaced while other gateways requested rows, the oldest first.
     replaced: VecDeque<(String, RowVersion, Bytes)>,
@@ -83,6 +85,12 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Records that a long answer of the store has begun to arrive, until the next event.
+    pub(super) fn mark_arriving(&self) {
+        self.state().is_arriving = true;
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Whether other gateways have requested rows recently.
     pub(super) fn has_recent_requests(&self) -> bool {
         self.state().has_recent_requests()
@@ -245,6 +253,7 @@
 impl RelayState {
     fn record(&mut self, event: &FeedEvent) {
         self.retain_replaced(event);
+        self.is_arriving = false;
         match event {
             FeedEvent::Snapshot(rows) => {
                 let present = rows.rows.iter().filter_map(|row| {
@@ -329,7 +338,8 @@
             }
         }
         if self.copy.clock() <= request.clock {
-            return None;
+            let is_told = self.is_arriving && request.arrival_notice == ArrivalNotice::Wanted;
+            return is_told.then_some(RelayedRows::Arriving);
         }
         let (version, clock) = (self.copy.version(), self.copy.clock());
         Some(match self.copy.changes_since(request.after) {
--- a/crates/amaranthscale/src/gateway/version/start_reader.rs
+++ b/crates/amaranthscale/src/gateway/version/start_reader.rs
@@ -17,7 +17,7 @@
 use super::super::clock::ms;
 use super::super::{StoreRows, StoreTable};
 use super::cluster_view::LIST_TIMEOUT;
-use super::{RelayContext, RelayedRows, RowsRequest};
+use super::{ArrivalNotice, RelayContext, RelayedRows, RowsRequest};
 
 /// Pause before a neighbour is asked again that was not reached, as it may be starting.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
@@ -157,6 +157,7 @@
             known_rows: Vec::new(),
             takes_packed_table: true,
             waits_for_start: true,
+            arrival_notice: ArrivalNotice::Unwanted,
         };
         self.context
             .request_rows(&self.id, self.address, request, MAX_SILENCE)
--- a/crates/amaranthscale/src/gateway/version/table_relay.rs
+++ b/crates/amaranthscale/src/gateway/version/table_relay.rs
@@ -16,7 +16,7 @@
 
 use super::super::{StoreRows, StoreTable, StoredValue};
 use super::relayed_table::RelayedTable;
-use super::{FeedEvent, KnownRow, PackedRow, UnpackError};
+use super::{ArrivalNotice, FeedEvent, KnownRow, PackedRow, UnpackError};
 
 /// Maximum wait for changes, longer than any poll: the requesting gateway has given up by then.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -50,6 +50,9 @@
     /// together.
     #[serde(default)]
     pub waits_for_start: bool,
+    /// Whether to be told that newer rows have begun to arrive.
+    #[serde(default)]
+    pub arrival_notice: ArrivalNotice,
 }
 
 /// Rows in the answer to a request.
@@ -63,6 +66,8 @@
     Part(StoreRows),
     /// The whole table, with its rows packed as one; the rows here are empty.
     Packed(StoreRows),
+    /// A long answer of the store has begun to arrive here, and may take long to be complete.
+    Arriving,
     /// The rows are too large to relay.
     TooLarge,
     /// The answering gateway cannot reach the store.
@@ -77,7 +82,7 @@
             Self::All(rows) | Self::Changed(rows) | Self::Part(rows) | Self::Packed(rows) => {
                 Some(rows)
             }
-            Self::TooLarge | Self::StoreUnavailable => None,
+            Self::Arriving | Self::TooLarge | Self::StoreUnavailable => None,
         }
     }
 }
@@ -151,6 +156,11 @@
         self.table(table).record(event);
     }
 
+    /// Records that a long answer of the store has begun to arrive, until the next event.
+    pub fn mark_arriving(&self, table: StoreTable) {
+        self.table(table).mark_arriving();
+    }
+
     /// Whether other gateways have requested rows recently.
     #[must_use]
     pub fn has_recent_requests(&self, table: StoreTable) -> bool {
--- a/crates/amaranthscale/tests/table_relay.rs
+++ b/crates/amaranthscale/tests/table_relay.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use amaranthscale::gateway::version::{
-    FeedEvent, KnownRow, PackedRow, RelayAnswer, RelayedRows, RowsRequest, TableRelay,
+    ArrivalNotice, FeedEvent, KnownRow, PackedRow, RelayAnswer, RelayedRows, RowsRequest,
+    TableRelay,
 };
 use amaranthscale::gateway::{StoreRow, StoreRows, StoreTable, StoredValue};
 use amaranthscale_core::id::RowVersion;
@@ -44,6 +45,7 @@
         known_rows: Vec::new(),
         takes_packed_table: false,
         waits_for_start: false,
+        arrival_notice: ArrivalNotice::Unwanted,
     }
 }
 
@@ -315,6 +317,39 @@
     );
 }
 
+/// A long answer of the store arrives slowly at the reader. The gateways that wait for its rows must
+/// learn that they exist, so that they can ask others; once the rows are there, they are relayed.
+#[tokio::test(start_paused = true)]
+async fn rows_that_begin_to_arrive_are_announced_until_they_are_relayed() {
+    let table_relay = with_one_row();
+    let with_notice = RowsRequest {
+        arrival_notice: ArrivalNotice::Wanted,
+        ..request(5, ms(1_000))
+    };
+    let waiting = relayed(&table_relay, with_notice.clone());
+    let arriving = async {
+        tokio::time::sleep(ms(300)).await;
+        table_relay.mark_arriving(TABLE);
+    };
+    let (told, ()) = tokio::join!(waiting, arriving);
+    let later = relayed(&table_relay, request(5, ms(1_000)));
+    let arrived = async {
+        tokio::time::sleep(ms(2_000)).await;
+        let changed = rows(vec![row("s2", content("two"), 6)], 6, ms(1_300));
+        table_relay.record(TABLE, &FeedEvent::Changes(changed));
+    };
+    let (answer, ()) = tokio::join!(later, arrived);
+
+    assert_eq!(told, RelayedRows::Arriving);
+    assert!(matches!(answer, RelayedRows::Changed(rows) if rows.rows.len() == 1));
+    let next = RowsRequest {
+        arrival_notice: ArrivalNotice::Wanted,
+        ..request(6, ms(1_300))
+    };
+    let waiting = table_relay.answer(next);
+    assert!(tokio::time::timeout(ms(3_000), waiting).await.is_err());
+}
+
 /// A gateway that has no answer of the store yet has nothing to relay.
 #[tokio::test(start_paused = true)]
 async fn nothing_is_relayed_before_the_first_answer() {
