Runs continue at another engine only while their stage results are retained

Change: results are retained while the run has a backup and go to the engine that continues it; a run whose results are released is not moved.

--- a/crates/amaranthscale/src/gateway/request/run_continuation.rs
+++ b/crates/amaranthscale/src/gateway/request/run_continuation.rs
@@ -152,6 +152,7 @@
         &mut self,
         copy: Box<HeldCopy>,
         last_id: Option<u64>,
+        results: &mut Option<JobResults>,
     ) -> Option<EngineAnswer> {
         let source = (self.context.dialect.moved_run_source)(copy.source.address, &copy.handle);
         let after = self.continued_after(last_id);
@@ -173,7 +174,7 @@
                     self.set_backup(next_backup, &engine);
                     return Some(EngineAnswer {
                         answer: *answer,
-                        results: None,
+                        results: results.take(),
                         server: engine.incarnation,
                         continued_after: Some(after),
                     });
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -69,7 +69,7 @@
         left: Vec::new(),
         forwarded: 0,
         engine_first_event: None,
-        unread_results: None,
+        results: None,
     };
     tokio::spawn(relay.run(answer, open_request));
     response
@@ -89,8 +89,9 @@
     /// Time from the send to the first event at the current engine; none for a run that continues
     /// from a copy, which prefills little or nothing.
     engine_first_event: Option<Duration>,
-    /// Stage results that no engine has read yet, of a stream that broke before its first event.
-    unread_results: Option<JobResults>,
+    /// Stage results that the next engine may read: those of a stream that broke before its first
+    /// event, and of a run that has a backup.
+    results: Option<JobResults>,
 }
 
 impl StreamRelay {
@@ -171,7 +172,10 @@
         let max_silence = self.max_silence();
         let mut heard_at = Instant::now();
         loop {
-            if has_begun {
+            // The engine that continues a run reads its inputs, so a run whose results are released
+            // stays where it is.
+            let has_inputs = results.is_some() || self.run.results_at.is_none();
+            if has_begun && has_inputs {
                 self.begin_move(&mut run_move);
             }
             // Without ids, the events that the caller has are not known to a copy's engine.
@@ -183,6 +187,7 @@
                 is_overdue = run_move.next_step() => {
                     if let Some(copy) = run_move.take_copy(self.last_id, is_overdue) {
                         in_flight_send.end(SendEnd::Abandoned);
+                        self.results = results;
                         return EngineStreamEnd::Moved(copy);
                     }
                     if was_copying {
@@ -200,6 +205,7 @@
                     }
                     self.run.context.counters.count("stream.silent");
                     in_flight_send.end(SendEnd::Failed);
+                    self.results = results;
                     return EngineStreamEnd::Broken;
                 }
             };
@@ -221,16 +227,20 @@
                         in_flight_send.record_lost(&self.run.admitted);
                     }
                     if let Some(copy) = run_move.take_copy(self.last_id, true) {
+                        self.results = results;
                         return EngineStreamEnd::Moved(copy);
                     }
-                    self.unread_results = results;
+                    self.results = results;
                     return EngineStreamEnd::Broken;
                 }
                 None => break,
             };
             heard_at = Instant::now();
-            // The engine has read its inputs before it sends its first event.
-            results.take();
+            // The engine has read its inputs before it sends its first event; one that continues the
+            // run from a backup reads them as well.
+            if self.run.backup.is_none() {
+                results = None;
+            }
             if !has_begun && !is_continued {
                 self.engine_first_event = Some(in_flight_send.since_sent());
             }
@@ -244,6 +254,7 @@
             }
             if let Some(copy) = run_move.take_copy(self.last_id, false) {
                 in_flight_send.end(SendEnd::Abandoned);
+                self.results = results;
                 return EngineStreamEnd::Moved(copy);
             }
         }
@@ -333,7 +344,10 @@
 
     /// Continues a run that was stopped to move it.
     async fn continue_moved(&mut self, copy: Box<HeldCopy>) -> Option<EngineAnswer> {
-        let continuing = self.run.continue_moved_run(copy, self.last_id);
+        let mut results = self.results.take();
+        let continuing = self
+            .run
+            .continue_moved_run(copy, self.last_id, &mut results);
         let answer = tokio::select! {
             answer = continuing => answer?,
             () = self.sender.closed() => return None,
@@ -348,7 +362,7 @@
     /// fails before it looks for one. Without ids, the events that the caller has cannot be told
     /// from those that follow.
     async fn continue_at_copy(&mut self, server: &ServerIncarnation) -> Option<EngineAnswer> {
-        let mut results = self.unread_results.take();
+        let mut results = self.results.take();
         self.last_id?;
         self.run.exclude(server.clone());
         let continuing = self.run.continue_run(server, self.last_id, &mut results);
