A run that could not leave a slow or full engine may leave it later

Cause: after a failed move from a slow engine, a run was not moved again, also when its engine left afterwards, and was lost with it.

Change: a failed move from a slow or full engine is tried again after a second at the earliest, within the two moves that a run has; one from a leaving engine is not, as before.

--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -87,11 +87,12 @@
 }
 
 impl GatewayContext {
-    /// Begins to move a run if there is a reason to. Takes a retry from the budget.
+    /// Begins to move a run if there is a reason to, which is returned with the move's end. Takes a
+    /// retry from the budget.
     pub fn begin_move(
         self: &Arc<Self>,
         run: &MovableRun<'_>,
-    ) -> Option<oneshot::Receiver<MoveEnd>> {
+    ) -> Option<(MoveReason, oneshot::Receiver<MoveEnd>)> {
         let transfer = self.transfer_spec(run.service)?;
         if !transfer.can_move || !self.features.is_enabled(Feature::RunMove) {
             return None;
@@ -121,7 +122,7 @@
         };
         let (sender, receiver) = oneshot::channel();
         tokio::spawn(move_run(active, call.clone(), sender));
-        Some(receiver)
+        Some((reason, receiver))
     }
 
     /// Sends a call about a copy to the engine that made it, which may be leaving.
--- a/crates/amaranthscale/src/gateway/request/run_move_state.rs
+++ b/crates/amaranthscale/src/gateway/request/run_move_state.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
+use amaranthscale_core::process::MoveReason;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -11,6 +12,8 @@
 /// Interval at which a stream's engine is checked for a reason to move its run; twice as long
 /// without an event.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after a failed move from a slow or full engine until the engine is checked again.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time within which the last events of a stopped run arrive, as its connection is closed then.
 const LAST_EVENTS_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -18,19 +21,19 @@
 enum Phase {
     /// No move has begun.
     Waiting,
-    /// The run is being copied.
-    Copying(oneshot::Receiver<MoveEnd>),
+    /// The run is being copied for a reason.
+    Copying(MoveReason, oneshot::Receiver<MoveEnd>),
     /// The run has stopped; the last events are on their way.
     Stopped {
         copy: Box<HeldCopy>,
         events: Option<u64>,
         overdue_at: Instant,
     },
-    /// The move failed, and the run goes on.
+    /// The move failed, and the run goes on until its engine has left.
     Failed,
 }
 
-/// State of the move of one run; each run is moved from an engine at most once.
+/// State of the move of one run; each run is moved from a leaving engine at most once.
 #[derive(Debug)]
 pub(super) struct RunMoveState {
     engine: ServerIncarnation,
@@ -75,13 +78,13 @@
         Some(self.first_at?.elapsed() / events)
     }
 
-    pub(super) fn set_begun(&mut self, end: oneshot::Receiver<MoveEnd>) {
-        self.phase = Phase::Copying(end);
+    pub(super) fn set_begun(&mut self, reason: MoveReason, end: oneshot::Receiver<MoveEnd>) {
+        self.phase = Phase::Copying(reason, end);
     }
 
     /// Whether the run is being copied.
     pub(super) const fn is_copying(&self) -> bool {
-        matches!(self.phase, Phase::Copying(_))
+        matches!(self.phase, Phase::Copying(..))
     }
 
     /// Whether the engine has told that it stopped the run.
@@ -99,9 +102,9 @@
     /// to be checked again although it has sent no event. Returns whether last events are overdue.
     pub(super) async fn next_step(&mut self) -> bool {
         match &mut self.phase {
-            Phase::Copying(end) => {
-                let end = end.await.ok();
-                self.record(end);
+            Phase::Copying(reason, end) => {
+                let (reason, end) = (*reason, end.await.ok());
+                self.record(reason, end);
                 false
             }
             Phase::Stopped { overdue_at, .. } => {
@@ -117,13 +120,18 @@
         }
     }
 
-    fn record(&mut self, end: Option<MoveEnd>) {
+    fn record(&mut self, reason: MoveReason, end: Option<MoveEnd>) {
         self.phase = match end {
             Some(MoveEnd::Stopped { copy, events }) => Phase::Stopped {
                 copy,
                 events,
                 overdue_at: Instant::now() + LAST_EVENTS_TIMEOUT,
             },
+            // Its engine may leave later, and it may still be slow or full.
+            Some(MoveEnd::Continues(_)) | None if reason.is_elective() => {
+                self.next_check = Instant::now() + RETRY_INTERVAL;
+                Phase::Waiting
+            }
             Some(MoveEnd::Continues(_)) | None => Phase::Failed,
         };
     }
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -316,9 +316,9 @@
             age: self.begun_at.elapsed(),
             left: &self.left,
         });
-        if let Some(begun) = begun {
+        if let Some((reason, end)) = begun {
             self.left.push(run_move.engine().clone());
-            run_move.set_begun(begun);
+            run_move.set_begun(reason, end);
         }
     }
 
