Forecast: mostly sent work goes after the most urgent rank; two deviations

Cause: work that was mostly sent went ahead of all other work, so that the most urgent jobs with short targets waited at each stage for the rest of less urgent ones: the more of those a milder forecast admitted, the more urgent jobs were refused. One mean deviation below the mean error still refused jobs of the least urgent rank that would have been served. Change: work that is mostly sent goes behind new work of the most urgent rank. The favourable end of the errors is the mean less two deviations.

--- a/crates/core/src/process/batcher/admission/admission_plan.rs
+++ b/crates/core/src/process/batcher/admission/admission_plan.rs
@@ -6,6 +6,8 @@
     /// Delay of its stages behind those of other jobs once it has started: by rank only, so that
     /// started work finishes before new work of its rank starts.
     pub(in crate::process::batcher) started_delay: Duration,
+    /// Delay of its stages once most of its work was sent.
+    pub(in crate::process::batcher) committed_delay: Duration,
     /// Time by which its results meet the target latency.
     pub(in crate::process::batcher) results_by: Duration,
     /// Whether an earlier owner admitted it, so that it is not displaced for its forecast.
--- a/crates/core/src/process/batcher/admission/forecast.rs
+++ b/crates/core/src/process/batcher/admission/forecast.rs
@@ -103,6 +103,7 @@
             is_late,
             plan: Some(AdmissionPlan {
                 started_delay: by_started_rank(job_spec),
+                committed_delay: by_started_rank(job_spec).min(behind_most_urgent()),
                 results_by: (now + limit).saturating_sub(job_spec.engine_time),
                 is_protected: job_spec.was_admitted,
                 stages: path.stages,
@@ -408,6 +409,15 @@
     forecast_delay(job_spec.rank, f64::MAX)
 }
 
+/// Delay of work that is mostly sent, of all ranks but the most urgent one: behind that one's new
+/// work.
+///
+/// Guards against urgent jobs that miss short targets, as each of their stages would wait for the
+/// rest of less urgent jobs.
+fn behind_most_urgent() -> Duration {
+    forecast_delay(Rank::default(), 0.0)
+}
+
 /// Retry time by the time that is missing, within the caller's useful range.
 pub(super) fn retry_after(missing: Duration, deadline_left: Duration) -> Duration {
     let longest = MAX_RETRY_AFTER.min(deadline_left / 3).max(MIN_RETRY_AFTER);
--- a/crates/core/src/process/batcher/admission/forecast_error.rs
+++ b/crates/core/src/process/batcher/admission/forecast_error.rs
@@ -12,6 +12,9 @@
 /// more than it completes in its next second.
 const MIN_RATIO: f64 = 0.5;
 const MAX_RATIO: f64 = 4.0;
+/// Mean deviations below the mean at which the favourable end of the errors is. With one, jobs of
+/// the least urgent rank were still refused that would have been served.
+const FAVOURABLE_DEVIATIONS: f64 = 2.0;
 
 /// Ratio of actual to forecast waits.
 #[derive(Debug, Clone, Copy)]
@@ -37,10 +40,10 @@
         1.0 + (self.ratio - 1.0) * self.kept(now)
     }
 
-    /// The favourable end of the recent errors: the mean less one mean deviation.
+    /// The favourable end of the recent errors: the mean less some mean deviations.
     pub(super) fn favourable_ratio(&self, now: Duration) -> f64 {
         let deviation = self.deviation * self.kept(now);
-        (self.ratio(now) - deviation).max(MIN_RATIO)
+        (self.ratio(now) - FAVOURABLE_DEVIATIONS * deviation).max(MIN_RATIO)
     }
 
     /// Fraction of the error that is left since the last sample.
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -258,9 +258,9 @@
             return;
         }
         self.is_committed = true;
-        if self.plan.is_some() {
-            // Most of its work would be lost for a small rest, whatever its rank is.
-            self.priority_delay = Duration::ZERO;
+        if let Some(plan) = &self.plan {
+            // Most of its work would be lost for a small rest.
+            self.priority_delay = plan.committed_delay;
         }
         if self.is_late {
             self.is_late = false;
--- a/crates/core/tests/batcher/admission.rs
+++ b/crates/core/tests/batcher/admission.rs
@@ -321,6 +321,29 @@
     assert_eq!(calls_of(&next), vec![call.as_str(); FULL_CALL]);
 }
 
+/// Urgent jobs with short targets would wait at each stage for the rest of less urgent ones.
+#[test]
+fn mostly_sent_work_goes_after_new_work_of_the_most_urgent_rank() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let mut mostly_sent = fixture.chain(&[(ENCODE, FULL_CALL, 100), (RETRIEVE, FULL_CALL, 100)]);
+    mostly_sent.rank.route = 2;
+    fixture.submit(mostly_sent);
+    let first = fixture.next_batch();
+    let blocking = fixture.chain(&[(RETRIEVE, FULL_CALL, 100)]);
+    fixture.submit(blocking);
+    let running = fixture.next_batch();
+    let urgent = fixture.chain(&[(RETRIEVE, FULL_CALL, 100)]);
+    let call = urgent.call.clone();
+    fixture.submit(urgent);
+    fixture.advance(310);
+    fixture.complete(&first);
+    fixture.complete(&running);
+
+    let next = fixture.next_batch();
+
+    assert_eq!(calls_of(&next), vec![call.as_str(); FULL_CALL]);
+}
+
 /// One organisation submits a burst before the first job of another one: that job would wait for
 /// the whole burst.
 #[test]
