Operators see false refusals and the forecast ratio by rank

Cause: a refusal that was not necessary looked like any other, and one ratio of actual to forecast wait stood for all ranks of a service. Change: when the probe of a refused job ends at the service that it would have waited for the longest, the owner logs it at debug level (`batches: refusal probed`, `probe_ms`, `limit_ms`) and counts `admission.false-refusals` if the service would have started it in time. The metrics page shows the ratio by service and rank.

--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -10,9 +10,9 @@
 use amaranthscale_core::id::{CallId, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
     Batcher, Cell, ColdAllowance, JobEvent, JobFailure, JobId, JobRefusal, LagChange, LagDetector,
-    ServerAvailability, StageTimes,
+    Rank, ServerAvailability, StageTimes,
 };
-use log::{info, warn};
+use log::{debug, info, warn};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -167,6 +167,7 @@
         self.send_batches(myself, now);
         self.deliver_events();
         self.record_forecast_errors(now);
+        self.record_probe_ends();
         self.hand_over();
         if self.batcher.job_count() > 0 {
             // Without jobs no tick is scheduled, so that an idle owner does not wake up.
@@ -408,6 +409,30 @@
             let name = format!("admission.forecast-ratio.{service}");
             latencies.record(&name, Duration::from_secs_f64(ratio));
         }
+        for (service, rank, ratio) in self.batcher.forecast_ratios_by_rank(now) {
+            let Rank {
+                organisation,
+                route,
+            } = rank;
+            let name = format!("admission.forecast-ratio.{service}.rank-{organisation}-{route}");
+            latencies.record(&name, Duration::from_secs_f64(ratio));
+        }
+    }
+
+    /// Records when refused jobs would have started, so that operators see false refusals.
+    fn record_probe_ends(&mut self) {
+        for probe in self.batcher.take_probe_ends() {
+            let is_false = probe.is_false_refusal();
+            if is_false {
+                self.arguments.counters.count("admission.false-refusals");
+            }
+            debug!(
+                call = probe.call.as_str(), stage = probe.service.as_str(),
+                probe_ms = ms(probe.waited), limit_ms = ms(probe.limit),
+                has_started = probe.has_started, is_false;
+                "batches: refusal probed"
+            );
+        }
     }
 
     /// Records an accepted job, and tells its gateway, so that the next owner knows of it if this
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -72,8 +72,8 @@
 #[doc(inline)]
 pub use batcher::{
     Batch, BatchEnd, BatchId, BatchItem, Batcher, Bound, DEFAULT_ENGINE_TIME, FreeRequest,
-    JobEvent, JobFailure, JobId, JobRefusal, JobSpec, PieceEnd, PieceInput, RefusedForecast,
-    RetainedResult, StageSpec, StageTimes,
+    JobEvent, JobFailure, JobId, JobRefusal, JobSpec, PieceEnd, PieceInput, ProbeEnd,
+    RefusedForecast, RetainedResult, StageSpec, StageTimes,
 };
 #[doc(inline)]
 pub use cell::Cell;
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -41,7 +41,7 @@
 use crate::version::{BatchSpec, Routing};
 
 #[doc(inline)]
-pub use admission::{Bound, RefusedForecast};
+pub use admission::{Bound, ProbeEnd, RefusedForecast};
 #[doc(inline)]
 pub use message::{
     Batch, BatchEnd, BatchId, BatchItem, DEFAULT_ENGINE_TIME, FreeRequest, JobEvent, JobFailure,
--- a/crates/core/src/process/batcher/admission.rs
+++ b/crates/core/src/process/batcher/admission.rs
@@ -17,6 +17,7 @@
 mod forecast;
 mod forecast_error;
 mod probe;
+mod probe_end;
 mod probes;
 mod refused_forecast;
 mod residence;
@@ -30,6 +31,8 @@
 use crate::id::ServiceId;
 use crate::process::Rank;
 
+#[doc(inline)]
+pub use probe_end::ProbeEnd;
 #[doc(inline)]
 pub use refused_forecast::{Bound, RefusedForecast};
 
@@ -54,6 +57,8 @@
     fair_delays: BTreeMap<Rank, FairDelay>,
     /// Absolute errors of forecast waits that were not taken yet.
     wait_errors: Vec<Duration>,
+    /// Ends of probes that were not taken yet.
+    probe_ends: Vec<ProbeEnd>,
     /// Order classes that were examined for forecasts since the start.
     examined_classes: u64,
 }
@@ -110,6 +115,8 @@
         let ended = probes.end(places, now);
         let error = self.errors.entry(service.clone()).or_default();
         for probe in ended {
+            self.probe_ends
+                .extend(probe.reported_end(service, true, now));
             error.record(probe.rank, probe.actual_s(now), probe.forecast_s(), now);
         }
     }
@@ -118,6 +125,8 @@
     pub(super) fn expire_probes(&mut self, now: Duration) {
         for (service, probes) in &mut self.probes {
             for probe in probes.expire(now) {
+                self.probe_ends
+                    .extend(probe.reported_end(service, false, now));
                 let error = self.errors.entry(service.clone()).or_default();
                 error.record_at_least(probe.rank, probe.actual_s(now), probe.forecast_s(), now);
             }
@@ -138,6 +147,28 @@
         errors.map(move |(service, error)| (service, error.all().ratio(now)))
     }
 
+    /// Ratio of actual to forecast waits of each service and rank with samples.
+    pub fn forecast_ratios_by_rank(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (&ServiceId, Rank, f64)> {
+        let admission = self.admission.iter();
+        let errors = admission.flat_map(|admission| &admission.errors);
+        errors.flat_map(move |(service, error)| {
+            let ranks = error.ranks();
+            ranks.map(move |(rank, error)| (service, rank, error.ratio(now)))
+        })
+    }
+
+    /// When refused jobs would have started, for those of which this was found out since the last
+    /// call.
+    pub fn take_probe_ends(&mut self) -> Vec<ProbeEnd> {
+        let admission = self.admission.as_mut();
+        admission.map_or_else(Vec::new, |admission| {
+            std::mem::take(&mut admission.probe_ends)
+        })
+    }
+
     /// Absolute errors of the forecast waits of stages that have started since the last call.
     pub fn take_forecast_errors(&mut self) -> Vec<Duration> {
         let admission = self.admission.as_mut();
--- a/crates/core/src/process/batcher/admission/forecast.rs
+++ b/crates/core/src/process/batcher/admission/forecast.rs
@@ -87,7 +87,7 @@
         if is_late {
             let check = self.check_late_by_forecast(job_spec, &capacities, &calls, &path, now);
             if let Err(refusal) = check {
-                self.leave_probes(job_spec, &starts, &path, now);
+                self.leave_probes(job_spec, &latest_starts, &starts, &path, now);
                 return Err(refusal);
             }
         }
@@ -188,6 +188,7 @@
     fn leave_probes(
         &mut self,
         job_spec: &JobSpec,
+        latest_starts: &[Duration],
         starts: &[Duration],
         path: &PathForecast,
         now: Duration,
@@ -207,6 +208,8 @@
                 rank: job_spec.rank,
                 pieces: stage.pieces,
                 result_bytes: stage.result_bytes,
+                call: (index == path.binding_stage).then(|| job_spec.call.clone()),
+                latest_start: latest_starts[index],
                 refused_at: now,
                 inputs_at: path.inputs_at[index],
                 limit_at,
--- a/crates/core/src/process/batcher/admission/service_error.rs
+++ b/crates/core/src/process/batcher/admission/service_error.rs
@@ -28,6 +28,11 @@
         &self.all
     }
 
+    /// Ranks with samples.
+    pub(super) fn ranks(&self) -> impl Iterator<Item = (Rank, &ForecastError)> {
+        self.ranks.iter().map(|(rank, error)| (*rank, error))
+    }
+
     /// Adds the wait of a stage that started.
     pub(super) fn record(&mut self, rank: Rank, actual_s: f64, forecast_s: f64, now: Duration) {
         self.all.record(actual_s, forecast_s, now);
--- a/crates/core/tests/batcher/admission.rs
+++ b/crates/core/tests/batcher/admission.rs
@@ -454,6 +454,60 @@
     assert!(ratio(&fixture) < 1.0, "{}", ratio(&fixture));
 }
 
+/// Operators could not tell a false refusal from a necessary one.
+#[test]
+fn a_false_refusal_is_reported_with_its_wait() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let (accepted, _) = fill(&mut fixture);
+    for job in accepted {
+        fixture.batcher.release(job);
+    }
+    fixture.advance(200);
+
+    fixture.next_batches();
+
+    let ends = fixture.batcher.take_probe_ends();
+    assert_eq!(ends.len(), 1);
+    assert_eq!(ends[0].service.as_str(), ENCODE);
+    assert_eq!(ends[0].waited, ms(200));
+    assert!(ends[0].is_false_refusal(), "{:?}", ends[0]);
+    assert!(fixture.batcher.take_probe_ends().is_empty());
+}
+
+/// The samples of urgent jobs, which wait little, would hide that a less urgent rank waits longer
+/// than forecast.
+#[test]
+fn each_rank_of_a_service_has_its_own_error() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let (accepted, _) = fill(&mut fixture);
+    let mut least_urgent = fixture.chain(&[(ENCODE, FULL_CALL, 100)]);
+    least_urgent.rank.route = 2;
+    assert!(fixture.batcher.submit(least_urgent, fixture.now).is_err());
+    for job in accepted {
+        fixture.batcher.release(job);
+    }
+    // The jobs would have started one after the other.
+    for _ in 0..2 {
+        fixture.advance(100);
+        fixture.next_batches();
+    }
+    for _ in 0..6 {
+        let spec = fixture.chain(&[(ENCODE, FULL_CALL, 100)]);
+        fixture.submit(spec);
+        fixture.advance(200);
+        let batch = fixture.next_batch();
+        fixture.advance(300);
+        fixture.complete(&batch);
+    }
+
+    let ratios = fixture.batcher.forecast_ratios_by_rank(fixture.now);
+    let ratios: Vec<_> = ratios.map(|(_, rank, ratio)| (rank.route, ratio)).collect();
+
+    assert_eq!(ratios.len(), 2);
+    assert_eq!((ratios[0].0, ratios[1].0), (0, 2));
+    assert!(ratios[0].1 > 1.0 && ratios[1].1 < 1.0, "{ratios:?}");
+}
+
 /// A call takes longer than forecast, and nothing else starts.
 #[test]
 fn a_refused_job_that_is_never_reached_raises_the_forecast() {
@@ -474,6 +528,10 @@
     fixture.next_batches();
 
     assert!(ratio(&fixture) > 1.0, "{}", ratio(&fixture));
+    fixture.advance(100);
+    fixture.next_batches();
+    let ends = fixture.batcher.take_probe_ends();
+    assert!(ends.iter().all(|end| !end.is_false_refusal()), "{ends:?}");
 }
 
 /// The owner was lost after it had admitted a job. If the next one refused it for its forecast, its
