--- a/crates/core/src/process/batcher/admission/forecast.rs
+++ b/crates/core/src/process/batcher/admission/forecast.rs
@@ -87,7 +87,7 @@
         if is_late {
             let check = self.check_late_by_forecast(job_spec, &capacities, &calls, &path, now);
             if let Err(refusal) = check {
-                self.leave_probes(job_spec, &starts, &path, now);
+                self.leave_probes(job_spec, &latest_starts, &starts, &path, now);
                 return Err(refusal);
             }
         }
@@ -103,6 +103,7 @@
             is_late,
             plan: Some(AdmissionPlan {
                 started_delay: by_started_rank(job_spec),
+                committed_delay: by_started_rank(job_spec).min(behind_most_urgent()),
                 results_by: (now + limit).saturating_sub(job_spec.engine_time),
                 is_protected: job_spec.was_admitted,
                 stages: path.stages,
@@ -187,6 +188,7 @@
     fn leave_probes(
         &mut self,
         job_spec: &JobSpec,
+        latest_starts: &[Duration],
         starts: &[Duration],
         path: &PathForecast,
         now: Duration,
@@ -206,6 +208,8 @@
                 rank: job_spec.rank,
                 pieces: stage.pieces,
                 result_bytes: stage.result_bytes,
+                call: (index == path.binding_stage).then(|| job_spec.call.clone()),
+                latest_start: latest_starts[index],
                 refused_at: now,
                 inputs_at: path.inputs_at[index],
                 limit_at,
@@ -408,6 +412,15 @@
     forecast_delay(job_spec.rank, f64::MAX)
 }
 
+/// Delay of work that is mostly sent, of all ranks but the most urgent one: behind that one's new
+/// work.
+///
+/// Guards against urgent jobs that miss short targets, as each of their stages would wait for the
+/// rest of less urgent jobs.
+fn behind_most_urgent() -> Duration {
+    forecast_delay(Rank::default(), 0.0)
+}
+
 /// Retry time by the time that is missing, within the caller's useful range.
 pub(super) fn retry_after(missing: Duration, deadline_left: Duration) -> Duration {
     let longest = MAX_RETRY_AFTER.min(deadline_left / 3).max(MIN_RETRY_AFTER);
--- a/crates/core/tests/batcher/admission.rs
+++ b/crates/core/tests/batcher/admission.rs
@@ -321,6 +321,29 @@
     assert_eq!(calls_of(&next), vec![call.as_str(); FULL_CALL]);
 }
 
+/// Urgent jobs with short targets would wait at each stage for the rest of less urgent ones.
+#[test]
+fn mostly_sent_work_goes_after_new_work_of_the_most_urgent_rank() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let mut mostly_sent = fixture.chain(&[(ENCODE, FULL_CALL, 100), (RETRIEVE, FULL_CALL, 100)]);
+    mostly_sent.rank.route = 2;
+    fixture.submit(mostly_sent);
+    let first = fixture.next_batch();
+    let blocking = fixture.chain(&[(RETRIEVE, FULL_CALL, 100)]);
+    fixture.submit(blocking);
+    let running = fixture.next_batch();
+    let urgent = fixture.chain(&[(RETRIEVE, FULL_CALL, 100)]);
+    let call = urgent.call.clone();
+    fixture.submit(urgent);
+    fixture.advance(310);
+    fixture.complete(&first);
+    fixture.complete(&running);
+
+    let next = fixture.next_batch();
+
+    assert_eq!(calls_of(&next), vec![call.as_str(); FULL_CALL]);
+}
+
 /// One organisation submits a burst before the first job of another one: that job would wait for
 /// the whole burst.
 #[test]
@@ -431,6 +454,60 @@
     assert!(ratio(&fixture) < 1.0, "{}", ratio(&fixture));
 }
 
+/// Operators could not tell a false refusal from a necessary one.
+#[test]
+fn a_false_refusal_is_reported_with_its_wait() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let (accepted, _) = fill(&mut fixture);
+    for job in accepted {
+        fixture.batcher.release(job);
+    }
+    fixture.advance(200);
+
+    fixture.next_batches();
+
+    let ends = fixture.batcher.take_probe_ends();
+    assert_eq!(ends.len(), 1);
+    assert_eq!(ends[0].service.as_str(), ENCODE);
+    assert_eq!(ends[0].waited, ms(200));
+    assert!(ends[0].is_false_refusal(), "{:?}", ends[0]);
+    assert!(fixture.batcher.take_probe_ends().is_empty());
+}
+
+/// The samples of urgent jobs, which wait little, would hide that a less urgent rank waits longer
+/// than forecast.
+#[test]
+fn each_rank_of_a_service_has_its_own_error() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let (accepted, _) = fill(&mut fixture);
+    let mut least_urgent = fixture.chain(&[(ENCODE, FULL_CALL, 100)]);
+    least_urgent.rank.route = 2;
+    assert!(fixture.batcher.submit(least_urgent, fixture.now).is_err());
+    for job in accepted {
+        fixture.batcher.release(job);
+    }
+    // The jobs would have started one after the other.
+    for _ in 0..2 {
+        fixture.advance(100);
+        fixture.next_batches();
+    }
+    for _ in 0..6 {
+        let spec = fixture.chain(&[(ENCODE, FULL_CALL, 100)]);
+        fixture.submit(spec);
+        fixture.advance(200);
+        let batch = fixture.next_batch();
+        fixture.advance(300);
+        fixture.complete(&batch);
+    }
+
+    let ratios = fixture.batcher.forecast_ratios_by_rank(fixture.now);
+    let ratios: Vec<_> = ratios.map(|(_, rank, ratio)| (rank.route, ratio)).collect();
+
+    assert_eq!(ratios.len(), 2);
+    assert_eq!((ratios[0].0, ratios[1].0), (0, 2));
+    assert!(ratios[0].1 > 1.0 && ratios[1].1 < 1.0, "{ratios:?}");
+}
+
 /// A call takes longer than forecast, and nothing else starts.
 #[test]
 fn a_refused_job_that_is_never_reached_raises_the_forecast() {
@@ -451,6 +528,10 @@
     fixture.next_batches();
 
     assert!(ratio(&fixture) > 1.0, "{}", ratio(&fixture));
+    fixture.advance(100);
+    fixture.next_batches();
+    let ends = fixture.batcher.take_probe_ends();
+    assert!(ends.iter().all(|end| !end.is_false_refusal()), "{ends:?}");
 }
 
 /// The owner was lost after it had admitted a job. If the next one refused it for its forecast, its
