A busy home is split with the next engine by hash

Prompts of a hot part stayed at their home until it was three quarters full, then went to whichever engines had free slots, each of which prefilled the part again.

Above 60% of the home's slots, by the load that it reports, while the next engine by hash is below 40%, prompts are split between the two by a hash of the call's id until the home is below 40% or its report is 2 s old. The second fetches the parts from the home. Where speeds differ, the other engine is taken if it is earlier by 0.1 s. It needs `engine-speed`, `prompt-fetch` and transfers in the engine entry; `prompts.split` counts it.

--- a/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
@@ -65,8 +65,21 @@
         let now = self.cluster_view.clock().now();
         let usable = self.usable_servers(&servers, service, now);
         let recent = self.prompt_sources.engines(part, now);
-        self.server_selector()
-            .prompt_homes(&usable, part, recent, now)
+        let may_split = self.features.is_enabled(Feature::EngineSpeed)
+            && self.features.is_enabled(Feature::PromptFetch)
+            && attributes.shared_tokens() > 0
+            && self.transfer_spec(service).is_some();
+        let mut server_selector = self.server_selector();
+        let homes = server_selector.prompt_homes(&usable, part, recent, now);
+        if !may_split {
+            return homes;
+        }
+        let homes = server_selector.split_homes(homes, &usable, &attributes.call, now);
+        drop(server_selector);
+        if homes.is_split {
+            self.counters.count("prompts.split");
+        }
+        homes
     }
 
     /// The engine from which `engine` should fetch the shared parts of a prompt; none if it holds
--- a/crates/core/src/process/engine_speed/prompt_homes.rs
+++ b/crates/core/src/process/engine_speed/prompt_homes.rs
@@ -14,6 +14,12 @@
     pub previous: Option<ServerIncarnation>,
     /// The engine that would be the home without it; prompts that leave the home go there first.
     pub second: Option<ServerIncarnation>,
+    /// Whether prompts leave their home for faster engines, so that the second one may hold the
+    /// parts.
+    pub is_uneven: bool,
+    /// Whether prompts with these parts are split between the home and the second engine, which are
+    /// then exchanged for half of them.
+    pub is_split: bool,
     /// Engines that this gateway has seen prefill the parts within the last seconds, the latest first.
     pub recent: Vec<ServerIncarnation>,
 }
@@ -28,7 +34,8 @@
     /// Whether an engine is likely to hold the parts.
     #[must_use]
     pub fn holds(&self, engine: &ServerIncarnation) -> bool {
-        self.is_home(engine) || self.recent.contains(engine)
+        let is_second = self.is_split && self.second.as_ref() == Some(engine);
+        self.is_home(engine) || is_second || self.recent.contains(engine)
     }
 
     /// Engines other than `engine` from which it may fetch the parts, the likeliest to hold them
@@ -40,12 +47,14 @@
     /// each change of the home, and after a first prompt that left it.
     pub fn sources(&self, engine: &ServerIncarnation) -> impl Iterator<Item = &ServerIncarnation> {
         let is_held = self.recent.contains(engine);
+        let second = self.second.iter();
+        let second = second.filter(|_| self.is_uneven || self.is_split);
         let all = self
             .recent
             .iter()
             .chain(&self.home)
             .chain(&self.previous)
-            .chain(&self.second);
+            .chain(second);
         all.filter(move |source| !is_held && *source != engine)
     }
 }
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -10,11 +10,13 @@
 //! is ejected for a while, but never more than half of them.
 
 mod engine_choice;
+mod home_splits;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use self::home_splits::HomeSplits;
 use super::connection_share::ConnectionShare;
 use super::engine_speed::EngineSpeeds;
 use super::load_snapshot::{LoadSnapshot, OptionalNumber};
@@ -167,6 +169,7 @@
     trackers: BTreeMap<ServerIncarnation, ServerTracker>,
     /// Measured speed of engines; empty where it is not used.
     engine_speeds: EngineSpeeds,
+    home_splits: HomeSplits,
 }
 
 impl ServerSelector {
@@ -471,6 +474,7 @@
     /// Removes servers that are gone.
     pub fn retain(&mut self, is_known: impl Fn(&ServerIncarnation) -> bool) {
         self.engine_speeds.retain(&is_known);
+        self.home_splits.retain(&is_known);
         self.trackers
             .retain(|id, tracker| tracker.in_flight > 0 || is_known(id));
     }
--- a/crates/core/src/process/server_selector/engine_choice.rs
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -17,8 +17,10 @@
 use super::super::server_availability::UsableServers;
 use super::super::server_list::ServerRecord;
 use super::{ENGINE_LOAD_LIFETIME, ServerSelector};
-use crate::id::ServerIncarnation;
+use crate::id::{CallId, ServerIncarnation};
 
+/// Seed of the hash by which calls are split between two engines.
+const SPLIT_SEED: u64 = 2;
 /// Own requests in flight below which affinity always applies.
 const AFFINITY_MIN_IN_FLIGHT: usize = 4;
 /// Multiple of the mean in flight up to which affinity applies.
@@ -70,6 +72,14 @@
         let engines = self.engines(servers, tried, now);
         let measured = self.engine_speeds.costs(&engines, now);
         let Some(costs) = measured.filter(|costs| !are_even(costs)) else {
+            let is_second_half = |engine: &&&ServerRecord| {
+                prompt.homes.is_split
+                    && prompt.homes.is_home(&engine.incarnation)
+                    && !self.is_nearly_full(engine, now)
+            };
+            if let Some(home) = engines.iter().find(is_second_half) {
+                return Some(home);
+            }
             return self.select_by_affinity(engines, prompt.shared_prefix, now);
         };
         let has_free: Vec<_> = engines
@@ -110,11 +120,19 @@
                 one.incarnation == *engine && *expected_s <= acceptable_s
             })
         };
-        if let Some((.., home)) = home.and_then(is_in_time) {
-            return Some(home);
+        if let Some((_, home_s, home)) = home.and_then(is_in_time) {
+            let second = prompt.homes.second.as_ref();
+            let second = second
+                .filter(|_| prompt.homes.is_split)
+                .and_then(is_in_time);
+            let earlier = second.filter(|(_, second_s, _)| second_s + MIN_GAIN_S < *home_s);
+            return Some(earlier.map_or(home, |(.., second)| second));
         }
         if prompt.shared_tokens > 0 {
-            let holder = prompt.homes.recent.iter().find_map(is_in_time);
+            let second = prompt.homes.second.iter();
+            let second = second.filter(|_| prompt.homes.is_split);
+            let mut holders = prompt.homes.recent.iter().chain(second);
+            let holder = holders.find_map(is_in_time);
             // In the order of the hash, so that the prompts of all gateways which leave their home
             // meet at the same engine.
             let first = || {
@@ -165,15 +183,66 @@
         let class = |server: &ServerRecord| speeds.class(&server.incarnation);
         let mut pairs = servers.free.windows(2);
         let is_even = pairs.all(|pair| class(pair[0]) == class(pair[1]));
-        let second = second.filter(|_| !is_even);
         PromptHomes {
             home: home.cloned(),
             previous: previous.filter(|previous| Some(*previous) != home).cloned(),
             second: second.cloned(),
+            is_uneven: !is_even,
+            is_split: false,
             recent,
         }
     }
 
+    /// Splits the prompts of a home that is about to be short of slots between it and the second
+    /// engine, by a hash of the call's id.
+    ///
+    /// All entries decide by the load that engines report. The first prompt at the second engine
+    /// fetches the parts from the home.
+    #[must_use]
+    pub fn split_homes(
+        &mut self,
+        homes: PromptHomes,
+        servers: &UsableServers<'_>,
+        call: &CallId,
+        now: Duration,
+    ) -> PromptHomes {
+        let record = |engine: &Option<ServerIncarnation>| {
+            let mut free = servers.free.iter();
+            free.find(|server| Some(&server.incarnation) == engine.as_ref())
+        };
+        let (Some(home), Some(second)) = (record(&homes.home), record(&homes.second)) else {
+            return homes;
+        };
+        let home_fullness = self.reported_fullness(home, now);
+        let second_fullness = self.engine_fullness(second, now);
+        let (home, second) = (&home.incarnation, &second.incarnation);
+        let splits = &mut self.home_splits;
+        let is_split = splits.update(home, second, home_fullness, second_fullness);
+        if !is_split {
+            return homes;
+        }
+        let is_exchanged = rendezvous::score(SPLIT_SEED, call) >> 63 == 1;
+        let (home, second) = if is_exchanged {
+            (homes.second, homes.home)
+        } else {
+            (homes.home, homes.second)
+        };
+        PromptHomes {
+            home,
+            second,
+            is_split,
+            ..homes
+        }
+    }
+
+    /// Requests that an engine has lately reported, as a fraction of its slots.
+    fn reported_fullness(&self, engine: &ServerRecord, now: Duration) -> Option<f64> {
+        let (load, at) = self.tracker(&engine.incarnation)?.reported?;
+        let is_recent = now.saturating_sub(at) <= ENGINE_LOAD_LIFETIME;
+        let slots = as_f64(engine.slots.max(1));
+        is_recent.then(|| f64::from(load.running.saturating_add(load.waiting)) / slots)
+    }
+
     /// Records that a prompt is sent to an engine; one that holds its shared parts has them
     /// already.
     pub fn begin_engine_run(
--- a/crates/core/tests/engine_speed/choice.rs
+++ b/crates/core/tests/engine_speed/choice.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use amaranthscale_core::id::{InstanceId, ServerIncarnation};
+use amaranthscale_core::id::{CallId, InstanceId, ServerIncarnation};
 use amaranthscale_core::process::{
-    EngineEstimate, EnginePrompt, PromptHomes, SPEED_FORMAT, ServerRecord, ServerSelector,
-    SpeedClass, SpeedUpdate, SpeedVersion,
+    EngineEstimate, EnginePrompt, PromptHomes, SPEED_FORMAT, ServerLoad, ServerRecord,
+    ServerSelector, SpeedClass, SpeedUpdate, SpeedVersion,
 };
 use amaranthscale_core::version::TransferSpec;
 
@@ -15,6 +15,8 @@
     home: None,
     previous: None,
     second: None,
+    is_uneven: false,
+    is_split: false,
     recent: Vec::new(),
 };
 
@@ -451,3 +453,102 @@
     homes.recent = vec![holder.clone()];
     assert_eq!(select(&homes, Duration::from_secs(4)), holder);
 }
+
+fn load(running: u32) -> ServerLoad {
+    ServerLoad {
+        running,
+        waiting: 0,
+        slots: 64,
+    }
+}
+
+/// A prompt's homes for a call, with a split if the home is busy.
+fn split(
+    selector: &mut ServerSelector,
+    engines: &[ServerRecord],
+    call: &CallId,
+    now: Duration,
+) -> PromptHomes {
+    let usable = engines.iter().collect();
+    let homes = selector.prompt_homes(&usable, "part-1", Vec::new(), now);
+    selector.split_homes(homes, &usable, call, now)
+}
+
+fn calls() -> Vec<CallId> {
+    let ids = (0..200).map(|index| format!("{index:016x}"));
+    ids.map(|id| id.parse().unwrap()).collect()
+}
+
+/// Guards against a busy home that keeps all prompts until it is full, against gateways that split
+/// them differently, and against a split that begins and ends with each report.
+#[test]
+fn a_busy_home_is_split_with_the_second_engine_until_it_has_free_slots() {
+    let engines = engines(9);
+    let mut selector = selector(&engines, |_| 30);
+    let unsplit = homes(&selector, &engines, "part-1");
+    let (home, second) = (unsplit.home.unwrap(), unsplit.second.unwrap());
+    let calls = calls();
+    let mut report = |loads: [u32; 2]| {
+        selector.record_load(&home, load(loads[0]), NOW);
+        selector.record_load(&second, load(loads[1]), NOW);
+        let split = |call| split(&mut selector, &engines, call, NOW);
+        calls.iter().map(split).collect::<Vec<_>>()
+    };
+    let is_split = |all: &[PromptHomes]| all.iter().all(|homes| homes.is_split);
+    let is_unsplit = |all: &[PromptHomes]| all.iter().all(|homes| !homes.is_split);
+
+    // Of 64 slots, 40% are 25.6 and 60% are 38.4.
+    assert!(is_unsplit(&report([38, 0])));
+    assert!(is_unsplit(&report([50, 26])));
+    let begun = report([39, 25]);
+    assert!(is_split(&begun));
+    let exchanged = begun.iter().filter(|homes| homes.is_home(&second));
+    assert!((70..130).contains(&exchanged.count()));
+    for homes in &begun {
+        assert!(homes.is_home(&home) || homes.is_home(&second));
+        assert!(homes.holds(&home) && homes.holds(&second));
+        assert_eq!(homes.sources(&second).next(), Some(&home));
+    }
+    // The split itself raises the load of the second engine and lowers that of the home.
+    assert_eq!(report([30, 35]), begun);
+    assert!(is_unsplit(&report([25, 35])));
+    assert!(is_unsplit(&report([30, 20])));
+
+    report([50, 10]);
+    let mut other_gateway = self::selector(&engines, |_| 30);
+    other_gateway.record_load(&home, load(45), NOW);
+    for call in &calls {
+        let of_both = [&mut selector, &mut other_gateway];
+        let [own, others] = of_both.map(|gateway| split(gateway, &engines, call, NOW));
+        assert_eq!(own, others);
+    }
+    let later = NOW + Duration::from_secs(3);
+    let stale = split(&mut selector, &engines, &calls[0], later);
+    assert!(!stale.is_split, "a report of 3 s ago does not count");
+}
+
+/// Guards against a split that no choice follows, where engines are equally fast and where they
+/// are not, and against one that sends prompts to the slower of the two although it is late.
+#[test]
+fn a_split_prompt_goes_to_its_half_unless_the_other_engine_is_clearly_earlier() {
+    let engines = engines(9);
+    for slow_ms in [30, 45] {
+        let mut selector = selector(&engines, |index| if index == 8 { slow_ms } else { 30 });
+        let unsplit = homes(&selector, &engines, "part-1");
+        let (home, second) = (unsplit.home.unwrap(), unsplit.second.unwrap());
+        selector.record_load(&home, load(40), NOW);
+
+        for call in calls() {
+            let homes = split(&mut selector, &engines, &call, NOW);
+            let prompt = EnginePrompt {
+                homes: &homes,
+                time_left: Duration::from_secs(10),
+                ..prompt("part-1", 9_000, 5_000)
+            };
+            let usable = engines.iter().collect();
+            let chosen = selector.select_engine_by_speed(usable, &BTreeSet::new(), &prompt, NOW);
+            assert_eq!(Some(&chosen.unwrap().incarnation), homes.home.as_ref());
+        }
+        assert_ne!(home, second);
+    }
+}
--- a/crates/core/tests/engine_speed/simulated.rs
+++ b/crates/core/tests/engine_speed/simulated.rs
@@ -133,3 +133,30 @@
     // A twentieth of the shared tokens of the 30 s that are measured; by affinity alone hardly any.
     assert!(again / 4 <= 220_000, "{again} in four runs");
 }
+
+/// Guards against a part that many prompts have at once, which each engine with free slots prefills
+/// again.
+#[test]
+fn prompts_of_a_hot_part_are_split_between_two_engines() {
+    let tokens_again = |has_splits| {
+        let run = |seed| {
+            move || {
+                let scenario = Scenario {
+                    seed,
+                    slots: 20,
+                    hot_share: 0.5,
+                    has_splits,
+                    ..scenario(Choice::Speed)
+                };
+                Simulation::new(scenario).run().tokens_again
+            }
+        };
+        let runs: Vec<_> = (1..=6).map(|seed| thread::spawn(run(seed))).collect();
+        let again = runs.into_iter().map(|run| run.join().unwrap());
+        again.sum::<u64>()
+    };
+
+    let (without, with) = (tokens_again(false), tokens_again(true));
+
+    assert!(with < without, "{with} with and {without} without splits");
+}
--- a/crates/core/tests/engine_speed/simulation.rs
+++ b/crates/core/tests/engine_speed/simulation.rs
@@ -17,7 +17,6 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
 /// Tokens that are prefilled between two decode steps.
 const CHUNK_TOKENS: u64 = 2_048;
-const SLOTS: usize = 64;
 const SHARED_TOKENS: u64 = 5_400;
 const SUBJECTS: u32 = 319;
 /// Mean of the tokens of a large prompt that it does not share.
@@ -59,12 +58,18 @@
     pub choice: Choice,
     pub seed: u64,
     pub engines: usize,
+    /// Requests that an engine runs at once.
+    pub slots: usize,
     /// The first engines are twice as fast.
     pub fast_engines: usize,
     pub gateways: usize,
     pub duration: Duration,
     /// Factor on the rates of requests.
     pub load: f64,
+    /// Fraction of the large prompts that are of one subject.
+    pub hot_share: f64,
+    /// Whether the prompts of a busy home are split with the second engine.
+    pub has_splits: bool,
     /// An engine whose work takes a multiple of the time from one time to another.
     pub slowdown: Option<(usize, f64, Duration, Duration)>,
 }
@@ -75,10 +80,13 @@
             choice: Choice::Speed,
             seed: 1,
             engines: 42,
+            slots: 64,
             fast_engines: 12,
             gateways: 20,
             duration: Duration::from_mins(1),
             load: 1.0,
+            hot_share: 0.0,
+            has_splits: true,
             slowdown: None,
         }
     }
@@ -192,7 +200,7 @@
             service: "engines".parse().unwrap(),
             address: "127.0.0.1:9000".parse().unwrap(),
             zone: "north".parse().unwrap(),
-            slots: SLOTS,
+            slots: scenario.slots,
             is_leaving: false,
             cold_left: None,
         });
@@ -261,7 +269,8 @@
             .map(|gateway| {
                 let is_chosen = |subject: u32, tokens| {
                     let prefix = format!("subject-{subject}");
-                    self.choose(gateway, &prefix, tokens, SHARED_TOKENS) == engine
+                    let homes = self.prompt_homes(gateway, &prefix);
+                    self.choose(gateway, &homes, &prefix, tokens, SHARED_TOKENS) == engine
                 };
                 let sizes = [12_000, 40_000].into_iter();
                 sizes
@@ -295,7 +304,8 @@
         );
         self.calls += 1;
         let is_large = tokens == 0;
-        let subject = is_large.then(|| self.below(SUBJECTS));
+        let is_hot = self.scenario.hot_share > 0.0 && self.uniform() < self.scenario.hot_share;
+        let subject = is_large.then(|| if is_hot { 0 } else { self.below(SUBJECTS) });
         let tokens = if is_large {
             let own = self.exponential(MEAN_OWN_TOKENS).min(MAX_OWN_TOKENS);
             SHARED_TOKENS + Duration::from_secs_f64(own).as_secs()
@@ -323,15 +333,21 @@
         self.send(request);
     }
 
-    fn choose(&self, gateway: usize, prefix: &str, tokens: u64, shared_tokens: u64) -> usize {
+    fn choose(
+        &self,
+        gateway: usize,
+        homes: &PromptHomes,
+        prefix: &str,
+        tokens: u64,
+        shared_tokens: u64,
+    ) -> usize {
         let selector = &self.gateways[gateway];
         let usable = self.records.iter().collect();
         let none = BTreeSet::new();
         let chosen = if self.scenario.choice == Choice::Affinity {
             selector.select_engine(usable, &none, prefix, self.now)
         } else {
-            let homes = self.prompt_homes(gateway, prefix);
-            let prompt = prompt(prefix, &homes, tokens, shared_tokens);
+            let prompt = prompt(prefix, homes, tokens, shared_tokens);
             selector.select_engine_by_speed(usable, &none, &prompt, self.now)
         };
         let chosen = &chosen.unwrap().incarnation;
@@ -357,8 +373,14 @@
     fn send(&mut self, mut request: Request) {
         let shared_tokens = request.subject.map_or(0, |_| SHARED_TOKENS);
         let gateway = request.gateway;
-        let index = self.choose(gateway, &request.prefix, request.tokens, shared_tokens);
-        let homes = self.prompt_homes(gateway, &request.prefix);
+        let mut homes = self.prompt_homes(gateway, &request.prefix);
+        if self.scenario.has_splits && request.subject.is_some() {
+            let call = format!("{:016x}", self.calls).parse().unwrap();
+            let usable = self.records.iter().collect();
+            homes = self.gateways[gateway].split_homes(homes, &usable, &call, self.now);
+        }
+        let (prefix, tokens) = (&request.prefix, request.tokens);
+        let index = self.choose(gateway, &homes, prefix, tokens, shared_tokens);
         if self.scenario.choice != Choice::Affinity && request.subject.is_some() {
             request.source = self.source(&homes, index);
         }
@@ -377,7 +399,7 @@
         let slowness = self.slowness(index);
         let fetched = self.try_fetch(index);
         let engine = &mut self.engines[index];
-        let is_full = engine.running.len() >= SLOTS;
+        let is_full = engine.running.len() >= self.scenario.slots;
         let mut step_ms = fetched.as_secs_f64() * 1_000.0;
         if !engine.running.is_empty() {
             let running = f64::from(u32::try_from(engine.running.len()).unwrap());
@@ -453,7 +475,7 @@
         let (Some(subject), Some(source)) = (first.subject, first.source) else {
             return Duration::ZERO;
         };
-        if engine.running.len() >= SLOTS || engine.cached.contains(subject) {
+        if engine.running.len() >= self.scenario.slots || engine.cached.contains(subject) {
             return Duration::ZERO;
         }
         self.outcome.fetches += 1;
@@ -470,9 +492,9 @@
         let server = &self.records[index].incarnation;
         let running = engine.running.len() + engine.waiting.len() + 1;
         let load = ServerLoad {
-            running: u32::try_from(running.min(SLOTS)).unwrap(),
-            waiting: u32::try_from(running.saturating_sub(SLOTS)).unwrap(),
-            slots: u32::try_from(SLOTS).unwrap(),
+            running: u32::try_from(running.min(self.scenario.slots)).unwrap(),
+            waiting: u32::try_from(running.saturating_sub(self.scenario.slots)).unwrap(),
+            slots: u32::try_from(self.scenario.slots).unwrap(),
         };
         if request.subject.is_some() {
             self.recent[request.gateway].record(&request.prefix, server, self.now);
