Routes may be restricted to regions

A route's `allowed_regions` was read over: a route that carried it was served by servers of any region.

Servers in other regions are used neither for such a route's requests and streams nor for its stage calls, and runs and shared parts of prompts are copied, moved and fetched between allowed servers only. The settings name the region of each zone (`zones.ZONE`). An empty list, a name that no zone is mapped to or a value of another type leaves the route unserved (2104, not run) with one log line for each version; other routes are not affected. Until the regions of the zones are applied, a restricted route may use no zone.

A job carries its zones to the owner of its batches, only where it is restricted.

Measured: the six gateway tests fail with the check of zones taken out, the batcher's tests each with its own check taken out; all pass with them.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -217,6 +217,7 @@
             config.store.clone(),
             relay_context.clone(),
             Arc::clone(&context.latencies),
+            config.zone_regions.clone(),
             PollTiming::routing(config.revoke_bound)
                 .with_relay_bound(config.apply_bound.min(config.evacuation_bound)),
         )),
--- a/crates/amaranthscale/src/gateway/gateway_config.rs
+++ b/crates/amaranthscale/src/gateway/gateway_config.rs
@@ -5,6 +5,7 @@
 
 use amaranthscale_core::id::{InstanceId, ZoneId};
 use amaranthscale_core::process::{Announcement, ColdAllowance, RetryBudgetSettings};
+use amaranthscale_core::version::ZoneRegions;
 
 use super::{Clock, Dialect, FeatureSet, StoreApi};
 
@@ -31,6 +32,8 @@
     pub revoke_bound: Duration,
     /// Maximum time until a change of the routing is in force.
     pub apply_bound: Duration,
+    /// Regions of the availability zones, as far as the deployment states them.
+    pub zone_regions: ZoneRegions,
     /// Maximum time for which a leaving server may still be given work.
     pub drain_bound: Duration,
     /// Maximum time for which an evacuated zone may still be given work.
--- a/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, ServiceId};
-use amaranthscale_core::process::{PromptFetch, RecentPrefills, ServerRecord};
+use amaranthscale_core::process::{AllowedZones, PromptFetch, RecentPrefills, ServerRecord};
 use amaranthscale_core::version::TransferSpec;
 
 use super::super::super::{Feature, RequestAttributes};
@@ -53,6 +53,7 @@
     pub fn prompt_source(
         &self,
         service: &ServiceId,
+        zones: &AllowedZones,
         attributes: &RequestAttributes,
         engine: &ServerRecord,
     ) -> Option<ServerRecord> {
@@ -76,12 +77,13 @@
             return None;
         }
         let servers = self.cluster_view.servers();
-        let usable = self.usable_servers(&servers, service, now);
+        let usable = self.usable_servers(&servers, service, zones, now);
         let server_selector = self.server_selector();
         let home = server_selector.prefix_home(&usable, part);
         let is_source = |server: &&ServerRecord| {
             let incarnation = &server.incarnation;
             server.service == *service
+                && zones.contains(&server.zone)
                 && *incarnation != engine.incarnation
                 && servers.availability(incarnation, None, now).is_usable()
                 && !server_selector.is_failing(incarnation, now)
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_backups.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_backups.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, ServiceId};
-use amaranthscale_core::process::{RunBackup, ServerRecord, StreamLosses};
+use amaranthscale_core::process::{AllowedZones, RunBackup, ServerRecord, StreamLosses};
 
 use super::super::super::{Feature, RequestAttributes};
 use super::super::GatewayContext;
@@ -49,6 +49,7 @@
     pub fn backup_target(
         &self,
         service: &ServiceId,
+        zones: &AllowedZones,
         attributes: &RequestAttributes,
         may_repeat: bool,
         engine: &ServerRecord,
@@ -92,7 +93,7 @@
             return None;
         }
         let servers = self.cluster_view.servers();
-        let usable = self.usable_servers(&servers, service, now);
+        let usable = self.usable_servers(&servers, service, zones, now);
         let server_selector = self.server_selector();
         let call = &attributes.call;
         RunBackup::target(usable.free, engine, call, &server_selector, now).cloned()
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -5,8 +5,8 @@
 
 use amaranthscale_core::id::{CallId, ServerIncarnation, ServiceId};
 use amaranthscale_core::process::{
-    ActiveMoves, ConnectionShare, CopyHandle, MoveAnswer, RunBackup, RunMove, ServerAvailability,
-    ServerRecord,
+    ActiveMoves, AllowedZones, ConnectionShare, CopyHandle, MoveAnswer, RunBackup, RunMove,
+    ServerAvailability, ServerRecord,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -108,6 +108,7 @@
     pub fn begin_move(
         self: &Arc<Self>,
         service: &ServiceId,
+        zones: &AllowedZones,
         attributes: &RequestAttributes,
         source: &ServerIncarnation,
         events: u64,
@@ -128,7 +129,7 @@
                 return None;
             }
             let source = servers.all().find(|server| server.incarnation == *source)?;
-            let mut usable = self.usable_servers(&servers, service, now);
+            let mut usable = self.usable_servers(&servers, service, zones, now);
             let active = self.run_moves.active();
             if !active.may_leave(&source.incarnation) {
                 return None;
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -6,8 +6,8 @@
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{CallId, ServiceId};
 use amaranthscale_core::process::{
-    ColdLimits, LoadSnapshot, SendRateLimit, ServerAvailability, ServerList, ServerRecord,
-    ServerSelector, UsableServers,
+    AllowedZones, ColdLimits, LoadSnapshot, SendRateLimit, ServerAvailability, ServerList,
+    ServerRecord, ServerSelector, UsableServers,
 };
 use log::info;
 
@@ -32,11 +32,12 @@
 }
 
 impl GatewayContext {
-    /// Chooses a server of a service by `select` for a request with a body of a size; also returns
-    /// the load on which the choice was based.
+    /// Chooses a server of a service in allowed zones by `select` for a request with a body of a
+    /// size; also returns the load on which the choice was based.
     pub fn choose_server(
         &self,
         service: &ServiceId,
+        zones: &AllowedZones,
         body_bytes: usize,
         select: impl for<'a> FnOnce(
             &ServerSelector,
@@ -46,7 +47,7 @@
     ) -> Option<(ServerRecord, LoadSnapshot)> {
         let servers = self.cluster_view.servers();
         let now = self.cluster_view.clock().now();
-        let mut usable = self.usable_servers(&servers, service, now);
+        let mut usable = self.usable_servers(&servers, service, zones, now);
         let max_body_bytes = MAX_BODY_BYTES_PER_SERVER / self.cluster_view.live_count().max(1);
         let server_selector = self.server_selector();
         usable.retain(|server| {
@@ -59,18 +60,20 @@
         Some((chosen, load))
     }
 
-    /// Servers of a service that may be chosen now.
+    /// Servers of a service in allowed zones that may be chosen now.
     pub(super) fn usable_servers<'a>(
         &self,
         servers: &'a ServerList,
         service: &'a ServiceId,
+        zones: &AllowedZones,
         now: Duration,
     ) -> UsableServers<'a> {
         let cold_limits = self.cold_limits(service);
         // Computed once for all servers of the service, as it takes a pass over the list.
         let mut inputs = None;
         let mut usable = UsableServers::default();
-        for server in servers.not_leaving(service) {
+        let not_leaving = servers.not_leaving(service);
+        for server in not_leaving.filter(|server| zones.contains(&server.zone)) {
             let availability = servers.availability_of(server, cold_limits, now);
             if availability == ServerAvailability::Free {
                 usable.free.push(server);
@@ -136,12 +139,20 @@
         permit
     }
 
-    /// Why no server of a service can be chosen for a call now, which is also logged.
-    pub fn no_server_available(&self, service: &ServiceId, call: &CallId) -> NoServerAvailable {
+    /// Why no server of a service in allowed zones can be chosen for a call now, which is also
+    /// logged.
+    pub fn no_server_available(
+        &self,
+        service: &ServiceId,
+        zones: &AllowedZones,
+        call: &CallId,
+    ) -> NoServerAvailable {
         let servers = self.cluster_view.servers();
         let now = self.cluster_view.clock().now();
         let cold_limits = self.cold_limits(service);
-        let of_service = servers.all().filter(|server| server.service == *service);
+        let of_service = servers
+            .all()
+            .filter(|server| server.service == *service && zones.contains(&server.zone));
         let mut availabilities: Vec<_> = of_service
             .map(|server| (server, servers.availability_of(server, cold_limits, now)))
             .collect();
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -161,7 +161,9 @@
             self.admitted.check_quarantine(&self.context).await?;
             let server = self.choose_server().ok_or_else(|| {
                 let call = &self.admitted.attributes.call;
-                Refusal::no_server_available(self.context.no_server_available(&self.service, call))
+                let zones = &self.admitted.route.allowed_zones;
+                let none = self.context.no_server_available(&self.service, zones, call);
+                Refusal::no_server_available(none)
             })?;
             // Counted from here on, so that requests which wait for their jobs are spread over
             // engines as well.
@@ -247,9 +249,12 @@
     /// the prompt, and returns that engine.
     fn set_prompt_source(&mut self, server: &ServerRecord) -> Option<ServerRecord> {
         let attributes = &self.admitted.attributes;
-        let source = self
-            .context
-            .prompt_source(&self.service, attributes, server);
+        let source = self.context.prompt_source(
+            &self.service,
+            &self.admitted.route.allowed_zones,
+            attributes,
+            server,
+        );
         let address = source.as_ref().map(|source| source.address.to_string());
         let name = &self.context.dialect.headers.prompt_source;
         self.outgoing.replace_header(name, address.as_deref());
@@ -326,6 +331,7 @@
         let prompt = self.engine_prompt();
         let chosen = self.context.choose_server(
             &self.service,
+            &self.admitted.route.allowed_zones,
             self.outgoing.body_bytes(),
             |server_selector, usable, now| match (&prompt, shared_prefix) {
                 (Some(prompt), _) => {
@@ -376,6 +382,7 @@
                 deadline_left: self.admitted.remaining().saturating_sub(ENGINE_RESERVE),
                 engine_time: self.engine_time(engine),
                 reader_zone: engine.zone.clone(),
+                allowed_zones: route.allowed_zones.clone(),
                 retained: Vec::new(),
             };
             let job = run_job(&self.context, &self.admitted.request_content, spec);
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -93,7 +93,8 @@
             }
             let Some(server) = self.choose_server(outgoing.body_bytes()) else {
                 let call = &self.admitted.attributes.call;
-                let none = self.context.no_server_available(self.service, call);
+                let zones = &self.admitted.route.allowed_zones;
+                let none = self.context.no_server_available(self.service, zones, call);
                 return self.finish_unanswered(Refusal::no_server_available(none));
             };
             let outcome = self.attempt(&server, outgoing).await;
@@ -134,11 +135,14 @@
 
     fn choose_server(&mut self, body_bytes: usize) -> Option<ServerRecord> {
         let entry = SendingEntry::new(&self.context.instance, &self.context.zone, self.share);
-        let chosen =
-            self.context
-                .choose_server(self.service, body_bytes, |server_selector, usable, now| {
-                    server_selector.select_plain(usable, &self.tried_servers, entry, now)
-                });
+        let chosen = self.context.choose_server(
+            self.service,
+            &self.admitted.route.allowed_zones,
+            body_bytes,
+            |server_selector, usable, now| {
+                server_selector.select_plain(usable, &self.tried_servers, entry, now)
+            },
+        );
         let (server, load) = chosen?;
         self.load = load;
         Some(server)
--- a/crates/amaranthscale/src/gateway/request/run_continuation.rs
+++ b/crates/amaranthscale/src/gateway/request/run_continuation.rs
@@ -31,7 +31,13 @@
         let may_repeat = admitted.route.kind.may_repeat();
         let target = self
             .context
-            .backup_target(&self.service, &admitted.attributes, may_repeat, server)
+            .backup_target(
+                &self.service,
+                &admitted.route.allowed_zones,
+                &admitted.attributes,
+                may_repeat,
+                server,
+            )
             .filter(|_| !is_suspect);
         let address = target.as_ref().map(|target| target.address.to_string());
         let name = &self.context.dialect.headers.backup_target;
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -296,6 +296,7 @@
         };
         let begun = self.run.context.begin_move(
             &self.run.service,
+            &admitted.route.allowed_zones,
             &admitted.attributes,
             run_move.engine(),
             last_id,
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -9,7 +9,7 @@
 use amaranthscale_core::process::{
     Announcement, DrainChange, EXPIRY_GRACE, InstanceView, ServerChange, ServerList,
 };
-use amaranthscale_core::version::Routing;
+use amaranthscale_core::version::{Routing, ZoneRegions};
 use log::{info, warn};
 use tokio::time::Instant;
 
@@ -32,6 +32,7 @@
     store: StoreApi,
     relay_context: RelayContext,
     latencies: Arc<Latencies>,
+    zone_regions: ZoneRegions,
     timing: PollTiming,
 ) {
     let cluster_view = Arc::clone(&relay_context.cluster_view);
@@ -60,6 +61,10 @@
         for row in rows.rows {
             match read_routing(&store, row).await {
                 Ok(Some(routing)) => {
+                    let (routing, unserved) = routing.with_zone_regions(&zone_regions);
+                    for (route, reason) in &unserved {
+                        warn!(route = route.as_str(), reason; "routing: route not served");
+                    }
                     if let Some(delay) = cluster_view.apply_routing(routing, rows.clock) {
                         latencies.record("routing.in-force", delay);
                     }
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -17,8 +17,8 @@
 
 use amaranthscale_core::id::RoutingVersion;
 use amaranthscale_core::process::{
-    Batch, BatchEnd, Batcher, Cell, DEFAULT_ENGINE_TIME, JobEvent, JobSpec, PieceEnd, Rank,
-    ServerAvailability, ServerRecord, StageSpec,
+    AllowedZones, Batch, BatchEnd, Batcher, Cell, DEFAULT_ENGINE_TIME, JobEvent, JobSpec, PieceEnd,
+    Rank, ServerAvailability, ServerRecord, StageSpec,
 };
 use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
 
@@ -136,6 +136,7 @@
         deadline_left: Duration::from_secs(15),
         engine_time: DEFAULT_ENGINE_TIME,
         reader_zone: format!("zone-{}", number % 6).parse().unwrap(),
+        allowed_zones: AllowedZones::default(),
         retained: Vec::new(),
     }
 }
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod admission_settings;
+mod allowed_zones;
 mod attainment_counts;
 mod attainment_tracker;
 mod attempt_end;
@@ -64,6 +65,8 @@
 #[doc(inline)]
 pub use admission_settings::AdmissionSettings;
 #[doc(inline)]
+pub use allowed_zones::AllowedZones;
+#[doc(inline)]
 pub use attainment_counts::AttainmentCounts;
 #[doc(inline)]
 pub use attainment_tracker::AttainmentTracker;
--- a/crates/core/src/process/batcher/estimate.rs
+++ b/crates/core/src/process/batcher/estimate.rs
@@ -142,7 +142,9 @@
             }
             let pool = self.pools.get(&stage.service).ok_or(no_server)?;
             let spec = pool.spec.ok_or(no_server)?;
-            if pool.usable(now).next().is_none() && pool.backoff_left(now).is_none() {
+            let zones = &job_spec.allowed_zones;
+            let has_none = pool.usable(now).next().is_none() && pool.backoff_left(now).is_none();
+            if has_none || (!zones.is_all() && !pool.has_server_in(zones)) {
                 return Err(no_server);
             }
             let usual_pieces = stage.pieces.max(spec.max_pieces / 2).min(spec.max_pieces);
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -75,12 +75,19 @@
     fn fail_evacuated(&mut self) {
         let evacuated = self.pools.iter().filter(|(_, pool)| pool.is_evacuated());
         let evacuated: Vec<_> = evacuated.map(|(service, _)| service.clone()).collect();
-        if evacuated.is_empty() {
+        let is_restricted = |job: &Job| !job.spec.allowed_zones.is_all();
+        if evacuated.is_empty() && !self.jobs.values().any(is_restricted) {
             return;
         }
+        let is_unservable = |job: &Job, service: &ServiceId| {
+            let pool = self.pools.get(service);
+            evacuated.contains(service)
+                || (is_restricted(job)
+                    && pool.is_some_and(|pool| !pool.has_server_in(&job.spec.allowed_zones)))
+        };
         let is_stuck = |job: &Job| {
             let mut waiting = job.stages.iter().filter(|stage| stage.has_waiting());
-            !job.is_reported && waiting.any(|stage| evacuated.contains(&stage.spec.service))
+            !job.is_reported && waiting.any(|stage| is_unservable(job, &stage.spec.service))
         };
         let stuck = self.jobs.iter().filter(|(_, job)| is_stuck(job));
         let stuck: Vec<_> = stuck.map(|(id, _)| *id).collect();
@@ -263,6 +270,9 @@
                 break;
             }
             let job = &self.jobs[&entry.job];
+            if !job.spec.allowed_zones.contains(&server_state.zone) {
+                continue;
+            }
             let stage = &job.stages[entry.stage];
             let should_wait = self
                 .preferred_zone(job, entry.stage)
@@ -275,7 +285,9 @@
                 });
             if should_wait
                 || (job.is_late && !spare_capacity.all_have_spare(job))
-                || zones.is_faster_elsewhere(server_state, stage.latest_start, job.is_late)
+                // The faster servers may be in zones that are not allowed.
+                || (job.spec.allowed_zones.is_all()
+                    && zones.is_faster_elsewhere(server_state, stage.latest_start, job.is_late))
             {
                 continue;
             }
--- a/crates/core/src/process/batcher/message.rs
+++ b/crates/core/src/process/batcher/message.rs
@@ -7,7 +7,7 @@
 use crate::id::{
     CallId, OrganisationId, ResultHandle, RouteId, ServerIncarnation, ServiceId, ZoneId,
 };
-use crate::process::{Cell, Rank};
+use crate::process::{AllowedZones, Cell, Rank};
 
 /// Identifies a job of the batcher.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -82,6 +82,10 @@
     pub engine_time: Duration,
     /// Availability zone of the engine that reads the final results.
     pub reader_zone: ZoneId,
+    /// Availability zones whose servers may compute its pieces.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "AllowedZones::is_all")]
+    pub allowed_zones: AllowedZones,
     /// Results that were computed under an earlier owner.
     #[serde(default)]
     #[serde(rename = "kept")]
--- a/crates/core/src/process/batcher/pool_state.rs
+++ b/crates/core/src/process/batcher/pool_state.rs
@@ -7,6 +7,7 @@
 use super::admission::{Residence, bytes_as_f64};
 use super::queue::Queue;
 use crate::id::{ServerIncarnation, ZoneId};
+use crate::process::allowed_zones::AllowedZones;
 use crate::process::count::as_f64;
 use crate::process::recent_sends::RecentSends;
 use crate::process::send_share::{SendRateLimit, SendShare};
@@ -245,6 +246,14 @@
             && servers.all(|server| !server.server_availability.is_usable_in_time())
     }
 
+    /// Whether a server in allowed zones may be used now or, without a change of its listing, later.
+    pub(super) fn has_server_in(&self, zones: &AllowedZones) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|server| {
+            zones.contains(&server.zone) && server.server_availability.is_usable_in_time()
+        })
+    }
+
     /// Counts a call to a server whose send rate is limited.
     pub(super) fn record_send(&mut self, server: &ServerIncarnation, now: Duration) {
         let state = self.servers.get(server);
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -62,8 +62,8 @@
 };
 #[doc(inline)]
 pub use routing::{
-    BatchSpec, CallerBounds, EngineSpec, KeyHolder, Pool, Route, RouteKind, RouteStage, Routing,
-    TransferSpec,
+    AllowedRegions, BatchSpec, CallerBounds, EngineSpec, KeyHolder, Pool, Route, RouteKind,
+    RouteStage, Routing, TransferSpec, ZoneRegions,
 };
 #[doc(inline)]
 pub use service::Service;
--- a/crates/core/src/version/routing.rs
+++ b/crates/core/src/version/routing.rs
@@ -3,20 +3,24 @@
 //! Each version is compiled once and shared by all requests. A request looks up its route by host
 //! name and longest path prefix, and its organisation by key.
 
+mod allowed_regions;
 mod bounds;
 mod host_routes;
 mod key_holder;
 mod pool;
 mod route;
+mod zone_regions;
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::sync::Arc;
 
-use crate::id::{RoutingVersion, ServiceId};
-use crate::process::{ColdAllowance, ColdLimits};
+use crate::id::{RouteId, RoutingVersion, ServiceId};
+use crate::process::{AllowedZones, ColdAllowance, ColdLimits};
 use host_routes::HostRoutes;
 
+#[doc(inline)]
+pub use allowed_regions::AllowedRegions;
 #[doc(inline)]
 pub use bounds::CallerBounds;
 #[doc(inline)]
@@ -25,6 +29,8 @@
 pub use pool::{BatchSpec, EngineSpec, Pool, TransferSpec};
 #[doc(inline)]
 pub use route::{Route, RouteKind, RouteStage};
+#[doc(inline)]
+pub use zone_regions::ZoneRegions;
 
 /// One version of the routing, compiled for look-ups.
 ///
@@ -80,6 +86,25 @@
         self
     }
 
+    /// Restricts the routes to the zones in their allowed regions; also returns the routes that
+    /// cannot be served, with the reason.
+    #[must_use]
+    pub fn with_zone_regions(mut self, regions: &ZoneRegions) -> (Self, Vec<(RouteId, String)>) {
+        let mut unserved = Vec::new();
+        for route in self.routes.values_mut().flat_map(HostRoutes::all_mut) {
+            if route.allowed_regions == AllowedRegions::All {
+                continue;
+            }
+            let allowed_zones = regions.allowed_zones(&route.allowed_regions);
+            let route = Arc::make_mut(route);
+            route.allowed_zones = allowed_zones.unwrap_or_else(|reason| {
+                unserved.push((route.id.clone(), reason));
+                AllowedZones::only([])
+            });
+        }
+        (self, unserved)
+    }
+
     /// Adds services.
     #[must_use]
     pub fn with_pools(mut self, pools: impl IntoIterator<Item = Pool>) -> Self {
--- a/crates/core/src/version/routing/host_routes.rs
+++ b/crates/core/src/version/routing/host_routes.rs
@@ -44,6 +44,10 @@
         })
     }
 
+    pub(super) fn all_mut(&mut self) -> impl Iterator<Item = &mut Arc<Route>> {
+        self.by_prefix.values_mut().chain(&mut self.partial_segment)
+    }
+
     pub(super) fn all(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.by_prefix.values().chain(&self.partial_segment)
     }
--- a/crates/core/src/version/routing/route.rs
+++ b/crates/core/src/version/routing/route.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use super::AllowedRegions;
 use crate::id::{CallId, RouteId, ServiceId};
-use crate::process::rendezvous;
+use crate::process::{AllowedZones, rendezvous};
 
 /// Whether the requests of a route may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,6 +76,10 @@
     pub is_public: bool,
     /// Longest pause between two events of an answer that is on time, if one is set.
     pub max_event_gap: Option<Duration>,
+    /// Regions whose servers it may use.
+    pub allowed_regions: AllowedRegions,
+    /// Zones in these regions, once the regions of the zones are known.
+    pub allowed_zones: AllowedZones,
 }
 
 impl Route {
--- a/crates/core/tests/batcher/fixture.rs
+++ b/crates/core/tests/batcher/fixture.rs
@@ -5,8 +5,8 @@
 
 use amaranthscale_core::id::{ResultHandle, RoutingVersion, ServerIncarnation, StartMs};
 use amaranthscale_core::process::{
-    Batch, BatchEnd, Batcher, Cell, DEFAULT_ENGINE_TIME, JobEvent, JobId, JobSpec, PieceEnd, Rank,
-    ServerAvailability, ServerRecord, StageSpec,
+    AllowedZones, Batch, BatchEnd, Batcher, Cell, DEFAULT_ENGINE_TIME, JobEvent, JobId, JobSpec,
+    PieceEnd, Rank, ServerAvailability, ServerRecord, StageSpec,
 };
 use amaranthscale_core::version::{BatchSpec, CallerBounds, Pool, Routing};
 
@@ -202,6 +202,7 @@
             deadline_left: ms(15_000),
             engine_time: DEFAULT_ENGINE_TIME,
             reader_zone: "north".parse().unwrap(),
+            allowed_zones: AllowedZones::default(),
             retained: Vec::new(),
         }
     }
--- a/crates/core/tests/batcher/load_simulation/callers.rs
+++ b/crates/core/tests/batcher/load_simulation/callers.rs
@@ -3,7 +3,7 @@
 
 use amaranthscale_core::id::CallId;
 use amaranthscale_core::process::{
-    Batcher, Cell, DEFAULT_ENGINE_TIME, JobId, JobRefusal, JobSpec, Rank, StageSpec,
+    AllowedZones, Batcher, Cell, DEFAULT_ENGINE_TIME, JobId, JobRefusal, JobSpec, Rank, StageSpec,
 };
 
 use super::Scenario;
@@ -200,6 +200,7 @@
             deadline_left: Duration::from_millis(route.deadline_ms),
             engine_time: DEFAULT_ENGINE_TIME,
             reader_zone: format!("zone-{}", self.random.next() % 3).parse().unwrap(),
+            allowed_zones: AllowedZones::default(),
             retained: Vec::new(),
         };
         Request {
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "fixtures of tests may panic")]
 
 mod admission;
+mod allowed_zones;
 mod availability;
 mod burst;
 mod connection_loss;
--- a/crates/core/tests/routing_look_up.rs
+++ b/crates/core/tests/routing_look_up.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{CallId, RoutingVersion};
-use amaranthscale_core::version::{CallerBounds, KeyHolder, Route, RouteKind, Routing};
+use amaranthscale_core::process::AllowedZones;
+use amaranthscale_core::version::{
+    AllowedRegions, CallerBounds, KeyHolder, Route, RouteKind, Routing,
+};
 
 fn route(id: &str, prefix: &str) -> Route {
     Route {
@@ -21,6 +24,8 @@
         stages: Vec::new(),
         is_public: false,
         max_event_gap: None,
+        allowed_regions: AllowedRegions::All,
+        allowed_zones: AllowedZones::default(),
     }
 }
 
