--- a/crates/amaranthscale/src/gateway/process/run_copies/movable_run.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/movable_run.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, ServiceId};
-use amaranthscale_core::process::Rank;
+use amaranthscale_core::process::{AllowedZones, Rank};
 
 use super::super::super::RequestAttributes;
 
@@ -12,6 +12,8 @@
 pub struct MovableRun<'a> {
     /// Service of its engine.
     pub service: &'a ServiceId,
+    /// Availability zones whose engines may run it.
+    pub zones: &'a AllowedZones,
     /// What its caller stated.
     pub attributes: &'a RequestAttributes,
     /// Its rank.
--- a/crates/amaranthscale/src/gateway/process/run_copies/move_choice.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/move_choice.rs
@@ -67,7 +67,7 @@
         let source = servers
             .all()
             .find(|server| server.incarnation == *run.engine)?;
-        let targets = self.move_targets(servers, run.service, now);
+        let targets = self.move_targets(servers, run, now);
         if !self.moving_runs.registry().may_leave(&source.incarnation) {
             return None;
         }
@@ -115,7 +115,7 @@
         }
         let overview = self.engine_overview(servers, run.service, now);
         let reason = overview.reason(&elective, &self.server_selector(), now)?;
-        let targets = self.move_targets(servers, run.service, now);
+        let targets = self.move_targets(servers, run, now);
         let target = {
             let server_selector = self.server_selector();
             overview.target(&elective, reason, &targets, transfer, &server_selector, now)?
@@ -130,16 +130,18 @@
         })
     }
 
-    /// The engines of a service that take requests without a limit and may receive another run.
+    /// The engines that may run a request, take requests without a limit and may receive another run.
     fn move_targets<'a>(
         &self,
         servers: &'a ServerList,
-        service: &ServiceId,
+        run: &MovableRun<'_>,
         now: Duration,
     ) -> Vec<&'a ServerRecord> {
-        let mut free = self.free_engines(servers, service, now);
+        let mut free = self.free_engines(servers, run.service, now);
         let moves = self.moving_runs.registry();
-        free.retain(|server| moves.may_enter(&server.incarnation));
+        free.retain(|server| {
+            run.zones.contains(&server.zone) && moves.may_enter(&server.incarnation)
+        });
         free
     }
 
--- a/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, ServiceId};
-use amaranthscale_core::process::{PromptFetch, PromptHomes, RecentPrefills, ServerRecord};
+use amaranthscale_core::process::{
+    AllowedZones, PromptFetch, PromptHomes, RecentPrefills, ServerRecord,
+};
 use amaranthscale_core::version::TransferSpec;
 
 use super::super::super::{Feature, RequestAttributes};
@@ -51,7 +53,12 @@
 
     /// Engines that hold the shared parts of a prompt. All gateways have the same home for it as
     /// long as they may use the same engines, whatever each has sent to them.
-    pub fn prompt_homes(&self, service: &ServiceId, attributes: &RequestAttributes) -> PromptHomes {
+    pub fn prompt_homes(
+        &self,
+        service: &ServiceId,
+        zones: &AllowedZones,
+        attributes: &RequestAttributes,
+    ) -> PromptHomes {
         let uses_homes = self.features.is_enabled(Feature::EngineSpeed)
             || self.features.is_enabled(Feature::PromptFetch);
         let routing = self.cluster_view.routing();
@@ -63,7 +70,7 @@
         };
         let servers = self.cluster_view.servers();
         let now = self.cluster_view.clock().now();
-        let usable = self.usable_servers(&servers, service, now);
+        let usable = self.usable_servers(&servers, service, zones, now);
         let recent = self.prompt_sources.engines(part, now);
         let may_split = self.features.is_enabled(Feature::EngineSpeed)
             && self.features.is_enabled(Feature::PromptFetch)
@@ -89,6 +96,7 @@
     pub fn prompt_source(
         &self,
         service: &ServiceId,
+        zones: &AllowedZones,
         attributes: &RequestAttributes,
         homes: &PromptHomes,
         engine: &ServerRecord,
@@ -107,6 +115,7 @@
         let is_source = |server: &&ServerRecord| {
             let incarnation = &server.incarnation;
             server.service == *service
+                && zones.contains(&server.zone)
                 && servers.availability(incarnation, None, now).is_usable()
                 && !server_selector.is_failing(incarnation, now)
         };
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -326,6 +326,7 @@
         }
         let begun = self.run.context.begin_move(&MovableRun {
             service: &self.run.service,
+            zones: &admitted.route.allowed_zones,
             attributes: &admitted.attributes,
             rank: admitted.rank,
             engine: run_move.engine(),
