Forecast: arrivals of one second, and late jobs beside waiting later stages

Cause: arrivals were averaged over two seconds, so that jobs were admitted at the begin of a burst which were displaced later, and refused for two seconds after its end. A late job started only when no on-time piece waited for its services, also not for a later stage, which there is at any load; such jobs were given up beside idle servers. Change: arrivals are averaged over one second. With the forecast, a late job starts at a server that no on-time stage waits for now. The test of bursts asks for 92% of the refusals within 100 ms instead of 85%.

--- a/crates/core/src/process/batcher/admission/decaying_rate.rs
+++ b/crates/core/src/process/batcher/admission/decaying_rate.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
 /// Window over which rates are averaged: long enough for some tens of jobs, short enough to follow
-/// a burst.
-const WINDOW: Duration = Duration::from_secs(2);
+/// a burst. With two seconds, less urgent jobs were refused for as long after a burst, and jobs that
+/// were admitted at its begin were displaced.
+const WINDOW: Duration = Duration::from_secs(1);
 
 /// Work per second, averaged over the last seconds.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -355,6 +355,16 @@
         chosen
     }
 
+    /// Whether no on-time stage waits for a service, so that late jobs may start there.
+    ///
+    /// With admission by forecast, on-time jobs wait for later stages at any load, and nothing
+    /// would be left for late ones if those were counted.
+    fn has_no_on_time_work(&self, service: &ServiceId) -> bool {
+        let queue = self.pools.get(service).map(|pool| &pool.queue);
+        let first = queue.and_then(|queue| queue.in_order().next_within(u64::MAX));
+        first.is_none_or(|entry| entry.is_late)
+    }
+
     /// The availability zone in which computing a stage's pieces moves the fewest bytes; none for
     /// small results.
     fn preferred_zone<'a>(&'a self, job: &'a Job, stage: usize) -> Option<&'a ZoneId> {
@@ -417,6 +427,9 @@
     fn has_spare(&mut self, service: &'a ServiceId) -> bool {
         let (batcher, now) = (self.batcher, self.now);
         *self.known.entry(service).or_insert_with(|| {
+            if batcher.admission.is_some() {
+                return batcher.has_no_on_time_work(service);
+            }
             let spec = batcher.pools.get(service).and_then(|pool| pool.spec);
             let spare = spec.map_or(Duration::ZERO, |spec| {
                 spec.call_time.mul_f64(SPARE_BACKLOG_FRACTION)
@@ -427,7 +440,11 @@
 
     /// Whether all services of a late job have spare capacity.
     fn all_have_spare(&mut self, job: &'a Job) -> bool {
+        let has_forecast = self.batcher.admission.is_some();
         let mut stages = job.stages.iter();
-        stages.all(|stage| stage.spec.pieces == 0 || self.has_spare(&stage.spec.service))
+        stages.all(|stage| {
+            let is_later = has_forecast && !stage.is_queued;
+            stage.spec.pieces == 0 || is_later || self.has_spare(&stage.spec.service)
+        })
     }
 }
--- a/crates/core/tests/batcher/admission.rs
+++ b/crates/core/tests/batcher/admission.rs
@@ -344,6 +344,25 @@
     assert_eq!(calls_of(&next), vec![call.as_str(); FULL_CALL]);
 }
 
+/// On-time jobs wait for their later stages at any load: if a late job waited until there are none,
+/// it would be given up beside an idle server.
+#[test]
+fn a_late_job_starts_at_a_server_that_no_on_time_stage_waits_for() {
+    let mut fixture = Fixture::with_forecast(&["north"]);
+    let on_time = fixture.chain(&[(ENCODE, FULL_CALL, 100), (RETRIEVE, 5, 100)]);
+    fixture.submit(on_time);
+    fixture.next_batch();
+    let mut late = fixture.chain(&[(RETRIEVE, 1, 100)]);
+    late.target_latency_left = ms(400);
+    let call = late.call.clone();
+    fixture.submit(late);
+    fixture.advance(200);
+
+    let next = fixture.next_batch();
+
+    assert_eq!(calls_of(&next), [call.as_str()]);
+}
+
 /// One organisation submits a burst before the first job of another one: that job would wait for
 /// the whole burst.
 #[test]
@@ -648,7 +667,8 @@
             in_time >= in_time_before,
             "{name}: {in_time} instead of {in_time_before} at {load} to {burst}"
         );
-        assert!(after.refusal_time(85) <= ms(100), "{load} to {burst}");
+        // Refusals that come later are those of jobs that were admitted in vain.
+        assert!(after.refusal_time(92) <= ms(100), "{load} to {burst}");
     }
 }
 
