Time of events by the number of running requests

The choice compared an engine's mean time of an event with the longest pause, so it added streams to a busy engine whose events were already near that.

Samples of events have the number of running requests that the engine reported within the last second. The collector fits a line by least squares for each incarnation, without events that prefill delayed; below 24 samples or a variance of 4 the slope of the service applies, and none without that. `EngineEstimate::decode` has the mean number and the slope; `event_us` stays the usual time. The choice takes the time with one more request running, at most twice the usual one. An estimate is published again if the time with ten more requests changes by 10%. The messages' format is 2; one of format 1 is rejected with the log line of invalid reports.

Core: all 42 test programs pass.

--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -89,9 +89,9 @@
 pub use cost_tracker::{CostTracker, sum_by_organisation};
 #[doc(inline)]
 pub use engine_speed::{
-    EngineEstimate, EnginePrompt, EngineRunId, EngineSamples, EngineSpeeds, InvalidSamples,
-    PrefillSample, PromptHomes, SPEED_FORMAT, SpeedClass, SpeedCollector, SpeedReport, SpeedUpdate,
-    SpeedVersion, StageTime,
+    DecodeLoad, EngineEstimate, EnginePrompt, EngineRunId, EngineSamples, EngineSpeeds,
+    InvalidSamples, PrefillSample, PromptHomes, SPEED_FORMAT, SpeedClass, SpeedCollector,
+    SpeedReport, SpeedUpdate, SpeedVersion, StageTime,
 };
 #[doc(inline)]
 pub use fair_queue::FairQueue;
--- a/crates/core/src/process/engine_speed.rs
+++ b/crates/core/src/process/engine_speed.rs
@@ -5,6 +5,8 @@
 //! assigns [`SpeedClass`]es, so that all gateways agree on the home engine of a shared prefix.
 
 mod collected_engines;
+mod decode_line;
+mod decode_load;
 mod engine_aggregate;
 mod engine_cost;
 mod engine_estimate;
@@ -18,6 +20,8 @@
 mod speed_message;
 mod stage_time;
 
+#[doc(inline)]
+pub use decode_load::DecodeLoad;
 pub(super) use engine_cost::EngineCost;
 #[doc(inline)]
 pub use engine_estimate::EngineEstimate;
--- a/crates/core/src/process/engine_speed/collected_engines.rs
+++ b/crates/core/src/process/engine_speed/collected_engines.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::decode_line::{DecodeLine, slope_us};
 use super::engine_aggregate::EngineAggregate;
 use super::engine_estimate::{EngineEstimate, rounded};
 use super::speed_class::SpeedClass;
-use super::{EngineSamples, InvalidSamples};
+use super::{DecodeLoad, EngineSamples, InvalidSamples};
 use crate::id::{ServerIncarnation, ServiceId};
 
 /// Shortest time between two passes over all engines; with hundreds of gateways reports arrive more
@@ -32,11 +33,17 @@
     changed_in: u64,
 }
 
+/// By engine of a service: time to prefill a token, time of events, and that by load.
+#[derive(Debug, Default)]
+struct ServiceSamples(Vec<f64>, Vec<f64>, Vec<DecodeLine>);
+
 /// Medians of a service's engines.
 #[derive(Debug, Clone, Copy)]
 struct Medians {
     prefill_s_per_token: f64,
     event_us: Option<f64>,
+    /// Additional time of an event for each running request, by the samples of all engines.
+    slope_us: Option<f64>,
 }
 
 /// Samples and estimates of engines.
@@ -129,21 +136,24 @@
     }
 
     fn medians(&self) -> BTreeMap<ServiceId, Medians> {
-        let mut by_service: BTreeMap<&ServiceId, (Vec<f64>, Vec<f64>)> = BTreeMap::new();
+        let mut by_service: BTreeMap<&ServiceId, ServiceSamples> = BTreeMap::new();
         for engine in self.engines.values() {
-            let (prefills, events) = by_service.entry(&engine.service).or_default();
+            let ServiceSamples(prefills, events, lines) =
+                by_service.entry(&engine.service).or_default();
             prefills.extend(engine.aggregate.prefill_s_per_token());
             events.extend(engine.aggregate.event_us());
+            lines.push(engine.aggregate.decode_line());
         }
-        let medians = by_service
-            .into_iter()
-            .filter_map(|(service, (prefills, events))| {
+        let medians = by_service.into_iter().filter_map(
+            |(service, ServiceSamples(prefills, events, lines))| {
                 let medians = Medians {
                     prefill_s_per_token: median(prefills)?,
                     event_us: median(events),
+                    slope_us: slope_us(lines.iter()),
                 };
                 Some((service.clone(), medians))
-            });
+            },
+        );
         medians.collect()
     }
 }
@@ -168,12 +178,29 @@
         let estimate = EngineEstimate {
             prefill_ns: rounded(medians.prefill_s_per_token / relative_speed * 1e9),
             event_us: event_us.map(rounded),
+            decode: self.decode_load(medians),
             recent_percent: rounded(recent * 100.0),
             class: self.class,
         };
         estimate.is_valid().then_some(estimate)
     }
 
+    /// The line through the engine's own samples, with the slope of its service where they are few.
+    fn decode_load(&self, medians: &Medians) -> Option<DecodeLoad> {
+        let line = self.aggregate.decode_line();
+        let running = line.mean_running()?;
+        let slope_us = line.slope_us().or(medians.slope_us)?;
+        let whole = |number: f64| {
+            let whole = Duration::try_from_secs_f64(number.round()).ok()?;
+            u32::try_from(whole.as_secs()).ok()
+        };
+        let load = DecodeLoad {
+            running: whole(running)?,
+            slope_ns: whole(slope_us * 1e3)?,
+        };
+        load.is_valid().then_some(load)
+    }
+
     fn relative_speed(&self, medians: &Medians) -> Option<f64> {
         let prefill = self.aggregate.prefill_s_per_token();
         let prefill = prefill.map(|prefill| medians.prefill_s_per_token / prefill);
--- a/crates/core/src/process/engine_speed/engine_aggregate.rs
+++ b/crates/core/src/process/engine_speed/engine_aggregate.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::SPEED_LIFETIME;
+use super::decode_line::DecodeLine;
 use super::engine_samples::{EngineSamples, PrefillSample};
 
 /// Prompts that count at most; an engine of forty-two gets about two a second.
@@ -17,6 +18,8 @@
 const PREFILL_QUANTILE: f64 = 0.3;
 /// Quantile of the reports' shortest times between events.
 const EVENT_QUANTILE: f64 = 0.5;
+/// Ratio to the usual time up to which no prefill has delayed an event.
+const MAX_UNDELAYED_FACTOR: f64 = 1.6;
 /// Age up to which events show the current speed.
 const RECENT: Duration = Duration::from_millis(700);
 /// Factor between recent events and the usual ones from which the engine is slower now. Prefill
@@ -34,6 +37,7 @@
     taken_at: Duration,
     events: u32,
     least_us: u32,
+    running: Option<u32>,
 }
 
 /// Samples of one engine.
@@ -66,6 +70,7 @@
                 taken_at,
                 events: samples.events,
                 least_us: samples.least_event_us,
+                running: samples.running,
             });
         }
         let excess = self.prefills.len().saturating_sub(MAX_PREFILLS);
@@ -94,6 +99,23 @@
         weighted_quantile(least.collect(), EVENT_QUANTILE, 1.0)
     }
 
+    /// The events' times by the number of running requests, without those that prefill has delayed.
+    pub(super) fn decode_line(&self) -> DecodeLine {
+        let mut line = DecodeLine::default();
+        let Some(usual_us) = self.event_us() else {
+            return line;
+        };
+        for report in &self.events {
+            let least_us = f64::from(report.least_us);
+            if let Some(running) = report.running
+                && least_us <= usual_us * MAX_UNDELAYED_FACTOR
+            {
+                line.add(f64::from(running), least_us);
+            }
+        }
+        line
+    }
+
     /// Ratio of the last events' time to the usual one; 1 if prefill explains the difference.
     pub(super) fn recent_factor(&self, now: Duration) -> f64 {
         self.recent_change(now).map_or(1.0, |(factor, _)| factor)
--- a/crates/core/src/process/engine_speed/engine_estimate.rs
+++ b/crates/core/src/process/engine_speed/engine_estimate.rs
@@ -4,11 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::SpeedClass;
 use super::engine_cost::EngineCost;
+use super::{DecodeLoad, SpeedClass};
 
 /// Change from which an estimate is published again, in percent.
 const MIN_CHANGE_PERCENT: u64 = 10;
+/// Running requests beyond the usual number for which two estimates are compared.
+const COMPARED_LOAD: f64 = 10.0;
 /// Slowest plausible prefill, 10 ms a token, and the fastest, 10⁷ tokens a second.
 const PREFILL_NS_RANGE: std::ops::RangeInclusive<u32> = 100..=10_000_000;
 /// Longest plausible time of an event.
@@ -23,6 +25,8 @@
     pub prefill_ns: u32,
     /// Usual time of an event that no prefill delays; none without samples.
     pub event_us: Option<u32>,
+    /// How that time depends on the number of running requests; none without enough samples.
+    pub decode: Option<DecodeLoad>,
     /// Time of the last events in percent of the usual one; 100 if it differs little.
     pub recent_percent: u32,
     /// Class by which prefixes are distributed.
@@ -38,6 +42,7 @@
             .event_us
             .is_none_or(|us| (1..=MAX_EVENT_US).contains(&us));
         has_valid_prefill
+            && self.decode.is_none_or(DecodeLoad::is_valid)
             && has_valid_event
             && RECENT_PERCENT_RANGE.contains(&self.recent_percent)
             && self.class.is_valid()
@@ -55,9 +60,26 @@
         self.class != published.class
             || differs(Some(self.prefill_ns), Some(published.prefill_ns))
             || differs(self.event_us, published.event_us)
+            || differs(
+                self.loaded_event_us(published),
+                published.loaded_event_us(published),
+            )
             || differs(Some(self.recent_percent), Some(published.recent_percent))
     }
 
+    /// Time of an event with some more running requests than usual at another estimate.
+    ///
+    /// Compared in place of the two figures of the line, which vary more than what they predict.
+    fn loaded_event_us(&self, other: &Self) -> Option<u32> {
+        let usual = other.decode.or(self.decode)?.running;
+        let running = f64::from(usual) + COMPARED_LOAD;
+        let usual_s = f64::from(self.event_us?) * 1e-6;
+        let difference_s = self
+            .decode
+            .map_or(0.0, |decode| decode.difference_s(running));
+        Some(rounded((usual_s + difference_s) * 1e6))
+    }
+
     /// Current cost.
     pub(super) fn cost(&self) -> EngineCost {
         // Decoding and prefill share the engine, so what slows one slows the other.
@@ -65,6 +87,7 @@
         EngineCost {
             prefill_s_per_token: f64::from(self.prefill_ns) * 1e-9 * recent,
             event_s: self.event_us.map(|us| f64::from(us) * 1e-6 * recent),
+            decode: self.decode,
         }
     }
 }
--- a/crates/core/src/process/engine_speed/engine_runs.rs
+++ b/crates/core/src/process/engine_speed/engine_runs.rs
@@ -16,6 +16,9 @@
 /// Largest factor by which overdue runs increase an engine's cost.
 const MAX_OVERDUE_FACTOR: f64 = 8.0;
 
+/// Age up to which a reported number of running requests holds: most of them last longer.
+const RUNNING_LIFETIME: Duration = Duration::from_secs(1);
+
 /// Identifies a run at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EngineRunId(pub(super) u64);
@@ -41,6 +44,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct EngineRuns {
     open: BTreeMap<EngineRunId, OpenRun>,
+    /// Requests that the engine last reported as running, and when.
+    running: Option<(u32, Duration)>,
     pub(super) samples: EngineSamples,
 }
 
@@ -69,11 +74,18 @@
             return;
         };
         open.count(now, &mut self.samples);
+        let running = self.running;
+        let running = running.filter(|(_, at)| now.saturating_sub(*at) <= RUNNING_LIFETIME);
+        self.samples.running = running.map(|(running, _)| running);
         open.phase = Phase::Decode;
         open.since = now;
         open.is_counted = false;
     }
 
+    pub(super) const fn record_running(&mut self, running: u32, now: Duration) {
+        self.running = Some((running, now));
+    }
+
     pub(super) fn end(&mut self, run: EngineRunId) {
         self.open.remove(&run);
     }
--- a/crates/core/src/process/engine_speed/engine_samples.rs
+++ b/crates/core/src/process/engine_speed/engine_samples.rs
@@ -5,6 +5,8 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+use super::DecodeLoad;
+
 /// Largest plausible prefill speed.
 const MAX_TOKENS_PER_S: f64 = 1e7;
 /// Largest plausible time of an event.
@@ -30,6 +32,10 @@
         Events(events: u32, mean_us: u32, least_us: u32) {
             display("{events} events of {mean_us} µs, at least {least_us} µs: at most 60 s each")
         }
+        /// More running requests than an engine can have.
+        Running(running: u32) {
+            display("{running} running requests at one engine")
+        }
     }
 }
 
@@ -53,6 +59,9 @@
     pub mean_event_us: u32,
     /// The shortest of them, which no prefill has delayed.
     pub least_event_us: u32,
+    /// Requests that the engine reported as running, when the last of these events arrived; none if
+    /// the report was too old.
+    pub running: Option<u32>,
     /// Mean age of the samples, when they were reported.
     pub age_ms: u32,
 }
@@ -94,6 +103,11 @@
         if self.events > 0 && !is_valid {
             return Err(InvalidSamples::Events(self.events, mean_us, least_us));
         }
+        if let Some(running) = self.running
+            && !DecodeLoad::is_valid_running(running)
+        {
+            return Err(InvalidSamples::Running(running));
+        }
         Ok(())
     }
 
@@ -131,6 +145,7 @@
         } else {
             self.least_event_us.min(other.least_event_us)
         };
+        self.running = other.running.or(self.running);
         let sum = |one: &Self| u64::from(one.mean_event_us) * u64::from(one.events);
         let sum = sum(self) + sum(other);
         self.events = self.events.saturating_add(other.events);
--- a/crates/core/src/process/engine_speed/engine_speeds.rs
+++ b/crates/core/src/process/engine_speed/engine_speeds.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Records how many requests an engine has reported as running, for the samples of its events.
+    pub fn record_running(&mut self, engine: &ServerIncarnation, running: u32, now: Duration) {
+        if let Some(known) = self.engines.get_mut(engine) {
+            known.runs.record_running(running, now);
+        }
+    }
+
     /// Records that a run has ended.
     pub fn end_run(&mut self, engine: &ServerIncarnation, run: EngineRunId) {
         if let Some(known) = self.engines.get_mut(engine) {
@@ -248,6 +255,7 @@
                 Some(EngineCost {
                     prefill_s_per_token: cost.prefill_s_per_token * overdue,
                     event_s: cost.event_s.map(|event_s| event_s * overdue),
+                    ..cost
                 })
             })
             .collect();
@@ -256,6 +264,7 @@
         let usual = EngineCost {
             prefill_s_per_token: median(prefills.collect())?,
             event_s: median(costs.filter_map(|cost| cost.event_s).collect()),
+            decode: None,
         };
         Some(
             known
--- a/crates/core/src/process/engine_speed/speed_message.rs
+++ b/crates/core/src/process/engine_speed/speed_message.rs
@@ -6,7 +6,7 @@
 use crate::id::{InstanceId, ServerIncarnation};
 
 /// Version of the messages' format.
-pub const SPEED_FORMAT: u32 = 1;
+pub const SPEED_FORMAT: u32 = 2;
 
 /// Identifies the estimates that a collector has published up to some point.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/process/server_selector.rs
+++ b/crates/core/src/process/server_selector.rs
@@ -437,6 +437,7 @@
     /// Records the load that a server reported.
     pub fn record_load(&mut self, server: &ServerIncarnation, load: ServerLoad, now: Duration) {
         self.trackers.entry(server.clone()).or_default().reported = Some((load, now));
+        self.engine_speeds.record_running(server, load.running, now);
     }
 
     /// Records the duration of work on a server's host in percent of the usual one, as stated with
--- a/crates/core/src/process/server_selector/engine_choice.rs
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -41,7 +41,7 @@
 /// Difference of expected times that is within their error: prompts of a prefix then go to the same
 /// engine.
 const SIMILAR_S: f64 = 0.05;
-/// Fraction of the longest pause between events that an engine's mean time of an event may take.
+/// Fraction of the longest pause between events that an event may take at an engine.
 const MAX_GAP_FRACTION: f64 = 0.8;
 /// Cost of an engine whose events are further apart than allowed; more than any first event.
 const SLOW_EVENTS_COST_S: f64 = 30.0;
@@ -331,13 +331,15 @@
         now: Duration,
     ) -> f64 {
         let first_event_s = self.first_event_s(engine, cost, prompt, is_held, now);
-        let is_too_slow = cost
-            .event_s
+        // With one more request running than now.
+        let running = self.running_requests(&engine.incarnation, now);
+        let event_s = running.map_or(cost.event_s, |running| cost.event_s_at(running + 1.0));
+        let is_too_slow = event_s
             .zip(prompt.max_event_gap)
             .is_some_and(|(event_s, gap)| event_s > gap.as_secs_f64() * MAX_GAP_FRACTION);
-        let events_s = if is_too_slow { SLOW_EVENTS_COST_S } else { 0.0 };
+        let lateness_s = if is_too_slow { SLOW_EVENTS_COST_S } else { 0.0 };
         if is_held {
-            return first_event_s + events_s;
+            return first_event_s + lateness_s;
         }
         let fetch = prompt.fetch_time();
         let is_fetched = fetch.is_some_and(|time| {
@@ -354,7 +356,14 @@
         } else {
             MIN_UNSHARED_GAIN_S
         };
-        first_event_s + again_s + min_gain_s + events_s
+        first_event_s + again_s + min_gain_s + lateness_s
+    }
+
+    /// Requests that an engine has lately reported as running.
+    fn running_requests(&self, engine: &ServerIncarnation, now: Duration) -> Option<f64> {
+        let (load, at) = self.tracker(engine)?.reported?;
+        let is_recent = now.saturating_sub(at) <= ENGINE_LOAD_LIFETIME;
+        is_recent.then(|| f64::from(load.running))
     }
 
     /// Expected time to a prompt's first event at an engine.
--- a/crates/core/tests/engine_speed/choice.rs
+++ b/crates/core/tests/engine_speed/choice.rs
@@ -5,7 +5,7 @@
 
 use amaranthscale_core::id::{CallId, InstanceId, ServerIncarnation};
 use amaranthscale_core::process::{
-    EngineEstimate, EnginePrompt, PromptHomes, SPEED_FORMAT, ServerLoad, ServerRecord,
+    DecodeLoad, EngineEstimate, EnginePrompt, PromptHomes, SPEED_FORMAT, ServerLoad, ServerRecord,
     ServerSelector, SpeedClass, SpeedUpdate, SpeedVersion,
 };
 use amaranthscale_core::version::TransferSpec;
@@ -59,6 +59,7 @@
         let estimate = EngineEstimate {
             prefill_ns,
             event_us: Some(event_us),
+            decode: None,
             recent_percent: 100,
             class,
         };
@@ -552,3 +553,35 @@
         assert_ne!(home, second);
     }
 }
+
+/// Guards against streams that are too slow because of their number: by the mean time of events, the
+/// engine seems fast enough for one more.
+#[test]
+fn an_engine_whose_events_would_be_slow_with_one_more_request_is_avoided() {
+    let engines = engines(5);
+    let decode = DecodeLoad {
+        running: 20,
+        slope_ns: 10_000_000,
+    };
+    let is_chosen = |running| {
+        // At the first engine, which is faster: 300 ms with 20 requests and 10 ms for each more, of
+        // 320 ms that an event may take where 400 ms are allowed between two of them.
+        let mut update = selector_update(&engines, |index| {
+            let (prefill_ns, event_us) = if index == 0 { (15, 300) } else { (30, 40) };
+            (prefill_ns * 1_000, event_us * 1_000, SpeedClass::USUAL)
+        });
+        for (incarnation, estimate) in &mut update.estimates {
+            let estimate = estimate.as_mut().unwrap();
+            estimate.decode = (*incarnation == engines[0].incarnation).then_some(decode);
+        }
+        let mut selector = ServerSelector::default();
+        assert_eq!(selector.engine_speeds_mut().apply(update, NOW), 0);
+        selector.record_load(&engines[0].incarnation, load(running), NOW);
+        let prompt = prompt("call", 40_000, 0);
+        chosen(&selector, &engines, &prompt) == engines[0].incarnation
+    };
+
+    assert!(is_chosen(20));
+    assert!(is_chosen(10));
+    assert!(!is_chosen(22));
+}
--- a/crates/core/tests/engine_speed/estimates.rs
+++ b/crates/core/tests/engine_speed/estimates.rs
@@ -41,6 +41,7 @@
         events: 40,
         mean_event_us: event_ms * 1_000,
         least_event_us: event_ms * 1_000,
+        running: None,
         age_ms: 0,
     }
 }
@@ -80,6 +81,10 @@
         events(0, 0),
         events(61_000_000, 1),
         events(1_000, 2_000),
+        EngineSamples {
+            running: Some(1_000_000),
+            ..events(1_000, 1_000)
+        },
     ];
     let mut collector = SpeedCollector::new(instance("g1"));
 
@@ -248,3 +253,61 @@
     assert_eq!(decoded, report);
     assert!(rmp_serde::from_slice::<SpeedReport>(&encoded[..10]).is_err());
 }
+
+/// Samples of events that take 20 ms and one more for each running request.
+fn events_at(running: u32) -> EngineSamples {
+    EngineSamples {
+        running: Some(running),
+        ..samples(20, 20 + running)
+    }
+}
+
+/// Guards against a mean of the events' time that hides how much slower they are at a busy engine,
+/// and against a slope from a few samples.
+#[test]
+fn the_time_of_events_is_estimated_by_load() {
+    let mut collector = SpeedCollector::new(instance("g1"));
+    for running in 0..30 {
+        let mut all = vec![("measured", events_at(running))];
+        if running < 3 {
+            all.push(("few", events_at(10)));
+            all.push(("unknown", samples(20, 30)));
+        }
+        assert!(collector.record(&report(&all), listed, NOW).is_empty());
+    }
+
+    let update = collector.update_since(None, NOW);
+
+    let decode = |name: &str| {
+        let mut all = update.estimates.iter();
+        let (_, estimate) = all.find(|(incarnation, _)| *incarnation == engine(name))?;
+        estimate.and_then(|estimate| estimate.decode)
+    };
+    let measured = decode("measured").unwrap();
+    assert!((14..=15).contains(&measured.running), "{measured:?}");
+    assert!(
+        measured.slope_ns.abs_diff(1_000_000) < 1_000,
+        "{measured:?}"
+    );
+    let few = decode("few").unwrap();
+    assert_eq!(few.running, 10);
+    assert_eq!(few.slope_ns, measured.slope_ns, "the slope of the service");
+    assert_eq!(decode("unknown"), None);
+}
+
+/// Guards against samples with the load of another time, and against none with any.
+#[test]
+fn samples_of_events_have_the_load_that_was_reported_last() {
+    let running_after = |elapsed| {
+        let mut speeds = EngineSpeeds::default();
+        let run = speeds.begin_run(&record("e1"), 1_000, 0, NOW);
+        speeds.record_event(&engine("e1"), run, NOW);
+        speeds.record_running(&engine("e1"), 7, NOW);
+        speeds.record_event(&engine("e1"), run, NOW + elapsed);
+        let report = speeds.report_to(&instance("g1"), NOW + elapsed);
+        report.samples[0].1.running
+    };
+
+    assert_eq!(running_after(Duration::from_millis(40)), Some(7));
+    assert_eq!(running_after(Duration::from_millis(1_040)), None);
+}
