--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -165,17 +165,14 @@
         } = answer.answer;
         let is_continued = answer.continued_after.is_some();
         self.engine_first_event = None;
-        let mut results = answer.results;
+        self.results = answer.results;
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
         let mut run_move = RunMoveState::new(answer.server.clone(), self.last_id);
         let max_silence = self.max_silence();
         let mut heard_at = Instant::now();
         loop {
-            // The engine that continues a run reads its inputs, so a run whose results are released
-            // stays where it is.
-            let has_inputs = results.is_some() || self.run.results_at.is_none();
-            if has_begun && has_inputs {
+            if has_begun {
                 self.begin_move(&mut run_move);
             }
             // Without ids, the events that the caller has are not known to a copy's engine.
@@ -187,7 +184,6 @@
                 is_overdue = run_move.next_step() => {
                     if let Some(copy) = run_move.take_copy(self.last_id, is_overdue) {
                         in_flight_send.end(SendEnd::Abandoned);
-                        self.results = results;
                         return EngineStreamEnd::Moved(copy);
                     }
                     if was_copying {
@@ -205,7 +201,6 @@
                     }
                     self.run.context.counters.count("stream.silent");
                     in_flight_send.end(SendEnd::Failed);
-                    self.results = results;
                     return EngineStreamEnd::Broken;
                 }
             };
@@ -227,20 +222,14 @@
                         in_flight_send.record_lost(&self.run.admitted);
                     }
                     if let Some(copy) = run_move.take_copy(self.last_id, true) {
-                        self.results = results;
                         return EngineStreamEnd::Moved(copy);
                     }
-                    self.results = results;
                     return EngineStreamEnd::Broken;
                 }
                 None => break,
             };
             heard_at = Instant::now();
-            // The engine has read its inputs before it sends its first event; one that continues the
-            // run from a backup reads them as well.
-            if self.run.backup.is_none() {
-                results = None;
-            }
+            self.release_results();
             if !has_begun && !is_continued {
                 self.engine_first_event = Some(in_flight_send.since_sent());
             }
@@ -254,7 +243,6 @@
             }
             if let Some(copy) = run_move.take_copy(self.last_id, false) {
                 in_flight_send.end(SendEnd::Abandoned);
-                self.results = results;
                 return EngineStreamEnd::Moved(copy);
             }
         }
@@ -309,8 +297,22 @@
         Some((max_gap * SILENCE_FACTOR).min(retention * 3 / 4))
     }
 
+    /// Releases the stage results once the engine has sent an event, as it has read them by then,
+    /// unless an engine may have to read them to continue the run from its backup.
+    fn release_results(&mut self) {
+        if self.run.backup.is_none() {
+            self.results = None;
+        }
+    }
+
     /// Begins to move the run if there is a reason to.
+    ///
+    /// The engine that continues a run reads its stage results, so a run whose results are released
+    /// stays where it is.
     fn begin_move(&mut self, run_move: &mut RunMoveState) {
+        if self.results.is_none() && self.run.results_at.is_some() {
+            return;
+        }
         let admitted = &self.run.admitted;
         let Some(last_id) = self.last_id.filter(|_| run_move.is_check_due()) else {
             return;
--- a/crates/core/tests/run_moves/simulation.rs
+++ b/crates/core/tests/run_moves/simulation.rs
@@ -141,6 +141,7 @@
             event_us: Some(event_ms * 1_000),
             recent_percent: 100,
             class: SpeedClass::USUAL,
+            decode: None,
         };
         (incarnation(engine), Some(estimate))
     });
