Prompts follow measured speeds only where engines differ lastingly or much

Change: the choice, the homes and the expected times go by speed only where a tenth of the engines or more has another speed class; elsewhere only prompts whose home takes over twice the median, or has slow events, leave it.

--- a/crates/core/src/process/engine_speed.rs
+++ b/crates/core/src/process/engine_speed.rs
@@ -20,6 +20,7 @@
 mod speed_message;
 mod stage_time;
 
+pub(super) use collected_engines::median;
 #[doc(inline)]
 pub use decode_load::DecodeLoad;
 pub(super) use engine_cost::EngineCost;
--- a/crates/core/src/process/engine_speed/collected_engines.rs
+++ b/crates/core/src/process/engine_speed/collected_engines.rs
@@ -232,7 +232,7 @@
 }
 
 /// The middle one of some numbers; none without any.
-pub(super) fn median(mut numbers: Vec<f64>) -> Option<f64> {
+pub(in crate::process) fn median(mut numbers: Vec<f64>) -> Option<f64> {
     numbers.sort_by(f64::total_cmp);
     numbers.get(numbers.len() / 2).copied()
 }
--- a/crates/core/src/process/server_selector/engine_choice.rs
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -11,7 +11,7 @@
 
 use super::super::count::as_f64;
 use super::super::engine_speed::{
-    EngineCost, EnginePrompt, EngineRunId, PROMPT_OVERHEAD_TOKENS, PromptHomes,
+    EngineCost, EnginePrompt, EngineRunId, PROMPT_OVERHEAD_TOKENS, PromptHomes, SpeedClass, median,
 };
 use super::super::rendezvous;
 use super::super::server_availability::UsableServers;
@@ -27,6 +27,12 @@
 const AFFINITY_FACTOR: f64 = 1.6;
 /// Relative difference to the median up to which engines count as equally fast.
 const EVEN_DIFFERENCE: f64 = 0.15;
+/// Part of the engines, as a divisor, that has to differ lastingly for prompts to be distributed by
+/// speed.
+const UNEVEN_DIVISOR: usize = 10;
+/// Multiple of the median time to prefill from which prompts leave an engine although the others are
+/// equally fast.
+const SLOW_FACTOR: f64 = 2.0;
 /// Lateness of a request that costs as much as a token that is prefilled again.
 const TOKEN_COST_S: f64 = 60e-6;
 /// Fraction of fetches that are assumed to find nothing, as the home engine has evicted the part or
@@ -72,16 +78,19 @@
         let engines = self.engines(servers, tried, now);
         let measured = self.engine_speeds.costs(&engines, now);
         let Some(costs) = measured.filter(|costs| !are_even(costs)) else {
-            let is_second_half = |engine: &&&ServerRecord| {
-                prompt.homes.is_split
-                    && prompt.homes.is_home(&engine.incarnation)
-                    && !self.is_nearly_full(engine, now)
-            };
-            if let Some(home) = engines.iter().find(is_second_half) {
+            return self.select_home(engines, prompt, now);
+        };
+        let is_uneven = self.is_uneven(&engines);
+        if !is_uneven {
+            let home = self.select_home(engines.clone(), prompt, now)?;
+            let index = engines
+                .iter()
+                .position(|engine| engine.incarnation == home.incarnation)?;
+            let has_slow_events = self.has_slow_events(home, costs[index], prompt, now);
+            if !is_slow(&costs, index) && !has_slow_events {
                 return Some(home);
             }
-            return self.select_by_affinity(engines, prompt.shared_prefix, now);
-        };
+        }
         let has_free: Vec<_> = engines
             .iter()
             .map(|engine| !self.is_nearly_full(engine, now))
@@ -90,7 +99,7 @@
         let seed = rendezvous::score(1, prompt.shared_prefix);
         let rank_of = |engine: &ServerRecord| {
             // Prompts that share nothing with others would only crowd the faster engines.
-            let is_weighted = prompt.shared_tokens > 0;
+            let is_weighted = is_uneven && prompt.shared_tokens > 0;
             let class = self.engine_speeds.class(&engine.incarnation);
             rank(seed, engine, if is_weighted { class.weight() } else { 1.0 })
         };
@@ -165,11 +174,13 @@
     ) -> PromptHomes {
         let seed = rendezvous::score(1, shared_prefix);
         let speeds = &self.engine_speeds;
+        let is_uneven = self.is_uneven(&servers.free);
+        let weight = |class: SpeedClass| if is_uneven { class.weight() } else { 1.0 };
         let ranked = servers.free.iter().map(|server| {
             let engine = &server.incarnation;
             let unweighted = rank(seed, server, 1.0);
-            let current = unweighted * speeds.class(engine).weight();
-            let previous = unweighted * speeds.previous_class(engine, now).weight();
+            let current = unweighted * weight(speeds.class(engine));
+            let previous = unweighted * weight(speeds.previous_class(engine, now));
             (current, previous, engine)
         });
         let ranked: Vec<_> = ranked.collect();
@@ -179,15 +190,11 @@
         let second = others.max_by(by_current).map(|(.., second)| *second);
         let previous = ranked.iter().max_by(|(_, a, _), (_, b, _)| a.total_cmp(b));
         let previous = previous.map(|(.., engine)| *engine);
-        // Where engines are equally fast, prompts leave their home only if it is full.
-        let class = |server: &ServerRecord| speeds.class(&server.incarnation);
-        let mut pairs = servers.free.windows(2);
-        let is_even = pairs.all(|pair| class(pair[0]) == class(pair[1]));
         PromptHomes {
             home: home.cloned(),
             previous: previous.filter(|previous| Some(*previous) != home).cloned(),
             second: second.cloned(),
-            is_uneven: !is_even,
+            is_uneven,
             is_split: false,
             recent,
         }
@@ -270,7 +277,10 @@
         now: Duration,
     ) -> Option<Duration> {
         let costs = self.engine_speeds.costs(&servers.free, now)?;
-        if are_even(&costs) {
+        let mut servers_in_use = servers.free.iter();
+        let index = servers_in_use.position(|one| one.incarnation == engine.incarnation)?;
+        let is_usual = !self.is_uneven(&servers.free) && !is_slow(&costs, index);
+        if are_even(&costs) || is_usual {
             return None;
         }
         self.first_event_by_costs(engine, servers, &costs, prompt, now)
@@ -331,13 +341,12 @@
         now: Duration,
     ) -> f64 {
         let first_event_s = self.first_event_s(engine, cost, prompt, is_held, now);
-        // With one more request running than now.
-        let running = self.running_requests(&engine.incarnation, now);
-        let event_s = running.map_or(cost.event_s, |running| cost.event_s_at(running + 1.0));
-        let is_too_slow = event_s
-            .zip(prompt.max_event_gap)
-            .is_some_and(|(event_s, gap)| event_s > gap.as_secs_f64() * MAX_GAP_FRACTION);
-        let lateness_s = if is_too_slow { SLOW_EVENTS_COST_S } else { 0.0 };
+        let has_slow_events = self.has_slow_events(engine, cost, prompt, now);
+        let lateness_s = if has_slow_events {
+            SLOW_EVENTS_COST_S
+        } else {
+            0.0
+        };
         if is_held {
             return first_event_s + lateness_s;
         }
@@ -398,6 +407,51 @@
         self.candidates(servers, tried, has_capacity, now)
     }
 
+    /// Whether an engine's events would be too far apart with one more request running than now.
+    fn has_slow_events(
+        &self,
+        engine: &ServerRecord,
+        cost: EngineCost,
+        prompt: &EnginePrompt<'_>,
+        now: Duration,
+    ) -> bool {
+        let running = self.running_requests(&engine.incarnation, now);
+        let event_s = running.map_or(cost.event_s, |running| cost.event_s_at(running + 1.0));
+        event_s
+            .zip(prompt.max_event_gap)
+            .is_some_and(|(event_s, gap)| event_s > gap.as_secs_f64() * MAX_GAP_FRACTION)
+    }
+
+    /// The engine for a prompt where engines are equally fast.
+    fn select_home<'a>(
+        &self,
+        engines: Vec<&'a ServerRecord>,
+        prompt: &EnginePrompt<'_>,
+        now: Duration,
+    ) -> Option<&'a ServerRecord> {
+        let is_second_half = |engine: &&&ServerRecord| {
+            prompt.homes.is_split
+                && prompt.homes.is_home(&engine.incarnation)
+                && !self.is_nearly_full(engine, now)
+        };
+        if let Some(home) = engines.iter().find(is_second_half) {
+            return Some(home);
+        }
+        self.select_by_affinity(engines, prompt.shared_prefix, now)
+    }
+
+    /// Whether enough engines have lastingly another speed than the median.
+    ///
+    /// Estimates of equally fast engines vary by more than a tenth. If prompts followed them, they
+    /// would leave the engines that have their shared parts for nothing.
+    fn is_uneven(&self, engines: &[&ServerRecord]) -> bool {
+        let differs = |engine: &&&ServerRecord| {
+            self.engine_speeds.class(&engine.incarnation) != SpeedClass::USUAL
+        };
+        let different = engines.iter().filter(differs).count();
+        different * UNEVEN_DIVISOR >= engines.len().max(UNEVEN_DIVISOR)
+    }
+
     fn select_by_affinity<'a>(
         &self,
         mut servers: Vec<&'a ServerRecord>,
@@ -441,6 +495,13 @@
     -weight / uniform.ln()
 }
 
+/// Whether an engine is much slower at present than the median.
+fn is_slow(costs: &[EngineCost], index: usize) -> bool {
+    let prefills = costs.iter().map(|cost| cost.prefill_s_per_token);
+    let usual = median(prefills.collect());
+    usual.is_some_and(|usual| costs[index].prefill_s_per_token > usual * SLOW_FACTOR)
+}
+
 /// Whether all engines are about as fast as the median.
 fn are_even(costs: &[EngineCost]) -> bool {
     let mut prefills: Vec<_> = costs.iter().map(|cost| cost.prefill_s_per_token).collect();
