Choice of engines: one weighted hash, one recent load, one look-up of an engine; behaviour unchanged

Cause: the parts for hard load wrote the weighted rendezvous rank, the check of a reported load's age, the median and the position of an engine's cost twice. Change: rendezvous::weighted and uniform serve the choice and the moves; reported_engine_load serves all readers of an engine's load.

--- a/crates/amaranthscale/src/gateway/process/engine_speeds.rs
+++ b/crates/amaranthscale/src/gateway/process/engine_speeds.rs
@@ -107,11 +107,9 @@
         engine: &ServerRecord,
         prompt: &EnginePrompt<'_>,
     ) -> Option<Duration> {
-        let servers = self.cluster_view.servers();
-        let usable: UsableServers<'_> = servers.not_leaving(&engine.service).collect();
-        let now = self.cluster_view.clock().now();
-        self.server_selector()
-            .expected_first_event(engine, &usable, prompt, now)
+        self.with_engines_in_use(&engine.service, |selector, usable, now| {
+            selector.expected_first_event(engine, usable, prompt, now)
+        })
     }
 
     /// As [`Self::expected_first_event`] for the log, also where the engines are equally fast.
@@ -120,10 +118,19 @@
         engine: &ServerRecord,
         prompt: &EnginePrompt<'_>,
     ) -> Option<Duration> {
+        self.with_engines_in_use(&engine.service, |selector, usable, now| {
+            selector.estimated_first_event(engine, usable, prompt, now)
+        })
+    }
+
+    fn with_engines_in_use<T>(
+        &self,
+        service: &ServiceId,
+        read: impl FnOnce(&ServerSelector, &UsableServers<'_>, Duration) -> T,
+    ) -> T {
         let servers = self.cluster_view.servers();
-        let usable: UsableServers<'_> = servers.not_leaving(&engine.service).collect();
+        let usable: UsableServers<'_> = servers.not_leaving(service).collect();
         let now = self.cluster_view.clock().now();
-        self.server_selector()
-            .estimated_first_event(engine, &usable, prompt, now)
+        read(&self.server_selector(), &usable, now)
     }
 }
--- a/crates/core/src/process/rendezvous.rs
+++ b/crates/core/src/process/rendezvous.rs
@@ -17,6 +17,18 @@
     mix(hash)
 }
 
+/// A score as a number between 0 and 1, without either.
+pub(crate) fn uniform(score: u64) -> f64 {
+    let upper = u32::try_from(score >> 32).unwrap_or(u32::MAX);
+    (f64::from(upper) + 0.5) / (f64::from(u32::MAX) + 1.0)
+}
+
+/// Rank of a weighted choice by a score; the highest one wins, with a chance proportional to its
+/// weight.
+pub(crate) fn weighted(score: u64, weight: f64) -> f64 {
+    -weight / uniform(score).ln()
+}
+
 /// The finalizer of `SplitMix64`; plain FNV-1a orders similar names alike under every seed.
 const fn mix(hash: u64) -> u64 {
     let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/core/src/process/run_copies/engine_overview.rs
+++ b/crates/core/src/process/run_copies/engine_overview.rs
@@ -213,7 +213,7 @@
         }
         // The same number for a run at all engines would move the same few runs again and again.
         let seed = rendezvous::score(RUN_SEED, engine.incarnation.id());
-        let number = uniform(rendezvous::score(seed, run.call));
+        let number = rendezvous::uniform(rendezvous::score(seed, run.call));
         let capacity: f64 = self.spare.iter().map(|spare| spare.capacity).sum();
         let of_capacity = capacity / self.full_requests.max(requests(load)).max(1.0);
         let of_gap = |target: &SpareEngine| {
@@ -229,7 +229,7 @@
         }
         let seed = rendezvous::score(TARGET_SEED, run.call);
         let weight = |spare: &SpareEngine| {
-            -spare.capacity / uniform(rendezvous::score(seed, spare.engine.id())).ln()
+            rendezvous::weighted(rendezvous::score(seed, spare.engine.id()), spare.capacity)
         };
         let target = self
             .spare
@@ -261,9 +261,3 @@
 fn slots(engine: &ServerRecord) -> f64 {
     as_f64(engine.slots.max(1))
 }
-
-/// A score as a number between 0 and 1, without either.
-fn uniform(score: u64) -> f64 {
-    let upper = u32::try_from(score >> 32).unwrap_or(u32::MAX);
-    (f64::from(upper) + 0.5) / (f64::from(u32::MAX) + 1.0)
-}
--- a/crates/core/src/process/server_selector/engine_choice.rs
+++ b/crates/core/src/process/server_selector/engine_choice.rs
@@ -16,7 +16,7 @@
 use super::super::rendezvous;
 use super::super::server_availability::UsableServers;
 use super::super::server_list::ServerRecord;
-use super::{ENGINE_LOAD_LIFETIME, ServerSelector};
+use super::ServerSelector;
 use crate::id::{CallId, ServerIncarnation};
 
 /// Seed of the hash by which calls are split between two engines.
@@ -83,9 +83,7 @@
         let is_uneven = self.is_uneven(&engines);
         if !is_uneven {
             let home = self.select_home(engines.clone(), prompt, now)?;
-            let index = engines
-                .iter()
-                .position(|engine| engine.incarnation == home.incarnation)?;
+            let index = position(&engines, home)?;
             let has_slow_events = self.has_slow_events(home, costs[index], prompt, now);
             if !is_slow(&costs, index) && !has_slow_events {
                 return Some(home);
@@ -244,10 +242,9 @@
 
     /// Requests that an engine has lately reported, as a fraction of its slots.
     fn reported_fullness(&self, engine: &ServerRecord, now: Duration) -> Option<f64> {
-        let (load, at) = self.tracker(&engine.incarnation)?.reported?;
-        let is_recent = now.saturating_sub(at) <= ENGINE_LOAD_LIFETIME;
+        let (load, _) = self.reported_engine_load(&engine.incarnation, now)?;
         let slots = as_f64(engine.slots.max(1));
-        is_recent.then(|| f64::from(load.running.saturating_add(load.waiting)) / slots)
+        Some(f64::from(load.running.saturating_add(load.waiting)) / slots)
     }
 
     /// Records that a prompt is sent to an engine; one that holds its shared parts has them
@@ -277,13 +274,12 @@
         now: Duration,
     ) -> Option<Duration> {
         let costs = self.engine_speeds.costs(&servers.free, now)?;
-        let mut servers_in_use = servers.free.iter();
-        let index = servers_in_use.position(|one| one.incarnation == engine.incarnation)?;
+        let index = position(&servers.free, engine)?;
         let is_usual = !self.is_uneven(&servers.free) && !is_slow(&costs, index);
         if are_even(&costs) || is_usual {
             return None;
         }
-        self.first_event_by_costs(engine, servers, &costs, prompt, now)
+        self.first_event_by_cost(engine, costs[index], prompt, now)
     }
 
     /// Expected time to a prompt's first event at an engine, also if the engines are equally fast;
@@ -297,21 +293,19 @@
         now: Duration,
     ) -> Option<Duration> {
         let costs = self.engine_speeds.costs(&servers.free, now)?;
-        self.first_event_by_costs(engine, servers, &costs, prompt, now)
+        let index = position(&servers.free, engine)?;
+        self.first_event_by_cost(engine, costs[index], prompt, now)
     }
 
-    fn first_event_by_costs(
+    fn first_event_by_cost(
         &self,
         engine: &ServerRecord,
-        servers: &UsableServers<'_>,
-        costs: &[EngineCost],
+        cost: EngineCost,
         prompt: &EnginePrompt<'_>,
         now: Duration,
     ) -> Option<Duration> {
-        let mut servers_in_use = servers.free.iter();
-        let index = servers_in_use.position(|one| one.incarnation == engine.incarnation)?;
         let is_held = prompt.homes.holds(&engine.incarnation);
-        let seconds = self.first_event_s(engine, costs[index], prompt, is_held, now);
+        let seconds = self.first_event_s(engine, cost, prompt, is_held, now);
         Duration::try_from_secs_f64(seconds).ok()
     }
 
@@ -319,11 +313,9 @@
     /// reported.
     #[must_use]
     pub fn others_backlog_tokens(&self, server: &ServerIncarnation, now: Duration) -> f64 {
-        let Some((load, at)) = self.tracker(server).and_then(|tracker| tracker.reported) else {
+        let Some((load, freshness)) = self.reported_engine_load(server, now) else {
             return 0.0;
         };
-        let age = now.saturating_sub(at).as_secs_f64();
-        let freshness = (1.0 - age / ENGINE_LOAD_LIFETIME.as_secs_f64()).max(0.0);
         let own = self.engine_speeds.run_count(server);
         let others = (f64::from(load.running) - as_f64(own)).max(0.0);
         let unread = f64::from(load.waiting) + others * self.engine_speeds.prefill_share();
@@ -370,9 +362,8 @@
 
     /// Requests that an engine has lately reported as running.
     fn running_requests(&self, engine: &ServerIncarnation, now: Duration) -> Option<f64> {
-        let (load, at) = self.tracker(engine)?.reported?;
-        let is_recent = now.saturating_sub(at) <= ENGINE_LOAD_LIFETIME;
-        is_recent.then(|| f64::from(load.running))
+        let (load, _) = self.reported_engine_load(engine, now)?;
+        Some(f64::from(load.running))
     }
 
     /// Expected time to a prompt's first event at an engine.
@@ -488,11 +479,12 @@
 /// the prefixes is proportional to its weight, and a change of the weight moves only prefixes to or
 /// from that engine.
 fn rank(seed: u64, server: &ServerRecord, weight: f64) -> f64 {
-    let score = rendezvous::score(seed, server.incarnation.id());
-    // The upper half of the score as a number between 0 and 1, without either.
-    let upper = u32::try_from(score >> 32).unwrap_or(u32::MAX);
-    let uniform = (f64::from(upper) + 0.5) / (f64::from(u32::MAX) + 1.0);
-    -weight / uniform.ln()
+    rendezvous::weighted(rendezvous::score(seed, server.incarnation.id()), weight)
+}
+
+fn position(engines: &[&ServerRecord], engine: &ServerRecord) -> Option<usize> {
+    let mut engines = engines.iter();
+    engines.position(|one| one.incarnation == engine.incarnation)
 }
 
 /// Whether an engine is much slower at present than the median.
@@ -504,11 +496,10 @@
 
 /// Whether all engines are about as fast as the median.
 fn are_even(costs: &[EngineCost]) -> bool {
-    let mut prefills: Vec<_> = costs.iter().map(|cost| cost.prefill_s_per_token).collect();
-    prefills.sort_by(f64::total_cmp);
-    let Some(median) = prefills.get(prefills.len() / 2) else {
+    let prefills = costs.iter().map(|cost| cost.prefill_s_per_token);
+    let Some(usual) = median(prefills.clone().collect()) else {
         return true;
     };
-    let differs = |prefill: &f64| (prefill / median - 1.0).abs() > EVEN_DIFFERENCE;
-    !prefills.iter().any(differs)
+    let differs = |prefill: f64| (prefill / usual - 1.0).abs() > EVEN_DIFFERENCE;
+    !prefills.into_iter().any(differs)
 }
