Lines of ended streams say how the engine's answer was framed

Change: `AnswerFraming` reads it from the answer's headers; the line has `framing`, and `stream.close-delimited` counts answers without a stated end.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -1,5 +1,6 @@
 //! State that lives as long as a connection: servers, clients, and the frames between them.
 
+mod answer_framing;
 mod body;
 mod frame_reader;
 mod http1_client;
@@ -10,6 +11,8 @@
 mod port_probe;
 mod stall_guard;
 
+#[doc(inline)]
+pub use answer_framing::AnswerFraming;
 #[doc(inline)]
 pub use body::{
     ReadBodyError, ResponseBody, empty_body, full_body, read_body, read_body_if_kept,
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -25,6 +25,7 @@
 use super::event_splitter::{EventSplitter, StreamEvent};
 use super::run_move_state::RunMoveState;
 use super::send::StartedAnswer;
+use crate::connection::AnswerFraming;
 
 /// Maximum bytes of events that one caller leaves unread; several times a usual stream. Beyond it
 /// the engine has to wait, and ends a stream that nobody reads for some seconds.
@@ -69,6 +70,7 @@
         left: Vec::new(),
         forwarded: 0,
         engine_first_event: None,
+        framing: AnswerFraming::of(&head.headers),
         results: None,
     };
     tokio::spawn(relay.run(answer, open_request));
@@ -89,6 +91,8 @@
     /// Time from the send to the first event at the current engine; none for a run that continues
     /// from a copy, which prefills little or nothing.
     engine_first_event: Option<Duration>,
+    /// How the current engine states where its answer ends.
+    framing: AnswerFraming,
     /// Stage results that the next engine may read: those of a stream that broke before its first
     /// event, and of a run that has a backup.
     results: Option<JobResults>,
@@ -165,6 +169,10 @@
         } = answer.answer;
         let is_continued = answer.continued_after.is_some();
         self.engine_first_event = None;
+        self.framing = AnswerFraming::of(&head.headers);
+        if self.framing == AnswerFraming::CloseDelimited {
+            self.run.context.counters.count("stream.close-delimited");
+        }
         self.results = answer.results;
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
@@ -417,7 +425,7 @@
         info!(
             call = admitted.attributes.call.as_str(), fingerprint = fingerprint.as_str(),
             route:% = admitted.route.id,
-            server:% = server, end, events = self.forwarded, owner,
+            server:% = server, end, framing:% = self.framing, events = self.forwarded, owner,
             prompt_tokens = admitted.attributes.prompt_tokens,
             in_flight = load.in_flight, told:% = load.reported, told_age_ms:% = load.reported_age_ms,
             host_percent:% = load.host_percent, expected_event_ms:% = optional_ms(expected),
