Streams that break off are not framed as complete, whatever their framing

Cause: a body without framing ends with its connection, and a process that crashes closes its connections orderly. The relay took "no more bytes" for the end of the stream and forwarded the half event as its rest.

Change: a server's answer comes as a FramedBody, whose end is a value (stated, or the connection closed) that each reader has to look at. A stream that ends inside an event, or without any event, broke off. Where only the connection ended, a new connection shows whether the server still runs, and the next request uses it; otherwise the answer is lost, for plain answers and error answers too. A broken stream takes the one path of resets: evidence of a crash, resumption within the budget, or an end that the caller can see. An engine that stops a run to move it ends its stream in the same way, so the answer to the move is awaited first. A connection that ended with its answer is not returned to the pool.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -3,6 +3,7 @@
 mod answer_framing;
 mod body;
 mod frame_reader;
+mod framed_body;
 mod http1_client;
 mod http_server;
 mod json_response;
@@ -21,6 +22,8 @@
 #[doc(inline)]
 pub use frame_reader::{FrameError, FrameReader, encode_frame};
 #[doc(inline)]
+pub use framed_body::{BodyEnd, BodyPart, FramedBody};
+#[doc(inline)]
 pub use http_server::{HttpServer, HttpServerLimits};
 #[doc(inline)]
 pub use http1_client::{Http1Connection, SendError};
--- a/crates/amaranthscale/src/connection/answer_framing.rs
+++ b/crates/amaranthscale/src/connection/answer_framing.rs
@@ -2,8 +2,11 @@
 
 use std::fmt;
 
-use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response;
+
+use super::BodyEnd;
 
 /// How an HTTP/1 answer states where its body ends.
 ///
@@ -11,10 +14,10 @@
 ///
 /// ```
 /// use amaranthscale::connection::AnswerFraming;
-/// use hyper::HeaderMap;
+/// use hyper::Response;
 ///
-/// let headers = HeaderMap::new();
-/// assert_eq!(AnswerFraming::of(&headers), AnswerFraming::CloseDelimited);
+/// let (head, ()) = Response::new(()).into_parts();
+/// assert_eq!(AnswerFraming::of(&head), AnswerFraming::CloseDelimited);
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerFraming {
@@ -27,10 +30,17 @@
 }
 
 impl AnswerFraming {
-    /// The framing that the headers of an answer with a body state.
+    /// The framing that the head of an answer states.
     #[must_use]
-    pub fn of(headers: &HeaderMap) -> Self {
-        if let Some(coding) = headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+    pub fn of(head: &response::Parts) -> Self {
+        let headers = &head.headers;
+        if matches!(
+            head.status,
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        ) {
+            // Such an answer has no body.
+            Self::Length
+        } else if let Some(coding) = headers.get_all(TRANSFER_ENCODING).iter().next_back() {
             let codings = coding.to_str().unwrap_or_default();
             let last = codings.rsplit(',').next().unwrap_or_default();
             if last.trim().eq_ignore_ascii_case("chunked") {
@@ -45,6 +55,15 @@
         }
     }
 
+    /// What the end of a body with this framing states.
+    #[must_use]
+    pub const fn end(self) -> BodyEnd {
+        match self {
+            Self::Length | Self::Chunked => BodyEnd::Stated,
+            Self::CloseDelimited => BodyEnd::ConnectionClosed,
+        }
+    }
+
     /// Name in log lines.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/crates/amaranthscale/src/connection/http1_client.rs
+++ b/crates/amaranthscale/src/connection/http1_client.rs
@@ -54,6 +54,12 @@
         Ok(Self { address, sender })
     }
 
+    /// The server's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Whether the next request can be sent at once.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/amaranthscale/src/gateway/connection/connection_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/connection_pool.rs
@@ -13,15 +13,14 @@
 use amaranthscale_core::process::{ConnectionShare, ServerRecord, ServerStatement};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::Request;
 use hyper::header::HeaderName;
 use hyper::http::response;
-use hyper::{HeaderMap, Request};
 use tokio::time::Instant;
 
 use super::super::process::{SendPermit, StatementRecorder};
 use super::CallsInFlight;
-use crate::connection::{Http1Connection, SendError};
+use crate::connection::{AnswerFraming, BodyEnd, FramedBody, Http1Connection, SendError};
 
 /// Timeout for opening a connection; a host that is up answers within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -54,7 +53,7 @@
     /// Its head.
     pub head: response::Parts,
     /// Its body.
-    pub body: Incoming,
+    pub body: FramedBody,
     /// What the server states about itself; recorded already.
     pub statement: ServerStatement,
 }
@@ -86,7 +85,7 @@
         _permit: SendPermit,
     ) -> Result<ServerAnswer, SendError> {
         let response = self.connection.send(request).await?;
-        let (head, body) = response.into_parts();
+        let (head, body) = FramedBody::split(response);
         let statement = self.statements.record(&self.server, &head);
         Ok(ServerAnswer {
             head,
@@ -98,7 +97,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    connection: Http1Connection,
+    connection: ServerConnection,
     expires_at: Instant,
 }
 
@@ -153,21 +152,53 @@
     }
 
     /// Returns a connection after a complete answer; it is retained within the gateway's share of
-    /// connections.
+    /// connections, unless it ended with the answer.
     pub fn return_connection(
+        &self,
+        mut connection: ServerConnection,
+        answer_head: &response::Parts,
+        share: ConnectionShare,
+    ) {
+        if let Some(idle_timeout) = parse_idle_timeout(answer_head) {
+            connection.is_reused = true;
+            self.retain_idle(connection, idle_timeout, share);
+        }
+    }
+
+    /// Whether an answer that was read to its end is complete.
+    ///
+    /// A server that crashes ends its connections orderly too. After such an end, a new connection
+    /// shows whether the server still runs; the next request to it uses that connection.
+    pub async fn is_complete(
+        &self,
+        end: BodyEnd,
+        connection: &ServerConnection,
+        share: ConnectionShare,
+    ) -> bool {
+        match end {
+            BodyEnd::Stated => true,
+            BodyEnd::ConnectionClosed => {
+                let address = connection.connection.address();
+                let Ok(opened) = self.open(&connection.server, address).await else {
+                    return false;
+                };
+                self.retain_idle(opened, DEFAULT_IDLE_TIMEOUT, share);
+                true
+            }
+        }
+    }
+
+    fn retain_idle(
         &self,
         connection: ServerConnection,
-        answer_head: &HeaderMap,
+        idle_timeout: Duration,
         share: ConnectionShare,
     ) {
-        let Some(idle_timeout) = parse_idle_timeout(answer_head) else {
-            return;
-        };
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_server = idle.entry(connection.server).or_default();
+        let of_server = idle.entry(connection.server.clone()).or_default();
         if of_server.len() < MAX_IDLE_PER_SERVER.min(share.connections()) {
             of_server.push(IdleConnection {
-                connection: connection.connection,
+                connection,
                 expires_at: Instant::now() + idle_timeout,
             });
         }
@@ -190,14 +221,8 @@
         let connections = idle.get_mut(server)?;
         // The newest one is the least likely to have reached its server's timeout.
         while let Some(one) = connections.pop() {
-            if one.expires_at > now && one.connection.is_ready() {
-                return Some(ServerConnection {
-                    server: server.clone(),
-                    connection: one.connection,
-                    is_reused: true,
-                    connect_time: Duration::ZERO,
-                    statements: Arc::clone(&self.statements),
-                });
+            if one.expires_at > now && one.connection.connection.is_ready() {
+                return Some(one.connection);
             }
         }
         None
@@ -205,8 +230,11 @@
 }
 
 /// Idle timeout according to the server's answer; `None` if the server closes the connection.
-fn parse_idle_timeout(head: &HeaderMap) -> Option<Duration> {
-    let text = |name| head.get(name).and_then(|value| value.to_str().ok());
+fn parse_idle_timeout(head: &response::Parts) -> Option<Duration> {
+    if AnswerFraming::of(head) == AnswerFraming::CloseDelimited {
+        return None;
+    }
+    let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
     if text(hyper::header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
         return None;
     }
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -124,10 +124,11 @@
     caller
         .limits
         .record_answer(&batch.server, statement, has_run, sent_at);
+    let (body, _end) = body.into_parts();
     let body = read_body(body, MAX_ANSWER_BYTES, batch.timeout)
         .await
         .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
-    pool.return_connection(connection, &head.headers, ConnectionShare::UNLIMITED);
+    pool.return_connection(connection, &head, ConnectionShare::UNLIMITED);
     Ok(CallEnd {
         end: (dialect.parse_batch_answer)(head.status, &head.headers, &body),
         reported_load,
@@ -163,11 +164,12 @@
         };
         let request = (dialect.free_request)(&free_request.handles);
         let ServerAnswer { head, body, .. } = connection.send(request, permit).await?;
+        let (body, _end) = body.into_parts();
         if read_body(body, MAX_ANSWER_BYTES, FREE_TIMEOUT)
             .await
             .is_ok()
         {
-            pool.return_connection(connection, &head.headers, ConnectionShare::UNLIMITED);
+            pool.return_connection(connection, &head, ConnectionShare::UNLIMITED);
         }
         Ok::<(), SendError>(())
     };
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -145,10 +145,11 @@
             SendError::NotSent(..) => CallError::NotSent,
             SendError::Lost(..) => CallError::Lost,
         })?;
+        let (body, _end) = body.into_parts();
         let body = read_body(body, MAX_ANSWER_BYTES, MOVE_TIMEOUT).await;
         let body = body.map_err(|_error| CallError::Lost)?;
         self.pool
-            .return_connection(connection, &head.headers, ConnectionShare::UNLIMITED);
+            .return_connection(connection, &head, ConnectionShare::UNLIMITED);
         Ok((head.status, body))
     }
 
--- a/crates/amaranthscale/src/gateway/request/buffered_body.rs
+++ b/crates/amaranthscale/src/gateway/request/buffered_body.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::super::process::{BufferMemory, BufferReservation};
-use crate::connection::{ReadBodyError, read_body_if_kept};
+use crate::connection::{BodyEnd, FramedBody, ReadBodyError, read_body_if_kept};
 
 /// Memory reserved at first for a body without a declared length; usual ones are smaller.
 const UNDECLARED_BYTES: usize = 64 * 1024;
@@ -30,20 +30,22 @@
 }
 
 /// Reads a server's answer, once there is memory for it: the server's work is done, and it holds
-/// the answer meanwhile.
+/// the answer meanwhile. Whether the content is complete depends on the end that is returned with it.
 pub(super) async fn read_answer_body(
     memory: &BufferMemory,
-    body: Incoming,
+    body: FramedBody,
     max_bytes: usize,
     timeout: Duration,
-) -> Result<Bytes, ReadBodyError> {
+) -> Result<(Bytes, BodyEnd), ReadBodyError> {
+    let (body, end) = body.into_parts();
     let first_bytes = first_bytes(&body, max_bytes)?;
     let reading = async {
         let reservation = memory.reserve(first_bytes).await;
         read_into(reservation, body, max_bytes, timeout).await
     };
     let read = tokio::time::timeout(timeout, reading).await;
-    read.unwrap_or(Err(ReadBodyError::TimedOut(timeout, 0)))
+    let content = read.unwrap_or(Err(ReadBodyError::TimedOut(timeout, 0)))?;
+    Ok((content, end))
 }
 
 /// Bytes to reserve before a body is read: its declared length, if it has one.
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -18,7 +18,6 @@
 use super::super::clock::ms;
 use super::super::process::{GatewayContext, JobError, JobResults, OpenRequest, run_job};
 use super::answer::{AnswerBody, forwarded_response, full_body};
-use super::buffered_body::read_answer_body;
 use super::caller::AdmittedRequest;
 use super::outgoing::OutgoingRequest;
 use super::refusal::Refusal;
@@ -510,26 +509,12 @@
     }
 
     async fn forward_failure(&self, answer: EngineAnswer) -> Result<Response<AnswerBody>, Refusal> {
-        let StartedAnswer {
-            head,
-            body,
-            connection,
-            in_flight_send,
-        } = answer.answer;
-        let memory = &self.context.answer_memory;
-        let remaining = self.admitted.remaining();
-        let body = match read_answer_body(memory, body, MAX_FAILURE_BYTES, remaining).await {
-            Ok(body) => body,
-            Err(error) => {
-                in_flight_send.record_read_failure(&error, &self.admitted);
-                return Err(Refusal::new(ResultCode::AnswerLost));
-            }
-        };
-        in_flight_send.record_answer(&self.admitted);
         let share = self.context.connection_share(&self.service);
-        self.context
-            .pool
-            .return_connection(connection, &head.headers, share);
+        let read = answer
+            .answer
+            .read_whole(&self.context, &self.admitted, MAX_FAILURE_BYTES, share)
+            .await;
+        let (head, body) = read.map_err(|_recorded| Refusal::new(ResultCode::AnswerLost))?;
         Ok(forwarded_response(
             head.status,
             &head.headers,
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -16,7 +16,6 @@
 use super::super::clock::ms;
 use super::super::process::GatewayContext;
 use super::answer::{AnswerBody, forwarded_response, full_body};
-use super::buffered_body::read_answer_body;
 use super::caller::AdmittedRequest;
 use super::outgoing::OutgoingRequest;
 use super::refusal::Refusal;
@@ -199,30 +198,16 @@
     }
 
     async fn read_answer(&self, answer: StartedAnswer) -> AttemptOutcome {
-        let StartedAnswer {
-            head,
-            body,
-            connection,
-            in_flight_send,
-        } = answer;
-        let memory = &self.context.answer_memory;
-        let remaining = self.admitted.remaining();
-        match read_answer_body(memory, body, MAX_ANSWER_BYTES, remaining).await {
-            Ok(body) => {
-                in_flight_send.record_answer(self.admitted);
-                self.context
-                    .pool
-                    .return_connection(connection, &head.headers, self.share);
-                AttemptOutcome::Answered(BufferedAnswer {
-                    status: head.status,
-                    headers: head.headers,
-                    body,
-                })
-            }
-            Err(error) => {
-                in_flight_send.record_read_failure(&error, self.admitted);
-                AttemptOutcome::Lost
-            }
+        let read = answer
+            .read_whole(self.context, self.admitted, MAX_ANSWER_BYTES, self.share)
+            .await;
+        match read {
+            Ok((head, body)) => AttemptOutcome::Answered(BufferedAnswer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            }),
+            Err(_recorded) => AttemptOutcome::Lost,
         }
     }
 
--- a/crates/amaranthscale/src/gateway/request/run_move_state.rs
+++ b/crates/amaranthscale/src/gateway/request/run_move_state.rs
@@ -87,6 +87,11 @@
         matches!(self.phase, Phase::Copying(..))
     }
 
+    /// Whether the engine has stopped the run, as far as known.
+    pub(super) const fn has_stopped(&self) -> bool {
+        matches!(self.phase, Phase::Stopped { .. })
+    }
+
     /// Whether the engine has told that it stopped the run.
     pub(super) const fn has_stopped_as_told(&self) -> bool {
         matches!(
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -4,9 +4,9 @@
 
 use amaranthscale_core::id::CallId;
 use amaranthscale_core::process::{
-    HealthChange, PromptHomes, SendEnd, ServerAvailability, ServerRecord,
+    ConnectionShare, HealthChange, PromptHomes, SendEnd, ServerAvailability, ServerRecord,
 };
-use hyper::body::Incoming;
+use bytes::Bytes;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
 use log::info;
@@ -14,9 +14,10 @@
 
 use super::super::connection::{ServerAnswer, ServerConnection};
 use super::super::process::{EngineRunTimes, GatewayContext};
+use super::buffered_body::read_answer_body;
 use super::caller::AdmittedRequest;
 use super::outgoing::OutgoingRequest;
-use crate::connection::{ReadBodyError, SendError};
+use crate::connection::{FramedBody, ReadBodyError, SendError};
 
 /// Outcome of a send up to the head of its answer.
 #[derive(Debug)]
@@ -56,11 +57,47 @@
 #[derive(Debug)]
 pub(super) struct StartedAnswer {
     pub(super) head: response::Parts,
-    pub(super) body: Incoming,
+    pub(super) body: FramedBody,
     pub(super) connection: ServerConnection,
     pub(super) in_flight_send: InFlightSend,
 }
 
+impl StartedAnswer {
+    /// Reads the whole body, records how the send ended and returns the connection.
+    pub(super) async fn read_whole(
+        self,
+        context: &GatewayContext,
+        admitted: &AdmittedRequest,
+        max_bytes: usize,
+        share: ConnectionShare,
+    ) -> Result<(response::Parts, Bytes), ReadBodyError> {
+        let Self {
+            head,
+            body,
+            connection,
+            in_flight_send,
+        } = self;
+        let memory = &context.answer_memory;
+        let read = read_answer_body(memory, body, max_bytes, admitted.remaining()).await;
+        let (body, end) = match read {
+            Ok(read) => read,
+            Err(error) => {
+                in_flight_send.record_read_failure(&error, admitted);
+                return Err(error);
+            }
+        };
+        if !context.pool.is_complete(end, &connection, share).await {
+            context.counters.count("answer.end-unconfirmed");
+            in_flight_send.record_lost(admitted);
+            let reason = "the server ended together with its answer".to_owned();
+            return Err(ReadBodyError::Broken(reason));
+        }
+        in_flight_send.record_answer(admitted);
+        context.pool.return_connection(connection, &head, share);
+        Ok((head, body))
+    }
+}
+
 /// A send, counted as in flight at its server until this is dropped.
 #[derive(Debug)]
 pub(super) struct InFlightSend {
@@ -134,7 +171,7 @@
     }
 
     /// Records that the body of the answer could not be read.
-    pub(super) fn record_read_failure(self, error: &ReadBodyError, admitted: &AdmittedRequest) {
+    fn record_read_failure(self, error: &ReadBodyError, admitted: &AdmittedRequest) {
         match error {
             ReadBodyError::Broken(_) => self.record_lost(admitted),
             ReadBodyError::TooLarge(_) | ReadBodyError::TimedOut(..) => self.end(SendEnd::Failed),
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -12,20 +12,23 @@
 use amaranthscale_core::process::{OptionalNumber, SendEnd};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::{Body, Frame};
+use hyper::header::CONTENT_TYPE;
+use hyper::http::response;
+use hyper::{HeaderMap, Response};
 use log::info;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::super::clock::ms;
+use super::super::connection::ServerConnection;
 use super::super::process::{BufferMemory, HeldCopy, JobResults, MovableRun, OpenRequest};
 use super::answer::{AnswerBody, TruncatedAnswer, forwarded_response};
 use super::engine_run::{EngineAnswer, EngineRun};
 use super::event_splitter::{EventSplitter, StreamEvent};
 use super::run_move_state::RunMoveState;
-use super::send::StartedAnswer;
-use crate::connection::AnswerFraming;
+use super::send::{InFlightSend, StartedAnswer};
+use crate::connection::{AnswerFraming, BodyEnd, BodyPart};
 
 /// Maximum bytes of events that one caller leaves unread; several times a usual stream. Beyond it
 /// the engine has to wait, and ends a stream that nobody reads for some seconds.
@@ -70,7 +73,7 @@
         left: Vec::new(),
         forwarded: 0,
         engine_first_event: None,
-        framing: AnswerFraming::of(&head.headers),
+        framing: answer.answer.body.framing(),
         results: None,
     };
     tokio::spawn(relay.run(answer, open_request));
@@ -169,7 +172,7 @@
         } = answer.answer;
         let is_continued = answer.continued_after.is_some();
         self.engine_first_event = None;
-        self.framing = AnswerFraming::of(&head.headers);
+        self.framing = body.framing();
         if self.framing == AnswerFraming::CloseDelimited {
             self.run.context.counters.count("stream.close-delimited");
         }
@@ -179,7 +182,7 @@
         let mut run_move = RunMoveState::new(answer.server.clone(), self.last_id);
         let max_silence = self.max_silence();
         let mut heard_at = Instant::now();
-        loop {
+        let end = loop {
             if has_begun {
                 self.begin_move(&mut run_move);
             }
@@ -187,8 +190,8 @@
             let has_ids = self.last_id.is_some();
             let was_copying = run_move.is_copying();
             let silence = max_silence.filter(|_| has_begun && has_ids && !was_copying);
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
+            let part = tokio::select! {
+                part = body.next() => part,
                 is_overdue = run_move.next_step() => {
                     if let Some(copy) = run_move.take_copy(self.last_id, is_overdue) {
                         in_flight_send.end(SendEnd::Abandoned);
@@ -212,29 +215,10 @@
                     return EngineStreamEnd::Broken;
                 }
             };
-            let data = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(_broken)) => {
-                    // The engine closes a stream that it stops, maybe before it answers the move.
-                    if run_move.is_copying() {
-                        tokio::select! {
-                            _ = run_move.next_step() => {}
-                            () = self.sender.closed() => return EngineStreamEnd::CallerLeft,
-                            () = tokio::time::sleep_until(self.run.admitted.deadline) => return EngineStreamEnd::TimedOut,
-                        }
-                    }
-                    let has_stopped = run_move.has_stopped_as_told();
-                    if has_stopped {
-                        in_flight_send.end(SendEnd::Abandoned);
-                    } else {
-                        in_flight_send.record_lost(&self.run.admitted);
-                    }
-                    if let Some(copy) = run_move.take_copy(self.last_id, true) {
-                        return EngineStreamEnd::Moved(copy);
-                    }
-                    return EngineStreamEnd::Broken;
-                }
-                None => break,
+            let data = match part {
+                Ok(BodyPart::Data(data)) => data,
+                Ok(BodyPart::End(end)) => break end,
+                Err(_broken) => return self.end_broken(&mut run_move, in_flight_send).await,
             };
             heard_at = Instant::now();
             self.release_results();
@@ -253,20 +237,95 @@
                 in_flight_send.end(SendEnd::Abandoned);
                 return EngineStreamEnd::Moved(copy);
             }
+        };
+        if end == BodyEnd::ConnectionClosed {
+            // An engine that stops a run to move it ends the stream in the same way.
+            if let Err(end) = self.settle_move(&mut run_move).await {
+                return end;
+            }
+            if run_move.has_stopped() {
+                return self.end_broken(&mut run_move, in_flight_send).await;
+            }
+        }
+        let rest = splitter.rest();
+        match self.is_complete(end, &rest, &head, &connection).await {
+            Ok(true) => {}
+            Ok(false) => return self.end_broken(&mut run_move, in_flight_send).await,
+            Err(end) => return end,
         }
         in_flight_send.record_answer(&self.run.admitted);
         let share = self.run.context.connection_share(&self.run.service);
         self.run
             .context
             .pool
-            .return_connection(connection, &head.headers, share);
-        let rest = splitter.rest();
+            .return_connection(connection, &head, share);
         if !rest.is_empty() && self.sender.send(Ok(rest)).is_err() {
             return EngineStreamEnd::CallerLeft;
         }
         EngineStreamEnd::Complete
     }
 
+    /// Whether a stream whose last bytes are `rest` ended after its last event. An error if the
+    /// caller left or the deadline passed before that was known.
+    async fn is_complete(
+        &self,
+        end: BodyEnd,
+        rest: &[u8],
+        head: &response::Parts,
+        connection: &ServerConnection,
+    ) -> Result<bool, EngineStreamEnd> {
+        let context = &self.run.context;
+        let is_inside_event = is_event_stream(&head.headers) && !rest.trim_ascii().is_empty();
+        let has_events = self.last_id.is_some() || self.forwarded > 0;
+        if is_inside_event || (end == BodyEnd::ConnectionClosed && !has_events) {
+            context.counters.count("stream.cut");
+            return Ok(false);
+        }
+        let share = context.connection_share(&self.run.service);
+        let is_complete = tokio::select! {
+            is_complete = context.pool.is_complete(end, connection, share) => is_complete,
+            () = self.sender.closed() => return Err(EngineStreamEnd::CallerLeft),
+            () = tokio::time::sleep_until(self.run.admitted.deadline) => return Err(EngineStreamEnd::TimedOut),
+        };
+        if !is_complete {
+            context.counters.count("answer.end-unconfirmed");
+        }
+        Ok(is_complete)
+    }
+
+    /// Waits until a move in progress has ended: the engine closes a stream that it stops, maybe before
+    /// it answers the move.
+    async fn settle_move(&self, run_move: &mut RunMoveState) -> Result<(), EngineStreamEnd> {
+        if run_move.is_copying() {
+            tokio::select! {
+                _ = run_move.next_step() => {}
+                () = self.sender.closed() => return Err(EngineStreamEnd::CallerLeft),
+                () = tokio::time::sleep_until(self.run.admitted.deadline) => return Err(EngineStreamEnd::TimedOut),
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends an engine's stream that broke off, unless the engine has stopped it to move the run.
+    async fn end_broken(
+        &self,
+        run_move: &mut RunMoveState,
+        in_flight_send: InFlightSend,
+    ) -> EngineStreamEnd {
+        if let Err(end) = self.settle_move(run_move).await {
+            return end;
+        }
+        if run_move.has_stopped_as_told() {
+            in_flight_send.end(SendEnd::Abandoned);
+        } else {
+            in_flight_send.record_lost(&self.run.admitted);
+        }
+        match run_move.take_copy(self.last_id, true) {
+            Some(copy) => EngineStreamEnd::Moved(copy),
+            None => EngineStreamEnd::Broken,
+        }
+    }
+
     /// Forwards an event if it is the next one.
     ///
     /// An engine that resumes at another event than requested would cause a gap or duplicate
@@ -437,6 +496,19 @@
     }
 }
 
+/// Whether an answer consists of events; without a statement, a stream does.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE);
+    content_type.is_none_or(|content_type| {
+        let media_type = content_type.as_bytes().split(|byte| *byte == b';').next();
+        media_type.is_some_and(|media_type| {
+            media_type
+                .trim_ascii()
+                .eq_ignore_ascii_case(b"text/event-stream")
+        })
+    })
+}
+
 /// Response body with the events of the relay's task.
 struct StreamBody {
     events: mpsc::UnboundedReceiver<Result<Bytes, TruncatedAnswer>>,
