--- a/crates/amaranthscale/src/gateway/connection/connection_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/connection_pool.rs
@@ -36,6 +36,9 @@
 /// the time that servers take for a new connection.
 const RESET_MARGIN: Duration = Duration::from_millis(2);
 
+/// Time within which a process that exits has closed all its sockets, in whatever order.
+const EXIT_TIME: Duration = Duration::from_millis(5);
+
 /// A connection to a backend server.
 #[derive(Debug)]
 pub struct ServerConnection {
@@ -178,6 +181,7 @@
         match end {
             BodyEnd::Stated => true,
             BodyEnd::ConnectionClosed => {
+                tokio::time::sleep(EXIT_TIME).await;
                 let address = connection.connection.address();
                 let Ok(opened) = self.open(&connection.server, address).await else {
                     return false;
