A sidecar passes on no short answer of a backend server as complete

The sidecar's relay took "no more bytes" of a close-delimited answer for its end, so a backend server that crashed in the middle of an answer left half a result that counted as Complete, and for a claimed call was stored as its outcome.

Change: the relay looks at how the body ended. After an end that only the connection states, a stream needs its end line, and any other answer a backend server that accepts a new connection; otherwise the attempt ends as BackendBroke, or a claimed call as unknown.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -21,6 +21,7 @@
 };
 #[doc(inline)]
 pub use frame_reader::{FrameError, FrameReader, encode_frame};
+pub(crate) use framed_body::EXIT_TIME;
 #[doc(inline)]
 pub use framed_body::{BodyEnd, BodyPart, FramedBody};
 #[doc(inline)]
--- a/crates/amaranthscale/src/connection/framed_body.rs
+++ b/crates/amaranthscale/src/connection/framed_body.rs
@@ -5,6 +5,8 @@
 //! that takes no more bytes for the whole content would accept a truncated answer. The end is
 //! therefore a value of its own, which each reader has to look at.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -13,6 +15,9 @@
 
 use super::AnswerFraming;
 
+/// Time within which a process that exits has closed all its sockets, in whatever order.
+pub(crate) const EXIT_TIME: Duration = Duration::from_millis(5);
+
 /// How the end of a body was stated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
--- a/crates/amaranthscale/src/gateway/connection/connection_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/connection_pool.rs
@@ -20,7 +20,9 @@
 
 use super::super::process::{SendPermit, StatementRecorder};
 use super::CallsInFlight;
-use crate::connection::{AnswerFraming, BodyEnd, FramedBody, Http1Connection, SendError};
+use crate::connection::{
+    AnswerFraming, BodyEnd, EXIT_TIME, FramedBody, Http1Connection, SendError,
+};
 
 /// Timeout for opening a connection; a host that is up answers within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -36,9 +38,6 @@
 /// the time that servers take for a new connection.
 const RESET_MARGIN: Duration = Duration::from_millis(2);
 
-/// Time within which a process that exits has closed all its sockets, in whatever order.
-const EXIT_TIME: Duration = Duration::from_millis(5);
-
 /// A connection to a backend server.
 #[derive(Debug)]
 pub struct ServerConnection {
--- a/crates/amaranthscale/src/sidecar/backend_client.rs
+++ b/crates/amaranthscale/src/sidecar/backend_client.rs
@@ -12,15 +12,15 @@
 use amaranthscale_core::unit::Class;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode};
+use hyper::http::response;
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use log::{debug, warn};
 use tokio::time::Instant;
 
-use crate::connection::open_stream;
+use crate::connection::{BodyEnd, EXIT_TIME, FramedBody, open_stream};
 
 use super::call_error::CallError;
 use super::job::Job;
@@ -52,7 +52,8 @@
 /// A response whose body is not yet read, and its connection.
 #[derive(Debug)]
 pub(super) struct BackendReply {
-    pub(super) response: Response<Incoming>,
+    pub(super) head: response::Parts,
+    pub(super) body: FramedBody,
     pub(super) sender: Sender,
     /// The backoff that the server requests with it; recorded already.
     pub(super) backoff: Option<ServerBackoff>,
@@ -86,6 +87,20 @@
         self.send(sender, request).await.map_err(|(error, _)| error)
     }
 
+    /// Whether a body that was read to its end is complete.
+    ///
+    /// A backend server that crashes ends its connections orderly too, so after such an end it has to
+    /// accept a new one.
+    pub(super) async fn is_complete(&self, end: BodyEnd) -> bool {
+        match end {
+            BodyEnd::Stated => true,
+            BodyEnd::ConnectionClosed => {
+                tokio::time::sleep(EXIT_TIME).await;
+                self.connect().await.is_ok()
+            }
+        }
+    }
+
     /// Returns a connection to the idle ones after its response was read to the end.
     pub(super) async fn return_idle(&self, mut sender: Sender) {
         if sender.ready().await.is_err() {
@@ -168,7 +183,8 @@
                 let reason = error.into_error().to_string();
                 (CallError::ConnectionLost(reason), None)
             })?;
-        let backoff = requested_backoff(response.status(), response.headers());
+        let (head, body) = FramedBody::split(response);
+        let backoff = requested_backoff(head.status, &head.headers);
         let backoff = backoff.transpose().unwrap_or_else(|error| {
             warn!("sidecar: invalid backoff requested: {error}");
             None
@@ -177,7 +193,8 @@
             self.shared.record_backoff(backoff);
         }
         Ok(BackendReply {
-            response,
+            head,
+            body,
             sender,
             backoff,
         })
--- a/crates/amaranthscale/src/sidecar/runner.rs
+++ b/crates/amaranthscale/src/sidecar/runner.rs
@@ -160,7 +160,7 @@
 
     async fn call(&self, job: &Job) -> Result<Relayed, CallError> {
         let reply = self.backend.call(job).await?;
-        Relay::new(job).run(reply).await
+        Relay::new(job).run(reply, &self.backend).await
     }
 
     fn conclude(&self, job: &Job, called: Result<Relayed, CallError>) -> CallEnd {
--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -5,14 +5,14 @@
 use amaranthscale_core::process::ServerBackoff;
 use amaranthscale_core::wire::{Outcome, ResultDigest};
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::StatusCode;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
-use hyper::{Response, StatusCode};
+use hyper::http::response;
 use sha2::{Digest as _, Sha256};
 
+use crate::connection::{BodyEnd, BodyPart};
 use crate::process::ms;
-use crate::sidecar::backend_client::{BackendReply, Sender, is_turned_away};
+use crate::sidecar::backend_client::{BackendClient, BackendReply, Sender, is_turned_away};
 use crate::sidecar::call_error::CallError;
 use crate::sidecar::job::Job;
 
@@ -57,25 +57,34 @@
         }
     }
 
-    pub(super) async fn run(mut self, reply: BackendReply) -> Result<Relayed, CallError> {
+    pub(super) async fn run(
+        mut self,
+        reply: BackendReply,
+        backend: &BackendClient,
+    ) -> Result<Relayed, CallError> {
         let BackendReply {
-            response,
+            head,
+            mut body,
             sender,
             backoff,
         } = reply;
-        if states_not_run(&response) {
+        if states_not_run(&head) {
             return Ok(Relayed {
-                outcome: refusal_outcome(response.status(), backoff),
+                outcome: refusal_outcome(head.status, backoff),
                 result: Bytes::new(),
                 sender: None,
             });
         }
-        let (head, mut body) = response.into_parts();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| CallError::ConnectionLost(error.to_string()))?;
-            if let Ok(data) = frame.into_data() {
-                self.take(&data)?;
+        let end = loop {
+            let part = body.next().await;
+            match part.map_err(|error| CallError::ConnectionLost(error.to_string()))? {
+                BodyPart::Data(data) => self.take(&data)?,
+                BodyPart::End(end) => break end,
             }
+        };
+        if !self.is_complete(end, &head.headers, backend).await {
+            let reason = "it ended before the answer did".to_owned();
+            return Err(CallError::ConnectionLost(reason));
         }
         if self.is_too_large {
             return Err(CallError::TooLarge);
@@ -83,6 +92,21 @@
         Ok(self.end(head.status, &head.headers, sender))
     }
 
+    /// Whether the answer is complete: a stream whose connection ended has an end line, and after any
+    /// other such answer the backend server still runs.
+    async fn is_complete(
+        &self,
+        end: BodyEnd,
+        headers: &HeaderMap,
+        backend: &BackendClient,
+    ) -> bool {
+        if end == BodyEnd::ConnectionClosed && is_stream(headers) {
+            self.token_count.is_ended()
+        } else {
+            backend.is_complete(end).await
+        }
+    }
+
     fn take(&mut self, data: &Bytes) -> Result<(), CallError> {
         if data.is_empty() || self.is_too_large {
             return Ok(());
@@ -136,9 +160,9 @@
 }
 
 /// Whether the backend server states that it did not run the call.
-fn states_not_run(response: &Response<Incoming>) -> bool {
-    let not_run = response.headers().get(NOT_RUN);
-    is_turned_away(response.status()) && not_run.is_some_and(|value| value == "1")
+fn states_not_run(head: &response::Parts) -> bool {
+    let not_run = head.headers.get(NOT_RUN);
+    is_turned_away(head.status) && not_run.is_some_and(|value| value == "1")
 }
 
 fn refusal_outcome(status: StatusCode, backoff: Option<ServerBackoff>) -> Outcome {
--- a/crates/amaranthscale/src/sidecar/runner/token_count.rs
+++ b/crates/amaranthscale/src/sidecar/runner/token_count.rs
@@ -26,9 +26,13 @@
         }
     }
 
+    /// Whether the last line is a whole end line.
+    pub(super) fn is_ended(&self) -> bool {
+        !self.is_line_open && self.head == END_LINE
+    }
+
     /// Tokens counted so far.
     pub(super) fn tokens(&self) -> u64 {
-        let is_ended = !self.is_line_open && self.head == END_LINE;
-        self.lines.saturating_sub(u64::from(is_ended))
+        self.lines.saturating_sub(u64::from(self.is_ended()))
     }
 }
--- a/crates/amaranthscale/tests/sidecar_answers.rs
+++ b/crates/amaranthscale/tests/sidecar_answers.rs
@@ -15,8 +15,8 @@
 use amaranthscale_core::unit::{ByteSize, TimeBudget};
 use amaranthscale_core::wire::{Dispatch, Frame, RevokeAnswer, Stamp};
 use sidecar_support::{
-    FIRST_LINE, Fixture, LAST_LINES, fetch, fetch_within, fixture, fixture_with, read_to_end,
-    with_timeout,
+    BreakingBackend, FIRST_LINE, Fixture, LAST_LINES, fetch, fetch_within, fixture, fixture_with,
+    read_to_end, with_timeout,
 };
 
 /// Long enough for the sidecar to evict answers that have expired.
@@ -222,3 +222,31 @@
     }
     assert_eq!(fixture.backend.calls().len(), attempts.len());
 }
+
+/// Runs an attempt at a backend server that sends these bytes and closes the connection.
+async fn run_at(answer: &'static [u8], crashes: bool) -> ResultCode {
+    let backend = BreakingBackend::start_with(answer, crashes).await;
+    let fixture = fixture_with(|config| config.backend = backend.address()).await;
+    fixture.run(&fixture.attempt(1, "/echo")).await.code()
+}
+
+/// Guards against half a result that looks complete because the backend server crashed.
+#[tokio::test]
+async fn a_close_delimited_answer_is_complete_only_if_its_backend_server_runs_on() {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nmaybe half";
+
+    assert_eq!(run_at(ANSWER, false).await, ResultCode::Complete);
+    assert_eq!(run_at(ANSWER, true).await, ResultCode::BackendBroke);
+}
+
+/// Guards against a stream that looks complete without its end line.
+#[tokio::test]
+async fn a_close_delimited_stream_is_complete_only_with_its_end_line() {
+    const WHOLE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n\r\n\
+        one\ntwo\n{\"end\":{}}\n";
+    const SHORT: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n\r\n\
+        one\ntwo\n";
+
+    assert_eq!(run_at(WHOLE, false).await, ResultCode::Complete);
+    assert_eq!(run_at(SHORT, false).await, ResultCode::BackendBroke);
+}
--- a/crates/amaranthscale/tests/support/breaking_backend.rs
+++ b/crates/amaranthscale/tests/support/breaking_backend.rs
@@ -1,4 +1,4 @@
-//! A fake backend server that closes the connection in the middle of its answer.
+//! A fake backend server that closes the connection after its answer, or in the middle of it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 /// Announces 100 bytes and contains fewer.
 const BROKEN_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nfirst half";
 
-/// A fake backend server that closes the connection in the middle of its answer.
+/// A fake backend server that closes the connection after its answer, or in the middle of it.
 #[derive(Debug)]
 pub struct BreakingBackend {
     address: SocketAddr,
@@ -18,14 +18,28 @@
 }
 
 impl BreakingBackend {
+    /// Starts a server that breaks off its answers.
     pub async fn start() -> Self {
+        Self::start_with(BROKEN_ANSWER, false).await
+    }
+
+    /// Starts a server that sends these bytes as each answer; one that `crashes` listens no more
+    /// afterwards.
+    pub async fn start_with(answer: &'static [u8], crashes: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let calls = Arc::new(AtomicUsize::new(0));
         let counted = Arc::clone(&calls);
         tokio::spawn(async move {
-            while let Ok((stream, _peer)) = listener.accept().await {
-                break_off(stream, &counted).await;
+            let mut listener = Some(listener);
+            while let Some(listening) = &listener {
+                let Ok((stream, _peer)) = listening.accept().await else {
+                    return;
+                };
+                if crashes {
+                    listener = None;
+                }
+                answer_and_close(stream, answer, &counted).await;
             }
         });
         Self { address, calls }
@@ -40,13 +54,13 @@
     }
 }
 
-async fn break_off(mut stream: TcpStream, calls: &AtomicUsize) {
+async fn answer_and_close(mut stream: TcpStream, answer: &[u8], calls: &AtomicUsize) {
     let mut received = vec![0; 64 * 1024];
     let length = stream.read(&mut received).await.unwrap_or(0);
     if length == 0 || received.starts_with(b"POST /cancel/") {
         return;
     }
     calls.fetch_add(1, Ordering::SeqCst);
-    let _ = stream.write_all(BROKEN_ANSWER).await;
+    let _ = stream.write_all(answer).await;
     let _ = stream.shutdown().await;
 }
