Lines of streams state the engine's software version, and what callers take up

Cause: no line told at which version of an engine's software a stream ran, nor that a request takes up a stream, so the incident's two hypotheses could not be counted.

Change: `version` of a server's entry is decoded (any value names a version; it is compared only) and stands in `stream: ended`; a request with Last-Event-Id or Resumes logs `stream: taken up` with the call that brought the first event, and counts as stream.taken-up. No decision uses either yet.

--- a/crates/amaranthscale/src/gateway.rs
+++ b/crates/amaranthscale/src/gateway.rs
@@ -28,7 +28,9 @@
 #[doc(inline)]
 pub use daemon::{Gateway, GatewayError};
 #[doc(inline)]
-pub use dialect::{Dialect, HeaderNames, InvalidHeader, PromptPart, RequestAttributes};
+pub use dialect::{
+    Dialect, HeaderNames, InvalidHeader, PromptPart, RequestAttributes, StreamResumption,
+};
 #[doc(inline)]
 pub use feature::{Feature, FeatureSet, UnknownFeature};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -68,6 +68,13 @@
     pub tokens: u64,
 }
 
+/// A stream that a caller takes up after it has received some of its events.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamResumption {
+    /// The call that brought its first event, if the caller names it.
+    pub first_call: Option<CallId>,
+}
+
 /// What a caller's headers state about its request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestAttributes {
@@ -89,6 +96,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Id of the last prefix of the prompt that other requests share.
     pub shared_prefix: Option<String>,
+    /// Set if the caller takes up a stream.
+    pub resumption: Option<StreamResumption>,
 }
 
 impl RequestAttributes {
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -144,6 +144,7 @@
         slots: 1,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthscale_core::id::{InstanceId, ResultHandle, ServerIncarnation, ServiceId};
+use amaranthscale_core::id::{
+    InstanceId, ResultHandle, ServerIncarnation, ServiceId, SoftwareVersion,
+};
 use amaranthscale_core::process::{
     ConnectionShare, DEFAULT_ENGINE_TIME, EnginePrompt, JobFailure, JobSpec, LoadSnapshot,
     PromptHomes, SendingEntry, ServerRecord, StageSpec,
@@ -73,6 +75,8 @@
     pub(super) answer: StartedAnswer,
     pub(super) results: Option<JobResults>,
     pub(super) server: ServerIncarnation,
+    /// Version of the engine's software.
+    pub(super) software_version: Option<SoftwareVersion>,
     /// Event after which a run continues at a copy; none if it began at this engine.
     pub(super) continued_after: Option<u64>,
 }
@@ -126,6 +130,7 @@
         expected_first_event: None,
     };
     run.set_urgency();
+    run.log_resumption();
     let answer = run.start().await?;
     if answer.answer.head.status.is_success() {
         return Ok(relay_stream(run, answer, open_request));
@@ -148,6 +153,24 @@
         }
     }
 
+    /// Logs that the caller has taken up a stream.
+    fn log_resumption(&self) {
+        let Some(resumption) = &self.admitted.attributes.resumption else {
+            return;
+        };
+        let first_call = resumption.first_call.as_ref();
+        let after = self
+            .outgoing
+            .header(&self.context.dialect.headers.last_event);
+        self.context.counters.count("stream.taken-up");
+        info!(
+            call = self.admitted.attributes.call.as_str(),
+            first_call = first_call.map_or("-", |call| call.as_str()),
+            event = after.unwrap_or("-");
+            "stream: taken up"
+        );
+    }
+
     /// Runs the job and sends the request until an engine has begun to answer.
     pub(super) async fn start(&mut self) -> Result<EngineAnswer, Refusal> {
         let answer = self.run_until_answered().await;
@@ -222,6 +245,7 @@
                     answer: *answer,
                     results,
                     server: server.incarnation.clone(),
+                    software_version: server.software_version.clone(),
                     continued_after: None,
                 })));
             }
--- a/crates/amaranthscale/src/gateway/request/run_continuation.rs
+++ b/crates/amaranthscale/src/gateway/request/run_continuation.rs
@@ -128,6 +128,7 @@
                         answer: *answer,
                         results: results.take(),
                         server: copy.incarnation,
+                        software_version: copy.software_version,
                         continued_after: Some(after),
                     });
                 }
@@ -182,6 +183,7 @@
                         answer: *answer,
                         results: results.take(),
                         server: engine.incarnation,
+                        software_version: engine.software_version,
                         continued_after: Some(after),
                     });
                 }
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use amaranthscale_core::id::ServerIncarnation;
+use amaranthscale_core::id::{ServerIncarnation, SoftwareVersion};
 use amaranthscale_core::process::{OptionalNumber, SendEnd};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -74,6 +74,7 @@
         forwarded: 0,
         engine_first_event: None,
         framing: answer.answer.body.framing(),
+        software_version: answer.software_version.clone(),
         results: None,
     };
     tokio::spawn(relay.run(answer, open_request));
@@ -96,6 +97,8 @@
     engine_first_event: Option<Duration>,
     /// How the current engine states where its answer ends.
     framing: AnswerFraming,
+    /// Version of the current engine's software.
+    software_version: Option<SoftwareVersion>,
     /// Stage results that the next engine may read: those of a stream that broke before its first
     /// event, and of a run that has a backup.
     results: Option<JobResults>,
@@ -173,6 +176,7 @@
         let is_continued = answer.continued_after.is_some();
         self.engine_first_event = None;
         self.framing = body.framing();
+        self.software_version = answer.software_version;
         if self.framing == AnswerFraming::CloseDelimited {
             self.run.context.counters.count("stream.close-delimited");
         }
@@ -480,11 +484,12 @@
         let optional_ms = |time: Option<Duration>| {
             time.map_or_else(OptionalNumber::default, OptionalNumber::of_ms)
         };
+        let version = self.software_version.as_ref();
         let results_at = self.run.results_at.unwrap_or(admitted.arrived_at);
         info!(
             call = admitted.attributes.call.as_str(), fingerprint = fingerprint.as_str(),
             route:% = admitted.route.id,
-            server:% = server, end, framing:% = self.framing, events = self.forwarded, owner,
+            server:% = server, version = version.map_or("-", SoftwareVersion::as_str), end, framing:% = self.framing, events = self.forwarded, owner,
             prompt_tokens = admitted.attributes.prompt_tokens,
             in_flight = load.in_flight, told:% = load.reported, told_age_ms:% = load.reported_age_ms,
             host_percent:% = load.host_percent, expected_event_ms:% = optional_ms(expected),
--- a/crates/amaranthscale/tests/server_listing.rs
+++ b/crates/amaranthscale/tests/server_listing.rs
@@ -26,6 +26,7 @@
         slots: 4,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/core/examples/backoff_play.rs
+++ b/crates/core/examples/backoff_play.rs
@@ -85,6 +85,7 @@
         slots: SLOTS,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/core/examples/batcher_load.rs
+++ b/crates/core/examples/batcher_load.rs
@@ -73,6 +73,7 @@
         slots: 1,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -7,6 +7,7 @@
 mod request_id;
 mod result_handle;
 mod server_incarnation;
+mod software_version;
 
 #[doc(inline)]
 pub use attempt_id::AttemptId;
@@ -28,3 +29,5 @@
 pub use result_handle::{InvalidResultHandle, ResultHandle};
 #[doc(inline)]
 pub use server_incarnation::ServerIncarnation;
+#[doc(inline)]
+pub use software_version::SoftwareVersion;
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -27,7 +27,7 @@
 use super::server_limit::ServerLimit;
 use super::server_notices::ServerNotices;
 use super::zone_states::{ZoneChange, ZoneState, ZoneStates};
-use crate::id::{RowVersion, ServerId, ServerIncarnation, ServiceId, ZoneId};
+use crate::id::{RowVersion, ServerId, ServerIncarnation, ServiceId, SoftwareVersion, ZoneId};
 
 /// Grace period in which a server whose listing expired during an outage may be listed again.
 /// Source: the platform writes records again about 2 s after the store's return.
@@ -50,6 +50,8 @@
     pub is_leaving: bool,
     /// How long it stays cold by its own report; none if it does not report it.
     pub cold_left: Option<Duration>,
+    /// Version of its software, if it states one.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// A change of the list.
--- a/crates/core/tests/batcher/fixture.rs
+++ b/crates/core/tests/batcher/fixture.rs
@@ -234,5 +234,6 @@
         slots: 1,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
--- a/crates/core/tests/batcher/load_simulation/servers.rs
+++ b/crates/core/tests/batcher/load_simulation/servers.rs
@@ -37,6 +37,7 @@
                 slots: 1,
                 is_leaving: false,
                 cold_left: None,
+                software_version: None,
             })
         });
         Self {
--- a/crates/core/tests/cell.rs
+++ b/crates/core/tests/cell.rs
@@ -19,6 +19,7 @@
         slots: 1,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/core/tests/connection_share.rs
+++ b/crates/core/tests/connection_share.rs
@@ -26,6 +26,7 @@
         slots: 6,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     };
     (0..count).map(server).collect()
 }
--- a/crates/core/tests/engine_speed/choice.rs
+++ b/crates/core/tests/engine_speed/choice.rs
@@ -29,6 +29,7 @@
         slots: 64,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     };
     (0..count).map(engine).collect()
 }
--- a/crates/core/tests/engine_speed/estimates.rs
+++ b/crates/core/tests/engine_speed/estimates.rs
@@ -27,6 +27,7 @@
         slots: 64,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/core/tests/engine_speed/simulation.rs
+++ b/crates/core/tests/engine_speed/simulation.rs
@@ -203,6 +203,7 @@
             slots: scenario.slots,
             is_leaving: false,
             cold_left: None,
+            software_version: None,
         });
         let mut simulation = Self {
             random: scenario.seed,
--- a/crates/core/tests/run_copies.rs
+++ b/crates/core/tests/run_copies.rs
@@ -95,6 +95,7 @@
         slots: 8,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/core/tests/run_moves/simulation.rs
+++ b/crates/core/tests/run_moves/simulation.rs
@@ -121,6 +121,7 @@
         slots,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/core/tests/server_selector.rs
+++ b/crates/core/tests/server_selector.rs
@@ -22,6 +22,7 @@
         slots: 4,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
 
--- a/crates/core/tests/spec_withheld.rs
+++ b/crates/core/tests/spec_withheld.rs
@@ -99,6 +99,7 @@
         slots: 4,
         is_leaving: false,
         cold_left: Some(Duration::ZERO),
+        software_version: None,
     }
 }
 
--- a/crates/core/tests/support/server_record.rs
+++ b/crates/core/tests/support/server_record.rs
@@ -12,5 +12,6 @@
         slots: 4,
         is_leaving: false,
         cold_left: None,
+        software_version: None,
     }
 }
