Gateways continue a stream only at the software version that began it

Change: from its first forwarded event on, a run is bound to its engine's version (`VersionBinding`). Choices of an engine, targets of backups and moves, and engines from which shared prompt parts are fetched keep to it, and each send of a caller's request checks it against the list just before its bytes leave.

Where all engines run one version the binding allows all of them.

--- a/crates/amaranthscale/src/gateway/process/run_copies/movable_run.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/movable_run.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, ServiceId};
-use amaranthscale_core::process::{AllowedZones, Rank};
+use amaranthscale_core::process::{AllowedZones, Rank, VersionBinding};
 
 use super::super::super::RequestAttributes;
 
@@ -14,6 +14,8 @@
     pub service: &'a ServiceId,
     /// Availability zones whose engines may run it.
     pub zones: &'a AllowedZones,
+    /// Software versions whose engines may run it.
+    pub versions: &'a VersionBinding,
     /// What its caller stated.
     pub attributes: &'a RequestAttributes,
     /// Its rank.
--- a/crates/amaranthscale/src/gateway/process/run_copies/move_choice.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/move_choice.rs
@@ -140,7 +140,9 @@
         let mut free = self.free_engines(servers, run.service, now);
         let moves = self.moving_runs.registry();
         free.retain(|server| {
-            run.zones.contains(&server.zone) && moves.may_enter(&server.incarnation)
+            run.zones.contains(&server.zone)
+                && run.versions.allows(server.software_version.as_ref())
+                && moves.may_enter(&server.incarnation)
         });
         free
     }
--- a/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/prompt_sources.rs
@@ -115,6 +115,7 @@
         let is_source = |server: &&ServerRecord| {
             let incarnation = &server.incarnation;
             server.service == *service
+                && server.software_version == engine.software_version
                 && zones.contains(&server.zone)
                 && servers.availability(incarnation, None, now).is_usable()
                 && !server_selector.is_failing(incarnation, now)
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_backups.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_backups.rs
@@ -93,7 +93,8 @@
             return None;
         }
         let servers = self.cluster_view.servers();
-        let usable = self.usable_servers(&servers, service, zones, now);
+        let mut usable = self.usable_servers(&servers, service, zones, now);
+        usable.retain(|server| server.software_version == engine.software_version);
         let server_selector = self.server_selector();
         let call = &attributes.call;
         RunBackup::target(usable.free, engine, call, &server_selector, now).cloned()
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -7,7 +7,7 @@
 use amaranthscale_core::id::{CallId, ServiceId};
 use amaranthscale_core::process::{
     AllowedZones, ColdLimits, LoadSnapshot, SendRateLimit, ServerAvailability, ServerList,
-    ServerRecord, ServerSelector, UsableServers,
+    ServerRecord, ServerSelector, UsableServers, VersionBinding,
 };
 use log::info;
 
@@ -32,12 +32,13 @@
 }
 
 impl GatewayContext {
-    /// Chooses a server of a service in allowed zones by `select` for a request with a body of a
-    /// size; also returns the load on which the choice was based.
+    /// Chooses a server of a service in allowed zones and of allowed software versions by `select` for
+    /// a request with a body of a size; also returns the load on which the choice was based.
     pub fn choose_server(
         &self,
         service: &ServiceId,
         zones: &AllowedZones,
+        versions: &VersionBinding,
         body_bytes: usize,
         select: impl for<'a> FnOnce(
             &ServerSelector,
@@ -51,7 +52,8 @@
         let max_body_bytes = MAX_BODY_BYTES_PER_SERVER / self.cluster_view.live_count().max(1);
         let server_selector = self.server_selector();
         usable.retain(|server| {
-            server_selector.may_take_body(&server.incarnation, body_bytes, max_body_bytes)
+            versions.allows(server.software_version.as_ref())
+                && server_selector.may_take_body(&server.incarnation, body_bytes, max_body_bytes)
         });
         let chosen = select(&server_selector, usable, now)?.clone();
         let load = server_selector.load_snapshot(&chosen.incarnation, now);
@@ -111,6 +113,14 @@
         }
     }
 
+    /// Whether the software version that a server is listed with now may run a request.
+    pub fn allows_version(&self, versions: &VersionBinding, server: &ServerRecord) -> bool {
+        let servers = self.cluster_view.servers();
+        let listed = servers.record(server.incarnation.id());
+        let listed = listed.filter(|listed| listed.incarnation == server.incarnation);
+        versions.allows(listed.unwrap_or(server).software_version.as_ref())
+    }
+
     /// Checks just before a send that the server may still be used; the error is the reason why
     /// not. A send to a cold or rate-limited server is taken from this gateway's share.
     pub fn try_reserve_send(
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -5,7 +5,7 @@
 
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::OrganisationId;
-use amaranthscale_core::process::Rank;
+use amaranthscale_core::process::{Rank, VersionBinding};
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -38,6 +38,8 @@
     /// The claim of its single run, if it is limited to one server at a time.
     pub(super) single_run: OnceLock<SingleRun>,
     pub(super) rank: Rank,
+    /// Software versions whose servers may run it; only one once a stream has begun.
+    pub(super) versions: VersionBinding,
     /// Organisation of the caller, if its key names one.
     pub(super) organisation: Option<OrganisationId>,
     pub(super) arrived_at: Instant,
@@ -224,6 +226,7 @@
         request_content,
         single_run: OnceLock::new(),
         rank,
+        versions: VersionBinding::ANY,
         organisation,
         arrived_at,
         deadline,
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -250,6 +250,7 @@
                 })));
             }
             SendOutcome::NotSent => self.add_unsent("not-sent", server)?,
+            SendOutcome::OtherVersion => self.add_unsent("other-version", server)?,
             // Since the server was chosen, it began to leave, its zone was evacuated or the share
             // of sends to it was used up.
             SendOutcome::Withheld(availability) => self.add_unsent(availability.name(), server)?,
@@ -370,6 +371,7 @@
         let chosen = self.context.choose_server(
             &self.service,
             &self.admitted.route.allowed_zones,
+            &self.admitted.versions,
             self.outgoing.body_bytes(),
             |server_selector, usable, now| match (&prompt, shared_prefix) {
                 (Some(prompt), _) => {
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -7,7 +7,7 @@
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::ServiceId;
 use amaranthscale_core::process::{
-    ConnectionShare, LoadSnapshot, SendingEntry, ServerAvailability, ServerRecord,
+    ConnectionShare, LoadSnapshot, SendingEntry, ServerAvailability, ServerRecord, VersionBinding,
 };
 use hyper::{HeaderMap, Response, StatusCode};
 use log::info;
@@ -137,6 +137,7 @@
         let chosen = self.context.choose_server(
             self.service,
             &self.admitted.route.allowed_zones,
+            &VersionBinding::ANY,
             body_bytes,
             |server_selector, usable, now| {
                 server_selector.select_plain(usable, &self.tried_servers, entry, now)
@@ -166,7 +167,7 @@
             .await
             {
                 SendOutcome::Answer(answer) => self.read_answer(*answer).await,
-                SendOutcome::NotSent => AttemptOutcome::NotSent,
+                SendOutcome::NotSent | SendOutcome::OtherVersion => AttemptOutcome::NotSent,
                 SendOutcome::Withheld(availability) => AttemptOutcome::Withheld(availability),
                 SendOutcome::Quarantined => AttemptOutcome::Quarantined,
                 SendOutcome::NotRun | SendOutcome::InputMissing => AttemptOutcome::NotRun,
--- a/crates/amaranthscale/src/gateway/request/run_continuation.rs
+++ b/crates/amaranthscale/src/gateway/request/run_continuation.rs
@@ -195,7 +195,12 @@
                     return None;
                 }
                 // Not run there, so that the copy is unused.
-                Some(SendOutcome::NotSent | SendOutcome::Withheld(_) | SendOutcome::NotRun) => {
+                Some(
+                    SendOutcome::NotSent
+                    | SendOutcome::OtherVersion
+                    | SendOutcome::Withheld(_)
+                    | SendOutcome::NotRun,
+                ) => {
                     let end = outcome.as_ref().map_or("-", SendOutcome::name);
                     self.log_unanswered(end, &engine);
                 }
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -28,6 +28,8 @@
     NotSent,
     /// The request was not sent, as the server may not be used now.
     Withheld(ServerAvailability),
+    /// The request was not sent, as the server's software is of another version than began it.
+    OtherVersion,
     /// The request was not sent, as it is quarantined.
     Quarantined,
     /// The server stated that it did not run the request.
@@ -45,6 +47,7 @@
             Self::Answer(_) => "answered",
             Self::NotSent => "not-sent",
             Self::Withheld(availability) => availability.name(),
+            Self::OtherVersion => "other-version",
             Self::Quarantined => "quarantined",
             Self::NotRun => "not-run",
             Self::InputMissing => "input-gone",
@@ -233,6 +236,11 @@
         server.incarnation.id(),
         admitted.remaining(),
     );
+    if !context.allows_version(&admitted.versions, server) {
+        context.counters.count("servers.withheld.other-version");
+        in_flight_send.end(SendEnd::Abandoned);
+        return SendOutcome::OtherVersion;
+    }
     let permit = match context.try_reserve_send(server) {
         Ok(permit) => permit,
         Err(availability) => {
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, SoftwareVersion};
-use amaranthscale_core::process::{OptionalNumber, SendEnd};
+use amaranthscale_core::process::{OptionalNumber, SendEnd, VersionBinding};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame};
@@ -340,6 +340,10 @@
         {
             return Err(EngineStreamEnd::Broken);
         }
+        if self.forwarded == 0 {
+            let version = self.software_version.clone();
+            self.run.admitted.versions = VersionBinding::only(version);
+        }
         self.last_id = event.id.or(self.last_id);
         self.forwarded += 1;
         let held = tokio::select! {
@@ -400,6 +404,7 @@
         let begun = self.run.context.begin_move(&MovableRun {
             service: &self.run.service,
             zones: &admitted.route.allowed_zones,
+            versions: &admitted.versions,
             attributes: &admitted.attributes,
             rank: admitted.rank,
             engine: run_move.engine(),
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -58,6 +58,7 @@
 mod stage_estimate;
 mod stale_drains;
 mod start_plan;
+mod version_binding;
 mod zone_states;
 
 #[doc(inline)]
@@ -168,4 +169,6 @@
 #[doc(inline)]
 pub use start_plan::StartPlan;
 #[doc(inline)]
+pub use version_binding::VersionBinding;
+#[doc(inline)]
 pub use zone_states::{ZoneChange, ZoneState};
