A stream that its caller takes up goes on only at the version that began it

Cause: a request with Last-Event-Id was handled as a new one; what a stream is bound to was known to nobody but the process that began it.

Change: a gateway records where each resumable stream began once its first event is forwarded, by organisation and call, and sends it to two other gateways that the call's id names. A stream that is taken up is bound to the version found here or at these; where it is not known the request is refused as not run (2113), and at once where no server runs that version any more (2013). While a service runs one version nothing is sent or asked: before a second one is used, all are published in the gateways' table, so a gateway that starts later can tell. A stream that is taken up stays at the service of its first call.

Core tests of both parts: 12 passed.

--- a/crates/amaranthscale/src/gateway.rs
+++ b/crates/amaranthscale/src/gateway.rs
@@ -41,5 +41,5 @@
 #[doc(inline)]
 pub use store_api::{
     EvidenceUpdate, LimitUpdate, StoreAnswer, StoreApi, StoreRow, StoreRows, StoreTable,
-    StoredValue,
+    StoredValue, VersionUpdate,
 };
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -15,10 +15,11 @@
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, EngineOverviews,
-    FirstEventEstimators, GatewayContext, LimitTracker, PromptSources, RetryBudgets, RunBackups,
-    SendShares, ShutdownGate, StageTimes, StatementRecorder, exchange_speeds, monitor_unresponsive,
-    publish_crashes, publish_limits, remove_expired_evidence, remove_stale_drains,
-    remove_stale_limits,
+    FirstEventEstimators, GatewayContext, LimitTracker, OriginTracker, PromptSources, RetryBudgets,
+    RunBackups, SendShares, ShutdownGate, StageTimes, StatementRecorder, VersionTracker,
+    exchange_speeds, monitor_unresponsive, publish_crashes, publish_limits, publish_versions,
+    remove_expired_evidence, remove_stale_drains, remove_stale_limits, send_origins,
+    withdraw_versions,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -92,6 +93,7 @@
             shutdown: Arc::clone(&context.shutdown),
             crashes: Arc::clone(&context.crashes),
             limits: Arc::clone(&context.limits),
+            versions: Arc::clone(&context.versions),
             is_announced: Arc::default(),
             is_first_start: config.is_first_start,
         };
@@ -116,6 +118,12 @@
             Arc::clone(&context),
             config.store.clone(),
         ));
+        tokio::spawn(publish_versions(Arc::clone(&context), config.store.clone()));
+        tokio::spawn(withdraw_versions(
+            Arc::clone(&context),
+            config.store.clone(),
+        ));
+        tokio::spawn(send_origins(Arc::clone(&context)));
         tokio::spawn(remove_stale_drains(
             Arc::clone(&context),
             config.store.clone(),
@@ -288,6 +296,8 @@
         prompt_sources: PromptSources::default(),
         run_backups: RunBackups::default(),
         send_shares: SendShares::new(config.cold_allowance, config.clock.now()),
+        versions: Arc::new(VersionTracker::new(config.clock, Arc::clone(cluster_view))),
+        origins: OriginTracker::default(),
         batch_owners: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
         table_relay: Arc::default(),
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -13,6 +13,7 @@
 mod limit_tracker;
 mod monitor_unresponsive;
 mod moving_runs;
+mod origin_tracker;
 mod peer_jobs;
 mod peer_message;
 mod peer_server;
@@ -31,6 +32,7 @@
 mod speed_exchange;
 mod stage_times;
 mod statement_recorder;
+mod version_tracker;
 
 #[doc(inline)]
 pub use batch_message::{BatchOwnerMessage, JobOutcome, JobSource, JobUpdate, Submission};
@@ -56,6 +58,9 @@
 #[doc(inline)]
 pub use moving_runs::{MovingRunGuard, MovingRuns};
 #[doc(inline)]
+pub use origin_tracker::OriginTracker;
+pub(crate) use origin_tracker::send_origins;
+#[doc(inline)]
 pub use peer_jobs::JOB_PATH;
 #[doc(inline)]
 pub use peer_server::{ALIVE_PATH, check_alive, serve_peer};
@@ -86,3 +91,6 @@
 pub use stage_times::StageTimes;
 #[doc(inline)]
 pub use statement_recorder::StatementRecorder;
+#[doc(inline)]
+pub use version_tracker::VersionTracker;
+pub(crate) use version_tracker::{publish_versions, withdraw_versions};
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -11,7 +11,8 @@
 use super::super::{Dialect, FeatureSet};
 use super::{
     BatchOwners, BufferMemory, CrashTracker, EngineOverviews, FirstEventEstimators, LimitTracker,
-    MovingRuns, PromptSources, RetryBudgets, RunBackups, SendShares, ShutdownGate, StageTimes,
+    MovingRuns, OriginTracker, PromptSources, RetryBudgets, RunBackups, SendShares, ShutdownGate,
+    StageTimes, VersionTracker,
 };
 use crate::connection::PeerClient;
 use crate::process::{Counters, Latencies};
@@ -45,6 +46,10 @@
     pub send_shares: SendShares,
     /// Rate limits that servers report.
     pub limits: Arc<LimitTracker>,
+    /// Software versions in use.
+    pub versions: Arc<VersionTracker>,
+    /// Where streams began.
+    pub origins: OriginTracker,
     /// The batch owners in this process.
     pub batch_owners: Arc<BatchOwners>,
     /// Connections to other gateways.
--- a/crates/amaranthscale/src/gateway/process/peer_server.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_server.rs
@@ -1,5 +1,5 @@
-//! Serves requests of other gateways: jobs, relayed rows of the store, measured speeds and liveness
-//! checks.
+//! Serves requests of other gateways: jobs, relayed rows of the store, measured speeds, origins of
+//! streams and liveness checks.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,6 +12,7 @@
 
 use super::super::version::{ANNOUNCEMENTS_PATH, AnnouncementUpdate, ROWS_PATH, RowsRequest};
 use super::GatewayContext;
+use super::origin_tracker::{FIND_ORIGIN_PATH, RECORD_ORIGINS_PATH, serve_find, serve_record};
 use super::peer_jobs::serve_job;
 use super::peer_message::{read_message, status_response};
 use super::speed_exchange::{SPEEDS_PATH, serve_speeds};
@@ -25,7 +26,7 @@
 const MAX_ANNOUNCEMENTS_BYTES: usize = 64 * 1024;
 
 /// Serves requests of other gateways: jobs, relayed rows of the store, announcements, measured
-/// speeds and liveness checks.
+/// speeds, origins of streams and liveness checks.
 ///
 /// Rows are the store's own, so they are served to those that know only an earlier incarnation at
 /// this address too, as after a power failure.
@@ -45,6 +46,10 @@
         serve_rows(&context, request).await
     } else if path == ANNOUNCEMENTS_PATH {
         serve_announcements(&context, request).await
+    } else if path == RECORD_ORIGINS_PATH {
+        serve_record(&context, request).await
+    } else if path == FIND_ORIGIN_PATH {
+        serve_find(&context, request).await
     } else if path.starts_with(SPEEDS_PATH) {
         serve_speeds(&context, request).await
     } else {
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::OrganisationId;
-use amaranthscale_core::process::{Rank, VersionBinding};
+use amaranthscale_core::id::{CallId, OrganisationId};
+use amaranthscale_core::process::{Rank, StreamKey, VersionBinding};
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -53,6 +53,14 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Names one of this caller's calls for the record of where streams began.
+    pub(super) fn stream_key(&self, call: &CallId) -> StreamKey {
+        StreamKey {
+            organisation: self.organisation.clone(),
+            call: call.clone(),
+        }
+    }
+
     /// Refuses a quarantined request, and claims the single run of a suspected one.
     pub(super) async fn check_quarantine(&self, context: &GatewayContext) -> Result<(), Refusal> {
         let checked = context.crashes.check(&self.request_content);
@@ -210,7 +218,11 @@
         .min(route.timeout);
     let deadline = arrived_at + timeout;
     let body = read_caller_body(context, &routing, body, deadline).await?;
-    let service = route.service_for(&attributes.call).cloned();
+    // A stream goes on at the service that began it.
+    let resumption = attributes.resumption.as_ref();
+    let first_call = resumption.and_then(|resumption| resumption.first_call.as_ref());
+    let service = route.service_for(first_call.unwrap_or(&attributes.call));
+    let service = service.cloned();
     let service = service.ok_or(Refusal::new(ResultCode::NoBackendServer))?;
     let host = host_of(head).to_owned();
     let request_content = RequestContent::new(holder.clone(), host, head.uri.clone(), body.clone());
--- a/crates/amaranthscale/src/gateway/request/refusal.rs
+++ b/crates/amaranthscale/src/gateway/request/refusal.rs
@@ -88,9 +88,10 @@
             let default_delay = match self.code {
                 ResultCode::ZonesEvacuated => EVACUATED_RETRY_DELAY,
                 ResultCode::RequestQuarantined => QUARANTINED_RETRY_DELAY,
-                ResultCode::KnowledgeStale | ResultCode::RoutingBehind | ResultCode::EntryFull => {
-                    OTHER_GATEWAY_RETRY_DELAY
-                }
+                ResultCode::KnowledgeStale
+                | ResultCode::RoutingBehind
+                | ResultCode::EntryFull
+                | ResultCode::StreamOriginUnknown => OTHER_GATEWAY_RETRY_DELAY,
                 _ => DEFAULT_RETRY_DELAY,
             };
             let retry_after = self.retry_after.unwrap_or(default_delay);
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, SoftwareVersion};
-use amaranthscale_core::process::{OptionalNumber, SendEnd, VersionBinding};
+use amaranthscale_core::process::{OptionalNumber, SendEnd, StreamOrigin, VersionBinding};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame};
@@ -24,7 +24,7 @@
 use super::super::connection::ServerConnection;
 use super::super::process::{BufferMemory, HeldCopy, JobResults, MovableRun, OpenRequest};
 use super::answer::{AnswerBody, TruncatedAnswer, forwarded_response};
-use super::engine_run::{EngineAnswer, EngineRun};
+use super::engine_run::{EngineAnswer, EngineRun, version_name};
 use super::event_splitter::{EventSplitter, StreamEvent};
 use super::run_move_state::RunMoveState;
 use super::send::{InFlightSend, StartedAnswer};
@@ -341,8 +341,7 @@
             return Err(EngineStreamEnd::Broken);
         }
         if self.forwarded == 0 {
-            let version = self.software_version.clone();
-            self.run.admitted.versions = VersionBinding::only(version);
+            self.bind_version();
         }
         self.last_id = event.id.or(self.last_id);
         self.forwarded += 1;
@@ -355,6 +354,27 @@
         forwarded.map_err(|_left| EngineStreamEnd::CallerLeft)
     }
 
+    /// Binds the stream to the software version of its first event.
+    fn bind_version(&mut self) {
+        let version = self.software_version.clone();
+        let admitted = &mut self.run.admitted;
+        admitted.versions = VersionBinding::only(version.clone());
+        if !admitted.route.kind.may_repeat() {
+            return;
+        }
+        let resumption = admitted.attributes.resumption.as_ref();
+        let first_call = resumption.and_then(|resumption| resumption.first_call.as_ref());
+        for call in first_call.into_iter().chain([&admitted.attributes.call]) {
+            let origin = StreamOrigin {
+                service: self.run.service.clone(),
+                version: version.clone(),
+            };
+            self.run
+                .context
+                .record_origin(admitted.stream_key(call), origin);
+        }
+    }
+
     /// Keeps an event until the caller has read it, once there is memory for it.
     async fn hold(&self, event: Bytes) -> Bytes {
         let own = self.unread.reserve(event.len()).await;
@@ -489,12 +509,11 @@
         let optional_ms = |time: Option<Duration>| {
             time.map_or_else(OptionalNumber::default, OptionalNumber::of_ms)
         };
-        let version = self.software_version.as_ref();
         let results_at = self.run.results_at.unwrap_or(admitted.arrived_at);
         info!(
             call = admitted.attributes.call.as_str(), fingerprint = fingerprint.as_str(),
             route:% = admitted.route.id,
-            server:% = server, version = version.map_or("-", SoftwareVersion::as_str), end, framing:% = self.framing, events = self.forwarded, owner,
+            server:% = server, version = version_name(self.software_version.as_ref()), end, framing:% = self.framing, events = self.forwarded, owner,
             prompt_tokens = admitted.attributes.prompt_tokens,
             in_flight = load.in_flight, told:% = load.reported, told_age_ms:% = load.reported_age_ms,
             host_percent:% = load.host_percent, expected_event_ms:% = optional_ms(expected),
--- a/crates/amaranthscale/src/gateway/store_api.rs
+++ b/crates/amaranthscale/src/gateway/store_api.rs
@@ -5,7 +5,8 @@
 
 use amaranthscale_core::id::{EvidenceId, RowVersion, ServerId, ServerIncarnation};
 use amaranthscale_core::process::{
-    Announcement, CrashEvidence, DrainChange, ServerDrain, ServerLimit, ServerRecord, ZoneChange,
+    Announcement, CrashEvidence, DrainChange, ServerDrain, ServerLimit, ServerRecord,
+    ServiceVersion, ZoneChange,
 };
 use amaranthscale_core::version::Routing;
 use bytes::Bytes;
@@ -109,6 +110,9 @@
 /// The rate limit that a server reported; `None` where it was removed.
 pub type LimitUpdate = (ServerIncarnation, Option<ServerLimit>);
 
+/// A software version of a service, and whether it is published.
+pub type VersionUpdate = (ServiceVersion, bool);
+
 /// Requests to one platform's store and parsers of its answers.
 #[derive(Debug, Clone)]
 pub struct StoreApi {
@@ -132,6 +136,8 @@
     pub publish_limit: fn(&ServerIncarnation, ServerLimit) -> Request<Full<Bytes>>,
     /// Removes a server's rate limit.
     pub remove_limit: fn(&ServerIncarnation) -> Request<Full<Bytes>>,
+    /// Publishes software versions of services, or withdraws them, in one transaction.
+    pub update_versions: fn(&[ServiceVersion], bool) -> Request<Full<Bytes>>,
     /// Drains a server.
     pub publish_drain: fn(&ServerId, &ServerDrain) -> Request<Full<Bytes>>,
     /// Ends the drain of a server.
@@ -150,6 +156,9 @@
     pub parse_evidence: fn(&StoreRow) -> Result<Option<EvidenceUpdate>, String>,
     /// Parses a server's rate limit from a row of the gateways' table; `None` if it is another row.
     pub parse_limit: fn(&StoreRow) -> Result<Option<LimitUpdate>, String>,
+    /// Parses a published software version from a row of the gateways' table, and whether it is
+    /// published; `None` if it is another row.
+    pub parse_version: fn(&StoreRow) -> Result<Option<VersionUpdate>, String>,
     /// Parses the drain of a server from a row of the gateways' table; `None` if it is another row.
     pub parse_drain: fn(&StoreRow) -> Result<Option<DrainChange>, String>,
     /// Parses a gateway's announcement.
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -14,8 +14,10 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::{CrashTracker, LimitTracker, ShutdownGate};
-use super::super::{EvidenceUpdate, LimitUpdate, StoreApi, StoreRow, StoreTable, StoredValue};
+use super::super::process::{CrashTracker, LimitTracker, ShutdownGate, VersionTracker};
+use super::super::{
+    EvidenceUpdate, LimitUpdate, StoreApi, StoreRow, StoreTable, StoredValue, VersionUpdate,
+};
 use super::feed::LONG_ANSWER_BYTES;
 use super::invalid_entry_log::InvalidEntryLog;
 use super::log_limiter::LogLimiter;
@@ -191,6 +193,12 @@
                 Ok(RowKind::Limit((server, limit))) => {
                     own.limits.apply_published(server, *limit);
                 }
+                // All of a full read are applied together, below.
+                Ok(RowKind::Version((version, is_published))) => {
+                    if !is_snapshot {
+                        own.versions.apply_published(version, *is_published);
+                    }
+                }
                 Ok(RowKind::Drain(change)) => {
                     match &change.state {
                         Ok(_) => invalid_entries.remove(&row.key),
@@ -251,6 +259,7 @@
 enum RowKind {
     Evidence(EvidenceUpdate),
     Limit(LimitUpdate),
+    Version(VersionUpdate),
     Drain(DrainChange),
     Instance,
 }
@@ -262,6 +271,9 @@
     if let Some(limit) = (store.parse_limit)(row)? {
         return Ok(RowKind::Limit(limit));
     }
+    if let Some(version) = (store.parse_version)(row)? {
+        return Ok(RowKind::Version(version));
+    }
     let drain = (store.parse_drain)(row)?;
     Ok(drain.map_or(RowKind::Instance, RowKind::Drain))
 }
@@ -288,18 +300,23 @@
     u64::try_from(applied.len()).unwrap_or(u64::MAX)
 }
 
-/// Drops evidence and limits that a full read of the table does not contain.
+/// Drops evidence, limits and versions that a full read of the table does not contain.
 fn retain_listed(own: &OwnInstance, parsed: &[Result<RowKind, String>]) {
     let (mut evidence, mut limited) = (Vec::new(), Vec::new());
+    let mut versions = BTreeSet::new();
     for parsed in parsed.iter().flatten() {
         match parsed {
             RowKind::Evidence((id, _)) => evidence.push(id.clone()),
             RowKind::Limit((server, _)) => limited.push(server.clone()),
-            RowKind::Drain(_) | RowKind::Instance => {}
+            RowKind::Version((version, true)) => {
+                versions.insert(version.clone());
+            }
+            RowKind::Version((_, false)) | RowKind::Drain(_) | RowKind::Instance => {}
         }
     }
     own.crashes.retain_published(&evidence);
     own.limits.retain_published(&limited);
+    own.versions.apply_all_published(versions);
 }
 
 /// This gateway's own announcement and the state that its followers update.
@@ -315,6 +332,8 @@
     pub crashes: Arc<CrashTracker>,
     /// Rate limits of servers.
     pub limits: Arc<LimitTracker>,
+    /// Software versions in use.
+    pub versions: Arc<VersionTracker>,
     /// Whether the store has accepted its announcement.
     pub is_announced: Arc<AtomicBool>,
     /// Whether the whole deployment starts for the first time.
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -32,6 +32,7 @@
 mod load_meter;
 mod load_snapshot;
 mod organisation_limits;
+mod published_versions;
 mod quarantine;
 mod queued_attempt;
 mod rank;
@@ -58,6 +59,7 @@
 mod stage_estimate;
 mod stale_drains;
 mod start_plan;
+mod stream_origins;
 mod version_binding;
 mod zone_states;
 
@@ -118,6 +120,8 @@
 #[doc(inline)]
 pub use organisation_limits::OrganisationLimits;
 #[doc(inline)]
+pub use published_versions::{PublishedVersions, ServiceVersion};
+#[doc(inline)]
 pub use quarantine::{
     CrashEvidence, CrashReport, LossAction, LostRuns, Quarantine, QuarantineChange, QuarantineState,
 };
@@ -169,6 +173,8 @@
 #[doc(inline)]
 pub use start_plan::StartPlan;
 #[doc(inline)]
+pub use stream_origins::{StreamKey, StreamOrigin, StreamOrigins};
+#[doc(inline)]
 pub use version_binding::VersionBinding;
 #[doc(inline)]
 pub use zone_states::{ZoneChange, ZoneState};
--- /dev/null
+++ b/crates/core/src/process/published_versions.rs
@@ -0,0 +1,147 @@
+//! The software versions of services that are in use, as all gateways know them.
+//!
+//! While servers of a service run one version, every stream of it began there, and nothing has to be
+//! remembered of it. Before a second version is used, both are published in the store: a gateway
+//! begins streams only at published versions, so one that starts later can tell whether streams of
+//! another version may be under way. A version is withdrawn once no server has run it for longer
+//! than any stream lasts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::version_binding::VersionBinding;
+use crate::id::{ServiceId, SoftwareVersion};
+
+/// A version of the software of a service's servers; none for servers that state no version.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServiceVersion {
+    /// The service.
+    pub service: ServiceId,
+    /// The version.
+    pub version: Option<SoftwareVersion>,
+}
+
+type Versions = BTreeSet<Option<SoftwareVersion>>;
+
+/// The software versions of services that are in use.
+#[derive(Debug, Default)]
+pub struct PublishedVersions {
+    published: BTreeSet<ServiceVersion>,
+    /// When each version was listed last, or was learnt to be published.
+    seen_at: BTreeMap<ServiceVersion, Duration>,
+    /// The only version of a service before a second one appeared.
+    sole: BTreeMap<ServiceId, Option<SoftwareVersion>>,
+    /// Whether the published versions were read once.
+    is_complete: bool,
+}
+
+impl PublishedVersions {
+    /// Records that a version is published, or withdrawn.
+    pub fn apply(&mut self, version: ServiceVersion, is_published: bool, now: Duration) {
+        if is_published {
+            self.seen_at.entry(version.clone()).or_insert(now);
+            self.published.insert(version);
+        } else {
+            self.published.remove(&version);
+        }
+    }
+
+    /// Records all versions that are published.
+    pub fn apply_all(&mut self, published: BTreeSet<ServiceVersion>, now: Duration) {
+        for version in &published {
+            self.seen_at.entry(version.clone()).or_insert(now);
+        }
+        self.published = published;
+        self.is_complete = true;
+    }
+
+    /// Records the versions that servers are listed with. A version that was not listed for
+    /// `retention` is forgotten.
+    pub fn observe(
+        &mut self,
+        listed: impl IntoIterator<Item = ServiceVersion>,
+        retention: Duration,
+        now: Duration,
+    ) {
+        for version in listed {
+            self.seen_at.insert(version, now);
+        }
+        let published = &self.published;
+        self.seen_at.retain(|version, seen_at| {
+            now.saturating_sub(*seen_at) < retention || published.contains(version)
+        });
+        let mut counts: BTreeMap<&ServiceId, usize> = BTreeMap::new();
+        for version in self.seen_at.keys() {
+            *counts.entry(&version.service).or_default() += 1;
+        }
+        for version in self.seen_at.keys() {
+            if counts[&version.service] == 1 {
+                self.sole
+                    .insert(version.service.clone(), version.version.clone());
+            }
+        }
+    }
+
+    /// The only version at which streams of a service may have begun; none if there may be another.
+    #[must_use]
+    pub fn only_version(&self, service: &ServiceId) -> Option<Option<SoftwareVersion>> {
+        let mut known = self.known(service).into_iter();
+        let only = known.next().filter(|_| self.is_complete)?;
+        known.next().is_none().then_some(only)
+    }
+
+    /// Versions at which streams of a service may begin.
+    #[must_use]
+    pub fn beginning(&self, service: &ServiceId) -> VersionBinding {
+        let published: Versions = self.published_of(service).collect();
+        if !published.is_empty() {
+            return VersionBinding::one_of(published);
+        }
+        let known = self.known(service);
+        if known.len() > 1 {
+            return VersionBinding::one_of(self.sole.get(service).cloned());
+        }
+        VersionBinding::one_of(known)
+    }
+
+    /// Versions that have to be published before they are used.
+    #[must_use]
+    pub fn unpublished(&self) -> Vec<ServiceVersion> {
+        let seen = self.seen_at.keys();
+        let is_unpublished = |version: &&ServiceVersion| {
+            !self.published.contains(version) && self.known(&version.service).len() > 1
+        };
+        seen.filter(is_unpublished).cloned().collect()
+    }
+
+    /// Published versions that no server was listed with for `retention`, or that are the only one of
+    /// their service.
+    #[must_use]
+    pub fn removable(&self, retention: Duration, now: Duration) -> Vec<ServiceVersion> {
+        let is_removable = |version: &&ServiceVersion| {
+            let is_only = self.known(&version.service).len() == 1;
+            let seen_at = self.seen_at.get(version);
+            is_only || seen_at.is_none_or(|seen_at| now.saturating_sub(*seen_at) >= retention)
+        };
+        self.published
+            .iter()
+            .filter(is_removable)
+            .cloned()
+            .collect()
+    }
+
+    /// Versions of a service that are listed, were lately, or are published.
+    #[must_use]
+    pub fn known(&self, service: &ServiceId) -> BTreeSet<Option<SoftwareVersion>> {
+        let seen = self.seen_at.keys();
+        let seen = seen.filter(|version| version.service == *service);
+        let seen = seen.map(|version| version.version.clone());
+        seen.chain(self.published_of(service)).collect()
+    }
+
+    fn published_of(&self, service: &ServiceId) -> impl Iterator<Item = Option<SoftwareVersion>> {
+        let published = self.published.iter();
+        let of_service = published.filter(move |version| version.service == *service);
+        of_service.map(|version| version.version.clone())
+    }
+}
--- a/crates/core/src/process/version_binding.rs
+++ b/crates/core/src/process/version_binding.rs
@@ -40,6 +40,12 @@
         Self(Some(versions.into_iter().collect()))
     }
 
+    /// Whether no server may run the request.
+    #[must_use]
+    pub fn is_none(&self) -> bool {
+        self.0.as_ref().is_some_and(BTreeSet::is_empty)
+    }
+
     /// Whether servers of a version may run the request.
     #[must_use]
     pub fn allows(&self, version: Option<&SoftwareVersion>) -> bool {
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -121,6 +121,8 @@
     UnknownPath = 2011, 404, "the path is unknown";
     /// The path does not accept this method.
     WrongMethod = 2012, 405, "the path does not take this method";
+    /// No server runs the software version at which the stream began.
+    StreamVersionGone = 2013, 503, "no server runs the version at which the stream began";
 
     /// The time left before the deadline is less than the expected time of the stages.
     DeadlineUnreachable = 2101, 503, "the deadline cannot be met now";
@@ -146,6 +148,8 @@
     ServersLimited = 2111, 503, "its servers are in need and take no more now";
     /// All servers of its service that may be used have requested a backoff.
     ServersBackingOff = 2112, 503, "its servers turn requests away and want none for a while";
+    /// It is not known at which software version the stream began.
+    StreamOriginUnknown = 2113, 503, "it is not known at which version the stream began";
 
     /// The attempt was addressed to another incarnation of the sidecar.
     WrongIncarnation = 2201, 503, "the attempt names another incarnation";
