Without servers a stream is refused at once; less work per change of the list

Cause: found in reading the change. A resumable stream of a service without any listed server waited half a second for a version to be published, and each change of the list went over all recent origins although one version ran.

Change: nothing is waited for where no version is known, and origins are looked at only while a service has several.

--- a/crates/amaranthscale/src/gateway/process/origin_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/origin_tracker.rs
@@ -147,12 +147,17 @@
         let mut state = self.origins.state();
         let unsent = std::mem::take(&mut state.unsent);
         let mut taken = Vec::new();
+        let mut only_versions = BTreeMap::new();
         for (until, kept) in unsent {
             if until <= now {
                 continue;
             }
-            let is_only = self.versions.only_version(&kept.1.service).is_some();
-            if is_only || taken.len() >= MAX_MESSAGE_ORIGINS {
+            let service = &kept.1.service;
+            if !only_versions.contains_key(service) {
+                let is_only = self.versions.only_version(service).is_some();
+                only_versions.insert(service.clone(), is_only);
+            }
+            if only_versions[service] || taken.len() >= MAX_MESSAGE_ORIGINS {
                 state.unsent.push_back((until, kept));
             } else {
                 taken.push(kept);
--- a/crates/amaranthscale/src/gateway/process/version_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/version_tracker.rs
@@ -71,6 +71,10 @@
         if self.published().known(service).is_empty() {
             self.observe();
         }
+        if self.published().known(service).is_empty() {
+            // Without servers there is nothing to wait for.
+            return VersionBinding::ANY;
+        }
         let mut applied = self.applied.subscribe();
         let waiting = async {
             loop {
@@ -169,7 +173,9 @@
     let mut changes = context.cluster_view.changes();
     loop {
         versions.observe();
-        context.origins.notify_versions_changed();
+        if versions.published().has_several() {
+            context.origins.notify_versions_changed();
+        }
         let is_pending = !versions.published().unpublished().is_empty();
         if is_pending {
             publish_pending(&context, &store).await;
--- a/crates/core/src/process/published_versions.rs
+++ b/crates/core/src/process/published_versions.rs
@@ -90,6 +90,15 @@
         known.next().is_none().then_some(only)
     }
 
+    /// Whether streams of any service may have begun at several versions.
+    #[must_use]
+    pub fn has_several(&self) -> bool {
+        let versions = self.seen_at.keys().chain(&self.published);
+        let versions: BTreeSet<_> = versions.collect();
+        let services = versions.iter().map(|version| &version.service);
+        versions.len() > services.collect::<BTreeSet<_>>().len()
+    }
+
     /// Versions at which streams of a service may begin.
     #[must_use]
     pub fn beginning(&self, service: &ServiceId) -> VersionBinding {
