--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -94,7 +94,8 @@
     /// Logs that the request is quarantined; returns the result code.
     pub(super) fn record_quarantined(&self, crashed: usize) -> ResultCode {
         info!(
-            call = self.attributes.call.as_str(), fingerprint:% = self.request_content.fingerprint(), crashed;
+            call = self.attributes.call.as_str(), fingerprint:% = self.request_content.fingerprint(),
+            parts = self.request_content.part_names().as_str(), crashed;
             "request: held back"
         );
         ResultCode::RequestQuarantined
@@ -225,7 +226,8 @@
     let service = service.cloned();
     let service = service.ok_or(Refusal::new(ResultCode::NoBackendServer))?;
     let host = host_of(head).to_owned();
-    let request_content = RequestContent::new(holder.clone(), host, head.uri.clone(), body.clone());
+    let uri = head.uri.clone();
+    let request_content = RequestContent::new(holder.clone(), host, uri, body.clone(), &attributes);
     let outgoing = OutgoingRequest::new(head, body, &context.dialect, holder.as_deref());
     let organisation = holder.as_ref().map(|holder| holder.organisation.clone());
     let rank = Rank {
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -598,7 +598,7 @@
     pub(super) fn log_unanswered(&self, end: &'static str, server: &ServerRecord) {
         info!(
             call = self.admitted.attributes.call.as_str(), fingerprint:% = self.admitted.request_content.fingerprint(),
-            server:% = server.incarnation, end,
+            parts = self.admitted.request_content.part_names().as_str(), server:% = server.incarnation, end,
             in_flight = self.load.in_flight, told:% = self.load.reported,
             told_age_ms:% = self.load.reported_age_ms,
             ms = ms(self.admitted.arrived_at.elapsed());
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -498,10 +498,11 @@
     fn log(&self, end: &'static str, server: &ServerIncarnation, first_event_after: Duration) {
         let admitted = &self.run.admitted;
         // Computed only for failed streams, as it takes a hash of the body.
-        let fingerprint = if end == "whole" {
-            "-".to_owned()
+        let (fingerprint, parts) = if end == "whole" {
+            ("-".to_owned(), "-".to_owned())
         } else {
-            admitted.request_content.fingerprint().to_string()
+            let content = &admitted.request_content;
+            (content.fingerprint().to_string(), content.part_names())
         };
         let owner = self.run.owner.as_ref().map_or("-", |owner| owner.as_str());
         let load = self.run.load;
@@ -511,7 +512,7 @@
         };
         let results_at = self.run.results_at.unwrap_or(admitted.arrived_at);
         info!(
-            call = admitted.attributes.call.as_str(), fingerprint = fingerprint.as_str(),
+            call = admitted.attributes.call.as_str(), fingerprint = fingerprint.as_str(), parts = parts.as_str(),
             route:% = admitted.route.id,
             server:% = server, version = version_name(self.software_version.as_ref()), end, framing:% = self.framing, events = self.forwarded, owner,
             prompt_tokens = admitted.attributes.prompt_tokens,
--- a/crates/amaranthscale/src/gateway/request_content.rs
+++ b/crates/amaranthscale/src/gateway/request_content.rs
@@ -3,33 +3,42 @@
 use std::fmt;
 use std::sync::{Arc, OnceLock};
 
-use amaranthscale_core::id::RequestFingerprint;
+use amaranthscale_core::id::{PromptPartId, RequestFingerprint};
 use amaranthscale_core::version::KeyHolder;
 use bytes::Bytes;
 use hyper::Uri;
 
+use super::RequestAttributes;
+
 /// The content of a request; its fingerprint is computed on first use.
 pub(crate) struct RequestContent {
     holder: Option<Arc<KeyHolder>>,
     host: String,
     uri: Uri,
     body: Bytes,
+    /// Prompt parts that other requests may share.
+    shared_parts: Vec<PromptPartId>,
     fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl RequestContent {
     /// The content of a request sent with a key of `holder`.
-    pub(crate) const fn new(
+    pub(crate) fn new(
         holder: Option<Arc<KeyHolder>>,
         host: String,
         uri: Uri,
         body: Bytes,
+        attributes: &RequestAttributes,
     ) -> Self {
+        let parts = attributes.prompt_parts.split_last();
+        let shared = parts.map_or(&[][..], |(_own, shared)| shared);
+        let shared_parts = shared.iter().filter_map(|part| part.id.parse().ok());
         Self {
             holder,
             host,
             uri,
             body,
+            shared_parts: shared_parts.collect(),
             fingerprint: OnceLock::new(),
         }
     }
@@ -42,6 +51,15 @@
             RequestFingerprint::of(organisation, &self.host, path, &self.body)
         })
     }
+
+    /// Ids of the shared prompt parts in log lines, in the order of the prompt.
+    pub(crate) fn part_names(&self) -> String {
+        if self.shared_parts.is_empty() {
+            return "-".to_owned();
+        }
+        let ids: Vec<_> = self.shared_parts.iter().map(PromptPartId::as_str).collect();
+        ids.join(",")
+    }
 }
 
 impl fmt::Debug for RequestContent {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -14,7 +14,7 @@
 #[doc(inline)]
 pub use name_id::{
     CallId, EvidenceId, HostId, IdempotencyKey, InstanceId, InvalidName, ModelId, OrganisationId,
-    PipelineId, RegionId, RouteId, ServerId, ServiceId, StageName, WriteId, ZoneId,
+    PipelineId, PromptPartId, RegionId, RouteId, ServerId, ServiceId, StageName, WriteId, ZoneId,
 };
 #[doc(inline)]
 pub use number_id::{
