--- a/crates/amaranthscale/src/gateway/operator/metrics.rs
+++ b/crates/amaranthscale/src/gateway/operator/metrics.rs
@@ -23,11 +23,11 @@
         "amaranth_stalled_callers_total {}",
         context.stalled_callers.load(Ordering::Relaxed)
     );
-    for (request, servers) in context.crashes.quarantined_requests() {
+    for (suspect, servers) in context.crashes.quarantined() {
         let crashed = servers.len();
         let _ = writeln!(
             text,
-            "amaranth_quarantined{{fingerprint=\"{request}\"}} {crashed}"
+            "amaranth_quarantined{{suspect=\"{suspect}\"}} {crashed}"
         );
     }
     for (server, limit) in context.limits.limits() {
--- a/crates/amaranthscale/src/gateway/operator/quarantine.rs
+++ b/crates/amaranthscale/src/gateway/operator/quarantine.rs
@@ -1,6 +1,6 @@
-//! Lists and lifts the quarantine of requests.
+//! Lists and lifts the quarantine of requests and prompt parts.
 
-use amaranthscale_core::id::RequestFingerprint;
+use amaranthscale_core::process::Suspect;
 use hyper::{Response, StatusCode};
 
 use super::super::process::GatewayContext;
@@ -8,31 +8,31 @@
 use crate::connection::ResponseBody;
 use crate::operator::QUARANTINE_LIST_PATH;
 
-/// Quarantined requests, one per line with the servers that crashed under each.
+/// Quarantined requests and prompt parts, one per line with the servers that crashed under each.
 pub(super) fn list(context: &GatewayContext) -> String {
-    let quarantined = context.crashes.quarantined_requests().into_iter();
-    let lines = quarantined.map(|(request, servers)| {
+    let quarantined = context.crashes.quarantined().into_iter();
+    let lines = quarantined.map(|(suspect, servers)| {
         let servers: Vec<_> = servers.iter().map(ToString::to_string).collect();
-        format!("{request} {}\n", servers.join(","))
+        format!("{suspect} {}\n", servers.join(","))
     });
     lines.collect()
 }
 
-/// Lifts the quarantine of the request with a fingerprint.
+/// Lifts the quarantine of the request with a fingerprint, or of a prompt part.
 pub(super) fn lift(context: &GatewayContext, name: &str) -> Response<ResponseBody> {
-    let request: RequestFingerprint = match name.parse() {
-        Ok(request) => request,
-        Err(error) => return line(StatusCode::BAD_REQUEST, format!("{error}")),
+    let suspect: Suspect = match name.parse() {
+        Ok(suspect) => suspect,
+        Err(error) => return line(StatusCode::BAD_REQUEST, error),
     };
-    if context.crashes.lift(request) {
+    if context.crashes.lift(&suspect) {
         line(
             StatusCode::OK,
-            format!("{request} is sent to servers again"),
+            format!("{suspect} is sent to servers again"),
         )
     } else {
         line(
             StatusCode::NOT_FOUND,
-            format!("{request} is not held back: GET {QUARANTINE_LIST_PATH} lists those that are"),
+            format!("{suspect} is not held back: GET {QUARANTINE_LIST_PATH} lists those that are"),
         )
     }
 }
--- a/crates/amaranthscale/src/gateway/process/crash_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_tracker.rs
@@ -1,17 +1,19 @@
-//! Detects crashed servers and quarantines the requests suspected of crashing them.
+//! Detects crashed servers and quarantines what is suspected of crashing them.
 //!
 //! A connection that ends in the middle of an answer does not prove a crash. A server counts as
 //! crashed when its address refuses a connection, or when it is no longer listed. The requests
-//! whose runs were lost with it are published to all gateways through the store.
+//! whose runs were lost with it, and the shared parts of their prompts, are published to all
+//! gateways through the store.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use amaranthscale_core::id::{EvidenceId, InstanceId, RequestFingerprint, ServerIncarnation};
+use amaranthscale_core::id::{EvidenceId, InstanceId, ServerIncarnation};
 use amaranthscale_core::process::{
-    CrashEvidence, LossAction, LostRuns, Quarantine, QuarantineChange, QuarantineState,
+    CrashEvidence, LossAction, LostRuns, Quarantine, QuarantineCause, QuarantineChange,
+    QuarantineState, Suspect,
 };
 use log::{info, warn};
 use tokio::sync::{Notify, watch};
@@ -29,8 +31,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Interval at which a waiting request's quarantine is checked again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum number of requests in one row of evidence, as the store limits the size of rows.
-const MAX_REQUESTS_PER_ROW: usize = 500;
+/// Maximum number of suspects in one row of evidence, as the store limits the size of rows.
+const MAX_SUSPECTS_PER_ROW: usize = 500;
 
 /// The quarantined requests, and the evidence that is not published yet.
 #[derive(Debug)]
@@ -50,6 +52,8 @@
     quarantine: Quarantine,
     lost_runs: LostRuns,
     unpublished: CrashEvidence,
+    /// Completed runs of suspects, published unless other gateways' evidence clears them first.
+    unpublished_survivals: Vec<Suspect>,
     /// Number of the evidence that is being collected.
     evidence_number: u64,
     /// Evidence to which nothing more is added, to be published.
@@ -80,22 +84,20 @@
         }
     }
 
-    /// Whether a request may be sent to a server; the error is the number of servers that crashed
-    /// during its runs.
-    pub(crate) fn check(&self, content: &RequestContent) -> Result<(), usize> {
+    /// Whether a request may be sent to a server; the error is why it may not.
+    pub(crate) fn check(&self, content: &RequestContent) -> Result<(), QuarantineCause> {
         let now = self.clock.now();
         let mut state = self.state();
-        let QuarantineState::Quarantined(crashed) = state.quarantine_state(content, now) else {
+        let QuarantineState::Quarantined(cause) = state.quarantine_state(content, now) else {
             return Ok(());
         };
-        let request = content.fingerprint();
-        if let Some(renewal) = state.quarantine.renewal_of(request, now) {
-            for (request, server) in renewal.suspicions() {
-                state.unpublished.add_crash(server, request);
+        if let Some(renewal) = state.quarantine.renewal_of(&cause.suspect, now) {
+            for (suspect, server) in renewal.suspicions() {
+                state.unpublished.add_crash(server, suspect.clone());
             }
             self.apply_unpublished(&mut state, now);
         }
-        Err(crashed)
+        Err(cause)
     }
 
     /// Whether a request is close to being quarantined, so that it is not retried at a second
@@ -114,14 +116,23 @@
         if !self.requires_single_run(content) {
             return Ok(None);
         }
-        let request = content.fingerprint();
+        let now = self.clock.now();
+        let suspects = content.suspects();
+        let suspects = self.state().quarantine.single_run_suspects(&suspects, now);
+        let Some(claimed) = suspects.first().cloned() else {
+            return Ok(None);
+        };
         // In a task of its own, so that a caller that leaves meanwhile cannot leave the claim
         // behind.
-        let claim_task = tokio::spawn(SingleRun::claim(Arc::clone(self), request));
-        let claimed = claim_task
+        let claim_task = tokio::spawn(SingleRun::claim(
+            Arc::clone(self),
+            claimed.clone(),
+            suspects,
+        ));
+        let claim = claim_task
             .await
             .unwrap_or_else(|error| Err(error.to_string()));
-        match claimed {
+        match claim {
             Ok(Some(run)) => {
                 self.counters.count("quarantine.single-run");
                 Ok(Some(run))
@@ -131,17 +142,12 @@
                 Err(())
             }
             Err(reason) => {
-                warn!(fingerprint:% = request, reason = reason.as_str(); "quarantine: single run not claimed");
+                warn!(suspect:% = claimed, reason = reason.as_str(); "quarantine: single run not claimed");
                 Err(())
             }
         }
     }
 
-    /// Id of this incarnation of the gateway.
-    pub(super) const fn instance(&self) -> &InstanceId {
-        &self.instance
-    }
-
     /// Requests to the store.
     pub(super) const fn store(&self) -> &StoreApi {
         &self.store
@@ -157,12 +163,12 @@
         self.state().own_claims.remove(id);
     }
 
-    /// Waits until a request is quarantined; returns the number of servers that crashed.
-    pub(crate) async fn wait_until_quarantined(&self, content: &RequestContent) -> usize {
+    /// Waits until a request is quarantined; returns why.
+    pub(crate) async fn wait_until_quarantined(&self, content: &RequestContent) -> QuarantineCause {
         let mut changes = self.changes.subscribe();
         loop {
-            if let Err(crashed) = self.check(content) {
-                return crashed;
+            if let Err(cause) = self.check(content) {
+                return cause;
             }
             let change = changes.changed();
             // The tracker outlives its waiters, so the sender exists.
@@ -175,20 +181,41 @@
         }
     }
 
-    /// Records a run whose connection ended before its answer did.
+    /// Records a run of a backend server whose connection ended before its answer did.
     pub(crate) fn record_lost_run(
         self: &Arc<Self>,
         server: &ServerIncarnation,
         address: SocketAddr,
         content: &RequestContent,
+    ) {
+        self.record_loss(server, address, content.suspects());
+    }
+
+    /// Records a lost run of a request's pieces, which do not depend on its prompt.
+    pub(crate) fn record_lost_pieces(
+        self: &Arc<Self>,
+        server: &ServerIncarnation,
+        address: SocketAddr,
+        content: &RequestContent,
+    ) {
+        self.record_loss(server, address, vec![content.fingerprint().into()]);
+    }
+
+    fn record_loss(
+        self: &Arc<Self>,
+        server: &ServerIncarnation,
+        address: SocketAddr,
+        suspects: Vec<Suspect>,
     ) {
         let now = self.clock.now();
-        let request = content.fingerprint();
         let mut state = self.state();
-        match state.lost_runs.record_loss(server, request, now) {
+        let lost = suspects.iter().cloned();
+        match state.lost_runs.record_loss(server, lost, now) {
             LossAction::Wait => {}
             LossAction::Report => {
-                state.unpublished.add_crash(server, request);
+                for suspect in suspects {
+                    state.unpublished.add_crash(server, suspect);
+                }
                 self.apply_unpublished(&mut state, now);
             }
             LossAction::Probe => {
@@ -198,21 +225,27 @@
         }
     }
 
-    /// Records a completed run, which is evidence that the request crashes no server.
+    /// Records a completed run, which is evidence that its content crashes no server.
     pub(crate) fn record_completed_run(&self, content: &RequestContent) {
         let now = self.clock.now();
         let mut state = self.state();
         if state.quarantine.is_empty() {
+            let parts: Vec<_> = content.suspect_parts().collect();
+            state.quarantine.record_completion(&parts, now);
             return;
         }
-        let request = content.fingerprint();
-        if !state.quarantine.publishes_survival(request) {
-            return;
+        let suspects = content.suspects();
+        let changes = state.quarantine.record_completion(&suspects, now);
+        self.log(&changes);
+        for suspect in suspects {
+            if !state.quarantine.publishes_survival(&suspect) {
+                continue;
+            }
+            self.counters.count("quarantine.survived");
+            info!(suspect:% = suspect; "quarantine: suspect completed");
+            state.unpublished_survivals.push(suspect);
+            self.publish_requested.notify_one();
         }
-        self.counters.count("quarantine.survived");
-        info!(fingerprint:% = request; "quarantine: suspected request completed");
-        state.unpublished.survivals.push(request);
-        self.apply_unpublished(&mut state, now);
     }
 
     async fn probe(&self, server: ServerIncarnation, address: SocketAddr) {
@@ -220,8 +253,8 @@
         let port = probe_port(address, PROBE_TIMEOUT).await;
         self.counters.count_reason("servers.looked-at", port.name());
         if port == PortState::Closed {
-            let requests = self.state().lost_runs.mark_crashed(&server);
-            self.record_crash(&server, "refuses connections", requests);
+            let suspects = self.state().lost_runs.mark_crashed(&server);
+            self.record_crash(&server, "refuses connections", suspects);
         } else {
             self.state().lost_runs.mark_not_crashed(&server);
         }
@@ -233,8 +266,8 @@
         let is_listed = |incarnation: &ServerIncarnation| servers.is_listed(incarnation);
         let unlisted = self.state().lost_runs.unlisted(is_listed);
         for server in unlisted {
-            let requests = self.state().lost_runs.mark_gone(&server);
-            self.record_crash(&server, "is listed no more", requests);
+            let suspects = self.state().lost_runs.mark_gone(&server);
+            self.record_crash(&server, "is listed no more", suspects);
         }
     }
 
@@ -242,18 +275,19 @@
         &self,
         server: &ServerIncarnation,
         sign: &'static str,
-        requests: BTreeSet<RequestFingerprint>,
+        suspects: BTreeSet<Suspect>,
     ) {
-        if requests.is_empty() {
+        if suspects.is_empty() {
             return;
         }
         let now = self.clock.now();
         let mut state = self.state();
         self.counters.count("servers.crashed");
-        info!(server:% = server, sign, lost = requests.len(); "servers: crashed");
-        for request in requests {
-            state.unpublished.add_crash(server, request);
-            if state.unpublished.suspicions().count() >= MAX_REQUESTS_PER_ROW {
+        let requests = suspects.iter().filter(|suspect| !suspect.is_prompt_part());
+        info!(server:% = server, sign, lost = requests.count(); "servers: crashed");
+        for suspect in suspects {
+            state.unpublished.add_crash(server, suspect);
+            if state.unpublished.suspicions().count() >= MAX_SUSPECTS_PER_ROW {
                 self.apply_unpublished(&mut state, now);
                 state.seal_unpublished(&self.instance);
             }
@@ -281,7 +315,16 @@
 
     /// Removes and returns the unpublished evidence with its ids.
     pub(super) fn take_unpublished(&self) -> Vec<(EvidenceId, CrashEvidence)> {
+        let now = self.clock.now();
         let mut state = self.state();
+        let survivals = std::mem::take(&mut state.unpublished_survivals);
+        let quarantine = &state.quarantine;
+        let needed = survivals.into_iter();
+        let needed: Vec<_> = needed
+            .filter(|suspect| quarantine.publishes_survival(suspect))
+            .collect();
+        state.unpublished.survivals.extend(needed);
+        self.apply_unpublished(&mut state, now);
         state.seal_unpublished(&self.instance);
         std::mem::take(&mut state.sealed)
     }
@@ -314,30 +357,29 @@
         self.log(&changes);
     }
 
-    /// Quarantined requests, each with the servers that crashed during its runs.
-    pub(crate) fn quarantined_requests(&self) -> Vec<(RequestFingerprint, Vec<ServerIncarnation>)> {
+    /// What is quarantined, each with the servers that crashed during its runs.
+    pub(crate) fn quarantined(&self) -> Vec<(Suspect, Vec<ServerIncarnation>)> {
         let state = self.state();
         let quarantined = state.quarantine.quarantined();
         quarantined
-            .map(|(request, servers)| (request, servers.iter().cloned().collect()))
+            .map(|(suspect, servers)| (suspect.clone(), servers.iter().cloned().collect()))
             .collect()
     }
 
-    /// Lifts the quarantine of a request at all gateways; false if it is not quarantined.
+    /// Lifts the quarantine of a suspect at all gateways; false if it is not quarantined.
     ///
     /// As many completed runs are recorded as servers crashed.
-    pub(crate) fn lift(&self, request: RequestFingerprint) -> bool {
+    pub(crate) fn lift(&self, suspect: &Suspect) -> bool {
         let now = self.clock.now();
         let mut state = self.state();
-        let quarantined = state
-            .quarantine
-            .quarantined()
-            .find(|(fingerprint, _)| *fingerprint == request);
-        let Some(crashes) = quarantined.map(|(_, servers)| servers.len()) else {
+        let mut quarantined = state.quarantine.quarantined();
+        let found = quarantined.find(|(quarantined, _)| *quarantined == suspect);
+        let Some(crashes) = found.map(|(_, servers)| servers.len()) else {
             return false;
         };
-        info!(fingerprint:% = request, crashed = crashes; "quarantine: lifted by an operator");
-        let survivals = std::iter::repeat_n(request, crashes);
+        drop(quarantined);
+        info!(suspect:% = suspect, crashed = crashes; "quarantine: lifted by an operator");
+        let survivals = std::iter::repeat_n(suspect.clone(), crashes);
         state.unpublished.survivals.extend(survivals);
         self.apply_unpublished(&mut state, now);
         true
@@ -346,17 +388,17 @@
     fn log(&self, changes: &[QuarantineChange]) {
         for change in changes {
             match change {
-                QuarantineChange::Quarantined(request, servers) => {
+                QuarantineChange::Quarantined(suspect, servers) => {
                     self.counters.count("quarantine.held");
                     let servers: Vec<_> = servers.iter().map(ToString::to_string).collect();
                     warn!(
-                        fingerprint:% = request, crashed = servers.len(), servers = servers.join(",");
-                        "quarantine: request held back"
+                        suspect:% = suspect, crashed = servers.len(), servers = servers.join(",");
+                        "quarantine: suspect held back"
                     );
                 }
-                QuarantineChange::Released(request) => {
+                QuarantineChange::Released(suspect) => {
                     self.counters.count("quarantine.released");
-                    info!(fingerprint:% = request; "quarantine: request released");
+                    info!(suspect:% = suspect; "quarantine: suspect released");
                 }
             }
         }
@@ -376,7 +418,7 @@
         if self.quarantine.is_empty() {
             return QuarantineState::Clear;
         }
-        self.quarantine.state(content.fingerprint(), now)
+        self.quarantine.state(&content.suspects(), now)
     }
 
     /// Completes the collected evidence; later evidence gets the next id.
--- a/crates/amaranthscale/src/gateway/process/run_job.rs
+++ b/crates/amaranthscale/src/gateway/process/run_job.rs
@@ -112,7 +112,7 @@
             if let JobUpdate::CutOff { server, address } = &update {
                 context
                     .crashes
-                    .record_lost_run(server, *address, request_content);
+                    .record_lost_pieces(server, *address, request_content);
             }
             retained.record(update, has_begun);
         };
--- a/crates/amaranthscale/src/gateway/process/single_run.rs
+++ b/crates/amaranthscale/src/gateway/process/single_run.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use amaranthscale_core::id::{EvidenceId, InstanceId, RequestFingerprint, ServerIncarnation};
-use amaranthscale_core::process::CrashEvidence;
+use amaranthscale_core::id::EvidenceId;
+use amaranthscale_core::process::{CrashEvidence, Suspect};
 use log::{info, warn};
 
 use super::super::version::{write_store_if, write_store_with_retry};
@@ -30,14 +30,18 @@
 }
 
 impl SingleRun {
-    /// Claims the run of a request; `None` while another gateway holds the claim.
+    /// Claims the run of a suspect for all that the request is suspected for; `None` while another
+    /// gateway holds the claim.
     pub(super) async fn claim(
         tracker: Arc<CrashTracker>,
-        request: RequestFingerprint,
+        suspect: Suspect,
+        claimed: Vec<Suspect>,
     ) -> Result<Option<Self>, String> {
-        let id = claim_id(request);
-        let mut evidence = CrashEvidence::default();
-        evidence.add_crash(&placeholder_server(tracker.instance())?, request);
+        let id = claim_id(&suspect);
+        let evidence = CrashEvidence {
+            claimed,
+            ..CrashEvidence::default()
+        };
         tracker.add_own_claim(&id);
         let claim = (tracker.store().publish_evidence_if_absent)(&id, &evidence);
         let mut run = Self {
@@ -48,7 +52,7 @@
         };
         // A write without an answer may have been applied; dropping the run removes the claim.
         if write_store_if(run.tracker.store(), claim).await? {
-            info!(fingerprint:% = request; "quarantine: single run claimed");
+            info!(suspect:% = suspect; "quarantine: single run claimed");
             return Ok(Some(run));
         }
         run.is_claimed_elsewhere = true;
@@ -85,15 +89,9 @@
     }
 }
 
-/// Id of the claim of a request's single run, the same at all gateways.
-fn claim_id(request: RequestFingerprint) -> EvidenceId {
-    let name = format!("single.{request}");
+/// Id of the claim of a suspect's single run, the same at all gateways.
+fn claim_id(suspect: &Suspect) -> EvidenceId {
+    let name = format!("single.{suspect}");
     name.parse()
-        .unwrap_or_else(|_error| unreachable!("a fingerprint forms a valid evidence id"))
-}
-
-/// Placeholder for the server that a claimed run may crash.
-fn placeholder_server(instance: &InstanceId) -> Result<ServerIncarnation, String> {
-    let name = format!("single:{instance}");
-    name.parse().map_err(|error| format!("{error}"))
+        .unwrap_or_else(|_error| unreachable!("a suspect forms a valid evidence id"))
 }
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -5,7 +5,7 @@
 
 use amaranthscale_core::ResultCode;
 use amaranthscale_core::id::{CallId, OrganisationId};
-use amaranthscale_core::process::{Rank, StreamKey, VersionBinding};
+use amaranthscale_core::process::{QuarantineCause, Rank, StreamKey, Suspect, VersionBinding};
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -64,7 +64,7 @@
     /// Refuses a quarantined request, and claims the single run of a suspected one.
     pub(super) async fn check_quarantine(&self, context: &GatewayContext) -> Result<(), Refusal> {
         let checked = context.crashes.check(&self.request_content);
-        checked.map_err(|crashed| Refusal::new(self.record_quarantined(crashed)))?;
+        checked.map_err(|cause| Refusal::new(self.record_quarantined(&cause)))?;
         if self.single_run.get().is_some() {
             return Ok(());
         }
@@ -73,8 +73,12 @@
             .claim_single_run(&self.request_content)
             .await
         else {
-            let code = self.record_quarantined(0);
-            return Err(Refusal::new(code).with_retry_after(SINGLE_RUN_RETRY_DELAY));
+            info!(
+                call = self.attributes.call.as_str(), parts = self.request_content.part_names().as_str();
+                "request: single run taken"
+            );
+            let refusal = Refusal::new(ResultCode::RequestQuarantined);
+            return Err(refusal.with_retry_after(SINGLE_RUN_RETRY_DELAY));
         };
         if let Some(claimed) = claimed {
             // Only this task claims for this request, so the value is not set yet.
@@ -92,13 +96,16 @@
     }
 
     /// Logs that the request is quarantined; returns the result code.
-    pub(super) fn record_quarantined(&self, crashed: usize) -> ResultCode {
+    pub(super) fn record_quarantined(&self, cause: &QuarantineCause) -> ResultCode {
         info!(
-            call = self.attributes.call.as_str(), fingerprint:% = self.request_content.fingerprint(),
-            parts = self.request_content.part_names().as_str(), crashed;
+            call = self.attributes.call.as_str(), suspect:% = cause.suspect,
+            parts = self.request_content.part_names().as_str(), crashed = cause.crashes;
             "request: held back"
         );
-        ResultCode::RequestQuarantined
+        match cause.suspect {
+            Suspect::PromptPart(_) => ResultCode::PromptPartQuarantined,
+            Suspect::Request(_) => ResultCode::RequestQuarantined,
+        }
     }
 }
 
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -479,8 +479,8 @@
             // that its request never ran.
             let results = tokio::select! {
                 results = tokio::time::timeout(self.admitted.remaining(), job) => results,
-                crashed = self.context.crashes.wait_until_quarantined(&self.admitted.request_content) => {
-                    let code = self.admitted.record_quarantined(crashed);
+                cause = self.context.crashes.wait_until_quarantined(&self.admitted.request_content) => {
+                    let code = self.admitted.record_quarantined(&cause);
                     return Err(Refusal::new(code));
                 }
                 () = self.context.shutdown.unsent_aborted() => {
--- a/crates/amaranthscale/src/gateway/request/refusal.rs
+++ b/crates/amaranthscale/src/gateway/request/refusal.rs
@@ -87,7 +87,9 @@
         if self.code.is_retryable() {
             let default_delay = match self.code {
                 ResultCode::ZonesEvacuated => EVACUATED_RETRY_DELAY,
-                ResultCode::RequestQuarantined => QUARANTINED_RETRY_DELAY,
+                ResultCode::RequestQuarantined | ResultCode::PromptPartQuarantined => {
+                    QUARANTINED_RETRY_DELAY
+                }
                 ResultCode::KnowledgeStale
                 | ResultCode::RoutingBehind
                 | ResultCode::EntryFull
--- a/crates/amaranthscale/src/gateway/request_content.rs
+++ b/crates/amaranthscale/src/gateway/request_content.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, OnceLock};
 
 use amaranthscale_core::id::{PromptPartId, RequestFingerprint};
+use amaranthscale_core::process::Suspect;
 use amaranthscale_core::version::KeyHolder;
 use bytes::Bytes;
 use hyper::Uri;
@@ -32,7 +33,7 @@
     ) -> Self {
         let parts = attributes.prompt_parts.split_last();
         let shared = parts.map_or(&[][..], |(_own, shared)| shared);
-        let shared_parts = shared.iter().filter_map(|part| part.id.parse().ok());
+        let shared_parts = shared.iter().map(|part| PromptPartId::of(&part.id));
         Self {
             holder,
             host,
@@ -52,6 +53,17 @@
         })
     }
 
+    /// Shared prompt parts that may crash a server.
+    pub(crate) fn suspect_parts(&self) -> impl Iterator<Item = Suspect> {
+        self.shared_parts.iter().cloned().map(Suspect::from)
+    }
+
+    /// All that may crash a server: the request as a whole, and its shared prompt parts.
+    pub(crate) fn suspects(&self) -> Vec<Suspect> {
+        let request = Suspect::from(self.fingerprint());
+        self.suspect_parts().chain([request]).collect()
+    }
+
     /// Ids of the shared prompt parts in log lines, in the order of the prompt.
     pub(crate) fn part_names(&self) -> String {
         if self.shared_parts.is_empty() {
--- a/crates/amaranthscale/src/operator.rs
+++ b/crates/amaranthscale/src/operator.rs
@@ -31,7 +31,7 @@
 mod edit_conflict;
 mod edit_request;
 mod gateway_servers;
-mod held_back_request;
+mod held_back;
 mod moving_run;
 mod refusal;
 mod server_report;
@@ -49,7 +49,7 @@
 #[doc(inline)]
 pub use gateway_servers::GatewayServers;
 #[doc(inline)]
-pub use held_back_request::HeldBackRequest;
+pub use held_back::HeldBack;
 #[doc(inline)]
 pub use moving_run::MovingRun;
 #[doc(inline)]
--- a/crates/amaranthscale/src/operator/ctl/command.rs
+++ b/crates/amaranthscale/src/operator/ctl/command.rs
@@ -3,8 +3,9 @@
 use std::path::PathBuf;
 
 use amaranthscale_core::id::{
-    OrganisationId, PipelineId, RequestFingerprint, ServerId, ServiceId, TreeVersion, ZoneId,
+    OrganisationId, PipelineId, ServerId, ServiceId, TreeVersion, ZoneId,
 };
+use amaranthscale_core::process::Suspect;
 use amaranthscale_core::unit::Class;
 use amaranthscale_core::version::OverrideField;
 use clap::{Arg, ArgAction, Command, value_parser};
@@ -244,14 +245,14 @@
     );
     let held_back = leaf(
         "held-back",
-        "Lists the requests that are held back as servers crash under them",
+        "Lists the requests and prompt parts that are held back as servers crash under them",
     );
-    let request = text("id", "Fingerprint of the request, as held-back lists it");
+    let suspect = text("id", "Request or prompt part, as held-back lists it");
     let lift = leaf(
         "lift",
-        "Lets a request that is held back go on, at all gateways",
+        "Lets a request or prompt part that is held back go on, at all gateways",
     )
-    .arg(request.value_parser(value_parser!(RequestFingerprint)));
+    .arg(suspect.value_parser(value_parser!(Suspect)));
     let server = || {
         text("server", "Id of the server, without what follows an @")
             .value_parser(value_parser!(ServerId))
--- a/crates/amaranthscale/src/operator/ctl/gateway_client.rs
+++ b/crates/amaranthscale/src/operator/ctl/gateway_client.rs
@@ -3,7 +3,8 @@
 use std::error::Error;
 use std::time::Duration;
 
-use amaranthscale_core::id::{RequestFingerprint, ServerId};
+use amaranthscale_core::id::ServerId;
+use amaranthscale_core::process::Suspect;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
@@ -15,7 +16,7 @@
 use super::{CtlError, GatewayAddress};
 use crate::operator::{
     ChangeAnswer, ChangeOutcome, ChangeRequest, DRAIN_PATH, GATEWAY_SERVERS_PATH, GatewayServers,
-    HeldBackRequest, QUARANTINE_LIFT_PATH, QUARANTINE_LIST_PATH, UNDRAIN_PATH,
+    HeldBack, QUARANTINE_LIFT_PATH, QUARANTINE_LIST_PATH, UNDRAIN_PATH,
 };
 
 /// Timeout of a call; a change needs one write of the store, which a gateway gives up after 2 s.
@@ -55,8 +56,8 @@
         serde_json::from_slice(&body).map_err(|cause| self.unreadable(StatusCode::OK, &cause))
     }
 
-    /// Fetches the quarantined requests.
-    pub async fn held_back(&self) -> Result<Vec<HeldBackRequest>, CtlError> {
+    /// Fetches the quarantined requests and prompt parts.
+    pub async fn held_back(&self) -> Result<Vec<HeldBack>, CtlError> {
         let body = self.get(QUARANTINE_LIST_PATH).await?;
         let text = String::from_utf8_lossy(&body);
         let requests = text.lines().map(|line| {
@@ -66,16 +67,16 @@
         requests.collect()
     }
 
-    /// Lifts the quarantine of a request; returns the gateway's confirmation.
-    pub async fn lift(&self, request: RequestFingerprint) -> Result<String, CtlError> {
-        let path = format!("{QUARANTINE_LIFT_PATH}{request}");
+    /// Lifts the quarantine of a request or prompt part; returns the gateway's confirmation.
+    pub async fn lift(&self, suspect: &Suspect) -> Result<String, CtlError> {
+        let path = format!("{QUARANTINE_LIFT_PATH}{suspect}");
         let (status, body) = self.post(&path, Bytes::new(), "gateway held-back").await?;
         let text = String::from_utf8_lossy(&body).trim_end().to_owned();
-        let is_about_request = text.starts_with(&request.to_string());
+        let is_about_suspect = text.starts_with(&suspect.to_string());
         match status {
-            StatusCode::OK if is_about_request => Ok(text),
-            StatusCode::NOT_FOUND if is_about_request => Err(CtlError::GatewayRefused(format!(
-                "{request} is not held back at {}: look at gateway held-back",
+            StatusCode::OK if is_about_suspect => Ok(text),
+            StatusCode::NOT_FOUND if is_about_suspect => Err(CtlError::GatewayRefused(format!(
+                "{suspect} is not held back at {}: look at gateway held-back",
                 self.gateway
             ))),
             _ => Err(self.unreadable(status, &"no word about the request")),
--- a/crates/amaranthscale/src/operator/ctl/gateway_commands.rs
+++ b/crates/amaranthscale/src/operator/ctl/gateway_commands.rs
@@ -1,6 +1,7 @@
 //! The commands `gateway …`.
 
-use amaranthscale_core::id::{RequestFingerprint, ServerId};
+use amaranthscale_core::id::ServerId;
+use amaranthscale_core::process::Suspect;
 use clap::ArgMatches;
 use serde_json::json;
 
@@ -21,8 +22,8 @@
             }))
         }
         "lift" => {
-            let request: RequestFingerprint = required(matches, "id");
-            Ok(confirmed(matches, &client.lift(request).await?))
+            let suspect: Suspect = required(matches, "id");
+            Ok(confirmed(matches, &client.lift(&suspect).await?))
         }
         "drain" => {
             let server: ServerId = required(matches, "server");
--- a/crates/amaranthscale/src/operator/ctl/gateway_render.rs
+++ b/crates/amaranthscale/src/operator/ctl/gateway_render.rs
@@ -1,7 +1,7 @@
 //! A gateway's listings as text.
 
 use super::render::{table, with_head};
-use crate::operator::{GatewayServers, HeldBackRequest, MovingRun, ServerReport};
+use crate::operator::{GatewayServers, HeldBack, MovingRun, ServerReport};
 
 /// The servers, then the runs that are being moved.
 pub(super) fn servers(listing: &GatewayServers) -> String {
@@ -15,16 +15,19 @@
     output
 }
 
-/// A line for each quarantined request.
-pub(super) fn held_back(requests: &[HeldBackRequest]) -> String {
-    if requests.is_empty() {
+/// A line for each quarantined request or prompt part.
+pub(super) fn held_back(quarantined: &[HeldBack]) -> String {
+    if quarantined.is_empty() {
         return "no request is held back\n".to_owned();
     }
-    let rows = requests.iter().map(|request| {
-        let servers: Vec<_> = request.servers.iter().map(ToString::to_string).collect();
-        [request.fingerprint.to_string(), servers.join(",")]
+    let rows = quarantined.iter().map(|one| {
+        let servers: Vec<_> = one.servers.iter().map(ToString::to_string).collect();
+        [one.suspect.to_string(), servers.join(",")]
     });
-    table(&with_head(["request", "servers that crashed"], rows))
+    table(&with_head(
+        ["request or part", "servers that crashed"],
+        rows,
+    ))
 }
 
 fn server_row(report: &ServerReport) -> [String; 6] {
--- a/crates/amaranthscale/src/operator/explain/request_trace.rs
+++ b/crates/amaranthscale/src/operator/explain/request_trace.rs
@@ -135,7 +135,7 @@
     fn cause_of_refusal(&self, refused: &LogLine) -> String {
         let code = format!("{} {}", refused.field("code"), refused.field("reason"));
         if let Some(quarantined) = self.last("request", "held back") {
-            return self.cause_of_quarantine(&code, quarantined.field("fingerprint"));
+            return self.cause_of_quarantine(&code, quarantined.field("suspect"));
         }
         if let Some(pieces) = self.last("request", "pieces not made") {
             let reason = pieces.field("reason");
@@ -194,15 +194,18 @@
         }
     }
 
-    /// Cause for a quarantined request: the servers that crashed under the same content.
-    fn cause_of_quarantine(&self, code: &str, fingerprint: &str) -> String {
+    /// Cause for a quarantined request: the servers that crashed under the same content or part.
+    fn cause_of_quarantine(&self, code: &str, suspect: &str) -> String {
         let mut lines = self.quarantine.iter().rev();
-        let quarantined = lines.find(|line| {
-            line.event == "request held back" && line.field("fingerprint") == fingerprint
-        });
+        let quarantined = lines
+            .find(|line| line.event == "suspect held back" && line.field("suspect") == suspect);
         let servers =
             quarantined.map_or_else(String::new, |line| format!(": {}", line.field("servers")));
-        format!("Ended with {code}: servers crashed while they ran the same content{servers}.")
+        let content = suspect.strip_prefix("part:").map_or_else(
+            || "the same content".to_owned(),
+            |part| format!("prompts with part {part}"),
+        );
+        format!("Ended with {code}: servers crashed while they ran {content}{servers}.")
     }
 
     fn cause_of_stream(&self, stream: &LogLine) -> String {
--- a/crates/amaranthscale/tests/ctl_gateway_commands.rs
+++ b/crates/amaranthscale/tests/ctl_gateway_commands.rs
@@ -201,7 +201,7 @@
     let row = text.lines().last().unwrap();
     assert_eq!(row, format!("{FINGERPRINT}  i-1@5,i-2@6"));
     let parsed: Value = serde_json::from_str(&as_json).unwrap();
-    let expected = json!([{"fingerprint": FINGERPRINT, "servers": ["i-1@5", "i-2@6"]}]);
+    let expected = json!([{"suspect": FINGERPRINT, "servers": ["i-1@5", "i-2@6"]}]);
     assert_eq!(parsed, expected);
     assert!(lifted.starts_with(FINGERPRINT), "{lifted}");
     assert_eq!(
--- a/crates/amaranthscale/tests/explain_request.rs
+++ b/crates/amaranthscale/tests/explain_request.rs
@@ -262,9 +262,9 @@
     let explanation = explain_lines(
         "ab",
         &[
-            "10 g2 WARN quarantine: request held back fingerprint=f1 crashed=3 servers=s1,s2,s3",
-            "11 g2 WARN quarantine: request held back fingerprint=f2 crashed=3 servers=s4,s5,s6",
-            "12 g1 INFO request: held back call=ab fingerprint=f1 crashed=3",
+            "10 g2 WARN quarantine: suspect held back suspect=f1 crashed=3 servers=s1,s2,s3",
+            "11 g2 WARN quarantine: suspect held back suspect=f2 crashed=3 servers=s4,s5,s6",
+            "12 g1 INFO request: held back call=ab suspect=f1 parts=- crashed=3",
             "12 g1 INFO request: refused call=ab code=2110 reason=RequestQuarantined ran=no ms=1",
         ],
     );
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -3,6 +3,7 @@
 mod attempt_id;
 mod name_id;
 mod number_id;
+mod prompt_part_id;
 mod request_fingerprint;
 mod request_id;
 mod result_handle;
@@ -14,7 +15,7 @@
 #[doc(inline)]
 pub use name_id::{
     CallId, EvidenceId, HostId, IdempotencyKey, InstanceId, InvalidName, ModelId, OrganisationId,
-    PipelineId, PromptPartId, RegionId, RouteId, ServerId, ServiceId, StageName, WriteId, ZoneId,
+    PipelineId, RegionId, RouteId, ServerId, ServiceId, StageName, WriteId, ZoneId,
 };
 #[doc(inline)]
 pub use number_id::{
@@ -22,6 +23,8 @@
     RowVersion, StageIndex, StartMs, TreeVersion,
 };
 #[doc(inline)]
+pub use prompt_part_id::{InvalidPromptPartId, PromptPartId};
+#[doc(inline)]
 pub use request_fingerprint::{InvalidRequestFingerprint, RequestFingerprint};
 #[doc(inline)]
 pub use request_id::{InvalidRequestId, RequestId};
--- a/crates/core/src/id/name_id.rs
+++ b/crates/core/src/id/name_id.rs
@@ -139,9 +139,6 @@
 name_id!(
     /// One call, as named by its caller.
     CallId, "call id");
-name_id!(
-    /// A part of prompts, which several requests may share.
-    PromptPartId, "prompt part");
 name_id!(
     /// One piece of evidence of server crashes, as named by the entry that publishes it.
     EvidenceId, "evidence");
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -123,7 +123,8 @@
 pub use published_versions::{PublishedVersions, ServiceVersion};
 #[doc(inline)]
 pub use quarantine::{
-    CrashEvidence, CrashReport, LossAction, LostRuns, Quarantine, QuarantineChange, QuarantineState,
+    CrashEvidence, CrashReport, LossAction, LostRuns, Quarantine, QuarantineCause,
+    QuarantineChange, QuarantineState, Suspect,
 };
 #[doc(inline)]
 pub use queued_attempt::QueuedAttempt;
--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -1,21 +1,29 @@
 //! Holds back requests that crash servers.
 //!
-//! A request may crash each server that runs it, and is sent again under a new id at any entry. A
-//! single entry sees only some of the crashes: so each publishes which requests were lost in each
-//! crash, and all of them evaluate the same evidence. A request that was lost with three servers is
-//! quarantined. A crash is attributed to the request with most crashes, so that requests which ran
-//! beside it are not quarantined too. A request that also completes is not a culprit: a popular one
-//! is present at each crash, and completes elsewhere meanwhile.
+//! A request may crash each server that runs it, and is sent again under a new id at any entry; or
+//! all requests whose prompts share one part may. A single entry sees only some of the crashes: so
+//! each publishes what was lost in each crash, and all of them evaluate the same evidence. Suspects
+//! are whole requests and the parts of their prompts that other requests share. A suspect that was
+//! lost with three servers is quarantined. A crash is attributed to the suspect with most crashes,
+//! so that requests which ran beside it are not quarantined too. A suspect that also completes is
+//! not a culprit: a popular one is present at each crash, and completes elsewhere meanwhile.
 //!
-//! Before the last crash that a request is allowed, it runs at one server at a time: the entry
-//! publishes evidence before the run, as if the server had crashed, and withdraws it when the run
-//! has ended well. So the evidence remains if the entry itself ends during the run.
+//! Before the last crash that a suspect is allowed, it runs at one server at a time: the entry
+//! publishes a claim before the run, which counts as a crash, and withdraws it when the run has
+//! ended well. So the evidence remains if the entry itself ends during the run. A prompt part that
+//! completed at this entry a short time ago is exempt, so that a crash does not slow down all
+//! requests that hold a popular part.
+//!
+//! Several suspects may explain the same crashes, such as two parts that always stood in the same
+//! prompts. A request that holds only some of them still runs, at one server at a time: it either
+//! clears them or leaves fewer suspects.
 //!
 //! Evidence expires some time after it was last published. While a quarantined request keeps
 //! arriving, its evidence is published again.
 
 mod crash_evidence;
 mod lost_runs;
+mod suspect;
 mod suspicions;
 
 use std::collections::btree_map::Entry;
@@ -26,47 +34,65 @@
 pub use crash_evidence::{CrashEvidence, CrashReport};
 #[doc(inline)]
 pub use lost_runs::{LossAction, LostRuns};
+#[doc(inline)]
+pub use suspect::Suspect;
 
-use crate::id::{EvidenceId, RequestFingerprint, ServerIncarnation};
+use crate::id::{EvidenceId, ServerIncarnation};
 use suspicions::Suspicions;
 
-/// Number of crashes from which a request runs at one server at a time and its completed runs are
+/// Number of crashes from which a suspect runs at one server at a time and its completed runs are
 /// published.
 const SINGLE_RUN_FROM: usize = 2;
-/// Time from the last crash until the request is quarantined: a request that many callers send
+/// Time from the last crash until a suspect is quarantined: a request that many callers send
 /// completes elsewhere meanwhile, which clears it.
 const CONFIRMATION_DELAY: Duration = Duration::from_millis(500);
+/// The same for a prompt part that completed here shortly before.
+const KNOWN_PART_CONFIRMATION_DELAY: Duration = Duration::from_secs(2);
+/// Time for which a prompt part that completed here is exempt from single runs.
+const COMPLETION_RETENTION: Duration = Duration::from_secs(10);
+/// Largest number of prompt parts whose last completed run is remembered.
+const MAX_COMPLETED_PARTS: usize = 10_000;
 /// Time for which evidence counts after it was last published.
 const RETENTION: Duration = Duration::from_mins(10);
 /// Age from which the evidence against a request that still arrives is published again.
 const RENEWAL_AGE: Duration = Duration::from_mins(5);
 /// Time between two scans for expired evidence.
 const EXPIRY_SCAN_INTERVAL: Duration = Duration::from_secs(1);
-/// Largest number of suspicions, each a pair of request and server.
+/// Largest number of suspicions, each a pair of suspect and server.
 const MAX_SUSPICIONS: usize = 20_000;
 /// Number of suspicions that remain after trimming; the oldest are dropped.
 const SUSPICIONS_AFTER_TRIM: usize = 15_000;
 
-/// State of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// State of a request, by its most suspected content.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineState {
     /// No evidence against it.
     Clear,
     /// A server crashed while it ran there.
     Suspected,
-    /// Almost as many servers crashed as quarantine it: it may run at one server at a time.
+    /// It may run at one server at a time: almost as many servers crashed as quarantine it, or
+    /// something else may have crashed them.
     SingleRun,
-    /// It is sent to no server, as this number of servers crashed.
-    Quarantined(usize),
+    /// It is sent to no server.
+    Quarantined(QuarantineCause),
+}
+
+/// Why a request is quarantined.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineCause {
+    /// What crashed servers.
+    pub suspect: Suspect,
+    /// Number of servers that crashed.
+    pub crashes: usize,
 }
 
-/// A change of the quarantined requests.
+/// A change of what is quarantined.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineChange {
-    /// A request is quarantined, because of these servers.
-    Quarantined(RequestFingerprint, Vec<ServerIncarnation>),
-    /// A request is released.
-    Released(RequestFingerprint),
+    /// A suspect is quarantined, because of these servers.
+    Quarantined(Suspect, Vec<ServerIncarnation>),
+    /// A suspect is released.
+    Released(Suspect),
 }
 
 #[derive(Debug, Clone)]
@@ -75,23 +101,24 @@
     at: Duration,
 }
 
-/// The evidence of all entries, and the requests that it quarantines.
+/// The evidence of all entries, and what it quarantines.
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::Duration;
 /// use amaranthscale_core::id::RequestFingerprint;
-/// use amaranthscale_core::process::{CrashEvidence, Quarantine, QuarantineState};
+/// use amaranthscale_core::process::{CrashEvidence, Quarantine, QuarantineState, Suspect};
 ///
-/// let request = RequestFingerprint::of(None, "h.example", "/a/", b"body");
+/// let request: Suspect = RequestFingerprint::of(None, "h.example", "/a/", b"body").into();
 /// let mut quarantine = Quarantine::default();
 /// for number in 0..3 {
 ///     let mut evidence = CrashEvidence::default();
-///     evidence.add_crash(&format!("s{number}").parse()?, request);
+///     evidence.add_crash(&format!("s{number}").parse()?, request.clone());
 ///     quarantine.add_evidence(format!("g1.{number}").parse()?, evidence, Duration::ZERO);
 /// }
-/// assert_eq!(quarantine.state(request, Duration::from_secs(1)), QuarantineState::Quarantined(3));
+/// let state = quarantine.state(&[request], Duration::from_secs(1));
+/// assert!(matches!(state, QuarantineState::Quarantined(_)));
 /// # Ok::<(), amaranthscale_core::id::InvalidName>(())
 /// ```
 #[derive(Debug, Clone, Default)]
@@ -99,7 +126,11 @@
     evidence: BTreeMap<EvidenceId, StoredEvidence>,
     suspicions: Suspicions,
     /// Culprits, and since when they are known.
-    culprits: BTreeMap<RequestFingerprint, Duration>,
+    culprits: BTreeMap<Suspect, Duration>,
+    /// Number of completed runs of suspects at this entry.
+    own_survivals: BTreeMap<Suspect, usize>,
+    /// Time of the last completed run of each prompt part at this entry.
+    completed_parts: BTreeMap<Suspect, Duration>,
     /// Time of the last scan for expired evidence.
     scanned_at: Duration,
 }
@@ -108,7 +139,7 @@
     /// Whether there is no evidence against any request.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.suspicions.servers.is_empty()
+        self.evidence.is_empty()
     }
 
     /// Adds the evidence of an entry.
@@ -159,37 +190,87 @@
         self.update_culprits(now)
     }
 
-    /// State of a request.
+    /// State of a request with this content.
     #[must_use]
-    pub fn state(&self, request: RequestFingerprint, now: Duration) -> QuarantineState {
-        let Some(servers) = self.suspicions.servers.get(&request) else {
-            return QuarantineState::Clear;
-        };
-        let culprit_since = self.culprits.get(&request);
-        let is_quarantined = culprit_since
-            .is_some_and(|culprit_since| now.saturating_sub(*culprit_since) >= CONFIRMATION_DELAY);
-        if is_quarantined {
-            QuarantineState::Quarantined(servers.len())
-        } else if self.is_near_limit(request) {
-            QuarantineState::SingleRun
+    pub fn state(&self, content: &[Suspect], now: Duration) -> QuarantineState {
+        let mut state = QuarantineState::Clear;
+        for suspect in content {
+            let crashes = self.suspicions.crashes(suspect);
+            if crashes == 0 {
+                continue;
+            }
+            if self.is_confirmed(suspect, now) && !self.has_rival(suspect, content) {
+                let suspect = suspect.clone();
+                return QuarantineState::Quarantined(QuarantineCause { suspect, crashes });
+            }
+            if self.needs_single_run(suspect, now) {
+                state = QuarantineState::SingleRun;
+            } else if state == QuarantineState::Clear {
+                state = QuarantineState::Suspected;
+            }
+        }
+        state
+    }
+
+    /// The suspects of this content because of which it may run at one server at a time, beginning
+    /// with those that most requests share.
+    #[must_use]
+    pub fn single_run_suspects(&self, content: &[Suspect], now: Duration) -> Vec<Suspect> {
+        let suspects = content.iter();
+        let mut suspects: Vec<_> = suspects
+            .filter(|suspect| self.needs_single_run(suspect, now))
+            .cloned()
+            .collect();
+        suspects.sort();
+        suspects
+    }
+
+    /// Records a completed run at this entry, which is evidence in favour of its content.
+    pub fn record_completion(
+        &mut self,
+        content: &[Suspect],
+        now: Duration,
+    ) -> Vec<QuarantineChange> {
+        for suspect in content {
+            if suspect.is_prompt_part() {
+                self.completed_parts.insert(suspect.clone(), now);
+            }
+            if self.suspicions.crashes(suspect) > 0 {
+                *self.own_survivals.entry(suspect.clone()).or_default() += 1;
+            }
+        }
+        if self.completed_parts.len() > MAX_COMPLETED_PARTS {
+            let is_recent = |at: &Duration| now.saturating_sub(*at) < COMPLETION_RETENTION;
+            self.completed_parts.retain(|_, at| is_recent(at));
+            // Too many within the retention time: none is exempt.
+            if self.completed_parts.len() > MAX_COMPLETED_PARTS {
+                self.completed_parts.clear();
+            }
+        }
+        let holds_culprit = content
+            .iter()
+            .any(|suspect| self.culprits.contains_key(suspect));
+        if holds_culprit {
+            self.update_culprits(now)
         } else {
-            QuarantineState::Suspected
+            Vec::new()
         }
     }
 
-    /// Whether completed runs of a request should be published, as it is close to quarantine.
+    /// Whether completed runs of a suspect should be published, as it is close to quarantine.
     #[must_use]
-    pub fn publishes_survival(&self, request: RequestFingerprint) -> bool {
-        self.is_near_limit(request)
+    pub fn publishes_survival(&self, suspect: &Suspect) -> bool {
+        self.suspicions.crashes(suspect) >= SINGLE_RUN_FROM
+            && !self.suspicions.is_cleared(suspect, 0)
     }
 
-    /// The evidence against a quarantined request that arrives again, if it should be published
+    /// The evidence against a quarantined suspect that arrives again, if it should be published
     /// again.
     #[must_use]
-    pub fn renewal_of(&self, request: RequestFingerprint, now: Duration) -> Option<CrashEvidence> {
-        let servers = self.suspicions.servers.get(&request)?;
+    pub fn renewal_of(&self, suspect: &Suspect, now: Duration) -> Option<CrashEvidence> {
+        let servers = self.suspicions.servers.get(suspect)?;
         let suspicions =
-            |stored: &&StoredEvidence| stored.evidence.suspicions().any(|(one, _)| one == request);
+            |stored: &&StoredEvidence| stored.evidence.suspicions().any(|(one, _)| one == suspect);
         let newest = self.evidence.values().filter(suspicions);
         let newest_at = newest.map(|stored| stored.at).max()?;
         if now.saturating_sub(newest_at) < RENEWAL_AGE {
@@ -197,7 +278,7 @@
         }
         let mut evidence = CrashEvidence::default();
         for server in servers {
-            evidence.add_crash(server, request);
+            evidence.add_crash(server, suspect.clone());
         }
         Some(evidence)
     }
@@ -210,17 +291,40 @@
         old.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Quarantined requests, each with the servers that crashed.
-    pub fn quarantined(
-        &self,
-    ) -> impl Iterator<Item = (RequestFingerprint, &BTreeSet<ServerIncarnation>)> {
+    /// Quarantined suspects, each with the servers that crashed.
+    pub fn quarantined(&self) -> impl Iterator<Item = (&Suspect, &BTreeSet<ServerIncarnation>)> {
         let quarantined = self.culprits.keys();
-        quarantined.filter_map(|request| Some((*request, self.suspicions.servers.get(request)?)))
+        quarantined.filter_map(|suspect| Some((suspect, self.suspicions.servers.get(suspect)?)))
+    }
+
+    /// Whether a suspect has been a culprit for long enough.
+    fn is_confirmed(&self, suspect: &Suspect, now: Duration) -> bool {
+        let delay = if self.has_completed_recently(suspect, now) {
+            KNOWN_PART_CONFIRMATION_DELAY
+        } else {
+            CONFIRMATION_DELAY
+        };
+        let culprit_since = self.culprits.get(suspect);
+        culprit_since.is_some_and(|since| now.saturating_sub(*since) >= delay)
+    }
+
+    fn has_rival(&self, suspect: &Suspect, content: &[Suspect]) -> bool {
+        let own_survivals = &self.own_survivals;
+        self.suspicions.has_rival(suspect, content, own_survivals)
+    }
+
+    /// Whether almost as many servers crashed as quarantine a suspect.
+    fn needs_single_run(&self, suspect: &Suspect, now: Duration) -> bool {
+        let own = self.own_survivals.get(suspect).copied().unwrap_or(0);
+        self.suspicions.crashes(suspect) >= SINGLE_RUN_FROM
+            && !self.suspicions.is_cleared(suspect, own)
+            && (self.is_confirmed(suspect, now) || !self.has_completed_recently(suspect, now))
     }
 
-    /// Whether almost as many servers crashed as quarantine a request.
-    fn is_near_limit(&self, request: RequestFingerprint) -> bool {
-        self.suspicions.crashes(request) >= SINGLE_RUN_FROM && !self.suspicions.is_cleared(request)
+    /// Whether a prompt part completed at this entry a short time ago.
+    fn has_completed_recently(&self, suspect: &Suspect, now: Duration) -> bool {
+        let completed_at = self.completed_parts.get(suspect);
+        completed_at.is_some_and(|at| now.saturating_sub(*at) < COMPLETION_RETENTION)
     }
 
     fn drop_expired(&mut self, now: Duration) {
@@ -261,24 +365,28 @@
         for stored in self.evidence.values() {
             self.suspicions.add(&stored.evidence);
         }
+        let suspicions = &self.suspicions;
+        self.own_survivals
+            .retain(|suspect, _| suspicions.crashes(suspect) > 0);
     }
 
     /// Recomputes the culprits.
     fn update_culprits(&mut self, now: Duration) -> Vec<QuarantineChange> {
-        let culprits = self.suspicions.culprits();
+        let culprits = self.suspicions.culprits(&self.own_survivals);
         let mut changes = Vec::new();
-        self.culprits.retain(|request, _| {
-            let stays = culprits.contains(request);
+        self.culprits.retain(|suspect, _| {
+            let stays = culprits.contains(suspect);
             if !stays {
-                changes.push(QuarantineChange::Released(*request));
+                changes.push(QuarantineChange::Released(suspect.clone()));
             }
             stays
         });
-        for request in culprits {
-            if let Entry::Vacant(entry) = self.culprits.entry(request) {
+        for suspect in culprits {
+            if let Entry::Vacant(entry) = self.culprits.entry(suspect) {
+                let servers = self.suspicions.servers.get(entry.key());
+                let servers = servers.into_iter().flatten().cloned().collect();
+                changes.push(QuarantineChange::Quarantined(entry.key().clone(), servers));
                 entry.insert(now);
-                let servers = self.suspicions.servers[&request].iter().cloned();
-                changes.push(QuarantineChange::Quarantined(request, servers.collect()));
             }
         }
         changes
--- a/crates/core/src/process/quarantine/lost_runs.rs
+++ b/crates/core/src/process/quarantine/lost_runs.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::id::{RequestFingerprint, ServerIncarnation};
+use super::Suspect;
+use crate::id::ServerIncarnation;
 
 /// How long a lost run is retained: a crashed server leaves the server list within some heartbeats.
 const RETENTION: Duration = Duration::from_secs(12);
-/// Largest number of lost runs per server.
-const MAX_RUNS_PER_SERVER: usize = 1_000;
+/// Largest number of suspects per server.
+const MAX_SUSPECTS_PER_SERVER: usize = 1_000;
 
 /// What to do about a lost run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,9 +25,9 @@
 #[derive(Debug, Clone, Default)]
 struct ServerLosses {
     /// Lost since the server was last found listening.
-    requests: BTreeSet<RequestFingerprint>,
+    suspects: BTreeSet<Suspect>,
     /// Lost before that; a new incarnation may have been listening by then.
-    earlier: BTreeSet<RequestFingerprint>,
+    earlier: BTreeSet<Suspect>,
     last_lost_at: Duration,
     is_probed: bool,
     has_crashed: bool,
@@ -43,7 +44,7 @@
     pub fn record_loss(
         &mut self,
         server: &ServerIncarnation,
-        request: RequestFingerprint,
+        suspects: impl IntoIterator<Item = Suspect>,
         now: Duration,
     ) -> LossAction {
         self.by_server
@@ -53,8 +54,8 @@
         if losses.has_crashed {
             return LossAction::Report;
         }
-        if losses.requests.len() < MAX_RUNS_PER_SERVER {
-            losses.requests.insert(request);
+        if losses.suspects.len() < MAX_SUSPECTS_PER_SERVER {
+            losses.suspects.extend(suspects);
         }
         if std::mem::replace(&mut losses.is_probed, true) {
             LossAction::Wait
@@ -70,30 +71,30 @@
     pub fn mark_not_crashed(&mut self, server: &ServerIncarnation) {
         if let Some(losses) = self.by_server.get_mut(server) {
             losses.is_probed = false;
-            if losses.earlier.len() < MAX_RUNS_PER_SERVER {
-                losses.earlier.append(&mut losses.requests);
+            if losses.earlier.len() < MAX_SUSPECTS_PER_SERVER {
+                losses.earlier.append(&mut losses.suspects);
             }
         }
     }
 
-    /// Records a server's crash; returns the requests whose runs were lost in it.
-    pub fn mark_crashed(&mut self, server: &ServerIncarnation) -> BTreeSet<RequestFingerprint> {
+    /// Records a server's crash; returns what was lost in it.
+    pub fn mark_crashed(&mut self, server: &ServerIncarnation) -> BTreeSet<Suspect> {
         let Some(losses) = self.by_server.get_mut(server) else {
             return BTreeSet::new();
         };
         losses.has_crashed = true;
         losses.earlier.clear();
-        std::mem::take(&mut losses.requests)
+        std::mem::take(&mut losses.suspects)
     }
 
-    /// Treats a server that is not listed any more as crashed; returns all requests whose runs it
-    /// lost recently.
-    pub fn mark_gone(&mut self, server: &ServerIncarnation) -> BTreeSet<RequestFingerprint> {
+    /// Treats a server that is not listed any more as crashed; returns all that it lost
+    /// recently.
+    pub fn mark_gone(&mut self, server: &ServerIncarnation) -> BTreeSet<Suspect> {
         let losses = self.by_server.get_mut(server);
-        let mut requests =
+        let mut suspects =
             losses.map_or_else(BTreeSet::new, |losses| std::mem::take(&mut losses.earlier));
-        requests.append(&mut self.mark_crashed(server));
-        requests
+        suspects.append(&mut self.mark_crashed(server));
+        suspects
     }
 
     /// Servers with lost runs that are not listed any more.
--- a/crates/core/src/process/quarantine/suspicions.rs
+++ b/crates/core/src/process/quarantine/suspicions.rs
@@ -2,23 +2,28 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::CrashEvidence;
-use crate::id::{RequestFingerprint, ServerIncarnation};
+use super::{CrashEvidence, Suspect};
+use crate::id::ServerIncarnation;
 
-/// Number of crashed servers that makes a request a culprit.
+/// Number of crashed servers that makes a suspect a culprit.
 const CRASHES_TO_QUARANTINE: usize = 3;
 /// Number of crashes that one completed run offsets.
 const CRASHES_PER_SURVIVAL: usize = 2;
+/// Number of its crashes that a prompt part may not share with another one that explains them: a
+/// part that many requests hold is also lost in unrelated crashes.
+const MAX_UNRELATED_CRASHES: usize = 1;
 
-/// Crashed servers and completed runs by request.
+/// Crashed servers and completed runs by suspect.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Suspicions {
-    /// Crashed servers by request.
-    pub(super) servers: BTreeMap<RequestFingerprint, BTreeSet<ServerIncarnation>>,
-    /// Number of completed runs of suspected requests.
-    survivals: BTreeMap<RequestFingerprint, usize>,
-    /// Requests with enough crashes to be culprits.
-    candidates: BTreeSet<RequestFingerprint>,
+    /// Crashed servers by suspect.
+    pub(super) servers: BTreeMap<Suspect, BTreeSet<ServerIncarnation>>,
+    /// Number of published completed runs of suspects.
+    survivals: BTreeMap<Suspect, usize>,
+    /// Number of runs under way of suspects, each at one entry.
+    claims: BTreeMap<Suspect, usize>,
+    /// Suspects with enough crashes to be culprits.
+    candidates: BTreeSet<Suspect>,
     /// Number of suspicions.
     pub(super) count: usize,
 }
@@ -26,61 +31,97 @@
 impl Suspicions {
     /// Adds evidence; the order does not matter.
     pub(super) fn add(&mut self, evidence: &CrashEvidence) {
-        for request in &evidence.survivals {
-            *self.survivals.entry(*request).or_default() += 1;
+        for suspect in &evidence.survivals {
+            *self.survivals.entry(suspect.clone()).or_default() += 1;
         }
-        for (request, server) in evidence.suspicions() {
-            let servers = self.servers.entry(request).or_default();
+        for (suspect, server) in evidence.suspicions() {
+            let servers = self.servers.entry(suspect.clone()).or_default();
             if servers.insert(server.clone()) {
                 self.count += 1;
             }
-            if servers.len() >= CRASHES_TO_QUARANTINE {
-                self.candidates.insert(request);
-            }
+            self.update_candidate(suspect);
+        }
+        for suspect in &evidence.claimed {
+            *self.claims.entry(suspect.clone()).or_default() += 1;
+            self.update_candidate(suspect);
+        }
+    }
+
+    fn update_candidate(&mut self, suspect: &Suspect) {
+        if self.crashes(suspect) >= CRASHES_TO_QUARANTINE {
+            self.candidates.insert(suspect.clone());
         }
     }
 
-    /// Whether a request has completed so often that its crashes are no evidence.
-    pub(super) fn is_cleared(&self, request: RequestFingerprint) -> bool {
-        let survivals = self.survivals.get(&request).copied().unwrap_or(0);
-        survivals * CRASHES_PER_SURVIVAL >= self.crashes(request)
+    /// Whether a suspect has completed so often that its crashes are no evidence.
+    pub(super) fn is_cleared(&self, suspect: &Suspect, own_survivals: usize) -> bool {
+        let published = self.survivals.get(suspect).copied().unwrap_or(0);
+        (published + own_survivals) * CRASHES_PER_SURVIVAL >= self.crashes(suspect)
     }
 
-    /// Number of servers that crashed while running a request.
-    pub(super) fn crashes(&self, request: RequestFingerprint) -> usize {
-        self.servers.get(&request).map_or(0, BTreeSet::len)
+    /// Number of servers that crashed while running a suspect, and of its runs under way.
+    pub(super) fn crashes(&self, suspect: &Suspect) -> usize {
+        let claims = self.claims.get(suspect).copied().unwrap_or(0);
+        self.servers.get(suspect).map_or(0, BTreeSet::len) + claims
     }
 
-    /// The culprits: requests with most crashes first, as they explain the crashes of others.
+    /// The culprits: suspects with most crashes first, as they explain the crashes of others.
     ///
     /// Guards against quarantining requests that were lost beside a culprit: interrupted three
-    /// times by its crashes, they would have as many. A request that is also lost without it is a
+    /// times by its crashes, they would have as many. A suspect that is also lost without it is a
     /// culprit as well.
-    pub(super) fn culprits(&self) -> BTreeSet<RequestFingerprint> {
-        let mut by_crashes: BTreeMap<usize, Vec<RequestFingerprint>> = BTreeMap::new();
-        for request in self
-            .candidates
-            .iter()
-            .filter(|request| !self.is_cleared(**request))
-        {
-            let crashes = self.crashes(*request);
-            by_crashes.entry(crashes).or_default().push(*request);
+    pub(super) fn culprits(&self, own_survivals: &BTreeMap<Suspect, usize>) -> BTreeSet<Suspect> {
+        let none = BTreeSet::new();
+        let servers_of = |suspect: &Suspect| self.servers.get(suspect).unwrap_or(&none);
+        let mut by_crashes: BTreeMap<usize, Vec<&Suspect>> = BTreeMap::new();
+        for suspect in &self.candidates {
+            let own = own_survivals.get(suspect).copied().unwrap_or(0);
+            if !self.is_cleared(suspect, own) {
+                let crashes = servers_of(suspect).len();
+                by_crashes.entry(crashes).or_default().push(suspect);
+            }
         }
         let mut culprits = BTreeSet::new();
         let mut explained: BTreeSet<&ServerIncarnation> = BTreeSet::new();
-        for (crashes, requests) in by_crashes.into_iter().rev() {
-            let is_culprit = |request: &RequestFingerprint| {
-                let servers = self.servers[request].iter();
-                let unexplained = servers.filter(|server| !explained.contains(server)).count();
+        for (_, suspects) in by_crashes.into_iter().rev() {
+            let is_culprit = |suspect: &&Suspect| {
+                let servers = servers_of(suspect);
+                let is_explained = |server: &&ServerIncarnation| explained.contains(server);
+                let explained_crashes = servers.iter().filter(is_explained).count();
+                let unexplained = self.crashes(suspect) - explained_crashes;
                 unexplained >= CRASHES_TO_QUARANTINE
-                    || unexplained > 0 && crashes > CRASHES_TO_QUARANTINE
+                    || unexplained > 0 && self.crashes(suspect) > CRASHES_TO_QUARANTINE
             };
-            let found: Vec<_> = requests.into_iter().filter(is_culprit).collect();
-            for request in found {
-                explained.extend(&self.servers[&request]);
-                culprits.insert(request);
+            let found: Vec<_> = suspects.into_iter().filter(is_culprit).collect();
+            for suspect in found {
+                explained.extend(servers_of(suspect));
+                culprits.insert(suspect.clone());
             }
         }
         culprits
     }
+
+    /// Whether another suspect, which this content does not hold, explains a suspect's crashes.
+    pub(super) fn has_rival(
+        &self,
+        suspect: &Suspect,
+        content: &[Suspect],
+        own_survivals: &BTreeMap<Suspect, usize>,
+    ) -> bool {
+        let Some(servers) = self.servers.get(suspect) else {
+            return false;
+        };
+        self.candidates.iter().any(|rival| {
+            let own = own_survivals.get(rival).copied().unwrap_or(0);
+            let max_unrelated = if suspect.is_prompt_part() && rival.is_prompt_part() {
+                MAX_UNRELATED_CRASHES
+            } else {
+                0
+            };
+            let explains = self.servers.get(rival).is_some_and(|shared| {
+                shared.is_subset(servers) && servers.len() - shared.len() <= max_unrelated
+            });
+            explains && !content.contains(rival) && !self.is_cleared(rival, own)
+        })
+    }
 }
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -150,6 +150,8 @@
     ServersBackingOff = 2112, 503, "its servers turn requests away and want none for a while";
     /// It is not known at which software version the stream began.
     StreamOriginUnknown = 2113, 503, "it is not known at which version the stream began";
+    /// Several servers crashed while running requests that share a part of their prompts.
+    PromptPartQuarantined = 2114, 503, "servers crashed under a part of this prompt; it is held back";
 
     /// The attempt was addressed to another incarnation of the sidecar.
     WrongIncarnation = 2201, 503, "the attempt names another incarnation";
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -4,16 +4,34 @@
 
 use std::time::Duration;
 
-use amaranthscale_core::id::{EvidenceId, RequestFingerprint, ServerIncarnation};
+use amaranthscale_core::id::{EvidenceId, PromptPartId, RequestFingerprint, ServerIncarnation};
 use amaranthscale_core::process::{
-    CrashEvidence, LossAction, LostRuns, Quarantine, QuarantineChange, QuarantineState,
+    CrashEvidence, LossAction, LostRuns, Quarantine, QuarantineChange, QuarantineState, Suspect,
 };
 
 const NOW: Duration = Duration::from_secs(100);
 const LATER: Duration = Duration::from_secs(102);
 
-fn request(name: &str) -> RequestFingerprint {
-    RequestFingerprint::of(None, "h.example", name, b"")
+/// A request, or a prompt part where the name begins with `part:`.
+fn request(name: &str) -> Suspect {
+    match name.strip_prefix("part:") {
+        Some(part) => PromptPartId::of(part).into(),
+        None => RequestFingerprint::of(None, "h.example", name, b"").into(),
+    }
+}
+
+/// State of a request with this content.
+fn state(quarantine: &Quarantine, names: &[&str], now: Duration) -> QuarantineState {
+    let content: Vec<_> = names.iter().map(|name| request(name)).collect();
+    quarantine.state(&content, now)
+}
+
+/// Number of crashes because of which a request with this content is quarantined.
+fn crashes_of(state: &QuarantineState) -> Option<usize> {
+    match state {
+        QuarantineState::Quarantined(cause) => Some(cause.crashes),
+        _ => None,
+    }
 }
 
 fn server(number: usize) -> ServerIncarnation {
@@ -42,17 +60,14 @@
 }
 
 fn is_quarantined(quarantine: &Quarantine, name: &str) -> bool {
-    matches!(
-        quarantine.state(request(name), LATER),
-        QuarantineState::Quarantined(_)
-    )
+    crashes_of(&state(quarantine, &[name], LATER)).is_some()
 }
 
 #[test]
 fn a_request_is_quarantined_after_three_servers_crashed_while_running_it() {
     let mut quarantine = quarantine(&[&["culprit"], &["culprit"]]);
     assert_eq!(
-        quarantine.state(request("culprit"), LATER),
+        state(&quarantine, &["culprit"], LATER),
         QuarantineState::SingleRun
     );
 
@@ -65,7 +80,7 @@
     );
     assert!(is_quarantined(&quarantine, "culprit"));
     assert_eq!(
-        quarantine.state(request("other"), LATER),
+        state(&quarantine, &["other"], LATER),
         QuarantineState::Clear
     );
 }
@@ -139,17 +154,17 @@
 #[test]
 fn a_request_with_completed_runs_is_not_quarantined() {
     let mut quarantine = quarantine(&[&["popular"], &["popular"], &["popular"]]);
-    assert!(quarantine.publishes_survival(request("popular")));
+    assert!(quarantine.publishes_survival(&request("popular")));
 
     let evidence = CrashEvidence {
-        crashes: Vec::new(),
         survivals: vec![request("popular"); 2],
+        ..CrashEvidence::default()
     };
     let changes = quarantine.add_evidence(id(9), evidence, NOW);
 
     assert_eq!(changes, [QuarantineChange::Released(request("popular"))]);
     assert!(!is_quarantined(&quarantine, "popular"));
-    assert!(!quarantine.publishes_survival(request("popular")));
+    assert!(!quarantine.publishes_survival(&request("popular")));
 }
 
 /// A single completed run may only look complete.
@@ -157,8 +172,8 @@
 fn a_request_with_one_completed_run_is_quarantined_after_more_crashes() {
     let mut quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
     let evidence = CrashEvidence {
-        crashes: Vec::new(),
         survivals: vec![request("a")],
+        ..CrashEvidence::default()
     };
 
     quarantine.add_evidence(id(9), evidence, NOW);
@@ -171,11 +186,11 @@
 fn a_request_is_quarantined_only_some_time_after_its_last_crash() {
     let quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
 
-    let at_once = quarantine.state(request("a"), NOW);
-    let soon = quarantine.state(request("a"), NOW + Duration::from_millis(500));
+    let at_once = state(&quarantine, &["a"], NOW);
+    let soon = state(&quarantine, &["a"], NOW + Duration::from_millis(500));
 
     assert_eq!(at_once, QuarantineState::SingleRun);
-    assert_eq!(soon, QuarantineState::Quarantined(3));
+    assert_eq!(crashes_of(&soon), Some(3));
 }
 
 #[test]
@@ -191,7 +206,7 @@
         }
         pieces.push(evidence);
     }
-    pieces[0].survivals.extend([request("b"); 2]);
+    pieces[0].survivals.extend(vec![request("b"); 2]);
     let quarantined_after = |order: &mut dyn Iterator<Item = usize>| {
         let mut quarantine = Quarantine::default();
         for index in order {
@@ -199,7 +214,7 @@
         }
         let quarantined: Vec<_> = quarantine
             .quarantined()
-            .map(|(request, _)| request)
+            .map(|(request, _)| request.clone())
             .collect();
         quarantined
     };
@@ -214,9 +229,9 @@
 #[test]
 fn evidence_expires_unless_it_is_published_again() {
     let mut quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
-    assert_eq!(quarantine.renewal_of(request("a"), LATER), None);
+    assert_eq!(quarantine.renewal_of(&request("a"), LATER), None);
     let half = NOW + Duration::from_mins(5);
-    let renewal = quarantine.renewal_of(request("a"), half).unwrap();
+    let renewal = quarantine.renewal_of(&request("a"), half).unwrap();
     let last = NOW + Duration::from_secs(601);
 
     let mut without_renewal = quarantine.clone();
@@ -225,13 +240,10 @@
     quarantine.add_evidence(id(8), CrashEvidence::default(), last);
 
     assert_eq!(
-        without_renewal.state(request("a"), last),
+        state(&without_renewal, &["a"], last),
         QuarantineState::Clear
     );
-    assert_eq!(
-        quarantine.state(request("a"), last),
-        QuarantineState::Quarantined(3)
-    );
+    assert_eq!(crashes_of(&state(&quarantine, &["a"], last)), Some(3));
 }
 
 #[test]
@@ -255,12 +267,9 @@
         quarantine.add_evidence(id(number), evidence, now);
     }
 
+    assert_eq!(state(&quarantine, &["r0"], LATER), QuarantineState::Clear);
     assert_eq!(
-        quarantine.state(request("r0"), LATER),
-        QuarantineState::Clear
-    );
-    assert_eq!(
-        quarantine.state(request("r29999"), LATER),
+        state(&quarantine, &["r29999"], LATER),
         QuarantineState::Suspected
     );
 }
@@ -270,22 +279,22 @@
     let mut lost = LostRuns::default();
 
     assert_eq!(
-        lost.record_loss(&server(1), request("a"), NOW),
+        lost.record_loss(&server(1), [request("a")], NOW),
         LossAction::Probe
     );
     assert_eq!(
-        lost.record_loss(&server(1), request("b"), NOW),
+        lost.record_loss(&server(1), [request("b")], NOW),
         LossAction::Wait
     );
     assert_eq!(
-        lost.record_loss(&server(2), request("a"), NOW),
+        lost.record_loss(&server(2), [request("a")], NOW),
         LossAction::Probe
     );
 
     let requests: Vec<_> = lost.mark_crashed(&server(1)).into_iter().collect();
     assert_eq!(requests.len(), 2);
     assert_eq!(
-        lost.record_loss(&server(1), request("c"), NOW),
+        lost.record_loss(&server(1), [request("c")], NOW),
         LossAction::Report
     );
 }
@@ -294,11 +303,11 @@
 #[test]
 fn a_server_that_was_found_listening_is_probed_again() {
     let mut lost = LostRuns::default();
-    lost.record_loss(&server(1), request("a"), NOW);
+    lost.record_loss(&server(1), [request("a")], NOW);
     lost.mark_not_crashed(&server(1));
 
     assert_eq!(
-        lost.record_loss(&server(1), request("b"), NOW),
+        lost.record_loss(&server(1), [request("b")], NOW),
         LossAction::Probe
     );
 
@@ -315,13 +324,13 @@
 #[test]
 fn a_server_that_is_no_longer_listed_counts_as_crashed_for_all_its_lost_runs() {
     let mut lost = LostRuns::default();
-    lost.record_loss(&server(1), request("a"), NOW);
+    lost.record_loss(&server(1), [request("a")], NOW);
     lost.mark_not_crashed(&server(1));
-    lost.record_loss(&server(1), request("b"), NOW);
+    lost.record_loss(&server(1), [request("b")], NOW);
 
     assert_eq!(lost.mark_gone(&server(1)).len(), 2);
     assert_eq!(
-        lost.record_loss(&server(1), request("c"), NOW),
+        lost.record_loss(&server(1), [request("c")], NOW),
         LossAction::Report
     );
 }
@@ -330,11 +339,177 @@
 #[test]
 fn runs_lost_at_a_server_that_keeps_running_expire() {
     let mut lost = LostRuns::default();
-    lost.record_loss(&server(1), request("a"), NOW);
+    lost.record_loss(&server(1), [request("a")], NOW);
     assert!(lost.unlisted(|_| true).is_empty());
     assert_eq!(lost.unlisted(|_| false), [server(1)]);
 
-    lost.record_loss(&server(2), request("b"), NOW + Duration::from_secs(13));
+    lost.record_loss(&server(2), [request("b")], NOW + Duration::from_secs(13));
 
     assert!(lost.mark_crashed(&server(1)).is_empty());
 }
+
+/// A part crashes servers whatever else a request holds; no request ever comes twice.
+#[test]
+fn a_prompt_part_that_crashed_three_servers_quarantines_all_requests_with_it() {
+    let quarantine = quarantine(&[
+        &["part:first", "part:dead", "a"],
+        &["part:dead", "b"],
+        &["part:first", "part:dead", "c"],
+    ]);
+
+    let with_it = state(&quarantine, &["part:other", "part:dead", "d"], LATER);
+    let without_it = state(&quarantine, &["part:other", "e"], LATER);
+
+    assert_eq!(crashes_of(&with_it), Some(3));
+    assert_eq!(without_it, QuarantineState::Clear);
+}
+
+/// A request that holds only some of the parts that explain the crashes shows which one it is.
+#[test]
+fn requests_with_one_of_two_parts_that_explain_the_crashes_run_one_at_a_time() {
+    let mut quarantine = quarantine(&[&["part:dead", "part:beside"][..]; 3]);
+
+    let both = state(&quarantine, &["part:dead", "part:beside"], LATER);
+    let beside = state(&quarantine, &["part:beside", "a"], LATER);
+    crash(&mut quarantine, 3, &["part:dead", "b"]);
+    crash(&mut quarantine, 4, &["part:dead", "c"]);
+
+    assert_eq!(crashes_of(&both), Some(3));
+    assert_eq!(beside, QuarantineState::SingleRun);
+    assert!(is_quarantined(&quarantine, "part:dead"));
+    assert!(!is_quarantined(&quarantine, "part:beside"));
+}
+
+/// Guards against a part that is refused for good because it was also lost in an unrelated crash.
+#[test]
+fn a_part_with_one_unrelated_crash_more_than_the_crashing_part_may_clear_itself() {
+    let mut quarantine = quarantine(&[
+        &["part:first", "part:dead"],
+        &["part:first", "part:dead"],
+        &["part:first", "part:dead"],
+        &["part:first"],
+    ]);
+
+    let first = state(&quarantine, &["part:first", "a"], LATER);
+    let content = [request("part:first"), request("a")];
+    quarantine.record_completion(&content, LATER);
+    quarantine.record_completion(&content, LATER);
+
+    assert_eq!(first, QuarantineState::SingleRun);
+    assert!(!is_quarantined(&quarantine, "part:first"));
+    let confirmed_at = LATER + Duration::from_secs(1);
+    let dead = state(&quarantine, &["part:first", "part:dead"], confirmed_at);
+    assert_eq!(crashes_of(&dead), Some(3));
+}
+
+/// Guards against two crashes that slow down every request with a popular part.
+#[test]
+fn a_part_that_completed_a_short_time_ago_is_exempt_from_single_runs() {
+    let mut known = Quarantine::default();
+    known.record_completion(&[request("part:popular")], NOW);
+    let mut unknown = Quarantine::default();
+    for quarantine in [&mut known, &mut unknown] {
+        crash(quarantine, 0, &["part:popular"]);
+        crash(quarantine, 1, &["part:popular"]);
+    }
+
+    let after_pause = NOW + Duration::from_secs(11);
+
+    assert_eq!(
+        state(&known, &["part:popular"], LATER),
+        QuarantineState::Suspected
+    );
+    assert_eq!(
+        state(&unknown, &["part:popular"], LATER),
+        QuarantineState::SingleRun
+    );
+    assert_eq!(
+        state(&known, &["part:popular"], after_pause),
+        QuarantineState::SingleRun
+    );
+}
+
+/// Guards against a popular part that is quarantined before its other runs could end.
+#[test]
+fn a_part_that_completed_a_short_time_ago_gets_more_time_to_clear_itself() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_completion(&[request("part:popular")], NOW);
+    for number in 0..6 {
+        crash(&mut quarantine, number, &["part:popular"]);
+    }
+
+    let soon = state(&quarantine, &["part:popular"], NOW + Duration::from_secs(1));
+    for _ in 0..3 {
+        quarantine.record_completion(&[request("part:popular")], NOW + Duration::from_secs(1));
+    }
+
+    assert_eq!(soon, QuarantineState::Suspected);
+    assert!(!is_quarantined(&quarantine, "part:popular"));
+}
+
+/// Guards against a part that completed before it began to crash servers and is never quarantined.
+#[test]
+fn a_part_that_begins_to_crash_servers_is_quarantined() {
+    let mut quarantine = Quarantine::default();
+    for _ in 0..50 {
+        quarantine.record_completion(&[request("part:dead")], NOW);
+    }
+    for number in 0..3 {
+        crash(&mut quarantine, number, &["part:dead"]);
+    }
+
+    assert!(is_quarantined(&quarantine, "part:dead"));
+}
+
+/// A claim counts as a crash, as nobody would publish one if its entry ended.
+#[test]
+fn a_claimed_run_counts_as_a_crash_until_it_is_withdrawn() {
+    let mut quarantine = quarantine(&[&["part:dead"], &["part:dead"]]);
+    let claim = CrashEvidence {
+        claimed: vec![request("part:dead")],
+        ..CrashEvidence::default()
+    };
+
+    quarantine.add_evidence(id(9), claim, NOW);
+    let claimed = state(&quarantine, &["part:dead"], LATER);
+    quarantine.remove_evidence(&id(9), LATER);
+
+    assert_eq!(crashes_of(&claimed), Some(3));
+    assert_eq!(
+        state(&quarantine, &["part:dead"], LATER),
+        QuarantineState::SingleRun
+    );
+}
+
+/// Guards against a claimed part that hides another one with as many real crashes.
+#[test]
+fn a_claim_explains_no_crashes() {
+    let mut quarantine = quarantine(&[&["part:dead", "part:beside"][..]; 3]);
+    let claim = CrashEvidence {
+        claimed: vec![request("part:beside")],
+        ..CrashEvidence::default()
+    };
+
+    quarantine.add_evidence(id(9), claim, NOW);
+
+    let both = state(&quarantine, &["part:dead", "part:beside"], LATER);
+    let dead = quarantine.quarantined();
+    assert!(crashes_of(&both).is_some());
+    assert!(
+        dead.map(|(suspect, _)| suspect)
+            .any(|suspect| *suspect == request("part:dead"))
+    );
+}
+
+/// Guards against evidence that entries of the version before cannot read, or the other way round.
+#[test]
+fn evidence_of_whole_requests_has_kept_its_form() {
+    let text = r#"{"crashes":[{"server":"s1","suspects":["711c9124e5fddaec0fdb201d0cd0d665"]}]}"#;
+
+    let read: CrashEvidence = serde_json::from_str(text).unwrap();
+
+    let suspects = &read.crashes[0].suspects;
+    assert_eq!(suspects[0].to_string(), "711c9124e5fddaec0fdb201d0cd0d665");
+    assert!(!suspects[0].is_prompt_part());
+    assert!(read.claimed.is_empty());
+}
--- a/crates/core/tests/spec_quarantine.rs
+++ b/crates/core/tests/spec_quarantine.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{EvidenceId, RequestFingerprint};
-use amaranthscale_core::process::{CrashEvidence, Quarantine, QuarantineState};
+use amaranthscale_core::process::{CrashEvidence, Quarantine, QuarantineState, Suspect};
 
 const GATEWAYS: usize = 3;
 /// Maximum servers that one call may reach.
@@ -69,8 +69,8 @@
     trace: Vec<(&'static str, usize)>,
 }
 
-fn culprit() -> RequestFingerprint {
-    RequestFingerprint::of(None, "h.example", "/a/", b"crashes")
+fn culprit() -> Suspect {
+    RequestFingerprint::of(None, "h.example", "/a/", b"crashes").into()
 }
 
 fn claim_id() -> EvidenceId {
@@ -141,12 +141,14 @@
         }
         let mut model = self.transition("receives the request", index);
         model.calls += 1;
-        match gateway.quarantine.state(culprit(), self.now()) {
+        match gateway.quarantine.state(&[culprit()], self.now()) {
             QuarantineState::Quarantined(_) => {}
             QuarantineState::SingleRun if guards.allows_single_runs_only => {
                 if !self.store.contains_key(&claim_id()) {
-                    let mut claim = CrashEvidence::default();
-                    claim.add_crash(&format!("single-g{index}").parse().unwrap(), culprit());
+                    let claim = CrashEvidence {
+                        claimed: vec![culprit()],
+                        ..CrashEvidence::default()
+                    };
                     model.store.insert(claim_id(), claim);
                     model.gateways[index].reached = Some(0);
                     model.gateways[index].has_claim = true;
@@ -163,7 +165,7 @@
     fn send(&self, index: usize, guards: Guards) -> Option<Self> {
         let gateway = &self.gateways[index];
         let reached = gateway.reached?;
-        let verdict = gateway.quarantine.state(culprit(), self.now());
+        let verdict = gateway.quarantine.state(&[culprit()], self.now());
         let is_last = match verdict {
             QuarantineState::Quarantined(_) => true,
             QuarantineState::SingleRun => {
