An overloaded gateway closes some new connections unread

Cause: a gateway took every connection and read every request, whatever it could complete. Its event loop came late, all requests with it, and the work was done for callers who had left.

Each gateway now measures how late its event loop handles a timer. From 50 ms on, for 150 ms, it closes a growing share of callers' new connections before it reads anything; their callers know that nothing ran and connect elsewhere. The share recovers within 2 s. A single pause closes nothing.

A smaller burst and the same burst over five gateways close nothing.

one_gateway_that_gets_most_new_connections_closes_some_unread failed without the decision (0 of 40 closed).

--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -70,14 +70,14 @@
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let listener = TcpListener::bind(listen).await?;
-        Self::start_on(listener, move || limits.clone(), handle)
+        Self::start_on(listener, move || Some(limits.clone()), handle)
     }
 
     /// Like [`Self::start`], on a listener that is already bound, with limits that are read for
-    /// each new connection.
+    /// each new connection. A connection without limits is closed before anything is read from it.
     pub fn start_on<L, H, F, B>(listener: TcpListener, limits: L, handle: H) -> io::Result<Self>
     where
-        L: Fn() -> HttpServerLimits + Send + 'static,
+        L: Fn() -> Option<HttpServerLimits> + Send + 'static,
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body<Data = Bytes> + Send + 'static,
@@ -118,7 +118,7 @@
     mut stopped: watch::Receiver<bool>,
 ) -> GracefulShutdown
 where
-    L: Fn() -> HttpServerLimits + Send + 'static,
+    L: Fn() -> Option<HttpServerLimits> + Send + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
@@ -131,7 +131,11 @@
             _ = stopped.wait_for(|stop| *stop) => return connections,
         };
         match accepted {
-            Ok((stream, _peer)) => serve(stream, &limits(), handle.clone(), &connections),
+            Ok((stream, _peer)) => {
+                if let Some(limits) = limits() {
+                    serve(stream, &limits, handle.clone(), &connections);
+                }
+            }
             Err(error) => {
                 debug!("server: accept failed: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -17,9 +17,9 @@
     BatchOwnerArguments, BatchOwners, BufferMemory, CrashTracker, EngineOverviews,
     FirstEventEstimators, GatewayContext, LimitTracker, OriginTracker, PromptSources, RetryBudgets,
     RunBackups, SendShares, ShutdownGate, StageTimes, StatementRecorder, VersionTracker,
-    exchange_speeds, monitor_unresponsive, publish_crashes, publish_limits, publish_versions,
-    remove_expired_evidence, remove_stale_drains, remove_stale_limits, send_origins,
-    withdraw_versions,
+    exchange_speeds, monitor_loop_delay, monitor_unresponsive, publish_crashes, publish_limits,
+    publish_versions, remove_expired_evidence, remove_stale_drains, remove_stale_limits,
+    send_origins, withdraw_versions,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -104,6 +104,7 @@
         tokio::spawn(propagate_changes(Arc::clone(&context)));
         tokio::spawn(sweep(Arc::clone(&context)));
         tokio::spawn(exchange_speeds(Arc::clone(&context)));
+        tokio::spawn(monitor_loop_delay(Arc::clone(&context)));
         tokio::spawn(monitor_unresponsive(
             Arc::clone(&context),
             announcer.clone(),
@@ -314,6 +315,7 @@
         server_selector,
         engine_overviews: EngineOverviews::default(),
         moving_runs: Arc::default(),
+        caller_intake: Mutex::default(),
         speed_collector: Mutex::new(SpeedCollector::new(config.instance.clone())),
     }
 }
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -29,7 +29,13 @@
     let handle =
         move |request: Request<Incoming>| answer_caller(Arc::clone(&caller_context), request);
     let limit_context = Arc::clone(context);
-    let limits = move || caller_limits(&limit_context);
+    let limits = move || {
+        let is_taken = limit_context.caller_intake().takes_connection();
+        if !is_taken {
+            limit_context.counters.count("callers.closed-unread");
+        }
+        is_taken.then(|| caller_limits(&limit_context))
+    };
     let listener = bind("callers", config.caller_address).await?;
     HttpServer::start_on(listener, limits, handle)
         .map_err(|cause| GatewayError::Listen("callers", config.caller_address, cause))
@@ -80,7 +86,7 @@
         move |request: Request<Incoming>| serve_peer(Arc::clone(&peer_context), request);
     let address = config.announcement.address;
     let peer_limits = limits.clone();
-    let peers = HttpServer::start_on(peers, move || peer_limits.clone(), answer_peer)
+    let peers = HttpServer::start_on(peers, move || Some(peer_limits.clone()), answer_peer)
         .map_err(|cause| GatewayError::Listen("other gateways", address, cause))?;
     let mut metrics = None;
     if let Some(address) = config.metrics_address {
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -11,6 +11,7 @@
 mod first_event_estimators;
 mod gateway_context;
 mod limit_tracker;
+mod monitor_loop_delay;
 mod monitor_unresponsive;
 mod moving_runs;
 mod origin_tracker;
@@ -54,6 +55,7 @@
 #[doc(inline)]
 pub use limit_tracker::LimitTracker;
 #[doc(inline)]
+pub use monitor_loop_delay::monitor_loop_delay;
 pub use monitor_unresponsive::monitor_unresponsive;
 #[doc(inline)]
 pub use moving_runs::{MovingRunGuard, MovingRuns};
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use amaranthscale_core::id::{InstanceId, ServiceId, ZoneId};
-use amaranthscale_core::process::{ConnectionShare, ServerSelector, SpeedCollector};
+use amaranthscale_core::process::{CallerIntake, ConnectionShare, ServerSelector, SpeedCollector};
 
 use super::super::connection::ConnectionPool;
 use super::super::version::{AnnouncementWriter, ClusterView, TableRelay};
@@ -62,6 +62,8 @@
     pub counters: Arc<Counters>,
     /// Latencies by part of a request and by stage service.
     pub latencies: Arc<Latencies>,
+    /// Decides which new connections of callers are served.
+    pub caller_intake: Mutex<CallerIntake>,
     /// Memory for callers' requests.
     pub request_memory: BufferMemory,
     /// Memory for servers' answers until their callers have read them.
@@ -119,6 +121,13 @@
         })
     }
 
+    /// The decision on callers' new connections; the lock is held for single decisions only.
+    pub fn caller_intake(&self) -> MutexGuard<'_, CallerIntake> {
+        self.caller_intake
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The collector of engines' speed; the lock is held for single messages only.
     pub fn speed_collector(&self) -> MutexGuard<'_, SpeedCollector> {
         self.speed_collector
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -11,6 +11,7 @@
 mod attainment_tracker;
 mod attempt_end;
 mod batcher;
+mod caller_intake;
 mod cell;
 mod cold_limits;
 mod cold_times;
@@ -82,6 +83,8 @@
     RefusedForecast, RetainedResult, StageSpec, StageTimes,
 };
 #[doc(inline)]
+pub use caller_intake::{CallerIntake, INTAKE_SAMPLE_INTERVAL};
+#[doc(inline)]
 pub use cell::Cell;
 #[doc(inline)]
 pub use cold_limits::{ColdAllowance, ColdLimits, ColdSpec};
