--- a/crates/amaranthscale/src/gateway/request.rs
+++ b/crates/amaranthscale/src/gateway/request.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod run_continuation;
 mod run_move_state;
+mod run_versions;
 mod send;
 mod stream_relay;
 
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::{
-    CallId, InstanceId, ResultHandle, ServerIncarnation, ServiceId, SoftwareVersion,
+    InstanceId, ResultHandle, ServerIncarnation, ServiceId, SoftwareVersion,
 };
 use amaranthscale_core::process::{
     ConnectionShare, DEFAULT_ENGINE_TIME, EnginePrompt, JobFailure, JobSpec, LoadSnapshot,
-    PromptHomes, SendingEntry, ServerRecord, StageSpec, VersionBinding,
+    PromptHomes, SendingEntry, ServerRecord, StageSpec,
 };
 use amaranthscale_core::{Ran, ResultCode};
 use hyper::Response;
@@ -153,71 +153,6 @@
         }
     }
 
-    /// Sets the software versions whose engines may run the request.
-    ///
-    /// A stream that its caller takes up goes on at the version that began it, and is refused where
-    /// that is not known.
-    async fn bind_version(&mut self) -> Result<(), Refusal> {
-        let Some(resumption) = self.admitted.attributes.resumption.clone() else {
-            if self.admitted.route.kind.may_repeat() {
-                self.admitted.versions = self.context.versions.beginning(&self.service).await;
-            }
-            return Ok(());
-        };
-        let first_call = resumption.first_call.as_ref();
-        let name = first_call.map_or("-", |call| call.as_str());
-        let after = self
-            .outgoing
-            .header(&self.context.dialect.headers.last_event);
-        self.context.counters.count("stream.taken-up");
-        info!(
-            call = self.admitted.attributes.call.as_str(), first_call = name,
-            event = after.unwrap_or("-");
-            "stream: taken up"
-        );
-        let only_version = self.context.versions.only_version(&self.service);
-        let version = match (only_version, first_call) {
-            (Some(version), _) => Some(version),
-            (None, Some(first_call)) => self.find_version(first_call).await,
-            (None, None) => None,
-        };
-        let Some(version) = version else {
-            return Err(self.refuse_resumption(ResultCode::StreamOriginUnknown, name, None));
-        };
-        let servers = self.context.cluster_view.servers();
-        let mut of_service = servers.not_leaving(&self.service);
-        if !of_service.any(|server| server.software_version == version) {
-            let code = ResultCode::StreamVersionGone;
-            return Err(self.refuse_resumption(code, name, version.as_ref()));
-        }
-        self.admitted.versions = VersionBinding::only(version);
-        Ok(())
-    }
-
-    /// The version at which a stream of this service began, if that is known.
-    async fn find_version(&self, first_call: &CallId) -> Option<Option<SoftwareVersion>> {
-        let key = self.admitted.stream_key(first_call);
-        let origin = self.context.find_origin(&key).await?;
-        (origin.service == self.service).then_some(origin.version)
-    }
-
-    fn refuse_resumption(
-        &self,
-        code: ResultCode,
-        first_call: &str,
-        version: Option<&SoftwareVersion>,
-    ) -> Refusal {
-        let known = self.context.versions.known(&self.service);
-        let known = known.iter().map(|known| version_name(known.as_ref()));
-        let known: Vec<_> = known.collect();
-        info!(
-            call = self.admitted.attributes.call.as_str(), first_call, reason = code.name(),
-            version = version_name(version), versions = known.join(",").as_str();
-            "stream: not continued"
-        );
-        Refusal::new(code)
-    }
-
     /// Runs the job and sends the request until an engine has begun to answer.
     pub(super) async fn start(&mut self) -> Result<EngineAnswer, Refusal> {
         let answer = self.run_until_answered().await;
@@ -606,8 +541,3 @@
         );
     }
 }
-
-/// Name of a software version in log lines.
-pub(super) fn version_name(version: Option<&SoftwareVersion>) -> &str {
-    version.map_or("-", SoftwareVersion::as_str)
-}
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -24,9 +24,10 @@
 use super::super::connection::ServerConnection;
 use super::super::process::{BufferMemory, HeldCopy, JobResults, MovableRun, OpenRequest};
 use super::answer::{AnswerBody, TruncatedAnswer, forwarded_response};
-use super::engine_run::{EngineAnswer, EngineRun, version_name};
+use super::engine_run::{EngineAnswer, EngineRun};
 use super::event_splitter::{EventSplitter, StreamEvent};
 use super::run_move_state::RunMoveState;
+use super::run_versions::version_name;
 use super::send::{InFlightSend, StartedAnswer};
 use crate::connection::{AnswerFraming, BodyEnd, BodyPart};
 
