Completed runs of suspects count once, and few gateways publish them

And each gateway with a completed run of a popular part published it within 50 ms of the others: with 380 gateways some 380 writes for two crashed servers, as the part is lost in each crash.

Own completed runs are now taken out when they are published, as many as are needed to clear the suspect. Writes that hold only completed runs are spread over a second for each 150 gateways, as those of many crashes are, and a crash ends the wait. Core tests of both fail without it.

--- a/crates/amaranthscale/src/gateway/process/crash_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_tracker.rs
@@ -52,8 +52,6 @@
     quarantine: Quarantine,
     lost_runs: LostRuns,
     unpublished: CrashEvidence,
-    /// Completed runs of suspects, published unless other gateways' evidence clears them first.
-    unpublished_survivals: Vec<Suspect>,
     /// Number of the evidence that is being collected.
     evidence_number: u64,
     /// Evidence to which nothing more is added, to be published.
@@ -238,13 +236,11 @@
         let changes = state.quarantine.record_completion(&suspects, now);
         self.log(&changes);
         for suspect in suspects {
-            if !state.quarantine.publishes_survival(&suspect) {
-                continue;
+            if state.quarantine.publishes_survival(&suspect) {
+                self.counters.count("quarantine.survived");
+                info!(suspect:% = suspect; "quarantine: suspect completed");
+                self.publish_requested.notify_one();
             }
-            self.counters.count("quarantine.survived");
-            info!(suspect:% = suspect; "quarantine: suspect completed");
-            state.unpublished_survivals.push(suspect);
-            self.publish_requested.notify_one();
         }
     }
 
@@ -313,18 +309,24 @@
         self.publish_requested.notified().await;
     }
 
-    /// Removes and returns the unpublished evidence with its ids.
+    /// Whether there are crashes to publish, and not only completed runs.
+    pub(super) fn has_unpublished_crashes(&self) -> bool {
+        let state = self.state();
+        let sealed = state.sealed.iter().map(|(_, evidence)| evidence);
+        let mut unpublished = sealed.chain([&state.unpublished]);
+        unpublished.any(|evidence| !evidence.crashes.is_empty())
+    }
+
+    /// Removes and returns the unpublished evidence with its ids; completed runs only as far as
+    /// other gateways' evidence has not cleared their suspects.
     pub(super) fn take_unpublished(&self) -> Vec<(EvidenceId, CrashEvidence)> {
         let now = self.clock.now();
         let mut state = self.state();
-        let survivals = std::mem::take(&mut state.unpublished_survivals);
-        let quarantine = &state.quarantine;
-        let needed = survivals.into_iter();
-        let needed: Vec<_> = needed
-            .filter(|suspect| quarantine.publishes_survival(suspect))
-            .collect();
-        state.unpublished.survivals.extend(needed);
-        self.apply_unpublished(&mut state, now);
+        let survivals = state.quarantine.take_survivals();
+        if !survivals.is_empty() {
+            state.unpublished.survivals.extend(survivals);
+            self.apply_unpublished(&mut state, now);
+        }
         state.seal_unpublished(&self.instance);
         std::mem::take(&mut state.sealed)
     }
--- a/crates/amaranthscale/src/gateway/process/publish_crashes.rs
+++ b/crates/amaranthscale/src/gateway/process/publish_crashes.rs
@@ -5,6 +5,7 @@
 
 use amaranthscale_core::process::Cell;
 use log::{info, warn};
+use tokio::time::Instant;
 
 use super::super::StoreApi;
 use super::super::version::{write_store, write_store_with_retry};
@@ -27,12 +28,11 @@
     loop {
         context.crashes.publish_requested().await;
         tokio::time::sleep(GATHER_DELAY).await;
+        spread_survivals(&context).await;
         let evidence = context.crashes.take_unpublished();
         let crashes: usize = evidence.iter().map(|(_, one)| one.crashes.len()).sum();
         if crashes >= SPREAD_MIN_CRASHES {
-            let gateways = u32::try_from(context.cluster_view.live_count()).unwrap_or(u32::MAX);
-            let spread = Duration::from_secs(1) * gateways / STORE_WRITES_PER_S;
-            tokio::time::sleep(spread.mul_f64(rand::random_range(0.0..1.0))).await;
+            tokio::time::sleep(spread_delay(&context)).await;
         }
         for (id, evidence) in evidence {
             let publish = || (store.publish_evidence)(&id, &evidence);
@@ -51,6 +51,25 @@
     }
 }
 
+/// Spreads the writes of gateways that have only completed runs to publish, so that the first ones
+/// make the others superfluous; ends early if there is a crash to publish.
+async fn spread_survivals(context: &GatewayContext) {
+    let deadline = Instant::now() + spread_delay(context);
+    while !context.crashes.has_unpublished_crashes() {
+        let requested = context.crashes.publish_requested();
+        if tokio::time::timeout_at(deadline, requested).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// A random time by which the writes of all gateways are spread.
+fn spread_delay(context: &GatewayContext) -> Duration {
+    let gateways = u32::try_from(context.cluster_view.live_count()).unwrap_or(u32::MAX);
+    let spread = Duration::from_secs(1) * gateways / STORE_WRITES_PER_S;
+    spread.mul_f64(rand::random_range(0.0..1.0))
+}
+
 /// Removes expired evidence from the store; only the owner of [`Cell::SINGLE`] does so.
 pub async fn remove_expired_evidence(context: Arc<GatewayContext>, store: StoreApi) {
     loop {
--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -127,7 +127,7 @@
     suspicions: Suspicions,
     /// Culprits, and since when they are known.
     culprits: BTreeMap<Suspect, Duration>,
-    /// Number of completed runs of suspects at this entry.
+    /// Number of completed runs of suspects at this entry that are not published.
     own_survivals: BTreeMap<Suspect, usize>,
     /// Time of the last completed run of each prompt part at this entry.
     completed_parts: BTreeMap<Suspect, Duration>,
@@ -264,6 +264,21 @@
             && !self.suspicions.is_cleared(suspect, 0)
     }
 
+    /// Removes and returns the completed runs at this entry that others need to clear suspects; they
+    /// count again as evidence once they are published.
+    pub fn take_survivals(&mut self) -> Vec<Suspect> {
+        let mut taken = Vec::new();
+        for (suspect, own) in &mut self.own_survivals {
+            let missing = self.suspicions.missing_survivals(suspect);
+            if self.suspicions.crashes(suspect) >= SINGLE_RUN_FROM {
+                let published = missing.min(*own);
+                *own -= published;
+                taken.extend(std::iter::repeat_n(suspect.clone(), published));
+            }
+        }
+        taken
+    }
+
     /// The evidence against a quarantined suspect that arrives again, if it should be published
     /// again.
     #[must_use]
--- a/crates/core/src/process/quarantine/suspicions.rs
+++ b/crates/core/src/process/quarantine/suspicions.rs
@@ -55,8 +55,14 @@
 
     /// Whether a suspect has completed so often that its crashes are no evidence.
     pub(super) fn is_cleared(&self, suspect: &Suspect, own_survivals: usize) -> bool {
+        own_survivals >= self.missing_survivals(suspect)
+    }
+
+    /// Number of completed runs that would have to be published to clear a suspect.
+    pub(super) fn missing_survivals(&self, suspect: &Suspect) -> usize {
         let published = self.survivals.get(suspect).copied().unwrap_or(0);
-        (published + own_survivals) * CRASHES_PER_SURVIVAL >= self.crashes(suspect)
+        let needed = self.crashes(suspect).div_ceil(CRASHES_PER_SURVIVAL);
+        needed.saturating_sub(published)
     }
 
     /// Number of servers that crashed while running a suspect, and of its runs under way.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -513,3 +513,37 @@
     assert!(!suspects[0].is_prompt_part());
     assert!(read.claimed.is_empty());
 }
+
+/// Guards against completed runs that count twice, as own ones and as published ones.
+#[test]
+fn completed_runs_that_are_published_count_once() {
+    let mut quarantine = quarantine(&[&["a"], &["a"], &["a"]]);
+    quarantine.record_completion(&[request("a")], NOW);
+
+    let survivals = quarantine.take_survivals();
+    let published = CrashEvidence {
+        survivals: survivals.clone(),
+        ..CrashEvidence::default()
+    };
+    quarantine.add_evidence(id(9), published, NOW);
+
+    assert_eq!(survivals, [request("a")]);
+    assert!(is_quarantined(&quarantine, "a"));
+}
+
+/// Guards against a write of each entry for each completed run of a popular part.
+#[test]
+fn only_completed_runs_that_others_need_are_published() {
+    let mut quarantine = quarantine(&[&["part:popular"]; 4].map(|lost| &lost[..]));
+    for _ in 0..50 {
+        quarantine.record_completion(&[request("part:popular")], NOW);
+    }
+
+    let by_others = CrashEvidence {
+        survivals: vec![request("part:popular")],
+        ..CrashEvidence::default()
+    };
+    quarantine.add_evidence(id(9), by_others, NOW);
+
+    assert_eq!(quarantine.take_survivals(), [request("part:popular")]);
+}
