A suspected request waits a moment for another one's single run to end

A claim that is taken is tried again every 50 ms for half a second, without a write while the claim is known to stand.

--- a/crates/amaranthscale/src/gateway/process/crash_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_tracker.rs
@@ -17,6 +17,7 @@
 };
 use log::{info, warn};
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::super::StoreApi;
 use super::super::version::ClusterView;
@@ -31,6 +32,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Interval at which a waiting request's quarantine is checked again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a request waits for the single run of another one to end.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause before a claim is tried again.
+const CLAIM_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum number of suspects in one row of evidence, as the store limits the size of rows.
 const MAX_SUSPECTS_PER_ROW: usize = 500;
 
@@ -105,45 +110,43 @@
         self.state().quarantine_state(content, now) == QuarantineState::SingleRun
     }
 
-    /// Claims the single run of a suspected request; `None` where it needs no claim, an error if it
-    /// may not run now.
+    /// Claims the single run of a suspected request, or waits a short time for another one to end;
+    /// `None` where it needs no claim, an error if it may not run now.
     pub(crate) async fn claim_single_run(
         self: &Arc<Self>,
         content: &RequestContent,
     ) -> Result<Option<SingleRun>, ()> {
-        if !self.requires_single_run(content) {
-            return Ok(None);
-        }
-        let now = self.clock.now();
-        let suspects = content.suspects();
-        let suspects = self.state().quarantine.single_run_suspects(&suspects, now);
-        let Some(claimed) = suspects.first().cloned() else {
-            return Ok(None);
-        };
-        // In a task of its own, so that a caller that leaves meanwhile cannot leave the claim
-        // behind.
-        let claim_task = tokio::spawn(SingleRun::claim(
-            Arc::clone(self),
-            claimed.clone(),
-            suspects,
-        ));
-        let claim = claim_task
-            .await
-            .unwrap_or_else(|error| Err(error.to_string()));
-        match claim {
-            Ok(Some(run)) => {
-                self.counters.count("quarantine.single-run");
-                Ok(Some(run))
-            }
-            Ok(None) => {
-                self.counters.count("quarantine.single-run-taken");
-                Err(())
-            }
-            Err(reason) => {
-                warn!(suspect:% = claimed, reason = reason.as_str(); "quarantine: single run not claimed");
-                Err(())
+        let deadline = Instant::now() + CLAIM_TIMEOUT;
+        while self.requires_single_run(content) {
+            let now = self.clock.now();
+            let suspects = content.suspects();
+            let suspects = self.state().quarantine.single_run_suspects(&suspects, now);
+            let Some(claimed) = suspects.first().cloned() else {
+                return Ok(None);
+            };
+            // In a task of its own, so that a caller that leaves meanwhile cannot leave the claim
+            // behind.
+            let claim = SingleRun::claim(Arc::clone(self), claimed.clone(), suspects);
+            let claim = tokio::spawn(claim).await;
+            match claim.unwrap_or_else(|error| Err(error.to_string())) {
+                Ok(Some(run)) => {
+                    self.counters.count("quarantine.single-run");
+                    return Ok(Some(run));
+                }
+                Ok(None) if Instant::now() < deadline => {
+                    tokio::time::sleep(CLAIM_RETRY_PAUSE).await;
+                }
+                Ok(None) => {
+                    self.counters.count("quarantine.single-run-taken");
+                    return Err(());
+                }
+                Err(reason) => {
+                    warn!(suspect:% = claimed, reason = reason.as_str(); "quarantine: single run not claimed");
+                    return Err(());
+                }
             }
         }
+        Ok(None)
     }
 
     /// Requests to the store.
@@ -151,9 +154,10 @@
         &self.store
     }
 
-    /// Excludes a claim of this gateway from the evidence.
-    pub(super) fn add_own_claim(&self, id: &EvidenceId) {
-        self.state().own_claims.insert(id.clone());
+    /// Excludes a claim of this gateway from the evidence; false if a claim with this id is known.
+    pub(super) fn add_own_claim(&self, id: &EvidenceId) -> bool {
+        let mut state = self.state();
+        !state.quarantine.has_evidence(id) && state.own_claims.insert(id.clone())
     }
 
     /// Counts a claim again, as another gateway may make it.
--- a/crates/amaranthscale/src/gateway/process/single_run.rs
+++ b/crates/amaranthscale/src/gateway/process/single_run.rs
@@ -31,7 +31,7 @@
 
 impl SingleRun {
     /// Claims the run of a suspect for all that the request is suspected for; `None` while another
-    /// gateway holds the claim.
+    /// request holds the claim.
     pub(super) async fn claim(
         tracker: Arc<CrashTracker>,
         suspect: Suspect,
@@ -42,7 +42,9 @@
             claimed,
             ..CrashEvidence::default()
         };
-        tracker.add_own_claim(&id);
+        if !tracker.add_own_claim(&id) {
+            return Ok(None);
+        }
         let claim = (tracker.store().publish_evidence_if_absent)(&id, &evidence);
         let mut run = Self {
             id,
--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -190,6 +190,12 @@
         self.update_culprits(now)
     }
 
+    /// Whether there is evidence with an id.
+    #[must_use]
+    pub fn has_evidence(&self, id: &EvidenceId) -> bool {
+        self.evidence.contains_key(id)
+    }
+
     /// State of a request with this content.
     #[must_use]
     pub fn state(&self, content: &[Suspect], now: Duration) -> QuarantineState {
