Completed runs do not count against crashes to come

Found in reading: a gateway counted all completed runs of a suspect for ten minutes from its first crash on. A popular part that was lost in one crash and completed 500 times would have had to crash 1,000 servers before that gateway quarantined it, if it began to crash them later (a new software version, for one). No more than what clears the suspect at the time is counted now, as it is for published runs. The core test fails without it.

--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -241,8 +241,11 @@
             if suspect.is_prompt_part() {
                 self.completed_parts.insert(suspect.clone(), now);
             }
-            if self.suspicions.crashes(suspect) > 0 {
-                *self.own_survivals.entry(suspect.clone()).or_default() += 1;
+            // A surplus would count against crashes to come.
+            let missing = self.suspicions.missing_survivals(suspect);
+            let own = self.own_survivals.get(suspect).copied().unwrap_or(0);
+            if own < missing {
+                self.own_survivals.insert(suspect.clone(), own + 1);
             }
         }
         if self.completed_parts.len() > MAX_COMPLETED_PARTS {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -547,3 +547,19 @@
 
     assert_eq!(quarantine.take_survivals(), [request("part:popular")]);
 }
+
+/// Guards against a popular part that was lost in one crash, completed often since, and then begins
+/// to crash servers.
+#[test]
+fn completed_runs_do_not_count_against_later_crashes() {
+    let mut quarantine = quarantine(&[&["part:dead"]]);
+    for _ in 0..500 {
+        quarantine.record_completion(&[request("part:dead")], NOW);
+    }
+
+    for number in 1..4 {
+        crash(&mut quarantine, number, &["part:dead"]);
+    }
+
+    assert!(is_quarantined(&quarantine, "part:dead"));
+}
