One look-up of shared prompt parts, and of what clears a suspect; no false log line

From reading the whole change once more, without a change of what callers see:

- With caller-intake disabled the event loop was still measured 40 times a second, and a late one logged that connections were closed though none were.
The measurement is started only where the feature is enabled; without it all connections are served, so the listener asks once.
- The parts of a prompt before its own one were taken apart in two places of the gateway: RequestAttributes::shared_parts.
- Own completed runs were looked up at each use of is_cleared; it does so itself, and record_completion asks it.
- monitor_unresponsive had lost its doc(inline).

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -10,7 +10,6 @@
 use quick_error::quick_error;
 use tokio::task::JoinHandle;
 
-use super::GatewayConfig;
 use super::connection::ConnectionPool;
 use super::listen::{InternalServers, bind, listen_callers, listen_internal};
 use super::process::{
@@ -26,6 +25,7 @@
     READY_AGE_PERCENT, RelayContext, follow_instances, follow_routing, follow_servers,
     withdraw_instance,
 };
+use super::{Feature, GatewayConfig};
 use crate::connection::{HttpServer, PeerClient, PeerClientLimits};
 use crate::process::Counters;
 
@@ -104,7 +104,9 @@
         tokio::spawn(propagate_changes(Arc::clone(&context)));
         tokio::spawn(sweep(Arc::clone(&context)));
         tokio::spawn(exchange_speeds(Arc::clone(&context)));
-        tokio::spawn(monitor_loop_delay(Arc::clone(&context)));
+        if config.features.is_enabled(Feature::CallerIntake) {
+            tokio::spawn(monitor_loop_delay(Arc::clone(&context)));
+        }
         tokio::spawn(monitor_unresponsive(
             Arc::clone(&context),
             announcer.clone(),
--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -101,6 +101,13 @@
 }
 
 impl RequestAttributes {
+    /// Parts of the prompt before the request's own one; `None` if no parts are known.
+    #[must_use]
+    pub fn shared_parts(&self) -> Option<&[PromptPart]> {
+        let (_own, shared) = self.prompt_parts.split_last()?;
+        Some(shared)
+    }
+
     /// Tokens of the prompt parts that other requests share; 0 if not known.
     #[must_use]
     pub fn shared_tokens(&self) -> u64 {
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -10,7 +10,7 @@
 use super::operator::answer_operator;
 use super::process::{GatewayContext, serve_peer};
 use super::request::answer_caller;
-use super::{Feature, GatewayConfig, GatewayError};
+use super::{GatewayConfig, GatewayError};
 use crate::connection::{HttpServer, HttpServerLimits, ResponseBody, StallLimit, empty_body};
 
 /// Servers for readiness checks, other gateways and metrics.
@@ -30,8 +30,7 @@
         move |request: Request<Incoming>| answer_caller(Arc::clone(&caller_context), request);
     let limit_context = Arc::clone(context);
     let limits = move || {
-        let is_taken = !limit_context.features.is_enabled(Feature::CallerIntake)
-            || limit_context.caller_intake().takes_connection();
+        let is_taken = limit_context.caller_intake().takes_connection();
         if !is_taken {
             limit_context.counters.count("callers.closed-unread");
         }
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -56,6 +56,7 @@
 pub use limit_tracker::LimitTracker;
 #[doc(inline)]
 pub use monitor_loop_delay::monitor_loop_delay;
+#[doc(inline)]
 pub use monitor_unresponsive::monitor_unresponsive;
 #[doc(inline)]
 pub use moving_runs::{MovingRunGuard, MovingRuns};
--- a/crates/amaranthscale/src/gateway/process/engine_speeds.rs
+++ b/crates/amaranthscale/src/gateway/process/engine_speeds.rs
@@ -65,7 +65,7 @@
         let fetch = engine
             .transfer
             .filter(|_| self.features.is_enabled(Feature::PromptFetch));
-        let (_own, shared) = attributes.prompt_parts.split_last()?;
+        let shared = attributes.shared_parts()?;
         let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
         Some(EnginePrompt {
             shared_prefix: attributes.shared_prefix.as_deref()?,
--- a/crates/amaranthscale/src/gateway/process/monitor_loop_delay.rs
+++ b/crates/amaranthscale/src/gateway/process/monitor_loop_delay.rs
@@ -1,4 +1,5 @@
-//! Measures how late the event loop is, by which callers' new connections are served or closed.
+//! Measures how late the event loop is, by which callers' new connections are served or closed;
+//! without the measurement all are served.
 
 use std::sync::Arc;
 
--- a/crates/amaranthscale/src/gateway/request_content.rs
+++ b/crates/amaranthscale/src/gateway/request_content.rs
@@ -31,9 +31,8 @@
         body: Bytes,
         attributes: &RequestAttributes,
     ) -> Self {
-        let parts = attributes.prompt_parts.split_last();
-        let shared = parts.map_or(&[][..], |(_own, shared)| shared);
-        let shared_parts = shared.iter().map(|part| PromptPartId::of(&part.id));
+        let shared = attributes.shared_parts().unwrap_or_default().iter();
+        let shared_parts = shared.map(|part| PromptPartId::of(&part.id));
         Self {
             holder,
             host,
--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -242,10 +242,8 @@
                 self.completed_parts.insert(suspect.clone(), now);
             }
             // A surplus would count against crashes to come.
-            let missing = self.suspicions.missing_survivals(suspect);
-            let own = self.own_survivals.get(suspect).copied().unwrap_or(0);
-            if own < missing {
-                self.own_survivals.insert(suspect.clone(), own + 1);
+            if !self.suspicions.is_cleared(suspect, &self.own_survivals) {
+                *self.own_survivals.entry(suspect.clone()).or_default() += 1;
             }
         }
         if self.completed_parts.len() > MAX_COMPLETED_PARTS {
@@ -270,7 +268,7 @@
     #[must_use]
     pub fn publishes_survival(&self, suspect: &Suspect) -> bool {
         self.suspicions.crashes(suspect) >= SINGLE_RUN_FROM
-            && !self.suspicions.is_cleared(suspect, 0)
+            && self.suspicions.missing_survivals(suspect) > 0
     }
 
     /// Removes and returns the completed runs at this entry that others need to clear suspects; they
@@ -278,9 +276,8 @@
     pub fn take_survivals(&mut self) -> Vec<Suspect> {
         let mut taken = Vec::new();
         for (suspect, own) in &mut self.own_survivals {
-            let missing = self.suspicions.missing_survivals(suspect);
             if self.suspicions.crashes(suspect) >= SINGLE_RUN_FROM {
-                let published = missing.min(*own);
+                let published = self.suspicions.missing_survivals(suspect).min(*own);
                 *own -= published;
                 taken.extend(std::iter::repeat_n(suspect.clone(), published));
             }
@@ -339,9 +336,8 @@
 
     /// Whether almost as many servers crashed as quarantine a suspect.
     fn needs_single_run(&self, suspect: &Suspect, now: Duration) -> bool {
-        let own = self.own_survivals.get(suspect).copied().unwrap_or(0);
         self.suspicions.crashes(suspect) >= SINGLE_RUN_FROM
-            && !self.suspicions.is_cleared(suspect, own)
+            && !self.suspicions.is_cleared(suspect, &self.own_survivals)
             && (self.is_confirmed(suspect, now) || !self.has_completed_recently(suspect, now))
     }
 
--- a/crates/core/src/process/quarantine/suspicions.rs
+++ b/crates/core/src/process/quarantine/suspicions.rs
@@ -54,8 +54,13 @@
     }
 
     /// Whether a suspect has completed so often that its crashes are no evidence.
-    pub(super) fn is_cleared(&self, suspect: &Suspect, own_survivals: usize) -> bool {
-        own_survivals >= self.missing_survivals(suspect)
+    pub(super) fn is_cleared(
+        &self,
+        suspect: &Suspect,
+        own_survivals: &BTreeMap<Suspect, usize>,
+    ) -> bool {
+        let own = own_survivals.get(suspect).copied().unwrap_or(0);
+        own >= self.missing_survivals(suspect)
     }
 
     /// Number of completed runs that would have to be published to clear a suspect.
@@ -81,8 +86,7 @@
         let servers_of = |suspect: &Suspect| self.servers.get(suspect).unwrap_or(&none);
         let mut by_crashes: BTreeMap<usize, Vec<&Suspect>> = BTreeMap::new();
         for suspect in &self.candidates {
-            let own = own_survivals.get(suspect).copied().unwrap_or(0);
-            if !self.is_cleared(suspect, own) {
+            if !self.is_cleared(suspect, own_survivals) {
                 let crashes = servers_of(suspect).len();
                 by_crashes.entry(crashes).or_default().push(suspect);
             }
@@ -118,7 +122,6 @@
             return false;
         };
         self.candidates.iter().any(|rival| {
-            let own = own_survivals.get(rival).copied().unwrap_or(0);
             let max_unrelated = if suspect.is_prompt_part() && rival.is_prompt_part() {
                 MAX_UNRELATED_CRASHES
             } else {
@@ -127,7 +130,7 @@
             let explains = self.servers.get(rival).is_some_and(|shared| {
                 shared.is_subset(servers) && servers.len() - shared.len() <= max_unrelated
             });
-            explains && !content.contains(rival) && !self.is_cleared(rival, own)
+            explains && !content.contains(rival) && !self.is_cleared(rival, own_survivals)
         })
     }
 }
