--- a/crates/amaranthscale/src/gateway/process/monitor_loop_delay.rs
+++ b/crates/amaranthscale/src/gateway/process/monitor_loop_delay.rs
@@ -16,6 +16,7 @@
         let due = Instant::now() + INTAKE_SAMPLE_INTERVAL;
         tokio::time::sleep_until(due).await;
         let delay = due.elapsed();
+        context.latencies.record("event-loop", delay);
         let now = context.cluster_view.clock().now();
         let change = context.caller_intake().record_loop_delay(delay, now);
         match change {
--- a/crates/amaranthscale/src/gateway/process/retry_budgets.rs
+++ b/crates/amaranthscale/src/gateway/process/retry_budgets.rs
@@ -5,22 +5,27 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServiceId;
-use amaranthscale_core::process::{RetryBudgetSettings, SharedRetryBudget};
+use amaranthscale_core::process::{RetryBudgetSettings, RetryUse, SharedRetryBudget};
+use log::info;
+
+use super::super::version::LogLimiter;
 
 /// Retry budgets by service.
 #[derive(Debug)]
 pub struct RetryBudgets {
     settings: RetryBudgetSettings,
     by_service: Mutex<BTreeMap<ServiceId, SharedRetryBudget>>,
+    refusal_lines: Mutex<LogLimiter>,
 }
 
 impl RetryBudgets {
     /// Creates budgets with the deployment's settings.
     #[must_use]
-    pub const fn new(settings: RetryBudgetSettings) -> Self {
+    pub fn new(settings: RetryBudgetSettings) -> Self {
         Self {
             settings,
-            by_service: Mutex::new(BTreeMap::new()),
+            by_service: Mutex::default(),
+            refusal_lines: Mutex::new(LogLimiter::new()),
         }
     }
 
@@ -31,7 +36,27 @@
 
     /// Takes one retry if this gateway's part allows it; `live` gateways share the budget.
     pub fn try_retry(&self, service: &ServiceId, live: usize, now: Duration) -> bool {
-        self.with(service, |budget| budget.try_retry(live, now))
+        let (is_granted, usage) = self.with(service, |budget| {
+            (budget.try_retry(live, now), budget.usage())
+        });
+        if !is_granted {
+            self.log_refusal(service, live, usage);
+        }
+        is_granted
+    }
+
+    fn log_refusal(&self, service: &ServiceId, live: usize, usage: RetryUse) {
+        let mut lines = self
+            .refusal_lines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(suppressed) = lines.allow() {
+            info!(
+                service:% = service, requests = usage.requests, retries = usage.retries,
+                gateways = live, suppressed;
+                "retries: budget used up"
+            );
+        }
     }
 
     fn with<T>(&self, service: &ServiceId, update: impl FnOnce(&mut SharedRetryBudget) -> T) -> T {
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -33,6 +33,7 @@
 pub use feed::{Feed, FeedEvent};
 #[doc(inline)]
 pub use follow::{OwnInstance, follow_instances, follow_routing, follow_servers};
+pub(crate) use log_limiter::LogLimiter;
 #[doc(inline)]
 pub use packed_row::{KnownRow, PackedRow, UnpackError};
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/version/log_limiter.rs
+++ b/crates/amaranthscale/src/gateway/version/log_limiter.rs
@@ -16,14 +16,14 @@
 /// writer fills it, and logging takes CPU time from requests. Suppressed lines are counted, and the
 /// next line contains their number.
 #[derive(Debug)]
-pub(super) struct LogLimiter {
+pub(crate) struct LogLimiter {
     window_started: Instant,
     lines: u32,
     suppressed: u64,
 }
 
 impl LogLimiter {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             window_started: Instant::now(),
             lines: 0,
@@ -33,7 +33,7 @@
 
     /// Allows one line and returns the number suppressed before it; `None` if it is suppressed as
     /// well.
-    pub(super) fn allow(&mut self) -> Option<u64> {
+    pub(crate) fn allow(&mut self) -> Option<u64> {
         if self.window_started.elapsed() >= WINDOW {
             self.window_started = Instant::now();
             self.lines = 0;
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -169,7 +169,7 @@
 #[doc(inline)]
 pub use server_use::ServerUse;
 #[doc(inline)]
-pub use shared_retry_budget::{RetryBudgetSettings, SharedRetryBudget};
+pub use shared_retry_budget::{RetryBudgetSettings, RetryUse, SharedRetryBudget};
 #[doc(inline)]
 pub use stage_estimate::StageEstimate;
 #[doc(inline)]
--- a/crates/core/src/process/shared_retry_budget.rs
+++ b/crates/core/src/process/shared_retry_budget.rs
@@ -25,6 +25,15 @@
     pub window: Duration,
 }
 
+/// What an entry counted of a service in the window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetryUse {
+    /// Requests.
+    pub requests: u32,
+    /// Retries.
+    pub retries: u32,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
     number: u64,
@@ -81,12 +90,20 @@
     #[must_use]
     pub fn remaining(&self, live: usize) -> f64 {
         let live = as_f64(live.max(1));
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let RetryUse { requests, retries } = self.usage();
         let allowed = f64::from(requests) * self.settings.ratio + self.settings.slack / live;
         allowed * USED_FRACTION - f64::from(retries)
     }
 
+    /// What this entry counted in the window.
+    #[must_use]
+    pub fn usage(&self) -> RetryUse {
+        RetryUse {
+            requests: self.buckets.iter().map(|bucket| bucket.requests).sum(),
+            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+        }
+    }
+
     fn bucket(&mut self, now: Duration) -> &mut Bucket {
         self.drop_old(now);
         let number = self.bucket_number(now);
