A restarted gateway does not spend the retry budget again

Cause: a gateway counts its retries in memory, so each of its processes had the whole allowance anew. A limit over a window was kept by something that may live shorter than the window.

In the first window after a restart a gateway uses only three tenths of its requests' part and nothing of the slack. Earlier processes use at most seven tenths, and each request counts for one process, so the sum holds for any number of restarts; at the first start of a deployment nothing changes.

--- a/crates/core/src/process/shared_retry_budget.rs
+++ b/crates/core/src/process/shared_retry_budget.rs
@@ -3,6 +3,10 @@
 //! Per window, a service allows a number of retries: a fraction of its requests and a fixed number.
 //! Each entry may use the fraction of its own requests and divides the fixed number by the number
 //! of live entries, so that the sum keeps within the limit without communication.
+//!
+//! An entry that restarts does not know what its earlier process used in the same window. For the
+//! length of one window it uses only what every entry leaves of the fraction of its requests, so
+//! that the sum holds for any number of restarts.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -13,6 +17,8 @@
 const BUCKETS: u32 = 10;
 /// Fraction of the allowance that is used: for a while, entries disagree on how many there are.
 const USED_FRACTION: f64 = 0.7;
+/// Fraction of the requests' part that is used in the first window after a restart.
+const RESTARTED_FRACTION: f64 = 1.0 - USED_FRACTION;
 
 /// The limit as set by operators.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -23,6 +29,8 @@
     pub slack: f64,
     /// Length of the window.
     pub window: Duration,
+    /// Whether an earlier process of this entry may have retried within the last window.
+    pub is_restart: bool,
 }
 
 /// What an entry counted of a service in the window.
@@ -41,7 +49,7 @@
     retries: u32,
 }
 
-/// One entry's share of a service's retries.
+/// One entry's share of a service's retries; times count from the start of its process.
 ///
 /// # Examples
 ///
@@ -49,7 +57,12 @@
 /// use std::time::Duration;
 /// use amaranthscale_core::process::{RetryBudgetSettings, SharedRetryBudget};
 ///
-/// let settings = RetryBudgetSettings { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
+/// let settings = RetryBudgetSettings {
+///     ratio: 0.2,
+///     slack: 10.0,
+///     window: Duration::from_secs(10),
+///     is_restart: false,
+/// };
 /// let mut budget = SharedRetryBudget::new(settings);
 /// let now = Duration::from_secs(5);
 /// let taken = (0..20).filter(|_| budget.try_retry(2, now)).count();
@@ -79,7 +92,7 @@
     /// Takes one retry, if this entry has one left as one of `live` entries.
     pub fn try_retry(&mut self, live: usize, now: Duration) -> bool {
         self.drop_old(now);
-        if self.remaining(live) < 1.0 {
+        if self.remaining(live, now) < 1.0 {
             return false;
         }
         self.bucket(now).retries += 1;
@@ -88,11 +101,15 @@
 
     /// Retries left in the window.
     #[must_use]
-    pub fn remaining(&self, live: usize) -> f64 {
-        let live = as_f64(live.max(1));
+    pub fn remaining(&self, live: usize, now: Duration) -> f64 {
         let RetryUse { requests, retries } = self.usage();
-        let allowed = f64::from(requests) * self.settings.ratio + self.settings.slack / live;
-        allowed * USED_FRACTION - f64::from(retries)
+        let of_requests = f64::from(requests) * self.settings.ratio;
+        let allowed = if self.settings.is_restart && now < self.settings.window {
+            of_requests * RESTARTED_FRACTION
+        } else {
+            (of_requests + self.settings.slack / as_f64(live.max(1))) * USED_FRACTION
+        };
+        allowed - f64::from(retries)
     }
 
     /// What this entry counted in the window.
--- a/crates/core/tests/shared_retry_budget.rs
+++ b/crates/core/tests/shared_retry_budget.rs
@@ -9,6 +9,7 @@
     ratio: 0.2,
     slack: 56.0,
     window: Duration::from_secs(10),
+    is_restart: false,
 };
 
 const fn ms(ms: u64) -> Duration {
@@ -95,3 +96,62 @@
         })
     }
 }
+
+/// A fifth of the requests and the slack, by the requests of this window, the one before it or the
+/// one half a window before it, whichever has most.
+fn allowed(requests: &[Duration], window_start: Duration) -> f64 {
+    let starts = [
+        window_start,
+        window_start.saturating_sub(SETTINGS.window / 2),
+        window_start.saturating_sub(SETTINGS.window),
+    ];
+    let counts = starts.map(|start| count_within(requests, start));
+    let most = counts.into_iter().max().unwrap_or_default();
+    f64::from(most) * SETTINGS.ratio + SETTINGS.slack
+}
+
+fn count_within(times: &[Duration], start: Duration) -> u32 {
+    let within = |at: &&Duration| **at >= start && **at < start + SETTINGS.window;
+    u32::try_from(times.iter().filter(within).count()).unwrap()
+}
+
+fn exceeded_window(requests: &[Duration], retries: &[Duration]) -> Option<Duration> {
+    let is_exceeded =
+        |start: &&Duration| f64::from(count_within(retries, **start)) > allowed(requests, **start);
+    retries.iter().find(is_exceeded).copied()
+}
+
+/// Guards against entries that restart and spend the retries of their earlier processes once more.
+#[test]
+fn entries_that_restart_stay_within_the_budget() {
+    for restart_interval_ms in [700, 1_500, 3_000, 6_000] {
+        let entries = 5;
+        let mut processes = vec![(SharedRetryBudget::new(SETTINGS), Duration::ZERO); entries];
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for step in 0..600 {
+            let now = ms(step * 50);
+            for (number, (budget, started_at)) in processes.iter_mut().enumerate() {
+                let turn = now.as_millis() + 100 * number as u128;
+                if now > SETTINGS.window && turn % restart_interval_ms == 0 {
+                    let settings = RetryBudgetSettings {
+                        is_restart: true,
+                        ..SETTINGS
+                    };
+                    (*budget, *started_at) = (SharedRetryBudget::new(settings), now);
+                }
+                let since_start = now - *started_at;
+                budget.record_request(since_start);
+                requests.push(now);
+                while budget.try_retry(entries, since_start) {
+                    retries.push(now);
+                }
+            }
+        }
+
+        assert_eq!(
+            exceeded_window(&requests, &retries),
+            None,
+            "{restart_interval_ms} ms"
+        );
+    }
+}
