Common limits are divided by the announced gateways, not by the reachable ones

Repeats of a service could exceed the common limit while gateways were cut off from each other or left one after the other.

Cause: the slack was divided by the number of gateways that this one takes for live. One that reaches no other takes all of it (39 retries where its part is 11), and so does each side of a cut; the parts of gateways that were withdrawn passed to the others while their own retries were still in the window.

The divisor is now the largest number of announced gateways within the window, reachable or not. The same cause stood in the shares of servers' connections and of body bytes in flight, which are divided by the announced ones as well. Send shares of cold and limited servers were divided so already; where the number only spreads writes over time it stays as it was.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -331,7 +331,8 @@
     }
 }
 
-/// Drops connections, load statistics and send counts of servers that are no longer usable.
+/// Drops connections, load statistics and send counts of servers that are no longer usable, and
+/// records how many gateways share the retry budgets.
 async fn sweep(context: Arc<GatewayContext>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
@@ -341,5 +342,8 @@
         context.server_selector().retain(is_known);
         context.speed_collector().retain(is_known);
         context.send_shares.retain(is_known);
+        let now = context.cluster_view.clock().now();
+        let announced = context.cluster_view.announced_count();
+        context.retry_budgets.record_gateways(announced, now);
     }
 }
--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -94,9 +94,9 @@
     /// Takes one retry from the service's budget, which all gateways share, and counts the result.
     pub fn try_retry(&self, service: &ServiceId) -> bool {
         let now = self.cluster_view.clock().now();
-        let is_granted = self
-            .retry_budgets
-            .try_retry(service, self.cluster_view.live_count(), now);
+        let is_granted =
+            self.retry_budgets
+                .try_retry(service, self.cluster_view.announced_count(), now);
         let name = if is_granted {
             "repeat.sent"
         } else {
@@ -116,7 +116,7 @@
             ConnectionShare::of(
                 pool.max_connections,
                 servers,
-                self.cluster_view.live_count(),
+                self.cluster_view.announced_count(),
             )
         })
     }
--- a/crates/amaranthscale/src/gateway/process/retry_budgets.rs
+++ b/crates/amaranthscale/src/gateway/process/retry_budgets.rs
@@ -1,11 +1,16 @@
 //! This gateway's part of each service's retry budget.
+//!
+//! The budget's slack is divided by the number of gateways that were announced within the window:
+//! one that is unresponsive or has just been withdrawn may have retried in it.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use amaranthscale_core::id::ServiceId;
-use amaranthscale_core::process::{RetryBudgetSettings, RetryUse, SharedRetryBudget};
+use amaranthscale_core::process::{
+    RecentMaximum, RetryBudgetSettings, RetryUse, SharedRetryBudget,
+};
 use log::info;
 
 use super::super::version::LogLimiter;
@@ -14,8 +19,14 @@
 #[derive(Debug)]
 pub struct RetryBudgets {
     settings: RetryBudgetSettings,
-    by_service: Mutex<BTreeMap<ServiceId, SharedRetryBudget>>,
-    refusal_lines: Mutex<LogLimiter>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    by_service: BTreeMap<ServiceId, SharedRetryBudget>,
+    gateways: RecentMaximum,
+    refusal_lines: LogLimiter,
 }
 
 impl RetryBudgets {
@@ -24,49 +35,61 @@
     pub fn new(settings: RetryBudgetSettings) -> Self {
         Self {
             settings,
-            by_service: Mutex::default(),
-            refusal_lines: Mutex::new(LogLimiter::new()),
+            state: Mutex::new(State {
+                by_service: BTreeMap::new(),
+                gateways: RecentMaximum::new(settings.window),
+                refusal_lines: LogLimiter::new(),
+            }),
         }
     }
 
+    /// Records how many gateways are announced.
+    pub fn record_gateways(&self, announced: usize, now: Duration) {
+        self.state().gateways.record(announced, now);
+    }
+
     /// Counts a request for a service.
     pub fn record_request(&self, service: &ServiceId, now: Duration) {
-        self.with(service, |budget| budget.record_request(now));
+        let mut state = self.state();
+        state.budget(service, self.settings).record_request(now);
     }
 
-    /// Takes one retry if this gateway's part allows it; `live` gateways share the budget.
-    pub fn try_retry(&self, service: &ServiceId, live: usize, now: Duration) -> bool {
-        let (is_granted, usage) = self.with(service, |budget| {
-            (budget.try_retry(live, now), budget.usage())
-        });
+    /// Takes one retry if this gateway's part allows it, as one of the `announced` gateways.
+    pub fn try_retry(&self, service: &ServiceId, announced: usize, now: Duration) -> bool {
+        let mut state = self.state();
+        let gateways = state.gateways.record(announced, now);
+        let budget = state.budget(service, self.settings);
+        let is_granted = budget.try_retry(gateways, now);
+        let usage = budget.usage();
         if !is_granted {
-            self.log_refusal(service, live, usage);
+            log_refusal(&mut state.refusal_lines, service, gateways, usage);
         }
         is_granted
     }
 
-    fn log_refusal(&self, service: &ServiceId, live: usize, usage: RetryUse) {
-        let mut lines = self
-            .refusal_lines
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(suppressed) = lines.allow() {
-            info!(
-                service:% = service, requests = usage.requests, retries = usage.retries,
-                gateways = live, suppressed;
-                "retries: budget used up"
-            );
-        }
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    fn with<T>(&self, service: &ServiceId, update: impl FnOnce(&mut SharedRetryBudget) -> T) -> T {
-        let mut retry_budgets = self
-            .by_service
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let budget = retry_budgets
+impl State {
+    fn budget(
+        &mut self,
+        service: &ServiceId,
+        settings: RetryBudgetSettings,
+    ) -> &mut SharedRetryBudget {
+        self.by_service
             .entry(service.clone())
-            .or_insert_with(|| SharedRetryBudget::new(self.settings));
-        update(budget)
+            .or_insert_with(|| SharedRetryBudget::new(settings))
+    }
+}
+
+fn log_refusal(lines: &mut LogLimiter, service: &ServiceId, gateways: usize, usage: RetryUse) {
+    if let Some(suppressed) = lines.allow() {
+        info!(
+            service:% = service, requests = usage.requests, retries = usage.retries,
+            gateways, suppressed;
+            "retries: budget used up"
+        );
     }
 }
--- a/crates/amaranthscale/src/gateway/process/server_selection.rs
+++ b/crates/amaranthscale/src/gateway/process/server_selection.rs
@@ -49,7 +49,7 @@
         let servers = self.cluster_view.servers();
         let now = self.cluster_view.clock().now();
         let mut usable = self.usable_servers(&servers, service, zones, now);
-        let max_body_bytes = MAX_BODY_BYTES_PER_SERVER / self.cluster_view.live_count().max(1);
+        let max_body_bytes = MAX_BODY_BYTES_PER_SERVER / self.cluster_view.announced_count().max(1);
         let server_selector = self.server_selector();
         usable.retain(|server| {
             versions.allows(server.software_version.as_ref())
--- a/crates/amaranthscale/src/gateway/version/cluster_view.rs
+++ b/crates/amaranthscale/src/gateway/version/cluster_view.rs
@@ -120,6 +120,12 @@
         self.changes.subscribe()
     }
 
+    /// Number of announced gateways, by which shares of common limits are divided.
+    #[must_use]
+    pub fn announced_count(&self) -> usize {
+        self.state().instances.announced_count()
+    }
+
     /// Number of gateways that are not unresponsive.
     #[must_use]
     pub fn live_count(&self) -> usize {
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -37,6 +37,7 @@
 mod quarantine;
 mod queued_attempt;
 mod rank;
+mod recent_maximum;
 mod recent_sends;
 mod refusal;
 pub(crate) mod rendezvous;
@@ -134,6 +135,8 @@
 #[doc(inline)]
 pub use rank::Rank;
 #[doc(inline)]
+pub use recent_maximum::RecentMaximum;
+#[doc(inline)]
 pub use recent_sends::RecentSends;
 #[doc(inline)]
 pub use refusal::Refusal;
--- a/crates/core/src/process/instance_view.rs
+++ b/crates/core/src/process/instance_view.rs
@@ -286,6 +286,15 @@
         self.instances.values().filter(is_live).count().max(1)
     }
 
+    /// Number of announced entries, including this one and unresponsive ones.
+    ///
+    /// Shares of common limits are divided by it: an unresponsive entry may only be cut off from
+    /// this one.
+    #[must_use]
+    pub fn announced_count(&self) -> usize {
+        self.instances.len()
+    }
+
     /// Addresses of all announced entries, including unresponsive ones; none while the entry itself
     /// is not announced or is about to stop.
     ///
--- a/crates/core/src/process/shared_retry_budget.rs
+++ b/crates/core/src/process/shared_retry_budget.rs
@@ -2,7 +2,9 @@
 //!
 //! Per window, a service allows a number of retries: a fraction of its requests and a fixed number.
 //! Each entry may use the fraction of its own requests and divides the fixed number by the number
-//! of live entries, so that the sum keeps within the limit without communication.
+//! of entries, so that the sum keeps within the limit without communication. Entries that one
+//! cannot reach are counted as well, as they may go on retrying, and so are those that left within
+//! the window.
 //!
 //! An entry that restarts does not know what its earlier process used in the same window. For the
 //! length of one window it uses only what every entry leaves of the fraction of its requests, so
@@ -89,10 +91,10 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Takes one retry, if this entry has one left as one of `live` entries.
-    pub fn try_retry(&mut self, live: usize, now: Duration) -> bool {
+    /// Takes one retry, if this entry has one left as one of `entries`.
+    pub fn try_retry(&mut self, entries: usize, now: Duration) -> bool {
         self.drop_old(now);
-        if self.remaining(live, now) < 1.0 {
+        if self.remaining(entries, now) < 1.0 {
             return false;
         }
         self.bucket(now).retries += 1;
@@ -101,13 +103,13 @@
 
     /// Retries left in the window.
     #[must_use]
-    pub fn remaining(&self, live: usize, now: Duration) -> f64 {
+    pub fn remaining(&self, entries: usize, now: Duration) -> f64 {
         let RetryUse { requests, retries } = self.usage();
         let of_requests = f64::from(requests) * self.settings.ratio;
         let allowed = if self.settings.is_restart && now < self.settings.window {
             of_requests * RESTARTED_FRACTION
         } else {
-            (of_requests + self.settings.slack / as_f64(live.max(1))) * USED_FRACTION
+            (of_requests + self.settings.slack / as_f64(entries.max(1))) * USED_FRACTION
         };
         allowed - f64::from(retries)
     }
--- a/crates/core/tests/shared_retry_budget.rs
+++ b/crates/core/tests/shared_retry_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use amaranthscale_core::process::{RetryBudgetSettings, SharedRetryBudget};
+use amaranthscale_core::process::{RecentMaximum, RetryBudgetSettings, SharedRetryBudget};
 use quickcheck::quickcheck;
 
 const SETTINGS: RetryBudgetSettings = RetryBudgetSettings {
@@ -155,3 +155,35 @@
         );
     }
 }
+
+/// Guards against entries that leave while the others take over their parts of the slack at once.
+#[test]
+fn entries_that_leave_one_after_the_other_stay_within_the_budget() {
+    let entries = 5;
+    let mut budgets: Vec<_> = (0..entries)
+        .map(|_| {
+            let announced = RecentMaximum::new(SETTINGS.window);
+            (SharedRetryBudget::new(SETTINGS), announced)
+        })
+        .collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+
+    for step in 0..600 {
+        let now = ms(step * 50);
+        if step > 200 && step % 20 == 0 && budgets.len() > 1 {
+            budgets.pop();
+        }
+        let left = budgets.len();
+        for (budget, announced) in &mut budgets {
+            if step % 40 == 0 {
+                budget.record_request(now);
+                requests.push(now);
+            }
+            while budget.try_retry(announced.record(left, now), now) {
+                retries.push(now);
+            }
+        }
+    }
+
+    assert_eq!(exceeded_window(&requests, &retries), None);
+}
