Each send of a moved run counts against the retry budget

A run that was moved and that the engine with its copy rejects goes on at its source: two arrivals beyond the first for one retry of the budget.

The second send is now recorded. It cannot be refused, as the run has stopped and would be lost, so it counts against the retries that follow.

--- a/crates/amaranthscale/src/gateway/process/gateway_context.rs
+++ b/crates/amaranthscale/src/gateway/process/gateway_context.rs
@@ -106,6 +106,13 @@
         is_granted
     }
 
+    /// Counts a retry of a run that would be lost without it.
+    pub fn record_retry(&self, service: &ServiceId) {
+        let now = self.cluster_view.clock().now();
+        self.retry_budgets.record_retry(service, now);
+        self.counters.count("repeat.sent");
+    }
+
     /// This gateway's share of the connections that a service's servers accept.
     pub fn connection_share(&self, service: &ServiceId) -> ConnectionShare {
         let routing = self.cluster_view.routing();
--- a/crates/amaranthscale/src/gateway/process/retry_budgets.rs
+++ b/crates/amaranthscale/src/gateway/process/retry_budgets.rs
@@ -67,6 +67,12 @@
         is_granted
     }
 
+    /// Counts a retry that cannot be refused.
+    pub fn record_retry(&self, service: &ServiceId, now: Duration) {
+        let mut state = self.state();
+        state.budget(service, self.settings).record_retry(now);
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/amaranthscale/src/gateway/request/run_continuation.rs
+++ b/crates/amaranthscale/src/gateway/request/run_continuation.rs
@@ -201,6 +201,10 @@
                     | SendOutcome::Withheld(_)
                     | SendOutcome::NotRun,
                 ) => {
+                    // The move took a retry for one send, and the run has stopped.
+                    if matches!(outcome, Some(SendOutcome::NotRun)) {
+                        self.context.record_retry(&self.service);
+                    }
                     let end = outcome.as_ref().map_or("-", SendOutcome::name);
                     self.log_unanswered(end, &engine);
                 }
--- a/crates/core/src/process/shared_retry_budget.rs
+++ b/crates/core/src/process/shared_retry_budget.rs
@@ -101,6 +101,11 @@
         true
     }
 
+    /// Records a retry that cannot be refused; it counts against those that follow.
+    pub fn record_retry(&mut self, now: Duration) {
+        self.bucket(now).retries += 1;
+    }
+
     /// Retries left in the window.
     #[must_use]
     pub fn remaining(&self, entries: usize, now: Duration) -> f64 {
