An overloaded gateway closes some kept connections after an answer

A share of new connections bounds the growth of a gateway's load, not the load: callers whose connections are kept send on. While the intake is limited, the same share decides whether an answer says that its connection closes.

--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -127,7 +127,8 @@
             refusal.response(&context)
         }
     };
-    if context.shutdown.is_stopping() {
+    let is_kept = context.caller_intake().keeps_connection();
+    if context.shutdown.is_stopping() || !is_kept {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/core/src/process/caller_intake.rs
+++ b/crates/core/src/process/caller_intake.rs
@@ -3,8 +3,8 @@
 //! Guards against most callers of a zone that connect to one entry: where it takes more than it can
 //! handle, all its requests are late, and nearly all work is done for callers who have left. An
 //! entry whose event loop falls behind closes some of the new connections before it reads anything
-//! from them; their callers know that nothing has run and connect to another entry. Open
-//! connections are not affected.
+//! from them; their callers know that nothing has run and connect to another entry. It also closes
+//! some of the open connections after an answer, as their callers would send further requests.
 //!
 //! The share shrinks step by step while the loop is behind and grows slowly when it is on time, so
 //! that the entry stays busy.
@@ -98,6 +98,14 @@
         is_taken
     }
 
+    /// Whether a caller may send its next request on the connection on which it gets an answer.
+    ///
+    /// A caller whose connection is closed after the answer opens a new one, which is taken or closed
+    /// like any other.
+    pub fn keeps_connection(&mut self) -> bool {
+        !self.is_limited() || self.takes_connection()
+    }
+
     /// Whether some new connections are closed.
     #[must_use]
     pub fn is_limited(&self) -> bool {
--- a/crates/core/tests/caller_intake/decisions.rs
+++ b/crates/core/tests/caller_intake/decisions.rs
@@ -76,3 +76,15 @@
     assert_eq!(changes, [LagChange::CaughtUp]);
     assert_eq!(taken(&mut intake), 100);
 }
+
+/// Guards against callers whose open connections alone keep an entry overloaded.
+#[test]
+fn an_entry_that_stays_behind_closes_most_connections_after_an_answer() {
+    let mut intake = CallerIntake::default();
+    let kept_before = (0..100).filter(|_| intake.keeps_connection()).count();
+
+    record(&mut intake, LATE, Duration::ZERO, Duration::from_secs(5));
+
+    let kept = (0..100).filter(|_| intake.keeps_connection()).count();
+    assert_eq!((kept_before, kept), (100, 5));
+}
