A server that left stays so when the list is read again

A server that had said that it leaves got requests again after the store had been restored from a copy of before that: the whole list replaced the entry, and the gateway forgot what it had known (DRAIN).

Leaving is a fact of a server's incarnation; it was kept beyond a list only where the server itself had stated it in an answer. It is now kept as such a notice when the list that tells it is replaced or the entry is removed.

--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -303,16 +303,27 @@
         self.cold.remove(id);
         let removed = self.servers.remove(id);
         if let Some(removed) = &removed {
+            self.retain_leaving(removed, now);
             self.notices.record_unlisted(&removed.incarnation, now);
         }
         removed.is_some()
     }
 
+    /// Retains that a listed server leaves: a list may be read again from a copy of before that.
+    fn retain_leaving(&mut self, record: &ServerRecord, now: Duration) {
+        if record.is_leaving {
+            self.notices.record_leaving(&record.incarnation, now);
+        }
+    }
+
     /// Applies a complete list: servers that are missing from it have expired or are gone.
     pub fn replace_all(&mut self, entries: Vec<ServerChange>, now: Duration) {
         let listed: BTreeSet<_> = entries.iter().map(|entry| entry.id().clone()).collect();
         let known: Vec<_> = self.servers.keys().cloned().collect();
         for entry in entries {
+            if let Some(known) = self.servers.get(entry.id()).cloned() {
+                self.retain_leaving(&known, now);
+            }
             self.apply(entry, now);
         }
         for id in known.into_iter().filter(|id| !listed.contains(id)) {
--- a/crates/core/src/process/server_notices.rs
+++ b/crates/core/src/process/server_notices.rs
@@ -1,4 +1,4 @@
-//! What servers have stated about themselves in answers to this entry.
+//! What servers have stated about themselves, in answers to this entry or in a list that is replaced.
 //!
 //! A notice belongs to an incarnation of a server and outlasts its listing: a listing that expired
 //! in an outage of the store may return, and still name the server as ready.
