Versions of a restored store are ordered by its eras

Cause: gateways compared versions of two histories. The leaving was written with a smaller number than the position that gateways had from before, so a reader of a zone told those behind it that nothing had changed, although it had the row itself; and after each 410 a gateway took the whole table of before from a neighbour. Class: an order that restarts, compared by its number alone.

A row version now is the pair of the store's era and number, made where an answer is decoded (Store-Era) and ordered by the era first. A feed whose position is of an earlier era reads the whole table, also where the store has a version of that number; tables and answers of an earlier era are not taken; a copy of a new era is handed on as a whole. A line and a counter tell of it (store: restored from a copy, store.restored).

--- a/crates/amaranthscale/src/gateway/store_api.rs
+++ b/crates/amaranthscale/src/gateway/store_api.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranthscale_core::id::{EvidenceId, RowVersion, ServerId, ServerIncarnation};
+use amaranthscale_core::id::{EvidenceId, RowVersion, ServerId, ServerIncarnation, StoreEra};
 use amaranthscale_core::process::{
     Announcement, CrashEvidence, DrainChange, ServerDrain, ServerLimit, ServerRecord,
     ServiceVersion, ZoneChange,
@@ -11,7 +11,7 @@
 use amaranthscale_core::version::Routing;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use super::version::AnnouncementUpdate;
@@ -96,8 +96,8 @@
 pub enum StoreAnswer {
     /// Rows, or a successful write.
     Rows(StoreRows),
-    /// The requested history is no longer retained.
-    HistoryGone,
+    /// The requested history is no longer retained, or is not that of the store's era.
+    HistoryGone(StoreEra),
     /// A precondition of a write did not hold.
     Conflict,
     /// The request was rejected.
@@ -142,8 +142,10 @@
     pub publish_drain: fn(&ServerId, &ServerDrain) -> Request<Full<Bytes>>,
     /// Ends the drain of a server.
     pub remove_drain: fn(&ServerId) -> Request<Full<Bytes>>,
-    /// Parses an answer.
-    pub parse_answer: fn(StatusCode, &[u8]) -> Result<StoreAnswer, String>,
+    /// Parses the store's era from the head of an answer; the first one if it states none.
+    pub parse_era: fn(&HeaderMap) -> StoreEra,
+    /// Parses an answer of an era.
+    pub parse_answer: fn(StatusCode, StoreEra, &[u8]) -> Result<StoreAnswer, String>,
     /// Parses the routing from its row; `None` if it is another row.
     pub parse_routing: fn(&StoreRow) -> Result<Option<Routing>, String>,
     /// Parses the state of an availability zone from a row of the routing table; `None` if it is
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -4,11 +4,16 @@
 //! permanently while new ones work, so each poll has a timeout, after which a new connection is
 //! opened. If the history since the last poll is no longer available, the whole table is read
 //! again.
+//!
+//! A store that was restored from a copy begins a new era: it lacks what was written since the copy
+//! and gives out the same versions again. A position of an earlier era is of no use there, even if
+//! the store has a version with its number, so the whole table is read, and no gateway that still has
+//! the earlier era's table is asked for it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranthscale_core::id::{InstanceId, RowVersion};
+use amaranthscale_core::id::{InstanceId, RowVersion, StoreEra};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -21,7 +26,7 @@
 use super::cluster_view::SLOW_ANSWER_AGE;
 use super::poll_timing::STARTUP_PERIOD;
 use super::reader_requests::ReaderRequests;
-use super::start_reader::read_from_neighbours;
+use super::start_reader::{KnownTable, read_from_neighbours};
 use super::zone_reader_client::ZoneReaderClient;
 use super::{ArrivalNotice, PollTiming, RelayContext, RelayedRows, RowsRequest};
 use crate::connection::{Http1Connection, read_body_with_idle_timeout};
@@ -83,6 +88,8 @@
     timing: PollTiming,
     connection: Option<Http1Connection>,
     position: Option<RowVersion>,
+    /// Latest era of the store that is known here.
+    era: StoreEra,
     /// The store's clock as of the last event.
     clock: Duration,
     reader_client: Option<ZoneReaderClient>,
@@ -107,6 +114,7 @@
             timing,
             connection: None,
             position: None,
+            era: StoreEra::default(),
             clock: Duration::ZERO,
             reader_client: None,
             is_store_unavailable: false,
@@ -221,7 +229,13 @@
             return None;
         }
         let max_age = self.timing.max_relay_silence() + CALL_TIMEOUT;
-        let rows = read_from_neighbours(context, self.table, self.clock, max_age).await?;
+        let known = KnownTable {
+            clock: self.clock,
+            era: self.era,
+            max_age,
+        };
+        let rows = read_from_neighbours(context, self.table, known).await?;
+        self.record_era(rows.version.era());
         self.received_at = self.now();
         self.position = Some(rows.version);
         Some(FeedEvent::Snapshot(rows))
@@ -372,12 +386,18 @@
         let context = self.reader_client.as_ref()?.context();
         let now = context.cluster_view.clock().now_with_suspend();
         let (clock, version, event) = match relayed {
-            RelayedRows::All(rows) => (rows.clock, rows.version, FeedEvent::Snapshot(rows)),
-            RelayedRows::Changed(rows) | RelayedRows::Part(rows) => (
-                rows.clock,
-                rows.version.max(position),
-                FeedEvent::Changes(rows),
-            ),
+            RelayedRows::All(rows) if rows.version.era() >= self.era => {
+                (rows.clock, rows.version, FeedEvent::Snapshot(rows))
+            }
+            RelayedRows::Changed(rows) | RelayedRows::Part(rows)
+                if rows.version.era() == position.era() =>
+            {
+                (
+                    rows.clock,
+                    rows.version.max(position),
+                    FeedEvent::Changes(rows),
+                )
+            }
             _ => return None,
         };
         context.counters.count("store.handed");
@@ -386,6 +406,7 @@
         let age = context.cluster_view.age_of(clock).unwrap_or_default();
         self.received_at = now.saturating_sub(age);
         self.position = Some(version);
+        self.record_era(version.era());
         Some(event)
     }
 
@@ -404,6 +425,9 @@
             // The feed continues from the version of the first page, so that changes between two
             // pages are read again.
             let (first, received_at) = first.get_or_insert((page, self.received_at));
+            if first.version.era() != self.era {
+                return Err("the store was restored while a table was read".to_owned());
+            }
             if is_last {
                 self.received_at = *received_at;
                 self.position = Some(first.version);
@@ -432,11 +456,11 @@
         };
         let request = (self.store.watch)(self.table, position, wait);
         match self.call("watch", request, wait).await? {
-            StoreAnswer::Rows(rows) => {
+            StoreAnswer::Rows(rows) if rows.version.era() == position.era() => {
                 self.position = Some(rows.version.max(position));
                 Ok(Some(FeedEvent::Changes(rows)))
             }
-            StoreAnswer::HistoryGone => {
+            StoreAnswer::Rows(_) | StoreAnswer::HistoryGone(_) => {
                 debug!(
                     "store: history of {:?} is no longer available; reading the whole table",
                     self.table
@@ -448,6 +472,25 @@
         }
     }
 
+    /// Records an era of the store, and logs a new one.
+    fn record_era(&mut self, era: StoreEra) {
+        if era <= self.era {
+            return;
+        }
+        if let Some(position) = self.position {
+            info!(
+                feed = self.table.name(), era:% = era, earlier_era:% = position.era(),
+                earlier_version = position.number();
+                "store: restored from a copy"
+            );
+            if let Some(reader_client) = &self.reader_client {
+                let counters = &reader_client.context().counters;
+                counters.count_reason("store.restored", self.table.name());
+            }
+        }
+        self.era = era;
+    }
+
     /// Time of the clock that also counts while the host is suspended; zero without relay context.
     fn now(&self) -> Duration {
         let cluster_view = self
@@ -512,6 +555,15 @@
         let timeout = wait + CALL_TIMEOUT;
         let result = call_store(&self.store, connection, request, timeout, on_begin).await;
         let (answer, connection) = result?;
+        if let StoreAnswer::Rows(StoreRows { version, .. }) = &answer {
+            self.record_era(version.era());
+            if version.era() < self.era {
+                return Err("the answer is from before the store was restored".to_owned());
+            }
+        }
+        if let StoreAnswer::HistoryGone(era) = &answer {
+            self.record_era(*era);
+        }
         if let (StoreAnswer::Rows(rows), Some(reader_client)) = (&answer, &self.reader_client) {
             let cluster_view = &reader_client.context().cluster_view;
             cluster_view.record_store_clock(rows.clock, received_at);
@@ -541,7 +593,7 @@
         .map_err(|error| error.to_string())?;
     let content_length = response.body().size_hint().lower();
     on_begin(usize::try_from(content_length).unwrap_or(usize::MAX));
-    let status = response.status();
+    let (status, era) = (response.status(), (store.parse_era)(response.headers()));
     let head_received = Instant::now();
     let body = read_body_with_idle_timeout(response.into_body(), MAX_ANSWER_BYTES, CALL_TIMEOUT)
         .await
@@ -550,10 +602,10 @@
     let decode = store.parse_answer;
     let bytes = body.len();
     if bytes <= LONG_ANSWER_BYTES {
-        return Ok((decode(status, &body)?, connection));
+        return Ok((decode(status, era, &body)?, connection));
     }
     let received = Instant::now();
-    let answer = tokio::task::spawn_blocking(move || decode(status, &body)).await;
+    let answer = tokio::task::spawn_blocking(move || decode(status, era, &body)).await;
     let (transfer_ms, decode_ms) = (ms(transfer), ms(received.elapsed()));
     info!(bytes, transfer_ms, decode_ms; "store: long answer read");
     Ok((answer.map_err(|error| error.to_string())??, connection))
--- a/crates/amaranthscale/src/gateway/version/reader_requests.rs
+++ b/crates/amaranthscale/src/gateway/version/reader_requests.rs
@@ -65,7 +65,9 @@
     fn newer(&self, result: Result<RelayedRows, String>) -> Result<RelayedRows, String> {
         let relayed = result?;
         let is_newer = match &relayed {
-            RelayedRows::All(rows) | RelayedRows::Changed(rows) => rows.clock > self.request.clock,
+            RelayedRows::All(rows) | RelayedRows::Changed(rows) => {
+                rows.clock > self.request.clock && rows.version.era() >= self.request.after.era()
+            }
             RelayedRows::Part(rows) => rows.version > self.request.after,
             RelayedRows::Arriving => self.request.arrival_notice == ArrivalNotice::Wanted,
             RelayedRows::TooLarge => {
--- a/crates/amaranthscale/src/gateway/version/relayed_table.rs
+++ b/crates/amaranthscale/src/gateway/version/relayed_table.rs
@@ -337,6 +337,9 @@
                 return (!request.is_store_unavailable).then_some(RelayedRows::StoreUnavailable);
             }
         }
+        if self.copy.version().era() < request.after.era() {
+            return None;
+        }
         if self.copy.clock() <= request.clock {
             let is_told = self.is_arriving && request.arrival_notice == ArrivalNotice::Wanted;
             return is_told.then_some(RelayedRows::Arriving);
--- a/crates/amaranthscale/src/gateway/version/start_reader.rs
+++ b/crates/amaranthscale/src/gateway/version/start_reader.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use amaranthscale_core::id::{InstanceId, RowVersion};
+use amaranthscale_core::id::{InstanceId, RowVersion, StoreEra};
 use log::{debug, info};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -26,13 +26,22 @@
 /// Interval at which it is checked whether any neighbour is still reached.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Reads a whole table that is newer than a time of the store's clock and not older than an age;
-/// `None` if the store is to be read instead.
+/// What is known of a table that is read from neighbours.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownTable {
+    /// Time of the store's clock that the table has to be newer than.
+    pub(super) clock: Duration,
+    /// Era of the store that the table has to be of, or of a later one.
+    pub(super) era: StoreEra,
+    /// Maximum age of the table.
+    pub(super) max_age: Duration,
+}
+
+/// Reads a whole table that is newer than the known one; `None` if the store is to be read instead.
 pub(super) async fn read_from_neighbours(
     context: &RelayContext,
     table: StoreTable,
-    clock: Duration,
-    max_age: Duration,
+    known: KnownTable,
 ) -> Option<StoreRows> {
     let plan = context.cluster_view.start_plan(LIST_TIMEOUT).await?;
     if plan.sources().is_empty() {
@@ -46,8 +55,7 @@
         let source = Source {
             context: context.clone(),
             table,
-            clock,
-            max_age,
+            known,
             id: id.clone(),
             address: *address,
             reached: Arc::clone(&reached),
@@ -101,8 +109,7 @@
 struct Source {
     context: RelayContext,
     table: StoreTable,
-    clock: Duration,
-    max_age: Duration,
+    known: KnownTable,
     id: InstanceId,
     address: SocketAddr,
     /// Number of neighbours that were reached and have not failed.
@@ -142,17 +149,23 @@
 
     /// Whether rows are newer than those known here, and as recent as those that gateways pass on.
     ///
-    /// A neighbour that was cut off from the store and has not noticed it yet has older ones.
+    /// A neighbour that was cut off from the store and has not noticed it yet has older ones, and so
+    /// has one that has not read the store since it was restored.
     fn is_recent(&self, rows: &StoreRows) -> bool {
+        let KnownTable {
+            clock,
+            era,
+            max_age,
+        } = self.known;
         let age = self.context.cluster_view.age_of(rows.clock);
-        rows.clock > self.clock && age.is_some_and(|age| age <= self.max_age)
+        rows.clock > clock && rows.version.era() >= era && age.is_some_and(|age| age <= max_age)
     }
 
     async fn request(&self) -> Result<RelayedRows, String> {
         let request = RowsRequest {
             table: self.table,
             after: RowVersion::new(0),
-            clock: self.clock,
+            clock: self.known.clock,
             is_store_unavailable: false,
             known_rows: Vec::new(),
             takes_packed_table: true,
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -20,7 +20,7 @@
 #[doc(inline)]
 pub use number_id::{
     AttemptNumber, FencingNumber, Incarnation, InvalidNumber, PlacementVersion, RoutingVersion,
-    RowVersion, StageIndex, StartMs, TreeVersion,
+    RowVersion, StageIndex, StartMs, StoreEra, TreeVersion,
 };
 #[doc(inline)]
 pub use prompt_part_id::{InvalidPromptPartId, PromptPartId};
--- a/crates/core/src/id/number_id.rs
+++ b/crates/core/src/id/number_id.rs
@@ -78,7 +78,13 @@
     StageIndex, u8, "stage index");
 number_id!(
     /// Version of a row of the platform's table; 0 means absent.
+    ///
+    /// A store that is restored from a copy gives out its numbers again, in a new era. Versions are
+    /// ordered by their eras first, so those of two eras are never taken for each other.
     RowVersion, u64, "row version");
+number_id!(
+    /// Number of times that a store was restored from a copy.
+    StoreEra, u16, "store era");
 number_id!(
     /// Version of the settings tree; 0 means none yet.
     TreeVersion, u64, "tree version");
@@ -91,3 +97,32 @@
 number_id!(
     /// Version of the routing in force; 0 means none yet.
     RoutingVersion, u64, "routing version");
+
+/// Bits of a row version below its era.
+const NUMBER_BITS: u32 = 48;
+const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
+
+impl RowVersion {
+    /// The version with a number that a store gave out in an era.
+    #[must_use]
+    pub const fn in_era(era: StoreEra, number: u64) -> Self {
+        let number = if number < MAX_NUMBER {
+            number
+        } else {
+            MAX_NUMBER
+        };
+        Self((era.0 as u64) << NUMBER_BITS | number)
+    }
+
+    /// The era in which it was given out.
+    #[must_use]
+    pub const fn era(self) -> StoreEra {
+        StoreEra((self.0 >> NUMBER_BITS) as u16)
+    }
+
+    /// The store's own number within the era.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0 & MAX_NUMBER
+    }
+}
--- a/crates/core/src/version/table_copy.rs
+++ b/crates/core/src/version/table_copy.rs
@@ -67,7 +67,9 @@
     /// Replaces all rows with the table as of a version and time of the store.
     ///
     /// Rows of an earlier copy that are missing now count as dropped at that version: whoever has
-    /// the earlier copy needs only what changed, as after the store has lost its history.
+    /// the earlier copy needs only what changed, as after the store has lost its history. In a new
+    /// era of the store, everybody else needs the whole table: it lacks rows that this copy may never
+    /// have had.
     pub fn replace(
         &mut self,
         rows: impl IntoIterator<Item = (String, V, RowVersion)>,
@@ -78,7 +80,7 @@
         let rows: BTreeMap<_, _> = rows
             .map(|(key, value, version)| (key, (value, version)))
             .collect();
-        if self.version == RowVersion::new(0) {
+        if self.version == RowVersion::new(0) || self.version.era() < version.era() {
             self.complete_since = version;
         }
         let replaced = std::mem::replace(&mut self.rows, rows);
--- a/crates/core/tests/table_copy.rs
+++ b/crates/core/tests/table_copy.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use amaranthscale_core::id::RowVersion;
+use amaranthscale_core::id::{RowVersion, StoreEra};
 use amaranthscale_core::version::{TableChanges, TableCopy};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -192,3 +192,27 @@
     let up_to_date = copy.changes_since(RowVersion::new(9));
     assert_eq!(up_to_date, TableChanges::Incremental(Vec::new()));
 }
+
+/// Guards against readers of before a restoration that keep rows which this copy never had.
+#[test]
+fn a_table_of_a_new_era_is_given_to_earlier_readers_as_a_whole() {
+    let earlier = |number| RowVersion::in_era(StoreEra::new(1), number);
+    let later = |number| RowVersion::in_era(StoreEra::new(2), number);
+    let mut copy = TableCopy::default();
+    copy.replace(
+        [("row".to_owned(), 1, earlier(3))],
+        earlier(50),
+        Duration::from_secs(1),
+    );
+
+    copy.replace(
+        [("row".to_owned(), 2, later(3))],
+        later(7),
+        Duration::from_secs(2),
+    );
+
+    let whole = TableChanges::Full(vec![("row".to_owned(), 2, later(3))]);
+    assert_eq!(copy.changes_since(earlier(60)), whole);
+    let up_to_date = copy.changes_since(later(7));
+    assert_eq!(up_to_date, TableChanges::Incremental(Vec::new()));
+}
