Evidence of crashes outlasts a store that is restored from a copy

A request that had crashed three servers reached six more.

Evidence is still true: the first whole read of a new era drops none, and each gateway writes its own again where the store lacks it. Operators' drains known here are kept likewise; limits and versions in use are published again by those that observe them, and announcements as before.

--- a/crates/amaranthscale/src/gateway/process/crash_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_tracker.rs
@@ -354,10 +354,39 @@
         self.log(&changes);
     }
 
+    /// Publishes again what this gateway had published and a restored store lacks. Evidence of
+    /// others is kept, as it is still true.
+    pub(crate) fn republish_missing(&self, ids: &[EvidenceId]) {
+        let own = self.own_evidence_prefix();
+        let mut state = self.state();
+        let missing = state.quarantine.evidence();
+        let missing = missing.filter(|(id, _)| id.as_str().starts_with(&own) && !ids.contains(id));
+        let missing: Vec<_> = missing
+            .map(|(id, evidence)| (id.clone(), evidence.clone()))
+            .collect();
+        if missing.is_empty() {
+            return;
+        }
+        let is_sealed = |id: &EvidenceId| state.sealed.iter().any(|(sealed, _)| sealed == id);
+        let missing: Vec<_> = missing
+            .into_iter()
+            .filter(|(id, _)| !is_sealed(id))
+            .collect();
+        info!(evidence = missing.len(); "quarantine: evidence published again after a restoration");
+        state.sealed.extend(missing);
+        drop(state);
+        self.publish_requested.notify_one();
+    }
+
+    /// Beginning of the ids of this gateway's own evidence.
+    fn own_evidence_prefix(&self) -> String {
+        format!("{}.", self.instance)
+    }
+
     /// Drops evidence that a full read of the table does not contain, except this gateway's own.
     pub(crate) fn retain_published(&self, ids: &[EvidenceId]) {
         let now = self.clock.now();
-        let own = format!("{}.", self.instance);
+        let own = self.own_evidence_prefix();
         let is_retained = |id: &EvidenceId| ids.contains(id) || id.as_str().starts_with(&own);
         let changes = self.state().quarantine.retain_evidence(is_retained, now);
         self.log(&changes);
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -166,6 +166,7 @@
     let mut invalid_entries = InvalidEntryLog::new("gateways");
     let mut membership_changes = MembershipChanges::new();
     let mut withdrawing = BTreeSet::new();
+    let mut era = None;
     if own.is_first_start {
         let spread = FIRST_START_SPREAD.mul_f64(rand::random_range(0.0..1.0));
         tokio::time::sleep(spread).await;
@@ -176,9 +177,14 @@
                 cluster_view.mark_list_unavailable();
                 continue;
             }
-            FeedEvent::Snapshot(rows) => (rows.rows, true),
-            FeedEvent::Changes(rows) => (rows.rows, false),
+            FeedEvent::Snapshot(rows) => (rows, true),
+            FeedEvent::Changes(rows) => (rows, false),
         };
+        let read_era = rows.version.era();
+        let is_restored = era
+            .replace(read_era)
+            .is_some_and(|earlier| earlier < read_era);
+        let rows = rows.rows;
         let parsed: Vec<_> = rows
             .iter()
             .map(|row| parse_gateway_row(&store, row))
@@ -214,10 +220,10 @@
         }
         counters.add(
             "drains.changed",
-            apply_drains(&cluster_view, drains, is_snapshot),
+            apply_drains(&cluster_view, drains, is_snapshot && !is_restored),
         );
         let listed = is_snapshot.then(|| {
-            retain_listed(&own, &parsed);
+            retain_listed(&own, &parsed, is_restored);
             let ids = rows.iter().filter_map(|row| row.key.parse().ok());
             ids.collect::<BTreeSet<InstanceId>>()
         });
@@ -301,7 +307,11 @@
 }
 
 /// Drops evidence, limits and versions that a full read of the table does not contain.
-fn retain_listed(own: &OwnInstance, parsed: &[Result<RowKind, String>]) {
+///
+/// A store that was restored from a copy lacks evidence that is still true: it is kept, and written
+/// again by the gateway that it is from. Limits and versions are published again by those that
+/// observe them.
+fn retain_listed(own: &OwnInstance, parsed: &[Result<RowKind, String>], is_restored: bool) {
     let (mut evidence, mut limited) = (Vec::new(), Vec::new());
     let mut versions = BTreeSet::new();
     for parsed in parsed.iter().flatten() {
@@ -314,7 +324,11 @@
             RowKind::Version((_, false)) | RowKind::Drain(_) | RowKind::Instance => {}
         }
     }
-    own.crashes.retain_published(&evidence);
+    if is_restored {
+        own.crashes.republish_missing(&evidence);
+    } else {
+        own.crashes.retain_published(&evidence);
+    }
     own.limits.retain_published(&limited);
     own.versions.apply_all_published(versions);
 }
--- a/crates/core/src/process/quarantine.rs
+++ b/crates/core/src/process/quarantine.rs
@@ -190,6 +190,12 @@
         self.update_culprits(now)
     }
 
+    /// All evidence and its ids.
+    pub fn evidence(&self) -> impl Iterator<Item = (&EvidenceId, &CrashEvidence)> {
+        let evidence = self.evidence.iter();
+        evidence.map(|(id, stored)| (id, &stored.evidence))
+    }
+
     /// Whether there is evidence with an id.
     #[must_use]
     pub fn has_evidence(&self, id: &EvidenceId) -> bool {
