An evacuated zone stays so when the store is restored from a copy

The first whole read of a new era took back each evacuation that it did not name, until the operators write it again. It now takes back none; a later whole read does. The feed itself tells whether its event is that first one.

a_zone_that_was_evacuated_before_a_restoration_stays_so fails without it.

--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -97,6 +97,10 @@
     is_store_unavailable: bool,
     /// Whether the last event was the whole table.
     is_after_snapshot: bool,
+    /// Era of the last event with rows.
+    event_era: Option<StoreEra>,
+    /// Whether the last event was the first of a later era.
+    is_restored: bool,
     /// Whether an event has told that the gateways are not listed.
     is_missing_list_told: bool,
     /// When the last answer began, by the clock that also counts while the host is suspended.
@@ -119,6 +123,8 @@
             reader_client: None,
             is_store_unavailable: false,
             is_after_snapshot: true,
+            event_era: None,
+            is_restored: false,
             is_missing_list_told: false,
             received_at: Duration::ZERO,
             started: Instant::now(),
@@ -141,6 +147,13 @@
         self.received_at
     }
 
+    /// Whether the last event is the whole table of a store that was restored from a copy, which lacks
+    /// rows that were written since and are written again only later.
+    #[must_use]
+    pub const fn is_restored(&self) -> bool {
+        self.is_restored
+    }
+
     /// Whether this gateway reads the table from the store, and not through another one.
     #[must_use]
     pub fn reads_store(&self) -> bool {
@@ -155,6 +168,9 @@
         self.is_after_snapshot = matches!(event, FeedEvent::Snapshot(_));
         if let FeedEvent::Snapshot(rows) | FeedEvent::Changes(rows) = &event {
             self.clock = self.clock.max(rows.clock);
+            let era = rows.version.era();
+            let earlier = self.event_era.replace(era);
+            self.is_restored = earlier.is_some_and(|earlier| earlier < era);
         }
         if let Some(reader_client) = &mut self.reader_client {
             reader_client
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -46,7 +46,7 @@
         let was_available = link.is_available;
         let event = feed.next().await;
         link.record(&event);
-        let is_snapshot = matches!(event, FeedEvent::Snapshot(_));
+        let is_complete = matches!(event, FeedEvent::Snapshot(_)) && !feed.is_restored();
         let rows = match event {
             FeedEvent::Snapshot(rows) | FeedEvent::Changes(rows) => rows,
             FeedEvent::Unavailable(_) => {
@@ -58,7 +58,7 @@
         };
         // Applied before the routing, as parsing a long one takes time.
         let zones = parse_zone_changes(&store, &rows.rows, &mut invalid_entries);
-        let changed_zones = apply_zone_changes(&cluster_view, zones, is_snapshot);
+        let changed_zones = apply_zone_changes(&cluster_view, zones, is_complete);
         counters.add("zones.changed", changed_zones);
         for row in rows.rows {
             match read_routing(&store, row).await {
@@ -166,7 +166,6 @@
     let mut invalid_entries = InvalidEntryLog::new("gateways");
     let mut membership_changes = MembershipChanges::new();
     let mut withdrawing = BTreeSet::new();
-    let mut era = None;
     if own.is_first_start {
         let spread = FIRST_START_SPREAD.mul_f64(rand::random_range(0.0..1.0));
         tokio::time::sleep(spread).await;
@@ -177,14 +176,10 @@
                 cluster_view.mark_list_unavailable();
                 continue;
             }
-            FeedEvent::Snapshot(rows) => (rows, true),
-            FeedEvent::Changes(rows) => (rows, false),
+            FeedEvent::Snapshot(rows) => (rows.rows, true),
+            FeedEvent::Changes(rows) => (rows.rows, false),
         };
-        let read_era = rows.version.era();
-        let is_restored = era
-            .replace(read_era)
-            .is_some_and(|earlier| earlier < read_era);
-        let rows = rows.rows;
+        let is_restored = feed.is_restored();
         let parsed: Vec<_> = rows
             .iter()
             .map(|row| parse_gateway_row(&store, row))
