A server that was removed stays so when the store is restored from a copy

A server whose entry had been removed, as those that leave without a word are, was listed again by the copy and got requests. What is known as removed within the last minute is left out of the first list of a new era, until a change lists it: a server that still runs writes its entry again.

The gateway test fails without it (the first requests reach the server).

--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -120,9 +120,14 @@
             FeedEvent::Snapshot(rows) => {
                 let entries = parse_server_changes(&store, &rows.rows, &mut invalid_entries);
                 info!(servers = entries.len(); "servers: listed");
+                let is_restored = feed.is_restored();
                 cluster_view.change_servers(|servers, now| {
                     servers.store_answered(now);
-                    servers.replace_all(entries, now);
+                    if is_restored {
+                        servers.restore_all(entries, now);
+                    } else {
+                        servers.replace_all(entries, now);
+                    }
                     true
                 });
             }
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -32,6 +32,8 @@
 /// Grace period in which a server whose listing expired during an outage may be listed again.
 /// Source: the platform writes records again about 2 s after the store's return.
 pub const EXPIRY_GRACE: Duration = Duration::from_secs(2);
+/// Time for which removed servers are remembered: longer than a copy of the store is old.
+const GONE_LIFETIME: Duration = Duration::from_secs(60);
 
 /// One backend server as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -91,6 +93,8 @@
     /// Limits that servers have reported, including servers that are not listed yet or any more.
     limits: BTreeMap<ServerIncarnation, ServerLimit>,
     notices: ServerNotices,
+    /// Incarnations whose entries were removed, and when.
+    gone: BTreeMap<ServerIncarnation, Duration>,
     /// Whether a complete list was received: servers that appear later have just started.
     is_complete: bool,
 }
@@ -275,6 +279,7 @@
             ServerChange::Listed(record) => {
                 let id = record.incarnation.id();
                 self.expired.remove(id);
+                self.gone.remove(&record.incarnation);
                 self.record_cold(&record, now);
                 if self.servers.get(id) == Some(&record) {
                     return false;
@@ -305,10 +310,30 @@
         if let Some(removed) = &removed {
             self.retain_leaving(removed, now);
             self.notices.record_unlisted(&removed.incarnation, now);
+            self.gone
+                .retain(|_, removed_at| now.saturating_sub(*removed_at) < GONE_LIFETIME);
+            self.gone.insert(removed.incarnation.clone(), now);
         }
         removed.is_some()
     }
 
+    /// Applies the complete list of a store that was restored from a copy.
+    ///
+    /// It may list servers that were removed since the copy. They are left out until they are listed
+    /// by a change, as a server that still runs writes its entry again.
+    pub fn restore_all(&mut self, mut entries: Vec<ServerChange>, now: Duration) {
+        entries.retain(|entry| match entry {
+            ServerChange::Listed(record) => !self.is_gone(&record.incarnation, now),
+            ServerChange::Removed(_) | ServerChange::Unreadable(_) => true,
+        });
+        self.replace_all(entries, now);
+    }
+
+    fn is_gone(&self, server: &ServerIncarnation, now: Duration) -> bool {
+        let removed_at = self.gone.get(server);
+        removed_at.is_some_and(|removed_at| now.saturating_sub(*removed_at) < GONE_LIFETIME)
+    }
+
     /// Retains that a listed server leaves: a list may be read again from a copy of before that.
     fn retain_leaving(&mut self, record: &ServerRecord, now: Duration) {
         if record.is_leaving {
