--- a/crates/core/src/process/lag_detector.rs
+++ b/crates/core/src/process/lag_detector.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-/// Lag from which an actor is behind if its user sets none: a tenth of the shortest target latencies, and as long as a
-/// quota may withhold the processor.
+/// Lag from which an actor is behind if its user sets none: a tenth of the shortest target latencies,
+/// and as long as a quota may withhold the processor.
 const LAG_THRESHOLD: Duration = Duration::from_millis(100);
 /// Time for which the lag must persist: shorter bursts are completed within the callers' target
 /// latencies.
