The line of a restored store names the position that is given up

Where the whole table came through another gateway, the new position was set before the line was written, so that it named the new era as the earlier one. Found by reading; nothing else depends on the order.

--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -438,8 +438,8 @@
         // exist since.
         let age = context.cluster_view.age_of(clock).unwrap_or_default();
         self.received_at = now.saturating_sub(age);
-        self.position = Some(version);
         self.record_era(version.era());
+        self.position = Some(version);
         Some(event)
     }
 
