--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -14,6 +14,7 @@
 mod reader_requests;
 mod relayed_table;
 mod start_reader;
+mod store_call;
 mod store_write;
 mod table_relay;
 mod zone_reader_client;
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -18,9 +18,9 @@
 use super::super::{
     EvidenceUpdate, LimitUpdate, StoreApi, StoreRow, StoreTable, StoredValue, VersionUpdate,
 };
-use super::feed::LONG_ANSWER_BYTES;
 use super::invalid_entry_log::InvalidEntryLog;
 use super::log_limiter::LogLimiter;
+use super::store_call::LONG_ANSWER_BYTES;
 use super::zones::{apply_zone_changes, parse_zone_changes};
 use super::{Announcer, ClusterView, Feed, FeedEvent, PollTiming, RelayContext};
 use crate::process::Latencies;
--- a/crates/amaranthscale/src/gateway/version/store_write.rs
+++ b/crates/amaranthscale/src/gateway/version/store_write.rs
@@ -8,7 +8,7 @@
 use quick_error::quick_error;
 
 use super::super::{StoreAnswer, StoreApi};
-use super::feed::call_store;
+use super::store_call::call_store;
 use crate::connection::Http1Connection;
 
 /// Timeout of one write.
