Simpler pieces of the retry budget, restored lists and their tests

The use of a retry budget is worked out only where a refusal is logged; a replaced list no longer copies each known record to see whether it leaves; missing evidence is selected in one pass, so that no line tells of nothing to publish.

--- a/crates/amaranthscale/src/gateway/process/crash_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/crash_tracker.rs
@@ -359,19 +359,17 @@
     pub(crate) fn republish_missing(&self, ids: &[EvidenceId]) {
         let own = self.own_evidence_prefix();
         let mut state = self.state();
-        let missing = state.quarantine.evidence();
-        let missing = missing.filter(|(id, _)| id.as_str().starts_with(&own) && !ids.contains(id));
+        let is_sealed = |id: &EvidenceId| state.sealed.iter().any(|(sealed, _)| sealed == id);
+        let missing = state
+            .quarantine
+            .evidence()
+            .filter(|(id, _)| id.as_str().starts_with(&own) && !ids.contains(id) && !is_sealed(id));
         let missing: Vec<_> = missing
             .map(|(id, evidence)| (id.clone(), evidence.clone()))
             .collect();
         if missing.is_empty() {
             return;
         }
-        let is_sealed = |id: &EvidenceId| state.sealed.iter().any(|(sealed, _)| sealed == id);
-        let missing: Vec<_> = missing
-            .into_iter()
-            .filter(|(id, _)| !is_sealed(id))
-            .collect();
         info!(evidence = missing.len(); "quarantine: evidence published again after a restoration");
         state.sealed.extend(missing);
         drop(state);
--- a/crates/amaranthscale/src/gateway/process/retry_budgets.rs
+++ b/crates/amaranthscale/src/gateway/process/retry_budgets.rs
@@ -60,8 +60,8 @@
         let gateways = state.gateways.record(announced, now);
         let budget = state.budget(service, self.settings);
         let is_granted = budget.try_retry(gateways, now);
-        let usage = budget.usage();
         if !is_granted {
+            let usage = budget.usage();
             log_refusal(&mut state.refusal_lines, service, gateways, usage);
         }
         is_granted
--- a/crates/core/src/id/number_id.rs
+++ b/crates/core/src/id/number_id.rs
@@ -105,13 +105,8 @@
 impl RowVersion {
     /// The version with a number that a store gave out in an era.
     #[must_use]
-    pub const fn in_era(era: StoreEra, number: u64) -> Self {
-        let number = if number < MAX_NUMBER {
-            number
-        } else {
-            MAX_NUMBER
-        };
-        Self((era.0 as u64) << NUMBER_BITS | number)
+    pub fn in_era(era: StoreEra, number: u64) -> Self {
+        Self(u64::from(era.0) << NUMBER_BITS | number.min(MAX_NUMBER))
     }
 
     /// The era in which it was given out.
--- a/crates/core/src/process/server_list.rs
+++ b/crates/core/src/process/server_list.rs
@@ -308,7 +308,9 @@
         self.cold.remove(id);
         let removed = self.servers.remove(id);
         if let Some(removed) = &removed {
-            self.retain_leaving(removed, now);
+            if removed.is_leaving {
+                self.notices.record_leaving(&removed.incarnation, now);
+            }
             self.notices.record_unlisted(&removed.incarnation, now);
             self.gone
                 .retain(|_, removed_at| now.saturating_sub(*removed_at) < GONE_LIFETIME);
@@ -334,21 +336,16 @@
         removed_at.is_some_and(|removed_at| now.saturating_sub(*removed_at) < GONE_LIFETIME)
     }
 
-    /// Retains that a listed server leaves: a list may be read again from a copy of before that.
-    fn retain_leaving(&mut self, record: &ServerRecord, now: Duration) {
-        if record.is_leaving {
-            self.notices.record_leaving(&record.incarnation, now);
-        }
-    }
-
     /// Applies a complete list: servers that are missing from it have expired or are gone.
     pub fn replace_all(&mut self, entries: Vec<ServerChange>, now: Duration) {
         let listed: BTreeSet<_> = entries.iter().map(|entry| entry.id().clone()).collect();
         let known: Vec<_> = self.servers.keys().cloned().collect();
+        // The list may be a copy of before a server said that it leaves.
+        let replaced = listed.iter().filter_map(|id| self.servers.get(id));
+        for record in replaced.filter(|record| record.is_leaving) {
+            self.notices.record_leaving(&record.incarnation, now);
+        }
         for entry in entries {
-            if let Some(known) = self.servers.get(entry.id()).cloned() {
-                self.retain_leaving(&known, now);
-            }
             self.apply(entry, now);
         }
         for id in known.into_iter().filter(|id| !listed.contains(id)) {
