Pieces are sent only while all their inputs are stored

What callers saw: on a route where two stages depend on the same one, a 200 whose answer was made from pieces without inputs. After a server with results of the first stage had crashed, a stage server was sent a later stage's pieces with the request's key instead of results, and computed them.

Cause: a stage counted as ready by a flag (`is_queued`) that was set once its inputs were computed, and reset only for the stage that found them missing and for the recomputed ones. Another stage that depends on the same results stayed in the queue, or was put back by a later end of its own call, as `recompute_inputs` returned early once a recomputation was under way; `dequeue_unready_stages` skipped stages whose pieces were all in calls. `batch_item` took a stage without results for a first stage and sent the key.

Change: whether a stage is ready is derived from the states of the pieces that it depends on wherever it is queued or sent, and a piece without all its inputs has no batch item. Lost results that waiting pieces need are recomputed in one place, whatever lost them; what is still stored is kept.

--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -282,16 +282,13 @@
         self.jobs.len()
     }
 
-    /// Queues the pieces of stages whose inputs are complete.
+    /// Queues the pieces of stages whose inputs are stored, and those of lost inputs.
     fn advance(&mut self, id: JobId, now: Duration) {
+        self.recompute_lost_inputs(id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        for index in job.ready_stages() {
-            let stage = &mut job.stages[index];
-            stage.is_queued = true;
-            stage.timestamps.queued_at = now;
-        }
+        job.record_queued(now);
         if job.is_done() && !job.is_reported {
             job.is_reported = true;
             let handles = job.final_results();
@@ -308,7 +305,7 @@
         };
         for index in 0..job.stages.len() {
             let stage = &job.stages[index];
-            let waits = stage.is_queued && !job.is_reported && stage.has_waiting();
+            let waits = !job.is_reported && job.is_ready(index);
             let entry = waits.then(|| Entry {
                 is_late: job.is_late,
                 scheduled_start: job.scheduled_start(index),
@@ -336,22 +333,23 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let mut freed = Vec::new();
         for index in job.unneeded_stages(now, is_shared) {
-            let stage = &mut job.stages[index];
-            stage.is_freed = true;
-            self.events.push(JobEvent::ResultsDropped(id, index));
-            let spec = &stage.spec;
-            freed.push((
-                spec.service.clone(),
-                spec.result_bytes,
-                stage.pieces.clone(),
-            ));
+            self.free_stage(id, index);
         }
-        for (service, result_bytes, pieces) in freed {
-            for piece in &pieces {
-                self.free_piece(&service, result_bytes, piece);
-            }
+    }
+
+    /// Frees the results of a completed stage.
+    fn free_stage(&mut self, id: JobId, index: usize) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let stage = &mut job.stages[index];
+        stage.is_freed = true;
+        let (service, result_bytes) = (stage.spec.service.clone(), stage.spec.result_bytes);
+        let pieces = stage.pieces.clone();
+        self.events.push(JobEvent::ResultsDropped(id, index));
+        for piece in &pieces {
+            self.free_piece(&service, result_bytes, piece);
         }
     }
 
--- a/crates/core/src/process/batcher/ends.rs
+++ b/crates/core/src/process/batcher/ends.rs
@@ -54,8 +54,8 @@
             BatchEnd::Pieces(ends) if ends.len() == batch.pieces.len() => ends,
             BatchEnd::NotSent | BatchEnd::Rejected | BatchEnd::OtherServer => {
                 for running in &batch.pieces {
-                    self.retry_piece(&batch, *running, false, now);
-                    self.update_queues(running.piece.job);
+                    self.requeue_piece(&batch, *running, false);
+                    self.advance(running.piece.job, now);
                 }
                 return;
             }
@@ -197,11 +197,11 @@
                 self.release_reservation(batch, running);
                 self.fail(piece.job, JobFailure::Late);
             }
-            PieceEnd::StorageFull => self.retry_piece(batch, running, false, now),
-            PieceEnd::Failed => self.retry_piece(batch, running, true, now),
+            PieceEnd::StorageFull => self.requeue_piece(batch, running, false),
+            PieceEnd::Failed => self.requeue_piece(batch, running, true),
             PieceEnd::InputMissing => {
                 self.requeue_piece(batch, running, true);
-                self.recompute_inputs(piece, now);
+                self.discard_inputs(piece);
             }
         }
     }
@@ -254,69 +254,36 @@
         }
     }
 
-    /// Queues a piece again; recomputes its inputs if they were freed for the ended call.
-    fn retry_piece(
-        &mut self,
-        batch: &RunningBatch,
-        running: RunningPiece,
-        has_failed: bool,
-        now: Duration,
-    ) {
-        self.requeue_piece(batch, running, has_failed);
-        if self.has_freed_inputs(running.piece) {
-            self.recompute_inputs(running.piece, now);
-        }
-    }
-
-    pub(super) fn has_freed_inputs(&self, piece: PieceRef) -> bool {
-        self.jobs.get(&piece.job).is_some_and(|job| {
-            let inputs = &job.stages[piece.stage].spec.depends_on;
-            inputs
-                .iter()
-                .any(|index| job.stages[*index].has_lost_results())
-        })
-    }
-
-    /// Recomputes the results that a piece depends on.
+    /// Discards the results that a piece depends on, so that they are recomputed.
     ///
     /// Guards against a server that dies with results that later stages need: their pieces would
     /// fail for ever. The answer does not tell which result is missing, so all of them are
-    /// recomputed.
-    pub(super) fn recompute_inputs(&mut self, piece: PieceRef, now: Duration) {
-        let Some(job) = self.jobs.get_mut(&piece.job) else {
+    /// discarded, unless some are being recomputed already.
+    fn discard_inputs(&mut self, piece: PieceRef) {
+        let Some(job) = self.jobs.get(&piece.job) else {
             return;
         };
-        let recomputed = job.stages_to_recompute(piece.stage);
-        if recomputed.iter().any(|index| !job.stages[*index].is_done()) {
+        if job.is_reported || !job.has_inputs(piece.stage) {
             return;
         }
-        job.recomputations += 1;
-        if job.recomputations > MAX_RECOMPUTATIONS {
-            self.fail(piece.job, JobFailure::Failing);
-            return;
+        for index in job.stages[piece.stage].spec.depends_on.clone() {
+            self.free_stage(piece.job, index);
         }
-        job.stages[piece.stage].is_queued = false;
-        let mut freed = Vec::new();
-        for index in recomputed {
-            let stage = &mut job.stages[index];
-            self.events.push(JobEvent::ResultsDropped(piece.job, index));
-            let waiting = vec![PieceState::Waiting; stage.pieces.len()];
-            let completed = std::mem::replace(&mut stage.pieces, waiting);
-            stage.is_queued = false;
-            if !std::mem::take(&mut stage.is_freed) {
-                freed.push((
-                    stage.spec.service.clone(),
-                    stage.spec.result_bytes,
-                    completed,
-                ));
-            }
+    }
+
+    /// Makes lost results be recomputed that waiting pieces of a job depend on; fails the job if
+    /// that has happened too often.
+    pub(super) fn recompute_lost_inputs(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.is_reported || !job.requeue_lost_inputs() {
+            return;
         }
-        for (service, result_bytes, pieces) in freed {
-            for piece in &pieces {
-                self.free_piece(&service, result_bytes, piece);
-            }
+        job.recomputations += 1;
+        if job.recomputations > MAX_RECOMPUTATIONS {
+            self.fail(id, JobFailure::Failing);
         }
-        self.advance(piece.job, now);
     }
 }
 
--- a/crates/core/src/process/batcher/fill.rs
+++ b/crates/core/src/process/batcher/fill.rs
@@ -235,8 +235,12 @@
         let mut pieces = Vec::with_capacity(chosen.len());
         for piece in &chosen {
             let job = self.jobs.get_mut(&piece.job)?;
+            let Some(item) = job.batch_item(piece.stage, piece.piece, now) else {
+                debug_assert!(false, "{piece:?} is queued without its inputs");
+                continue;
+            };
             job.mark_sent(piece.stage, now);
-            items.push(job.batch_item(piece.stage, piece.piece, now));
+            items.push(item);
             let stage = &mut job.stages[piece.stage];
             if stage.timestamps.sent_at.is_none()
                 && let Some((plan, admission)) = job.plan.as_ref().zip(self.admission.as_mut())
@@ -247,7 +251,7 @@
                     service,
                     job.spec.rank,
                     forecast,
-                    stage.timestamps.queued_at,
+                    stage.timestamps.queued_at.unwrap_or(now),
                     now,
                 );
             }
@@ -261,6 +265,9 @@
                 result_bytes,
             });
         }
+        if items.is_empty() {
+            return None;
+        }
         pool.reserve(server, reserved_bytes);
         pool.record_send(server, now);
         let state = pool.servers.get_mut(server)?;
@@ -453,9 +460,9 @@
     /// Whether all services of a late job have spare capacity.
     fn all_have_spare(&mut self, job: &'a Job) -> bool {
         let has_forecast = self.batcher.admission.is_some();
-        let mut stages = job.stages.iter();
-        stages.all(|stage| {
-            let is_later = has_forecast && !stage.is_queued;
+        let mut stages = job.stages.iter().enumerate();
+        stages.all(|(index, stage)| {
+            let is_later = has_forecast && stage.has_waiting() && !job.has_inputs(index);
             stage.spec.pieces == 0 || is_later || self.has_spare(&stage.spec.service)
         })
     }
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -91,7 +91,6 @@
     pub(super) pieces: Vec<PieceState>,
     /// Latest start of its calls that still meets the target latency.
     pub(super) latest_start: Duration,
-    pub(super) is_queued: bool,
     pub(super) is_freed: bool,
     pub(super) timestamps: StageTimestamps,
     /// Its entry in the service's queue.
@@ -105,7 +104,8 @@
 )]
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct StageTimestamps {
-    pub(super) queued_at: Duration,
+    /// When all its inputs were stored for the first time.
+    pub(super) queued_at: Option<Duration>,
     pub(super) sent_at: Option<Duration>,
     pub(super) last_sent_at: Duration,
     pub(super) completed_at: Duration,
@@ -116,8 +116,9 @@
         let Some(sent_at) = self.timestamps.sent_at else {
             return StageTimes::default();
         };
+        let queued_at = self.timestamps.queued_at.unwrap_or(sent_at);
         StageTimes {
-            waited: sent_at.saturating_sub(self.timestamps.queued_at),
+            waited: sent_at.saturating_sub(queued_at),
             worked: self.timestamps.completed_at.saturating_sub(sent_at),
         }
     }
@@ -129,9 +130,26 @@
         waiting.map(|(index, _)| index)
     }
 
-    /// Whether any of its results are freed or lost.
-    pub(super) fn has_lost_results(&self) -> bool {
-        self.is_freed || self.pieces.contains(&PieceState::Discarded)
+    /// Whether the results of all its pieces are stored.
+    pub(super) fn has_results(&self) -> bool {
+        let is_stored = |piece: &PieceState| matches!(piece, PieceState::Completed { .. });
+        self.pieces.is_empty() || !self.is_freed && self.pieces.iter().all(is_stored)
+    }
+
+    /// Makes the pieces wait again whose results are freed or lost; returns whether there are any.
+    fn requeue_lost_results(&mut self) -> bool {
+        let is_freed = std::mem::take(&mut self.is_freed);
+        let is_lost = |piece: &PieceState| match piece {
+            PieceState::Completed { .. } => is_freed,
+            PieceState::Discarded => true,
+            PieceState::Waiting | PieceState::Running => false,
+        };
+        let mut has_lost = false;
+        for piece in self.pieces.iter_mut().filter(|piece| is_lost(piece)) {
+            *piece = PieceState::Waiting;
+            has_lost = true;
+        }
+        has_lost
     }
 
     pub(super) fn has_waiting(&self) -> bool {
@@ -181,7 +199,6 @@
                 spec: spec.clone(),
                 pieces: vec![PieceState::Waiting; spec.pieces],
                 latest_start,
-                is_queued: false,
                 is_freed: false,
                 timestamps: StageTimestamps::default(),
                 entry: None,
@@ -299,9 +316,8 @@
         if self.is_committed || self.is_late || is_kept {
             return false;
         }
-        let is_waiting = |stage: &&StageState| stage.is_queued && stage.has_waiting();
-        let queued = self.stages.iter().filter(is_waiting);
-        let first = queued.map(|stage| stage.latest_start).min();
+        let queued = (0..self.stages.len()).filter(|index| self.is_ready(*index));
+        let first = queued.map(|index| self.stages[index].latest_start).min();
         self.is_late = first.is_some_and(|start| start + LATE_MARGIN < now);
         self.is_late
     }
@@ -336,31 +352,44 @@
             .mul_f64(waiting.as_secs_f64() / work.as_secs_f64())
     }
 
-    /// Stages that are not queued yet and whose inputs are completed.
-    pub(super) fn ready_stages(&self) -> Vec<usize> {
-        let is_ready = |index: &usize| {
-            let stage = &self.stages[*index];
-            let inputs = stage.spec.depends_on.iter();
-            !stage.is_queued && inputs.copied().all(|input| self.stages[input].is_done())
-        };
-        (0..self.stages.len()).filter(is_ready).collect()
+    /// Whether all results that a stage depends on are stored.
+    pub(super) fn has_inputs(&self, stage: usize) -> bool {
+        let mut inputs = self.stages[stage].spec.depends_on.iter();
+        inputs.all(|input| self.stages[*input].has_results())
     }
 
-    pub(super) fn is_done(&self) -> bool {
-        self.stages.iter().all(StageState::is_done)
+    /// Whether a stage has pieces that can be sent.
+    pub(super) fn is_ready(&self, stage: usize) -> bool {
+        self.stages[stage].has_waiting() && self.has_inputs(stage)
+    }
+
+    /// Makes the pieces wait again whose results are freed or lost and which waiting pieces depend
+    /// on; returns whether there are any.
+    pub(super) fn requeue_lost_inputs(&mut self) -> bool {
+        let mut has_lost = false;
+        // Stages depend on earlier ones alone, so a stage is examined after all its dependents.
+        for index in (0..self.stages.len()).rev() {
+            let is_needed = self.dependents(index).any(StageState::has_waiting);
+            if is_needed {
+                has_lost |= self.stages[index].requeue_lost_results();
+            }
+        }
+        has_lost
     }
 
-    /// Takes stages whose inputs are no longer all completed out of their queues.
-    pub(super) fn dequeue_unready_stages(&mut self) {
+    /// Records which stages have all their inputs for the first time.
+    pub(super) fn record_queued(&mut self, now: Duration) {
         for index in 0..self.stages.len() {
-            let inputs = self.stages[index].spec.depends_on.iter();
-            let is_ready = inputs.copied().all(|input| self.stages[input].is_done());
-            if self.stages[index].has_waiting() && !is_ready {
-                self.stages[index].is_queued = false;
+            if self.has_inputs(index) {
+                self.stages[index].timestamps.queued_at.get_or_insert(now);
             }
         }
     }
 
+    pub(super) fn is_done(&self) -> bool {
+        self.stages.iter().all(StageState::is_done)
+    }
+
     /// Handles of the results of stages without dependents.
     pub(super) fn final_results(&self) -> Vec<ResultHandle> {
         let last = (0..self.stages.len()).filter(|index| !self.has_dependents(*index));
@@ -388,24 +417,16 @@
         (0..self.stages.len()).filter(is_unneeded).collect()
     }
 
-    /// Stages to recompute for a stage: its inputs, and their inputs where those are freed.
-    pub(super) fn stages_to_recompute(&self, stage: usize) -> Vec<usize> {
-        let mut recomputed = self.stages[stage].spec.depends_on.clone();
-        let mut examined = 0;
-        while let Some(index) = recomputed.get(examined).copied() {
-            let inputs = self.stages[index].spec.depends_on.iter();
-            let freed = inputs.filter(|input| self.stages[**input].has_lost_results());
-            let freed: Vec<_> = freed
-                .copied()
-                .filter(|input| !recomputed.contains(input))
-                .collect();
-            recomputed.extend(freed);
-            examined += 1;
+    /// A piece as an item of a call; none unless all its inputs are stored.
+    pub(super) fn batch_item(
+        &self,
+        stage: usize,
+        piece: usize,
+        now: Duration,
+    ) -> Option<BatchItem> {
+        if !self.has_inputs(stage) {
+            return None;
         }
-        recomputed
-    }
-
-    pub(super) fn batch_item(&self, stage: usize, piece: usize, now: Duration) -> BatchItem {
         let inputs = &self.stages[stage].spec.depends_on;
         let results: Vec<_> = inputs
             .iter()
@@ -416,13 +437,13 @@
         } else {
             PieceInput::Results(results)
         };
-        BatchItem {
+        Some(BatchItem {
             call: self.spec.call.clone(),
             stage,
             piece,
             deadline_left: self.deadline_at.saturating_sub(now),
             input,
-        }
+        })
     }
 
     /// The server that stores the first completed input of a stage.
--- a/crates/core/src/process/batcher/restarts.rs
+++ b/crates/core/src/process/batcher/restarts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::job::PieceState;
-use super::{BatchEnd, Batcher, JobId, PieceRef};
+use super::{BatchEnd, Batcher, JobId};
 use crate::id::{ServerId, ServerIncarnation};
 
 /// The listed incarnation of each server.
@@ -46,35 +46,18 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let mut waiting = Vec::new();
         for index in 0..job.stages.len() {
             let is_needed = !job.is_reported && job.are_results_needed(index);
-            let pieces = job.stages[index].pieces.iter_mut().enumerate();
-            let ended = pieces.filter(|(_, state)| {
+            let pieces = job.stages[index].pieces.iter_mut();
+            let ended = pieces.filter(|state| {
                 matches!(state, PieceState::Completed { server, .. } if is_replaced(server, listed))
             });
-            for (piece, state) in ended {
-                *state = PieceState::Discarded;
-                if is_needed {
-                    *state = PieceState::Waiting;
-                    waiting.push(PieceRef {
-                        job: id,
-                        stage: index,
-                        piece,
-                    });
-                }
-            }
-        }
-        if waiting.is_empty() {
-            return;
-        }
-        for piece in &waiting {
-            job.stages[piece.stage].is_queued = false;
-        }
-        job.dequeue_unready_stages();
-        for piece in waiting {
-            if self.has_freed_inputs(piece) {
-                self.recompute_inputs(piece, now);
+            for state in ended {
+                *state = if is_needed {
+                    PieceState::Waiting
+                } else {
+                    PieceState::Discarded
+                };
             }
         }
         self.advance(id, now);
--- a/crates/core/tests/batcher/fixture.rs
+++ b/crates/core/tests/batcher/fixture.rs
@@ -179,7 +179,6 @@
 
     /// A job of stages that each depend on the one before.
     pub fn chain(&mut self, stages: &[(&str, usize, u64)]) -> JobSpec {
-        self.calls += 1;
         let stages = stages.iter().enumerate();
         let stages = stages.map(|(index, (service, pieces, result_bytes))| StageSpec {
             service: service.parse().unwrap(),
@@ -187,12 +186,40 @@
             pieces: *pieces,
             result_bytes: *result_bytes,
         });
+        self.job(stages.collect())
+    }
+
+    /// A job whose later stages all depend on the first one.
+    pub fn fan_out(&mut self, stages: &[(&str, usize, u64)]) -> JobSpec {
+        let mut spec = self.chain(stages);
+        for stage in spec.stages.iter_mut().skip(1) {
+            stage.depends_on = vec![0];
+        }
+        spec
+    }
+
+    /// A job whose last stage depends on all others.
+    pub fn fan_in(&mut self, stages: &[(&str, usize, u64)]) -> JobSpec {
+        let mut spec = self.chain(stages);
+        for (index, stage) in spec.stages.iter_mut().enumerate() {
+            let is_last = index + 1 == stages.len();
+            stage.depends_on = if is_last {
+                (0..index).collect()
+            } else {
+                Vec::new()
+            };
+        }
+        spec
+    }
+
+    fn job(&mut self, stages: Vec<StageSpec>) -> JobSpec {
+        self.calls += 1;
         JobSpec {
             call: format!("call-{}", self.calls).parse().unwrap(),
             route: "route".parse().unwrap(),
             cell: Cell::SINGLE,
             piece_key: "key".to_owned(),
-            stages: stages.collect(),
+            stages,
             rank: Rank::default(),
             organisation: None,
             was_admitted: false,
--- a/crates/core/tests/batcher/main.rs
+++ b/crates/core/tests/batcher/main.rs
@@ -16,3 +16,4 @@
 mod result_storage;
 mod retained_results;
 mod scheduling;
+mod shared_inputs;
--- a/crates/core/tests/batcher/random.rs
+++ b/crates/core/tests/batcher/random.rs
@@ -1,14 +1,15 @@
 //! Random runs of the batcher with everything that can happen to a call or a request.
 //!
 //! Invariants of every run: a job is reported at most once; each result is freed exactly once; a
-//! server has one call at a time; a piece with inputs gets all of them; no result of an ended
-//! incarnation is used.
+//! server has one call at a time; a piece gets each result of the stages that it depends on once,
+//! and the key only if there is none; no result of an ended incarnation is used.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use amaranthscale_core::id::{ResultHandle, ServerIncarnation};
+use amaranthscale_core::id::{CallId, ResultHandle, ServerIncarnation};
 use amaranthscale_core::process::{
-    Batch, BatchEnd, JobEvent, JobId, JobSpec, PieceEnd, PieceInput, RetainedResult,
+    Batch, BatchEnd, BatchItem, JobEvent, JobId, JobSpec, PieceEnd, PieceInput, RetainedResult,
+    StageSpec,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -28,6 +29,10 @@
     open: BTreeSet<JobId>,
     reported: BTreeSet<JobId>,
     running: Vec<Batch>,
+    /// Stages of each call.
+    stages: BTreeMap<CallId, Vec<StageSpec>>,
+    /// The piece that each result was computed for.
+    computed: BTreeMap<ResultHandle, (CallId, usize, usize)>,
     /// Stored results by the incarnation that stores them.
     stored: BTreeMap<ResultHandle, ServerIncarnation>,
     freed: BTreeSet<ResultHandle>,
@@ -40,16 +45,22 @@
     fn submit(&mut self, fixture: &mut Fixture, random: &mut Gen) {
         let pieces = [pick(random, 3), 1 + pick(random, 6), pick(random, 4)];
         let pieces = pieces.map(|count| usize::try_from(count).unwrap());
-        let mut spec = fixture.chain(&[
+        let stages = [
             (ENCODE, pieces[0], 1_000),
             (RETRIEVE, pieces[1], 60_000),
             (RERANK, pieces[2], 120_000),
-        ]);
+        ];
+        let mut spec = match pick(random, 3) {
+            0 => fixture.fan_out(&stages),
+            1 => fixture.fan_in(&stages),
+            _ => fixture.chain(&stages),
+        };
         spec.value_tokens = pick(random, 5) * 1_000;
         self.submit_spec(fixture, spec);
     }
 
     fn submit_spec(&mut self, fixture: &mut Fixture, spec: JobSpec) {
+        self.stages.insert(spec.call.clone(), spec.stages.clone());
         if let Ok(job) = fixture.batcher.submit(spec.clone(), fixture.now) {
             self.open.insert(job);
             self.reported_results.insert(job, reported_results(&spec));
@@ -81,7 +92,7 @@
             2 => BatchEnd::ConnectionLost,
             _ => {
                 let ends = batch.items.iter();
-                let ends = ends.map(|_| self.piece_end(fixture, random, &batch.server));
+                let ends = ends.map(|item| self.piece_end(fixture, random, &batch.server, item));
                 BatchEnd::Pieces(ends.collect())
             }
         };
@@ -140,6 +151,7 @@
         fixture: &mut Fixture,
         random: &mut Gen,
         server: &ServerIncarnation,
+        item: &BatchItem,
     ) -> PieceEnd {
         match pick(random, 30) {
             0 => PieceEnd::Failed,
@@ -147,6 +159,8 @@
             2 => PieceEnd::InputMissing,
             _ => {
                 let handle = fixture.handle();
+                let piece = (item.call.clone(), item.stage, item.piece);
+                self.computed.insert(handle.clone(), piece);
                 if fixture.incarnation(server.id().as_str()) == *server {
                     self.stored.insert(handle.clone(), server.clone());
                 }
@@ -160,10 +174,7 @@
         for batch in &batches {
             assert!(batch.items.len() <= 10);
             for item in &batch.items {
-                if let PieceInput::Results(inputs) = &item.input {
-                    assert!(!inputs.is_empty());
-                    assert!(inputs.iter().all(|input| self.stored.contains_key(input)));
-                }
+                self.check_input(item);
             }
         }
         self.running.extend(batches);
@@ -174,6 +185,25 @@
         assert!(calls.values().all(|count| *count == 1), "{calls:?}");
     }
 
+    fn check_input(&self, item: &BatchItem) {
+        let stages = &self.stages[&item.call];
+        let inputs = stages[item.stage].depends_on.iter();
+        let expected = inputs.flat_map(|input| {
+            let pieces = 0..stages[*input].pieces;
+            pieces.map(|piece| (item.call.clone(), *input, piece))
+        });
+        let expected: Vec<_> = expected.collect();
+        match &item.input {
+            PieceInput::Key(_) => assert!(expected.is_empty(), "no inputs: {item:?}"),
+            PieceInput::Results(inputs) => {
+                assert!(!inputs.is_empty());
+                assert!(inputs.iter().all(|input| self.stored.contains_key(input)));
+                let computed = inputs.iter().map(|input| self.computed[input].clone());
+                assert_eq!(computed.collect::<Vec<_>>(), expected, "{item:?}");
+            }
+        }
+    }
+
     fn process_events(&mut self, fixture: &mut Fixture) {
         for event in fixture.batcher.take_events() {
             let job = match event {
