--- a/crates/core/tests/batcher/fixture.rs
+++ b/crates/core/tests/batcher/fixture.rs
@@ -198,21 +198,8 @@
         spec
     }
 
-    /// A job whose last stage depends on all others.
-    pub fn fan_in(&mut self, stages: &[(&str, usize, u64)]) -> JobSpec {
-        let mut spec = self.chain(stages);
-        for (index, stage) in spec.stages.iter_mut().enumerate() {
-            let is_last = index + 1 == stages.len();
-            stage.depends_on = if is_last {
-                (0..index).collect()
-            } else {
-                Vec::new()
-            };
-        }
-        spec
-    }
-
-    fn job(&mut self, stages: Vec<StageSpec>) -> JobSpec {
+    /// A job of stages.
+    pub fn job(&mut self, stages: Vec<StageSpec>) -> JobSpec {
         self.calls += 1;
         JobSpec {
             call: format!("call-{}", self.calls).parse().unwrap(),
--- a/crates/core/tests/batcher/random.rs
+++ b/crates/core/tests/batcher/random.rs
@@ -24,6 +24,23 @@
     u64::arbitrary(random) % choices
 }
 
+/// Up to five stages of any shape: forks, joins, several first and last stages, several stages of
+/// one service, and omitted ones.
+fn random_stages(random: &mut Gen) -> Vec<StageSpec> {
+    let sizes = [(ENCODE, 1_000), (RETRIEVE, 60_000), (RERANK, 120_000)];
+    let count = 1 + usize::try_from(pick(random, 5)).unwrap();
+    let stages = (0..count).map(|index| {
+        let (service, result_bytes) = sizes[usize::try_from(pick(random, 3)).unwrap()];
+        StageSpec {
+            service: service.parse().unwrap(),
+            depends_on: (0..index).filter(|_| pick(random, 2) == 0).collect(),
+            pieces: usize::try_from(pick(random, 5)).unwrap(),
+            result_bytes,
+        }
+    });
+    stages.collect()
+}
+
 #[derive(Default)]
 struct World {
     open: BTreeSet<JobId>,
@@ -35,6 +52,8 @@
     computed: BTreeMap<ResultHandle, (CallId, usize, usize)>,
     /// Stored results by the incarnation that stores them.
     stored: BTreeMap<ResultHandle, ServerIncarnation>,
+    /// Stored results that expired, or that another owner freed, without this owner's knowledge.
+    vanished: BTreeSet<ResultHandle>,
     freed: BTreeSet<ResultHandle>,
     /// What each open job's gateway knows: its spec, and the results that were reported to it.
     specs: BTreeMap<JobId, JobSpec>,
@@ -43,17 +62,17 @@
 
 impl World {
     fn submit(&mut self, fixture: &mut Fixture, random: &mut Gen) {
-        let pieces = [pick(random, 3), 1 + pick(random, 6), pick(random, 4)];
-        let pieces = pieces.map(|count| usize::try_from(count).unwrap());
-        let stages = [
-            (ENCODE, pieces[0], 1_000),
-            (RETRIEVE, pieces[1], 60_000),
-            (RERANK, pieces[2], 120_000),
-        ];
-        let mut spec = match pick(random, 3) {
-            0 => fixture.fan_out(&stages),
-            1 => fixture.fan_in(&stages),
-            _ => fixture.chain(&stages),
+        let mut spec = if pick(random, 3) == 0 {
+            let pieces = [pick(random, 3), 1 + pick(random, 6), pick(random, 4)];
+            let pieces = pieces.map(|count| usize::try_from(count).unwrap());
+            fixture.chain(&[
+                (ENCODE, pieces[0], 1_000),
+                (RETRIEVE, pieces[1], 60_000),
+                (RERANK, pieces[2], 120_000),
+            ])
+        } else {
+            let stages = random_stages(random);
+            fixture.job(stages)
         };
         spec.value_tokens = pick(random, 5) * 1_000;
         self.submit_spec(fixture, spec);
@@ -146,6 +165,13 @@
         }
     }
 
+    /// Stored results vanish, as when an earlier owner that was frozen frees them on waking.
+    fn lose_results(&mut self, random: &mut Gen) {
+        let handles = self.stored.keys();
+        let vanished = handles.filter(|_| pick(random, 3) == 0);
+        self.vanished.extend(vanished.cloned());
+    }
+
     fn piece_end(
         &mut self,
         fixture: &mut Fixture,
@@ -153,6 +179,11 @@
         server: &ServerIncarnation,
         item: &BatchItem,
     ) -> PieceEnd {
+        if let PieceInput::Results(inputs) = &item.input
+            && inputs.iter().any(|input| self.vanished.contains(input))
+        {
+            return PieceEnd::InputMissing;
+        }
         match pick(random, 30) {
             0 => PieceEnd::Failed,
             1 => PieceEnd::StorageFull,
@@ -253,6 +284,7 @@
             8..12 => world.release(&mut fixture, random),
             12 => world.restart(&mut fixture, random),
             13 if pick(random, 4) == 0 => world.change_owner(&mut fixture, random),
+            14 => world.lose_results(random),
             _ => world.end_call(&mut fixture, random),
         }
         fixture.advance(pick(random, 60));
