Bytes that are no answer do not count against the request as a crash

What callers saw: a stage server that sends a head or a body without end made its request fail with 503 (2101) after three such servers, though others could make its pieces; until then its pieces ran alone.

Cause: the connection to a stage server counted as lost, as if the server had crashed, whenever its answer could not be read: also where the library gave up a head or chunk that never ends, and where the body grew beyond its limit. Three lost connections fail a job, since one of its pieces may crash servers.

Change: a connection that ended (`Lost`) and bytes that are no answer (`NoAnswer`, `Malformed`) are told apart. The second count against the server alone, at stage servers and for clients' requests.

--- a/crates/amaranthscale/src/connection/body.rs
+++ b/crates/amaranthscale/src/connection/body.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::error::Error;
+use std::io;
 use std::pin::{Pin, pin};
 use std::time::Duration;
 
@@ -33,6 +34,10 @@
         NoMemory(received_bytes: usize) {
             display("there is no memory to keep {received_bytes} bytes of the body now")
         }
+        /// The bytes are no body.
+        Malformed(reason: String) {
+            display("the body is malformed: {reason}")
+        }
         /// The connection broke.
         Broken(reason: String) {
             display("the connection broke before the end of the body: {reason}")
@@ -164,6 +169,8 @@
         let frame = frame.map_err(|error| {
             if error.is::<LengthLimitError>() {
                 ReadBodyError::TooLarge(max_bytes)
+            } else if is_malformed(&*error) {
+                ReadBodyError::Malformed(error.to_string())
             } else {
                 ReadBodyError::Broken(error.to_string())
             }
@@ -175,3 +182,14 @@
     }
     Ok(None)
 }
+
+/// Whether a body could not be read because of its bytes, and not because its connection ended.
+fn is_malformed(error: &(dyn Error + Send + Sync + 'static)) -> bool {
+    let kind = error.source().and_then(|source| source.downcast_ref());
+    kind.map(io::Error::kind).is_some_and(|kind| {
+        matches!(
+            kind,
+            io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+        )
+    })
+}
--- a/crates/amaranthscale/src/connection/http1_client.rs
+++ b/crates/amaranthscale/src/connection/http1_client.rs
@@ -29,6 +29,10 @@
         Lost(address: SocketAddr, reason: String) {
             display("the answer of {address} was lost: {reason}")
         }
+        /// It may have arrived, and the server sent bytes that are no answer.
+        NoAnswer(address: SocketAddr, reason: String) {
+            display("{address} sent no answer: {reason}")
+        }
     }
 }
 
@@ -83,17 +87,18 @@
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(self.address, error.to_string()));
         }
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| {
-                let is_unsent = error.take_message().is_some();
-                let reason = error.into_error().to_string();
-                if is_unsent {
-                    SendError::NotSent(self.address, reason)
-                } else {
-                    SendError::Lost(self.address, reason)
-                }
-            })
+        let response = self.sender.try_send_request(request).await;
+        response.map_err(|mut error| {
+            let is_unsent = error.take_message().is_some();
+            let error = error.into_error();
+            let reason = error.to_string();
+            if is_unsent {
+                SendError::NotSent(self.address, reason)
+            } else if error.is_parse() {
+                SendError::NoAnswer(self.address, reason)
+            } else {
+                SendError::Lost(self.address, reason)
+            }
+        })
     }
 }
--- a/crates/amaranthscale/src/entry/connection/caller_http.rs
+++ b/crates/amaranthscale/src/entry/connection/caller_http.rs
@@ -225,6 +225,6 @@
         ReadBodyError::TooLarge(_) => ResultCode::BodyTooLarge,
         ReadBodyError::NoMemory(_) => ResultCode::EntryFull,
         ReadBodyError::TimedOut(..) => ResultCode::SlowCaller,
-        ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
+        ReadBodyError::Malformed(_) | ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
     }
 }
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -17,7 +17,7 @@
 use super::super::connection::{ConnectionPool, ServerAnswer};
 use super::super::version::ClusterView;
 use super::{LimitTracker, SendPermit};
-use crate::connection::{SendError, read_body};
+use crate::connection::{ReadBodyError, SendError, read_body};
 use crate::process::Counters;
 
 /// Maximum size of an answer to a batch, which has a handle for each piece.
@@ -90,7 +90,7 @@
 fn failed_call(error: &SendError) -> CallEnd {
     debug!("batches: {error}");
     match error {
-        SendError::NotSent(..) => NO_ANSWER,
+        SendError::NotSent(..) | SendError::NoAnswer(..) => NO_ANSWER,
         SendError::Lost(..) => CONNECTION_LOST,
     }
 }
@@ -127,7 +127,10 @@
     let (body, _end) = body.into_parts();
     let body = read_body(body, MAX_ANSWER_BYTES, batch.timeout)
         .await
-        .map_err(|error| SendError::Lost(batch.address, error.to_string()))?;
+        .map_err(|error| match error {
+            ReadBodyError::Broken(reason) => SendError::Lost(batch.address, reason),
+            error => SendError::NoAnswer(batch.address, error.to_string()),
+        })?;
     pool.return_connection(connection, &head, ConnectionShare::UNLIMITED);
     Ok(CallEnd {
         end: (dialect.parse_batch_answer)(head.status, &head.headers, &body),
--- a/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
+++ b/crates/amaranthscale/src/gateway/process/run_copies/run_moves.rs
@@ -143,7 +143,7 @@
         let sent = connection.send(request, permit).await;
         let ServerAnswer { head, body, .. } = sent.map_err(|error| match error {
             SendError::NotSent(..) => CallError::NotSent,
-            SendError::Lost(..) => CallError::Lost,
+            SendError::Lost(..) | SendError::NoAnswer(..) => CallError::Lost,
         })?;
         let (body, _end) = body.into_parts();
         let body = read_body(body, MAX_ANSWER_BYTES, MOVE_TIMEOUT).await;
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -315,7 +315,7 @@
             ReadBodyError::TooLarge(_) => ResultCode::BodyTooLarge,
             ReadBodyError::TimedOut(..) => ResultCode::SlowCaller,
             ReadBodyError::NoMemory(_) => ResultCode::EntryFull,
-            ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
+            ReadBodyError::Malformed(_) | ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
         };
         Refusal::new(code).closing()
     })
--- a/crates/amaranthscale/src/gateway/request/send.rs
+++ b/crates/amaranthscale/src/gateway/request/send.rs
@@ -173,11 +173,42 @@
         self.end(SendEnd::Failed);
     }
 
+    /// Records that no answer was received.
+    fn end_unanswered(
+        self,
+        error: &SendError,
+        is_reused: bool,
+        admitted: &AdmittedRequest,
+    ) -> SendOutcome {
+        match error {
+            SendError::NotSent(..) => {
+                // A reused connection that has ended does not indicate a failed server.
+                self.end(if is_reused {
+                    SendEnd::Abandoned
+                } else {
+                    SendEnd::Failed
+                });
+                SendOutcome::NotSent
+            }
+            SendError::Lost(..) => {
+                self.record_lost(admitted);
+                SendOutcome::Lost
+            }
+            SendError::NoAnswer(..) => {
+                self.context.counters.count("answer.malformed");
+                self.end(SendEnd::Failed);
+                SendOutcome::Lost
+            }
+        }
+    }
+
     /// Records that the body of the answer could not be read.
     fn record_read_failure(self, error: &ReadBodyError, admitted: &AdmittedRequest) {
         match error {
             ReadBodyError::Broken(_) => self.record_lost(admitted),
-            ReadBodyError::TooLarge(_) | ReadBodyError::TimedOut(..) => self.end(SendEnd::Failed),
+            ReadBodyError::TooLarge(_)
+            | ReadBodyError::TimedOut(..)
+            | ReadBodyError::Malformed(_) => self.end(SendEnd::Failed),
             ReadBodyError::NoMemory(_) => {
                 self.context.counters.count("answer.no-memory");
                 self.end(SendEnd::Abandoned);
@@ -258,19 +289,9 @@
         statement,
     } = match connection.send(request, permit).await {
         Ok(answer) => answer,
-        Err(SendError::NotSent(..)) => {
-            // A reused connection that has ended does not indicate a failed server.
-            let end = if connection.is_reused() {
-                SendEnd::Abandoned
-            } else {
-                SendEnd::Failed
-            };
-            in_flight_send.end(end);
-            return SendOutcome::NotSent;
-        }
-        Err(SendError::Lost(..)) => {
-            in_flight_send.record_lost(admitted);
-            return SendOutcome::Lost;
+        Err(error) => {
+            let is_reused = connection.is_reused();
+            return in_flight_send.end_unanswered(&error, is_reused, admitted);
         }
     };
     let dialect = &context.dialect;
