A sidecar gives up results without end of calls that may not be repeated

What callers saw: a call that may not be repeated, whose backend server's body never ends, held its slot and the sidecar's processor for ten minutes.

Cause: a result beyond the size limit is read on and discarded, since closing the connection could abort the call half-way; nothing limited how much.

Change: four times the largest result is discarded, then the connection is closed. The outcome is unknown, as before.

--- a/crates/amaranthscale/src/sidecar/answer.rs
+++ b/crates/amaranthscale/src/sidecar/answer.rs
@@ -62,6 +62,11 @@
         self.attempt
     }
 
+    /// Maximum size of the result.
+    pub(super) const fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
     /// Appends a chunk of the result.
     pub(super) fn push(&self, data: &Bytes) -> Result<(), AnswerTooLarge> {
         let mut content = self.lock();
--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -22,6 +22,8 @@
 const TOKENS: &str = "x-tokens";
 /// Content type of a stream with one token per line.
 const STREAM_CONTENT_TYPE: &str = "application/x-ndjson";
+/// Multiple of the largest result that is read and discarded after a result became too large.
+const MAX_DISCARDED_RESULTS: usize = 4;
 
 /// Copies a backend server's result to an attempt's answer.
 #[derive(Debug)]
@@ -31,6 +33,8 @@
     length_bytes: u64,
     token_count: TokenCount,
     is_too_large: bool,
+    /// Bytes that arrived since the result became too large.
+    discarded_bytes: usize,
     /// The whole result of a claimed call, which is also stored in the table.
     result: BytesMut,
 }
@@ -53,6 +57,7 @@
             length_bytes: 0,
             token_count: TokenCount::default(),
             is_too_large: false,
+            discarded_bytes: 0,
             result: BytesMut::new(),
         }
     }
@@ -108,9 +113,12 @@
     }
 
     fn take(&mut self, data: &Bytes) -> Result<(), CallError> {
-        if data.is_empty() || self.is_too_large {
+        if data.is_empty() {
             return Ok(());
         }
+        if self.is_too_large {
+            return self.discard(data);
+        }
         if self.job.answer.push(data).is_err() {
             return self.overflow();
         }
@@ -123,7 +131,17 @@
         Ok(())
     }
 
-    /// Fails repeatable work; the result of a call that may not be repeated is read to its end and
+    /// Discards a part of a result that is too large, unless the result seems to have no end.
+    fn discard(&mut self, data: &Bytes) -> Result<(), CallError> {
+        self.discarded_bytes += data.len();
+        let max_bytes = self.job.answer.max_bytes();
+        if self.discarded_bytes > max_bytes.saturating_mul(MAX_DISCARDED_RESULTS) {
+            return Err(CallError::TooLarge);
+        }
+        Ok(())
+    }
+
+    /// Fails repeatable work; the result of a call that may not be repeated is read on and
     /// discarded, since closing the connection could abort the call half-way.
     fn overflow(&mut self) -> Result<(), CallError> {
         if self.job.is_repeatable() {
--- a/crates/amaranthscale/tests/sidecar_answers.rs
+++ b/crates/amaranthscale/tests/sidecar_answers.rs
@@ -250,3 +250,52 @@
     assert_eq!(run_at(WHOLE, false).await, ResultCode::Complete);
     assert_eq!(run_at(SHORT, false).await, ResultCode::BackendBroke);
 }
+
+/// Largest result in the tests of answers that never end.
+const MAX_RESULT_BYTES: u64 = 64 * 1024;
+/// Bytes that are read of an answer that never ends, and those that sockets hold.
+const MAX_READ_BYTES: usize = 12 * 1024 * 1024;
+
+/// Answers that never end: what is sent first, and what is sent again and again.
+fn endless_answers() -> Vec<(&'static [u8], &'static [u8])> {
+    const PART: &[u8] = &[b'x'; 4_000];
+    const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    vec![
+        (b"HTTP/1.1 200 OK\r\nX-Long: ", PART),
+        (b"HTTP/1.1 200 OK\r\n", b"X-More: more\r\n"),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", PART),
+        (CHUNKED, b"4\r\nmore\r\n"),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+            PART,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X-More: more\r\n",
+        ),
+    ]
+}
+
+/// Guards against a slot and a processor that are held by an answer without end.
+#[tokio::test]
+async fn answers_without_end_are_given_up() {
+    for (answer, part) in endless_answers() {
+        let backend = BreakingBackend::start_endless(answer, part).await;
+        let fixture = fixture_with(|config| {
+            config.backend = backend.address();
+            config.limits.max_result = ByteSize::from_bytes(MAX_RESULT_BYTES);
+        })
+        .await;
+
+        let repeatable = with_timeout(fixture.run(&fixture.attempt(1, "/echo"))).await;
+        let claimed = with_timeout(fixture.run(&fixture.claimed(2, "/echo"))).await;
+
+        let text = String::from_utf8_lossy(answer);
+        assert_ne!(repeatable.code(), ResultCode::Complete, "{text}");
+        assert_eq!(claimed.code(), ResultCode::OutcomeUnknown, "{text}");
+        assert_eq!(backend.calls(), 2, "{text}");
+        let read = backend.endless_bytes();
+        assert!(read <= MAX_READ_BYTES, "{text}: {read}");
+    }
+}
--- a/crates/amaranthscale/tests/support/breaking_backend.rs
+++ b/crates/amaranthscale/tests/support/breaking_backend.rs
@@ -1,4 +1,5 @@
-//! A fake backend server that closes the connection after its answer, or in the middle of it.
+//! A fake backend server that closes the connection after its answer, or in the middle of it, or
+//! whose answers never end.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +16,8 @@
 pub struct BreakingBackend {
     address: SocketAddr,
     calls: Arc<AtomicUsize>,
+    /// Bytes of answers that never end.
+    endless_bytes: Arc<AtomicUsize>,
 }
 
 impl BreakingBackend {
@@ -42,7 +45,38 @@
                 answer_and_close(stream, answer, &counted).await;
             }
         });
-        Self { address, calls }
+        Self {
+            address,
+            calls,
+            endless_bytes: Arc::default(),
+        }
+    }
+
+    /// Starts a server that sends these bytes as the start of each answer, and a part again and
+    /// again until the connection is closed.
+    pub async fn start_endless(answer: &'static [u8], part: &'static [u8]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (calls, endless_bytes) = (Arc::new(AtomicUsize::new(0)), Arc::default());
+        let (counted, sent_bytes) = (Arc::clone(&calls), Arc::clone(&endless_bytes));
+        tokio::spawn(async move {
+            while let Ok((stream, _peer)) = listener.accept().await {
+                let (counted, sent_bytes) = (Arc::clone(&counted), Arc::clone(&sent_bytes));
+                tokio::spawn(async move {
+                    answer_without_end(stream, answer, part, &counted, &sent_bytes).await;
+                });
+            }
+        });
+        Self {
+            address,
+            calls,
+            endless_bytes,
+        }
+    }
+
+    /// Bytes of answers that never end which it could send.
+    pub fn endless_bytes(&self) -> usize {
+        self.endless_bytes.load(Ordering::SeqCst)
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -64,3 +98,22 @@
     let _ = stream.write_all(answer).await;
     let _ = stream.shutdown().await;
 }
+
+async fn answer_without_end(
+    mut stream: TcpStream,
+    answer: &[u8],
+    part: &[u8],
+    calls: &AtomicUsize,
+    endless_bytes: &AtomicUsize,
+) {
+    let mut received = vec![0; 64 * 1024];
+    let length = stream.read(&mut received).await.unwrap_or(0);
+    if length == 0 || received.starts_with(b"POST /cancel/") {
+        return;
+    }
+    calls.fetch_add(1, Ordering::SeqCst);
+    let _ = stream.write_all(answer).await;
+    while stream.write_all(part).await.is_ok() {
+        endless_bytes.fetch_add(part.len(), Ordering::SeqCst);
+    }
+}
