A stream's event that never ends is given up

What callers saw: nothing until their deadline, while the gateway held all bytes of an engine's event without end: 225 MB of one stream in eight seconds, where a gateway has 260 MB for all its callers.

Cause: bytes are collected until an event is complete, without a limit; the limit on unread bytes counts complete events.

Change: an engine's stream with more than 256 KiB in one incomplete event, or with more than 16 MiB of an answer that consists of no events, is broken: its connection is closed, and the stream goes on at another engine where its route allows it.

--- a/crates/amaranthscale/src/gateway/request/event_splitter.rs
+++ b/crates/amaranthscale/src/gateway/request/event_splitter.rs
@@ -47,6 +47,12 @@
         Some(StreamEvent { bytes, id })
     }
 
+    /// Number of received bytes that belong to no complete event yet.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// The remaining bytes, which no blank line ends.
     #[must_use]
     pub fn rest(&mut self) -> Bytes {
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -35,6 +35,9 @@
 /// the engine has to wait, and ends a stream that nobody reads for some seconds.
 const MAX_UNREAD_BYTES: usize = 256 * 1024;
 
+/// Maximum bytes of an answer at an engine that does not consist of events, which is held whole.
+const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
+
 type EventSender = mpsc::UnboundedSender<Result<Bytes, TruncatedAnswer>>;
 
 /// Multiple of the route's longest pause between events after which a silent run continues at its
@@ -185,6 +188,7 @@
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
         let mut run_move = RunMoveState::new(answer.server.clone(), self.last_id);
+        let max_pending_bytes = max_pending_bytes(&head.headers);
         let max_silence = self.max_silence();
         let mut heard_at = Instant::now();
         let end = loop {
@@ -232,11 +236,11 @@
             }
             has_begun = true;
             splitter.push(&data);
-            while let Some(event) = splitter.next_event() {
-                in_flight_send.record_event();
-                if let Err(end) = self.forward(event).await {
-                    return end;
-                }
+            let forwarded = self.forward_events(&mut splitter, max_pending_bytes, &in_flight_send);
+            match forwarded.await {
+                Ok(true) => {}
+                Ok(false) => return self.end_broken(&mut run_move, in_flight_send).await,
+                Err(end) => return end,
             }
             if let Some(copy) = run_move.take_copy(self.last_id, false) {
                 in_flight_send.end(SendEnd::Abandoned);
@@ -331,6 +335,24 @@
         }
     }
 
+    /// Forwards the complete events; false if the incomplete one is too large to be held.
+    async fn forward_events(
+        &mut self,
+        splitter: &mut EventSplitter,
+        max_pending_bytes: usize,
+        in_flight_send: &InFlightSend,
+    ) -> Result<bool, EngineStreamEnd> {
+        while let Some(event) = splitter.next_event() {
+            in_flight_send.record_event();
+            self.forward(event).await?;
+        }
+        let is_held = splitter.pending_bytes() <= max_pending_bytes;
+        if !is_held {
+            self.run.context.counters.count("stream.event-too-large");
+        }
+        Ok(is_held)
+    }
+
     /// Forwards an event if it is the next one.
     ///
     /// An engine that resumes at another event than requested would cause a gap or duplicate
@@ -527,6 +549,15 @@
     }
 }
 
+/// Maximum bytes that are held until an event, or an answer without events, is complete.
+fn max_pending_bytes(headers: &HeaderMap) -> usize {
+    if is_event_stream(headers) {
+        MAX_UNREAD_BYTES
+    } else {
+        MAX_WHOLE_BYTES
+    }
+}
+
 /// Whether an answer consists of events; without a statement, a stream does.
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(CONTENT_TYPE);
