A repeated answer of a stage server is not taken for the next call's

What callers saw: a 200 whose answer was made from another request's results.

Cause: answers to calls for pieces were matched to their calls by order alone, and by their number of items.

Change: a handle names one result, so an answer that names a result which the connection has carried before belongs to an earlier call. It counts as no answer, its connection is closed and its pieces are computed again. A connection is used again only after an answer that names results, since a repetition of any other could not be told.

--- a/crates/amaranthscale/src/gateway/connection/connection_pool.rs
+++ b/crates/amaranthscale/src/gateway/connection/connection_pool.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use amaranthscale_core::id::ServerIncarnation;
-use amaranthscale_core::process::{ConnectionShare, ServerRecord, ServerStatement};
+use amaranthscale_core::process::{
+    AnswerOrigin, BatchEnd, ConnectionShare, RecentResults, ServerRecord, ServerStatement,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -46,6 +48,8 @@
     is_reused: bool,
     /// Time that opening the connection took.
     connect_time: Duration,
+    /// Results that its answers to batches have named.
+    recent_results: RecentResults,
     statements: Arc<StatementRecorder>,
 }
 
@@ -79,6 +83,11 @@
         self.is_reused
     }
 
+    /// Records an answer to a batch; returns which call on this connection it belongs to.
+    pub fn record_batch_answer(&mut self, answer: &BatchEnd) -> AnswerOrigin {
+        self.recent_results.record(answer)
+    }
+
     /// Sends one request and waits for the head of its answer. What the server states about itself
     /// is recorded here, so that no sender can miss it.
     pub async fn send(
@@ -149,6 +158,7 @@
             connection,
             is_reused: false,
             connect_time: started.elapsed(),
+            recent_results: RecentResults::default(),
             statements: Arc::clone(&self.statements),
         })
     }
--- a/crates/amaranthscale/src/gateway/process/batch_calls.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_calls.rs
@@ -6,8 +6,8 @@
 
 use amaranthscale_core::id::ServerIncarnation;
 use amaranthscale_core::process::{
-    Batch, BatchEnd, ConnectionShare, FreeRequest, PieceEnd, ServerAvailability, ServerLoad,
-    ServerRecord,
+    AnswerOrigin, Batch, BatchEnd, ConnectionShare, FreeRequest, PieceEnd, ServerAvailability,
+    ServerLoad, ServerRecord,
 };
 use log::{debug, info};
 use tokio::time::Instant;
@@ -131,11 +131,18 @@
             ReadBodyError::Broken(reason) => SendError::Lost(batch.address, reason),
             error => SendError::NoAnswer(batch.address, error.to_string()),
         })?;
-    pool.return_connection(connection, &head, ConnectionShare::UNLIMITED);
-    Ok(CallEnd {
-        end: (dialect.parse_batch_answer)(head.status, &head.headers, &body),
-        reported_load,
-    })
+    let end = (dialect.parse_batch_answer)(head.status, &head.headers, &body);
+    match connection.record_batch_answer(&end) {
+        AnswerOrigin::Current => {
+            pool.return_connection(connection, &head, ConnectionShare::UNLIMITED);
+        }
+        AnswerOrigin::Unknown => {}
+        AnswerOrigin::Earlier => {
+            caller.counters.count("batch.repeated-answers");
+            return Ok(NO_ANSWER);
+        }
+    }
+    Ok(CallEnd { end, reported_load })
 }
 
 fn server_record(batch: &Batch) -> ServerRecord {
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -38,6 +38,7 @@
 mod queued_attempt;
 mod rank;
 mod recent_maximum;
+mod recent_results;
 mod recent_sends;
 mod refusal;
 pub(crate) mod rendezvous;
@@ -137,6 +138,8 @@
 #[doc(inline)]
 pub use recent_maximum::RecentMaximum;
 #[doc(inline)]
+pub use recent_results::{AnswerOrigin, RecentResults};
+#[doc(inline)]
 pub use recent_sends::RecentSends;
 #[doc(inline)]
 pub use refusal::Refusal;
