A job is released if its submitter leaves while it is accepted

Seen in the review, not shown: a request whose client left between its job's acceptance and the next poll of the request left the job with the room of its results until the process ended, since the guard that releases a job was made by the receiver. What callers would see: less room at stage servers.

Change: the owner makes the guard and sends it. A guard that nobody receives is dropped, and releases the job.

--- a/crates/amaranthscale/src/gateway/process/batch_message.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_message.rs
@@ -10,6 +10,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::JobGuard;
+
 /// How a job ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobOutcome {
@@ -95,8 +97,8 @@
 pub struct Submission {
     /// The job's stages and deadlines.
     pub spec: JobSpec,
-    /// Receives the job's id once it is accepted.
-    pub job_id: oneshot::Sender<JobId>,
+    /// Receives the job once it is accepted; without a receiver the job is released.
+    pub accepted: oneshot::Sender<JobGuard>,
     /// Receives the job's updates.
     pub updates: mpsc::UnboundedSender<JobUpdate>,
     /// Origin of the job.
--- a/crates/amaranthscale/src/gateway/process/batch_owner.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner.rs
@@ -22,9 +22,9 @@
 use super::super::connection::ConnectionPool;
 use super::super::version::ClusterView;
 use super::super::{Dialect, Feature, FeatureSet};
-use super::LimitTracker;
 use super::batch_calls::{BatchCaller, CallEnd, run_batch, send_free_request};
 use super::batch_message::{BatchOwnerMessage, JobOutcome, JobSource, JobUpdate, Submission};
+use super::{JobGuard, LimitTracker};
 use crate::process::{Counters, Latencies};
 
 /// Maximum time between two ticks while jobs are queued, to notice servers that became available
@@ -127,7 +127,7 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = state.arguments.cluster_view.clock().now();
         match message {
-            BatchOwnerMessage::Submit(submission) => state.submit(submission, now),
+            BatchOwnerMessage::Submit(submission) => state.submit(&myself, submission, now),
             BatchOwnerMessage::Release(job) => {
                 state.pending.remove(&job);
                 state.batcher.release(job);
@@ -207,10 +207,15 @@
     ///
     /// Without the refusal an overload would never end: jobs would be processed after their callers
     /// had left, and the work spent on them would make the next ones late as well.
-    fn submit(&mut self, submission: Submission, now: Duration) {
+    fn submit(
+        &mut self,
+        myself: &ActorRef<BatchOwnerMessage>,
+        submission: Submission,
+        now: Duration,
+    ) {
         let Submission {
             mut spec,
-            job_id,
+            accepted,
             updates,
             source,
             arrived_at,
@@ -235,7 +240,7 @@
         }
         let stages = spec.stages.iter().map(|stage| stage.service.clone());
         let stages: Vec<_> = stages.collect();
-        let accepted = if self.lag_detector.is_behind() {
+        let submitted = if self.lag_detector.is_behind() {
             Err(JobRefusal::new(
                 JobFailure::Overloaded,
                 OVERLOAD_RETRY_DELAY,
@@ -243,7 +248,7 @@
         } else {
             self.batcher.submit(spec, now)
         };
-        match accepted {
+        match submitted {
             Ok(job) => {
                 self.record_admitted(&updates);
                 let accepted_at = Instant::now();
@@ -253,11 +258,9 @@
                     accepted_at,
                 };
                 self.pending.insert(job, pending_job);
-                // The submitter has left, so nothing else would release the job.
-                if job_id.send(job).is_err() {
-                    self.pending.remove(&job);
-                    self.batcher.release(job);
-                }
+                // Dropped, and the job released, if the submitter has left or leaves before it
+                // receives it.
+                let _ = accepted.send(JobGuard::new(job, myself.clone()));
             }
             Err(refused) => {
                 self.log_refused(&call, &stages, &refused);
--- a/crates/amaranthscale/src/gateway/process/batch_owner_handle.rs
+++ b/crates/amaranthscale/src/gateway/process/batch_owner_handle.rs
@@ -44,6 +44,12 @@
     }
 }
 
+impl JobGuard {
+    pub(super) const fn new(job: JobId, actor: ActorRef<BatchOwnerMessage>) -> Self {
+        Self { job, actor }
+    }
+}
+
 impl Drop for JobGuard {
     fn drop(&mut self) {
         // Without its actor the process is exiting, and the servers expire the results.
@@ -62,11 +68,11 @@
 
     /// Submits a job; its results are retained until the job is dropped.
     pub async fn submit(&self, spec: JobSpec, source: JobSource) -> RunningJob {
-        let (job_id, job) = oneshot::channel();
+        let (accepted, guard) = oneshot::channel();
         let (sender, updates) = mpsc::unbounded_channel();
         let submit = BatchOwnerMessage::Submit(Submission {
             spec,
-            job_id,
+            accepted,
             updates: sender,
             source,
             arrived_at: Instant::now(),
@@ -74,10 +80,7 @@
         if self.actor.send_message(submit).is_err() {
             return RunningJob::rejected();
         }
-        let guard = job.await.ok().map(|job| JobGuard {
-            job,
-            actor: self.actor.clone(),
-        });
+        let guard = guard.await.ok();
         RunningJob { guard, updates }
     }
 
