A single event with the first id shows a gap after it; a comment on omitted stages

A stream that broke off after the event with the id 1 was resumed at any later one; engines that count their events show the gap.

--- a/crates/amaranthscale/src/gateway/request/event_steps.rs
+++ b/crates/amaranthscale/src/gateway/request/event_steps.rs
@@ -50,7 +50,9 @@
     pub fn continues(&self, last: u64, id: u64) -> bool {
         step(last, id).is_some_and(|step| match self.step {
             Step::Even(known) => step == known,
-            Step::Unknown | Step::Uneven => true,
+            // A single event with the id 1 is the first one of a stream that counts its events.
+            Step::Unknown => last > 1 || step == 1,
+            Step::Uneven => true,
         })
     }
 
--- a/crates/amaranthscale/tests/event_steps.rs
+++ b/crates/amaranthscale/tests/event_steps.rs
@@ -34,7 +34,8 @@
     assert!(!after(&[1, 2, 3]).continues(3, 5));
     assert!(!after(&[7, 14]).continues(14, 22));
     assert!(after(&[1, 2, 40]).continues(40, 43));
-    assert!(after(&[1]).continues(1, 9));
+    assert!(after(&[7]).continues(7, 14));
+    assert!(!after(&[1]).continues(1, 9));
 }
 
 #[test]
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -432,6 +432,7 @@
             .iter()
             .flat_map(|index| self.results(*index))
             .collect();
+        // Stages that are omitted have no results, so a stage after them alone begins with the key.
         let input = if results.is_empty() {
             PieceInput::Key(self.spec.piece_key.clone())
         } else {
