--- a/crates/core/src/process/batcher/restarts.rs
+++ b/crates/core/src/process/batcher/restarts.rs
@@ -46,6 +46,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        let mut has_lost = false;
         for index in 0..job.stages.len() {
             let is_needed = !job.is_reported && job.are_results_needed(index);
             let pieces = job.stages[index].pieces.iter_mut();
@@ -53,6 +54,7 @@
                 matches!(state, PieceState::Completed { server, .. } if is_replaced(server, listed))
             });
             for state in ended {
+                has_lost = true;
                 *state = if is_needed {
                     PieceState::Waiting
                 } else {
@@ -60,6 +62,8 @@
                 };
             }
         }
-        self.advance(id, now);
+        if has_lost {
+            self.advance(id, now);
+        }
     }
 }
