One function sends a request on an HTTP/1.1 connection

The limit of interim answers and the reading of the library's errors stood in the gateway's client and in the sidecar's. Both call try_send now and translate its three outcomes into their own errors.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -5,8 +5,8 @@
 mod frame_reader;
 mod framed_body;
 mod http1_client;
+mod http1_send;
 mod http_server;
-mod interim_limit;
 mod json_response;
 mod open_stream;
 mod peer_client;
@@ -29,7 +29,7 @@
 pub use http_server::{HttpServer, HttpServerLimits};
 #[doc(inline)]
 pub use http1_client::{Http1Connection, SendError};
-pub(crate) use interim_limit::InterimLimit;
+pub(crate) use http1_send::{Unanswered, try_send};
 #[doc(inline)]
 pub use json_response::{json_response, serialised_response, to_json};
 pub(crate) use open_stream::open_stream;
--- a/crates/amaranthscale/src/connection/http1_client.rs
+++ b/crates/amaranthscale/src/connection/http1_client.rs
@@ -15,7 +15,7 @@
 use log::debug;
 use quick_error::quick_error;
 
-use super::interim_limit::InterimLimit;
+use super::http1_send::{Unanswered, try_send};
 use super::open_stream::open_stream;
 
 quick_error! {
@@ -83,30 +83,17 @@
     /// Sends one request and waits for the head of its response.
     pub async fn send(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(self.address, error.to_string()));
         }
-        let interim_limit = InterimLimit::set(&mut request);
-        let response = tokio::select! {
-            response = self.sender.try_send_request(request) => response,
-            () = interim_limit.exceeded() => {
-                let reason = "too many interim answers".to_owned();
-                return Err(SendError::NoAnswer(self.address, reason));
-            }
-        };
-        response.map_err(|mut error| {
-            let is_unsent = error.take_message().is_some();
-            let error = error.into_error();
-            let reason = error.to_string();
-            if is_unsent {
-                SendError::NotSent(self.address, reason)
-            } else if error.is_parse() {
-                SendError::NoAnswer(self.address, reason)
-            } else {
-                SendError::Lost(self.address, reason)
-            }
-        })
+        try_send(&mut self.sender, request)
+            .await
+            .map_err(|unanswered| match unanswered {
+                Unanswered::NotSent(_, reason) => SendError::NotSent(self.address, reason),
+                Unanswered::NoAnswer(reason) => SendError::NoAnswer(self.address, reason),
+                Unanswered::Lost(reason) => SendError::Lost(self.address, reason),
+            })
     }
 }
--- a/crates/amaranthscale/src/sidecar/backend_client.rs
+++ b/crates/amaranthscale/src/sidecar/backend_client.rs
@@ -20,7 +20,7 @@
 use log::{debug, warn};
 use tokio::time::Instant;
 
-use crate::connection::{BodyEnd, EXIT_TIME, FramedBody, InterimLimit, open_stream};
+use crate::connection::{BodyEnd, EXIT_TIME, FramedBody, Unanswered, open_stream, try_send};
 
 use super::call_error::CallError;
 use super::job::Job;
@@ -169,25 +169,19 @@
     async fn send(
         &self,
         mut sender: Sender,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
     ) -> Result<BackendReply, SendFailure> {
-        let interim_limit = InterimLimit::set(&mut request);
-        let response = tokio::select! {
-            response = sender.try_send_request(request) => response,
-            () = interim_limit.exceeded() => {
-                let reason = "too many interim answers".to_owned();
-                return Err((CallError::ConnectionLost(reason), None));
-            }
-        };
-        let response = response.map_err(|mut error| {
-            // The library returns the request only if it has not begun to write it.
-            if let Some(request) = error.take_message() {
-                let reason = error.error().to_string();
-                return (CallError::NotSent(reason), Some(Box::new(request)));
-            }
-            let reason = error.into_error().to_string();
-            (CallError::ConnectionLost(reason), None)
-        })?;
+        let response =
+            try_send(&mut sender, request)
+                .await
+                .map_err(|unanswered| match unanswered {
+                    Unanswered::NotSent(request, reason) => {
+                        (CallError::NotSent(reason), Some(request))
+                    }
+                    Unanswered::NoAnswer(reason) | Unanswered::Lost(reason) => {
+                        (CallError::ConnectionLost(reason), None)
+                    }
+                })?;
         let (head, body) = FramedBody::split(response);
         let backoff = requested_backoff(head.status, &head.headers);
         let backoff = backoff.transpose().unwrap_or_else(|error| {
