Handles are looked up in sets; derived state in the sidecar's relay; one limit of whole answers

Read again: each answer of a stage server was compared handle by handle with the sixteen before it, on the owner's path: up to 58,000 comparisons of strings for a call of sixty pieces. Sets are compared in order instead. The time at which a stage is queued is looked for only until it is known.

The relay's flag for a result that is too large follows from the bytes that it discards. The largest answer that is held whole is the one limit of plain answers, for engines' answers without events as well. A stream's response body has a file of its own.

--- a/crates/amaranthscale/src/gateway/request.rs
+++ b/crates/amaranthscale/src/gateway/request.rs
@@ -13,6 +13,7 @@
 mod run_move_state;
 mod run_versions;
 mod send;
+mod stream_body;
 mod stream_relay;
 
 #[doc(inline)]
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -23,7 +23,7 @@
 
 /// Maximum size of an answer, which is buffered before it is forwarded; usual ones are some
 /// kilobytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+pub(super) const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum number of sends that are rejected or not sent, in addition to those that may run.
 const MAX_REJECTIONS: u32 = 4;
 /// Timeout of an attempt at a retryable request, in multiples of the target latency.
--- a/crates/amaranthscale/src/gateway/request/stream_relay.rs
+++ b/crates/amaranthscale/src/gateway/request/stream_relay.rs
@@ -4,15 +4,12 @@
 //! event, within the same answer. Otherwise the caller's connection is closed, so that the answer
 //! cannot appear complete.
 
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use amaranthscale_core::id::{ServerIncarnation, SoftwareVersion};
 use amaranthscale_core::process::{OptionalNumber, SendEnd, StreamOrigin, VersionBinding};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame};
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response;
 use hyper::{HeaderMap, Response};
@@ -27,18 +24,17 @@
 use super::engine_run::{EngineAnswer, EngineRun};
 use super::event_splitter::{EventSplitter, StreamEvent};
 use super::event_steps::EventSteps;
+use super::plain_run::MAX_ANSWER_BYTES;
 use super::run_move_state::RunMoveState;
 use super::run_versions::version_name;
 use super::send::{InFlightSend, StartedAnswer};
+use super::stream_body::StreamBody;
 use crate::connection::{AnswerFraming, BodyEnd, BodyPart};
 
 /// Maximum bytes of events that one caller leaves unread; several times a usual stream. Beyond it
 /// the engine has to wait, and ends a stream that nobody reads for some seconds.
 const MAX_UNREAD_BYTES: usize = 256 * 1024;
 
-/// Maximum bytes of an answer at an engine that does not consist of events, which is held whole.
-const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
-
 type EventSender = mpsc::UnboundedSender<Result<Bytes, TruncatedAnswer>>;
 
 /// Multiple of the route's longest pause between events after which a silent run continues at its
@@ -576,7 +572,7 @@
     if is_event_stream(headers) {
         MAX_UNREAD_BYTES
     } else {
-        MAX_WHOLE_BYTES
+        MAX_ANSWER_BYTES
     }
 }
 
@@ -592,21 +588,3 @@
         })
     })
 }
-
-/// Response body with the events of the relay's task.
-struct StreamBody {
-    events: mpsc::UnboundedReceiver<Result<Bytes, TruncatedAnswer>>,
-}
-
-impl Body for StreamBody {
-    type Data = Bytes;
-    type Error = TruncatedAnswer;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
-        let events = self.events.poll_recv(context);
-        events.map(|event| event.map(|event| event.map(Frame::data)))
-    }
-}
--- a/crates/amaranthscale/src/sidecar/runner/relay.rs
+++ b/crates/amaranthscale/src/sidecar/runner/relay.rs
@@ -32,9 +32,8 @@
     hasher: Sha256,
     length_bytes: u64,
     token_count: TokenCount,
-    is_too_large: bool,
-    /// Bytes that arrived since the result became too large.
-    discarded_bytes: usize,
+    /// Bytes that were discarded since the result became too large; none while it is not.
+    discarded_bytes: Option<usize>,
     /// The whole result of a claimed call, which is also stored in the table.
     result: BytesMut,
 }
@@ -56,8 +55,7 @@
             hasher: Sha256::new(),
             length_bytes: 0,
             token_count: TokenCount::default(),
-            is_too_large: false,
-            discarded_bytes: 0,
+            discarded_bytes: None,
             result: BytesMut::new(),
         }
     }
@@ -91,7 +89,7 @@
             let reason = "it ended before the answer did".to_owned();
             return Err(CallError::ConnectionLost(reason));
         }
-        if self.is_too_large {
+        if self.discarded_bytes.is_some() {
             return Err(CallError::TooLarge);
         }
         Ok(self.end(head.status, &head.headers, sender))
@@ -116,8 +114,8 @@
         if data.is_empty() {
             return Ok(());
         }
-        if self.is_too_large {
-            return self.discard(data);
+        if let Some(discarded_bytes) = self.discarded_bytes {
+            return self.discard(discarded_bytes + data.len());
         }
         if self.job.answer.push(data).is_err() {
             return self.overflow();
@@ -131,13 +129,13 @@
         Ok(())
     }
 
-    /// Discards a part of a result that is too large, unless the result seems to have no end.
-    fn discard(&mut self, data: &Bytes) -> Result<(), CallError> {
-        self.discarded_bytes += data.len();
+    /// Discards a result up to a size, beyond which it seems to have no end.
+    fn discard(&mut self, discarded_bytes: usize) -> Result<(), CallError> {
         let max_bytes = self.job.answer.max_bytes();
-        if self.discarded_bytes > max_bytes.saturating_mul(MAX_DISCARDED_RESULTS) {
+        if discarded_bytes > max_bytes.saturating_mul(MAX_DISCARDED_RESULTS) {
             return Err(CallError::TooLarge);
         }
+        self.discarded_bytes = Some(discarded_bytes);
         Ok(())
     }
 
@@ -147,7 +145,7 @@
         if self.job.is_repeatable() {
             return Err(CallError::TooLarge);
         }
-        self.is_too_large = true;
+        self.discarded_bytes = Some(0);
         Ok(())
     }
 
--- a/crates/core/src/process/batcher.rs
+++ b/crates/core/src/process/batcher.rs
@@ -330,7 +330,7 @@
     /// Frees the results of stages that no other stage needs any more.
     fn free_unneeded(&mut self, id: JobId, now: Duration) {
         let is_shared = self.shared_until > now;
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
         for index in job.unneeded_stages(now, is_shared) {
--- a/crates/core/src/process/batcher/job.rs
+++ b/crates/core/src/process/batcher/job.rs
@@ -380,8 +380,8 @@
     /// Records which stages have all their inputs for the first time.
     pub(super) fn record_queued(&mut self, now: Duration) {
         for index in 0..self.stages.len() {
-            if self.has_inputs(index) {
-                self.stages[index].timestamps.queued_at.get_or_insert(now);
+            if self.stages[index].timestamps.queued_at.is_none() && self.has_inputs(index) {
+                self.stages[index].timestamps.queued_at = Some(now);
             }
         }
     }
--- a/crates/core/src/process/recent_results.rs
+++ b/crates/core/src/process/recent_results.rs
@@ -6,7 +6,7 @@
 //! has carried before is an earlier one. An answer without handles shows nothing, and the next one
 //! on its connection could be its repetition, so the connection is not used again.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use super::{BatchEnd, PieceEnd};
 use crate::id::ResultHandle;
@@ -40,7 +40,7 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct RecentResults {
-    answers: VecDeque<Vec<ResultHandle>>,
+    answers: VecDeque<BTreeSet<ResultHandle>>,
 }
 
 impl RecentResults {
@@ -50,8 +50,7 @@
         if handles.is_empty() {
             return AnswerOrigin::Unknown;
         }
-        let mut known = self.answers.iter().flatten();
-        if known.any(|handle| handles.contains(handle)) {
+        if !self.answers.iter().all(|known| known.is_disjoint(&handles)) {
             return AnswerOrigin::Earlier;
         }
         if self.answers.len() == MAX_ANSWERS {
@@ -62,9 +61,9 @@
     }
 }
 
-fn handles(answer: &BatchEnd) -> Vec<ResultHandle> {
+fn handles(answer: &BatchEnd) -> BTreeSet<ResultHandle> {
     let BatchEnd::Pieces(ends) = answer else {
-        return Vec::new();
+        return BTreeSet::new();
     };
     let handles = ends.iter().filter_map(|end| match end {
         PieceEnd::Completed(handle) => Some(handle.clone()),
