--- a/crates/amaranthscale/tests/support/breaking_backend.rs
+++ b/crates/amaranthscale/tests/support/breaking_backend.rs
@@ -88,13 +88,19 @@
     }
 }
 
-async fn answer_and_close(mut stream: TcpStream, answer: &[u8], calls: &AtomicUsize) {
+/// Reads a request and counts it; false if it is a cancellation, or if there is none.
+async fn receive_call(stream: &mut TcpStream, calls: &AtomicUsize) -> bool {
     let mut received = vec![0; 64 * 1024];
     let length = stream.read(&mut received).await.unwrap_or(0);
-    if length == 0 || received.starts_with(b"POST /cancel/") {
+    let is_call = length > 0 && !received.starts_with(b"POST /cancel/");
+    calls.fetch_add(usize::from(is_call), Ordering::SeqCst);
+    is_call
+}
+
+async fn answer_and_close(mut stream: TcpStream, answer: &[u8], calls: &AtomicUsize) {
+    if !receive_call(&mut stream, calls).await {
         return;
     }
-    calls.fetch_add(1, Ordering::SeqCst);
     let _ = stream.write_all(answer).await;
     let _ = stream.shutdown().await;
 }
@@ -106,12 +112,9 @@
     calls: &AtomicUsize,
     endless_bytes: &AtomicUsize,
 ) {
-    let mut received = vec![0; 64 * 1024];
-    let length = stream.read(&mut received).await.unwrap_or(0);
-    if length == 0 || received.starts_with(b"POST /cancel/") {
+    if !receive_call(&mut stream, calls).await {
         return;
     }
-    calls.fetch_add(1, Ordering::SeqCst);
     let _ = stream.write_all(answer).await;
     while stream.write_all(part).await.is_ok() {
         endless_bytes.fetch_add(part.len(), Ordering::SeqCst);
--- a/crates/core/tests/batcher/retained_results.rs
+++ b/crates/core/tests/batcher/retained_results.rs
@@ -7,7 +7,7 @@
 use super::fixture::{CAPACITY_BYTES, ENCODE, Fixture, RERANK, RETRIEVE, ms};
 
 /// Stored results that were reported to the gateway of the only request.
-fn reported_results(fixture: &mut Fixture) -> Vec<RetainedResult> {
+pub fn reported_results(fixture: &mut Fixture) -> Vec<RetainedResult> {
     let mut reported_results = BTreeMap::new();
     for event in fixture.batcher.take_events() {
         match event {
--- a/crates/core/tests/batcher/shared_inputs.rs
+++ b/crates/core/tests/batcher/shared_inputs.rs
@@ -4,6 +4,10 @@
 use amaranthscale_core::process::{Batch, BatchEnd, JobEvent, JobId, PieceEnd, PieceInput};
 
 use super::fixture::{ENCODE, Fixture, RERANK, RETRIEVE};
+use super::retained_results::reported_results;
+
+/// Two stages that both depend on a first one.
+const STAGES: [(&str, usize, u64); 3] = [(ENCODE, 2, 100), (RETRIEVE, 2, 100), (RERANK, 1, 100)];
 
 /// A job whose first stage is completed, and the calls of the two stages that depend on it.
 struct Started {
@@ -16,7 +20,7 @@
 
 fn start() -> Started {
     let mut fixture = Fixture::new(&["north"]);
-    let spec = fixture.fan_out(&[(ENCODE, 2, 100), (RETRIEVE, 2, 100), (RERANK, 1, 100)]);
+    let spec = fixture.fan_out(&STAGES);
     let job = fixture.submit(spec);
     let encode = fixture.next_batch();
     fixture.advance(220);
@@ -33,13 +37,22 @@
     }
 }
 
+/// As [`start`]; then the call of the second stage finds its inputs missing.
+fn start_and_lose_inputs() -> Started {
+    let mut started = start();
+    started.fixture.advance(50);
+    let missing = BatchEnd::Pieces(vec![PieceEnd::InputMissing; 2]);
+    started.fixture.end(&started.retrieve, missing);
+    started
+}
+
 fn inputs_of(batch: &Batch) -> Vec<&PieceInput> {
     batch.items.iter().map(|item| &item.input).collect()
 }
 
 /// Completes the recomputed first stage, and checks that the stages get its new results and the job
 /// is done.
-fn complete_after(mut started: Started, later: &[&str]) {
+fn complete_after_recomputation(mut started: Started) {
     let fixture = &mut started.fixture;
     let encode = fixture.next_batch();
     assert_eq!(encode.service.as_str(), ENCODE);
@@ -54,7 +67,7 @@
     );
     let batches = fixture.next_batches();
     let services: Vec<_> = batches.iter().map(|batch| batch.service.as_str()).collect();
-    assert_eq!(services, later);
+    assert_eq!(services, [RERANK, RETRIEVE]);
     let expected = PieceInput::Results(completed);
     fixture.advance(220);
     for batch in &batches {
@@ -69,54 +82,35 @@
 /// that depend on the inputs find them missing.
 #[test]
 fn stages_whose_calls_both_find_inputs_missing_wait_for_the_recomputed_ones() {
-    let mut started = start();
-    let fixture = &mut started.fixture;
-    fixture.advance(50);
+    let mut started = start_and_lose_inputs();
 
-    fixture.end(
-        &started.retrieve,
-        BatchEnd::Pieces(vec![PieceEnd::InputMissing; 2]),
-    );
-    fixture.end(
-        &started.rerank,
-        BatchEnd::Pieces(vec![PieceEnd::InputMissing]),
-    );
+    let missing = BatchEnd::Pieces(vec![PieceEnd::InputMissing]);
+    started.fixture.end(&started.rerank, missing);
 
-    complete_after(started, &[RERANK, RETRIEVE]);
+    complete_after_recomputation(started);
 }
 
 /// Guards against pieces that are sent without inputs: their call fails while the inputs are
 /// recomputed for another stage.
 #[test]
 fn a_stage_whose_call_fails_during_a_recomputation_waits_for_its_inputs() {
-    let mut started = start();
-    let fixture = &mut started.fixture;
-    fixture.advance(50);
+    let mut started = start_and_lose_inputs();
 
-    fixture.end(
-        &started.retrieve,
-        BatchEnd::Pieces(vec![PieceEnd::InputMissing; 2]),
-    );
-    fixture.end(&started.rerank, BatchEnd::Pieces(vec![PieceEnd::Failed]));
+    let failed = BatchEnd::Pieces(vec![PieceEnd::Failed]);
+    started.fixture.end(&started.rerank, failed);
 
-    complete_after(started, &[RERANK, RETRIEVE]);
+    complete_after_recomputation(started);
 }
 
 /// Guards against pieces that are sent without inputs: their call is rejected while the inputs are
 /// recomputed for another stage.
 #[test]
 fn a_stage_whose_call_is_rejected_during_a_recomputation_waits_for_its_inputs() {
-    let mut started = start();
-    let fixture = &mut started.fixture;
-    fixture.advance(50);
+    let mut started = start_and_lose_inputs();
 
-    fixture.end(
-        &started.retrieve,
-        BatchEnd::Pieces(vec![PieceEnd::InputMissing; 2]),
-    );
-    fixture.end(&started.rerank, BatchEnd::Rejected);
+    started.fixture.end(&started.rerank, BatchEnd::Rejected);
 
-    complete_after(started, &[RERANK, RETRIEVE]);
+    complete_after_recomputation(started);
 }
 
 /// Guards against pieces that are sent without inputs: they wait for a server when another stage
@@ -127,7 +121,7 @@
     let busy = fixture.chain(&[(RERANK, 10, 100)]);
     fixture.submit(busy);
     let busy = fixture.next_batch();
-    let spec = fixture.fan_out(&[(ENCODE, 2, 100), (RETRIEVE, 2, 100), (RERANK, 1, 100)]);
+    let spec = fixture.fan_out(&STAGES);
     fixture.submit(spec);
     let encode = fixture.next_batch();
     fixture.advance(220);
@@ -197,19 +191,11 @@
 fn a_next_owner_sends_no_stage_before_its_inputs_are_recomputed() {
     let mut started = start();
     let fixture = &mut started.fixture;
-    let mut spec = fixture.fan_out(&[(ENCODE, 2, 100), (RETRIEVE, 2, 100), (RERANK, 1, 100)]);
+    let mut spec = fixture.fan_out(&STAGES);
     fixture.advance(200);
     fixture.complete(&started.rerank);
-    let events = fixture.batcher.take_events().into_iter();
-    let stored = events.filter_map(|event| match event {
-        JobEvent::ResultsStored(_, results) => Some(results),
-        _ => None,
-    });
-    let stored: Vec<_> = stored.flatten().collect();
-    spec.retained = stored
-        .into_iter()
-        .filter(|result| result.piece == 0)
-        .collect();
+    let reported = reported_results(fixture).into_iter();
+    spec.retained = reported.filter(|result| result.piece == 0).collect();
     fixture.change_owner();
 
     fixture.submit(spec);
