--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,11 +3,14 @@
 //!
 //! Usage: standin-2 CASE RECORD ROOT. The environment variable TROUBLE=0 leaves the disruption out.
 
+mod failing;
 mod gateway;
 mod http;
 mod json;
 mod leaving;
 mod memory;
+mod moving;
+mod plain;
 mod record;
 mod store;
 
@@ -31,7 +34,9 @@
     });
     let result = match case.as_str() {
         "memory" => memory::run(root, has_trouble),
+        "failing" => failing::run(root, has_trouble),
         "leaving" => leaving::run(root, has_trouble),
+        "moving" => moving::run(root, has_trouble),
         other => Err(format!("there is no case {other}")),
     };
     gateway::kill_all();
