Review case 4: a machine partitioned from the store takes a stream up at another software version

Cause looked for: knowledge without an age at a machine that is out of touch. The only version that it knows is taken for the only one there is, so that nobody is asked where a stream began.

--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -47,8 +48,26 @@
         }
     }
 
-    /// Starts the process with the command of the deploy file.
+    /// Starts the process with the command of the deploy file. If another program has taken its ports
+    /// meanwhile, it gets others.
     pub fn start(&mut self) -> Result<(), String> {
+        for _ in 0..5 {
+            self.spawn()?;
+            thread::sleep(Duration::from_millis(150));
+            let has_ended = |child: &mut Child| child.try_wait().is_ok_and(|ended| ended.is_some());
+            if !self.child.as_mut().is_some_and(has_ended) {
+                return Ok(());
+            }
+            self.kill();
+            let (front, ready, first_port) = free_ports();
+            self.front.set_port(front);
+            self.ready.set_port(ready);
+            self.first_port = first_port;
+        }
+        Err("the gateway ends at its start".to_owned())
+    }
+
+    fn spawn(&mut self) -> Result<(), String> {
         let settings = self.folder.join("boot.conf");
         fs::write(&settings, self.settings()).map_err(|error| error.to_string())?;
         self.starts += 1;
@@ -159,17 +178,17 @@
     }
 }
 
-/// A port for clients, one for the readiness check, and the first of two neighbouring ones.
+/// A port for clients, one for the readiness check, and the first of two neighbouring ones. All are
+/// below those that outgoing connections get.
 fn free_ports() -> (u16, u16, u16) {
+    static TRIED: AtomicU32 = AtomicU32::new(0);
     loop {
-        let any = || TcpListener::bind("127.0.0.1:0").unwrap();
-        let (front, ready, first) = (any(), any(), any());
-        let port = |listener: &TcpListener| listener.local_addr().unwrap().port();
-        let next = port(&first).checked_add(1);
-        if let Some(next) = next
-            && TcpListener::bind(format!("127.0.0.1:{next}")).is_ok()
-        {
-            return (port(&front), port(&ready), port(&first));
+        let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+        let seed = std::process::id().wrapping_mul(7_919).wrapping_add(tried.wrapping_mul(4));
+        let first = 12_000 + u16::try_from(seed % 4_500).unwrap_or(0) * 4;
+        let bind = |port: u16| TcpListener::bind(format!("127.0.0.1:{port}"));
+        if (first..first + 4).map(bind).all(|bound| bound.is_ok()) {
+            return (first + 2, first + 3, first);
         }
     }
 }
--- a/review/standin-2/leaving.rs
+++ b/review/standin-2/leaving.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::gateway::Gateway;
-use crate::plain::{Seen, config, entry, serve, start_clients};
+use crate::plain::{Seen, config, end, entry, serve, start_clients};
 use crate::record;
 use crate::store::Store;
 
@@ -15,14 +15,19 @@
 const ROUNDS: usize = 6;
 const CLIENTS: usize = 12;
 const SERVERS: usize = 4;
+/// How long a server serves on after its entry is removed: `drain_ms` and a little longer.
+const SERVES_ON_S: f64 = 3.0;
 
 pub fn run(root: &str, has_trouble: bool) -> Result<bool, String> {
     let store = Store::new();
     let seen = Arc::<Mutex<Seen>>::default();
     store.put("op", "config", &config(7, "scalehouse"));
+    let mut servers = Vec::new();
     for number in 0..SERVERS + ROUNDS {
         let id = format!("i-{number}");
-        store.put("servers", &id, &entry("scalehouse", serve(&id, &seen)));
+        let (address, has_ended) = serve(&id, &seen);
+        store.put("servers", &id, &entry("scalehouse", address));
+        servers.push((address, has_ended));
     }
     let mut gateway = Gateway::new(0, "north-yard", 260, store.listen(0), root);
     gateway.start()?;
@@ -31,7 +36,7 @@
     }
     thread::sleep(Duration::from_secs(4));
     let is_over = Arc::<AtomicBool>::default();
-    let clients = start_clients(gateway.front, CLIENTS, &seen, &is_over);
+    let clients = start_clients(gateway.front, 0..CLIENTS, &seen, &is_over);
     let mut rounds = Vec::new();
     for round in 0..ROUNDS {
         let server = format!("i-{}", SERVERS + round);
@@ -48,7 +53,11 @@
         store.remove("servers", &server);
         let removed_at = record::now();
         record::line(&format!("the store accepts that {server} is gone; it serves on"));
-        thread::sleep(Duration::from_secs(6));
+        thread::sleep(Duration::from_secs_f64(SERVES_ON_S));
+        let (address, has_ended) = &servers[SERVERS + round];
+        end(*address, has_ended);
+        record::line(&format!("{server} has ended"));
+        thread::sleep(Duration::from_secs(3));
         rounds.push((server, removed_at, in_touch_from));
         thread::sleep(Duration::from_secs_f64(1.13 + 0.37 * round as f64));
     }
@@ -57,17 +66,23 @@
         let _ = client.join();
     }
     let seen = seen.lock().unwrap();
-    record::line(&format!("{} requests sent, {} answered with 200", seen.sent.len(), seen.answered));
-    if seen.answered * 2 < seen.sent.len() {
+    record::line(&format!("{} requests sent, {} answered with 200", seen.sent.len(), seen.answered.len()));
+    if seen.answered.len() * 2 < seen.sent.len() {
         return Err("the gateway hardly serves".to_owned());
     }
-    let mut broken = 0;
+    let (mut broken, mut lost) = (0, 0);
     for (server, removed_at, in_touch_from) in rounds {
         let late = seen
             .sent_after(in_touch_from)
             .filter(|arrival| arrival.server == server && arrival.at > removed_at + DRAIN_S);
         let late: Vec<_> = late.collect();
         broken += late.len();
+        let of_late = late.iter().filter(|arrival| !seen.answered.contains(&arrival.call));
+        let of_late: Vec<_> = of_late.map(|arrival| &arrival.call).collect();
+        lost += of_late.len();
+        if !of_late.is_empty() {
+            record::line(&format!("begun by {server} when it ended, and never answered with 200: {of_late:?}"));
+        }
         let ms = |at: f64| (at - removed_at) * 1_000.0;
         match (late.first(), late.last()) {
             (Some(first), Some(last)) => record::line(&format!(
@@ -77,6 +92,8 @@
             _ => record::line(&format!("{server}: no request too late")),
         }
     }
-    record::line(&format!("{broken} requests reached a server too late, from a machine in touch"));
+    record::line(&format!(
+        "{broken} requests reached a server too late, from a machine in touch; {lost} of them were lost with it"
+    ));
     Ok(broken == 0)
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -13,6 +13,7 @@
 mod plain;
 mod record;
 mod store;
+mod versions;
 
 use std::process::exit;
 
@@ -37,6 +38,7 @@
         "failing" => failing::run(root, has_trouble),
         "leaving" => leaving::run(root, has_trouble),
         "moving" => moving::run(root, has_trouble),
+        "versions" => versions::run(root, has_trouble),
         other => Err(format!("there is no case {other}")),
     };
     gateway::kill_all();
--- a/review/standin-2/plain.rs
+++ b/review/standin-2/plain.rs
@@ -1,6 +1,8 @@
 //! Clients and servers of plain services.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -22,13 +24,14 @@
     pub arrivals: Vec<Arrival>,
     /// Requests by their id, and when they were sent.
     pub sent: Vec<(String, f64)>,
-    pub answered: usize,
+    /// Requests that were answered with 200.
+    pub answered: BTreeSet<String>,
 }
 
 impl Seen {
     /// Arrivals of requests that were sent later than a time.
     pub fn sent_after(&self, time: f64) -> impl Iterator<Item = &Arrival> {
-        let sent: std::collections::BTreeSet<_> = self
+        let sent: BTreeSet<_> = self
             .sent
             .iter()
             .filter(|(_, at)| *at > time)
@@ -38,10 +41,10 @@
     }
 }
 
-/// Starts clients that send one idempotent request after the other until all is over.
+/// Starts clients that send one ticket after the other until all is over.
 pub fn start_clients(
     front: SocketAddr,
-    clients: usize,
+    clients: Range<usize>,
     seen: &Arc<Mutex<Seen>>,
     is_over: &Arc<AtomicBool>,
 ) -> Vec<JoinHandle<()>> {
@@ -49,7 +52,7 @@
         let (seen, is_over) = (Arc::clone(seen), Arc::clone(is_over));
         thread::spawn(move || send(front, client, &seen, &is_over))
     };
-    (0..clients).map(start).collect()
+    clients.map(start).collect()
 }
 
 fn send(front: SocketAddr, client: usize, seen: &Mutex<Seen>, is_over: &AtomicBool) {
@@ -64,38 +67,54 @@
             number += 1;
             let id = format!("c{client}n{number}");
             let request = format!(
-                "GET /confirm/1 HTTP/1.1\r\nHost: yard.example\r\nX-Request-Id: {id}\r\n\
-                X-Deadline-Ms: 1000\r\nApi-Key: key-one\r\n\r\n"
+                "POST /ticket/1 HTTP/1.1\r\nHost: yard.example\r\nX-Request-Id: {id}\r\n\
+                X-Deadline-Ms: 1000\r\nApi-Key: key-one\r\nContent-Length: {}\r\n\r\n{id}",
+                id.len()
             );
-            seen.lock().unwrap().sent.push((id, record::now()));
+            seen.lock().unwrap().sent.push((id.clone(), record::now()));
             connection.write(request.as_bytes());
             let Some(answer) = connection.message() else {
                 break;
             };
             if answer.status() == 200 {
-                seen.lock().unwrap().answered += 1;
+                seen.lock().unwrap().answered.insert(id);
             }
             thread::sleep(Duration::from_millis(20));
         }
     }
 }
 
-/// A sound server; it serves as long as the case runs.
-pub fn serve(id: &str, seen: &Arc<Mutex<Seen>>) -> SocketAddr {
+/// A sound server; it serves until it ends.
+pub fn serve(id: &str, seen: &Arc<Mutex<Seen>>) -> (SocketAddr, Arc<AtomicBool>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let (id, seen) = (id.to_owned(), Arc::clone(seen));
+    let has_ended = Arc::<AtomicBool>::default();
+    let ended = Arc::clone(&has_ended);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (seen, id) = (Arc::clone(&seen), id.clone());
-            thread::spawn(move || answer_all(&id, Connection::new(stream), &seen));
+            if ended.load(Ordering::Relaxed) {
+                return;
+            }
+            let (seen, id, ended) = (Arc::clone(&seen), id.clone(), Arc::clone(&ended));
+            thread::spawn(move || answer_all(&id, Connection::new(stream), &seen, &ended));
         }
     });
-    address
+    (address, has_ended)
+}
+
+/// Ends a server: its connections close, and new ones are refused.
+pub fn end(address: SocketAddr, has_ended: &AtomicBool) {
+    has_ended.store(true, Ordering::Relaxed);
+    // Wakes the listener, which closes.
+    let _ = Connection::open(address);
 }
 
-fn answer_all(id: &str, mut connection: Connection, seen: &Mutex<Seen>) {
+fn answer_all(id: &str, mut connection: Connection, seen: &Mutex<Seen>, ended: &AtomicBool) {
     while let Some(request) = connection.message() {
+        if ended.load(Ordering::Relaxed) {
+            return;
+        }
         let call = request.header("x-request-id").unwrap_or_default().to_owned();
         if request.header("x-target-instance").is_some_and(|target| target != id) {
             connection.answer("421 Misdirected Request", "", b"");
@@ -106,7 +125,12 @@
             server: id.to_owned(),
             at: record::now(),
         });
-        thread::sleep(Duration::from_millis(15));
+        for _ in 0..10 {
+            thread::sleep(Duration::from_millis(10));
+            if ended.load(Ordering::Relaxed) {
+                return;
+            }
+        }
         let headers = format!("X-Request-Id: {call}\r\nX-Response-Stamp: {id}.{call}\r\n");
         if !connection.answer("200 OK", &headers, &[b't'; 800]) {
             return;
@@ -125,9 +149,9 @@
 /// A configuration with one route, which leads to a service.
 pub fn config(version: u64, service: &str) -> String {
     format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"weigh-confirm\",\"host\":\"yard.example\",\"prefix\":\"/confirm/\",\
-        \"route_kind\":\"idempotent\",\"timeout_ms\":1000,\"target_latency_ms\":100,\"priority\":2,\
-        \"service\":\"{service}\",\"max_attempts\":2,\"stages\":[],\"public\":false}}],\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"gate-ticket\",\"host\":\"yard.example\",\"prefix\":\"/ticket/\",\
+        \"route_kind\":\"non_idempotent\",\"timeout_ms\":1000,\"target_latency_ms\":100,\"priority\":2,\
+        \"service\":\"{service}\",\"max_attempts\":1,\"stages\":[],\"public\":false}}],\
         \"services\":[{{\"name\":\"scalehouse\",\"health_path\":\"/healthz\",\"max_conns\":51}},\
         {{\"name\":\"scalehouse-new\",\"health_path\":\"/healthz\",\"max_conns\":51}}],\
         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -2,7 +2,7 @@
 //!
 //! Each gateway has an address of the store of its own, so that its connections can go silent.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -10,7 +10,6 @@
 
 use crate::http::{Connection, Message};
 use crate::json::{Json, base64};
-use crate::record;
 
 #[derive(Default)]
 struct Rows {
@@ -20,8 +19,8 @@
     connections: u64,
     /// By gateway, up to which connection all have gone silent for good.
     silent: BTreeMap<usize, u64>,
-    /// When the last poll of a gateway's table arrived, and how long it may wait.
-    polls: BTreeMap<(usize, String), (f64, Duration)>,
+    /// Gateways that are partitioned from the store.
+    cut: BTreeSet<usize>,
 }
 
 #[derive(Clone)]
@@ -49,7 +48,11 @@
                 let number = {
                     let mut rows = store.rows.0.lock().unwrap();
                     rows.connections += 1;
-                    rows.connections
+                    let number = rows.connections;
+                    if rows.cut.contains(&gateway) {
+                        rows.silent.insert(gateway, number);
+                    }
+                    number
                 };
                 thread::spawn(move || {
                     let mut connection = Connection::new(stream);
@@ -91,10 +94,25 @@
         changed.notify_all();
     }
 
-    /// When the last poll of a gateway's table arrived, and how long it may wait.
-    pub fn last_poll(&self, gateway: usize, table: &str) -> Option<(f64, Duration)> {
+    /// Partitions a gateway from the store, or heals that. What is under way is lost.
+    pub fn cut(&self, gateway: usize, is_cut: bool) {
+        self.silence(gateway);
+        let mut rows = self.rows.0.lock().unwrap();
+        if is_cut {
+            rows.cut.insert(gateway);
+        } else {
+            rows.cut.remove(&gateway);
+        }
+    }
+
+    /// Keys of a table's rows.
+    pub fn keys(&self, table: &str) -> Vec<String> {
         let rows = self.rows.0.lock().unwrap();
-        rows.polls.get(&(gateway, table.to_owned())).copied()
+        let of_table = rows
+            .by_name
+            .iter()
+            .filter(|((known, _), (value, _))| known == table && value.is_some());
+        of_table.map(|((_, key), _)| key.clone()).collect()
     }
 
     /// Serves a connection to its end; `None` if it has gone silent.
@@ -127,7 +145,6 @@
                 let after: u64 = query["after"].parse().unwrap();
                 let wait = Duration::from_millis(query["wait_ms"].parse().unwrap());
                 let until = Instant::now() + wait;
-                rows.polls.insert((gateway, table.clone()), (record::now(), wait));
                 loop {
                     if is_silent(&rows) {
                         return None;
