A stream that is taken up relies on no version that was heard of before

Cause: EngineRun::bind_version asked nobody where a stream began if PublishedVersions::only_version knew one version. That is a statement about the store at a moment, and was used without a limit of time: a gateway that is partitioned from the store, or whose connections to it are silent, still took its only version for the only one. Ruled out: a wrong record at another gateway (none was asked), a binding by both versions (only one was known).

Change: a stream that is taken up is bound by this gateway's record of it; else by a read of the published versions that begins after the caller's request and shows one version, or by another gateway's record; else it is refused as not run. A version is published before it is used, so such a read shows every version at which the stream may have begun. Callers that wait share reads (SharedRead). A gateway that does not hear the store sends its streams' origins on although it knows one version, so that streams are taken up while the store is away.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -299,7 +299,11 @@
         prompt_sources: PromptSources::default(),
         run_backups: RunBackups::default(),
         send_shares: SendShares::new(config.cold_allowance, config.clock.now()),
-        versions: Arc::new(VersionTracker::new(config.clock, Arc::clone(cluster_view))),
+        versions: Arc::new(VersionTracker::new(
+            config.clock,
+            Arc::clone(cluster_view),
+            config.store.clone(),
+        )),
         origins: OriginTracker::default(),
         batch_owners: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
--- a/crates/amaranthscale/src/gateway/process/origin_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/origin_tracker.rs
@@ -1,8 +1,8 @@
 //! Keeps the origins of streams at several gateways, and finds them there.
 //!
 //! While all servers of a service run one version, origins stay at the gateway where the streams
-//! began. Otherwise each is also sent to other gateways, which the call's id names, so that any
-//! gateway finds it after the one that began the stream has ended.
+//! began. Otherwise, and while the gateway cannot tell, each is also sent to other gateways, which the
+//! call's id names, so that any gateway finds it after the one that began the stream has ended.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -87,7 +87,7 @@
     pub fn record_origin(&self, key: StreamKey, origin: StreamOrigin) {
         let now = self.cluster_view.clock().now();
         let retention = self.versions.retention();
-        let is_only = self.versions.only_version(&origin.service).is_some();
+        let needs_keepers = self.versions.needs_origins(&origin.service);
         let mut state = self.origins.state();
         state
             .origins
@@ -99,26 +99,27 @@
         }
         state.unsent.push_back((now + retention, (key, origin)));
         drop(state);
-        if !is_only {
+        if needs_keepers {
             self.origins.record_requested.notify_one();
         }
     }
 
-    /// Finds where a stream began, here or at other gateways.
-    pub async fn find_origin(self: &Arc<Self>, key: &StreamKey) -> Option<StreamOrigin> {
+    /// Where a stream began, if this gateway has recorded it.
+    pub fn own_origin(&self, key: &StreamKey) -> Option<StreamOrigin> {
         let now = self.cluster_view.clock().now();
-        let own = self.origins.state().origins.find(key, now).cloned();
-        if own.is_some() {
-            return own;
-        }
-        let found = tokio::time::timeout(FIND_TIMEOUT, self.ask_for_origin(key)).await;
+        self.origins.state().origins.find(key, now).cloned()
+    }
+
+    /// Asks other gateways where a stream began.
+    pub async fn ask_for_origin(self: &Arc<Self>, key: &StreamKey) -> Option<StreamOrigin> {
+        let found = tokio::time::timeout(FIND_TIMEOUT, self.ask_others(key)).await;
         let found = found.ok().flatten();
         let name = if found.is_some() { "found" } else { "missing" };
         self.counters.count_reason("origins", name);
         found
     }
 
-    async fn ask_for_origin(self: &Arc<Self>, key: &StreamKey) -> Option<StreamOrigin> {
+    async fn ask_others(self: &Arc<Self>, key: &StreamKey) -> Option<StreamOrigin> {
         self.cluster_view.wait_until_listed(FIND_TIMEOUT).await;
         let others = key.rank(self.cluster_view.live_others());
         // Encoding texts cannot fail.
@@ -147,17 +148,17 @@
         let mut state = self.origins.state();
         let unsent = std::mem::take(&mut state.unsent);
         let mut taken = Vec::new();
-        let mut only_versions = BTreeMap::new();
+        let mut needed = BTreeMap::new();
         for (until, kept) in unsent {
             if until <= now {
                 continue;
             }
             let service = &kept.1.service;
-            if !only_versions.contains_key(service) {
-                let is_only = self.versions.only_version(service).is_some();
-                only_versions.insert(service.clone(), is_only);
+            if !needed.contains_key(service) {
+                let is_needed = self.versions.needs_origins(service);
+                needed.insert(service.clone(), is_needed);
             }
-            if only_versions[service] || taken.len() >= MAX_MESSAGE_ORIGINS {
+            if !needed[service] || taken.len() >= MAX_MESSAGE_ORIGINS {
                 state.unsent.push_back((until, kept));
             } else {
                 taken.push(kept);
@@ -262,8 +263,7 @@
             return status_response(StatusCode::BAD_REQUEST);
         }
     };
-    let now = context.cluster_view.clock().now();
-    let origin = context.origins.state().origins.find(&key, now).cloned();
+    let origin = context.own_origin(&key);
     if origin.is_some() {
         info!(call = key.call.as_str(); "versions: origin told");
     }
--- a/crates/amaranthscale/src/gateway/process/version_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/version_tracker.rs
@@ -10,8 +10,8 @@
 use log::{info, warn};
 use tokio::sync::{Notify, watch};
 
-use super::super::version::{ClusterView, write_store};
-use super::super::{Clock, StoreApi};
+use super::super::version::{ClusterView, SharedRead, write_store};
+use super::super::{Clock, StoreApi, StoreRows};
 use super::GatewayContext;
 
 /// Shortest time for which a stream may be taken up.
@@ -21,6 +21,8 @@
 const TIMEOUT_FACTOR: u32 = 2;
 /// Longest wait of a request until a version is published; a write takes some milliseconds.
 const PUBLICATION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of a read that confirms the versions in use, including those that it waits for.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time within which the owner publishes a version; after it, every other gateway does.
 const OWNER_LEAD: Duration = Duration::from_millis(300);
 /// Time over which the other gateways spread their writes.
@@ -39,15 +41,19 @@
     changed: Notify,
     /// Counts changes of the published versions.
     applied: watch::Sender<u64>,
+    /// Reads of the published versions, apart from the feed.
+    read: SharedRead<BTreeSet<ServiceVersion>>,
 }
 
 impl VersionTracker {
     /// Creates a tracker that knows no version.
     #[must_use]
-    pub fn new(clock: Clock, cluster_view: Arc<ClusterView>) -> Self {
+    pub fn new(clock: Clock, cluster_view: Arc<ClusterView>, store: StoreApi) -> Self {
+        let request = store.read_versions;
         Self {
             clock,
             cluster_view,
+            read: SharedRead::new(store, request, parse_published),
             published: Mutex::default(),
             changed: Notify::new(),
             applied: watch::Sender::new(0),
@@ -88,10 +94,49 @@
         versions.unwrap_or_else(|_elapsed| self.published().beginning(service))
     }
 
-    /// The only version at which streams of a service may have begun; none if there may be another.
+    /// The only version at which streams of a service may have begun until now, by a read of the store;
+    /// none if there may be another, or if the store does not answer.
+    ///
+    /// A version is published before it is used, so a read that begins once a caller takes up a stream
+    /// shows every version at which the stream may have begun.
+    pub async fn confirm_only_version(
+        &self,
+        service: &ServiceId,
+    ) -> Option<Option<SoftwareVersion>> {
+        self.published().only_version(service)?;
+        let read = tokio::time::timeout(CONFIRMATION_TIMEOUT, self.read.read()).await;
+        let published = match read {
+            Ok(Ok(published)) => published,
+            Ok(Err(reason)) => {
+                info!(service = service.as_str(), reason = reason.as_str(); "versions: not confirmed");
+                return None;
+            }
+            Err(_elapsed) => {
+                info!(service = service.as_str(), reason = "no answer in time"; "versions: not confirmed");
+                return None;
+            }
+        };
+        let only = self.published().only_version(service)?;
+        let mut of_service = published.iter().filter(|one| one.service == *service);
+        of_service.all(|one| one.version == only).then_some(only)
+    }
+
+    /// Whether origins of a service's streams have to be kept at other gateways: several versions may
+    /// be in use.
     #[must_use]
-    pub fn only_version(&self, service: &ServiceId) -> Option<Option<SoftwareVersion>> {
-        self.published().only_version(service)
+    pub fn needs_origins(&self, service: &ServiceId) -> bool {
+        let published = self.published();
+        published.only_version(service).is_none() || !published.is_current(self.clock.now())
+    }
+
+    /// Records whether the store answers.
+    pub(crate) fn record_store(&self, is_available: bool) {
+        let mut published = self.published();
+        if is_available {
+            published.store_answered(self.clock.now());
+        } else {
+            published.store_lost();
+        }
     }
 
     /// Versions of a service that are or were lately in use.
@@ -160,6 +205,21 @@
     services.map(|(service, _share)| service.clone()).collect()
 }
 
+/// The published versions among rows of the gateways' table.
+fn parse_published(store: &StoreApi, rows: &StoreRows) -> Result<BTreeSet<ServiceVersion>, String> {
+    if rows.is_truncated {
+        return Err("too many rows".to_owned());
+    }
+    let parsed = rows.rows.iter().map(|row| (store.parse_version)(row));
+    let mut published = BTreeSet::new();
+    for update in parsed {
+        if let Some((version, true)) = update? {
+            published.insert(version);
+        }
+    }
+    Ok(published)
+}
+
 fn name(version: &ServiceVersion) -> &str {
     version
         .version
--- a/crates/amaranthscale/src/gateway/store_api.rs
+++ b/crates/amaranthscale/src/gateway/store_api.rs
@@ -136,6 +136,8 @@
     pub publish_limit: fn(&ServerIncarnation, ServerLimit) -> Request<Full<Bytes>>,
     /// Removes a server's rate limit.
     pub remove_limit: fn(&ServerIncarnation) -> Request<Full<Bytes>>,
+    /// Reads the rows of the published software versions of services, and perhaps others.
+    pub read_versions: fn() -> Request<Full<Bytes>>,
     /// Publishes software versions of services, or withdraws them, in one transaction.
     pub update_versions: fn(&[ServiceVersion], bool) -> Request<Full<Bytes>>,
     /// Drains a server.
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -13,6 +13,7 @@
 mod poll_timing;
 mod reader_requests;
 mod relayed_table;
+mod shared_read;
 mod start_reader;
 mod store_call;
 mod store_write;
@@ -39,6 +40,8 @@
 pub use packed_row::{KnownRow, PackedRow, UnpackError};
 #[doc(inline)]
 pub use poll_timing::{KEY_AGE_PERCENT, PollTiming, READY_AGE_PERCENT};
+#[doc(inline)]
+pub use shared_read::SharedRead;
 pub(crate) use store_write::{
     WriteError, write_store, write_store_if, write_store_once, write_store_with_retry,
 };
--- a/crates/amaranthscale/src/gateway/version/follow.rs
+++ b/crates/amaranthscale/src/gateway/version/follow.rs
@@ -179,6 +179,7 @@
         let (rows, is_snapshot) = match feed.next().await {
             FeedEvent::Unavailable(_) => {
                 cluster_view.mark_list_unavailable();
+                own.versions.record_store(false);
                 continue;
             }
             FeedEvent::Snapshot(rows) => (rows.rows, true),
@@ -218,6 +219,7 @@
                 Err(reason) => invalid_entries.record(&row.key, reason),
             }
         }
+        own.versions.record_store(true);
         counters.add(
             "drains.changed",
             apply_drains(&cluster_view, drains, is_snapshot && !is_restored),
--- a/crates/core/src/process/published_versions.rs
+++ b/crates/core/src/process/published_versions.rs
@@ -5,6 +5,10 @@
 //! begins streams only at published versions, so one that starts later can tell whether streams of
 //! another version may be under way. A version is withdrawn once no server has run it for longer
 //! than any stream lasts.
+//!
+//! That a service has only one version holds as of a moment. [`PublishedVersions::only_version`] is
+//! what this gateway last heard, and a gateway that hears nothing cannot tell how long ago it ceased
+//! to hold; [`PublishedVersions::is_current`] says whether it heard anything lately.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -21,6 +25,10 @@
     pub version: Option<SoftwareVersion>,
 }
 
+/// Longest time without an answer of the store after which what it showed still counts as current:
+/// some polls of the gateways' table.
+const MAX_CURRENT_AGE: Duration = Duration::from_secs(4);
+
 type Versions = BTreeSet<Option<SoftwareVersion>>;
 
 /// The software versions of services that are in use.
@@ -33,6 +41,8 @@
     sole: BTreeMap<ServiceId, Option<SoftwareVersion>>,
     /// Whether the published versions were read once.
     is_complete: bool,
+    /// When the store last showed the published versions; none after it was lost.
+    heard_at: Option<Duration>,
 }
 
 impl PublishedVersions {
@@ -55,6 +65,23 @@
         self.is_complete = true;
     }
 
+    /// Records that the store has shown all changes up to now.
+    pub const fn store_answered(&mut self, now: Duration) {
+        self.heard_at = Some(now);
+    }
+
+    /// Records that the store does not answer.
+    pub const fn store_lost(&mut self) {
+        self.heard_at = None;
+    }
+
+    /// Whether the store has shown all changes up to a short time ago.
+    #[must_use]
+    pub fn is_current(&self, now: Duration) -> bool {
+        self.heard_at
+            .is_some_and(|heard_at| now.saturating_sub(heard_at) <= MAX_CURRENT_AGE)
+    }
+
     /// Records the versions that servers are listed with. A version that was not listed for
     /// `retention` is forgotten.
     pub fn observe(
@@ -82,7 +109,8 @@
         }
     }
 
-    /// The only version at which streams of a service may have begun; none if there may be another.
+    /// The only version at which streams of a service may have begun, as of what was last heard; none
+    /// if there may be another.
     #[must_use]
     pub fn only_version(&self, service: &ServiceId) -> Option<Option<SoftwareVersion>> {
         let mut known = self.known(service).into_iter();
--- a/crates/core/tests/published_versions.rs
+++ b/crates/core/tests/published_versions.rs
@@ -105,6 +105,21 @@
     assert_eq!(published.removable(RETENTION, at(31)), [version("v1")]);
 }
 
+/// Guards against a gateway that relies on versions which it heard of long ago.
+#[test]
+fn versions_are_current_only_while_the_store_answers() {
+    let mut published = observed(&["v1"]);
+    assert!(!published.is_current(at(0)));
+
+    published.store_answered(at(1));
+    assert!(published.is_current(at(3)));
+    assert!(!published.is_current(at(31)));
+
+    published.store_answered(at(31));
+    published.store_lost();
+    assert!(!published.is_current(at(31)));
+}
+
 #[test]
 fn the_last_published_version_is_withdrawn() {
     let mut published = observed(&["v2"]);
