Each software version is published before it is used, the first one too

What callers saw: after all gateways were killed at once and one version replaced the other meanwhile, streams that they took up went on at the new version.

Cause: rows of versions were written when a second version appeared. That a service had had one version was known to the gateways alone, and was lost with all of them; one that started then saw the new version only. Ruled out: rows of two versions that are withdrawn too early after a start (streams of two published versions were never mixed).

Change: a resumable stream begins only at a published version, the first one of a service is published too, and a row stays as long as a stream of its version can be taken up, also the last one. A read that confirms the only version must contain it. A gateway that has not read the rows begins no resumable stream. Writes are split by the store's limit of rows, as all services are published at a start now.

--- a/crates/amaranthscale/src/gateway/process/version_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/version_tracker.rs
@@ -71,27 +71,20 @@
         (longest.unwrap_or_default() * TIMEOUT_FACTOR).max(MIN_RETENTION)
     }
 
-    /// Versions at which streams of a service may begin, once there are any: a gateway that has
-    /// started where several versions run waits until they are published.
+    /// Versions at which streams of a service may begin, once there are servers of one: a gateway waits
+    /// until the version of the first server is published.
     pub async fn beginning(&self, service: &ServiceId) -> VersionBinding {
         if self.published().known(service).is_empty() {
             self.observe();
         }
-        if self.published().known(service).is_empty() {
-            // Without servers there is nothing to wait for.
-            return VersionBinding::ANY;
-        }
         let mut applied = self.applied.subscribe();
-        let waiting = async {
-            loop {
-                let versions = self.published().beginning(service);
-                if !versions.is_none() || applied.changed().await.is_err() {
-                    return versions;
-                }
-            }
+        let published = async {
+            while self.published().is_awaited(service) && applied.changed().await.is_ok() {}
         };
-        let versions = tokio::time::timeout(PUBLICATION_TIMEOUT, waiting).await;
-        versions.unwrap_or_else(|_elapsed| self.published().beginning(service))
+        match tokio::time::timeout(PUBLICATION_TIMEOUT, published).await {
+            Ok(()) => self.published().beginning(service),
+            Err(_elapsed) => self.published().beginning_unpublished(service),
+        }
     }
 
     /// The only version at which streams of a service may have begun until now, by a read of the store;
@@ -117,8 +110,9 @@
             }
         };
         let only = self.published().only_version(service)?;
-        let mut of_service = published.iter().filter(|one| one.service == *service);
-        of_service.all(|one| one.version == only).then_some(only)
+        let of_service = published.iter().filter(|one| one.service == *service);
+        let mut of_service = of_service.map(|one| &one.version);
+        (of_service.next() == Some(&only) && of_service.next().is_none()).then_some(only)
     }
 
     /// Whether origins of a service's streams have to be kept at other gateways: several versions may
@@ -168,6 +162,15 @@
         self.applied.send_modify(|count| *count += 1);
     }
 
+    /// Whether streams of some service wait for a version to be published.
+    fn is_publication_awaited(&self) -> bool {
+        let published = self.published();
+        let unpublished = published.unpublished();
+        unpublished
+            .iter()
+            .any(|version| published.is_awaited(&version.service))
+    }
+
     /// Records the versions that the servers of services with resumable streams are listed with.
     fn observe(&self) {
         let Some(routing) = self.cluster_view.routing() else {
@@ -255,17 +258,25 @@
     let versions = &context.versions;
     let (.., is_own) = context.cluster_view.owner(Cell::SINGLE);
     if !is_own {
+        // The owner may have ended, and nobody notices while all gateways start.
+        let lead = if versions.is_publication_awaited() {
+            Duration::ZERO
+        } else {
+            OWNER_LEAD
+        };
         let spread = SPREAD.mul_f64(rand::random_range(0.0..1.0));
-        tokio::time::sleep(OWNER_LEAD + spread).await;
+        tokio::time::sleep(lead + spread).await;
     }
     let unpublished = versions.published().unpublished();
     if unpublished.is_empty() {
         return;
     }
-    let request = (store.update_versions)(&unpublished, true);
-    if let Err(reason) = write_store(store, request).await {
-        warn!(versions = unpublished.len(), reason = reason.as_str(); "versions: not published, retrying");
-        context.counters.count("versions.not-published");
+    for versions in unpublished.chunks(store.max_transaction_rows) {
+        let request = (store.update_versions)(versions, true);
+        if let Err(reason) = write_store(store, request).await {
+            warn!(versions = versions.len(), reason = reason.as_str(); "versions: not published, retrying");
+            context.counters.count("versions.not-published");
+        }
     }
 }
 
@@ -280,9 +291,11 @@
         if !is_own || removable.is_empty() {
             continue;
         }
-        let request = (store.update_versions)(&removable, false);
-        if let Err(reason) = write_store(&store, request).await {
-            info!(versions = removable.len(), reason = reason.as_str(); "versions: not withdrawn");
+        for versions in removable.chunks(store.max_transaction_rows) {
+            let request = (store.update_versions)(versions, false);
+            if let Err(reason) = write_store(&store, request).await {
+                info!(versions = versions.len(), reason = reason.as_str(); "versions: not withdrawn");
+            }
         }
     }
 }
--- a/crates/core/src/process/published_versions.rs
+++ b/crates/core/src/process/published_versions.rs
@@ -1,10 +1,10 @@
 //! The software versions of services that are in use, as all gateways know them.
 //!
 //! While servers of a service run one version, every stream of it began there, and nothing has to be
-//! remembered of it. Before a second version is used, both are published in the store: a gateway
-//! begins streams only at published versions, so one that starts later can tell whether streams of
-//! another version may be under way. A version is withdrawn once no server has run it for longer
-//! than any stream lasts.
+//! remembered of it. Each version is published in the store before it is used, the first one too: a
+//! gateway begins streams only at published versions, so one that starts later can tell whether
+//! streams of another version may be under way, even if no gateway and no server of that time is
+//! left. A version is withdrawn once no server has run it for longer than any stream lasts.
 //!
 //! That a service has only one version holds as of a moment. [`PublishedVersions::only_version`] is
 //! what this gateway last heard, and a gateway that hears nothing cannot tell how long ago it ceased
@@ -29,12 +29,12 @@
 /// some polls of the gateways' table.
 const MAX_CURRENT_AGE: Duration = Duration::from_secs(4);
 
-type Versions = BTreeSet<Option<SoftwareVersion>>;
-
 /// The software versions of services that are in use.
 #[derive(Debug, Default)]
 pub struct PublishedVersions {
     published: BTreeSet<ServiceVersion>,
+    /// Versions that servers were listed with last.
+    listed: BTreeSet<ServiceVersion>,
     /// When each version was listed last, or was learnt to be published.
     seen_at: BTreeMap<ServiceVersion, Duration>,
     /// The only version of a service before a second one appeared.
@@ -90,8 +90,9 @@
         retention: Duration,
         now: Duration,
     ) {
-        for version in listed {
-            self.seen_at.insert(version, now);
+        self.listed = listed.into_iter().collect();
+        for version in &self.listed {
+            self.seen_at.insert(version.clone(), now);
         }
         let published = &self.published;
         self.seen_at.retain(|version, seen_at| {
@@ -130,35 +131,43 @@
     /// Versions at which streams of a service may begin.
     #[must_use]
     pub fn beginning(&self, service: &ServiceId) -> VersionBinding {
-        let published: Versions = self.published_of(service).collect();
-        if !published.is_empty() {
-            return VersionBinding::one_of(published);
-        }
-        let known = self.known(service);
-        if known.len() > 1 {
-            return VersionBinding::one_of(self.sole.get(service).cloned());
+        VersionBinding::one_of(self.published_of(service))
+    }
+
+    /// Versions at which streams of a service may begin if none can be published: the one that was
+    /// the only one, where the store has shown that no version is published.
+    #[must_use]
+    pub fn beginning_unpublished(&self, service: &ServiceId) -> VersionBinding {
+        let has_published = self.published_of(service).next().is_some();
+        if has_published || !self.is_complete {
+            return self.beginning(service);
         }
-        VersionBinding::one_of(known)
+        VersionBinding::one_of(self.sole.get(service).cloned())
+    }
+
+    /// Whether a service has servers, but none of a published version.
+    #[must_use]
+    pub fn is_awaited(&self, service: &ServiceId) -> bool {
+        let listed = self.listed.iter();
+        let mut of_service = listed.filter(|version| version.service == *service);
+        let has_servers = of_service.clone().next().is_some();
+        has_servers && !of_service.any(|version| self.published.contains(version))
     }
 
     /// Versions that have to be published before they are used.
     #[must_use]
     pub fn unpublished(&self) -> Vec<ServiceVersion> {
         let seen = self.seen_at.keys();
-        let is_unpublished = |version: &&ServiceVersion| {
-            !self.published.contains(version) && self.known(&version.service).len() > 1
-        };
+        let is_unpublished = |version: &&ServiceVersion| !self.published.contains(version);
         seen.filter(is_unpublished).cloned().collect()
     }
 
-    /// Published versions that no server was listed with for `retention`, or that are the only one of
-    /// their service.
+    /// Published versions that no server was listed with for `retention`.
     #[must_use]
     pub fn removable(&self, retention: Duration, now: Duration) -> Vec<ServiceVersion> {
         let is_removable = |version: &&ServiceVersion| {
-            let is_only = self.known(&version.service).len() == 1;
             let seen_at = self.seen_at.get(version);
-            is_only || seen_at.is_none_or(|seen_at| now.saturating_sub(*seen_at) >= retention)
+            seen_at.is_none_or(|seen_at| now.saturating_sub(*seen_at) >= retention)
         };
         self.published
             .iter()
