Origins of streams outlast all gateways while several versions are in use

What callers saw: after the loss of all gateways beside a release, each stream that they took up was refused (2113), although servers of its version were there.

Cause: where a stream began was known to gateways alone. Ruled out: what engines still hold (it suggests a version and proves none), rows written by each gateway (calls rise with their number).

Change: while a service runs several versions, each gateway hands the origins of its streams to one gateway of fifty, which writes a row each 0.4 s and removes old ones (OriginSaver, origin_writer). A stream that no gateway knows is looked for there, in one read for all callers that wait.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -17,8 +17,8 @@
     FirstEventEstimators, GatewayContext, LimitTracker, OriginTracker, PromptSources, RetryBudgets,
     RunBackups, SendShares, ShutdownGate, StageTimes, StatementRecorder, VersionTracker,
     exchange_speeds, monitor_loop_delay, monitor_unresponsive, publish_crashes, publish_limits,
-    publish_versions, remove_expired_evidence, remove_stale_drains, remove_stale_limits,
-    send_origins, withdraw_versions,
+    publish_versions, remove_expired_evidence, remove_expired_origins, remove_stale_drains,
+    remove_stale_limits, save_origins, send_origins, withdraw_versions,
 };
 use super::version::{
     AnnouncementWriter, Announcer, ClusterView, KEY_AGE_PERCENT, OwnInstance, PollTiming,
@@ -127,6 +127,11 @@
             config.store.clone(),
         ));
         tokio::spawn(send_origins(Arc::clone(&context)));
+        tokio::spawn(save_origins(Arc::clone(&context), config.store.clone()));
+        tokio::spawn(remove_expired_origins(
+            Arc::clone(&context),
+            config.store.clone(),
+        ));
         tokio::spawn(remove_stale_drains(
             Arc::clone(&context),
             config.store.clone(),
@@ -304,7 +309,7 @@
             Arc::clone(cluster_view),
             config.store.clone(),
         )),
-        origins: OriginTracker::default(),
+        origins: OriginTracker::new(config.instance.clone(), config.store.clone()),
         batch_owners: Arc::new(BatchOwners::new(arguments)),
         peers: Arc::new(PeerClient::new(PEER_LIMITS)),
         table_relay: Arc::default(),
--- a/crates/amaranthscale/src/gateway/process.rs
+++ b/crates/amaranthscale/src/gateway/process.rs
@@ -14,6 +14,7 @@
 mod monitor_loop_delay;
 mod monitor_unresponsive;
 mod moving_runs;
+mod origin_saving;
 mod origin_tracker;
 mod peer_jobs;
 mod peer_message;
@@ -60,6 +61,7 @@
 pub use monitor_unresponsive::monitor_unresponsive;
 #[doc(inline)]
 pub use moving_runs::{MovingRunGuard, MovingRuns};
+pub(crate) use origin_saving::{remove_expired_origins, save_origins};
 #[doc(inline)]
 pub use origin_tracker::OriginTracker;
 pub(crate) use origin_tracker::send_origins;
@@ -95,5 +97,5 @@
 #[doc(inline)]
 pub use statement_recorder::StatementRecorder;
 #[doc(inline)]
-pub use version_tracker::VersionTracker;
+pub use version_tracker::{VersionTracker, VersionsInUse};
 pub(crate) use version_tracker::{publish_versions, withdraw_versions};
--- a/crates/amaranthscale/src/gateway/process/origin_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/origin_tracker.rs
@@ -3,6 +3,7 @@
 //! While all servers of a service run one version, origins stay at the gateway where the streams
 //! began. Otherwise, and while the gateway cannot tell, each is also sent to other gateways, which the
 //! call's id names, so that any gateway finds it after the one that began the stream has ended.
+//! Beside several versions it is saved in the store too.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -14,10 +15,13 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use log::{info, warn};
+use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
+use super::super::StoreApi;
 use super::GatewayContext;
+use super::origin_saving::OriginSaves;
 use super::peer_message::{read_message, status_response};
 use crate::connection::{ResponseBody, full_body, read_body};
 
@@ -40,15 +44,17 @@
 /// Maximum number of origins in one message.
 const MAX_MESSAGE_ORIGINS: usize = 500;
 /// Maximum size of a message.
-const MAX_MESSAGE_BYTES: usize = 512 * 1024;
+pub(super) const MAX_MESSAGE_BYTES: usize = 512 * 1024;
 
-type KeptOrigin = (StreamKey, StreamOrigin);
+pub(super) type KeptOrigin = (StreamKey, StreamOrigin);
 
 /// Origins of streams that this gateway began or keeps for others.
 #[derive(Debug)]
 pub struct OriginTracker {
     state: Mutex<OriginState>,
     record_requested: Notify,
+    /// Origins that are saved in the store.
+    pub(super) saves: OriginSaves,
 }
 
 #[derive(Debug)]
@@ -59,9 +65,12 @@
     unsent: VecDeque<(Duration, KeptOrigin)>,
 }
 
-impl Default for OriginTracker {
-    fn default() -> Self {
+impl OriginTracker {
+    /// Creates a tracker that knows no origin.
+    #[must_use]
+    pub fn new(instance: InstanceId, store: StoreApi) -> Self {
         Self {
+            saves: OriginSaves::new(instance, store, MAX_ORIGINS),
             state: Mutex::new(OriginState {
                 origins: StreamOrigins::new(MAX_ORIGINS),
                 unsent: VecDeque::new(),
@@ -69,9 +78,7 @@
             record_requested: Notify::new(),
         }
     }
-}
 
-impl OriginTracker {
     /// Requests that origins are sent which it was not necessary to send before.
     pub(super) fn notify_versions_changed(&self) {
         self.record_requested.notify_one();
@@ -204,11 +211,22 @@
     }
 
     async fn send_origins_to(&self, address: SocketAddr, origins: &[KeptOrigin]) -> bool {
+        self.post_origins(address, RECORD_ORIGINS_PATH, &origins)
+            .await
+    }
+
+    /// Sends origins to another gateway; returns whether it has taken them.
+    pub(super) async fn post_origins(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        origins: &impl Serialize,
+    ) -> bool {
         // Encoding texts cannot fail.
         let encoded = rmp_serde::to_vec(origins).unwrap_or_default();
         let bytes = u64::try_from(encoded.len()).unwrap_or(u64::MAX);
         self.counters.add("origins.sent-bytes", bytes);
-        let posting = self.peers.post(address, RECORD_ORIGINS_PATH, encoded);
+        let posting = self.peers.post(address, path, encoded);
         let posted = tokio::time::timeout(RECORD_TIMEOUT, posting).await;
         matches!(posted, Ok(Ok(answer)) if answer.status() == StatusCode::OK)
     }
@@ -224,6 +242,7 @@
             if unsent.is_empty() {
                 break;
             }
+            context.request_save(&unsent);
             let (context, sent) = (Arc::clone(&context), unsent);
             tokio::spawn(async move { context.send_origins(sent).await });
         }
--- a/crates/amaranthscale/src/gateway/process/peer_server.rs
+++ b/crates/amaranthscale/src/gateway/process/peer_server.rs
@@ -12,6 +12,7 @@
 
 use super::super::version::{ANNOUNCEMENTS_PATH, AnnouncementUpdate, ROWS_PATH, RowsRequest};
 use super::GatewayContext;
+use super::origin_saving::{SAVE_ORIGINS_PATH, serve_save};
 use super::origin_tracker::{FIND_ORIGIN_PATH, RECORD_ORIGINS_PATH, serve_find, serve_record};
 use super::peer_jobs::serve_job;
 use super::peer_message::{read_message, status_response};
@@ -48,6 +49,8 @@
         serve_announcements(&context, request).await
     } else if path == RECORD_ORIGINS_PATH {
         serve_record(&context, request).await
+    } else if path == SAVE_ORIGINS_PATH {
+        serve_save(&context, request).await
     } else if path == FIND_ORIGIN_PATH {
         serve_find(&context, request).await
     } else if path.starts_with(SPEEDS_PATH) {
--- a/crates/amaranthscale/src/gateway/process/version_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/version_tracker.rs
@@ -10,7 +10,7 @@
 use log::{info, warn};
 use tokio::sync::{Notify, watch};
 
-use super::super::version::{ClusterView, SharedRead, write_store};
+use super::super::version::{ClusterView, RowsReader, SharedRead, write_store};
 use super::super::{Clock, StoreApi, StoreRows};
 use super::GatewayContext;
 
@@ -21,8 +21,8 @@
 const TIMEOUT_FACTOR: u32 = 2;
 /// Longest wait of a request until a version is published; a write takes some milliseconds.
 const PUBLICATION_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout of a read that confirms the versions in use, including those that it waits for.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(900);
+/// Timeout of a read of the store for a stream that is taken up, including the one that it waits for.
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time within which the owner publishes a version; after it, every other gateway does.
 const OWNER_LEAD: Duration = Duration::from_millis(300);
 /// Time over which the other gateways spread their writes.
@@ -32,6 +32,17 @@
 /// Interval at which versions that no server runs are withdrawn.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Versions at which streams of a service may have begun.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum VersionsInUse {
+    /// One only.
+    Only(Option<SoftwareVersion>),
+    /// Several.
+    Several,
+    /// The store does not show it.
+    Unknown,
+}
+
 /// Software versions at which streams begin and may have begun.
 #[derive(Debug)]
 pub struct VersionTracker {
@@ -49,11 +60,14 @@
     /// Creates a tracker that knows no version.
     #[must_use]
     pub fn new(clock: Clock, cluster_view: Arc<ClusterView>, store: StoreApi) -> Self {
-        let request = store.read_versions;
+        let reader = RowsReader {
+            request: store.read_versions,
+            add: add_published,
+        };
         Self {
             clock,
             cluster_view,
-            read: SharedRead::new(store, request, parse_published),
+            read: SharedRead::new(store, reader),
             published: Mutex::default(),
             changed: Notify::new(),
             applied: watch::Sender::new(0),
@@ -87,40 +101,47 @@
         }
     }
 
-    /// The only version at which streams of a service may have begun until now, by a read of the store;
-    /// none if there may be another, or if the store does not answer.
+    /// Whether streams of a service began at one version only until now, by a read of the store.
     ///
     /// A version is published before it is used, so a read that begins once a caller takes up a stream
     /// shows every version at which the stream may have begun.
-    pub async fn confirm_only_version(
-        &self,
-        service: &ServiceId,
-    ) -> Option<Option<SoftwareVersion>> {
-        self.published().only_version(service)?;
-        let read = tokio::time::timeout(CONFIRMATION_TIMEOUT, self.read.read()).await;
+    pub async fn confirm_versions(&self, service: &ServiceId) -> VersionsInUse {
+        if self.published().published_of(service).nth(1).is_some() {
+            return VersionsInUse::Several;
+        }
+        let read = tokio::time::timeout(STORE_TIMEOUT, self.read.read()).await;
+        let read = read.unwrap_or_else(|_elapsed| Err("no answer in time".to_owned()));
         let published = match read {
-            Ok(Ok(published)) => published,
-            Ok(Err(reason)) => {
+            Ok(published) => published,
+            Err(reason) => {
                 info!(service = service.as_str(), reason = reason.as_str(); "versions: not confirmed");
-                return None;
-            }
-            Err(_elapsed) => {
-                info!(service = service.as_str(), reason = "no answer in time"; "versions: not confirmed");
-                return None;
+                return VersionsInUse::Unknown;
             }
         };
-        let only = self.published().only_version(service)?;
-        let of_service = published.iter().filter(|one| one.service == *service);
-        let mut of_service = of_service.map(|one| &one.version);
-        (of_service.next() == Some(&only) && of_service.next().is_none()).then_some(only)
+        let mut of_service = published.iter().filter(|one| one.service == *service);
+        match (of_service.next(), of_service.next()) {
+            (Some(only), None) => VersionsInUse::Only(only.version.clone()),
+            (None, _) => VersionsInUse::Unknown,
+            (Some(_), Some(_)) => VersionsInUse::Several,
+        }
+    }
+
+    /// Whether several versions of a service may be in use, as of what was last heard.
+    #[must_use]
+    pub fn has_several(&self, service: &ServiceId) -> bool {
+        self.published().only_version(service).is_none()
+    }
+
+    /// Whether several versions of any service may be in use, as of what was last heard.
+    pub(super) fn has_several_anywhere(&self) -> bool {
+        self.published().has_several()
     }
 
     /// Whether origins of a service's streams have to be kept at other gateways: several versions may
     /// be in use.
     #[must_use]
     pub fn needs_origins(&self, service: &ServiceId) -> bool {
-        let published = self.published();
-        published.only_version(service).is_none() || !published.is_current(self.clock.now())
+        self.has_several(service) || !self.published().is_current(self.clock.now())
     }
 
     /// Records whether the store answers.
@@ -208,19 +229,13 @@
     services.map(|(service, _share)| service.clone()).collect()
 }
 
-/// The published versions among rows of the gateways' table.
-fn parse_published(store: &StoreApi, rows: &StoreRows) -> Result<BTreeSet<ServiceVersion>, String> {
-    if rows.is_truncated {
-        return Err("too many rows".to_owned());
-    }
-    let parsed = rows.rows.iter().map(|row| (store.parse_version)(row));
-    let mut published = BTreeSet::new();
-    for update in parsed {
-        if let Some((version, true)) = update? {
+/// Adds the published versions among rows of the gateways' table. Rows of other writers are skipped.
+fn add_published(store: &StoreApi, published: &mut BTreeSet<ServiceVersion>, rows: &StoreRows) {
+    for row in &rows.rows {
+        if let Ok(Some((version, true))) = (store.parse_version)(row) {
             published.insert(version);
         }
     }
-    Ok(published)
 }
 
 fn name(version: &ServiceVersion) -> &str {
--- a/crates/amaranthscale/src/gateway/request/run_versions.rs
+++ b/crates/amaranthscale/src/gateway/request/run_versions.rs
@@ -12,9 +12,17 @@
 use amaranthscale_core::process::{StreamOrigin, VersionBinding};
 use log::info;
 
+use super::super::process::VersionsInUse;
 use super::engine_run::EngineRun;
 use super::refusal::Refusal;
 
+/// The version at which a stream began, and what shows it.
+#[derive(Debug)]
+struct FoundVersion {
+    version: Option<SoftwareVersion>,
+    source: &'static str,
+}
+
 /// Time for the store to confirm the only version before other gateways are asked too.
 const CONFIRMATION_LEAD: Duration = Duration::from_millis(50);
 
@@ -41,7 +49,7 @@
             event = after.unwrap_or("-");
             "stream: taken up"
         );
-        let Some((version, source)) = self.find_version(first_call).await else {
+        let Some(FoundVersion { version, source }) = self.find_version(first_call).await else {
             return Err(self.refuse_resumption(ResultCode::StreamOriginUnknown, name, None));
         };
         info!(
@@ -62,39 +70,50 @@
     /// The version at which a stream of this service began, if that is known, and what shows it.
     ///
     /// A record of the stream itself goes before the versions in use. Other gateways are asked for one
-    /// where the store shows several versions or does not answer soon.
-    async fn find_version(
-        &self,
-        first_call: Option<&CallId>,
-    ) -> Option<(Option<SoftwareVersion>, &'static str)> {
+    /// where the store shows several versions or does not answer soon, and at last the store, which has
+    /// the records of gateways that were lost.
+    async fn find_version(&self, first_call: Option<&CallId>) -> Option<FoundVersion> {
         let key = first_call.map(|first_call| self.admitted.stream_key(first_call));
         if let Some(origin) = key.as_ref().and_then(|key| self.context.own_origin(key)) {
-            return Some((self.version_of(origin)?, "own-record"));
+            return self.found(origin, "own-record");
         }
-        let confirming = self.context.versions.confirm_only_version(&self.service);
-        let mut confirming = pin!(confirming);
-        let confirmed = tokio::time::timeout(CONFIRMATION_LEAD, &mut confirming).await;
-        let is_confirming = confirmed.is_err();
-        if let Ok(Some(version)) = confirmed {
-            return Some((version, "store"));
+        let mut confirming = pin!(self.context.versions.confirm_versions(&self.service));
+        let early = tokio::time::timeout(CONFIRMATION_LEAD, &mut confirming).await;
+        let mut versions = early.ok();
+        let mut asking = pin!(async { self.context.ask_for_origin(key.as_ref()?).await });
+        let mut is_asked = false;
+        loop {
+            match &versions {
+                Some(VersionsInUse::Only(version)) => {
+                    let version = version.clone();
+                    return Some(FoundVersion {
+                        version,
+                        source: "store",
+                    });
+                }
+                Some(_) if is_asked => break,
+                _ => {}
+            }
+            tokio::select! {
+                confirmed = &mut confirming, if versions.is_none() => versions = Some(confirmed),
+                origin = &mut asking, if !is_asked => {
+                    is_asked = true;
+                    if let Some(origin) = origin {
+                        return self.found(origin, "other-gateway");
+                    }
+                }
+            }
         }
-        let asking = async {
-            let origin = self.context.ask_for_origin(key.as_ref()?).await?;
-            Some((self.version_of(origin)?, "other-gateway"))
-        };
-        let confirming = async {
-            let version = if is_confirming {
-                confirming.await
-            } else {
-                None
-            };
-            Some((version?, "store"))
-        };
-        first_found(asking, confirming).await
+        if versions == Some(VersionsInUse::Unknown) {
+            return None;
+        }
+        let origin = self.context.find_saved_origin(key.as_ref()?).await?;
+        self.found(origin, "saved-record")
     }
 
-    fn version_of(&self, origin: StreamOrigin) -> Option<Option<SoftwareVersion>> {
-        (origin.service == self.service).then_some(origin.version)
+    fn found(&self, origin: StreamOrigin, source: &'static str) -> Option<FoundVersion> {
+        let version = origin.version;
+        (origin.service == self.service).then_some(FoundVersion { version, source })
     }
 
     fn refuse_resumption(
@@ -115,24 +134,6 @@
     }
 }
 
-/// The result of the first of two searches that finds something.
-async fn first_found<T>(
-    one: impl Future<Output = Option<T>>,
-    other: impl Future<Output = Option<T>>,
-) -> Option<T> {
-    let (mut one, mut other) = (pin!(one), pin!(other));
-    tokio::select! {
-        found = &mut one => match found {
-            Some(found) => Some(found),
-            None => other.await,
-        },
-        found = &mut other => match found {
-            Some(found) => Some(found),
-            None => one.await,
-        },
-    }
-}
-
 /// Name of a software version in log lines.
 pub(super) fn version_name(version: Option<&SoftwareVersion>) -> &str {
     version.map_or("-", SoftwareVersion::as_str)
--- a/crates/amaranthscale/src/gateway/store_api.rs
+++ b/crates/amaranthscale/src/gateway/store_api.rs
@@ -5,8 +5,8 @@
 
 use amaranthscale_core::id::{EvidenceId, RowVersion, ServerId, ServerIncarnation, StoreEra};
 use amaranthscale_core::process::{
-    Announcement, CrashEvidence, DrainChange, ServerDrain, ServerLimit, ServerRecord,
-    ServiceVersion, ZoneChange,
+    Announcement, CrashEvidence, DrainChange, OriginRow, OriginSave, ServerDrain, ServerLimit,
+    ServerRecord, ServiceVersion, ZoneChange,
 };
 use amaranthscale_core::version::Routing;
 use bytes::Bytes;
@@ -136,10 +136,17 @@
     pub publish_limit: fn(&ServerIncarnation, ServerLimit) -> Request<Full<Bytes>>,
     /// Removes a server's rate limit.
     pub remove_limit: fn(&ServerIncarnation) -> Request<Full<Bytes>>,
-    /// Reads the rows of the published software versions of services, and perhaps others.
-    pub read_versions: fn() -> Request<Full<Bytes>>,
+    /// Reads the rows of the published software versions of services, and perhaps others, from the
+    /// start or from after a key.
+    pub read_versions: fn(Option<&str>) -> Request<Full<Bytes>>,
     /// Publishes software versions of services, or withdraws them, in one transaction.
     pub update_versions: fn(&[ServiceVersion], bool) -> Request<Full<Bytes>>,
+    /// Reads the saved origins of streams from the start or from after a key.
+    pub read_origins: fn(Option<&str>) -> Request<Full<Bytes>>,
+    /// Saves origins of streams and removes others, in one transaction.
+    pub save_origins: fn(&OriginSave) -> Request<Full<Bytes>>,
+    /// Removes rows of saved origins by their keys, in one transaction.
+    pub remove_origins: fn(&[String]) -> Request<Full<Bytes>>,
     /// Drains a server.
     pub publish_drain: fn(&ServerId, &ServerDrain) -> Request<Full<Bytes>>,
     /// Ends the drain of a server.
@@ -163,6 +170,8 @@
     /// Parses a published software version from a row of the gateways' table, and whether it is
     /// published; `None` if it is another row.
     pub parse_version: fn(&StoreRow) -> Result<Option<VersionUpdate>, String>,
+    /// Parses a row of saved origins.
+    pub parse_origins: fn(&[u8]) -> Result<OriginRow, String>,
     /// Parses the drain of a server from a row of the gateways' table; `None` if it is another row.
     pub parse_drain: fn(&StoreRow) -> Result<Option<DrainChange>, String>,
     /// Parses a gateway's announcement.
--- a/crates/amaranthscale/src/gateway/version.rs
+++ b/crates/amaranthscale/src/gateway/version.rs
@@ -41,7 +41,7 @@
 #[doc(inline)]
 pub use poll_timing::{KEY_AGE_PERCENT, PollTiming, READY_AGE_PERCENT};
 #[doc(inline)]
-pub use shared_read::SharedRead;
+pub use shared_read::{RowsReader, SharedRead};
 pub(crate) use store_write::{
     WriteError, write_store, write_store_if, write_store_once, write_store_with_retry,
 };
--- a/crates/amaranthscale/src/gateway/version/cluster_view.rs
+++ b/crates/amaranthscale/src/gateway/version/cluster_view.rs
@@ -114,6 +114,13 @@
         self.state().freshness.age_of(store_clock, now)
     }
 
+    /// The time that the store's clock shows now; `None` before its first answer.
+    #[must_use]
+    pub fn store_clock(&self) -> Option<Duration> {
+        let now = self.clock.now_with_suspend();
+        self.state().freshness.store_clock(now)
+    }
+
     /// Subscribes to changes of routing or servers.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<u64> {
@@ -166,6 +173,17 @@
         (own, Arc::clone(&state.announced_addresses))
     }
 
+    /// This gateway and the others that are not unresponsive, with their addresses.
+    #[must_use]
+    pub fn live_gateways(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let now = self.clock.now();
+        let state = self.state();
+        let own = (state.instances.own().clone(), state.instances.own_address());
+        let mut gateways = state.instances.live_others(now);
+        gateways.push(own);
+        gateways
+    }
+
     /// Records that a gateway answered.
     pub fn mark_responsive(&self, id: &InstanceId) {
         self.state().instances.mark_responsive(id);
--- a/crates/amaranthscale/src/gateway/version/shared_read.rs
+++ b/crates/amaranthscale/src/gateway/version/shared_read.rs
@@ -15,6 +15,15 @@
 /// The result of a read and when it began.
 type LastRead<T> = (Instant, Result<Arc<T>, String>);
 
+/// Which rows are read, and what is kept of them.
+#[derive(Debug)]
+pub struct RowsReader<T> {
+    /// Reads the rows from the start or from after a key.
+    pub request: fn(Option<&str>) -> Request<Full<Bytes>>,
+    /// Adds the rows of one answer.
+    pub add: fn(&StoreApi, &mut T, &StoreRows),
+}
+
 /// Reads the same rows for many callers.
 ///
 /// Each caller gets the result of a read that began after its call, so that the rows are no older than
@@ -22,23 +31,17 @@
 #[derive(Debug)]
 pub struct SharedRead<T> {
     store: StoreApi,
-    request: fn() -> Request<Full<Bytes>>,
-    parse: fn(&StoreApi, &StoreRows) -> Result<T, String>,
+    reader: RowsReader<T>,
     last: Mutex<Option<LastRead<T>>>,
 }
 
-impl<T> SharedRead<T> {
+impl<T: Default> SharedRead<T> {
     /// Creates a reader that has read nothing yet.
     #[must_use]
-    pub fn new(
-        store: StoreApi,
-        request: fn() -> Request<Full<Bytes>>,
-        parse: fn(&StoreApi, &StoreRows) -> Result<T, String>,
-    ) -> Self {
+    pub fn new(store: StoreApi, reader: RowsReader<T>) -> Self {
         Self {
             store,
-            request,
-            parse,
+            reader,
             last: Mutex::default(),
         }
     }
@@ -53,21 +56,30 @@
             return result.clone();
         }
         let began_at = Instant::now();
-        let result = self.read_once().await.map(Arc::new);
+        let result = self.read_all().await.map(Arc::new);
         *last = Some((began_at, result.clone()));
         result
     }
 
-    async fn read_once(&self) -> Result<T, String> {
-        let connection = Http1Connection::open(self.store.address, CALL_TIMEOUT)
+    async fn read_all(&self) -> Result<T, String> {
+        let mut connection = Http1Connection::open(self.store.address, CALL_TIMEOUT)
             .await
             .map_err(|error| error.to_string())?;
-        let request = (self.request)();
-        let (answer, _connection) =
-            call_store(&self.store, connection, request, CALL_TIMEOUT, |_bytes| {}).await?;
-        match answer {
-            StoreAnswer::Rows(rows) => (self.parse)(&self.store, &rows),
-            other => Err(format!("the store answered {other:?}")),
+        let (mut read, mut after) = (T::default(), None::<String>);
+        loop {
+            let request = (self.reader.request)(after.as_deref());
+            let called = call_store(&self.store, connection, request, CALL_TIMEOUT, |_bytes| {});
+            let (answer, returned) = called.await?;
+            let rows = match answer {
+                StoreAnswer::Rows(rows) => rows,
+                other => return Err(format!("the store answered {other:?}")),
+            };
+            (self.reader.add)(&self.store, &mut read, &rows);
+            match rows.rows.last().filter(|_| rows.is_truncated) {
+                Some(last) => after = Some(last.key.clone()),
+                None => return Ok(read),
+            }
+            connection = returned;
         }
     }
 }
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -33,6 +33,8 @@
 mod load_meter;
 mod load_snapshot;
 mod organisation_limits;
+mod origin_row;
+mod origin_saver;
 mod published_versions;
 mod quarantine;
 mod queued_attempt;
@@ -47,6 +49,7 @@
 mod router;
 mod router_settings;
 mod run_copies;
+mod saved_origins;
 mod send_share;
 mod server_availability;
 mod server_backoff;
@@ -62,6 +65,7 @@
 mod stage_estimate;
 mod stale_drains;
 mod start_plan;
+mod stream_fingerprint;
 mod stream_origins;
 mod version_binding;
 mod zone_states;
@@ -125,6 +129,10 @@
 #[doc(inline)]
 pub use organisation_limits::OrganisationLimits;
 #[doc(inline)]
+pub use origin_row::{OriginRow, OriginRowId, StreamGroup};
+#[doc(inline)]
+pub use origin_saver::{OriginSave, OriginSaver};
+#[doc(inline)]
 pub use published_versions::{PublishedVersions, ServiceVersion};
 #[doc(inline)]
 pub use quarantine::{
@@ -157,6 +165,8 @@
     MoveRegistry, PromptFetch, RecentPrefills, RunBackup, RunMove, StreamLosses,
 };
 #[doc(inline)]
+pub use saved_origins::SavedOrigins;
+#[doc(inline)]
 pub use send_share::{SendRateLimit, SendShare};
 #[doc(inline)]
 pub use server_availability::{ServerAvailability, UsableServers};
@@ -183,7 +193,9 @@
 #[doc(inline)]
 pub use start_plan::StartPlan;
 #[doc(inline)]
-pub use stream_origins::{StreamKey, StreamOrigin, StreamOrigins};
+pub use stream_fingerprint::StreamFingerprint;
+#[doc(inline)]
+pub use stream_origins::{StreamKey, StreamOrigin, StreamOrigins, origin_writer};
 #[doc(inline)]
 pub use version_binding::VersionBinding;
 #[doc(inline)]
--- a/crates/core/src/process/freshness.rs
+++ b/crates/core/src/process/freshness.rs
@@ -61,6 +61,13 @@
         Some(Duration::from_millis(u64::try_from(age_ms).unwrap_or(0)))
     }
 
+    /// The time that the store's clock shows now; none before the first answer.
+    #[must_use]
+    pub fn store_clock(&self, now: Duration) -> Option<Duration> {
+        let clock_ms = signed_ms(now) - self.offset_ms?;
+        Some(Duration::from_millis(u64::try_from(clock_ms).unwrap_or(0)))
+    }
+
     /// Time since the newest answer was sent; none before the first answer.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/core/src/process/published_versions.rs
+++ b/crates/core/src/process/published_versions.rs
@@ -185,7 +185,11 @@
         seen.chain(self.published_of(service)).collect()
     }
 
-    fn published_of(&self, service: &ServiceId) -> impl Iterator<Item = Option<SoftwareVersion>> {
+    /// Published versions of a service.
+    pub fn published_of(
+        &self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = Option<SoftwareVersion>> {
         let published = self.published.iter();
         let of_service = published.filter(move |version| version.service == *service);
         of_service.map(|version| version.version.clone())
--- a/crates/core/src/process/stream_origins.rs
+++ b/crates/core/src/process/stream_origins.rs
@@ -34,6 +34,28 @@
     }
 }
 
+/// Number of gateways for which one of them saves origins in the store.
+const GATEWAYS_PER_WRITER: usize = 50;
+
+/// The gateway that saves a gateway's origins in the store: one of a few, the same ones for all, so
+/// that calls to the store do not rise with the number of gateways.
+#[must_use]
+pub fn origin_writer<T>(
+    own: SocketAddr,
+    gateways: Vec<(T, SocketAddr)>,
+) -> Option<(T, SocketAddr)> {
+    let writers = 1 + gateways.len() / GATEWAYS_PER_WRITER;
+    let rank = |seed: u64, address: &SocketAddr| {
+        std::cmp::Reverse(rendezvous::score(seed, address.to_string()))
+    };
+    let mut ranked = gateways;
+    ranked.sort_by_cached_key(|(_, address)| rank(0, address));
+    ranked.truncate(writers);
+    let own_seed = rendezvous::score(0, own.to_string());
+    ranked.sort_by_cached_key(|(_, address)| rank(own_seed, address));
+    ranked.into_iter().next()
+}
+
 /// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOrigin {
