What a body in small parts holds is counted, and little of it

Ruled out: uploads that are not counted at all (chunks of 8 KB took 106 MB of 260).

Change: parts below 2 KB are copied into blocks that grow with the content (ReceivedParts); the blocks' capacity and the list are what is counted. Bodies of messages between gateways, of the store and of stage servers are read by the same code.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -11,6 +11,7 @@
 mod open_stream;
 mod peer_client;
 mod port_probe;
+mod received_parts;
 mod stall_guard;
 
 #[doc(inline)]
--- a/crates/amaranthscale/src/connection/body.rs
+++ b/crates/amaranthscale/src/connection/body.rs
@@ -12,6 +12,8 @@
 use hyper::body::Body;
 use quick_error::quick_error;
 
+use super::received_parts::ReceivedParts;
+
 /// Body of every response that our servers send.
 pub type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
 
@@ -69,8 +71,8 @@
     read_body_if_kept(body, max_bytes, timeout, |_bytes| true).await
 }
 
-/// Like [`read_body`]; `may_keep` is called with the bytes received so far before each part is
-/// kept.
+/// Like [`read_body`]; `may_keep` is called with the memory that the parts received so far take
+/// before each part is kept.
 pub async fn read_body_if_kept<B>(
     body: B,
     max_bytes: usize,
@@ -83,21 +85,19 @@
 {
     check_declared_length(&body, max_bytes)?;
     let mut body = pin!(Limited::new(body, max_bytes));
-    let mut received = Received::default();
+    let mut received = ReceivedParts::default();
     let reading = async {
-        let mut kept_bytes = 0;
         while let Some(part) = next_part(&mut body, max_bytes).await? {
-            kept_bytes += part.len();
-            if !may_keep(kept_bytes) {
-                return Err(ReadBodyError::NoMemory(kept_bytes));
+            if !may_keep(received.memory_bytes() + part.len()) {
+                return Err(ReadBodyError::NoMemory(received.len() + part.len()));
             }
-            received.parts.push(part);
+            received.push(part);
         }
         Ok(())
     };
     match tokio::time::timeout(timeout, reading).await {
         Ok(read) => read.map(|()| received.whole()),
-        Err(_elapsed) => Err(ReadBodyError::TimedOut(timeout, received.bytes())),
+        Err(_elapsed) => Err(ReadBodyError::TimedOut(timeout, received.len())),
     }
 }
 
@@ -116,36 +116,16 @@
 {
     check_declared_length(&body, max_bytes)?;
     let mut body = pin!(Limited::new(body, max_bytes));
-    let mut received = Received::default();
+    let mut received = ReceivedParts::default();
     loop {
         let part = tokio::time::timeout(idle_timeout, next_part(&mut body, max_bytes)).await;
-        match part.map_err(|_elapsed| ReadBodyError::TimedOut(idle_timeout, received.bytes()))?? {
-            Some(part) => received.parts.push(part),
+        match part.map_err(|_elapsed| ReadBodyError::TimedOut(idle_timeout, received.len()))?? {
+            Some(part) => received.push(part),
             None => return Ok(received.whole()),
         }
     }
 }
 
-/// Content of a body that has arrived so far.
-#[derive(Debug, Default)]
-struct Received {
-    parts: Vec<Bytes>,
-}
-
-impl Received {
-    fn bytes(&self) -> usize {
-        self.parts.iter().map(Bytes::len).sum()
-    }
-
-    /// The whole content; most bodies arrive in one part, which is not copied.
-    fn whole(mut self) -> Bytes {
-        match self.parts.len() {
-            1 => self.parts.swap_remove(0),
-            _ => self.parts.concat().into(),
-        }
-    }
-}
-
 /// Rejects a body whose declared length is too large, before it is transferred.
 fn check_declared_length(body: &impl Body, max_bytes: usize) -> Result<(), ReadBodyError> {
     let declared = body.size_hint().lower();
