--- a/crates/amaranthscale/src/gateway/dialect.rs
+++ b/crates/amaranthscale/src/gateway/dialect.rs
@@ -140,6 +140,8 @@
     pub free_copy_request: fn(&CopyHandle) -> Request<Full<Bytes>>,
     /// Whether an answer states that the request did not run.
     pub did_not_run: fn(StatusCode, &HeaderMap) -> bool,
+    /// Whether a status tells callers that the request did not run and never will.
+    pub promises_not_run: fn(StatusCode) -> bool,
     /// Whether an answer states that another server is at the address.
     pub is_other_server: fn(StatusCode) -> bool,
     /// Whether an answer states that a stage result which the request needs is missing.
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use amaranthscale_core::ResultCode;
-use amaranthscale_core::id::{CallId, OrganisationId};
+use amaranthscale_core::id::{CallId, OrganisationId, ServerIncarnation};
 use amaranthscale_core::process::{QuarantineCause, Rank, StreamKey, Suspect, VersionBinding};
 use amaranthscale_core::version::{KeyHolder, Route, Routing};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use log::info;
 use tokio::time::Instant;
 
@@ -53,6 +53,26 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Refuses to forward a server's answer whose status would tell the caller that its request did not
+    /// run, although the server does not state it and the request must not run twice.
+    pub(super) fn check_promise(
+        &self,
+        context: &GatewayContext,
+        status: StatusCode,
+        server: &ServerIncarnation,
+    ) -> Result<(), Refusal> {
+        let is_promise = (context.dialect.promises_not_run)(status);
+        if !is_promise || self.route.kind.may_repeat() {
+            return Ok(());
+        }
+        context.counters.count("answer.unstated-promise");
+        info!(
+            call = self.attributes.call.as_str(), server:% = server, status = status.as_u16();
+            "request: a server's status would promise that the request did not run"
+        );
+        Err(Refusal::new(ResultCode::AnswerLost))
+    }
+
     /// Names one of this caller's calls for the record of where streams began.
     pub(super) fn stream_key(&self, call: &CallId) -> StreamKey {
         StreamKey {
--- a/crates/amaranthscale/src/gateway/request/engine_run.rs
+++ b/crates/amaranthscale/src/gateway/request/engine_run.rs
@@ -517,6 +517,9 @@
     }
 
     async fn forward_failure(&self, answer: EngineAnswer) -> Result<Response<AnswerBody>, Refusal> {
+        let status = answer.answer.head.status;
+        self.admitted
+            .check_promise(&self.context, status, &answer.server)?;
         let share = self.context.connection_share(&self.service);
         let read = answer
             .answer
--- a/crates/amaranthscale/src/gateway/request/plain_run.rs
+++ b/crates/amaranthscale/src/gateway/request/plain_run.rs
@@ -101,6 +101,8 @@
                 AttemptOutcome::Answered(answer) => {
                     if !answer.status.is_server_error() || !self.try_retry() {
                         self.log_answer(&answer, &server);
+                        let admitted = self.admitted;
+                        admitted.check_promise(self.context, answer.status, &server.incarnation)?;
                         return Ok(forwarded_response(
                             answer.status,
                             &answer.headers,
