A silent connection to the store is replaced within the stability bound

Cause: a poll of the routing waits 2.25 s, its answer is awaited 0.9 s more, a pause of 0.35 s follows: 3.5 s, more than stable_ms. Each was chosen by the bound on revoked keys. Ruled out: keep-alives as a remedy (they show a host that is gone, not a connection whose bytes go nowhere).

Change: the wait is limited by stable_ms less the timeout and a tenth for a new connection (1.8 s at 3 s, as before at 4 s); the pause counts from the beginning of the call that failed, so none follows a timeout.

--- a/crates/amaranthscale/src/gateway/daemon.rs
+++ b/crates/amaranthscale/src/gateway/daemon.rs
@@ -236,6 +236,7 @@
             Arc::clone(&context.latencies),
             config.zone_regions.clone(),
             PollTiming::routing(config.revoke_bound)
+                .with_silence_bound(config.crash_bound)
                 .with_relay_bound(config.apply_bound.min(config.evacuation_bound)),
         )),
         tokio::spawn(follow_servers(
--- a/crates/amaranthscale/src/gateway/version/feed.rs
+++ b/crates/amaranthscale/src/gateway/version/feed.rs
@@ -103,6 +103,8 @@
     /// When the last answer began, by the clock that also counts while the host is suspended.
     received_at: Duration,
     started: Instant,
+    /// When the last event was asked for.
+    called_at: Instant,
 }
 
 impl Feed {
@@ -124,6 +126,7 @@
             is_missing_list_told: false,
             received_at: Duration::ZERO,
             started: Instant::now(),
+            called_at: Instant::now(),
         }
     }
 
@@ -192,8 +195,10 @@
 
     async fn read(&mut self) -> FeedEvent {
         if self.is_store_unavailable {
-            tokio::time::sleep(self.timing.failure_pause).await;
+            // A call that timed out has taken longer than the pause.
+            tokio::time::sleep_until(self.called_at + self.timing.failure_pause).await;
         }
+        self.called_at = Instant::now();
         if self.position.is_none() && self.is_list_missing().await {
             return FeedEvent::Unavailable("the gateways are not listed".to_owned());
         }
--- a/crates/amaranthscale/src/gateway/version/poll_timing.rs
+++ b/crates/amaranthscale/src/gateway/version/poll_timing.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use super::store_call::CALL_TIMEOUT;
+
 /// Percentage of the bound on revoked keys for which keys are accepted without an answer of the
 /// store; the rest allows for network time and late timers.
 pub const KEY_AGE_PERCENT: u32 = 90;
@@ -18,7 +20,9 @@
 /// the zone reader. Two more readers can be asked one after the other within half of the bound, and
 /// the rest of it is for reading the store.
 const ARRIVAL_WAIT_PERCENT: u32 = 25;
-/// Maximum pause after a failed call.
+/// Percentage of a bound that is left for a new connection and its first answer.
+const RECONNECTION_PERCENT: u32 = 10;
+/// Maximum time from a call that fails to the next one.
 const MAX_FAILURE_PAUSE: Duration = Duration::from_millis(350);
 /// Minimum time between two polls of the gateways' table just after a start. Other gateways may
 /// start at the same time, as after a power failure, and until they know of each other several make
@@ -36,7 +40,7 @@
     pub interval: Duration,
     /// Minimum time between two polls just after a start.
     pub startup_interval: Duration,
-    /// Pause after a failed call.
+    /// Time from a call that fails to the next one.
     pub failure_pause: Duration,
     /// Maximum wait of one poll whose answers are relayed.
     pub relay_wait: Duration,
@@ -80,6 +84,17 @@
         self
     }
 
+    /// Limits the wait of polls, so that a connection that has gone silent is replaced, and the next
+    /// one answered, within a bound.
+    #[must_use]
+    pub fn with_silence_bound(mut self, bound: Duration) -> Self {
+        let answer_time = CALL_TIMEOUT + bound * RECONNECTION_PERCENT / 100;
+        let max_wait = bound.saturating_sub(answer_time);
+        self.wait = self.wait.min(max_wait.max(bound / 5));
+        self.relay_wait = self.relay_wait.min(self.wait);
+        self
+    }
+
     /// Timing for the servers: a leaving server is known within a fifth of the bound, and within
     /// one and a half times the bound if a hanging connection delayed the change.
     #[must_use]
--- a/crates/amaranthscale/tests/poll_timing.rs
+++ b/crates/amaranthscale/tests/poll_timing.rs
@@ -52,6 +52,20 @@
     assert!(next_answer_after < bound * KEY_AGE_PERCENT / 100);
 }
 
+/// Guards against a configuration that a gateway uses for too long after its connection went silent.
+#[test]
+fn a_silent_connection_is_replaced_within_the_bound() {
+    for bound_ms in [2_000, 3_000, 4_000] {
+        let bound = Duration::from_millis(bound_ms);
+
+        let timing = PollTiming::routing(Duration::from_secs(5)).with_silence_bound(bound);
+
+        assert!(timing.wait + CALL_TIMEOUT < bound, "{bound_ms} ms");
+        assert!(timing.failure_pause < CALL_TIMEOUT, "{bound_ms} ms");
+        assert!(timing.wait >= bound / 5, "{bound_ms} ms");
+    }
+}
+
 /// Servers leave one after another for some time. Each change costs a call to the store, so changes
 /// are read together, but a leaving server must still be known well before it may get no more work.
 #[test]
