--- a/crates/amaranthscale/src/connection/received_parts.rs
+++ b/crates/amaranthscale/src/connection/received_parts.rs
@@ -51,8 +51,11 @@
         entries + self.parts_memory_bytes + self.block.capacity()
     }
 
-    /// The whole content; that of one part is not copied.
+    /// The whole content; that of one large part, or of the first block, is not copied here.
     pub(super) fn whole(mut self) -> Bytes {
+        if self.parts.is_empty() {
+            return self.block.freeze();
+        }
         self.close_block();
         match self.parts.len() {
             1 => self.parts.swap_remove(0),
--- a/crates/amaranthscale/src/gateway/process/origin_saving.rs
+++ b/crates/amaranthscale/src/gateway/process/origin_saving.rs
@@ -10,8 +10,8 @@
 
 use amaranthscale_core::id::InstanceId;
 use amaranthscale_core::process::{
-    Cell, OriginSaver, SavedOrigins, StreamFingerprint, StreamGroup, StreamKey, StreamOrigin,
-    origin_writer,
+    Cell, OriginRow, OriginSaver, SavedOrigins, StreamFingerprint, StreamGroup, StreamKey,
+    StreamOrigin, origin_writer,
 };
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -83,8 +83,7 @@
 
     /// Finds where a stream began among the origins that all gateways have saved.
     pub async fn find_saved_origin(&self, key: &StreamKey) -> Option<StreamOrigin> {
-        let read = tokio::time::timeout(STORE_TIMEOUT, self.origins.saves.read.read()).await;
-        let saved = match read.unwrap_or_else(|_elapsed| Err("no answer in time".to_owned())) {
+        let saved = match self.origins.saves.read.read(STORE_TIMEOUT).await {
             Ok(saved) => saved,
             Err(reason) => {
                 info!(call = key.call.as_str(), reason = reason.as_str(); "origins: not read");
@@ -177,7 +176,7 @@
         if !is_own || !(has_several || may_have_rows) {
             continue;
         }
-        let expired: Arc<Vec<String>> = match read.read().await {
+        let expired: Arc<Vec<String>> = match read.read(CLEANUP_INTERVAL).await {
             Ok(expired) => expired,
             Err(reason) => {
                 info!(reason = reason.as_str(); "origins: not read");
@@ -211,12 +210,10 @@
     }
 }
 
-/// Adds the streams of rows that can still be taken up. Rows of other writers are skipped.
+/// Adds the streams of rows that can still be taken up.
 fn add_saved(store: &StoreApi, saved: &mut SavedOrigins, rows: &StoreRows) {
-    for row in &rows.rows {
-        if let Ok(Some(origins)) = row.value.read(store.parse_origins)
-            && origins.until > rows.clock
-        {
+    for (_, origins) in parsed_rows(store, rows) {
+        if origins.until > rows.clock {
             saved.add(origins);
         }
     }
@@ -224,11 +221,19 @@
 
 /// Adds the keys of rows whose streams can no longer be taken up.
 fn add_expired(store: &StoreApi, expired: &mut Vec<String>, rows: &StoreRows) {
-    for row in &rows.rows {
-        if let Ok(Some(origins)) = row.value.read(store.parse_origins)
-            && origins.until <= rows.clock
-        {
-            expired.push(row.key.clone());
-        }
-    }
+    let all = parsed_rows(store, rows);
+    let of_past = all.filter(|(_, origins)| origins.until <= rows.clock);
+    expired.extend(of_past.map(|(key, _)| key.to_owned()));
+}
+
+/// Rows by their keys; those of other writers are skipped.
+fn parsed_rows<'a>(
+    store: &StoreApi,
+    rows: &'a StoreRows,
+) -> impl Iterator<Item = (&'a str, OriginRow)> {
+    let parse = store.parse_origins;
+    rows.rows.iter().filter_map(move |row| {
+        let origins = row.value.read(parse).ok()??;
+        Some((row.key.as_str(), origins))
+    })
 }
--- a/crates/amaranthscale/src/gateway/process/version_tracker.rs
+++ b/crates/amaranthscale/src/gateway/process/version_tracker.rs
@@ -21,7 +21,7 @@
 const TIMEOUT_FACTOR: u32 = 2;
 /// Longest wait of a request until a version is published; a write takes some milliseconds.
 const PUBLICATION_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout of a read of the store for a stream that is taken up, including the one that it waits for.
+/// Timeout of a read of the store for a stream that is taken up.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time within which the owner publishes a version; after it, every other gateway does.
 const OWNER_LEAD: Duration = Duration::from_millis(300);
@@ -109,9 +109,7 @@
         if self.published().published_of(service).nth(1).is_some() {
             return VersionsInUse::Several;
         }
-        let read = tokio::time::timeout(STORE_TIMEOUT, self.read.read()).await;
-        let read = read.unwrap_or_else(|_elapsed| Err("no answer in time".to_owned()));
-        let published = match read {
+        let published = match self.read.read(STORE_TIMEOUT).await {
             Ok(published) => published,
             Err(reason) => {
                 info!(service = service.as_str(), reason = reason.as_str(); "versions: not confirmed");
--- a/crates/amaranthscale/src/gateway/version/shared_read.rs
+++ b/crates/amaranthscale/src/gateway/version/shared_read.rs
@@ -1,6 +1,7 @@
 //! Reads of the store that callers share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -46,8 +47,13 @@
         }
     }
 
-    /// The rows as of a time after this call.
-    pub async fn read(&self) -> Result<Arc<T>, String> {
+    /// The rows as of a time after this call; the timeout includes the read that it waits for.
+    pub async fn read(&self, timeout: Duration) -> Result<Arc<T>, String> {
+        let read = tokio::time::timeout(timeout, self.read_after_call()).await;
+        read.unwrap_or_else(|_elapsed| Err("no answer in time".to_owned()))
+    }
+
+    async fn read_after_call(&self) -> Result<Arc<T>, String> {
         let called_at = Instant::now();
         let mut last = self.last.lock().await;
         if let Some((began_at, result)) = last.as_ref()
