Callers and readiness checks are served HTTP/1.1 only

Callers saw: while 20 clients kept one HTTP/2 connection each, with 2,000 open requests of 8 KB of headers, 36 to 44 of 126 ordinary requests on new connections were served at each path of the door, and the process held up to 124 MB of its host's 160.

Cause: the server takes HTTP/1.1 and HTTP/2 on every address, as the system's own processes use HTTP/2. A connection of HTTP/2 may have 4,096 open requests, so that nothing bounds what a client's connection holds. Ruled out: the requests' bodies, of which the test sends no byte.

Change: the callers' and the ready address refuse HTTP/2, which the platform's clients do not speak.

--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -1,4 +1,4 @@
-//! A server for HTTP/1.1 and HTTP/2 on one address.
+//! A server for HTTP/1.1, and where it is wanted HTTP/2, on one address.
 
 use std::convert::Infallible;
 use std::error::Error;
@@ -36,6 +36,8 @@
     pub header_timeout: Duration,
     /// When to end a connection whose client reads nothing of its answer.
     pub stall: Option<StallLimit>,
+    /// Whether HTTP/2 is refused, whose many requests a connection have no bound together.
+    pub http1_only: bool,
 }
 
 impl Default for HttpServerLimits {
@@ -44,6 +46,7 @@
             max_header_bytes: 16 * 1024,
             header_timeout: Duration::from_secs(10),
             stall: None,
+            http1_only: false,
         }
     }
 }
@@ -175,6 +178,9 @@
 
 fn builder(limits: &HttpServerLimits) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
+    if limits.http1_only {
+        builder = builder.http1_only();
+    }
     builder
         .http1()
         .timer(TokioTimer::new())
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -44,7 +44,10 @@
 /// Limits of a new connection according to the routing in force.
 fn caller_limits(context: &GatewayContext) -> HttpServerLimits {
     let Some(routing) = context.cluster_view.routing() else {
-        return HttpServerLimits::default();
+        return HttpServerLimits {
+            http1_only: true,
+            ..HttpServerLimits::default()
+        };
     };
     let bounds = routing.bounds();
     HttpServerLimits {
@@ -55,6 +58,7 @@
             timeout: bounds.idle_timeout,
             ended: Arc::clone(&context.stalled_callers),
         }),
+        http1_only: true,
     }
 }
 
@@ -78,7 +82,11 @@
         let response = ready_response(&ready_context);
         async move { response }
     };
-    let ready = HttpServer::start(config.ready_address, limits.clone(), ready)
+    let ready_limits = HttpServerLimits {
+        http1_only: true,
+        ..limits.clone()
+    };
+    let ready = HttpServer::start(config.ready_address, ready_limits, ready)
         .await
         .map_err(|cause| GatewayError::Listen("readiness", config.ready_address, cause))?;
     let peer_context = Arc::clone(context);
