Connections without a request are bounded, and closed for new ones

Callers saw: with 4,300 clients whose heads stop before their end, the process passed the 160 MB of its host at three of four paths and was killed; with slow heads it held 156 MB. With those and with silent connections it ran out of its 4,100 descriptors, and 94 to 99 of 130 ordinary callers on new connections were served; at the ready address two probes in a row were missed.

Cause: nothing bounds the number of connections, each takes some 35 KB once a byte has arrived, and each is held for the idle time of 15 s, as the library's timer covers idle time and the head together. Ruled out: bodies and answers, of which there are none in these crowds.

Change: a process holds as many connections of callers as a quarter of its memory and half of its descriptors carry. Beyond them, a new connection takes the place of the one that has sent no whole head for longest, else of the one unused for longest; connections with a request are kept, as that request must be answered. A head must end within header_timeout_ms of its first byte. The ready address holds 128 connections. The decision is ConnectionAdmission in the core, without a network.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -2,6 +2,7 @@
 
 mod answer_framing;
 mod body;
+mod connection_slots;
 mod frame_reader;
 mod framed_body;
 mod http1_client;
@@ -12,7 +13,9 @@
 mod peer_client;
 mod port_probe;
 mod received_parts;
+mod slot_stream;
 mod stall_guard;
+mod tracked_body;
 
 #[doc(inline)]
 pub use answer_framing::AnswerFraming;
@@ -27,7 +30,7 @@
 #[doc(inline)]
 pub use framed_body::{BodyEnd, BodyPart, FramedBody};
 #[doc(inline)]
-pub use http_server::{HttpServer, HttpServerLimits};
+pub use http_server::{ClientLimits, HttpServer, HttpServerLimits};
 #[doc(inline)]
 pub use http1_client::{Http1Connection, SendError};
 pub(crate) use http1_send::{Unanswered, try_send};
--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -1,13 +1,15 @@
-//! A server for HTTP/1.1, and where it is wanted HTTP/2, on one address.
+//! A server for HTTP/1.1, and for processes of the system also HTTP/2, on one address.
 
 use std::convert::Infallible;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -18,7 +20,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::connection_slots::{ConnectionSlot, ConnectionSlots, until_head_overdue};
+use super::slot_stream::SlotStream;
 use super::stall_guard::{StallGuard, StallLimit};
+use super::tracked_body::TrackedBody;
 
 /// Pause after a failed accept, so that a process out of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -27,6 +32,15 @@
 /// An entry sends all its attempts for a sidecar over one connection.
 const MAX_STREAMS: u32 = 4096;
 
+/// Bounds that protect a server from clients that may not behave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Most open connections; beyond them, connections without a request are closed for new ones.
+    pub max_connections: usize,
+    /// Longest time from the first bytes of a request's head to its end.
+    pub head_timeout: Duration,
+}
+
 /// Bounds that protect a server from its clients.
 #[derive(Debug, Clone)]
 pub struct HttpServerLimits {
@@ -36,8 +50,9 @@
     pub header_timeout: Duration,
     /// When to end a connection whose client reads nothing of its answer.
     pub stall: Option<StallLimit>,
-    /// Whether HTTP/2 is refused, whose many requests a connection have no bound together.
-    pub http1_only: bool,
+    /// Bounds for clients outside the system, which are served HTTP/1.1 only; none for its own
+    /// processes.
+    pub clients: Option<ClientLimits>,
 }
 
 impl Default for HttpServerLimits {
@@ -46,7 +61,7 @@
             max_header_bytes: 16 * 1024,
             header_timeout: Duration::from_secs(10),
             stall: None,
-            http1_only: false,
+            clients: None,
         }
     }
 }
@@ -69,7 +84,7 @@
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + 'static,
+        B: Body<Data = Bytes> + Send + Unpin + 'static,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let listener = TcpListener::bind(listen).await?;
@@ -83,7 +98,7 @@
         L: Fn() -> Option<HttpServerLimits> + Send + 'static,
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + 'static,
+        B: Body<Data = Bytes> + Send + Unpin + 'static,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let address = listener.local_addr()?;
@@ -124,10 +139,11 @@
     L: Fn() -> Option<HttpServerLimits> + Send + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let connections = GracefulShutdown::new();
+    let slots = Arc::<ConnectionSlots>::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -135,8 +151,26 @@
         };
         match accepted {
             Ok((stream, _peer)) => {
-                if let Some(limits) = limits() {
-                    serve(stream, &limits, handle.clone(), &connections);
+                let Some(limits) = limits() else {
+                    continue;
+                };
+                // Small frames would otherwise wait for an acknowledgement, some 40 ms a stage.
+                let _ = stream.set_nodelay(true);
+                match limits.clients {
+                    Some(clients) => {
+                        if let Some(slot) = slots.admit(clients.max_connections) {
+                            let timeout = clients.head_timeout;
+                            serve_client(
+                                stream,
+                                slot,
+                                timeout,
+                                &limits,
+                                handle.clone(),
+                                &connections,
+                            );
+                        }
+                    }
+                    None => serve(stream, &limits, handle.clone(), &connections),
                 }
             }
             Err(error) => {
@@ -147,6 +181,7 @@
     }
 }
 
+/// Serves a process of the system.
 fn serve<H, F, B>(
     stream: TcpStream,
     limits: &HttpServerLimits,
@@ -155,11 +190,9 @@
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    // Small frames would otherwise wait for an acknowledgement, some 40 ms a stage.
-    let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -176,11 +209,58 @@
     });
 }
 
+/// Serves a client that may not behave.
+fn serve_client<H, F, B>(
+    stream: TcpStream,
+    slot: Arc<ConnectionSlot>,
+    head_timeout: Duration,
+    limits: &HttpServerLimits,
+    handle: H,
+    connections: &GracefulShutdown,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let request_slot = Arc::clone(&slot);
+    let service = service_fn(move |request| {
+        let open = request_slot.begin_request();
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await.map(|body| TrackedBody::new(body, open))) }
+    });
+    let stream = StallGuard::new(stream, limits.stall.clone());
+    let stream = SlotStream::new(stream, Arc::clone(&slot));
+    let connection = http1_builder(limits).serve_connection(TokioIo::new(stream), service);
+    let connection = connections.watch(connection);
+    tokio::spawn(async move {
+        tokio::select! {
+            // The connection reads first, so that a request that has arrived is not closed.
+            biased;
+            ended = connection => {
+                if let Err(error) = ended {
+                    debug!("server: connection ended: {error}");
+                }
+            }
+            () = slot.until_closed() => {}
+            () = until_head_overdue(&slot, head_timeout) => {
+                debug!("server: connection ended: the head of a request did not arrive in time");
+            }
+        }
+    });
+}
+
+fn http1_builder(limits: &HttpServerLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.max_header_bytes.max(8192));
+    builder
+}
+
 fn builder(limits: &HttpServerLimits) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
-    if limits.http1_only {
-        builder = builder.http1_only();
-    }
     builder
         .http1()
         .timer(TokioTimer::new())
--- a/crates/amaranthscale/src/entry/daemon.rs
+++ b/crates/amaranthscale/src/entry/daemon.rs
@@ -216,7 +216,7 @@
         max_header_bytes: config.max_header_bytes,
         header_timeout: config.read_timeout,
         stall: None,
-        http1_only: false,
+        clients: None,
     };
     let caller_service = caller_service(config, context, tree);
     let callers = HttpServer::start(config.listen, limits.clone(), caller_service).await;
--- a/crates/amaranthscale/src/gateway/gateway_config.rs
+++ b/crates/amaranthscale/src/gateway/gateway_config.rs
@@ -28,6 +28,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Memory that the process may use.
     pub memory_bytes: usize,
+    /// Descriptors that the process may open.
+    pub max_descriptors: usize,
     /// Maximum time for which a revoked key may still be accepted.
     pub revoke_bound: Duration,
     /// Maximum time until a change of the routing is in force.
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -11,7 +12,24 @@
 use super::process::{GatewayContext, serve_peer};
 use super::request::answer_caller;
 use super::{GatewayConfig, GatewayError};
-use crate::connection::{HttpServer, HttpServerLimits, ResponseBody, StallLimit, empty_body};
+use crate::connection::{
+    ClientLimits, HttpServer, HttpServerLimits, ResponseBody, StallLimit, empty_body,
+};
+use amaranthscale_core::version::CallerBounds;
+
+/// Fraction of the process's memory for connections of callers, and of its descriptors; the other
+/// descriptors are for connections to servers and other gateways.
+const CONNECTION_MEMORY_FRACTION: usize = 4;
+const CONNECTION_DESCRIPTOR_FRACTION: usize = 2;
+/// Memory of a connection without the head that it receives.
+const CONNECTION_BYTES: usize = 24 * 1024;
+/// Fewest connections of callers, for hosts whose limits are unknown or very small.
+const MIN_CONNECTIONS: usize = 16;
+/// Connections to the address for readiness checks, of which the platform uses one at a time.
+const READY_CONNECTIONS: usize = 128;
+
+/// Time in which a readiness check must send its head, and in which it must read its answer.
+const READY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Servers for readiness checks, other gateways and metrics.
 #[derive(Debug)]
@@ -29,12 +47,13 @@
     let handle =
         move |request: Request<Incoming>| answer_caller(Arc::clone(&caller_context), request);
     let limit_context = Arc::clone(context);
+    let (memory_bytes, descriptors) = (config.memory_bytes, config.max_descriptors);
     let limits = move || {
         let is_taken = limit_context.caller_intake().takes_connection();
         if !is_taken {
             limit_context.counters.count("callers.closed-unread");
         }
-        is_taken.then(|| caller_limits(&limit_context))
+        is_taken.then(|| caller_limits(&limit_context, memory_bytes, descriptors))
     };
     let listener = bind("callers", config.caller_address).await?;
     HttpServer::start_on(listener, limits, handle)
@@ -42,14 +61,13 @@
 }
 
 /// Limits of a new connection according to the routing in force.
-fn caller_limits(context: &GatewayContext) -> HttpServerLimits {
-    let Some(routing) = context.cluster_view.routing() else {
-        return HttpServerLimits {
-            http1_only: true,
-            ..HttpServerLimits::default()
-        };
-    };
-    let bounds = routing.bounds();
+fn caller_limits(
+    context: &GatewayContext,
+    memory_bytes: usize,
+    descriptors: usize,
+) -> HttpServerLimits {
+    let routing = context.cluster_view.routing();
+    let bounds = routing.map_or_else(CallerBounds::default, |routing| *routing.bounds());
     HttpServerLimits {
         max_header_bytes: bounds.max_header_bytes,
         // The library counts idle time between two requests as part of reading the next head.
@@ -58,10 +76,21 @@
             timeout: bounds.idle_timeout,
             ended: Arc::clone(&context.stalled_callers),
         }),
-        http1_only: true,
+        clients: Some(ClientLimits {
+            max_connections: max_connections(memory_bytes, descriptors, bounds.max_header_bytes),
+            head_timeout: bounds.header_timeout,
+        }),
     }
 }
 
+/// Most connections of callers that a process may have open.
+fn max_connections(memory_bytes: usize, descriptors: usize, max_header_bytes: usize) -> usize {
+    let connection_bytes = CONNECTION_BYTES + max_header_bytes;
+    let by_memory = memory_bytes / CONNECTION_MEMORY_FRACTION / connection_bytes;
+    let by_descriptors = descriptors / CONNECTION_DESCRIPTOR_FRACTION;
+    by_memory.min(by_descriptors).max(MIN_CONNECTIONS)
+}
+
 pub(super) async fn bind(
     purpose: &'static str,
     address: SocketAddr,
@@ -83,7 +112,14 @@
         async move { response }
     };
     let ready_limits = HttpServerLimits {
-        http1_only: true,
+        stall: Some(StallLimit {
+            timeout: READY_TIMEOUT,
+            ended: Arc::default(),
+        }),
+        clients: Some(ClientLimits {
+            max_connections: READY_CONNECTIONS,
+            head_timeout: READY_TIMEOUT,
+        }),
         ..limits.clone()
     };
     let ready = HttpServer::start(config.ready_address, ready_limits, ready)
--- a/crates/amaranthscale/tests/http_server.rs
+++ b/crates/amaranthscale/tests/http_server.rs
@@ -7,7 +7,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use amaranthscale::connection::{HttpServer, HttpServerLimits, StallLimit, empty_body, full_body};
+use amaranthscale::connection::{
+    ClientLimits, HttpServer, HttpServerLimits, StallLimit, empty_body, full_body,
+};
 use hyper::Response;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -95,3 +97,86 @@
 
     assert_eq!(ended.load(Ordering::Relaxed), 0);
 }
+
+/// Connections that a server for clients takes in these tests.
+const MAX_CONNECTIONS: usize = 2;
+const HEAD_TIMEOUT: Duration = Duration::from_millis(200);
+
+async fn server_for_clients(max_connections: usize) -> HttpServer {
+    let limits = HttpServerLimits {
+        clients: Some(ClientLimits {
+            max_connections,
+            head_timeout: HEAD_TIMEOUT,
+        }),
+        ..HttpServerLimits::default()
+    };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer = |_request| async {
+        tokio::time::sleep(2 * HEAD_TIMEOUT).await;
+        Response::new(full_body(vec![7; 10]))
+    };
+    HttpServer::start(listen, limits, answer).await.unwrap()
+}
+
+/// A head that stops before its end must not hold its connection for as long as its client likes.
+#[tokio::test]
+async fn a_connection_whose_head_does_not_end_is_closed() {
+    let server = server_for_clients(MAX_CONNECTIONS).await;
+    let mut caller = TcpStream::connect(server.address()).await.unwrap();
+
+    caller.write_all(b"GET / HTTP/1.1\r\nhost:").await.unwrap();
+    let read = tokio::time::timeout(10 * HEAD_TIMEOUT, caller.read(&mut [0])).await;
+
+    assert!(read.unwrap().is_ok_and(|count| count == 0));
+}
+
+/// Silent clients that take all connections must not keep out the next one.
+#[tokio::test]
+async fn the_oldest_silent_connection_is_closed_for_a_new_one() {
+    let server = server_for_clients(MAX_CONNECTIONS).await;
+    let mut silent = TcpStream::connect(server.address()).await.unwrap();
+    let _second = TcpStream::connect(server.address()).await.unwrap();
+
+    let mut caller = send_request(&server).await;
+    let mut head = [0; 12];
+    caller.read_exact(&mut head).await.unwrap();
+    let closed = silent.read(&mut [0]).await;
+
+    assert_eq!(&head, b"HTTP/1.1 200");
+    assert!(closed.is_ok_and(|count| count == 0));
+}
+
+/// A request that was read must get its answer, also where connections run out.
+#[tokio::test]
+async fn a_connection_with_a_request_is_not_closed_for_a_new_one() {
+    let server = server_for_clients(1).await;
+
+    let mut first = send_request(&server).await;
+    tokio::time::sleep(HEAD_TIMEOUT / 2).await;
+    let mut second = TcpStream::connect(server.address()).await.unwrap();
+    let mut head = [0; 12];
+    first.read_exact(&mut head).await.unwrap();
+    let refused = second.read(&mut [0]).await;
+
+    assert_eq!(&head, b"HTTP/1.1 200");
+    assert!(refused.is_ok_and(|count| count == 0));
+}
+
+/// A caller that keeps its connection and sends the next request later must be served on it.
+#[tokio::test]
+async fn a_kept_connection_outlasts_the_time_limit_of_a_head() {
+    let server = server_for_clients(MAX_CONNECTIONS).await;
+    let mut caller = send_request(&server).await;
+    let mut first = [0; 12];
+    caller.read_exact(&mut first).await.unwrap();
+    let mut rest = vec![0; 1024];
+    let _ = caller.read(&mut rest).await.unwrap();
+
+    tokio::time::sleep(3 * HEAD_TIMEOUT).await;
+    let request = b"GET / HTTP/1.1\r\nhost: entry\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    let mut second = [0; 12];
+    caller.read_exact(&mut second).await.unwrap();
+
+    assert_eq!(&second, b"HTTP/1.1 200");
+}
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -15,6 +15,7 @@
 mod cell;
 mod cold_limits;
 mod cold_times;
+mod connection_admission;
 mod connection_share;
 mod cost_key;
 mod cost_totals;
@@ -95,6 +96,8 @@
 #[doc(inline)]
 pub use cold_limits::{ColdAllowance, ColdLimits, ColdSpec};
 #[doc(inline)]
+pub use connection_admission::{Admitted, ConnectionAdmission, ConnectionId};
+#[doc(inline)]
 pub use connection_share::ConnectionShare;
 #[doc(inline)]
 pub use cost_key::CostKey;
