--- a/crates/amaranthscale/tests/buffer_memory.rs
+++ b/crates/amaranthscale/tests/buffer_memory.rs
@@ -70,3 +70,37 @@
     assert!(reservation.try_extend_to(90 * UNIT_BYTES));
     assert!(memory.try_reserve(1).is_none());
 }
+
+/// Memory that is large enough to be divided, and the part of it that is for large content.
+const DIVIDED_BYTES: usize = 4 * 1024 * 1024;
+const LARGE_BYTES: usize = 3 * 1024 * 1024;
+
+/// Large answers that nobody reads must not hold up small ones, which most answers are.
+#[tokio::test(start_paused = true)]
+async fn small_content_does_not_wait_for_large() {
+    let memory = BufferMemory::new(DIVIDED_BYTES);
+    let _unread = memory.reserve(LARGE_BYTES).await;
+
+    let large = tokio::time::timeout(Duration::from_mins(1), memory.reserve(LARGE_BYTES)).await;
+    let small = tokio::time::timeout(Duration::from_secs(1), memory.reserve(UNIT_BYTES)).await;
+
+    assert!(large.is_err());
+    assert!(small.is_ok());
+}
+
+/// Content of unknown length must not fill the memory for small content with its growth.
+#[test]
+fn content_that_grows_leaves_the_memory_for_small_content() {
+    let memory = BufferMemory::new(DIVIDED_BYTES);
+    let mut growing = memory.try_reserve(UNIT_BYTES).unwrap();
+
+    let has_grown = growing.try_extend_to(LARGE_BYTES);
+    let has_room = memory.try_reserve(100 * UNIT_BYTES).is_some();
+    let small: Vec<_> = (0..16)
+        .map(|_| memory.try_reserve(64 * UNIT_BYTES))
+        .collect();
+
+    assert!(has_grown);
+    assert!(!has_room);
+    assert!(small.iter().all(Option::is_some));
+}
