A head within its size may have more than a hundred fields

Callers saw: a single request with some 2,000 short fields, within max_header_bytes, was answered 431, three of three times.

Change: a head may have as many fields as its bytes allow. As parsing one takes far longer and more memory than a usual head, ten heads with more than 100 fields are taken a second, each on a connection that is closed after its answer; beyond that, new connections take 100. The fields are counted in the memory for bodies.

Result: served_clients::a_head_of_the_largest_size_in_short_fields_is_served failed before and passes.

--- a/crates/amaranthscale/src/connection/connection_slots.rs
+++ b/crates/amaranthscale/src/connection/connection_slots.rs
@@ -3,7 +3,7 @@
 //! A connection without a request holds memory and a descriptor for a client that may never send one.
 //! Their number is bounded; see [`ConnectionAdmission`] for which ones are closed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -16,6 +16,13 @@
 /// Shortest time between two log lines about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Fields of a head up to which nothing is counted, as in the HTTP library by default.
+pub(super) const USUAL_FIELDS: usize = 100;
+/// Heads with more fields that are taken in each interval; parsing them takes far longer than usual
+/// ones.
+const UNUSUAL_HEADS: usize = 10;
+const UNUSUAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Requests sent ahead that are begun in one turn of the event loop.
 const REQUESTS_AHEAD: usize = 1;
 
@@ -44,6 +51,8 @@
     /// Connections that were closed or refused since the last log line.
     closed: u64,
     logged_at: Option<Instant>,
+    /// When the latest heads with unusually many fields arrived.
+    unusual_heads: VecDeque<Instant>,
 }
 
 impl State {
@@ -60,6 +69,19 @@
             self.logged_at = Some(now);
         }
     }
+
+    /// Whether a head with unusually many fields may be taken now.
+    fn takes_unusual_head(&mut self) -> bool {
+        let now = Instant::now();
+        while self
+            .unusual_heads
+            .front()
+            .is_some_and(|arrived| now.duration_since(*arrived) >= UNUSUAL_INTERVAL)
+        {
+            self.unusual_heads.pop_front();
+        }
+        self.unusual_heads.len() < UNUSUAL_HEADS
+    }
 }
 
 impl ConnectionSlots {
@@ -139,6 +161,20 @@
         }
     }
 
+    /// Most fields of a head on this connection, of at most `max_fields`.
+    pub(super) fn max_fields(&self, max_fields: usize) -> usize {
+        if max_fields <= USUAL_FIELDS || self.slots.lock().takes_unusual_head() {
+            max_fields
+        } else {
+            USUAL_FIELDS
+        }
+    }
+
+    /// Records a head with more than the usual fields.
+    pub(super) fn record_unusual_head(&self) {
+        self.slots.lock().unusual_heads.push_back(Instant::now());
+    }
+
     /// When the first bytes of the head arrived that is being read, if any is.
     pub(super) fn head_started(&self) -> Option<Instant> {
         self.progress().head_started
--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -20,7 +21,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::connection_slots::{ConnectionSlot, ConnectionSlots, until_head_overdue};
+use super::connection_slots::{ConnectionSlot, ConnectionSlots, USUAL_FIELDS, until_head_overdue};
 use super::slot_stream::SlotStream;
 use super::stall_guard::{StallGuard, StallLimit};
 use super::tracked_body::TrackedBody;
@@ -39,6 +40,8 @@
     pub max_connections: usize,
     /// Longest time from the first bytes of a request's head to its end.
     pub head_timeout: Duration,
+    /// Most fields of a head. Of heads with more than a hundred, ten are taken a second.
+    pub max_fields: usize,
 }
 
 /// Bounds that protect a server from its clients.
@@ -159,11 +162,10 @@
                 match limits.clients {
                     Some(clients) => {
                         if let Some(slot) = slots.admit(clients.max_connections) {
-                            let timeout = clients.head_timeout;
                             serve_client(
                                 stream,
                                 slot,
-                                timeout,
+                                clients,
                                 &limits,
                                 handle.clone(),
                                 &connections,
@@ -213,7 +215,7 @@
 fn serve_client<H, F, B>(
     stream: TcpStream,
     slot: Arc<ConnectionSlot>,
-    head_timeout: Duration,
+    clients: ClientLimits,
     limits: &HttpServerLimits,
     handle: H,
     connections: &GracefulShutdown,
@@ -224,18 +226,28 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let request_slot = Arc::clone(&slot);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let open = request_slot.begin_request();
+        let is_unusual = request.headers().len() > USUAL_FIELDS;
+        if is_unusual {
+            request_slot.record_unusual_head();
+        }
         let handle = handle.clone();
         async move {
             open.until_turn().await;
-            let answer = handle(request).await;
+            let mut answer = handle(request).await;
+            if is_unusual {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, open)))
         }
     });
+    let max_fields = slot.max_fields(clients.max_fields);
     let stream = StallGuard::new(stream, limits.stall.clone());
     let stream = SlotStream::new(stream, Arc::clone(&slot));
-    let connection = http1_builder(limits).serve_connection(TokioIo::new(stream), service);
+    let connection =
+        http1_builder(limits, max_fields).serve_connection(TokioIo::new(stream), service);
     let connection = connections.watch(connection);
     tokio::spawn(async move {
         tokio::select! {
@@ -247,18 +259,19 @@
                 }
             }
             () = slot.until_closed() => {}
-            () = until_head_overdue(&slot, head_timeout) => {
+            () = until_head_overdue(&slot, clients.head_timeout) => {
                 debug!("server: connection ended: the head of a request did not arrive in time");
             }
         }
     });
 }
 
-fn http1_builder(limits: &HttpServerLimits) -> http1::Builder {
+fn http1_builder(limits: &HttpServerLimits, max_fields: usize) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
+        .max_headers(max_fields)
         .max_buf_size(limits.max_header_bytes.max(8192));
     builder
 }
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -25,6 +25,10 @@
 const CONNECTION_BYTES: usize = 24 * 1024;
 /// Fewest connections of callers, for hosts whose limits are unknown or very small.
 const MIN_CONNECTIONS: usize = 16;
+/// Bytes of the shortest field of a head.
+const MIN_FIELD_BYTES: usize = "a:\r\n".len();
+/// Most fields of a readiness check.
+const READY_FIELDS: usize = 100;
 /// Connections to the address for readiness checks, of which the platform uses one at a time.
 const READY_CONNECTIONS: usize = 128;
 
@@ -79,6 +83,7 @@
         clients: Some(ClientLimits {
             max_connections: max_connections(memory_bytes, descriptors, bounds.max_header_bytes),
             head_timeout: bounds.header_timeout,
+            max_fields: bounds.max_header_bytes / MIN_FIELD_BYTES,
         }),
     }
 }
@@ -119,6 +124,7 @@
         clients: Some(ClientLimits {
             max_connections: READY_CONNECTIONS,
             head_timeout: READY_TIMEOUT,
+            max_fields: READY_FIELDS,
         }),
         ..limits.clone()
     };
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use super::super::clock::ms;
-use super::super::process::{GatewayContext, OpenRequest, SingleRun};
+use super::super::process::{BufferReservation, GatewayContext, OpenRequest, SingleRun};
 use super::super::{RequestAttributes, RequestContent};
 use super::answer::AnswerBody;
 use super::buffered_body::read_request_body;
@@ -29,6 +29,11 @@
 /// Retry delay for a request that is limited to a single run and already runs elsewhere.
 const SINGLE_RUN_RETRY_DELAY: Duration = Duration::from_secs(2);
 
+/// Fields of a head whose memory is part of that of its connection.
+const MAX_UNCOUNTED_FIELDS: usize = 100;
+/// Memory of a further field: in the caller's head, and in the request that is sent to servers.
+const FIELD_BYTES: usize = 256;
+
 /// A request that passed routing and authentication.
 #[derive(Debug)]
 pub(super) struct AdmittedRequest {
@@ -45,6 +50,8 @@
     pub(super) arrived_at: Instant,
     /// The caller's or the route's deadline, whichever is earlier.
     pub(super) deadline: Instant,
+    /// Memory of a head with unusually many fields.
+    _head_memory: Option<BufferReservation>,
 }
 
 impl AdmittedRequest {
@@ -241,6 +248,7 @@
             info!(reason:% = error; "request: invalid headers");
             Refusal::new(ResultCode::MalformedRequest)
         })?;
+    let head_memory = reserve_head(context, head)?;
     let timeout = attributes
         .timeout
         .unwrap_or(route.timeout)
@@ -272,6 +280,7 @@
         organisation,
         arrived_at,
         deadline,
+        _head_memory: head_memory,
     };
     let now = context.cluster_view.clock().now();
     context.retry_budgets.record_request(&service, now);
@@ -321,6 +330,20 @@
         .ok_or(Refusal::new(ResultCode::WrongKey))
 }
 
+/// Reserves memory for a head with so many fields that it takes far more than its bytes.
+fn reserve_head(
+    context: &GatewayContext,
+    head: &request::Parts,
+) -> Result<Option<BufferReservation>, Refusal> {
+    let fields = head.headers.len();
+    if fields <= MAX_UNCOUNTED_FIELDS {
+        return Ok(None);
+    }
+    let reserved = context.request_memory.try_reserve(fields * FIELD_BYTES);
+    let refusal = || Refusal::new(ResultCode::EntryFull).closing();
+    reserved.map(Some).ok_or_else(refusal)
+}
+
 async fn read_caller_body(
     context: &GatewayContext,
     routing: &Routing,
--- a/crates/amaranthscale/tests/http_server.rs
+++ b/crates/amaranthscale/tests/http_server.rs
@@ -100,19 +100,24 @@
 
 /// Connections that a server for clients takes in these tests.
 const MAX_CONNECTIONS: usize = 2;
+const MAX_FIELDS: usize = 4096;
 const HEAD_TIMEOUT: Duration = Duration::from_millis(200);
 
-async fn server_for_clients(max_connections: usize) -> HttpServer {
+/// Time in which the server answers, longer than a head may take.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+
+async fn server_for_clients(max_connections: usize, answer_time: Duration) -> HttpServer {
     let limits = HttpServerLimits {
         clients: Some(ClientLimits {
             max_connections,
             head_timeout: HEAD_TIMEOUT,
+            max_fields: MAX_FIELDS,
         }),
         ..HttpServerLimits::default()
     };
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-    let answer = |_request| async {
-        tokio::time::sleep(2 * HEAD_TIMEOUT).await;
+    let answer = move |_request| async move {
+        tokio::time::sleep(answer_time).await;
         Response::new(full_body(vec![7; 10]))
     };
     HttpServer::start(listen, limits, answer).await.unwrap()
@@ -121,7 +126,7 @@
 /// A head that stops before its end must not hold its connection for as long as its client likes.
 #[tokio::test]
 async fn a_connection_whose_head_does_not_end_is_closed() {
-    let server = server_for_clients(MAX_CONNECTIONS).await;
+    let server = server_for_clients(MAX_CONNECTIONS, ANSWER_TIME).await;
     let mut caller = TcpStream::connect(server.address()).await.unwrap();
 
     caller.write_all(b"GET / HTTP/1.1\r\nhost:").await.unwrap();
@@ -133,7 +138,7 @@
 /// Silent clients that take all connections must not keep out the next one.
 #[tokio::test]
 async fn the_oldest_silent_connection_is_closed_for_a_new_one() {
-    let server = server_for_clients(MAX_CONNECTIONS).await;
+    let server = server_for_clients(MAX_CONNECTIONS, ANSWER_TIME).await;
     let mut silent = TcpStream::connect(server.address()).await.unwrap();
     let _second = TcpStream::connect(server.address()).await.unwrap();
 
@@ -149,7 +154,7 @@
 /// A request that was read must get its answer, also where connections run out.
 #[tokio::test]
 async fn a_connection_with_a_request_is_not_closed_for_a_new_one() {
-    let server = server_for_clients(1).await;
+    let server = server_for_clients(1, ANSWER_TIME).await;
 
     let mut first = send_request(&server).await;
     tokio::time::sleep(HEAD_TIMEOUT / 2).await;
@@ -165,7 +170,7 @@
 /// A caller that keeps its connection and sends the next request later must be served on it.
 #[tokio::test]
 async fn a_kept_connection_outlasts_the_time_limit_of_a_head() {
-    let server = server_for_clients(MAX_CONNECTIONS).await;
+    let server = server_for_clients(MAX_CONNECTIONS, ANSWER_TIME).await;
     let mut caller = send_request(&server).await;
     let mut first = [0; 12];
     caller.read_exact(&mut first).await.unwrap();
@@ -191,6 +196,7 @@
         clients: Some(ClientLimits {
             max_connections: 8,
             head_timeout: HEAD_TIMEOUT,
+            max_fields: MAX_FIELDS,
         }),
         ..HttpServerLimits::default()
     };
@@ -220,3 +226,31 @@
         "{during} requests were begun before the caller's"
     );
 }
+
+async fn status_of_head_with(server: &HttpServer, fields: usize) -> String {
+    let mut caller = TcpStream::connect(server.address()).await.unwrap();
+    let fields = "a:1\r\n".repeat(fields);
+    let request = format!("GET / HTTP/1.1\r\nhost: e\r\n{fields}\r\n");
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let mut head = [0; 12];
+    caller.read_exact(&mut head).await.unwrap();
+    String::from_utf8_lossy(&head).into_owned()
+}
+
+/// Many heads of very many fields must not take the event loop, but a single one is within the limits.
+#[tokio::test]
+async fn few_heads_of_many_fields_are_taken_at_once() {
+    const MANY: usize = 2_000;
+    const ATTEMPTS: usize = 30;
+    let server = server_for_clients(MAX_CONNECTIONS, Duration::ZERO).await;
+
+    let mut served = 0;
+    for _ in 0..ATTEMPTS {
+        let head = status_of_head_with(&server, MANY).await;
+        served += usize::from(head == "HTTP/1.1 200");
+    }
+    let usual = status_of_head_with(&server, 50).await;
+
+    assert!((1..ATTEMPTS).contains(&served), "{served} were served");
+    assert_eq!(usual, "HTTP/1.1 200");
+}
