--- a/crates/amaranthscale/tests/body_parts.rs
+++ b/crates/amaranthscale/tests/body_parts.rs
@@ -120,6 +120,24 @@
     );
 }
 
+/// Guards against parts that are each read by themselves, and keep a buffer that is far larger.
+#[tokio::test]
+async fn medium_parts_do_not_keep_the_buffers_into_which_they_were_read() {
+    let sizes = vec![2_100; 400];
+    let body = PartsBody::new(sizes.clone());
+    let live_bytes = Arc::clone(&body.live_bytes);
+    let mut most = 0;
+
+    let read = read_body_if_kept(body, MAX_BYTES, TIMEOUT, |_bytes| {
+        most = most.max(live_bytes.load(Ordering::Relaxed));
+        true
+    });
+    let content = read.await.unwrap();
+
+    assert_eq!(content, PartsBody::content(&sizes));
+    assert!(most <= SLACK_BYTES, "{most} bytes of read buffers are kept");
+}
+
 /// Guards against large and small parts in turn, of which each small one takes a block.
 #[tokio::test]
 async fn parts_of_changing_sizes_are_counted_by_the_memory_that_they_take() {
