Limits of clients have a file of their own

A newcomer's reading of the change: one type a file, imports in their groups, and a name that the linter of tests finds too close to another.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -2,6 +2,7 @@
 
 mod answer_framing;
 mod body;
+mod client_limits;
 mod connection_slots;
 mod frame_reader;
 mod framed_body;
@@ -25,12 +26,14 @@
     read_body_with_idle_timeout,
 };
 #[doc(inline)]
+pub use client_limits::ClientLimits;
+#[doc(inline)]
 pub use frame_reader::{FrameError, FrameReader, encode_frame};
 pub(crate) use framed_body::EXIT_TIME;
 #[doc(inline)]
 pub use framed_body::{BodyEnd, BodyPart, FramedBody};
 #[doc(inline)]
-pub use http_server::{ClientLimits, HttpServer, HttpServerLimits};
+pub use http_server::{HttpServer, HttpServerLimits};
 #[doc(inline)]
 pub use http1_client::{Http1Connection, SendError};
 pub(crate) use http1_send::{Unanswered, try_send};
--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::client_limits::ClientLimits;
 use super::connection_slots::{ConnectionSlot, ConnectionSlots, USUAL_FIELDS, until_head_overdue};
 use super::slot_stream::SlotStream;
 use super::stall_guard::{StallGuard, StallLimit};
@@ -33,17 +34,6 @@
 /// An entry sends all its attempts for a sidecar over one connection.
 const MAX_STREAMS: u32 = 4096;
 
-/// Bounds that protect a server from clients that may not behave.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClientLimits {
-    /// Most open connections; beyond them, connections without a request are closed for new ones.
-    pub max_connections: usize,
-    /// Longest time from the first bytes of a request's head to its end.
-    pub head_timeout: Duration,
-    /// Most fields of a head. Of heads with more than a hundred, ten are taken a second.
-    pub max_fields: usize,
-}
-
 /// Bounds that protect a server from its clients.
 #[derive(Debug, Clone)]
 pub struct HttpServerLimits {
@@ -211,7 +201,7 @@
     });
 }
 
-/// Serves a client that may not behave.
+/// Serves a client outside the system, within limits.
 fn serve_client<H, F, B>(
     stream: TcpStream,
     slot: Arc<ConnectionSlot>,
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranthscale_core::version::CallerBounds;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
@@ -15,7 +16,6 @@
 use crate::connection::{
     ClientLimits, HttpServer, HttpServerLimits, ResponseBody, StallLimit, empty_body,
 };
-use amaranthscale_core::version::CallerBounds;
 
 /// Fraction of the process's memory for connections of callers, and of its descriptors; the other
 /// descriptors are for connections to servers and other gateways.
--- a/crates/amaranthscale/tests/http_server.rs
+++ b/crates/amaranthscale/tests/http_server.rs
@@ -244,13 +244,13 @@
     const ATTEMPTS: usize = 30;
     let server = server_for_clients(MAX_CONNECTIONS, Duration::ZERO).await;
 
-    let mut served = 0;
+    let mut answered = 0;
     for _ in 0..ATTEMPTS {
         let head = status_of_head_with(&server, MANY).await;
-        served += usize::from(head == "HTTP/1.1 200");
+        answered += usize::from(head == "HTTP/1.1 200");
     }
     let usual = status_of_head_with(&server, 50).await;
 
-    assert!((1..ATTEMPTS).contains(&served), "{served} were served");
+    assert!((1..ATTEMPTS).contains(&answered), "{answered} were served");
     assert_eq!(usual, "HTTP/1.1 200");
 }
