One number of usual header fields for parser, memory and readiness

The same hundred stood three times, in the server, in the memory that a head is counted in, and at the ready address, and could have come apart. It is one constant now. A comment and a line of docs say that all fields of such a head are counted, as the code does.

--- a/crates/amaranthscale/src/connection.rs
+++ b/crates/amaranthscale/src/connection.rs
@@ -27,6 +27,7 @@
 };
 #[doc(inline)]
 pub use client_limits::ClientLimits;
+pub(crate) use client_limits::USUAL_FIELDS;
 #[doc(inline)]
 pub use frame_reader::{FrameError, FrameReader, encode_frame};
 pub(crate) use framed_body::EXIT_TIME;
--- a/crates/amaranthscale/src/connection/client_limits.rs
+++ b/crates/amaranthscale/src/connection/client_limits.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Fields of a head up to which nothing is counted, as in the HTTP library by default.
+pub(crate) const USUAL_FIELDS: usize = 100;
+
 /// Bounds on what the clients of a server may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClientLimits {
--- a/crates/amaranthscale/src/connection/connection_slots.rs
+++ b/crates/amaranthscale/src/connection/connection_slots.rs
@@ -13,12 +13,12 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
+use super::client_limits::USUAL_FIELDS;
+
 /// Shortest time between two log lines about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Fields of a head up to which nothing is counted, as in the HTTP library by default.
-pub(super) const USUAL_FIELDS: usize = 100;
-/// Heads with more fields that are taken in each interval; parsing them takes far longer than usual
+/// Heads with more than the usual fields that are taken in each interval; parsing them takes far longer than usual
 /// ones.
 const UNUSUAL_HEADS: usize = 10;
 const UNUSUAL_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/amaranthscale/src/connection/http_server.rs
+++ b/crates/amaranthscale/src/connection/http_server.rs
@@ -21,8 +21,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::client_limits::ClientLimits;
-use super::connection_slots::{ConnectionSlot, ConnectionSlots, USUAL_FIELDS, until_head_overdue};
+use super::client_limits::{ClientLimits, USUAL_FIELDS};
+use super::connection_slots::{ConnectionSlot, ConnectionSlots, until_head_overdue};
 use super::slot_stream::SlotStream;
 use super::stall_guard::{StallGuard, StallLimit};
 use super::tracked_body::TrackedBody;
--- a/crates/amaranthscale/src/gateway/listen.rs
+++ b/crates/amaranthscale/src/gateway/listen.rs
@@ -14,7 +14,7 @@
 use super::request::answer_caller;
 use super::{GatewayConfig, GatewayError};
 use crate::connection::{
-    ClientLimits, HttpServer, HttpServerLimits, ResponseBody, StallLimit, empty_body,
+    ClientLimits, HttpServer, HttpServerLimits, ResponseBody, StallLimit, USUAL_FIELDS, empty_body,
 };
 
 /// Fraction of the process's memory for connections of callers, and of its descriptors; the other
@@ -27,8 +27,6 @@
 const MIN_CONNECTIONS: usize = 16;
 /// Bytes of the shortest field of a head.
 const MIN_FIELD_BYTES: usize = "a:\r\n".len();
-/// Most fields of a readiness check.
-const READY_FIELDS: usize = 100;
 /// Connections to the address for readiness checks, of which the platform uses one at a time.
 const READY_CONNECTIONS: usize = 128;
 
@@ -124,7 +122,7 @@
         clients: Some(ClientLimits {
             max_connections: READY_CONNECTIONS,
             head_timeout: READY_TIMEOUT,
-            max_fields: READY_FIELDS,
+            max_fields: USUAL_FIELDS,
         }),
         ..limits.clone()
     };
--- a/crates/amaranthscale/src/gateway/request/caller.rs
+++ b/crates/amaranthscale/src/gateway/request/caller.rs
@@ -24,14 +24,12 @@
 use super::outgoing::OutgoingRequest;
 use super::plain_run::run_plain;
 use super::refusal::Refusal;
-use crate::connection::ReadBodyError;
+use crate::connection::{ReadBodyError, USUAL_FIELDS};
 
 /// Retry delay for a request that is limited to a single run and already runs elsewhere.
 const SINGLE_RUN_RETRY_DELAY: Duration = Duration::from_secs(2);
 
-/// Fields of a head whose memory is part of that of its connection.
-const MAX_UNCOUNTED_FIELDS: usize = 100;
-/// Memory of a further field: in the caller's head, and in the request that is sent to servers.
+/// Memory of each field of a head with more than the usual number: in the caller's head, and in the request that is sent to servers.
 const FIELD_BYTES: usize = 256;
 
 /// A request that passed routing and authentication.
@@ -336,7 +334,7 @@
     head: &request::Parts,
 ) -> Result<Option<BufferReservation>, Refusal> {
     let fields = head.headers.len();
-    if fields <= MAX_UNCOUNTED_FIELDS {
+    if fields <= USUAL_FIELDS {
         return Ok(None);
     }
     let reserved = context.request_memory.try_reserve(fields * FIELD_BYTES);
